--- /dev/null
+++ b/src/core/clock.c
@@ -0,0 +1,140 @@
+#include "bulrushpost/clock.h"
+
+#include <glib.h>
+
+#define MS_PER_S 1000
+#define US_PER_S 1000000
+#define US_PER_MS 1000
+#define NS_PER_US 1000
+#define NS_PER_MS 1000000
+
+struct bp_clock_virtual {
+	bp_clock_t clock;
+	int64_t mono_us;
+	int64_t wall_offset_us;
+};
+
+/* CLOCK_BOOTTIME also counts the time that the VM spent suspended. */
+static int
+system_mono(const bp_clock_t *clock, struct timespec *out)
+{
+	(void)clock;
+	return clock_gettime(CLOCK_BOOTTIME, out);
+}
+
+static int
+system_wall(const bp_clock_t *clock, struct timespec *out)
+{
+	(void)clock;
+	return clock_gettime(CLOCK_REALTIME, out);
+}
+
+static const bp_clock_t system_clock = {system_mono, system_wall};
+
+/* Returns the clock of the operating system. */
+const bp_clock_t *
+bp_clock_system(void)
+{
+	return &system_clock;
+}
+
+static int64_t
+timespec_us(const struct timespec *ts)
+{
+	return (int64_t)ts->tv_sec * US_PER_S + ts->tv_nsec / NS_PER_US;
+}
+
+/* Returns the monotonic time in microseconds. */
+int64_t
+bp_clock_mono_us(const bp_clock_t *clock)
+{
+	struct timespec ts = {0, 0};
+
+	(void)clock->mono(clock, &ts);
+	return timespec_us(&ts);
+}
+
+/* Returns the monotonic time in milliseconds. */
+int64_t
+bp_clock_mono_ms(const bp_clock_t *clock)
+{
+	return bp_clock_mono_us(clock) / US_PER_MS;
+}
+
+/* Returns the wall-clock time in milliseconds since the epoch. */
+int64_t
+bp_clock_wall_ms(const bp_clock_t *clock)
+{
+	struct timespec ts = {0, 0};
+
+	(void)clock->wall(clock, &ts);
+	return (int64_t)ts.tv_sec * MS_PER_S + ts.tv_nsec / NS_PER_MS;
+}
+
+static void
+set_timespec(struct timespec *out, int64_t us)
+{
+	out->tv_sec = (time_t)(us / US_PER_S);
+	out->tv_nsec = (long)(us % US_PER_S) * NS_PER_US;
+}
+
+static int
+virtual_mono(const bp_clock_t *clock, struct timespec *out)
+{
+	const bp_clock_virtual_t *self = (const bp_clock_virtual_t *)clock;
+
+	set_timespec(out, self->mono_us);
+	return 0;
+}
+
+static int
+virtual_wall(const bp_clock_t *clock, struct timespec *out)
+{
+	const bp_clock_virtual_t *self = (const bp_clock_virtual_t *)clock;
+
+	set_timespec(out, self->mono_us + self->wall_offset_us);
+	return 0;
+}
+
+/*
+ * Creates a clock that only moves when told to; both its times start at
+ * start_ms. Free with bp_clock_virtual_free.
+ */
+bp_clock_virtual_t *
+bp_clock_virtual_new(int64_t start_ms)
+{
+	bp_clock_virtual_t *self = g_new0(bp_clock_virtual_t, 1);
+
+	self->clock.mono = virtual_mono;
+	self->clock.wall = virtual_wall;
+	self->mono_us = start_ms * US_PER_MS;
+	return self;
+}
+
+/* Frees a virtual clock. */
+void
+bp_clock_virtual_free(bp_clock_virtual_t *clock)
+{
+	g_free(clock);
+}
+
+/* Returns the clock interface; valid as long as the virtual clock. */
+const bp_clock_t *
+bp_clock_virtual_clock(const bp_clock_virtual_t *clock)
+{
+	return &clock->clock;
+}
+
+/* Moves both times forward by delta_us microseconds. */
+void
+bp_clock_virtual_advance_us(bp_clock_virtual_t *clock, int64_t delta_us)
+{
+	clock->mono_us += delta_us;
+}
+
+/* Steps only the wall clock, which may go backwards. */
+void
+bp_clock_virtual_step_wall_ms(bp_clock_virtual_t *clock, int64_t delta_ms)
+{
+	clock->wall_offset_us += delta_ms * US_PER_MS;
+}
--- /dev/null
+++ b/src/core/logline.c
@@ -0,0 +1,137 @@
+#include "bulrushpost/logline.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define MS_PER_S 1000
+/* Facility "daemon" of RFC 5424, shifted as in a priority value. */
+#define FACILITY_DAEMON (3 << 3)
+
+struct bp_logger {
+	const bp_clock_t *clock;
+	char *process;
+	bp_log_level_t level;
+};
+
+static const struct {
+	bp_log_level_t level;
+	const char *name;
+} level_names[] = {
+    {BP_LOG_ERR, "err"},
+    {BP_LOG_WARNING, "warning"},
+    {BP_LOG_NOTICE, "notice"},
+    {BP_LOG_INFO, "info"},
+    {BP_LOG_DEBUG, "debug"},
+};
+
+/*
+ * Creates a logger that writes lines of at most the given severity to
+ * standard error. process names the sender in each line.
+ */
+bp_logger_t *
+bp_logger_new(
+    const bp_clock_t *clock, const char *process, bp_log_level_t level)
+{
+	bp_logger_t *logger = g_new0(bp_logger_t, 1);
+
+	logger->clock = clock;
+	logger->process = g_strdup(process);
+	logger->level = level;
+	return logger;
+}
+
+/* Frees a logger. NULL is allowed. */
+void
+bp_logger_free(bp_logger_t *logger)
+{
+	if (logger == NULL)
+		return;
+	g_free(logger->process);
+	g_free(logger);
+}
+
+/* Reads a level name; returns BP_OK (0) or -1 for an unknown name. */
+int
+bp_log_level_parse(bp_log_level_t *out, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(level_names); i++) {
+		if (strcmp(level_names[i].name, name) == 0) {
+			*out = level_names[i].level;
+			return 0;
+		}
+	}
+	return -1;
+}
+
+/* Control characters would let a value forge further lines or fields. */
+static void
+append_value(GString *line, const char *value)
+{
+	gboolean quote = value[0] == '\0' || strpbrk(value, " \"=") != NULL;
+	const char *p;
+
+	if (quote)
+		g_string_append_c(line, '"');
+	for (p = value; *p != '\0'; p++) {
+		if (*p == '"' || *p == '\\')
+			g_string_append_c(line, '\\');
+		g_string_append_c(line, (unsigned char)*p < ' ' ? ' ' : *p);
+	}
+	if (quote)
+		g_string_append_c(line, '"');
+}
+
+static void
+append_prefix(GString *line, const bp_logger_t *logger, bp_log_level_t level)
+{
+	int64_t wall_ms = bp_clock_wall_ms(logger->clock);
+	GDateTime *at = g_date_time_new_from_unix_utc(wall_ms / MS_PER_S);
+	char *stamp = g_date_time_format(at, "%Y-%m-%dT%H:%M:%S");
+
+	g_string_append_printf(line,
+	    "<%d>%s.%03dZ %s[%d]: ", FACILITY_DAEMON | (int)level, stamp,
+	    (int)(wall_ms % MS_PER_S), logger->process, (int)getpid());
+	g_free(stamp);
+	g_date_time_unref(at);
+}
+
+/*
+ * Writes one line: priority, time, process, then level, module, msg and the
+ * given key=value pairs. A NULL logger drops the line.
+ */
+void
+bp_log(bp_logger_t *logger, bp_log_level_t level, const char *module,
+    const char *message, ...)
+{
+	GString *line;
+	va_list args;
+	const char *key;
+	size_t i;
+
+	if (logger == NULL || level > logger->level)
+		return;
+	line = g_string_sized_new(256);
+	append_prefix(line, logger, level);
+	for (i = 0; i < G_N_ELEMENTS(level_names); i++) {
+		if (level_names[i].level == level)
+			g_string_append_printf(
+			    line, "level=%s ", level_names[i].name);
+	}
+	g_string_append_printf(line, "module=%s msg=", module);
+	append_value(line, message);
+	va_start(args, message);
+	while ((key = va_arg(args, const char *)) != NULL) {
+		const char *value = va_arg(args, const char *);
+
+		g_string_append_printf(line, " %s=", key);
+		append_value(line, value != NULL ? value : "");
+	}
+	va_end(args);
+	g_string_append_c(line, '\n');
+	(void)!write(STDERR_FILENO, line->str, line->len);
+	g_string_free(line, TRUE);
+}
