--- /dev/null
+++ b/include/bulrushpost/follower.h
@@ -0,0 +1,54 @@
+#ifndef BULRUSHPOST_FOLLOWER_H
+#define BULRUSHPOST_FOLLOWER_H
+
+#include "bulrushpost/clock.h"
+#include "bulrushpost/logclient.h"
+#include "bulrushpost/logline.h"
+#include "bulrushpost/state.h"
+
+/* Reads the stream in order and applies every record to the state. */
+typedef struct bp_follower bp_follower_t;
+
+typedef enum {
+	BP_FOLLOWER_STARTING, /* no snapshot or head read yet */
+	BP_FOLLOWER_CURRENT, /* the last read reached the head */
+	BP_FOLLOWER_LOG_DOWN, /* the last read failed */
+	BP_FOLLOWER_STATE_UNKNOWN,
+	BP_FOLLOWER_VERSION_UNKNOWN
+} bp_follower_status_t;
+
+typedef struct {
+	const bp_clock_t *clock;
+	bp_logger_t *logger;
+	bp_logclient_t *log;
+	uint32_t wait_ms; /* long poll */
+	uint32_t retry_ms; /* pause after a failed read */
+} bp_follower_options_t;
+
+int bp_follower_options_init(bp_follower_options_t *options);
+int bp_follower_new(
+    bp_follower_t **out, const bp_follower_options_t *options, bp_error_t *err);
+void bp_follower_free(bp_follower_t *follower);
+void bp_follower_start(bp_follower_t *follower);
+
+/* The state changes identity when a snapshot is loaded. */
+bp_state_t *bp_follower_state(const bp_follower_t *follower);
+void bp_follower_observe(
+    bp_follower_t *follower, bp_state_observer_t observer, void *data);
+/* Called after each completed read and each change of status. */
+typedef void (*bp_follower_progress_t)(bp_follower_t *follower, void *data);
+void bp_follower_on_progress(
+    bp_follower_t *follower, bp_follower_progress_t progress, void *data);
+
+bp_follower_status_t bp_follower_status(const bp_follower_t *follower);
+/* Monotonic start time (us) of the latest read that reached the head. */
+int64_t bp_follower_fresh_us(const bp_follower_t *follower);
+/* Wall time (ms) since which reads fail; 0 when they do not. */
+int64_t bp_follower_down_since_ms(const bp_follower_t *follower);
+/* Starts a read to the head at once instead of waiting in the long poll. */
+void bp_follower_poke(bp_follower_t *follower);
+/* Takes the state of a peer if its offset is higher than the own one. */
+int bp_follower_offer(bp_follower_t *follower, const uint8_t *snapshot,
+    size_t size_bytes, bp_error_t *err);
+
+#endif
