--- a/include/bulrushpost/state.h
+++ b/include/bulrushpost/state.h
@@ -51,7 +51,7 @@
 	bp_resources_t size; /* of one task */
 	uint64_t run_ms; /* as declared; 0 when unknown */
 	uint32_t weight;
-	bool rerun_lost;
+	bool never_rerun; /* a lost task is not run again */
 	char *command;
 	char *submitted_by;
 	bool cancelled;
@@ -85,6 +85,7 @@
 	uint64_t owner_incarnation;
 	uint64_t epoch;
 	uint64_t ended_epoch; /* owners up to this epoch renew nothing more */
+	GArray *ended_later; /* uint64_t, epochs beyond a gap */
 	bool released;
 	char *successor;
 	GPtrArray *vms; /* bp_vm_t, not owned */
--- a/src/proto/log.pb-c.c
+++ b/src/proto/log.pb-c.c
@@ -1255,12 +1255,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "rerun_lost",
+    "never_rerun",
     11,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Bp__Log__JobSpec, rerun_lost),
+    offsetof(Bp__Log__JobSpec, never_rerun),
     NULL,
     NULL,
     0,             /* flags */
@@ -1299,7 +1299,7 @@
   3,   /* field[3] = klass */
   6,   /* field[6] = memory_mib */
   2,   /* field[2] = name */
-  10,   /* field[10] = rerun_lost */
+  10,   /* field[10] = never_rerun */
   8,   /* field[8] = run_ms */
   12,   /* field[12] = submitted_by */
   4,   /* field[4] = tasks */
@@ -1390,7 +1390,7 @@
   (ProtobufCMessageInit) bp__log__claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__log__release__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bp__log__release__field_descriptors[4] =
 {
   {
     "rack",
@@ -1428,8 +1428,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cleared",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Log__Release, cleared),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__log__release__field_indices_by_name[] = {
+  3,   /* field[3] = cleared */
   1,   /* field[1] = epoch */
   0,   /* field[0] = rack */
   2,   /* field[2] = successor */
@@ -1437,7 +1450,7 @@
 static const ProtobufCIntRange bp__log__release__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bp__log__release__descriptor =
 {
@@ -1447,7 +1460,7 @@
   "Bp__Log__Release",
   "bp.log",
   sizeof(Bp__Log__Release),
-  3,
+  4,
   bp__log__release__field_descriptors,
   bp__log__release__field_indices_by_name,
   1,  bp__log__release__number_ranges,
@@ -2689,7 +2702,7 @@
   (ProtobufCMessageInit) bp__log__incarnation_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__log__rack_state__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bp__log__rack_state__field_descriptors[9] =
 {
   {
     "rack",
@@ -2763,19 +2776,58 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "released",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Log__RackState, released),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_epoch",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Log__RackState, ended_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_later",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bp__Log__RackState, n_ended_later),
+    offsetof(Bp__Log__RackState, ended_later),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__log__rack_state__field_indices_by_name[] = {
+  7,   /* field[7] = ended_epoch */
+  8,   /* field[8] = ended_later */
   4,   /* field[4] = epoch */
   2,   /* field[2] = owner */
   3,   /* field[3] = owner_incarnation */
   0,   /* field[0] = rack */
+  6,   /* field[6] = released */
   5,   /* field[5] = successor */
   1,   /* field[1] = zone */
 };
 static const ProtobufCIntRange bp__log__rack_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor bp__log__rack_state__descriptor =
 {
@@ -2785,7 +2837,7 @@
   "Bp__Log__RackState",
   "bp.log",
   sizeof(Bp__Log__RackState),
-  6,
+  9,
   bp__log__rack_state__field_descriptors,
   bp__log__rack_state__field_indices_by_name,
   1,  bp__log__rack_state__number_ranges,
@@ -2960,7 +3012,7 @@
   (ProtobufCMessageInit) bp__log__vm_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__log__task_state__field_descriptors[9] =
+static const ProtobufCFieldDescriptor bp__log__task_state__field_descriptors[10] =
 {
   {
     "task",
@@ -3070,11 +3122,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failures",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Log__TaskState, failures),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__log__task_state__field_indices_by_name[] = {
   1,   /* field[1] = attempt */
   4,   /* field[4] = checkpoint */
   5,   /* field[5] = epoch */
+  9,   /* field[9] = failures */
   6,   /* field[6] = outcome */
   8,   /* field[8] = since_ms */
   7,   /* field[7] = since_offset */
@@ -3085,7 +3150,7 @@
 static const ProtobufCIntRange bp__log__task_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor bp__log__task_state__descriptor =
 {
@@ -3095,7 +3160,7 @@
   "Bp__Log__TaskState",
   "bp.log",
   sizeof(Bp__Log__TaskState),
-  9,
+  10,
   bp__log__task_state__field_descriptors,
   bp__log__task_state__field_indices_by_name,
   1,  bp__log__task_state__number_ranges,
@@ -3514,7 +3579,7 @@
   (ProtobufCMessageInit) bp__log__key_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__log__snapshot__field_descriptors[11] =
+static const ProtobufCFieldDescriptor bp__log__snapshot__field_descriptors[13] =
 {
   {
     "version",
@@ -3648,14 +3713,40 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "key_horizon_s",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Log__Snapshot, key_horizon_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pruned_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Log__Snapshot, pruned_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__log__snapshot__field_indices_by_name[] = {
   3,   /* field[3] = incarnations */
   6,   /* field[6] = jobs */
+  11,   /* field[11] = key_horizon_s */
   9,   /* field[9] = keys */
   1,   /* field[1] = next_offset */
   2,   /* field[2] = nodes */
   10,   /* field[10] = now_ms */
+  12,   /* field[12] = pruned_ms */
   4,   /* field[4] = racks */
   7,   /* field[7] = rules */
   0,   /* field[0] = version */
@@ -3665,7 +3756,7 @@
 static const ProtobufCIntRange bp__log__snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor bp__log__snapshot__descriptor =
 {
@@ -3675,7 +3766,7 @@
   "Bp__Log__Snapshot",
   "bp.log",
   sizeof(Bp__Log__Snapshot),
-  11,
+  13,
   bp__log__snapshot__field_descriptors,
   bp__log__snapshot__field_indices_by_name,
   1,  bp__log__snapshot__number_ranges,
--- a/src/proto/log.pb-c.h
+++ b/src/proto/log.pb-c.h
@@ -91,7 +91,10 @@
   uint32_t accelerators;
   uint64_t run_ms;
   uint32_t weight;
-  protobuf_c_boolean rerun_lost;
+  /*
+   * a task whose end is not known is not run again
+   */
+  protobuf_c_boolean never_rerun;
   char *command;
   char *submitted_by;
 };
@@ -117,6 +120,8 @@
 
 /*
  * The owner gives up a rack. successor may be empty.
+ * cleared: the owner held a session on every VM of the rack, so no earlier
+ * owner can renew a lease there either.
  */
 struct  Bp__Log__Release
 {
@@ -124,10 +129,11 @@
   char *rack;
   uint64_t epoch;
   char *successor;
+  protobuf_c_boolean cleared;
 };
 #define BP__LOG__RELEASE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__log__release__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Bp__Log__VmUpsert
@@ -349,10 +355,14 @@
   uint64_t owner_incarnation;
   uint64_t epoch;
   char *successor;
+  protobuf_c_boolean released;
+  uint64_t ended_epoch;
+  size_t n_ended_later;
+  uint64_t *ended_later;
 };
 #define BP__LOG__RACK_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__log__rack_state__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
 
 
 struct  Bp__Log__VmState
@@ -387,10 +397,11 @@
   uint32_t outcome;
   uint64_t since_offset;
   uint64_t since_ms;
+  uint32_t failures;
 };
 #define BP__LOG__TASK_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__log__task_state__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Bp__Log__JobState
@@ -476,10 +487,15 @@
   size_t n_keys;
   Bp__Log__KeyState **keys;
   uint64_t now_ms;
+  uint64_t key_horizon_s;
+  /*
+   * pruning is part of the deterministic state
+   */
+  uint64_t pruned_ms;
 };
 #define BP__LOG__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__log__snapshot__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 struct  Bp__Log__SnapshotChunk
