--- /dev/null
+++ b/include/bulrushpost/constraints.h
@@ -0,0 +1,43 @@
+#ifndef BULRUSHPOST_CONSTRAINTS_H
+#define BULRUSHPOST_CONSTRAINTS_H
+
+#include "bulrushpost/eligibility.h"
+#include "bulrushpost/reservations.h"
+
+/* The rules in force that concern one job, selected once for many VMs. */
+typedef struct {
+	const bp_state_t *state;
+	const bp_job_t *job;
+	GPtrArray *rules; /* const bp_rule_t */
+} bp_constraints_t;
+
+/* One thing that excludes the job from one VM, with its facts. */
+typedef struct {
+	bp_cause_t cause;
+	const bp_rule_t *rule; /* for quota, rule and headroom */
+	const bp_zone_t *zone; /* for zone_out */
+	const bp_rack_t *rack; /* for no_owner */
+	const bp_vm_t *vm; /* NULL where the VM does not matter */
+	bp_resources_t shortfall; /* for the amounts */
+} bp_obstacle_t;
+
+typedef void (*bp_obstacle_visitor_t)(
+    const bp_obstacle_t *obstacle, void *data);
+
+void bp_constraints_init(bp_constraints_t *constraints, const bp_state_t *state,
+    const bp_job_t *job);
+void bp_constraints_clear(bp_constraints_t *constraints);
+
+/*
+ * Causes that exclude one more task of the job from the VM. With a visitor
+ * all causes are found and visited; without one the first ends the search.
+ * reservations may be NULL.
+ */
+uint32_t bp_constraints_check(const bp_constraints_t *constraints,
+    const bp_vm_t *vm, const bp_reservations_t *reservations,
+    bp_obstacle_visitor_t visit, void *data);
+/* What a task of the job may use of the VM, without what is in use. */
+bp_resources_t bp_constraints_limit(
+    const bp_constraints_t *constraints, const bp_vm_t *vm);
+
+#endif
--- /dev/null
+++ b/src/state/reservations.c
@@ -0,0 +1,148 @@
+#include "bulrushpost/reservations.h"
+
+#include "bulrushpost/resources.h"
+
+typedef struct {
+	bp_resources_t used;
+	GArray *list; /* bp_reservation_t */
+} holder_t;
+
+struct bp_reservations {
+	GHashTable *vms; /* const bp_vm_t * -> holder_t */
+	GHashTable *jobs; /* const bp_job_t * -> holder_t */
+	GHashTable *teams; /* const bp_team_t * -> holder_t, without a list */
+};
+
+static void
+holder_free(void *data)
+{
+	holder_t *holder = data;
+
+	if (holder->list != NULL)
+		g_array_unref(holder->list);
+	g_free(holder);
+}
+
+static GHashTable *
+new_table(void)
+{
+	return g_hash_table_new_full(NULL, NULL, NULL, holder_free);
+}
+
+/* Creates an empty set. Free with bp_reservations_free. */
+bp_reservations_t *
+bp_reservations_new(void)
+{
+	bp_reservations_t *self = g_new0(bp_reservations_t, 1);
+
+	self->vms = new_table();
+	self->jobs = new_table();
+	self->teams = new_table();
+	return self;
+}
+
+/* Frees the set. NULL is allowed. */
+void
+bp_reservations_free(bp_reservations_t *reservations)
+{
+	if (reservations == NULL)
+		return;
+	g_hash_table_unref(reservations->vms);
+	g_hash_table_unref(reservations->jobs);
+	g_hash_table_unref(reservations->teams);
+	g_free(reservations);
+}
+
+/* Removes all reservations. */
+void
+bp_reservations_clear(bp_reservations_t *reservations)
+{
+	g_hash_table_remove_all(reservations->vms);
+	g_hash_table_remove_all(reservations->jobs);
+	g_hash_table_remove_all(reservations->teams);
+}
+
+static holder_t *
+holder_of(GHashTable *table, const void *key)
+{
+	holder_t *holder = g_hash_table_lookup(table, key);
+
+	if (holder == NULL) {
+		holder = g_new0(holder_t, 1);
+		g_hash_table_insert(table, (void *)key, holder);
+	}
+	return holder;
+}
+
+static void
+add_to(holder_t *holder, const bp_reservation_t *one,
+    const bp_resources_t *amount, bool listed)
+{
+	holder->used = bp_resources_sum(&holder->used, amount);
+	if (!listed)
+		return;
+	if (holder->list == NULL)
+		holder->list =
+		    g_array_new(FALSE, FALSE, sizeof(bp_reservation_t));
+	g_array_append_val(holder->list, *one);
+}
+
+/* Reserves room for count tasks of the job on the VM. */
+void
+bp_reservations_add(bp_reservations_t *reservations, const bp_job_t *job,
+    const bp_vm_t *vm, uint32_t count)
+{
+	bp_reservation_t one = {job, vm, count};
+	bp_resources_t amount = bp_resources_times(&job->size, count);
+
+	add_to(holder_of(reservations->vms, vm), &one, &amount, true);
+	add_to(holder_of(reservations->jobs, job), &one, &amount, true);
+	add_to(holder_of(reservations->teams, job->team), &one, &amount, false);
+}
+
+/* Returns what is reserved on the VM. */
+bp_resources_t
+bp_reservations_vm(const bp_reservations_t *reservations, const bp_vm_t *vm)
+{
+	bp_resources_t none = {0, 0, 0};
+	const holder_t *holder = reservations == NULL
+	    ? NULL
+	    : g_hash_table_lookup(reservations->vms, vm);
+
+	return holder == NULL ? none : holder->used;
+}
+
+/* Returns what is reserved for the jobs of the team. */
+bp_resources_t
+bp_reservations_team(
+    const bp_reservations_t *reservations, const bp_team_t *team)
+{
+	bp_resources_t none = {0, 0, 0};
+	const holder_t *holder = reservations == NULL
+	    ? NULL
+	    : g_hash_table_lookup(reservations->teams, team);
+
+	return holder == NULL ? none : holder->used;
+}
+
+/* Returns the reservations on the VM. */
+const GArray *
+bp_reservations_on(const bp_reservations_t *reservations, const bp_vm_t *vm)
+{
+	const holder_t *holder = reservations == NULL
+	    ? NULL
+	    : g_hash_table_lookup(reservations->vms, vm);
+
+	return holder == NULL ? NULL : holder->list;
+}
+
+/* Returns the reservations for tasks of the job. */
+const GArray *
+bp_reservations_of(const bp_reservations_t *reservations, const bp_job_t *job)
+{
+	const holder_t *holder = reservations == NULL
+	    ? NULL
+	    : g_hash_table_lookup(reservations->jobs, job);
+
+	return holder == NULL ? NULL : holder->list;
+}
