--- /dev/null
+++ b/src/scheduler/liveness.c
@@ -0,0 +1,122 @@
+#include "bulrushpost/liveness.h"
+
+#define US_PER_MS 1000
+/* Own records must have come back this recently to judge other nodes. */
+#define OWN_ROUND_TRIP_MS 2000
+
+typedef struct {
+	uint64_t last_offset;
+	uint64_t incarnation;
+	int64_t seen_us;
+	int64_t first_us;
+} seen_t;
+
+struct bp_liveness {
+	char *self;
+	uint32_t death_ms;
+	GHashTable *nodes; /* name to seen_t */
+	bool current;
+	int64_t current_since_us;
+};
+
+/*
+ * Creates a view of the nodes. self is the own node's name; death_ms is the
+ * silence after which another node is considered dead.
+ */
+bp_liveness_t *
+bp_liveness_new(const char *self, uint32_t death_ms)
+{
+	bp_liveness_t *liveness = g_new0(bp_liveness_t, 1);
+
+	liveness->self = g_strdup(self);
+	liveness->death_ms = death_ms;
+	liveness->nodes =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return liveness;
+}
+
+/* Frees the view. NULL is allowed. */
+void
+bp_liveness_free(bp_liveness_t *liveness)
+{
+	if (liveness == NULL)
+		return;
+	g_hash_table_unref(liveness->nodes);
+	g_free(liveness->self);
+	g_free(liveness);
+}
+
+static void
+note_node(bp_liveness_t *liveness, const bp_node_t *node, int64_t now_us)
+{
+	seen_t *seen = g_hash_table_lookup(liveness->nodes, node->name);
+
+	if (seen == NULL) {
+		seen = g_new0(seen_t, 1);
+		g_hash_table_insert(
+		    liveness->nodes, g_strdup(node->name), seen);
+		seen->first_us = now_us;
+		seen->seen_us = now_us;
+	} else if (seen->last_offset != node->last_offset) {
+		seen->seen_us = now_us;
+	}
+	if (seen->incarnation != node->incarnation)
+		seen->first_us = now_us;
+	seen->incarnation = node->incarnation;
+	seen->last_offset = node->last_offset;
+}
+
+/*
+ * Notes what was read. The silence of a node counts only from the time at
+ * which reads became current: after an outage every node gets a full
+ * death_ms to write its next record.
+ */
+void
+bp_liveness_update(bp_liveness_t *liveness, const bp_state_t *state,
+    bool current, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (current && !liveness->current)
+		liveness->current_since_us = now_us;
+	liveness->current = current;
+	g_hash_table_iter_init(&iter, bp_state_nodes(state));
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		note_node(liveness, value, now_us);
+}
+
+static bool
+silent(const bp_liveness_t *liveness, const seen_t *seen, int64_t now_us,
+    int64_t limit_ms)
+{
+	int64_t since_us = MAX(seen->seen_us, liveness->current_since_us);
+
+	return now_us - since_us > limit_ms * US_PER_MS;
+}
+
+/* See the header. */
+bool
+bp_liveness_dead(
+    const bp_liveness_t *liveness, const char *node, int64_t now_us)
+{
+	const seen_t *seen = g_hash_table_lookup(liveness->nodes, node);
+	const seen_t *own =
+	    g_hash_table_lookup(liveness->nodes, liveness->self);
+
+	if (seen == NULL || own == NULL || !liveness->current)
+		return false;
+	if (now_us - own->seen_us > OWN_ROUND_TRIP_MS * US_PER_MS)
+		return false;
+	return silent(liveness, seen, now_us, liveness->death_ms);
+}
+
+/* See the header. */
+int64_t
+bp_liveness_age_ms(
+    const bp_liveness_t *liveness, const char *node, int64_t now_us)
+{
+	const seen_t *seen = g_hash_table_lookup(liveness->nodes, node);
+
+	return seen != NULL ? (now_us - seen->first_us) / US_PER_MS : 0;
+}
