Parse rule files

The state machine and the command line need one parser that gives the same result on every node, so it depends on neither the locale nor the clock. fnmatch was ruled out for job patterns because it reads the locale, and g_pattern_match_simple because it allocates on each call.

--- /dev/null
+++ b/src/state/rules_internal.h
@@ -0,0 +1,50 @@
+#ifndef BP_STATE_RULES_INTERNAL_H
+#define BP_STATE_RULES_INTERNAL_H
+
+#include "bulrushpost/rules.h"
+
+struct bp_rules {
+	GPtrArray *rules; /* bp_rule_t */
+	GHashTable *quotas; /* team name to bp_rule_t, not owned */
+	GHashTable *weights;
+};
+
+#define BP_RULES_NAME_MAX_BYTES 128
+
+/* One line being read: its words and the position in them. */
+typedef struct {
+	uint32_t line;
+	char **words; /* without empty ones */
+	size_t next;
+	const bp_rules_names_t *names;
+	bp_error_t *err;
+} bp_rules_reader_t;
+
+char **bp_rules_split_words(const char *body);
+int bp_rules_check_characters(
+    const bp_rules_reader_t *reader, const char *line);
+int bp_rules_refuse(
+    const bp_rules_reader_t *reader, const char *words, const char *right);
+int bp_rules_refuse_unknown(const bp_rules_reader_t *reader, const char *word,
+    const char *const *known, const char *right);
+const char *bp_rules_take(bp_rules_reader_t *reader);
+int bp_rules_index_of(const char *word, const char *const *known);
+bool bp_rules_read_number(
+    const char *word, size_t length, unsigned int decimals, uint32_t *out);
+int bp_rules_read_bounded(bp_rules_reader_t *reader, uint32_t low,
+    uint32_t high, const char *right, uint32_t *out);
+int bp_rules_read_name(
+    bp_rules_reader_t *reader, const char *right, char **out);
+
+/* Reads one line; *out is NULL for a blank line or a comment. */
+int bp_rules_parse_line(bp_rule_t **out, const char *line, uint32_t number,
+    const bp_rules_names_t *names, bp_error_t *err);
+/* Compares a rule with all earlier ones. */
+int bp_rules_check_repeated(
+    const GPtrArray *earlier, const bp_rule_t *rule, bp_error_t *err);
+/* Checks that the place rules of each subject leave a place. */
+int bp_rules_check_places(
+    const GPtrArray *rules, const bp_rules_names_t *names, bp_error_t *err);
+void bp_rule_free(bp_rule_t *rule);
+
+#endif
--- /dev/null
+++ b/src/state/rules_reader.c
@@ -0,0 +1,169 @@
+#include "bulrushpost/suggest.h"
+#include "state/rules_internal.h"
+
+#include <string.h>
+
+/* Longest part of a line that is repeated in an error message. */
+#define SHOWN_BYTES 120
+
+/* Cuts words to a length that fits a message, at a character boundary. */
+static char *
+shorten(const char *words)
+{
+	const char *end;
+
+	if (strlen(words) <= SHOWN_BYTES)
+		return g_strdup(words);
+	end = g_utf8_find_prev_char(words, words + SHOWN_BYTES + 1);
+	return g_strdup_printf("%.*s...", (int)(end - words), words);
+}
+
+/* Refuses words, or the end of the line for NULL. */
+int
+bp_rules_refuse(
+    const bp_rules_reader_t *reader, const char *words, const char *right)
+{
+	char *shown = shorten(words != NULL ? words : "end of line");
+	int rc;
+
+	rc = bp_error_set(reader->err, BP_EINVALID, "line %u: %s: %s",
+	    reader->line, shown, right);
+	g_free(shown);
+	return rc;
+}
+
+/* Refuses a word that is not in a list, with the closest one that is. */
+int
+bp_rules_refuse_unknown(const bp_rules_reader_t *reader, const char *word,
+    const char *const *known, const char *right)
+{
+	const char *close = word != NULL ? bp_suggest(word, known) : NULL;
+	char *advice;
+	int rc;
+
+	if (close == NULL)
+		return bp_rules_refuse(reader, word, right);
+	advice = g_strdup_printf("%s; did you mean %s?", right, close);
+	rc = bp_rules_refuse(reader, word, advice);
+	g_free(advice);
+	return rc;
+}
+
+/* Returns the next word, or NULL at the end of the line. */
+const char *
+bp_rules_take(bp_rules_reader_t *reader)
+{
+	const char *word = reader->words[reader->next];
+
+	if (word != NULL)
+		reader->next++;
+	return word;
+}
+
+/* Returns the position of a word in a list, or -1; word may be NULL. */
+int
+bp_rules_index_of(const char *word, const char *const *known)
+{
+	int i;
+
+	for (i = 0; word != NULL && known[i] != NULL; i++) {
+		if (strcmp(word, known[i]) == 0)
+			return i;
+	}
+	return -1;
+}
+
+/*
+ * Reads a decimal number with up to decimals digits after the point and
+ * scales it by 10^decimals. Returns false on anything else or on overflow.
+ */
+bool
+bp_rules_read_number(
+    const char *word, size_t length, unsigned int decimals, uint32_t *out)
+{
+	uint64_t value = 0;
+	unsigned int after = 0;
+	bool point = false;
+	size_t i;
+
+	for (i = 0; i < length; i++) {
+		if (word[i] == '.' && !point && decimals > 0 && i > 0) {
+			point = true;
+			continue;
+		}
+		if (!g_ascii_isdigit(word[i]) || (point && after == decimals))
+			return false;
+		value = value * 10 + (uint64_t)(word[i] - '0');
+		after += point ? 1 : 0;
+		if (value > UINT32_MAX)
+			return false;
+	}
+	if (length == 0 || (point && after == 0))
+		return false;
+	for (; after < decimals; after++)
+		value *= 10;
+	*out = (uint32_t)value;
+	return value <= UINT32_MAX;
+}
+
+/* Reads a whole number from low to high. */
+int
+bp_rules_read_bounded(bp_rules_reader_t *reader, uint32_t low, uint32_t high,
+    const char *right, uint32_t *out)
+{
+	const char *word = bp_rules_take(reader);
+
+	if (word == NULL || !bp_rules_read_number(word, strlen(word), 0, out) ||
+	    *out < low || *out > high)
+		return bp_rules_refuse(reader, word, right);
+	return BP_OK;
+}
+
+/* Reads a name, which is copied. */
+int
+bp_rules_read_name(bp_rules_reader_t *reader, const char *right, char **out)
+{
+	const char *word = bp_rules_take(reader);
+
+	if (word == NULL || strlen(word) > BP_RULES_NAME_MAX_BYTES ||
+	    strchr(word, ',') != NULL)
+		return bp_rules_refuse(reader, word, right);
+	*out = g_strdup(word);
+	return BP_OK;
+}
+
+/* Splits at blanks; the list ends in NULL and has no empty words. */
+char **
+bp_rules_split_words(const char *body)
+{
+	GPtrArray *words = g_ptr_array_new();
+	char **parts = g_strsplit_set(body, " \t\r", -1);
+	size_t i;
+
+	for (i = 0; parts[i] != NULL; i++) {
+		if (parts[i][0] != '\0')
+			g_ptr_array_add(words, parts[i]);
+		else
+			g_free(parts[i]);
+	}
+	g_free(parts);
+	g_ptr_array_add(words, NULL);
+	return (char **)g_ptr_array_free(words, FALSE);
+}
+
+/* Control characters would change how a line looks where it is quoted. */
+int
+bp_rules_check_characters(const bp_rules_reader_t *reader, const char *line)
+{
+	const char *p;
+
+	for (p = line; *p != '\0'; p++) {
+		unsigned char c = (unsigned char)*p;
+
+		if ((c < ' ' && c != '\t' && (c != '\r' || p[1] != '\0')) ||
+		    c == 0x7f)
+			return bp_rules_refuse(reader, "control character",
+			    "only printable text, spaces and tabs");
+	}
+	return BP_OK;
+}
