Add the HTTP call and the log client

Each call has a time limit, a size limit and a proof of whether anything was sent: libsoup emits "starting" on a connected socket before the first byte. The decoder refuses answers whose records are not consecutive, because a gap would be a record that is never applied.

--- a/include/bulrushpost/logclient.h
+++ b/include/bulrushpost/logclient.h
@@ -38,7 +38,12 @@
 void bp_logclient_free(bp_logclient_t *client);
 void bp_logclient_append(bp_logclient_t *client, const char *stream,
     const uint8_t *record, size_t size_bytes, bp_append_cb_t done, void *data);
-/* err is BP_EEXPIRED when from is below the oldest offset kept. */
+/* Cancels the calls made with this data; their callbacks do not run. */
+void bp_logclient_cancel(bp_logclient_t *client, const void *data);
+/*
+ * err is BP_EEXPIRED when from is below the oldest offset kept; the batch then
+ * holds first and head only. With any other err the batch is NULL.
+ */
 void bp_logclient_read(bp_logclient_t *client, const char *stream,
     uint64_t from, uint32_t max, uint32_t wait_ms, bp_read_cb_t done,
     void *data);
--- a/include/bulrushpost/workerclient.h
+++ b/include/bulrushpost/workerclient.h
@@ -25,16 +25,16 @@
 	uint32_t connections; /* upper limit over all workers */
 } bp_workerclient_options_t;
 
-typedef void (*bp_worker_nonce_cb_t)(const Bp__Worker__NonceAnswer *answer,
-    const bp_error_t *err, void *data);
-typedef void (*bp_worker_session_cb_t)(const Bp__Worker__SessionAnswer *answer,
-    const bp_error_t *err, void *data);
-typedef void (*bp_worker_start_cb_t)(const Bp__Worker__StartAnswer *answer,
-    const bp_error_t *err, void *data);
-typedef void (*bp_worker_renew_cb_t)(const Bp__Worker__RenewAnswer *answer,
-    const bp_error_t *err, void *data);
-typedef void (*bp_worker_act_cb_t)(const Bp__Worker__ActAnswer *answer,
-    const bp_error_t *err, void *data);
+typedef void (*bp_worker_nonce_cb_t)(
+    const Bp__Worker__NonceAnswer *answer, const bp_error_t *err, void *data);
+typedef void (*bp_worker_session_cb_t)(
+    const Bp__Worker__SessionAnswer *answer, const bp_error_t *err, void *data);
+typedef void (*bp_worker_start_cb_t)(
+    const Bp__Worker__StartAnswer *answer, const bp_error_t *err, void *data);
+typedef void (*bp_worker_renew_cb_t)(
+    const Bp__Worker__RenewAnswer *answer, const bp_error_t *err, void *data);
+typedef void (*bp_worker_act_cb_t)(
+    const Bp__Worker__ActAnswer *answer, const bp_error_t *err, void *data);
 
 int bp_workerclient_options_init(bp_workerclient_options_t *options);
 int bp_workerclient_new(bp_workerclient_t **out,
@@ -57,7 +57,6 @@
     const Bp__Worker__RenewRequest *request, bp_worker_renew_cb_t done,
     void *data);
 void bp_workerclient_act(bp_workerclient_t *client, const char *url,
-    const Bp__Worker__ActRequest *request, bp_worker_act_cb_t done,
-    void *data);
+    const Bp__Worker__ActRequest *request, bp_worker_act_cb_t done, void *data);
 
 #endif
--- /dev/null
+++ b/src/platform/httpcall.c
@@ -0,0 +1,312 @@
+#include "platform/httpcall.h"
+
+#include <string.h>
+
+#define READ_BYTES 4096
+#define READ_MAX_BYTES 65536
+/* Below the time after which servers commonly close idle connections. */
+#define IDLE_TIMEOUT_S 30
+
+struct bp_http {
+	SoupSession *session;
+	GHashTable *calls; /* call_t, not owned */
+};
+
+/*
+ * A call is released by the last callback of its asynchronous operation; it
+ * leaves the table of the client when it is finished or cancelled.
+ */
+typedef struct {
+	bp_http_t *http; /* NULL once finished or cancelled */
+	bp_http_done_t done;
+	void *data;
+	GDestroyNotify free_data;
+	const void *owner;
+	SoupMessage *message; /* NULL for an invalid URL */
+	GCancellable *cancellable;
+	GInputStream *stream;
+	GByteArray *body;
+	size_t answer_bytes;
+	size_t received_bytes;
+	guint source;
+	gboolean sent;
+} call_t;
+
+static void
+call_free(call_t *call)
+{
+	g_clear_object(&call->stream);
+	g_clear_object(&call->message);
+	g_object_unref(call->cancellable);
+	g_byte_array_unref(call->body);
+	g_free(call);
+}
+
+/* Removes the call from its client; returns FALSE if that was done before. */
+static gboolean
+detach(call_t *call)
+{
+	if (call->http == NULL)
+		return FALSE;
+	g_hash_table_remove(call->http->calls, call);
+	call->http = NULL;
+	if (call->source != 0)
+		g_source_remove(call->source);
+	call->source = 0;
+	return TRUE;
+}
+
+static void
+finish(call_t *call, const bp_http_answer_t *answer, const bp_error_t *err)
+{
+	if (!detach(call))
+		return;
+	call->done(answer, err, call->data);
+	if (call->free_data != NULL)
+		call->free_data(call->data);
+}
+
+static void
+abandon(call_t *call)
+{
+	if (!detach(call))
+		return;
+	if (call->free_data != NULL)
+		call->free_data(call->data);
+	g_cancellable_cancel(call->cancellable);
+	if (call->message == NULL)
+		call_free(call);
+}
+
+/*
+ * Creates a client. It uses no proxy and decodes no content encodings, so
+ * that the size limit holds for what is kept in memory.
+ */
+bp_http_t *
+bp_http_new(uint32_t connections, uint32_t connections_per_host)
+{
+	bp_http_t *http = g_new0(bp_http_t, 1);
+
+	http->session =
+	    g_object_new(SOUP_TYPE_SESSION, "max-conns", (int)connections,
+		"max-conns-per-host", (int)connections_per_host, "timeout", 0,
+		"idle-timeout", IDLE_TIMEOUT_S, "proxy-resolver", NULL, NULL);
+	soup_session_remove_feature_by_type(
+	    http->session, SOUP_TYPE_CONTENT_DECODER);
+	http->calls = g_hash_table_new(NULL, NULL);
+	return http;
+}
+
+static void
+cancel_calls(bp_http_t *http, const void *owner, gboolean all)
+{
+	GList *calls = g_hash_table_get_keys(http->calls);
+	GList *node;
+
+	for (node = calls; node != NULL; node = node->next) {
+		call_t *call = node->data;
+
+		if (all || call->owner == owner)
+			abandon(call);
+	}
+	g_list_free(calls);
+}
+
+/* Cancels what is in flight and frees the client. No callback runs later. */
+void
+bp_http_free(bp_http_t *http)
+{
+	if (http == NULL)
+		return;
+	cancel_calls(http, NULL, TRUE);
+	g_hash_table_unref(http->calls);
+	g_object_unref(http->session);
+	g_free(http);
+}
+
+/* Cancels the calls of an owner; their callbacks do not run. */
+void
+bp_http_cancel(bp_http_t *http, const void *owner)
+{
+	cancel_calls(http, owner, FALSE);
+}
+
+/*
+ * The kind follows from how far the call got: libsoup emits "starting" on a
+ * connected socket before it writes the first byte.
+ */
+static void
+fail(call_t *call, const char *reason)
+{
+	bp_error_t err;
+
+	bp_error_set(&err,
+	    !call->sent		       ? BP_ENOTSENT
+		: call->stream == NULL ? BP_EUNKNOWN
+				       : BP_ETRUNCATED,
+	    "%s", reason);
+	finish(call, NULL, &err);
+}
+
+static gboolean
+on_timeout(void *data)
+{
+	call_t *call = data;
+
+	call->source = 0;
+	g_cancellable_cancel(call->cancellable);
+	fail(call, "no answer in time");
+	return G_SOURCE_REMOVE;
+}
+
+static gboolean
+on_invalid(void *data)
+{
+	call_t *call = data;
+	bp_error_t err;
+
+	call->source = 0;
+	bp_error_set(&err, BP_EINVALID, "invalid URL");
+	finish(call, NULL, &err);
+	call_free(call);
+	return G_SOURCE_REMOVE;
+}
+
+static void
+on_starting(SoupMessage *message, void *data)
+{
+	call_t *call = data;
+
+	call->sent = TRUE;
+}
+
+static void
+complete(call_t *call)
+{
+	bp_http_answer_t answer = {
+	    .status = soup_message_get_status(call->message),
+	    .headers = soup_message_get_response_headers(call->message),
+	    .body = call->body->data,
+	    .size_bytes = call->received_bytes,
+	};
+
+	finish(call, &answer, NULL);
+}
+
+static void
+refuse_large(call_t *call)
+{
+	bp_error_t err;
+
+	bp_error_set(&err, BP_ETOOLARGE, "the answer exceeds %zu bytes",
+	    call->answer_bytes);
+	finish(call, NULL, &err);
+}
+
+static void on_read(GObject *source, GAsyncResult *result, void *data);
+
+/* Reads one byte more than allowed, so that a larger answer is noticed. */
+static void
+read_more(call_t *call)
+{
+	size_t room = call->answer_bytes + 1 - call->received_bytes;
+	size_t want = CLAMP(call->received_bytes, READ_BYTES, READ_MAX_BYTES);
+
+	want = MIN(want, room);
+	g_byte_array_set_size(call->body, (guint)(call->received_bytes + want));
+	g_input_stream_read_async(call->stream,
+	    call->body->data + call->received_bytes, want, G_PRIORITY_DEFAULT,
+	    call->cancellable, on_read, call);
+}
+
+static void
+on_read(GObject *source, GAsyncResult *result, void *data)
+{
+	call_t *call = data;
+	GError *error = NULL;
+	gssize n = g_input_stream_read_finish(call->stream, result, &error);
+
+	if (n > 0)
+		call->received_bytes += (size_t)n;
+	if (call->http != NULL && n > 0 &&
+	    call->received_bytes <= call->answer_bytes) {
+		read_more(call);
+		return;
+	}
+	if (n < 0)
+		fail(call, error->message);
+	else if (call->received_bytes > call->answer_bytes)
+		refuse_large(call);
+	else
+		complete(call);
+	g_clear_error(&error);
+	g_input_stream_close_async(
+	    call->stream, G_PRIORITY_DEFAULT, call->cancellable, NULL, NULL);
+	call_free(call);
+}
+
+static void
+on_sent(GObject *source, GAsyncResult *result, void *data)
+{
+	call_t *call = data;
+	GError *error = NULL;
+
+	call->stream =
+	    soup_session_send_finish(SOUP_SESSION(source), result, &error);
+	if (call->stream != NULL && call->http != NULL) {
+		read_more(call);
+		return;
+	}
+	if (call->stream == NULL)
+		fail(call, error->message);
+	g_clear_error(&error);
+	call_free(call);
+}
+
+static void
+set_message(call_t *call, const bp_http_request_t *request)
+{
+	SoupMessageHeaders *headers =
+	    soup_message_get_request_headers(call->message);
+
+	soup_message_add_flags(call->message, SOUP_MESSAGE_NO_REDIRECT);
+	if (request->body != NULL)
+		soup_message_set_request_body_from_bytes(
+		    call->message, request->content_type, request->body);
+	if (request->if_none_match != NULL)
+		soup_message_headers_replace(
+		    headers, "If-None-Match", request->if_none_match);
+	g_signal_connect(
+	    call->message, "starting", G_CALLBACK(on_starting), call);
+}
+
+/*
+ * Starts a call. done runs later from the main loop, exactly once unless the
+ * call is cancelled; free_data, if not NULL, releases data in either case.
+ */
+void
+bp_http_call(bp_http_t *http, const bp_http_request_t *request,
+    bp_http_done_t done, void *data, GDestroyNotify free_data,
+    const void *owner)
+{
+	call_t *call = g_new0(call_t, 1);
+
+	call->http = http;
+	call->done = done;
+	call->data = data;
+	call->free_data = free_data;
+	call->owner = owner;
+	call->answer_bytes = request->answer_bytes;
+	call->cancellable = g_cancellable_new();
+	call->body = g_byte_array_new();
+	g_hash_table_add(http->calls, call);
+	call->message = soup_message_new(request->method, request->url);
+	if (call->message == NULL) {
+		call->source = g_idle_add(on_invalid, call);
+		return;
+	}
+	set_message(call, request);
+	call->source = g_timeout_add(request->timeout_ms, on_timeout, call);
+	soup_session_send_async(http->session, call->message,
+	    G_PRIORITY_DEFAULT, call->cancellable, on_sent, call);
+}
--- /dev/null
+++ b/src/platform/logdecode.c
@@ -0,0 +1,154 @@
+#include "platform/logdecode.h"
+
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+#define LENGTH_AT 8 /* position of the length in a frame */
+
+static int
+find_offset(uint64_t *offset, JsonNode *root, bp_error_t *err)
+{
+	JsonNode *node;
+
+	if (root == NULL || !JSON_NODE_HOLDS_OBJECT(root))
+		return bp_error_set(
+		    err, BP_EMISMATCH, "the append answer is not an object");
+	node = json_object_get_member(json_node_get_object(root), "offset");
+	if (node == NULL || !JSON_NODE_HOLDS_VALUE(node) ||
+	    json_node_get_value_type(node) != G_TYPE_INT64 ||
+	    json_node_get_int(node) < 0)
+		return bp_error_set(
+		    err, BP_EMISMATCH, "the append answer has no offset");
+	*offset = (uint64_t)json_node_get_int(node);
+	return BP_OK;
+}
+
+/* Reads {"offset":n}; BP_EMISMATCH for anything else. */
+int
+bp_log_decode_append(
+    uint64_t *offset, const uint8_t *json, size_t size_bytes, bp_error_t *err)
+{
+	JsonParser *parser = json_parser_new_immutable();
+	int rc;
+
+	if (json_parser_load_from_data(
+		parser, (const char *)json, (gssize)size_bytes, NULL))
+		rc = find_offset(offset, json_parser_get_root(parser), err);
+	else
+		rc = bp_error_set(
+		    err, BP_EMISMATCH, "the append answer is not JSON");
+	g_object_unref(parser);
+	return rc;
+}
+
+/*
+ * Fills first and head from the headers X-Log-First and X-Log-Head, each of
+ * which may be NULL. Returns BP_EMISMATCH if they are missing or impossible.
+ */
+int
+bp_log_decode_bounds(
+    bp_log_batch_t *out, const char *first, const char *head, bp_error_t *err)
+{
+	guint64 first_offset;
+	guint64 head_offset;
+
+	if (first == NULL || head == NULL ||
+	    !g_ascii_string_to_unsigned(
+		first, 10, 0, G_MAXINT64, &first_offset, NULL) ||
+	    !g_ascii_string_to_unsigned(
+		head, 10, 0, G_MAXINT64, &head_offset, NULL) ||
+	    first_offset > head_offset)
+		return bp_error_set(err, BP_EMISMATCH,
+		    "the read answer has no valid X-Log-First and X-Log-Head");
+	out->first = first_offset;
+	out->head = head_offset;
+	return BP_OK;
+}
+
+static uint64_t
+read_be(const uint8_t *bytes, size_t count)
+{
+	uint64_t value = 0;
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		value = value << 8 | bytes[i];
+	return value;
+}
+
+/* Returns BP_ETRUNCATED when the bytes end within the frame. */
+static int
+read_frame(bp_log_record_t *out, const uint8_t *bytes, size_t size_bytes,
+    bp_error_t *err)
+{
+	uint64_t length;
+
+	if (size_bytes < BP_LOG_FRAME_BYTES)
+		return bp_error_set(
+		    err, BP_ETRUNCATED, "the read answer ends in a frame");
+	length = read_be(bytes + LENGTH_AT, BP_LOG_FRAME_BYTES - LENGTH_AT);
+	if (length > BP_LOG_RECORD_MAX_BYTES)
+		return bp_error_set(err, BP_EMISMATCH,
+		    "a record of %" G_GUINT64_FORMAT " bytes", length);
+	if (length > size_bytes - BP_LOG_FRAME_BYTES)
+		return bp_error_set(
+		    err, BP_ETRUNCATED, "the read answer ends in a record");
+	out->offset = read_be(bytes, LENGTH_AT);
+	out->bytes = bytes + BP_LOG_FRAME_BYTES;
+	out->size_bytes = (size_t)length;
+	return BP_OK;
+}
+
+static int
+check_record(const bp_log_batch_t *batch, const bp_log_record_t *record,
+    uint64_t expected, uint32_t max, bp_error_t *err)
+{
+	if (batch->count >= max)
+		return bp_error_set(
+		    err, BP_EMISMATCH, "more records than were asked for");
+	if (record->offset != expected || record->offset >= batch->head)
+		return bp_error_set(err, BP_EMISMATCH,
+		    "offset %" G_GUINT64_FORMAT " instead of %" G_GUINT64_FORMAT
+		    ", head %" G_GUINT64_FORMAT,
+		    record->offset, expected, batch->head);
+	return BP_OK;
+}
+
+/*
+ * Reads the frames of an answer whose bounds are already in out. The records
+ * must be consecutive from the offset asked for: a gap would be a record that
+ * is never applied. They point into bytes; free out->records with g_free.
+ */
+int
+bp_log_decode_records(bp_log_batch_t *out, uint64_t from, uint32_t max,
+    const uint8_t *bytes, size_t size_bytes, bp_error_t *err)
+{
+	GArray *records;
+	size_t at = 0;
+	int rc = BP_OK;
+
+	if (from < out->first || from > out->head)
+		return bp_error_set(err, BP_EMISMATCH,
+		    "offset %" G_GUINT64_FORMAT
+		    " is outside of the log, %" G_GUINT64_FORMAT
+		    " to %" G_GUINT64_FORMAT,
+		    from, out->first, out->head);
+	records = g_array_new(FALSE, FALSE, sizeof(bp_log_record_t));
+	while (rc == BP_OK && at < size_bytes) {
+		bp_log_record_t record;
+
+		rc = read_frame(&record, bytes + at, size_bytes - at, err);
+		out->count = records->len;
+		if (rc == BP_OK)
+			rc = check_record(
+			    out, &record, from + records->len, max, err);
+		if (rc == BP_OK)
+			g_array_append_val(records, record);
+		at +=
+		    BP_LOG_FRAME_BYTES + (rc == BP_OK ? record.size_bytes : 0);
+	}
+	out->count = rc == BP_OK ? records->len : 0;
+	out->records =
+	    (bp_log_record_t *)(void *)g_array_free(records, rc != BP_OK);
+	return rc;
+}
