--- /dev/null
+++ b/src/scheduler/recovery.c
@@ -0,0 +1,246 @@
+#include "scheduler/private.h"
+
+#include <gio/gio.h>
+#include <string.h>
+
+#define US_PER_MS 1000
+#define US_PER_S 1000000
+/* Allowance for clocks that run at different rates: 1%. */
+#define DRIFT_NUM 101
+#define DRIFT_DEN 100
+#define PROBE_TIMEOUT_S 2
+
+static int64_t
+with_drift_us(int64_t ms)
+{
+	return ms * US_PER_MS * DRIFT_NUM / DRIFT_DEN;
+}
+
+static bool
+vm_gone(const bp_owned_vm_t *vm)
+{
+	const bp_vmlist_vm_t *listed =
+	    bp_vmlist_find(vm->scheduler->options.vmlist, vm->name);
+
+	return listed != NULL && listed->state == BP_VMLIST_GONE;
+}
+
+/*
+ * Returns the monotonic time (us) after which nobody can have renewed a
+ * lease on the VM: by the own last nonce when this node had the session,
+ * otherwise by the proof that earlier owners have ended, or by the longest
+ * time that an owner renews without reading the log.
+ */
+static int64_t
+last_renewal_us(const bp_owned_vm_t *vm)
+{
+	const bp_owned_rack_t *rack = vm->rack;
+	const bp_settings_timing_t *timing = &vm->scheduler->settings->timing;
+	int64_t permit_us = with_drift_us(timing->permit_ms);
+
+	if (bp_session_ever_open(vm->session))
+		return bp_session_nonce_us(vm->session) + permit_us;
+	if (rack->earlier_ended_us != 0)
+		return rack->earlier_ended_us + permit_us;
+	return rack->claimed_us +
+	    with_drift_us((int64_t)timing->hold_max_s * 1000) + permit_us;
+}
+
+static void
+end_if_expired(bp_owned_vm_t *vm, const bp_task_ref_t *ref, int64_t base_us,
+    int64_t now_us, bool gone)
+{
+	bp_scheduler_t *self = vm->scheduler;
+	int64_t lease_us =
+	    with_drift_us(bp_scheduler_lease_ms(self, ref->job->klass));
+
+	if (gone)
+		bp_ends_submit(self, ref->job, ref->task,
+		    BP__LOG__TASK_OUTCOME__OUTCOME_LOST, NULL,
+		    "the VM is gone from the VM list");
+	else if (now_us > base_us + lease_us)
+		bp_ends_submit(self, ref->job, ref->task,
+		    BP__LOG__TASK_OUTCOME__OUTCOME_LOST, NULL,
+		    "the VM does not answer and the lease has expired");
+}
+
+/* A start that never left this node needs no waiting. */
+static void
+end_unsent(bp_owned_vm_t *vm, const bp_vm_t *known)
+{
+	guint i;
+
+	for (i = 0; i < known->tasks->len; i++) {
+		const bp_task_ref_t *ref =
+		    &g_array_index(known->tasks, bp_task_ref_t, i);
+
+		if (bp_session_drop_unsent(vm->session, ref->job->id, ref->task,
+			ref->job->tasks[ref->task].attempt))
+			bp_ends_submit(vm->scheduler, ref->job, ref->task,
+			    BP__LOG__TASK_OUTCOME__OUTCOME_NOT_STARTED, NULL,
+			    "the VM stopped answering before the start was "
+			    "sent");
+	}
+}
+
+static void
+recover_vm(bp_owned_vm_t *vm, int64_t now_us)
+{
+	const bp_vm_t *known = bp_state_vm(
+	    bp_follower_state(vm->scheduler->options.follower), vm->name);
+	bool gone = vm_gone(vm);
+	int64_t silent_ms = bp_session_silent_ms(vm->session);
+	int64_t base_us;
+	guint i;
+
+	if (known == NULL || known->tasks->len == 0 ||
+	    known->rack->epoch != vm->rack->epoch)
+		return;
+	if (!gone && bp_session_status(vm->session) == BP_SESSION_OPEN &&
+	    silent_ms < 2 * (int64_t)vm->scheduler->settings->timing.renew_ms)
+		return;
+	/* A session that is being reopened decides by what is listed. */
+	if (!gone && silent_ms < vm->scheduler->settings->timing.permit_ms)
+		return;
+	end_unsent(vm, known);
+	base_us = last_renewal_us(vm);
+	for (i = 0; i < known->tasks->len; i++)
+		end_if_expired(vm,
+		    &g_array_index(known->tasks, bp_task_ref_t, i), base_us,
+		    now_us, gone);
+}
+
+typedef struct {
+	bp_scheduler_t *scheduler;
+	char *rack;
+	uint64_t epoch;
+} probe_t;
+
+/*
+ * A refused connection proves that the process of the earlier owner has
+ * ended: its control port closes with it.
+ */
+static void
+on_probe(GObject *source, GAsyncResult *result, void *data)
+{
+	probe_t *probe = data;
+	GError *error = NULL;
+	GSocketConnection *connection = g_socket_client_connect_to_host_finish(
+	    G_SOCKET_CLIENT(source), result, &error);
+	bp_owned_rack_t *rack;
+
+	if (!g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CANCELLED)) {
+		rack =
+		    g_hash_table_lookup(probe->scheduler->racks, probe->rack);
+		if (rack != NULL && rack->epoch == probe->epoch) {
+			rack->probing = false;
+			if (g_error_matches(error, G_IO_ERROR,
+				G_IO_ERROR_CONNECTION_REFUSED))
+				rack->earlier_ended_us =
+				    bp_scheduler_now_us(probe->scheduler);
+		}
+	}
+	g_clear_object(&connection);
+	g_clear_error(&error);
+	g_free(probe->rack);
+	g_free(probe);
+}
+
+static void
+start_probe(bp_scheduler_t *self, bp_owned_rack_t *rack)
+{
+	GSocketClient *client = g_socket_client_new();
+	probe_t *probe = g_new0(probe_t, 1);
+
+	probe->scheduler = self;
+	probe->rack = g_strdup(rack->name);
+	probe->epoch = rack->epoch;
+	rack->probing = true;
+	g_socket_client_set_timeout(client, PROBE_TIMEOUT_S);
+	g_socket_client_connect_to_host_async(client, rack->earlier_address, 0,
+	    self->cancellable, on_probe, probe);
+	g_object_unref(client);
+}
+
+static bool
+owner_vm_gone(const bp_scheduler_t *self, const bp_owned_rack_t *rack)
+{
+	const bp_vmlist_vm_t *listed = rack->earlier_owner != NULL
+	    ? bp_vmlist_find(self->options.vmlist, rack->earlier_owner)
+	    : NULL;
+
+	return listed != NULL && listed->state == BP_VMLIST_GONE;
+}
+
+/* A newer incarnation under the same name means that the process ended. */
+static bool
+owner_restarted(const bp_scheduler_t *self, const bp_owned_rack_t *rack)
+{
+	const bp_node_t *node = rack->earlier_owner != NULL
+	    ? bp_state_node(bp_follower_state(self->options.follower),
+		  rack->earlier_owner)
+	    : NULL;
+
+	return node != NULL && node->incarnation != rack->earlier_incarnation;
+}
+
+/* Looks for the proof that no earlier owner renews leases in the rack. */
+static void
+find_proof(bp_scheduler_t *self, bp_owned_rack_t *rack, int64_t now_us)
+{
+	const bp_rack_t *known = bp_state_rack(
+	    bp_follower_state(self->options.follower), rack->name);
+
+	if (rack->earlier_ended_us != 0 || known == NULL)
+		return;
+	if (known->ended_epoch + 1 >= rack->epoch) {
+		rack->earlier_ended_us = now_us;
+		return;
+	}
+	/* What follows speaks of the previous owner only. */
+	if (known->ended_epoch + 2 < rack->epoch)
+		return;
+	if (owner_vm_gone(self, rack) || owner_restarted(self, rack))
+		rack->earlier_ended_us = now_us;
+	else if (rack->earlier_address != NULL && !rack->probing)
+		start_probe(self, rack);
+}
+
+static bool
+needs_proof(const bp_owned_rack_t *rack)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, rack->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (!bp_session_ever_open(((bp_owned_vm_t *)value)->session))
+			return true;
+	}
+	return false;
+}
+
+/* Ends attempts whose leases can no longer be renewed by anybody. */
+void
+bp_recovery_tick(bp_scheduler_t *self)
+{
+	int64_t now_us = bp_scheduler_now_us(self);
+	GHashTableIter racks;
+	GHashTableIter vms;
+	gpointer value;
+
+	if (bp_follower_status(self->options.follower) != BP_FOLLOWER_CURRENT)
+		return;
+	g_hash_table_iter_init(&racks, self->racks);
+	while (g_hash_table_iter_next(&racks, NULL, &value)) {
+		bp_owned_rack_t *rack = value;
+
+		if (rack->superseded)
+			continue;
+		if (needs_proof(rack))
+			find_proof(self, rack, now_us);
+		g_hash_table_iter_init(&vms, rack->vms);
+		while (g_hash_table_iter_next(&vms, NULL, &value))
+			recover_vm(value, now_us);
+	}
+}
--- /dev/null
+++ b/src/scheduler/scheduler.c
@@ -0,0 +1,495 @@
+#include "scheduler/private.h"
+
+#include <stdarg.h>
+#include <string.h>
+
+#define US_PER_MS 1000
+#define ROUND_MS 100
+#define STEP_GIVE_UP_MS 5000
+#define ASSIGN_GIVE_UP_MS 5000
+/* Tasks that one node assigns in a round; 2,000 starts a second a node. */
+#define ROUND_TASKS 200
+
+/* Returns the monotonic time in microseconds. */
+int64_t
+bp_scheduler_now_us(const bp_scheduler_t *self)
+{
+	return bp_clock_mono_us(self->clock);
+}
+
+/* Returns the lease of a class from the settings, in milliseconds. */
+uint32_t
+bp_scheduler_lease_ms(const bp_scheduler_t *self, bp_task_class_t klass)
+{
+	const bp_settings_timing_t *timing = &self->settings->timing;
+
+	switch (klass) {
+	case BP_CLASS_URGENT:
+		return timing->lease_urgent_ms;
+	case BP_CLASS_SERVICE:
+		return timing->lease_service_ms;
+	case BP_CLASS_BATCH:
+		break;
+	}
+	return timing->lease_batch_ms;
+}
+
+/* Adds an event to the timeline; names may be NULL. */
+void
+bp_scheduler_event(bp_scheduler_t *self, const char *kind, const char *job,
+    const char *vm, const char *zone, const char *format, ...)
+{
+	va_list args;
+	char *text;
+
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	bp_log(self->options.logger, BP_LOG_INFO, "scheduler", text, "event",
+	    kind, "job", job, "vm", vm, "zone", zone, NULL);
+	g_free(text);
+}
+
+/* Tells placement and explanations whether a VM can be used from here. */
+bool
+bp_scheduler_reachable(const bp_vm_t *vm, void *data)
+{
+	bp_scheduler_t *self = data;
+	const bp_owned_vm_t *owned = bp_racks_vm(self, vm->name);
+
+	return owned != NULL &&
+	    bp_session_status(owned->session) == BP_SESSION_OPEN &&
+	    bp_session_silent_ms(owned->session) <
+	    2 * (int64_t)self->settings->timing.renew_ms;
+}
+
+static int
+new_placement(bp_scheduler_t *self, bp_error_t *err)
+{
+	bp_placement_options_t options;
+
+	bp_placement_free(self->placement);
+	self->placement = NULL;
+	(void)bp_placement_options_init(&options);
+	options.rank_wait_ms = self->settings->policy.rank_delay_ms;
+	options.queue.wait_bound_ms =
+	    self->settings->policy.batch_wait_max_s * 1000;
+	options.reachable = bp_scheduler_reachable;
+	options.seed = self->options.incarnation;
+	options.data = self;
+	return bp_placement_new(&self->placement, &options, err);
+}
+
+/*
+ * Creates the service; nothing is sent before bp_scheduler_start. The
+ * scheduler must outlive the appender, whose callbacks refer to it.
+ */
+int
+bp_scheduler_new(bp_scheduler_t **out, const bp_scheduler_options_t *options,
+    bp_error_t *err)
+{
+	bp_scheduler_t *self = g_new0(bp_scheduler_t, 1);
+	bp_ownership_options_t ownership;
+	int rc;
+
+	self->options = *options;
+	self->settings = options->settings;
+	self->clock = options->clock;
+	self->liveness = bp_liveness_new(
+	    self->settings->node.name, self->settings->timing.death_ms);
+	(void)bp_ownership_options_init(&ownership);
+	ownership.node = self->settings->node.name;
+	ownership.incarnation = options->incarnation;
+	ownership.liveness = self->liveness;
+	ownership.handover_racks = self->settings->policy.handover_racks;
+	self->ownership = bp_ownership_new(&ownership);
+	self->racks =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, bp_racks_free);
+	self->steps =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	self->ends =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	self->cancellable = g_cancellable_new();
+	rc = new_placement(self, err);
+	if (rc != BP_OK) {
+		bp_scheduler_free(self);
+		return rc;
+	}
+	*out = self;
+	return BP_OK;
+}
+
+/* Frees the service and its sessions; racks are not released. */
+void
+bp_scheduler_free(bp_scheduler_t *self)
+{
+	if (self == NULL)
+		return;
+	if (self->timer != 0)
+		g_source_remove(self->timer);
+	g_cancellable_cancel(self->cancellable);
+	g_object_unref(self->cancellable);
+	g_hash_table_unref(self->racks);
+	g_hash_table_unref(self->steps);
+	g_hash_table_unref(self->ends);
+	bp_placement_free(self->placement);
+	bp_ownership_free(self->ownership);
+	bp_liveness_free(self->liveness);
+	g_free(self);
+}
+
+typedef struct {
+	bp_scheduler_t *scheduler;
+	char *rack;
+} step_call_t;
+
+static void
+on_step(const bp_applied_t *applied, const bp_error_t *err, void *data)
+{
+	step_call_t *call = data;
+
+	(void)applied;
+	(void)err;
+	g_hash_table_remove(call->scheduler->steps, call->rack);
+	g_free(call->rack);
+	g_free(call);
+}
+
+/* The owner before the claim is needed later for the proof that it ended. */
+static void
+remember_earlier_owner(bp_scheduler_t *self, const bp_ownership_step_t *step)
+{
+	const bp_state_t *state = bp_follower_state(self->options.follower);
+	const bp_rack_t *rack = bp_state_rack(state, step->rack);
+	const bp_node_t *node;
+	bp_owned_rack_t *owned;
+
+	if (rack == NULL || rack->owner == NULL)
+		return;
+	node = bp_state_node(state, rack->owner);
+	owned = g_hash_table_lookup(self->racks, step->rack);
+	if (owned != NULL)
+		return;
+	owned = g_new0(bp_owned_rack_t, 1);
+	owned->name = g_strdup(step->rack);
+	owned->epoch = rack->epoch;
+	owned->superseded = true;
+	owned->superseded_us = bp_scheduler_now_us(self);
+	owned->foreign = true;
+	owned->vms = g_hash_table_new(g_str_hash, g_str_equal);
+	owned->earlier_owner = g_strdup(rack->owner);
+	owned->earlier_incarnation = rack->owner_incarnation;
+	owned->earlier_address = node != NULL ? g_strdup(node->address) : NULL;
+	g_hash_table_replace(self->racks, owned->name, owned);
+}
+
+static bool
+all_vms_ever_open(const bp_scheduler_t *self, const char *rack)
+{
+	const bp_owned_rack_t *owned = g_hash_table_lookup(self->racks, rack);
+	GHashTableIter iter;
+	gpointer value;
+
+	if (owned == NULL)
+		return false;
+	g_hash_table_iter_init(&iter, owned->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (!bp_session_ever_open(((bp_owned_vm_t *)value)->session))
+			return false;
+	}
+	return true;
+}
+
+static void
+append_step(bp_scheduler_t *self, const bp_ownership_step_t *step)
+{
+	Bp__Log__Entry entry = BP__LOG__ENTRY__INIT;
+	Bp__Log__Claim claim = BP__LOG__CLAIM__INIT;
+	Bp__Log__Release release = BP__LOG__RELEASE__INIT;
+	step_call_t *call;
+
+	if (!g_hash_table_add(self->steps, g_strdup(step->rack)))
+		return;
+	switch (step->kind) {
+	case BP_OWNERSHIP_CLAIM:
+		remember_earlier_owner(self, step);
+		claim.rack = step->rack;
+		claim.epoch = step->epoch;
+		claim.ground = step->as.ground;
+		entry.body_case = BP__LOG__ENTRY__BODY_CLAIM;
+		entry.claim = &claim;
+		break;
+	case BP_OWNERSHIP_RELEASE:
+		release.rack = step->rack;
+		release.epoch = step->epoch;
+		release.cleared = all_vms_ever_open(self, step->rack);
+		if (step->as.successor != NULL)
+			release.successor = step->as.successor;
+		entry.body_case = BP__LOG__ENTRY__BODY_RELEASE;
+		entry.release = &release;
+		break;
+	}
+	call = g_new0(step_call_t, 1);
+	call->scheduler = self;
+	call->rack = g_strdup(step->rack);
+	if (bp_appender_add(self->options.appender, &entry, STEP_GIVE_UP_MS,
+		on_step, call, NULL) != BP_OK)
+		on_step(NULL, NULL, call);
+}
+
+static void
+add_rack_name(const bp_vmlist_vm_t *listed, void *data)
+{
+	GHashTable *names = data;
+
+	if (listed->state == BP_VMLIST_LIVE)
+		g_hash_table_add(names,
+		    g_strdup_printf("%s/%s", listed->zone, listed->rack));
+}
+
+/* A release waits until no start is on its way to the rack's workers. */
+static bool
+step_ready(const bp_scheduler_t *self, const bp_ownership_step_t *step)
+{
+	const bp_owned_rack_t *owned =
+	    g_hash_table_lookup(self->racks, step->rack);
+
+	return step->kind == BP_OWNERSHIP_CLAIM || owned == NULL ||
+	    bp_racks_queued(owned) == 0;
+}
+
+static void
+plan_ownership(bp_scheduler_t *self)
+{
+	GHashTable *names =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	const char **listed;
+	GPtrArray *steps;
+	guint i;
+
+	bp_vmlist_each(
+	    self->options.vmlist, BP_ROLE_WORKER, add_rack_name, names);
+	listed = (const char **)g_hash_table_get_keys_as_array(names, NULL);
+	steps = bp_ownership_plan(self->ownership,
+	    bp_follower_state(self->options.follower), listed, self->draining,
+	    bp_scheduler_now_us(self));
+	for (i = 0; i < steps->len; i++) {
+		const bp_ownership_step_t *step = g_ptr_array_index(steps, i);
+
+		if (step_ready(self, step))
+			append_step(self, step);
+	}
+	g_ptr_array_unref(steps);
+	g_free(listed);
+	g_hash_table_unref(names);
+}
+
+typedef struct {
+	bp_scheduler_t *scheduler;
+	char *job;
+	uint32_t first_task;
+	uint32_t count;
+} assign_call_t;
+
+static void
+on_assign(const bp_applied_t *applied, const bp_error_t *err, void *data)
+{
+	assign_call_t *call = data;
+
+	(void)err;
+	if (applied == NULL || applied->kind != BP_OK) {
+		call->scheduler->counters.assign_lost += call->count;
+		bp_placement_settled(
+		    call->scheduler->placement, call->job, call->first_task);
+	}
+	g_free(call->job);
+	g_free(call);
+}
+
+static void
+append_assignment(bp_scheduler_t *self, const bp_assignment_t *assignment)
+{
+	Bp__Log__Entry entry = BP__LOG__ENTRY__INIT;
+	Bp__Log__Assign assign = BP__LOG__ASSIGN__INIT;
+	assign_call_t *call = g_new0(assign_call_t, 1);
+
+	assign.job = assignment->job->id;
+	assign.first_task = assignment->first_task;
+	assign.count = assignment->count;
+	assign.attempt = assignment->attempt;
+	assign.vm = assignment->vm->name;
+	assign.epoch = assignment->epoch;
+	entry.body_case = BP__LOG__ENTRY__BODY_ASSIGN;
+	entry.assign = &assign;
+	call->scheduler = self;
+	call->job = g_strdup(assignment->job->id);
+	call->first_task = assignment->first_task;
+	call->count = assignment->count;
+	if (bp_appender_add(self->options.appender, &entry, ASSIGN_GIVE_UP_MS,
+		on_assign, call, NULL) != BP_OK)
+		on_assign(NULL, NULL, call);
+}
+
+static void
+place(bp_scheduler_t *self)
+{
+	GArray *plan = g_array_new(FALSE, FALSE, sizeof(bp_assignment_t));
+	bp_error_t err;
+	guint i;
+
+	if (bp_placement_plan(plan, self->placement,
+		bp_follower_state(self->options.follower),
+		self->settings->node.name, self->options.incarnation,
+		ROUND_TASKS, bp_scheduler_now_us(self) / US_PER_MS,
+		&err) != BP_OK)
+		bp_log(self->options.logger, BP_LOG_WARNING, "scheduler",
+		    "placement failed", "error", err.message, NULL);
+	for (i = 0; i < plan->len; i++)
+		append_assignment(
+		    self, &g_array_index(plan, bp_assignment_t, i));
+	g_array_unref(plan);
+}
+
+static void
+update_vms(bp_scheduler_t *self)
+{
+	GHashTableIter racks;
+	GHashTableIter vms;
+	gpointer value;
+
+	g_hash_table_iter_init(&racks, self->racks);
+	while (g_hash_table_iter_next(&racks, NULL, &value)) {
+		bp_owned_rack_t *rack = value;
+
+		if (rack->superseded)
+			continue;
+		g_hash_table_iter_init(&vms, rack->vms);
+		while (g_hash_table_iter_next(&vms, NULL, &value))
+			bp_vmstate_update(value);
+	}
+}
+
+/* Everything that refers to the structs of the old state starts anew. */
+static void
+check_state(bp_scheduler_t *self)
+{
+	bp_state_t *state = bp_follower_state(self->options.follower);
+
+	if (state == self->state)
+		return;
+	if (self->state != NULL)
+		(void)new_placement(self, NULL);
+	self->state = state;
+}
+
+static bool
+may_decide(const bp_scheduler_t *self)
+{
+	return bp_follower_status(self->options.follower) ==
+	    BP_FOLLOWER_CURRENT;
+}
+
+static void
+finish_drain(bp_scheduler_t *self)
+{
+	bp_scheduler_drained_t done = self->drained;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (done == NULL || g_hash_table_size(self->steps) > 0)
+		return;
+	g_hash_table_iter_init(&iter, self->racks);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (!((bp_owned_rack_t *)value)->superseded)
+			return;
+	}
+	self->drained = NULL;
+	done(self, self->drained_data);
+}
+
+static gboolean
+on_round(void *data)
+{
+	bp_scheduler_t *self = data;
+
+	check_state(self);
+	bp_liveness_update(self->liveness, self->state, may_decide(self),
+	    bp_scheduler_now_us(self));
+	bp_racks_sync(self);
+	bp_racks_tick(self);
+	if (may_decide(self)) {
+		plan_ownership(self);
+		update_vms(self);
+		bp_recovery_tick(self);
+		bp_protection_tick(self);
+		if (!self->draining)
+			place(self);
+	}
+	finish_drain(self);
+	return G_SOURCE_CONTINUE;
+}
+
+static void
+on_progress(bp_follower_t *follower, void *data)
+{
+	bp_scheduler_t *self = data;
+
+	(void)follower;
+	check_state(self);
+	bp_racks_sync(self);
+	bp_racks_tick(self);
+}
+
+/* Begins to follow the log and to plan rounds. */
+void
+bp_scheduler_start(bp_scheduler_t *self)
+{
+	bp_follower_observe(self->options.follower, bp_starts_observe, self);
+	bp_follower_on_progress(self->options.follower, on_progress, self);
+	self->timer = g_timeout_add(ROUND_MS, on_round, self);
+}
+
+/* See the header. Running tasks go on under the successors of the racks. */
+void
+bp_scheduler_drain(
+    bp_scheduler_t *self, bp_scheduler_drained_t done, void *data)
+{
+	self->draining = true;
+	self->drained = done;
+	self->drained_data = data;
+}
+
+/* See the header. */
+void
+bp_scheduler_counters(const bp_scheduler_t *self, bp_scheduler_counters_t *out)
+{
+	GHashTableIter racks;
+	GHashTableIter vms;
+	gpointer value;
+
+	*out = self->counters;
+	g_hash_table_iter_init(&racks, self->racks);
+	while (g_hash_table_iter_next(&racks, NULL, &value)) {
+		const bp_owned_rack_t *rack = value;
+
+		if (rack->superseded)
+			continue;
+		out->racks++;
+		g_hash_table_iter_init(&vms, rack->vms);
+		while (g_hash_table_iter_next(&vms, NULL, &value)) {
+			const bp_owned_vm_t *vm = value;
+
+			if (bp_session_status(vm->session) == BP_SESSION_OPEN)
+				out->sessions++;
+			else
+				out->unreachable++;
+		}
+	}
+}
+
+/* See the header. */
+uint32_t
+bp_scheduler_ahead(const bp_scheduler_t *self, const char *job)
+{
+	return bp_placement_ahead(self->placement, job);
+}
--- /dev/null
+++ b/src/scheduler/vmstate.c
@@ -0,0 +1,202 @@
+#include "scheduler/private.h"
+
+#include <string.h>
+
+#define QUARANTINE_FAILURES 5
+#define GIVE_UP_MS 10000
+/* Silence of this many renewals makes a VM unreachable for new tasks. */
+#define SILENT_RENEWALS 3
+
+/* A call outlives its VM when the rack is given up meanwhile. */
+typedef struct {
+	bp_scheduler_t *scheduler;
+	char *vm;
+	uint64_t epoch;
+} vm_call_t;
+
+static vm_call_t *
+new_call(const bp_owned_vm_t *vm)
+{
+	vm_call_t *call = g_new0(vm_call_t, 1);
+
+	call->scheduler = vm->scheduler;
+	call->vm = g_strdup(vm->name);
+	call->epoch = vm->rack->epoch;
+	return call;
+}
+
+static bp_owned_vm_t *
+end_call(vm_call_t *call)
+{
+	bp_owned_vm_t *vm = bp_racks_vm(call->scheduler, call->vm);
+
+	if (vm != NULL && vm->rack->epoch != call->epoch)
+		vm = NULL;
+	g_free(call->vm);
+	g_free(call);
+	return vm;
+}
+
+static void
+on_upsert(const bp_applied_t *applied, const bp_error_t *err, void *data)
+{
+	bp_owned_vm_t *vm = end_call(data);
+
+	(void)applied;
+	(void)err;
+	if (vm != NULL)
+		vm->upsert_in_flight = false;
+}
+
+static void
+append_upsert(bp_owned_vm_t *vm, bool gone)
+{
+	Bp__Log__Entry entry = BP__LOG__ENTRY__INIT;
+	Bp__Log__VmUpsert upsert = BP__LOG__VM_UPSERT__INIT;
+	bp_owned_rack_t *rack = vm->rack;
+	vm_call_t *call;
+	char *zone = g_strndup(rack->name, strcspn(rack->name, "/"));
+
+	upsert.vm = vm->name;
+	upsert.rack = rack->name;
+	upsert.zone = zone;
+	upsert.epoch = rack->epoch;
+	upsert.cpu_milli = vm->capacity.cpu_milli;
+	upsert.memory_mib = vm->capacity.memory_mib;
+	upsert.accelerators = vm->capacity.accelerators;
+	upsert.gone = gone;
+	entry.body_case = BP__LOG__ENTRY__BODY_VM_UPSERT;
+	entry.vm_upsert = &upsert;
+	vm->upsert_in_flight = true;
+	call = new_call(vm);
+	if (bp_appender_add(vm->scheduler->options.appender, &entry, GIVE_UP_MS,
+		on_upsert, call, NULL) != BP_OK)
+		on_upsert(NULL, NULL, call);
+	g_free(zone);
+}
+
+static bool
+differs(const bp_vm_t *known, const bp_owned_vm_t *vm)
+{
+	return known == NULL ||
+	    strcmp(known->rack->name, vm->rack->name) != 0 ||
+	    known->capacity.cpu_milli != vm->capacity.cpu_milli ||
+	    known->capacity.memory_mib != vm->capacity.memory_mib ||
+	    known->capacity.accelerators != vm->capacity.accelerators;
+}
+
+/* Notes the capacity that the worker states when its session opens. */
+void
+bp_vmstate_opened(bp_owned_vm_t *vm, const Bp__Worker__NonceAnswer *answer)
+{
+	vm->capacity.cpu_milli = answer->cpu_milli;
+	vm->capacity.memory_mib = answer->memory_mib;
+	vm->capacity.accelerators = answer->accelerators;
+	vm->capacity_known = true;
+}
+
+static void
+on_hold(const bp_applied_t *applied, const bp_error_t *err, void *data)
+{
+	bp_owned_vm_t *vm = end_call(data);
+
+	(void)applied;
+	(void)err;
+	if (vm != NULL)
+		vm->hold_in_flight = false;
+}
+
+static void
+append_hold(bp_owned_vm_t *vm, Bp__Log__HoldCause cause, const char *detail)
+{
+	Bp__Log__Entry entry = BP__LOG__ENTRY__INIT;
+	Bp__Log__VmHold hold = BP__LOG__VM_HOLD__INIT;
+	vm_call_t *call;
+
+	hold.vm = vm->name;
+	hold.epoch = vm->rack->epoch;
+	hold.cause = cause;
+	hold.detail = (char *)detail;
+	entry.body_case = BP__LOG__ENTRY__BODY_VM_HOLD;
+	entry.vm_hold = &hold;
+	vm->hold_in_flight = true;
+	call = new_call(vm);
+	if (bp_appender_add(vm->scheduler->options.appender, &entry, GIVE_UP_MS,
+		on_hold, call, NULL) != BP_OK)
+		on_hold(NULL, NULL, call);
+	bp_scheduler_event(
+	    vm->scheduler, "vm_hold", NULL, vm->name, NULL, "%s", detail);
+}
+
+static bool
+is_silent(const bp_owned_vm_t *vm)
+{
+	return bp_session_silent_ms(vm->session) >
+	    (int64_t)SILENT_RENEWALS * vm->scheduler->settings->timing.renew_ms;
+}
+
+/* The hold that the facts ask for, strongest first. */
+static Bp__Log__HoldCause
+wanted_hold(const bp_owned_vm_t *vm, const bp_vm_t *known, const char **detail)
+{
+	const bp_vmlist_vm_t *listed =
+	    bp_vmlist_find(vm->scheduler->options.vmlist, vm->name);
+
+	if (listed != NULL && listed->state != BP_VMLIST_LIVE) {
+		*detail = "the VM list shows the VM as leaving";
+		return BP__LOG__HOLD_CAUSE__HOLD_LEAVING;
+	}
+	if (known->failed_streak >= QUARANTINE_FAILURES &&
+	    known->failed_several) {
+		*detail = "the worker failed 5 tasks in a row";
+		return BP__LOG__HOLD_CAUSE__HOLD_QUARANTINED;
+	}
+	if (is_silent(vm)) {
+		*detail = "the VM does not answer its rack's owner";
+		return BP__LOG__HOLD_CAUSE__HOLD_UNREACHABLE;
+	}
+	*detail = "";
+	return BP__LOG__HOLD_CAUSE__HOLD_NONE;
+}
+
+static void
+update_hold(bp_owned_vm_t *vm, const bp_vm_t *known)
+{
+	const char *detail;
+	Bp__Log__HoldCause wanted;
+
+	if (vm->hold_in_flight)
+		return;
+	wanted = wanted_hold(vm, known, &detail);
+	if (wanted != known->hold)
+		append_hold(vm, wanted, detail);
+}
+
+static bool
+is_gone(const bp_owned_vm_t *vm)
+{
+	const bp_vmlist_vm_t *listed =
+	    bp_vmlist_find(vm->scheduler->options.vmlist, vm->name);
+
+	return listed != NULL && listed->state == BP_VMLIST_GONE;
+}
+
+/* Keeps the log's view of the VM (capacity, hold, removal) up to date. */
+void
+bp_vmstate_update(bp_owned_vm_t *vm)
+{
+	const bp_vm_t *known = bp_state_vm(
+	    bp_follower_state(vm->scheduler->options.follower), vm->name);
+
+	if (known != NULL && known->rack->epoch == vm->rack->epoch)
+		update_hold(vm, known);
+	if (vm->upsert_in_flight)
+		return;
+	if (is_gone(vm)) {
+		if (known != NULL && known->tasks->len == 0)
+			append_upsert(vm, true);
+		return;
+	}
+	if (vm->capacity_known && differs(known, vm))
+		append_upsert(vm, false);
+}
