Add the queue of waiting jobs and the placement plan

Each node plans on its own late copy of the state, several times before an entry of its own is read back. The plan therefore keeps what it planned reserved until the state shows the attempt, and checks each task with the same constraints as the state machine, so that its entries are valid unless another node was faster.

--- a/include/bulrushpost/placement.h
+++ b/include/bulrushpost/placement.h
@@ -10,17 +10,10 @@
 typedef double (*bp_placement_penalty_t)(
     const bp_job_t *job, const bp_vm_t *vm, void *data);
 
-/* How VMs are compared; all but BP_SCORE_POLICY are baselines. */
-typedef enum {
-	BP_SCORE_POLICY,
-	BP_SCORE_FIRST_FIT,
-	BP_SCORE_RANDOM,
-	BP_SCORE_LEAST_LOADED
-} bp_score_t;
-
 typedef struct {
 	bp_queue_options_t queue;
-	bp_score_t score;
+	/* Lower is better; NULL for the policy, set for baselines only. */
+	bp_placement_penalty_t score;
 	uint32_t rank_wait_ms; /* rank r waits r times this */
 	uint32_t turn_tasks; /* tasks of one job before the next turn */
 	uint32_t return_ramp_ms; /* a returned zone is avoided this long */
@@ -61,8 +54,7 @@
 void bp_placement_settled(
     bp_placement_t *placement, const char *job, uint32_t first_task);
 size_t bp_placement_in_flight(const bp_placement_t *placement);
-/* Jobs that were considered before this one in the last plan and took its
- * turn; 0 when it was considered or is unknown. */
-uint32_t bp_placement_ahead(const bp_placement_t *placement, const char *job);
+/* Jobs that the last plan left for a later turn because of its budget. */
+size_t bp_placement_left(const bp_placement_t *placement);
 
 #endif
--- a/include/bulrushpost/queue.h
+++ b/include/bulrushpost/queue.h
@@ -12,7 +12,8 @@
 
 typedef enum {
 	BP_ORDER_FIFO,
-	BP_ORDER_WEIGHT_OVER_COST /* batch only; other classes stay FIFO */
+	BP_ORDER_WEIGHT_OVER_COST, /* batch only; other classes stay FIFO */
+	BP_ORDER_ARRIVAL /* one line for all; baseline for comparisons */
 } bp_order_t;
 
 typedef struct {
@@ -34,10 +35,15 @@
 bp_job_t *bp_queue_next(bp_queue_t *queue);
 /* Charges planned tasks of a job to its team, which moves its next turn. */
 void bp_queue_charge(bp_queue_t *queue, const bp_job_t *job, uint32_t count);
-/* Puts a job back as the next one of its team in this round. */
+/* Puts the job returned last back as the next one of its team. */
 void bp_queue_put_back(bp_queue_t *queue, bp_job_t *job);
 /* Weighted dominant share of a team, with what was charged in this round. */
 double bp_queue_share(const bp_queue_t *queue, const bp_team_t *team);
+/* Jobs not considered yet in this round. */
+size_t bp_queue_left(const bp_queue_t *queue);
+/* Tells whether a batch job has waited longer than the bound. */
+bool bp_queue_overdue(
+    const bp_queue_t *queue, const bp_state_t *state, const bp_job_t *job);
 int bp_order_parse(bp_order_t *out, const char *name);
 
 #endif
--- /dev/null
+++ b/src/scheduler/placement.c
@@ -0,0 +1,414 @@
+#include "scheduler/placement_private.h"
+
+#include "bulrushpost/resources.h"
+
+#include <string.h>
+
+#define RANK_WAIT_MS 300U
+/* A larger turn makes fewer records, a smaller one is fairer between teams. */
+#define TURN_TASKS 16U
+#define RETURN_RAMP_MS (60U * 1000)
+/* Consecutive batch tasks rank together, so that one entry starts several. */
+#define BATCH_BLOCK_TASKS 8U
+/* Waiting tasks looked at for one turn; the others' tasks are among them. */
+#define SCAN_TASKS_MAX 512U
+/* A batch job that found no VM is not searched again for this long. */
+#define BLOCKED_MS 250
+#define TRACKS_MAX 16384U
+#define TRACK_KEEP_MS 10000
+
+/* Sets the defaults; see the constants above for their reasons. */
+int
+bp_placement_options_init(bp_placement_options_t *options)
+{
+	memset(options, 0, sizeof(*options));
+	options->rank_wait_ms = RANK_WAIT_MS;
+	options->turn_tasks = TURN_TASKS;
+	options->return_ramp_ms = RETURN_RAMP_MS;
+	return bp_queue_options_init(&options->queue);
+}
+
+/* Creates a planner for one node. Free with bp_placement_free. */
+int
+bp_placement_new(bp_placement_t **out, const bp_placement_options_t *options,
+    bp_error_t *err)
+{
+	bp_placement_t *placement;
+
+	if (options->turn_tasks == 0)
+		return bp_error_set(
+		    err, BP_EINVALID, "turn_tasks must be at least 1");
+	placement = g_new0(bp_placement_t, 1);
+	placement->options = *options;
+	placement->queue = bp_queue_new(&options->queue);
+	placement->reservations = bp_reservations_new();
+	placement->flights = g_ptr_array_new_with_free_func(bp_flight_free);
+	placement->kept = g_ptr_array_new_with_free_func(bp_flight_free);
+	placement->tracks =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	*out = placement;
+	return BP_OK;
+}
+
+/* Frees the planner. NULL is allowed. */
+void
+bp_placement_free(bp_placement_t *placement)
+{
+	if (placement == NULL)
+		return;
+	bp_queue_free(placement->queue);
+	bp_reservations_free(placement->reservations);
+	g_ptr_array_unref(placement->flights);
+	g_ptr_array_unref(placement->kept);
+	g_hash_table_unref(placement->tracks);
+	g_free(placement);
+}
+
+static bp_track_t *
+track_of(bp_placement_t *placement, const bp_job_t *job)
+{
+	bp_track_t *track = g_hash_table_lookup(placement->tracks, job->id);
+
+	if (track != NULL)
+		return track;
+	track = g_new0(bp_track_t, 1);
+	track->seen_ms = INT64_MIN / 2;
+	g_hash_table_insert(placement->tracks, g_strdup(job->id), track);
+	return track;
+}
+
+static gboolean
+is_old(gpointer key, gpointer value, gpointer data)
+{
+	const bp_track_t *track = value;
+
+	(void)key;
+	return *(int64_t *)data - track->seen_ms > TRACK_KEEP_MS &&
+	    *(int64_t *)data > track->blocked_until_ms;
+}
+
+/*
+ * Returns the highest rank that may act now. The wait counts from the last
+ * progress of the job, not from its submission: otherwise all nodes would
+ * try at once for each job that waited for room.
+ */
+static uint32_t
+allowed_rank(bp_round_t *round, const bp_job_t *job, bp_track_t *track)
+{
+	uint32_t wait_ms = MAX(round->placement->options.rank_wait_ms, 1U);
+
+	if (track->n_waiting != job->n_waiting ||
+	    round->now_ms - track->seen_ms > (int64_t)wait_ms)
+		track->progress_ms = round->now_ms;
+	track->n_waiting = job->n_waiting;
+	track->seen_ms = round->now_ms;
+	return (uint32_t)((round->now_ms - track->progress_ms) / wait_ms);
+}
+
+static uint32_t
+block_of(const bp_job_t *job, uint32_t task)
+{
+	return job->klass == BP_CLASS_BATCH ? task / BATCH_BLOCK_TASKS : task;
+}
+
+/* Plans count tasks of one attempt on a VM; false when the budget is used. */
+bool
+bp_emit(bp_round_t *round, bp_job_t *job, bp_vm_t *vm, uint32_t first_task,
+    uint32_t count)
+{
+	bp_assignment_t one = {job, vm, first_task, count,
+	    job->tasks[first_task].attempt, vm->rack->epoch};
+
+	if (round->budget_tasks < count)
+		return false;
+	round->budget_tasks -= count;
+	g_array_append_val(round->out, one);
+	bp_reservations_add(round->placement->reservations, job, vm, count);
+	bp_flights_add(round->placement, &one);
+	bp_queue_charge(round->placement->queue, job, count);
+	return true;
+}
+
+/* The tasks of a job that this node may take in one turn, in order. */
+static GArray *
+own_tasks(bp_round_t *round, const bp_job_t *job, uint32_t allowed)
+{
+	GArray *tasks = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	uint64_t hash = bp_owner_job_hash(job);
+	uint32_t most =
+	    MIN(round->placement->options.turn_tasks, round->budget_tasks);
+	uint32_t block = UINT32_MAX;
+	uint32_t scanned = 0;
+	bool mine = false;
+	uint32_t i;
+
+	for (i = job->first_waiting;
+	     i < job->n_tasks && tasks->len < most && scanned < SCAN_TASKS_MAX;
+	     i++) {
+		if (job->tasks[i].state != BP_TASK_WAITING)
+			continue;
+		scanned++;
+		if (block_of(job, i) != block) {
+			block = block_of(job, i);
+			mine = bp_owner_rank(round, hash, block) <= allowed;
+		}
+		if (mine && !bp_flights_hold(round->placement, job, i))
+			g_array_append_val(tasks, i);
+	}
+	return tasks;
+}
+
+/* Tasks after the first one that continue its run at the same attempt. */
+static uint32_t
+run_length(const bp_job_t *job, const GArray *tasks, guint from)
+{
+	uint32_t first = g_array_index(tasks, uint32_t, from);
+	uint32_t length = 1;
+	uint32_t next;
+
+	while (from + length < tasks->len) {
+		next = g_array_index(tasks, uint32_t, from + length);
+		if (next != first + length ||
+		    job->tasks[next].attempt != job->tasks[first].attempt)
+			break;
+		length++;
+	}
+	return length;
+}
+
+/* How many of the tasks fit on the VM; at least one does. */
+static uint32_t
+fit_count(bp_round_t *round, const bp_constraints_t *constraints,
+    const bp_vm_t *vm, uint32_t most)
+{
+	const bp_job_t *job = constraints->job;
+	bp_reservations_t *reservations = round->placement->reservations;
+	bp_resources_t limit = bp_constraints_limit(constraints, vm);
+	bp_resources_t reserved = bp_reservations_vm(reservations, vm);
+	bp_resources_t used = bp_resources_sum(&vm->used, &reserved);
+	bp_resources_t room = bp_resources_excess(&limit, &used);
+	bp_resources_t need;
+	uint32_t count = 1;
+	guint i;
+
+	/* Quota and counted rules change with each task. */
+	if (job->klass != BP_CLASS_BATCH || job->team->quota != NULL)
+		return 1;
+	for (i = 0; i < constraints->rules->len; i++) {
+		const bp_rule_t *rule =
+		    g_ptr_array_index(constraints->rules, i);
+
+		if (rule->kind == BP_RULE_SPREAD || rule->kind == BP_RULE_APART)
+			return 1;
+	}
+	while (count < most) {
+		need = bp_resources_times(&job->size, count + 1);
+		if (!bp_resources_fit(&need, &room))
+			break;
+		count++;
+	}
+	return count;
+}
+
+/* Joins an assignment to the one before when it continues it. */
+static void
+join_last(bp_round_t *round)
+{
+	GArray *out = round->out;
+	GPtrArray *flights = round->placement->flights;
+	bp_assignment_t *a;
+	bp_assignment_t *b;
+
+	if (out->len < 2)
+		return;
+	a = &g_array_index(out, bp_assignment_t, out->len - 2);
+	b = &g_array_index(out, bp_assignment_t, out->len - 1);
+	if (a->job != b->job || a->vm != b->vm || a->attempt != b->attempt ||
+	    a->first_task + a->count != b->first_task)
+		return;
+	a->count += b->count;
+	((bp_flight_t *)g_ptr_array_index(flights, flights->len - 2))->count =
+	    a->count;
+	g_ptr_array_remove_index(flights, flights->len - 1);
+	g_array_set_size(out, out->len - 1);
+}
+
+/* Plans the tasks on the best VMs; returns how many found one. */
+static uint32_t
+place_tasks(bp_round_t *round, const bp_constraints_t *constraints,
+    GArray *candidates, const GArray *tasks, bp_spread_t *spread)
+{
+	bp_job_t *job = (bp_job_t *)constraints->job;
+	uint32_t placed = 0;
+	uint32_t count;
+	int best;
+
+	while (placed < tasks->len) {
+		bp_vm_t *vm;
+
+		best = bp_candidates_best(candidates);
+		if (best < 0)
+			break;
+		vm = g_array_index(candidates, bp_candidate_t, best).vm;
+		if (bp_constraints_check(constraints, vm,
+			round->placement->reservations, NULL, NULL) != 0) {
+			g_array_remove_index(candidates, (guint)best);
+			continue;
+		}
+		count = fit_count(
+		    round, constraints, vm, run_length(job, tasks, placed));
+		if (!bp_emit(round, job, vm,
+			g_array_index(tasks, uint32_t, placed), count))
+			break;
+		join_last(round);
+		placed += count;
+		bp_spread_add(spread, vm, count);
+		if (job->klass != BP_CLASS_BATCH)
+			bp_candidates_rescore(round, candidates, job, spread);
+	}
+	return placed;
+}
+
+/* Marks the owners that take part in the ranking for this job. */
+static void
+mark_room(bp_round_t *round, const bp_constraints_t *constraints)
+{
+	bp_owner_t *owner;
+	guint i;
+
+	for (i = 0; i < round->owners->len; i++) {
+		owner = &g_array_index(round->owners, bp_owner_t, i);
+		owner->has_room = owner == round->own ||
+		    bp_owner_eligible(round, owner, constraints);
+	}
+}
+
+static void
+found_no_vm(bp_round_t *round, const bp_job_t *job, bp_track_t *track)
+{
+	if (job->klass != BP_CLASS_BATCH)
+		return;
+	track->blocked_until_ms = round->now_ms + BLOCKED_MS;
+	if (bp_queue_overdue(round->placement->queue, round->state, job))
+		bp_kept_add(round, job);
+}
+
+/* Returns true when the job can use another turn in this round. */
+static bool
+place_with(
+    bp_round_t *round, const bp_constraints_t *constraints, bp_track_t *track)
+{
+	bp_job_t *job = (bp_job_t *)constraints->job;
+	GArray *candidates;
+	bp_spread_t spread;
+	uint32_t allowed;
+	uint32_t placed;
+	GArray *tasks;
+	bool again;
+
+	if (!bp_owner_eligible(round, round->own, constraints)) {
+		found_no_vm(round, job, track);
+		return false;
+	}
+	allowed = allowed_rank(round, job, track);
+	mark_room(round, constraints);
+	tasks = own_tasks(round, job, allowed);
+	if (tasks->len == 0) {
+		g_array_unref(tasks);
+		return false;
+	}
+	bp_spread_init(&spread, round, job);
+	candidates = bp_candidates(round, constraints, &spread);
+	placed = place_tasks(round, constraints, candidates, tasks, &spread);
+	again = placed == tasks->len &&
+	    placed == round->placement->options.turn_tasks;
+	g_array_unref(candidates);
+	bp_spread_clear(&spread);
+	g_array_unref(tasks);
+	return again;
+}
+
+static void
+place_turn(bp_round_t *round, bp_job_t *job)
+{
+	bp_constraints_t constraints;
+	bp_track_t *track;
+
+	if (!bp_resources_fit(&job->size, &round->own->most_free) &&
+	    !bp_queue_overdue(round->placement->queue, round->state, job))
+		return;
+	track = track_of(round->placement, job);
+	if (job->klass == BP_CLASS_BATCH &&
+	    round->now_ms < track->blocked_until_ms)
+		return;
+	bp_constraints_init(&constraints, round->state, job);
+	if (place_with(round, &constraints, track))
+		bp_queue_put_back(round->placement->queue, job);
+	bp_constraints_clear(&constraints);
+}
+
+/* See the header. The order of the result is the order of the queue. */
+int
+bp_placement_plan(GArray *out, bp_placement_t *placement,
+    const bp_state_t *state, const char *node, uint64_t incarnation,
+    uint32_t budget_tasks, int64_t now_ms, bp_error_t *err)
+{
+	bp_round_t round = {.placement = placement,
+	    .state = state,
+	    .out = out,
+	    .budget_tasks = budget_tasks,
+	    .now_ms = now_ms,
+	    .state_now_ms = bp_state_now_ms(state)};
+	bp_job_t *job;
+
+	(void)err;
+	if (g_hash_table_size(placement->tracks) > TRACKS_MAX)
+		g_hash_table_foreach_remove(placement->tracks, is_old, &now_ms);
+	placement->left = 0;
+	bp_flights_load(&round);
+	if (bp_owners_load(&round, node, incarnation)) {
+		bp_queue_load(placement->queue, state);
+		bp_kept_load(&round);
+		while (round.budget_tasks > 0 &&
+		    (job = bp_queue_next(placement->queue)) != NULL)
+			place_turn(&round, job);
+		placement->left = bp_queue_left(placement->queue);
+	}
+	bp_owners_clear(&round);
+	return BP_OK;
+}
+
+/*
+ * Forgets an assignment whose entry had no effect, so that its tasks are
+ * planned again.
+ */
+void
+bp_placement_settled(
+    bp_placement_t *placement, const char *job, uint32_t first_task)
+{
+	const bp_flight_t *flight;
+	guint i;
+
+	for (i = 0; i < placement->flights->len; i++) {
+		flight = g_ptr_array_index(placement->flights, i);
+		if (flight->first_task == first_task &&
+		    strcmp(flight->job, job) == 0) {
+			g_ptr_array_remove_index_fast(placement->flights, i);
+			return;
+		}
+	}
+}
+
+/* Returns the number of assignments that are not settled yet. */
+size_t
+bp_placement_in_flight(const bp_placement_t *placement)
+{
+	return placement->flights->len;
+}
+
+/* See the header. */
+size_t
+bp_placement_left(const bp_placement_t *placement)
+{
+	return placement->left;
+}
--- /dev/null
+++ b/src/scheduler/placement_flights.c
@@ -0,0 +1,230 @@
+#include "scheduler/placement_private.h"
+
+#include "bulrushpost/hash.h"
+
+#include <string.h>
+
+/* VMs that a node keeps free at once for jobs that waited too long. */
+#define KEPT_MAX 4U
+
+/* Frees one entry. */
+void
+bp_flight_free(void *data)
+{
+	bp_flight_t *flight = data;
+
+	g_free(flight->job);
+	g_free(flight->vm);
+	g_free(flight);
+}
+
+static bp_flight_t *
+new_flight(const char *job, const char *vm)
+{
+	bp_flight_t *flight = g_new0(bp_flight_t, 1);
+
+	flight->job = g_strdup(job);
+	flight->vm = g_strdup(vm);
+	return flight;
+}
+
+/* Notes an assignment until the state shows it. */
+void
+bp_flights_add(bp_placement_t *placement, const bp_assignment_t *one)
+{
+	bp_flight_t *flight = new_flight(one->job->id, one->vm->name);
+
+	flight->first_task = one->first_task;
+	flight->count = one->count;
+	flight->attempt = one->attempt;
+	g_ptr_array_add(placement->flights, flight);
+}
+
+/* Tells whether the task was planned and is not settled yet. */
+bool
+bp_flights_hold(
+    const bp_placement_t *placement, const bp_job_t *job, uint32_t task)
+{
+	const bp_flight_t *flight;
+	guint i;
+
+	for (i = 0; i < placement->flights->len; i++) {
+		flight = g_ptr_array_index(placement->flights, i);
+		if (task >= flight->first_task &&
+		    task - flight->first_task < flight->count &&
+		    strcmp(flight->job, job->id) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool
+still_waits(const bp_job_t *job, const bp_flight_t *flight)
+{
+	const bp_task_t *task;
+
+	if (job == NULL || flight->first_task >= job->n_tasks)
+		return false;
+	task = &job->tasks[flight->first_task];
+	return task->state == BP_TASK_WAITING &&
+	    task->attempt == flight->attempt;
+}
+
+/* Reserves what is in flight and forgets what the state shows by now. */
+void
+bp_flights_load(bp_round_t *round)
+{
+	bp_placement_t *placement = round->placement;
+	const bp_flight_t *flight;
+	const bp_job_t *job;
+	const bp_vm_t *vm;
+	guint i = 0;
+
+	bp_reservations_clear(placement->reservations);
+	while (i < placement->flights->len) {
+		flight = g_ptr_array_index(placement->flights, i);
+		job = bp_state_job(round->state, flight->job);
+		vm = bp_state_vm(round->state, flight->vm);
+		if (vm == NULL || !still_waits(job, flight)) {
+			g_ptr_array_remove_index_fast(placement->flights, i);
+			continue;
+		}
+		bp_reservations_add(
+		    placement->reservations, job, vm, flight->count);
+		i++;
+	}
+}
+
+static int64_t
+first_free_task(const bp_placement_t *placement, const bp_job_t *job)
+{
+	uint32_t i;
+
+	for (i = job->first_waiting; i < job->n_tasks; i++) {
+		if (job->tasks[i].state == BP_TASK_WAITING &&
+		    !bp_flights_hold(placement, job, i))
+			return i;
+	}
+	return -1;
+}
+
+/* Gives a kept VM to its job when there is room, or keeps it free. */
+static bool
+serve_kept(bp_round_t *round, const bp_flight_t *kept)
+{
+	bp_job_t *job = bp_state_job(round->state, kept->job);
+	bp_vm_t *vm = bp_state_vm(round->state, kept->vm);
+	bp_constraints_t constraints;
+	uint32_t causes;
+	int64_t task;
+
+	if (job == NULL || vm == NULL || job->n_waiting == 0)
+		return false;
+	task = first_free_task(round->placement, job);
+	if (task < 0)
+		return false;
+	bp_constraints_init(&constraints, round->state, job);
+	causes = bp_constraints_check(
+	    &constraints, vm, round->placement->reservations, NULL, NULL);
+	bp_constraints_clear(&constraints);
+	if (causes == 0 && bp_emit(round, job, vm, (uint32_t)task, 1))
+		return false;
+	if ((causes & ~(uint32_t)(BP_CAUSE_NO_CAPACITY | BP_CAUSE_HEADROOM)) !=
+	    0)
+		return false;
+	bp_reservations_add(round->placement->reservations, job, vm, 1);
+	return true;
+}
+
+/* Serves all kept VMs before the queue, since small jobs would fill them. */
+void
+bp_kept_load(bp_round_t *round)
+{
+	GPtrArray *kept = round->placement->kept;
+	guint i = 0;
+
+	while (i < kept->len) {
+		if (serve_kept(round, g_ptr_array_index(kept, i)))
+			i++;
+		else
+			g_ptr_array_remove_index(kept, i);
+	}
+}
+
+static bool
+is_kept(const GPtrArray *kept, const char *job, const char *vm)
+{
+	const bp_flight_t *one;
+	guint i;
+
+	for (i = 0; i < kept->len; i++) {
+		one = g_ptr_array_index(kept, i);
+		if ((job != NULL && strcmp(one->job, job) == 0) ||
+		    (vm != NULL && strcmp(one->vm, vm) == 0))
+			return true;
+	}
+	return false;
+}
+
+static void
+collect_causes(const bp_obstacle_t *obstacle, void *data)
+{
+	*(uint32_t *)data |= obstacle->cause;
+}
+
+static bp_vm_t *
+vm_to_keep(const bp_round_t *round, const bp_job_t *job)
+{
+	const GPtrArray *vms = round->own->vms;
+	bp_constraints_t constraints;
+	bp_vm_t *best = NULL;
+	double best_load = 0;
+	uint32_t causes;
+	guint i;
+
+	bp_constraints_init(&constraints, round->state, job);
+	for (i = 0; i < vms->len; i++) {
+		bp_vm_t *vm = g_ptr_array_index(vms, i);
+		double load = (double)vm->used.cpu_milli /
+		    MAX(vm->capacity.cpu_milli, 1U);
+
+		causes = 0;
+		bp_constraints_check(&constraints, vm,
+		    round->placement->reservations, collect_causes, &causes);
+		if ((causes &
+			~(uint32_t)(BP_CAUSE_NO_CAPACITY |
+			    BP_CAUSE_HEADROOM)) != 0 ||
+		    is_kept(round->placement->kept, NULL, vm->name))
+			continue;
+		if (best == NULL || load < best_load) {
+			best = vm;
+			best_load = load;
+		}
+	}
+	bp_constraints_clear(&constraints);
+	return best;
+}
+
+/*
+ * Keeps the emptiest VM that is large enough free for a job that waited too
+ * long, so that a stream of small jobs cannot keep a large one out for ever.
+ */
+void
+bp_kept_add(bp_round_t *round, const bp_job_t *job)
+{
+	GPtrArray *kept = round->placement->kept;
+	bp_vm_t *vm;
+	guint i;
+
+	if (kept->len >= KEPT_MAX || is_kept(kept, job->id, NULL))
+		return;
+	for (i = 0; i < round->owners->len; i++)
+		g_array_index(round->owners, bp_owner_t, i).has_room = true;
+	if (bp_owner_rank(round, bp_owner_job_hash(job), 0) != 0)
+		return;
+	vm = vm_to_keep(round, job);
+	if (vm == NULL)
+		return;
+	g_ptr_array_add(kept, new_flight(job->id, vm->name));
+	bp_reservations_add(round->placement->reservations, job, vm, 1);
+}
