--- /dev/null
+++ b/tests/support/http.c
@@ -0,0 +1,143 @@
+#include "support/http.h"
+
+#include "support/process.h"
+
+#include <libsoup/soup.h>
+#include <string.h>
+
+#define CONNECTIONS_MAX 512
+#define TIMEOUT_S 60
+
+struct bp_http {
+	SoupSession *session;
+};
+
+typedef struct {
+	bp_reply_t *reply;
+	SoupMessage *message;
+} call_t;
+
+/* Creates a client. */
+bp_http_t *
+bp_http_new(void)
+{
+	bp_http_t *http = g_new0(bp_http_t, 1);
+
+	http->session = soup_session_new_with_options("max-conns",
+	    CONNECTIONS_MAX, "max-conns-per-host", CONNECTIONS_MAX, "timeout",
+	    TIMEOUT_S, NULL);
+	return http;
+}
+
+/* Frees a client whose replies are all done. NULL is allowed. */
+void
+bp_http_free(bp_http_t *http)
+{
+	if (http == NULL)
+		return;
+	soup_session_abort(http->session);
+	g_object_unref(http->session);
+	g_free(http);
+}
+
+static void
+on_reply(GObject *source, GAsyncResult *result, gpointer data)
+{
+	call_t *call = data;
+	bp_reply_t *reply = call->reply;
+	GBytes *bytes = soup_session_send_and_read_finish(
+	    SOUP_SESSION(source), result, NULL);
+	SoupMessageHeaders *headers =
+	    soup_message_get_response_headers(call->message);
+	gsize size = 0;
+	const char *text;
+
+	if (bytes != NULL) {
+		text = g_bytes_get_data(bytes, &size);
+		reply->status = soup_message_get_status(call->message);
+		reply->body = g_strndup(text, size);
+		reply->outcome = g_strdup(
+		    soup_message_headers_get_one(headers, "X-Outcome"));
+		reply->reason =
+		    g_strdup(soup_message_headers_get_one(headers, "X-Reason"));
+		g_bytes_unref(bytes);
+	} else {
+		reply->body = g_strdup("");
+	}
+	reply->done_us = bp_now_us();
+	reply->done = true;
+	g_object_unref(call->message);
+	g_free(call);
+}
+
+/* Sends a request; the reply is freed by the caller once it is done. */
+bp_reply_t *
+bp_http_send(
+    bp_http_t *http, const char *method, const char *url, const char *body, ...)
+{
+	bp_reply_t *reply = g_new0(bp_reply_t, 1);
+	call_t *call = g_new0(call_t, 1);
+	GBytes *bytes = NULL;
+	const char *name;
+	va_list args;
+
+	call->reply = reply;
+	call->message = soup_message_new(method, url);
+	va_start(args, body);
+	while ((name = va_arg(args, const char *)) != NULL)
+		soup_message_headers_replace(
+		    soup_message_get_request_headers(call->message), name,
+		    va_arg(args, const char *));
+	va_end(args);
+	if (body != NULL) {
+		bytes = g_bytes_new(body, strlen(body));
+		soup_message_set_request_body_from_bytes(
+		    call->message, "text/plain", bytes);
+		g_bytes_unref(bytes);
+	}
+	reply->sent_us = bp_now_us();
+	soup_session_send_and_read_async(http->session, call->message,
+	    G_PRIORITY_DEFAULT, NULL, on_reply, call);
+	return reply;
+}
+
+static bool
+is_done(void *data)
+{
+	return ((bp_reply_t *)data)->done;
+}
+
+/* Waits for a reply. */
+bool
+bp_http_wait(bp_reply_t *reply)
+{
+	return bp_wait_until(is_done, reply);
+}
+
+/* Frees a reply that is done. NULL is allowed. */
+void
+bp_reply_free(bp_reply_t *reply)
+{
+	if (reply == NULL)
+		return;
+	g_free(reply->body);
+	g_free(reply->outcome);
+	g_free(reply->reason);
+	g_free(reply);
+}
+
+/* Makes a call to an admin interface; the text is freed with g_free. */
+char *
+bp_http_call(
+    bp_http_t *http, const char *method, const char *url, const char *body)
+{
+	bp_reply_t *reply = bp_http_send(http, method, url, body, NULL);
+	char *text = NULL;
+
+	if (!bp_http_wait(reply))
+		return NULL;
+	if (reply->status == SOUP_STATUS_OK)
+		text = g_steal_pointer(&reply->body);
+	bp_reply_free(reply);
+	return text;
+}
