--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,8 @@
 all: $(BUILD)/bulrushpost
 
 $(BUILD)/bulrushpost: $(BUILD)/src/cli/main.o $(BUILD)/libbulrushpost.a
-	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+	@echo LD $@
+	@$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
 $(BUILD)/libbulrushpost.a: $(LIB_OBJS)
 	rm -f $@
@@ -42,20 +43,25 @@
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(dir $@)
-	$(CC) $(ALL_CFLAGS) -c -o $@ $<
+	@echo CC $<
+	@$(CC) $(ALL_CFLAGS) -c -o $@ $<
 
 $(BUILD)/src/proto/%.o: src/proto/%.c
 	@mkdir -p $(dir $@)
-	$(CC) $(ALL_CFLAGS) -Wno-shadow -c -o $@ $<
+	@echo CC $<
+	@$(CC) $(ALL_CFLAGS) -Wno-shadow -c -o $@ $<
 
 $(BUILD)/tests/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJS) $(BUILD)/libbulrushpost.a
-	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS) -lcunit
+	@echo LD $@
+	@$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS) -lcunit
 
 $(BUILD)/standin: $(STANDIN_OBJS) $(BUILD)/libbulrushpost.a
-	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+	@echo LD $@
+	@$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
 $(BUILD)/bench/bench: $(BENCH_OBJS) $(BUILD)/libbulrushpost.a
-	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+	@echo LD $@
+	@$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
 tests: all $(TEST_BINS) $(if $(STANDIN_OBJS),$(BUILD)/standin)
 
--- a/src/state/state.c
+++ b/src/state/state.c
@@ -6,6 +6,8 @@
 #define ENDED_JOB_KEEP_MS (6LL * 3600 * 1000)
 /* Claimed idempotency keys are kept for this long after their issue. */
 #define KEY_KEEP_S (15ULL * 60)
+/* Nodes that wrote nothing for this long were replaced under other names. */
+#define NODE_KEEP_MS (24LL * 3600 * 1000)
 #define PRUNE_INTERVAL_MS (60LL * 1000)
 #define INCARNATIONS_MAX 4096U
 #define RULES_HISTORY_MAX 20U
@@ -436,6 +438,16 @@
 	    state->now_ms - job->ended_ms > ENDED_JOB_KEEP_MS;
 }
 
+static gboolean
+is_old_node(gpointer key, gpointer value, gpointer data)
+{
+	const bp_state_t *state = data;
+
+	(void)key;
+	return state->now_ms - ((const bp_node_t *)value)->time_ms >
+	    NODE_KEEP_MS;
+}
+
 static gboolean
 is_old_key(gpointer key, gpointer value, gpointer data)
 {
@@ -482,6 +494,7 @@
 		state->key_horizon_s =
 		    MAX(state->key_horizon_s, now_s - KEY_KEEP_S);
 	g_hash_table_foreach_remove(state->keys, is_old_key, state);
+	g_hash_table_foreach_remove(state->nodes, is_old_node, state);
 	g_hash_table_foreach_remove(state->jobs, is_old_job, state);
 	prune_incarnations(state);
 }
