--- a/include/bulrushpost/follower.h
+++ b/include/bulrushpost/follower.h
@@ -33,6 +33,8 @@
 
 /* The state changes identity when a snapshot is loaded. */
 bp_state_t *bp_follower_state(const bp_follower_t *follower);
+/* Changes whenever the state is replaced. */
+uint64_t bp_follower_generation(const bp_follower_t *follower);
 void bp_follower_observe(
     bp_follower_t *follower, bp_state_observer_t observer, void *data);
 /* Called after each completed read and each change of status. */
@@ -40,6 +42,9 @@
 void bp_follower_on_progress(
     bp_follower_t *follower, bp_follower_progress_t progress, void *data);
 
+/* Removes the observers and progress callbacks that were added with data. */
+void bp_follower_forget(bp_follower_t *follower, const void *data);
+
 bp_follower_status_t bp_follower_status(const bp_follower_t *follower);
 /* Monotonic start time (us) of the latest read that reached the head. */
 int64_t bp_follower_fresh_us(const bp_follower_t *follower);
--- a/include/bulrushpost/vmlist.h
+++ b/include/bulrushpost/vmlist.h
@@ -64,6 +64,9 @@
 void bp_vmlist_on_change(
     bp_vmlist_t *list, bp_vmlist_change_t change, void *data);
 
+/* Removes the callbacks that were added with data. */
+void bp_vmlist_forget(bp_vmlist_t *list, const void *data);
+
 /* Returns NULL for a name that was never listed or is forgotten. */
 const bp_vmlist_vm_t *bp_vmlist_find(const bp_vmlist_t *list, const char *name);
 /* Calls each for the live, leaving and gone VMs of a role, by name. */
--- /dev/null
+++ b/src/platform/appender.c
@@ -0,0 +1,256 @@
+#include "bulrushpost/appender.h"
+
+#include "platform/appenderstate.h"
+#include "platform/logdecode.h"
+
+#include <string.h>
+
+#define INTERVAL_MS 40
+#define PRESENCE_MS 1000
+#define RECORD_BYTES (48U * 1024)
+#define EXPIRY_TICK_MS 50
+/* Bounds the memory of a node during an outage of the log. */
+#define WAITING_MAX 20000U
+/* Room for the header of a record besides the names in it. */
+#define HEADER_BYTES 64U
+#define US_PER_MS 1000
+
+/* Sets the defaults; clock, log, follower and names must be set. */
+int
+bp_appender_options_init(bp_appender_options_t *options)
+{
+	*options = (bp_appender_options_t){
+	    .zone = "",
+	    .address = "",
+	    .interval_ms = INTERVAL_MS,
+	    .presence_ms = PRESENCE_MS,
+	    .record_bytes = RECORD_BYTES,
+	};
+	return BP_OK;
+}
+
+static void
+clear_source(guint *source)
+{
+	if (*source != 0)
+		g_source_remove(*source);
+	*source = 0;
+}
+
+static void
+expire_waiting(bp_appender_t *appender)
+{
+	int64_t now = bp_appender_now_us(appender);
+	GQueue expired = G_QUEUE_INIT;
+	GList *node = appender->waiting.head;
+	bp_outentry_t *entry;
+
+	while (node != NULL) {
+		GList *next = node->next;
+
+		entry = node->data;
+		if (entry->deadline_us <= now) {
+			g_queue_delete_link(&appender->waiting, node);
+			g_queue_push_tail(&expired, entry);
+		}
+		node = next;
+	}
+	while ((entry = g_queue_pop_head(&expired)) != NULL)
+		bp_outentry_report(entry, NULL, BP_ELOGDOWN,
+		    "not sent: the log does not take records");
+}
+
+static gboolean
+on_expiry(void *data)
+{
+	bp_appender_t *appender = data;
+	int64_t now = bp_appender_now_us(appender);
+	bp_outrecord_t *record = appender->current;
+	GList *node;
+
+	expire_waiting(appender);
+	for (node = appender->unread.head; node != NULL; node = node->next)
+		bp_outrecord_expire(node->data, now);
+	if (record != NULL && record->carries_entries && !record->read_back) {
+		bp_outrecord_expire(record, now);
+		if (bp_outrecord_pending(record) == 0)
+			bp_appender_abandon(appender);
+	}
+	if (bp_appender_pending(appender) > 0)
+		return G_SOURCE_CONTINUE;
+	appender->expiry_source = 0;
+	return G_SOURCE_REMOVE;
+}
+
+static int
+check_options(const bp_appender_options_t *options, bp_error_t *err)
+{
+	size_t header_bytes;
+
+	if (options->clock == NULL || options->log == NULL ||
+	    options->follower == NULL || options->node == NULL ||
+	    options->node[0] == '\0' || options->zone == NULL ||
+	    options->address == NULL)
+		return bp_error_set(err, BP_EINVALID,
+		    "the appender needs a clock, log, follower and node name");
+	header_bytes = HEADER_BYTES + strlen(options->node) +
+	    strlen(options->zone) + strlen(options->address);
+	if (options->record_bytes > BP_LOG_RECORD_MAX_BYTES ||
+	    options->record_bytes <= header_bytes)
+		return bp_error_set(err, BP_EINVALID,
+		    "record_bytes must be between %zu and %d", header_bytes,
+		    BP_LOG_RECORD_MAX_BYTES);
+	return BP_OK;
+}
+
+/* Creates an appender; it sends nothing until started. */
+int
+bp_appender_new(
+    bp_appender_t **out, const bp_appender_options_t *options, bp_error_t *err)
+{
+	bp_appender_t *appender;
+	int rc = check_options(options, err);
+
+	*out = NULL;
+	if (rc != BP_OK)
+		return rc;
+	appender = g_new0(bp_appender_t, 1);
+	appender->options = *options;
+	appender->node = g_strdup(options->node);
+	appender->zone = g_strdup(options->zone);
+	appender->address = g_strdup(options->address);
+	appender->next_seq = 1;
+	appender->backoff_ms = BP_APPENDER_BACKOFF_MIN_MS;
+	appender->round_trip_ms = -1;
+	bp_random_init(&appender->random, options->incarnation);
+	bp_follower_observe(
+	    options->follower, bp_appender_on_applied, appender);
+	bp_follower_on_progress(
+	    options->follower, bp_appender_on_progress, appender);
+	*out = appender;
+	return BP_OK;
+}
+
+static void
+report_all(bp_appender_t *appender)
+{
+	bp_outrecord_t *record;
+	bp_outentry_t *entry;
+
+	while ((record = g_queue_pop_head(&appender->unread)) != NULL) {
+		bp_outrecord_report_rest(
+		    record, BP_EUNKNOWN, "the node stopped before read-back");
+		bp_outrecord_free(record);
+	}
+	if (appender->current != NULL)
+		bp_outrecord_report_rest(appender->current, BP_EUNKNOWN,
+		    "the node stopped before read-back");
+	while ((entry = g_queue_pop_head(&appender->waiting)) != NULL)
+		bp_outentry_report(
+		    entry, NULL, BP_ELOGDOWN, "not sent: the node stopped");
+}
+
+/*
+ * Frees the appender before its follower and log client. Entries that are
+ * still pending are reported first: BP_EUNKNOWN if sent, else BP_ELOGDOWN.
+ */
+void
+bp_appender_free(bp_appender_t *appender)
+{
+	if (appender == NULL)
+		return;
+	appender->started = false;
+	bp_follower_forget(appender->options.follower, appender);
+	bp_logclient_cancel(appender->options.log, appender);
+	report_all(appender);
+	bp_outrecord_free(appender->current);
+	clear_source(&appender->flush_source);
+	clear_source(&appender->retry_source);
+	clear_source(&appender->presence_source);
+	clear_source(&appender->expiry_source);
+	g_free(appender->node);
+	g_free(appender->zone);
+	g_free(appender->address);
+	g_free(appender);
+}
+
+/* Starts to send what was added, and presence records. */
+void
+bp_appender_start(bp_appender_t *appender)
+{
+	appender->started = true;
+	bp_appender_arm_presence(appender);
+	bp_appender_arm_flush(appender, 0);
+}
+
+/* States in all further records whether this node is draining. */
+void
+bp_appender_set_draining(bp_appender_t *appender, bool draining)
+{
+	appender->draining = draining;
+	appender->presence_due = true;
+	bp_appender_arm_flush(appender, 0);
+}
+
+/*
+ * Adds one entry. Returns BP_ETOOLARGE for one that no record can hold and
+ * BP_EOVERLOAD when too many wait; done does not run then.
+ */
+int
+bp_appender_add(bp_appender_t *appender, const Bp__Log__Entry *entry,
+    uint32_t give_up_ms, bp_append_done_t done, void *data, bp_error_t *err)
+{
+	size_t header_bytes = HEADER_BYTES + strlen(appender->node) +
+	    strlen(appender->zone) + strlen(appender->address);
+	size_t size_bytes = bp__log__entry__get_packed_size(entry);
+
+	if (header_bytes + size_bytes > appender->options.record_bytes)
+		return bp_error_set(err, BP_ETOOLARGE,
+		    "an entry of %zu bytes exceeds the record limit of %u",
+		    size_bytes, (unsigned)appender->options.record_bytes);
+	if (g_queue_get_length(&appender->waiting) >= WAITING_MAX)
+		return bp_error_set(err, BP_EOVERLOAD,
+		    "%u entries wait for the log", WAITING_MAX);
+	g_queue_push_tail(&appender->waiting,
+	    bp_outentry_new(entry,
+		bp_appender_now_us(appender) + (int64_t)give_up_ms * US_PER_MS,
+		done, data));
+	bp_appender_arm_flush(appender, appender->options.interval_ms);
+	if (appender->expiry_source == 0)
+		appender->expiry_source =
+		    g_timeout_add(EXPIRY_TICK_MS, on_expiry, appender);
+	return BP_OK;
+}
+
+/* Returns the number of entries whose outcome is not reported yet. */
+size_t
+bp_appender_pending(const bp_appender_t *appender)
+{
+	size_t pending = g_queue_get_length((GQueue *)&appender->waiting);
+	GList *node;
+
+	if (appender->current != NULL)
+		pending += bp_outrecord_pending(appender->current);
+	for (node = appender->unread.head; node != NULL; node = node->next)
+		pending += bp_outrecord_pending(node->data);
+	return pending;
+}
+
+/*
+ * Returns the round trip of the latest record that was read back, or the age
+ * of the oldest one that was not if that is larger; -1 before the first.
+ */
+int64_t
+bp_appender_round_trip_ms(const bp_appender_t *appender)
+{
+	const bp_outrecord_t *oldest = appender->current;
+	int64_t age_ms;
+
+	if (appender->unread.head != NULL)
+		oldest = appender->unread.head->data;
+	if (oldest == NULL || oldest->read_back)
+		return appender->round_trip_ms;
+	age_ms =
+	    (bp_appender_now_us(appender) - oldest->first_sent_us) / US_PER_MS;
+	return MAX(appender->round_trip_ms, age_ms);
+}
--- /dev/null
+++ b/src/platform/appenderstate.h
@@ -0,0 +1,43 @@
+#ifndef BP_PLATFORM_APPENDERSTATE_H
+#define BP_PLATFORM_APPENDERSTATE_H
+
+#include "bulrushpost/hash.h"
+#include "platform/outrecord.h"
+
+#define BP_APPENDER_MODULE "appender"
+#define BP_APPENDER_BACKOFF_MIN_MS 50U
+#define BP_APPENDER_BACKOFF_MAX_MS 2000U
+
+struct bp_appender {
+	bp_appender_options_t options;
+	char *node;
+	char *zone;
+	char *address;
+	bp_random_t random;
+	GQueue waiting; /* bp_outentry_t, in no record */
+	GQueue unread; /* bp_outrecord_t, appended but not read back */
+	bp_outrecord_t *current; /* being appended */
+	uint64_t next_seq;
+	uint32_t backoff_ms;
+	int64_t round_trip_ms; /* -1 before the first */
+	bool started;
+	bool draining;
+	bool calling; /* an append is in flight */
+	bool flush_due;
+	bool presence_due;
+	bool probing; /* an empty record first: the log seems to be down */
+	guint flush_source;
+	guint retry_source;
+	guint presence_source;
+	guint expiry_source;
+};
+
+/* Sending and read-back, in appendsend.c. */
+int64_t bp_appender_now_us(const bp_appender_t *appender);
+void bp_appender_arm_flush(bp_appender_t *appender, uint32_t delay_ms);
+void bp_appender_arm_presence(bp_appender_t *appender);
+void bp_appender_abandon(bp_appender_t *appender);
+void bp_appender_on_applied(const bp_applied_t *applied, void *data);
+void bp_appender_on_progress(bp_follower_t *follower, void *data);
+
+#endif
--- /dev/null
+++ b/src/platform/appendsend.c
@@ -0,0 +1,317 @@
+#include "platform/appenderstate.h"
+
+#define US_PER_MS 1000
+
+static void flush(bp_appender_t *appender);
+static void call_append(bp_appender_t *appender);
+
+/* Returns the monotonic time of the appender's clock. */
+int64_t
+bp_appender_now_us(const bp_appender_t *appender)
+{
+	return bp_clock_mono_us(appender->options.clock);
+}
+
+static void
+clear_source(guint *source)
+{
+	if (*source != 0)
+		g_source_remove(*source);
+	*source = 0;
+}
+
+static gboolean
+on_flush(void *data)
+{
+	bp_appender_t *appender = data;
+
+	appender->flush_source = 0;
+	flush(appender);
+	return G_SOURCE_REMOVE;
+}
+
+/* Sends what waits after a delay, unless that is already planned. */
+void
+bp_appender_arm_flush(bp_appender_t *appender, uint32_t delay_ms)
+{
+	if (appender->flush_source == 0 && appender->started)
+		appender->flush_source =
+		    g_timeout_add(delay_ms, on_flush, appender);
+}
+
+/*
+ * A node that cannot follow the log must look dead to the others, so that
+ * they take over its racks; it announces itself only with a usable state.
+ */
+static bool
+may_announce(const bp_appender_t *appender)
+{
+	bp_follower_status_t status =
+	    bp_follower_status(appender->options.follower);
+
+	return status == BP_FOLLOWER_CURRENT || status == BP_FOLLOWER_LOG_DOWN;
+}
+
+static gboolean
+on_presence(void *data)
+{
+	bp_appender_t *appender = data;
+
+	if (may_announce(appender)) {
+		appender->presence_due = true;
+		flush(appender);
+	}
+	return G_SOURCE_CONTINUE;
+}
+
+/* Counts the silence after which a record without entries is sent anew. */
+void
+bp_appender_arm_presence(bp_appender_t *appender)
+{
+	clear_source(&appender->presence_source);
+	appender->presence_source =
+	    g_timeout_add(appender->options.presence_ms, on_presence, appender);
+}
+
+static bp_outrecord_t *
+build_record(bp_appender_t *appender)
+{
+	Bp__Log__Record header = BP__LOG__RECORD__INIT;
+	GQueue none = G_QUEUE_INIT;
+	bp_outrecord_t *record;
+
+	header.version = BP_RECORD_VERSION;
+	header.node = appender->node;
+	header.incarnation = appender->options.incarnation;
+	header.seq = appender->next_seq;
+	header.time_ms = (uint64_t)bp_clock_wall_ms(appender->options.clock);
+	/* The state machine takes zone and address from each record. */
+	header.zone = appender->zone;
+	header.address = appender->address;
+	header.draining = appender->draining;
+	record = bp_outrecord_new(&header,
+	    appender->probing ? &none : &appender->waiting,
+	    appender->options.record_bytes);
+	record->generation = bp_follower_generation(appender->options.follower);
+	return record;
+}
+
+/* Ends the record in progress after it was appended or read back. */
+static void
+settle(bp_appender_t *appender)
+{
+	g_clear_pointer(&appender->current, bp_outrecord_free);
+	appender->backoff_ms = BP_APPENDER_BACKOFF_MIN_MS;
+	appender->probing = false;
+	clear_source(&appender->retry_source);
+	if (appender->flush_due || !g_queue_is_empty(&appender->waiting))
+		bp_appender_arm_flush(appender,
+		    appender->flush_due ? 0 : appender->options.interval_ms);
+}
+
+/* Starts the next record unless one is in progress or nothing is to write. */
+static void
+flush(bp_appender_t *appender)
+{
+	if (appender->current != NULL) {
+		appender->flush_due = true;
+		/* Its answer is late, but it is known to be in the log. */
+		if (!appender->current->read_back || !appender->calling)
+			return;
+		bp_logclient_cancel(appender->options.log, appender);
+		appender->calling = false;
+		settle(appender);
+	}
+	appender->flush_due = false;
+	if (appender->retry_source != 0)
+		return;
+	if (!appender->presence_due && g_queue_is_empty(&appender->waiting))
+		return;
+	appender->presence_due = false;
+	appender->current = build_record(appender);
+	appender->next_seq++;
+	bp_appender_arm_presence(appender);
+	call_append(appender);
+}
+
+static gboolean
+on_retry(void *data)
+{
+	bp_appender_t *appender = data;
+
+	appender->retry_source = 0;
+	if (appender->current != NULL)
+		call_append(appender);
+	else
+		flush(appender);
+	return G_SOURCE_REMOVE;
+}
+
+/* Half of the pause is random, so that nodes do not retry in step. */
+static void
+arm_retry(bp_appender_t *appender)
+{
+	uint32_t half_ms = appender->backoff_ms / 2;
+	uint32_t pause_ms =
+	    half_ms + bp_random_below(&appender->random, half_ms + 1);
+
+	appender->backoff_ms =
+	    MIN(appender->backoff_ms * 2, BP_APPENDER_BACKOFF_MAX_MS);
+	if (appender->retry_source == 0)
+		appender->retry_source =
+		    g_timeout_add(pause_ms, on_retry, appender);
+}
+
+/* A record that was provably never sent gives its number and entries back. */
+static void
+take_back(bp_appender_t *appender)
+{
+	bp_outrecord_t *record = appender->current;
+
+	appender->presence_due =
+	    appender->presence_due || !record->carries_entries;
+	bp_outrecord_return_entries(record, &appender->waiting);
+	g_clear_pointer(&appender->current, bp_outrecord_free);
+	appender->next_seq--;
+}
+
+static void
+on_appended(uint64_t offset, const bp_error_t *err, void *data)
+{
+	bp_appender_t *appender = data;
+	bp_outrecord_t *record = appender->current;
+
+	appender->calling = false;
+	if (record->read_back) {
+		settle(appender);
+		return;
+	}
+	if (err == NULL) {
+		appender->current = NULL;
+		g_byte_array_set_size(record->bytes, 0);
+		g_queue_push_tail(&appender->unread, record);
+		settle(appender);
+		bp_follower_poke(appender->options.follower);
+		return;
+	}
+	bp_log(appender->options.logger, BP_LOG_INFO, BP_APPENDER_MODULE,
+	    "append failed", "reason", err->message, NULL);
+	record->sent = record->sent || err->kind != BP_ENOTSENT;
+	if (!record->sent)
+		take_back(appender);
+	arm_retry(appender);
+}
+
+static void
+call_append(bp_appender_t *appender)
+{
+	bp_outrecord_t *record = appender->current;
+
+	if (record->first_sent_us == 0)
+		record->first_sent_us = bp_appender_now_us(appender);
+	appender->calling = true;
+	bp_logclient_append(appender->options.log, BP_STREAM,
+	    record->bytes->data, record->bytes->len, on_appended, appender);
+}
+
+static bp_outrecord_t *
+find_record(bp_appender_t *appender, uint64_t seq)
+{
+	GList *node;
+
+	if (appender->current != NULL && appender->current->seq == seq)
+		return appender->current;
+	for (node = appender->unread.head; node != NULL; node = node->next) {
+		bp_outrecord_t *record = node->data;
+
+		if (record->seq == seq)
+			return record;
+	}
+	return NULL;
+}
+
+/* Observes the state: reports own entries as they are read back. */
+void
+bp_appender_on_applied(const bp_applied_t *applied, void *data)
+{
+	bp_appender_t *appender = data;
+	bp_outrecord_t *record;
+
+	if (applied->incarnation != appender->options.incarnation)
+		return;
+	record = find_record(appender, applied->seq);
+	if (record != NULL)
+		bp_outrecord_report_entry(record, applied);
+}
+
+/*
+ * The state has passed the number of this record. If its entries were not
+ * seen on the way, a higher number came first and it can never take effect;
+ * but when a snapshot replaced the state, it may have been part of that.
+ */
+static void
+conclude(bp_appender_t *appender, bp_outrecord_t *record)
+{
+	bp_follower_t *follower = appender->options.follower;
+
+	appender->round_trip_ms =
+	    (bp_appender_now_us(appender) - record->first_sent_us) / US_PER_MS;
+	if (bp_outrecord_pending(record) > 0 &&
+	    record->generation == bp_follower_generation(follower))
+		bp_outrecord_report_rest(record, BP_ELOGDOWN,
+		    "never applied: a later record was read first");
+	else
+		bp_outrecord_report_rest(record, BP_EUNKNOWN,
+		    "the state was loaded from a snapshot meanwhile");
+}
+
+/* Settles the records whose sequence numbers the state has passed. */
+void
+bp_appender_on_progress(bp_follower_t *follower, void *data)
+{
+	bp_appender_t *appender = data;
+	uint64_t passed = bp_state_seq(
+	    bp_follower_state(follower), appender->options.incarnation);
+	bp_outrecord_t *record;
+
+	while ((record = g_queue_peek_head(&appender->unread)) != NULL &&
+	    record->seq <= passed) {
+		g_queue_pop_head(&appender->unread);
+		conclude(appender, record);
+		bp_outrecord_free(record);
+	}
+	record = appender->current;
+	if (record != NULL && record->seq <= passed && !record->concluded) {
+		record->read_back = true;
+		record->concluded = true;
+		conclude(appender, record);
+		if (!appender->calling)
+			settle(appender);
+	}
+	if (appender->next_seq == 1 && may_announce(appender)) {
+		appender->presence_due = true;
+		bp_appender_arm_flush(appender, 0);
+	}
+}
+
+/*
+ * Gives a record up once nobody waits for its entries. The next one is empty:
+ * while the log is down, entries then stay provably unsent.
+ */
+void
+bp_appender_abandon(bp_appender_t *appender)
+{
+	char *seq =
+	    g_strdup_printf("%" G_GUINT64_FORMAT, appender->current->seq);
+
+	bp_log(appender->options.logger, BP_LOG_WARNING, BP_APPENDER_MODULE,
+	    "record abandoned", "seq", seq, NULL);
+	g_free(seq);
+	if (appender->calling)
+		bp_logclient_cancel(appender->options.log, appender);
+	appender->calling = false;
+	g_clear_pointer(&appender->current, bp_outrecord_free);
+	appender->probing = true;
+	appender->presence_due = true;
+	arm_retry(appender);
+}
--- /dev/null
+++ b/src/platform/follower.c
@@ -0,0 +1,463 @@
+#include "bulrushpost/follower.h"
+
+#include "platform/snapshotloader.h"
+
+#define MODULE "follower"
+#define WAIT_MS 500
+#define RETRY_MS 250
+/* Between attempts to find a snapshot that fits; each may read megabytes. */
+#define STATE_RETRY_MS 5000
+/* Records of one read; 128 of the largest ones are 8 MiB. */
+#define READ_RECORDS 128
+
+typedef enum {
+	PHASE_NEW,
+	PHASE_IDLE,
+	PHASE_LOADING,
+	PHASE_READING,
+	PHASE_APPLYING,
+	PHASE_PAUSED,
+	PHASE_STOPPED
+} phase_t;
+
+typedef struct {
+	bp_state_observer_t observer; /* NULL once forgotten */
+	void *data;
+} observer_slot_t;
+
+typedef struct {
+	bp_follower_progress_t progress; /* NULL once forgotten */
+	void *data;
+} progress_slot_t;
+
+struct bp_follower {
+	bp_follower_options_t options;
+	bp_state_t *state;
+	bp_snapshotloader_t *loader;
+	GArray *observers; /* observer_slot_t */
+	GArray *progress; /* progress_slot_t */
+	bp_follower_status_t status;
+	phase_t phase;
+	uint32_t read_wait_ms;
+	int64_t read_start_us;
+	int64_t fresh_us;
+	int64_t down_since_ms;
+	uint64_t generation;
+	bool poked;
+	bool must_load;
+	bool just_loaded; /* no read succeeded since the last load */
+	guint retry_source;
+};
+
+static void proceed(bp_follower_t *follower, uint32_t wait_ms);
+
+/* Sets the defaults; clock and log must be set by the caller. */
+int
+bp_follower_options_init(bp_follower_options_t *options)
+{
+	*options = (bp_follower_options_t){
+	    .wait_ms = WAIT_MS,
+	    .retry_ms = RETRY_MS,
+	};
+	return BP_OK;
+}
+
+static void
+on_applied(const bp_applied_t *applied, void *data)
+{
+	bp_follower_t *follower = data;
+	guint i;
+
+	for (i = 0; i < follower->observers->len; i++) {
+		observer_slot_t slot =
+		    g_array_index(follower->observers, observer_slot_t, i);
+
+		if (slot.observer != NULL)
+			slot.observer(applied, slot.data);
+	}
+}
+
+static void
+take_state(bp_follower_t *follower, bp_state_t *state)
+{
+	bp_state_free(follower->state);
+	follower->state = state;
+	follower->generation++;
+	bp_state_observe(state, on_applied, follower);
+}
+
+static void
+notify(bp_follower_t *follower)
+{
+	guint i;
+
+	for (i = 0; i < follower->progress->len; i++) {
+		progress_slot_t slot =
+		    g_array_index(follower->progress, progress_slot_t, i);
+
+		if (slot.progress != NULL)
+			slot.progress(follower, slot.data);
+	}
+}
+
+static void
+set_status(bp_follower_t *follower, bp_follower_status_t status,
+    const char *message, const char *reason)
+{
+	if (follower->status == status)
+		return;
+	follower->status = status;
+	bp_log(follower->options.logger,
+	    status == BP_FOLLOWER_CURRENT ? BP_LOG_NOTICE : BP_LOG_WARNING,
+	    MODULE, message, "reason", reason, NULL);
+}
+
+static gboolean
+on_retry(void *data)
+{
+	bp_follower_t *follower = data;
+
+	follower->retry_source = 0;
+	proceed(follower, 0);
+	return G_SOURCE_REMOVE;
+}
+
+static void
+pause_reading(bp_follower_t *follower, uint32_t pause_ms)
+{
+	follower->phase = PHASE_PAUSED;
+	follower->retry_source = g_timeout_add(pause_ms, on_retry, follower);
+	notify(follower);
+}
+
+static void
+read_failed(bp_follower_t *follower, const bp_error_t *err)
+{
+	if (follower->down_since_ms == 0)
+		follower->down_since_ms =
+		    bp_clock_wall_ms(follower->options.clock);
+	set_status(follower, BP_FOLLOWER_LOG_DOWN, "the log cannot be read",
+	    err->message);
+	pause_reading(follower, follower->options.retry_ms);
+}
+
+static void
+read_expired(bp_follower_t *follower, const bp_error_t *err)
+{
+	bool loaded = follower->just_loaded;
+
+	follower->must_load = true;
+	follower->just_loaded = false;
+	follower->down_since_ms = 0;
+	if (!loaded) {
+		proceed(follower, 0);
+		return;
+	}
+	set_status(follower, BP_FOLLOWER_STATE_UNKNOWN,
+	    "no snapshot reaches the oldest record", err->message);
+	pause_reading(follower, STATE_RETRY_MS);
+}
+
+static int
+apply(bp_follower_t *follower, const bp_log_batch_t *batch, bp_error_t *err)
+{
+	int rc = BP_OK;
+	size_t i;
+
+	follower->phase = PHASE_APPLYING;
+	for (i = 0; i < batch->count && rc == BP_OK; i++) {
+		const bp_log_record_t *record = &batch->records[i];
+
+		rc = bp_state_apply(follower->state, record->offset,
+		    record->bytes, record->size_bytes, err);
+	}
+	if (rc == BP_OK && batch->count == 0 &&
+	    bp_state_next_offset(follower->state) != batch->head)
+		rc = bp_error_set(
+		    err, BP_EMISMATCH, "no records below the head");
+	return rc;
+}
+
+static void
+stop_at_version(bp_follower_t *follower, const bp_error_t *err)
+{
+	set_status(follower, BP_FOLLOWER_VERSION_UNKNOWN,
+	    "a record of an unknown version", err->message);
+	follower->phase = PHASE_STOPPED;
+	notify(follower);
+}
+
+static void
+on_read(const bp_log_batch_t *batch, const bp_error_t *err, void *data)
+{
+	bp_follower_t *follower = data;
+	bp_error_t failure;
+	bool at_head;
+	int rc;
+
+	if (err != NULL && err->kind == BP_EEXPIRED) {
+		read_expired(follower, err);
+		return;
+	}
+	if (err != NULL) {
+		read_failed(follower, err);
+		return;
+	}
+	rc = apply(follower, batch, &failure);
+	if (rc == BP_EVERSION) {
+		stop_at_version(follower, &failure);
+		return;
+	}
+	if (rc != BP_OK) {
+		read_failed(follower, &failure);
+		return;
+	}
+	follower->phase = PHASE_IDLE;
+	follower->just_loaded = false;
+	at_head = bp_state_next_offset(follower->state) == batch->head;
+	if (at_head) {
+		follower->fresh_us = follower->read_start_us;
+		follower->down_since_ms = 0;
+		set_status(
+		    follower, BP_FOLLOWER_CURRENT, "read to the head", "");
+	}
+	notify(follower);
+	proceed(follower,
+	    at_head && !follower->poked ? follower->options.wait_ms : 0);
+}
+
+static void
+start_read(bp_follower_t *follower, uint32_t wait_ms)
+{
+	follower->phase = PHASE_READING;
+	follower->poked = false;
+	follower->read_wait_ms = wait_ms;
+	follower->read_start_us = bp_clock_mono_us(follower->options.clock);
+	bp_logclient_read(follower->options.log, BP_STREAM,
+	    bp_state_next_offset(follower->state), READ_RECORDS, wait_ms,
+	    on_read, follower);
+}
+
+static void
+proceed(bp_follower_t *follower, uint32_t wait_ms)
+{
+	if (follower->must_load) {
+		follower->phase = PHASE_LOADING;
+		bp_snapshotloader_start(follower->loader);
+		return;
+	}
+	start_read(follower, wait_ms);
+}
+
+static void
+on_loaded(bp_state_t *state, const bp_error_t *err, void *data)
+{
+	bp_follower_t *follower = data;
+
+	if (err != NULL) {
+		read_failed(follower, err);
+		return;
+	}
+	follower->must_load = false;
+	follower->just_loaded = true;
+	if (state != NULL &&
+	    bp_state_next_offset(state) >
+		bp_state_next_offset(follower->state)) {
+		bp_log(follower->options.logger, BP_LOG_NOTICE, MODULE,
+		    "snapshot loaded", NULL);
+		take_state(follower, state);
+	} else {
+		bp_state_free(state);
+	}
+	start_read(follower, 0);
+}
+
+/* Creates a follower with an empty state; it reads nothing until started. */
+int
+bp_follower_new(
+    bp_follower_t **out, const bp_follower_options_t *options, bp_error_t *err)
+{
+	bp_follower_t *follower;
+
+	*out = NULL;
+	if (options->clock == NULL || options->log == NULL)
+		return bp_error_set(
+		    err, BP_EINVALID, "the follower needs a clock and a log");
+	follower = g_new0(bp_follower_t, 1);
+	follower->options = *options;
+	follower->observers =
+	    g_array_new(FALSE, FALSE, sizeof(observer_slot_t));
+	follower->progress = g_array_new(FALSE, FALSE, sizeof(progress_slot_t));
+	follower->loader = bp_snapshotloader_new(
+	    options->log, options->logger, on_loaded, follower);
+	follower->must_load = true;
+	take_state(follower, bp_state_new());
+	*out = follower;
+	return BP_OK;
+}
+
+/*
+ * Stops reading and frees the follower and its state; no callback runs
+ * afterwards. It must not be called from a callback of the follower.
+ */
+void
+bp_follower_free(bp_follower_t *follower)
+{
+	if (follower == NULL)
+		return;
+	bp_snapshotloader_free(follower->loader);
+	bp_logclient_cancel(follower->options.log, follower);
+	if (follower->retry_source != 0)
+		g_source_remove(follower->retry_source);
+	bp_state_free(follower->state);
+	g_array_unref(follower->observers);
+	g_array_unref(follower->progress);
+	g_free(follower);
+}
+
+/* Starts to load a snapshot and to read. */
+void
+bp_follower_start(bp_follower_t *follower)
+{
+	if (follower->phase == PHASE_NEW)
+		proceed(follower, 0);
+}
+
+/* Returns the state; it is replaced when a snapshot is loaded. */
+bp_state_t *
+bp_follower_state(const bp_follower_t *follower)
+{
+	return follower->state;
+}
+
+/* Returns a number that changes whenever the state is replaced. */
+uint64_t
+bp_follower_generation(const bp_follower_t *follower)
+{
+	return follower->generation;
+}
+
+/* Adds an observer of entries, which stays when the state is replaced. */
+void
+bp_follower_observe(
+    bp_follower_t *follower, bp_state_observer_t observer, void *data)
+{
+	observer_slot_t slot = {observer, data};
+
+	g_array_append_val(follower->observers, slot);
+}
+
+/* Adds a callback for completed reads and changes of status. */
+void
+bp_follower_on_progress(
+    bp_follower_t *follower, bp_follower_progress_t progress, void *data)
+{
+	progress_slot_t slot = {progress, data};
+
+	g_array_append_val(follower->progress, slot);
+}
+
+/* Removes the observers and progress callbacks that were added with data. */
+void
+bp_follower_forget(bp_follower_t *follower, const void *data)
+{
+	guint i;
+
+	for (i = 0; i < follower->observers->len; i++) {
+		observer_slot_t *slot =
+		    &g_array_index(follower->observers, observer_slot_t, i);
+
+		if (slot->data == data)
+			slot->observer = NULL;
+	}
+	for (i = 0; i < follower->progress->len; i++) {
+		progress_slot_t *slot =
+		    &g_array_index(follower->progress, progress_slot_t, i);
+
+		if (slot->data == data)
+			slot->progress = NULL;
+	}
+}
+
+/* Returns what is known about the state. */
+bp_follower_status_t
+bp_follower_status(const bp_follower_t *follower)
+{
+	return follower->status;
+}
+
+/* Returns when (monotonic us) the latest read to the head began, else 0. */
+int64_t
+bp_follower_fresh_us(const bp_follower_t *follower)
+{
+	return follower->fresh_us;
+}
+
+/* Returns since when (wall ms) reads fail; 0 when they do not. */
+int64_t
+bp_follower_down_since_ms(const bp_follower_t *follower)
+{
+	return follower->down_since_ms;
+}
+
+/*
+ * Makes a read begin that does not wait: at once in place of a long poll, or
+ * after the read that is running. It does not shorten the pause after a
+ * failed read, so that a caller cannot flood a log that is down.
+ */
+void
+bp_follower_poke(bp_follower_t *follower)
+{
+	if (follower->phase != PHASE_READING || follower->read_wait_ms == 0) {
+		follower->poked = true;
+		return;
+	}
+	bp_logclient_cancel(follower->options.log, follower);
+	start_read(follower, 0);
+}
+
+static void
+resume_after_offer(bp_follower_t *follower)
+{
+	follower->must_load = false;
+	follower->just_loaded = false;
+	if (follower->phase != PHASE_LOADING &&
+	    follower->phase != PHASE_READING)
+		return;
+	bp_snapshotloader_cancel(follower->loader);
+	bp_logclient_cancel(follower->options.log, follower);
+	start_read(follower, 0);
+}
+
+/*
+ * Takes the state of a peer if its offset is higher than the own one; else
+ * returns BP_ESTALE. The state serves to explain and to route: the status and
+ * the freshness still depend on the log alone. Returns BP_EVERSION after a
+ * record of an unknown version and BP_ESTATE from within an observer.
+ */
+int
+bp_follower_offer(bp_follower_t *follower, const uint8_t *snapshot,
+    size_t size_bytes, bp_error_t *err)
+{
+	bp_state_t *state;
+	int rc;
+
+	if (follower->phase == PHASE_APPLYING)
+		return bp_error_set(
+		    err, BP_ESTATE, "records are being applied");
+	if (follower->phase == PHASE_STOPPED)
+		return bp_error_set(err, BP_EVERSION,
+		    "a record of an unknown version was read");
+	rc = bp_snapshot_load(&state, snapshot, size_bytes, err);
+	if (rc != BP_OK)
+		return rc;
+	if (bp_state_next_offset(state) <=
+	    bp_state_next_offset(follower->state)) {
+		bp_state_free(state);
+		return bp_error_set(
+		    err, BP_ESTALE, "the state of the peer is not newer");
+	}
+	take_state(follower, state);
+	resume_after_offer(follower);
+	return BP_OK;
+}
--- a/src/platform/logdecode.c
+++ b/src/platform/logdecode.c
@@ -1,44 +1,33 @@
 #include "platform/logdecode.h"
 
-#include <json-glib/json-glib.h>
-#include <string.h>
+#include "platform/jsondoc.h"
 
+#define ANSWER_LEVELS 2
 #define LENGTH_AT 8 /* position of the length in a frame */
 
-static int
-find_offset(uint64_t *offset, JsonNode *root, bp_error_t *err)
-{
-	JsonNode *node;
-
-	if (root == NULL || !JSON_NODE_HOLDS_OBJECT(root))
-		return bp_error_set(
-		    err, BP_EMISMATCH, "the append answer is not an object");
-	node = json_object_get_member(json_node_get_object(root), "offset");
-	if (node == NULL || !JSON_NODE_HOLDS_VALUE(node) ||
-	    json_node_get_value_type(node) != G_TYPE_INT64 ||
-	    json_node_get_int(node) < 0)
-		return bp_error_set(
-		    err, BP_EMISMATCH, "the append answer has no offset");
-	*offset = (uint64_t)json_node_get_int(node);
-	return BP_OK;
-}
-
 /* Reads {"offset":n}; BP_EMISMATCH for anything else. */
 int
 bp_log_decode_append(
     uint64_t *offset, const uint8_t *json, size_t size_bytes, bp_error_t *err)
 {
-	JsonParser *parser = json_parser_new_immutable();
+	uint64_t value = UINT64_MAX;
+	JsonParser *parser;
+	JsonNode *root;
 	int rc;
 
-	if (json_parser_load_from_data(
-		parser, (const char *)json, (gssize)size_bytes, NULL))
-		rc = find_offset(offset, json_parser_get_root(parser), err);
-	else
-		rc = bp_error_set(
-		    err, BP_EMISMATCH, "the append answer is not JSON");
-	g_object_unref(parser);
-	return rc;
+	rc = bp_json_parse(
+	    &parser, (const char *)json, size_bytes, ANSWER_LEVELS, err);
+	if (rc == BP_OK) {
+		root = json_parser_get_root(parser);
+		rc = bp_json_uint(&value, json_node_get_object(root), "offset",
+		    G_MAXINT64, err);
+		g_object_unref(parser);
+	}
+	if (rc != BP_OK || value == UINT64_MAX)
+		return bp_error_set(
+		    err, BP_EMISMATCH, "the append answer has no offset");
+	*offset = value;
+	return BP_OK;
 }
 
 /*
@@ -83,6 +72,7 @@
 {
 	uint64_t length;
 
+	*out = (bp_log_record_t){0};
 	if (size_bytes < BP_LOG_FRAME_BYTES)
 		return bp_error_set(
 		    err, BP_ETRUNCATED, "the read answer ends in a frame");
--- /dev/null
+++ b/src/platform/outrecord.h
@@ -0,0 +1,42 @@
+#ifndef BP_PLATFORM_OUTRECORD_H
+#define BP_PLATFORM_OUTRECORD_H
+
+#include "bulrushpost/appender.h"
+
+/* Entries and records of the appender on their way to the log. */
+typedef struct {
+	GByteArray *packed; /* as a field of the record */
+	int64_t deadline_us;
+	bp_append_done_t done; /* may be NULL */
+	void *data;
+} bp_outentry_t;
+
+typedef struct {
+	GByteArray *bytes;
+	GPtrArray *entries; /* bp_outentry_t, NULL once reported */
+	uint64_t seq;
+	int64_t first_sent_us;
+	uint64_t generation; /* of the follower's state when it was built */
+	bool carries_entries;
+	bool sent; /* it may be in the log */
+	bool read_back; /* it is in the log */
+	bool concluded; /* its round trip was taken */
+} bp_outrecord_t;
+
+bp_outentry_t *bp_outentry_new(const Bp__Log__Entry *entry, int64_t deadline_us,
+    bp_append_done_t done, void *data);
+void bp_outentry_report(bp_outentry_t *entry, const bp_applied_t *applied,
+    bp_error_kind_t kind, const char *reason);
+
+bp_outrecord_t *bp_outrecord_new(
+    const Bp__Log__Record *header, GQueue *entries, size_t max_bytes);
+void bp_outrecord_free(bp_outrecord_t *record);
+size_t bp_outrecord_pending(const bp_outrecord_t *record);
+void bp_outrecord_return_entries(bp_outrecord_t *record, GQueue *entries);
+void bp_outrecord_report_entry(
+    bp_outrecord_t *record, const bp_applied_t *applied);
+void bp_outrecord_report_rest(
+    bp_outrecord_t *record, bp_error_kind_t kind, const char *reason);
+void bp_outrecord_expire(bp_outrecord_t *record, int64_t now_us);
+
+#endif
