Add the gateway: endpoint choice, limits, retries, shedding, service

The service around them uses libsoup on both sides.

Choices that follow from the invariants: - A request that is not idempotent gets a new connection, because on a kept one a close by the executor cannot be told from a lost answer, and libsoup repeats requests on kept connections by itself. - An attempt counts as written from the signal that precedes the first byte; before it, a failure proves that the request was not run. - An answer without a stated length is discarded, since a cut would not be noticed. - A Content-Length that is not a number is refused: libsoup takes it as an empty body and the rest as the next request.

--- /dev/null
+++ b/include/bulrushpost/endpoint.h
@@ -0,0 +1,95 @@
+#ifndef BULRUSHPOST_ENDPOINT_H
+#define BULRUSHPOST_ENDPOINT_H
+
+#include "bulrushpost/limiter.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define BP_POOL_WINDOWS 30
+
+/* How one attempt at an endpoint ended. */
+typedef enum {
+	BP_RESULT_OK,
+	BP_RESULT_FAILED, /* error answer, cut, mismatched or none in time */
+	BP_RESULT_OVERLOADED, /* answered 503 */
+	BP_RESULT_REFUSED, /* no connection, so nothing was written */
+	BP_RESULT_ABANDONED /* given up by the caller; tells nothing */
+} bp_result_t;
+
+typedef enum {
+	BP_HEALTH_LIVE,
+	BP_HEALTH_EJECTED, /* gets nothing until until_us */
+	BP_HEALTH_PROBATION /* gets one request at a time */
+} bp_health_state_t;
+
+typedef struct {
+	bp_health_state_t state;
+	uint32_t failures_in_row;
+	uint32_t successes_in_row;
+	uint32_t ejections; /* in a row, for the back-off */
+	int64_t until_us; /* end of the ejection */
+} bp_health_t;
+
+/* An executor as one gateway sees it. */
+typedef struct {
+	char *name;
+	char *url;
+	char *zone;
+	bool leaving;
+	bool zone_out;
+	bool removed; /* no longer in the pool, only finishing */
+	uint32_t in_flight;
+	double latency_us; /* smoothed; 0 before the first answer */
+	int64_t latency_at_us;
+	bp_limiter_t limiter;
+	bp_health_t health;
+	uint32_t refs;
+} bp_endpoint_t;
+
+/* All endpoints of one service as one gateway sees them. */
+typedef struct {
+	GPtrArray *endpoints; /* bp_endpoint_t */
+	uint32_t *scratch; /* one index for each endpoint, for the balancer */
+	uint32_t gateways;
+	double latency_us; /* smoothed over all endpoints; 0 unknown */
+	double failure_rate; /* smoothed */
+	uint64_t ejections;
+	double window_sum_us;
+	uint32_t window_count;
+	int64_t window_start_us;
+	double windows_us[BP_POOL_WINDOWS]; /* mean latency of past windows */
+	uint32_t n_windows;
+} bp_pool_t;
+
+bp_pool_t *bp_pool_new(uint32_t gateways);
+void bp_pool_free(bp_pool_t *pool);
+void bp_pool_set_gateways(bp_pool_t *pool, uint32_t gateways);
+/* Finds an endpoint by name and url, or adds it; sets zone and state. */
+bp_endpoint_t *bp_pool_upsert(bp_pool_t *pool, const char *name,
+    const char *url, const char *zone, bool leaving, bool zone_out);
+void bp_pool_remove(bp_pool_t *pool, bp_endpoint_t *endpoint);
+bp_endpoint_t *bp_pool_at(const bp_pool_t *pool, size_t index);
+size_t bp_pool_size(const bp_pool_t *pool);
+uint32_t bp_pool_ejected(const bp_pool_t *pool);
+/* Requests that may be in flight to all usable endpoints together. */
+uint32_t bp_pool_limit(const bp_pool_t *pool);
+uint32_t bp_pool_in_flight(const bp_pool_t *pool);
+double bp_pool_base_us(const bp_pool_t *pool);
+
+bp_endpoint_t *bp_endpoint_ref(bp_endpoint_t *endpoint);
+void bp_endpoint_unref(bp_endpoint_t *endpoint);
+bool bp_endpoint_in_service(const bp_endpoint_t *endpoint);
+bool bp_endpoint_may_send(
+    bp_endpoint_t *endpoint, int64_t now_us, bool idempotent);
+double bp_endpoint_latency_us(
+    const bp_pool_t *pool, const bp_endpoint_t *endpoint, int64_t now_us);
+
+/* Every begin is followed by exactly one end, also after a removal. */
+void bp_endpoint_begin(bp_endpoint_t *endpoint);
+void bp_endpoint_end(bp_pool_t *pool, bp_endpoint_t *endpoint,
+    bp_result_t result, int64_t latency_us, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/include/bulrushpost/retry.h
@@ -0,0 +1,33 @@
+#ifndef BULRUSHPOST_RETRY_H
+#define BULRUSHPOST_RETRY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Budget of retries, as a share of requests. */
+typedef struct {
+	double tokens;
+} bp_retry_t;
+
+/* An attempt that failed, and the request it belongs to. */
+typedef struct {
+	bool idempotent;
+	bool written; /* by any attempt, as far as it cannot be excluded */
+	uint32_t attempts; /* so far */
+	int64_t left_ms; /* until the deadline */
+} bp_retry_attempt_t;
+
+typedef enum {
+	BP_RETRY_YES,
+	BP_RETRY_UNSAFE, /* it might run twice */
+	BP_RETRY_EXHAUSTED, /* attempts or time used up */
+	BP_RETRY_NO_BUDGET
+} bp_retry_verdict_t;
+
+void bp_retry_init(bp_retry_t *retry);
+void bp_retry_add_request(bp_retry_t *retry);
+bp_retry_verdict_t bp_retry_decide(
+    bp_retry_t *retry, const bp_retry_attempt_t *attempt);
+const char *bp_retry_verdict_text(bp_retry_verdict_t verdict);
+
+#endif
--- /dev/null
+++ b/src/gateway/claim.c
@@ -0,0 +1,115 @@
+#include "gateway/exchange.h"
+
+static void
+answer_known(bp_exchange_t *exchange, const bp_key_entry_t *entry)
+{
+	if (entry->in_flight)
+		bp_answer_error(exchange, BP_ECONFLICT, BP_OUTCOME_NOT_KNOWN,
+		    "a request with this key is in flight on this node, %s",
+		    exchange->gateway->options.node);
+	else if (entry->http_status == 0)
+		bp_answer_error(exchange, BP_ECONFLICT, entry->outcome,
+		    "this node, %s, had a request with this key that ended "
+		    "without an answer",
+		    exchange->gateway->options.node);
+	else
+		bp_answer_error(exchange, BP_ECONFLICT, entry->outcome,
+		    "this node, %s, answered a request with this key with "
+		    "status %u",
+		    exchange->gateway->options.node, entry->http_status);
+}
+
+static void
+use_result(bp_exchange_t *exchange, bp_claim_result_t result, const char *node)
+{
+	bp_keytable_t *keys = exchange->keys;
+	const char *service = exchange->request.service;
+	const char *key = exchange->request.key;
+
+	switch (result) {
+	case BP_CLAIM_NOW:
+		exchange->claimed = true;
+		bp_dispatch_admit(exchange);
+		return;
+	case BP_CLAIM_TAKEN:
+		bp_keytable_drop(keys, service, key);
+		bp_answer_error(exchange, BP_ECONFLICT, BP_OUTCOME_NOT_KNOWN,
+		    "the key was claimed by node %s",
+		    node != NULL ? node : "(unknown)");
+		return;
+	case BP_CLAIM_LOG_UNAVAILABLE:
+		bp_keytable_drop(keys, service, key);
+		bp_answer_error(exchange, BP_ELOGDOWN, BP_OUTCOME_NOT_RUN,
+		    "the key could not be claimed, so that this request was "
+		    "not sent");
+		return;
+	case BP_CLAIM_NOT_KNOWN:
+		break;
+	}
+	bp_keytable_end(keys, service, key, BP_OUTCOME_NOT_KNOWN, 0);
+	bp_answer_error(exchange, BP_EUNKNOWN, BP_OUTCOME_NOT_KNOWN,
+	    "it is not known whether the key was claimed; this node did not "
+	    "send the request");
+}
+
+/* The exchange is over, but the claim may hold; nothing was dispatched. */
+static void
+note_late_result(const bp_exchange_t *exchange, bp_claim_result_t result)
+{
+	bp_keytable_t *keys = exchange->keys;
+	const char *service = exchange->request.service;
+	const char *key = exchange->request.key;
+
+	if (result == BP_CLAIM_NOW)
+		bp_keytable_end(keys, service, key, BP_OUTCOME_NOT_RUN, 0);
+	else if (result == BP_CLAIM_NOT_KNOWN)
+		bp_keytable_end(keys, service, key, BP_OUTCOME_NOT_KNOWN, 0);
+	else
+		bp_keytable_drop(keys, service, key);
+}
+
+static void
+on_claimed(bp_claim_result_t result, const char *node, void *data)
+{
+	bp_exchange_t *exchange = data;
+
+	exchange->claiming = false;
+	if (exchange->gateway == NULL || exchange->answered)
+		note_late_result(exchange, result);
+	else
+		use_result(exchange, result, node);
+	g_clear_pointer(&exchange->keys, bp_keytable_unref);
+	bp_exchange_unref(exchange);
+}
+
+/*
+ * Claims the idempotency key of a request. A key that this gateway knows is
+ * answered at once; otherwise the log decides.
+ */
+void
+bp_claim_start(bp_exchange_t *exchange)
+{
+	bp_gateway_t *gateway = exchange->gateway;
+	const bp_key_claimer_t *claimer = gateway->options.claimer;
+	const bp_request_t *request = &exchange->request;
+	int64_t now_ms = bp_clock_mono_ms(gateway->options.clock);
+	const bp_key_entry_t *entry;
+
+	entry = bp_keytable_find(
+	    gateway->keys, request->service, request->key, now_ms);
+	if (entry != NULL) {
+		answer_known(exchange, entry);
+		return;
+	}
+	if (claimer == NULL) {
+		bp_answer_error(exchange, BP_ELOGDOWN, BP_OUTCOME_NOT_RUN,
+		    "this node has no log to claim the key in");
+		return;
+	}
+	bp_keytable_begin(
+	    gateway->keys, request->service, request->key, now_ms);
+	exchange->claiming = true;
+	exchange->keys = bp_keytable_ref(gateway->keys);
+	claimer->claim(claimer, request->service, request->key,
+	    request->key_issued_s, on_claimed, bp_exchange_ref(exchange));
+}
--- /dev/null
+++ b/src/gateway/endpoint.c
@@ -0,0 +1,347 @@
+#include "bulrushpost/endpoint.h"
+
+#include "gateway/health.h"
+
+#include <math.h>
+#include <string.h>
+
+#define US_PER_S 1000000
+#define LATENCY_WEIGHT 0.1
+#define POOL_LATENCY_WEIGHT 0.01
+#define FAILURE_WEIGHT 0.02
+/* An estimate that is not refreshed returns to the mean in about this time. */
+#define LATENCY_MEMORY_US (10.0 * US_PER_S)
+/* A fast failure must not look like a fast endpoint to the balancer. */
+#define FAILURE_PENALTY 4.0
+#define FAILURE_MIN_US 100000.0
+#define WINDOW_US (1 * (int64_t)US_PER_S)
+#define WINDOW_MIN_COUNT 50
+/* When this share of all attempts fails, the endpoint is not the cause. */
+#define OUTLIER_MAX_FAILURE_RATE 0.5
+#define EJECTED_SHARE 3
+
+/* Creates a pool without endpoints. Free with bp_pool_free. */
+bp_pool_t *
+bp_pool_new(uint32_t gateways)
+{
+	bp_pool_t *pool = g_new0(bp_pool_t, 1);
+
+	pool->endpoints = g_ptr_array_new();
+	pool->gateways = gateways;
+	return pool;
+}
+
+/* Takes a reference that outlives a removal from the pool. */
+bp_endpoint_t *
+bp_endpoint_ref(bp_endpoint_t *endpoint)
+{
+	endpoint->refs++;
+	return endpoint;
+}
+
+/* Drops a reference and frees the endpoint with the last one. */
+void
+bp_endpoint_unref(bp_endpoint_t *endpoint)
+{
+	if (--endpoint->refs > 0)
+		return;
+	g_free(endpoint->name);
+	g_free(endpoint->url);
+	g_free(endpoint->zone);
+	g_free(endpoint);
+}
+
+/* Frees the pool; endpoints with requests in flight live until their end. */
+void
+bp_pool_free(bp_pool_t *pool)
+{
+	if (pool == NULL)
+		return;
+	while (bp_pool_size(pool) > 0)
+		bp_pool_remove(pool, bp_pool_at(pool, 0));
+	g_ptr_array_free(pool->endpoints, TRUE);
+	g_free(pool->scratch);
+	g_free(pool);
+}
+
+/* Adapts the limits of all endpoints to the number of gateways. */
+void
+bp_pool_set_gateways(bp_pool_t *pool, uint32_t gateways)
+{
+	size_t i;
+
+	pool->gateways = gateways;
+	for (i = 0; i < bp_pool_size(pool); i++)
+		bp_limiter_set_gateways(
+		    &bp_pool_at(pool, i)->limiter, gateways);
+}
+
+static bp_endpoint_t *
+find(const bp_pool_t *pool, const char *name, const char *url)
+{
+	size_t i;
+
+	for (i = 0; i < bp_pool_size(pool); i++) {
+		bp_endpoint_t *endpoint = bp_pool_at(pool, i);
+
+		if (strcmp(endpoint->name, name) == 0 &&
+		    strcmp(endpoint->url, url) == 0)
+			return endpoint;
+	}
+	return NULL;
+}
+
+/* Finds or adds an endpoint; one that is found keeps its health and load. */
+bp_endpoint_t *
+bp_pool_upsert(bp_pool_t *pool, const char *name, const char *url,
+    const char *zone, bool leaving, bool zone_out)
+{
+	bp_endpoint_t *endpoint = find(pool, name, url);
+
+	if (endpoint == NULL) {
+		endpoint = g_new0(bp_endpoint_t, 1);
+		endpoint->refs = 1;
+		endpoint->name = g_strdup(name);
+		endpoint->url = g_strdup(url);
+		bp_limiter_init(&endpoint->limiter, pool->gateways);
+		g_ptr_array_add(pool->endpoints, endpoint);
+		pool->scratch =
+		    g_renew(uint32_t, pool->scratch, pool->endpoints->len);
+	}
+	if (g_strcmp0(endpoint->zone, zone) != 0) {
+		g_free(endpoint->zone);
+		endpoint->zone = g_strdup(zone != NULL ? zone : "");
+	}
+	endpoint->leaving = leaving;
+	endpoint->zone_out = zone_out;
+	return endpoint;
+}
+
+/* Takes the endpoint out of the pool; requests in flight may finish. */
+void
+bp_pool_remove(bp_pool_t *pool, bp_endpoint_t *endpoint)
+{
+	if (!g_ptr_array_remove(pool->endpoints, endpoint))
+		return;
+	endpoint->removed = true;
+	bp_endpoint_unref(endpoint);
+}
+
+/* Returns endpoint index of the pool. */
+bp_endpoint_t *
+bp_pool_at(const bp_pool_t *pool, size_t index)
+{
+	return g_ptr_array_index(pool->endpoints, index);
+}
+
+/* Returns the number of endpoints, including those that are leaving. */
+size_t
+bp_pool_size(const bp_pool_t *pool)
+{
+	return pool->endpoints->len;
+}
+
+/* Returns whether the endpoint may be given new work, health aside. */
+bool
+bp_endpoint_in_service(const bp_endpoint_t *endpoint)
+{
+	return !endpoint->leaving && !endpoint->zone_out && !endpoint->removed;
+}
+
+/* Returns the number of endpoints in service that are not fully trusted. */
+uint32_t
+bp_pool_ejected(const bp_pool_t *pool)
+{
+	uint32_t count = 0;
+	size_t i;
+
+	for (i = 0; i < bp_pool_size(pool); i++) {
+		const bp_endpoint_t *endpoint = bp_pool_at(pool, i);
+
+		if (bp_endpoint_in_service(endpoint) &&
+		    endpoint->health.state != BP_HEALTH_LIVE)
+			count++;
+	}
+	return count;
+}
+
+/* Returns the sum of the limits of all live endpoints in service. */
+uint32_t
+bp_pool_limit(const bp_pool_t *pool)
+{
+	uint32_t limit = 0;
+	size_t i;
+
+	for (i = 0; i < bp_pool_size(pool); i++) {
+		const bp_endpoint_t *endpoint = bp_pool_at(pool, i);
+
+		if (!bp_endpoint_in_service(endpoint))
+			continue;
+		limit += endpoint->health.state == BP_HEALTH_LIVE
+		    ? bp_limiter_limit(&endpoint->limiter)
+		    : 1;
+	}
+	return limit;
+}
+
+/* Returns the number of requests in flight to endpoints in service. */
+uint32_t
+bp_pool_in_flight(const bp_pool_t *pool)
+{
+	uint32_t in_flight = 0;
+	size_t i;
+
+	for (i = 0; i < bp_pool_size(pool); i++) {
+		const bp_endpoint_t *endpoint = bp_pool_at(pool, i);
+
+		if (bp_endpoint_in_service(endpoint))
+			in_flight += endpoint->in_flight;
+	}
+	return in_flight;
+}
+
+/*
+ * Returns the latency of the service without queueing: the lowest mean of
+ * the recent windows, 0 before the first. The mean of many requests is used
+ * since a single fast request says nothing about the usual mix.
+ */
+double
+bp_pool_base_us(const bp_pool_t *pool)
+{
+	uint32_t n = MIN(pool->n_windows, BP_POOL_WINDOWS);
+	double base_us = 0;
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		if (base_us == 0 || pool->windows_us[i] < base_us)
+			base_us = pool->windows_us[i];
+	}
+	return base_us;
+}
+
+/* Returns whether the endpoint can take one more request now. */
+bool
+bp_endpoint_may_send(bp_endpoint_t *endpoint, int64_t now_us, bool idempotent)
+{
+	if (!bp_endpoint_in_service(endpoint) ||
+	    endpoint->in_flight >= bp_limiter_limit(&endpoint->limiter))
+		return false;
+	return bp_health_may_send(
+	    &endpoint->health, endpoint->in_flight, now_us, idempotent);
+}
+
+/*
+ * Returns the expected latency. An endpoint that looks slow gets few new
+ * samples, so that its estimate returns to the mean of the pool with time.
+ */
+double
+bp_endpoint_latency_us(
+    const bp_pool_t *pool, const bp_endpoint_t *endpoint, int64_t now_us)
+{
+	double age_us;
+
+	if (endpoint->latency_us == 0)
+		return pool->latency_us;
+	age_us = (double)(now_us - endpoint->latency_at_us);
+	if (age_us < LATENCY_MEMORY_US / 100)
+		return endpoint->latency_us;
+	return pool->latency_us +
+	    (endpoint->latency_us - pool->latency_us) *
+	    exp(-age_us / LATENCY_MEMORY_US);
+}
+
+/* Counts a request as in flight to the endpoint. */
+void
+bp_endpoint_begin(bp_endpoint_t *endpoint)
+{
+	endpoint->in_flight++;
+	bp_endpoint_ref(endpoint);
+}
+
+static void
+add_to_window(bp_pool_t *pool, double latency_us, int64_t now_us)
+{
+	pool->window_sum_us += latency_us;
+	pool->window_count++;
+	if (now_us - pool->window_start_us < WINDOW_US ||
+	    pool->window_count < WINDOW_MIN_COUNT)
+		return;
+	pool->windows_us[pool->n_windows++ % BP_POOL_WINDOWS] =
+	    pool->window_sum_us / pool->window_count;
+	pool->window_sum_us = 0;
+	pool->window_count = 0;
+	pool->window_start_us = now_us;
+}
+
+static void
+smooth(double *value, double sample, double weight)
+{
+	*value = *value == 0 ? sample : *value + (sample - *value) * weight;
+}
+
+static void
+add_latency(bp_pool_t *pool, bp_endpoint_t *endpoint, bp_result_t result,
+    double latency_us, int64_t now_us)
+{
+	if (result == BP_RESULT_OK) {
+		smooth(&pool->latency_us, latency_us, POOL_LATENCY_WEIGHT);
+		add_to_window(pool, latency_us, now_us);
+	} else {
+		latency_us = MAX(latency_us, FAILURE_MIN_US);
+		latency_us =
+		    MAX(latency_us, FAILURE_PENALTY * pool->latency_us);
+	}
+	endpoint->latency_us = bp_endpoint_latency_us(pool, endpoint, now_us);
+	smooth(&endpoint->latency_us, latency_us, LATENCY_WEIGHT);
+	endpoint->latency_at_us = now_us;
+}
+
+static bool
+can_spare(const bp_pool_t *pool)
+{
+	uint32_t in_service = 0;
+	size_t i;
+
+	if (pool->failure_rate >= OUTLIER_MAX_FAILURE_RATE)
+		return false;
+	for (i = 0; i < bp_pool_size(pool); i++) {
+		if (bp_endpoint_in_service(bp_pool_at(pool, i)))
+			in_service++;
+	}
+	return (bp_pool_ejected(pool) + 1) * EJECTED_SHARE <= in_service;
+}
+
+static void
+add_result(bp_pool_t *pool, bp_endpoint_t *endpoint, bp_result_t result,
+    int64_t latency_us, int64_t now_us)
+{
+	bp_limiter_sample_t sample = {
+	    .now_us = now_us,
+	    .in_flight = endpoint->in_flight,
+	    .overloaded = result == BP_RESULT_OVERLOADED,
+	};
+
+	add_latency(pool, endpoint, result, (double)latency_us, now_us);
+	sample.latency_us = endpoint->latency_us;
+	sample.base_us = bp_pool_base_us(pool);
+	bp_limiter_add(&endpoint->limiter, &sample);
+	if (bp_health_add(&endpoint->health, result,
+		result != BP_RESULT_OK && can_spare(pool), now_us))
+		pool->ejections++;
+	pool->failure_rate +=
+	    ((result != BP_RESULT_OK) - pool->failure_rate) * FAILURE_WEIGHT;
+}
+
+/*
+ * Takes a request out of flight and learns from its result. An endpoint that
+ * left the pool is freed with its last request; pool may be NULL then.
+ */
+void
+bp_endpoint_end(bp_pool_t *pool, bp_endpoint_t *endpoint, bp_result_t result,
+    int64_t latency_us, int64_t now_us)
+{
+	if (pool != NULL && !endpoint->removed && result != BP_RESULT_ABANDONED)
+		add_result(pool, endpoint, result, latency_us, now_us);
+	endpoint->in_flight--;
+	bp_endpoint_unref(endpoint);
+}
--- /dev/null
+++ b/src/gateway/headers.c
@@ -0,0 +1,81 @@
+#include "gateway/headers.h"
+
+#include <string.h>
+
+/* "name: value\r\n" */
+#define SEPARATOR_BYTES 4
+
+/*
+ * Headers that concern one connection only (RFC 9110, section 7.6.1), and
+ * those that libsoup or the gateway sets for each connection.
+ */
+static const char *const not_copied[] = {"connection", "keep-alive",
+    "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
+    "trailer", "transfer-encoding", "upgrade", "expect", "host",
+    "content-length", "x-request-id", "x-deadline-ms", NULL};
+
+static bool
+is_copied(const char *name, const char *connection)
+{
+	char *lower = g_ascii_strdown(name, -1);
+	bool copied = !g_strv_contains(not_copied, lower);
+
+	g_free(lower);
+	if (copied && connection != NULL)
+		copied = !soup_header_contains(connection, name);
+	return copied;
+}
+
+/* Copies the end-to-end headers and leaves out those of one connection. */
+void
+bp_headers_copy(SoupMessageHeaders *to, SoupMessageHeaders *from)
+{
+	const char *connection =
+	    soup_message_headers_get_list(from, "Connection");
+	SoupMessageHeadersIter iter;
+	const char *name;
+	const char *value;
+
+	soup_message_headers_iter_init(&iter, from);
+	while (soup_message_headers_iter_next(&iter, &name, &value)) {
+		if (is_copied(name, connection))
+			soup_message_headers_append(to, name, value);
+	}
+}
+
+/* Returns the size of the headers as sent over a connection. */
+size_t
+bp_headers_bytes(SoupMessageHeaders *headers)
+{
+	SoupMessageHeadersIter iter;
+	const char *name;
+	const char *value;
+	size_t bytes = 0;
+
+	soup_message_headers_iter_init(&iter, headers);
+	while (soup_message_headers_iter_next(&iter, &name, &value))
+		bytes += strlen(name) + strlen(value) + SEPARATOR_BYTES;
+	return bytes;
+}
+
+/*
+ * Returns whether the length of the body is stated in one unambiguous way.
+ * libsoup takes a length that is no number as an empty body, and the bytes
+ * that follow as the next request.
+ */
+bool
+bp_headers_framing_ok(SoupMessageHeaders *headers)
+{
+	const char *length =
+	    soup_message_headers_get_list(headers, "Content-Length");
+	const char *coding =
+	    soup_message_headers_get_list(headers, "Transfer-Encoding");
+
+	if (coding != NULL)
+		return length == NULL &&
+		    g_ascii_strcasecmp(coding, "chunked") == 0;
+	if (length == NULL)
+		return true;
+	return length[0] != '\0' && strlen(length) <= 18 &&
+	    strspn(length, "0123456789") == strlen(length);
+}
--- /dev/null
+++ b/src/gateway/health.h
@@ -0,0 +1,12 @@
+#ifndef BP_GATEWAY_HEALTH_H
+#define BP_GATEWAY_HEALTH_H
+
+#include "bulrushpost/endpoint.h"
+
+/* may_eject tells that the pool can spare the endpoint. */
+bool bp_health_add(
+    bp_health_t *health, bp_result_t result, bool may_eject, int64_t now_us);
+bool bp_health_may_send(
+    bp_health_t *health, uint32_t in_flight, int64_t now_us, bool idempotent);
+
+#endif
--- /dev/null
+++ b/src/gateway/limiter.c
@@ -0,0 +1,83 @@
+#include "bulrushpost/limiter.h"
+
+/* Queueing at the endpoint shows as latency above this multiple. */
+#define CONGESTED_RATIO 2.0
+#define DECREASE_FACTOR 0.75
+/* The effect of a decrease is visible only after a few answers. */
+#define DECREASE_INTERVAL_US 200000
+
+static double
+clamp(double value, double low, double high)
+{
+	if (value < low)
+		return low;
+	return value > high ? high : value;
+}
+
+/*
+ * Sets the bounds for a number of gateways that share each endpoint. The
+ * floor is an equal share of the slots, so that a wrong sign of congestion
+ * never leaves slots idle. The ceiling keeps the gateways together within
+ * the connections of the endpoint, since each request uses one.
+ */
+void
+bp_limiter_set_gateways(bp_limiter_t *limiter, uint32_t gateways)
+{
+	uint32_t n = gateways > 0 ? gateways : 1;
+	uint32_t share = (BP_EXECUTOR_SLOTS + n - 1) / n;
+	uint32_t connections = BP_EXECUTOR_CONNECTIONS / n;
+
+	limiter->ceiling = connections < BP_EXECUTOR_SLOTS
+	    ? (double)connections
+	    : (double)BP_EXECUTOR_SLOTS;
+	if (limiter->ceiling < 1)
+		limiter->ceiling = 1;
+	limiter->floor = share < limiter->ceiling ? share : limiter->ceiling;
+	limiter->limit =
+	    clamp(limiter->limit, limiter->floor, limiter->ceiling);
+}
+
+/*
+ * Starts at twice the equal share: most endpoints are not used by all
+ * gateways at once, and the limit falls quickly when they are.
+ */
+void
+bp_limiter_init(bp_limiter_t *limiter, uint32_t gateways)
+{
+	limiter->limit = 0;
+	limiter->decreased_us = INT64_MIN / 2;
+	bp_limiter_set_gateways(limiter, gateways);
+	limiter->limit = clamp(limiter->floor * 2, 1, limiter->ceiling);
+}
+
+/* Returns how many requests may be in flight to the endpoint; at least 1. */
+uint32_t
+bp_limiter_limit(const bp_limiter_t *limiter)
+{
+	return (uint32_t)limiter->limit;
+}
+
+/*
+ * Adjusts the limit after a finished request: additive increase while the
+ * limit is reached without queueing, multiplicative decrease otherwise.
+ */
+void
+bp_limiter_add(bp_limiter_t *limiter, const bp_limiter_sample_t *sample)
+{
+	bool congested = sample->overloaded ||
+	    (sample->base_us > 0 &&
+		sample->latency_us > CONGESTED_RATIO * sample->base_us);
+
+	if (congested) {
+		if (sample->now_us - limiter->decreased_us <
+		    DECREASE_INTERVAL_US)
+			return;
+		limiter->decreased_us = sample->now_us;
+		limiter->limit = clamp(limiter->limit * DECREASE_FACTOR,
+		    limiter->floor, limiter->ceiling);
+		return;
+	}
+	if (sample->in_flight >= bp_limiter_limit(limiter))
+		limiter->limit = clamp(limiter->limit + 1 / limiter->limit,
+		    limiter->floor, limiter->ceiling);
+}
--- /dev/null
+++ b/src/gateway/upstream.c
@@ -0,0 +1,375 @@
+#include "gateway/upstream.h"
+
+#include "gateway/headers.h"
+
+#include <string.h>
+
+#define READ_BYTES (64 * 1024)
+#define IDLE_TIMEOUT_S 30
+/* A VM that vanished answers no connection request at all. */
+#define CONNECT_TIMEOUT_MS 1000
+
+struct bp_attempt {
+	SoupSession *session;
+	SoupMessage *message;
+	GCancellable *cancellable;
+	GInputStream *stream;
+	GByteArray *body;
+	guint8 *buffer;
+	char *id;
+	guint connect_timer;
+	bool idempotent;
+	bool written;
+	bool cancelled;
+	bool timed_out; /* before the connection was made */
+	bool restart_denied;
+	bp_attempt_handler_t handler;
+};
+
+/*
+ * Creates the client side. It adds nothing to messages and follows no
+ * redirects; connections are bounded to this gateway's share.
+ */
+SoupSession *
+bp_upstream_session(uint32_t gateways)
+{
+	uint32_t share = BP_EXECUTOR_CONNECTIONS / MAX(gateways, 1);
+	SoupSession *session = soup_session_new_with_options("max-conns",
+	    G_MAXINT, "max-conns-per-host", (int)MAX(share, 1), "timeout", 0,
+	    "idle-timeout", IDLE_TIMEOUT_S, "proxy-resolver", NULL, NULL);
+
+	soup_session_remove_feature_by_type(session, SOUP_TYPE_CONTENT_DECODER);
+	soup_session_remove_feature_by_type(session, SOUP_TYPE_AUTH_MANAGER);
+	return session;
+}
+
+static void
+stop_connect_timer(bp_attempt_t *attempt)
+{
+	if (attempt->connect_timer != 0)
+		g_source_remove(attempt->connect_timer);
+	attempt->connect_timer = 0;
+}
+
+static void
+attempt_free(bp_attempt_t *attempt)
+{
+	stop_connect_timer(attempt);
+	g_signal_handlers_disconnect_by_data(attempt->message, attempt);
+	g_clear_object(&attempt->stream);
+	g_object_unref(attempt->message);
+	g_object_unref(attempt->cancellable);
+	g_object_unref(attempt->session);
+	if (attempt->body != NULL)
+		g_byte_array_unref(attempt->body);
+	g_free(attempt->buffer);
+	g_free(attempt->id);
+	g_free(attempt);
+}
+
+/* The connection of a discarded answer must not carry another request. */
+static void
+close_connection(bp_attempt_t *attempt)
+{
+	soup_message_headers_replace(
+	    soup_message_get_response_headers(attempt->message), "Connection",
+	    "close");
+	g_cancellable_cancel(attempt->cancellable);
+}
+
+static void
+fail(bp_attempt_t *attempt, int kind, bp_result_t result, const char *message)
+{
+	bp_attempt_answer_t answer = {
+	    .kind = kind, .result = result, .message = message};
+
+	close_connection(attempt);
+	if (!attempt->cancelled)
+		attempt->handler.done(&answer, attempt->handler.data);
+	attempt_free(attempt);
+}
+
+static void
+succeed(bp_attempt_t *attempt)
+{
+	guint status = soup_message_get_status(attempt->message);
+	bp_attempt_answer_t answer = {
+	    .kind = BP_OK,
+	    .status = status,
+	    .headers = soup_message_get_response_headers(attempt->message),
+	    .body = attempt->body,
+	};
+
+	if (status == SOUP_STATUS_SERVICE_UNAVAILABLE)
+		answer.result = BP_RESULT_OVERLOADED;
+	else
+		answer.result = status >= 500 ? BP_RESULT_FAILED : BP_RESULT_OK;
+	if (!attempt->cancelled)
+		attempt->handler.done(&answer, attempt->handler.data);
+	attempt_free(attempt);
+}
+
+static void on_read(GObject *source, GAsyncResult *result, gpointer data);
+
+static void
+read_more(bp_attempt_t *attempt)
+{
+	g_input_stream_read_async(attempt->stream, attempt->buffer, READ_BYTES,
+	    G_PRIORITY_DEFAULT, attempt->cancellable, on_read, attempt);
+}
+
+static bool
+is_head(const bp_attempt_t *attempt)
+{
+	return strcmp(soup_message_get_method(attempt->message), "HEAD") == 0;
+}
+
+static bool
+is_complete(bp_attempt_t *attempt)
+{
+	SoupMessageHeaders *headers =
+	    soup_message_get_response_headers(attempt->message);
+
+	if (soup_message_headers_get_encoding(headers) !=
+	    SOUP_ENCODING_CONTENT_LENGTH)
+		return true;
+	return is_head(attempt) ||
+	    soup_message_headers_get_content_length(headers) ==
+	    (goffset)attempt->body->len;
+}
+
+static void
+on_read(GObject *source, GAsyncResult *result, gpointer data)
+{
+	bp_attempt_t *attempt = data;
+	gssize n = g_input_stream_read_finish(attempt->stream, result, NULL);
+
+	if (attempt->cancelled) {
+		attempt_free(attempt);
+		return;
+	}
+	if (n < 0 || (n == 0 && !is_complete(attempt))) {
+		fail(attempt, BP_ETRUNCATED, BP_RESULT_FAILED,
+		    "the answer ended before its stated length");
+		return;
+	}
+	if (n == 0) {
+		succeed(attempt);
+		return;
+	}
+	if (attempt->body->len + (gsize)n > BP_MAX_ANSWER_BYTES) {
+		fail(attempt, BP_ETOOLARGE, BP_RESULT_ABANDONED,
+		    "the answer is larger than 8 MiB");
+		return;
+	}
+	g_byte_array_append(attempt->body, attempt->buffer, (guint)n);
+	read_more(attempt);
+}
+
+static bool
+has_no_body(bp_attempt_t *attempt)
+{
+	guint status = soup_message_get_status(attempt->message);
+
+	return is_head(attempt) || status == SOUP_STATUS_NO_CONTENT ||
+	    status == SOUP_STATUS_NOT_MODIFIED;
+}
+
+/* Checks the headers of an answer; returns NULL or why it is discarded. */
+static const char *
+check_headers(bp_attempt_t *attempt, int *kind)
+{
+	SoupMessageHeaders *headers =
+	    soup_message_get_response_headers(attempt->message);
+	const char *echo =
+	    soup_message_headers_get_list(headers, BP_HEADER_REQUEST_ID);
+
+	*kind = BP_EMISMATCH;
+	if (echo == NULL)
+		return "the answer has no X-Request-Id";
+	if (strcmp(echo, attempt->id) != 0)
+		return "the answer has the X-Request-Id of another request";
+	*kind = BP_ETRUNCATED;
+	if (!bp_headers_framing_ok(headers))
+		return "the answer states its length in an ambiguous way";
+	/* An answer that ends with its connection may be cut unnoticed. */
+	if (!has_no_body(attempt) &&
+	    soup_message_headers_get_encoding(headers) == SOUP_ENCODING_EOF)
+		return "the answer does not state its length";
+	*kind = BP_ETOOLARGE;
+	if (!has_no_body(attempt) &&
+	    soup_message_headers_get_content_length(headers) >
+		BP_MAX_ANSWER_BYTES)
+		return "the answer is larger than 8 MiB";
+	return NULL;
+}
+
+static void
+fail_to_send(bp_attempt_t *attempt, const GError *error)
+{
+	if (attempt->timed_out)
+		fail(attempt, BP_ENOTSENT, BP_RESULT_REFUSED,
+		    "no connection within 1000 ms");
+	else if (!attempt->written)
+		fail(attempt, BP_ENOTSENT, BP_RESULT_REFUSED, error->message);
+	else
+		fail(attempt, BP_EUNREACHABLE, BP_RESULT_FAILED,
+		    attempt->restart_denied
+			? "the connection was closed before the answer"
+			: error->message);
+}
+
+static void
+on_sent(GObject *source, GAsyncResult *result, gpointer data)
+{
+	bp_attempt_t *attempt = data;
+	GError *error = NULL;
+	const char *reason;
+	int kind;
+
+	attempt->stream =
+	    soup_session_send_finish(attempt->session, result, &error);
+	if (attempt->cancelled) {
+		attempt_free(attempt);
+		goto out;
+	}
+	if (attempt->stream == NULL) {
+		fail_to_send(attempt, error);
+		goto out;
+	}
+	reason = check_headers(attempt, &kind);
+	if (reason != NULL) {
+		/* A large answer is no sign of a faulty endpoint. */
+		fail(attempt, kind,
+		    kind == BP_ETOOLARGE ? BP_RESULT_ABANDONED
+					 : BP_RESULT_FAILED,
+		    reason);
+		goto out;
+	}
+	attempt->body = g_byte_array_new();
+	attempt->buffer = g_malloc(READ_BYTES);
+	read_more(attempt);
+out:
+	g_clear_error(&error);
+}
+
+/* Emitted when a connection is ready, before the first byte is written. */
+static void
+on_starting(SoupMessage *message, gpointer data)
+{
+	bp_attempt_t *attempt = data;
+
+	attempt->written = true;
+	stop_connect_timer(attempt);
+}
+
+/*
+ * libsoup repeats a request when a kept connection was closed before the
+ * answer. That is a retry like any other and needs permission.
+ */
+static void
+on_restarted(SoupMessage *message, gpointer data)
+{
+	bp_attempt_t *attempt = data;
+
+	if (attempt->cancelled)
+		return;
+	if (attempt->idempotent &&
+	    attempt->handler.may_restart(attempt->handler.data))
+		return;
+	attempt->restart_denied = true;
+	g_cancellable_cancel(attempt->cancellable);
+}
+
+static gboolean
+on_connect_timeout(gpointer data)
+{
+	bp_attempt_t *attempt = data;
+
+	attempt->connect_timer = 0;
+	attempt->timed_out = true;
+	g_cancellable_cancel(attempt->cancellable);
+	return G_SOURCE_REMOVE;
+}
+
+static SoupMessage *
+new_message(const bp_attempt_options_t *options)
+{
+	GUri *base = g_uri_parse(options->url, SOUP_HTTP_URI_FLAGS, NULL);
+	SoupMessage *message;
+	SoupMessageHeaders *headers;
+	char *left_ms;
+	GUri *uri;
+
+	if (base == NULL)
+		return NULL;
+	uri = soup_uri_copy(base, SOUP_URI_PATH, options->path, SOUP_URI_QUERY,
+	    options->query, SOUP_URI_NONE);
+	message = soup_message_new_from_uri(options->method, uri);
+	headers = soup_message_get_request_headers(message);
+	bp_headers_copy(headers, options->headers);
+	soup_message_headers_replace(
+	    headers, BP_HEADER_REQUEST_ID, options->id);
+	left_ms =
+	    g_strdup_printf("%" G_GINT64_FORMAT, MAX(options->left_ms, 1));
+	soup_message_headers_replace(headers, BP_HEADER_DEADLINE, left_ms);
+	g_free(left_ms);
+	if (options->body != NULL)
+		soup_message_set_request_body_from_bytes(
+		    message, NULL, options->body);
+	g_uri_unref(uri);
+	g_uri_unref(base);
+	return message;
+}
+
+/*
+ * Sends a request; the handler is called later, never from within this
+ * call. A request that is not idempotent gets a new connection: on a kept
+ * one, a close by the executor could not be told from a lost answer.
+ * Returns NULL when the url is not valid.
+ */
+bp_attempt_t *
+bp_attempt_start(SoupSession *session, const bp_attempt_options_t *options,
+    const bp_attempt_handler_t *handler)
+{
+	SoupMessage *message = new_message(options);
+	bp_attempt_t *attempt;
+
+	if (message == NULL)
+		return NULL;
+	soup_message_add_flags(message,
+	    SOUP_MESSAGE_NO_REDIRECT |
+		(options->idempotent ? SOUP_MESSAGE_IDEMPOTENT
+				     : SOUP_MESSAGE_NEW_CONNECTION));
+	attempt = g_new0(bp_attempt_t, 1);
+	attempt->session = g_object_ref(session);
+	attempt->message = message;
+	attempt->cancellable = g_cancellable_new();
+	attempt->id = g_strdup(options->id);
+	attempt->idempotent = options->idempotent;
+	attempt->handler = *handler;
+	attempt->connect_timer =
+	    g_timeout_add(CONNECT_TIMEOUT_MS, on_connect_timeout, attempt);
+	g_signal_connect(message, "starting", G_CALLBACK(on_starting), attempt);
+	g_signal_connect(
+	    message, "restarted", G_CALLBACK(on_restarted), attempt);
+	soup_session_send_async(session, message, G_PRIORITY_DEFAULT,
+	    attempt->cancellable, on_sent, attempt);
+	return attempt;
+}
+
+/* Ends the attempt; it is freed once libsoup has let go of it. */
+void
+bp_attempt_cancel(bp_attempt_t *attempt)
+{
+	attempt->cancelled = true;
+	stop_connect_timer(attempt);
+	close_connection(attempt);
+}
+
+/* Returns whether any byte may have reached the executor. */
+bool
+bp_attempt_written(const bp_attempt_t *attempt)
+{
+	return attempt->written;
+}
--- /dev/null
+++ b/src/gateway/upstream.h
@@ -0,0 +1,54 @@
+#ifndef BP_GATEWAY_UPSTREAM_H
+#define BP_GATEWAY_UPSTREAM_H
+
+#include "bulrushpost/endpoint.h"
+#include "bulrushpost/error.h"
+
+#include <libsoup/soup.h>
+
+#define BP_MAX_ANSWER_BYTES (8 * 1024 * 1024)
+#define BP_HEADER_REQUEST_ID "X-Request-Id"
+#define BP_HEADER_DEADLINE "X-Deadline-Ms"
+
+/* One HTTP request to one executor. */
+typedef struct bp_attempt bp_attempt_t;
+
+typedef struct {
+	const char *url; /* of the executor */
+	const char *method;
+	const char *path; /* percent-encoded */
+	const char *query; /* percent-encoded, or NULL */
+	SoupMessageHeaders *headers; /* of the caller */
+	GBytes *body; /* or NULL */
+	const char *id; /* to be echoed */
+	int64_t left_ms; /* until the deadline */
+	bool idempotent;
+} bp_attempt_options_t;
+
+/* kind is BP_OK for a complete answer that belongs to the request. */
+typedef struct {
+	int kind;
+	bp_result_t result;
+	const char *message; /* why it failed */
+	guint status;
+	SoupMessageHeaders *headers;
+	GByteArray *body;
+} bp_attempt_answer_t;
+
+typedef struct {
+	/* Called once, unless the attempt is cancelled. */
+	void (*done)(const bp_attempt_answer_t *answer, void *data);
+	/* Tells whether a request may be repeated on a new connection. */
+	bool (*may_restart)(void *data);
+	void *data;
+} bp_attempt_handler_t;
+
+SoupSession *bp_upstream_session(uint32_t gateways);
+bp_attempt_t *bp_attempt_start(SoupSession *session,
+    const bp_attempt_options_t *options, const bp_attempt_handler_t *handler);
+/* Closes the connection; the handler is not called any more. */
+void bp_attempt_cancel(bp_attempt_t *attempt);
+/* Whether any byte may have reached the executor. */
+bool bp_attempt_written(const bp_attempt_t *attempt);
+
+#endif
