--- a/include/bulrushpost/reason.h
+++ b/include/bulrushpost/reason.h
@@ -3,6 +3,8 @@
 
 #include "bulrushpost/constraints.h"
 
+#define BP_CAUSES 15
+
 /* What the explaining node knows besides the state. */
 typedef struct {
 	const char *node;
@@ -43,7 +45,7 @@
 	const bp_vm_t *vm; /* where it could start without them, or runs */
 	uint32_t n_vms; /* known VMs */
 	uint32_t n_freed; /* VMs it could start on without the causes */
-	uint32_t by_cause[16]; /* VMs excluded, by bit number of the cause */
+	uint32_t by_cause[BP_CAUSES]; /* VMs excluded, by bit of the cause */
 } bp_reason_t;
 
 int bp_reason_explain(bp_reason_t **out, const bp_state_t *state,
--- a/src/state/constraints.c
+++ b/src/state/constraints.c
@@ -200,23 +200,40 @@
 	return limit;
 }
 
-/* Counts the use of all classes, so that the headroom is really free. */
+/* What is missing below the limit; 0 when nothing is kept free. */
+static uint32_t
+headroom_excess(uint32_t size, uint32_t used, uint32_t reserved,
+    uint32_t capacity, uint32_t percent)
+{
+	uint32_t room = MAX(capacity, size);
+	uint32_t limit = less_percent(room, percent);
+
+	return limit == room ? 0 : quota_excess(size, used, reserved, limit);
+}
+
+/*
+ * Counts the use of all classes, so that the headroom is really free. As in
+ * check_capacity a VM that is too small counts as just large enough.
+ */
 static void
 check_headroom(check_t *check, const bp_rule_t *rule)
 {
 	const bp_resources_t *size = &check->job->size;
 	const bp_vm_t *vm = check->vm;
-	bp_resources_t limit = below_headroom(vm, rule->as.headroom_percent);
+	uint32_t percent = rule->as.headroom_percent;
 	bp_resources_t reserved = bp_reservations_vm(check->reservations, vm);
 	bp_obstacle_t obstacle = {
 	    .cause = BP_CAUSE_HEADROOM, .rule = rule, .vm = vm};
 
-	obstacle.shortfall.cpu_milli = quota_excess(size->cpu_milli,
-	    vm->used.cpu_milli, reserved.cpu_milli, limit.cpu_milli);
-	obstacle.shortfall.memory_mib = quota_excess(size->memory_mib,
-	    vm->used.memory_mib, reserved.memory_mib, limit.memory_mib);
-	obstacle.shortfall.accelerators = quota_excess(size->accelerators,
-	    vm->used.accelerators, reserved.accelerators, limit.accelerators);
+	obstacle.shortfall.cpu_milli =
+	    headroom_excess(size->cpu_milli, vm->used.cpu_milli,
+		reserved.cpu_milli, vm->capacity.cpu_milli, percent);
+	obstacle.shortfall.memory_mib =
+	    headroom_excess(size->memory_mib, vm->used.memory_mib,
+		reserved.memory_mib, vm->capacity.memory_mib, percent);
+	obstacle.shortfall.accelerators =
+	    headroom_excess(size->accelerators, vm->used.accelerators,
+		reserved.accelerators, vm->capacity.accelerators, percent);
 	if (!bp_resources_zero(&obstacle.shortfall))
 		found(check, &obstacle);
 }
--- /dev/null
+++ b/src/state/reason_size.c
@@ -0,0 +1,71 @@
+#include "bulrushpost/reason.h"
+#include "bulrushpost/resources.h"
+
+#include <string.h>
+
+#define CPU_MILLI 1000.0
+#define MIB_PER_GIB 1024.0
+
+/* The task cut down to the VM. */
+static bp_resources_t
+cut_down(const bp_resources_t *size, const bp_vm_t *vm)
+{
+	bp_resources_t over = bp_resources_excess(size, &vm->capacity);
+
+	return bp_resources_excess(size, &over);
+}
+
+/* The share of the task that must be given up in its worst resource. */
+static double
+given_up(const bp_resources_t *size, const bp_vm_t *vm)
+{
+	bp_resources_t over = bp_resources_excess(size, &vm->capacity);
+
+	return bp_resources_dominant(&over, size);
+}
+
+static const bp_vm_t *
+nearest(const bp_state_t *state, const bp_resources_t *size)
+{
+	const bp_vm_t *best = NULL;
+	double least = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, bp_state_vms(state));
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const bp_vm_t *vm = value;
+		double loss = given_up(size, vm);
+
+		if (best == NULL || loss < least ||
+		    (!(loss > least) && strcmp(vm->name, best->name) < 0)) {
+			best = vm;
+			least = loss;
+		}
+	}
+	return best;
+}
+
+/*
+ * See the header. Rules and quotas are left out, since they can change while
+ * the job waits. Without any known VM nothing can be said and nothing is
+ * refused.
+ */
+int
+bp_reason_check_size(
+    const bp_state_t *state, const bp_job_t *job, bp_error_t *err)
+{
+	const bp_vm_t *vm = nearest(state, &job->size);
+	bp_resources_t fits;
+
+	if (vm == NULL || bp_resources_fit(&job->size, &vm->capacity))
+		return BP_OK;
+	fits = cut_down(&job->size, vm);
+	return bp_error_set(err, BP_EREFUSED,
+	    "never_fits: a task needs %.4g processors, %.4g GiB and %u "
+	    "accelerators, more than any VM has; the nearest size that fits is "
+	    "%.4g processors, %.4g GiB and %u accelerators (VM %s)",
+	    job->size.cpu_milli / CPU_MILLI, job->size.memory_mib / MIB_PER_GIB,
+	    job->size.accelerators, fits.cpu_milli / CPU_MILLI,
+	    fits.memory_mib / MIB_PER_GIB, fits.accelerators, vm->name);
+}
