--- a/tests/support/http.c
+++ b/tests/support/http.c
@@ -55,7 +55,10 @@
 	if (bytes != NULL) {
 		text = g_bytes_get_data(bytes, &size);
 		reply->status = soup_message_get_status(call->message);
-		reply->body = g_strndup(text, size);
+		reply->body = g_malloc0(size + 1);
+		if (size > 0)
+			memcpy(reply->body, text, size);
+		reply->body_bytes = size;
 		reply->outcome = g_strdup(
 		    soup_message_headers_get_one(headers, "X-Outcome"));
 		reply->reason =
@@ -70,34 +73,56 @@
 	g_free(call);
 }
 
+static bp_reply_t *
+send_message(
+    bp_http_t *http, SoupMessage *message, const void *data, size_t size_bytes)
+{
+	bp_reply_t *reply = g_new0(bp_reply_t, 1);
+	call_t *call = g_new0(call_t, 1);
+	GBytes *bytes;
+
+	call->reply = reply;
+	call->message = message;
+	if (data != NULL) {
+		bytes = g_bytes_new(data, size_bytes);
+		soup_message_set_request_body_from_bytes(
+		    message, "application/octet-stream", bytes);
+		g_bytes_unref(bytes);
+	}
+	reply->sent_us = bp_now_us();
+	soup_session_send_and_read_async(
+	    http->session, message, G_PRIORITY_DEFAULT, NULL, on_reply, call);
+	return reply;
+}
+
 /* Sends a request; the reply is freed by the caller once it is done. */
 bp_reply_t *
 bp_http_send(
     bp_http_t *http, const char *method, const char *url, const char *body, ...)
 {
-	bp_reply_t *reply = g_new0(bp_reply_t, 1);
-	call_t *call = g_new0(call_t, 1);
-	GBytes *bytes = NULL;
+	SoupMessage *message = soup_message_new(method, url);
 	const char *name;
 	va_list args;
 
-	call->reply = reply;
-	call->message = soup_message_new(method, url);
 	va_start(args, body);
 	while ((name = va_arg(args, const char *)) != NULL)
 		soup_message_headers_replace(
-		    soup_message_get_request_headers(call->message), name,
+		    soup_message_get_request_headers(message), name,
 		    va_arg(args, const char *));
 	va_end(args);
-	if (body != NULL) {
-		bytes = g_bytes_new(body, strlen(body));
-		soup_message_set_request_body_from_bytes(
-		    call->message, "text/plain", bytes);
-		g_bytes_unref(bytes);
-	}
-	reply->sent_us = bp_now_us();
-	soup_session_send_and_read_async(http->session, call->message,
-	    G_PRIORITY_DEFAULT, NULL, on_reply, call);
+	return send_message(
+	    http, message, body, body != NULL ? strlen(body) : 0);
+}
+
+/* Posts binary data; an empty message has size 0. */
+bp_reply_t *
+bp_http_post(
+    bp_http_t *http, const char *url, const void *data, size_t size_bytes)
+{
+	bp_reply_t *reply =
+	    send_message(http, soup_message_new("POST", url), data, size_bytes);
+
+	bp_http_wait(reply);
 	return reply;
 }
 
--- a/tests/support/process.c
+++ b/tests/support/process.c
@@ -109,7 +109,8 @@
 		bp_process_free(process);
 		return NULL;
 	}
-	process->pid = atoi(g_subprocess_get_identifier(process->subprocess));
+	process->pid = (int)strtol(
+	    g_subprocess_get_identifier(process->subprocess), NULL, 10);
 	return process;
 }
 
