--- a/tests/support/checker.c
+++ b/tests/support/checker.c
@@ -520,7 +520,7 @@
 {
 	guint i;
 
-	*out = (bp_checker_counts_t){.executions = checker->executions->len};
+	*out = (bp_checker_counts_t){0};
 	for (i = 0; i < checker->events->len; i++) {
 		const event_t *e = g_ptr_array_index(checker->events, i);
 
@@ -535,3 +535,37 @@
 		out->lapsed += strcmp(e->cause, "lease_lapsed") == 0;
 	}
 }
+
+/* Counts what executors have started, whatever became of the answers. */
+guint
+bp_checker_executions(const bp_checker_t *checker, const char *path_prefix)
+{
+	guint found = 0;
+	guint i;
+
+	for (i = 0; i < checker->executions->len; i++) {
+		const execution_t *x =
+		    g_ptr_array_index(checker->executions, i);
+
+		found += g_str_has_prefix(x->path, path_prefix);
+	}
+	return found;
+}
+
+/* Counts the starts of all jobs. */
+guint
+bp_checker_starts_in(
+    const bp_checker_t *checker, const char *zone, int64_t from_us)
+{
+	guint starts = 0;
+	guint i;
+
+	for (i = 0; i < checker->events->len; i++) {
+		const event_t *e = g_ptr_array_index(checker->events, i);
+		const vm_t *vm = g_hash_table_lookup(checker->vms, e->vm);
+
+		starts += strcmp(e->kind, "start") == 0 && vm != NULL &&
+		    strcmp(vm->zone, zone) == 0 && e->time_us >= from_us;
+	}
+	return starts;
+}
--- a/tests/support/checker.h
+++ b/tests/support/checker.h
@@ -40,11 +40,16 @@
 	guint checkpointed;
 	guint lapsed;
 	guint refused;
-	guint executions;
 } bp_checker_counts_t;
 
 /* Counts of events, so that a test can tell that something was checked. */
 void bp_checker_count(
     const bp_checker_t *checker, const char *job, bp_checker_counts_t *out);
+/* Executions of requests whose path has a prefix. */
+guint bp_checker_executions(
+    const bp_checker_t *checker, const char *path_prefix);
+/* Starts in a zone at or after a time. */
+guint bp_checker_starts_in(
+    const bp_checker_t *checker, const char *zone, int64_t from_us);
 
 #endif
