--- a/include/bulrushpost/scheduler.h
+++ b/include/bulrushpost/scheduler.h
@@ -47,7 +47,7 @@
     const bp_scheduler_t *scheduler, bp_scheduler_counters_t *out);
 /* Tells whether this node has a session on the VM that answers. */
 bool bp_scheduler_reachable(const bp_vm_t *vm, void *scheduler);
-/* Jobs that took the turn of this one in the last round; 0 when none. */
-uint32_t bp_scheduler_ahead(const bp_scheduler_t *scheduler, const char *job);
+/* Jobs that the last round left for a later turn because of its budget. */
+size_t bp_scheduler_left(const bp_scheduler_t *scheduler);
 
 #endif
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -488,8 +488,8 @@
 }
 
 /* See the header. */
-uint32_t
-bp_scheduler_ahead(const bp_scheduler_t *self, const char *job)
+size_t
+bp_scheduler_left(const bp_scheduler_t *self)
 {
-	return bp_placement_ahead(self->placement, job);
+	return bp_placement_left(self->placement);
 }
--- a/src/state/snapshot_load.c
+++ b/src/state/snapshot_load.c
@@ -130,6 +130,7 @@
 	task = &job->tasks[row->task];
 	task->attempt = row->attempt;
 	task->checkpoint = text_or_null(row->checkpoint);
+	task->epoch = row->epoch;
 	task->outcome = (uint8_t)row->outcome;
 	task->failures = (uint8_t)row->failures;
 	task->since_offset = row->since_offset;
--- /dev/null
+++ b/tests/scheduler/test_ownership.c
@@ -0,0 +1,221 @@
+#include "bulrushpost/ownership.h"
+#include "support/records.h"
+#include "support/runner.h"
+
+#include <string.h>
+
+#define START_MS 1800000000000LL
+#define DEATH_MS 3000
+#define MS 1000LL
+
+static const char *const racks[] = {
+    "z1/r1", "z1/r2", "z2/r1", "z2/r2", "z3/r1", "z3/r2", NULL};
+
+typedef struct {
+	bp_records_t records;
+	bp_liveness_t *liveness;
+	bp_ownership_t *ownership;
+	bp_writer_t a;
+	bp_writer_t b;
+	int64_t now_us;
+} fixture_t;
+
+/* The planner of node a; nodes a and b have written one record each. */
+static void
+setup(fixture_t *f)
+{
+	bp_ownership_options_t options;
+
+	memset(f, 0, sizeof(*f));
+	f->a.node = "a";
+	f->a.incarnation = 1;
+	f->b.node = "b";
+	f->b.incarnation = 2;
+	bp_records_init(&f->records, START_MS);
+	f->liveness = bp_liveness_new("a", DEATH_MS);
+	(void)bp_ownership_options_init(&options);
+	options.node = "a";
+	options.incarnation = 1;
+	options.liveness = f->liveness;
+	f->ownership = bp_ownership_new(&options);
+}
+
+static void
+teardown(fixture_t *f)
+{
+	bp_ownership_free(f->ownership);
+	bp_liveness_free(f->liveness);
+	bp_records_clear(&f->records);
+}
+
+/* Lets time pass in steps; the given nodes write a record in each. */
+static void
+pass(fixture_t *f, int64_t ms, bool write_a, bool write_b, bool current)
+{
+	int64_t end_us = f->now_us + ms * MS;
+
+	while (f->now_us < end_us) {
+		f->now_us += 500 * MS;
+		if (write_a)
+			(void)bp_records_apply(&f->records, &f->a, NULL);
+		if (write_b)
+			(void)bp_records_apply(&f->records, &f->b, NULL);
+		bp_liveness_update(
+		    f->liveness, f->records.state, current, f->now_us);
+	}
+}
+
+static guint
+count_steps(fixture_t *f, bp_ownership_step_kind_t kind, bool draining)
+{
+	GPtrArray *steps = bp_ownership_plan(
+	    f->ownership, f->records.state, racks, draining, f->now_us);
+	guint n = 0;
+	guint i;
+
+	for (i = 0; i < steps->len; i++) {
+		const bp_ownership_step_t *step = g_ptr_array_index(steps, i);
+
+		n += step->kind == kind;
+	}
+	g_ptr_array_unref(steps);
+	return n;
+}
+
+static guint
+racks_won_by(const char *node, const char *other)
+{
+	guint n = 0;
+	guint i;
+
+	for (i = 0; racks[i] != NULL; i++)
+		n += bp_ownership_score(racks[i], node) >
+		    bp_ownership_score(racks[i], other);
+	return n;
+}
+
+static void
+own_all(fixture_t *f, bp_writer_t *writer)
+{
+	guint i;
+
+	for (i = 0; racks[i] != NULL; i++)
+		(void)bp_records_claim(&f->records, writer, racks[i], 0, 0);
+}
+
+/* Guards against all nodes claiming every free rack at the same moment. */
+static void
+test_free_racks_go_by_rank(void)
+{
+	fixture_t f;
+
+	setup(&f);
+	CU_ASSERT_EQUAL(count_steps(&f, BP_OWNERSHIP_CLAIM, false), 0);
+	pass(&f, 500, true, true, true);
+	CU_ASSERT_EQUAL(
+	    count_steps(&f, BP_OWNERSHIP_CLAIM, false), racks_won_by("a", "b"));
+	pass(&f, 2500, true, true, true);
+	CU_ASSERT_EQUAL(count_steps(&f, BP_OWNERSHIP_CLAIM, false), 6);
+	teardown(&f);
+}
+
+/* Guards against taking racks of a live node, or leaving those of a dead. */
+static void
+test_only_a_silent_owner_is_replaced(void)
+{
+	fixture_t f;
+
+	setup(&f);
+	pass(&f, 500, true, true, true);
+	own_all(&f, &f.b);
+	pass(&f, 10000, true, true, true);
+	CU_ASSERT_EQUAL(count_steps(&f, BP_OWNERSHIP_CLAIM, false), 0);
+	pass(&f, 2500, true, false, true);
+	CU_ASSERT_EQUAL(count_steps(&f, BP_OWNERSHIP_CLAIM, false), 0);
+	pass(&f, 1000, true, false, true);
+	CU_ASSERT_EQUAL(count_steps(&f, BP_OWNERSHIP_CLAIM, false), 6);
+	teardown(&f);
+}
+
+/* Guards against judging others dead during, or just after, an outage. */
+static void
+test_outage_kills_nobody(void)
+{
+	fixture_t f;
+
+	setup(&f);
+	pass(&f, 500, true, true, true);
+	own_all(&f, &f.b);
+	pass(&f, 60000, false, false, false);
+	CU_ASSERT_FALSE(bp_liveness_dead(f.liveness, "b", f.now_us));
+	pass(&f, 2500, true, false, true);
+	CU_ASSERT_FALSE(bp_liveness_dead(f.liveness, "b", f.now_us));
+	pass(&f, 1500, true, false, true);
+	CU_ASSERT_TRUE(bp_liveness_dead(f.liveness, "b", f.now_us));
+	teardown(&f);
+}
+
+/* A node whose own records do not come back must not judge others. */
+static void
+test_unheard_node_does_not_judge(void)
+{
+	fixture_t f;
+
+	setup(&f);
+	pass(&f, 500, true, true, true);
+	pass(&f, 10000, false, false, true);
+	CU_ASSERT_FALSE(bp_liveness_dead(f.liveness, "b", f.now_us));
+	teardown(&f);
+}
+
+/* A joining node gets its share, at most two racks at a time. */
+static void
+test_handover_to_a_joining_node_is_bounded(void)
+{
+	fixture_t f;
+	guint expected;
+
+	setup(&f);
+	pass(&f, 500, true, false, true);
+	own_all(&f, &f.a);
+	pass(&f, 500, true, true, true);
+	CU_ASSERT_EQUAL(count_steps(&f, BP_OWNERSHIP_RELEASE, false), 0);
+	pass(&f, 6000, true, true, true);
+	expected = MIN(racks_won_by("b", "a"), 2);
+	CU_ASSERT_EQUAL(count_steps(&f, BP_OWNERSHIP_RELEASE, false), expected);
+	CU_ASSERT_EQUAL(count_steps(&f, BP_OWNERSHIP_RELEASE, true), 6);
+	teardown(&f);
+}
+
+/* A restarted owner's racks are free at once: its process has ended. */
+static void
+test_new_incarnation_frees_racks(void)
+{
+	fixture_t f;
+
+	setup(&f);
+	pass(&f, 500, true, true, true);
+	own_all(&f, &f.b);
+	f.b.incarnation = 3;
+	f.b.seq = 0;
+	pass(&f, 500, true, true, true);
+	CU_ASSERT_EQUAL(
+	    count_steps(&f, BP_OWNERSHIP_CLAIM, false), racks_won_by("a", "b"));
+	teardown(&f);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"free racks", test_free_racks_go_by_rank},
+	    {"silent owner", test_only_a_silent_owner_is_replaced},
+	    {"outage", test_outage_kills_nobody},
+	    {"unheard node", test_unheard_node_does_not_judge},
+	    {"handover", test_handover_to_a_joining_node_is_bounded},
+	    {"new incarnation", test_new_incarnation_frees_racks},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return bp_test_main("ownership", tests);
+}
