--- /dev/null
+++ b/src/platform/snapshotplan.c
@@ -0,0 +1,143 @@
+#include "platform/snapshotplan.h"
+
+#include "bulrushpost/hash.h"
+
+#include <string.h>
+
+/* A node whose records stop for this long is dead (docs/design.md, 2). */
+#define LIVE_WINDOW_US 3000000LL
+#define US_PER_MS 1000
+
+struct bp_snapshotplan {
+	const char *node;
+	int64_t interval_us;
+	uint64_t records;
+	int64_t rank_wait_us;
+	uint64_t newest; /* offset of the newest complete snapshot */
+	int64_t newest_us; /* when it was seen first */
+	int64_t due_us; /* since when the next one is due, 0 if it is not */
+	/* Two marks: a node with no record since the older one is not live. */
+	uint64_t older_mark;
+	uint64_t newer_mark;
+	int64_t mark_us;
+};
+
+/* Creates a plan for a node, whose name must outlive it. */
+bp_snapshotplan_t *
+bp_snapshotplan_new(const char *node, uint32_t interval_ms, uint32_t records,
+    uint32_t rank_wait_ms)
+{
+	bp_snapshotplan_t *plan = g_new0(bp_snapshotplan_t, 1);
+
+	plan->node = node;
+	plan->interval_us = (int64_t)interval_ms * US_PER_MS;
+	plan->records = records;
+	plan->rank_wait_us = (int64_t)rank_wait_ms * US_PER_MS;
+	return plan;
+}
+
+/* Frees a plan. */
+void
+bp_snapshotplan_free(bp_snapshotplan_t *plan)
+{
+	g_free(plan);
+}
+
+/*
+ * Counts the age of the newest snapshot from now on. Its real age is not
+ * known after a start, because the wall clock is not trusted.
+ */
+void
+bp_snapshotplan_start(bp_snapshotplan_t *plan, int64_t now_us)
+{
+	plan->newest_us = now_us;
+	plan->mark_us = now_us;
+}
+
+/* Moves the marks by which live nodes are told from dead ones. */
+void
+bp_snapshotplan_observe(
+    bp_snapshotplan_t *plan, const bp_state_t *state, int64_t now_us)
+{
+	if (now_us - plan->mark_us < LIVE_WINDOW_US)
+		return;
+	plan->older_mark = plan->newer_mark;
+	plan->newer_mark = bp_state_next_offset(state);
+	plan->mark_us = now_us;
+}
+
+/* Notes that a snapshot is complete; an older one changes nothing. */
+void
+bp_snapshotplan_completed(
+    bp_snapshotplan_t *plan, uint64_t next_offset, int64_t now_us)
+{
+	if (next_offset <= plan->newest)
+		return;
+	plan->newest = next_offset;
+	plan->newest_us = now_us;
+	plan->due_us = 0;
+}
+
+/* Returns the offset of the newest complete snapshot, or 0. */
+uint64_t
+bp_snapshotplan_newest(const bp_snapshotplan_t *plan)
+{
+	return plan->newest;
+}
+
+static bool
+is_candidate(const bp_snapshotplan_t *plan, const bp_node_t *node)
+{
+	return !node->draining && node->last_offset >= plan->older_mark;
+}
+
+/*
+ * Returns how many candidates come before this node, or UINT32_MAX if it is
+ * none itself. The number of a snapshot is the offset of the one before it:
+ * all nodes that read the stream know it.
+ */
+static uint32_t
+rank(const bp_snapshotplan_t *plan, const bp_state_t *state)
+{
+	const bp_node_t *self = bp_state_node(state, plan->node);
+	uint64_t own = bp_hash_text(plan->node, plan->newest);
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t before = 0;
+
+	if (self == NULL || !is_candidate(plan, self))
+		return UINT32_MAX;
+	g_hash_table_iter_init(&iter, bp_state_nodes(state));
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const bp_node_t *node = value;
+		uint64_t hash = bp_hash_text(node->name, plan->newest);
+
+		if (!is_candidate(plan, node) || node == self)
+			continue;
+		if (hash > own ||
+		    (hash == own && strcmp(node->name, plan->node) < 0))
+			before++;
+	}
+	return before;
+}
+
+/* Tells whether a snapshot is due and this node has waited for its rank. */
+bool
+bp_snapshotplan_is_turn(
+    bp_snapshotplan_t *plan, const bp_state_t *state, int64_t now_us)
+{
+	uint64_t next_offset = bp_state_next_offset(state);
+	uint32_t before;
+
+	if (next_offset <= plan->newest ||
+	    (now_us - plan->newest_us < plan->interval_us &&
+		next_offset - plan->newest < plan->records)) {
+		plan->due_us = 0;
+		return false;
+	}
+	if (plan->due_us == 0)
+		plan->due_us = now_us;
+	before = rank(plan, state);
+	return before != UINT32_MAX &&
+	    now_us - plan->due_us >= before * plan->rank_wait_us;
+}
