--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,8 @@
 HAND_SRCS := $(sort $(shell find src include tests bench -name '*.[ch]' ! -name '*.pb-c.[ch]'))
 TEST_SRCS := $(sort $(shell find tests -name 'test_*.c'))
 TEST_BINS := $(TEST_SRCS:%.c=$(BUILD)/%)
-TEST_LIB_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard tests/support/*.c)))
+TEST_LIB_SRCS := $(filter-out tests/support/test_%,$(sort $(wildcard tests/support/*.c)))
+TEST_LIB_OBJS := $(TEST_LIB_SRCS:%.c=$(BUILD)/%.o)
 STANDIN_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard tests/standin/*.c)))
 BENCH_SRCS := $(sort $(wildcard bench/*.c))
 BENCH_OBJS := $(BENCH_SRCS:%.c=$(BUILD)/%.o)
@@ -33,7 +34,8 @@
 all: $(BUILD)/bulrushpost
 
 $(BUILD)/bulrushpost: $(BUILD)/src/cli/main.o $(BUILD)/libbulrushpost.a
-	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+	@echo LD $@
+	@$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
 $(BUILD)/libbulrushpost.a: $(LIB_OBJS)
 	rm -f $@
@@ -41,20 +43,25 @@
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(dir $@)
-	$(CC) $(ALL_CFLAGS) -c -o $@ $<
+	@echo CC $<
+	@$(CC) $(ALL_CFLAGS) -c -o $@ $<
 
 $(BUILD)/src/proto/%.o: src/proto/%.c
 	@mkdir -p $(dir $@)
-	$(CC) $(ALL_CFLAGS) -Wno-shadow -c -o $@ $<
+	@echo CC $<
+	@$(CC) $(ALL_CFLAGS) -Wno-shadow -c -o $@ $<
 
 $(BUILD)/tests/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJS) $(BUILD)/libbulrushpost.a
-	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS) -lcunit
+	@echo LD $@
+	@$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS) -lcunit
 
 $(BUILD)/standin: $(STANDIN_OBJS) $(BUILD)/libbulrushpost.a
-	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+	@echo LD $@
+	@$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
 $(BUILD)/bench/bench: $(BENCH_OBJS) $(BUILD)/libbulrushpost.a
-	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+	@echo LD $@
+	@$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
 tests: all $(TEST_BINS) $(if $(STANDIN_OBJS),$(BUILD)/standin)
 
