--- a/src/state/snapshot_save.c
+++ b/src/state/snapshot_save.c
@@ -42,8 +42,12 @@
 }
 
 static void
-save_node(Bp__Log__NodeState *out, const bp_node_t *node)
+save_node(bp_arena_t *arena, void *row, const void *item)
 {
+	Bp__Log__NodeState *out = row;
+	const bp_node_t *node = item;
+
+	(void)arena;
 	bp__log__node_state__init(out);
 	out->node = node->name;
 	out->incarnation = node->incarnation;
@@ -56,8 +60,12 @@
 }
 
 static void
-save_rack(Bp__Log__RackState *out, const bp_rack_t *rack)
+save_rack(bp_arena_t *arena, void *row, const void *item)
 {
+	Bp__Log__RackState *out = row;
+	const bp_rack_t *rack = item;
+
+	(void)arena;
 	bp__log__rack_state__init(out);
 	out->rack = rack->name;
 	out->zone = rack->zone->name;
@@ -72,8 +80,12 @@
 }
 
 static void
-save_vm(Bp__Log__VmState *out, const bp_vm_t *vm)
+save_vm(bp_arena_t *arena, void *row, const void *item)
 {
+	Bp__Log__VmState *out = row;
+	const bp_vm_t *vm = item;
+
+	(void)arena;
 	bp__log__vm_state__init(out);
 	out->vm = vm->name;
 	out->rack = vm->rack->name;
@@ -89,8 +101,12 @@
 }
 
 static void
-save_zone(Bp__Log__ZoneState *out, const bp_zone_t *zone)
+save_zone(bp_arena_t *arena, void *row, const void *item)
 {
+	Bp__Log__ZoneState *out = row;
+	const bp_zone_t *zone = item;
+
+	(void)arena;
 	bp__log__zone_state__init(out);
 	out->zone = zone->name;
 	out->out = zone->out;
@@ -162,8 +178,11 @@
 }
 
 static void
-save_job(bp_arena_t *arena, Bp__Log__JobState *out, const bp_job_t *job)
+save_job(bp_arena_t *arena, void *row, const void *item)
 {
+	Bp__Log__JobState *out = row;
+	const bp_job_t *job = item;
+
 	bp__log__job_state__init(out);
 	out->spec = bp_arena_alloc(arena, sizeof(*out->spec));
 	save_spec(out->spec, job);
@@ -175,24 +194,26 @@
 	save_tasks(arena, out, job);
 }
 
-/* Allocates n pointers to n rows of the given type and fills each. */
-#define SAVE_ALL(arena, out, field, table, row_t, type_t, statement)           \
-	do {                                                                   \
-		GPtrArray *keys_ = sorted_keys(table, compare_text);           \
-		guint i_;                                                      \
-                                                                               \
-		(out)->field =                                                 \
-		    bp_arena_alloc(arena, (keys_->len + 1) * sizeof(row_t *)); \
-		for (i_ = 0; i_ < keys_->len; i_++) {                          \
-			const type_t *item =                                   \
-			    g_hash_table_lookup(table, keys_->pdata[i_]);      \
-			row_t *row = bp_arena_alloc(arena, sizeof(row_t));     \
-                                                                               \
-			statement;                                             \
-			(out)->field[(out)->n_##field++] = row;                \
-		}                                                              \
-		g_ptr_array_unref(keys_);                                      \
-	} while (0)
+typedef void (*save_t)(bp_arena_t *arena, void *row, const void *item);
+
+/* Fills one row of row_bytes for each item, in the order of their names. */
+static void *
+save_all(bp_arena_t *arena, GHashTable *table, size_t row_bytes, save_t save,
+    size_t *count)
+{
+	GPtrArray *keys = sorted_keys(table, compare_text);
+	void **rows = bp_arena_alloc(arena, (keys->len + 1) * sizeof(void *));
+	guint i;
+
+	for (i = 0; i < keys->len; i++) {
+		rows[i] = bp_arena_alloc(arena, row_bytes);
+		save(arena, rows[i],
+		    g_hash_table_lookup(table, keys->pdata[i]));
+	}
+	*count = keys->len;
+	g_ptr_array_unref(keys);
+	return rows;
+}
 
 static void
 save_keys(bp_arena_t *arena, Bp__Log__Snapshot *out, const bp_state_t *state)
@@ -280,16 +301,11 @@
 	snapshot.now_ms = (uint64_t)state->now_ms;
 	snapshot.key_horizon_s = state->key_horizon_s;
 	snapshot.pruned_ms = (uint64_t)state->pruned_ms;
-	SAVE_ALL(arena, &snapshot, nodes, state->nodes, Bp__Log__NodeState,
-	    bp_node_t, save_node(row, item));
-	SAVE_ALL(arena, &snapshot, racks, state->racks, Bp__Log__RackState,
-	    bp_rack_t, save_rack(row, item));
-	SAVE_ALL(arena, &snapshot, vms, state->vms, Bp__Log__VmState, bp_vm_t,
-	    save_vm(row, item));
-	SAVE_ALL(arena, &snapshot, zones, state->zones, Bp__Log__ZoneState,
-	    bp_zone_t, save_zone(row, item));
-	SAVE_ALL(arena, &snapshot, jobs, state->jobs, Bp__Log__JobState,
-	    bp_job_t, save_job(arena, row, item));
+	snapshot.nodes = save_all(arena, state->nodes, sizeof(Bp__Log__NodeState), save_node, &snapshot.n_nodes);
+	snapshot.racks = save_all(arena, state->racks, sizeof(Bp__Log__RackState), save_rack, &snapshot.n_racks);
+	snapshot.vms = save_all(arena, state->vms, sizeof(Bp__Log__VmState), save_vm, &snapshot.n_vms);
+	snapshot.zones = save_all(arena, state->zones, sizeof(Bp__Log__ZoneState), save_zone, &snapshot.n_zones);
+	snapshot.jobs = save_all(arena, state->jobs, sizeof(Bp__Log__JobState), save_job, &snapshot.n_jobs);
 	save_keys(arena, &snapshot, state);
 	save_incarnations(arena, &snapshot, state);
 	save_rules(arena, &snapshot, state);
