--- a/src/platform/httpcall.c
+++ b/src/platform/httpcall.c
@@ -17,8 +17,8 @@
  * leaves the table of the client when it is finished or cancelled.
  */
 typedef struct {
-	bp_http_t *http; /* NULL once finished or cancelled */
-	bp_http_done_t done;
+	bp_httpcall_client_t *http; /* NULL once finished or cancelled */
+	bp_httpcall_done_t done;
 	void *data;
 	GDestroyNotify free_data;
 	const void *owner;
@@ -57,7 +57,7 @@
 }
 
 static void
-finish(call_t *call, const bp_http_answer_t *answer, const bp_error_t *err)
+finish(call_t *call, const bp_httpcall_answer_t *answer, const bp_error_t *err)
 {
 	if (!detach(call))
 		return;
@@ -82,10 +82,10 @@
  * Creates a client. It uses no proxy and decodes no content encodings, so
  * that the size limit holds for what is kept in memory.
  */
-bp_http_t *
-bp_http_new(uint32_t connections, uint32_t connections_per_host)
+bp_httpcall_client_t *
+bp_httpcall_new(uint32_t connections, uint32_t connections_per_host)
 {
-	bp_http_t *http = g_new0(bp_http_t, 1);
+	bp_httpcall_client_t *http = g_new0(bp_httpcall_client_t, 1);
 
 	http->session =
 	    g_object_new(SOUP_TYPE_SESSION, "max-conns", (int)connections,
@@ -98,7 +98,7 @@
 }
 
 static void
-cancel_calls(bp_http_t *http, const void *owner, gboolean all)
+cancel_calls(bp_httpcall_client_t *http, const void *owner, gboolean all)
 {
 	GList *calls = g_hash_table_get_keys(http->calls);
 	GList *node;
@@ -114,7 +114,7 @@
 
 /* Cancels what is in flight and frees the client. No callback runs later. */
 void
-bp_http_free(bp_http_t *http)
+bp_httpcall_free(bp_httpcall_client_t *http)
 {
 	if (http == NULL)
 		return;
@@ -126,7 +126,7 @@
 
 /* Cancels the calls of an owner; their callbacks do not run. */
 void
-bp_http_cancel(bp_http_t *http, const void *owner)
+bp_httpcall_cancel(bp_httpcall_client_t *http, const void *owner)
 {
 	cancel_calls(http, owner, FALSE);
 }
@@ -183,7 +183,7 @@
 static void
 complete(call_t *call)
 {
-	bp_http_answer_t answer = {
+	bp_httpcall_answer_t answer = {
 	    .status = soup_message_get_status(call->message),
 	    .headers = soup_message_get_response_headers(call->message),
 	    .body = call->body->data,
@@ -264,7 +264,7 @@
 }
 
 static void
-set_message(call_t *call, const bp_http_request_t *request)
+set_message(call_t *call, const bp_httpcall_request_t *request)
 {
 	SoupMessageHeaders *headers =
 	    soup_message_get_request_headers(call->message);
@@ -285,9 +285,9 @@
  * call is cancelled; free_data, if not NULL, releases data in either case.
  */
 void
-bp_http_call(bp_http_t *http, const bp_http_request_t *request,
-    bp_http_done_t done, void *data, GDestroyNotify free_data,
-    const void *owner)
+bp_httpcall_start(bp_httpcall_client_t *http,
+    const bp_httpcall_request_t *request, bp_httpcall_done_t done, void *data,
+    GDestroyNotify free_data, const void *owner)
 {
 	call_t *call = g_new0(call_t, 1);
 
--- a/src/platform/logclient.c
+++ b/src/platform/logclient.c
@@ -10,7 +10,7 @@
 #define STATUS_TOO_MANY_REQUESTS 429 /* missing in libsoup */
 
 struct bp_logclient {
-	bp_http_t *http;
+	bp_httpcall_client_t *http;
 	char *url;
 	uint32_t timeout_ms;
 };
@@ -48,7 +48,7 @@
 		return bp_error_set(
 		    err, BP_EINVALID, "invalid URL of the log service");
 	client = g_new0(bp_logclient_t, 1);
-	client->http = bp_http_new(CONNECTIONS, CONNECTIONS);
+	client->http = bp_httpcall_new(CONNECTIONS, CONNECTIONS);
 	client->url = g_strdup(options->url);
 	client->timeout_ms = options->timeout_ms;
 	*out = client;
@@ -61,7 +61,7 @@
 {
 	if (client == NULL)
 		return;
-	bp_http_free(client->http);
+	bp_httpcall_free(client->http);
 	g_free(client->url);
 	g_free(client);
 }
@@ -70,7 +70,7 @@
 void
 bp_logclient_cancel(bp_logclient_t *client, const void *data)
 {
-	bp_http_cancel(client->http, data);
+	bp_httpcall_cancel(client->http, data);
 }
 
 /* Maps the statuses of the log service to error kinds. */
@@ -96,7 +96,8 @@
 }
 
 static void
-on_appended(const bp_http_answer_t *answer, const bp_error_t *err, void *data)
+on_appended(
+    const bp_httpcall_answer_t *answer, const bp_error_t *err, void *data)
 {
 	append_call_t *call = data;
 	bp_error_t failure;
@@ -123,7 +124,7 @@
 	append_call_t *call = g_new0(append_call_t, 1);
 	char *url =
 	    g_strdup_printf("%s/streams/%s/records", client->url, stream);
-	bp_http_request_t request = {
+	bp_httpcall_request_t request = {
 	    .method = "POST",
 	    .url = url,
 	    .content_type = "application/octet-stream",
@@ -134,14 +135,15 @@
 
 	call->done = done;
 	call->data = data;
-	bp_http_call(client->http, &request, on_appended, call, g_free, data);
+	bp_httpcall_start(
+	    client->http, &request, on_appended, call, g_free, data);
 	g_bytes_unref(request.body);
 	g_free(url);
 }
 
 static int
 decode_read(bp_log_batch_t *batch, const read_call_t *call,
-    const bp_http_answer_t *answer, bp_error_t *err)
+    const bp_httpcall_answer_t *answer, bp_error_t *err)
 {
 	int rc = check_status(answer->status, err);
 
@@ -159,7 +161,8 @@
 }
 
 static void
-on_records(const bp_http_answer_t *answer, const bp_error_t *err, void *data)
+on_records(
+    const bp_httpcall_answer_t *answer, const bp_error_t *err, void *data)
 {
 	read_call_t *call = data;
 	bp_log_batch_t batch = {0};
@@ -191,7 +194,7 @@
 	    g_strdup_printf("%s/streams/%s/records?from=%" G_GUINT64_FORMAT
 			    "&max=%u&wait_ms=%u",
 		client->url, stream, from, (unsigned)max, (unsigned)wait_ms);
-	bp_http_request_t request = {
+	bp_httpcall_request_t request = {
 	    .method = "GET",
 	    .url = url,
 	    .answer_bytes =
@@ -203,6 +206,7 @@
 	call->data = data;
 	call->from = from;
 	call->max = max;
-	bp_http_call(client->http, &request, on_records, call, g_free, data);
+	bp_httpcall_start(
+	    client->http, &request, on_records, call, g_free, data);
 	g_free(url);
 }
--- a/src/platform/vmlist.c
+++ b/src/platform/vmlist.c
@@ -25,7 +25,7 @@
 
 struct bp_vmlist {
 	bp_vmlist_options_t options;
-	bp_http_t *http;
+	bp_httpcall_client_t *http;
 	char *url;
 	char *etag; /* of the list kept, NULL before the first */
 	GHashTable *vms; /* bp_vmlist_vm_t by name */
@@ -69,7 +69,7 @@
 	list = g_new0(bp_vmlist_t, 1);
 	list->options = *options;
 	list->url = g_strdup_printf("%s/vms", options->url);
-	list->http = bp_http_new(CONNECTIONS, CONNECTIONS);
+	list->http = bp_httpcall_new(CONNECTIONS, CONNECTIONS);
 	list->vms = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, bp_vmlist_vm_free);
 	list->sorted = g_ptr_array_new();
@@ -87,7 +87,7 @@
 {
 	if (list == NULL)
 		return;
-	bp_http_free(list->http);
+	bp_httpcall_free(list->http);
 	if (list->source != 0)
 		g_source_remove(list->source);
 	g_hash_table_unref(list->vms);
@@ -268,7 +268,8 @@
 }
 
 static int
-take_answer(bp_vmlist_t *list, const bp_http_answer_t *answer, bp_error_t *err)
+take_answer(
+    bp_vmlist_t *list, const bp_httpcall_answer_t *answer, bp_error_t *err)
 {
 	int rc;
 
@@ -295,7 +296,7 @@
 }
 
 static void
-on_answer(const bp_http_answer_t *answer, const bp_error_t *err, void *data)
+on_answer(const bp_httpcall_answer_t *answer, const bp_error_t *err, void *data)
 {
 	bp_vmlist_t *list = data;
 	bp_error_t failure;
@@ -322,7 +323,7 @@
 static void
 poll_list(bp_vmlist_t *list)
 {
-	bp_http_request_t request = {
+	bp_httpcall_request_t request = {
 	    .method = "GET",
 	    .url = list->url,
 	    .if_none_match = list->etag,
@@ -331,7 +332,7 @@
 	};
 
 	list->poll_start_us = bp_clock_mono_us(list->options.clock);
-	bp_http_call(list->http, &request, on_answer, list, NULL, list);
+	bp_httpcall_start(list->http, &request, on_answer, list, NULL, list);
 }
 
 /* Polls at once and then every poll_ms after the previous answer. */
--- a/src/platform/workerclient.c
+++ b/src/platform/workerclient.c
@@ -14,7 +14,7 @@
 #define STATUS_SERVER_ERROR 500
 
 struct bp_workerclient {
-	bp_http_t *http;
+	bp_httpcall_client_t *http;
 	uint32_t timeout_ms;
 };
 
@@ -76,7 +76,7 @@
 		    "timeout_ms and connections must not be 0");
 	client = g_new0(bp_workerclient_t, 1);
 	client->http =
-	    bp_http_new(options->connections, CONNECTIONS_PER_WORKER);
+	    bp_httpcall_new(options->connections, CONNECTIONS_PER_WORKER);
 	client->timeout_ms = options->timeout_ms;
 	*out = client;
 	return BP_OK;
@@ -88,7 +88,7 @@
 {
 	if (client == NULL)
 		return;
-	bp_http_free(client->http);
+	bp_httpcall_free(client->http);
 	g_free(client);
 }
 
@@ -96,7 +96,7 @@
 void
 bp_workerclient_cancel(bp_workerclient_t *client, const void *data)
 {
-	bp_http_cancel(client->http, data);
+	bp_httpcall_cancel(client->http, data);
 }
 
 static void
@@ -159,7 +159,7 @@
 
 /* The worker may have acted on a request whose answer cannot be used. */
 static void
-on_answer(const bp_http_answer_t *answer, const bp_error_t *err, void *data)
+on_answer(const bp_httpcall_answer_t *answer, const bp_error_t *err, void *data)
 {
 	worker_call_t *call = data;
 	ProtobufCMessage *message = NULL;
@@ -194,7 +194,7 @@
 	size_t size_bytes = protobuf_c_message_get_packed_size(request);
 	uint8_t *body = g_malloc(size_bytes);
 	char *full_url = g_strdup_printf("%s/v1/%s", url, kinds[kind].path);
-	bp_http_request_t http_request = {
+	bp_httpcall_request_t http_request = {
 	    .method = "POST",
 	    .url = full_url,
 	    .content_type = "application/x-protobuf",
@@ -208,7 +208,7 @@
 	call->items = items;
 	call->done = done;
 	call->data = data;
-	bp_http_call(
+	bp_httpcall_start(
 	    client->http, &http_request, on_answer, call, g_free, data);
 	g_bytes_unref(http_request.body);
 	g_free(full_url);
