Add frames and the control connections between nodes

The server answers requests asynchronously and bounds connections, unanswered requests, idle time and unsent bytes, so that one client cannot use up a node's 64 MB. The client tells apart what was never sent from what was sent without an answer, because only the first proves that nothing ran. A frame decoder that reserves the announced length was ruled out: memory grows with the bytes received.

--- /dev/null
+++ b/src/node/peer_client.c
@@ -0,0 +1,329 @@
+#include "bulrushpost/peer.h"
+
+#include "node/link.h"
+
+#include <string.h>
+
+#define MODULE "peer"
+/* Shorter than the server's limit, so that the client closes first. */
+#define IDLE_MS 30000
+#define STALL_MS 10000
+#define UNSENT_BYTES_MAX (8 * 1024 * 1024)
+
+struct bp_peer_client {
+	const bp_clock_t *clock;
+	bp_logger_t *logger;
+	GSocketClient *connector;
+	GHashTable *peers; /* address to peer_t */
+	uint64_t next_correlation;
+};
+
+/* A control address with its connection and the calls to it. */
+typedef struct {
+	bp_peer_client_t *client; /* NULL once the client is freed */
+	char *address;
+	bp_link_t *link; /* NULL unless connected */
+	GCancellable *connecting; /* NULL unless connecting */
+	GHashTable *calls; /* correlation to call_t */
+} peer_t;
+
+typedef struct {
+	peer_t *peer;
+	Bp__Peer__Frame *request; /* NULL once sent */
+	uint64_t correlation;
+	Bp__Peer__Verb verb;
+	bool sent;
+	guint timer;
+	bp_peer_done_t done;
+	void *data;
+} call_t;
+
+static void
+call_free(gpointer data)
+{
+	call_t *call = data;
+
+	g_clear_handle_id(&call->timer, g_source_remove);
+	if (call->request != NULL)
+		bp__peer__frame__free_unpacked(call->request, NULL);
+	g_free(call);
+}
+
+static void
+clear_peer(gpointer data)
+{
+	peer_t *peer = data;
+
+	g_hash_table_unref(peer->calls);
+	g_clear_object(&peer->connecting);
+	bp_link_unref(peer->link);
+	g_free(peer->address);
+}
+
+static void
+peer_unref(gpointer data)
+{
+	g_rc_box_release_full(data, clear_peer);
+}
+
+/* Ends a call; it leaves the table first, as done may start new calls. */
+static void
+finish(call_t *call, const Bp__Peer__Frame *answer, const bp_error_t *err)
+{
+	peer_t *peer = call->peer;
+
+	(void)g_rc_box_acquire(peer);
+	g_hash_table_steal(peer->calls, &call->correlation);
+	call->done(answer, err, call->data);
+	call_free(call);
+	peer_unref(peer);
+}
+
+/* Ends all calls; whether a call was sent decides what is known of it. */
+static void
+finish_all(peer_t *peer, const char *reason)
+{
+	GList *keys = g_hash_table_get_keys(peer->calls);
+	GArray *correlations = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	bp_error_t err;
+	GList *key;
+	guint i;
+
+	for (key = keys; key != NULL; key = key->next)
+		g_array_append_vals(correlations, key->data, 1);
+	g_list_free(keys);
+	(void)g_rc_box_acquire(peer);
+	for (i = 0; i < correlations->len && peer->client != NULL; i++) {
+		call_t *call = g_hash_table_lookup(
+		    peer->calls, &g_array_index(correlations, uint64_t, i));
+
+		if (call == NULL)
+			continue;
+		(void)bp_error_set(&err,
+		    call->sent ? BP_EUNKNOWN : BP_EUNREACHABLE, "%s: %s",
+		    peer->address, reason);
+		finish(call, NULL, &err);
+	}
+	g_array_unref(correlations);
+	peer_unref(peer);
+}
+
+static void
+on_closed(bp_link_t *link, const bp_error_t *err, void *data)
+{
+	peer_t *peer = data;
+	bp_link_t *closed = peer->link;
+
+	peer->link = NULL;
+	finish_all(peer, err->message);
+	bp_link_unref(closed);
+}
+
+static void
+on_frame(bp_link_t *link, const Bp__Peer__Frame *frame, void *data)
+{
+	peer_t *peer = data;
+	call_t *call = g_hash_table_lookup(peer->calls, &frame->correlation);
+	bp_error_t err;
+
+	/* A late answer: its call has already ended with its time limit. */
+	if (call == NULL || !frame->answer)
+		return;
+	if (frame->verb != call->verb) {
+		(void)bp_error_set(&err, BP_EMISMATCH,
+		    "%s: an answer to another request was discarded",
+		    peer->address);
+		finish(call, NULL, &err);
+		return;
+	}
+	finish(call, frame, NULL);
+}
+
+static void
+send_call(call_t *call)
+{
+	Bp__Peer__Frame *request = call->request;
+	bp_error_t err;
+
+	call->request = NULL;
+	call->sent = true;
+	if (bp_link_send(call->peer->link, request, &err) == BP_ETOOLARGE)
+		finish(call, NULL, &err);
+	bp__peer__frame__free_unpacked(request, NULL);
+}
+
+static void
+send_waiting(peer_t *peer)
+{
+	GList *calls = g_hash_table_get_values(peer->calls);
+	GList *item;
+
+	for (item = calls; item != NULL && peer->link != NULL;
+	     item = item->next) {
+		call_t *call = item->data;
+
+		if (!call->sent)
+			send_call(call);
+	}
+	g_list_free(calls);
+}
+
+static void
+on_connected(GObject *source, GAsyncResult *result, gpointer data)
+{
+	peer_t *peer = data;
+	GError *error = NULL;
+	GSocketConnection *connection = g_socket_client_connect_finish(
+	    G_SOCKET_CLIENT(source), result, &error);
+
+	g_clear_object(&peer->connecting);
+	if (peer->client != NULL && connection != NULL) {
+		bp_link_options_t options = {peer->client->clock, IDLE_MS,
+		    UNSENT_BYTES_MAX, STALL_MS, on_frame, on_closed, peer};
+
+		peer->link = bp_link_new(connection, &options);
+		send_waiting(peer);
+	} else if (peer->client != NULL) {
+		finish_all(peer, error->message);
+	}
+	g_clear_object(&connection);
+	g_clear_error(&error);
+	peer_unref(peer);
+}
+
+static void
+connect_peer(peer_t *peer)
+{
+	peer->connecting = g_cancellable_new();
+	(void)g_rc_box_acquire(peer);
+	g_socket_client_connect_to_host_async(peer->client->connector,
+	    peer->address, 0, peer->connecting, on_connected, peer);
+}
+
+static gboolean
+on_timeout(gpointer data)
+{
+	call_t *call = data;
+	bp_error_t err;
+
+	call->timer = 0;
+	(void)bp_error_set(&err, call->sent ? BP_EDEADLINE : BP_EUNREACHABLE,
+	    "%s: %s", call->peer->address,
+	    call->sent ? "no answer in time" : "no connection in time");
+	finish(call, NULL, &err);
+	return G_SOURCE_REMOVE;
+}
+
+/* Creates a client; its first correlation id is random. */
+bp_peer_client_t *
+bp_peer_client_new(const bp_clock_t *clock, bp_logger_t *logger)
+{
+	bp_peer_client_t *client = g_new0(bp_peer_client_t, 1);
+
+	client->clock = clock;
+	client->logger = logger;
+	client->connector = g_socket_client_new();
+	g_socket_client_set_enable_proxy(client->connector, FALSE);
+	client->peers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_unref);
+	client->next_correlation =
+	    ((uint64_t)g_random_int() << 32) | g_random_int();
+	return client;
+}
+
+/* Frees a client. NULL is allowed. */
+void
+bp_peer_client_free(bp_peer_client_t *client)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (client == NULL)
+		return;
+	g_hash_table_iter_init(&iter, client->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		peer_t *peer = value;
+
+		peer->client = NULL;
+		g_hash_table_remove_all(peer->calls);
+		if (peer->connecting != NULL)
+			g_cancellable_cancel(peer->connecting);
+		if (peer->link != NULL)
+			bp_link_close(peer->link);
+	}
+	g_hash_table_unref(client->peers);
+	g_object_unref(client->connector);
+	g_free(client);
+}
+
+static peer_t *
+find_peer(bp_peer_client_t *client, const char *address)
+{
+	peer_t *peer = g_hash_table_lookup(client->peers, address);
+
+	if (peer != NULL)
+		return peer;
+	peer = g_rc_box_new0(peer_t);
+	peer->client = client;
+	peer->address = g_strdup(address);
+	peer->calls =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, call_free);
+	g_hash_table_insert(client->peers, peer->address, peer);
+	return peer;
+}
+
+static Bp__Peer__Frame *
+copy_request(const Bp__Peer__Frame *request, uint64_t correlation)
+{
+	Bp__Peer__Frame frame = *request;
+	size_t size_bytes;
+	uint8_t *bytes;
+	Bp__Peer__Frame *copy;
+
+	frame.correlation = correlation;
+	frame.answer = 0;
+	size_bytes = bp__peer__frame__get_packed_size(&frame);
+	bytes = g_malloc(MAX(size_bytes, 1));
+	(void)bp__peer__frame__pack(&frame, bytes);
+	copy = bp__peer__frame__unpack(NULL, size_bytes, bytes);
+	g_free(bytes);
+	return copy;
+}
+
+static gboolean
+on_send_now(gpointer data)
+{
+	peer_t *peer = data;
+
+	if (peer->client != NULL && peer->link != NULL)
+		send_waiting(peer);
+	peer_unref(peer);
+	return G_SOURCE_REMOVE;
+}
+
+/* Sends a request; see the header for what done is told. */
+void
+bp_peer_client_call(bp_peer_client_t *client, const char *address,
+    const Bp__Peer__Frame *request, uint32_t timeout_ms, bp_peer_done_t done,
+    void *data)
+{
+	peer_t *peer = find_peer(client, address);
+	call_t *call = g_new0(call_t, 1);
+
+	call->peer = peer;
+	call->correlation = client->next_correlation++;
+	call->verb = request->verb;
+	call->request = copy_request(request, call->correlation);
+	call->done = done;
+	call->data = data;
+	call->timer = g_timeout_add(timeout_ms, on_timeout, call);
+	g_hash_table_insert(peer->calls, &call->correlation, call);
+	if (peer->link != NULL) {
+		/* Sending can fail at once, but done may not run in here. */
+		(void)g_rc_box_acquire(peer);
+		(void)g_idle_add_full(
+		    G_PRIORITY_DEFAULT, on_send_now, peer, NULL);
+	} else if (peer->connecting == NULL) {
+		connect_peer(peer);
+	}
+}
--- /dev/null
+++ b/tests/node/test_peer.c
@@ -0,0 +1,344 @@
+#include "bulrushpost/frame.h"
+#include "bulrushpost/hash.h"
+#include "bulrushpost/peer.h"
+#include "support/runner.h"
+
+#include <gio/gio.h>
+#include <stdbool.h>
+#include <string.h>
+
+#define WAIT_MS 5000
+#define MUTATIONS 2000
+#define MUTATION_SEED 20261207
+
+/* A server, a client and what the last call was told. */
+typedef struct {
+	bp_peer_server_t *server;
+	bp_peer_client_t *client;
+	char *address;
+	GPtrArray *held; /* requests answered later */
+	bool hold;
+	unsigned int done;
+	int kind;
+	char *text;
+} fixture_t;
+
+static void
+echo(bp_peer_request_t *request)
+{
+	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
+	Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
+
+	answer.body = frame->body;
+	bp_peer_request_answer(request, &answer);
+}
+
+static void
+on_request(bp_peer_request_t *request, void *data)
+{
+	fixture_t *fixture = data;
+
+	if (fixture->hold)
+		g_ptr_array_add(fixture->held, request);
+	else
+		echo(request);
+}
+
+static void
+on_done(const Bp__Peer__Frame *answer, const bp_error_t *err, void *data)
+{
+	fixture_t *fixture = data;
+
+	fixture->done++;
+	fixture->kind = err != NULL ? (int)err->kind : answer->error;
+	g_free(fixture->text);
+	fixture->text = answer == NULL
+	    ? NULL
+	    : g_strndup((const char *)answer->body.data, answer->body.len);
+}
+
+static void
+set_up(fixture_t *fixture, const bp_peer_server_options_t *limits)
+{
+	bp_peer_server_options_t options;
+
+	memset(fixture, 0, sizeof(*fixture));
+	(void)bp_peer_server_options_init(&options);
+	if (limits != NULL)
+		options = *limits;
+	options.address = "127.0.0.1:0";
+	options.handler = on_request;
+	options.data = fixture;
+	CU_ASSERT_EQUAL_FATAL(
+	    bp_peer_server_new(&fixture->server, &options, NULL), BP_OK);
+	fixture->client = bp_peer_client_new(bp_clock_system(), NULL);
+	fixture->address = g_strdup_printf(
+	    "127.0.0.1:%u", (unsigned int)bp_peer_server_port(fixture->server));
+	fixture->held = g_ptr_array_new();
+}
+
+static void
+spin(unsigned int ms)
+{
+	int64_t end_us = g_get_monotonic_time() + (int64_t)ms * 1000;
+
+	while (g_get_monotonic_time() < end_us)
+		if (!g_main_context_iteration(NULL, FALSE))
+			g_usleep(500);
+}
+
+static void
+tear_down(fixture_t *fixture)
+{
+	bp_peer_client_free(fixture->client);
+	bp_peer_server_free(fixture->server);
+	spin(20);
+	g_free(fixture->address);
+	g_free(fixture->text);
+	g_ptr_array_unref(fixture->held);
+}
+
+static void
+call(fixture_t *fixture, const char *text, uint32_t timeout_ms)
+{
+	Bp__Peer__Frame request = BP__PEER__FRAME__INIT;
+
+	request.verb = BP__PEER__VERB__VERB_STATUS;
+	request.body.data = (uint8_t *)text;
+	request.body.len = strlen(text);
+	bp_peer_client_call(fixture->client, fixture->address, &request,
+	    timeout_ms, on_done, fixture);
+}
+
+static void
+wait_done(fixture_t *fixture, unsigned int count)
+{
+	int64_t end_us = g_get_monotonic_time() + WAIT_MS * 1000;
+
+	while (fixture->done < count && g_get_monotonic_time() < end_us)
+		if (!g_main_context_iteration(NULL, FALSE))
+			g_usleep(500);
+	CU_ASSERT_EQUAL(fixture->done, count);
+}
+
+/* Guards against answers given to the wrong call when they come late. */
+static void
+test_answers_in_any_order_reach_their_calls(void)
+{
+	fixture_t fixture;
+
+	set_up(&fixture, NULL);
+	fixture.hold = true;
+	call(&fixture, "first", WAIT_MS);
+	call(&fixture, "second", WAIT_MS);
+	spin(50);
+	CU_ASSERT_EQUAL_FATAL(fixture.held->len, 2);
+	while (fixture.held->len > 0) {
+		bp_peer_request_t *request =
+		    g_ptr_array_steal_index(fixture.held, 0);
+		const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
+		char *sent =
+		    g_strndup((const char *)frame->body.data, frame->body.len);
+		unsigned int count = fixture.done + 1;
+
+		echo(request);
+		wait_done(&fixture, count);
+		CU_ASSERT_EQUAL(fixture.kind, BP_OK);
+		CU_ASSERT_STRING_EQUAL(fixture.text, sent);
+		g_free(sent);
+	}
+	CU_ASSERT_EQUAL(bp_peer_server_connections(fixture.server), 1);
+	tear_down(&fixture);
+}
+
+/* Guards against "was not sent" being claimed for a request that was. */
+static void
+test_failures_tell_whether_the_request_was_sent(void)
+{
+	fixture_t fixture;
+	bp_peer_request_t *late;
+
+	set_up(&fixture, NULL);
+	fixture.hold = true;
+	call(&fixture, "timed out", 50);
+	wait_done(&fixture, 1);
+	CU_ASSERT_EQUAL(fixture.kind, BP_EDEADLINE);
+	late = g_ptr_array_steal_index(fixture.held, 0);
+	echo(late);
+	spin(20);
+	CU_ASSERT_EQUAL(fixture.done, 1);
+	call(&fixture, "cut off", WAIT_MS);
+	spin(50);
+	late = g_ptr_array_steal_index(fixture.held, 0);
+	bp_peer_server_free(fixture.server);
+	fixture.server = NULL;
+	wait_done(&fixture, 2);
+	CU_ASSERT_EQUAL(fixture.kind, BP_EUNKNOWN);
+	echo(late);
+	call(&fixture, "refused", WAIT_MS);
+	wait_done(&fixture, 3);
+	CU_ASSERT_EQUAL(fixture.kind, BP_EUNREACHABLE);
+	tear_down(&fixture);
+}
+
+/* Guards against connections and requests without limit. */
+static void
+test_limits_hold(void)
+{
+	bp_peer_server_options_t options;
+	bp_peer_client_t *second = bp_peer_client_new(bp_clock_system(), NULL);
+	bp_peer_client_t *first;
+	fixture_t fixture;
+
+	(void)bp_peer_server_options_init(&options);
+	options.connections_max = 1;
+	options.requests_max = 1;
+	options.idle_ms = 200;
+	set_up(&fixture, &options);
+	fixture.hold = true;
+	call(&fixture, "held", WAIT_MS);
+	spin(30);
+	call(&fixture, "one too many", WAIT_MS);
+	wait_done(&fixture, 1);
+	CU_ASSERT_EQUAL(fixture.kind, BP_EOVERLOAD);
+	first = fixture.client;
+	fixture.client = second;
+	call(&fixture, "other connection", WAIT_MS);
+	wait_done(&fixture, 2);
+	CU_ASSERT_EQUAL(fixture.kind, BP_EUNKNOWN);
+	CU_ASSERT_EQUAL(bp_peer_server_connections(fixture.server), 1);
+	wait_done(&fixture, 3);
+	CU_ASSERT_EQUAL(fixture.kind, BP_EUNKNOWN);
+	CU_ASSERT_EQUAL(bp_peer_server_connections(fixture.server), 0);
+	echo(g_ptr_array_steal_index(fixture.held, 0));
+	bp_peer_client_free(first);
+	tear_down(&fixture);
+}
+
+/* Opens a connection that sends the bytes and never reads. */
+static GSocketConnection *
+send_raw(const fixture_t *fixture, const uint8_t *bytes, size_t size_bytes)
+{
+	GSocketClient *connector = g_socket_client_new();
+	GSocketConnection *connection = g_socket_client_connect_to_host(
+	    connector, fixture->address, 0, NULL, NULL);
+	GOutputStream *stream =
+	    g_io_stream_get_output_stream(G_IO_STREAM(connection));
+
+	(void)g_output_stream_write_all(
+	    stream, bytes, size_bytes, NULL, NULL, NULL);
+	g_object_unref(connector);
+	return connection;
+}
+
+static GByteArray *
+packed_request(size_t body_bytes)
+{
+	Bp__Peer__Frame request = BP__PEER__FRAME__INIT;
+	char *args[] = {"zone", "węzeł"};
+	GByteArray *out = g_byte_array_new();
+	uint8_t *body = g_malloc0(body_bytes);
+	uint8_t *packed;
+	size_t size_bytes;
+
+	request.verb = BP__PEER__VERB__VERB_ZONE_CHANGE;
+	request.n_args = G_N_ELEMENTS(args);
+	request.args = args;
+	request.body.data = body;
+	request.body.len = body_bytes;
+	size_bytes = bp__peer__frame__get_packed_size(&request);
+	packed = g_malloc(size_bytes);
+	(void)bp__peer__frame__pack(&request, packed);
+	(void)bp_frame_append(out, packed, size_bytes, NULL);
+	g_free(packed);
+	g_free(body);
+	return out;
+}
+
+/* Guards against answers piling up in memory for a peer that never reads. */
+static void
+test_slow_reader_is_closed(void)
+{
+	GByteArray *stream = packed_request(500000);
+	GSocketConnection *connection;
+	bp_peer_server_options_t options;
+	fixture_t fixture;
+	unsigned int i;
+
+	(void)bp_peer_server_options_init(&options);
+	options.unsent_bytes_max = 2000000;
+	set_up(&fixture, &options);
+	connection = send_raw(&fixture, NULL, 0);
+	g_socket_set_blocking(
+	    g_socket_connection_get_socket(connection), FALSE);
+	for (i = 0; i < 100; i++) {
+		size_t at = 0;
+		gssize n;
+
+		/* Whole frames, as far as the server takes them. */
+		while (at < stream->len) {
+			n = g_socket_send(
+			    g_socket_connection_get_socket(connection),
+			    (const char *)stream->data + at, stream->len - at,
+			    NULL, NULL);
+			at += n > 0 ? (size_t)n : 0;
+			spin(1);
+			if (bp_peer_server_connections(fixture.server) == 0)
+				break;
+		}
+		if (bp_peer_server_connections(fixture.server) == 0)
+			break;
+	}
+	CU_ASSERT_EQUAL(bp_peer_server_connections(fixture.server), 0);
+	g_object_unref(connection);
+	g_byte_array_unref(stream);
+	tear_down(&fixture);
+}
+
+/* Guards against a server that ends or hangs on broken bytes. */
+static void
+test_mutated_frames_are_safe(void)
+{
+	GByteArray *stream = packed_request(40);
+	bp_random_t random;
+	fixture_t fixture;
+	int i;
+
+	set_up(&fixture, NULL);
+	bp_random_init(&random, MUTATION_SEED);
+	for (i = 0; i < MUTATIONS; i++) {
+		uint8_t *bytes = g_memdup2(stream->data, stream->len);
+		uint32_t edits = 1 + bp_random_below(&random, 4);
+		GSocketConnection *connection;
+
+		while (edits-- > 0)
+			bytes[bp_random_below(&random, stream->len)] =
+			    (uint8_t)bp_random_next(&random);
+		connection = send_raw(&fixture, bytes, stream->len);
+		while (g_main_context_iteration(NULL, FALSE))
+			;
+		g_object_unref(connection);
+		g_free(bytes);
+	}
+	call(&fixture, "still there", WAIT_MS);
+	wait_done(&fixture, 1);
+	CU_ASSERT_EQUAL(fixture.kind, BP_OK);
+	g_byte_array_unref(stream);
+	tear_down(&fixture);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"answers in any order",
+		test_answers_in_any_order_reach_their_calls},
+	    {"sent or not", test_failures_tell_whether_the_request_was_sent},
+	    {"limits", test_limits_hold},
+	    {"slow reader", test_slow_reader_is_closed},
+	    {"mutations", test_mutated_frames_are_safe},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return bp_test_main("peer", tests);
+}
