--- a/include/bulrushpost/placement.h
+++ b/include/bulrushpost/placement.h
@@ -54,7 +54,10 @@
 void bp_placement_settled(
     bp_placement_t *placement, const char *job, uint32_t first_task);
 size_t bp_placement_in_flight(const bp_placement_t *placement);
-/* Jobs that the last plan left for a later turn because of its budget. */
-size_t bp_placement_left(const bp_placement_t *placement);
+/*
+ * Number of jobs that took the turn of this one in the last plan; 0 when it
+ * was considered or does not wait. The state of that plan must still exist.
+ */
+uint32_t bp_placement_ahead(const bp_placement_t *placement, const char *job);
 
 #endif
--- a/src/scheduler/placement.c
+++ b/src/scheduler/placement.c
@@ -44,6 +44,7 @@
 	placement->reservations = bp_reservations_new();
 	placement->flights = g_ptr_array_new_with_free_func(bp_flight_free);
 	placement->kept = g_ptr_array_new_with_free_func(bp_flight_free);
+	placement->considered = g_ptr_array_new();
 	placement->tracks =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	*out = placement;
@@ -60,6 +61,7 @@
 	bp_reservations_free(placement->reservations);
 	g_ptr_array_unref(placement->flights);
 	g_ptr_array_unref(placement->kept);
+	g_ptr_array_unref(placement->considered);
 	g_hash_table_unref(placement->tracks);
 	g_free(placement);
 }
@@ -347,6 +349,22 @@
 	bp_constraints_clear(&constraints);
 }
 
+static void
+place_all(bp_round_t *round)
+{
+	bp_placement_t *placement = round->placement;
+	bp_job_t *job;
+
+	bp_queue_load(placement->queue, round->state);
+	bp_kept_load(round);
+	while (round->budget_tasks > 0 &&
+	    (job = bp_queue_next(placement->queue)) != NULL) {
+		g_ptr_array_add(placement->considered, job);
+		place_turn(round, job);
+	}
+	placement->left = bp_queue_left(placement->queue);
+}
+
 /* See the header. The order of the result is the order of the queue. */
 int
 bp_placement_plan(GArray *out, bp_placement_t *placement,
@@ -359,21 +377,16 @@
 	    .budget_tasks = budget_tasks,
 	    .now_ms = now_ms,
 	    .state_now_ms = bp_state_now_ms(state)};
-	bp_job_t *job;
 
 	(void)err;
 	if (g_hash_table_size(placement->tracks) > TRACKS_MAX)
 		g_hash_table_foreach_remove(placement->tracks, is_old, &now_ms);
 	placement->left = 0;
+	placement->state = state;
+	g_ptr_array_set_size(placement->considered, 0);
 	bp_flights_load(&round);
-	if (bp_owners_load(&round, node, incarnation)) {
-		bp_queue_load(placement->queue, state);
-		bp_kept_load(&round);
-		while (round.budget_tasks > 0 &&
-		    (job = bp_queue_next(placement->queue)) != NULL)
-			place_turn(&round, job);
-		placement->left = bp_queue_left(placement->queue);
-	}
+	if (bp_owners_load(&round, node, incarnation))
+		place_all(&round);
 	bp_owners_clear(&round);
 	return BP_OK;
 }
@@ -407,8 +420,16 @@
 }
 
 /* See the header. */
-size_t
-bp_placement_left(const bp_placement_t *placement)
+uint32_t
+bp_placement_ahead(const bp_placement_t *placement, const char *job)
 {
-	return placement->left;
+	const bp_job_t *found;
+
+	if (placement->left == 0)
+		return 0;
+	found = bp_state_job(placement->state, job);
+	if (found == NULL || found->n_waiting == 0 ||
+	    g_ptr_array_find(placement->considered, found, NULL))
+		return 0;
+	return placement->considered->len;
 }
--- a/src/scheduler/placement_private.h
+++ b/src/scheduler/placement_private.h
@@ -38,7 +38,9 @@
 	GPtrArray *flights; /* bp_flight_t */
 	GPtrArray *kept; /* bp_flight_t: VMs kept free for overdue jobs */
 	GHashTable *tracks; /* job id -> bp_track_t */
-	size_t left;
+	GPtrArray *considered; /* bp_job_t of the last plan */
+	const bp_state_t *state; /* of the last plan */
+	size_t left; /* jobs not considered for lack of budget */
 };
 
 /* One round. */
--- a/tests/scheduler/test_placement.c
+++ b/tests/scheduler/test_placement.c
@@ -268,6 +268,28 @@
 	bp_model_clear(&model);
 }
 
+/* Guards against "turn" stated for a job that was considered, or not stated. */
+static void
+test_budget_tells_the_turn(void)
+{
+	bp_placement_t *placement;
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(bp_assignment_t));
+
+	setup();
+	bp_model_vm(&model, "a1", "za/r1", 64000, 64000, 0);
+	bp_model_job(&model, "u", "t", BP_CLASS_URGENT, 2, 1000, 100);
+	bp_model_job(&model, "b", "t", BP_CLASS_BATCH, 2, 1000, 100);
+	placement = planner();
+	bp_placement_plan(out, placement, model.state, "n1",
+	    BP_MODEL_INCARNATION + (uint64_t)'1', 2, 0, NULL);
+	CU_ASSERT_EQUAL(bp_placement_ahead(placement, "u"), 0);
+	CU_ASSERT_EQUAL(bp_placement_ahead(placement, "b"), 1);
+	CU_ASSERT_EQUAL(bp_placement_ahead(placement, "none"), 0);
+	g_array_unref(out);
+	bp_placement_free(placement);
+	bp_model_clear(&model);
+}
+
 /* Guards against a lost race that leaves a task reserved for ever. */
 static void
 test_settled_tasks_are_planned_again(void)
@@ -301,6 +323,7 @@
 	    {"services spread", test_services_spread},
 	    {"batch packs", test_batch_packs_and_avoids_interference},
 	    {"VM kept for overdue job", test_vm_is_kept_for_an_overdue_job},
+	    {"budget tells the turn", test_budget_tells_the_turn},
 	    {"settled tasks", test_settled_tasks_are_planned_again},
 	    CU_TEST_INFO_NULL,
 	};
