Add interference estimates, eviction and draining of zones

Interference is one linear model per service over the batch kinds beside it (Kalman filter with full covariance), because a count of coincidences blames every kind that tends to run beside the real cause. The own load and a level that drifts are inputs of the model, so that a busy hour is not blamed on the neighbours. Variances return to the prior with time.

A task is only stopped when its estimate less two standard deviations is a slowdown of at least 10%; otherwise it is throttled, which is undone and shows whether it was the cause. If all batch is throttled and the service stays slow, nothing is stopped.

Placement now also avoids VMs on which starts failed in a row, so that a retry does not go to the same worker.

--- /dev/null
+++ b/src/scheduler/eviction.c
@@ -0,0 +1,462 @@
+#include "scheduler/eviction_private.h"
+
+#include <string.h>
+
+#define FULL_SPEED_PERMILLE 1000U
+#define MS_PER_MIN 60000
+/* Slowdown by which a task must be to blame at least, with certainty. */
+#define CULPRIT_MIN 0.1
+/* An estimate less this many standard deviations counts as proven. */
+#define CULPRIT_CONFIDENCE 2.0
+/* Failures of one job alone do not show that the worker is at fault. */
+#define QUARANTINE_FAILURES 5U
+/* VMs without a report for this long are forgotten. */
+#define VM_KEEP_MS (5 * MS_PER_MIN)
+
+typedef enum { LEVEL_FULL, LEVEL_THROTTLED, LEVEL_CHECKPOINT } level_t;
+
+/* A batch task that something was done about, or may be. */
+typedef struct {
+	char *job;
+	uint32_t task;
+	uint32_t attempt;
+	level_t level;
+	int64_t since_ms; /* of the level */
+	bool seen; /* in the current report */
+} measure_t;
+
+typedef struct {
+	GPtrArray *measures; /* measure_t */
+	uint32_t breaches; /* reports in a row */
+	int64_t calm_since_ms; /* -1 when not calm */
+	int64_t step_ms; /* time of the last step */
+	int64_t report_ms;
+} vm_state_t;
+
+struct bp_eviction {
+	bp_eviction_options_t options;
+	GHashTable *vms; /* name -> vm_state_t */
+	bp_drain_t *drain;
+	double tokens;
+	int64_t tokens_ms;
+};
+
+/* One report being processed. */
+typedef struct {
+	bp_eviction_t *self;
+	const bp_interference_t *interference;
+	const bp_vm_report_t *report;
+	const bp_victim_t *worst; /* NULL without services */
+	vm_state_t *vm;
+	int64_t now_ms;
+	GArray *acts;
+} turn_t;
+
+/* Sets the defaults. Steps are longer than the lag of the reports. */
+int
+bp_eviction_options_init(bp_eviction_options_t *options)
+{
+	options->breach = 1.5;
+	options->calm = 1.2;
+	options->breach_reports = 2;
+	options->step_ms = 6000;
+	options->calm_ms = 30000;
+	options->throttle_permille = 300;
+	options->throttle_max_ms = 2 * MS_PER_MIN;
+	options->stop_ms = 30000;
+	options->evictions_per_min = 6;
+	options->drain_per_min = 120;
+	return 0;
+}
+
+static void
+measure_free(void *data)
+{
+	g_free(((measure_t *)data)->job);
+	g_free(data);
+}
+
+static void
+vm_state_free(void *data)
+{
+	g_ptr_array_unref(((vm_state_t *)data)->measures);
+	g_free(data);
+}
+
+/* Creates the protection of one node. Free with bp_eviction_free. */
+bp_eviction_t *
+bp_eviction_new(const bp_eviction_options_t *options)
+{
+	bp_eviction_t *self = g_new0(bp_eviction_t, 1);
+
+	self->options = *options;
+	self->vms = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, vm_state_free);
+	self->drain = bp_drain_new();
+	self->tokens = options->evictions_per_min;
+	return self;
+}
+
+/* Frees the protection. NULL is allowed. */
+void
+bp_eviction_free(bp_eviction_t *eviction)
+{
+	if (eviction == NULL)
+		return;
+	g_hash_table_unref(eviction->vms);
+	bp_drain_free(eviction->drain);
+	g_free(eviction);
+}
+
+/* Refills a bucket that holds at most most, and takes nothing. */
+void
+bp_tokens_refill(double *tokens, int64_t *at_ms, uint32_t per_min, double most,
+    int64_t now_ms)
+{
+	if (now_ms > *at_ms)
+		*tokens += (double)(now_ms - *at_ms) * per_min / MS_PER_MIN;
+	*tokens = MIN(*tokens, most);
+	*at_ms = now_ms;
+}
+
+/* Takes one token if there is one. */
+bool
+bp_tokens_take(double *tokens)
+{
+	if (*tokens < 1)
+		return false;
+	*tokens -= 1;
+	return true;
+}
+
+static gboolean
+is_silent(gpointer key, gpointer value, gpointer data)
+{
+	(void)key;
+	return *(int64_t *)data - ((vm_state_t *)value)->report_ms > VM_KEEP_MS;
+}
+
+static vm_state_t *
+vm_of(bp_eviction_t *self, const char *name, int64_t now_ms)
+{
+	vm_state_t *vm = g_hash_table_lookup(self->vms, name);
+
+	if (vm != NULL)
+		return vm;
+	g_hash_table_foreach_remove(self->vms, is_silent, &now_ms);
+	vm = g_new0(vm_state_t, 1);
+	vm->measures = g_ptr_array_new_with_free_func(measure_free);
+	vm->calm_since_ms = -1;
+	vm->step_ms = INT64_MIN / 2;
+	g_hash_table_insert(self->vms, g_strdup(name), vm);
+	return vm;
+}
+
+static measure_t *
+measure_of(vm_state_t *vm, const bp_suspect_t *suspect)
+{
+	measure_t *measure;
+	guint i;
+
+	for (i = 0; i < vm->measures->len; i++) {
+		measure = g_ptr_array_index(vm->measures, i);
+		if (measure->task == suspect->task &&
+		    measure->attempt == suspect->attempt &&
+		    strcmp(measure->job, suspect->job) == 0)
+			return measure;
+	}
+	measure = g_new0(measure_t, 1);
+	measure->job = g_strdup(suspect->job);
+	measure->task = suspect->task;
+	measure->attempt = suspect->attempt;
+	g_ptr_array_add(vm->measures, measure);
+	return measure;
+}
+
+/* Forgets tasks that are no longer on the VM. */
+static void
+match_measures(vm_state_t *vm, const bp_vm_report_t *report)
+{
+	measure_t *measure;
+	guint i;
+
+	for (i = 0; i < vm->measures->len; i++)
+		((measure_t *)g_ptr_array_index(vm->measures, i))->seen = false;
+	for (i = 0; i < report->n_suspects; i++)
+		measure_of(vm, &report->suspects[i])->seen = true;
+	i = 0;
+	while (i < vm->measures->len) {
+		measure = g_ptr_array_index(vm->measures, i);
+		if (measure->seen)
+			i++;
+		else
+			g_ptr_array_remove_index_fast(vm->measures, i);
+	}
+}
+
+/* The speed at which a task ran at the time that the report is about. */
+static double
+weight_at(const bp_eviction_t *self, const measure_t *measure, int64_t at_ms)
+{
+	bool slow = measure->level != LEVEL_FULL;
+
+	if (at_ms < measure->since_ms && measure->level != LEVEL_CHECKPOINT)
+		slow = !slow;
+	return slow
+	    ? (double)self->options.throttle_permille / FULL_SPEED_PERMILLE
+	    : 1.0;
+}
+
+static void
+learn(const turn_t *turn, bp_interference_t *interference)
+{
+	const bp_vm_report_t *report = turn->report;
+	bp_neighbour_t *beside =
+	    g_new(bp_neighbour_t, MAX(report->n_suspects, (size_t)1));
+	size_t i;
+
+	for (i = 0; i < report->n_suspects; i++) {
+		beside[i].kind = report->suspects[i].kind;
+		beside[i].weight = weight_at(turn->self,
+		    measure_of(turn->vm, &report->suspects[i]), report->at_ms);
+	}
+	for (i = 0; i < report->n_victims; i++)
+		bp_interference_report(interference, report->victims[i].service,
+		    report->victims[i].slowdown, report->victims[i].load,
+		    beside, report->n_suspects, report->at_ms);
+	g_free(beside);
+}
+
+static const bp_victim_t *
+worst_victim(const bp_vm_report_t *report)
+{
+	const bp_victim_t *worst = NULL;
+	size_t i;
+
+	for (i = 0; i < report->n_victims; i++) {
+		if (worst == NULL ||
+		    report->victims[i].slowdown > worst->slowdown)
+			worst = &report->victims[i];
+	}
+	return worst;
+}
+
+/* Between the two bounds neither count goes on: that is the hysteresis. */
+static void
+count_breaches(turn_t *turn)
+{
+	const bp_eviction_options_t *options = &turn->self->options;
+	vm_state_t *vm = turn->vm;
+	double slowdown = turn->worst != NULL ? turn->worst->slowdown : 1.0;
+
+	vm->breaches = slowdown >= options->breach ? vm->breaches + 1 : 0;
+	if (slowdown > options->calm)
+		vm->calm_since_ms = -1;
+	else if (vm->calm_since_ms < 0)
+		vm->calm_since_ms = turn->now_ms;
+}
+
+static bp_estimate_t
+blame(const turn_t *turn, const bp_suspect_t *suspect)
+{
+	return bp_interference_estimate(
+	    turn->interference, suspect->kind, turn->worst->service);
+}
+
+static bool
+is_proven(const turn_t *turn, const bp_suspect_t *suspect)
+{
+	bp_estimate_t estimate = blame(turn, suspect);
+
+	return estimate.mean - CULPRIT_CONFIDENCE * estimate.sd >= CULPRIT_MIN;
+}
+
+static void
+act(turn_t *turn, const bp_suspect_t *suspect, bp_act_kind_t kind,
+    uint32_t throttle_permille)
+{
+	bp_act_t one = {.kind = kind,
+	    .job = suspect->job,
+	    .task = suspect->task,
+	    .attempt = suspect->attempt,
+	    .throttle_permille = throttle_permille};
+
+	if (turn->worst != NULL) {
+		one.service = turn->worst->service;
+		one.slowdown = turn->worst->slowdown;
+	}
+	g_array_append_val(turn->acts, one);
+}
+
+static void
+set_level(turn_t *turn, measure_t *measure, level_t level)
+{
+	measure->level = level;
+	measure->since_ms = turn->now_ms;
+	turn->vm->step_ms = turn->now_ms;
+}
+
+static bool
+checkpoint(turn_t *turn, const bp_suspect_t *suspect, measure_t *measure)
+{
+	if (!bp_tokens_take(&turn->self->tokens))
+		return false;
+	act(turn, suspect, BP_ACT_CHECKPOINT_STOP, 0);
+	set_level(turn, measure, LEVEL_CHECKPOINT);
+	return true;
+}
+
+/*
+ * The suspect of a level with the highest possible effect. Uncertain ones
+ * come first among equals, since throttling them shows whether it was them.
+ */
+static const bp_suspect_t *
+most_suspect(const turn_t *turn, level_t level, bool proven_only)
+{
+	const bp_vm_report_t *report = turn->report;
+	const bp_suspect_t *best = NULL;
+	double highest = 0;
+	size_t i;
+
+	for (i = 0; i < report->n_suspects; i++) {
+		const bp_suspect_t *one = &report->suspects[i];
+		bp_estimate_t estimate = blame(turn, one);
+		double possible = estimate.mean + estimate.sd;
+
+		if (measure_of(turn->vm, one)->level != level ||
+		    (proven_only && !is_proven(turn, one)))
+			continue;
+		if (best == NULL || possible > highest) {
+			best = one;
+			highest = possible;
+		}
+	}
+	return best;
+}
+
+/*
+ * One step against a breach: throttle the proven culprit, else move the one
+ * that is throttled already, else throttle the likeliest. A task is only
+ * stopped when it is proven to be the cause; if all are throttled and the
+ * service stays slow, the cause is not here.
+ */
+static void
+step_up(turn_t *turn)
+{
+	const bp_suspect_t *suspect = most_suspect(turn, LEVEL_FULL, true);
+
+	if (suspect == NULL) {
+		suspect = most_suspect(turn, LEVEL_THROTTLED, true);
+		if (suspect != NULL &&
+		    checkpoint(turn, suspect, measure_of(turn->vm, suspect)))
+			return;
+		suspect = most_suspect(turn, LEVEL_FULL, false);
+	}
+	if (suspect == NULL)
+		return;
+	act(turn, suspect, BP_ACT_THROTTLE,
+	    turn->self->options.throttle_permille);
+	set_level(turn, measure_of(turn->vm, suspect), LEVEL_THROTTLED);
+}
+
+/*
+ * Lifts one throttle after a time of calm, of the least suspect task first.
+ * A proven culprit would disturb again at once; it is moved instead.
+ */
+static void
+step_down(turn_t *turn)
+{
+	const bp_vm_report_t *report = turn->report;
+	const bp_suspect_t *least = NULL;
+	double lowest = 0;
+	size_t i;
+
+	for (i = 0; i < report->n_suspects; i++) {
+		const bp_suspect_t *one = &report->suspects[i];
+		double mean = turn->worst != NULL ? blame(turn, one).mean : 0;
+
+		if (measure_of(turn->vm, one)->level != LEVEL_THROTTLED ||
+		    (turn->worst != NULL && is_proven(turn, one)))
+			continue;
+		if (least == NULL || mean < lowest) {
+			least = one;
+			lowest = mean;
+		}
+	}
+	if (least == NULL)
+		return;
+	act(turn, least, BP_ACT_THROTTLE, FULL_SPEED_PERMILLE);
+	set_level(turn, measure_of(turn->vm, least), LEVEL_FULL);
+	turn->vm->calm_since_ms = turn->now_ms;
+}
+
+/* Moves proven culprits that were slow for long, and ends late checkpoints. */
+static void
+follow_up(turn_t *turn)
+{
+	const bp_eviction_options_t *options = &turn->self->options;
+	const bp_vm_report_t *report = turn->report;
+	size_t i;
+
+	for (i = 0; i < report->n_suspects; i++) {
+		const bp_suspect_t *one = &report->suspects[i];
+		measure_t *measure = measure_of(turn->vm, one);
+		int64_t age_ms = turn->now_ms - measure->since_ms;
+
+		if (measure->level == LEVEL_CHECKPOINT &&
+		    age_ms >= (int64_t)options->stop_ms) {
+			act(turn, one, BP_ACT_STOP, 0);
+			measure->since_ms = turn->now_ms;
+		}
+		if (measure->level == LEVEL_THROTTLED && turn->worst != NULL &&
+		    age_ms >= (int64_t)options->throttle_max_ms &&
+		    is_proven(turn, one))
+			(void)checkpoint(turn, one, measure);
+	}
+}
+
+/* See the header. */
+void
+bp_eviction_report(bp_eviction_t *eviction, bp_interference_t *interference,
+    const bp_vm_report_t *report, int64_t now_ms, GArray *acts)
+{
+	const bp_eviction_options_t *options = &eviction->options;
+	turn_t turn = {.self = eviction,
+	    .interference = interference,
+	    .report = report,
+	    .worst = worst_victim(report),
+	    .vm = vm_of(eviction, report->vm, now_ms),
+	    .now_ms = now_ms,
+	    .acts = acts};
+
+	bp_tokens_refill(&eviction->tokens, &eviction->tokens_ms,
+	    options->evictions_per_min, options->evictions_per_min, now_ms);
+	turn.vm->report_ms = now_ms;
+	match_measures(turn.vm, report);
+	learn(&turn, interference);
+	count_breaches(&turn);
+	follow_up(&turn);
+	if (turn.vm->breaches >= options->breach_reports &&
+	    now_ms - turn.vm->step_ms >= (int64_t)options->step_ms)
+		step_up(&turn);
+	else if (turn.vm->calm_since_ms >= 0 &&
+	    now_ms - turn.vm->calm_since_ms >= (int64_t)options->calm_ms)
+		step_down(&turn);
+}
+
+/* See the header. */
+void
+bp_eviction_drain(bp_eviction_t *eviction, const bp_state_t *state,
+    const char *node, uint64_t incarnation, int64_t now_ms, GArray *acts)
+{
+	bp_drain_step(eviction->drain, &eviction->options, state, node,
+	    incarnation, now_ms, acts);
+}
+
+/* See the header. */
+bool
+bp_eviction_quarantine_due(const bp_vm_t *vm)
+{
+	return vm->hold == BP__LOG__HOLD_CAUSE__HOLD_NONE &&
+	    vm->failed_streak >= QUARANTINE_FAILURES && vm->failed_several;
+}
--- a/src/scheduler/placement_score.c
+++ b/src/scheduler/placement_score.c
@@ -18,6 +18,9 @@
 #define PENALTY_WEIGHT 2.0
 /* A zone that has just returned is as bad as one that is quite full. */
 #define RETURN_WEIGHT 1.0
+/* Each failure in a row counts, so that a retry goes to another VM. */
+#define FAILURE_WEIGHT 0.5
+#define FAILURES_MAX 5U
 
 /* Counts the tasks of a job in each rack and zone, planned ones included. */
 void
@@ -125,6 +128,7 @@
 		score += crowding(spread, vm);
 	if (job->klass != BP_CLASS_URGENT)
 		score += RETURN_WEIGHT * returned(round, vm->rack->zone);
+	score += FAILURE_WEIGHT * MIN(vm->failed_streak, FAILURES_MAX);
 	if (options->penalty != NULL)
 		score +=
 		    PENALTY_WEIGHT * options->penalty(job, vm, options->data);
--- /dev/null
+++ b/tests/scheduler/test_eviction.c
@@ -0,0 +1,262 @@
+#include "bulrushpost/eviction.h"
+#include "support/model.h"
+#include "support/runner.h"
+
+#include <string.h>
+
+#define REPORT_MS 1500
+#define LAG_MS 3000
+
+static bp_eviction_options_t options;
+static bp_interference_t *learned;
+static bp_eviction_t *eviction;
+static GArray *acts;
+static int64_t now_ms;
+
+static void
+setup(void)
+{
+	bp_interference_options_t learning;
+
+	bp_interference_options_init(&learning);
+	learned = bp_interference_new(&learning);
+	bp_eviction_options_init(&options);
+	eviction = bp_eviction_new(&options);
+	acts = g_array_new(FALSE, FALSE, sizeof(bp_act_t));
+	now_ms = 1000000;
+}
+
+static void
+clear(void)
+{
+	g_array_unref(acts);
+	bp_eviction_free(eviction);
+	bp_interference_free(learned);
+}
+
+/* Sends reports of one VM for some time; the acts add up. */
+static void
+report_for(int64_t duration_ms, double slowdown, const char *const *kinds,
+    size_t n_kinds)
+{
+	bp_victim_t victim = {"match", slowdown, 0.3};
+	bp_suspect_t suspects[4];
+	bp_vm_report_t report = {"vm1", 0, &victim, 1, suspects, n_kinds};
+	int64_t end_ms = now_ms + duration_ms;
+	size_t i;
+
+	for (i = 0; i < n_kinds; i++)
+		suspects[i] = (bp_suspect_t){kinds[i], kinds[i], 0, 1};
+	for (; now_ms < end_ms; now_ms += REPORT_MS) {
+		report.at_ms = now_ms - LAG_MS;
+		bp_eviction_report(eviction, learned, &report, now_ms, acts);
+	}
+}
+
+static const bp_act_t *
+act_at(guint i)
+{
+	return &g_array_index(acts, bp_act_t, i);
+}
+
+static const char *const mix[] = {"mix"};
+static const char *const both[] = {"mix", "roster"};
+
+/* Teaches that "mix" disturbs and "roster" does not. */
+static void
+teach(void)
+{
+	int i;
+
+	for (i = 0; i < 30; i++) {
+		bp_neighbour_t guilty = {"mix", 1.0};
+		bp_neighbour_t innocent = {"roster", 1.0};
+
+		now_ms += REPORT_MS;
+		bp_interference_report(
+		    learned, "match", 2.2, 0.3, &guilty, 1, now_ms);
+		now_ms += REPORT_MS;
+		bp_interference_report(
+		    learned, "match", 1.0, 0.3, &innocent, 1, now_ms);
+	}
+}
+
+/* Guards against evicting at once, or acting on one noisy report. */
+static void
+test_escalates_in_order(void)
+{
+	setup();
+	teach();
+	report_for(REPORT_MS, 2.2, both, 2);
+	CU_ASSERT_EQUAL(acts->len, 0);
+	report_for(30000, 2.2, both, 2);
+	CU_ASSERT_TRUE(acts->len >= 2);
+	CU_ASSERT_EQUAL(act_at(0)->kind, BP_ACT_THROTTLE);
+	CU_ASSERT_STRING_EQUAL(act_at(0)->job, "mix");
+	CU_ASSERT_EQUAL(act_at(1)->kind, BP_ACT_CHECKPOINT_STOP);
+	CU_ASSERT_STRING_EQUAL(act_at(1)->job, "mix");
+	report_for(60000, 2.2, mix, 1);
+	CU_ASSERT_EQUAL(act_at(acts->len - 1)->kind, BP_ACT_STOP);
+	clear();
+}
+
+/* Guards against stopping batch that is not the cause of the slowdown. */
+static void
+test_innocent_batch_is_never_stopped(void)
+{
+	guint i;
+
+	setup();
+	report_for(60000, 2.2, NULL, 0);
+	report_for(120000, 2.2, both, 2);
+	report_for(60000, 2.2, NULL, 0);
+	report_for(120000, 2.2, both, 2);
+	for (i = 0; i < acts->len; i++)
+		CU_ASSERT_EQUAL(act_at(i)->kind, BP_ACT_THROTTLE);
+	clear();
+}
+
+/* Guards against switching on every small change of the slowdown. */
+static void
+test_hysteresis(void)
+{
+	setup();
+	report_for(6 * REPORT_MS, 2.0, mix, 1);
+	CU_ASSERT_EQUAL(acts->len, 1);
+	report_for(120000, 1.35, mix, 1);
+	CU_ASSERT_EQUAL(acts->len, 1);
+	report_for(options.calm_ms - 2 * REPORT_MS, 1.0, mix, 1);
+	CU_ASSERT_EQUAL(acts->len, 1);
+	report_for(4 * REPORT_MS, 1.0, mix, 1);
+	CU_ASSERT_EQUAL_FATAL(acts->len, 2);
+	CU_ASSERT_EQUAL(act_at(1)->throttle_permille, 1000);
+	clear();
+}
+
+#define VMS 30
+#define MINUTES 4
+
+typedef struct {
+	char name[8];
+	bool throttled;
+	bool stopped;
+} fake_vm_t;
+
+/* One report of a VM on which "mix" disturbs in proportion to its speed. */
+static void
+report_fake(fake_vm_t *vm, uint32_t task)
+{
+	double slowdown = vm->stopped ? 1.0 : vm->throttled ? 1.36 : 2.2;
+	bp_victim_t victim = {"match", slowdown, 0.3};
+	bp_suspect_t suspect = {"mix", "mix", task, 1};
+	bp_vm_report_t report = {
+	    vm->name, now_ms, &victim, 1, &suspect, vm->stopped ? 0 : 1};
+	guint before = acts->len;
+
+	bp_eviction_report(eviction, learned, &report, now_ms, acts);
+	for (; before < acts->len; before++) {
+		vm->throttled = true;
+		vm->stopped |= act_at(before)->kind == BP_ACT_CHECKPOINT_STOP;
+	}
+}
+
+/* Guards against more evictions in a minute than the budget allows. */
+static void
+test_budget_of_evictions(void)
+{
+	fake_vm_t vms[VMS] = {0};
+	uint32_t stops = 0;
+	uint32_t before = 0;
+	int minute;
+	uint32_t i;
+
+	setup();
+	teach();
+	for (i = 0; i < VMS; i++)
+		g_snprintf(vms[i].name, sizeof(vms[i].name), "vm%u", i);
+	for (minute = 0; minute < MINUTES; minute++) {
+		int64_t end_ms = now_ms + 60000;
+
+		for (; now_ms < end_ms; now_ms += REPORT_MS) {
+			for (i = 0; i < VMS; i++)
+				report_fake(&vms[i], i);
+		}
+		for (i = 0, stops = 0; i < VMS; i++)
+			stops += vms[i].stopped ? 1 : 0;
+		CU_ASSERT_TRUE(stops - before <= 2 * options.evictions_per_min);
+		before = stops;
+	}
+	CU_ASSERT_TRUE(stops >= 2 * options.evictions_per_min);
+	CU_ASSERT_TRUE(stops <= (MINUTES + 1) * options.evictions_per_min);
+	clear();
+}
+
+/* Guards against a zone that is emptied all at once, or not at all. */
+static void
+test_drain_is_bounded_and_complete(void)
+{
+	bp_model_t model;
+	bp_job_t *job;
+	bp_job_t *watch;
+	bp_vm_t *vm;
+	int second;
+
+	setup();
+	bp_model_init(&model);
+	vm = bp_model_vm(&model, "a1", "za/r1", 64000, 64000, 0);
+	bp_model_vm(&model, "b1", "zb/r1", 64000, 64000, 0);
+	job = bp_model_job(&model, "mix", "t", BP_CLASS_BATCH, 40, 1000, 100);
+	watch =
+	    bp_model_job(&model, "watch", "t", BP_CLASS_SERVICE, 2, 1000, 100);
+	bp_model_assign(&model, job, 0, 40, vm);
+	bp_model_assign(&model, watch, 0, 2, vm);
+	bp_eviction_drain(eviction, model.state, "n1",
+	    BP_MODEL_INCARNATION + (uint64_t)'1', now_ms, acts);
+	CU_ASSERT_EQUAL(acts->len, 0);
+	bp_model_zone(&model, "za", true);
+	for (second = 0; second < 30; second++) {
+		bp_eviction_drain(eviction, model.state, "n1",
+		    BP_MODEL_INCARNATION + (uint64_t)'1', now_ms, acts);
+		if (second == 0) {
+			CU_ASSERT_TRUE(acts->len >= 1 && acts->len <= 6);
+			CU_ASSERT_STRING_EQUAL(act_at(0)->job, "watch");
+			CU_ASSERT_STRING_EQUAL(act_at(1)->job, "mix");
+		}
+		now_ms += 1000;
+	}
+	CU_ASSERT_EQUAL(acts->len, 42);
+	bp_model_clear(&model);
+	clear();
+}
+
+/* Guards against a hold for the failures of one bad job. */
+static void
+test_quarantine_needs_two_jobs(void)
+{
+	bp_vm_t vm = {.failed_streak = 5};
+
+	CU_ASSERT_FALSE(bp_eviction_quarantine_due(&vm));
+	vm.failed_several = true;
+	CU_ASSERT_TRUE(bp_eviction_quarantine_due(&vm));
+	vm.failed_streak = 4;
+	CU_ASSERT_FALSE(bp_eviction_quarantine_due(&vm));
+	vm.failed_streak = 9;
+	vm.hold = BP__LOG__HOLD_CAUSE__HOLD_QUARANTINED;
+	CU_ASSERT_FALSE(bp_eviction_quarantine_due(&vm));
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"escalates in order", test_escalates_in_order},
+	    {"innocent batch", test_innocent_batch_is_never_stopped},
+	    {"hysteresis", test_hysteresis},
+	    {"budget of evictions", test_budget_of_evictions},
+	    {"drain", test_drain_is_bounded_and_complete},
+	    {"quarantine", test_quarantine_needs_two_jobs},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return bp_test_main("eviction", tests);
+}
--- /dev/null
+++ b/tests/scheduler/test_interference.c
@@ -0,0 +1,164 @@
+#include "bulrushpost/hash.h"
+#include "bulrushpost/interference.h"
+#include "support/runner.h"
+
+#include <glib.h>
+#include <stdbool.h>
+
+#define KINDS 4U
+#define REPORTS 400U
+#define SEEDS 20U
+#define REPORT_MS 1500
+
+static const char *const kinds[KINDS] = {"guilty", "a", "b", "c"};
+
+static double
+noise(bp_random_t *random)
+{
+	return 0.2 * (bp_random_unit(random) + bp_random_unit(random) - 1.0);
+}
+
+/*
+ * "a" runs beside "guilty" nearly always; some bursts have another cause.
+ * Returns the time of the last report.
+ */
+static int64_t
+feed(bp_interference_t *learned, uint64_t seed, double effect, int64_t at_ms)
+{
+	bp_neighbour_t beside[KINDS];
+	bp_random_t random;
+	uint32_t i;
+
+	bp_random_init(&random, seed);
+	for (i = 0; i < REPORTS; i++) {
+		bool guilty = bp_random_below(&random, 2) == 0;
+		double slowdown = 1.1 + (guilty ? effect : 0) + noise(&random);
+		size_t n = 0;
+		uint32_t k;
+
+		for (k = 0; k < KINDS; k++) {
+			bool there = k == 0 ? guilty
+			    : k == 1
+			    ? guilty != (bp_random_below(&random, 10) == 0)
+			    : bp_random_below(&random, 2) == 0;
+
+			if (there)
+				beside[n++] = (bp_neighbour_t){kinds[k], 1.0};
+		}
+		if (bp_random_below(&random, 40) == 0)
+			slowdown += 3.0;
+		at_ms += REPORT_MS;
+		bp_interference_report(
+		    learned, "match", slowdown, 0.3, beside, n, at_ms);
+	}
+	return at_ms;
+}
+
+static bp_interference_t *
+fresh(void)
+{
+	bp_interference_options_t options;
+
+	bp_interference_options_init(&options);
+	return bp_interference_new(&options);
+}
+
+/* Guards against blaming a task that only runs beside the real cause. */
+static void
+test_blames_only_the_guilty(void)
+{
+	uint64_t seed;
+
+	for (seed = 1; seed <= SEEDS; seed++) {
+		bp_interference_t *learned = fresh();
+		bp_estimate_t estimate;
+		uint32_t k;
+
+		feed(learned, seed, 0.8, 0);
+		estimate = bp_interference_estimate(learned, "guilty", "match");
+		CU_ASSERT_TRUE(estimate.mean - 2 * estimate.sd > 0.3);
+		CU_ASSERT_DOUBLE_EQUAL(estimate.mean, 0.8, 0.3);
+		for (k = 1; k < KINDS; k++) {
+			estimate = bp_interference_estimate(
+			    learned, kinds[k], "match");
+			CU_ASSERT_TRUE(estimate.mean - 2 * estimate.sd < 0.1);
+		}
+		bp_interference_free(learned);
+	}
+}
+
+/* Guards against an estimate that outlives the change of its cause. */
+static void
+test_follows_a_change(void)
+{
+	bp_interference_t *learned = fresh();
+	int64_t at_ms = feed(learned, 1, 0.8, 0);
+
+	at_ms = feed(learned, 2, 0, at_ms);
+	CU_ASSERT_DOUBLE_EQUAL(
+	    bp_interference_estimate(learned, "guilty", "match").mean, 0, 0.25);
+	bp_interference_free(learned);
+}
+
+/* Guards against certainty without evidence, or kept without new evidence. */
+static void
+test_uncertainty(void)
+{
+	bp_interference_t *learned = fresh();
+	bp_neighbour_t other = {"b", 1.0};
+	bp_estimate_t before;
+	bp_estimate_t after;
+	int64_t at_ms;
+
+	before = bp_interference_estimate(learned, "guilty", "match");
+	CU_ASSERT_DOUBLE_EQUAL(before.mean, 0, 0);
+	CU_ASSERT_TRUE(before.sd > 0.5);
+	CU_ASSERT_DOUBLE_EQUAL(
+	    bp_interference_expected(learned, "guilty", "match"), 0, 0);
+	at_ms = feed(learned, 1, 0.8, 0);
+	before = bp_interference_estimate(learned, "guilty", "match");
+	bp_interference_report(
+	    learned, "match", 1.1, 0.3, &other, 1, at_ms + 3600000);
+	after = bp_interference_estimate(learned, "guilty", "match");
+	CU_ASSERT_TRUE(after.sd > 2 * before.sd);
+	bp_interference_free(learned);
+}
+
+/* Guards against blaming neighbours for the service's own load. */
+static void
+test_own_load_is_not_blamed(void)
+{
+	bp_interference_t *learned = fresh();
+	bp_neighbour_t beside = {"a", 1.0};
+	bp_estimate_t estimate;
+	bp_random_t random;
+	uint32_t i;
+
+	bp_random_init(&random, 3);
+	for (i = 0; i < REPORTS; i++) {
+		double load = 0.2 + 0.6 * bp_random_unit(&random);
+		/* The neighbour comes mostly in busy hours. */
+		size_t n = bp_random_unit(&random) < load ? 1 : 0;
+
+		bp_interference_report(learned, "match",
+		    1.0 + 0.5 * load / (1 - load) + noise(&random), load,
+		    &beside, n, (int64_t)i * REPORT_MS);
+	}
+	estimate = bp_interference_estimate(learned, "a", "match");
+	CU_ASSERT_TRUE(estimate.mean - 2 * estimate.sd < 0.1);
+	bp_interference_free(learned);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"blames only the guilty", test_blames_only_the_guilty},
+	    {"follows a change", test_follows_a_change},
+	    {"uncertainty", test_uncertainty},
+	    {"own load is not blamed", test_own_load_is_not_blamed},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return bp_test_main("interference", tests);
+}
