--- a/src/scheduler/eviction.c
+++ b/src/scheduler/eviction.c
@@ -259,6 +259,10 @@
 static bp_estimate_t
 blame(const turn_t *turn, const bp_suspect_t *suspect)
 {
+	bp_estimate_t none = {0, 0};
+
+	if (turn->worst == NULL)
+		return none;
 	return bp_interference_estimate(
 	    turn->interference, suspect->kind, turn->worst->service);
 }
@@ -436,7 +440,8 @@
 	learn(&turn, interference);
 	count_breaches(&turn);
 	follow_up(&turn);
-	if (turn.vm->breaches >= options->breach_reports &&
+	if (turn.worst != NULL &&
+	    turn.vm->breaches >= options->breach_reports &&
 	    now_ms - turn.vm->step_ms >= (int64_t)options->step_ms)
 		step_up(&turn);
 	else if (turn.vm->calm_since_ms >= 0 &&
--- a/src/scheduler/interference.c
+++ b/src/scheduler/interference.c
@@ -271,7 +271,7 @@
 	for (i = 0; i < n_neighbours; i++)
 		(void)input_of(interference, model, neighbours[i].kind, at_ms);
 	forget(interference, model, at_ms);
-	inputs = g_new0(double, model->size);
+	inputs = g_new0(double, MAX(model->size, (uint32_t)INPUTS_OWN));
 	inputs[INPUT_BASE] = 1.0;
 	inputs[INPUT_LOAD] = own / (1.0 - own);
 	for (i = 0; i < n_neighbours; i++) {
--- a/src/state/reason_json.c
+++ b/src/state/reason_json.c
@@ -88,7 +88,7 @@
 		add_text(json, "rack", one->rack->name);
 	if (one->vm != NULL)
 		add_text(json, "vm", one->vm->name);
-	if (one->cause == BP_CAUSE_VM_HOLD)
+	if (one->cause == BP_CAUSE_VM_HOLD && one->vm != NULL)
 		add_text(json, "hold", one->vm->hold_detail);
 	if (one->cause == BP_CAUSE_QUOTA)
 		add_amount(json, "used", &reason->job->team->used);
--- a/tests/scheduler/test_interference.c
+++ b/tests/scheduler/test_interference.c
@@ -94,7 +94,7 @@
 	bp_interference_t *learned = fresh();
 	int64_t at_ms = feed(learned, 1, 0.8, 0);
 
-	at_ms = feed(learned, 2, 0, at_ms);
+	feed(learned, 2, 0, at_ms);
 	CU_ASSERT_DOUBLE_EQUAL(
 	    bp_interference_estimate(learned, "guilty", "match").mean, 0, 0.25);
 	bp_interference_free(learned);
--- a/tests/state/test_reason.c
+++ b/tests/state/test_reason.c
@@ -101,8 +101,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	add_vms(&random);
 	fill(&random);
-	rules = (uint32_t)bp_random_next(&random) &
-	    (uint32_t)bp_random_next(&random);
+	rules = (uint32_t)bp_random_next(&random);
+	rules &= (uint32_t)bp_random_next(&random);
 	publish(rules & ((1U << RULES_MAX) - 1));
 	if (bp_random_below(&random, 3) == 0)
 		bp_model_zone(&model, "z0", true);
