--- a/tests/support/cluster_operator.c
+++ b/tests/support/cluster_operator.c
@@ -1,5 +1,6 @@
 #include "support/cluster.h"
 
+#include <json-glib/json-glib.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -41,3 +42,41 @@
 	g_free(url);
 	return reply;
 }
+
+/* Submits a job of team "club"; the tool prints its id as JSON. */
+char *
+bp_cluster_submit(bp_cluster_t *cluster, guint node, const char *klass,
+    guint tasks, guint cpu_milli, const char *command)
+{
+	char *count = g_strdup_printf("%u", tasks);
+	char *cpu = g_strdup_printf("%u", cpu_milli);
+	char *output = NULL;
+	char *job = NULL;
+	JsonParser *parser = json_parser_new();
+
+	if (bp_cluster_cli(cluster, &output, "job", "submit", "--node",
+		bp_cluster_node(cluster, node)->control, "--team", "club",
+		"--name", "roster", "--class", klass, "--tasks", count,
+		"--cpu-milli", cpu, "--memory-mib", "100", "--command", command,
+		"--json", NULL) == 0 &&
+	    json_parser_load_from_data(parser, output, -1, NULL))
+		job = g_strdup(json_object_get_string_member_with_default(
+		    json_node_get_object(json_parser_get_root(parser)), "id",
+		    NULL));
+	if (job == NULL)
+		printf("no job: %s\n", output != NULL ? output : "");
+	g_object_unref(parser);
+	g_free(output);
+	g_free(count);
+	g_free(cpu);
+	return job;
+}
+
+/* Changes a zone as the operator "tester". */
+bool
+bp_cluster_zone(bp_cluster_t *cluster, guint node, const char *zone, bool out)
+{
+	return bp_cluster_cli(cluster, NULL, "zone", out ? "out" : "in", zone,
+		   "--node", bp_cluster_node(cluster, node)->control,
+		   "--author", "tester", "--reason", "test", NULL) == 0;
+}
