--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -81,6 +81,9 @@
 /* Takes a zone out of service or back in; returns whether it was accepted. */
 bool bp_cluster_zone(
     bp_cluster_t *cluster, guint node, const char *zone, bool out);
+/* Asks a node why a job waits; the text is freed with g_free. */
+bool bp_cluster_why(
+    bp_cluster_t *cluster, guint node, const char *job, char **output);
 /* Sends a request to /book/PATH of a node; header may be NULL. */
 bp_reply_t *bp_cluster_request(bp_cluster_t *cluster, guint node,
     const char *method, const char *path, const char *header,
--- a/tests/support/cluster_operator.c
+++ b/tests/support/cluster_operator.c
@@ -80,3 +80,12 @@
 		   "--node", bp_cluster_node(cluster, node)->control,
 		   "--author", "tester", "--reason", "test", NULL) == 0;
 }
+
+/* Returns whether the tool gave an answer. */
+bool
+bp_cluster_why(
+    bp_cluster_t *cluster, guint node, const char *job, char **output)
+{
+	return bp_cluster_cli(cluster, output, "why", job, "--node",
+		   bp_cluster_node(cluster, node)->control, NULL) == 0;
+}
