Protect services: carry out throttles, checkpoints and evictions

Cause: the policy modules decide; the scheduler has to feed them the workers' reports and send their actions, and lift a quarantine after 10 minutes.

--- a/include/bulrushpost/scheduler.h
+++ b/include/bulrushpost/scheduler.h
@@ -3,6 +3,7 @@
 
 #include "bulrushpost/appender.h"
 #include "bulrushpost/settings.h"
+#include "bulrushpost/timeline.h"
 #include "bulrushpost/vmlist.h"
 #include "bulrushpost/workerclient.h"
 
@@ -16,6 +17,7 @@
 	bp_appender_t *appender;
 	bp_workerclient_t *client;
 	bp_vmlist_t *vmlist;
+	bp_timeline_t *timeline; /* may be NULL */
 	const bp_settings_t *settings;
 	uint64_t incarnation;
 } bp_scheduler_options_t;
@@ -47,7 +49,7 @@
     const bp_scheduler_t *scheduler, bp_scheduler_counters_t *out);
 /* Tells whether this node has a session on the VM that answers. */
 bool bp_scheduler_reachable(const bp_vm_t *vm, void *scheduler);
-/* Jobs that the last round left for a later turn because of its budget. */
-size_t bp_scheduler_left(const bp_scheduler_t *scheduler);
+/* Jobs that took the turn of this one in the last round; 0 when none. */
+uint32_t bp_scheduler_ahead(const bp_scheduler_t *scheduler, const char *job);
 
 #endif
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -75,7 +75,7 @@
     NUMBER(limits.control_connections, 1, 1024, 64),
     NUMBER(limits.timeline_events, 100, 1000000, 20000),
     NUMBER(policy.eviction_budget_per_min, 0, 10000, 30),
-    NUMBER(policy.slowdown_target_permille, 1001, 10000, 1200),
+    NUMBER(policy.slowdown_target_permille, 1001, 10000, 1500),
     NUMBER(policy.batch_wait_max_s, 1, 604800, 3600),
     NUMBER(policy.retry_budget_percent, 0, 100, 10),
     NUMBER(policy.eject_max_percent, 0, 100, 33),
--- a/src/scheduler/private.h
+++ b/src/scheduler/private.h
@@ -1,6 +1,8 @@
 #ifndef BP_SCHEDULER_PRIVATE_H
 #define BP_SCHEDULER_PRIVATE_H
 
+#include "bulrushpost/eviction.h"
+#include "bulrushpost/interference.h"
 #include "bulrushpost/ownership.h"
 #include "bulrushpost/placement.h"
 #include "bulrushpost/scheduler.h"
@@ -53,6 +55,8 @@
 	bp_liveness_t *liveness;
 	bp_ownership_t *ownership;
 	bp_placement_t *placement;
+	bp_interference_t *interference;
+	bp_eviction_t *eviction;
 	bp_state_t *state; /* the one that placement refers to */
 	GHashTable *racks; /* name to bp_owned_rack_t */
 	GHashTable *steps; /* racks with a claim or release in flight */
@@ -96,6 +100,8 @@
 void bp_protection_report(
     bp_owned_vm_t *vm, const Bp__Worker__RenewAnswer *answer);
 void bp_protection_tick(bp_scheduler_t *self);
+double bp_protection_penalty(
+    const bp_job_t *job, const bp_vm_t *vm, void *scheduler);
 
 uint32_t bp_scheduler_lease_ms(
     const bp_scheduler_t *self, bp_task_class_t klass);
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -5,6 +5,7 @@
 
 #define US_PER_MS 1000
 #define ROUND_MS 100
+#define CALM_SHARE 0.4
 #define STEP_GIVE_UP_MS 5000
 #define ASSIGN_GIVE_UP_MS 5000
 /* Tasks that one node assigns in a round; 2,000 starts a second a node. */
@@ -47,6 +48,9 @@
 	va_end(args);
 	bp_log(self->options.logger, BP_LOG_INFO, "scheduler", text, "event",
 	    kind, "job", job, "vm", vm, "zone", zone, NULL);
+	if (self->options.timeline != NULL)
+		bp_timeline_add(
+		    self->options.timeline, kind, job, vm, zone, "%s", text);
 	g_free(text);
 }
 
@@ -76,10 +80,28 @@
 	    self->settings->policy.batch_wait_max_s * 1000;
 	options.reachable = bp_scheduler_reachable;
 	options.seed = self->options.incarnation;
+	options.penalty = bp_protection_penalty;
 	options.data = self;
 	return bp_placement_new(&self->placement, &options, err);
 }
 
+static void
+new_protection(bp_scheduler_t *self)
+{
+	const bp_settings_policy_t *policy = &self->settings->policy;
+	bp_interference_options_t interference;
+	bp_eviction_options_t eviction;
+
+	(void)bp_interference_options_init(&interference);
+	self->interference = bp_interference_new(&interference);
+	(void)bp_eviction_options_init(&eviction);
+	eviction.breach = policy->slowdown_target_permille / 1000.0;
+	/* Hysteresis: throttles are lifted well below the target. */
+	eviction.calm = 1.0 + (eviction.breach - 1.0) * CALM_SHARE;
+	eviction.evictions_per_min = policy->eviction_budget_per_min;
+	self->eviction = bp_eviction_new(&eviction);
+}
+
 /*
  * Creates the service; nothing is sent before bp_scheduler_start. The
  * scheduler must outlive the appender, whose callbacks refer to it.
@@ -110,6 +132,7 @@
 	self->ends =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	self->cancellable = g_cancellable_new();
+	new_protection(self);
 	rc = new_placement(self, err);
 	if (rc != BP_OK) {
 		bp_scheduler_free(self);
@@ -134,6 +157,8 @@
 	g_hash_table_unref(self->steps);
 	g_hash_table_unref(self->ends);
 	bp_placement_free(self->placement);
+	bp_eviction_free(self->eviction);
+	bp_interference_free(self->interference);
 	bp_ownership_free(self->ownership);
 	bp_liveness_free(self->liveness);
 	g_free(self);
@@ -489,8 +514,8 @@
 }
 
 /* See the header. */
-size_t
-bp_scheduler_left(const bp_scheduler_t *self)
+uint32_t
+bp_scheduler_ahead(const bp_scheduler_t *self, const char *job)
 {
-	return bp_placement_left(self->placement);
+	return bp_placement_ahead(self->placement, job);
 }
--- a/src/scheduler/vmstate.c
+++ b/src/scheduler/vmstate.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-#define QUARANTINE_FAILURES 5
 #define GIVE_UP_MS 10000
+#define QUARANTINE_US (10LL * 60 * 1000000)
 /* Silence of this many renewals makes a VM unreachable for new tasks. */
 #define SILENT_RENEWALS 3
 
@@ -135,6 +135,18 @@
 	    (int64_t)SILENT_RENEWALS * vm->scheduler->settings->timing.renew_ms;
 }
 
+/* After this time a quarantined worker is tried again. */
+static bool
+quarantined(const bp_owned_vm_t *vm, const bp_vm_t *known)
+{
+	int64_t held_us =
+	    bp_scheduler_now_us(vm->scheduler) - vm->hold_since_us;
+
+	if (!bp_eviction_quarantine_due(known))
+		return false;
+	return vm->hold_since_us == 0 || held_us < QUARANTINE_US;
+}
+
 /* The hold that the facts ask for, strongest first. */
 static Bp__Log__HoldCause
 wanted_hold(const bp_owned_vm_t *vm, const bp_vm_t *known, const char **detail)
@@ -146,8 +158,7 @@
 		*detail = "the VM list shows the VM as leaving";
 		return BP__LOG__HOLD_CAUSE__HOLD_LEAVING;
 	}
-	if (known->failed_streak >= QUARANTINE_FAILURES &&
-	    known->failed_several) {
+	if (quarantined(vm, known)) {
 		*detail = "the worker failed 5 tasks in a row";
 		return BP__LOG__HOLD_CAUSE__HOLD_QUARANTINED;
 	}
@@ -165,6 +176,10 @@
 	const char *detail;
 	Bp__Log__HoldCause wanted;
 
+	if (known->hold != BP__LOG__HOLD_CAUSE__HOLD_QUARANTINED)
+		vm->hold_since_us = 0;
+	else if (vm->hold_since_us == 0)
+		vm->hold_since_us = bp_scheduler_now_us(vm->scheduler);
 	if (vm->hold_in_flight)
 		return;
 	wanted = wanted_hold(vm, known, &detail);
--- a/src/state/snapshot_save.c
+++ b/src/state/snapshot_save.c
@@ -207,8 +207,8 @@
 
 	for (i = 0; i < keys->len; i++) {
 		rows[i] = bp_arena_alloc(arena, row_bytes);
-		save(arena, rows[i],
-		    g_hash_table_lookup(table, keys->pdata[i]));
+		save(
+		    arena, rows[i], g_hash_table_lookup(table, keys->pdata[i]));
 	}
 	*count = keys->len;
 	g_ptr_array_unref(keys);
@@ -301,11 +301,16 @@
 	snapshot.now_ms = (uint64_t)state->now_ms;
 	snapshot.key_horizon_s = state->key_horizon_s;
 	snapshot.pruned_ms = (uint64_t)state->pruned_ms;
-	snapshot.nodes = save_all(arena, state->nodes, sizeof(Bp__Log__NodeState), save_node, &snapshot.n_nodes);
-	snapshot.racks = save_all(arena, state->racks, sizeof(Bp__Log__RackState), save_rack, &snapshot.n_racks);
-	snapshot.vms = save_all(arena, state->vms, sizeof(Bp__Log__VmState), save_vm, &snapshot.n_vms);
-	snapshot.zones = save_all(arena, state->zones, sizeof(Bp__Log__ZoneState), save_zone, &snapshot.n_zones);
-	snapshot.jobs = save_all(arena, state->jobs, sizeof(Bp__Log__JobState), save_job, &snapshot.n_jobs);
+	snapshot.nodes = save_all(arena, state->nodes,
+	    sizeof(Bp__Log__NodeState), save_node, &snapshot.n_nodes);
+	snapshot.racks = save_all(arena, state->racks,
+	    sizeof(Bp__Log__RackState), save_rack, &snapshot.n_racks);
+	snapshot.vms = save_all(arena, state->vms, sizeof(Bp__Log__VmState),
+	    save_vm, &snapshot.n_vms);
+	snapshot.zones = save_all(arena, state->zones,
+	    sizeof(Bp__Log__ZoneState), save_zone, &snapshot.n_zones);
+	snapshot.jobs = save_all(arena, state->jobs, sizeof(Bp__Log__JobState),
+	    save_job, &snapshot.n_jobs);
 	save_keys(arena, &snapshot, state);
 	save_incarnations(arena, &snapshot, state);
 	save_rules(arena, &snapshot, state);
