--- a/src/state/rules_internal.h
+++ b/src/state/rules_internal.h
@@ -29,8 +29,6 @@
     const char *const *known, const char *right);
 const char *bp_rules_take(bp_rules_reader_t *reader);
 int bp_rules_index_of(const char *word, const char *const *known);
-bool bp_rules_read_number(
-    const char *word, size_t length, unsigned int decimals, uint32_t *out);
 int bp_rules_read_bounded(bp_rules_reader_t *reader, uint32_t low,
     uint32_t high, const char *right, uint32_t *out);
 int bp_rules_read_name(
--- a/src/state/rules_parse.c
+++ b/src/state/rules_parse.c
@@ -1,3 +1,4 @@
+#include "bulrushpost/amount.h"
 #include "state/rules_internal.h"
 
 #include <string.h>
@@ -5,9 +6,6 @@
 #define WEIGHT_MAX 1000
 #define SPREAD_MAX 100000
 #define HEADROOM_MAX_PERCENT 90
-#define MILLI 1000
-#define MILLI_DIGITS 3
-#define MIB_PER_GIB 1024
 
 static const char *const class_words[] = {"service", "urgent", "batch", NULL};
 static const char *const subject_words[] = {"team", "job", "class", NULL};
@@ -56,39 +54,20 @@
 	}
 }
 
-static bool
-read_memory(const char *value, uint32_t *out)
-{
-	size_t length = strlen(value);
-	uint64_t scaled;
-
-	if (length < 2 || !bp_rules_read_number(value, length - 1, 0, out))
-		return false;
-	if (value[length - 1] == 'M')
-		return true;
-	if (value[length - 1] != 'G')
-		return false;
-	scaled = (uint64_t)*out * MIB_PER_GIB;
-	*out = (uint32_t)scaled;
-	return scaled <= UINT32_MAX;
-}
-
 static int
 read_amount(
     bp_rules_reader_t *reader, const char *word, int which, bp_resources_t *out)
 {
 	const char *value = strchr(word, '=') + 1;
 
-	if (which == 0 &&
-	    !bp_rules_read_number(
-		value, strlen(value), MILLI_DIGITS, &out->cpu_milli))
+	if (which == 0 && !bp_amount_read_cpu(value, &out->cpu_milli))
 		return bp_rules_refuse(reader, word,
 		    "cpu=N in processors, with at most three decimals");
-	if (which == 1 && !read_memory(value, &out->memory_mib))
+	if (which == 1 && !bp_amount_read_memory(value, &out->memory_mib))
 		return bp_rules_refuse(
 		    reader, word, "memory=N with suffix M (MiB) or G (GiB)");
 	if (which == 2 &&
-	    !bp_rules_read_number(value, strlen(value), 0, &out->accelerators))
+	    !bp_amount_read_number(value, strlen(value), 0, &out->accelerators))
 		return bp_rules_refuse(
 		    reader, word, "accelerators=N, a whole number");
 	return BP_OK;
@@ -268,7 +247,7 @@
 	size_t length = word != NULL ? strlen(word) : 0;
 
 	if (length < 2 || word[length - 1] != '%' ||
-	    !bp_rules_read_number(
+	    !bp_amount_read_number(
 		word, length - 1, 0, &rule->as.headroom_percent) ||
 	    rule->as.headroom_percent > HEADROOM_MAX_PERCENT)
 		return bp_rules_refuse(reader, word, right);
--- a/src/state/rules_reader.c
+++ b/src/state/rules_reader.c
@@ -1,3 +1,4 @@
+#include "bulrushpost/amount.h"
 #include "bulrushpost/suggest.h"
 #include "state/rules_internal.h"
 
@@ -73,39 +74,6 @@
 	return -1;
 }
 
-/*
- * Reads a decimal number with up to decimals digits after the point and
- * scales it by 10^decimals. Returns false on anything else or on overflow.
- */
-bool
-bp_rules_read_number(
-    const char *word, size_t length, unsigned int decimals, uint32_t *out)
-{
-	uint64_t value = 0;
-	unsigned int after = 0;
-	bool point = false;
-	size_t i;
-
-	for (i = 0; i < length; i++) {
-		if (word[i] == '.' && !point && decimals > 0 && i > 0) {
-			point = true;
-			continue;
-		}
-		if (!g_ascii_isdigit(word[i]) || (point && after == decimals))
-			return false;
-		value = value * 10 + (uint64_t)(word[i] - '0');
-		after += point ? 1 : 0;
-		if (value > UINT32_MAX)
-			return false;
-	}
-	if (length == 0 || (point && after == 0))
-		return false;
-	for (; after < decimals; after++)
-		value *= 10;
-	*out = (uint32_t)value;
-	return value <= UINT32_MAX;
-}
-
 /* Reads a whole number from low to high. */
 int
 bp_rules_read_bounded(bp_rules_reader_t *reader, uint32_t low, uint32_t high,
@@ -113,8 +81,9 @@
 {
 	const char *word = bp_rules_take(reader);
 
-	if (word == NULL || !bp_rules_read_number(word, strlen(word), 0, out) ||
-	    *out < low || *out > high)
+	if (word == NULL ||
+	    !bp_amount_read_number(word, strlen(word), 0, out) || *out < low ||
+	    *out > high)
 		return bp_rules_refuse(reader, word, right);
 	return BP_OK;
 }
