--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -127,6 +127,7 @@
 		return;
 	if (self->timer != 0)
 		g_source_remove(self->timer);
+	bp_follower_forget(self->options.follower, self);
 	g_cancellable_cancel(self->cancellable);
 	g_object_unref(self->cancellable);
 	g_hash_table_unref(self->racks);
@@ -488,8 +489,8 @@
 }
 
 /* See the header. */
-uint32_t
-bp_scheduler_ahead(const bp_scheduler_t *self, const char *job)
+size_t
+bp_scheduler_left(const bp_scheduler_t *self)
 {
-	return bp_placement_ahead(self->placement, job);
+	return bp_placement_left(self->placement);
 }
