Tell the begin of a log outage from a noticed one in tests

Cause: a keyed request refused in the first 1.5 s of an outage is answered with the outcome not_known although the node did not send it.

--- a/tests/process/test_log.c
+++ b/tests/process/test_log.c
@@ -6,6 +6,8 @@
 #define TASKS 12
 #define JOBS 10
 #define REQUESTS 20
+/* By now each node has had a read and an append fail. */
+#define OUTAGE_NOTICED_MS 2500
 
 static bp_cluster_t *
 new_cluster(const char *name)
@@ -39,6 +41,20 @@
 	return reply;
 }
 
+/* Section 5 of the design: refused, log_unavailable, was not run. */
+static void
+expect_keyed_refused(bp_cluster_t *cluster, guint node, const char *path)
+{
+	bp_reply_t *reply = keyed(cluster, node, path, node);
+
+	CU_ASSERT_NOT_EQUAL(reply->status, 200);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(reply->outcome);
+	CU_ASSERT_STRING_EQUAL(reply->outcome, "not_run");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(reply->reason);
+	CU_ASSERT_PTR_NOT_NULL(strstr(reply->reason, "log_unavailable"));
+	bp_reply_free(reply);
+}
+
 /* What section 5 of the design promises while the log is down. */
 static void
 expect_outage_rules(bp_cluster_t *cluster)
@@ -49,13 +65,7 @@
 	CU_ASSERT_TRUE_FATAL(bp_http_wait(reply));
 	CU_ASSERT_EQUAL(reply->status, 200);
 	bp_reply_free(reply);
-	reply = keyed(cluster, 0, "once/down", 1);
-	CU_ASSERT_NOT_EQUAL(reply->status, 200);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(reply->outcome);
-	CU_ASSERT_STRING_EQUAL(reply->outcome, "not_run");
-	CU_ASSERT_PTR_NOT_NULL_FATAL(reply->reason);
-	CU_ASSERT_PTR_NOT_NULL(strstr(reply->reason, "log_unavailable"));
-	bp_reply_free(reply);
+	expect_keyed_refused(cluster, 0, "once/down");
 	CU_ASSERT_FALSE(bp_cluster_zone(cluster, 0, "z0", true));
 	CU_ASSERT_PTR_NULL(
 	    bp_cluster_submit(cluster, 1, "batch", 1, 1000, "run_ms=100"));
@@ -74,6 +84,7 @@
 	CU_ASSERT_PTR_NOT_NULL_FATAL(job);
 	CU_ASSERT_TRUE(bp_cluster_wait_starts(cluster, job, TASKS));
 	bp_cluster_log_faults(cluster, "{\"down\":true}");
+	bp_run_for_ms(OUTAGE_NOTICED_MS);
 	expect_outage_rules(cluster);
 	CU_ASSERT_TRUE(bp_cluster_wait_succeeded(cluster, job, TASKS));
 	bp_cluster_log_faults(cluster, "{\"down\":false}");
@@ -90,6 +101,24 @@
 	bp_cluster_free(cluster);
 }
 
+/* Guards against an outcome "not known" for a request that was never sent. */
+static void
+test_key_refused_as_outage_begins(void)
+{
+	bp_cluster_t *cluster = new_cluster("logbegin");
+	guint i;
+
+	bp_cluster_log_faults(cluster, "{\"down\":true}");
+	for (i = 0; i < cluster->nodes->len; i++)
+		expect_keyed_refused(cluster, i, "once/begin");
+	bp_cluster_log_faults(cluster, "{\"down\":false}");
+	bp_run_for_ms(OUTAGE_NOTICED_MS);
+	bp_cluster_read(cluster);
+	CU_ASSERT_EQUAL(
+	    bp_checker_executions(cluster->checker, "/book/once/begin"), 0);
+	bp_cluster_free(cluster);
+}
+
 /* Guards against an append taken twice, or not at all, for a lost answer. */
 static void
 test_append_answers_lost(void)
@@ -130,6 +159,7 @@
 {
 	CU_TestInfo tests[] = {
 	    {"log down and up", test_log_down_and_up},
+	    {"key refused as outage begins", test_key_refused_as_outage_begins},
 	    {"append answers lost", test_append_answers_lost},
 	    CU_TEST_INFO_NULL,
 	};
