--- a/tests/demo/demo.c
+++ b/tests/demo/demo.c
@@ -240,10 +240,7 @@
 	printf("  %u starts, %u succeeded, %u moved, %u leases lapsed\n",
 	    counts.starts, counts.succeeded, counts.checkpointed,
 	    counts.lapsed);
-	bp_checker_zone_out(
-	    cluster->checker, "z0", demo->out_us, demo->back_us);
-	faults = bp_checker_run(cluster->checker, true);
-	bp_checker_print(cluster->checker);
+	faults = bp_cluster_check(cluster, true);
 	verify(demo, faults == 0,
 	    "no task in two places, no VM over capacity, no late start, "
 	    "everything resumed once, no repeated request");
@@ -269,7 +266,7 @@
 main(void)
 {
 	bp_cluster_options_t options;
-	demo_t demo = {.back_us = INT64_MAX};
+	demo_t demo = {0};
 
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	bp_cluster_options_init(&options);
--- a/tests/process/test_failover.c
+++ b/tests/process/test_failover.c
@@ -6,6 +6,8 @@
 #define TASKS 24
 /* Longer than it takes to notice a dead node (3 s) and to take over. */
 #define LONG_RUN "run_ms=9000"
+/* Longer than permit and urgent lease together (8 s). */
+#define PAUSE_MS 9000
 
 static bp_cluster_t *
 new_cluster(const char *name)
@@ -74,8 +76,9 @@
 test_owner_paused(void)
 {
 	bp_cluster_t *cluster = new_cluster("paused");
-	char *job = submit(cluster, 0, "batch", TASKS, LONG_RUN);
+	char *job = submit(cluster, 0, "batch", TASKS, "run_ms=14000");
 	bp_process_t *paused;
+	int64_t paused_us;
 	char *meanwhile;
 	char *later;
 	int owner;
@@ -85,10 +88,12 @@
 	CU_ASSERT_TRUE_FATAL(owner >= 0);
 	paused = bp_cluster_node(cluster, (guint)owner)->process;
 	bp_process_signal(paused, SIGSTOP);
+	paused_us = bp_now_us();
 	CU_ASSERT_TRUE(bp_cluster_wait_owner_not(cluster, "z0-w-0", owner));
 	meanwhile =
 	    submit(cluster, owner == 0 ? 1 : 0, "urgent", TASKS, "run_ms=4000");
 	CU_ASSERT_TRUE(bp_cluster_wait_starts(cluster, meanwhile, TASKS));
+	bp_run_for_ms(PAUSE_MS - (bp_now_us() - paused_us) / 1000);
 	bp_process_signal(paused, SIGCONT);
 	later =
 	    submit(cluster, owner == 0 ? 1 : 0, "batch", TASKS, "run_ms=3000");
--- a/tests/process/test_zone.c
+++ b/tests/process/test_zone.c
@@ -31,8 +31,6 @@
 	starts_wait_t back;
 	char *many;
 	char *few;
-	int64_t out_us;
-	guint faults;
 
 	bp_cluster_options_init(&options);
 	options.name = "zone";
@@ -47,7 +45,6 @@
 	CU_ASSERT_PTR_NOT_NULL_FATAL(many);
 	CU_ASSERT_TRUE(bp_cluster_wait_starts(cluster, many, 1));
 	CU_ASSERT_TRUE_FATAL(bp_cluster_zone(cluster, 2, "z0", true));
-	out_us = bp_now_us();
 	bp_run_for_ms(SETTLED_MS);
 	back = (starts_wait_t){cluster, "z0", bp_now_us()};
 	CU_ASSERT_TRUE_FATAL(bp_cluster_zone(cluster, 0, "z0", false));
@@ -56,11 +53,7 @@
 	CU_ASSERT_TRUE(bp_cluster_wait_succeeded(cluster, few, LONG_TASKS));
 	bp_cluster_counts(cluster, few, &counts);
 	CU_ASSERT_TRUE(counts.checkpointed > 0);
-	bp_checker_zone_out(
-	    bp_cluster_read(cluster), "z0", out_us, back.from_us);
-	faults = bp_checker_run(cluster->checker, true);
-	bp_checker_print(cluster->checker);
-	CU_ASSERT_EQUAL(faults, 0);
+	CU_ASSERT_EQUAL(bp_cluster_check(cluster, true), 0);
 	g_free(many);
 	g_free(few);
 	bp_cluster_free(cluster);
--- a/tests/support/checker.c
+++ b/tests/support/checker.c
@@ -513,11 +513,23 @@
 		    (const char *)g_ptr_array_index(checker->violations, i));
 }
 
+static void
+count_end(const event_t *e, GHashTable *done, bp_checker_counts_t *out)
+{
+	if (strcmp(e->cause, "succeeded") == 0) {
+		out->succeeded++;
+		out->done += g_hash_table_add(done, e->task);
+	}
+	out->checkpointed += strcmp(e->cause, "checkpointed") == 0;
+	out->lapsed += strcmp(e->cause, "lease_lapsed") == 0;
+}
+
 /* Counts the events of one job, or of all jobs when job is NULL. */
 void
 bp_checker_count(
     const bp_checker_t *checker, const char *job, bp_checker_counts_t *out)
 {
+	GHashTable *done = g_hash_table_new(g_str_hash, g_str_equal);
 	guint i;
 
 	*out = (bp_checker_counts_t){0};
@@ -528,12 +540,10 @@
 			continue;
 		out->starts += strcmp(e->kind, "start") == 0;
 		out->refused += strcmp(e->kind, "refused") == 0;
-		if (strcmp(e->kind, "end") != 0)
-			continue;
-		out->succeeded += strcmp(e->cause, "succeeded") == 0;
-		out->checkpointed += strcmp(e->cause, "checkpointed") == 0;
-		out->lapsed += strcmp(e->cause, "lease_lapsed") == 0;
+		if (strcmp(e->kind, "end") == 0)
+			count_end(e, done, out);
 	}
+	g_hash_table_unref(done);
 }
 
 /* Counts what executors have started, whatever became of the answers. */
--- a/tests/support/checker.h
+++ b/tests/support/checker.h
@@ -37,6 +37,7 @@
 typedef struct {
 	guint starts;
 	guint succeeded;
+	guint done; /* different tasks that have succeeded */
 	guint checkpointed;
 	guint lapsed;
 	guint refused;
--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -441,6 +441,7 @@
 	c->nodes = g_ptr_array_new_with_free_func(node_free);
 	c->states =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	c->outages = g_array_new(FALSE, FALSE, sizeof(bp_cluster_outage_t));
 	if (start_all(c))
 		return c;
 	printf("the cluster %s did not start; see %s\n", options->name,
@@ -453,6 +454,8 @@
 void
 bp_cluster_free(bp_cluster_t *cluster)
 {
+	guint i;
+
 	if (cluster == NULL)
 		return;
 	g_ptr_array_unref(cluster->nodes);
@@ -461,6 +464,10 @@
 	clear_server(&cluster->log);
 	clear_server(&cluster->vmlist);
 	g_hash_table_unref(cluster->states);
+	for (i = 0; i < cluster->outages->len; i++)
+		g_free(g_array_index(cluster->outages, bp_cluster_outage_t, i)
+			   .zone);
+	g_array_unref(cluster->outages);
 	bp_checker_free(cluster->checker);
 	bp_http_free(cluster->http);
 	g_free(cluster);
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -39,6 +39,12 @@
 	guint starts;
 } bp_cluster_node_t;
 
+typedef struct {
+	char *zone;
+	int64_t out_us; /* after the change was accepted */
+	int64_t back_us; /* before it was taken back; INT64_MAX until then */
+} bp_cluster_outage_t;
+
 typedef struct {
 	bp_cluster_options_t options;
 	bp_http_t *http;
@@ -48,6 +54,7 @@
 	GPtrArray *executors; /* bp_cluster_server_t, one for each zone */
 	GPtrArray *nodes; /* bp_cluster_node_t */
 	GHashTable *states; /* VM name -> "leaving" or "gone" */
+	GArray *outages; /* bp_cluster_outage_t */
 	bp_checker_t *checker;
 } bp_cluster_t;
 
@@ -78,7 +85,10 @@
 /* Submits a job through a node and returns its id, or NULL. */
 char *bp_cluster_submit(bp_cluster_t *cluster, guint node, const char *klass,
     guint tasks, guint cpu_milli, const char *command);
-/* Takes a zone out of service or back in; returns whether it was accepted. */
+/*
+ * Takes a zone out of service or back in; returns whether it was accepted.
+ * The checker is told when a zone was out.
+ */
 bool bp_cluster_zone(
     bp_cluster_t *cluster, guint node, const char *zone, bool out);
 /* Asks a node why a job waits; the text is freed with g_free. */
--- a/tests/support/cluster_operator.c
+++ b/tests/support/cluster_operator.c
@@ -72,15 +72,40 @@
 	return job;
 }
 
-/* Changes a zone as the operator "tester". */
-bool
-bp_cluster_zone(bp_cluster_t *cluster, guint node, const char *zone, bool out)
+static bool
+change_zone(bp_cluster_t *cluster, guint node, const char *zone, bool out)
 {
 	return bp_cluster_cli(cluster, NULL, "zone", out ? "out" : "in", zone,
 		   "--node", bp_cluster_node(cluster, node)->control,
 		   "--author", "tester", "--reason", "test", NULL) == 0;
 }
 
+/* Changes a zone as the operator "tester". */
+bool
+bp_cluster_zone(bp_cluster_t *cluster, guint node, const char *zone, bool out)
+{
+	bp_cluster_outage_t outage = {NULL, 0, INT64_MAX};
+	int64_t before_us = bp_now_us();
+	guint i;
+
+	if (!change_zone(cluster, node, zone, out))
+		return false;
+	if (out) {
+		outage.zone = g_strdup(zone);
+		outage.out_us = bp_now_us();
+		g_array_append_val(cluster->outages, outage);
+		return true;
+	}
+	for (i = 0; i < cluster->outages->len; i++) {
+		bp_cluster_outage_t *o =
+		    &g_array_index(cluster->outages, bp_cluster_outage_t, i);
+
+		if (strcmp(o->zone, zone) == 0 && o->back_us == INT64_MAX)
+			o->back_us = before_us;
+	}
+	return true;
+}
+
 /* Returns whether the tool gave an answer. */
 bool
 bp_cluster_why(
--- a/tests/support/cluster_watch.c
+++ b/tests/support/cluster_watch.c
@@ -50,6 +50,13 @@
 			read_into(cluster, server, "history",
 			    bp_checker_add_executions);
 	}
+	for (i = 0; i < cluster->outages->len; i++) {
+		const bp_cluster_outage_t *o =
+		    &g_array_index(cluster->outages, bp_cluster_outage_t, i);
+
+		bp_checker_zone_out(
+		    cluster->checker, o->zone, o->out_us, o->back_us);
+	}
 	bp_checker_once(cluster->checker, "/book/once/");
 	return cluster->checker;
 }
--- a/tests/support/http.c
+++ b/tests/support/http.c
@@ -126,17 +126,25 @@
 	return reply;
 }
 
-static bool
-is_done(void *data)
+static gboolean
+on_limit(gpointer data)
 {
-	return ((bp_reply_t *)data)->done;
+	*(bool *)data = true;
+	return G_SOURCE_REMOVE;
 }
 
-/* Waits for a reply. */
+/* Waits for a reply; unlike bp_wait_until without a poll interval. */
 bool
 bp_http_wait(bp_reply_t *reply)
 {
-	return bp_wait_until(is_done, reply);
+	bool elapsed = false;
+	guint limit = g_timeout_add(BP_WAIT_LIMIT_MS, on_limit, &elapsed);
+
+	while (!reply->done && !elapsed)
+		g_main_context_iteration(NULL, TRUE);
+	if (!elapsed)
+		g_source_remove(limit);
+	return reply->done;
 }
 
 /* Frees a reply that is done. NULL is allowed. */
--- a/tests/support/process.c
+++ b/tests/support/process.c
@@ -32,21 +32,36 @@
 	return bp_clock_mono_us(bp_clock_system());
 }
 
+static gboolean
+on_tick(gpointer data)
+{
+	*(bool *)data = true;
+	return G_SOURCE_REMOVE;
+}
+
+/* Runs the main loop for one poll interval; events are handled at once. */
+static void
+run_interval(void)
+{
+	bool elapsed = false;
+
+	g_timeout_add(POLL_MS, on_tick, &elapsed);
+	while (!elapsed)
+		g_main_context_iteration(NULL, TRUE);
+}
+
 /* Waits at most limit_ms. */
 bool
 bp_wait_until_ms(bp_condition_t condition, void *data, int64_t limit_ms)
 {
 	int64_t until_us = bp_now_us() + limit_ms * US_PER_MS;
 
-	for (;;) {
-		while (g_main_context_iteration(NULL, FALSE))
-			;
-		if (condition(data))
-			return true;
+	while (!condition(data)) {
 		if (bp_now_us() >= until_us)
 			return false;
-		g_usleep(POLL_MS * US_PER_MS);
+		run_interval();
 	}
+	return true;
 }
 
 /* Waits at most BP_WAIT_LIMIT_MS. */
