--- a/tests/platform/test_vmlist.c
+++ b/tests/platform/test_vmlist.c
@@ -73,6 +73,7 @@
 	CU_ASSERT_EQUAL(update(&rig, LIST("1", VM_A "," VM_B)), BP_OK);
 	a = bp_vmlist_find(rig.list, "a");
 	CU_ASSERT_PTR_NOT_NULL_FATAL(a);
+	g_assert_nonnull(a); /* the analyzer does not know the line above */
 	CU_ASSERT_EQUAL(a->role, BP_ROLE_WORKER);
 	CU_ASSERT_EQUAL(a->memory_mib, 256000);
 	CU_ASSERT_EQUAL(a->since_us, 1000000);
