Test the gateway and correct what the tests found

Found by the tests: - Paths were decoded before they were passed on, so that %0D%0A could add headers to the request for the executor. The server now keeps raw paths. - libsoup 3.2 takes the end of a connection between two chunks as the end of the body. A chunked answer now counts as complete only when its connection is still open after it, and a chunked request likewise. - An endpoint without a zone led to a NULL pointer in the balancer. - A penalty on the latency after each failure kept a failing endpoint from ever failing often enough to be ejected. A failure is no longer a sample of latency; the penalty remains where the pool cannot spare the endpoint.

--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -405,7 +405,7 @@
 	    exchange->arena, "%s-%u", exchange->id, ++exchange->attempts);
 	exchange->choice.tried[exchange->choice.n_tried++] = endpoint;
 	exchange->attempt =
-	    bp_attempt_start(exchange->gateway->session, &options, &handler);
+	    bp_attempt_start(exchange->gateway->upstream, &options, &handler);
 	if (exchange->attempt == NULL) {
 		bp_answer_error(exchange, BP_EINTERNAL,
 		    bp_exchange_outcome(exchange),
--- a/src/gateway/endpoint.c
+++ b/src/gateway/endpoint.c
@@ -11,7 +11,6 @@
 #define FAILURE_WEIGHT 0.02
 /* An estimate that is not refreshed returns to the mean in about this time. */
 #define LATENCY_MEMORY_US (10.0 * US_PER_S)
-/* A fast failure must not look like a fast endpoint to the balancer. */
 #define FAILURE_PENALTY 4.0
 #define FAILURE_MIN_US 100000.0
 #define WINDOW_US (1 * (int64_t)US_PER_S)
@@ -108,10 +107,8 @@
 		pool->scratch =
 		    g_renew(uint32_t, pool->scratch, pool->endpoints->len);
 	}
-	if (g_strcmp0(endpoint->zone, zone) != 0) {
-		g_free(endpoint->zone);
-		endpoint->zone = g_strdup(zone != NULL ? zone : "");
-	}
+	g_free(endpoint->zone);
+	endpoint->zone = g_strdup(zone != NULL ? zone : "");
 	endpoint->leaving = leaving;
 	endpoint->zone_out = zone_out;
 	return endpoint;
@@ -279,23 +276,6 @@
 	*value = *value == 0 ? sample : *value + (sample - *value) * weight;
 }
 
-static void
-add_latency(bp_pool_t *pool, bp_endpoint_t *endpoint, bp_result_t result,
-    double latency_us, int64_t now_us)
-{
-	if (result == BP_RESULT_OK) {
-		smooth(&pool->latency_us, latency_us, POOL_LATENCY_WEIGHT);
-		add_to_window(pool, latency_us, now_us);
-	} else {
-		latency_us = MAX(latency_us, FAILURE_MIN_US);
-		latency_us =
-		    MAX(latency_us, FAILURE_PENALTY * pool->latency_us);
-	}
-	endpoint->latency_us = bp_endpoint_latency_us(pool, endpoint, now_us);
-	smooth(&endpoint->latency_us, latency_us, LATENCY_WEIGHT);
-	endpoint->latency_at_us = now_us;
-}
-
 static bool
 can_spare(const bp_pool_t *pool)
 {
@@ -311,22 +291,57 @@
 	return (bp_pool_ejected(pool) + 1) * EJECTED_SHARE <= in_service;
 }
 
+/*
+ * A failure is no sample of latency: a fast one would make the endpoint look
+ * fast. Where the pool cannot spare the endpoint, a penalty takes the place
+ * of the ejection.
+ */
+static double
+failure_latency_us(const bp_pool_t *pool, double estimate_us, double latency_us,
+    bool may_eject)
+{
+	if (may_eject)
+		return MAX(estimate_us, latency_us);
+	latency_us = MAX(latency_us, FAILURE_MIN_US);
+	return MAX(latency_us, FAILURE_PENALTY * pool->latency_us);
+}
+
+static void
+add_latency(bp_pool_t *pool, bp_endpoint_t *endpoint, bp_result_t result,
+    double latency_us, bool may_eject, int64_t now_us)
+{
+	double estimate_us = bp_endpoint_latency_us(pool, endpoint, now_us);
+
+	if (result == BP_RESULT_OK) {
+		smooth(&pool->latency_us, latency_us, POOL_LATENCY_WEIGHT);
+		add_to_window(pool, latency_us, now_us);
+	} else {
+		latency_us = failure_latency_us(
+		    pool, estimate_us, latency_us, may_eject);
+	}
+	endpoint->latency_us = estimate_us;
+	smooth(&endpoint->latency_us, latency_us, LATENCY_WEIGHT);
+	endpoint->latency_at_us = now_us;
+}
+
 static void
 add_result(bp_pool_t *pool, bp_endpoint_t *endpoint, bp_result_t result,
     int64_t latency_us, int64_t now_us)
 {
+	bool may_eject = result != BP_RESULT_OK && can_spare(pool);
 	bp_limiter_sample_t sample = {
 	    .now_us = now_us,
-	    .in_flight = endpoint->in_flight,
+	    /* A failure is no sign of room for more. */
+	    .in_flight = result == BP_RESULT_OK ? endpoint->in_flight : 0,
 	    .overloaded = result == BP_RESULT_OVERLOADED,
 	};
 
-	add_latency(pool, endpoint, result, (double)latency_us, now_us);
+	add_latency(
+	    pool, endpoint, result, (double)latency_us, may_eject, now_us);
 	sample.latency_us = endpoint->latency_us;
 	sample.base_us = bp_pool_base_us(pool);
 	bp_limiter_add(&endpoint->limiter, &sample);
-	if (bp_health_add(&endpoint->health, result,
-		result != BP_RESULT_OK && can_spare(pool), now_us))
+	if (bp_health_add(&endpoint->health, result, may_eject, now_us))
 		pool->ejections++;
 	pool->failure_rate +=
 	    ((result != BP_RESULT_OK) - pool->failure_rate) * FAILURE_WEIGHT;
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -331,6 +331,18 @@
 	start_timer(exchange, bp_exchange_left_ms(exchange));
 }
 
+/* A chunked body that was cut looks complete, see bp_socket_ended. */
+static bool
+is_cut(const bp_exchange_t *exchange)
+{
+	SoupMessageHeaders *headers =
+	    soup_server_message_get_request_headers(exchange->message);
+
+	return soup_message_headers_get_encoding(headers) ==
+	    SOUP_ENCODING_CHUNKED &&
+	    bp_socket_ended(soup_server_message_get_socket(exchange->message));
+}
+
 /* Goes on once the body was read: claims the key or dispatches. */
 void
 bp_exchange_body(bp_exchange_t *exchange)
@@ -347,7 +359,10 @@
 	soup_server_message_pause(exchange->message);
 	bp_exchange_ref(exchange);
 	start_watch(exchange);
-	if (exchange->request.key != NULL)
+	if (is_cut(exchange))
+		bp_answer_error(exchange, BP_EINVALID, BP_OUTCOME_NOT_RUN,
+		    "the connection ended within the chunked body");
+	else if (exchange->request.key != NULL)
 		bp_claim_start(exchange);
 	else
 		bp_dispatch_admit(exchange);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -27,7 +27,7 @@
 struct bp_gateway {
 	bp_gateway_options_t options;
 	SoupServer *server;
-	SoupSession *session;
+	bp_upstream_t *upstream;
 	uint16_t port;
 	bp_balancer_t balancer;
 	bp_retry_t retry;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -109,10 +109,11 @@
 		    ((uint64_t)g_random_int() << 32) | g_random_int();
 }
 
+/* A decoded path could add headers to the request for the executor. */
 static void
 start_server(bp_gateway_t *gateway)
 {
-	gateway->server = soup_server_new(NULL, NULL);
+	gateway->server = soup_server_new("raw-paths", TRUE, NULL);
 	g_signal_connect(gateway->server, "request-started",
 	    G_CALLBACK(on_started), gateway);
 	soup_server_add_early_handler(
@@ -145,7 +146,7 @@
 	    (uint64_t)bp_clock_wall_ms(gateway->options.clock);
 	gateway->id_prefix = g_strdup_printf(
 	    "%s-%016" G_GINT64_MODIFIER "x", gateway->options.node, start);
-	gateway->session = bp_upstream_session(gateway->options.gateways);
+	gateway->upstream = bp_upstream_new(gateway->options.gateways);
 	start_server(gateway);
 	rc = start_listening(gateway, err);
 	if (rc != BP_OK) {
@@ -180,8 +181,7 @@
 	soup_server_disconnect(gateway->server);
 	g_signal_handlers_disconnect_by_data(gateway->server, gateway);
 	g_object_unref(gateway->server);
-	soup_session_abort(gateway->session);
-	g_object_unref(gateway->session);
+	bp_upstream_unref(gateway->upstream);
 	g_hash_table_destroy(gateway->exchanges);
 	g_hash_table_destroy(gateway->services);
 	bp_keytable_unref(gateway->keys);
@@ -215,8 +215,8 @@
 	if (gateways == gateway->options.gateways)
 		return;
 	gateway->options.gateways = gateways;
-	g_object_unref(gateway->session);
-	gateway->session = bp_upstream_session(gateways);
+	bp_upstream_unref(gateway->upstream);
+	gateway->upstream = bp_upstream_new(gateways);
 	g_hash_table_iter_init(&iter, gateway->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		bp_pool_set_gateways(((bp_service_t *)value)->pool, gateways);
--- a/src/gateway/headers.c
+++ b/src/gateway/headers.c
@@ -1,6 +1,8 @@
 #include "gateway/headers.h"
 
+#include <errno.h>
 #include <string.h>
+#include <sys/socket.h>
 
 /* "name: value\r\n" */
 #define SEPARATOR_BYTES 4
@@ -79,3 +81,20 @@
 	return length[0] != '\0' && strlen(length) <= 18 &&
 	    strspn(length, "0123456789") == strlen(length);
 }
+
+/*
+ * Returns whether the peer has closed its side. libsoup takes the end of the
+ * connection between two chunks as the end of the body, so that a complete
+ * chunked body is recognized by a connection that is still open after it.
+ */
+bool
+bp_socket_ended(GSocket *socket)
+{
+	char byte;
+	ssize_t n;
+
+	if (socket == NULL || g_socket_is_closed(socket))
+		return true;
+	n = recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
--- a/src/gateway/headers.h
+++ b/src/gateway/headers.h
@@ -11,4 +11,7 @@
 /* Whether the length of the body is stated in one unambiguous way. */
 bool bp_headers_framing_ok(SoupMessageHeaders *headers);
 
+/* Whether the peer has closed its side and nothing is left to read. */
+bool bp_socket_ended(GSocket *socket);
+
 #endif
--- a/src/gateway/health.c
+++ b/src/gateway/health.c
@@ -1,7 +1,7 @@
 #include "gateway/health.h"
 
 #define US_PER_S 1000000
-#define EJECT_AFTER_FAILURES 5
+#define EJECT_AFTER_FAILURES 3
 #define LIVE_AFTER_SUCCESSES 3
 #define EJECTION_US (2 * (int64_t)US_PER_S)
 #define EJECTION_MAX_US (60 * (int64_t)US_PER_S)
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -9,8 +9,16 @@
 /* A VM that vanished answers no connection request at all. */
 #define CONNECT_TIMEOUT_MS 1000
 
-struct bp_attempt {
+struct bp_upstream {
 	SoupSession *session;
+	GHashTable *sockets; /* connection id to GSocket */
+	uint32_t refs;
+};
+
+struct bp_attempt {
+	bp_upstream_t *upstream;
+	GSocket *socket; /* of the latest connection made for it */
+	guint64 connection_id;
 	SoupMessage *message;
 	GCancellable *cancellable;
 	GInputStream *stream;
@@ -30,9 +38,10 @@
  * Creates the client side. It adds nothing to messages and follows no
  * redirects; connections are bounded to this gateway's share.
  */
-SoupSession *
-bp_upstream_session(uint32_t gateways)
+bp_upstream_t *
+bp_upstream_new(uint32_t gateways)
 {
+	bp_upstream_t *upstream = g_new0(bp_upstream_t, 1);
 	uint32_t share = BP_EXECUTOR_CONNECTIONS / MAX(gateways, 1);
 	SoupSession *session = soup_session_new_with_options("max-conns",
 	    G_MAXINT, "max-conns-per-host", (int)MAX(share, 1), "timeout", 0,
@@ -40,7 +49,41 @@
 
 	soup_session_remove_feature_by_type(session, SOUP_TYPE_CONTENT_DECODER);
 	soup_session_remove_feature_by_type(session, SOUP_TYPE_AUTH_MANAGER);
-	return session;
+	upstream->session = session;
+	upstream->sockets = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, g_free, g_object_unref);
+	upstream->refs = 1;
+	return upstream;
+}
+
+/* Drops a reference; the last one closes all connections. */
+void
+bp_upstream_unref(bp_upstream_t *upstream)
+{
+	if (--upstream->refs > 0)
+		return;
+	soup_session_abort(upstream->session);
+	g_object_unref(upstream->session);
+	g_hash_table_destroy(upstream->sockets);
+	g_free(upstream);
+}
+
+static gboolean
+is_closed(gpointer key, gpointer value, gpointer data)
+{
+	return g_socket_is_closed(value);
+}
+
+static void
+keep_socket(bp_attempt_t *attempt)
+{
+	guint64 *id = g_new(guint64, 1);
+
+	*id = attempt->connection_id;
+	g_hash_table_foreach_remove(
+	    attempt->upstream->sockets, is_closed, NULL);
+	g_hash_table_replace(attempt->upstream->sockets, id, attempt->socket);
+	attempt->socket = NULL;
 }
 
 static void
@@ -59,7 +102,8 @@
 	g_clear_object(&attempt->stream);
 	g_object_unref(attempt->message);
 	g_object_unref(attempt->cancellable);
-	g_object_unref(attempt->session);
+	g_clear_object(&attempt->socket);
+	bp_upstream_unref(attempt->upstream);
 	if (attempt->body != NULL)
 		g_byte_array_unref(attempt->body);
 	g_free(attempt->buffer);
@@ -124,17 +168,28 @@
 	return strcmp(soup_message_get_method(attempt->message), "HEAD") == 0;
 }
 
+static bool
+has_no_body(bp_attempt_t *attempt)
+{
+	guint status = soup_message_get_status(attempt->message);
+
+	return is_head(attempt) || status == SOUP_STATUS_NO_CONTENT ||
+	    status == SOUP_STATUS_NOT_MODIFIED;
+}
+
 static bool
 is_complete(bp_attempt_t *attempt)
 {
 	SoupMessageHeaders *headers =
 	    soup_message_get_response_headers(attempt->message);
 
+	if (has_no_body(attempt))
+		return true;
 	if (soup_message_headers_get_encoding(headers) !=
 	    SOUP_ENCODING_CONTENT_LENGTH)
-		return true;
-	return is_head(attempt) ||
-	    soup_message_headers_get_content_length(headers) ==
+		return !bp_socket_ended(g_hash_table_lookup(
+		    attempt->upstream->sockets, &attempt->connection_id));
+	return soup_message_headers_get_content_length(headers) ==
 	    (goffset)attempt->body->len;
 }
 
@@ -166,15 +221,6 @@
 	read_more(attempt);
 }
 
-static bool
-has_no_body(bp_attempt_t *attempt)
-{
-	guint status = soup_message_get_status(attempt->message);
-
-	return is_head(attempt) || status == SOUP_STATUS_NO_CONTENT ||
-	    status == SOUP_STATUS_NOT_MODIFIED;
-}
-
 /* Checks the headers of an answer; returns NULL or why it is discarded. */
 static const char *
 check_headers(bp_attempt_t *attempt, int *kind)
@@ -227,8 +273,8 @@
 	const char *reason;
 	int kind;
 
-	attempt->stream =
-	    soup_session_send_finish(attempt->session, result, &error);
+	attempt->stream = soup_session_send_finish(
+	    attempt->upstream->session, result, &error);
 	if (attempt->cancelled) {
 		attempt_free(attempt);
 		goto out;
@@ -261,6 +307,22 @@
 
 	attempt->written = true;
 	stop_connect_timer(attempt);
+	attempt->connection_id = soup_message_get_connection_id(message);
+	if (attempt->socket != NULL)
+		keep_socket(attempt);
+}
+
+static void
+on_network_event(SoupMessage *message, GSocketClientEvent event,
+    GIOStream *connection, gpointer data)
+{
+	bp_attempt_t *attempt = data;
+
+	if (event != G_SOCKET_CLIENT_CONNECTED ||
+	    !G_IS_SOCKET_CONNECTION(connection))
+		return;
+	g_set_object(&attempt->socket,
+	    g_socket_connection_get_socket(G_SOCKET_CONNECTION(connection)));
 }
 
 /*
@@ -329,7 +391,7 @@
  * Returns NULL when the url is not valid.
  */
 bp_attempt_t *
-bp_attempt_start(SoupSession *session, const bp_attempt_options_t *options,
+bp_attempt_start(bp_upstream_t *upstream, const bp_attempt_options_t *options,
     const bp_attempt_handler_t *handler)
 {
 	SoupMessage *message = new_message(options);
@@ -342,7 +404,8 @@
 		(options->idempotent ? SOUP_MESSAGE_IDEMPOTENT
 				     : SOUP_MESSAGE_NEW_CONNECTION));
 	attempt = g_new0(bp_attempt_t, 1);
-	attempt->session = g_object_ref(session);
+	attempt->upstream = upstream;
+	upstream->refs++;
 	attempt->message = message;
 	attempt->cancellable = g_cancellable_new();
 	attempt->id = g_strdup(options->id);
@@ -353,7 +416,9 @@
 	g_signal_connect(message, "starting", G_CALLBACK(on_starting), attempt);
 	g_signal_connect(
 	    message, "restarted", G_CALLBACK(on_restarted), attempt);
-	soup_session_send_async(session, message, G_PRIORITY_DEFAULT,
+	g_signal_connect(
+	    message, "network-event", G_CALLBACK(on_network_event), attempt);
+	soup_session_send_async(upstream->session, message, G_PRIORITY_DEFAULT,
 	    attempt->cancellable, on_sent, attempt);
 	return attempt;
 }
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -10,6 +10,9 @@
 #define BP_HEADER_REQUEST_ID "X-Request-Id"
 #define BP_HEADER_DEADLINE "X-Deadline-Ms"
 
+/* The connections to executors. */
+typedef struct bp_upstream bp_upstream_t;
+
 /* One HTTP request to one executor. */
 typedef struct bp_attempt bp_attempt_t;
 
@@ -43,8 +46,10 @@
 	void *data;
 } bp_attempt_handler_t;
 
-SoupSession *bp_upstream_session(uint32_t gateways);
-bp_attempt_t *bp_attempt_start(SoupSession *session,
+bp_upstream_t *bp_upstream_new(uint32_t gateways);
+/* Attempts that have started may still finish. */
+void bp_upstream_unref(bp_upstream_t *upstream);
+bp_attempt_t *bp_attempt_start(bp_upstream_t *upstream,
     const bp_attempt_options_t *options, const bp_attempt_handler_t *handler);
 /* Closes the connection; the handler is not called any more. */
 void bp_attempt_cancel(bp_attempt_t *attempt);
--- /dev/null
+++ b/tests/gateway/test_limiter.c
@@ -0,0 +1,91 @@
+#include "bulrushpost/limiter.h"
+#include "support/runner.h"
+
+#define STEP_US 250000
+
+static void
+add(bp_limiter_t *limiter, int n, double latency_us, bool overloaded)
+{
+	bp_limiter_sample_t sample = {
+	    .latency_us = latency_us,
+	    .base_us = 10000,
+	    .overloaded = overloaded,
+	};
+	int i;
+
+	for (i = 0; i < n; i++) {
+		sample.now_us = limiter->decreased_us < 0
+		    ? STEP_US
+		    : limiter->decreased_us + STEP_US;
+		sample.in_flight = bp_limiter_limit(limiter);
+		bp_limiter_add(limiter, &sample);
+	}
+}
+
+/* Guards against limits that together exceed connections or idle slots. */
+static void
+test_bounds_for_all_numbers_of_gateways(void)
+{
+	bp_limiter_t limiter;
+	uint32_t n;
+
+	for (n = 1; n <= 60; n++) {
+		bp_limiter_init(&limiter, n);
+		CU_ASSERT_TRUE(bp_limiter_limit(&limiter) >= 1);
+		add(&limiter, 500, 10000, false);
+		CU_ASSERT_TRUE(
+		    bp_limiter_limit(&limiter) * n <= BP_EXECUTOR_CONNECTIONS);
+		CU_ASSERT_TRUE(bp_limiter_limit(&limiter) <= BP_EXECUTOR_SLOTS);
+		add(&limiter, 500, 90000, false);
+		CU_ASSERT_TRUE(
+		    bp_limiter_limit(&limiter) * n >= BP_EXECUTOR_SLOTS ||
+		    n > BP_EXECUTOR_SLOTS);
+	}
+}
+
+/* Guards against a limit that ignores congestion or never recovers. */
+static void
+test_limit_follows_congestion(void)
+{
+	bp_limiter_t limiter;
+
+	bp_limiter_init(&limiter, 8);
+	add(&limiter, 100, 12000, false);
+	CU_ASSERT_EQUAL(bp_limiter_limit(&limiter), 7);
+	add(&limiter, 3, 30000, false);
+	CU_ASSERT_TRUE(bp_limiter_limit(&limiter) <= 3);
+	add(&limiter, 100, 12000, false);
+	CU_ASSERT_EQUAL(bp_limiter_limit(&limiter), 7);
+	add(&limiter, 20, 12000, true);
+	CU_ASSERT_EQUAL(bp_limiter_limit(&limiter), 1);
+}
+
+/* Guards against one burst of slow answers that empties the limit. */
+static void
+test_decreases_are_spaced(void)
+{
+	bp_limiter_sample_t sample = {
+	    .now_us = 1, .latency_us = 90000, .base_us = 10000};
+	bp_limiter_t limiter;
+	int i;
+
+	bp_limiter_init(&limiter, 1);
+	bp_limiter_set_gateways(&limiter, 8);
+	limiter.limit = 7;
+	for (i = 0; i < 10; i++)
+		bp_limiter_add(&limiter, &sample);
+	CU_ASSERT_EQUAL(bp_limiter_limit(&limiter), 5);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"bounds", test_bounds_for_all_numbers_of_gateways},
+	    {"congestion", test_limit_follows_congestion},
+	    {"spacing", test_decreases_are_spaced},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return bp_test_main("gateway-limiter", tests);
+}
--- /dev/null
+++ b/tests/gateway/test_malformed.c
@@ -0,0 +1,152 @@
+#include "bulrushpost/gateway.h"
+#include "bulrushpost/hash.h"
+#include "support/caller.h"
+#include "support/executor.h"
+#include "support/runner.h"
+
+#include <string.h>
+
+#define MUTATIONS 400
+#define MAX_BYTES 700
+
+static const char *const templates[] = {
+    "GET /s/x HTTP/1.1\r\nHost: a\r\nX-Deadline-Ms: 900\r\n\r\n",
+    "POST /s/x?q=1 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+    "X-Class: batch\r\nX-Idempotent: no\r\n\r\nhello",
+    "POST /s/x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "5\r\nhello\r\n0\r\n\r\n",
+    "PUT /s/%20 HTTP/1.1\r\nHost: a\r\nIdempotency-Key: 1800000000-k\r\n"
+    "Content-Length: 0\r\n\r\n",
+    "GET /healthz HTTP/1.0\r\nConnection: close\r\n\r\n",
+};
+
+static size_t
+mutate(bp_random_t *random, char *bytes, size_t size)
+{
+	uint32_t changes = 1 + bp_random_below(random, 5);
+
+	while (changes-- > 0 && size > 1) {
+		size_t at = bp_random_below(random, (uint32_t)size);
+
+		switch (bp_random_below(random, 4)) {
+		case 0:
+			bytes[at] = (char)bp_random_below(random, 256);
+			break;
+		case 1:
+			memmove(bytes + at, bytes + at + 1, size - at - 1);
+			size--;
+			break;
+		case 2:
+			if (size + 8 > MAX_BYTES)
+				break;
+			memmove(bytes + at + 8, bytes + at, size - at);
+			size += 8;
+			break;
+		default:
+			bytes[at] = "0123456789-: \r\n\t/%"[bp_random_below(
+			    random, 18)];
+			break;
+		}
+	}
+	return size;
+}
+
+/*
+ * Guards against memory errors and hangs on malformed input: seeded
+ * mutations of valid requests, after each of which a valid one must pass.
+ */
+static void
+test_mutated_requests(void)
+{
+	executor_t *executor = executor_new(EXECUTOR_OK);
+	bp_gateway_endpoint_t endpoint = {
+	    .name = "e", .url = executor_url(executor), .service = "s"};
+	bp_gateway_counters_t counters;
+	bp_gateway_options_t options;
+	bp_gateway_t *gateway;
+	bp_random_t random;
+	caller_t caller;
+	int i;
+
+	bp_gateway_options_init(&options);
+	CU_ASSERT_EQUAL_FATAL(bp_gateway_new(&gateway, &options, NULL), BP_OK);
+	bp_gateway_set_endpoints(gateway, &endpoint, 1, NULL);
+	caller_init(&caller, bp_gateway_port(gateway));
+	bp_random_init(&random, 42);
+	for (i = 0; i < MUTATIONS; i++) {
+		const char *template = templates[bp_random_below(
+		    &random, G_N_ELEMENTS(templates))];
+		char bytes[MAX_BYTES];
+		size_t size = g_strlcpy(bytes, template, sizeof(bytes));
+
+		size = mutate(&random, bytes, size);
+		g_free(caller_raw(caller.port, bytes, size, 5));
+		if (i % 8 == 0)
+			CU_ASSERT_TRUE(caller_expect(
+			    &caller, "GET", "/s/x", NULL, 200, NULL));
+	}
+	/* Nothing is left of requests whose caller has gone. */
+	caller_run_ms(100);
+	bp_gateway_counters(gateway, &counters);
+	CU_ASSERT_EQUAL(counters.in_flight, 0);
+	caller_clear(&caller);
+	bp_gateway_free(gateway);
+	executor_free(executor);
+}
+
+/*
+ * Guards against a request with two readings of its length, which could
+ * smuggle a second one, and against running a body that was cut.
+ */
+static void
+test_ambiguous_lengths_are_refused(void)
+{
+	const char *const requests[] = {
+	    "POST /s/x HTTP/1.1\r\nHost: a\r\nContent-Length: -5\r\n\r\n",
+	    "POST /s/x HTTP/1.1\r\nHost: a\r\nContent-Length: 2x\r\n\r\nab",
+	    "POST /s/x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	    "POST /s/x HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nab",
+	    "POST /s/x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked"
+	    "\r\n\r\n5\r\nhello\r\n",
+	};
+	executor_t *executor = executor_new(EXECUTOR_OK);
+	bp_gateway_endpoint_t endpoint = {
+	    .name = "e", .url = executor_url(executor), .service = "s"};
+	bp_gateway_options_t options;
+	bp_gateway_t *gateway;
+	char *answer;
+	size_t i;
+
+	bp_gateway_options_init(&options);
+	CU_ASSERT_EQUAL_FATAL(bp_gateway_new(&gateway, &options, NULL), BP_OK);
+	bp_gateway_set_endpoints(gateway, &endpoint, 1, NULL);
+	for (i = 0; i < G_N_ELEMENTS(requests); i++) {
+		answer = caller_raw(bp_gateway_port(gateway), requests[i],
+		    strlen(requests[i]), 50);
+		CU_ASSERT_PTR_NULL(strstr(answer, " 200 "));
+		g_free(answer);
+	}
+	answer =
+	    caller_raw(bp_gateway_port(gateway), "NONSENSE\r\n\r\n", 12, 500);
+	CU_ASSERT_PTR_NOT_NULL(strstr(answer, " 400 "));
+	CU_ASSERT_PTR_NOT_NULL(strstr(answer, "X-Outcome: not_run"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(answer, "X-Reason: invalid"));
+	g_free(answer);
+	caller_run_ms(50);
+	CU_ASSERT_EQUAL(executor_requests(executor), 0);
+	bp_gateway_free(gateway);
+	executor_free(executor);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"mutations", test_mutated_requests},
+	    {"lengths", test_ambiguous_lengths_are_refused},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return bp_test_main("gateway-malformed", tests);
+}
