--- a/include/bulrushpost/placement.h
+++ b/include/bulrushpost/placement.h
@@ -10,10 +10,16 @@
 typedef double (*bp_placement_penalty_t)(
     const bp_job_t *job, const bp_vm_t *vm, void *data);
 
+/*
+ * Replaces the policy's score in comparisons; lower is better. load is the
+ * dominant share of the VM in use with the task, planned ones included.
+ */
+typedef double (*bp_placement_score_t)(
+    const bp_job_t *job, const bp_vm_t *vm, double load, void *data);
+
 typedef struct {
 	bp_queue_options_t queue;
-	/* Lower is better; NULL for the policy, set for baselines only. */
-	bp_placement_penalty_t score;
+	bp_placement_score_t score; /* NULL for the policy */
 	uint32_t rank_wait_ms; /* rank r waits r times this */
 	uint32_t turn_tasks; /* tasks of one job before the next turn */
 	uint32_t return_ramp_ms; /* a returned zone is avoided this long */
--- a/src/scheduler/placement.c
+++ b/src/scheduler/placement.c
@@ -193,8 +193,9 @@
 	uint32_t count = 1;
 	guint i;
 
-	/* Quota and counted rules change with each task. */
-	if (job->klass != BP_CLASS_BATCH || job->team->quota != NULL)
+	/* Quota, counted rules and other scores change with each task. */
+	if (job->klass != BP_CLASS_BATCH || job->team->quota != NULL ||
+	    round->placement->options.score != NULL)
 		return 1;
 	for (i = 0; i < constraints->rules->len; i++) {
 		const bp_rule_t *rule =
@@ -265,7 +266,8 @@
 		join_last(round);
 		placed += count;
 		bp_spread_add(spread, vm, count);
-		if (job->klass != BP_CLASS_BATCH)
+		if (job->klass != BP_CLASS_BATCH ||
+		    round->placement->options.score != NULL)
 			bp_candidates_rescore(round, candidates, job, spread);
 	}
 	return placed;
--- a/src/scheduler/placement_score.c
+++ b/src/scheduler/placement_score.c
@@ -120,9 +120,9 @@
 	double load;
 	double score;
 
-	if (options->score != NULL)
-		return options->score(job, vm, options->data);
 	load = load_of(round, job, vm);
+	if (options->score != NULL)
+		return options->score(job, vm, load, options->data);
 	score = job->klass == BP_CLASS_BATCH ? 1.0 - load : load;
 	if (job->klass == BP_CLASS_SERVICE)
 		score += crowding(spread, vm);
