Filter jobs before ordering them and reuse the queue's memory

Planning spent its time on ordering all 7,400 jobs in each round, also when no task fits anywhere. Jobs that are larger than the largest free amount on own VMs are now left out before, the heap compares a copied offset, and the arrays of the teams are kept between rounds.

--- a/include/bulrushpost/queue.h
+++ b/include/bulrushpost/queue.h
@@ -29,8 +29,15 @@
 bp_queue_t *bp_queue_new(const bp_queue_options_t *options);
 void bp_queue_free(bp_queue_t *queue);
 
-/* Starts a round: takes over the waiting jobs and the shares of the teams. */
-void bp_queue_load(bp_queue_t *queue, const bp_state_t *state);
+/* Tells whether a job takes part in the round. */
+typedef bool (*bp_queue_filter_t)(const bp_job_t *job, void *data);
+
+/*
+ * Starts a round: takes over the waiting jobs that pass the filter, which
+ * may be NULL, and the shares of the teams.
+ */
+void bp_queue_load(bp_queue_t *queue, const bp_state_t *state,
+    bp_queue_filter_t filter, void *data);
 /* Next job to consider, or NULL; it leaves the queue of this round. */
 bp_job_t *bp_queue_next(bp_queue_t *queue);
 /* Charges planned tasks of a job to its team, which moves its next turn. */
--- a/src/scheduler/placement.c
+++ b/src/scheduler/placement.c
@@ -338,9 +338,6 @@
 	bp_constraints_t constraints;
 	bp_track_t *track;
 
-	if (!bp_resources_fit(&job->size, &round->own->most_free) &&
-	    !bp_queue_overdue(round->placement->queue, round->state, job))
-		return;
 	track = track_of(round->placement, job);
 	if (job->klass == BP_CLASS_BATCH &&
 	    round->now_ms < track->blocked_until_ms)
@@ -351,13 +348,24 @@
 	bp_constraints_clear(&constraints);
 }
 
+/* Most jobs that cannot be placed fail here, before they are put in order. */
+static bool
+may_fit(const bp_job_t *job, void *data)
+{
+	const bp_round_t *round = data;
+
+	return bp_resources_fit(&job->size, &round->own->most_free) ||
+	    bp_queue_overdue(round->placement->queue, round->state, job);
+}
+
 static void
 place_all(bp_round_t *round)
 {
 	bp_placement_t *placement = round->placement;
 	bp_job_t *job;
 
-	bp_queue_load(placement->queue, round->state);
+	placement->most_free = round->own->most_free;
+	bp_queue_load(placement->queue, round->state, may_fit, round);
 	bp_kept_load(round);
 	while (round->budget_tasks > 0 &&
 	    (job = bp_queue_next(placement->queue)) != NULL) {
@@ -431,6 +439,7 @@
 		return 0;
 	found = bp_state_job(placement->state, job);
 	if (found == NULL || found->n_waiting == 0 ||
+	    !bp_resources_fit(&found->size, &placement->most_free) ||
 	    g_ptr_array_find(placement->considered, found, NULL))
 		return 0;
 	return placement->considered->len;
--- a/src/scheduler/placement_owners.c
+++ b/src/scheduler/placement_owners.c
@@ -30,20 +30,11 @@
 	    round->owners, bp_owner_t, round->owners->len - 1);
 }
 
-static bp_resources_t
-free_of(const bp_round_t *round, const bp_vm_t *vm)
-{
-	bp_resources_t reserved =
-	    bp_reservations_vm(round->placement->reservations, vm);
-	bp_resources_t used = bp_resources_sum(&vm->used, &reserved);
-
-	return bp_resources_excess(&vm->capacity, &used);
-}
-
+/* Reservations are left out: they only make the room smaller. */
 static void
-add_vm(const bp_round_t *round, bp_owner_t *owner, bp_vm_t *vm)
+add_vm(bp_owner_t *owner, bp_vm_t *vm)
 {
-	bp_resources_t room = free_of(round, vm);
+	bp_resources_t room = bp_resources_excess(&vm->capacity, &vm->used);
 	bp_resources_t *most = &owner->most_free;
 
 	g_ptr_array_add(owner->vms, vm);
@@ -101,8 +92,7 @@
 		owner = owner_of(round, rack);
 		for (j = 0; j < rack->vms->len; j++) {
 			if (usable(g_ptr_array_index(rack->vms, j)))
-				add_vm(round, owner,
-				    g_ptr_array_index(rack->vms, j));
+				add_vm(owner, g_ptr_array_index(rack->vms, j));
 		}
 	}
 	g_ptr_array_unref(racks);
--- a/src/scheduler/placement_private.h
+++ b/src/scheduler/placement_private.h
@@ -40,6 +40,7 @@
 	GHashTable *tracks; /* job id -> bp_track_t */
 	GPtrArray *considered; /* bp_job_t of the last plan */
 	const bp_state_t *state; /* of the last plan */
+	bp_resources_t most_free; /* on own VMs in the last plan */
 	size_t left; /* jobs not considered for lack of budget */
 };
 
--- a/src/scheduler/queue.c
+++ b/src/scheduler/queue.c
@@ -14,12 +14,14 @@
 
 typedef struct {
 	double key; /* lower goes first */
+	uint64_t offset; /* of the submission; here to spare a cache miss */
 	bp_job_t *job;
 } item_t;
 
 /* A team in this round, with its jobs in one heap for each class rank. */
 typedef struct {
 	const bp_team_t *team;
+	bool loaded; /* in this round */
 	bp_resources_t used;
 	double share;
 	bp_job_t *head; /* put back; goes before the heap */
@@ -29,7 +31,8 @@
 struct bp_queue {
 	bp_queue_options_t options;
 	bp_resources_t total;
-	GHashTable *teams; /* const bp_team_t * -> turn_t */
+	GHashTable *teams; /* const bp_team_t * -> turn_t, kept for reuse */
+	const bp_state_t *state; /* that the teams belong to */
 	GPtrArray *heap; /* turn_t with jobs of the current rank */
 	turn_t *current; /* taken from the heap by the last call of next */
 	size_t left;
@@ -98,8 +101,8 @@
 {
 	if (a->key < b->key || b->key < a->key)
 		return a->key < b->key;
-	if (a->job->submit_offset != b->job->submit_offset)
-		return a->job->submit_offset < b->job->submit_offset;
+	if (a->offset != b->offset)
+		return a->offset < b->offset;
 	return strcmp(a->job->id, b->job->id) < 0;
 }
 
@@ -257,6 +260,14 @@
 	    bp_resources_dominant(&turn->used, &queue->total) / weight;
 }
 
+static void
+start_turn(const bp_queue_t *queue, turn_t *turn)
+{
+	turn->loaded = true;
+	turn->used = turn->team->used;
+	update_share(queue, turn);
+}
+
 /* In arrival order all jobs are in one line, which has no team. */
 static turn_t *
 turn_of(bp_queue_t *queue, const bp_team_t *team)
@@ -265,12 +276,15 @@
 	turn_t *turn = g_hash_table_lookup(queue->teams, single ? NULL : team);
 	int rank;
 
-	if (turn != NULL)
+	if (turn != NULL && turn->loaded)
+		return turn;
+	if (turn != NULL) {
+		start_turn(queue, turn);
 		return turn;
+	}
 	turn = g_new0(turn_t, 1);
 	turn->team = team;
-	turn->used = team->used;
-	update_share(queue, turn);
+	start_turn(queue, turn);
 	for (rank = 0; rank < N_RANKS; rank++)
 		turn->jobs[rank] = g_array_new(FALSE, FALSE, sizeof(item_t));
 	g_hash_table_insert(queue->teams, single ? NULL : (gpointer)team, turn);
@@ -290,9 +304,32 @@
 	return total;
 }
 
+/* Empties the turns of the last round but keeps their memory. */
+static void
+reset_turns(bp_queue_t *queue, const bp_state_t *state)
+{
+	GHashTableIter iter;
+	gpointer value;
+	int rank;
+
+	if (queue->state != state)
+		g_hash_table_remove_all(queue->teams);
+	queue->state = state;
+	g_hash_table_iter_init(&iter, queue->teams);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		turn_t *turn = value;
+
+		turn->loaded = false;
+		turn->head = NULL;
+		for (rank = 0; rank < N_RANKS; rank++)
+			g_array_set_size(turn->jobs[rank], 0);
+	}
+}
+
 /* See the header. Takes time linear in the number of waiting jobs. */
 void
-bp_queue_load(bp_queue_t *queue, const bp_state_t *state)
+bp_queue_load(bp_queue_t *queue, const bp_state_t *state,
+    bp_queue_filter_t filter, void *data)
 {
 	const GPtrArray *waiting = bp_state_waiting(state);
 	GHashTableIter iter;
@@ -302,13 +339,17 @@
 	int rank;
 
 	g_ptr_array_set_size(queue->heap, 0);
-	g_hash_table_remove_all(queue->teams);
+	reset_turns(queue, state);
 	queue->current = NULL;
 	queue->rank = -1;
-	queue->left = waiting->len;
+	queue->left = 0;
 	queue->total = total_capacity(state);
 	for (i = 0; i < waiting->len; i++) {
 		item.job = g_ptr_array_index(waiting, i);
+		if (filter != NULL && !filter(item.job, data))
+			continue;
+		queue->left++;
+		item.offset = item.job->submit_offset;
 		item.key = job_key(queue, state, item.job);
 		rank = queue->options.order == BP_ORDER_ARRIVAL
 		    ? 0
@@ -377,7 +418,7 @@
 	turn_t *turn = g_hash_table_lookup(queue->teams, job->team);
 	bp_resources_t amount = bp_resources_times(&job->size, count);
 
-	if (turn == NULL)
+	if (turn == NULL || !turn->loaded)
 		return;
 	turn->used = bp_resources_sum(&turn->used, &amount);
 	update_share(queue, turn);
@@ -399,7 +440,7 @@
 {
 	const turn_t *turn = g_hash_table_lookup(queue->teams, team);
 
-	if (turn != NULL)
+	if (turn != NULL && turn->loaded)
 		return turn->share;
 	return bp_resources_dominant(&team->used, &queue->total) /
 	    MAX(team->weight, 1U);
--- a/tests/scheduler/test_queue.c
+++ b/tests/scheduler/test_queue.c
@@ -30,7 +30,7 @@
 	GString *seen = g_string_new(NULL);
 	bp_job_t *job;
 
-	bp_queue_load(queue, model.state);
+	bp_queue_load(queue, model.state, NULL, NULL);
 	while ((job = bp_queue_next(queue)) != NULL) {
 		g_string_append_printf(
 		    seen, "%s%s", seen->len > 0 ? " " : "", job->id);
@@ -113,7 +113,7 @@
 	add("a2", "t1", BP_CLASS_BATCH, 1);
 	add("b1", "t2", BP_CLASS_BATCH, 1);
 	queue = bp_queue_new(&options);
-	bp_queue_load(queue, model.state);
+	bp_queue_load(queue, model.state, NULL, NULL);
 	job = bp_queue_next(queue);
 	CU_ASSERT_STRING_EQUAL(job->id, "a1");
 	bp_queue_charge(queue, job, 4);
