--- a/src/node/node.c
+++ b/src/node/node.c
@@ -1,11 +1,14 @@
 #include "bulrushpost/node.h"
 
 #include "bulrushpost/appender.h"
+#include "bulrushpost/control.h"
 #include "bulrushpost/gateway.h"
 #include "bulrushpost/keyclaim.h"
 #include "bulrushpost/registry.h"
 #include "bulrushpost/scheduler.h"
 #include "bulrushpost/snapshotwriter.h"
+#include "node/bootstrap.h"
+#include "node/counters.h"
 #include "node/endpoints.h"
 
 #include <glib-unix.h>
@@ -34,6 +37,11 @@
 	bp_keyclaim_t *keyclaim;
 	bp_gateway_t *gateway;
 	bp_endpoints_t *endpoints;
+	bp_metrics_t *metrics;
+	bp_timeline_t *timeline;
+	bp_control_t *control;
+	bp_bootstrap_t *bootstrap;
+	bp_counters_t counters;
 	uint32_t draining; /* services that still drain */
 	bool stopping;
 	guint signal_term;
@@ -143,6 +151,7 @@
 	options.client = node->workers;
 	options.vmlist = node->vmlist;
 	options.settings = node->settings;
+	options.timeline = node->timeline;
 	options.incarnation = node->incarnation;
 	rc = bp_scheduler_new(&node->scheduler, &options, err);
 	if (rc != BP_OK)
@@ -185,6 +194,34 @@
 	return bp_registry_add(node->registry, "gateway", node->gateway, err);
 }
 
+static int
+build_control(node_t *node, bp_error_t *err)
+{
+	bp_control_options_t options = {0};
+	int rc;
+
+	options.clock = node->clock;
+	options.logger = node->logger;
+	options.follower = node->follower;
+	options.appender = node->appender;
+	options.scheduler = node->scheduler;
+	options.metrics = node->metrics;
+	options.timeline = node->timeline;
+	options.settings = node->settings;
+	options.incarnation = node->incarnation;
+	rc = bp_control_new(&node->control, &options, err);
+	if (rc != BP_OK)
+		return rc;
+	node->bootstrap = bp_bootstrap_new(
+	    node->clock, node->logger, node->follower, node->settings);
+	node->counters.gateway = node->gateway;
+	node->counters.scheduler = node->scheduler;
+	node->counters.appender = node->appender;
+	node->counters.follower = node->follower;
+	bp_counters_register(&node->counters, node->metrics);
+	return bp_registry_add(node->registry, "control", node->control, err);
+}
+
 static int
 build(node_t *node, bp_error_t *err)
 {
@@ -197,6 +234,9 @@
 	    node->clock, node->settings->node.name, node->settings->log_level);
 	node->registry = bp_registry_new();
 	node->loop = g_main_loop_new(NULL, FALSE);
+	node->metrics = bp_metrics_new();
+	node->timeline = bp_timeline_new(node->clock, node->settings->node.name,
+	    node->settings->limits.timeline_events);
 	rc = build_log(node, err);
 	if (rc == BP_OK)
 		rc = build_platform(node, err);
@@ -204,12 +244,14 @@
 		rc = build_scheduler(node, err);
 	if (rc == BP_OK)
 		rc = build_gateway(node, err);
+	if (rc == BP_OK)
+		rc = build_control(node, err);
 	return rc;
 }
 
 /*
- * The appender goes before the scheduler and the key claimer, since its
- * completions refer to them.
+ * The appender goes before the scheduler, control and the key claimer, since
+ * its completions refer to them.
  */
 static void
 teardown(node_t *node)
@@ -220,10 +262,12 @@
 		g_source_remove(node->signal_int);
 	if (node->drain_timer != 0)
 		g_source_remove(node->drain_timer);
+	bp_bootstrap_free(node->bootstrap);
 	bp_endpoints_free(node->endpoints);
 	bp_gateway_free(node->gateway);
 	bp_snapshotwriter_free(node->snapshots);
 	bp_appender_free(node->appender);
+	bp_control_free(node->control);
 	bp_scheduler_free(node->scheduler);
 	bp_keyclaim_free(node->keyclaim);
 	bp_workerclient_free(node->workers);
@@ -231,6 +275,8 @@
 	bp_follower_free(node->follower);
 	bp_logclient_free(node->log);
 	bp_registry_free(node->registry);
+	bp_timeline_free(node->timeline);
+	bp_metrics_free(node->metrics);
 	if (node->loop != NULL)
 		g_main_loop_unref(node->loop);
 	bp_logger_free(node->logger);
@@ -284,6 +330,7 @@
 	node->stopping = true;
 	bp_log(node->logger, BP_LOG_NOTICE, "node", "draining", NULL);
 	bp_appender_set_draining(node->appender, true);
+	bp_control_set_draining(node->control, true);
 	node->drain_timer = g_timeout_add_seconds(
 	    node->settings->timing.drain_s, on_drain_limit, node);
 	node->draining = 1;
