Treat 503 and 429 of the log as proof that nothing was appended

Cause: a keyed request that arrived as an outage began was answered not_known, since any answer but a refused connection counted as sent. Ruled out: a longer wait for the log, which only delays the same answer. Before: process/log 'key refused as outage begins' failed; after: passes.

--- a/src/platform/appendsend.c
+++ b/src/platform/appendsend.c
@@ -175,6 +175,17 @@
 	appender->next_seq--;
 }
 
+/*
+ * With 503 and 429 the log service states that it appended nothing, as
+ * certain as a request that was never sent.
+ */
+static bool
+is_refusal(const bp_error_t *err)
+{
+	return err->kind == BP_ENOTSENT || err->kind == BP_ELOGDOWN ||
+	    err->kind == BP_EOVERLOAD;
+}
+
 static void
 on_appended(uint64_t offset, const bp_error_t *err, void *data)
 {
@@ -196,7 +207,7 @@
 	}
 	bp_log(appender->options.logger, BP_LOG_INFO, BP_APPENDER_MODULE,
 	    "append failed", "reason", err->message, NULL);
-	record->sent = record->sent || err->kind != BP_ENOTSENT;
+	record->sent = record->sent || !is_refusal(err);
 	if (!record->sent)
 		take_back(appender);
 	arm_retry(appender);
