--- a/tests/demo/demo.c
+++ b/tests/demo/demo.c
@@ -48,6 +48,15 @@
 	return x < y ? -1 : x > y;
 }
 
+/* times_us is sorted. */
+static double
+quantile_ms(const GArray *times_us, guint percent)
+{
+	guint index = times_us->len * percent / 100;
+
+	return (double)g_array_index(times_us, int64_t, index) / US_PER_MS;
+}
+
 static bool
 is_own_answer(const bp_reply_t *reply, const char *path)
 {
@@ -100,13 +109,8 @@
 	if (times_us->len > 0)
 		printf("  %u requests, %u at once: median %.1f ms, 99%% "
 		       "within %.1f ms (5 ms of work each)\n",
-		    times_us->len, PARALLEL,
-		    (double)g_array_index(
-			times_us, int64_t, times_us->len / 2) /
-			US_PER_MS,
-		    (double)g_array_index(
-			times_us, int64_t, times_us->len * 99 / 100) /
-			US_PER_MS);
+		    times_us->len, PARALLEL, quantile_ms(times_us, 50),
+		    quantile_ms(times_us, 99));
 	verify(demo, own == REQUESTS, "every caller got its own answer");
 	bp_cluster_read(demo->cluster);
 	verify(demo,
--- a/tests/process/test_faults.c
+++ b/tests/process/test_faults.c
@@ -240,7 +240,10 @@
 	bp_random_init(&faults.random,
 	    seed != NULL ? strtoull(seed, NULL, 10) : SEED_DEFAULT);
 	faults.cluster = bp_cluster_new(&options);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(faults.cluster);
+	if (faults.cluster == NULL) {
+		CU_FAIL_FATAL("no cluster");
+		return;
+	}
 	run_rounds(&faults);
 	CU_ASSERT_TRUE(faults.jobs->len > 0);
 	CU_ASSERT_TRUE(bp_wait_until_ms(all_done, &faults, SETTLE_LIMIT_MS));
--- a/tests/process/test_log.c
+++ b/tests/process/test_log.c
@@ -48,9 +48,7 @@
 	bp_reply_t *reply = keyed(cluster, node, path, node);
 
 	CU_ASSERT_NOT_EQUAL(reply->status, 200);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(reply->outcome);
 	CU_ASSERT_STRING_EQUAL(reply->outcome, "not_run");
-	CU_ASSERT_PTR_NOT_NULL_FATAL(reply->reason);
 	CU_ASSERT_PTR_NOT_NULL(strstr(reply->reason, "log_unavailable"));
 	bp_reply_free(reply);
 }
--- a/tests/process/test_requests.c
+++ b/tests/process/test_requests.c
@@ -139,7 +139,6 @@
 		CU_ASSERT_TRUE_FATAL(bp_http_wait(reply));
 		if (reply->status != 200) {
 			lost++;
-			CU_ASSERT_PTR_NOT_NULL_FATAL(reply->outcome);
 			if (strcmp(reply->outcome, "not_run") != 0)
 				CU_ASSERT_STRING_EQUAL(
 				    reply->outcome, "not_known");
--- a/tests/standin/executor.c
+++ b/tests/standin/executor.c
@@ -7,7 +7,10 @@
 
 #define US_PER_MS 1000
 #define CONNECTIONS_MAX 60
-#define PORT_TRIES 50
+#define PORT_TRIES 200
+/* Below the range from which systems take ports of outgoing connections. */
+#define PORT_LOW 10240
+#define PORT_HIGH 32000
 #define ANSWER_PAD_MAX (1024 * 1024)
 
 static const char *
@@ -252,14 +255,15 @@
 	int i;
 
 	for (tries = port == 0 ? PORT_TRIES : 1; tries > 0; tries--) {
+		first = port != 0
+		    ? port
+		    : g_random_int_range(PORT_LOW, PORT_HIGH - count);
 		g_ptr_array_set_size(service->executors, 0);
-		first = add_executor(service, port);
-		for (i = 1; first > 0 && i < count; i++) {
-			if (first + i > G_MAXUINT16 ||
-			    add_executor(service, first + i) < 0)
+		for (i = 0; i < count; i++) {
+			if (add_executor(service, first + i) < 0)
 				break;
 		}
-		if (first > 0 && i >= count)
+		if (i == count)
 			return first;
 	}
 	return -1;
--- a/tests/support/cluster_operator.c
+++ b/tests/support/cluster_operator.c
@@ -1,11 +1,11 @@
 #include "support/cluster.h"
 
-#include <json-glib/json-glib.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 
 #define BINARY "build/bulrushpost"
+#define MILLI 1000
 
 /* Runs the command line tool to its end. */
 int
@@ -43,33 +43,30 @@
 	return reply;
 }
 
-/* Submits a job of team "club"; the tool prints its id as JSON. */
+/*
+ * Submits a job of team "club" under an id made here. A job whose outcome is
+ * not known counts as not accepted.
+ */
 char *
 bp_cluster_submit(bp_cluster_t *cluster, guint node, const char *klass,
     guint tasks, guint cpu_milli, const char *command)
 {
+	char *job = g_uuid_string_random();
 	char *count = g_strdup_printf("%u", tasks);
-	char *cpu = g_strdup_printf("%u", cpu_milli);
-	char *output = NULL;
-	char *job = NULL;
-	JsonParser *parser = json_parser_new();
+	char *cpu =
+	    g_strdup_printf("%u.%03u", cpu_milli / MILLI, cpu_milli % MILLI);
+	int status = bp_cluster_cli(cluster, NULL, "job", "submit", "--node",
+	    bp_cluster_node(cluster, node)->control, "--id", job, "--team",
+	    "club", "--name", "roster", "--class", klass, "--tasks", count,
+	    "--cpu", cpu, "--memory", "100M", "--command", command, NULL);
 
-	if (bp_cluster_cli(cluster, &output, "job", "submit", "--node",
-		bp_cluster_node(cluster, node)->control, "--team", "club",
-		"--name", "roster", "--class", klass, "--tasks", count,
-		"--cpu-milli", cpu, "--memory-mib", "100", "--command", command,
-		"--json", NULL) == 0 &&
-	    json_parser_load_from_data(parser, output, -1, NULL))
-		job = g_strdup(json_object_get_string_member_with_default(
-		    json_node_get_object(json_parser_get_root(parser)), "id",
-		    NULL));
-	if (job == NULL)
-		printf("no job: %s\n", output != NULL ? output : "");
-	g_object_unref(parser);
-	g_free(output);
 	g_free(count);
 	g_free(cpu);
-	return job;
+	if (status == 0)
+		return job;
+	printf("job submit: exit status %d\n", status);
+	g_free(job);
+	return NULL;
 }
 
 static bool
--- a/tests/support/http.c
+++ b/tests/support/http.c
@@ -40,6 +40,18 @@
 	g_free(http);
 }
 
+/* Headers of an answer that is not complete do not count. */
+static char *
+header(SoupMessage *message, const GBytes *body, const char *name)
+{
+	const char *value = body != NULL
+	    ? soup_message_headers_get_one(
+		  soup_message_get_response_headers(message), name)
+	    : NULL;
+
+	return g_strdup(value != NULL ? value : "");
+}
+
 static void
 on_reply(GObject *source, GAsyncResult *result, gpointer data)
 {
@@ -47,26 +59,21 @@
 	bp_reply_t *reply = call->reply;
 	GBytes *bytes = soup_session_send_and_read_finish(
 	    SOUP_SESSION(source), result, NULL);
-	SoupMessageHeaders *headers =
-	    soup_message_get_response_headers(call->message);
 	gsize size = 0;
-	const char *text;
+	const char *text = "";
 
 	if (bytes != NULL) {
 		text = g_bytes_get_data(bytes, &size);
 		reply->status = soup_message_get_status(call->message);
-		reply->body = g_malloc0(size + 1);
-		if (size > 0)
-			memcpy(reply->body, text, size);
-		reply->body_bytes = size;
-		reply->outcome = g_strdup(
-		    soup_message_headers_get_one(headers, "X-Outcome"));
-		reply->reason =
-		    g_strdup(soup_message_headers_get_one(headers, "X-Reason"));
-		g_bytes_unref(bytes);
-	} else {
-		reply->body = g_strdup("");
 	}
+	reply->body = g_malloc0(size + 1);
+	if (size > 0)
+		memcpy(reply->body, text, size);
+	reply->body_bytes = size;
+	reply->outcome = header(call->message, bytes, "X-Outcome");
+	reply->reason = header(call->message, bytes, "X-Reason");
+	if (bytes != NULL)
+		g_bytes_unref(bytes);
 	reply->done_us = bp_now_us();
 	reply->done = true;
 	g_object_unref(call->message);
--- a/tests/support/http.h
+++ b/tests/support/http.h
@@ -14,8 +14,8 @@
 	uint32_t status; /* 0 when no complete answer came */
 	char *body; /* NUL-terminated, never NULL once done */
 	size_t body_bytes;
-	char *outcome; /* X-Outcome, or NULL */
-	char *reason; /* X-Reason, or NULL */
+	char *outcome; /* X-Outcome, or an empty string */
+	char *reason; /* X-Reason, or an empty string */
 	int64_t sent_us;
 	int64_t done_us;
 } bp_reply_t;
