--- a/tests/support/process.c
+++ b/tests/support/process.c
@@ -239,6 +239,17 @@
 	return process->error_path;
 }
 
+static void
+print_error(const bp_process_t *process, const char *name, int status)
+{
+	char *text = NULL;
+
+	if (g_file_get_contents(process->error_path, &text, NULL, NULL))
+		printf(
+		    "%s: exit status %d: %s\n", name, status, g_strstrip(text));
+	g_free(text);
+}
+
 /* Runs a program; output may be NULL and is freed with g_free. */
 int
 bp_process_run(const char *name, const char *const *argv, char **output)
@@ -251,6 +262,8 @@
 	if (process == NULL)
 		return -1;
 	status = bp_process_wait(process);
+	if (status != 0)
+		print_error(process, name, status);
 	if (output != NULL)
 		g_file_get_contents(process->output_path, output, NULL, NULL);
 	bp_process_free(process);
