Test the control service and correct what the tests found

A rule file that confines jobs to a zone whose racks are not known yet was refused as leaving no place. Known racks and VMs are no longer counted for this; the warnings of rules check cover them.

--- a/src/node/control_submit.c
+++ b/src/node/control_submit.c
@@ -134,6 +134,7 @@
 on_submitted(const bp_applied_t *applied, const bp_error_t *err, void *data)
 {
 	bp_control_call_t *call = data;
+	const bp_job_t *job;
 
 	if (applied == NULL && err->kind == BP_EUNKNOWN) {
 		char *message =
@@ -148,8 +149,9 @@
 	}
 	if (bp_control_failed(call, applied, err))
 		return;
+	job = bp_state_job(bp_control_state(call->control), call->name);
 	reply_accepted(
-	    call->request, call->name, "is accepted", applied->offset);
+	    call->request, call->name, "is accepted", job->submit_offset);
 	bp_control_call_free(call);
 }
 
--- a/src/state/rules_check.c
+++ b/src/state/rules_check.c
@@ -137,7 +137,8 @@
 
 /*
  * Checks that the rules of one subject leave a place. Every list that the
- * subject is confined to, and every list of known names, must keep a member.
+ * subject is confined to, and the list of known zones, must keep a member.
+ * Known racks and VMs do not count: those of a new zone may not be known yet.
  */
 static bool
 leaves_nothing(const GPtrArray *rules, const bp_subject_t *subject,
@@ -154,11 +155,8 @@
 			(const char *const *)rule->as.places.names))
 			return true;
 	}
-	if (names == NULL)
-		return false;
-	return all_excluded(rules, subject, BP_SCOPE_ZONE, names->zones) ||
-	    all_excluded(rules, subject, BP_SCOPE_RACK, names->racks) ||
-	    all_excluded(rules, subject, BP_SCOPE_VM, names->vms);
+	return names != NULL &&
+	    all_excluded(rules, subject, BP_SCOPE_ZONE, names->zones);
 }
 
 static bool
--- /dev/null
+++ b/tests/node/test_control.c
@@ -0,0 +1,550 @@
+#include "bulrushpost/control.h"
+#include "bulrushpost/hash.h"
+#include "support/logrig.h"
+#include "support/runner.h"
+
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+#define CALL_MS 9000
+#define MUTATIONS 2000
+#define MUTATION_BATCH 50
+#define MUTATION_SEED 20261209
+
+/* The control service on a log inside the process, and the last answer. */
+typedef struct {
+	logrig_t rig;
+	bp_settings_t settings;
+	bp_control_t *control;
+	bp_peer_client_t *client;
+	bp_metrics_t *metrics;
+	bp_timeline_t *timeline;
+	char *address;
+	uint32_t done;
+	int error;
+	bp_outcome_t outcome;
+	char *message;
+	char *body;
+	char *arg;
+} fixture_t;
+
+static void
+set_up(fixture_t *fixture)
+{
+	bp_control_options_t options = {0};
+
+	memset(fixture, 0, sizeof(*fixture));
+	logrig_init(&fixture->rig, NULL, 50);
+	fixture->settings.node.name = "node-1";
+	fixture->settings.node.zone = "zone-1";
+	fixture->settings.listen.control = "127.0.0.1:0";
+	fixture->settings.timing.death_ms = 3000;
+	fixture->settings.limits.control_connections = 8;
+	fixture->settings.limits.job_tasks = 10000;
+	fixture->settings.limits.pending_jobs = 500;
+	fixture->metrics = bp_metrics_new();
+	fixture->timeline = bp_timeline_new(bp_clock_system(), "node-1", 1000);
+	options.clock = bp_clock_system();
+	options.follower = fixture->rig.follower;
+	options.appender = fixture->rig.appender;
+	options.metrics = fixture->metrics;
+	options.timeline = fixture->timeline;
+	options.settings = &fixture->settings;
+	options.incarnation = RIG_INCARNATION;
+	CU_ASSERT_EQUAL_FATAL(
+	    bp_control_new(&fixture->control, &options, NULL), BP_OK);
+	fixture->address = g_strdup_printf(
+	    "127.0.0.1:%u", (unsigned int)bp_control_port(fixture->control));
+	fixture->client = bp_peer_client_new(bp_clock_system(), NULL);
+	logrig_start(&fixture->rig);
+	CU_ASSERT_TRUE(logrig_wait_status(&fixture->rig, BP_FOLLOWER_CURRENT));
+	CU_ASSERT_TRUE(logrig_wait_offset(&fixture->rig, 1));
+}
+
+static void
+clear_answer(fixture_t *fixture)
+{
+	g_clear_pointer(&fixture->message, g_free);
+	g_clear_pointer(&fixture->body, g_free);
+	g_clear_pointer(&fixture->arg, g_free);
+}
+
+static void
+tear_down(fixture_t *fixture)
+{
+	bp_peer_client_free(fixture->client);
+	bp_appender_free(fixture->rig.appender);
+	fixture->rig.appender = NULL;
+	bp_control_free(fixture->control);
+	logrig_clear(&fixture->rig);
+	bp_timeline_free(fixture->timeline);
+	bp_metrics_free(fixture->metrics);
+	run_for(20);
+	clear_answer(fixture);
+	g_free(fixture->address);
+}
+
+static bool
+is_json(const char *text)
+{
+	JsonNode *node = json_from_string(text, NULL);
+
+	if (node == NULL)
+		return false;
+	json_node_unref(node);
+	return true;
+}
+
+static void
+on_done(const Bp__Peer__Frame *answer, const bp_error_t *err, void *data)
+{
+	fixture_t *fixture = data;
+
+	fixture->done++;
+	clear_answer(fixture);
+	fixture->error = err != NULL ? (int)err->kind : answer->error;
+	if (answer == NULL)
+		return;
+	fixture->outcome = (bp_outcome_t)answer->outcome;
+	fixture->message = g_strdup(answer->message);
+	fixture->body = answer->body.len == 0
+	    ? g_strdup("")
+	    : g_strndup((const char *)answer->body.data, answer->body.len);
+	fixture->arg = g_strdup(answer->n_args > 0 ? answer->args[0] : "");
+	if (answer->verb != BP__PEER__VERB__VERB_STATE &&
+	    answer->verb != BP__PEER__VERB__VERB_TIMELINE &&
+	    fixture->body[0] != '\0')
+		CU_ASSERT_TRUE(is_json(fixture->body));
+}
+
+static bool
+is_done(void *data)
+{
+	return ((fixture_t *)data)->done > 0;
+}
+
+/* Sends a request with up to five arguments and waits for the answer. */
+static int
+ask(fixture_t *fixture, Bp__Peer__Verb verb, const uint8_t *body,
+    size_t body_bytes, char **args)
+{
+	Bp__Peer__Frame request = BP__PEER__FRAME__INIT;
+
+	request.verb = verb;
+	request.args = args;
+	request.n_args = args != NULL ? g_strv_length(args) : 0;
+	request.body.data = (uint8_t *)body;
+	request.body.len = body_bytes;
+	fixture->done = 0;
+	bp_peer_client_call(fixture->client, fixture->address, &request,
+	    CALL_MS, on_done, fixture);
+	CU_ASSERT_TRUE(wait_until(is_done, fixture, CALL_MS + 1000));
+	return fixture->error;
+}
+
+static int
+publish(fixture_t *fixture, char *base, char *author, const char *text)
+{
+	char *args[] = {base, author, NULL};
+
+	return ask(fixture, BP__PEER__VERB__VERB_RULES_PUBLISH,
+	    (const uint8_t *)text, strlen(text), args);
+}
+
+static int
+ask_for(fixture_t *fixture, Bp__Peer__Verb verb, char *arg)
+{
+	char *args[] = {arg, NULL};
+
+	return ask(fixture, verb, NULL, 0, args);
+}
+
+static int
+submit(fixture_t *fixture, char *id, uint32_t tasks, uint32_t cpu_milli)
+{
+	Bp__Log__JobSpec spec = BP__LOG__JOB_SPEC__INIT;
+	uint8_t bytes[256];
+
+	spec.id = id;
+	spec.team = "pszczoły";
+	spec.name = "plan";
+	spec.klass = BP__LOG__TASK_CLASS__CLASS_BATCH;
+	spec.tasks = tasks;
+	spec.cpu_milli = cpu_milli;
+	spec.memory_mib = 100;
+	return ask(fixture, BP__PEER__VERB__VERB_JOB_SUBMIT, bytes,
+	    bp__log__job_spec__pack(&spec, bytes), NULL);
+}
+
+/* Makes a VM of 4 processors known through the log. */
+static void
+add_vm(fixture_t *fixture)
+{
+	Bp__Log__Entry entries[2] = {
+	    BP__LOG__ENTRY__INIT, BP__LOG__ENTRY__INIT};
+	Bp__Log__Claim claim = BP__LOG__CLAIM__INIT;
+	Bp__Log__VmUpsert vm = BP__LOG__VM_UPSERT__INIT;
+	uint64_t next =
+	    bp_state_next_offset(bp_follower_state(fixture->rig.follower));
+	int i;
+
+	claim.rack = "zone-1/r1";
+	vm.vm = "w1";
+	vm.rack = "zone-1/r1";
+	vm.zone = "zone-1";
+	vm.epoch = 1;
+	vm.cpu_milli = 4000;
+	vm.memory_mib = 8000;
+	entries[0].body_case = BP__LOG__ENTRY__BODY_CLAIM;
+	entries[0].claim = &claim;
+	entries[1].body_case = BP__LOG__ENTRY__BODY_VM_UPSERT;
+	entries[1].vm_upsert = &vm;
+	for (i = 0; i < 2; i++)
+		CU_ASSERT_EQUAL(bp_appender_add(fixture->rig.appender,
+				    &entries[i], 2000, NULL, NULL, NULL),
+		    BP_OK);
+	CU_ASSERT_TRUE(logrig_wait_offset(&fixture->rig, next + 1));
+	CU_ASSERT_PTR_NOT_NULL(
+	    bp_state_vm(bp_follower_state(fixture->rig.follower), "w1"));
+}
+
+/* Guards against a lost update, and a loser who is not told what he lost. */
+static void
+test_second_publisher_is_told_who_won(void)
+{
+	fixture_t f;
+
+	set_up(&f);
+	CU_ASSERT_EQUAL(
+	    publish(&f, "0", "Ann", "team a weight 2 # Ann\n"), BP_OK);
+	CU_ASSERT_EQUAL(
+	    publish(&f, "0", "Bob", "team b weight 3 # Bob\n"), BP_ECONFLICT);
+	CU_ASSERT_EQUAL(f.outcome, BP_OUTCOME_NOT_RUN);
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "version 1 by Ann"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "- team a weight 2 # Ann"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "+ team b weight 3 # Bob"));
+	/* From a version that this node does not know the log decides. */
+	CU_ASSERT_EQUAL(
+	    publish(&f, "7", "Bob", "team b weight 3 # Bob\n"), BP_ECONFLICT);
+	CU_ASSERT_EQUAL(
+	    publish(&f, "1", "Bob", "team b wieght 3 # Bob\n"), BP_EINVALID);
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "line 1: wieght"));
+	CU_ASSERT_EQUAL(
+	    publish(&f, "1", "Bob", "team b weight 3 # Bob\n"), BP_OK);
+	CU_ASSERT_EQUAL(
+	    ask(&f, BP__PEER__VERB__VERB_RULES_SHOW, NULL, 0, NULL), BP_OK);
+	CU_ASSERT_STRING_EQUAL(f.arg, "team b weight 3 # Bob\n");
+	CU_ASSERT_EQUAL(
+	    ask_for(&f, BP__PEER__VERB__VERB_RULES_SHOW, "1"), BP_OK);
+	CU_ASSERT_STRING_EQUAL(f.arg, "team a weight 2 # Ann\n");
+	CU_ASSERT_EQUAL(
+	    ask(&f, BP__PEER__VERB__VERB_RULES_HISTORY, NULL, 0, NULL), BP_OK);
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "version 2 by Bob"));
+	tear_down(&f);
+}
+
+/* Guards against a zone change that undoes one its author did not see. */
+static void
+test_zone_change_from_an_old_version_is_refused(void)
+{
+	char *out[] = {"zone-1", "out", "0", "Ann", "flood", NULL};
+	char *in[] = {"zone-1", "in", "0", "Bob", "", NULL};
+	char *unknown[] = {"zone-9", "in", "0", "Bob", "", NULL};
+	fixture_t f;
+
+	set_up(&f);
+	CU_ASSERT_EQUAL(
+	    ask(&f, BP__PEER__VERB__VERB_ZONE_CHANGE, NULL, 0, out), BP_OK);
+	CU_ASSERT_EQUAL(ask(&f, BP__PEER__VERB__VERB_ZONE_CHANGE, NULL, 0, in),
+	    BP_ECONFLICT);
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "Ann"));
+	CU_ASSERT_EQUAL(
+	    ask(&f, BP__PEER__VERB__VERB_ZONE_CHANGE, NULL, 0, unknown),
+	    BP_ENOTFOUND);
+	CU_ASSERT_EQUAL(
+	    ask(&f, BP__PEER__VERB__VERB_ZONE_LIST, NULL, 0, NULL), BP_OK);
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "zone zone-1: out"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "by Ann"));
+	tear_down(&f);
+}
+
+/* Guards against "not run" without proof, and jobs that wait for ever. */
+static void
+test_job_outcomes_need_proof(void)
+{
+	char *cancel[] = {"j1", "Ann", NULL};
+	fixture_t f;
+
+	set_up(&f);
+	add_vm(&f);
+	CU_ASSERT_EQUAL(submit(&f, "j1", 2, 1000), BP_OK);
+	CU_ASSERT_EQUAL(submit(&f, "j1", 2, 1000), BP_OK);
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "before"));
+	CU_ASSERT_EQUAL(submit(&f, "j1", 3, 1000), BP_ECONFLICT);
+	CU_ASSERT_EQUAL(submit(&f, "j2", 1, 4001), BP_EREFUSED);
+	CU_ASSERT_EQUAL(f.outcome, BP_OUTCOME_NOT_RUN);
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "4 processors"));
+	CU_ASSERT_EQUAL(submit(&f, "j2", 0, 1000), BP_EINVALID);
+	CU_ASSERT_EQUAL(submit(&f, "j 2", 1, 1000), BP_EINVALID);
+	CU_ASSERT_EQUAL(submit(&f, "", 1, 1000), BP_OK);
+	CU_ASSERT_EQUAL(strlen(f.arg), 36);
+	CU_ASSERT_EQUAL(
+	    ask_for(&f, BP__PEER__VERB__VERB_JOB_STATUS, "j1"), BP_OK);
+	CU_ASSERT_EQUAL(f.outcome, BP_OUTCOME_NOT_KNOWN);
+	CU_ASSERT_EQUAL(ask_for(&f, BP__PEER__VERB__VERB_WHY, "j1"), BP_OK);
+	CU_ASSERT_TRUE(strlen(f.message) > 0);
+	CU_ASSERT_EQUAL(
+	    ask(&f, BP__PEER__VERB__VERB_JOB_CANCEL, NULL, 0, cancel), BP_OK);
+	CU_ASSERT_EQUAL(f.outcome, BP_OUTCOME_NOT_RUN);
+	CU_ASSERT_EQUAL(
+	    ask_for(&f, BP__PEER__VERB__VERB_JOB_STATUS, "none"), BP_ENOTFOUND);
+	CU_ASSERT_EQUAL(f.outcome, BP_OUTCOME_NOT_KNOWN);
+	CU_ASSERT_EQUAL(
+	    ask_for(&f, BP__PEER__VERB__VERB_JOB_LIST, "state=cancelled"),
+	    BP_OK);
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "j1 plan"));
+	CU_ASSERT_PTR_NULL(strstr(f.message, "\n"));
+	tear_down(&f);
+}
+
+/* Guards against "not run" for a job whose assign entry was valid once. */
+static void
+test_assigned_job_is_never_proven_not_run(void)
+{
+	Bp__Log__Entry entry = BP__LOG__ENTRY__INIT;
+	Bp__Log__Assign assign = BP__LOG__ASSIGN__INIT;
+	Bp__Log__Entry end_entry = BP__LOG__ENTRY__INIT;
+	Bp__Log__TaskEnd end = BP__LOG__TASK_END__INIT;
+	char *cancel[] = {"j1", "Ann", NULL};
+	fixture_t f;
+
+	set_up(&f);
+	add_vm(&f);
+	CU_ASSERT_EQUAL(submit(&f, "j1", 1, 1000), BP_OK);
+	assign.job = "j1";
+	assign.count = 1;
+	assign.attempt = 1;
+	assign.vm = "w1";
+	assign.epoch = 1;
+	entry.body_case = BP__LOG__ENTRY__BODY_ASSIGN;
+	entry.assign = &assign;
+	CU_ASSERT_EQUAL(
+	    bp_appender_add(f.rig.appender, &entry, 2000, NULL, NULL, NULL),
+	    BP_OK);
+	CU_ASSERT_EQUAL(
+	    ask(&f, BP__PEER__VERB__VERB_JOB_CANCEL, NULL, 0, cancel), BP_OK);
+	CU_ASSERT_EQUAL(f.outcome, BP_OUTCOME_NOT_KNOWN);
+	end.job = "j1";
+	end.attempt = 1;
+	end.epoch = 1;
+	end.outcome = BP__LOG__TASK_OUTCOME__OUTCOME_NOT_STARTED;
+	end_entry.body_case = BP__LOG__ENTRY__BODY_TASK_END;
+	end_entry.task_end = &end;
+	CU_ASSERT_EQUAL(
+	    bp_appender_add(f.rig.appender, &end_entry, 2000, NULL, NULL, NULL),
+	    BP_OK);
+	run_for(200);
+	CU_ASSERT_EQUAL(
+	    ask_for(&f, BP__PEER__VERB__VERB_JOB_STATUS, "j1"), BP_OK);
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "cancelled"));
+	CU_ASSERT_EQUAL(f.outcome, BP_OUTCOME_NOT_KNOWN);
+	tear_down(&f);
+}
+
+/* Guards against "not run" for an entry that may still reach the log. */
+static void
+test_submission_without_read_back_is_not_known(void)
+{
+	fixture_t f;
+
+	set_up(&f);
+	fakelog_set_fault(f.rig.log, FAKELOG_HOLD, 100000);
+	CU_ASSERT_EQUAL(submit(&f, "j1", 1, 1000), BP_EUNKNOWN);
+	CU_ASSERT_EQUAL(f.outcome, BP_OUTCOME_NOT_KNOWN);
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "job j1"));
+	tear_down(&f);
+}
+
+/* Guards against rules that strand jobs without a warning. */
+static void
+test_check_warns_of_effects(void)
+{
+	static const char text[] = "team pszczoły only zone zone-2 # Ann\n"
+				   "team x weight 2 # Ann\n";
+	static const char spread[] = "team pszczoły spread 1 per rack # Ann\n";
+	fixture_t f;
+
+	set_up(&f);
+	add_vm(&f);
+	logrig_put_job(&f.rig, "other", 1);
+	CU_ASSERT_EQUAL(submit(&f, "j1", 2, 1000), BP_OK);
+	CU_ASSERT_EQUAL(ask(&f, BP__PEER__VERB__VERB_RULES_CHECK,
+			    (const uint8_t *)text, strlen(text), NULL),
+	    BP_OK);
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "line 1: no known VM"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "job j1 (plan)"));
+	CU_ASSERT_PTR_NULL(strstr(f.message, "job other"));
+	CU_ASSERT_EQUAL(ask(&f, BP__PEER__VERB__VERB_RULES_CHECK,
+			    (const uint8_t *)spread, strlen(spread), NULL),
+	    BP_OK);
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "2 tasks, but 1 places"));
+	tear_down(&f);
+}
+
+/* Guards against views that miss what just happened. */
+static void
+test_views_show_the_state(void)
+{
+	fixture_t f;
+
+	set_up(&f);
+	add_vm(&f);
+	CU_ASSERT_EQUAL(submit(&f, "j1", 1, 1000), BP_OK);
+	CU_ASSERT_EQUAL(
+	    ask(&f, BP__PEER__VERB__VERB_STATUS, NULL, 0, NULL), BP_OK);
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "log: current"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.body, "\"tasks_waiting\":1"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.body, "\"live\":true"));
+	CU_ASSERT_EQUAL(
+	    ask(&f, BP__PEER__VERB__VERB_METRICS, NULL, 0, NULL), BP_OK);
+	CU_ASSERT_PTR_NOT_NULL(strstr(
+	    f.message, "entries_total{kind=\"submit\",result=\"ok\"} 1"));
+	CU_ASSERT_EQUAL(
+	    ask_for(&f, BP__PEER__VERB__VERB_TIMELINE, "job=j1"), BP_OK);
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.body, "\"kind\":\"submit\""));
+	CU_ASSERT_PTR_NULL(strstr(f.body, "\"kind\":\"claim\""));
+	CU_ASSERT_EQUAL(
+	    ask_for(&f, BP__PEER__VERB__VERB_WHY, "r1"), BP_ENOTFOUND);
+	bp_timeline_add(f.timeline, "refused", "r1", NULL, NULL, "no_capacity");
+	CU_ASSERT_EQUAL(ask_for(&f, BP__PEER__VERB__VERB_WHY, "r1"), BP_OK);
+	CU_ASSERT_STRING_EQUAL(f.message, "refused: no_capacity");
+	CU_ASSERT_EQUAL(
+	    ask_for(&f, BP__PEER__VERB__VERB_KEY_OUTCOME, "s/k"), BP_OK);
+	CU_ASSERT_EQUAL(f.outcome, BP_OUTCOME_NOT_KNOWN);
+	tear_down(&f);
+}
+
+typedef struct {
+	uint32_t done;
+	bp_state_t *state;
+} fetched_t;
+
+static void
+on_fetched(const uint8_t *snapshot, size_t size_bytes, const bp_error_t *err,
+    void *data)
+{
+	fetched_t *fetched = data;
+
+	fetched->done++;
+	if (err == NULL)
+		CU_ASSERT_EQUAL(bp_snapshot_load(&fetched->state, snapshot,
+				    size_bytes, NULL),
+		    BP_OK);
+}
+
+static bool
+is_fetched(void *data)
+{
+	return ((fetched_t *)data)->done > 0;
+}
+
+/* Guards against a state that is cut off at the size of a frame. */
+static void
+test_large_state_is_fetched_in_parts(void)
+{
+	fetched_t fetched = {0};
+	char id[8];
+	fixture_t f;
+	int i;
+
+	set_up(&f);
+	for (i = 0; i < 8; i++) {
+		g_snprintf(id, sizeof(id), "j%d", i);
+		CU_ASSERT_EQUAL(submit(&f, id, 10000, 1000), BP_OK);
+	}
+	bp_control_fetch_state(
+	    f.client, f.address, CALL_MS, on_fetched, &fetched);
+	CU_ASSERT_TRUE(wait_until(is_fetched, &fetched, CALL_MS));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fetched.state);
+	CU_ASSERT_PTR_NOT_NULL(bp_state_job(fetched.state, "j7"));
+	bp_state_free(fetched.state);
+	tear_down(&f);
+}
+
+static void
+send_mutated(fixture_t *f, bp_random_t *random)
+{
+	static const char *const words[] = {"zone-1", "out", "0", "Ann", "j1",
+	    "state=", "job=j1", "1", "", "team=", "\xff", "a\nb",
+	    "18446744073709551615", "-1"};
+	static const char body[] = "team a weight 2 # x\nteam b only zone "
+				   "zone-1 # y\n";
+	Bp__Peer__Frame request = BP__PEER__FRAME__INIT;
+	char *args[5];
+	uint8_t bytes[sizeof(body)];
+	size_t i;
+
+	memcpy(bytes, body, sizeof(body));
+	request.verb = (Bp__Peer__Verb)bp_random_below(random, 19);
+	request.n_args = bp_random_below(random, 6);
+	request.args = args;
+	for (i = 0; i < request.n_args; i++)
+		args[i] =
+		    (char *)words[bp_random_below(random, G_N_ELEMENTS(words))];
+	for (i = bp_random_below(random, 4); i > 0; i--)
+		bytes[bp_random_below(random, sizeof(bytes))] =
+		    (uint8_t)bp_random_next(random);
+	request.body.data = bytes;
+	request.body.len = bp_random_below(random, sizeof(bytes));
+	bp_peer_client_call(
+	    f->client, f->address, &request, CALL_MS, on_done, f);
+}
+
+static bool
+is_batch_done(void *data)
+{
+	return ((fixture_t *)data)->done == MUTATION_BATCH;
+}
+
+/* Guards against requests that end the node or get no answer. */
+static void
+test_every_request_is_answered(void)
+{
+	bp_random_t random;
+	fixture_t f;
+	int i;
+
+	set_up(&f);
+	add_vm(&f);
+	CU_ASSERT_EQUAL(submit(&f, "j1", 1, 1000), BP_OK);
+	bp_random_init(&random, MUTATION_SEED);
+	for (i = 0; i < MUTATIONS; i++) {
+		if (i % MUTATION_BATCH == 0)
+			f.done = 0;
+		send_mutated(&f, &random);
+		if (i % MUTATION_BATCH == MUTATION_BATCH - 1)
+			CU_ASSERT_TRUE(wait_until(is_batch_done, &f, CALL_MS));
+	}
+	CU_ASSERT_EQUAL(
+	    ask(&f, BP__PEER__VERB__VERB_STATUS, NULL, 0, NULL), BP_OK);
+	tear_down(&f);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"second publisher", test_second_publisher_is_told_who_won},
+	    {"zone change", test_zone_change_from_an_old_version_is_refused},
+	    {"job outcomes", test_job_outcomes_need_proof},
+	    {"assigned job", test_assigned_job_is_never_proven_not_run},
+	    {"no read-back", test_submission_without_read_back_is_not_known},
+	    {"effects", test_check_warns_of_effects},
+	    {"views", test_views_show_the_state},
+	    {"large state", test_large_state_is_fetched_in_parts},
+	    {"mutated requests", test_every_request_is_answered},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return bp_test_main("control", tests);
+}
