--- a/tests/node/test_control.c
+++ b/tests/node/test_control.c
@@ -1,6 +1,5 @@
-#include "bulrushpost/control.h"
 #include "bulrushpost/hash.h"
-#include "support/logrig.h"
+#include "support/controlrig.h"
 #include "support/runner.h"
 
 #include <json-glib/json-glib.h>
@@ -11,15 +10,10 @@
 #define MUTATION_BATCH 50
 #define MUTATION_SEED 20261209
 
-/* The control service on a log inside the process, and the last answer. */
+/* The service, a client and the last answer. */
 typedef struct {
-	logrig_t rig;
-	bp_settings_t settings;
-	bp_control_t *control;
+	controlrig_t rig;
 	bp_peer_client_t *client;
-	bp_metrics_t *metrics;
-	bp_timeline_t *timeline;
-	char *address;
 	uint32_t done;
 	int error;
 	bp_outcome_t outcome;
@@ -31,34 +25,9 @@
 static void
 set_up(fixture_t *fixture)
 {
-	bp_control_options_t options = {0};
-
 	memset(fixture, 0, sizeof(*fixture));
-	logrig_init(&fixture->rig, NULL, 50);
-	fixture->settings.node.name = "node-1";
-	fixture->settings.node.zone = "zone-1";
-	fixture->settings.listen.control = "127.0.0.1:0";
-	fixture->settings.timing.death_ms = 3000;
-	fixture->settings.limits.control_connections = 8;
-	fixture->settings.limits.job_tasks = 10000;
-	fixture->settings.limits.pending_jobs = 500;
-	fixture->metrics = bp_metrics_new();
-	fixture->timeline = bp_timeline_new(bp_clock_system(), "node-1", 1000);
-	options.clock = bp_clock_system();
-	options.follower = fixture->rig.follower;
-	options.appender = fixture->rig.appender;
-	options.metrics = fixture->metrics;
-	options.timeline = fixture->timeline;
-	options.settings = &fixture->settings;
-	options.incarnation = RIG_INCARNATION;
-	CU_ASSERT_EQUAL_FATAL(
-	    bp_control_new(&fixture->control, &options, NULL), BP_OK);
-	fixture->address = g_strdup_printf(
-	    "127.0.0.1:%u", (unsigned int)bp_control_port(fixture->control));
+	controlrig_init(&fixture->rig);
 	fixture->client = bp_peer_client_new(bp_clock_system(), NULL);
-	logrig_start(&fixture->rig);
-	CU_ASSERT_TRUE(logrig_wait_status(&fixture->rig, BP_FOLLOWER_CURRENT));
-	CU_ASSERT_TRUE(logrig_wait_offset(&fixture->rig, 1));
 }
 
 static void
@@ -73,15 +42,8 @@
 tear_down(fixture_t *fixture)
 {
 	bp_peer_client_free(fixture->client);
-	bp_appender_free(fixture->rig.appender);
-	fixture->rig.appender = NULL;
-	bp_control_free(fixture->control);
-	logrig_clear(&fixture->rig);
-	bp_timeline_free(fixture->timeline);
-	bp_metrics_free(fixture->metrics);
-	run_for(20);
+	controlrig_clear(&fixture->rig);
 	clear_answer(fixture);
-	g_free(fixture->address);
 }
 
 static bool
@@ -136,7 +98,7 @@
 	request.body.data = (uint8_t *)body;
 	request.body.len = body_bytes;
 	fixture->done = 0;
-	bp_peer_client_call(fixture->client, fixture->address, &request,
+	bp_peer_client_call(fixture->client, fixture->rig.address, &request,
 	    CALL_MS, on_done, fixture);
 	CU_ASSERT_TRUE(wait_until(is_done, fixture, CALL_MS + 1000));
 	return fixture->error;
@@ -176,38 +138,6 @@
 	    bp__log__job_spec__pack(&spec, bytes), NULL);
 }
 
-/* Makes a VM of 4 processors known through the log. */
-static void
-add_vm(fixture_t *fixture)
-{
-	Bp__Log__Entry entries[2] = {
-	    BP__LOG__ENTRY__INIT, BP__LOG__ENTRY__INIT};
-	Bp__Log__Claim claim = BP__LOG__CLAIM__INIT;
-	Bp__Log__VmUpsert vm = BP__LOG__VM_UPSERT__INIT;
-	uint64_t next =
-	    bp_state_next_offset(bp_follower_state(fixture->rig.follower));
-	int i;
-
-	claim.rack = "zone-1/r1";
-	vm.vm = "w1";
-	vm.rack = "zone-1/r1";
-	vm.zone = "zone-1";
-	vm.epoch = 1;
-	vm.cpu_milli = 4000;
-	vm.memory_mib = 8000;
-	entries[0].body_case = BP__LOG__ENTRY__BODY_CLAIM;
-	entries[0].claim = &claim;
-	entries[1].body_case = BP__LOG__ENTRY__BODY_VM_UPSERT;
-	entries[1].vm_upsert = &vm;
-	for (i = 0; i < 2; i++)
-		CU_ASSERT_EQUAL(bp_appender_add(fixture->rig.appender,
-				    &entries[i], 2000, NULL, NULL, NULL),
-		    BP_OK);
-	CU_ASSERT_TRUE(logrig_wait_offset(&fixture->rig, next + 1));
-	CU_ASSERT_PTR_NOT_NULL(
-	    bp_state_vm(bp_follower_state(fixture->rig.follower), "w1"));
-}
-
 /* Guards against a lost update, and a loser who is not told what he lost. */
 static void
 test_second_publisher_is_told_who_won(void)
@@ -276,7 +206,7 @@
 	fixture_t f;
 
 	set_up(&f);
-	add_vm(&f);
+	controlrig_add_vm(&f.rig);
 	CU_ASSERT_EQUAL(submit(&f, "j1", 2, 1000), BP_OK);
 	CU_ASSERT_EQUAL(submit(&f, "j1", 2, 1000), BP_OK);
 	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "before"));
@@ -319,7 +249,7 @@
 	fixture_t f;
 
 	set_up(&f);
-	add_vm(&f);
+	controlrig_add_vm(&f.rig);
 	CU_ASSERT_EQUAL(submit(&f, "j1", 1, 1000), BP_OK);
 	assign.job = "j1";
 	assign.count = 1;
@@ -329,7 +259,7 @@
 	entry.body_case = BP__LOG__ENTRY__BODY_ASSIGN;
 	entry.assign = &assign;
 	CU_ASSERT_EQUAL(
-	    bp_appender_add(f.rig.appender, &entry, 2000, NULL, NULL, NULL),
+	    bp_appender_add(f.rig.log.appender, &entry, 2000, NULL, NULL, NULL),
 	    BP_OK);
 	CU_ASSERT_EQUAL(
 	    ask(&f, BP__PEER__VERB__VERB_JOB_CANCEL, NULL, 0, cancel), BP_OK);
@@ -340,8 +270,8 @@
 	end.outcome = BP__LOG__TASK_OUTCOME__OUTCOME_NOT_STARTED;
 	end_entry.body_case = BP__LOG__ENTRY__BODY_TASK_END;
 	end_entry.task_end = &end;
-	CU_ASSERT_EQUAL(
-	    bp_appender_add(f.rig.appender, &end_entry, 2000, NULL, NULL, NULL),
+	CU_ASSERT_EQUAL(bp_appender_add(f.rig.log.appender, &end_entry, 2000,
+			    NULL, NULL, NULL),
 	    BP_OK);
 	run_for(200);
 	CU_ASSERT_EQUAL(
@@ -358,7 +288,7 @@
 	fixture_t f;
 
 	set_up(&f);
-	fakelog_set_fault(f.rig.log, FAKELOG_HOLD, 100000);
+	fakelog_set_fault(f.rig.log.log, FAKELOG_HOLD, 100000);
 	CU_ASSERT_EQUAL(submit(&f, "j1", 1, 1000), BP_EUNKNOWN);
 	CU_ASSERT_EQUAL(f.outcome, BP_OUTCOME_NOT_KNOWN);
 	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "job j1"));
@@ -375,8 +305,8 @@
 	fixture_t f;
 
 	set_up(&f);
-	add_vm(&f);
-	logrig_put_job(&f.rig, "other", 1);
+	controlrig_add_vm(&f.rig);
+	logrig_put_job(&f.rig.log, "other", 1);
 	CU_ASSERT_EQUAL(submit(&f, "j1", 2, 1000), BP_OK);
 	CU_ASSERT_EQUAL(ask(&f, BP__PEER__VERB__VERB_RULES_CHECK,
 			    (const uint8_t *)text, strlen(text), NULL),
@@ -398,7 +328,7 @@
 	fixture_t f;
 
 	set_up(&f);
-	add_vm(&f);
+	controlrig_add_vm(&f.rig);
 	CU_ASSERT_EQUAL(submit(&f, "j1", 1, 1000), BP_OK);
 	CU_ASSERT_EQUAL(
 	    ask(&f, BP__PEER__VERB__VERB_STATUS, NULL, 0, NULL), BP_OK);
@@ -415,7 +345,8 @@
 	CU_ASSERT_PTR_NULL(strstr(f.body, "\"kind\":\"claim\""));
 	CU_ASSERT_EQUAL(
 	    ask_for(&f, BP__PEER__VERB__VERB_WHY, "r1"), BP_ENOTFOUND);
-	bp_timeline_add(f.timeline, "refused", "r1", NULL, NULL, "no_capacity");
+	bp_timeline_add(
+	    f.rig.timeline, "refused", "r1", NULL, NULL, "no_capacity");
 	CU_ASSERT_EQUAL(ask_for(&f, BP__PEER__VERB__VERB_WHY, "r1"), BP_OK);
 	CU_ASSERT_STRING_EQUAL(f.message, "refused: no_capacity");
 	CU_ASSERT_EQUAL(
@@ -463,7 +394,7 @@
 		CU_ASSERT_EQUAL(submit(&f, id, 10000, 1000), BP_OK);
 	}
 	bp_control_fetch_state(
-	    f.client, f.address, CALL_MS, on_fetched, &fetched);
+	    f.client, f.rig.address, CALL_MS, on_fetched, &fetched);
 	CU_ASSERT_TRUE(wait_until(is_fetched, &fetched, CALL_MS));
 	CU_ASSERT_PTR_NOT_NULL_FATAL(fetched.state);
 	CU_ASSERT_PTR_NOT_NULL(bp_state_job(fetched.state, "j7"));
@@ -497,7 +428,7 @@
 	request.body.data = bytes;
 	request.body.len = bp_random_below(random, sizeof(bytes));
 	bp_peer_client_call(
-	    f->client, f->address, &request, CALL_MS, on_done, f);
+	    f->client, f->rig.address, &request, CALL_MS, on_done, f);
 }
 
 static bool
@@ -515,7 +446,7 @@
 	int i;
 
 	set_up(&f);
-	add_vm(&f);
+	controlrig_add_vm(&f.rig);
 	CU_ASSERT_EQUAL(submit(&f, "j1", 1, 1000), BP_OK);
 	bp_random_init(&random, MUTATION_SEED);
 	for (i = 0; i < MUTATIONS; i++) {
