--- a/src/scheduler/placement.c
+++ b/src/scheduler/placement.c
@@ -193,8 +193,9 @@
 	uint32_t count = 1;
 	guint i;
 
-	/* Quota and counted rules change with each task. */
-	if (job->klass != BP_CLASS_BATCH || job->team->quota != NULL)
+	/* Quota, counted rules and other scores change with each task. */
+	if (job->klass != BP_CLASS_BATCH || job->team->quota != NULL ||
+	    round->placement->options.score != NULL)
 		return 1;
 	for (i = 0; i < constraints->rules->len; i++) {
 		const bp_rule_t *rule =
@@ -265,7 +266,8 @@
 		join_last(round);
 		placed += count;
 		bp_spread_add(spread, vm, count);
-		if (job->klass != BP_CLASS_BATCH)
+		if (job->klass != BP_CLASS_BATCH ||
+		    round->placement->options.score != NULL)
 			bp_candidates_rescore(round, candidates, job, spread);
 	}
 	return placed;
@@ -336,9 +338,6 @@
 	bp_constraints_t constraints;
 	bp_track_t *track;
 
-	if (!bp_resources_fit(&job->size, &round->own->most_free) &&
-	    !bp_queue_overdue(round->placement->queue, round->state, job))
-		return;
 	track = track_of(round->placement, job);
 	if (job->klass == BP_CLASS_BATCH &&
 	    round->now_ms < track->blocked_until_ms)
@@ -349,13 +348,24 @@
 	bp_constraints_clear(&constraints);
 }
 
+/* Most jobs that cannot be placed fail here, before they are put in order. */
+static bool
+may_fit(const bp_job_t *job, void *data)
+{
+	const bp_round_t *round = data;
+
+	return bp_resources_fit(&job->size, &round->own->most_free) ||
+	    bp_queue_overdue(round->placement->queue, round->state, job);
+}
+
 static void
 place_all(bp_round_t *round)
 {
 	bp_placement_t *placement = round->placement;
 	bp_job_t *job;
 
-	bp_queue_load(placement->queue, round->state);
+	placement->most_free = round->own->most_free;
+	bp_queue_load(placement->queue, round->state, may_fit, round);
 	bp_kept_load(round);
 	while (round->budget_tasks > 0 &&
 	    (job = bp_queue_next(placement->queue)) != NULL) {
@@ -429,6 +439,7 @@
 		return 0;
 	found = bp_state_job(placement->state, job);
 	if (found == NULL || found->n_waiting == 0 ||
+	    !bp_resources_fit(&found->size, &placement->most_free) ||
 	    g_ptr_array_find(placement->considered, found, NULL))
 		return 0;
 	return placement->considered->len;
