--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -5,6 +5,8 @@
 #include <string.h>
 
 #define HEADROOM_MS 300 /* claim and session after a node's death */
+/* A record must hold the largest rule file of 32 KiB. */
+#define RECORD_BYTES_MIN 36864
 #define SERVICE_GATEWAY "gateway"
 #define SERVICE_SCHEDULER "scheduler"
 
@@ -67,9 +69,9 @@
     NUMBER(timing.drain_s, 1, 3600, 60),
     NUMBER(limits.body_bytes, 1024, 16777216, 1048576),
     NUMBER(limits.header_bytes, 1024, 262144, 16384),
-    NUMBER(limits.record_bytes, 4096, 65536, 49152),
+    NUMBER(limits.record_bytes, RECORD_BYTES_MIN, 65536, 49152),
     NUMBER(limits.pending_jobs, 1, 1000000, 20000),
-    NUMBER(limits.job_tasks, 1, 100000, 10000),
+    NUMBER(limits.job_tasks, 1, 10000, 10000),
     NUMBER(limits.endpoint_in_flight, 1, 1000, 8),
     NUMBER(limits.endpoint_connections, 1, 10000, 60),
     NUMBER(limits.control_connections, 1, 1024, 64),
