Keep VMs free only for tasks of half a VM or more

The bench now measures the share of large tasks (12 of 16 units) that started, and counts the share of a team over all classes, since the queue does so. The rule that keeps a VM for an overdue job did no good: it kept up to 4 VMs per node for jobs of any size, which wait for their turn and not for room.

--- a/bench/bench_decisions.c
+++ b/bench/bench_decisions.c
@@ -40,6 +40,7 @@
     {"fairness", "index", true},
     {"job-time-mean", "s", false},
     {"job-time-p95", "s", false},
+    {"large-started", "share", true},
     {"overcommit", "starts", false},
     {"running-twice", "starts", false},
     {"zone-late", "s", false},
@@ -52,9 +53,9 @@
 	const char *plots; /* directory; NULL for none */
 	const char *condition; /* NULL for all */
 	const char *deployment;
+	const char *policy;
 	bool check;
 	bool speed;
-	bool all_policies;
 } options_t;
 
 /* results[deployment][condition][policy][seed] */
@@ -121,6 +122,9 @@
 				continue;
 			for (one.policy = 0; one.policy < N_POLICIES;
 			     one.policy++) {
+				if (!is_selected(options->policy,
+					policy_names[one.policy]))
+					continue;
 				for (one.seed = 0; one.seed < options->seeds;
 				     one.seed++)
 					g_thread_pool_push(pool,
@@ -342,6 +346,8 @@
 			options->condition = argv[++i];
 		else if (strcmp(argv[i], "--deployment") == 0)
 			options->deployment = argv[++i];
+		else if (strcmp(argv[i], "--policy") == 0)
+			options->policy = argv[++i];
 		else
 			return 2;
 		if (i >= argc || (*value == '\0' && i + 1 > argc))
@@ -365,7 +371,7 @@
 		fprintf(stderr,
 		    "usage: bench decisions [--check] [--speed] [--seeds N] "
 		    "[--jobs N] [--plots DIR] [--condition NAME] "
-		    "[--deployment NAME]\n");
+		    "[--deployment NAME] [--policy NAME]\n");
 		return 2;
 	}
 	if (options.speed)
--- a/bench/decisions.h
+++ b/bench/decisions.h
@@ -15,6 +15,10 @@
 #define ZONE_IN_MS 110000
 #define ZONE_WINDOW_END_MS 150000
 
+/* A VM has 16 units; sizes are in units. */
+#define UNITS 16
+#define LARGE_UNITS 12
+
 #define TEAMS 6
 #define SERVICE_KINDS 8
 #define BATCH_KINDS 10
@@ -69,6 +73,7 @@
 	M_FAIRNESS, /* index of Jain over teams */
 	M_JOB_MEAN, /* mean time from submission to end of batch jobs, s */
 	M_JOB_P95, /* s */
+	M_LARGE, /* share of the large batch tasks that started */
 	M_OVERCOMMIT, /* starts beyond what a VM has */
 	M_TWICE, /* starts of a task that runs already */
 	M_ZONE_LATE, /* latest start after the zone was taken out, s */
@@ -148,7 +153,7 @@
 	double effect[BATCH_KINDS][SERVICE_KINDS];
 	double load[SERVICE_KINDS];
 	GArray *slowdowns; /* double */
-	double team_work[TEAMS]; /* batch, processor seconds */
+	double team_work[TEAMS]; /* held by all classes, processor s */
 	double work;
 	double zone_work;
 	uint32_t evictions;
--- a/bench/measure.c
+++ b/bench/measure.c
@@ -90,6 +90,30 @@
 	g_array_unref(times);
 }
 
+/* Large tasks need a VM that is nearly empty, so small ones can starve them. */
+static void
+measure_large(const world_t *world, result_t *result)
+{
+	uint32_t large = world->deployment->cpu_milli / UNITS * LARGE_UNITS;
+	uint32_t started = 0;
+	uint32_t all = 0;
+	guint i;
+	uint32_t t;
+
+	for (i = 0; i < world->jobs->len; i++) {
+		const truth_job_t *job =
+		    &g_array_index(world->jobs, truth_job_t, i);
+
+		if (job->cpu_milli != large || job->cancelled)
+			continue;
+		for (t = 0; t < job->n_tasks; t++) {
+			all++;
+			started += job->first_start_ms[t] >= 0 ? 1 : 0;
+		}
+	}
+	result->of[M_LARGE] = all > 0 ? (double)started / all : 1.0;
+}
+
 /* Fills in all metrics at the end of a run. */
 void
 world_measure(const world_t *world, result_t *result)
@@ -112,4 +136,5 @@
 	    world->entries > 0 ? (double)world->lost / world->entries : 0;
 	measure_urgent(world, result);
 	measure_jobs(world, result);
+	measure_large(world, result);
 }
--- a/bench/workload.c
+++ b/bench/workload.c
@@ -3,12 +3,9 @@
 #include <math.h>
 #include <stdlib.h>
 
-/* A VM has 16 units; sizes are in units. */
-#define UNITS 16
-#define LARGE_UNITS 12
 #define URGENT_PER_S 2.0
 /* Demand of the teams besides the first, as a share of all units. */
-#define DEMAND 0.75
+#define DEMAND 1.0
 /* The first team has work for this many seconds on all units at once. */
 #define BACKLOG_S 100.0
 #define JOB_TASKS 8.0
--- a/bench/world.c
+++ b/bench/world.c
@@ -286,15 +286,18 @@
 	    CONTENTION_EFFECT * (contention(world, vm) - 1.0);
 }
 
+/* A team's share counts what its tasks of all classes hold. */
 static void
-work_batch(world_t *world, const truth_job_t *job, double done_ms)
+count_work(world_t *world, const truth_job_t *job, double done_ms)
 {
 	double done = done_ms * job->cpu_milli / 1e6;
 
 	if (world->now_ms < WARM_MS)
 		return;
+	world->team_work[job->team] += TICK_MS * job->cpu_milli / 1e6;
+	if (job->klass != BP_CLASS_BATCH)
+		return;
 	world->work += done;
-	world->team_work[job->team] += done;
 	if (world->now_ms >= ZONE_OUT_MS && world->now_ms < ZONE_WINDOW_END_MS)
 		world->zone_work += done;
 }
@@ -318,11 +321,10 @@
 		    world, vm, i, BP__LOG__TASK_OUTCOME__OUTCOME_EVICTED);
 		return;
 	}
+	count_work(world, job, vm->bad ? 0 : done_ms);
 	if (job->klass == BP_CLASS_SERVICE || vm->bad)
 		return;
 	job->left_ms[run->task] -= done_ms;
-	if (job->klass == BP_CLASS_BATCH)
-		work_batch(world, job, done_ms);
 	if (job->left_ms[run->task] <= 0)
 		remove_run(
 		    world, vm, i, BP__LOG__TASK_OUTCOME__OUTCOME_SUCCEEDED);
--- a/src/scheduler/placement_flights.c
+++ b/src/scheduler/placement_flights.c
@@ -1,11 +1,16 @@
 #include "scheduler/placement_private.h"
 
-#include "bulrushpost/hash.h"
+#include "bulrushpost/resources.h"
 
 #include <string.h>
 
 /* VMs that a node keeps free at once for jobs that waited too long. */
-#define KEPT_MAX 4U
+#define KEPT_MAX 1U
+/*
+ * Only for tasks of at least this share of a VM: smaller ones find room soon
+ * enough by their place in the queue, and kept VMs do no work.
+ */
+#define KEPT_SIZE 0.5
 
 /* Frees one entry. */
 void
@@ -194,6 +199,8 @@
 		if ((causes &
 			~(uint32_t)(BP_CAUSE_NO_CAPACITY |
 			    BP_CAUSE_HEADROOM)) != 0 ||
+		    bp_resources_dominant(&job->size, &vm->capacity) <
+			KEPT_SIZE ||
 		    is_kept(round->placement->kept, NULL, vm->name))
 			continue;
 		if (best == NULL || load < best_load) {
