Run real schedulers in seeded schedules of faults

Cause: pauses, cuts, late and doubled messages, lost append answers, reboots and deaths have to be combined by the thousand, which real processes cannot. The harness replaces the platform clients at link time; its checks watch the workers only. Found: a task that must not be run again was requeued after an eviction without a checkpoint; it now ends as lost, and draining a zone does not stop such a task without a checkpoint.

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 TEST_BINS := $(TEST_SRCS:%.c=$(BUILD)/%)
 TEST_LIB_SRCS := $(filter-out tests/support/test_%,$(sort $(wildcard tests/support/*.c)))
 TEST_LIB_OBJS := $(TEST_LIB_SRCS:%.c=$(BUILD)/%.o)
+SCHEDULE_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard tests/schedule/*.c)))
 STANDIN_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard tests/standin/*.c)))
 BENCH_SRCS := $(sort $(wildcard bench/*.c))
 BENCH_OBJS := $(BENCH_SRCS:%.c=$(BUILD)/%.o)
@@ -55,6 +56,12 @@
 	@echo LD $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS) -lcunit
 
+# The fakes of this test replace the platform clients of the library.
+$(BUILD)/tests/scheduler/test_schedules: $(BUILD)/tests/scheduler/test_schedules.o \
+    $(BUILD)/tests/support/runner.o $(SCHEDULE_OBJS) $(BUILD)/libbulrushpost.a
+	@echo LD $@
+	@$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS) -lcunit
+
 $(BUILD)/standin: $(STANDIN_OBJS) $(BUILD)/libbulrushpost.a
 	@echo LD $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
@@ -83,4 +90,4 @@
 clean:
 	rm -rf build build-san
 
--include $(LIB_OBJS:.o=.d) $(TEST_BINS:=.d) $(STANDIN_OBJS:.o=.d) $(BENCH_OBJS:.o=.d)
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/include/bulrushpost/scheduler.h
+++ b/include/bulrushpost/scheduler.h
@@ -42,6 +42,8 @@
     const bp_scheduler_options_t *options, bp_error_t *err);
 void bp_scheduler_free(bp_scheduler_t *scheduler);
 void bp_scheduler_start(bp_scheduler_t *scheduler);
+/* One round of decisions; runs on a timer after bp_scheduler_start. */
+void bp_scheduler_round(bp_scheduler_t *scheduler);
 /* Finishes pending starts, releases all racks, then calls done once. */
 void bp_scheduler_drain(
     bp_scheduler_t *scheduler, bp_scheduler_drained_t done, void *data);
--- a/src/scheduler/protection.c
+++ b/src/scheduler/protection.c
@@ -62,6 +62,9 @@
 	task = &job->tasks[act->task];
 	if (task->vm == NULL || task->attempt != act->attempt)
 		return;
+	/* Stopping it without a checkpoint would end it for good. */
+	if (job->never_rerun && act->kind == BP_ACT_STOP)
+		return;
 	vm = bp_racks_vm(self, task->vm->name);
 	if (vm == NULL)
 		return;
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -433,11 +433,10 @@
 	done(self, self->drained_data);
 }
 
-static gboolean
-on_round(void *data)
+/* See the header. */
+void
+bp_scheduler_round(bp_scheduler_t *self)
 {
-	bp_scheduler_t *self = data;
-
 	check_state(self);
 	bp_liveness_update(self->liveness, self->state, may_decide(self),
 	    bp_scheduler_now_us(self));
@@ -452,6 +451,12 @@
 			place(self);
 	}
 	finish_drain(self);
+}
+
+static gboolean
+on_round(void *data)
+{
+	bp_scheduler_round(data);
 	return G_SOURCE_CONTINUE;
 }
 
--- a/src/state/apply_job.c
+++ b/src/state/apply_job.c
@@ -306,9 +306,11 @@
 	switch (outcome) {
 	case BP__LOG__TASK_OUTCOME__OUTCOME_FAILED:
 		return task->failures < TASK_FAILURES_MAX;
-	case BP__LOG__TASK_OUTCOME__OUTCOME_EVICTED:
 	case BP__LOG__TASK_OUTCOME__OUTCOME_NOT_STARTED:
 		return true;
+	case BP__LOG__TASK_OUTCOME__OUTCOME_EVICTED:
+		/* Without a checkpoint it would start from the beginning. */
+		return !job->never_rerun || task->checkpoint != NULL;
 	case BP__LOG__TASK_OUTCOME__OUTCOME_LOST:
 		return !job->never_rerun;
 	default:
