Keep batch away from services, and from those it disturbs

Now services prefer VMs that services hold already (still apart by rack and zone), batch takes VMs without services first, and batch is passed over where the expected slowdown is above 20%, until it has waited longer than the bound. The reason says so as turn.

--- a/bench/cluster.c
+++ b/bench/cluster.c
@@ -3,7 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define TIME_BASE_MS 1000000
 #define LAG_MIN_MS 60
 #define LAG_SPREAD_MS 80
 #define WAIT_BOUND_MS 60000
--- a/bench/cluster.h
+++ b/bench/cluster.h
@@ -3,6 +3,9 @@
 
 #include "decisions.h"
 
+/* Wall time of the records at virtual time 0. */
+#define TIME_BASE_MS 1000000
+
 typedef struct {
 	int64_t at_ms;
 	GBytes *bytes;
--- a/bench/measure.c
+++ b/bench/measure.c
@@ -39,6 +39,21 @@
 	return squares > 0 ? sum * sum / (squares * (double)n) : 1.0;
 }
 
+/*
+ * A job whose start fell into an outage of the log counts from its end:
+ * nothing may start in between.
+ */
+static int64_t
+accepted_ms(const world_t *world, const truth_job_t *job)
+{
+	int64_t start = job->first_start_ms[0];
+
+	if (world->condition == COND_LOG_DOWN && job->submit_ms < LOG_UP_MS &&
+	    (start < 0 || start > LOG_DOWN_MS))
+		return MAX(job->submit_ms, LOG_UP_MS);
+	return job->submit_ms;
+}
+
 /* A task that never started counts with the time that it has waited. */
 static void
 measure_urgent(const world_t *world, result_t *result)
@@ -57,7 +72,7 @@
 			continue;
 		if (start < 0)
 			start = world->now_ms;
-		wait = (double)(start - job->submit_ms) / 1000;
+		wait = (double)(start - accepted_ms(world, job)) / 1000;
 		g_array_append_val(waits, wait);
 	}
 	result->of[M_URGENT_P99] = quantile(waits, 0.99);
--- a/bench/workload.c
+++ b/bench/workload.c
@@ -189,7 +189,7 @@
 		break;
 	case COND_LOG_DOWN:
 		world->log_down =
-		    world->now_ms >= LATE_MS && world->now_ms < ZONE_IN_MS;
+		    world->now_ms >= LOG_DOWN_MS && world->now_ms < LOG_UP_MS;
 		break;
 	default:
 		break;
--- a/include/bulrushpost/placement.h
+++ b/include/bulrushpost/placement.h
@@ -65,5 +65,11 @@
  * was considered or does not wait. The state of that plan must still exist.
  */
 uint32_t bp_placement_ahead(const bp_placement_t *placement, const char *job);
+/*
+ * Tells whether the job was passed over lately because it would disturb a
+ * service on every own VM with room. now_ms is the local monotonic time.
+ */
+bool bp_placement_avoids(
+    const bp_placement_t *placement, const char *job, int64_t now_ms);
 
 #endif
--- a/include/bulrushpost/reason.h
+++ b/include/bulrushpost/reason.h
@@ -16,6 +16,7 @@
 	bool starting;
 	bool turn; /* the last plan gave the turn to other jobs */
 	uint32_t jobs_ahead; /* 0 when not known */
+	bool disturbs; /* passed over to protect services; counts as turn */
 	/* NULL means that all VMs are reachable. */
 	bool (*reachable)(const bp_vm_t *vm, void *data);
 	void *data;
--- a/src/scheduler/placement.c
+++ b/src/scheduler/placement.c
@@ -14,6 +14,8 @@
 #define SCAN_TASKS_MAX 512U
 /* A batch job that found no VM is not searched again for this long. */
 #define BLOCKED_MS 250
+/* A plan without room to avoid for this long ends the statement. */
+#define AVOIDED_MS 2000
 #define TRACKS_MAX 16384U
 #define TRACK_KEEP_MS 10000
 
@@ -75,6 +77,7 @@
 		return track;
 	track = g_new0(bp_track_t, 1);
 	track->seen_ms = INT64_MIN / 2;
+	track->avoided_ms = INT64_MIN / 2;
 	g_hash_table_insert(placement->tracks, g_strdup(job->id), track);
 	return track;
 }
@@ -266,6 +269,9 @@
 		join_last(round);
 		placed += count;
 		bp_spread_add(spread, vm, count);
+		bp_services_add(round,
+		    &g_array_index(candidates, bp_candidate_t, best), job,
+		    count);
 		if (job->klass != BP_CLASS_BATCH ||
 		    round->placement->options.score != NULL)
 			bp_candidates_rescore(round, candidates, job, spread);
@@ -308,6 +314,7 @@
 	uint32_t allowed;
 	uint32_t placed;
 	GArray *tasks;
+	bool avoided;
 	bool again;
 
 	if (!bp_owner_eligible(round, round->own, constraints)) {
@@ -322,7 +329,9 @@
 		return false;
 	}
 	bp_spread_init(&spread, round, job);
-	candidates = bp_candidates(round, constraints, &spread);
+	candidates = bp_candidates(round, constraints, &spread, &avoided);
+	if (avoided && candidates->len == 0)
+		track->avoided_ms = round->now_ms;
 	placed = place_tasks(round, constraints, candidates, tasks, &spread);
 	again = placed == tasks->len &&
 	    placed == round->placement->options.turn_tasks;
@@ -395,8 +404,11 @@
 	placement->state = state;
 	g_ptr_array_set_size(placement->considered, 0);
 	bp_flights_load(&round);
-	if (bp_owners_load(&round, node, incarnation))
+	if (bp_owners_load(&round, node, incarnation)) {
+		bp_services_load(&round);
 		place_all(&round);
+		g_array_unref(round.services);
+	}
 	bp_owners_clear(&round);
 	return BP_OK;
 }
@@ -444,3 +456,13 @@
 		return 0;
 	return placement->considered->len;
 }
+
+/* See the header. */
+bool
+bp_placement_avoids(
+    const bp_placement_t *placement, const char *job, int64_t now_ms)
+{
+	const bp_track_t *track = g_hash_table_lookup(placement->tracks, job);
+
+	return track != NULL && now_ms - track->avoided_ms < AVOIDED_MS;
+}
--- a/src/scheduler/placement_private.h
+++ b/src/scheduler/placement_private.h
@@ -29,6 +29,7 @@
 	int64_t progress_ms; /* when n_waiting changed, or room came up */
 	int64_t seen_ms; /* last round in which the own racks had room */
 	int64_t blocked_until_ms; /* no VM was found; not searched before */
+	int64_t avoided_ms; /* last time that only disturbed VMs had room */
 } bp_track_t;
 
 struct bp_placement {
@@ -50,6 +51,7 @@
 	const bp_state_t *state;
 	GArray *owners; /* bp_owner_t */
 	bp_owner_t *own;
+	GArray *services; /* double: share of each own VM held by services */
 	GArray *out;
 	uint32_t budget_tasks;
 	int64_t now_ms;
@@ -59,6 +61,8 @@
 /* One VM that can take a task of the job, with its score; lower is better. */
 typedef struct {
 	bp_vm_t *vm;
+	guint index; /* in the own VMs */
+	double penalty; /* expected slowdown of services there */
 	double score;
 } bp_candidate_t;
 
@@ -81,12 +85,15 @@
     bp_spread_t *spread, const bp_round_t *round, const bp_job_t *job);
 void bp_spread_clear(bp_spread_t *spread);
 void bp_spread_add(bp_spread_t *spread, const bp_vm_t *vm, uint32_t count);
-double bp_score(const bp_round_t *round, const bp_job_t *job, const bp_vm_t *vm,
-    const bp_spread_t *spread);
+/* avoided tells whether VMs were left out to protect services there. */
 GArray *bp_candidates(const bp_round_t *round,
-    const bp_constraints_t *constraints, const bp_spread_t *spread);
+    const bp_constraints_t *constraints, const bp_spread_t *spread,
+    bool *avoided);
 void bp_candidates_rescore(const bp_round_t *round, GArray *candidates,
     const bp_job_t *job, const bp_spread_t *spread);
+void bp_services_load(bp_round_t *round);
+void bp_services_add(const bp_round_t *round, const bp_candidate_t *candidate,
+    const bp_job_t *job, uint32_t count);
 int bp_candidates_best(const GArray *candidates);
 
 bool bp_flights_hold(
--- a/src/scheduler/placement_score.c
+++ b/src/scheduler/placement_score.c
@@ -16,6 +16,16 @@
 #define ZONE_WEIGHT 2.0
 /* A slowdown of 50% outweighs a full VM against an empty one. */
 #define PENALTY_WEIGHT 2.0
+/*
+ * Batch is not put where it is expected to slow services down by more than
+ * this, until it has waited longer than the bound.
+ */
+#define PENALTY_MAX 0.2
+/*
+ * Batch takes VMs without services first, and services share VMs: fewer
+ * services then have batch beside them at all.
+ */
+#define BESIDE_WEIGHT 0.7
 /* A zone that has just returned is as bad as one that is quite full. */
 #define RETURN_WEIGHT 1.0
 /* Each failure in a row counts, so that a retry goes to another VM. */
@@ -107,32 +117,107 @@
 	return 1.0 - (double)MAX(age_ms, (int64_t)0) / ramp_ms;
 }
 
+static double
+service_share(const bp_round_t *round, guint index)
+{
+	return g_array_index(round->services, double, index);
+}
+
+static double
+held_by_services(const bp_vm_t *vm)
+{
+	bp_resources_t held = {0, 0, 0};
+	guint i;
+
+	for (i = 0; i < vm->tasks->len; i++) {
+		const bp_job_t *job =
+		    g_array_index(vm->tasks, bp_task_ref_t, i).job;
+
+		if (job->klass == BP_CLASS_SERVICE)
+			held = bp_resources_sum(&held, &job->size);
+	}
+	return bp_resources_dominant(&held, &vm->capacity);
+}
+
+/* Notes once a round what services hold on each own VM. */
+void
+bp_services_load(bp_round_t *round)
+{
+	guint i;
+
+	round->services = g_array_sized_new(
+	    FALSE, FALSE, sizeof(double), round->own->vms->len);
+	for (i = 0; i < round->own->vms->len; i++) {
+		double share =
+		    held_by_services(g_ptr_array_index(round->own->vms, i));
+
+		g_array_append_val(round->services, share);
+	}
+}
+
+/* Counts planned tasks of a service. */
+void
+bp_services_add(const bp_round_t *round, const bp_candidate_t *candidate,
+    const bp_job_t *job, uint32_t more)
+{
+	if (job->klass == BP_CLASS_SERVICE)
+		g_array_index(round->services, double, candidate->index) +=
+		    more *
+		    bp_resources_dominant(&job->size, &candidate->vm->capacity);
+}
+
 /*
- * Services and urgent work go where there is room to grow and services
- * apart from their own tasks; batch fills the fullest VM first, so that
- * whole VMs stay free for large tasks.
+ * Services go apart from their own tasks, then to VMs that services hold
+ * already; urgent work goes where most is free; batch fills the fullest VM
+ * first, so that whole VMs stay free for large tasks.
  */
-double
-bp_score(const bp_round_t *round, const bp_job_t *job, const bp_vm_t *vm,
+static double
+score_class(const bp_job_t *job, const bp_candidate_t *one, double load,
+    double services, const bp_spread_t *spread)
+{
+	switch (job->klass) {
+	case BP_CLASS_SERVICE:
+		return crowding(spread, one->vm) + 1.0 - services +
+		    BESIDE_WEIGHT * MAX(load - services, 0);
+	case BP_CLASS_URGENT:
+		return load;
+	case BP_CLASS_BATCH:
+		return 1.0 - load + (services > 0 ? BESIDE_WEIGHT : 0);
+	}
+	return load;
+}
+
+static double
+score(const bp_round_t *round, const bp_job_t *job, const bp_candidate_t *one,
     const bp_spread_t *spread)
 {
 	const bp_placement_options_t *options = &round->placement->options;
-	double load;
-	double score;
+	const bp_vm_t *vm = one->vm;
+	double load = load_of(round, job, vm);
+	double sum;
 
-	load = load_of(round, job, vm);
 	if (options->score != NULL)
 		return options->score(job, vm, load, options->data);
-	score = job->klass == BP_CLASS_BATCH ? 1.0 - load : load;
-	if (job->klass == BP_CLASS_SERVICE)
-		score += crowding(spread, vm);
+	sum = score_class(
+	    job, one, load, service_share(round, one->index), spread);
 	if (job->klass != BP_CLASS_URGENT)
-		score += RETURN_WEIGHT * returned(round, vm->rack->zone);
-	score += FAILURE_WEIGHT * MIN(vm->failed_streak, FAILURES_MAX);
-	if (options->penalty != NULL)
-		score +=
-		    PENALTY_WEIGHT * options->penalty(job, vm, options->data);
-	return score;
+		sum += RETURN_WEIGHT * returned(round, vm->rack->zone);
+	sum += FAILURE_WEIGHT * MIN(vm->failed_streak, FAILURES_MAX);
+	return sum + PENALTY_WEIGHT * one->penalty;
+}
+
+/* Batch can only disturb where services are. */
+static double
+penalty(const bp_round_t *round, const bp_job_t *job, const bp_vm_t *vm,
+    guint index)
+{
+	const bp_placement_options_t *options = &round->placement->options;
+
+	if (options->penalty == NULL ||
+	    (job->klass == BP_CLASS_BATCH &&
+		!(service_share(round, index) > 0)))
+		return 0;
+	return options->penalty(job, vm, options->data);
 }
 
 static bool
@@ -144,13 +229,20 @@
 	    options->reachable(vm, options->data);
 }
 
+static bool
+must_avoid(const bp_round_t *round, const bp_job_t *job, double slowdown)
+{
+	return job->klass == BP_CLASS_BATCH && slowdown > PENALTY_MAX &&
+	    !bp_queue_overdue(round->placement->queue, round->state, job);
+}
+
 /*
  * Finds own VMs that can take a task of the job now. The search starts at a
  * place that differs between jobs and ends after CANDIDATES_MAX hits.
  */
 GArray *
 bp_candidates(const bp_round_t *round, const bp_constraints_t *constraints,
-    const bp_spread_t *spread)
+    const bp_spread_t *spread, bool *avoided)
 {
 	GArray *found = g_array_new(FALSE, FALSE, sizeof(bp_candidate_t));
 	const GPtrArray *vms = round->own->vms;
@@ -158,17 +250,24 @@
 	guint start = 0;
 	guint i;
 
+	*avoided = false;
 	if (vms->len > CANDIDATES_MAX)
 		start = (guint)(bp_owner_job_hash(job) % vms->len);
 	for (i = 0; i < vms->len && found->len < CANDIDATES_MAX; i++) {
-		bp_vm_t *vm = g_ptr_array_index(vms, (start + i) % vms->len);
-		bp_candidate_t one = {vm, 0};
+		guint index = (start + i) % vms->len;
+		bp_vm_t *vm = g_ptr_array_index(vms, index);
+		bp_candidate_t one = {vm, index, 0, 0};
 
 		if (bp_constraints_check(constraints, vm,
 			round->placement->reservations, NULL, NULL) != 0 ||
 		    !reachable(round, vm))
 			continue;
-		one.score = bp_score(round, job, vm, spread);
+		one.penalty = penalty(round, job, vm, index);
+		if (must_avoid(round, job, one.penalty)) {
+			*avoided = true;
+			continue;
+		}
+		one.score = score(round, job, &one, spread);
 		g_array_append_val(found, one);
 	}
 	return found;
@@ -185,7 +284,7 @@
 		bp_candidate_t *one =
 		    &g_array_index(candidates, bp_candidate_t, i);
 
-		one->score = bp_score(round, job, one->vm, spread);
+		one->score = score(round, job, one, spread);
 	}
 }
 
@@ -194,15 +293,15 @@
 bp_candidates_best(const GArray *candidates)
 {
 	const bp_candidate_t *one;
-	double score = 0;
+	double lowest = 0;
 	int best = -1;
 	guint i;
 
 	for (i = 0; i < candidates->len; i++) {
 		one = &g_array_index(candidates, bp_candidate_t, i);
-		if (best < 0 || one->score < score) {
+		if (best < 0 || one->score < lowest) {
 			best = (int)i;
-			score = one->score;
+			lowest = one->score;
 		}
 	}
 	return best;
--- a/src/state/reason.c
+++ b/src/state/reason.c
@@ -244,7 +244,7 @@
 	    {input->log_version_unknown, BP_CAUSE_LOG_VERSION},
 	    {input->draining, BP_CAUSE_DRAINING},
 	    {input->starting, BP_CAUSE_STARTING},
-	    {input->turn, BP_CAUSE_TURN},
+	    {input->turn || input->disturbs, BP_CAUSE_TURN},
 	};
 	bp_obstacle_t obstacle = {0};
 	size_t i;
--- a/src/state/reason_text.c
+++ b/src/state/reason_text.c
@@ -132,6 +132,12 @@
 append_turn(GString *text, const bp_reason_input_t *input)
 {
 	g_string_append(text, "it is not its turn: ");
+	if (input->disturbs) {
+		g_string_append(text,
+		    "on every VM with room it would slow down a service; other "
+		    "jobs come first there, until it has waited long enough");
+		return;
+	}
 	if (input->jobs_ahead > 0)
 		g_string_append_printf(text, "%u jobs", input->jobs_ahead);
 	else
