--- a/include/bulrushpost/scheduler.h
+++ b/include/bulrushpost/scheduler.h
@@ -3,6 +3,7 @@
 
 #include "bulrushpost/appender.h"
 #include "bulrushpost/settings.h"
+#include "bulrushpost/timeline.h"
 #include "bulrushpost/vmlist.h"
 #include "bulrushpost/workerclient.h"
 
@@ -16,6 +17,7 @@
 	bp_appender_t *appender;
 	bp_workerclient_t *client;
 	bp_vmlist_t *vmlist;
+	bp_timeline_t *timeline; /* may be NULL */
 	const bp_settings_t *settings;
 	uint64_t incarnation;
 } bp_scheduler_options_t;
--- a/tests/support/checker.c
+++ b/tests/support/checker.c
@@ -513,14 +513,26 @@
 		    (const char *)g_ptr_array_index(checker->violations, i));
 }
 
+static void
+count_end(const event_t *e, GHashTable *done, bp_checker_counts_t *out)
+{
+	if (strcmp(e->cause, "succeeded") == 0) {
+		out->succeeded++;
+		out->done += g_hash_table_add(done, e->task);
+	}
+	out->checkpointed += strcmp(e->cause, "checkpointed") == 0;
+	out->lapsed += strcmp(e->cause, "lease_lapsed") == 0;
+}
+
 /* Counts the events of one job, or of all jobs when job is NULL. */
 void
 bp_checker_count(
     const bp_checker_t *checker, const char *job, bp_checker_counts_t *out)
 {
+	GHashTable *done = g_hash_table_new(g_str_hash, g_str_equal);
 	guint i;
 
-	*out = (bp_checker_counts_t){.executions = checker->executions->len};
+	*out = (bp_checker_counts_t){0};
 	for (i = 0; i < checker->events->len; i++) {
 		const event_t *e = g_ptr_array_index(checker->events, i);
 
@@ -528,10 +540,42 @@
 			continue;
 		out->starts += strcmp(e->kind, "start") == 0;
 		out->refused += strcmp(e->kind, "refused") == 0;
-		if (strcmp(e->kind, "end") != 0)
-			continue;
-		out->succeeded += strcmp(e->cause, "succeeded") == 0;
-		out->checkpointed += strcmp(e->cause, "checkpointed") == 0;
-		out->lapsed += strcmp(e->cause, "lease_lapsed") == 0;
+		if (strcmp(e->kind, "end") == 0)
+			count_end(e, done, out);
+	}
+	g_hash_table_unref(done);
+}
+
+/* Counts what executors have started, whatever became of the answers. */
+guint
+bp_checker_executions(const bp_checker_t *checker, const char *path_prefix)
+{
+	guint found = 0;
+	guint i;
+
+	for (i = 0; i < checker->executions->len; i++) {
+		const execution_t *x =
+		    g_ptr_array_index(checker->executions, i);
+
+		found += g_str_has_prefix(x->path, path_prefix);
+	}
+	return found;
+}
+
+/* Counts the starts of all jobs. */
+guint
+bp_checker_starts_in(
+    const bp_checker_t *checker, const char *zone, int64_t from_us)
+{
+	guint starts = 0;
+	guint i;
+
+	for (i = 0; i < checker->events->len; i++) {
+		const event_t *e = g_ptr_array_index(checker->events, i);
+		const vm_t *vm = g_hash_table_lookup(checker->vms, e->vm);
+
+		starts += strcmp(e->kind, "start") == 0 && vm != NULL &&
+		    strcmp(vm->zone, zone) == 0 && e->time_us >= from_us;
 	}
+	return starts;
 }
