Keep the order of batch for 200 ms; decide full VMs early

Ordering 7,400 waiting jobs took more than half of each round, to place six tasks. Batch jobs that were not considered yet now keep their order for 200 ms; urgent jobs and services are still taken over in each round, and a batch job that found no VM was not searched again for 250 ms before either. Largest free amounts are kept for batch below its headroom as well, a full VM is decided without looking up reservations, and what is remembered of a job is found by its address.

--- a/include/bulrushpost/queue.h
+++ b/include/bulrushpost/queue.h
@@ -34,9 +34,11 @@
 
 /*
  * Starts a round: takes over the waiting jobs that pass the filter, which
- * may be NULL, and the shares of the teams.
+ * may be NULL, and the shares of the teams. With keep_batch the batch jobs
+ * of the round before that were not considered yet stay as they are, which
+ * spares ordering thousands of jobs to place a few tasks.
  */
-void bp_queue_load(bp_queue_t *queue, const bp_state_t *state,
+void bp_queue_load(bp_queue_t *queue, const bp_state_t *state, bool keep_batch,
     bp_queue_filter_t filter, void *data);
 /* Next job to consider, or NULL; it leaves the queue of this round. */
 bp_job_t *bp_queue_next(bp_queue_t *queue);
--- a/src/scheduler/placement.c
+++ b/src/scheduler/placement.c
@@ -14,9 +14,13 @@
 #define SCAN_TASKS_MAX 512U
 /* A batch job that found no VM is not searched again for this long. */
 #define BLOCKED_MS 250
+/*
+ * The order of batch is kept for this long: putting 7,400 waiting jobs in
+ * order costs more than all the rest of a round.
+ */
+#define ORDER_KEEP_MS 200
 /* A plan without room to avoid for this long ends the statement. */
 #define AVOIDED_MS 2000
-#define TRACKS_MAX 16384U
 #define TRACK_KEEP_MS 10000
 
 /* Sets the defaults; see the constants above for their reasons. */
@@ -47,8 +51,7 @@
 	placement->flights = g_ptr_array_new_with_free_func(bp_flight_free);
 	placement->kept = g_ptr_array_new_with_free_func(bp_flight_free);
 	placement->considered = g_ptr_array_new();
-	placement->tracks =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	placement->tracks = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	*out = placement;
 	return BP_OK;
 }
@@ -71,14 +74,14 @@
 static bp_track_t *
 track_of(bp_placement_t *placement, const bp_job_t *job)
 {
-	bp_track_t *track = g_hash_table_lookup(placement->tracks, job->id);
+	bp_track_t *track = g_hash_table_lookup(placement->tracks, job);
 
 	if (track != NULL)
 		return track;
 	track = g_new0(bp_track_t, 1);
 	track->seen_ms = INT64_MIN / 2;
 	track->avoided_ms = INT64_MIN / 2;
-	g_hash_table_insert(placement->tracks, g_strdup(job->id), track);
+	g_hash_table_insert(placement->tracks, (gpointer)job, track);
 	return track;
 }
 
@@ -363,10 +366,25 @@
 {
 	const bp_round_t *round = data;
 
-	return bp_resources_fit(&job->size, &round->own->most_free) ||
+	return !bp_owner_is_full(round->own, job) ||
 	    bp_queue_overdue(round->placement->queue, round->state, job);
 }
 
+/* Batch jobs are put in order anew when all were considered, or at times. */
+static void
+load_queue(bp_round_t *round)
+{
+	bp_placement_t *placement = round->placement;
+	bool keep = placement->left > 0 &&
+	    round->now_ms - placement->ordered_ms < ORDER_KEEP_MS;
+
+	if (!keep) {
+		placement->ordered_ms = round->now_ms;
+		g_ptr_array_set_size(placement->considered, 0);
+	}
+	bp_queue_load(placement->queue, round->state, keep, may_fit, round);
+}
+
 static void
 place_all(bp_round_t *round)
 {
@@ -374,7 +392,8 @@
 	bp_job_t *job;
 
 	placement->most_free = round->own->most_free;
-	bp_queue_load(placement->queue, round->state, may_fit, round);
+	placement->most_free_batch = round->own->most_free_batch;
+	load_queue(round);
 	bp_kept_load(round);
 	while (round->budget_tasks > 0 &&
 	    (job = bp_queue_next(placement->queue)) != NULL) {
@@ -384,6 +403,19 @@
 	placement->left = bp_queue_left(placement->queue);
 }
 
+/* Tracks are kept by the address of the job, which an old state may share. */
+static void
+forget_tracks(
+    bp_placement_t *placement, const bp_state_t *state, int64_t now_ms)
+{
+	if (placement->state != state)
+		g_hash_table_remove_all(placement->tracks);
+	if (now_ms - placement->forgot_ms < TRACK_KEEP_MS)
+		return;
+	placement->forgot_ms = now_ms;
+	g_hash_table_foreach_remove(placement->tracks, is_old, &now_ms);
+}
+
 /* See the header. The order of the result is the order of the queue. */
 int
 bp_placement_plan(GArray *out, bp_placement_t *placement,
@@ -398,13 +430,12 @@
 	    .state_now_ms = bp_state_now_ms(state)};
 
 	(void)err;
-	if (g_hash_table_size(placement->tracks) > TRACKS_MAX)
-		g_hash_table_foreach_remove(placement->tracks, is_old, &now_ms);
-	placement->left = 0;
+	forget_tracks(placement, state, now_ms);
 	placement->state = state;
-	g_ptr_array_set_size(placement->considered, 0);
 	bp_flights_load(&round);
-	if (bp_owners_load(&round, node, incarnation)) {
+	if (!bp_owners_load(&round, node, incarnation)) {
+		placement->left = 0;
+	} else {
 		bp_services_load(&round);
 		place_all(&round);
 		g_array_unref(round.services);
@@ -451,7 +482,9 @@
 		return 0;
 	found = bp_state_job(placement->state, job);
 	if (found == NULL || found->n_waiting == 0 ||
-	    !bp_resources_fit(&found->size, &placement->most_free) ||
+	    !bp_resources_fit(&found->size,
+		found->klass == BP_CLASS_BATCH ? &placement->most_free_batch
+					       : &placement->most_free) ||
 	    g_ptr_array_find(placement->considered, found, NULL))
 		return 0;
 	return placement->considered->len;
@@ -462,7 +495,12 @@
 bp_placement_avoids(
     const bp_placement_t *placement, const char *job, int64_t now_ms)
 {
-	const bp_track_t *track = g_hash_table_lookup(placement->tracks, job);
+	const bp_job_t *found;
+	const bp_track_t *track;
 
+	if (placement->state == NULL)
+		return false;
+	found = bp_state_job(placement->state, job);
+	track = g_hash_table_lookup(placement->tracks, found);
 	return track != NULL && now_ms - track->avoided_ms < AVOIDED_MS;
 }
--- a/src/scheduler/placement_owners.c
+++ b/src/scheduler/placement_owners.c
@@ -5,6 +5,7 @@
 
 #include <string.h>
 
+#define PERCENT 100U
 /* Distinguishes this use of the hash from the ranking of racks. */
 #define TASK_RANK_SEED 0x7461736bU
 
@@ -30,17 +31,53 @@
 	    round->owners, bp_owner_t, round->owners->len - 1);
 }
 
+static void
+take_larger(bp_resources_t *most, const bp_resources_t *room)
+{
+	most->cpu_milli = MAX(most->cpu_milli, room->cpu_milli);
+	most->memory_mib = MAX(most->memory_mib, room->memory_mib);
+	most->accelerators = MAX(most->accelerators, room->accelerators);
+}
+
 /* Reservations are left out: they only make the room smaller. */
 static void
-add_vm(bp_owner_t *owner, bp_vm_t *vm)
+add_vm(bp_owner_t *owner, bp_vm_t *vm, uint32_t headroom_percent)
 {
 	bp_resources_t room = bp_resources_excess(&vm->capacity, &vm->used);
-	bp_resources_t *most = &owner->most_free;
+	uint32_t kept_milli = (uint32_t)((uint64_t)vm->capacity.cpu_milli *
+	    MIN(headroom_percent, PERCENT) / PERCENT);
 
 	g_ptr_array_add(owner->vms, vm);
-	most->cpu_milli = MAX(most->cpu_milli, room.cpu_milli);
-	most->memory_mib = MAX(most->memory_mib, room.memory_mib);
-	most->accelerators = MAX(most->accelerators, room.accelerators);
+	take_larger(&owner->most_free, &room);
+	room.cpu_milli -= MIN(room.cpu_milli, kept_milli);
+	take_larger(&owner->most_free_batch, &room);
+}
+
+static uint32_t
+headroom_percent(const bp_state_t *state)
+{
+	const bp_rules_version_t *version = bp_state_rules(state);
+	uint32_t percent = 0;
+	size_t i;
+
+	if (version == NULL)
+		return 0;
+	for (i = 0; i < bp_rules_count(version->rules); i++) {
+		const bp_rule_t *rule = bp_rules_at(version->rules, i);
+
+		if (rule->kind == BP_RULE_HEADROOM)
+			percent = MAX(percent, rule->as.headroom_percent);
+	}
+	return percent;
+}
+
+/* Tells by the largest free amounts alone that no VM can take the task. */
+bool
+bp_owner_is_full(const bp_owner_t *owner, const bp_job_t *job)
+{
+	return !bp_resources_fit(&job->size,
+	    job->klass == BP_CLASS_BATCH ? &owner->most_free_batch
+					 : &owner->most_free);
 }
 
 static bool
@@ -79,6 +116,7 @@
 bp_owners_load(bp_round_t *round, const char *node, uint64_t incarnation)
 {
 	GPtrArray *racks = sorted_racks(round->state);
+	uint32_t percent = headroom_percent(round->state);
 	const bp_rack_t *rack;
 	bp_owner_t *owner;
 	guint i;
@@ -92,7 +130,8 @@
 		owner = owner_of(round, rack);
 		for (j = 0; j < rack->vms->len; j++) {
 			if (usable(g_ptr_array_index(rack->vms, j)))
-				add_vm(owner, g_ptr_array_index(rack->vms, j));
+				add_vm(owner, g_ptr_array_index(rack->vms, j),
+				    percent);
 		}
 	}
 	g_ptr_array_unref(racks);
@@ -127,7 +166,7 @@
 	const bp_reservations_t *reservations = round->placement->reservations;
 	guint i;
 
-	if (!bp_resources_fit(&constraints->job->size, &owner->most_free))
+	if (bp_owner_is_full(owner, constraints->job))
 		return false;
 	for (i = 0; i < owner->vms->len; i++) {
 		if (bp_constraints_check(constraints,
--- a/src/scheduler/placement_private.h
+++ b/src/scheduler/placement_private.h
@@ -11,6 +11,7 @@
 	uint64_t hash;
 	GPtrArray *vms; /* bp_vm_t */
 	bp_resources_t most_free; /* the largest free amount of each resource */
+	bp_resources_t most_free_batch; /* the same below the headroom */
 	bool has_room; /* for the job considered now */
 } bp_owner_t;
 
@@ -38,10 +39,13 @@
 	bp_reservations_t *reservations;
 	GPtrArray *flights; /* bp_flight_t */
 	GPtrArray *kept; /* bp_flight_t: VMs kept free for overdue jobs */
-	GHashTable *tracks; /* job id -> bp_track_t */
-	GPtrArray *considered; /* bp_job_t of the last plan */
+	GHashTable *tracks; /* const bp_job_t * -> bp_track_t */
+	int64_t ordered_ms; /* when batch was put in order last */
+	int64_t forgot_ms; /* when old tracks were removed last */
+	GPtrArray *considered; /* bp_job_t since batch was put in order */
 	const bp_state_t *state; /* of the last plan */
 	bp_resources_t most_free; /* on own VMs in the last plan */
+	bp_resources_t most_free_batch;
 	size_t left; /* jobs not considered for lack of budget */
 };
 
@@ -75,6 +79,7 @@
 
 bool bp_owners_load(bp_round_t *round, const char *node, uint64_t incarnation);
 void bp_owners_clear(bp_round_t *round);
+bool bp_owner_is_full(const bp_owner_t *owner, const bp_job_t *job);
 bool bp_owner_eligible(const bp_round_t *round, const bp_owner_t *owner,
     const bp_constraints_t *constraints);
 uint32_t bp_owner_rank(
--- a/src/scheduler/queue.c
+++ b/src/scheduler/queue.c
@@ -11,6 +11,7 @@
 /* Keeps the cost of a tiny task above zero. */
 #define SHARE_MIN 1e-9
 #define N_RANKS 3
+#define BATCH_RANK 2
 
 typedef struct {
 	double key; /* lower goes first */
@@ -25,6 +26,7 @@
 	bp_resources_t used;
 	double share;
 	bp_job_t *head; /* put back; goes before the heap */
+	int head_rank;
 	GArray *jobs[N_RANKS]; /* item_t, binary heap */
 } turn_t;
 
@@ -196,20 +198,6 @@
 	return first;
 }
 
-static int
-class_rank(bp_task_class_t klass)
-{
-	switch (klass) {
-	case BP_CLASS_URGENT:
-		return 0;
-	case BP_CLASS_SERVICE:
-		return 1;
-	case BP_CLASS_BATCH:
-		return 2;
-	}
-	return 2;
-}
-
 /* Tells whether a batch job has waited longer than the bound. */
 bool
 bp_queue_overdue(
@@ -304,9 +292,35 @@
 	return total;
 }
 
-/* Empties the turns of the last round but keeps their memory. */
+static int
+class_rank(bp_task_class_t klass)
+{
+	switch (klass) {
+	case BP_CLASS_URGENT:
+		return 0;
+	case BP_CLASS_SERVICE:
+		return 1;
+	case BP_CLASS_BATCH:
+		return BATCH_RANK;
+	}
+	return BATCH_RANK;
+}
+
+static bool
+head_is_of(const turn_t *turn, int rank)
+{
+	return turn->head != NULL && turn->head_rank == rank;
+}
+
+static bool
+has_jobs(const turn_t *turn, int rank)
+{
+	return head_is_of(turn, rank) || turn->jobs[rank]->len > 0;
+}
+
+/* Empties the first ranks of the last round but keeps their memory. */
 static void
-reset_turns(bp_queue_t *queue, const bp_state_t *state)
+reset_turns(bp_queue_t *queue, const bp_state_t *state, int ranks)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -320,46 +334,60 @@
 		turn_t *turn = value;
 
 		turn->loaded = false;
-		turn->head = NULL;
-		for (rank = 0; rank < N_RANKS; rank++)
+		if (ranks == N_RANKS || !head_is_of(turn, BATCH_RANK))
+			turn->head = NULL;
+		for (rank = 0; rank < ranks; rank++)
 			g_array_set_size(turn->jobs[rank], 0);
+		if (has_jobs(turn, BATCH_RANK))
+			start_turn(queue, turn);
+		queue->left +=
+		    turn->jobs[BATCH_RANK]->len + (turn->head != NULL ? 1 : 0);
 	}
 }
 
+static void
+add_job(bp_queue_t *queue, const bp_state_t *state, bp_job_t *job)
+{
+	item_t item = {job_key(queue, state, job), job->submit_offset, job};
+	int rank = queue->options.order == BP_ORDER_ARRIVAL
+	    ? 0
+	    : class_rank(job->klass);
+
+	queue->left++;
+	g_array_append_val(turn_of(queue, job->team)->jobs[rank], item);
+}
+
 /* See the header. Takes time linear in the number of waiting jobs. */
 void
-bp_queue_load(bp_queue_t *queue, const bp_state_t *state,
+bp_queue_load(bp_queue_t *queue, const bp_state_t *state, bool keep_batch,
     bp_queue_filter_t filter, void *data)
 {
 	const GPtrArray *waiting = bp_state_waiting(state);
+	bool keep = keep_batch && queue->state == state &&
+	    queue->options.order != BP_ORDER_ARRIVAL;
+	int ranks = keep ? BATCH_RANK : N_RANKS;
 	GHashTableIter iter;
 	gpointer value;
-	item_t item;
 	guint i;
 	int rank;
 
 	g_ptr_array_set_size(queue->heap, 0);
-	reset_turns(queue, state);
 	queue->current = NULL;
 	queue->rank = -1;
 	queue->left = 0;
 	queue->total = total_capacity(state);
+	reset_turns(queue, state, ranks);
 	for (i = 0; i < waiting->len; i++) {
-		item.job = g_ptr_array_index(waiting, i);
-		if (filter != NULL && !filter(item.job, data))
+		bp_job_t *job = g_ptr_array_index(waiting, i);
+
+		if (keep && job->klass == BP_CLASS_BATCH)
 			continue;
-		queue->left++;
-		item.offset = item.job->submit_offset;
-		item.key = job_key(queue, state, item.job);
-		rank = queue->options.order == BP_ORDER_ARRIVAL
-		    ? 0
-		    : class_rank(item.job->klass);
-		g_array_append_val(
-		    turn_of(queue, item.job->team)->jobs[rank], item);
+		if (filter == NULL || filter(job, data))
+			add_job(queue, state, job);
 	}
 	g_hash_table_iter_init(&iter, queue->teams);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		for (rank = 0; rank < N_RANKS; rank++)
+		for (rank = 0; rank < ranks; rank++)
 			jobs_heapify(((turn_t *)value)->jobs[rank]);
 	}
 }
@@ -374,7 +402,7 @@
 	queue->rank++;
 	g_hash_table_iter_init(&iter, queue->teams);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (((turn_t *)value)->jobs[queue->rank]->len > 0)
+		if (has_jobs(value, queue->rank))
 			teams_push(queue->heap, value);
 	}
 }
@@ -385,15 +413,14 @@
 	turn_t *turn = queue->current;
 
 	queue->current = NULL;
-	if (turn != NULL &&
-	    (turn->head != NULL || turn->jobs[queue->rank]->len > 0))
+	if (turn != NULL && has_jobs(turn, queue->rank))
 		teams_push(queue->heap, turn);
 }
 
-/* See the header. Takes O(log teams + log jobs of the team). */
-bp_job_t *
-bp_queue_next(bp_queue_t *queue)
+static bp_job_t *
+next_of(bp_queue_t *queue)
 {
+	turn_t *turn;
 	bp_job_t *job;
 
 	return_current(queue);
@@ -402,12 +429,26 @@
 			return NULL;
 		start_rank(queue);
 	}
-	queue->current = teams_pop(queue->heap);
+	turn = teams_pop(queue->heap);
+	queue->current = turn;
 	queue->left--;
-	job = queue->current->head;
-	queue->current->head = NULL;
-	if (job == NULL)
-		job = jobs_pop(queue->current->jobs[queue->rank]);
+	if (!head_is_of(turn, queue->rank))
+		return jobs_pop(turn->jobs[queue->rank]);
+	job = turn->head;
+	turn->head = NULL;
+	return job;
+}
+
+/* See the header. Takes O(log teams + log jobs of the team). */
+bp_job_t *
+bp_queue_next(bp_queue_t *queue)
+{
+	bp_job_t *job;
+
+	/* Jobs kept from the round before may not wait any more. */
+	do {
+		job = next_of(queue);
+	} while (job != NULL && job->n_waiting == 0);
 	return job;
 }
 
@@ -431,6 +472,7 @@
 	if (queue->current == NULL)
 		return;
 	queue->current->head = job;
+	queue->current->head_rank = queue->rank;
 	queue->left++;
 }
 
--- a/src/state/constraints.c
+++ b/src/state/constraints.c
@@ -113,6 +113,15 @@
 	}
 }
 
+/* Decides most VMs of a full cluster without looking up reservations. */
+static bool
+is_full(const bp_vm_t *vm, const bp_resources_t *size)
+{
+	return size->cpu_milli > 0 &&
+	    (uint64_t)vm->used.cpu_milli + size->cpu_milli >
+	    vm->capacity.cpu_milli;
+}
+
 /*
  * A task larger than the VM is never_fits. What is in use counts separately
  * as no_capacity, as if the VM were just large enough for the task.
@@ -123,10 +132,15 @@
 	const bp_resources_t *size = &check->job->size;
 	bp_obstacle_t obstacle = {.vm = check->vm};
 	bp_resources_t room = check->vm->capacity;
-	bp_resources_t reserved =
-	    bp_reservations_vm(check->reservations, check->vm);
-	bp_resources_t need = bp_resources_sum(&check->vm->used, &reserved);
+	bp_resources_t reserved;
+	bp_resources_t need;
 
+	if (check->visit == NULL && is_full(check->vm, size)) {
+		check->causes |= BP_CAUSE_NO_CAPACITY;
+		return;
+	}
+	reserved = bp_reservations_vm(check->reservations, check->vm);
+	need = bp_resources_sum(&check->vm->used, &reserved);
 	obstacle.shortfall = bp_resources_excess(size, &room);
 	if (!bp_resources_zero(&obstacle.shortfall)) {
 		obstacle.cause = BP_CAUSE_NEVER_FITS;
--- a/tests/scheduler/test_queue.c
+++ b/tests/scheduler/test_queue.c
@@ -30,7 +30,7 @@
 	GString *seen = g_string_new(NULL);
 	bp_job_t *job;
 
-	bp_queue_load(queue, model.state, NULL, NULL);
+	bp_queue_load(queue, model.state, false, NULL, NULL);
 	while ((job = bp_queue_next(queue)) != NULL) {
 		g_string_append_printf(
 		    seen, "%s%s", seen->len > 0 ? " " : "", job->id);
@@ -113,7 +113,7 @@
 	add("a2", "t1", BP_CLASS_BATCH, 1);
 	add("b1", "t2", BP_CLASS_BATCH, 1);
 	queue = bp_queue_new(&options);
-	bp_queue_load(queue, model.state, NULL, NULL);
+	bp_queue_load(queue, model.state, false, NULL, NULL);
 	job = bp_queue_next(queue);
 	CU_ASSERT_STRING_EQUAL(job->id, "a1");
 	bp_queue_charge(queue, job, 4);
@@ -127,6 +127,34 @@
 	bp_model_clear(&model);
 }
 
+/* Guards against batch jobs lost, repeated or ahead when the order is kept. */
+static void
+test_kept_batch_goes_on(void)
+{
+	bp_queue_t *queue;
+	bp_job_t *job;
+
+	setup("# empty\n");
+	add("a1", "t1", BP_CLASS_BATCH, 9);
+	add("a2", "t1", BP_CLASS_BATCH, 1);
+	job = add("a3", "t1", BP_CLASS_BATCH, 1);
+	queue = bp_queue_new(&options);
+	bp_queue_load(queue, model.state, false, NULL, NULL);
+	bp_queue_put_back(queue, bp_queue_next(queue));
+	add("u", "t2", BP_CLASS_URGENT, 1);
+	add("a4", "t1", BP_CLASS_BATCH, 1);
+	bp_model_assign(&model, job, 0, 1, bp_state_vm(model.state, "a1"));
+	bp_queue_load(queue, model.state, true, NULL, NULL);
+	CU_ASSERT_STRING_EQUAL(bp_queue_next(queue)->id, "u");
+	CU_ASSERT_STRING_EQUAL(bp_queue_next(queue)->id, "a1");
+	CU_ASSERT_STRING_EQUAL(bp_queue_next(queue)->id, "a2");
+	CU_ASSERT_PTR_NULL(bp_queue_next(queue));
+	bp_queue_load(queue, model.state, false, NULL, NULL);
+	CU_ASSERT_EQUAL(bp_queue_left(queue), 4);
+	bp_queue_free(queue);
+	bp_model_clear(&model);
+}
+
 int
 main(void)
 {
@@ -135,6 +163,7 @@
 	    {"weighted share", test_weighted_share_between_teams},
 	    {"share is dominant", test_share_is_dominant},
 	    {"weight over cost", test_weight_over_cost_with_bound},
+	    {"kept batch goes on", test_kept_batch_goes_on},
 	    {"put back", test_put_back_keeps_the_job_first},
 	    CU_TEST_INFO_NULL,
 	};
