--- a/src/core/timeline_merge.c
+++ b/src/core/timeline_merge.c
@@ -77,7 +77,7 @@
 bp_timeline_read_lines(
     GPtrArray *events, const char *lines, size_t size_bytes, bp_error_t *err)
 {
-	char *text = g_strndup(lines, size_bytes);
+	char *text = g_strndup(size_bytes > 0 ? lines : "", size_bytes);
 	char **each = g_strsplit(text, "\n", -1);
 	int rc = BP_OK;
 	guint i;
--- a/src/node/peer_client.c
+++ b/src/node/peer_client.c
@@ -79,23 +79,38 @@
 	peer_unref(peer);
 }
 
+/* The ids of all calls. done may end other calls, so none is kept. */
+static GArray *
+correlations_of(const peer_t *peer)
+{
+	GArray *correlations = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, peer->calls);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		g_array_append_vals(correlations, key, 1);
+	return correlations;
+}
+
+static call_t *
+find_call(const peer_t *peer, const GArray *correlations, guint index)
+{
+	return g_hash_table_lookup(
+	    peer->calls, &g_array_index(correlations, uint64_t, index));
+}
+
 /* Ends all calls; whether a call was sent decides what is known of it. */
 static void
 finish_all(peer_t *peer, const char *reason)
 {
-	GList *keys = g_hash_table_get_keys(peer->calls);
-	GArray *correlations = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GArray *correlations = correlations_of(peer);
 	bp_error_t err;
-	GList *key;
 	guint i;
 
-	for (key = keys; key != NULL; key = key->next)
-		g_array_append_vals(correlations, key->data, 1);
-	g_list_free(keys);
 	(void)g_rc_box_acquire(peer);
 	for (i = 0; i < correlations->len && peer->client != NULL; i++) {
-		call_t *call = g_hash_table_lookup(
-		    peer->calls, &g_array_index(correlations, uint64_t, i));
+		call_t *call = find_call(peer, correlations, i);
 
 		if (call == NULL)
 			continue;
@@ -152,20 +167,22 @@
 	bp__peer__frame__free_unpacked(request, NULL);
 }
 
+/* The caller holds a reference to the peer. */
 static void
 send_waiting(peer_t *peer)
 {
-	GList *calls = g_hash_table_get_values(peer->calls);
-	GList *item;
+	GArray *correlations = correlations_of(peer);
+	guint i;
 
-	for (item = calls; item != NULL && peer->link != NULL;
-	     item = item->next) {
-		call_t *call = item->data;
+	for (i = 0; i < correlations->len && peer->client != NULL &&
+	     peer->link != NULL;
+	     i++) {
+		call_t *call = find_call(peer, correlations, i);
 
-		if (!call->sent)
+		if (call != NULL && !call->sent)
 			send_call(call);
 	}
-	g_list_free(calls);
+	g_array_unref(correlations);
 }
 
 static void
--- a/tests/core/test_timeline.c
+++ b/tests/core/test_timeline.c
@@ -76,6 +76,9 @@
 	CU_ASSERT_EQUAL_FATAL(events->len, 2);
 	CU_ASSERT_STRING_EQUAL(
 	    ((bp_event_t *)events->pdata[1])->text, "step 4 \"ż\"");
+	/* A peer without a matching event sends a body without bytes. */
+	CU_ASSERT_EQUAL(bp_timeline_read_lines(events, NULL, 0, NULL), BP_OK);
+	CU_ASSERT_EQUAL(events->len, 2);
 	g_free(lines);
 	lines = bp_timeline_lines(timeline, &filter, 200);
 	CU_ASSERT_PTR_NOT_NULL(strstr(lines, "step 4"));
