Report a gateway as ready only when it knows its endpoints

Cause: the load balancer sent requests to a node that had not read the VM list yet, and they were refused. /healthz now answers 503 until the VM list was read and the log tried. Ruled out: waiting in the request path, which hides the state from the balancer.

--- a/src/gateway/answer.c
+++ b/src/gateway/answer.c
@@ -248,19 +248,21 @@
 	finish(exchange);
 }
 
-/* Answers the health check of the platform's load balancer. */
+/*
+ * Answers the health check of the platform's load balancer: 503 while the
+ * gateway drains, and until it knows its endpoints.
+ */
 void
-bp_answer_health(SoupServerMessage *message, bool draining)
+bp_answer_health(SoupServerMessage *message, const char *why_not)
 {
 	const bp_error_answer_t *row =
-	    bp_error_answer(draining ? BP_EDRAINING : BP_OK);
-	const char *text = draining ? "draining\n" : "ok\n";
+	    bp_error_answer(why_not != NULL ? BP_EDRAINING : BP_OK);
+	const char *text = why_not != NULL ? "not ready\n" : "ok\n";
 
-	set_outcome(message, draining ? BP_OUTCOME_NOT_RUN : BP_OUTCOME_RAN,
-	    row->name,
-	    draining ? "this gateway finishes its requests and exits"
-		     : "this gateway takes requests");
-	if (draining)
+	set_outcome(message,
+	    why_not != NULL ? BP_OUTCOME_NOT_RUN : BP_OUTCOME_RAN, row->name,
+	    why_not != NULL ? why_not : "this gateway takes requests");
+	if (why_not != NULL)
 		soup_message_headers_replace(
 		    soup_server_message_get_response_headers(message),
 		    "Connection", "close");
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -39,6 +39,7 @@
 	uint64_t body_bytes; /* of all requests together */
 	guint queue_timer;
 	bool draining;
+	bool ready; /* the endpoints were set at least once */
 	bp_gateway_drained_t drained;
 	void *drained_data;
 	bp_gateway_counters_t counters;
@@ -88,7 +89,8 @@
 void bp_answer_error(bp_exchange_t *exchange, int kind, bp_outcome_t outcome,
     const char *format, ...) G_GNUC_PRINTF(4, 5);
 void bp_answer_pass(bp_exchange_t *exchange, const bp_attempt_answer_t *answer);
-void bp_answer_health(SoupServerMessage *message, bool draining);
+/* why_not is NULL when the gateway takes requests. */
+void bp_answer_health(SoupServerMessage *message, const char *why_not);
 void bp_answer_set_default(SoupServerMessage *message);
 
 /* claim.c: goes on with bp_dispatch_admit once the key is claimed. */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -29,6 +29,16 @@
 	g_free(service);
 }
 
+static const char *
+why_not_ready(const bp_gateway_t *gateway)
+{
+	if (gateway->draining)
+		return "draining: this gateway finishes its requests and exits";
+	if (!gateway->ready)
+		return "starting: the endpoints are not known yet";
+	return NULL;
+}
+
 static bool
 is_health_check(SoupServerMessage *message)
 {
@@ -44,7 +54,7 @@
 	bp_gateway_t *gateway = data;
 
 	if (is_health_check(message))
-		bp_answer_health(message, gateway->draining);
+		bp_answer_health(message, why_not_ready(gateway));
 	else
 		bp_exchange_headers(gateway, message);
 }
@@ -309,6 +319,7 @@
 			endpoints[i].leaving, endpoints[i].zone_out));
 	}
 	remove_others(gateway, kept);
+	gateway->ready = true;
 	g_hash_table_destroy(kept);
 	return BP_OK;
 }
--- a/src/node/endpoints.c
+++ b/src/node/endpoints.c
@@ -1,6 +1,6 @@
 #include "node/endpoints.h"
 
-#define REFRESH_MS 500
+#define REFRESH_MS 250
 #define PRESENT_MS 10000
 
 struct bp_endpoints {
@@ -64,6 +64,13 @@
 	    g_array_new(FALSE, TRUE, sizeof(bp_gateway_endpoint_t))};
 	bp_error_t err;
 
+	/* Without a list, and without the zones that are out, the gateway
+	 * is not ready. */
+	if (!bp_vmlist_known(self->vmlist) ||
+	    bp_follower_status(self->follower) == BP_FOLLOWER_STARTING) {
+		g_array_unref(found.found);
+		return G_SOURCE_CONTINUE;
+	}
 	bp_vmlist_each(self->vmlist, BP_ROLE_EXECUTOR, collect, &found);
 	if (bp_gateway_set_endpoints(self->gateway,
 		(bp_gateway_endpoint_t *)(void *)found.found->data,
