Time out stalled callers; let retries wait without blocking others

A request that waits for an endpoint it did not try yet stood at the head of its queue and held up the others. A connection of a caller that vanished was kept for ever; it now ends after 75 s without progress (checked by a trial with 1 s: slow headers are closed, an answer after 3.3 s still arrives). Request ids are ASCII, also for nodes with other names.

--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -145,7 +145,10 @@
 		    g_timeout_add(QUEUE_CHECK_MS, on_queue_timer, gateway);
 }
 
-/* Sends queued requests, highest class first, while there is room. */
+/*
+ * Sends queued requests, highest class first, while there is room. A request
+ * that waits for an endpoint it did not try yet does not hold up the others.
+ */
 void
 bp_dispatch_pump(bp_gateway_t *gateway, bp_service_t *service)
 {
@@ -153,16 +156,21 @@
 	uint32_t rank;
 
 	for (rank = 0; rank < BP_SHED_RANKS; rank++) {
-		bp_exchange_t *exchange;
-		bp_endpoint_t *endpoint;
+		GList *link = service->queues[rank].head;
+
+		while (link != NULL) {
+			bp_exchange_t *exchange = link->data;
+			bp_endpoint_t *endpoint;
 
-		while ((exchange = g_queue_peek_head(&service->queues[rank])) !=
-		    NULL) {
+			link = link->next;
 			get_load(service, &load);
 			if (!bp_shed_may_send(&load, rank))
 				break;
-			if ((endpoint = choose(exchange)) == NULL)
+			endpoint = choose(exchange);
+			if (endpoint == NULL && exchange->choice.n_tried == 0)
 				break;
+			if (endpoint == NULL)
+				continue;
 			leave_queue(exchange);
 			start_attempt(exchange, endpoint);
 		}
--- a/src/gateway/endpoint.c
+++ b/src/gateway/endpoint.c
@@ -162,7 +162,7 @@
 	return count;
 }
 
-/* Returns the sum of the limits of all live endpoints in service. */
+/* Returns the sum of all limits; an endpoint that is not live counts as 1. */
 uint32_t
 bp_pool_limit(const bp_pool_t *pool)
 {
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -2,6 +2,7 @@
 
 #include "gateway/headers.h"
 
+#include <glib-unix.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -152,12 +153,11 @@
  * that the end of the connection is looked for here.
  */
 static gboolean
-on_readable(GSocket *socket, GIOCondition condition, gpointer data)
+on_readable(gint fd, GIOCondition condition, gpointer data)
 {
 	bp_exchange_t *exchange = data;
 	char byte;
-	ssize_t n =
-	    recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	ssize_t n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return G_SOURCE_CONTINUE;
@@ -182,8 +182,9 @@
 
 	if (socket == NULL)
 		return;
-	exchange->watch =
-	    g_socket_create_source(socket, G_IO_IN | G_IO_HUP | G_IO_ERR, NULL);
+	/* A source of the socket itself would run into its timeout. */
+	exchange->watch = g_unix_fd_source_new(
+	    g_socket_get_fd(socket), G_IO_IN | G_IO_HUP | G_IO_ERR);
 	g_source_set_callback(
 	    exchange->watch, G_SOURCE_FUNC(on_readable), exchange, NULL);
 	g_source_attach(exchange->watch, g_main_context_get_thread_default());
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -4,6 +4,8 @@
 
 #define DEFAULT_DEADLINE_MS 30000
 #define HEALTH_PATH "/healthz"
+/* A caller that vanished, or stalls, would keep its connection for ever. */
+#define CALLER_TIMEOUT_S 75
 
 /* Sets the defaults: loopback, any port, alone, 30 s. */
 int
@@ -61,10 +63,15 @@
 		bp_exchange_body(exchange);
 }
 
+/* Emitted for each connection and each further request on it. */
 static void
 on_started(SoupServer *server, SoupServerMessage *message, gpointer data)
 {
+	GSocket *socket = soup_server_message_get_socket(message);
+
 	bp_answer_set_default(message);
+	if (socket != NULL)
+		g_socket_set_timeout(socket, CALLER_TIMEOUT_S);
 }
 
 static int
@@ -146,6 +153,9 @@
 	    (uint64_t)bp_clock_wall_ms(gateway->options.clock);
 	gateway->id_prefix = g_strdup_printf(
 	    "%s-%016" G_GINT64_MODIFIER "x", gateway->options.node, start);
+	/* Names of nodes are UTF-8, values of headers are ASCII. */
+	g_strcanon(gateway->id_prefix,
+	    G_CSET_a_2_z G_CSET_A_2_Z G_CSET_DIGITS "-._", '-');
 	gateway->upstream = bp_upstream_new(gateway->options.gateways);
 	start_server(gateway);
 	rc = start_listening(gateway, err);
