--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -20,28 +20,32 @@
 
 /* --- enums --- */
 
+/*
+ * Answers hold a text for people in message and, unless stated otherwise,
+ * JSON in body. Comments name the arguments and the body of the request.
+ */
 typedef enum _Bp__Peer__Verb {
   BP__PEER__VERB__VERB_UNSPECIFIED = 0,
   /*
-   * serialized log.Snapshot in body
+   * args: first byte, offset of the state begun ("" at first);
    */
   BP__PEER__VERB__VERB_STATE = 1,
   /*
-   * JSON text in body
+   * answer: args offset, total bytes; body part of a log.Snapshot
    */
   BP__PEER__VERB__VERB_STATUS = 2,
   /*
-   * args: job or request id
+   * args: job or request id, optional task index
    */
   BP__PEER__VERB__VERB_WHY = 3,
   /*
-   * args: filters, JSON lines in body
+   * args: job=, vm=, zone=, since_ms=, until_ms=; answer: JSON lines
    */
   BP__PEER__VERB__VERB_TIMELINE = 4,
+  BP__PEER__VERB__VERB_METRICS = 5,
   /*
-   * text in body
+   * args: optional version; answer: args rule text
    */
-  BP__PEER__VERB__VERB_METRICS = 5,
   BP__PEER__VERB__VERB_RULES_SHOW = 6,
   BP__PEER__VERB__VERB_RULES_HISTORY = 7,
   /*
@@ -58,12 +62,24 @@
    */
   BP__PEER__VERB__VERB_ZONE_CHANGE = 11,
   /*
-   * body: serialized log.JobSpec
+   * body: serialized log.JobSpec; answer: args job id
    */
   BP__PEER__VERB__VERB_JOB_SUBMIT = 12,
+  /*
+   * args: job id; outcome is that of the job
+   */
   BP__PEER__VERB__VERB_JOB_STATUS = 13,
+  /*
+   * args: job id, by; outcome is that of the job
+   */
   BP__PEER__VERB__VERB_JOB_CANCEL = 14,
+  /*
+   * args: team=, state=
+   */
   BP__PEER__VERB__VERB_JOB_LIST = 15,
+  /*
+   * args: service/key
+   */
   BP__PEER__VERB__VERB_KEY_OUTCOME = 16
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BP__PEER__VERB)
 } Bp__Peer__Verb;
