--- a/src/gateway/endpoint.c
+++ b/src/gateway/endpoint.c
@@ -105,7 +105,7 @@
 		bp_limiter_init(&endpoint->limiter, pool->gateways);
 		g_ptr_array_add(pool->endpoints, endpoint);
 		pool->scratch =
-		    g_renew(uint32_t, pool->scratch, pool->endpoints->len);
+		    g_renew(uint32_t, pool->scratch, 2 * pool->endpoints->len);
 	}
 	g_free(endpoint->zone);
 	endpoint->zone = g_strdup(zone != NULL ? zone : "");
@@ -162,7 +162,7 @@
 	return count;
 }
 
-/* Returns the sum of the limits of all live endpoints in service. */
+/* Returns the sum of all limits; an endpoint that is not live counts as 1. */
 uint32_t
 bp_pool_limit(const bp_pool_t *pool)
 {
