--- a/tests/process/test_faults.c
+++ b/tests/process/test_faults.c
@@ -1,5 +1,5 @@
 #include "bulrushpost/hash.h"
-#include "support/cluster.h"
+#include "support/load.h"
 #include "support/runner.h"
 
 #include <signal.h>
@@ -10,11 +10,13 @@
 #define ROUNDS 24
 #define ROUND_MS 1500
 #define TASKS 4
+#define REQUEST_INTERVAL_MS 40
 /* A lost batch task is placed again after permit and lease (32 s). */
 #define SETTLE_LIMIT_MS 120000
 
 typedef struct {
 	bp_cluster_t *cluster;
+	bp_load_t *load;
 	bp_random_t random;
 	GPtrArray *jobs; /* ids of accepted jobs */
 	guint zone_out; /* index + 1 of the zone that is out, or 0 */
@@ -95,10 +97,27 @@
 	printf("  zone %s back\n", zone);
 }
 
+static void
+executor_fault(faults_t *faults)
+{
+	static const char *const kinds[] = {"\"refuse\":true",
+	    "\"lose_answer\":5", "\"truncate\":true", "\"wrong_echo\":true",
+	    "\"delay_ms\":700", "\"fail_fast\":true"};
+	const char *kind = kinds[bp_random_below(
+	    &faults->random, (uint32_t)G_N_ELEMENTS(kinds))];
+	guint zone =
+	    bp_random_below(&faults->random, faults->cluster->options.zones);
+	guint index = bp_random_below(
+	    &faults->random, faults->cluster->options.executors);
+
+	printf("  fault of executor %u in z%u: %s\n", index, zone, kind);
+	bp_cluster_executor_fault(faults->cluster, zone, index, kind);
+}
+
 static void
 random_fault(faults_t *faults)
 {
-	switch (bp_random_below(&faults->random, 9)) {
+	switch (bp_random_below(&faults->random, 11)) {
 	case 0:
 		pause_node(faults);
 		break;
@@ -123,12 +142,28 @@
 	case 7:
 		vm_fault(faults, "\"reboot\":true");
 		break;
+	case 8:
+	case 9:
+		executor_fault(faults);
+		break;
 	default:
 		toggle_zone(faults);
 		break;
 	}
 }
 
+static void
+heal_executors(bp_cluster_t *cluster, guint zone)
+{
+	guint i;
+
+	for (i = 0; i < cluster->options.executors; i++)
+		bp_cluster_executor_fault(cluster, zone, i,
+		    "\"refuse\":false,\"truncate\":false,"
+		    "\"wrong_echo\":false,\"delay_ms\":0,"
+		    "\"lose_answer\":0,\"fail_fast\":false");
+}
+
 /* Ends all faults that last, but leaves a zone out. */
 static void
 heal(faults_t *faults)
@@ -143,6 +178,7 @@
 	bp_cluster_log_faults(
 	    cluster, "{\"down\":false,\"delay_ms\":0,\"lose_answers\":0}");
 	for (zone = 0; zone < cluster->options.zones; zone++) {
+		heal_executors(cluster, zone);
 		for (i = 0; i < cluster->options.workers; i++) {
 			char *json = g_strdup_printf(
 			    "{\"vm\":\"z%u-w-%u\",\"unreachable\":false,"
@@ -244,12 +280,17 @@
 		CU_FAIL_FATAL("no cluster");
 		return;
 	}
+	faults.load = bp_load_new(faults.cluster, REQUEST_INTERVAL_MS, "20");
 	run_rounds(&faults);
+	CU_ASSERT_TRUE_FATAL(bp_load_stop(faults.load));
 	CU_ASSERT_TRUE(faults.jobs->len > 0);
 	CU_ASSERT_TRUE(bp_wait_until_ms(all_done, &faults, SETTLE_LIMIT_MS));
 	print_unfinished(&faults);
 	CU_ASSERT_EQUAL(bp_cluster_check(faults.cluster, true), 0);
-	printf("  %u jobs accepted\n", faults.jobs->len);
+	CU_ASSERT_EQUAL(bp_load_check(faults.load, false), 0);
+	printf("  %u jobs accepted, %u requests\n", faults.jobs->len,
+	    faults.load->requests->len);
+	bp_load_free(faults.load);
 	bp_cluster_free(faults.cluster);
 	g_ptr_array_unref(faults.jobs);
 }
