Raise reserved sizes after observed use

Cause: declared sizes are far off; a task that uses more than it declared over-commits a VM in fact. A new entry raises what is reserved for later attempts; running tasks keep their reservation, so no VM is over-committed.

--- a/include/bulrushpost/state.h
+++ b/include/bulrushpost/state.h
@@ -25,6 +25,7 @@
 
 typedef struct {
 	bp_vm_t *vm; /* NULL unless assigned */
+	bp_resources_t size; /* reserved for it while assigned */
 	char *checkpoint;
 	uint64_t epoch;
 	uint64_t since_offset;
@@ -48,7 +49,8 @@
 	char *name;
 	bp_team_t *team;
 	bp_task_class_t klass;
-	bp_resources_t size; /* of one task */
+	bp_resources_t declared; /* of one task, as submitted */
+	bp_resources_t size; /* reserved for the next attempts */
 	uint64_t run_ms; /* as declared; 0 when unknown */
 	uint32_t weight;
 	bool never_rerun; /* a lost task is not run again */
--- a/src/node/control_history.c
+++ b/src/node/control_history.c
@@ -26,6 +26,8 @@
 		return "zone";
 	case BP__LOG__ENTRY__BODY_KEY_CLAIM:
 		return "key";
+	case BP__LOG__ENTRY__BODY_JOB_RESIZE:
+		return "resize";
 	case BP__LOG__ENTRY__BODY__NOT_SET:
 	case _BP__LOG__ENTRY__BODY__CASE_IS_INT_SIZE:
 		break;
--- a/src/proto/log.pb-c.c
+++ b/src/proto/log.pb-c.c
@@ -502,6 +502,51 @@
   assert(message->base.descriptor == &bp__log__zone_change__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__log__job_resize__init
+                     (Bp__Log__JobResize         *message)
+{
+  static const Bp__Log__JobResize init_value = BP__LOG__JOB_RESIZE__INIT;
+  *message = init_value;
+}
+size_t bp__log__job_resize__get_packed_size
+                     (const Bp__Log__JobResize *message)
+{
+  assert(message->base.descriptor == &bp__log__job_resize__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__log__job_resize__pack
+                     (const Bp__Log__JobResize *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__log__job_resize__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__log__job_resize__pack_to_buffer
+                     (const Bp__Log__JobResize *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__log__job_resize__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__Log__JobResize *
+       bp__log__job_resize__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__Log__JobResize *)
+     protobuf_c_message_unpack (&bp__log__job_resize__descriptor,
+                                allocator, len, data);
+}
+void   bp__log__job_resize__free_unpacked
+                     (Bp__Log__JobResize *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__log__job_resize__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__log__key_claim__init
                      (Bp__Log__KeyClaim         *message)
 {
@@ -2135,6 +2180,83 @@
   (ProtobufCMessageInit) bp__log__zone_change__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__log__job_resize__field_descriptors[4] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Log__JobResize, job),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_milli",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Log__JobResize, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mib",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Log__JobResize, memory_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Log__JobResize, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__log__job_resize__field_indices_by_name[] = {
+  3,   /* field[3] = accelerators */
+  1,   /* field[1] = cpu_milli */
+  0,   /* field[0] = job */
+  2,   /* field[2] = memory_mib */
+};
+static const ProtobufCIntRange bp__log__job_resize__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor bp__log__job_resize__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.log.JobResize",
+  "JobResize",
+  "Bp__Log__JobResize",
+  "bp.log",
+  sizeof(Bp__Log__JobResize),
+  4,
+  bp__log__job_resize__field_descriptors,
+  bp__log__job_resize__field_indices_by_name,
+  1,  bp__log__job_resize__number_ranges,
+  (ProtobufCMessageInit) bp__log__job_resize__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bp__log__key_claim__field_descriptors[2] =
 {
   {
@@ -2186,7 +2308,7 @@
   (ProtobufCMessageInit) bp__log__key_claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__log__entry__field_descriptors[11] =
+static const ProtobufCFieldDescriptor bp__log__entry__field_descriptors[12] =
 {
   {
     "claim",
@@ -2320,11 +2442,24 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "job_resize",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__Log__Entry, body_case),
+    offsetof(Bp__Log__Entry, job_resize),
+    &bp__log__job_resize__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__log__entry__field_indices_by_name[] = {
   6,   /* field[6] = assign */
   0,   /* field[0] = claim */
   5,   /* field[5] = job_cancel */
+  11,   /* field[11] = job_resize */
   4,   /* field[4] = job_submit */
   10,   /* field[10] = key_claim */
   1,   /* field[1] = release */
@@ -2337,7 +2472,7 @@
 static const ProtobufCIntRange bp__log__entry__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor bp__log__entry__descriptor =
 {
@@ -2347,7 +2482,7 @@
   "Bp__Log__Entry",
   "bp.log",
   sizeof(Bp__Log__Entry),
-  11,
+  12,
   bp__log__entry__field_descriptors,
   bp__log__entry__field_indices_by_name,
   1,  bp__log__entry__number_ranges,
@@ -3012,7 +3147,7 @@
   (ProtobufCMessageInit) bp__log__vm_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__log__task_state__field_descriptors[10] =
+static const ProtobufCFieldDescriptor bp__log__task_state__field_descriptors[13] =
 {
   {
     "task",
@@ -3134,12 +3269,51 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cpu_milli",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Log__TaskState, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mib",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Log__TaskState, memory_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Log__TaskState, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__log__task_state__field_indices_by_name[] = {
+  12,   /* field[12] = accelerators */
   1,   /* field[1] = attempt */
   4,   /* field[4] = checkpoint */
+  10,   /* field[10] = cpu_milli */
   5,   /* field[5] = epoch */
   9,   /* field[9] = failures */
+  11,   /* field[11] = memory_mib */
   6,   /* field[6] = outcome */
   8,   /* field[8] = since_ms */
   7,   /* field[7] = since_offset */
@@ -3150,7 +3324,7 @@
 static const ProtobufCIntRange bp__log__task_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor bp__log__task_state__descriptor =
 {
@@ -3160,14 +3334,14 @@
   "Bp__Log__TaskState",
   "bp.log",
   sizeof(Bp__Log__TaskState),
-  10,
+  13,
   bp__log__task_state__field_descriptors,
   bp__log__task_state__field_indices_by_name,
   1,  bp__log__task_state__number_ranges,
   (ProtobufCMessageInit) bp__log__task_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__log__job_state__field_descriptors[7] =
+static const ProtobufCFieldDescriptor bp__log__job_state__field_descriptors[10] =
 {
   {
     "spec",
@@ -3253,11 +3427,50 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cpu_milli",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Log__JobState, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mib",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Log__JobState, memory_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Log__JobState, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__log__job_state__field_indices_by_name[] = {
+  9,   /* field[9] = accelerators */
   1,   /* field[1] = cancelled */
   2,   /* field[2] = cancelled_by */
+  7,   /* field[7] = cpu_milli */
   6,   /* field[6] = ended_ms */
+  8,   /* field[8] = memory_mib */
   0,   /* field[0] = spec */
   4,   /* field[4] = submit_ms */
   3,   /* field[3] = submit_offset */
@@ -3266,7 +3479,7 @@
 static const ProtobufCIntRange bp__log__job_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor bp__log__job_state__descriptor =
 {
@@ -3276,7 +3489,7 @@
   "Bp__Log__JobState",
   "bp.log",
   sizeof(Bp__Log__JobState),
-  7,
+  10,
   bp__log__job_state__field_descriptors,
   bp__log__job_state__field_indices_by_name,
   1,  bp__log__job_state__number_ranges,
--- a/src/proto/log.pb-c.h
+++ b/src/proto/log.pb-c.h
@@ -26,6 +26,7 @@
 typedef struct Bp__Log__TaskEnd Bp__Log__TaskEnd;
 typedef struct Bp__Log__RulesPublish Bp__Log__RulesPublish;
 typedef struct Bp__Log__ZoneChange Bp__Log__ZoneChange;
+typedef struct Bp__Log__JobResize Bp__Log__JobResize;
 typedef struct Bp__Log__KeyClaim Bp__Log__KeyClaim;
 typedef struct Bp__Log__Entry Bp__Log__Entry;
 typedef struct Bp__Log__Record Bp__Log__Record;
@@ -247,6 +248,22 @@
     , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
+/*
+ * Raises what is reserved for later attempts, after observed use.
+ */
+struct  Bp__Log__JobResize
+{
+  ProtobufCMessage base;
+  char *job;
+  uint32_t cpu_milli;
+  uint32_t memory_mib;
+  uint32_t accelerators;
+};
+#define BP__LOG__JOB_RESIZE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__log__job_resize__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
 struct  Bp__Log__KeyClaim
 {
   ProtobufCMessage base;
@@ -270,7 +287,8 @@
   BP__LOG__ENTRY__BODY_TASK_END = 8,
   BP__LOG__ENTRY__BODY_RULES_PUBLISH = 9,
   BP__LOG__ENTRY__BODY_ZONE_CHANGE = 10,
-  BP__LOG__ENTRY__BODY_KEY_CLAIM = 11
+  BP__LOG__ENTRY__BODY_KEY_CLAIM = 11,
+  BP__LOG__ENTRY__BODY_JOB_RESIZE = 12
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BP__LOG__ENTRY__BODY__CASE)
 } Bp__Log__Entry__BodyCase;
 
@@ -290,6 +308,7 @@
     Bp__Log__RulesPublish *rules_publish;
     Bp__Log__ZoneChange *zone_change;
     Bp__Log__KeyClaim *key_claim;
+    Bp__Log__JobResize *job_resize;
   };
 };
 #define BP__LOG__ENTRY__INIT \
@@ -398,10 +417,13 @@
   uint64_t since_offset;
   uint64_t since_ms;
   uint32_t failures;
+  uint32_t cpu_milli;
+  uint32_t memory_mib;
+  uint32_t accelerators;
 };
 #define BP__LOG__TASK_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__log__task_state__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Bp__Log__JobState
@@ -415,10 +437,13 @@
   size_t n_tasks;
   Bp__Log__TaskState **tasks;
   uint64_t ended_ms;
+  uint32_t cpu_milli;
+  uint32_t memory_mib;
+  uint32_t accelerators;
 };
 #define BP__LOG__JOB_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__log__job_state__descriptor) \
-    , NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0 }
+    , NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Bp__Log__RulesState
@@ -722,6 +747,25 @@
 void   bp__log__zone_change__free_unpacked
                      (Bp__Log__ZoneChange *message,
                       ProtobufCAllocator *allocator);
+/* Bp__Log__JobResize methods */
+void   bp__log__job_resize__init
+                     (Bp__Log__JobResize         *message);
+size_t bp__log__job_resize__get_packed_size
+                     (const Bp__Log__JobResize   *message);
+size_t bp__log__job_resize__pack
+                     (const Bp__Log__JobResize   *message,
+                      uint8_t             *out);
+size_t bp__log__job_resize__pack_to_buffer
+                     (const Bp__Log__JobResize   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__Log__JobResize *
+       bp__log__job_resize__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__log__job_resize__free_unpacked
+                     (Bp__Log__JobResize *message,
+                      ProtobufCAllocator *allocator);
 /* Bp__Log__KeyClaim methods */
 void   bp__log__key_claim__init
                      (Bp__Log__KeyClaim         *message);
@@ -1023,6 +1067,9 @@
 typedef void (*Bp__Log__ZoneChange_Closure)
                  (const Bp__Log__ZoneChange *message,
                   void *closure_data);
+typedef void (*Bp__Log__JobResize_Closure)
+                 (const Bp__Log__JobResize *message,
+                  void *closure_data);
 typedef void (*Bp__Log__KeyClaim_Closure)
                  (const Bp__Log__KeyClaim *message,
                   void *closure_data);
@@ -1086,6 +1133,7 @@
 extern const ProtobufCMessageDescriptor bp__log__task_end__descriptor;
 extern const ProtobufCMessageDescriptor bp__log__rules_publish__descriptor;
 extern const ProtobufCMessageDescriptor bp__log__zone_change__descriptor;
+extern const ProtobufCMessageDescriptor bp__log__job_resize__descriptor;
 extern const ProtobufCMessageDescriptor bp__log__key_claim__descriptor;
 extern const ProtobufCMessageDescriptor bp__log__entry__descriptor;
 extern const ProtobufCMessageDescriptor bp__log__record__descriptor;
--- a/src/scheduler/private.h
+++ b/src/scheduler/private.h
@@ -60,6 +60,7 @@
 	bp_state_t *state; /* the one that placement refers to */
 	GHashTable *racks; /* name to bp_owned_rack_t */
 	GHashTable *steps; /* racks with a claim or release in flight */
+	GHashTable *resizes; /* jobs with a JobResize in flight */
 	GHashTable *ends; /* "job/task/attempt" with a TaskEnd in flight */
 	GCancellable *cancellable;
 	guint timer;
@@ -96,6 +97,9 @@
 /* recovery.c */
 void bp_recovery_tick(bp_scheduler_t *self);
 
+/* sizes.c */
+void bp_sizes_report(bp_owned_vm_t *vm, const Bp__Worker__RenewAnswer *answer);
+
 /* protection.c */
 void bp_protection_report(
     bp_owned_vm_t *vm, const Bp__Worker__RenewAnswer *answer);
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -129,6 +129,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, bp_racks_free);
 	self->steps =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	self->resizes =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	self->ends =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	self->cancellable = g_cancellable_new();
@@ -155,6 +157,7 @@
 	g_object_unref(self->cancellable);
 	g_hash_table_unref(self->racks);
 	g_hash_table_unref(self->steps);
+	g_hash_table_unref(self->resizes);
 	g_hash_table_unref(self->ends);
 	bp_placement_free(self->placement);
 	bp_eviction_free(self->eviction);
--- a/src/scheduler/starts.c
+++ b/src/scheduler/starts.c
@@ -145,6 +145,7 @@
 	bp_ends_report(vm, answer);
 	end_missing(vm, answer);
 	bp_protection_report(vm, answer);
+	bp_sizes_report(vm, answer);
 }
 
 /*
@@ -223,9 +224,9 @@
 	id.task = index;
 	id.attempt = task->attempt;
 	start.id = &id;
-	start.cpu_milli = job->size.cpu_milli;
-	start.memory_mib = job->size.memory_mib;
-	start.accelerators = job->size.accelerators;
+	start.cpu_milli = task->size.cpu_milli;
+	start.memory_mib = task->size.memory_mib;
+	start.accelerators = task->size.accelerators;
 	start.lease_ms = bp_scheduler_lease_ms(self, job->klass);
 	start.klass = (uint32_t)job->klass;
 	start.checkpoint =
--- a/src/state/apply.c
+++ b/src/state/apply.c
@@ -26,6 +26,8 @@
 		return bp_apply_rules_publish(ctx, entry->rules_publish);
 	case BP__LOG__ENTRY__BODY_ZONE_CHANGE:
 		return bp_apply_zone_change(ctx, entry->zone_change);
+	case BP__LOG__ENTRY__BODY_JOB_RESIZE:
+		return bp_apply_job_resize(ctx, entry->job_resize);
 	case BP__LOG__ENTRY__BODY_KEY_CLAIM:
 		return bp_apply_key_claim(ctx, entry->key_claim);
 	case BP__LOG__ENTRY__BODY__NOT_SET:
--- a/src/state/apply_job.c
+++ b/src/state/apply_job.c
@@ -41,6 +41,7 @@
 	job->size.cpu_milli = spec->cpu_milli;
 	job->size.memory_mib = spec->memory_mib;
 	job->size.accelerators = spec->accelerators;
+	job->declared = job->size;
 	job->run_ms = spec->run_ms;
 	job->weight = spec->weight != 0 ? spec->weight : JOB_WEIGHT_DEFAULT;
 	job->never_rerun = spec->never_rerun;
@@ -111,9 +112,10 @@
 	task->state = BP_TASK_ASSIGNED;
 	task->vm = vm;
 	task->epoch = epoch;
-	vm->used = add(vm->used, &job->size);
+	task->size = job->size;
+	vm->used = add(vm->used, &task->size);
 	g_array_append_val(vm->tasks, ref);
-	job->team->used = add(job->team->used, &job->size);
+	job->team->used = add(job->team->used, &task->size);
 	job->team->assigned++;
 	job->n_waiting--;
 	job->n_assigned++;
@@ -137,8 +139,8 @@
 			break;
 		}
 	}
-	task->vm->used = subtract(task->vm->used, &job->size);
-	job->team->used = subtract(job->team->used, &job->size);
+	task->vm->used = subtract(task->vm->used, &task->size);
+	job->team->used = subtract(job->team->used, &task->size);
 	job->team->assigned--;
 	job->n_assigned--;
 	task->vm = NULL;
@@ -167,6 +169,29 @@
 		job->ended_ms = state->now_ms;
 }
 
+/*
+ * Raises what is reserved for later attempts of a job. Running tasks keep
+ * what was reserved for them, so that no VM becomes over-committed.
+ */
+int
+bp_apply_job_resize(bp_apply_t *ctx, const Bp__Log__JobResize *resize)
+{
+	bp_job_t *job = bp_state_job(ctx->state, resize->job);
+
+	if (job == NULL)
+		return bp_error_set(
+		    ctx->err, BP_ENOTFOUND, "no job has id %s", resize->job);
+	if (resize->cpu_milli < job->size.cpu_milli ||
+	    resize->memory_mib < job->size.memory_mib ||
+	    resize->accelerators < job->size.accelerators)
+		return bp_error_set(ctx->err, BP_EINVALID,
+		    "the size of job %s can only be raised", job->id);
+	job->size.cpu_milli = resize->cpu_milli;
+	job->size.memory_mib = resize->memory_mib;
+	job->size.accelerators = resize->accelerators;
+	return BP_OK;
+}
+
 /* Cancels a job: waiting tasks end now, assigned ones when they stop. */
 int
 bp_apply_job_cancel(bp_apply_t *ctx, const Bp__Log__JobCancel *cancel)
--- a/src/state/private.h
+++ b/src/state/private.h
@@ -53,6 +53,7 @@
 int bp_apply_vm_hold(bp_apply_t *ctx, const Bp__Log__VmHold *hold);
 int bp_apply_job_submit(bp_apply_t *ctx, const Bp__Log__JobSubmit *submit);
 int bp_apply_job_cancel(bp_apply_t *ctx, const Bp__Log__JobCancel *cancel);
+int bp_apply_job_resize(bp_apply_t *ctx, const Bp__Log__JobResize *resize);
 int bp_apply_assign(bp_apply_t *ctx, const Bp__Log__Assign *assign);
 int bp_apply_task_end(bp_apply_t *ctx, const Bp__Log__TaskEnd *end);
 int bp_apply_rules_publish(
--- a/src/state/snapshot_load.c
+++ b/src/state/snapshot_load.c
@@ -142,6 +142,9 @@
 			return bp_error_set(err, BP_EINVALID,
 			    "snapshot: job %s runs on unknown VM %s", job->id,
 			    row->vm);
+		job->size.cpu_milli = row->cpu_milli;
+		job->size.memory_mib = row->memory_mib;
+		job->size.accelerators = row->accelerators;
 		bp_task_assign(state, job, row->task, vm, row->epoch);
 	} else if (row->state == BP_TASK_ENDED) {
 		job->n_waiting--;
@@ -191,6 +194,10 @@
 	    job->tasks[job->first_waiting].state != BP_TASK_WAITING)
 		job->first_waiting++;
 	job->ended_ms = (int64_t)row->ended_ms;
+	/* Assigned tasks took the size that was reserved for each. */
+	job->size.cpu_milli = row->cpu_milli;
+	job->size.memory_mib = row->memory_mib;
+	job->size.accelerators = row->accelerators;
 	return BP_OK;
 }
 
--- a/src/state/snapshot_save.c
+++ b/src/state/snapshot_save.c
@@ -126,9 +126,9 @@
 	out->name = job->name;
 	out->klass = (Bp__Log__TaskClass)job->klass;
 	out->tasks = job->n_tasks;
-	out->cpu_milli = job->size.cpu_milli;
-	out->memory_mib = job->size.memory_mib;
-	out->accelerators = job->size.accelerators;
+	out->cpu_milli = job->declared.cpu_milli;
+	out->memory_mib = job->declared.memory_mib;
+	out->accelerators = job->declared.accelerators;
 	out->run_ms = job->run_ms;
 	out->weight = job->weight;
 	out->never_rerun = job->never_rerun;
@@ -159,6 +159,11 @@
 	out->since_offset = task->since_offset;
 	out->since_ms = (uint64_t)task->since_ms;
 	out->failures = task->failures;
+	if (task->vm == NULL)
+		return;
+	out->cpu_milli = task->size.cpu_milli;
+	out->memory_mib = task->size.memory_mib;
+	out->accelerators = task->size.accelerators;
 }
 
 static void
@@ -191,6 +196,9 @@
 	out->submit_offset = job->submit_offset;
 	out->submit_ms = (uint64_t)job->submit_ms;
 	out->ended_ms = (uint64_t)job->ended_ms;
+	out->cpu_milli = job->size.cpu_milli;
+	out->memory_mib = job->size.memory_mib;
+	out->accelerators = job->size.accelerators;
 	save_tasks(arena, out, job);
 }
 
--- a/tests/state/test_state.c
+++ b/tests/state/test_state.c
@@ -17,6 +17,35 @@
 static const char *const rack_names[RACKS] = {"z1/r1", "z2/r1"};
 static const char *const vm_names[VMS] = {"vm0", "vm1", "vm2", "vm3"};
 
+static bool
+same_bytes(const bp_state_t *a, const bp_state_t *b)
+{
+	GByteArray *x = NULL;
+	GByteArray *y = NULL;
+	bool same;
+
+	(void)bp_snapshot_save(&x, a, NULL);
+	(void)bp_snapshot_save(&y, b, NULL);
+	same = x->len == y->len && memcmp(x->data, y->data, x->len) == 0;
+	g_byte_array_unref(x);
+	g_byte_array_unref(y);
+	return same;
+}
+
+static bp_state_t *
+reload(const bp_state_t *state)
+{
+	GByteArray *bytes = NULL;
+	bp_state_t *copy = NULL;
+	bp_error_t err;
+
+	(void)bp_snapshot_save(&bytes, state, NULL);
+	if (bp_snapshot_load(&copy, bytes->data, bytes->len, &err) != BP_OK)
+		copy = NULL;
+	g_byte_array_unref(bytes);
+	return copy;
+}
+
 /* Two nodes race for a rack, a task, a zone and the rules: one wins each. */
 static void
 test_races_have_one_winner(void)
@@ -189,6 +218,42 @@
 	bp_records_clear(&r);
 }
 
+/* A raised size counts for later attempts and survives a snapshot. */
+static void
+test_raised_size_counts_for_later_attempts(void)
+{
+	bp_records_t r;
+	bp_writer_t a = {"a", 1, 0};
+	Bp__Log__Entry entry = BP__LOG__ENTRY__INIT;
+	Bp__Log__JobResize resize = BP__LOG__JOB_RESIZE__INIT;
+	bp_state_t *copy;
+
+	bp_records_init(&r, START_MS);
+	bp_records_claim(&r, &a, "z1/r1", 0, 0);
+	bp_records_vm(&r, &a, "vm0", "z1/r1", 1, 4000);
+	bp_records_submit(&r, &a, "j", "t", 3, 1000);
+	bp_records_assign(&r, &a, "j", 0, 1, 1, "vm0", 1);
+	resize.job = (char *)"j";
+	resize.cpu_milli = 2500;
+	resize.memory_mib = 512;
+	entry.body_case = BP__LOG__ENTRY__BODY_JOB_RESIZE;
+	entry.job_resize = &resize;
+	CU_ASSERT_EQUAL(bp_records_apply(&r, &a, &entry), BP_OK);
+	CU_ASSERT_EQUAL(
+	    bp_records_assign(&r, &a, "j", 1, 1, 1, "vm0", 1), BP_OK);
+	CU_ASSERT_EQUAL(
+	    bp_records_assign(&r, &a, "j", 2, 1, 1, "vm0", 1), BP_EREFUSED);
+	CU_ASSERT_EQUAL(bp_state_vm(r.state, "vm0")->used.cpu_milli, 3500);
+	copy = reload(r.state);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(copy);
+	CU_ASSERT_EQUAL(bp_state_vm(copy, "vm0")->used.cpu_milli, 3500);
+	CU_ASSERT_TRUE(same_bytes(r.state, copy));
+	bp_state_free(copy);
+	resize.cpu_milli = 900;
+	CU_ASSERT_EQUAL(bp_records_apply(&r, &a, &entry), BP_EINVALID);
+	bp_records_clear(&r);
+}
+
 /* What the schedule check knows from the accepted entries alone. */
 typedef struct {
 	int on_vm[JOBS][4]; /* VM index of a running task, or -1 */
@@ -327,35 +392,6 @@
 	(void)bp_records_claim(r, w, "z2/r1", 0, 0);
 }
 
-static bool
-same_bytes(const bp_state_t *a, const bp_state_t *b)
-{
-	GByteArray *x = NULL;
-	GByteArray *y = NULL;
-	bool same;
-
-	(void)bp_snapshot_save(&x, a, NULL);
-	(void)bp_snapshot_save(&y, b, NULL);
-	same = x->len == y->len && memcmp(x->data, y->data, x->len) == 0;
-	g_byte_array_unref(x);
-	g_byte_array_unref(y);
-	return same;
-}
-
-static bp_state_t *
-reload(const bp_state_t *state)
-{
-	GByteArray *bytes = NULL;
-	bp_state_t *copy = NULL;
-	bp_error_t err;
-
-	(void)bp_snapshot_save(&bytes, state, NULL);
-	if (bp_snapshot_load(&copy, bytes->data, bytes->len, &err) != BP_OK)
-		copy = NULL;
-	g_byte_array_unref(bytes);
-	return copy;
-}
-
 /*
  * Random schedules of writers with old views and repeated sequence numbers
  * never run a task twice, exceed a VM or a quota, or start in a zone that is
@@ -446,6 +482,7 @@
 	    {"keys and clocks", test_key_stays_claimed_after_clock_jump},
 	    {"unknown version", test_unknown_version_stops},
 	    {"ended epochs", test_ended_epochs_close_gaps},
+	    {"raised size", test_raised_size_counts_for_later_attempts},
 	    {"random schedules", test_random_schedules_keep_the_invariants},
 	    {"mutated bytes", test_mutated_bytes_never_crash},
 	    CU_TEST_INFO_NULL,
