--- a/tests/node/test_control.c
+++ b/tests/node/test_control.c
@@ -362,8 +362,13 @@
 	tear_down(&f);
 }
 
+/* More than one part of a state, which has 512 KiB. */
+#define LARGE_BYTES (600 * 1024)
+#define RULE_VERSIONS 20
+
 typedef struct {
 	uint32_t done;
+	size_t size_bytes;
 	bp_state_t *state;
 } fetched_t;
 
@@ -374,6 +379,7 @@
 	fetched_t *fetched = data;
 
 	fetched->done++;
+	fetched->size_bytes = size_bytes;
 	if (err == NULL)
 		CU_ASSERT_EQUAL(bp_snapshot_load(&fetched->state, snapshot,
 				    size_bytes, NULL),
@@ -386,26 +392,32 @@
 	return ((fetched_t *)data)->done > 0;
 }
 
-/* Guards against a state that is cut off at the size of a frame. */
+/* Guards against a state that is cut off at the size of a part. */
 static void
 test_large_state_is_fetched_in_parts(void)
 {
 	fetched_t fetched = {0};
-	char id[8];
+	GString *text = g_string_new(NULL);
 	fixture_t f;
 	int i;
 
 	set_up(&f);
-	for (i = 0; i < 8; i++) {
-		g_snprintf(id, sizeof(id), "j%d", i);
-		CU_ASSERT_EQUAL(submit(&f, id, 10000, 1000), BP_OK);
+	for (i = 0; text->len < BP_RULES_MAX_BYTES - 64; i++)
+		g_string_append_printf(text, "team t%d weight 2 # Ann\n", i);
+	for (i = 0; i < RULE_VERSIONS; i++) {
+		char *base = g_strdup_printf("%d", i);
+
+		CU_ASSERT_EQUAL(publish(&f, base, "Ann", text->str), BP_OK);
+		g_free(base);
 	}
 	bp_control_fetch_state(
 	    f.client, f.rig.address, CALL_MS, on_fetched, &fetched);
 	CU_ASSERT_TRUE(wait_until(is_fetched, &fetched, CALL_MS));
+	CU_ASSERT_TRUE(fetched.size_bytes > LARGE_BYTES);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(fetched.state);
-	CU_ASSERT_PTR_NOT_NULL(bp_state_job(fetched.state, "j7"));
+	CU_ASSERT_EQUAL(bp_state_rules(fetched.state)->version, RULE_VERSIONS);
 	bp_state_free(fetched.state);
+	g_string_free(text, TRUE);
 	tear_down(&f);
 }
 
