--- a/src/scheduler/placement_private.h
+++ b/src/scheduler/placement_private.h
@@ -11,6 +11,7 @@
 	uint64_t hash;
 	GPtrArray *vms; /* bp_vm_t */
 	bp_resources_t most_free; /* the largest free amount of each resource */
+	bp_resources_t most_free_batch; /* the same below the headroom */
 	bool has_room; /* for the job considered now */
 } bp_owner_t;
 
@@ -29,6 +30,7 @@
 	int64_t progress_ms; /* when n_waiting changed, or room came up */
 	int64_t seen_ms; /* last round in which the own racks had room */
 	int64_t blocked_until_ms; /* no VM was found; not searched before */
+	int64_t avoided_ms; /* last time that only disturbed VMs had room */
 } bp_track_t;
 
 struct bp_placement {
@@ -37,10 +39,13 @@
 	bp_reservations_t *reservations;
 	GPtrArray *flights; /* bp_flight_t */
 	GPtrArray *kept; /* bp_flight_t: VMs kept free for overdue jobs */
-	GHashTable *tracks; /* job id -> bp_track_t */
-	GPtrArray *considered; /* bp_job_t of the last plan */
+	GHashTable *tracks; /* const bp_job_t * -> bp_track_t */
+	int64_t ordered_ms; /* when batch was put in order last */
+	int64_t forgot_ms; /* when old tracks were removed last */
+	GPtrArray *considered; /* bp_job_t since batch was put in order */
 	const bp_state_t *state; /* of the last plan */
 	bp_resources_t most_free; /* on own VMs in the last plan */
+	bp_resources_t most_free_batch;
 	size_t left; /* jobs not considered for lack of budget */
 };
 
@@ -50,6 +55,7 @@
 	const bp_state_t *state;
 	GArray *owners; /* bp_owner_t */
 	bp_owner_t *own;
+	GArray *services; /* double: share of each own VM held by services */
 	GArray *out;
 	uint32_t budget_tasks;
 	int64_t now_ms;
@@ -59,6 +65,8 @@
 /* One VM that can take a task of the job, with its score; lower is better. */
 typedef struct {
 	bp_vm_t *vm;
+	guint index; /* in the own VMs */
+	double penalty; /* expected slowdown of services there */
 	double score;
 } bp_candidate_t;
 
@@ -71,6 +79,7 @@
 
 bool bp_owners_load(bp_round_t *round, const char *node, uint64_t incarnation);
 void bp_owners_clear(bp_round_t *round);
+bool bp_owner_is_full(const bp_owner_t *owner, const bp_job_t *job);
 bool bp_owner_eligible(const bp_round_t *round, const bp_owner_t *owner,
     const bp_constraints_t *constraints);
 uint32_t bp_owner_rank(
@@ -81,12 +90,15 @@
     bp_spread_t *spread, const bp_round_t *round, const bp_job_t *job);
 void bp_spread_clear(bp_spread_t *spread);
 void bp_spread_add(bp_spread_t *spread, const bp_vm_t *vm, uint32_t count);
-double bp_score(const bp_round_t *round, const bp_job_t *job, const bp_vm_t *vm,
-    const bp_spread_t *spread);
+/* avoided tells whether VMs were left out to protect services there. */
 GArray *bp_candidates(const bp_round_t *round,
-    const bp_constraints_t *constraints, const bp_spread_t *spread);
+    const bp_constraints_t *constraints, const bp_spread_t *spread,
+    bool *avoided);
 void bp_candidates_rescore(const bp_round_t *round, GArray *candidates,
     const bp_job_t *job, const bp_spread_t *spread);
+void bp_services_load(bp_round_t *round);
+void bp_services_add(const bp_round_t *round, const bp_candidate_t *candidate,
+    const bp_job_t *job, uint32_t count);
 int bp_candidates_best(const GArray *candidates);
 
 bool bp_flights_hold(
