Accept bursts of connections; test shedding by class

libsoup listens with a backlog of 10. With 180 requests at once on new connections, 145 were reset before the gateway accepted them (with 60, 37); with a backlog of 1024 none is. Ruled out: the gateway's own closes and deadlines (its counters saw none of these requests).

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -4,6 +4,8 @@
 
 #define DEFAULT_DEADLINE_MS 30000
 #define HEALTH_PATH "/healthz"
+/* With the 10 that libsoup uses, a burst of callers has connections reset. */
+#define LISTEN_BACKLOG 1024
 /* A caller that vanished, or stalls, would keep its connection for ever. */
 #define CALLER_TIMEOUT_S 75
 
@@ -74,12 +76,29 @@
 		g_socket_set_timeout(socket, CALLER_TIMEOUT_S);
 }
 
+static GSocket *
+new_listener(GSocketAddress *address, GError **error)
+{
+	GSocket *socket = g_socket_new(g_socket_address_get_family(address),
+	    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, error);
+
+	if (socket == NULL)
+		return NULL;
+	g_socket_set_listen_backlog(socket, LISTEN_BACKLOG);
+	if (g_socket_bind(socket, address, TRUE, error) &&
+	    g_socket_listen(socket, error))
+		return socket;
+	g_object_unref(socket);
+	return NULL;
+}
+
 static int
 start_listening(bp_gateway_t *gateway, bp_error_t *err)
 {
 	const bp_gateway_options_t *options = &gateway->options;
 	GSocketAddress *address = g_inet_socket_address_new_from_string(
 	    options->address, options->port);
+	GSocket *socket = NULL;
 	GError *error = NULL;
 	GSList *uris;
 	int rc = BP_OK;
@@ -88,7 +107,9 @@
 		return bp_error_set(err, BP_EINVALID,
 		    "the listen address %s is not an IP address",
 		    options->address);
-	if (!soup_server_listen(gateway->server, address, 0, &error)) {
+	socket = new_listener(address, &error);
+	if (socket == NULL ||
+	    !soup_server_listen_socket(gateway->server, socket, 0, &error)) {
 		rc = bp_error_set(err, BP_EUNREACHABLE,
 		    "listening on %s port %u failed: %s", options->address,
 		    options->port, error->message);
@@ -99,6 +120,7 @@
 	gateway->port = (uint16_t)g_uri_get_port(uris->data);
 	g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
 out:
+	g_clear_object(&socket);
 	g_object_unref(address);
 	return rc;
 }
--- a/tests/gateway/test_gateway.c
+++ b/tests/gateway/test_gateway.c
@@ -371,6 +371,42 @@
 	fix_stop(&f);
 }
 
+/*
+ * Guards against shedding urgent work first, or work that was run, and
+ * against connections that are reset in a burst.
+ */
+static void
+test_batch_is_shed_first(void)
+{
+	const char *const classes[] = {
+	    "X-Class: batch", "X-Class: service", "X-Class: urgent"};
+	int answered[3] = {0, 0, 0};
+	call_t *calls[180];
+	fix_t f;
+	int i;
+
+	fix_start(&f, 1, EXECUTOR_SLOW, NULL);
+	set_delay(&f, 50);
+	for (i = 0; i < 180; i++)
+		calls[i] = call_new(&f, "POST", "/s/x", classes[i % 3], "x");
+	for (i = 0; i < 180; i++) {
+		call_wait(calls[i]);
+		answered[i % 3] += call_status(calls[i]) == 200;
+		if (call_status(calls[i]) != 200)
+			CU_ASSERT_TRUE(
+			    g_strcmp0(call_header(calls[i], "X-Outcome"),
+				"not_run") == 0);
+		call_free(calls[i]);
+	}
+	CU_ASSERT_EQUAL(answered[2], 60);
+	CU_ASSERT_TRUE(answered[0] < answered[1]);
+	CU_ASSERT_EQUAL(
+	    reached(&f, 0), answered[0] + answered[1] + answered[2]);
+	CU_ASSERT_EQUAL(
+	    fix_counters(&f).shed_batch, (uint64_t)(60 - answered[0]));
+	fix_stop(&f);
+}
+
 /* Guards against work for a caller that has gone. */
 static void
 test_cancelled_request_ends(void)
@@ -454,6 +490,7 @@
 	    {"drain", test_drain_cuts_nothing},
 	    {"limits", test_limits_of_headers_and_body},
 	    {"slots", test_requests_wait_for_slots},
+	    {"shedding", test_batch_is_shed_first},
 	    {"cancelled", test_cancelled_request_ends},
 	    {"outcomes", test_outcomes_match_executors},
 	    CU_TEST_INFO_NULL,
--- a/tests/support/executor.c
+++ b/tests/support/executor.c
@@ -155,6 +155,8 @@
 	executor->mode = mode;
 	executor->heads = g_ptr_array_new_with_free_func(g_free);
 	executor->service = g_threaded_socket_service_new(MAX_THREADS);
+	g_socket_listener_set_backlog(
+	    G_SOCKET_LISTENER(executor->service), MAX_THREADS);
 	port = g_socket_listener_add_any_inet_port(
 	    G_SOCKET_LISTENER(executor->service), NULL, NULL);
 	executor->url = g_strdup_printf("http://127.0.0.1:%u", port);
