--- a/bench/cluster.c
+++ b/bench/cluster.c
@@ -63,9 +63,8 @@
 		return;
 	}
 	for (i = 0; i < assign->count && node->alive; i++)
-		world_start(world, (uint32_t)atoi(assign->vm + 1),
-		    (uint32_t)atoi(assign->job + 1), assign->first_task + i,
-		    assign->attempt);
+		world_start(world, index_of(assign->vm), index_of(assign->job),
+		    assign->first_task + i, assign->attempt);
 }
 
 /* An end that was written at an old epoch must be written again. */
@@ -75,14 +74,14 @@
 	const Bp__Log__TaskEnd *end = applied->entry->task_end;
 	const bp_job_t *job = bp_state_job(node->state, end->job);
 	const bp_task_t *task = &job->tasks[end->task];
-	ended_t again = {(uint32_t)atoi(end->job + 1), end->task, end->attempt,
-	    end->outcome};
+	ended_t again = {
+	    index_of(end->job), end->task, end->attempt, end->outcome};
 
 	if (applied->kind == BP_OK || task->state != BP_TASK_ASSIGNED ||
 	    task->attempt != end->attempt)
 		return;
 	g_array_append_val(
-	    node->cluster->world->vms[atoi(task->vm->name + 1)].ended, again);
+	    node->cluster->world->vms[index_of(task->vm->name)].ended, again);
 }
 
 static void
@@ -118,7 +117,7 @@
 reachable(const bp_vm_t *vm, void *data)
 {
 	const world_t *world = ((node_t *)data)->cluster->world;
-	const truth_vm_t *truth = &world->vms[atoi(vm->name + 1)];
+	const truth_vm_t *truth = &world->vms[index_of(vm->name)];
 
 	return truth->alive || world->now_ms - truth->down_ms < 3000;
 }
@@ -135,9 +134,9 @@
 {
 	const world_t *world = node->cluster->world;
 	const truth_job_t *b =
-	    &g_array_index(world->jobs, truth_job_t, atoi(batch->id + 1));
+	    &g_array_index(world->jobs, truth_job_t, index_of(batch->id));
 	const truth_job_t *s =
-	    &g_array_index(world->jobs, truth_job_t, atoi(service->id + 1));
+	    &g_array_index(world->jobs, truth_job_t, index_of(service->id));
 	double burst =
 	    world->condition == COND_BURST && b->kind == NOISY_KIND ? 0.3 : 0;
 
@@ -177,7 +176,7 @@
 	const world_t *world = ((node_t *)data)->cluster->world;
 
 	return (uint64_t)g_array_index(
-	    world->jobs, truth_job_t, atoi(job->id + 1))
+	    world->jobs, truth_job_t, index_of(job->id))
 	    .run_ms;
 }
 
@@ -187,7 +186,7 @@
 	(void)job;
 	(void)load;
 	(void)data;
-	return atoi(vm->name + 1);
+	return index_of(vm->name);
 }
 
 static double
--- a/bench/decisions.h
+++ b/bench/decisions.h
@@ -169,6 +169,8 @@
 	uint32_t lost;
 } world_t;
 
+/* Number in the id of a job or the name of a VM. */
+uint32_t index_of(const char *id);
 const char *kind_name(bool service, uint32_t kind);
 void world_init(world_t *world, const deployment_t *deployment,
     condition_t condition, uint64_t seed);
@@ -196,6 +198,54 @@
 void cluster_kill_node(cluster_t *cluster, uint32_t node);
 void cluster_rules(cluster_t *cluster, const char *text);
 
+#define N_DEPLOYMENTS 2
+#define ALL UINT32_MAX
+
+typedef struct {
+	const char *name;
+	const char *unit;
+	bool higher; /* is better */
+} metric_info_t;
+
+extern const deployment_t deployments[N_DEPLOYMENTS];
+extern const char *const condition_names[N_CONDITIONS];
+extern const char *const policy_names[N_POLICIES];
+extern const metric_info_t metrics[N_METRICS];
+
+typedef struct {
+	uint32_t seeds;
+	uint32_t jobs; /* runs at a time */
+	uint32_t deployments; /* bit masks of what to run */
+	uint32_t conditions;
+	uint32_t policies;
+	const char *plots; /* directory; NULL for none */
+	bool check;
+	bool speed;
+} options_t;
+
+/* Results by deployment, condition, policy and seed. */
+typedef struct {
+	const options_t *options;
+	result_t *results;
+} table_t;
+
+typedef struct {
+	double mean;
+	double sd;
+} stat_t;
+
+void table_run(table_t *table);
+void table_clear(table_t *table);
+result_t *table_cell(const table_t *table, uint32_t deployment,
+    uint32_t condition, uint32_t policy, uint32_t seed);
+stat_t table_stat(const table_t *table, uint32_t deployment, uint32_t condition,
+    uint32_t policy, uint32_t metric);
+stat_t table_ratio(const table_t *table, uint32_t deployment,
+    uint32_t condition, uint32_t policy, uint32_t other, uint32_t metric);
+uint32_t table_best_baseline(const table_t *table, uint32_t deployment,
+    uint32_t condition, uint32_t metric);
+int bench_check(uint32_t jobs);
+
 void run_once(const deployment_t *deployment, condition_t condition,
     policy_t policy, uint64_t seed, result_t *result);
 int bench_speed(void);
--- a/bench/node.c
+++ b/bench/node.c
@@ -225,8 +225,7 @@
 		const bp_act_t *act = &g_array_index(acts, bp_act_t, i);
 		const bp_job_t *job = bp_state_job(node->state, act->job);
 
-		world_act(world,
-		    (uint32_t)atoi(job->tasks[act->task].vm->name + 1), act);
+		world_act(world, index_of(job->tasks[act->task].vm->name), act);
 	}
 	g_array_unref(acts);
 }
--- a/bench/world.c
+++ b/bench/world.c
@@ -20,6 +20,13 @@
 static const char *const batch_names[BATCH_KINDS] = {"mix-0", "mix-1", "mix-2",
     "mix-3", "mix-4", "mix-5", "mix-6", "mix-7", "mix-8", "mix-9"};
 
+/* Returns the number in the id of a job or the name of a VM. */
+uint32_t
+index_of(const char *id)
+{
+	return (uint32_t)strtoul(id + 1, NULL, 10);
+}
+
 /* Returns the job name of a kind. */
 const char *
 kind_name(bool service, uint32_t kind)
@@ -209,7 +216,7 @@
 world_act(world_t *world, uint32_t vm_index, const bp_act_t *act)
 {
 	truth_vm_t *vm = &world->vms[vm_index];
-	uint32_t job = (uint32_t)atoi(act->job + 1);
+	uint32_t job = index_of(act->job);
 	guint i;
 
 	for (i = 0; i < vm->runs->len; i++) {
--- a/src/scheduler/placement_score.c
+++ b/src/scheduler/placement_score.c
@@ -18,9 +18,11 @@
 #define PENALTY_WEIGHT 2.0
 /*
  * Batch is not put where it is expected to slow services down by more than
- * this, until it has waited longer than the bound.
+ * this, until it has waited several times the bound. After the bound alone
+ * it goes first to other VMs.
  */
 #define PENALTY_MAX 0.2
+#define AVOID_BOUNDS 3LL
 /*
  * Batch takes VMs without services first, and services share VMs: fewer
  * services then have batch beside them at all.
@@ -232,8 +234,11 @@
 static bool
 must_avoid(const bp_round_t *round, const bp_job_t *job, double slowdown)
 {
+	int64_t bound_ms =
+	    AVOID_BOUNDS * round->placement->options.queue.wait_bound_ms;
+
 	return job->klass == BP_CLASS_BATCH && slowdown > PENALTY_MAX &&
-	    !bp_queue_overdue(round->placement->queue, round->state, job);
+	    round->state_now_ms - job->submit_ms <= bound_ms;
 }
 
 /*
--- a/tests/scheduler/test_placement.c
+++ b/tests/scheduler/test_placement.c
@@ -241,6 +241,11 @@
 	bp_model_zone(&model, "za", true);
 	bp_model_zone(&model, "za", false);
 	apply(plan(placement, "n1", 800));
+	CU_ASSERT_EQUAL(vms[0]->tasks->len, 1);
+	model.now_ms += 2 * (int64_t)options.queue.wait_bound_ms;
+	bp_model_zone(&model, "za", true);
+	bp_model_zone(&model, "za", false);
+	apply(plan(placement, "n1", 1200));
 	CU_ASSERT_EQUAL(vms[0]->tasks->len, 3);
 	bp_placement_free(placement);
 	bp_model_clear(&model);
