--- a/tests/process/test_zone.c
+++ b/tests/process/test_zone.c
@@ -1,8 +1,15 @@
 #include "support/cluster.h"
 #include "support/runner.h"
 
+#include <signal.h>
+
 #define SHORT_TASKS 600
 #define LONG_TASKS 24
+#define MANY_TASKS 2500
+#define PAUSES 3
+/* Longer than a nonce (2 s) and the time until a node counts as dead (3 s). */
+#define PAUSE_MS 5000
+#define RESUMED_MS 1000
 /* Beyond the time in which a zone taken out may still see starts. */
 #define SETTLED_MS 5000
 
@@ -59,11 +66,56 @@
 	bp_cluster_free(cluster);
 }
 
+/* Takes z0 out while the owner of its VMs is paused amid starts. */
+static void
+pause_and_take_out(bp_cluster_t *cluster)
+{
+	int owner = bp_cluster_owner(cluster, "z0-w-0");
+	guint other = owner == 0 ? 1 : 0;
+	bp_process_t *paused;
+
+	CU_ASSERT_TRUE_FATAL(owner >= 0);
+	paused = bp_cluster_node(cluster, (guint)owner)->process;
+	bp_process_signal(paused, SIGSTOP);
+	CU_ASSERT_TRUE(bp_cluster_zone(cluster, other, "z0", true));
+	bp_run_for_ms(PAUSE_MS);
+	bp_process_signal(paused, SIGCONT);
+	bp_run_for_ms(RESUMED_MS);
+	CU_ASSERT_TRUE(bp_cluster_zone(cluster, other, "z0", false));
+}
+
+/* Guards against an owner that sends its pending starts after a pause. */
+static void
+test_owner_paused_while_zone_goes_out(void)
+{
+	bp_cluster_options_t options;
+	bp_cluster_t *cluster;
+	char *job;
+	guint i;
+
+	bp_cluster_options_init(&options);
+	options.name = "zonepause";
+	cluster = bp_cluster_new(&options);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(cluster);
+	job = bp_cluster_submit(
+	    cluster, 0, "batch", MANY_TASKS, 1000, "run_ms=600");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(job);
+	CU_ASSERT_TRUE(bp_cluster_wait_starts(cluster, job, 1));
+	for (i = 0; i < PAUSES; i++)
+		pause_and_take_out(cluster);
+	CU_ASSERT_TRUE(bp_cluster_wait_succeeded(cluster, job, MANY_TASKS));
+	CU_ASSERT_EQUAL(bp_cluster_check(cluster, true), 0);
+	g_free(job);
+	bp_cluster_free(cluster);
+}
+
 int
 main(void)
 {
 	CU_TestInfo tests[] = {
 	    {"zone out while tasks start", test_zone_out_while_tasks_start},
+	    {"owner paused while zone goes out",
+		test_owner_paused_while_zone_goes_out},
 	    CU_TEST_INFO_NULL,
 	};
 
