Renew leases at a quarter of the shortest one on the VM

Ruled out: longer leases, which delay the restart of urgent work; slower failure detection is kept from urgent starts by asking for a nonce first and by sending a start that could not be sent elsewhere at once.

--- a/include/bulrushpost/session.h
+++ b/include/bulrushpost/session.h
@@ -56,6 +56,11 @@
 /* Without renewing, running tasks end when their leases expire. */
 void bp_session_set_renewing(bp_session_t *session, bool renewing);
 
+/* Time between renewals; it follows from the shortest lease on the VM. */
+void bp_session_set_interval(bp_session_t *session, uint32_t interval_ms);
+uint32_t bp_session_interval_ms(const bp_session_t *session);
+/* Tells whether the latest call failed and no answer came since. */
+bool bp_session_failing(const bp_session_t *session);
 /* Lists what runs anew; opened is called again. */
 void bp_session_relist(bp_session_t *session);
 
--- a/src/scheduler/recovery.c
+++ b/src/scheduler/recovery.c
@@ -96,8 +96,11 @@
 	if (known == NULL || known->tasks->len == 0 ||
 	    known->rack->epoch != vm->rack->epoch)
 		return;
+	/* A start that was never sent need not wait for more failures. */
+	if (bp_session_failing(vm->session))
+		end_unsent(vm, known);
 	if (!gone && bp_session_status(vm->session) == BP_SESSION_OPEN &&
-	    silent_ms < 2 * (int64_t)vm->scheduler->settings->timing.renew_ms)
+	    silent_ms < 2 * (int64_t)bp_session_interval_ms(vm->session))
 		return;
 	/* A session that is being reopened decides by what is listed. */
 	if (!gone && silent_ms < vm->scheduler->settings->timing.permit_ms)
--- a/src/scheduler/session.c
+++ b/src/scheduler/session.c
@@ -120,6 +120,7 @@
 	int64_t now_us = bp_clock_mono_us(session->clock);
 
 	session->answer_us = now_us;
+	session->failing = false;
 	session->retry_us = 0;
 	if (session->boot_id != 0 && session->boot_id != boot_id) {
 		bp_session_drop_sent(session);
@@ -134,6 +135,7 @@
 void
 bp_session_call_failed(bp_session_t *session)
 {
+	session->failing = true;
 	session->retry_us =
 	    bp_clock_mono_us(session->clock) + (int64_t)RETRY_MS * US_PER_MS;
 }
@@ -300,6 +302,27 @@
 	}
 }
 
+/* See the header. */
+void
+bp_session_set_interval(bp_session_t *session, uint32_t interval_ms)
+{
+	session->renew_ms = interval_ms;
+}
+
+/* Returns the time between renewals in milliseconds. */
+uint32_t
+bp_session_interval_ms(const bp_session_t *session)
+{
+	return session->renew_ms;
+}
+
+/* See the header. */
+bool
+bp_session_failing(const bp_session_t *session)
+{
+	return session->failing;
+}
+
 /* See the header. */
 void
 bp_session_relist(bp_session_t *session)
--- a/src/scheduler/session_private.h
+++ b/src/scheduler/session_private.h
@@ -30,6 +30,7 @@
 	bool ever_open;
 	bool renewing;
 	bool relist;
+	bool failing;
 	uint64_t nonce;
 	uint64_t boot_id;
 	int64_t nonce_us; /* when the nonce was received; 0 for none */
--- a/src/scheduler/vmstate.c
+++ b/src/scheduler/vmstate.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 #define GIVE_UP_MS 10000
+#define RENEWALS_PER_LEASE 4
+#define RENEW_MAX_MS 5000
 #define QUARANTINE_US (10LL * 60 * 1000000)
 /* Silence of this many renewals makes a VM unreachable for new tasks. */
 #define SILENT_RENEWALS 3
@@ -132,7 +134,7 @@
 is_silent(const bp_owned_vm_t *vm)
 {
 	return bp_session_silent_ms(vm->session) >
-	    (int64_t)SILENT_RENEWALS * vm->scheduler->settings->timing.renew_ms;
+	    (int64_t)SILENT_RENEWALS * bp_session_interval_ms(vm->session);
 }
 
 /* After this time a quarantined worker is tried again. */
@@ -196,6 +198,28 @@
 	return listed != NULL && listed->state == BP_VMLIST_GONE;
 }
 
+/*
+ * Renews at a quarter of the shortest lease on the VM: renewals are most of
+ * what a node spends on control, and few VMs run urgent tasks.
+ */
+static uint32_t
+renew_interval_ms(const bp_owned_vm_t *vm, const bp_vm_t *known)
+{
+	const bp_scheduler_t *self = vm->scheduler;
+	uint32_t interval_ms = RENEW_MAX_MS;
+	guint i;
+
+	for (i = 0; known != NULL && i < known->tasks->len; i++) {
+		const bp_job_t *job =
+		    g_array_index(known->tasks, bp_task_ref_t, i).job;
+
+		interval_ms = MIN(interval_ms,
+		    bp_scheduler_lease_ms(self, job->klass) /
+			RENEWALS_PER_LEASE);
+	}
+	return MAX(interval_ms, self->settings->timing.renew_ms);
+}
+
 /* Keeps the log's view of the VM (capacity, hold, removal) up to date. */
 void
 bp_vmstate_update(bp_owned_vm_t *vm)
@@ -203,6 +227,7 @@
 	const bp_vm_t *known = bp_state_vm(
 	    bp_follower_state(vm->scheduler->options.follower), vm->name);
 
+	bp_session_set_interval(vm->session, renew_interval_ms(vm, known));
 	if (known != NULL && known->rack->epoch == vm->rack->epoch)
 		update_hold(vm, known);
 	if (vm->upsert_in_flight)
