--- a/bench/check.c
+++ b/bench/check.c
@@ -64,7 +64,7 @@
 	    .deployments = ALL,
 	    .conditions = ALL,
 	    .policies = 1U << POLICY_FULL};
-	table_t table = {&options, NULL};
+	table_t table = {&options, NULL, 0};
 	int failed = 0;
 	uint32_t d;
 	uint32_t c;
@@ -104,7 +104,7 @@
 	    .deployments = ALL,
 	    .conditions = (1U << COND_STEADY) | (1U << COND_PAIRS),
 	    .policies = ALL & ~(1U << POLICY_PERFECT) & ~(1U << POLICY_SLOPE)};
-	table_t table = {&options, NULL};
+	table_t table = {&options, NULL, 0};
 	int failed = 0;
 	uint32_t d;
 	size_t i;
--- a/bench/cluster.c
+++ b/bench/cluster.c
@@ -7,6 +7,8 @@
 #define LAG_SPREAD_MS 80
 #define WAIT_BOUND_MS 60000
 #define ROUND_TASKS 64
+/* Planning in every second tick halves the time of the bench. */
+#define PLAN_TICKS 2
 
 /* Adds one entry to the record that the node is collecting. */
 void
@@ -378,7 +380,8 @@
 	uint32_t i;
 
 	for (i = 0; i < n; i++) {
-		node_t *node = &cluster->nodes[(i + cluster->turn) % n];
+		uint32_t index = (i + cluster->turn) % n;
+		node_t *node = &cluster->nodes[index];
 
 		if (!node->alive)
 			continue;
@@ -388,7 +391,8 @@
 		if (cluster->world->log_down)
 			continue;
 		node_take_over(node);
-		plan(cluster, node);
+		if ((cluster->turn + index) % PLAN_TICKS == 0)
+			plan(cluster, node);
 		flush(cluster, node);
 	}
 	cluster->turn++;
--- a/bench/decisions.h
+++ b/bench/decisions.h
@@ -215,6 +215,7 @@
 typedef struct {
 	uint32_t seeds;
 	uint32_t jobs; /* runs at a time */
+	int64_t minutes; /* begin no seed after this; 0 for no limit */
 	uint32_t deployments; /* bit masks of what to run */
 	uint32_t conditions;
 	uint32_t policies;
@@ -225,8 +226,9 @@
 
 /* Results by deployment, condition, policy and seed. */
 typedef struct {
-	const options_t *options;
+	options_t *options;
 	result_t *results;
+	uint32_t done; /* seeds */
 } table_t;
 
 typedef struct {
--- a/src/scheduler/placement_flights.c
+++ b/src/scheduler/placement_flights.c
@@ -39,6 +39,7 @@
 {
 	bp_flight_t *flight = new_flight(one->job->id, one->vm->name);
 
+	flight->known = one->job;
 	flight->first_task = one->first_task;
 	flight->count = one->count;
 	flight->attempt = one->attempt;
@@ -55,9 +56,8 @@
 
 	for (i = 0; i < placement->flights->len; i++) {
 		flight = g_ptr_array_index(placement->flights, i);
-		if (task >= flight->first_task &&
-		    task - flight->first_task < flight->count &&
-		    strcmp(flight->job, job->id) == 0)
+		if (flight->known == job && task >= flight->first_task &&
+		    task - flight->first_task < flight->count)
 			return true;
 	}
 	return false;
@@ -80,7 +80,7 @@
 bp_flights_load(bp_round_t *round)
 {
 	bp_placement_t *placement = round->placement;
-	const bp_flight_t *flight;
+	bp_flight_t *flight;
 	const bp_job_t *job;
 	const bp_vm_t *vm;
 	guint i = 0;
@@ -94,6 +94,7 @@
 			g_ptr_array_remove_index_fast(placement->flights, i);
 			continue;
 		}
+		flight->known = job;
 		bp_reservations_add(
 		    placement->reservations, job, vm, flight->count);
 		i++;
--- a/src/scheduler/placement_private.h
+++ b/src/scheduler/placement_private.h
@@ -19,6 +19,7 @@
 typedef struct {
 	char *job;
 	char *vm;
+	const bp_job_t *known; /* the job in this round's state */
 	uint32_t first_task;
 	uint32_t count;
 	uint32_t attempt;
