--- a/bench/bench_decisions.c
+++ b/bench/bench_decisions.c
@@ -49,35 +49,53 @@
 		print_metric(table, deployment, condition, i);
 }
 
-static int
-write_plot(const table_t *table, uint32_t deployment, uint32_t metric)
+/* Fills in the selected policies and returns how many there are. */
+static size_t
+collect_series(const table_t *table, uint32_t deployment, uint32_t metric,
+    const char **names, double *mean, double *sd)
 {
-	double *mean = g_new0(double, N_CONDITIONS *N_POLICIES);
-	double *sd = g_new0(double, N_CONDITIONS *N_POLICIES);
-	char *title = g_strdup_printf(
-	    "%s: %s", deployments[deployment].name, metrics[metric].name);
-	char *path = g_strdup_printf("%s/%s-%s.svg", table->options->plots,
-	    deployments[deployment].name, metrics[metric].name);
-	char *command =
-	    g_strdup_printf("scripts/bench decisions --seeds %u", table->done);
-	plot_t plot = {title, metrics[metric].unit, condition_names,
-	    policy_names, N_CONDITIONS, N_POLICIES, mean, sd, command};
+	size_t n = 0;
+	size_t at = 0;
 	uint32_t c;
 	uint32_t p;
-	int rc;
 
+	for (p = 0; p < N_POLICIES; p++) {
+		if ((table->options->policies & (1U << p)) != 0)
+			names[n++] = policy_names[p];
+	}
 	for (c = 0; c < N_CONDITIONS; c++) {
 		for (p = 0; p < N_POLICIES; p++) {
 			stat_t stat =
 			    table_stat(table, deployment, c, p, metric);
 
-			mean[c * N_POLICIES + p] = stat.mean;
-			sd[c * N_POLICIES + p] = stat.sd;
+			if ((table->options->policies & (1U << p)) == 0)
+				continue;
+			mean[at] = stat.mean;
+			sd[at++] = stat.sd;
 		}
 	}
+	return n;
+}
+
+static int
+write_plot(const table_t *table, uint32_t deployment, uint32_t metric)
+{
+	double mean[N_CONDITIONS * N_POLICIES];
+	double sd[N_CONDITIONS * N_POLICIES];
+	const char *names[N_POLICIES];
+	char *title = g_strdup_printf(
+	    "%s: %s", deployments[deployment].name, metrics[metric].name);
+	char *path = g_strdup_printf("%s/%s-%s.svg", table->options->plots,
+	    deployments[deployment].name, metrics[metric].name);
+	char *command =
+	    g_strdup_printf("scripts/bench decisions, %u seeds", table->done);
+	plot_t plot = {title, metrics[metric].unit, condition_names, names,
+	    N_CONDITIONS, 0, mean, sd, command};
+	int rc;
+
+	plot.n_series =
+	    collect_series(table, deployment, metric, names, mean, sd);
 	rc = plot_write(&plot, path);
-	g_free(mean);
-	g_free(sd);
 	g_free(title);
 	g_free(path);
 	g_free(command);
