Compare the whole recovered state and the start of the read in tests

They now compare the bytes of the recovered state with those of the applied records, and check that a long poll that began before a record is not fresh after it.

--- a/tests/platform/test_follower.c
+++ b/tests/platform/test_follower.c
@@ -1,6 +1,8 @@
 #include "support/logrig.h"
 #include "support/runner.h"
 
+#include <string.h>
+
 #define WAIT_MS 100
 
 static bool
@@ -27,6 +29,26 @@
 	return state;
 }
 
+/* Checks that the follower has exactly the state after n records. */
+static void
+check_state(logrig_t *rig, uint64_t records)
+{
+	bp_state_t *state = state_after(rig, records);
+	GByteArray *expected;
+	GByteArray *bytes;
+
+	CU_ASSERT_EQUAL_FATAL(bp_snapshot_save(&expected, state, NULL), BP_OK);
+	CU_ASSERT_EQUAL_FATAL(
+	    bp_snapshot_save(&bytes, bp_follower_state(rig->follower), NULL),
+	    BP_OK);
+	CU_ASSERT_EQUAL(bytes->len, expected->len);
+	CU_ASSERT_TRUE(bytes->len == expected->len &&
+	    memcmp(bytes->data, expected->data, bytes->len) == 0);
+	g_byte_array_unref(expected);
+	g_byte_array_unref(bytes);
+	bp_state_free(state);
+}
+
 static void
 put_snapshot_at(
     logrig_t *rig, uint64_t records, uint32_t parts, uint32_t missing)
@@ -83,8 +105,7 @@
 	fakelog_trim(rig.log, BP_STREAM, 2);
 	bp_follower_start(rig.follower);
 	CU_ASSERT_TRUE(logrig_wait_status(&rig, BP_FOLLOWER_CURRENT));
-	CU_ASSERT_TRUE(has_job(&rig, "a"));
-	CU_ASSERT_TRUE(has_job(&rig, "d"));
+	check_state(&rig, 4);
 	logrig_clear(&rig);
 }
 
@@ -173,6 +194,11 @@
 	CU_ASSERT_TRUE(logrig_wait_status(&rig, BP_FOLLOWER_CURRENT));
 	run_for(30);
 	fresh.after_us = bp_clock_mono_us(rig.clock);
+	logrig_put_job(&rig, "a", 1);
+	CU_ASSERT_TRUE(logrig_wait_offset(&rig, 1));
+	CU_ASSERT_FALSE(is_fresh(&fresh)); /* that read began before */
+	run_for(50);
+	fresh.after_us = bp_clock_mono_us(rig.clock);
 	bp_follower_poke(rig.follower);
 	bp_follower_poke(rig.follower);
 	CU_ASSERT_TRUE(wait_until(is_fresh, &fresh, RIG_LIMIT_MS));
