--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -4,6 +4,10 @@
 
 #define DEFAULT_DEADLINE_MS 30000
 #define HEALTH_PATH "/healthz"
+/* With the 10 that libsoup uses, a burst of callers has connections reset. */
+#define LISTEN_BACKLOG 1024
+/* A caller that vanished, or stalls, would keep its connection for ever. */
+#define CALLER_TIMEOUT_S 75
 
 /* Sets the defaults: loopback, any port, alone, 30 s. */
 int
@@ -29,6 +33,16 @@
 	g_free(service);
 }
 
+static const char *
+why_not_ready(const bp_gateway_t *gateway)
+{
+	if (gateway->draining)
+		return "draining: this gateway finishes its requests and exits";
+	if (!gateway->ready)
+		return "starting: the endpoints are not known yet";
+	return NULL;
+}
+
 static bool
 is_health_check(SoupServerMessage *message)
 {
@@ -44,7 +58,7 @@
 	bp_gateway_t *gateway = data;
 
 	if (is_health_check(message))
-		bp_answer_health(message, gateway->draining);
+		bp_answer_health(message, why_not_ready(gateway));
 	else
 		bp_exchange_headers(gateway, message);
 }
@@ -61,10 +75,31 @@
 		bp_exchange_body(exchange);
 }
 
+/* Emitted for each connection and each further request on it. */
 static void
 on_started(SoupServer *server, SoupServerMessage *message, gpointer data)
 {
+	GSocket *socket = soup_server_message_get_socket(message);
+
 	bp_answer_set_default(message);
+	if (socket != NULL)
+		g_socket_set_timeout(socket, CALLER_TIMEOUT_S);
+}
+
+static GSocket *
+new_listener(GSocketAddress *address, GError **error)
+{
+	GSocket *socket = g_socket_new(g_socket_address_get_family(address),
+	    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, error);
+
+	if (socket == NULL)
+		return NULL;
+	g_socket_set_listen_backlog(socket, LISTEN_BACKLOG);
+	if (g_socket_bind(socket, address, TRUE, error) &&
+	    g_socket_listen(socket, error))
+		return socket;
+	g_object_unref(socket);
+	return NULL;
 }
 
 static int
@@ -73,6 +108,7 @@
 	const bp_gateway_options_t *options = &gateway->options;
 	GSocketAddress *address = g_inet_socket_address_new_from_string(
 	    options->address, options->port);
+	GSocket *socket = NULL;
 	GError *error = NULL;
 	GSList *uris;
 	int rc = BP_OK;
@@ -81,7 +117,9 @@
 		return bp_error_set(err, BP_EINVALID,
 		    "the listen address %s is not an IP address",
 		    options->address);
-	if (!soup_server_listen(gateway->server, address, 0, &error)) {
+	socket = new_listener(address, &error);
+	if (socket == NULL ||
+	    !soup_server_listen_socket(gateway->server, socket, 0, &error)) {
 		rc = bp_error_set(err, BP_EUNREACHABLE,
 		    "listening on %s port %u failed: %s", options->address,
 		    options->port, error->message);
@@ -92,6 +130,7 @@
 	gateway->port = (uint16_t)g_uri_get_port(uris->data);
 	g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
 out:
+	g_clear_object(&socket);
 	g_object_unref(address);
 	return rc;
 }
@@ -109,10 +148,11 @@
 		    ((uint64_t)g_random_int() << 32) | g_random_int();
 }
 
+/* A decoded path could add headers to the request for the executor. */
 static void
 start_server(bp_gateway_t *gateway)
 {
-	gateway->server = soup_server_new(NULL, NULL);
+	gateway->server = soup_server_new("raw-paths", TRUE, NULL);
 	g_signal_connect(gateway->server, "request-started",
 	    G_CALLBACK(on_started), gateway);
 	soup_server_add_early_handler(
@@ -145,7 +185,10 @@
 	    (uint64_t)bp_clock_wall_ms(gateway->options.clock);
 	gateway->id_prefix = g_strdup_printf(
 	    "%s-%016" G_GINT64_MODIFIER "x", gateway->options.node, start);
-	gateway->session = bp_upstream_session(gateway->options.gateways);
+	/* Names of nodes are UTF-8, values of headers are ASCII. */
+	g_strcanon(gateway->id_prefix,
+	    G_CSET_a_2_z G_CSET_A_2_Z G_CSET_DIGITS "-._", '-');
+	gateway->upstream = bp_upstream_new(gateway->options.gateways);
 	start_server(gateway);
 	rc = start_listening(gateway, err);
 	if (rc != BP_OK) {
@@ -180,8 +223,7 @@
 	soup_server_disconnect(gateway->server);
 	g_signal_handlers_disconnect_by_data(gateway->server, gateway);
 	g_object_unref(gateway->server);
-	soup_session_abort(gateway->session);
-	g_object_unref(gateway->session);
+	bp_upstream_unref(gateway->upstream);
 	g_hash_table_destroy(gateway->exchanges);
 	g_hash_table_destroy(gateway->services);
 	bp_keytable_unref(gateway->keys);
@@ -215,8 +257,8 @@
 	if (gateways == gateway->options.gateways)
 		return;
 	gateway->options.gateways = gateways;
-	g_object_unref(gateway->session);
-	gateway->session = bp_upstream_session(gateways);
+	bp_upstream_unref(gateway->upstream);
+	gateway->upstream = bp_upstream_new(gateways);
 	g_hash_table_iter_init(&iter, gateway->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		bp_pool_set_gateways(((bp_service_t *)value)->pool, gateways);
@@ -309,6 +351,7 @@
 			endpoints[i].leaving, endpoints[i].zone_out));
 	}
 	remove_others(gateway, kept);
+	gateway->ready = true;
 	g_hash_table_destroy(kept);
 	return BP_OK;
 }
--- a/src/scheduler/queue.c
+++ b/src/scheduler/queue.c
@@ -11,25 +11,30 @@
 /* Keeps the cost of a tiny task above zero. */
 #define SHARE_MIN 1e-9
 #define N_RANKS 3
+#define BATCH_RANK 2
 
 typedef struct {
 	double key; /* lower goes first */
+	uint64_t offset; /* of the submission; here to spare a cache miss */
 	bp_job_t *job;
 } item_t;
 
 /* A team in this round, with its jobs in one heap for each class rank. */
 typedef struct {
 	const bp_team_t *team;
+	bool loaded; /* in this round */
 	bp_resources_t used;
 	double share;
 	bp_job_t *head; /* put back; goes before the heap */
+	int head_rank;
 	GArray *jobs[N_RANKS]; /* item_t, binary heap */
 } turn_t;
 
 struct bp_queue {
 	bp_queue_options_t options;
 	bp_resources_t total;
-	GHashTable *teams; /* const bp_team_t * -> turn_t */
+	GHashTable *teams; /* const bp_team_t * -> turn_t, kept for reuse */
+	const bp_state_t *state; /* that the teams belong to */
 	GPtrArray *heap; /* turn_t with jobs of the current rank */
 	turn_t *current; /* taken from the heap by the last call of next */
 	size_t left;
@@ -98,8 +103,8 @@
 {
 	if (a->key < b->key || b->key < a->key)
 		return a->key < b->key;
-	if (a->job->submit_offset != b->job->submit_offset)
-		return a->job->submit_offset < b->job->submit_offset;
+	if (a->offset != b->offset)
+		return a->offset < b->offset;
 	return strcmp(a->job->id, b->job->id) < 0;
 }
 
@@ -193,20 +198,6 @@
 	return first;
 }
 
-static int
-class_rank(bp_task_class_t klass)
-{
-	switch (klass) {
-	case BP_CLASS_URGENT:
-		return 0;
-	case BP_CLASS_SERVICE:
-		return 1;
-	case BP_CLASS_BATCH:
-		return 2;
-	}
-	return 2;
-}
-
 /* Tells whether a batch job has waited longer than the bound. */
 bool
 bp_queue_overdue(
@@ -257,6 +248,14 @@
 	    bp_resources_dominant(&turn->used, &queue->total) / weight;
 }
 
+static void
+start_turn(const bp_queue_t *queue, turn_t *turn)
+{
+	turn->loaded = true;
+	turn->used = turn->team->used;
+	update_share(queue, turn);
+}
+
 /* In arrival order all jobs are in one line, which has no team. */
 static turn_t *
 turn_of(bp_queue_t *queue, const bp_team_t *team)
@@ -265,12 +264,15 @@
 	turn_t *turn = g_hash_table_lookup(queue->teams, single ? NULL : team);
 	int rank;
 
-	if (turn != NULL)
+	if (turn != NULL && turn->loaded)
+		return turn;
+	if (turn != NULL) {
+		start_turn(queue, turn);
 		return turn;
+	}
 	turn = g_new0(turn_t, 1);
 	turn->team = team;
-	turn->used = team->used;
-	update_share(queue, turn);
+	start_turn(queue, turn);
 	for (rank = 0; rank < N_RANKS; rank++)
 		turn->jobs[rank] = g_array_new(FALSE, FALSE, sizeof(item_t));
 	g_hash_table_insert(queue->teams, single ? NULL : (gpointer)team, turn);
@@ -290,35 +292,102 @@
 	return total;
 }
 
+static int
+class_rank(bp_task_class_t klass)
+{
+	switch (klass) {
+	case BP_CLASS_URGENT:
+		return 0;
+	case BP_CLASS_SERVICE:
+		return 1;
+	case BP_CLASS_BATCH:
+		return BATCH_RANK;
+	}
+	return BATCH_RANK;
+}
+
+static bool
+head_is_of(const turn_t *turn, int rank)
+{
+	return turn->head != NULL && turn->head_rank == rank;
+}
+
+static bool
+has_jobs(const turn_t *turn, int rank)
+{
+	return head_is_of(turn, rank) || turn->jobs[rank]->len > 0;
+}
+
+/* Empties the first ranks of the last round but keeps their memory. */
+static void
+reset_turns(bp_queue_t *queue, const bp_state_t *state, int ranks)
+{
+	GHashTableIter iter;
+	gpointer value;
+	int rank;
+
+	if (queue->state != state)
+		g_hash_table_remove_all(queue->teams);
+	queue->state = state;
+	g_hash_table_iter_init(&iter, queue->teams);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		turn_t *turn = value;
+
+		turn->loaded = false;
+		if (ranks == N_RANKS || !head_is_of(turn, BATCH_RANK))
+			turn->head = NULL;
+		for (rank = 0; rank < ranks; rank++)
+			g_array_set_size(turn->jobs[rank], 0);
+		if (has_jobs(turn, BATCH_RANK))
+			start_turn(queue, turn);
+		queue->left +=
+		    turn->jobs[BATCH_RANK]->len + (turn->head != NULL ? 1 : 0);
+	}
+}
+
+static void
+add_job(bp_queue_t *queue, const bp_state_t *state, bp_job_t *job)
+{
+	item_t item = {job_key(queue, state, job), job->submit_offset, job};
+	int rank = queue->options.order == BP_ORDER_ARRIVAL
+	    ? 0
+	    : class_rank(job->klass);
+
+	queue->left++;
+	g_array_append_val(turn_of(queue, job->team)->jobs[rank], item);
+}
+
 /* See the header. Takes time linear in the number of waiting jobs. */
 void
-bp_queue_load(bp_queue_t *queue, const bp_state_t *state)
+bp_queue_load(bp_queue_t *queue, const bp_state_t *state, bool keep_batch,
+    bp_queue_filter_t filter, void *data)
 {
 	const GPtrArray *waiting = bp_state_waiting(state);
+	bool keep = keep_batch && queue->state == state &&
+	    queue->options.order != BP_ORDER_ARRIVAL;
+	int ranks = keep ? BATCH_RANK : N_RANKS;
 	GHashTableIter iter;
 	gpointer value;
-	item_t item;
 	guint i;
 	int rank;
 
 	g_ptr_array_set_size(queue->heap, 0);
-	g_hash_table_remove_all(queue->teams);
 	queue->current = NULL;
 	queue->rank = -1;
-	queue->left = waiting->len;
+	queue->left = 0;
 	queue->total = total_capacity(state);
+	reset_turns(queue, state, ranks);
 	for (i = 0; i < waiting->len; i++) {
-		item.job = g_ptr_array_index(waiting, i);
-		item.key = job_key(queue, state, item.job);
-		rank = queue->options.order == BP_ORDER_ARRIVAL
-		    ? 0
-		    : class_rank(item.job->klass);
-		g_array_append_val(
-		    turn_of(queue, item.job->team)->jobs[rank], item);
+		bp_job_t *job = g_ptr_array_index(waiting, i);
+
+		if (keep && job->klass == BP_CLASS_BATCH)
+			continue;
+		if (filter == NULL || filter(job, data))
+			add_job(queue, state, job);
 	}
 	g_hash_table_iter_init(&iter, queue->teams);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		for (rank = 0; rank < N_RANKS; rank++)
+		for (rank = 0; rank < ranks; rank++)
 			jobs_heapify(((turn_t *)value)->jobs[rank]);
 	}
 }
@@ -333,7 +402,7 @@
 	queue->rank++;
 	g_hash_table_iter_init(&iter, queue->teams);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (((turn_t *)value)->jobs[queue->rank]->len > 0)
+		if (has_jobs(value, queue->rank))
 			teams_push(queue->heap, value);
 	}
 }
@@ -344,15 +413,14 @@
 	turn_t *turn = queue->current;
 
 	queue->current = NULL;
-	if (turn != NULL &&
-	    (turn->head != NULL || turn->jobs[queue->rank]->len > 0))
+	if (turn != NULL && has_jobs(turn, queue->rank))
 		teams_push(queue->heap, turn);
 }
 
-/* See the header. Takes O(log teams + log jobs of the team). */
-bp_job_t *
-bp_queue_next(bp_queue_t *queue)
+static bp_job_t *
+next_of(bp_queue_t *queue)
 {
+	turn_t *turn;
 	bp_job_t *job;
 
 	return_current(queue);
@@ -361,12 +429,26 @@
 			return NULL;
 		start_rank(queue);
 	}
-	queue->current = teams_pop(queue->heap);
+	turn = teams_pop(queue->heap);
+	queue->current = turn;
 	queue->left--;
-	job = queue->current->head;
-	queue->current->head = NULL;
-	if (job == NULL)
-		job = jobs_pop(queue->current->jobs[queue->rank]);
+	if (!head_is_of(turn, queue->rank))
+		return jobs_pop(turn->jobs[queue->rank]);
+	job = turn->head;
+	turn->head = NULL;
+	return job;
+}
+
+/* See the header. Takes O(log teams + log jobs of the team). */
+bp_job_t *
+bp_queue_next(bp_queue_t *queue)
+{
+	bp_job_t *job;
+
+	/* Jobs kept from the round before may not wait any more. */
+	do {
+		job = next_of(queue);
+	} while (job != NULL && job->n_waiting == 0);
 	return job;
 }
 
@@ -377,7 +459,7 @@
 	turn_t *turn = g_hash_table_lookup(queue->teams, job->team);
 	bp_resources_t amount = bp_resources_times(&job->size, count);
 
-	if (turn == NULL)
+	if (turn == NULL || !turn->loaded)
 		return;
 	turn->used = bp_resources_sum(&turn->used, &amount);
 	update_share(queue, turn);
@@ -390,6 +472,7 @@
 	if (queue->current == NULL)
 		return;
 	queue->current->head = job;
+	queue->current->head_rank = queue->rank;
 	queue->left++;
 }
 
@@ -399,7 +482,7 @@
 {
 	const turn_t *turn = g_hash_table_lookup(queue->teams, team);
 
-	if (turn != NULL)
+	if (turn != NULL && turn->loaded)
 		return turn->share;
 	return bp_resources_dominant(&team->used, &queue->total) /
 	    MAX(team->weight, 1U);
--- a/tests/support/cluster_operator.c
+++ b/tests/support/cluster_operator.c
@@ -1,11 +1,11 @@
 #include "support/cluster.h"
 
-#include <json-glib/json-glib.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 
 #define BINARY "build/bulrushpost"
+#define MILLI 1000
 
 /* Runs the command line tool to its end. */
 int
@@ -43,40 +43,70 @@
 	return reply;
 }
 
-/* Submits a job of team "club"; the tool prints its id as JSON. */
+/*
+ * Submits a job of team "club" under an id made here. A job whose outcome is
+ * not known counts as not accepted.
+ */
 char *
 bp_cluster_submit(bp_cluster_t *cluster, guint node, const char *klass,
     guint tasks, guint cpu_milli, const char *command)
 {
+	char *job = g_uuid_string_random();
 	char *count = g_strdup_printf("%u", tasks);
-	char *cpu = g_strdup_printf("%u", cpu_milli);
-	char *output = NULL;
-	char *job = NULL;
-	JsonParser *parser = json_parser_new();
+	char *cpu =
+	    g_strdup_printf("%u.%03u", cpu_milli / MILLI, cpu_milli % MILLI);
+	int status = bp_cluster_cli(cluster, NULL, "job", "submit", "--node",
+	    bp_cluster_node(cluster, node)->control, "--id", job, "--team",
+	    "club", "--name", "roster", "--class", klass, "--tasks", count,
+	    "--cpu", cpu, "--memory", "100M", "--command", command, NULL);
 
-	if (bp_cluster_cli(cluster, &output, "job", "submit", "--node",
-		bp_cluster_node(cluster, node)->control, "--team", "club",
-		"--name", "roster", "--class", klass, "--tasks", count,
-		"--cpu-milli", cpu, "--memory-mib", "100", "--command", command,
-		"--json", NULL) == 0 &&
-	    json_parser_load_from_data(parser, output, -1, NULL))
-		job = g_strdup(json_object_get_string_member_with_default(
-		    json_node_get_object(json_parser_get_root(parser)), "id",
-		    NULL));
-	if (job == NULL)
-		printf("no job: %s\n", output != NULL ? output : "");
-	g_object_unref(parser);
-	g_free(output);
 	g_free(count);
 	g_free(cpu);
-	return job;
+	if (status == 0)
+		return job;
+	g_free(job);
+	return NULL;
 }
 
-/* Changes a zone as the operator "tester". */
-bool
-bp_cluster_zone(bp_cluster_t *cluster, guint node, const char *zone, bool out)
+static bool
+change_zone(bp_cluster_t *cluster, guint node, const char *zone, bool out)
 {
 	return bp_cluster_cli(cluster, NULL, "zone", out ? "out" : "in", zone,
 		   "--node", bp_cluster_node(cluster, node)->control,
 		   "--author", "tester", "--reason", "test", NULL) == 0;
 }
+
+/* Changes a zone as the operator "tester". */
+bool
+bp_cluster_zone(bp_cluster_t *cluster, guint node, const char *zone, bool out)
+{
+	bp_cluster_outage_t outage = {NULL, 0, INT64_MAX};
+	int64_t before_us = bp_now_us();
+	guint i;
+
+	if (!change_zone(cluster, node, zone, out))
+		return false;
+	if (out) {
+		outage.zone = g_strdup(zone);
+		outage.out_us = bp_now_us();
+		g_array_append_val(cluster->outages, outage);
+		return true;
+	}
+	for (i = 0; i < cluster->outages->len; i++) {
+		bp_cluster_outage_t *o =
+		    &g_array_index(cluster->outages, bp_cluster_outage_t, i);
+
+		if (strcmp(o->zone, zone) == 0 && o->back_us == INT64_MAX)
+			o->back_us = before_us;
+	}
+	return true;
+}
+
+/* Returns whether the tool gave an answer. */
+bool
+bp_cluster_why(
+    bp_cluster_t *cluster, guint node, const char *job, char **output)
+{
+	return bp_cluster_cli(cluster, output, "why", job, "--node",
+		   bp_cluster_node(cluster, node)->control, NULL) == 0;
+}
