Keep stand-in connections open; distrust a VM list that contradicts workers

Cause: the stand-ins closed each connection after one answer, so the node's measured cost held a connection per call; a wrong VM list that drops VMs which still answer would have started their tasks a second time. Ruled out: ignoring the list, which makes the loss of an owner with its VM wait for hold_max.

--- a/bench/capacity_nodes.c
+++ b/bench/capacity_nodes.c
@@ -10,6 +10,10 @@
 
 #define SETTLE_S 4
 #define MEASURE_S 4
+/* Positions in /proc/PID/stat after the name, and in /proc/PID/statm. */
+#define STAT_USER 11
+#define STAT_SYSTEM 12
+#define STATM_RESIDENT 1
 #define STANDIN "build/standin"
 #define BINARY "build/bulrushpost"
 
@@ -111,41 +115,42 @@
 	return path;
 }
 
-/* Processor time of a process in clock ticks, or -1. */
+/* Returns field number n (from 0) of a file of fields, after a mark. */
 static double
-process_ticks(const char *pid)
+read_field(const char *pid, const char *file, char mark, int n)
 {
-	char *path = g_strdup_printf("/proc/%s/stat", pid);
+	char *path = g_strdup_printf("/proc/%s/%s", pid, file);
 	char *text = NULL;
-	char *fields;
-	unsigned long user = 0;
-	unsigned long kernel = 0;
+	char **fields;
+	const char *start;
+	double value = 0;
 
 	if (g_file_get_contents(path, &text, NULL, NULL)) {
-		fields = strrchr(text, ')');
-		if (fields != NULL)
-			(void)sscanf(fields + 2,
-			    "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu "
-			    "%lu",
-			    &user, &kernel);
+		start = mark != '\0' ? strrchr(text, mark) : text;
+		start = start != NULL && mark != '\0' ? start + 2 : start;
+		fields = g_strsplit(start != NULL ? start : "", " ", 0);
+		if ((guint)n < g_strv_length(fields))
+			value = g_ascii_strtod(fields[n], NULL);
+		g_strfreev(fields);
 	}
 	g_free(text);
 	g_free(path);
-	return (double)(user + kernel);
+	return value;
 }
 
+/* Processor time of a process in clock ticks. */
 static double
-resident_bytes(const char *pid)
+process_ticks(const char *pid)
 {
-	char *path = g_strdup_printf("/proc/%s/statm", pid);
-	char *text = NULL;
-	unsigned long pages = 0;
+	return read_field(pid, "stat", ')', STAT_USER) +
+	    read_field(pid, "stat", ')', STAT_SYSTEM);
+}
 
-	if (g_file_get_contents(path, &text, NULL, NULL))
-		(void)sscanf(text, "%*u %lu", &pages);
-	g_free(text);
-	g_free(path);
-	return (double)pages * (double)sysconf(_SC_PAGESIZE);
+static double
+resident_bytes(const char *pid)
+{
+	return read_field(pid, "statm", '\0', STATM_RESIDENT) *
+	    (double)sysconf(_SC_PAGESIZE);
 }
 
 static void
--- a/src/node/endpoints.c
+++ b/src/node/endpoints.c
@@ -9,6 +9,7 @@
 	bp_follower_t *follower;
 	bp_logger_t *logger;
 	guint timer;
+	bool had_endpoints;
 };
 
 typedef struct {
@@ -72,6 +73,12 @@
 		return G_SOURCE_CONTINUE;
 	}
 	bp_vmlist_each(self->vmlist, BP_ROLE_EXECUTOR, collect, &found);
+	/* All endpoints gone at once is a fault of the list, not a fact. */
+	if (found.found->len == 0 && self->had_endpoints) {
+		g_array_unref(found.found);
+		return G_SOURCE_CONTINUE;
+	}
+	self->had_endpoints = found.found->len > 0;
 	if (bp_gateway_set_endpoints(self->gateway,
 		(bp_gateway_endpoint_t *)(void *)found.found->data,
 		found.found->len, &err) != BP_OK)
--- a/src/scheduler/recovery.c
+++ b/src/scheduler/recovery.c
@@ -16,13 +16,21 @@
 	return ms * US_PER_MS * DRIFT_NUM / DRIFT_DEN;
 }
 
+/*
+ * The list alone is no proof while the VM answers: a list that is wrong must
+ * not make running tasks start a second time.
+ */
 static bool
 vm_gone(const bp_owned_vm_t *vm)
 {
 	const bp_vmlist_vm_t *listed =
 	    bp_vmlist_find(vm->scheduler->options.vmlist, vm->name);
 
-	return listed != NULL && listed->state == BP_VMLIST_GONE;
+	return listed != NULL && listed->state == BP_VMLIST_GONE &&
+	    (bp_session_failing(vm->session) ||
+		bp_session_status(vm->session) != BP_SESSION_OPEN) &&
+	    bp_session_silent_ms(vm->session) >
+	    vm->scheduler->settings->timing.permit_ms;
 }
 
 /*
--- a/tests/standin/server.c
+++ b/tests/standin/server.c
@@ -19,6 +19,7 @@
 	void *data;
 	uint32_t max_connections; /* 0 for no limit */
 	uint32_t connections;
+	bool listening; /* without a limit, libsoup listens itself */
 	uint16_t port;
 };
 
@@ -73,6 +74,30 @@
 	return TRUE;
 }
 
+/*
+ * libsoup keeps a connection open after an answer only when it has accepted
+ * the connection itself.
+ */
+static int
+listen_unlimited(standin_server_t *server, GSocketAddress *address)
+{
+	GError *error = NULL;
+	GSList *uris;
+
+	if (!soup_server_listen(server->soup, address, 0, &error)) {
+		fprintf(stderr, "standin: port %u: %s\n",
+		    (unsigned int)server->port, error->message);
+		g_clear_error(&error);
+		return -1;
+	}
+	uris = soup_server_get_uris(server->soup);
+	if (uris != NULL)
+		server->port = (uint16_t)g_uri_get_port(uris->data);
+	g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
+	server->listening = true;
+	return 0;
+}
+
 static int
 server_listen(standin_server_t *server)
 {
@@ -84,6 +109,12 @@
 	GError *error = NULL;
 	int rc = -1;
 
+	if (server->max_connections == 0) {
+		rc = listen_unlimited(server, address);
+		g_object_unref(address);
+		g_object_unref(loopback);
+		return rc;
+	}
 	server->service = g_socket_service_new();
 	g_socket_listener_set_backlog(
 	    G_SOCKET_LISTENER(server->service), BACKLOG);
@@ -157,7 +188,13 @@
 void
 standin_server_refuse(standin_server_t *server, bool refuse)
 {
-	if (refuse && server->service != NULL) {
+	if (refuse && server->listening) {
+		server->listening = false;
+		soup_server_disconnect(server->soup);
+	} else if (!refuse && server->max_connections == 0) {
+		if (!server->listening)
+			server_listen(server);
+	} else if (refuse && server->service != NULL) {
 		g_socket_service_stop(server->service);
 		g_socket_listener_close(G_SOCKET_LISTENER(server->service));
 		g_clear_object(&server->service);
@@ -172,9 +209,12 @@
 {
 	GSocketAddress *remote =
 	    soup_server_message_get_remote_address(message);
+	GSocket *socket = remote != NULL
+	    ? g_object_get_data(G_OBJECT(remote), SOCKET_KEY)
+	    : NULL;
 
-	return remote != NULL ? g_object_get_data(G_OBJECT(remote), SOCKET_KEY)
-			      : NULL;
+	return socket != NULL ? socket
+			      : soup_server_message_get_socket(message);
 }
 
 /* Answers with a body, which is copied. */
