--- a/include/bulrushpost/gateway.h
+++ b/include/bulrushpost/gateway.h
@@ -95,7 +95,8 @@
 void bp_gateway_set_gateways(bp_gateway_t *gateway, uint32_t gateways);
 /*
  * Replaces the set of endpoints, which is copied. An endpoint that stays
- * (same name and url) keeps its health and load.
+ * (same name and url) keeps its health and load. One that is not valid is
+ * left out and reported as BP_EINVALID; the others take effect.
  */
 int bp_gateway_set_endpoints(bp_gateway_t *gateway,
     const bp_gateway_endpoint_t *endpoints, size_t count, bp_error_t *err);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -325,35 +325,36 @@
 }
 
 /*
- * Replaces the endpoints. When one of them is not valid (BP_EINVALID),
- * nothing changes, since a half-replaced set might lack a service.
+ * Replaces the endpoints. One that is not valid is left out, and the first
+ * of these is reported (BP_EINVALID); the others still take effect, since
+ * otherwise a leaving endpoint would keep getting work.
  */
 int
 bp_gateway_set_endpoints(bp_gateway_t *gateway,
     const bp_gateway_endpoint_t *endpoints, size_t count, bp_error_t *err)
 {
-	GHashTable *kept;
+	GHashTable *kept = g_hash_table_new(NULL, NULL);
+	int rc = BP_OK;
 	size_t i;
-	int rc;
 
 	for (i = 0; i < count; i++) {
-		if ((rc = check_endpoint(&endpoints[i], err)) != BP_OK)
-			return rc;
-	}
-	kept = g_hash_table_new(NULL, NULL);
-	for (i = 0; i < count; i++) {
-		bp_service_t *service =
-		    get_service(gateway, endpoints[i].service);
+		const bp_gateway_endpoint_t *endpoint = &endpoints[i];
+		bp_service_t *service;
 
+		if (check_endpoint(endpoint, rc == BP_OK ? err : NULL) !=
+		    BP_OK) {
+			rc = BP_EINVALID;
+			continue;
+		}
+		service = get_service(gateway, endpoint->service);
 		g_hash_table_add(kept,
-		    bp_pool_upsert(service->pool, endpoints[i].name,
-			endpoints[i].url, endpoints[i].zone,
-			endpoints[i].leaving, endpoints[i].zone_out));
+		    bp_pool_upsert(service->pool, endpoint->name, endpoint->url,
+			endpoint->zone, endpoint->leaving, endpoint->zone_out));
 	}
 	remove_others(gateway, kept);
 	gateway->ready = true;
 	g_hash_table_destroy(kept);
-	return BP_OK;
+	return rc;
 }
 
 static void
--- a/tests/gateway/test_gateway.c
+++ b/tests/gateway/test_gateway.c
@@ -224,6 +224,7 @@
 static void
 test_leaving_endpoint_only_finishes(void)
 {
+	bp_gateway_endpoint_t bad = {.name = "bad", .url = "x", .service = "s"};
 	fix_t f;
 	call_t *call;
 	int i;
@@ -232,8 +233,12 @@
 	set_delay(&f, 200);
 	call = call_new(&f, "GET", "/s/x", NULL, NULL);
 	fix_run_ms(50);
+	/* An endpoint that is not valid must not block the update. */
+	f.endpoints[1] = bad;
 	f.endpoints[0].leaving = true;
-	fix_set_endpoints(&f);
+	CU_ASSERT_EQUAL(
+	    bp_gateway_set_endpoints(f.gateway, f.endpoints, 2, NULL),
+	    BP_EINVALID);
 	for (i = 0; i < 5; i++)
 		CU_ASSERT_TRUE(expect(&f, "GET", NULL, 503, "not_run"));
 	CU_ASSERT_EQUAL(bp_gateway_set_endpoints(f.gateway, NULL, 0, NULL), 0);
