--- a/tests/platform/test_appender.c
+++ b/tests/platform/test_appender.c
@@ -237,17 +237,32 @@
 	logrig_clear(&rig);
 }
 
-/* Guards against an entry that no record can hold, and a silent overflow. */
+/* Guards against records that the log service refuses for their size. */
 static void
-test_oversized_entry_is_refused(void)
+test_record_size_is_limited(void)
 {
 	logrig_t rig;
-	outcome_t a;
+	outcome_t refused;
+	outcome_t outcomes[3];
 	char *job = g_strnfill(60000, 'x');
+	uint64_t offset;
+	size_t i;
 
 	start(&rig, NULL);
-	CU_ASSERT_EQUAL(logrig_submit(&rig, job, GIVE_UP_MS, &a), BP_ETOOLARGE);
-	CU_ASSERT_EQUAL(a.calls, 0);
+	CU_ASSERT_EQUAL(
+	    logrig_submit(&rig, job, GIVE_UP_MS, &refused), BP_ETOOLARGE);
+	job[20000] = '\0';
+	for (i = 0; i < 3; i++)
+		CU_ASSERT_EQUAL(
+		    logrig_submit(&rig, job, GIVE_UP_MS, &outcomes[i]), BP_OK);
+	for (i = 0; i < 3; i++) {
+		CU_ASSERT_TRUE(logrig_wait_outcome(&outcomes[i]));
+		CU_ASSERT_TRUE(outcomes[i].applied);
+	}
+	CU_ASSERT_EQUAL(refused.calls, 0);
+	for (offset = 0; offset < fakelog_head(rig.log, BP_STREAM); offset++)
+		CU_ASSERT_TRUE(g_bytes_get_size(fakelog_get(
+				   rig.log, BP_STREAM, offset)) <= 48 * 1024);
 	g_free(job);
 	logrig_clear(&rig);
 }
@@ -307,7 +322,7 @@
 	    {"abandoned record", test_abandoned_record_is_unknown_then_void},
 	    {"refused connection", test_refused_connection_is_not_sent},
 	    {"log down and up", test_log_down_and_up},
-	    {"oversized entry", test_oversized_entry_is_refused},
+	    {"record size", test_record_size_is_limited},
 	    {"wall clock", test_wall_clock_steps_decide_nothing},
 	    {"free", test_free_reports_pending},
 	    CU_TEST_INFO_NULL,
