Apply all limits and policies of the settings

Seven keys were checked but read by no module: limits.body_bytes, limits.header_bytes, limits.endpoint_in_flight, limits.endpoint_connections, policy.retry_budget_percent, policy.eject_max_percent and policy.quarantine_failures. All other keys of settings.h are read (checked with grep, key by key). The seven are now options of the gateway, with the former constants as defaults, or an argument of bp_eviction_quarantine_due.

The share of ejected endpoints is compared in whole percents, so that the standard of 33 still admits one endpoint of three; 0 ejects none. Answers of executors keep their bound of 8 MiB, since a smaller one would discard answers to requests that ran. The detail of a quarantine states the number of failures counted.

--- a/include/bulrushpost/endpoint.h
+++ b/include/bulrushpost/endpoint.h
@@ -9,6 +9,8 @@
 #include <stdint.h>
 
 #define BP_POOL_WINDOWS 30
+/* Standard upper limit of ejected endpoints, of those in service. */
+#define BP_EJECT_MAX_PERCENT 33
 
 /* How one attempt at an endpoint ended. */
 typedef enum {
@@ -54,6 +56,9 @@
 	GPtrArray *endpoints; /* bp_endpoint_t */
 	uint32_t *scratch; /* two indices for each endpoint */
 	uint32_t gateways;
+	uint32_t slots; /* requests in flight per endpoint, all gateways */
+	uint32_t connections; /* per endpoint, all gateways */
+	uint32_t eject_max_percent;
 	double latency_us; /* smoothed over all endpoints; 0 unknown */
 	double failure_rate; /* smoothed */
 	uint64_t ejections;
@@ -65,6 +70,9 @@
 } bp_pool_t;
 
 bp_pool_t *bp_pool_new(uint32_t gateways);
+/* Holds for endpoints that are added afterwards. */
+void bp_pool_set_limits(bp_pool_t *pool, uint32_t slots, uint32_t connections,
+    uint32_t eject_max_percent);
 void bp_pool_free(bp_pool_t *pool);
 void bp_pool_set_gateways(bp_pool_t *pool, uint32_t gateways);
 /* Finds an endpoint by name and url, or adds it; sets zone and state. */
--- a/include/bulrushpost/eviction.h
+++ b/include/bulrushpost/eviction.h
@@ -81,7 +81,7 @@
 void bp_eviction_drain(bp_eviction_t *eviction, const bp_state_t *state,
     const char *node, uint64_t incarnation, int64_t now_ms, GArray *acts);
 
-/* Tells whether the VM failed 5 starts in a row of at least 2 jobs. */
-bool bp_eviction_quarantine_due(const bp_vm_t *vm);
+/* Tells whether the VM failed so many starts in a row, of at least 2 jobs. */
+bool bp_eviction_quarantine_due(const bp_vm_t *vm, uint32_t failures);
 
 #endif
--- a/include/bulrushpost/gateway.h
+++ b/include/bulrushpost/gateway.h
@@ -52,6 +52,12 @@
 	uint16_t port; /* 0 for any */
 	uint32_t gateways; /* number known, including this one */
 	uint32_t default_deadline_ms; /* of requests without X-Deadline-Ms */
+	uint32_t body_bytes; /* largest body of a request */
+	uint32_t header_bytes; /* largest path and headers of a request */
+	uint32_t endpoint_in_flight; /* requests, over all gateways */
+	uint32_t endpoint_connections; /* of one endpoint, likewise */
+	uint32_t retry_budget_percent; /* of all requests */
+	uint32_t eject_max_percent; /* of the endpoints of a service */
 	uint64_t seed; /* of the random choices; 0 draws one */
 } bp_gateway_options_t;
 
--- a/include/bulrushpost/limiter.h
+++ b/include/bulrushpost/limiter.h
@@ -13,6 +13,8 @@
 	double floor;
 	double ceiling;
 	int64_t decreased_us; /* time of the latest decrease */
+	uint32_t slots; /* of the endpoint, for all gateways together */
+	uint32_t connections; /* of the endpoint, likewise */
 } bp_limiter_t;
 
 /* What one finished request tells about its endpoint. */
@@ -25,6 +27,8 @@
 } bp_limiter_sample_t;
 
 void bp_limiter_init(bp_limiter_t *limiter, uint32_t gateways);
+void bp_limiter_init_bounds(bp_limiter_t *limiter, uint32_t gateways,
+    uint32_t slots, uint32_t connections);
 void bp_limiter_set_gateways(bp_limiter_t *limiter, uint32_t gateways);
 uint32_t bp_limiter_limit(const bp_limiter_t *limiter);
 void bp_limiter_add(bp_limiter_t *limiter, const bp_limiter_sample_t *sample);
--- a/include/bulrushpost/retry.h
+++ b/include/bulrushpost/retry.h
@@ -4,9 +4,13 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* Standard budget, in percent of all requests. */
+#define BP_RETRY_BUDGET_PERCENT 10
+
 /* Budget of retries, as a share of requests. */
 typedef struct {
 	double tokens;
+	double tokens_per_request;
 } bp_retry_t;
 
 /* An attempt that failed, and the request it belongs to. */
@@ -25,6 +29,7 @@
 } bp_retry_verdict_t;
 
 void bp_retry_init(bp_retry_t *retry);
+void bp_retry_set_budget(bp_retry_t *retry, uint32_t percent);
 void bp_retry_add_request(bp_retry_t *retry);
 bp_retry_verdict_t bp_retry_decide(
     bp_retry_t *retry, const bp_retry_attempt_t *attempt);
--- a/src/gateway/endpoint.c
+++ b/src/gateway/endpoint.c
@@ -17,7 +17,7 @@
 #define WINDOW_MIN_COUNT 50
 /* When this share of all attempts fails, the endpoint is not the cause. */
 #define OUTLIER_MAX_FAILURE_RATE 0.5
-#define EJECTED_SHARE 3
+#define PERCENT 100U
 
 /* Creates a pool without endpoints. Free with bp_pool_free. */
 bp_pool_t *
@@ -27,9 +27,21 @@
 
 	pool->endpoints = g_ptr_array_new();
 	pool->gateways = gateways;
+	bp_pool_set_limits(pool, BP_EXECUTOR_SLOTS, BP_EXECUTOR_CONNECTIONS,
+	    BP_EJECT_MAX_PERCENT);
 	return pool;
 }
 
+/* Sets the limits of the pool; see the header. */
+void
+bp_pool_set_limits(bp_pool_t *pool, uint32_t slots, uint32_t connections,
+    uint32_t eject_max_percent)
+{
+	pool->slots = slots;
+	pool->connections = connections;
+	pool->eject_max_percent = eject_max_percent;
+}
+
 /* Takes a reference that outlives a removal from the pool. */
 bp_endpoint_t *
 bp_endpoint_ref(bp_endpoint_t *endpoint)
@@ -102,7 +114,8 @@
 		endpoint->refs = 1;
 		endpoint->name = g_strdup(name);
 		endpoint->url = g_strdup(url);
-		bp_limiter_init(&endpoint->limiter, pool->gateways);
+		bp_limiter_init_bounds(&endpoint->limiter, pool->gateways,
+		    pool->slots, pool->connections);
 		g_ptr_array_add(pool->endpoints, endpoint);
 		pool->scratch =
 		    g_renew(uint32_t, pool->scratch, 2 * pool->endpoints->len);
@@ -276,19 +289,23 @@
 	*value = *value == 0 ? sample : *value + (sample - *value) * weight;
 }
 
+/* Whole percents are compared, so that 33 admits one endpoint of three. */
 static bool
 can_spare(const bp_pool_t *pool)
 {
 	uint32_t in_service = 0;
 	size_t i;
 
-	if (pool->failure_rate >= OUTLIER_MAX_FAILURE_RATE)
+	if (pool->failure_rate >= OUTLIER_MAX_FAILURE_RATE ||
+	    pool->eject_max_percent == 0)
 		return false;
 	for (i = 0; i < bp_pool_size(pool); i++) {
 		if (bp_endpoint_in_service(bp_pool_at(pool, i)))
 			in_service++;
 	}
-	return (bp_pool_ejected(pool) + 1) * EJECTED_SHARE <= in_service;
+	return in_service > 0 &&
+	    (bp_pool_ejected(pool) + 1) * PERCENT / in_service <=
+	    pool->eject_max_percent;
 }
 
 /*
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -9,8 +9,8 @@
 #define US_PER_MS 1000
 /* Of all requests in flight together; a node may use 64 MB for control. */
 #define MAX_BUFFERED_BYTES (32 * 1024 * 1024)
-/* How much of a refused body is read before its connection is closed. */
-#define MAX_DISCARDED_BYTES (4 * 1024 * 1024)
+/* How much of a body beyond its limit is read before the connection closes. */
+#define MAX_DISCARDED_BYTES (3 * 1024 * 1024)
 /* A caller that does not read its answer would stall a drain. */
 #define WRITE_TIMEOUT_MS 30000
 
@@ -205,7 +205,8 @@
 refuse_body(bp_exchange_t *exchange)
 {
 	bp_answer_error(exchange, BP_ETOOLARGE, BP_OUTCOME_NOT_RUN,
-	    "the body is larger than %d bytes", BP_MAX_BODY_BYTES);
+	    "the body is larger than %u bytes",
+	    exchange->gateway->options.body_bytes);
 	discard_body(exchange);
 }
 
@@ -217,13 +218,14 @@
 	size_t bytes = g_bytes_get_size(chunk);
 
 	exchange->received_bytes += bytes;
-	if (exchange->received_bytes > MAX_DISCARDED_BYTES)
+	if (exchange->received_bytes >
+	    (uint64_t)gateway->options.body_bytes + MAX_DISCARDED_BYTES)
 		shut_connection(exchange);
 	if (exchange->answered)
 		return;
 	exchange->body_bytes += bytes;
 	gateway->body_bytes += bytes;
-	if (exchange->body_bytes > BP_MAX_BODY_BYTES) {
+	if (exchange->body_bytes > gateway->options.body_bytes) {
 		refuse_body(exchange);
 	} else if (gateway->body_bytes > MAX_BUFFERED_BYTES) {
 		bp_answer_error(exchange, BP_EOVERLOAD, BP_OUTCOME_NOT_RUN,
@@ -236,6 +238,7 @@
 static int
 check_size(bp_exchange_t *exchange, bp_error_t *err)
 {
+	const bp_gateway_options_t *options = &exchange->gateway->options;
 	SoupMessageHeaders *headers =
 	    soup_server_message_get_request_headers(exchange->message);
 	GUri *uri = soup_server_message_get_uri(exchange->message);
@@ -243,19 +246,19 @@
 	size_t bytes = bp_headers_bytes(headers) + strlen(g_uri_get_path(uri)) +
 	    (query != NULL ? strlen(query) : 0);
 
-	if (bytes > BP_MAX_HEADER_BYTES)
+	if (bytes > options->header_bytes)
 		return bp_error_set(err, BP_ETOOLARGE,
-		    "path and headers have %zu bytes, more than %d", bytes,
-		    BP_MAX_HEADER_BYTES);
+		    "path and headers have %zu bytes, more than %u", bytes,
+		    options->header_bytes);
 	if (!bp_headers_framing_ok(headers))
 		return bp_error_set(err, BP_EINVALID,
 		    "Content-Length or Transfer-Encoding is not valid");
 	if (soup_message_headers_get_encoding(headers) ==
 		SOUP_ENCODING_CONTENT_LENGTH &&
 	    soup_message_headers_get_content_length(headers) >
-		BP_MAX_BODY_BYTES)
+		options->body_bytes)
 		return bp_error_set(err, BP_ETOOLARGE,
-		    "the body is larger than %d bytes", BP_MAX_BODY_BYTES);
+		    "the body is larger than %u bytes", options->body_bytes);
 	return BP_OK;
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -12,9 +12,6 @@
 
 #include <libsoup/soup.h>
 
-#define BP_MAX_BODY_BYTES (1024 * 1024)
-#define BP_MAX_HEADER_BYTES (16 * 1024)
-
 typedef struct bp_exchange bp_exchange_t;
 
 /* A service and the requests that wait for its endpoints. */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -3,13 +3,15 @@
 #include <string.h>
 
 #define DEFAULT_DEADLINE_MS 30000
+#define DEFAULT_BODY_BYTES (1024 * 1024)
+#define DEFAULT_HEADER_BYTES (16 * 1024)
 #define HEALTH_PATH "/healthz"
 /* With the 10 that libsoup uses, a burst of callers has connections reset. */
 #define LISTEN_BACKLOG 1024
 /* A caller that vanished, or stalls, would keep its connection for ever. */
 #define CALLER_TIMEOUT_S 75
 
-/* Sets the defaults: loopback, any port, alone, 30 s. */
+/* Sets the defaults: loopback, any port, alone, 30 s, limits of design, 8. */
 int
 bp_gateway_options_init(bp_gateway_options_t *options)
 {
@@ -20,6 +22,12 @@
 	options->address = "127.0.0.1";
 	options->gateways = 1;
 	options->default_deadline_ms = DEFAULT_DEADLINE_MS;
+	options->body_bytes = DEFAULT_BODY_BYTES;
+	options->header_bytes = DEFAULT_HEADER_BYTES;
+	options->endpoint_in_flight = BP_EXECUTOR_SLOTS;
+	options->endpoint_connections = BP_EXECUTOR_CONNECTIONS;
+	options->retry_budget_percent = BP_RETRY_BUDGET_PERCENT;
+	options->eject_max_percent = BP_EJECT_MAX_PERCENT;
 	return BP_OK;
 }
 
@@ -179,7 +187,8 @@
 	gateway->keys = bp_keytable_new();
 	bp_balancer_init(
 	    &gateway->balancer, gateway->options.zone, gateway->options.seed);
-	bp_retry_init(&gateway->retry);
+	bp_retry_set_budget(
+	    &gateway->retry, gateway->options.retry_budget_percent);
 	/* Ids must differ from those of an earlier process of this node. */
 	start = bp_random_next(&gateway->balancer.random) ^
 	    (uint64_t)bp_clock_wall_ms(gateway->options.clock);
@@ -188,7 +197,8 @@
 	/* Names of nodes are UTF-8, values of headers are ASCII. */
 	g_strcanon(gateway->id_prefix,
 	    G_CSET_a_2_z G_CSET_A_2_Z G_CSET_DIGITS "-._", '-');
-	gateway->upstream = bp_upstream_new(gateway->options.gateways);
+	gateway->upstream = bp_upstream_new(
+	    gateway->options.gateways, gateway->options.endpoint_connections);
 	start_server(gateway);
 	rc = start_listening(gateway, err);
 	if (rc != BP_OK) {
@@ -258,7 +268,8 @@
 		return;
 	gateway->options.gateways = gateways;
 	bp_upstream_unref(gateway->upstream);
-	gateway->upstream = bp_upstream_new(gateways);
+	gateway->upstream =
+	    bp_upstream_new(gateways, gateway->options.endpoint_connections);
 	g_hash_table_iter_init(&iter, gateway->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		bp_pool_set_gateways(((bp_service_t *)value)->pool, gateways);
@@ -275,6 +286,9 @@
 	service = g_new0(bp_service_t, 1);
 	service->name = g_strdup(name);
 	service->pool = bp_pool_new(gateway->options.gateways);
+	bp_pool_set_limits(service->pool, gateway->options.endpoint_in_flight,
+	    gateway->options.endpoint_connections,
+	    gateway->options.eject_max_percent);
 	for (rank = 0; rank < BP_SHED_RANKS; rank++)
 		g_queue_init(&service->queues[rank]);
 	g_hash_table_insert(gateway->services, service->name, service);
--- a/src/gateway/limiter.c
+++ b/src/gateway/limiter.c
@@ -24,12 +24,12 @@
 bp_limiter_set_gateways(bp_limiter_t *limiter, uint32_t gateways)
 {
 	uint32_t n = gateways > 0 ? gateways : 1;
-	uint32_t share = (BP_EXECUTOR_SLOTS + n - 1) / n;
-	uint32_t connections = BP_EXECUTOR_CONNECTIONS / n;
+	uint32_t share = (limiter->slots + n - 1) / n;
+	uint32_t connections = limiter->connections / n;
 
-	limiter->ceiling = connections < BP_EXECUTOR_SLOTS
+	limiter->ceiling = connections < limiter->slots
 	    ? (double)connections
-	    : (double)BP_EXECUTOR_SLOTS;
+	    : (double)limiter->slots;
 	if (limiter->ceiling < 1)
 		limiter->ceiling = 1;
 	limiter->floor = share < limiter->ceiling ? share : limiter->ceiling;
@@ -42,14 +42,25 @@
  * gateways at once, and the limit falls quickly when they are.
  */
 void
-bp_limiter_init(bp_limiter_t *limiter, uint32_t gateways)
+bp_limiter_init_bounds(bp_limiter_t *limiter, uint32_t gateways, uint32_t slots,
+    uint32_t connections)
 {
+	limiter->slots = slots;
+	limiter->connections = connections;
 	limiter->limit = 0;
 	limiter->decreased_us = INT64_MIN / 2;
 	bp_limiter_set_gateways(limiter, gateways);
 	limiter->limit = clamp(limiter->floor * 2, 1, limiter->ceiling);
 }
 
+/* Starts with the slots and connections that an executor has by default. */
+void
+bp_limiter_init(bp_limiter_t *limiter, uint32_t gateways)
+{
+	bp_limiter_init_bounds(
+	    limiter, gateways, BP_EXECUTOR_SLOTS, BP_EXECUTOR_CONNECTIONS);
+}
+
 /* Returns how many requests may be in flight to the endpoint; at least 1. */
 uint32_t
 bp_limiter_limit(const bp_limiter_t *limiter)
--- a/src/gateway/retry.c
+++ b/src/gateway/retry.c
@@ -2,7 +2,7 @@
 
 #include "bulrushpost/balancer.h"
 
-#define TOKENS_PER_REQUEST 0.1
+#define PERCENT 100.0
 /* Lets a gateway with few requests retry at all. */
 #define TOKENS_AT_START 10.0
 /* Bounds the burst of retries when endpoints fail after a quiet time. */
@@ -12,14 +12,25 @@
 void
 bp_retry_init(bp_retry_t *retry)
 {
-	retry->tokens = TOKENS_AT_START;
+	bp_retry_set_budget(retry, BP_RETRY_BUDGET_PERCENT);
 }
 
-/* Earns a tenth of a retry for a request, not for its retries. */
+/*
+ * Starts again with a budget in percent of all requests. Without a budget
+ * there is no initial allowance either.
+ */
+void
+bp_retry_set_budget(bp_retry_t *retry, uint32_t percent)
+{
+	retry->tokens = percent > 0 ? TOKENS_AT_START : 0;
+	retry->tokens_per_request = percent / PERCENT;
+}
+
+/* Earns the budgeted share of a retry for a request, not for its retries. */
 void
 bp_retry_add_request(bp_retry_t *retry)
 {
-	retry->tokens += TOKENS_PER_REQUEST;
+	retry->tokens += retry->tokens_per_request;
 	if (retry->tokens > TOKENS_MAX)
 		retry->tokens = TOKENS_MAX;
 }
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -39,10 +39,10 @@
  * redirects; connections are bounded to this gateway's share.
  */
 bp_upstream_t *
-bp_upstream_new(uint32_t gateways)
+bp_upstream_new(uint32_t gateways, uint32_t connections)
 {
 	bp_upstream_t *upstream = g_new0(bp_upstream_t, 1);
-	uint32_t share = BP_EXECUTOR_CONNECTIONS / MAX(gateways, 1);
+	uint32_t share = connections / MAX(gateways, 1);
 	SoupSession *session = soup_session_new_with_options("max-conns",
 	    G_MAXINT, "max-conns-per-host", (int)MAX(share, 1), "timeout", 0,
 	    "idle-timeout", IDLE_TIMEOUT_S, "proxy-resolver", NULL, NULL);
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -46,7 +46,8 @@
 	void *data;
 } bp_attempt_handler_t;
 
-bp_upstream_t *bp_upstream_new(uint32_t gateways);
+/* connections are those of one executor, for all gateways together. */
+bp_upstream_t *bp_upstream_new(uint32_t gateways, uint32_t connections);
 /* Attempts that have started may still finish. */
 void bp_upstream_unref(bp_upstream_t *upstream);
 bp_attempt_t *bp_attempt_start(bp_upstream_t *upstream,
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -185,6 +185,14 @@
 	options.address =
 	    g_network_address_get_hostname(G_NETWORK_ADDRESS(address));
 	options.port = g_network_address_get_port(G_NETWORK_ADDRESS(address));
+	options.body_bytes = node->settings->limits.body_bytes;
+	options.header_bytes = node->settings->limits.header_bytes;
+	options.endpoint_in_flight = node->settings->limits.endpoint_in_flight;
+	options.endpoint_connections =
+	    node->settings->limits.endpoint_connections;
+	options.retry_budget_percent =
+	    node->settings->policy.retry_budget_percent;
+	options.eject_max_percent = node->settings->policy.eject_max_percent;
 	rc = bp_gateway_new(&node->gateway, &options, err);
 	g_object_unref(address);
 	if (rc != BP_OK)
--- a/src/scheduler/eviction.c
+++ b/src/scheduler/eviction.c
@@ -8,8 +8,6 @@
 #define CULPRIT_MIN 0.1
 /* An estimate less this many standard deviations counts as proven. */
 #define CULPRIT_CONFIDENCE 2.0
-/* Failures of one job alone do not show that the worker is at fault. */
-#define QUARANTINE_FAILURES 5U
 /* VMs without a report for this long are forgotten. */
 #define VM_KEEP_MS (5 * MS_PER_MIN)
 
@@ -458,10 +456,10 @@
 	    incarnation, now_ms, acts);
 }
 
-/* See the header. */
+/* Failures of one job alone do not show that the worker is at fault. */
 bool
-bp_eviction_quarantine_due(const bp_vm_t *vm)
+bp_eviction_quarantine_due(const bp_vm_t *vm, uint32_t failures)
 {
 	return vm->hold == BP__LOG__HOLD_CAUSE__HOLD_NONE &&
-	    vm->failed_streak >= QUARANTINE_FAILURES && vm->failed_several;
+	    vm->failed_streak >= failures && vm->failed_several;
 }
--- a/src/scheduler/vmstate.c
+++ b/src/scheduler/vmstate.c
@@ -6,6 +6,7 @@
 #define QUARANTINE_US (10LL * 60 * 1000000)
 /* Silence of this many renewals makes a VM unreachable for new tasks. */
 #define SILENT_RENEWALS 3
+#define HOLD_DETAIL_BYTES 64
 
 /* A call outlives its VM when the rack is given up meanwhile. */
 typedef struct {
@@ -142,38 +143,43 @@
 	int64_t held_us =
 	    bp_scheduler_now_us(vm->scheduler) - vm->hold_since_us;
 
-	if (!bp_eviction_quarantine_due(known))
+	if (!bp_eviction_quarantine_due(
+		known, vm->scheduler->settings->policy.quarantine_failures))
 		return false;
 	return vm->hold_since_us == 0 || held_us < QUARANTINE_US;
 }
 
-/* The hold that the facts ask for, strongest first. */
+/* The hold that the facts ask for, strongest first; detail says why. */
 static Bp__Log__HoldCause
-wanted_hold(const bp_owned_vm_t *vm, const bp_vm_t *known, const char **detail)
+wanted_hold(const bp_owned_vm_t *vm, const bp_vm_t *known, char *detail)
 {
 	const bp_vmlist_vm_t *listed =
 	    bp_vmlist_find(vm->scheduler->options.vmlist, vm->name);
 
 	if (listed != NULL && listed->state != BP_VMLIST_LIVE) {
-		*detail = "the VM list shows the VM as leaving";
+		g_strlcpy(detail, "the VM list shows the VM as leaving",
+		    HOLD_DETAIL_BYTES);
 		return BP__LOG__HOLD_CAUSE__HOLD_LEAVING;
 	}
 	if (quarantined(vm, known)) {
-		*detail = "the worker failed 5 tasks in a row";
+		g_snprintf(detail, HOLD_DETAIL_BYTES,
+		    "the worker failed %u tasks in a row",
+		    known->failed_streak);
 		return BP__LOG__HOLD_CAUSE__HOLD_QUARANTINED;
 	}
 	if (is_silent(vm)) {
-		*detail = "the VM does not answer its rack's owner";
+		g_strlcpy(detail, "the VM does not answer its rack's owner",
+		    HOLD_DETAIL_BYTES);
 		return BP__LOG__HOLD_CAUSE__HOLD_UNREACHABLE;
 	}
-	*detail = "";
+	detail[0] = '\0';
 	return BP__LOG__HOLD_CAUSE__HOLD_NONE;
 }
 
 static void
 update_hold(bp_owned_vm_t *vm, const bp_vm_t *known)
 {
-	const char *detail;
+	char detail[HOLD_DETAIL_BYTES];
 	Bp__Log__HoldCause wanted;
 
 	if (known->hold != BP__LOG__HOLD_CAUSE__HOLD_QUARANTINED)
@@ -182,7 +188,7 @@
 		vm->hold_since_us = bp_scheduler_now_us(vm->scheduler);
 	if (vm->hold_in_flight)
 		return;
-	wanted = wanted_hold(vm, known, &detail);
+	wanted = wanted_hold(vm, known, detail);
 	if (wanted != known->hold)
 		append_hold(vm, wanted, detail);
 }
--- a/tests/gateway/test_endpoint.c
+++ b/tests/gateway/test_endpoint.c
@@ -47,6 +47,32 @@
 	bp_pool_free(pool);
 }
 
+/* Guards against a setting of the share that has no effect. */
+static void
+test_share_of_ejected_can_be_set(void)
+{
+	const struct {
+		uint32_t percent;
+		int endpoints;
+		uint32_t ejected;
+	} cases[] = {{0, 150, 0}, {33, 3, 1}, {33, 2, 0}, {50, 10, 5}};
+	size_t k;
+	int i;
+
+	for (k = 0; k < G_N_ELEMENTS(cases); k++) {
+		bp_pool_t *pool = new_pool(cases[k].endpoints, 1);
+
+		bp_pool_set_limits(pool, 8, 60, cases[k].percent);
+		for (i = 0; i < 10 * cases[k].endpoints; i++)
+			finish(pool, i % cases[k].endpoints,
+			    i % cases[k].endpoints < 6 ? BP_RESULT_REFUSED
+						       : BP_RESULT_OK,
+			    i * MS);
+		CU_ASSERT_EQUAL(bp_pool_ejected(pool), cases[k].ejected);
+		bp_pool_free(pool);
+	}
+}
+
 /* Guards against ejections when everything fails, e.g. by a bad request. */
 static void
 test_common_failure_ejects_nothing(void)
@@ -135,6 +161,7 @@
 {
 	CU_TestInfo tests[] = {
 	    {"third", test_at_most_a_third_is_ejected},
+	    {"share", test_share_of_ejected_can_be_set},
 	    {"common failure", test_common_failure_ejects_nothing},
 	    {"probation", test_probation_ends_an_ejection},
 	    {"failure latency", test_failures_are_no_latency_samples},
--- a/tests/gateway/test_limiter.c
+++ b/tests/gateway/test_limiter.c
@@ -43,6 +43,20 @@
 	}
 }
 
+/* Guards against settings of an executor's capacity without effect. */
+static void
+test_bounds_can_be_set(void)
+{
+	bp_limiter_t limiter;
+
+	bp_limiter_init_bounds(&limiter, 1, 20, 60);
+	add(&limiter, 5000, 10000, false);
+	CU_ASSERT_EQUAL(bp_limiter_limit(&limiter), 20);
+	bp_limiter_init_bounds(&limiter, 2, 20, 6);
+	add(&limiter, 5000, 10000, false);
+	CU_ASSERT_EQUAL(bp_limiter_limit(&limiter), 3);
+}
+
 /* Guards against a limit that ignores congestion or never recovers. */
 static void
 test_limit_follows_congestion(void)
@@ -82,6 +96,7 @@
 {
 	CU_TestInfo tests[] = {
 	    {"bounds", test_bounds_for_all_numbers_of_gateways},
+	    {"bounds set", test_bounds_can_be_set},
 	    {"congestion", test_limit_follows_congestion},
 	    {"spacing", test_decreases_are_spaced},
 	    CU_TEST_INFO_NULL,
--- a/tests/gateway/test_request.c
+++ b/tests/gateway/test_request.c
@@ -120,6 +120,15 @@
 		granted += bp_retry_decide(&retry, &attempt) == BP_RETRY_YES;
 	}
 	CU_ASSERT_TRUE(granted <= 1010 && granted >= 990);
+	bp_retry_set_budget(&retry, 50);
+	for (granted = 0, i = 0; i < 1000; i++) {
+		bp_retry_add_request(&retry);
+		granted += bp_retry_decide(&retry, &attempt) == BP_RETRY_YES;
+	}
+	CU_ASSERT_TRUE(granted <= 510 && granted >= 490);
+	bp_retry_set_budget(&retry, 0);
+	bp_retry_add_request(&retry);
+	CU_ASSERT_EQUAL(bp_retry_decide(&retry, &attempt), BP_RETRY_NO_BUDGET);
 	attempt.left_ms = 0;
 	CU_ASSERT_EQUAL(bp_retry_decide(&retry, &attempt), BP_RETRY_EXHAUSTED);
 }
--- a/tests/scheduler/test_eviction.c
+++ b/tests/scheduler/test_eviction.c
@@ -235,14 +235,15 @@
 {
 	bp_vm_t vm = {.failed_streak = 5};
 
-	CU_ASSERT_FALSE(bp_eviction_quarantine_due(&vm));
+	CU_ASSERT_FALSE(bp_eviction_quarantine_due(&vm, 5));
 	vm.failed_several = true;
-	CU_ASSERT_TRUE(bp_eviction_quarantine_due(&vm));
+	CU_ASSERT_TRUE(bp_eviction_quarantine_due(&vm, 5));
 	vm.failed_streak = 4;
-	CU_ASSERT_FALSE(bp_eviction_quarantine_due(&vm));
+	CU_ASSERT_FALSE(bp_eviction_quarantine_due(&vm, 5));
+	CU_ASSERT_TRUE(bp_eviction_quarantine_due(&vm, 3));
 	vm.failed_streak = 9;
 	vm.hold = BP__LOG__HOLD_CAUSE__HOLD_QUARANTINED;
-	CU_ASSERT_FALSE(bp_eviction_quarantine_due(&vm));
+	CU_ASSERT_FALSE(bp_eviction_quarantine_due(&vm, 5));
 }
 
 int
--- a/tests/support/gatewayfix.c
+++ b/tests/support/gatewayfix.c
@@ -15,14 +15,23 @@
     fix_t *f, int n, executor_mode_t mode, const bp_key_claimer_t *claimer)
 {
 	bp_gateway_options_t options;
-	int i;
 
-	memset(f, 0, sizeof(*f));
 	bp_gateway_options_init(&options);
 	options.claimer = claimer;
-	options.seed = SEED;
+	fix_start_options(f, n, mode, &options);
+}
+
+/* Does the same with options of the test; the seed is fixed. */
+void
+fix_start_options(
+    fix_t *f, int n, executor_mode_t mode, bp_gateway_options_t *options)
+{
+	int i;
+
+	memset(f, 0, sizeof(*f));
+	options->seed = SEED;
 	CU_ASSERT_EQUAL_FATAL(
-	    bp_gateway_new(&f->gateway, &options, NULL), BP_OK);
+	    bp_gateway_new(&f->gateway, options, NULL), BP_OK);
 	f->port = bp_gateway_port(f->gateway);
 	f->session = soup_session_new_with_options("max-conns", 200,
 	    "max-conns-per-host", 200, "proxy-resolver", NULL, NULL);
--- a/tests/support/gatewayfix.h
+++ b/tests/support/gatewayfix.h
@@ -24,6 +24,9 @@
 	bool done;
 } call_t;
 
+/* options are those of bp_gateway_options_init, changed by the test. */
+void fix_start_options(
+    fix_t *f, int n, executor_mode_t mode, bp_gateway_options_t *options);
 void fix_start(
     fix_t *f, int n, executor_mode_t mode, const bp_key_claimer_t *claimer);
 void fix_stop(fix_t *f);
