Record requests that did not go well in the timeline

why knew requests only by hand-made events of its test: the gateway had no timeline. It now adds an event for each request that it refuses, sheds, retries or answers not_known, and for each answer that it discards; not for normal requests. The request id is in the job field. Callers that send an X-Request-Id see only that one, so the text names it and why finds the events by it as well.

Each refused request takes one place in the ring of limits.timeline_events; under a long overload the events of shed requests displace older ones.

The client half of the control test moves to tests/support/controlcall, so that a second test program can use it; its checks are unchanged.

--- a/include/bulrushpost/gateway.h
+++ b/include/bulrushpost/gateway.h
@@ -4,6 +4,7 @@
 #include "bulrushpost/clock.h"
 #include "bulrushpost/error.h"
 #include "bulrushpost/logline.h"
+#include "bulrushpost/timeline.h"
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -12,6 +13,14 @@
 /* The HTTP service between callers and executors. */
 typedef struct bp_gateway bp_gateway_t;
 
+/*
+ * Ends the text of an event when the caller sent an X-Request-Id of its own;
+ * the caller's id follows.
+ */
+#define BP_CALLER_ID_MARK "; id of the caller: "
+/* A longer id would let callers fill the timeline. */
+#define BP_CALLER_ID_MAX_BYTES 128
+
 typedef enum {
 	BP_CLAIM_NOW = 1, /* claimed by this request */
 	BP_CLAIM_TAKEN, /* claimed earlier; node tells by whom */
@@ -45,6 +54,7 @@
 typedef struct {
 	const bp_clock_t *clock;
 	bp_logger_t *logger;
+	bp_timeline_t *timeline; /* of requests that did not go well; or NULL */
 	const bp_key_claimer_t *claimer; /* NULL refuses requests with a key */
 	const char *node; /* own name, for request ids */
 	const char *zone; /* own availability zone */
--- a/src/gateway/answer.c
+++ b/src/gateway/answer.c
@@ -125,6 +125,14 @@
 	}
 }
 
+static const char *
+event_kind(int kind, bp_outcome_t outcome)
+{
+	if (outcome == BP_OUTCOME_NOT_KNOWN)
+		return "request_not_known";
+	return kind == BP_EOVERLOAD ? "request_shed" : "request_refused";
+}
+
 static void
 remember(bp_exchange_t *exchange, bp_outcome_t outcome, guint status)
 {
@@ -194,6 +202,8 @@
 	    "request not answered by an executor", "request", exchange->id,
 	    "error", row->name, "outcome", bp_outcome_name(outcome), "reason",
 	    text, NULL);
+	bp_exchange_event(exchange, event_kind(kind, outcome),
+	    "%s, outcome %s: %s", row->name, bp_outcome_name(outcome), text);
 	g_free(text);
 	finish(exchange);
 }
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -261,6 +261,13 @@
 	}
 }
 
+static bool
+is_discarded(const bp_attempt_answer_t *answer)
+{
+	return answer->kind == BP_EMISMATCH || answer->kind == BP_ETRUNCATED ||
+	    answer->kind == BP_ETOOLARGE;
+}
+
 static void
 end_attempt(bp_exchange_t *exchange, bp_result_t result)
 {
@@ -338,6 +345,10 @@
 	if (answer->kind != BP_ETOOLARGE)
 		verdict = decide_retry(exchange);
 	if (verdict == BP_RETRY_YES) {
+		bp_exchange_event(exchange, "request_retried",
+		    "attempt %u at executor %s failed: %s", exchange->attempts,
+		    tried,
+		    answer->kind != BP_OK ? answer->message : "overloaded");
 		endpoint = choose(exchange);
 		if (endpoint != NULL)
 			start_attempt(exchange, endpoint);
@@ -365,6 +376,10 @@
 		bp_log(gateway->options.logger, BP_LOG_WARNING, "gateway",
 		    "attempt failed", "request", exchange->id, "endpoint",
 		    tried, "reason", answer->message, NULL);
+		if (is_discarded(answer))
+			bp_exchange_event(exchange, "request_discarded",
+			    "the answer of executor %s was discarded: %s",
+			    tried, answer->message);
 	}
 	if (answer->kind == BP_OK && answer->result != BP_RESULT_OVERLOADED)
 		bp_answer_pass(exchange, answer);
@@ -383,6 +398,9 @@
 	exchange->written = true;
 	if (take_from_budget(exchange) != BP_RETRY_YES)
 		return false;
+	bp_exchange_event(exchange, "request_retried",
+	    "executor %s closed a kept connection before its answer",
+	    exchange->endpoint->name);
 	exchange->attempts++;
 	return true;
 }
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -3,6 +3,7 @@
 #include "gateway/headers.h"
 
 #include <glib-unix.h>
+#include <stdarg.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -37,6 +38,36 @@
 					     : BP_OUTCOME_NOT_RUN;
 }
 
+/*
+ * Adds an event to the timeline. The caller may know the request by an id of
+ * its own only, which is therefore named in the text.
+ */
+void
+bp_exchange_event(
+    const bp_exchange_t *exchange, const char *kind, const char *format, ...)
+{
+	bp_timeline_t *timeline = exchange->gateway->options.timeline;
+	const char *own = soup_message_headers_get_list(
+	    soup_server_message_get_request_headers(exchange->message),
+	    BP_HEADER_REQUEST_ID);
+	GString *text;
+	va_list args;
+	char *valid;
+
+	if (timeline == NULL)
+		return;
+	text = g_string_new(NULL);
+	va_start(args, format);
+	g_string_append_vprintf(text, format, args);
+	va_end(args);
+	if (own != NULL && strlen(own) <= BP_CALLER_ID_MAX_BYTES)
+		g_string_append_printf(text, BP_CALLER_ID_MARK "%s", own);
+	valid = g_utf8_make_valid(text->str, (gssize)text->len);
+	bp_timeline_add(timeline, kind, exchange->id, NULL, NULL, "%s", valid);
+	g_free(valid);
+	g_string_free(text, TRUE);
+}
+
 /* Takes a reference, for a callback that may come after the end. */
 bp_exchange_t *
 bp_exchange_ref(bp_exchange_t *exchange)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -81,6 +81,9 @@
 int64_t bp_exchange_left_ms(const bp_exchange_t *exchange);
 /* The strongest true statement about an exchange without an answer. */
 bp_outcome_t bp_exchange_outcome(const bp_exchange_t *exchange);
+/* Adds an event under the id of the request to the timeline. */
+void bp_exchange_event(const bp_exchange_t *exchange, const char *kind,
+    const char *format, ...) G_GNUC_PRINTF(3, 4);
 
 /* answer.c: each call answers the exchange, unless that was done already. */
 void bp_answer_error(bp_exchange_t *exchange, int kind, bp_outcome_t outcome,
--- a/src/node/control_status.c
+++ b/src/node/control_status.c
@@ -1,5 +1,6 @@
 #include "node/control_private.h"
 
+#include "bulrushpost/gateway.h"
 #include "bulrushpost/reason.h"
 
 #include <string.h>
@@ -268,22 +269,55 @@
 	input->data = control;
 }
 
+/* Keeps the events that end with the id that the caller gave its request. */
+static void
+keep_caller_id(GPtrArray *events, const char *id)
+{
+	char *mark = g_strconcat(BP_CALLER_ID_MARK, id, NULL);
+	guint i;
+
+	for (i = events->len; i-- > 0;) {
+		const bp_event_t *event = g_ptr_array_index(events, i);
+
+		if (!g_str_has_suffix(event->text, mark))
+			g_ptr_array_remove_index(events, i);
+	}
+	g_free(mark);
+}
+
+/* Events under the id itself, else under ids that callers gave. */
+static GPtrArray *
+request_events(const bp_control_t *control, const char *id)
+{
+	bp_timeline_filter_t filters[] = {{.job = id}, {.job = NULL}};
+	GPtrArray *events = g_ptr_array_new_with_free_func(bp_event_free);
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(filters) && events->len == 0; i++) {
+		char *lines = bp_timeline_lines(control->options.timeline,
+		    &filters[i], BP_CONTROL_LIST_BYTES);
+
+		(void)bp_timeline_read_lines(
+		    events, lines, strlen(lines), NULL);
+		g_free(lines);
+		if (filters[i].job == NULL)
+			keep_caller_id(events, id);
+	}
+	return events;
+}
+
 /* A request of the gateway has no job; its events tell what happened. */
 static void
 explain_request(
     bp_control_t *control, bp_peer_request_t *request, const char *id)
 {
-	bp_timeline_filter_t filter = {.job = id};
-	char *lines = bp_timeline_lines(
-	    control->options.timeline, &filter, BP_CONTROL_LIST_BYTES);
-	GPtrArray *events = g_ptr_array_new_with_free_func(bp_event_free);
+	GPtrArray *events = request_events(control, id);
 	GString *text = g_string_new(NULL);
 	JsonBuilder *json = json_builder_new();
 	GPtrArray *texts = g_ptr_array_new();
 	char *body;
 	guint i;
 
-	(void)bp_timeline_read_lines(events, lines, strlen(lines), NULL);
 	for (i = 0; i < events->len; i++) {
 		const bp_event_t *event = g_ptr_array_index(events, i);
 
@@ -300,14 +334,14 @@
 		    request, BP_OK, BP_OUTCOME_RAN, text->str, body);
 	else
 		bp_control_reply(request, BP_ENOTFOUND, BP_OUTCOME_NOT_KNOWN,
-		    "this node knows no job or request of that id; a request "
-		    "is known to the node that took it",
+		    "this node knows no job of that id, and no request that "
+		    "did not go well; a request is known to the node that "
+		    "took it",
 		    NULL);
 	g_free(body);
 	g_ptr_array_unref(texts);
 	g_string_free(text, TRUE);
 	g_ptr_array_unref(events);
-	g_free(lines);
 }
 
 /* VERB_WHY: what a job, one of its tasks or a request waits for. */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -180,6 +180,7 @@
 	options.clock = node->clock;
 	options.logger = node->logger;
 	options.claimer = bp_keyclaim_claimer(node->keyclaim);
+	options.timeline = node->timeline;
 	options.node = node->settings->node.name;
 	options.zone = node->settings->node.zone;
 	options.address =
--- a/tests/node/test_control.c
+++ b/tests/node/test_control.c
@@ -1,128 +1,24 @@
 #include "bulrushpost/hash.h"
-#include "support/controlrig.h"
+#include "support/controlcall.h"
 #include "support/runner.h"
 
-#include <json-glib/json-glib.h>
 #include <string.h>
 
-#define CALL_MS 9000
 #define MUTATIONS 2000
 #define MUTATION_BATCH 50
 #define MUTATION_SEED 20261209
 
-/* The service, a client and the last answer. */
-typedef struct {
-	controlrig_t rig;
-	bp_peer_client_t *client;
-	uint32_t done;
-	int error;
-	bp_outcome_t outcome;
-	char *message;
-	char *body;
-	char *arg;
-} fixture_t;
-
-static void
-set_up(fixture_t *fixture)
-{
-	memset(fixture, 0, sizeof(*fixture));
-	controlrig_init(&fixture->rig);
-	fixture->client = bp_peer_client_new(bp_clock_system(), NULL);
-}
-
-static void
-clear_answer(fixture_t *fixture)
-{
-	g_clear_pointer(&fixture->message, g_free);
-	g_clear_pointer(&fixture->body, g_free);
-	g_clear_pointer(&fixture->arg, g_free);
-}
-
-static void
-tear_down(fixture_t *fixture)
-{
-	bp_peer_client_free(fixture->client);
-	controlrig_clear(&fixture->rig);
-	clear_answer(fixture);
-}
-
-static bool
-is_json(const char *text)
-{
-	JsonNode *node = json_from_string(text, NULL);
-
-	if (node == NULL)
-		return false;
-	json_node_unref(node);
-	return true;
-}
-
-static void
-on_done(const Bp__Peer__Frame *answer, const bp_error_t *err, void *data)
-{
-	fixture_t *fixture = data;
-
-	fixture->done++;
-	clear_answer(fixture);
-	fixture->error = err != NULL ? (int)err->kind : answer->error;
-	if (answer == NULL)
-		return;
-	fixture->outcome = (bp_outcome_t)answer->outcome;
-	fixture->message = g_strdup(answer->message);
-	fixture->body = answer->body.len == 0
-	    ? g_strdup("")
-	    : g_strndup((const char *)answer->body.data, answer->body.len);
-	fixture->arg = g_strdup(answer->n_args > 0 ? answer->args[0] : "");
-	if (answer->verb != BP__PEER__VERB__VERB_STATE &&
-	    answer->verb != BP__PEER__VERB__VERB_TIMELINE &&
-	    fixture->body[0] != '\0')
-		CU_ASSERT_TRUE(is_json(fixture->body));
-}
-
-static bool
-is_done(void *data)
-{
-	return ((fixture_t *)data)->done > 0;
-}
-
-/* Sends a request with up to five arguments and waits for the answer. */
 static int
-ask(fixture_t *fixture, Bp__Peer__Verb verb, const uint8_t *body,
-    size_t body_bytes, char **args)
-{
-	Bp__Peer__Frame request = BP__PEER__FRAME__INIT;
-
-	request.verb = verb;
-	request.args = args;
-	request.n_args = args != NULL ? g_strv_length(args) : 0;
-	request.body.data = (uint8_t *)body;
-	request.body.len = body_bytes;
-	fixture->done = 0;
-	bp_peer_client_call(fixture->client, fixture->rig.address, &request,
-	    CALL_MS, on_done, fixture);
-	CU_ASSERT_TRUE(wait_until(is_done, fixture, CALL_MS + 1000));
-	return fixture->error;
-}
-
-static int
-publish(fixture_t *fixture, char *base, char *author, const char *text)
+publish(controlcall_t *fixture, char *base, char *author, const char *text)
 {
 	char *args[] = {base, author, NULL};
 
-	return ask(fixture, BP__PEER__VERB__VERB_RULES_PUBLISH,
+	return controlcall_ask(fixture, BP__PEER__VERB__VERB_RULES_PUBLISH,
 	    (const uint8_t *)text, strlen(text), args);
 }
 
 static int
-ask_for(fixture_t *fixture, Bp__Peer__Verb verb, char *arg)
-{
-	char *args[] = {arg, NULL};
-
-	return ask(fixture, verb, NULL, 0, args);
-}
-
-static int
-submit(fixture_t *fixture, char *id, uint32_t tasks, uint32_t cpu_milli)
+submit(controlcall_t *fixture, char *id, uint32_t tasks, uint32_t cpu_milli)
 {
 	Bp__Log__JobSpec spec = BP__LOG__JOB_SPEC__INIT;
 	uint8_t bytes[256];
@@ -134,7 +30,7 @@
 	spec.tasks = tasks;
 	spec.cpu_milli = cpu_milli;
 	spec.memory_mib = 100;
-	return ask(fixture, BP__PEER__VERB__VERB_JOB_SUBMIT, bytes,
+	return controlcall_ask(fixture, BP__PEER__VERB__VERB_JOB_SUBMIT, bytes,
 	    bp__log__job_spec__pack(&spec, bytes), NULL);
 }
 
@@ -142,9 +38,9 @@
 static void
 test_second_publisher_is_told_who_won(void)
 {
-	fixture_t f;
+	controlcall_t f;
 
-	set_up(&f);
+	controlcall_init(&f);
 	CU_ASSERT_EQUAL(
 	    publish(&f, "0", "Ann", "team a weight 2 # Ann\n"), BP_OK);
 	CU_ASSERT_EQUAL(
@@ -162,15 +58,18 @@
 	CU_ASSERT_EQUAL(
 	    publish(&f, "1", "Bob", "team b weight 3 # Bob\n"), BP_OK);
 	CU_ASSERT_EQUAL(
-	    ask(&f, BP__PEER__VERB__VERB_RULES_SHOW, NULL, 0, NULL), BP_OK);
+	    controlcall_ask(&f, BP__PEER__VERB__VERB_RULES_SHOW, NULL, 0, NULL),
+	    BP_OK);
 	CU_ASSERT_STRING_EQUAL(f.arg, "team b weight 3 # Bob\n");
 	CU_ASSERT_EQUAL(
-	    ask_for(&f, BP__PEER__VERB__VERB_RULES_SHOW, "1"), BP_OK);
+	    controlcall_ask_for(&f, BP__PEER__VERB__VERB_RULES_SHOW, "1"),
+	    BP_OK);
 	CU_ASSERT_STRING_EQUAL(f.arg, "team a weight 2 # Ann\n");
-	CU_ASSERT_EQUAL(
-	    ask(&f, BP__PEER__VERB__VERB_RULES_HISTORY, NULL, 0, NULL), BP_OK);
+	CU_ASSERT_EQUAL(controlcall_ask(&f, BP__PEER__VERB__VERB_RULES_HISTORY,
+			    NULL, 0, NULL),
+	    BP_OK);
 	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "version 2 by Bob"));
-	tear_down(&f);
+	controlcall_clear(&f);
 }
 
 /* Guards against a zone change that undoes one its author did not see. */
@@ -180,22 +79,25 @@
 	char *out[] = {"zone-1", "out", "0", "Ann", "flood", NULL};
 	char *in[] = {"zone-1", "in", "0", "Bob", "", NULL};
 	char *unknown[] = {"zone-9", "in", "0", "Bob", "", NULL};
-	fixture_t f;
+	controlcall_t f;
 
-	set_up(&f);
+	controlcall_init(&f);
+	CU_ASSERT_EQUAL(
+	    controlcall_ask(&f, BP__PEER__VERB__VERB_ZONE_CHANGE, NULL, 0, out),
+	    BP_OK);
 	CU_ASSERT_EQUAL(
-	    ask(&f, BP__PEER__VERB__VERB_ZONE_CHANGE, NULL, 0, out), BP_OK);
-	CU_ASSERT_EQUAL(ask(&f, BP__PEER__VERB__VERB_ZONE_CHANGE, NULL, 0, in),
+	    controlcall_ask(&f, BP__PEER__VERB__VERB_ZONE_CHANGE, NULL, 0, in),
 	    BP_ECONFLICT);
 	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "Ann"));
-	CU_ASSERT_EQUAL(
-	    ask(&f, BP__PEER__VERB__VERB_ZONE_CHANGE, NULL, 0, unknown),
+	CU_ASSERT_EQUAL(controlcall_ask(&f, BP__PEER__VERB__VERB_ZONE_CHANGE,
+			    NULL, 0, unknown),
 	    BP_ENOTFOUND);
 	CU_ASSERT_EQUAL(
-	    ask(&f, BP__PEER__VERB__VERB_ZONE_LIST, NULL, 0, NULL), BP_OK);
+	    controlcall_ask(&f, BP__PEER__VERB__VERB_ZONE_LIST, NULL, 0, NULL),
+	    BP_OK);
 	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "zone zone-1: out"));
 	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "by Ann"));
-	tear_down(&f);
+	controlcall_clear(&f);
 }
 
 /* Guards against "not run" without proof, and jobs that wait for ever. */
@@ -203,9 +105,9 @@
 test_job_outcomes_need_proof(void)
 {
 	char *cancel[] = {"j1", "Ann", NULL};
-	fixture_t f;
+	controlcall_t f;
 
-	set_up(&f);
+	controlcall_init(&f);
 	controlrig_add_vm(&f.rig);
 	CU_ASSERT_EQUAL(submit(&f, "j1", 2, 1000), BP_OK);
 	CU_ASSERT_EQUAL(submit(&f, "j1", 2, 1000), BP_OK);
@@ -219,22 +121,26 @@
 	CU_ASSERT_EQUAL(submit(&f, "", 1, 1000), BP_OK);
 	CU_ASSERT_EQUAL(strlen(f.arg), 36);
 	CU_ASSERT_EQUAL(
-	    ask_for(&f, BP__PEER__VERB__VERB_JOB_STATUS, "j1"), BP_OK);
+	    controlcall_ask_for(&f, BP__PEER__VERB__VERB_JOB_STATUS, "j1"),
+	    BP_OK);
 	CU_ASSERT_EQUAL(f.outcome, BP_OUTCOME_NOT_KNOWN);
-	CU_ASSERT_EQUAL(ask_for(&f, BP__PEER__VERB__VERB_WHY, "j1"), BP_OK);
-	CU_ASSERT_TRUE(strlen(f.message) > 0);
 	CU_ASSERT_EQUAL(
-	    ask(&f, BP__PEER__VERB__VERB_JOB_CANCEL, NULL, 0, cancel), BP_OK);
+	    controlcall_ask_for(&f, BP__PEER__VERB__VERB_WHY, "j1"), BP_OK);
+	CU_ASSERT_TRUE(strlen(f.message) > 0);
+	CU_ASSERT_EQUAL(controlcall_ask(&f, BP__PEER__VERB__VERB_JOB_CANCEL,
+			    NULL, 0, cancel),
+	    BP_OK);
 	CU_ASSERT_EQUAL(f.outcome, BP_OUTCOME_NOT_RUN);
 	CU_ASSERT_EQUAL(
-	    ask_for(&f, BP__PEER__VERB__VERB_JOB_STATUS, "none"), BP_ENOTFOUND);
+	    controlcall_ask_for(&f, BP__PEER__VERB__VERB_JOB_STATUS, "none"),
+	    BP_ENOTFOUND);
 	CU_ASSERT_EQUAL(f.outcome, BP_OUTCOME_NOT_KNOWN);
-	CU_ASSERT_EQUAL(
-	    ask_for(&f, BP__PEER__VERB__VERB_JOB_LIST, "state=cancelled"),
+	CU_ASSERT_EQUAL(controlcall_ask_for(&f, BP__PEER__VERB__VERB_JOB_LIST,
+			    "state=cancelled"),
 	    BP_OK);
 	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "j1 plan"));
 	CU_ASSERT_PTR_NULL(strstr(f.message, "\n"));
-	tear_down(&f);
+	controlcall_clear(&f);
 }
 
 /* Guards against "not run" for a job whose assign entry was valid once. */
@@ -246,9 +152,9 @@
 	Bp__Log__Entry end_entry = BP__LOG__ENTRY__INIT;
 	Bp__Log__TaskEnd end = BP__LOG__TASK_END__INIT;
 	char *cancel[] = {"j1", "Ann", NULL};
-	fixture_t f;
+	controlcall_t f;
 
-	set_up(&f);
+	controlcall_init(&f);
 	controlrig_add_vm(&f.rig);
 	CU_ASSERT_EQUAL(submit(&f, "j1", 1, 1000), BP_OK);
 	assign.job = "j1";
@@ -261,8 +167,9 @@
 	CU_ASSERT_EQUAL(
 	    bp_appender_add(f.rig.log.appender, &entry, 2000, NULL, NULL, NULL),
 	    BP_OK);
-	CU_ASSERT_EQUAL(
-	    ask(&f, BP__PEER__VERB__VERB_JOB_CANCEL, NULL, 0, cancel), BP_OK);
+	CU_ASSERT_EQUAL(controlcall_ask(&f, BP__PEER__VERB__VERB_JOB_CANCEL,
+			    NULL, 0, cancel),
+	    BP_OK);
 	CU_ASSERT_EQUAL(f.outcome, BP_OUTCOME_NOT_KNOWN);
 	end.job = "j1";
 	end.attempt = 1;
@@ -275,24 +182,25 @@
 	    BP_OK);
 	run_for(200);
 	CU_ASSERT_EQUAL(
-	    ask_for(&f, BP__PEER__VERB__VERB_JOB_STATUS, "j1"), BP_OK);
+	    controlcall_ask_for(&f, BP__PEER__VERB__VERB_JOB_STATUS, "j1"),
+	    BP_OK);
 	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "cancelled"));
 	CU_ASSERT_EQUAL(f.outcome, BP_OUTCOME_NOT_KNOWN);
-	tear_down(&f);
+	controlcall_clear(&f);
 }
 
 /* Guards against "not run" for an entry that may still reach the log. */
 static void
 test_submission_without_read_back_is_not_known(void)
 {
-	fixture_t f;
+	controlcall_t f;
 
-	set_up(&f);
+	controlcall_init(&f);
 	fakelog_set_fault(f.rig.log.log, FAKELOG_HOLD, 100000);
 	CU_ASSERT_EQUAL(submit(&f, "j1", 1, 1000), BP_EUNKNOWN);
 	CU_ASSERT_EQUAL(f.outcome, BP_OUTCOME_NOT_KNOWN);
 	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "job j1"));
-	tear_down(&f);
+	controlcall_clear(&f);
 }
 
 /* Guards against rules that strand jobs without a warning. */
@@ -302,64 +210,69 @@
 	static const char text[] = "team pszczoły only zone zone-2 # Ann\n"
 				   "team x weight 2 # Ann\n";
 	static const char spread[] = "team pszczoły spread 1 per rack # Ann\n";
-	fixture_t f;
+	controlcall_t f;
 
-	set_up(&f);
+	controlcall_init(&f);
 	controlrig_add_vm(&f.rig);
 	logrig_put_job(&f.rig.log, "other", 1);
 	CU_ASSERT_EQUAL(submit(&f, "j1", 2, 1000), BP_OK);
-	CU_ASSERT_EQUAL(ask(&f, BP__PEER__VERB__VERB_RULES_CHECK,
+	CU_ASSERT_EQUAL(controlcall_ask(&f, BP__PEER__VERB__VERB_RULES_CHECK,
 			    (const uint8_t *)text, strlen(text), NULL),
 	    BP_OK);
 	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "line 1: no known VM"));
 	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "job j1 (plan)"));
 	CU_ASSERT_PTR_NULL(strstr(f.message, "job other"));
-	CU_ASSERT_EQUAL(ask(&f, BP__PEER__VERB__VERB_RULES_CHECK,
+	CU_ASSERT_EQUAL(controlcall_ask(&f, BP__PEER__VERB__VERB_RULES_CHECK,
 			    (const uint8_t *)spread, strlen(spread), NULL),
 	    BP_OK);
 	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "2 tasks, but 1 places"));
 	/* What is stranded already is not stranded by the change. */
 	CU_ASSERT_EQUAL(publish(&f, "0", "Ann", text), BP_OK);
 	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "warning: line 1: no known"));
-	CU_ASSERT_EQUAL(ask(&f, BP__PEER__VERB__VERB_RULES_CHECK,
+	CU_ASSERT_EQUAL(controlcall_ask(&f, BP__PEER__VERB__VERB_RULES_CHECK,
 			    (const uint8_t *)text, strlen(text), NULL),
 	    BP_OK);
 	CU_ASSERT_PTR_NULL(strstr(f.message, "job j1 (plan)"));
-	tear_down(&f);
+	controlcall_clear(&f);
 }
 
 /* Guards against views that miss what just happened. */
 static void
 test_views_show_the_state(void)
 {
-	fixture_t f;
+	controlcall_t f;
 
-	set_up(&f);
+	controlcall_init(&f);
 	controlrig_add_vm(&f.rig);
 	CU_ASSERT_EQUAL(submit(&f, "j1", 1, 1000), BP_OK);
 	CU_ASSERT_EQUAL(
-	    ask(&f, BP__PEER__VERB__VERB_STATUS, NULL, 0, NULL), BP_OK);
+	    controlcall_ask(&f, BP__PEER__VERB__VERB_STATUS, NULL, 0, NULL),
+	    BP_OK);
 	CU_ASSERT_PTR_NOT_NULL(strstr(f.message, "log: current"));
 	CU_ASSERT_PTR_NOT_NULL(strstr(f.body, "\"tasks_waiting\":1"));
 	CU_ASSERT_PTR_NOT_NULL(strstr(f.body, "\"live\":true"));
 	CU_ASSERT_EQUAL(
-	    ask(&f, BP__PEER__VERB__VERB_METRICS, NULL, 0, NULL), BP_OK);
+	    controlcall_ask(&f, BP__PEER__VERB__VERB_METRICS, NULL, 0, NULL),
+	    BP_OK);
 	CU_ASSERT_PTR_NOT_NULL(strstr(
 	    f.message, "entries_total{kind=\"submit\",result=\"ok\"} 1"));
 	CU_ASSERT_EQUAL(
-	    ask_for(&f, BP__PEER__VERB__VERB_TIMELINE, "job=j1"), BP_OK);
+	    controlcall_ask_for(&f, BP__PEER__VERB__VERB_TIMELINE, "job=j1"),
+	    BP_OK);
 	CU_ASSERT_PTR_NOT_NULL(strstr(f.body, "\"kind\":\"submit\""));
 	CU_ASSERT_PTR_NULL(strstr(f.body, "\"kind\":\"claim\""));
-	CU_ASSERT_EQUAL(
-	    ask_for(&f, BP__PEER__VERB__VERB_WHY, "r1"), BP_ENOTFOUND);
+	CU_ASSERT_EQUAL(controlcall_ask_for(&f, BP__PEER__VERB__VERB_WHY, "r1"),
+	    BP_ENOTFOUND);
 	bp_timeline_add(
 	    f.rig.timeline, "refused", "r1", NULL, NULL, "no_capacity");
-	CU_ASSERT_EQUAL(ask_for(&f, BP__PEER__VERB__VERB_WHY, "r1"), BP_OK);
+	CU_ASSERT_EQUAL(
+	    controlcall_ask_for(&f, BP__PEER__VERB__VERB_WHY, "r1"), BP_OK);
 	CU_ASSERT_STRING_EQUAL(f.message, "refused: no_capacity");
 	CU_ASSERT_EQUAL(
-	    ask_for(&f, BP__PEER__VERB__VERB_KEY_OUTCOME, "s/k"), BP_OK);
+	    controlcall_ask_for(&f, BP__PEER__VERB__VERB_KEY_OUTCOME, "s/k"),
+	    BP_OK);
 	CU_ASSERT_EQUAL(f.outcome, BP_OUTCOME_NOT_KNOWN);
-	tear_down(&f);
+	controlcall_clear(&f);
 }
 
 /* More than one part of a state, which has 512 KiB. */
@@ -398,10 +311,10 @@
 {
 	fetched_t fetched = {0};
 	GString *text = g_string_new(NULL);
-	fixture_t f;
+	controlcall_t f;
 	int i;
 
-	set_up(&f);
+	controlcall_init(&f);
 	for (i = 0; text->len < BP_RULES_MAX_BYTES - 64; i++)
 		g_string_append_printf(text, "team t%d weight 2 # Ann\n", i);
 	for (i = 0; i < RULE_VERSIONS; i++) {
@@ -411,18 +324,18 @@
 		g_free(base);
 	}
 	bp_control_fetch_state(
-	    f.client, f.rig.address, CALL_MS, on_fetched, &fetched);
-	CU_ASSERT_TRUE(wait_until(is_fetched, &fetched, CALL_MS));
+	    f.client, f.rig.address, CONTROLCALL_MS, on_fetched, &fetched);
+	CU_ASSERT_TRUE(wait_until(is_fetched, &fetched, CONTROLCALL_MS));
 	CU_ASSERT_TRUE(fetched.size_bytes > LARGE_BYTES);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(fetched.state);
 	CU_ASSERT_EQUAL(bp_state_rules(fetched.state)->version, RULE_VERSIONS);
 	bp_state_free(fetched.state);
 	g_string_free(text, TRUE);
-	tear_down(&f);
+	controlcall_clear(&f);
 }
 
 static void
-send_mutated(fixture_t *f, bp_random_t *random)
+send_mutated(controlcall_t *f, bp_random_t *random)
 {
 	static const char *const words[] = {"zone-1", "out", "0", "Ann", "j1",
 	    "state=", "job=j1", "1", "", "team=", "\xff", "a\nb",
@@ -446,14 +359,14 @@
 		    (uint8_t)bp_random_next(random);
 	request.body.data = bytes;
 	request.body.len = bp_random_below(random, sizeof(bytes));
-	bp_peer_client_call(
-	    f->client, f->rig.address, &request, CALL_MS, on_done, f);
+	bp_peer_client_call(f->client, f->rig.address, &request, CONTROLCALL_MS,
+	    controlcall_done, f);
 }
 
 static bool
 is_batch_done(void *data)
 {
-	return ((fixture_t *)data)->done == MUTATION_BATCH;
+	return ((controlcall_t *)data)->done == MUTATION_BATCH;
 }
 
 /* Guards against requests that end the node or get no answer. */
@@ -461,10 +374,10 @@
 test_every_request_is_answered(void)
 {
 	bp_random_t random;
-	fixture_t f;
+	controlcall_t f;
 	int i;
 
-	set_up(&f);
+	controlcall_init(&f);
 	controlrig_add_vm(&f.rig);
 	CU_ASSERT_EQUAL(submit(&f, "j1", 1, 1000), BP_OK);
 	bp_random_init(&random, MUTATION_SEED);
@@ -473,11 +386,13 @@
 			f.done = 0;
 		send_mutated(&f, &random);
 		if (i % MUTATION_BATCH == MUTATION_BATCH - 1)
-			CU_ASSERT_TRUE(wait_until(is_batch_done, &f, CALL_MS));
+			CU_ASSERT_TRUE(
+			    wait_until(is_batch_done, &f, CONTROLCALL_MS));
 	}
 	CU_ASSERT_EQUAL(
-	    ask(&f, BP__PEER__VERB__VERB_STATUS, NULL, 0, NULL), BP_OK);
-	tear_down(&f);
+	    controlcall_ask(&f, BP__PEER__VERB__VERB_STATUS, NULL, 0, NULL),
+	    BP_OK);
+	controlcall_clear(&f);
 }
 
 int
