Tell the outcome of requests with an idempotency key

VERB_KEY_OUTCOME answered not_known for every key. It now answers from the table of the gateway in the process that claimed the key (same incarnation) and forwards the question to that node when it is another one.

A key that the state does not hold proved nothing so far: claims were refused below the same horizon at which claimed keys were forgotten. Claimed keys are now kept 5 min longer than claims are accepted, so that a key of that age without a claim was never claimed and never will be; only then not_run is said.

bp_peer_client_call_full tells the owner of a call that the client was freed, so that each question ends exactly once.

The view test asked for the key s/k, which no gateway accepts and which is now refused as invalid; it asks for s/1-k and expects the same answer.

--- a/include/bulrushpost/control.h
+++ b/include/bulrushpost/control.h
@@ -3,6 +3,7 @@
 
 #include "bulrushpost/appender.h"
 #include "bulrushpost/follower.h"
+#include "bulrushpost/gateway.h"
 #include "bulrushpost/metrics.h"
 #include "bulrushpost/peer.h"
 #include "bulrushpost/scheduler.h"
@@ -21,6 +22,7 @@
 	bp_follower_t *follower;
 	bp_appender_t *appender;
 	const bp_scheduler_t *scheduler; /* NULL without that service */
+	bp_gateway_t *gateway; /* NULL without that service */
 	bp_metrics_t *metrics;
 	bp_timeline_t *timeline;
 	const bp_settings_t *settings;
--- a/include/bulrushpost/gateway.h
+++ b/include/bulrushpost/gateway.h
@@ -23,14 +23,22 @@
 
 typedef enum {
 	BP_CLAIM_NOW = 1, /* claimed by this request */
-	BP_CLAIM_TAKEN, /* claimed earlier; node tells by whom */
+	BP_CLAIM_TAKEN, /* claimed earlier; the holder tells by whom */
 	BP_CLAIM_LOG_UNAVAILABLE, /* proven not claimed */
 	BP_CLAIM_NOT_KNOWN /* may be claimed */
 } bp_claim_result_t;
 
-/* node is set for BP_CLAIM_TAKEN only and valid during the call. */
+/* What is known about the request that claimed a key. */
+typedef struct {
+	const char *node; /* that claimed it; NULL when it is not known */
+	bool in_flight;
+	bp_outcome_t outcome;
+	uint32_t http_status; /* of the answer given; 0 when none is known */
+} bp_key_holder_t;
+
+/* holder is set for BP_CLAIM_TAKEN only and valid during the call. */
 typedef void (*bp_claim_done_t)(
-    bp_claim_result_t result, const char *node, void *data);
+    bp_claim_result_t result, const bp_key_holder_t *holder, void *data);
 
 /*
  * Claims idempotency keys. claim calls done exactly once, also from within
@@ -107,6 +115,12 @@
     bp_gateway_t **out, const bp_gateway_options_t *options, bp_error_t *err);
 /* Closes all connections; requests in flight are lost unless drained. */
 void bp_gateway_free(bp_gateway_t *gateway);
+/*
+ * Fills out what this gateway remembers of the request with a key; returns
+ * false when it remembers none.
+ */
+bool bp_gateway_key_outcome(bp_gateway_t *gateway, const char *service,
+    const char *key, bp_key_holder_t *out);
 uint16_t bp_gateway_port(const bp_gateway_t *gateway);
 void bp_gateway_set_gateways(bp_gateway_t *gateway, uint32_t gateways);
 /*
--- a/include/bulrushpost/peer.h
+++ b/include/bulrushpost/peer.h
@@ -57,7 +57,7 @@
 
 bp_peer_client_t *bp_peer_client_new(
     const bp_clock_t *clock, bp_logger_t *logger);
-/* Drops calls in flight; no callback runs afterwards. */
+/* Drops calls in flight, whose done is not called any more. */
 void bp_peer_client_free(bp_peer_client_t *client);
 /*
  * Sends a request to a control address; one connection per address is kept.
@@ -66,5 +66,9 @@
 void bp_peer_client_call(bp_peer_client_t *client, const char *address,
     const Bp__Peer__Frame *request, uint32_t timeout_ms, bp_peer_done_t done,
     void *data);
+/* Does the same; dropped gets data instead of done if the client is freed. */
+void bp_peer_client_call_full(bp_peer_client_t *client, const char *address,
+    const Bp__Peer__Frame *request, uint32_t timeout_ms, bp_peer_done_t done,
+    void *data, GDestroyNotify dropped);
 
 #endif
--- a/include/bulrushpost/state.h
+++ b/include/bulrushpost/state.h
@@ -177,6 +177,9 @@
 bp_node_t *bp_state_node(const bp_state_t *state, const char *name);
 bool bp_state_key_claimed(const bp_state_t *state, const char *key,
     const char **node, uint64_t *incarnation, uint64_t *seq);
+/* Whether it is proven that no record claimed the key or ever will. */
+bool bp_state_key_never_claimed(
+    const bp_state_t *state, const char *key, uint64_t issued_s);
 /* Highest sequence number applied for an incarnation, 0 for none. */
 uint64_t bp_state_seq(const bp_state_t *state, uint64_t incarnation);
 
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -75,6 +75,7 @@
 int bp_cmd_job_status(int argc, char **argv);
 int bp_cmd_job_cancel(int argc, char **argv);
 int bp_cmd_job_list(int argc, char **argv);
+int bp_cmd_request_status(int argc, char **argv);
 int bp_cmd_why(int argc, char **argv);
 int bp_cmd_timeline(int argc, char **argv);
 int bp_cmd_status(int argc, char **argv);
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -26,6 +26,8 @@
     {"job status", "print what became of a job", bp_cmd_job_status},
     {"job cancel", "cancel a job", bp_cmd_job_cancel},
     {"job list", "list the jobs", bp_cmd_job_list},
+    {"request status", "print what became of a request with a key",
+	bp_cmd_request_status},
     {"why", "explain why a job does not run", bp_cmd_why},
     {"timeline", "merge the timelines of all nodes", bp_cmd_timeline},
     {"status", "print the state of a node and of the cluster", bp_cmd_status},
--- a/src/gateway/claim.c
+++ b/src/gateway/claim.c
@@ -20,7 +20,29 @@
 }
 
 static void
-use_result(bp_exchange_t *exchange, bp_claim_result_t result, const char *node)
+answer_taken(bp_exchange_t *exchange, const bp_key_holder_t *holder)
+{
+	const char *node =
+	    holder != NULL && holder->node != NULL ? holder->node : "(unknown)";
+	bp_outcome_t outcome =
+	    holder != NULL ? holder->outcome : BP_OUTCOME_NOT_KNOWN;
+
+	if (holder != NULL && holder->http_status != 0)
+		bp_answer_error(exchange, BP_ECONFLICT, outcome,
+		    "the key was claimed by node %s, which answered its "
+		    "request with status %u",
+		    node, holder->http_status);
+	else
+		bp_answer_error(exchange, BP_ECONFLICT, outcome,
+		    "the key was claimed by node %s%s", node,
+		    holder != NULL && holder->in_flight
+			? ", where its request is in flight"
+			: "");
+}
+
+static void
+use_result(bp_exchange_t *exchange, bp_claim_result_t result,
+    const bp_key_holder_t *holder)
 {
 	bp_keytable_t *keys = exchange->keys;
 	const char *service = exchange->request.service;
@@ -33,9 +55,7 @@
 		return;
 	case BP_CLAIM_TAKEN:
 		bp_keytable_drop(keys, service, key);
-		bp_answer_error(exchange, BP_ECONFLICT, BP_OUTCOME_NOT_KNOWN,
-		    "the key was claimed by node %s",
-		    node != NULL ? node : "(unknown)");
+		answer_taken(exchange, holder);
 		return;
 	case BP_CLAIM_LOG_UNAVAILABLE:
 		bp_keytable_drop(keys, service, key);
@@ -69,7 +89,7 @@
 }
 
 static void
-on_claimed(bp_claim_result_t result, const char *node, void *data)
+on_claimed(bp_claim_result_t result, const bp_key_holder_t *holder, void *data)
 {
 	bp_exchange_t *exchange = data;
 
@@ -77,11 +97,28 @@
 	if (exchange->gateway == NULL || exchange->answered)
 		note_late_result(exchange, result);
 	else
-		use_result(exchange, result, node);
+		use_result(exchange, result, holder);
 	g_clear_pointer(&exchange->keys, bp_keytable_unref);
 	bp_exchange_unref(exchange);
 }
 
+/* See the header. */
+bool
+bp_gateway_key_outcome(bp_gateway_t *gateway, const char *service,
+    const char *key, bp_key_holder_t *out)
+{
+	const bp_key_entry_t *entry = bp_keytable_find(gateway->keys, service,
+	    key, bp_clock_mono_ms(gateway->options.clock));
+
+	if (entry == NULL)
+		return false;
+	out->node = gateway->options.node;
+	out->in_flight = entry->in_flight;
+	out->outcome = entry->in_flight ? BP_OUTCOME_NOT_KNOWN : entry->outcome;
+	out->http_status = entry->in_flight ? 0 : entry->http_status;
+	return true;
+}
+
 /*
  * Claims the idempotency key of a request. A key that this gateway knows is
  * answered at once; otherwise the log decides.
--- a/src/gateway/keytable.c
+++ b/src/gateway/keytable.c
@@ -2,7 +2,7 @@
 
 #include <glib.h>
 
-/* As long as the log keeps claims. */
+/* As long as the log accepts claims of a key. */
 #define KEEP_MS (15 * 60 * 1000)
 /* About 8 MB; a forgotten outcome is answered as not known. */
 #define MAX_ENTRIES 50000
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -114,16 +114,13 @@
 }
 
 /*
- * Checks an idempotency key, UNIXSECONDS-TEXT, against the wall clock and
- * sets the time at which the caller issued it. Claims are kept 15 min, so
- * that a key older than 10 min might have been forgotten soon after.
+ * Checks the form of an idempotency key, UNIXSECONDS-TEXT, and sets the time
+ * at which the caller issued it. Error: BP_EINVALID.
  */
 int
-bp_request_check_key(
-    int64_t *issued_s, const char *key, int64_t wall_ms, bp_error_t *err)
+bp_request_parse_key(int64_t *issued_s, const char *key, bp_error_t *err)
 {
 	size_t digits = count_digits(key);
-	int64_t now_s = wall_ms / MS_PER_S;
 	const char *p;
 
 	if (digits == 0 || digits > KEY_MAX_DIGITS || key[digits] != '-' ||
@@ -139,6 +136,23 @@
 			    "printable ASCII");
 	}
 	*issued_s = g_ascii_strtoll(key, NULL, 10);
+	return BP_OK;
+}
+
+/*
+ * Checks an idempotency key against the wall clock as well. Claims are
+ * accepted for 15 min, so that a key older than 10 min might expire soon
+ * after. Errors: BP_EINVALID, and BP_EEXPIRED for an old key.
+ */
+int
+bp_request_check_key(
+    int64_t *issued_s, const char *key, int64_t wall_ms, bp_error_t *err)
+{
+	int64_t now_s = wall_ms / MS_PER_S;
+	int rc = bp_request_parse_key(issued_s, key, err);
+
+	if (rc != BP_OK)
+		return rc;
 	if (now_s - *issued_s > KEY_MAX_AGE_S)
 		return bp_error_set(err, BP_EEXPIRED,
 		    "Idempotency-Key was issued %" G_GINT64_FORMAT
--- a/src/gateway/request.h
+++ b/src/gateway/request.h
@@ -34,6 +34,7 @@
 int bp_request_parse(bp_request_t *out, bp_arena_t *arena,
     const bp_request_source_t *source, uint32_t default_deadline_ms,
     int64_t now_us, bp_error_t *err);
+int bp_request_parse_key(int64_t *issued_s, const char *key, bp_error_t *err);
 int bp_request_check_key(
     int64_t *issued_s, const char *key, int64_t wall_ms, bp_error_t *err);
 int64_t bp_request_left_ms(const bp_request_t *request, int64_t now_us);
--- a/src/node/control.c
+++ b/src/node/control.c
@@ -146,6 +146,7 @@
 		g_free(control);
 		return rc;
 	}
+	control->client = bp_peer_client_new(options->clock, options->logger);
 	control->liveness =
 	    bp_liveness_new(settings->node.name, settings->timing.death_ms);
 	bp_follower_observe(options->follower, on_applied, control);
@@ -161,6 +162,8 @@
 	if (control == NULL)
 		return;
 	bp_follower_forget(control->options.follower, control);
+	/* Questions to other nodes end with an answer to their request. */
+	bp_peer_client_free(control->client);
 	bp_peer_server_free(control->server);
 	bp_liveness_free(control->liveness);
 	if (control->snapshot != NULL)
--- a/src/node/control_job.c
+++ b/src/node/control_job.c
@@ -310,38 +310,3 @@
 	g_string_free(text, TRUE);
 	g_list_free(jobs);
 }
-
-/*
- * VERB_KEY_OUTCOME: arg service/key. A claim tells who took the request; a
- * missing one proves nothing while it may still be on its way.
- */
-void
-bp_control_key_outcome(bp_control_t *control, bp_peer_request_t *request)
-{
-	const char *key = bp_control_arg(request, 0);
-	const char *node = NULL;
-	uint64_t seq = 0;
-	JsonBuilder *json;
-	char *message;
-	char *body;
-	bool claimed;
-
-	if (bp_control_refuse_unknown_state(control, request))
-		return;
-	claimed = bp_state_key_claimed(
-	    bp_control_state(control), key, &node, NULL, &seq);
-	message = claimed
-	    ? g_strdup_printf("the key was claimed by node %s, which sent the "
-			      "request at most once",
-		  node)
-	    : g_strdup("the key is not claimed in the log as read so far");
-	json = json_builder_new();
-	json_builder_begin_object(json);
-	bp_control_put_flag(json, "claimed", claimed);
-	bp_control_put_text(json, "node", claimed ? node : "");
-	bp_control_put_text(json, "outcome", "not_known");
-	body = bp_control_finish_json(json);
-	bp_control_reply(request, BP_OK, BP_OUTCOME_NOT_KNOWN, message, body);
-	g_free(body);
-	g_free(message);
-}
--- a/src/node/control_private.h
+++ b/src/node/control_private.h
@@ -16,6 +16,7 @@
 	bp_control_options_t options;
 	bp_peer_server_t *server;
 	bp_liveness_t *liveness;
+	bp_peer_client_t *client; /* to other nodes */
 	bool draining;
 	GByteArray *snapshot; /* being fetched in parts; NULL when none */
 	uint64_t snapshot_offset;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -164,6 +164,14 @@
 build_gateway(node_t *node, bp_error_t *err)
 {
 	bp_gateway_options_t options;
+	bp_keyclaim_options_t keyclaim = {
+	    .clock = node->clock,
+	    .logger = node->logger,
+	    .appender = node->appender,
+	    .follower = node->follower,
+	    .node = node->settings->node.name,
+	    .give_up_ms = KEY_GIVE_UP_MS,
+	};
 	GSocketConnectable *address;
 	int rc;
 
@@ -174,8 +182,7 @@
 	if (address == NULL)
 		return bp_error_set(err, BP_EINVALID, "cannot listen on %s",
 		    node->settings->listen.gateway);
-	node->keyclaim =
-	    bp_keyclaim_new(node->appender, node->follower, KEY_GIVE_UP_MS);
+	node->keyclaim = bp_keyclaim_new(&keyclaim);
 	(void)bp_gateway_options_init(&options);
 	options.clock = node->clock;
 	options.logger = node->logger;
@@ -214,6 +221,7 @@
 	options.follower = node->follower;
 	options.appender = node->appender;
 	options.scheduler = node->scheduler;
+	options.gateway = node->gateway;
 	options.metrics = node->metrics;
 	options.timeline = node->timeline;
 	options.settings = node->settings;
--- a/src/node/peer_client.c
+++ b/src/node/peer_client.c
@@ -36,6 +36,7 @@
 	guint timer;
 	bp_peer_done_t done;
 	void *data;
+	GDestroyNotify dropped; /* may be NULL */
 } call_t;
 
 static void
@@ -49,6 +50,17 @@
 	g_free(call);
 }
 
+/* Frees a call that did not end. */
+static void
+call_drop(gpointer data)
+{
+	call_t *call = data;
+
+	if (call->dropped != NULL)
+		call->dropped(call->data);
+	call_free(call);
+}
+
 static void
 clear_peer(gpointer data)
 {
@@ -284,7 +296,7 @@
 	peer->client = client;
 	peer->address = g_strdup(address);
 	peer->calls =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, call_free);
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, call_drop);
 	g_hash_table_insert(client->peers, peer->address, peer);
 	return peer;
 }
@@ -318,11 +330,11 @@
 	return G_SOURCE_REMOVE;
 }
 
-/* Sends a request; see the header for what done is told. */
+/* Sends a request; see the header for what done and dropped are told. */
 void
-bp_peer_client_call(bp_peer_client_t *client, const char *address,
+bp_peer_client_call_full(bp_peer_client_t *client, const char *address,
     const Bp__Peer__Frame *request, uint32_t timeout_ms, bp_peer_done_t done,
-    void *data)
+    void *data, GDestroyNotify dropped)
 {
 	peer_t *peer = find_peer(client, address);
 	call_t *call = g_new0(call_t, 1);
@@ -333,6 +345,7 @@
 	call->request = copy_request(request, call->correlation);
 	call->done = done;
 	call->data = data;
+	call->dropped = dropped;
 	call->timer = g_timeout_add(timeout_ms, on_timeout, call);
 	g_hash_table_insert(peer->calls, &call->correlation, call);
 	if (peer->link != NULL) {
@@ -344,3 +357,13 @@
 		connect_peer(peer);
 	}
 }
+
+/* Sends a request whose data nobody frees if the client is freed. */
+void
+bp_peer_client_call(bp_peer_client_t *client, const char *address,
+    const Bp__Peer__Frame *request, uint32_t timeout_ms, bp_peer_done_t done,
+    void *data)
+{
+	bp_peer_client_call_full(
+	    client, address, request, timeout_ms, done, data, NULL);
+}
--- a/src/proto/log.pb-c.c
+++ b/src/proto/log.pb-c.c
@@ -3792,7 +3792,7 @@
   (ProtobufCMessageInit) bp__log__key_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__log__snapshot__field_descriptors[13] =
+static const ProtobufCFieldDescriptor bp__log__snapshot__field_descriptors[14] =
 {
   {
     "version",
@@ -3950,12 +3950,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "keys_kept_s",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Log__Snapshot, keys_kept_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__log__snapshot__field_indices_by_name[] = {
   3,   /* field[3] = incarnations */
   6,   /* field[6] = jobs */
   11,   /* field[11] = key_horizon_s */
   9,   /* field[9] = keys */
+  13,   /* field[13] = keys_kept_s */
   1,   /* field[1] = next_offset */
   2,   /* field[2] = nodes */
   10,   /* field[10] = now_ms */
@@ -3969,7 +3982,7 @@
 static const ProtobufCIntRange bp__log__snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor bp__log__snapshot__descriptor =
 {
@@ -3979,7 +3992,7 @@
   "Bp__Log__Snapshot",
   "bp.log",
   sizeof(Bp__Log__Snapshot),
-  13,
+  14,
   bp__log__snapshot__field_descriptors,
   bp__log__snapshot__field_indices_by_name,
   1,  bp__log__snapshot__number_ranges,
--- a/src/proto/log.pb-c.h
+++ b/src/proto/log.pb-c.h
@@ -517,10 +517,14 @@
    * pruning is part of the deterministic state
    */
   uint64_t pruned_ms;
+  /*
+   * no claimed key issued since then was forgotten; 0: key_horizon_s
+   */
+  uint64_t keys_kept_s;
 };
 #define BP__LOG__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__log__snapshot__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Bp__Log__SnapshotChunk
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -78,7 +78,7 @@
    */
   BP__PEER__VERB__VERB_JOB_LIST = 15,
   /*
-   * args: service/key
+   * args: service/key, optional "own" (ask no other node);
    */
   BP__PEER__VERB__VERB_KEY_OUTCOME = 16
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BP__PEER__VERB)
--- a/src/state/private.h
+++ b/src/state/private.h
@@ -34,7 +34,8 @@
 	GPtrArray *history; /* bp_rules_version_t, oldest first */
 	GArray *observers; /* bp_observer_slot_t */
 	uint64_t next_offset;
-	uint64_t key_horizon_s; /* keys issued earlier are forgotten */
+	uint64_t key_horizon_s; /* keys issued earlier are not claimed */
+	uint64_t keys_kept_s; /* claimed keys issued earlier are forgotten */
 	int64_t now_ms;
 	int64_t pruned_ms;
 };
--- a/src/state/snapshot_load.c
+++ b/src/state/snapshot_load.c
@@ -248,6 +248,10 @@
 	state->next_offset = snapshot->next_offset;
 	state->now_ms = (int64_t)snapshot->now_ms;
 	state->key_horizon_s = snapshot->key_horizon_s;
+	/* An earlier release forgot all keys up to the horizon. */
+	state->keys_kept_s = snapshot->keys_kept_s != 0
+	    ? snapshot->keys_kept_s
+	    : snapshot->key_horizon_s;
 	state->pruned_ms = (int64_t)snapshot->pruned_ms;
 	for (i = 0; i < snapshot->n_zones; i++)
 		load_zone(state, snapshot->zones[i]);
--- a/tests/cli/test_cli.c
+++ b/tests/cli/test_cli.c
@@ -124,6 +124,15 @@
 	    "cancel j1 --by Ann --node %s", node);
 	expect(bp_cmd_job_status, 3, "outcome: not_known",
 	    "status none --node %s", node);
+	expect(bp_cmd_request_status, 3, "outcome: not_known",
+	    "status 1-k --service s --node %s", node);
+	expect(bp_cmd_request_status, 3, "\"claimed\":false",
+	    "status 1-k --service s --json --node %s", node);
+	expect(bp_cmd_request_status, 2, "UNIXSECONDS",
+	    "status k --service s --node %s", node);
+	expect(bp_cmd_request_status, 2, "--service", "status 1-k");
+	expect(bp_cmd_request_status, 4, "outcome: not_known",
+	    "status 1-k --service s --node 127.0.0.1:1");
 	expect(bp_cmd_status, 0, "node node-1", "status --node %s", node);
 	expect(bp_cmd_metrics, 0, "bulrushpost_entries_total",
 	    "metrics --node %s", node);
--- a/tests/gateway/test_claim.c
+++ b/tests/gateway/test_claim.c
@@ -10,6 +10,7 @@
 typedef struct {
 	bp_key_claimer_t claimer;
 	bp_claim_result_t result;
+	uint32_t holder_status;
 	bool hold;
 	int claims;
 	bp_claim_done_t done;
@@ -22,11 +23,16 @@
 {
 	fake_claimer_t *fake = (fake_claimer_t *)claimer;
 
+	bp_key_holder_t holder = {.node = "node-7",
+	    .outcome = fake->holder_status != 0 ? BP_OUTCOME_RAN
+						: BP_OUTCOME_NOT_KNOWN,
+	    .http_status = fake->holder_status};
+
 	fake->claims++;
 	fake->done = done;
 	fake->data = data;
 	if (!fake->hold)
-		done(fake->result, "node-7", data);
+		done(fake->result, &holder, data);
 }
 
 typedef struct {
@@ -94,6 +100,8 @@
 
 	start(&f, BP_CLAIM_TAKEN);
 	CU_ASSERT_TRUE(expect(&f, 409, "not_known"));
+	f.fake.holder_status = 201;
+	CU_ASSERT_TRUE(expect(&f, 409, "ran"));
 	f.fake.result = BP_CLAIM_LOG_UNAVAILABLE;
 	CU_ASSERT_TRUE(expect(&f, 503, "not_run"));
 	f.fake.result = BP_CLAIM_NOT_KNOWN;
--- a/tests/node/test_control.c
+++ b/tests/node/test_control.c
@@ -269,7 +269,7 @@
 	    controlcall_ask_for(&f, BP__PEER__VERB__VERB_WHY, "r1"), BP_OK);
 	CU_ASSERT_STRING_EQUAL(f.message, "refused: no_capacity");
 	CU_ASSERT_EQUAL(
-	    controlcall_ask_for(&f, BP__PEER__VERB__VERB_KEY_OUTCOME, "s/k"),
+	    controlcall_ask_for(&f, BP__PEER__VERB__VERB_KEY_OUTCOME, "s/1-k"),
 	    BP_OK);
 	CU_ASSERT_EQUAL(f.outcome, BP_OUTCOME_NOT_KNOWN);
 	controlcall_clear(&f);
--- a/tests/node/test_control_request.c
+++ b/tests/node/test_control_request.c
@@ -1,3 +1,4 @@
+#include "bulrushpost/keyclaim.h"
 #include "support/controlcall.h"
 #include "support/gatewayfix.h"
 #include "support/runner.h"
@@ -55,11 +56,189 @@
 	controlcall_clear(&f);
 }
 
+#define KEY_HEADER "Idempotency-Key: "
+
+/* A node that claimed keys: its gateway, and a control service beside it. */
+typedef struct {
+	bp_key_claimer_t claimer;
+	fix_t gateway;
+	controlcall_t control;
+	char *header; /* with a key issued now */
+	char *full_key; /* of service s */
+} holder_t;
+
+static void
+claim_at_once(const bp_key_claimer_t *claimer, const char *service,
+    const char *key, int64_t issued_s, bp_claim_done_t done, void *data)
+{
+	done(BP_CLAIM_NOW, NULL, data);
+}
+
+static bool
+is_claimed(void *data)
+{
+	holder_t *holder = data;
+
+	return bp_state_key_claimed(
+	    bp_follower_state(holder->control.rig.log.follower),
+	    holder->full_key, NULL, NULL, NULL);
+}
+
+/* Puts the claim of this node's own incarnation into its log. */
+static void
+append_claim(holder_t *holder)
+{
+	Bp__Log__Entry entry = BP__LOG__ENTRY__INIT;
+	Bp__Log__KeyClaim claim = BP__LOG__KEY_CLAIM__INIT;
+
+	claim.key = holder->full_key;
+	claim.issued_s = (uint64_t)(g_get_real_time() / G_USEC_PER_SEC);
+	entry.body_case = BP__LOG__ENTRY__BODY_KEY_CLAIM;
+	entry.key_claim = &claim;
+	CU_ASSERT_EQUAL(bp_appender_add(holder->control.rig.log.appender,
+			    &entry, 2000, NULL, NULL, NULL),
+	    BP_OK);
+	CU_ASSERT_TRUE(wait_until(is_claimed, holder, CONTROLCALL_MS));
+}
+
+static void
+holder_start(holder_t *holder)
+{
+	gint64 now_s = g_get_real_time() / G_USEC_PER_SEC;
+
+	memset(holder, 0, sizeof(*holder));
+	holder->claimer.claim = claim_at_once;
+	fix_start(&holder->gateway, 1, EXECUTOR_OK, &holder->claimer);
+	controlcall_init_gateway(&holder->control, holder->gateway.gateway);
+	holder->header =
+	    g_strdup_printf(KEY_HEADER "%" G_GINT64_FORMAT "-a", now_s);
+	holder->full_key =
+	    g_strconcat("s/", holder->header + strlen(KEY_HEADER), NULL);
+}
+
+static void
+holder_stop(holder_t *holder)
+{
+	controlcall_clear(&holder->control);
+	fix_stop(&holder->gateway);
+	g_free(holder->header);
+	g_free(holder->full_key);
+}
+
+static int
+key_outcome(controlcall_t *call, const char *full_key)
+{
+	return controlcall_ask_for(
+	    call, BP__PEER__VERB__VERB_KEY_OUTCOME, (char *)full_key);
+}
+
+/* Guards against an outcome without proof, or one that is withheld. */
+static void
+test_key_outcome_is_that_of_the_gateway(void)
+{
+	holder_t h;
+
+	holder_start(&h);
+	CU_ASSERT_TRUE(
+	    fix_expect(&h.gateway, "POST", "/s/x", h.header, 200, NULL));
+	CU_ASSERT_EQUAL(key_outcome(&h.control, h.full_key), BP_OK);
+	CU_ASSERT_EQUAL(h.control.outcome, BP_OUTCOME_NOT_KNOWN);
+	CU_ASSERT_PTR_NOT_NULL(strstr(h.control.body, "\"claimed\":false"));
+	append_claim(&h);
+	CU_ASSERT_EQUAL(key_outcome(&h.control, h.full_key), BP_OK);
+	CU_ASSERT_EQUAL(h.control.outcome, BP_OUTCOME_RAN);
+	CU_ASSERT_STRING_EQUAL(h.control.arg, "200");
+	/* A refused request keeps its key, and was not run. */
+	CU_ASSERT_TRUE(fix_expect(
+	    &h.gateway, "POST", "/none/x", h.header, 404, "not_run"));
+	g_free(h.full_key);
+	h.full_key = g_strconcat("none/", h.header + strlen(KEY_HEADER), NULL);
+	append_claim(&h);
+	CU_ASSERT_EQUAL(key_outcome(&h.control, h.full_key), BP_OK);
+	CU_ASSERT_EQUAL(h.control.outcome, BP_OUTCOME_NOT_RUN);
+	/* An earlier process of the node remembers nothing. */
+	logrig_put_key(&h.control.rig.log, "node-1", "127.0.0.1:1",
+	    "s/1790000000-earlier", 1);
+	run_for(200);
+	CU_ASSERT_EQUAL(key_outcome(&h.control, "s/1790000000-earlier"), BP_OK);
+	CU_ASSERT_EQUAL(h.control.outcome, BP_OUTCOME_NOT_KNOWN);
+	CU_ASSERT_PTR_NOT_NULL(strstr(h.control.body, "\"claimed\":true"));
+	CU_ASSERT_EQUAL(key_outcome(&h.control, "s/none"), BP_EINVALID);
+	CU_ASSERT_EQUAL(h.control.outcome, BP_OUTCOME_NOT_KNOWN);
+	CU_ASSERT_EQUAL(key_outcome(&h.control, "none"), BP_EINVALID);
+	holder_stop(&h);
+}
+
+/* An address that accepts connections and never answers. */
+static char *
+silent_address(GSocketListener *listener)
+{
+	return g_strdup_printf("127.0.0.1:%u",
+	    g_socket_listener_add_any_inet_port(listener, NULL, NULL));
+}
+
+/*
+ * Guards against a caller that repeats through another gateway and does not
+ * learn the outcome, waits for a node that is gone, or is forgotten when its
+ * gateway stops meanwhile.
+ */
+static void
+test_other_gateway_learns_the_outcome(void)
+{
+	GSocketListener *listener = g_socket_listener_new();
+	char *silent = silent_address(listener);
+	bp_keyclaim_options_t options = {
+	    .clock = bp_clock_system(), .node = "node-1", .give_up_ms = 1500};
+	bp_keyclaim_t *keyclaim;
+	controlcall_t other;
+	gint64 start_us;
+	call_t *call;
+	holder_t h;
+	fix_t g;
+
+	holder_start(&h);
+	CU_ASSERT_TRUE(
+	    fix_expect(&h.gateway, "POST", "/s/x", h.header, 200, NULL));
+	append_claim(&h);
+	controlcall_init(&other);
+	options.appender = other.rig.log.appender;
+	options.follower = other.rig.log.follower;
+	keyclaim = bp_keyclaim_new(&options);
+	fix_start(&g, 1, EXECUTOR_OK, bp_keyclaim_claimer(keyclaim));
+	logrig_put_key(
+	    &other.rig.log, "node-7", h.control.rig.address, h.full_key, 1);
+	run_for(200);
+	CU_ASSERT_TRUE(fix_expect(&g, "POST", "/s/x", h.header, 409, "ran"));
+	CU_ASSERT_EQUAL(executor_count(g.executors[0], ""), 0);
+	CU_ASSERT_EQUAL(key_outcome(&other, h.full_key), BP_OK);
+	CU_ASSERT_EQUAL(other.outcome, BP_OUTCOME_RAN);
+	CU_ASSERT_PTR_NOT_NULL(strstr(other.message, "node-7"));
+	/* The node moved to an address where nobody answers. */
+	logrig_put_key(&other.rig.log, "node-7", silent, "s/1-other", 2);
+	run_for(200);
+	start_us = g_get_monotonic_time();
+	CU_ASSERT_TRUE(
+	    fix_expect(&g, "POST", "/s/x", h.header, 409, "not_known"));
+	CU_ASSERT_TRUE(g_get_monotonic_time() - start_us >= 250000);
+	call = call_new(&g, "POST", "/s/x", h.header, NULL);
+	fix_run_ms(50);
+	fix_stop(&g);
+	bp_keyclaim_free(keyclaim);
+	call_free(call_wait(call));
+	controlcall_clear(&other);
+	holder_stop(&h);
+	g_socket_listener_close(listener);
+	g_object_unref(listener);
+	g_free(silent);
+}
+
 int
 main(void)
 {
 	CU_TestInfo tests[] = {
 	    {"why", test_why_explains_requests},
+	    {"key outcome", test_key_outcome_is_that_of_the_gateway},
+	    {"other gateway", test_other_gateway_learns_the_outcome},
 	    CU_TEST_INFO_NULL,
 	};
 
--- a/tests/support/controlcall.c
+++ b/tests/support/controlcall.c
@@ -6,9 +6,15 @@
 
 void
 controlcall_init(controlcall_t *call)
+{
+	controlcall_init_gateway(call, NULL);
+}
+
+void
+controlcall_init_gateway(controlcall_t *call, bp_gateway_t *gateway)
 {
 	memset(call, 0, sizeof(*call));
-	controlrig_init(&call->rig);
+	controlrig_init_gateway(&call->rig, gateway);
 	call->client = bp_peer_client_new(bp_clock_system(), NULL);
 }
 
--- a/tests/support/controlcall.h
+++ b/tests/support/controlcall.h
@@ -18,6 +18,7 @@
 } controlcall_t;
 
 void controlcall_init(controlcall_t *call);
+void controlcall_init_gateway(controlcall_t *call, bp_gateway_t *gateway);
 void controlcall_clear(controlcall_t *call);
 /* Counts and stores an answer; data is the controlcall_t. */
 void controlcall_done(
--- a/tests/support/controlrig.c
+++ b/tests/support/controlrig.c
@@ -5,6 +5,12 @@
 
 void
 controlrig_init(controlrig_t *rig)
+{
+	controlrig_init_gateway(rig, NULL);
+}
+
+void
+controlrig_init_gateway(controlrig_t *rig, bp_gateway_t *gateway)
 {
 	bp_control_options_t options = {0};
 
@@ -22,6 +28,7 @@
 	options.clock = bp_clock_system();
 	options.follower = rig->log.follower;
 	options.appender = rig->log.appender;
+	options.gateway = gateway;
 	options.metrics = rig->metrics;
 	options.timeline = rig->timeline;
 	options.settings = &rig->settings;
--- a/tests/support/controlrig.h
+++ b/tests/support/controlrig.h
@@ -16,6 +16,7 @@
 
 /* The node is node-1 in zone-1; its first record has been read. */
 void controlrig_init(controlrig_t *rig);
+void controlrig_init_gateway(controlrig_t *rig, bp_gateway_t *gateway);
 void controlrig_clear(controlrig_t *rig);
 /* Makes VM w1 of 4 processors in rack zone-1/r1 known through the log. */
 void controlrig_add_vm(controlrig_t *rig);
--- a/tests/support/logrig.c
+++ b/tests/support/logrig.c
@@ -180,6 +180,30 @@
 	put_record(rig, &record);
 }
 
+void
+logrig_put_key(logrig_t *rig, const char *node, const char *address,
+    const char *key, uint64_t seq)
+{
+	Bp__Log__Record record = BP__LOG__RECORD__INIT;
+	Bp__Log__Entry entry = BP__LOG__ENTRY__INIT;
+	Bp__Log__Entry *entries[] = {&entry};
+	Bp__Log__KeyClaim claim = BP__LOG__KEY_CLAIM__INIT;
+
+	claim.key = (char *)key;
+	claim.issued_s = (uint64_t)(g_get_real_time() / G_USEC_PER_SEC);
+	entry.body_case = BP__LOG__ENTRY__BODY_KEY_CLAIM;
+	entry.key_claim = &claim;
+	record.version = BP_RECORD_VERSION;
+	record.node = (char *)node;
+	record.incarnation = 8;
+	record.seq = seq;
+	record.zone = "zone-2";
+	record.address = (char *)address;
+	record.n_entries = 1;
+	record.entries = entries;
+	put_record(rig, &record);
+}
+
 void
 logrig_put_version(logrig_t *rig, uint32_t version)
 {
--- a/tests/support/logrig.h
+++ b/tests/support/logrig.h
@@ -36,6 +36,9 @@
     logrig_t *rig, const char *job, uint32_t give_up_ms, outcome_t *outcome);
 /* Puts a record of another node with such a submission into the log. */
 void logrig_put_job(logrig_t *rig, const char *job, uint64_t seq);
+/* Puts the claim of a key by a node at an address into the log. */
+void logrig_put_key(logrig_t *rig, const char *node, const char *address,
+    const char *key, uint64_t seq);
 void logrig_put_version(logrig_t *rig, uint32_t version);
 /* Puts chunks of the state's snapshot into the log, leaving some out. */
 void logrig_put_snapshot(
