Free dropped state fetches; tell callers of expired claims

bp_control_fetch_state lost its record when the client was freed during a fetch. The record now goes with the call.

A claim that the state machine refused as expired was answered as log_unavailable, which advises to wait and repeat; no repeat of that key can succeed. It is answered 410 expired, not_run.

--- a/include/bulrushpost/gateway.h
+++ b/include/bulrushpost/gateway.h
@@ -25,6 +25,7 @@
 	BP_CLAIM_NOW = 1, /* claimed by this request */
 	BP_CLAIM_TAKEN, /* claimed earlier; the holder tells by whom */
 	BP_CLAIM_LOG_UNAVAILABLE, /* proven not claimed */
+	BP_CLAIM_EXPIRED, /* too old to be claimed; proven not claimed */
 	BP_CLAIM_NOT_KNOWN /* may be claimed */
 } bp_claim_result_t;
 
--- a/src/gateway/claim.c
+++ b/src/gateway/claim.c
@@ -63,6 +63,12 @@
 		    "the key could not be claimed, so that this request was "
 		    "not sent");
 		return;
+	case BP_CLAIM_EXPIRED:
+		bp_keytable_drop(keys, service, key);
+		bp_answer_error(exchange, BP_EEXPIRED, BP_OUTCOME_NOT_RUN,
+		    "the key was issued too long ago to be claimed in the "
+		    "log, so that this request was not sent");
+		return;
 	case BP_CLAIM_NOT_KNOWN:
 		break;
 	}
--- a/src/node/keyclaim.c
+++ b/src/node/keyclaim.c
@@ -57,7 +57,14 @@
 		return err != NULL && err->kind == BP_ELOGDOWN
 		    ? BP_CLAIM_LOG_UNAVAILABLE
 		    : BP_CLAIM_NOT_KNOWN;
-	return applied->kind == BP_OK ? BP_CLAIM_NOW : BP_CLAIM_LOG_UNAVAILABLE;
+	switch (applied->kind) {
+	case BP_OK:
+		return BP_CLAIM_NOW;
+	case BP_EEXPIRED:
+		return BP_CLAIM_EXPIRED;
+	default:
+		return BP_CLAIM_LOG_UNAVAILABLE;
+	}
 }
 
 static void
--- a/src/node/statefetch.c
+++ b/src/node/statefetch.c
@@ -20,6 +20,18 @@
 
 static void ask(fetch_t *fetch);
 
+/* Also ends a fetch whose client is freed; done is not called then. */
+static void
+fetch_free(gpointer data)
+{
+	fetch_t *fetch = data;
+
+	g_byte_array_unref(fetch->bytes);
+	g_free(fetch->offset);
+	g_free(fetch->address);
+	g_free(fetch);
+}
+
 static void
 finish(fetch_t *fetch, const bp_error_t *err)
 {
@@ -28,10 +40,7 @@
 	else
 		fetch->done(
 		    fetch->bytes->data, fetch->bytes->len, NULL, fetch->data);
-	g_byte_array_unref(fetch->bytes);
-	g_free(fetch->offset);
-	g_free(fetch->address);
-	g_free(fetch);
+	fetch_free(fetch);
 }
 
 static void
@@ -100,8 +109,8 @@
 	request.verb = BP__PEER__VERB__VERB_STATE;
 	request.args = args;
 	request.n_args = G_N_ELEMENTS(args);
-	bp_peer_client_call(fetch->client, fetch->address, &request,
-	    fetch->timeout_ms, on_part, fetch);
+	bp_peer_client_call_full(fetch->client, fetch->address, &request,
+	    fetch->timeout_ms, on_part, fetch, fetch_free);
 	g_free(args[0]);
 }
 
--- a/tests/node/test_control.c
+++ b/tests/node/test_control.c
@@ -334,6 +334,23 @@
 	controlcall_clear(&f);
 }
 
+/* Guards, with the sanitizers, against a leak when a fetch is dropped. */
+static void
+test_dropped_fetch_is_freed(void)
+{
+	fetched_t fetched = {0};
+	controlcall_t f;
+
+	controlcall_init(&f);
+	bp_control_fetch_state(
+	    f.client, f.rig.address, CONTROLCALL_MS, on_fetched, &fetched);
+	bp_peer_client_free(f.client);
+	f.client = NULL;
+	run_for(50);
+	CU_ASSERT_EQUAL(fetched.done, 0);
+	controlcall_clear(&f);
+}
+
 static void
 send_mutated(controlcall_t *f, bp_random_t *random)
 {
@@ -407,6 +424,7 @@
 	    {"effects", test_check_warns_of_effects},
 	    {"views", test_views_show_the_state},
 	    {"large state", test_large_state_is_fetched_in_parts},
+	    {"dropped fetch", test_dropped_fetch_is_freed},
 	    {"mutated requests", test_every_request_is_answered},
 	    CU_TEST_INFO_NULL,
 	};
--- a/tests/node/test_control_request.c
+++ b/tests/node/test_control_request.c
@@ -232,6 +232,37 @@
 	g_free(silent);
 }
 
+/*
+ * Guards against a claim that the log refuses as too old and that callers are
+ * told to repeat, as if the log were down.
+ */
+static void
+test_expired_claim_is_told(void)
+{
+	bp_keyclaim_options_t options = {
+	    .clock = bp_clock_system(), .node = "node-1", .give_up_ms = 1500};
+	gint64 now_s = g_get_real_time() / G_USEC_PER_SEC;
+	char *header =
+	    g_strdup_printf(KEY_HEADER "%" G_GINT64_FORMAT "-a", now_s);
+	bp_keyclaim_t *keyclaim;
+	controlcall_t c;
+	fix_t g;
+
+	controlcall_init(&c);
+	options.appender = c.rig.log.appender;
+	options.follower = c.rig.log.follower;
+	keyclaim = bp_keyclaim_new(&options);
+	fix_start(&g, 1, EXECUTOR_OK, bp_keyclaim_claimer(keyclaim));
+	logrig_put_clock(&c.rig.log, 20 * 60);
+	run_for(200);
+	CU_ASSERT_TRUE(fix_expect(&g, "POST", "/s/x", header, 410, "not_run"));
+	CU_ASSERT_EQUAL(executor_count(g.executors[0], ""), 0);
+	fix_stop(&g);
+	bp_keyclaim_free(keyclaim);
+	controlcall_clear(&c);
+	g_free(header);
+}
+
 int
 main(void)
 {
@@ -239,6 +270,7 @@
 	    {"why", test_why_explains_requests},
 	    {"key outcome", test_key_outcome_is_that_of_the_gateway},
 	    {"other gateway", test_other_gateway_learns_the_outcome},
+	    {"expired claim", test_expired_claim_is_told},
 	    CU_TEST_INFO_NULL,
 	};
 
--- a/tests/support/logrig.c
+++ b/tests/support/logrig.c
@@ -204,6 +204,20 @@
 	put_record(rig, &record);
 }
 
+void
+logrig_put_clock(logrig_t *rig, int64_t ahead_s)
+{
+	Bp__Log__Record record = BP__LOG__RECORD__INIT;
+
+	record.version = BP_RECORD_VERSION;
+	record.node = "node-3";
+	record.incarnation = 9;
+	record.seq = 1;
+	record.zone = "zone-2";
+	record.time_ms = (uint64_t)(g_get_real_time() / 1000 + ahead_s * 1000);
+	put_record(rig, &record);
+}
+
 void
 logrig_put_version(logrig_t *rig, uint32_t version)
 {
--- a/tests/support/logrig.h
+++ b/tests/support/logrig.h
@@ -39,6 +39,8 @@
 /* Puts the claim of a key by a node at an address into the log. */
 void logrig_put_key(logrig_t *rig, const char *node, const char *address,
     const char *key, uint64_t seq);
+/* Puts a record whose writer's wall clock is ahead into the log. */
+void logrig_put_clock(logrig_t *rig, int64_t ahead_s);
 void logrig_put_version(logrig_t *rig, uint32_t version);
 /* Puts chunks of the state's snapshot into the log, leaving some out. */
 void logrig_put_snapshot(
