--- a/src/state/private.h
+++ b/src/state/private.h
@@ -66,6 +66,8 @@
 int bp_apply_check_owner(
     bp_apply_t *ctx, const bp_rack_t *rack, uint64_t epoch);
 
+/* Moves the horizon of the keys with the record time. */
+void bp_state_prune_keys(bp_state_t *state);
 bp_zone_t *bp_state_add_zone(bp_state_t *state, const char *name);
 bp_rack_t *bp_state_add_rack(bp_state_t *state, const char *name);
 bp_vm_t *bp_state_add_vm(bp_state_t *state, const char *name, bp_rack_t *rack);
--- a/src/state/state.c
+++ b/src/state/state.c
@@ -5,19 +5,11 @@
 /* Ended jobs stay visible to "job status" for this long. */
 #define ENDED_JOB_KEEP_MS (6LL * 3600 * 1000)
 /* Claimed idempotency keys are kept for this long after their issue. */
-/* Claims of keys that were issued earlier are refused. */
-#define KEY_CLAIM_S (15ULL * 60)
-/*
- * Claimed keys are kept this much longer than claims are accepted. A key of
- * that age that is not claimed is proven never to be.
- */
-#define KEY_PROOF_S (5ULL * 60)
 /* Nodes that wrote nothing for this long were replaced under other names. */
 #define NODE_KEEP_MS (24LL * 3600 * 1000)
 #define PRUNE_INTERVAL_MS (60LL * 1000)
 #define INCARNATIONS_MAX 4096U
 #define RULES_HISTORY_MAX 20U
-#define MS_PER_S 1000
 
 static void
 free_zone(void *data)
@@ -299,38 +291,6 @@
 	return g_hash_table_lookup(state->nodes, name);
 }
 
-/* Tells whether a key is claimed and by which record; outputs may be NULL. */
-bool
-bp_state_key_claimed(const bp_state_t *state, const char *key,
-    const char **node, uint64_t *incarnation, uint64_t *seq)
-{
-	const bp_key_t *claim = g_hash_table_lookup(state->keys, key);
-
-	if (claim == NULL)
-		return false;
-	if (node != NULL)
-		*node = claim->node;
-	if (incarnation != NULL)
-		*incarnation = claim->incarnation;
-	if (seq != NULL)
-		*seq = claim->seq;
-	return true;
-}
-
-/*
- * Tells whether no record has claimed the key and none can any more: claims
- * of its age are refused, and claimed keys of its age are still kept. Holds
- * however old the state is, since the horizon never moves back.
- */
-bool
-bp_state_key_never_claimed(
-    const bp_state_t *state, const char *key, uint64_t issued_s)
-{
-	return issued_s < state->key_horizon_s &&
-	    issued_s >= state->keys_kept_s &&
-	    !g_hash_table_contains(state->keys, key);
-}
-
 /* Returns the highest sequence number applied for an incarnation, or 0. */
 uint64_t
 bp_state_seq(const bp_state_t *state, uint64_t incarnation)
@@ -468,15 +428,6 @@
 	    NODE_KEEP_MS;
 }
 
-static gboolean
-is_old_key(gpointer key, gpointer value, gpointer data)
-{
-	const bp_state_t *state = data;
-
-	(void)key;
-	return ((const bp_key_t *)value)->issued_s < state->keys_kept_s;
-}
-
 static void
 prune_incarnations(bp_state_t *state)
 {
@@ -505,18 +456,10 @@
 void
 bp_state_prune(bp_state_t *state)
 {
-	uint64_t now_s = (uint64_t)(state->now_ms / MS_PER_S);
-
 	if (state->now_ms - state->pruned_ms < PRUNE_INTERVAL_MS)
 		return;
 	state->pruned_ms = state->now_ms;
-	if (now_s > KEY_CLAIM_S)
-		state->key_horizon_s =
-		    MAX(state->key_horizon_s, now_s - KEY_CLAIM_S);
-	if (state->key_horizon_s > KEY_PROOF_S)
-		state->keys_kept_s =
-		    MAX(state->keys_kept_s, state->key_horizon_s - KEY_PROOF_S);
-	g_hash_table_foreach_remove(state->keys, is_old_key, state);
+	bp_state_prune_keys(state);
 	g_hash_table_foreach_remove(state->nodes, is_old_node, state);
 	g_hash_table_foreach_remove(state->jobs, is_old_job, state);
 	prune_incarnations(state);
