--- a/include/bulrushpost/gateway.h
+++ b/include/bulrushpost/gateway.h
@@ -4,6 +4,7 @@
 #include "bulrushpost/clock.h"
 #include "bulrushpost/error.h"
 #include "bulrushpost/logline.h"
+#include "bulrushpost/timeline.h"
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -12,16 +13,33 @@
 /* The HTTP service between callers and executors. */
 typedef struct bp_gateway bp_gateway_t;
 
+/*
+ * Ends the text of an event when the caller sent an X-Request-Id of its own;
+ * the caller's id follows.
+ */
+#define BP_CALLER_ID_MARK "; id of the caller: "
+/* A longer id would let callers fill the timeline. */
+#define BP_CALLER_ID_MAX_BYTES 128
+
 typedef enum {
 	BP_CLAIM_NOW = 1, /* claimed by this request */
-	BP_CLAIM_TAKEN, /* claimed earlier; node tells by whom */
+	BP_CLAIM_TAKEN, /* claimed earlier; the holder tells by whom */
 	BP_CLAIM_LOG_UNAVAILABLE, /* proven not claimed */
+	BP_CLAIM_EXPIRED, /* too old to be claimed; proven not claimed */
 	BP_CLAIM_NOT_KNOWN /* may be claimed */
 } bp_claim_result_t;
 
-/* node is set for BP_CLAIM_TAKEN only and valid during the call. */
+/* What is known about the request that claimed a key. */
+typedef struct {
+	const char *node; /* that claimed it; NULL when it is not known */
+	bool in_flight;
+	bp_outcome_t outcome;
+	uint32_t http_status; /* of the answer given; 0 when none is known */
+} bp_key_holder_t;
+
+/* holder is set for BP_CLAIM_TAKEN only and valid during the call. */
 typedef void (*bp_claim_done_t)(
-    bp_claim_result_t result, const char *node, void *data);
+    bp_claim_result_t result, const bp_key_holder_t *holder, void *data);
 
 /*
  * Claims idempotency keys. claim calls done exactly once, also from within
@@ -45,6 +63,7 @@
 typedef struct {
 	const bp_clock_t *clock;
 	bp_logger_t *logger;
+	bp_timeline_t *timeline; /* of requests that did not go well; or NULL */
 	const bp_key_claimer_t *claimer; /* NULL refuses requests with a key */
 	const char *node; /* own name, for request ids */
 	const char *zone; /* own availability zone */
@@ -52,6 +71,12 @@
 	uint16_t port; /* 0 for any */
 	uint32_t gateways; /* number known, including this one */
 	uint32_t default_deadline_ms; /* of requests without X-Deadline-Ms */
+	uint32_t body_bytes; /* largest body of a request */
+	uint32_t header_bytes; /* largest path and headers of a request */
+	uint32_t endpoint_in_flight; /* requests, over all gateways */
+	uint32_t endpoint_connections; /* of one endpoint, likewise */
+	uint32_t retry_budget_percent; /* of all requests */
+	uint32_t eject_max_percent; /* of the endpoints of a service */
 	uint64_t seed; /* of the random choices; 0 draws one */
 } bp_gateway_options_t;
 
@@ -91,6 +116,12 @@
     bp_gateway_t **out, const bp_gateway_options_t *options, bp_error_t *err);
 /* Closes all connections; requests in flight are lost unless drained. */
 void bp_gateway_free(bp_gateway_t *gateway);
+/*
+ * Fills out what this gateway remembers of the request with a key; returns
+ * false when it remembers none.
+ */
+bool bp_gateway_key_outcome(bp_gateway_t *gateway, const char *service,
+    const char *key, bp_key_holder_t *out);
 uint16_t bp_gateway_port(const bp_gateway_t *gateway);
 void bp_gateway_set_gateways(bp_gateway_t *gateway, uint32_t gateways);
 /*
