--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -12,9 +12,6 @@
 
 #include <libsoup/soup.h>
 
-#define BP_MAX_BODY_BYTES (1024 * 1024)
-#define BP_MAX_HEADER_BYTES (16 * 1024)
-
 typedef struct bp_exchange bp_exchange_t;
 
 /* A service and the requests that wait for its endpoints. */
@@ -84,6 +81,9 @@
 int64_t bp_exchange_left_ms(const bp_exchange_t *exchange);
 /* The strongest true statement about an exchange without an answer. */
 bp_outcome_t bp_exchange_outcome(const bp_exchange_t *exchange);
+/* Adds an event under the id of the request to the timeline. */
+void bp_exchange_event(const bp_exchange_t *exchange, const char *kind,
+    const char *format, ...) G_GNUC_PRINTF(3, 4);
 
 /* answer.c: each call answers the exchange, unless that was done already. */
 void bp_answer_error(bp_exchange_t *exchange, int kind, bp_outcome_t outcome,
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -164,6 +164,14 @@
 build_gateway(node_t *node, bp_error_t *err)
 {
 	bp_gateway_options_t options;
+	bp_keyclaim_options_t keyclaim = {
+	    .clock = node->clock,
+	    .logger = node->logger,
+	    .appender = node->appender,
+	    .follower = node->follower,
+	    .node = node->settings->node.name,
+	    .give_up_ms = KEY_GIVE_UP_MS,
+	};
 	GSocketConnectable *address;
 	int rc;
 
@@ -174,17 +182,25 @@
 	if (address == NULL)
 		return bp_error_set(err, BP_EINVALID, "cannot listen on %s",
 		    node->settings->listen.gateway);
-	node->keyclaim =
-	    bp_keyclaim_new(node->appender, node->follower, KEY_GIVE_UP_MS);
+	node->keyclaim = bp_keyclaim_new(&keyclaim);
 	(void)bp_gateway_options_init(&options);
 	options.clock = node->clock;
 	options.logger = node->logger;
 	options.claimer = bp_keyclaim_claimer(node->keyclaim);
+	options.timeline = node->timeline;
 	options.node = node->settings->node.name;
 	options.zone = node->settings->node.zone;
 	options.address =
 	    g_network_address_get_hostname(G_NETWORK_ADDRESS(address));
 	options.port = g_network_address_get_port(G_NETWORK_ADDRESS(address));
+	options.body_bytes = node->settings->limits.body_bytes;
+	options.header_bytes = node->settings->limits.header_bytes;
+	options.endpoint_in_flight = node->settings->limits.endpoint_in_flight;
+	options.endpoint_connections =
+	    node->settings->limits.endpoint_connections;
+	options.retry_budget_percent =
+	    node->settings->policy.retry_budget_percent;
+	options.eject_max_percent = node->settings->policy.eject_max_percent;
 	rc = bp_gateway_new(&node->gateway, &options, err);
 	g_object_unref(address);
 	if (rc != BP_OK)
@@ -205,6 +221,7 @@
 	options.follower = node->follower;
 	options.appender = node->appender;
 	options.scheduler = node->scheduler;
+	options.gateway = node->gateway;
 	options.metrics = node->metrics;
 	options.timeline = node->timeline;
 	options.settings = node->settings;
