--- a/bench/node.c
+++ b/bench/node.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define QUARANTINE_FAILURES 5
 #define DEATH_MS 3000
 /* Tasks assigned until then may have met a VM that was down. */
 #define UNREACHABLE_MS 3500
@@ -205,7 +206,8 @@
 	    world->now_ms % REPORT_MS < TICK_MS)
 		report_ends(node, vm, truth);
 	take_reports(node, index, truth);
-	if (!node->quarantine || !bp_eviction_quarantine_due(vm))
+	if (!node->quarantine ||
+	    !bp_eviction_quarantine_due(vm, QUARANTINE_FAILURES))
 		return;
 	key = g_strdup_printf("hold/%s", vm->name);
 	if (g_hash_table_add(node->lost, key))
--- a/src/scheduler/vmstate.c
+++ b/src/scheduler/vmstate.c
@@ -4,6 +4,8 @@
 
 #define GIVE_UP_MS 10000
 #define RENEWALS_PER_LEASE 4
+#define RENEWALS_PER_RUN 20
+#define RENEW_MIN_MS 500
 #define RENEW_MAX_MS 5000
 #define QUARANTINE_US (10LL * 60 * 1000000)
 /* Silence of this many renewals makes a VM unreachable for new tasks. */
@@ -205,8 +207,27 @@
 }
 
 /*
- * Renews at a quarter of the shortest lease on the VM: renewals are most of
- * what a node spends on control, and few VMs run urgent tasks.
+ * The end of a task is reported with a renewal, so its processors stay idle
+ * for half an interval on average: a small share of a long run, a large one
+ * of a short or unknown run.
+ */
+static uint32_t
+interval_for_task(const bp_scheduler_t *self, const bp_job_t *job)
+{
+	uint32_t lease_ms = bp_scheduler_lease_ms(self, job->klass);
+	uint32_t share_ms = lease_ms / RENEWALS_PER_LEASE;
+
+	if (job->klass == BP_CLASS_SERVICE)
+		return share_ms;
+	if (job->run_ms == 0)
+		return MIN(share_ms, self->settings->timing.renew_ms);
+	return (uint32_t)CLAMP(job->run_ms / RENEWALS_PER_RUN,
+	    (uint64_t)RENEW_MIN_MS, (uint64_t)share_ms);
+}
+
+/*
+ * Renews as seldom as the leases and the expected ends on the VM allow:
+ * renewals are most of what a node spends on control.
  */
 static uint32_t
 renew_interval_ms(const bp_owned_vm_t *vm, const bp_vm_t *known)
@@ -219,11 +240,9 @@
 		const bp_job_t *job =
 		    g_array_index(known->tasks, bp_task_ref_t, i).job;
 
-		interval_ms = MIN(interval_ms,
-		    bp_scheduler_lease_ms(self, job->klass) /
-			RENEWALS_PER_LEASE);
+		interval_ms = MIN(interval_ms, interval_for_task(self, job));
 	}
-	return MAX(interval_ms, self->settings->timing.renew_ms);
+	return interval_ms;
 }
 
 /* Keeps the log's view of the VM (capacity, hold, removal) up to date. */
