--- a/include/bulrushpost/scheduler.h
+++ b/include/bulrushpost/scheduler.h
@@ -54,4 +54,7 @@
 /* Jobs that took the turn of this one in the last round; 0 when none. */
 uint32_t bp_scheduler_ahead(const bp_scheduler_t *scheduler, const char *job);
 
+/* Tells whether the job was passed over lately to protect services. */
+bool bp_scheduler_avoids(const bp_scheduler_t *scheduler, const char *job);
+
 #endif
--- a/include/bulrushpost/settings.h
+++ b/include/bulrushpost/settings.h
@@ -3,6 +3,7 @@
 
 #include "bulrushpost/error.h"
 #include "bulrushpost/logline.h"
+#include "bulrushpost/queue.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -19,6 +20,7 @@
 typedef struct {
 	char *gateway; /* host:port; NULL without the gateway service */
 	char *control; /* host:port */
+	char *metrics; /* host:port; NULL for none */
 } bp_settings_listen_t;
 
 typedef struct {
@@ -62,6 +64,7 @@
 	uint32_t quarantine_failures;
 	uint32_t handover_racks;
 	uint32_t rank_delay_ms;
+	bp_order_t batch_order;
 } bp_settings_policy_t;
 
 typedef struct {
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -1,4 +1,5 @@
 #include "bulrushpost/suggest.h"
+#include "bulrushpost/queue.h"
 #include "core/settings_internal.h"
 
 #include <stddef.h>
@@ -17,6 +18,7 @@
 	TYPE_URL,
 	TYPE_SERVICES,
 	TYPE_LEVEL,
+	TYPE_ORDER,
 	TYPE_NUMBER
 } type_t;
 
@@ -54,6 +56,8 @@
     TEXT("platform.log_url", TYPE_URL, true, platform.log_url),
     TEXT("platform.vm_list_url", TYPE_URL, true, platform.vm_list_url),
     TEXT("peers", TYPE_ADDRESSES, false, peers),
+    TEXT("listen.metrics", TYPE_ADDRESS, false, listen.metrics),
+    TEXT("policy.batch_order", TYPE_ORDER, false, policy.batch_order),
     TEXT("log.level", TYPE_LEVEL, false, log_level),
     NUMBER(timing.append_interval_ms, 5, 1000, 40),
     NUMBER(timing.presence_ms, 100, 5000, 1000),
@@ -105,6 +109,7 @@
 	size_t i;
 
 	settings->log_level = BP_LOG_INFO;
+	settings->policy.batch_order = BP_ORDER_FIFO;
 	settings->peers = g_new0(char *, 1);
 	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
 		if (rows[i].type == TYPE_NUMBER)
@@ -124,6 +129,7 @@
 	g_free(settings->node.zone);
 	g_free(settings->listen.gateway);
 	g_free(settings->listen.control);
+	g_free(settings->listen.metrics);
 	g_free(settings->platform.log_url);
 	g_free(settings->platform.vm_list_url);
 	g_strfreev(settings->peers);
@@ -173,6 +179,17 @@
 		    close != NULL ? close : "");
 }
 
+static void
+set_order(bp_settings_file_t *file, bp_settings_t *settings,
+    const bp_settings_item_t *item)
+{
+	if (bp_order_parse(&settings->policy.batch_order, item->scalar) !=
+	    BP_OK)
+		bp_settings_problem(file, item->line, item->path,
+		    "\"%.40s\" is not one of fifo, weight_over_cost",
+		    item->scalar);
+}
+
 static void
 set_scalar(bp_settings_file_t *file, bp_settings_t *settings, const row_t *row,
     const bp_settings_item_t *item)
@@ -184,6 +201,9 @@
 	case TYPE_LEVEL:
 		set_level(file, settings, item);
 		return;
+	case TYPE_ORDER:
+		set_order(file, settings, item);
+		return;
 	case TYPE_NAME:
 		if (bp_settings_is_name(item->scalar))
 			store_text(settings, row, item->scalar);
--- /dev/null
+++ b/src/node/metricsserver.h
@@ -0,0 +1,15 @@
+#ifndef BP_NODE_METRICSSERVER_H
+#define BP_NODE_METRICSSERVER_H
+
+#include "bulrushpost/metrics.h"
+#include "bulrushpost/error.h"
+
+/* Serves GET /metrics as text over HTTP, apart from the callers' port. */
+typedef struct bp_metricsserver bp_metricsserver_t;
+
+/* address is host:port; the metrics must outlive the server. */
+int bp_metricsserver_new(bp_metricsserver_t **out, const char *address,
+    bp_metrics_t *metrics, bp_error_t *err);
+void bp_metricsserver_free(bp_metricsserver_t *server);
+
+#endif
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -10,6 +10,7 @@
 #include "node/bootstrap.h"
 #include "node/counters.h"
 #include "node/endpoints.h"
+#include "node/metricsserver.h"
 
 #include <glib-unix.h>
 #include <gio/gio.h>
@@ -42,6 +43,7 @@
 	bp_control_t *control;
 	bp_bootstrap_t *bootstrap;
 	bp_counters_t counters;
+	bp_metricsserver_t *metrics_server;
 	uint32_t draining; /* services that still drain */
 	bool stopping;
 	guint signal_term;
@@ -236,6 +238,12 @@
 	node->counters.appender = node->appender;
 	node->counters.follower = node->follower;
 	bp_counters_register(&node->counters, node->metrics);
+	if (node->settings->listen.metrics != NULL) {
+		rc = bp_metricsserver_new(&node->metrics_server,
+		    node->settings->listen.metrics, node->metrics, err);
+		if (rc != BP_OK)
+			return rc;
+	}
 	return bp_registry_add(node->registry, "control", node->control, err);
 }
 
@@ -279,6 +287,7 @@
 		g_source_remove(node->signal_int);
 	if (node->drain_timer != 0)
 		g_source_remove(node->drain_timer);
+	bp_metricsserver_free(node->metrics_server);
 	bp_bootstrap_free(node->bootstrap);
 	bp_endpoints_free(node->endpoints);
 	bp_gateway_free(node->gateway);
--- a/src/scheduler/private.h
+++ b/src/scheduler/private.h
@@ -82,6 +82,13 @@
 bool bp_racks_is_own(const bp_scheduler_t *self, const bp_rack_t *rack);
 size_t bp_racks_queued(const bp_owned_rack_t *rack);
 
+/* claims.c */
+void bp_claims_check_list(bp_scheduler_t *self);
+void bp_claims_plan(bp_scheduler_t *self);
+
+/* assign.c */
+void bp_assign_round(bp_scheduler_t *self);
+
 /* starts.c */
 void bp_starts_session_events(bp_session_events_t *events, bp_owned_vm_t *vm);
 void bp_starts_observe(const bp_applied_t *applied, void *scheduler);
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -8,10 +8,6 @@
 /* Ownership is planned every so many rounds. */
 #define OWNERSHIP_ROUNDS 3
 #define CALM_SHARE 0.4
-#define STEP_GIVE_UP_MS 5000
-#define ASSIGN_GIVE_UP_MS 5000
-/* Tasks that one node assigns in a round; 2,000 starts a second a node. */
-#define ROUND_TASKS 200
 
 /* Returns the monotonic time in microseconds. */
 int64_t
@@ -79,6 +75,7 @@
 	self->placement = NULL;
 	(void)bp_placement_options_init(&options);
 	options.rank_wait_ms = self->settings->policy.rank_delay_ms;
+	options.queue.order = self->settings->policy.batch_order;
 	options.queue.wait_bound_ms =
 	    self->settings->policy.batch_wait_max_s * 1000;
 	options.reachable = bp_scheduler_reachable;
@@ -174,235 +171,6 @@
 	g_free(self);
 }
 
-typedef struct {
-	bp_scheduler_t *scheduler;
-	char *rack;
-} step_call_t;
-
-static void
-on_step(const bp_applied_t *applied, const bp_error_t *err, void *data)
-{
-	step_call_t *call = data;
-
-	(void)applied;
-	(void)err;
-	g_hash_table_remove(call->scheduler->steps, call->rack);
-	g_free(call->rack);
-	g_free(call);
-}
-
-/* The owner before the claim is needed later for the proof that it ended. */
-static void
-remember_earlier_owner(bp_scheduler_t *self, const bp_ownership_step_t *step)
-{
-	const bp_state_t *state = bp_follower_state(self->options.follower);
-	const bp_rack_t *rack = bp_state_rack(state, step->rack);
-	const bp_node_t *node;
-	bp_owned_rack_t *owned;
-
-	if (rack == NULL || rack->owner == NULL)
-		return;
-	node = bp_state_node(state, rack->owner);
-	owned = g_hash_table_lookup(self->racks, step->rack);
-	if (owned != NULL)
-		return;
-	owned = g_new0(bp_owned_rack_t, 1);
-	owned->name = g_strdup(step->rack);
-	owned->epoch = rack->epoch;
-	owned->superseded = true;
-	owned->superseded_us = bp_scheduler_now_us(self);
-	owned->foreign = true;
-	owned->vms = g_hash_table_new(g_str_hash, g_str_equal);
-	owned->earlier_owner = g_strdup(rack->owner);
-	owned->earlier_incarnation = rack->owner_incarnation;
-	owned->earlier_address = node != NULL ? g_strdup(node->address) : NULL;
-	g_hash_table_replace(self->racks, owned->name, owned);
-}
-
-static bool
-all_vms_ever_open(const bp_scheduler_t *self, const char *rack)
-{
-	const bp_owned_rack_t *owned = g_hash_table_lookup(self->racks, rack);
-	GHashTableIter iter;
-	gpointer value;
-
-	if (owned == NULL)
-		return false;
-	g_hash_table_iter_init(&iter, owned->vms);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (!bp_session_ever_open(((bp_owned_vm_t *)value)->session))
-			return false;
-	}
-	return true;
-}
-
-static void
-append_step(bp_scheduler_t *self, const bp_ownership_step_t *step)
-{
-	Bp__Log__Entry entry = BP__LOG__ENTRY__INIT;
-	Bp__Log__Claim claim = BP__LOG__CLAIM__INIT;
-	Bp__Log__Release release = BP__LOG__RELEASE__INIT;
-	step_call_t *call;
-
-	if (!g_hash_table_add(self->steps, g_strdup(step->rack)))
-		return;
-	switch (step->kind) {
-	case BP_OWNERSHIP_CLAIM:
-		remember_earlier_owner(self, step);
-		claim.rack = step->rack;
-		claim.epoch = step->epoch;
-		claim.ground = step->as.ground;
-		entry.body_case = BP__LOG__ENTRY__BODY_CLAIM;
-		entry.claim = &claim;
-		break;
-	case BP_OWNERSHIP_RELEASE:
-		release.rack = step->rack;
-		release.epoch = step->epoch;
-		release.cleared = all_vms_ever_open(self, step->rack);
-		if (step->as.successor != NULL)
-			release.successor = step->as.successor;
-		entry.body_case = BP__LOG__ENTRY__BODY_RELEASE;
-		entry.release = &release;
-		break;
-	}
-	call = g_new0(step_call_t, 1);
-	call->scheduler = self;
-	call->rack = g_strdup(step->rack);
-	if (bp_appender_add(self->options.appender, &entry, STEP_GIVE_UP_MS,
-		on_step, call, NULL) != BP_OK)
-		on_step(NULL, NULL, call);
-}
-
-static void
-add_rack_name(const bp_vmlist_vm_t *listed, void *data)
-{
-	GHashTable *names = data;
-
-	if (listed->state == BP_VMLIST_LIVE)
-		g_hash_table_add(names,
-		    g_strdup_printf("%s/%s", listed->zone, listed->rack));
-}
-
-/* A release waits until no start is on its way to the rack's workers. */
-static bool
-step_ready(const bp_scheduler_t *self, const bp_ownership_step_t *step)
-{
-	const bp_owned_rack_t *owned =
-	    g_hash_table_lookup(self->racks, step->rack);
-
-	return step->kind == BP_OWNERSHIP_CLAIM || owned == NULL ||
-	    bp_racks_queued(owned) == 0;
-}
-
-/* Reads the racks from the VM list when it has changed. */
-static void
-check_list(bp_scheduler_t *self)
-{
-	uint64_t version = bp_vmlist_version(self->options.vmlist);
-	GHashTable *names;
-	GHashTableIter iter;
-	gpointer key;
-
-	if (version == self->listed_version)
-		return;
-	self->listed_version = version;
-	self->racks_changed = true;
-	names = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	bp_vmlist_each(
-	    self->options.vmlist, BP_ROLE_WORKER, add_rack_name, names);
-	g_ptr_array_set_size(self->listed_racks, 0);
-	g_hash_table_iter_init(&iter, names);
-	while (g_hash_table_iter_next(&iter, &key, NULL))
-		g_ptr_array_add(self->listed_racks, g_strdup(key));
-	g_ptr_array_add(self->listed_racks, NULL);
-	g_hash_table_unref(names);
-}
-
-static void
-plan_ownership(bp_scheduler_t *self)
-{
-	GPtrArray *steps;
-	guint i;
-
-	steps = bp_ownership_plan(self->ownership,
-	    bp_follower_state(self->options.follower),
-	    (const char *const *)self->listed_racks->pdata, self->draining,
-	    bp_scheduler_now_us(self));
-	for (i = 0; i < steps->len; i++) {
-		const bp_ownership_step_t *step = g_ptr_array_index(steps, i);
-
-		if (step_ready(self, step))
-			append_step(self, step);
-	}
-	g_ptr_array_unref(steps);
-}
-
-typedef struct {
-	bp_scheduler_t *scheduler;
-	char *job;
-	uint32_t first_task;
-	uint32_t count;
-} assign_call_t;
-
-static void
-on_assign(const bp_applied_t *applied, const bp_error_t *err, void *data)
-{
-	assign_call_t *call = data;
-
-	(void)err;
-	if (applied == NULL || applied->kind != BP_OK) {
-		call->scheduler->counters.assign_lost += call->count;
-		bp_placement_settled(
-		    call->scheduler->placement, call->job, call->first_task);
-	}
-	g_free(call->job);
-	g_free(call);
-}
-
-static void
-append_assignment(bp_scheduler_t *self, const bp_assignment_t *assignment)
-{
-	Bp__Log__Entry entry = BP__LOG__ENTRY__INIT;
-	Bp__Log__Assign assign = BP__LOG__ASSIGN__INIT;
-	assign_call_t *call = g_new0(assign_call_t, 1);
-
-	assign.job = assignment->job->id;
-	assign.first_task = assignment->first_task;
-	assign.count = assignment->count;
-	assign.attempt = assignment->attempt;
-	assign.vm = assignment->vm->name;
-	assign.epoch = assignment->epoch;
-	entry.body_case = BP__LOG__ENTRY__BODY_ASSIGN;
-	entry.assign = &assign;
-	call->scheduler = self;
-	call->job = g_strdup(assignment->job->id);
-	call->first_task = assignment->first_task;
-	call->count = assignment->count;
-	if (bp_appender_add(self->options.appender, &entry, ASSIGN_GIVE_UP_MS,
-		on_assign, call, NULL) != BP_OK)
-		on_assign(NULL, NULL, call);
-}
-
-static void
-place(bp_scheduler_t *self)
-{
-	GArray *plan = g_array_new(FALSE, FALSE, sizeof(bp_assignment_t));
-	bp_error_t err;
-	guint i;
-
-	if (bp_placement_plan(plan, self->placement,
-		bp_follower_state(self->options.follower),
-		self->settings->node.name, self->options.incarnation,
-		ROUND_TASKS, bp_scheduler_now_us(self) / US_PER_MS,
-		&err) != BP_OK)
-		bp_log(self->options.logger, BP_LOG_WARNING, "scheduler",
-		    "placement failed", "error", err.message, NULL);
-	for (i = 0; i < plan->len; i++)
-		append_assignment(
-		    self, &g_array_index(plan, bp_assignment_t, i));
-	g_array_unref(plan);
-}
-
 static void
 update_vms(bp_scheduler_t *self)
 {
@@ -468,17 +236,17 @@
 	check_state(self);
 	bp_liveness_update(self->liveness, self->state, may_decide(self),
 	    bp_scheduler_now_us(self));
-	check_list(self);
+	bp_claims_check_list(self);
 	bp_racks_sync(self);
 	bp_racks_tick(self);
 	if (may_decide(self)) {
 		if (self->rounds++ % OWNERSHIP_ROUNDS == 0)
-			plan_ownership(self);
+			bp_claims_plan(self);
 		update_vms(self);
 		bp_recovery_tick(self);
 		bp_protection_tick(self);
 		if (!self->draining)
-			place(self);
+			bp_assign_round(self);
 	}
 	finish_drain(self);
 }
@@ -554,3 +322,11 @@
 {
 	return bp_placement_ahead(self->placement, job);
 }
+
+/* See the header. */
+bool
+bp_scheduler_avoids(const bp_scheduler_t *self, const char *job)
+{
+	return bp_placement_avoids(
+	    self->placement, job, bp_scheduler_now_us(self) / US_PER_MS);
+}
