--- a/tests/schedule/schedule.c
+++ b/tests/schedule/schedule.c
@@ -222,7 +222,7 @@
 	bp_fake_vm_t *vm = &s->vms[bp_schedule_random(s, BP_SCHEDULE_VMS)];
 	int64_t now_us = bp_schedule_now_us(s);
 
-	switch (bp_schedule_random(s, 9)) {
+	switch (bp_schedule_random(s, 10)) {
 	case 0:
 		node->paused_until_us = now_us + random_us(s, 12000);
 		break;
@@ -247,6 +247,9 @@
 		if (!node->up && bp_schedule_random(s, 2) == 0)
 			start_node(s, node);
 		break;
+	case 9:
+		s->log_slow_until_us = now_us + random_us(s, 8000);
+		break;
 	case 7:
 		change_zone(s, bp_schedule_random(s, 2) == 0);
 		break;
@@ -263,6 +266,7 @@
 
 	s->healed = true;
 	s->log_down_until_us = 0;
+	s->log_slow_until_us = 0;
 	for (i = 0; i < BP_SCHEDULE_NODES; i++) {
 		s->nodes[i].paused_until_us = 0;
 		s->nodes[i].log_cut_until_us = 0;
--- a/tests/schedule/schedule.h
+++ b/tests/schedule/schedule.h
@@ -142,6 +142,7 @@
 	GPtrArray *events;
 	GPtrArray *log; /* GByteArray */
 	int64_t log_down_until_us;
+	int64_t log_slow_until_us;
 	bool healed;
 	bp_fake_node_t nodes[BP_SCHEDULE_NODES];
 	bp_fake_vm_t vms[BP_SCHEDULE_VMS];
--- a/tests/schedule/schedule_log.c
+++ b/tests/schedule/schedule_log.c
@@ -7,6 +7,7 @@
 #define RETRY_US 200000
 #define BATCH_US 40000
 #define DELAY_MAX_US 25000
+#define SLOW_MAX_US 4000000
 #define US_PER_MS 1000
 
 typedef struct {
@@ -62,6 +63,15 @@
 	pending->done = NULL;
 }
 
+/* One way to or from the log service; seconds while it is slow. */
+static int64_t
+log_delay_us(bp_schedule_t *s)
+{
+	return bp_schedule_random(s,
+	    s->log_slow_until_us > bp_schedule_now_us(s) ? SLOW_MAX_US
+							 : DELAY_MAX_US);
+}
+
 /* Settles own entries as they are applied, then tells the observers. */
 static void
 on_applied(const bp_applied_t *applied, void *data)
@@ -144,8 +154,8 @@
 
 	read->failed = !log_reachable(read->node);
 	read->head = s->log->len;
-	bp_schedule_post(s, bp_schedule_random(s, DELAY_MAX_US), read->node,
-	    read->incarnation, on_read_done, read, g_free);
+	bp_schedule_post(s, log_delay_us(s), read->node, read->incarnation,
+	    on_read_done, read, g_free);
 }
 
 /* Starts a read of the log up to its head. */
@@ -165,8 +175,8 @@
 	read->began_us = bp_schedule_now_us(s);
 	read->node = node;
 	read->incarnation = node->incarnation;
-	bp_schedule_post(s, bp_schedule_random(s, DELAY_MAX_US), NULL, 0,
-	    on_read_served, read, g_free);
+	bp_schedule_post(
+	    s, log_delay_us(s), NULL, 0, on_read_served, read, g_free);
 }
 
 /*
@@ -231,9 +241,8 @@
 		g_ptr_array_add(s->log, append->bytes);
 		note_record(s, append->bytes);
 		if (!lost)
-			bp_schedule_post(s, bp_schedule_random(s, DELAY_MAX_US),
-			    node, append->incarnation, on_append_answer, NULL,
-			    NULL);
+			bp_schedule_post(s, log_delay_us(s), node,
+			    append->incarnation, on_append_answer, NULL, NULL);
 	}
 	g_free(append);
 }
@@ -252,8 +261,8 @@
 	node->last_append_us = bp_schedule_now_us(s);
 	/* A late append reaches the log although the node may have ended. */
 	bp_schedule_post(s,
-	    bp_schedule_random(s, late ? 4000000 : DELAY_MAX_US), NULL, 0,
-	    on_append_served, append, drop_append);
+	    late ? bp_schedule_random(s, SLOW_MAX_US) : log_delay_us(s), NULL,
+	    0, on_append_served, append, drop_append);
 }
 
 static void
--- a/tests/state/test_state.c
+++ b/tests/state/test_state.c
@@ -129,6 +129,11 @@
 	    bp_records_assign(&r, &a, "j", 0, 1, 1, "vm0", 1), BP_ESTALE);
 	CU_ASSERT_EQUAL(
 	    bp_records_assign(&r, &a, "j", 0, 1, 2, "vm0", 1), BP_OK);
+	/* A late end of the first attempt must not end the second. */
+	CU_ASSERT_EQUAL(bp_records_end(&r, &a, "j", 0, 1,
+			    BP__LOG__TASK_OUTCOME__OUTCOME_EVICTED, 1),
+	    BP_ESTALE);
+	CU_ASSERT_EQUAL(task->state, BP_TASK_ASSIGNED);
 	bp_records_clear(&r);
 }
 
