--- a/tests/schedule/schedule.c
+++ b/tests/schedule/schedule.c
@@ -222,7 +222,7 @@
 	bp_fake_vm_t *vm = &s->vms[bp_schedule_random(s, BP_SCHEDULE_VMS)];
 	int64_t now_us = bp_schedule_now_us(s);
 
-	switch (bp_schedule_random(s, 10)) {
+	switch (bp_schedule_random(s, 12)) {
 	case 0:
 		node->paused_until_us = now_us + random_us(s, 12000);
 		break;
@@ -251,6 +251,8 @@
 		s->log_slow_until_us = now_us + random_us(s, 8000);
 		break;
 	case 7:
+	case 10:
+	case 11:
 		change_zone(s, bp_schedule_random(s, 2) == 0);
 		break;
 	default:
