--- a/src/core/error.c
+++ b/src/core/error.c
@@ -16,8 +16,8 @@
     {BP_ENOTFOUND, "not_found", 404, 1, BP_OUTCOME_NOT_RUN,
 	"check the name; list what exists"},
     {BP_ECONFLICT, "conflict", 409, 1, BP_OUTCOME_NOT_RUN,
-	"somebody else changed it first; read the new version and redo the "
-	"edit"},
+	"it was changed or used before; read what is in force and redo "
+	"the edit, or use a new key"},
     {BP_ESTALE, "stale", 409, 1, BP_OUTCOME_NOT_RUN,
 	"the epoch or nonce is out of date; the owner obtains a new one"},
     {BP_EEXPIRED, "expired", 410, 1, BP_OUTCOME_NOT_RUN,
