Hold the port of a dead endpoint in the gateway tests

Ruled out: a fault of the gateway: all 20 requests reached executor 0, the holder of the port. Change: the port stays bound without listening; the checks are unchanged.

--- a/tests/gateway/test_gateway.c
+++ b/tests/gateway/test_gateway.c
@@ -176,7 +176,8 @@
 static void
 test_refused_connection_is_retried_elsewhere(void)
 {
-	char *dead = executor_dead_url();
+	GSocket *holder;
+	char *dead = executor_dead_url(&holder);
 	fix_t f;
 	int i;
 
@@ -192,6 +193,7 @@
 	CU_ASSERT_TRUE(expect(&f, "POST", NULL, 503, "not_run"));
 	fix_stop(&f);
 	g_free(dead);
+	g_object_unref(holder);
 }
 
 /* Guards against running a non-idempotent request twice. */
@@ -439,7 +441,8 @@
 	const executor_mode_t modes[] = {EXECUTOR_OK, EXECUTOR_OK,
 	    EXECUTOR_CLOSE, EXECUTOR_TRUNCATED, EXECUTOR_WRONG_ECHO,
 	    EXECUTOR_BUSY};
-	char *dead = executor_dead_url();
+	GSocket *holder;
+	char *dead = executor_dead_url(&holder);
 	bp_random_t random;
 	fix_t f;
 	int i;
@@ -476,6 +479,7 @@
 	}
 	fix_stop(&f);
 	g_free(dead);
+	g_object_unref(holder);
 }
 
 int
--- a/tests/support/executor.c
+++ b/tests/support/executor.c
@@ -211,15 +211,27 @@
 	return value;
 }
 
-/* Returns the url of a port that was free a moment ago. */
+/*
+ * Returns a URL that refuses connections as long as holder lives: its port is
+ * bound without listening, so that no other socket gets the same port.
+ */
 char *
-executor_dead_url(void)
+executor_dead_url(GSocket **holder)
 {
-	GSocketListener *listener = g_socket_listener_new();
-	guint16 port =
-	    g_socket_listener_add_any_inet_port(listener, NULL, NULL);
-
-	g_socket_listener_close(listener);
-	g_object_unref(listener);
-	return g_strdup_printf("http://127.0.0.1:%u", port);
+	GInetAddress *loopback =
+	    g_inet_address_new_loopback(G_SOCKET_FAMILY_IPV4);
+	GSocketAddress *any = g_inet_socket_address_new(loopback, 0);
+	GSocketAddress *bound;
+	char *url;
+
+	*holder = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+	    G_SOCKET_PROTOCOL_TCP, NULL);
+	(void)g_socket_bind(*holder, any, FALSE, NULL);
+	bound = g_socket_get_local_address(*holder, NULL);
+	url = g_strdup_printf("http://127.0.0.1:%u",
+	    g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound)));
+	g_object_unref(bound);
+	g_object_unref(any);
+	g_object_unref(loopback);
+	return url;
 }
--- a/tests/support/executor.h
+++ b/tests/support/executor.h
@@ -42,6 +42,6 @@
 /* A header of the latest request, to be freed; NULL when absent. */
 char *executor_header(executor_t *executor, const char *name);
 /* The url of a port that was free a moment ago, to be freed. */
-char *executor_dead_url(void);
+char *executor_dead_url(GSocket **holder);
 
 #endif
