--- a/src/platform/appender.c
+++ b/src/clients/appender.c
@@ -1,7 +1,7 @@
 #include "bulrushpost/appender.h"
 
-#include "platform/appenderstate.h"
-#include "platform/logdecode.h"
+#include "clients/appenderstate.h"
+#include "clients/logdecode.h"
 
 #include <string.h>
 
--- a/src/platform/appenderstate.h
+++ b/src/clients/appenderstate.h
@@ -1,8 +1,8 @@
-#ifndef BP_PLATFORM_APPENDERSTATE_H
-#define BP_PLATFORM_APPENDERSTATE_H
+#ifndef BP_CLIENTS_APPENDERSTATE_H
+#define BP_CLIENTS_APPENDERSTATE_H
 
 #include "bulrushpost/hash.h"
-#include "platform/outrecord.h"
+#include "clients/outrecord.h"
 
 #define BP_APPENDER_MODULE "appender"
 #define BP_APPENDER_BACKOFF_MIN_MS 50U
--- a/src/platform/appendsend.c
+++ b/src/clients/appendsend.c
@@ -1,4 +1,4 @@
-#include "platform/appenderstate.h"
+#include "clients/appenderstate.h"
 
 #define US_PER_MS 1000
 
--- a/src/platform/chunkset.c
+++ b/src/clients/chunkset.c
@@ -1,4 +1,4 @@
-#include "platform/chunkset.h"
+#include "clients/chunkset.h"
 
 #include "bulrushpost/hash.h"
 #include "bulrushpost/state.h"
--- a/src/platform/chunkset.h
+++ b/src/clients/chunkset.h
@@ -1,5 +1,5 @@
-#ifndef BP_PLATFORM_CHUNKSET_H
-#define BP_PLATFORM_CHUNKSET_H
+#ifndef BP_CLIENTS_CHUNKSET_H
+#define BP_CLIENTS_CHUNKSET_H
 
 #include "bulrushpost/error.h"
 
--- a/src/platform/follower.c
+++ b/src/clients/follower.c
@@ -1,6 +1,6 @@
 #include "bulrushpost/follower.h"
 
-#include "platform/snapshotloader.h"
+#include "clients/snapshotloader.h"
 
 #define MODULE "follower"
 #define WAIT_MS 500
--- a/src/platform/httpcall.c
+++ b/src/clients/httpcall.c
@@ -1,4 +1,4 @@
-#include "platform/httpcall.h"
+#include "clients/httpcall.h"
 
 #include <string.h>
 
--- a/src/platform/httpcall.h
+++ b/src/clients/httpcall.h
@@ -1,5 +1,5 @@
-#ifndef BP_PLATFORM_HTTPCALL_H
-#define BP_PLATFORM_HTTPCALL_H
+#ifndef BP_CLIENTS_HTTPCALL_H
+#define BP_CLIENTS_HTTPCALL_H
 
 #include "bulrushpost/error.h"
 
--- a/src/platform/jsondoc.c
+++ b/src/clients/jsondoc.c
@@ -1,4 +1,4 @@
-#include "platform/jsondoc.h"
+#include "clients/jsondoc.h"
 
 #include <string.h>
 
--- a/src/platform/jsondoc.h
+++ b/src/clients/jsondoc.h
@@ -1,5 +1,5 @@
-#ifndef BP_PLATFORM_JSONDOC_H
-#define BP_PLATFORM_JSONDOC_H
+#ifndef BP_CLIENTS_JSONDOC_H
+#define BP_CLIENTS_JSONDOC_H
 
 #include "bulrushpost/error.h"
 
--- a/src/platform/logclient.c
+++ b/src/clients/logclient.c
@@ -1,7 +1,7 @@
 #include "bulrushpost/logclient.h"
 
-#include "platform/httpcall.h"
-#include "platform/logdecode.h"
+#include "clients/httpcall.h"
+#include "clients/logdecode.h"
 
 #define TIMEOUT_MS 1500
 #define APPEND_ANSWER_BYTES 4096
--- a/src/platform/logdecode.c
+++ b/src/clients/logdecode.c
@@ -1,6 +1,6 @@
-#include "platform/logdecode.h"
+#include "clients/logdecode.h"
 
-#include "platform/jsondoc.h"
+#include "clients/jsondoc.h"
 
 #define ANSWER_LEVELS 2
 #define LENGTH_AT 8 /* position of the length in a frame */
--- a/src/platform/logdecode.h
+++ b/src/clients/logdecode.h
@@ -1,5 +1,5 @@
-#ifndef BP_PLATFORM_LOGDECODE_H
-#define BP_PLATFORM_LOGDECODE_H
+#ifndef BP_CLIENTS_LOGDECODE_H
+#define BP_CLIENTS_LOGDECODE_H
 
 #include "bulrushpost/logclient.h"
 
--- a/src/platform/outrecord.c
+++ b/src/clients/outrecord.c
@@ -1,4 +1,4 @@
-#include "platform/outrecord.h"
+#include "clients/outrecord.h"
 
 #define ENTRIES_FIELD 9
 #define WIRE_LENGTH_DELIMITED 2
--- a/src/platform/outrecord.h
+++ b/src/clients/outrecord.h
@@ -1,5 +1,5 @@
-#ifndef BP_PLATFORM_OUTRECORD_H
-#define BP_PLATFORM_OUTRECORD_H
+#ifndef BP_CLIENTS_OUTRECORD_H
+#define BP_CLIENTS_OUTRECORD_H
 
 #include "bulrushpost/appender.h"
 
--- a/src/platform/snapshotloader.c
+++ b/src/clients/snapshotloader.c
@@ -1,6 +1,6 @@
-#include "platform/snapshotloader.h"
+#include "clients/snapshotloader.h"
 
-#include "platform/chunkset.h"
+#include "clients/chunkset.h"
 
 #define MODULE "snapshotloader"
 /* Chunks of one read; 64 of the largest records are 4 MiB. */
--- a/src/platform/snapshotloader.h
+++ b/src/clients/snapshotloader.h
@@ -1,5 +1,5 @@
-#ifndef BP_PLATFORM_SNAPSHOTLOADER_H
-#define BP_PLATFORM_SNAPSHOTLOADER_H
+#ifndef BP_CLIENTS_SNAPSHOTLOADER_H
+#define BP_CLIENTS_SNAPSHOTLOADER_H
 
 #include "bulrushpost/logclient.h"
 #include "bulrushpost/logline.h"
--- a/src/platform/snapshotplan.c
+++ b/src/clients/snapshotplan.c
@@ -1,4 +1,4 @@
-#include "platform/snapshotplan.h"
+#include "clients/snapshotplan.h"
 
 #include "bulrushpost/hash.h"
 
--- a/src/platform/snapshotplan.h
+++ b/src/clients/snapshotplan.h
@@ -1,5 +1,5 @@
-#ifndef BP_PLATFORM_SNAPSHOTPLAN_H
-#define BP_PLATFORM_SNAPSHOTPLAN_H
+#ifndef BP_CLIENTS_SNAPSHOTPLAN_H
+#define BP_CLIENTS_SNAPSHOTPLAN_H
 
 #include "bulrushpost/state.h"
 
--- a/src/platform/snapshotwriter.c
+++ b/src/clients/snapshotwriter.c
@@ -1,7 +1,7 @@
 #include "bulrushpost/snapshotwriter.h"
 
-#include "platform/chunkset.h"
-#include "platform/snapshotplan.h"
+#include "clients/chunkset.h"
+#include "clients/snapshotplan.h"
 
 #include <string.h>
 
--- a/src/platform/vmlist.c
+++ b/src/clients/vmlist.c
@@ -1,7 +1,7 @@
 #include "bulrushpost/vmlist.h"
 
-#include "platform/httpcall.h"
-#include "platform/vmparse.h"
+#include "clients/httpcall.h"
+#include "clients/vmparse.h"
 
 #include <string.h>
 
--- a/src/platform/vmparse.c
+++ b/src/clients/vmparse.c
@@ -1,6 +1,6 @@
-#include "platform/vmparse.h"
+#include "clients/vmparse.h"
 
-#include "platform/jsondoc.h"
+#include "clients/jsondoc.h"
 
 #include <string.h>
 
--- a/src/platform/vmparse.h
+++ b/src/clients/vmparse.h
@@ -1,5 +1,5 @@
-#ifndef BP_PLATFORM_VMPARSE_H
-#define BP_PLATFORM_VMPARSE_H
+#ifndef BP_CLIENTS_VMPARSE_H
+#define BP_CLIENTS_VMPARSE_H
 
 #include "bulrushpost/vmlist.h"
 
--- a/src/platform/workerclient.c
+++ b/src/clients/workerclient.c
@@ -1,6 +1,6 @@
 #include "bulrushpost/workerclient.h"
 
-#include "platform/httpcall.h"
+#include "clients/httpcall.h"
 
 #include <stdbool.h>
 
--- a/tests/platform/test_logclient.c
+++ b/tests/clients/test_logclient.c
@@ -1,5 +1,5 @@
 #include "bulrushpost/hash.h"
-#include "platform/logdecode.h"
+#include "clients/logdecode.h"
 #include "support/logrig.h"
 #include "support/runner.h"
 
--- a/tests/platform/test_snapshotwriter.c
+++ b/tests/clients/test_snapshotwriter.c
@@ -1,5 +1,5 @@
 #include "bulrushpost/snapshotwriter.h"
-#include "platform/snapshotplan.h"
+#include "clients/snapshotplan.h"
 #include "support/logrig.h"
 #include "support/runner.h"
 
--- a/tests/platform/test_vmlist.c
+++ b/tests/clients/test_vmlist.c
@@ -1,6 +1,6 @@
 #include "bulrushpost/hash.h"
 #include "bulrushpost/vmlist.h"
-#include "platform/vmparse.h"
+#include "clients/vmparse.h"
 #include "support/fakelog.h"
 #include "support/runner.h"
 
--- a/tests/support/logrig.c
+++ b/tests/support/logrig.c
@@ -1,6 +1,6 @@
 #include "support/logrig.h"
 
-#include "platform/chunkset.h"
+#include "clients/chunkset.h"
 
 #include <CUnit/CUnit.h>
 #include <string.h>
