--- a/Makefile
+++ b/Makefile
@@ -13,13 +13,13 @@
 comma = ,
 CFLAGS ?= -O2 -g
 ALL_CFLAGS = -std=c11 -D_GNU_SOURCE -DBP_VERSION='"$(VERSION)"' $(WARN) $(CFLAGS) $(SANFLAGS) \
-             -Iinclude -Isrc -Itests $(PKG_CFLAGS) -MMD -MP
+             -Iinclude -Isrc -I. -Itests $(PKG_CFLAGS) -MMD -MP
 LDFLAGS += $(SANFLAGS)
 
 GEN_SRCS := $(wildcard src/proto/*.pb-c.c)
-LIB_SRCS := $(filter-out src/cli/main.c,$(sort $(shell find src -name '*.c')))
+LIB_SRCS := $(filter-out src/cli/main.c,$(sort $(shell find src platform -name '*.c')))
 LIB_OBJS := $(LIB_SRCS:%.c=$(BUILD)/%.o)
-HAND_SRCS := $(sort $(shell find src include tests bench -name '*.[ch]' ! -name '*.pb-c.[ch]'))
+HAND_SRCS := $(sort $(shell find src platform include tests bench -name '*.[ch]' ! -name '*.pb-c.[ch]'))
 TEST_SRCS := $(sort $(shell find tests -name 'test_*.c'))
 TEST_BINS := $(TEST_SRCS:%.c=$(BUILD)/%)
 TEST_LIB_SRCS := $(filter-out tests/support/test_%,$(sort $(wildcard tests/support/*.c)))
@@ -85,7 +85,7 @@
 
 lint:
 	printf '%s\n' $(filter %.c,$(HAND_SRCS)) | xargs -P 8 -I{} clang-tidy --quiet {} \
-	    -- -std=c11 -D_GNU_SOURCE -DBP_VERSION='"lint"' -Iinclude -Isrc -Itests $(PKG_CFLAGS)
+	    -- -std=c11 -D_GNU_SOURCE -DBP_VERSION='"lint"' -Iinclude -Isrc -I. -Itests $(PKG_CFLAGS)
 
 clean:
 	rm -rf build build-san
--- a/include/bulrushpost/logline.h
+++ b/include/bulrushpost/logline.h
@@ -21,6 +21,8 @@
 bp_logger_t *bp_logger_new(
     const bp_clock_t *clock, const char *process, bp_log_level_t level);
 void bp_logger_free(bp_logger_t *logger);
+/* Writes to standard output from now on, in place of standard error. */
+void bp_logger_set_stdout(bp_logger_t *logger);
 int bp_log_level_parse(bp_log_level_t *out, const char *name);
 
 /* Fields are pairs of const char * (key, value), ended by NULL. */
--- a/include/bulrushpost/settings.h
+++ b/include/bulrushpost/settings.h
@@ -15,17 +15,21 @@
 	char *zone;
 	bool gateway; /* node.services lists gateway */
 	bool scheduler; /* node.services lists scheduler */
+	bool queues; /* node.services lists queues */
 } bp_settings_node_t;
 
 typedef struct {
 	char *gateway; /* host:port; NULL without the gateway service */
 	char *control; /* host:port */
 	char *metrics; /* host:port; NULL for none */
+	char *queues; /* host:port; NULL without the queues service */
+	char *ready; /* host:port of the balancer's check; NULL for none */
 } bp_settings_listen_t;
 
 typedef struct {
-	char *log_url;
-	char *vm_list_url;
+	char *log_url; /* NULL with the queues service */
+	char *vm_list_url; /* NULL with the queues service */
+	char *store; /* host:port; NULL without the queues service */
 } bp_settings_platform_t;
 
 typedef struct {
@@ -67,6 +71,17 @@
 	bp_order_t batch_order;
 } bp_settings_policy_t;
 
+/* Bounds that the executors and the operators set for queues. */
+typedef struct {
+	uint32_t shards;
+	uint32_t lease_max_ms;
+	uint32_t stop_max_ms;
+	uint32_t early_ms;
+	uint32_t status_keep_s;
+	uint32_t quarantine_failures;
+	uint32_t grace_s;
+} bp_settings_queues_t;
+
 typedef struct {
 	bp_settings_node_t node;
 	bp_settings_listen_t listen;
@@ -76,6 +91,7 @@
 	bp_settings_timing_t timing;
 	bp_settings_limits_t limits;
 	bp_settings_policy_t policy;
+	bp_settings_queues_t queues;
 } bp_settings_t;
 
 /*
--- a/src/cli/serve.c
+++ b/src/cli/serve.c
@@ -1,4 +1,5 @@
 #include "bulrushpost/node.h"
+#include "bulrushpost/queuenode.h"
 #include "bulrushpost/settings.h"
 #include "cli/cli.h"
 
@@ -21,7 +22,9 @@
 	g_ptr_array_unref(problems);
 	if (rc != BP_OK)
 		return BP_EXIT_USAGE;
-	if (bp_node_run(settings, &err) != BP_OK)
+	rc = settings->node.queues ? bp_queuenode_run(settings, &err)
+				   : bp_node_run(settings, &err);
+	if (rc != BP_OK)
 		code =
 		    bp_cli_fail(cli, err.kind, BP_OUTCOME_NOT_RUN, err.message);
 	bp_settings_free(settings);
--- a/src/clients/httpcall.c
+++ b/src/clients/httpcall.c
@@ -288,6 +288,9 @@
 	if (request->if_none_match != NULL)
 		soup_message_headers_replace(
 		    headers, "If-None-Match", request->if_none_match);
+	if (request->header != NULL)
+		soup_message_headers_replace(
+		    headers, request->header, request->header_value);
 	g_signal_connect(
 	    call->message, "starting", G_CALLBACK(on_starting), call);
 }
--- a/src/clients/httpcall.h
+++ b/src/clients/httpcall.h
@@ -14,6 +14,8 @@
 	const char *content_type; /* of body */
 	GBytes *body; /* NULL for none */
 	const char *if_none_match; /* NULL for none */
+	const char *header; /* name of one more header; NULL for none */
+	const char *header_value;
 	size_t answer_bytes; /* a larger answer is an error */
 	uint32_t timeout_ms;
 } bp_httpcall_request_t;
--- a/src/core/logline.c
+++ b/src/core/logline.c
@@ -13,6 +13,7 @@
 	const bp_clock_t *clock;
 	char *process;
 	bp_log_level_t level;
+	int fd;
 };
 
 static const struct {
@@ -39,6 +40,7 @@
 	logger->clock = clock;
 	logger->process = g_strdup(process);
 	logger->level = level;
+	logger->fd = STDERR_FILENO;
 	return logger;
 }
 
@@ -52,6 +54,13 @@
 	g_free(logger);
 }
 
+/* See the header. */
+void
+bp_logger_set_stdout(bp_logger_t *logger)
+{
+	logger->fd = STDOUT_FILENO;
+}
+
 /* Reads a level name; returns BP_OK (0) or -1 for an unknown name. */
 int
 bp_log_level_parse(bp_log_level_t *out, const char *name)
@@ -132,6 +141,6 @@
 	}
 	va_end(args);
 	g_string_append_c(line, '\n');
-	(void)!write(STDERR_FILENO, line->str, line->len);
+	(void)!write(logger->fd, line->str, line->len);
 	g_string_free(line, TRUE);
 }
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -10,6 +10,7 @@
 #define RECORD_BYTES_MIN 36864
 #define SERVICE_GATEWAY "gateway"
 #define SERVICE_SCHEDULER "scheduler"
+#define SERVICE_QUEUES "queues"
 
 typedef enum {
 	TYPE_NAME,
@@ -53,8 +54,11 @@
     TEXT("node.services", TYPE_SERVICES, true, node),
     TEXT("listen.gateway", TYPE_ADDRESS, false, listen.gateway),
     TEXT("listen.control", TYPE_ADDRESS, true, listen.control),
-    TEXT("platform.log_url", TYPE_URL, true, platform.log_url),
-    TEXT("platform.vm_list_url", TYPE_URL, true, platform.vm_list_url),
+    TEXT("platform.log_url", TYPE_URL, false, platform.log_url),
+    TEXT("platform.vm_list_url", TYPE_URL, false, platform.vm_list_url),
+    TEXT("platform.store", TYPE_ADDRESS, false, platform.store),
+    TEXT("listen.queues", TYPE_ADDRESS, false, listen.queues),
+    TEXT("listen.ready", TYPE_ADDRESS, false, listen.ready),
     TEXT("peers", TYPE_ADDRESSES, false, peers),
     TEXT("listen.metrics", TYPE_ADDRESS, false, listen.metrics),
     TEXT("policy.batch_order", TYPE_ORDER, false, policy.batch_order),
@@ -89,12 +93,19 @@
     NUMBER(policy.quarantine_failures, 2, 1000, 5),
     NUMBER(policy.handover_racks, 1, 100, 2),
     NUMBER(policy.rank_delay_ms, 50, 10000, 300),
+    NUMBER(queues.shards, 1, 8, 1),
+    NUMBER(queues.lease_max_ms, 1000, 600000, 6000),
+    NUMBER(queues.stop_max_ms, 1, 60000, 1000),
+    NUMBER(queues.early_ms, 0, 60000, 0),
+    NUMBER(queues.status_keep_s, 1, 86400, 120),
+    NUMBER(queues.quarantine_failures, 2, 1000, 3),
+    NUMBER(queues.grace_s, 1, 3600, 6),
 };
 
 static const char *const level_words[] = {
     "err", "warning", "notice", "info", "debug", NULL};
 static const char *const service_words[] = {
-    SERVICE_GATEWAY, SERVICE_SCHEDULER, NULL};
+    SERVICE_GATEWAY, SERVICE_SCHEDULER, SERVICE_QUEUES, NULL};
 
 static void *
 member(bp_settings_t *settings, const row_t *row)
@@ -132,6 +143,9 @@
 	g_free(settings->listen.metrics);
 	g_free(settings->platform.log_url);
 	g_free(settings->platform.vm_list_url);
+	g_free(settings->platform.store);
+	g_free(settings->listen.queues);
+	g_free(settings->listen.ready);
 	g_strfreev(settings->peers);
 	g_free(settings);
 }
@@ -252,9 +266,12 @@
 			out = &settings->node.gateway;
 		else if (strcmp(word, SERVICE_SCHEDULER) == 0)
 			out = &settings->node.scheduler;
+		else if (strcmp(word, SERVICE_QUEUES) == 0)
+			out = &settings->node.queues;
 		if (out == NULL)
 			bp_settings_problem(file, item->line, item->path,
-			    "\"%.40s\" is neither gateway nor scheduler%s%s",
+			    "\"%.40s\" is none of gateway, scheduler and queues"
+			    "%s%s",
 			    word, close != NULL ? "; did you mean " : "",
 			    close != NULL ? close : "");
 		else if (*out)
@@ -344,6 +361,34 @@
 	return item != NULL ? item->line : 1;
 }
 
+static void
+require_key(bp_settings_file_t *file, const char *key, const char *message)
+{
+	if (bp_settings_find(file, key) == NULL)
+		bp_settings_problem(file, 1, key, "%s", message);
+}
+
+/* Each platform has its own clients, so a node serves one of them. */
+static void
+check_services(bp_settings_file_t *file, const bp_settings_t *settings)
+{
+	if (!settings->node.queues) {
+		require_key(file, "platform.log_url",
+		    "this key is missing and has no standard value");
+		require_key(file, "platform.vm_list_url",
+		    "this key is missing and has no standard value");
+		return;
+	}
+	if (settings->node.gateway || settings->node.scheduler)
+		bp_settings_problem(file, line_for(file, "node.services"),
+		    "node.services",
+		    "queues runs alone, without gateway and scheduler");
+	require_key(file, "platform.store",
+	    "the queues service needs HOST:PORT of the store");
+	require_key(file, "listen.queues",
+	    "the queues service needs HOST:PORT to listen on");
+}
+
 static void
 check_required(bp_settings_file_t *file, const bp_settings_t *settings)
 {
@@ -360,6 +405,7 @@
 		bp_settings_problem(file, line_for(file, "node.services"),
 		    "listen.gateway",
 		    "the gateway service needs HOST:PORT to listen on");
+	check_services(file, settings);
 }
 
 static void
--- a/src/node/control.c
+++ b/src/node/control.c
@@ -56,6 +56,11 @@
 	case BP__PEER__VERB__VERB_KEY_OUTCOME:
 		bp_control_key_outcome(control, request);
 		return;
+	case BP__PEER__VERB__VERB_QUEUE_SUBMIT:
+	case BP__PEER__VERB__VERB_QUEUE_STATUS:
+	case BP__PEER__VERB__VERB_QUEUE_CANCEL:
+	case BP__PEER__VERB__VERB_QUEUE_COUNT:
+		/* Nodes with the service queues answer these. */
 	case BP__PEER__VERB__VERB_UNSPECIFIED:
 	case _BP__PEER__VERB_IS_INT_SIZE:
 		break;
--- a/src/node/peer_client.c
+++ b/src/node/peer_client.c
@@ -25,6 +25,7 @@
 	bp_link_t *link; /* NULL unless connected */
 	GCancellable *connecting; /* NULL unless connecting */
 	GHashTable *calls; /* correlation to call_t */
+	int64_t heard_us; /* mono, of the last frame */
 } peer_t;
 
 typedef struct {
@@ -33,6 +34,7 @@
 	uint64_t correlation;
 	Bp__Peer__Verb verb;
 	bool sent;
+	int64_t sent_us; /* mono */
 	guint timer;
 	bp_peer_done_t done;
 	void *data;
@@ -153,6 +155,8 @@
 	call_t *call = g_hash_table_lookup(peer->calls, &frame->correlation);
 	bp_error_t err;
 
+	if (peer->client != NULL)
+		peer->heard_us = bp_clock_mono_us(peer->client->clock);
 	/* A late answer: its call has already ended with its time limit. */
 	if (call == NULL || !frame->answer)
 		return;
@@ -174,6 +178,7 @@
 
 	call->request = NULL;
 	call->sent = true;
+	call->sent_us = bp_clock_mono_us(call->peer->client->clock);
 	if (bp_link_send(call->peer->link, request, &err) == BP_ETOOLARGE)
 		finish(call, NULL, &err);
 	bp__peer__frame__free_unpacked(request, NULL);
@@ -229,17 +234,47 @@
 	    peer->address, 0, peer->connecting, on_connected, peer);
 }
 
+/*
+ * A connection may go silent without a reset, while a new one would work.
+ * One that brought nothing since a call that got no answer is given up.
+ */
+static void
+drop_silent(peer_t *peer, bool sent, int64_t sent_us)
+{
+	bp_link_t *link = peer->link;
+
+	if (peer->client == NULL)
+		return;
+	if (link == NULL) {
+		if (peer->connecting != NULL)
+			g_cancellable_cancel(peer->connecting);
+		return;
+	}
+	if (!sent || peer->heard_us >= sent_us)
+		return;
+	peer->link = NULL;
+	bp_link_close(link);
+	bp_link_unref(link);
+	finish_all(peer, "the connection is silent");
+}
+
 static gboolean
 on_timeout(gpointer data)
 {
 	call_t *call = data;
+	peer_t *peer = call->peer;
+	bool sent = call->sent;
+	int64_t sent_us = call->sent_us;
 	bp_error_t err;
 
+	(void)g_rc_box_acquire(peer);
 	call->timer = 0;
 	(void)bp_error_set(&err, call->sent ? BP_EDEADLINE : BP_EUNREACHABLE,
 	    "%s: %s", call->peer->address,
 	    call->sent ? "no answer in time" : "no connection in time");
 	finish(call, NULL, &err);
+	drop_silent(peer, sent, sent_us);
+	peer_unref(peer);
 	return G_SOURCE_REMOVE;
 }
 
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -181,7 +181,7 @@
   (ProtobufCMessageInit) bp__peer__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue bp__peer__verb__enum_values_by_number[17] =
+static const ProtobufCEnumValue bp__peer__verb__enum_values_by_number[21] =
 {
   { "VERB_UNSPECIFIED", "BP__PEER__VERB__VERB_UNSPECIFIED", 0 },
   { "VERB_STATE", "BP__PEER__VERB__VERB_STATE", 1 },
@@ -200,11 +200,15 @@
   { "VERB_JOB_CANCEL", "BP__PEER__VERB__VERB_JOB_CANCEL", 14 },
   { "VERB_JOB_LIST", "BP__PEER__VERB__VERB_JOB_LIST", 15 },
   { "VERB_KEY_OUTCOME", "BP__PEER__VERB__VERB_KEY_OUTCOME", 16 },
+  { "VERB_QUEUE_SUBMIT", "BP__PEER__VERB__VERB_QUEUE_SUBMIT", 17 },
+  { "VERB_QUEUE_STATUS", "BP__PEER__VERB__VERB_QUEUE_STATUS", 18 },
+  { "VERB_QUEUE_CANCEL", "BP__PEER__VERB__VERB_QUEUE_CANCEL", 19 },
+  { "VERB_QUEUE_COUNT", "BP__PEER__VERB__VERB_QUEUE_COUNT", 20 },
 };
 static const ProtobufCIntRange bp__peer__verb__value_ranges[] = {
-{0, 0},{0, 17}
+{0, 0},{0, 21}
 };
-static const ProtobufCEnumValueIndex bp__peer__verb__enum_values_by_name[17] =
+static const ProtobufCEnumValueIndex bp__peer__verb__enum_values_by_name[21] =
 {
   { "VERB_JOB_CANCEL", 14 },
   { "VERB_JOB_LIST", 15 },
@@ -212,6 +216,10 @@
   { "VERB_JOB_SUBMIT", 12 },
   { "VERB_KEY_OUTCOME", 16 },
   { "VERB_METRICS", 5 },
+  { "VERB_QUEUE_CANCEL", 19 },
+  { "VERB_QUEUE_COUNT", 20 },
+  { "VERB_QUEUE_STATUS", 18 },
+  { "VERB_QUEUE_SUBMIT", 17 },
   { "VERB_RULES_CHECK", 8 },
   { "VERB_RULES_HISTORY", 7 },
   { "VERB_RULES_PUBLISH", 9 },
@@ -231,9 +239,9 @@
   "Verb",
   "Bp__Peer__Verb",
   "bp.peer",
-  17,
+  21,
   bp__peer__verb__enum_values_by_number,
-  17,
+  21,
   bp__peer__verb__enum_values_by_name,
   1,
   bp__peer__verb__value_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -80,7 +80,29 @@
   /*
    * args: service/key, optional "own" (ask no other node);
    */
-  BP__PEER__VERB__VERB_KEY_OUTCOME = 16
+  BP__PEER__VERB__VERB_KEY_OUTCOME = 16,
+  /*
+   * answer: args HTTP status or 0, 1 if in flight; outcome is
+   * that of the request with the key
+   * Calls on queues, to the owner of the shard. Answers: args state (a number
+   * of work.JobState) or count; error BP_ESTATE: not the owner, nothing done.
+   */
+  /*
+   * body: serialized work.Job
+   */
+  BP__PEER__VERB__VERB_QUEUE_SUBMIT = 17,
+  /*
+   * args: queue, job id
+   */
+  BP__PEER__VERB__VERB_QUEUE_STATUS = 18,
+  /*
+   * args: queue, job id
+   */
+  BP__PEER__VERB__VERB_QUEUE_CANCEL = 19,
+  /*
+   * args: queue, shard
+   */
+  BP__PEER__VERB__VERB_QUEUE_COUNT = 20
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BP__PEER__VERB)
 } Bp__Peer__Verb;
 
--- /dev/null
+++ b/src/queues/desk.h
@@ -0,0 +1,32 @@
+#ifndef BP_QUEUES_DESK_H
+#define BP_QUEUES_DESK_H
+
+#include "bulrushpost/clock.h"
+#include "bulrushpost/logline.h"
+#include "bulrushpost/peer.h"
+#include "bulrushpost/queuedesk.h"
+#include "bulrushpost/shard.h"
+#include "queues/membership.h"
+
+typedef struct {
+	const bp_clock_t *clock;
+	bp_logger_t *logger;
+	bp_peer_client_t *client;
+	bp_membership_t *membership;
+	bp_shard_t *const *owned; /* a shard, NULL when another node owns it */
+	uint32_t shards;
+	const char *address; /* of this node's control protocol */
+} bp_queuedesk_options_t;
+
+bp_queuedesk_t *bp_queuedesk_new(const bp_queuedesk_options_t *options);
+void bp_queuedesk_free(bp_queuedesk_t *desk);
+/* The catalog lives until the next call. */
+void bp_queuedesk_set_catalog(
+    bp_queuedesk_t *desk, const bp_catalog_t *catalog);
+/* Tries calls again that wait for an owner. */
+void bp_queuedesk_retry(bp_queuedesk_t *desk);
+uint32_t bp_queuedesk_open(const bp_queuedesk_t *desk);
+/* Answers a queue verb of another node as the owner. */
+void bp_queuedesk_serve(bp_queuedesk_t *desk, bp_peer_request_t *request);
+
+#endif
--- /dev/null
+++ b/src/queues/job.c
@@ -0,0 +1,376 @@
+#include "queues/job.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define PERMILLE 1000
+/* Bounds of one job, so that a body cannot exhaust a node's memory. */
+#define TASKS_MAX 20000
+#define STEPS_MAX 256
+
+static uint32_t
+occurrences_of(const Bp__Work__Job *spec)
+{
+	return MAX(spec->times, 1);
+}
+
+/* Refuses jobs that can never run or that exceed the bounds of a job. */
+int
+bp_qjob_check(const Bp__Work__Job *spec, bp_error_t *err)
+{
+	uint64_t tasks = 0;
+	size_t i;
+
+	if (spec->n_steps == 0 || spec->n_steps > STEPS_MAX)
+		return bp_error_set(err, BP_EINVALID,
+		    "a job has 1 to %d steps, this one %zu", STEPS_MAX,
+		    spec->n_steps);
+	for (i = 0; i < spec->n_steps; i++) {
+		const Bp__Work__Step *step = spec->steps[i];
+		size_t k;
+
+		tasks += (uint64_t)step->tasks * occurrences_of(spec);
+		for (k = 0; k < step->n_after; k++) {
+			if (step->after[k] >= i)
+				return bp_error_set(err, BP_EINVALID,
+				    "step %zu depends on a later step", i);
+		}
+	}
+	if (tasks == 0 || tasks > TASKS_MAX)
+		return bp_error_set(err, BP_EINVALID,
+		    "a job has 1 to %d tasks, this one %" G_GUINT64_FORMAT,
+		    TASKS_MAX, tasks);
+	return BP_OK;
+}
+
+/* Returns the longest chain of estimates through the steps, in ms. */
+static int64_t
+longest_chain_ms(const Bp__Work__Job *spec)
+{
+	int64_t *ends = g_new0(int64_t, spec->n_steps);
+	int64_t longest = 0;
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < spec->n_steps; i++) {
+		const Bp__Work__Step *step = spec->steps[i];
+
+		for (k = 0; k < step->n_after; k++)
+			ends[i] = MAX(ends[i], ends[step->after[k]]);
+		ends[i] += step->expected_ms;
+		longest = MAX(longest, ends[i]);
+	}
+	g_free(ends);
+	return longest;
+}
+
+static void
+init_steps(bp_qjob_t *job)
+{
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < job->n_steps * job->occurrences; i++) {
+		bp_qstep_t *step = &job->steps[i];
+
+		step->job = job;
+		step->occurrence = i / job->n_steps;
+		step->number = i % job->n_steps;
+		step->spec = job->spec->steps[step->number];
+		step->left = step->spec->tasks;
+		step->waiting = step->spec->tasks;
+		step->tasks = g_new0(bp_qtask_t, step->spec->tasks);
+		for (k = 0; k < step->spec->tasks; k++) {
+			step->tasks[k].step = step;
+			step->tasks[k].index = k;
+		}
+	}
+}
+
+/* Creates a job that nothing has started. Takes spec, which was checked. */
+bp_qjob_t *
+bp_qjob_new(Bp__Work__Job *spec)
+{
+	bp_qjob_t *job = g_new0(bp_qjob_t, 1);
+
+	job->spec = spec;
+	job->n_steps = (uint32_t)spec->n_steps;
+	job->occurrences = occurrences_of(spec);
+	job->steps = g_new0(bp_qstep_t, job->n_steps * job->occurrences);
+	init_steps(job);
+	job->due_ms = spec->accepted_ms + spec->objective_ms +
+	    longest_chain_ms(spec) * spec->stretch_permille / PERMILLE;
+	return job;
+}
+
+/* Frees a job whose tasks have no runs any more. */
+void
+bp_qjob_free(gpointer data)
+{
+	bp_qjob_t *job = data;
+	uint32_t i;
+	uint32_t k;
+
+	if (job == NULL)
+		return;
+	for (i = 0; i < job->n_steps * job->occurrences; i++) {
+		for (k = 0; k < job->steps[i].spec->tasks; k++)
+			g_free(job->steps[i].tasks[k].checkpoint);
+		g_free(job->steps[i].tasks);
+	}
+	g_free(job->steps);
+	if (job->waiters != NULL)
+		g_array_unref(job->waiters);
+	bp__work__job__free_unpacked(job->spec, NULL);
+	g_free(job);
+}
+
+/* Tells whether the job has reached a state that it never leaves. */
+bool
+bp_qjob_ended(const bp_qjob_t *job)
+{
+	return job->state >= BP__WORK__JOB_STATE__JOB_COMPLETED;
+}
+
+/* Returns the Unix ms before which the step must not start; 0 for none. */
+int64_t
+bp_qstep_due_ms(const bp_qstep_t *step)
+{
+	const Bp__Work__Job *spec = step->job->spec;
+
+	if (spec->times == 0)
+		return 0;
+	return spec->first_ms + (int64_t)step->occurrence * spec->interval_ms;
+}
+
+/* Tells whether all steps it depends on are done and its time has come. */
+bool
+bp_qstep_open(const bp_qstep_t *step, int64_t wall_ms)
+{
+	const bp_qjob_t *job = step->job;
+	size_t i;
+
+	if (wall_ms < bp_qstep_due_ms(step))
+		return false;
+	for (i = 0; i < step->spec->n_after; i++) {
+		const bp_qstep_t *earlier =
+		    &job->steps[step->occurrence * job->n_steps +
+			step->spec->after[i]];
+
+		if (earlier->left > 0)
+			return false;
+	}
+	return true;
+}
+
+/* Returns a task, or NULL when the job has none of that name. */
+bp_qtask_t *
+bp_qjob_task(const bp_qjob_t *job, uint32_t occurrence, uint32_t step,
+    uint32_t index)
+{
+	bp_qstep_t *found;
+
+	if (occurrence >= job->occurrences || step >= job->n_steps)
+		return NULL;
+	found = &job->steps[occurrence * job->n_steps + step];
+	return index < found->spec->tasks ? &found->tasks[index] : NULL;
+}
+
+/* Moves a task to a state and keeps the counts of its step. */
+void
+bp_qtask_set_state(bp_qtask_t *task, bp_qtask_state_t state)
+{
+	bp_qstep_t *step = task->step;
+
+	if (task->state == state)
+		return;
+	if (task->state == BP_QTASK_WAITING)
+		step->waiting--;
+	if (task->state == BP_QTASK_DONE)
+		step->left++;
+	task->state = state;
+	if (state == BP_QTASK_WAITING)
+		step->waiting++;
+	if (state == BP_QTASK_DONE)
+		step->left--;
+}
+
+/* Keeps the newest checkpoint; "" and NULL leave the one that it has. */
+void
+bp_qtask_set_checkpoint(bp_qtask_t *task, const char *checkpoint)
+{
+	if (checkpoint == NULL || checkpoint[0] == '\0')
+		return;
+	if (g_strcmp0(task->checkpoint, checkpoint) == 0)
+		return;
+	g_free(task->checkpoint);
+	task->checkpoint = g_strdup(checkpoint);
+}
+
+/*
+ * Counts a failure of a run once, although executors list an end again
+ * until it is acknowledged. Members of a gang share the count of member 0.
+ * Returns true when the attempts of the task are used up.
+ */
+bool
+bp_qtask_failed(bp_qtask_t *task, uint64_t run)
+{
+	bp_qtask_t *counted = task->step->spec->gang ? task->step->tasks : task;
+
+	if (run > counted->last_failed_run) {
+		counted->last_failed_run = run;
+		counted->failures++;
+	}
+	return !task->step->spec->lasting &&
+	    counted->failures >= task->step->job->spec->attempts;
+}
+
+/* Derives the state of a job from its tasks. */
+void
+bp_qjob_settle(bp_qjob_t *job)
+{
+	uint32_t i;
+
+	if (bp_qjob_ended(job))
+		return;
+	if (job->begun)
+		job->state = BP__WORK__JOB_STATE__JOB_RUNNING;
+	for (i = 0; i < job->n_steps * job->occurrences; i++) {
+		if (job->steps[i].left > 0)
+			return;
+	}
+	job->state = BP__WORK__JOB_STATE__JOB_COMPLETED;
+}
+
+/* Returns the name of a task: job, occurrence, step, index. */
+char *
+bp_qtask_name(const bp_qtask_t *task)
+{
+	return g_strdup_printf("%s.%u.%u.%u", task->step->job->spec->id,
+	    task->step->occurrence, task->step->number, task->index);
+}
+
+/* See the header. Returns false for a text that names no task. */
+bool
+bp_qtask_parse(const char *name, char **id, uint32_t *occurrence,
+    uint32_t *step, uint32_t *index)
+{
+	uint32_t *const out[] = {occurrence, step, index};
+	char **parts = g_strsplit(name, ".", 5);
+	bool ok = g_strv_length(parts) == 4;
+	size_t i;
+
+	for (i = 0; ok && i < G_N_ELEMENTS(out); i++) {
+		guint64 value = 0;
+
+		ok = g_ascii_string_to_unsigned(
+		    parts[i + 1], 10, 0, UINT32_MAX, &value, NULL);
+		*out[i] = (uint32_t)value;
+	}
+	*id = ok ? g_strdup(parts[0]) : NULL;
+	g_strfreev(parts);
+	return ok;
+}
+
+static bool
+worth_storing(const bp_qtask_t *task)
+{
+	return task->state == BP_QTASK_DONE || task->failures > 0 ||
+	    task->checkpoint != NULL;
+}
+
+static void
+add_task(Bp__Work__Progress *out, const bp_qtask_t *task, uint32_t number)
+{
+	Bp__Work__TaskProgress *row = g_new(Bp__Work__TaskProgress, 1);
+
+	bp__work__task_progress__init(row);
+	row->task = number;
+	row->done = task->state == BP_QTASK_DONE;
+	row->failures = task->failures;
+	row->last_failed_run = task->last_failed_run;
+	if (task->checkpoint != NULL && !row->done)
+		row->checkpoint = task->checkpoint;
+	out->tasks[out->n_tasks++] = row;
+}
+
+/* Serializes what a successor cannot learn from the executors. */
+GBytes *
+bp_qjob_progress(const bp_qjob_t *job)
+{
+	Bp__Work__Progress out = BP__WORK__PROGRESS__INIT;
+	bool ended = bp_qjob_ended(job);
+	GPtrArray *rows;
+	uint32_t number = 0;
+	uint32_t i;
+	uint32_t k;
+	uint8_t *bytes;
+	size_t size;
+
+	for (i = 0; i < job->n_steps * job->occurrences; i++)
+		number += job->steps[i].spec->tasks;
+	rows = g_ptr_array_new_with_free_func(g_free);
+	g_ptr_array_set_size(rows, (gint)number);
+	out.tasks = (Bp__Work__TaskProgress **)rows->pdata;
+	out.state = job->state;
+	out.ended_ms = job->ended_ms;
+	number = 0;
+	for (i = 0; i < job->n_steps * job->occurrences; i++) {
+		const bp_qstep_t *step = &job->steps[i];
+
+		for (k = 0; k < step->spec->tasks; k++, number++) {
+			if (!ended && worth_storing(&step->tasks[k]))
+				add_task(&out, &step->tasks[k], number);
+		}
+	}
+	size = bp__work__progress__get_packed_size(&out);
+	bytes = g_malloc(MAX(size, 1));
+	(void)bp__work__progress__pack(&out, bytes);
+	g_ptr_array_unref(rows);
+	return g_bytes_new_take(bytes, size);
+}
+
+static bp_qtask_t *
+task_by_number(const bp_qjob_t *job, uint32_t number)
+{
+	uint32_t i;
+
+	for (i = 0; i < job->n_steps * job->occurrences; i++) {
+		if (number < job->steps[i].spec->tasks)
+			return &job->steps[i].tasks[number];
+		number -= job->steps[i].spec->tasks;
+	}
+	return NULL;
+}
+
+/* Reads stored progress into a new job; BP_EINVALID for broken bytes. */
+int
+bp_qjob_load_progress(bp_qjob_t *job, const uint8_t *bytes, size_t size_bytes,
+    bp_error_t *err)
+{
+	Bp__Work__Progress *progress =
+	    bp__work__progress__unpack(NULL, size_bytes, bytes);
+	size_t i;
+
+	if (progress == NULL)
+		return bp_error_set(
+		    err, BP_EINVALID, "the progress cannot be read");
+	job->state = progress->state;
+	job->stored = progress->state;
+	job->ended_ms = progress->ended_ms;
+	job->begun = progress->state != BP__WORK__JOB_STATE__JOB_QUEUED;
+	for (i = 0; i < progress->n_tasks; i++) {
+		const Bp__Work__TaskProgress *row = progress->tasks[i];
+		bp_qtask_t *task = task_by_number(job, row->task);
+
+		if (task == NULL)
+			continue;
+		task->failures = row->failures;
+		task->last_failed_run = row->last_failed_run;
+		bp_qtask_set_checkpoint(task, row->checkpoint);
+		if (row->done)
+			bp_qtask_set_state(task, BP_QTASK_DONE);
+	}
+	bp__work__progress__free_unpacked(progress, NULL);
+	return BP_OK;
+}
--- /dev/null
+++ b/src/queues/membership.c
@@ -0,0 +1,208 @@
+#include "queues/membership.h"
+
+#include <string.h>
+
+/* A join costs a tenth of a call; a takeover waits for one of them. */
+#define JOIN_PERIOD_MS 500
+/* A member that says nothing for this time has left. */
+#define TTL_MS 2500
+/* Owners are asked for at most so often, and once in a while unasked. */
+#define OWNERS_GAP_MS 150
+#define OWNERS_PERIOD_MS 4000
+#define GROUP "owners"
+#define MODULE "membership"
+
+struct bp_membership {
+	bp_membership_options_t options;
+	char *member;
+	uint64_t generation;
+	int64_t sent_ms; /* mono, of the join in flight */
+	bool joining;
+	bool asking;
+	bool left;
+	bool again; /* owners are asked for once more */
+	int64_t asked_ms;
+	char **owners; /* address a shard, NULL when not known */
+	bool answered; /* the last join was */
+	guint join_timer;
+	guint owners_timer;
+};
+
+static void
+on_joined(const bp_store_result_t *result, void *data)
+{
+	bp_membership_t *self = data;
+	bool *shards;
+	guint i;
+
+	self->joining = false;
+	if (self->answered != (result->outcome == BP_STORE_OK))
+		bp_log(self->options.logger, BP_LOG_NOTICE, MODULE,
+		    self->answered ? "the store does not confirm membership"
+				   : "the store confirms membership",
+		    NULL);
+	self->answered = result->outcome == BP_STORE_OK;
+	if (self->left || !self->answered)
+		return;
+	self->generation = result->generation;
+	shards = g_new0(bool, self->options.shards);
+	for (i = 0; i < result->holdings->len; i++) {
+		uint32_t partition = g_array_index(result->holdings,
+		    bp_store_holding_t, i).partition;
+
+		if (partition < self->options.shards)
+			shards[partition] = true;
+	}
+	self->options.held(shards, self->sent_ms, self->options.data);
+	g_free(shards);
+}
+
+static gboolean
+on_join_timer(void *data)
+{
+	bp_membership_t *self = data;
+
+	if (self->joining || self->left)
+		return G_SOURCE_CONTINUE;
+	self->joining = true;
+	self->sent_ms = bp_clock_mono_ms(self->options.clock);
+	self->options.store->join(self->options.store, GROUP, self->member,
+	    self->options.topic, TTL_MS, self->generation, on_joined, self);
+	return G_SOURCE_CONTINUE;
+}
+
+/* A member's name is its address and its incarnation. */
+static char *
+address_of(const char *member)
+{
+	const char *slash = strchr(member, '/');
+
+	return slash != NULL ? g_strndup(member, (gsize)(slash - member))
+			     : g_strdup(member);
+}
+
+static gboolean on_owners_timer(void *data);
+
+static void
+plan_owners(bp_membership_t *self, uint32_t delay_ms)
+{
+	g_clear_handle_id(&self->owners_timer, g_source_remove);
+	self->owners_timer = g_timeout_add(delay_ms, on_owners_timer, self);
+}
+
+static void
+on_owners(const bp_store_result_t *result, void *data)
+{
+	bp_membership_t *self = data;
+	guint i;
+
+	self->asking = false;
+	if (result->outcome == BP_STORE_OK) {
+		for (i = 0; i < result->holdings->len; i++) {
+			const bp_store_holding_t *holding = &g_array_index(
+			    result->holdings, bp_store_holding_t, i);
+
+			if (holding->member == NULL ||
+			    holding->partition >= self->options.shards)
+				continue;
+			g_free(self->owners[holding->partition]);
+			self->owners[holding->partition] =
+			    address_of(holding->member);
+		}
+	}
+	plan_owners(self, self->again ? OWNERS_GAP_MS : OWNERS_PERIOD_MS);
+	self->again = false;
+}
+
+static gboolean
+on_owners_timer(void *data)
+{
+	bp_membership_t *self = data;
+
+	self->owners_timer = 0;
+	self->asking = true;
+	self->asked_ms = bp_clock_mono_ms(self->options.clock);
+	self->options.store->owners(
+	    self->options.store, GROUP, on_owners, self);
+	return G_SOURCE_REMOVE;
+}
+
+/* Joins at once and then regularly. */
+bp_membership_t *
+bp_membership_new(const bp_membership_options_t *options)
+{
+	bp_membership_t *self = g_new0(bp_membership_t, 1);
+
+	self->options = *options;
+	self->member = g_strdup_printf("%s/%016" G_GINT64_MODIFIER "x",
+	    options->address, options->incarnation);
+	self->owners = g_new0(char *, options->shards);
+	self->answered = true;
+	self->join_timer = g_timeout_add(JOIN_PERIOD_MS, on_join_timer, self);
+	(void)on_join_timer(self);
+	plan_owners(self, OWNERS_GAP_MS);
+	return self;
+}
+
+/* Frees the membership, which runs out at the store. NULL is allowed. */
+void
+bp_membership_free(bp_membership_t *self)
+{
+	uint32_t i;
+
+	if (self == NULL)
+		return;
+	self->options.store->forget(self->options.store, self);
+	g_clear_handle_id(&self->join_timer, g_source_remove);
+	g_clear_handle_id(&self->owners_timer, g_source_remove);
+	for (i = 0; i < self->options.shards; i++)
+		g_free(self->owners[i]);
+	g_free(self->owners);
+	g_free(self->member);
+	g_free(self);
+}
+
+static void
+on_left(const bp_store_result_t *result, void *data)
+{
+	bp_membership_t *self = data;
+
+	if (result->outcome != BP_STORE_OK)
+		bp_log(self->options.logger, BP_LOG_NOTICE, MODULE,
+		    "the store did not confirm leaving; membership runs out",
+		    NULL);
+}
+
+/* See the header. */
+void
+bp_membership_leave(bp_membership_t *self)
+{
+	if (self->left)
+		return;
+	self->left = true;
+	self->options.store->leave(
+	    self->options.store, GROUP, self->member, on_left, self);
+	bp_membership_refresh(self);
+}
+
+/* See the header. */
+const char *
+bp_membership_owner(const bp_membership_t *self, uint32_t shard)
+{
+	return shard < self->options.shards ? self->owners[shard] : NULL;
+}
+
+/* See the header. */
+void
+bp_membership_refresh(bp_membership_t *self)
+{
+	int64_t passed_ms =
+	    bp_clock_mono_ms(self->options.clock) - self->asked_ms;
+
+	if (self->asking) {
+		self->again = true;
+		return;
+	}
+	plan_owners(
+	    self, (uint32_t)CLAMP(OWNERS_GAP_MS - passed_ms, 0, OWNERS_GAP_MS));
+}
--- /dev/null
+++ b/src/queues/queuenode.c
@@ -0,0 +1,578 @@
+#include "bulrushpost/queuenode.h"
+
+#include "bulrushpost/platform.h"
+#include "node/metricsserver.h"
+#include "queues/desk.h"
+
+#include <glib-unix.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#define MODULE "node"
+#define TOPIC "bulrushpost"
+/* After a shard was lost to a later epoch it is not claimed at once. */
+#define CLAIM_REST_MS 1000
+#define DRAIN_TICK_MS 50
+/* The balancer needs two misses of its check a second to send no more. */
+#define DRAIN_SERVE_MS 2600
+/* The stop ends so long before the platform would kill the process. */
+#define DRAIN_MARGIN_MS 600
+#define MS_PER_S 1000
+/* Calls of one node on one connection to this one. */
+#define PEER_REQUESTS_MAX 4096
+#define PEER_CONNECTIONS_MAX 256
+
+typedef struct {
+	const bp_settings_t *settings;
+	const bp_clock_t *clock;
+	GMainLoop *loop;
+	bp_logger_t *logger;
+	bp_metrics_t *metrics;
+	bp_timeline_t *timeline;
+	bp_metricsserver_t *metrics_server;
+	bp_platform_t *platform;
+	bp_peer_client_t *client;
+	bp_peer_server_t *server;
+	bp_membership_t *membership;
+	bp_queuedesk_t *desk;
+	bp_catalog_t *catalog;
+	GHashTable *zones_out;
+	bp_shard_t **owned;
+	int64_t *rest_until_ms; /* a shard */
+	int64_t drain_start_ms; /* 0 while serving */
+	guint drain_timer;
+	guint signals[3];
+} node_t;
+
+static void
+log_number(const node_t *node, const char *message, const char *key,
+    uint64_t value)
+{
+	char text[32];
+
+	snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, value);
+	bp_log(node->logger, BP_LOG_NOTICE, MODULE, message, key, text, NULL);
+}
+
+/* A newer configuration replaces the one in force everywhere at once. */
+static void
+on_catalog(bp_catalog_t *catalog, void *data)
+{
+	node_t *node = data;
+	bp_catalog_t *before = node->catalog;
+	uint32_t i;
+
+	node->catalog = catalog;
+	log_number(node, "configuration in force", "version", catalog->version);
+	bp_queuedesk_set_catalog(node->desk, catalog);
+	for (i = 0; i < node->settings->queues.shards; i++) {
+		if (node->owned[i] != NULL)
+			bp_shard_set_catalog(node->owned[i], catalog);
+	}
+	bp_catalog_free(before);
+}
+
+static void
+on_zone(const char *zone, bool out, void *data)
+{
+	node_t *node = data;
+	uint32_t i;
+
+	bp_log(node->logger, BP_LOG_NOTICE, MODULE,
+	    out ? "zone is out of service" : "zone is back in service", "zone",
+	    zone, NULL);
+	if (out)
+		g_hash_table_add(node->zones_out, g_strdup(zone));
+	else
+		g_hash_table_remove(node->zones_out, zone);
+	for (i = 0; i < node->settings->queues.shards; i++) {
+		if (node->owned[i] != NULL)
+			bp_shard_set_zone(node->owned[i], zone, out);
+	}
+}
+
+static void
+on_executor(bp_executor_info_t *info, void *data)
+{
+	node_t *node = data;
+	uint32_t i;
+
+	for (i = 0; i < node->settings->queues.shards; i++) {
+		if (node->owned[i] != NULL)
+			bp_shard_executor(node->owned[i], info);
+	}
+	bp_executor_info_free(info);
+}
+
+static void
+on_executor_gone(const char *id, void *data)
+{
+	node_t *node = data;
+	uint32_t i;
+
+	for (i = 0; i < node->settings->queues.shards; i++) {
+		if (node->owned[i] != NULL)
+			bp_shard_executor_gone(node->owned[i], id);
+	}
+}
+
+static void
+on_executors_listed(void *data)
+{
+	node_t *node = data;
+	uint32_t i;
+
+	for (i = 0; i < node->settings->queues.shards; i++) {
+		if (node->owned[i] != NULL)
+			bp_shard_executors_listed(node->owned[i]);
+	}
+}
+
+static void
+follow_if_owner(node_t *node)
+{
+	bool owner = false;
+	uint32_t i;
+
+	for (i = 0; i < node->settings->queues.shards; i++)
+		owner = owner || node->owned[i] != NULL;
+	bp_platform_follow_executors(node->platform, owner);
+}
+
+static void
+drop_shard(node_t *node, uint32_t number)
+{
+	bp_shard_t *shard = node->owned[number];
+
+	node->owned[number] = NULL;
+	bp_shard_free(shard);
+	follow_if_owner(node);
+	bp_membership_refresh(node->membership);
+}
+
+static void
+on_lost(bp_shard_t *shard, void *data)
+{
+	node_t *node = data;
+	uint32_t number = bp_shard_number(shard);
+
+	node->rest_until_ms[number] =
+	    bp_clock_mono_ms(node->clock) + CLAIM_REST_MS;
+	drop_shard(node, number);
+}
+
+/* The whole list of executors is read again once the shard is owned. */
+static void
+on_owned(bp_shard_t *shard, void *data)
+{
+	node_t *node = data;
+
+	(void)shard;
+	bp_platform_follow_executors(node->platform, true);
+}
+
+static void
+take_shard(node_t *node, uint32_t number)
+{
+	const bp_settings_queues_t *queues = &node->settings->queues;
+	bp_shard_options_t options = {0};
+	GHashTableIter iter;
+	gpointer zone;
+
+	options.clock = node->clock;
+	options.logger = node->logger;
+	options.timeline = node->timeline;
+	options.store = bp_platform_get_store(node->platform);
+	options.executors = bp_platform_get_executors(node->platform);
+	options.node = node->settings->node.name;
+	options.address = node->settings->listen.control;
+	options.topic = TOPIC;
+	options.number = number;
+	options.shards = queues->shards;
+	options.limits.lease_max_ms = queues->lease_max_ms;
+	options.limits.stop_max_ms = queues->stop_max_ms;
+	options.limits.early_ms = queues->early_ms;
+	options.limits.status_keep_s = queues->status_keep_s;
+	options.limits.quarantine_failures = queues->quarantine_failures;
+	options.lost = on_lost;
+	options.owned = on_owned;
+	options.data = node;
+	node->owned[number] = bp_shard_new(&options);
+	bp_shard_set_catalog(node->owned[number], node->catalog);
+	g_hash_table_iter_init(&iter, node->zones_out);
+	while (g_hash_table_iter_next(&iter, &zone, NULL))
+		bp_shard_set_zone(node->owned[number], zone, true);
+}
+
+/* A join was answered: these shards are ours by the store's membership. */
+static void
+on_held(const bool *shards, int64_t sent_mono_ms, void *data)
+{
+	node_t *node = data;
+	int64_t now_ms = bp_clock_mono_ms(node->clock);
+	uint32_t i;
+
+	for (i = 0; i < node->settings->queues.shards; i++) {
+		bp_shard_t *shard = node->owned[i];
+
+		if (!shards[i]) {
+			if (shard != NULL)
+				bp_shard_release(shard);
+			if (shard != NULL && bp_shard_idle(shard))
+				drop_shard(node, i);
+		} else if (shard != NULL) {
+			bp_shard_confirm(shard, sent_mono_ms);
+		} else if (now_ms >= node->rest_until_ms[i]) {
+			take_shard(node, i);
+		}
+	}
+}
+
+static void
+answer_text(bp_peer_request_t *request, int kind, const char *message,
+    const char *body)
+{
+	Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
+
+	answer.error = kind;
+	answer.outcome = bp_error_answer(kind)->outcome;
+	answer.message = (char *)message;
+	answer.body.data = (uint8_t *)body;
+	answer.body.len = body != NULL ? strlen(body) : 0;
+	bp_peer_request_answer(request, &answer);
+}
+
+/* Explains a job if this node owns its shard, else names the owner. */
+static void
+serve_why(node_t *node, bp_peer_request_t *request)
+{
+	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
+	uint32_t number;
+	const char *owner;
+	char *text;
+
+	if (frame->n_args < 1) {
+		answer_text(request, BP_EINVALID, "a job id is needed", NULL);
+		return;
+	}
+	number = bp_shard_of_job(
+	    frame->args[0], node->settings->queues.shards);
+	owner = bp_membership_owner(node->membership, number);
+	if (node->owned[number] == NULL) {
+		text = g_strdup_printf("the job's shard is owned by %s",
+		    owner != NULL ? owner : "no known node");
+		answer_text(request, BP_ESTATE, text, NULL);
+		g_free(text);
+		return;
+	}
+	text = bp_shard_why(node->owned[number], frame->args[0]);
+	if (text == NULL)
+		answer_text(request, BP_ENOTFOUND, "no such job", NULL);
+	else
+		answer_text(request, BP_OK, text, text);
+	g_free(text);
+}
+
+static void
+serve_status(node_t *node, bp_peer_request_t *request)
+{
+	GString *text = g_string_new("{\"shards\":[");
+	uint32_t i;
+	bool first = true;
+
+	for (i = 0; i < node->settings->queues.shards; i++) {
+		char *part;
+
+		if (node->owned[i] == NULL)
+			continue;
+		part = bp_shard_describe(node->owned[i]);
+		g_string_append_printf(text, "%s%s", first ? "" : ",", part);
+		first = false;
+		g_free(part);
+	}
+	g_string_append_printf(text, "],\"version\":%" G_GUINT64_FORMAT "}",
+	    node->catalog != NULL ? node->catalog->version : 0);
+	answer_text(request, BP_OK, text->str, text->str);
+	g_string_free(text, TRUE);
+}
+
+static void
+serve_timeline(node_t *node, bp_peer_request_t *request)
+{
+	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
+	bp_timeline_filter_t filter;
+	bp_error_t err = {BP_OK, ""};
+	char *lines;
+
+	if (bp_timeline_filter_parse(
+		&filter, frame->args, frame->n_args, &err) != BP_OK) {
+		answer_text(request, err.kind, err.message, NULL);
+		return;
+	}
+	lines = bp_timeline_lines(node->timeline, &filter, 512 * 1024);
+	answer_text(request, BP_OK, "", lines);
+	g_free(lines);
+}
+
+static void
+on_request(bp_peer_request_t *request, void *data)
+{
+	node_t *node = data;
+	char *text;
+
+	switch (bp_peer_request_frame(request)->verb) {
+	case BP__PEER__VERB__VERB_QUEUE_SUBMIT:
+	case BP__PEER__VERB__VERB_QUEUE_STATUS:
+	case BP__PEER__VERB__VERB_QUEUE_CANCEL:
+	case BP__PEER__VERB__VERB_QUEUE_COUNT:
+		bp_queuedesk_serve(node->desk, request);
+		return;
+	case BP__PEER__VERB__VERB_WHY:
+		serve_why(node, request);
+		return;
+	case BP__PEER__VERB__VERB_STATUS:
+		serve_status(node, request);
+		return;
+	case BP__PEER__VERB__VERB_TIMELINE:
+		serve_timeline(node, request);
+		return;
+	case BP__PEER__VERB__VERB_METRICS:
+		text = bp_metrics_text(node->metrics);
+		answer_text(request, BP_OK, "", text);
+		g_free(text);
+		return;
+	default:
+		answer_text(request, BP_EINVALID,
+		    "a node with the service queues does not answer this", NULL);
+		return;
+	}
+}
+
+static bool
+shards_idle(const node_t *node)
+{
+	uint32_t i;
+
+	for (i = 0; i < node->settings->queues.shards; i++) {
+		if (node->owned[i] != NULL && !bp_shard_idle(node->owned[i]))
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Shards are handed over first, so that the successor can start; callers
+ * are served through it until the balancer has turned away.
+ */
+static gboolean
+on_drain_tick(void *data)
+{
+	node_t *node = data;
+	int64_t passed_ms =
+	    bp_clock_mono_ms(node->clock) - node->drain_start_ms;
+	int64_t limit_ms =
+	    (int64_t)node->settings->queues.grace_s * MS_PER_S - DRAIN_MARGIN_MS;
+	uint32_t i;
+
+	if (shards_idle(node) || passed_ms > limit_ms) {
+		for (i = 0; i < node->settings->queues.shards; i++) {
+			if (node->owned[i] != NULL)
+				drop_shard(node, i);
+		}
+		bp_membership_leave(node->membership);
+	}
+	if (passed_ms < MIN(DRAIN_SERVE_MS, limit_ms))
+		return G_SOURCE_CONTINUE;
+	if (bp_platform_calls(node->platform) > 0 && passed_ms < limit_ms)
+		return G_SOURCE_CONTINUE;
+	log_number(node, "stopped gracefully", "took_ms", (uint64_t)passed_ms);
+	node->drain_timer = 0;
+	g_main_loop_quit(node->loop);
+	return G_SOURCE_REMOVE;
+}
+
+static gboolean
+on_stop(void *data)
+{
+	node_t *node = data;
+	uint32_t i;
+
+	if (node->drain_start_ms != 0)
+		return G_SOURCE_CONTINUE;
+	bp_log(node->logger, BP_LOG_NOTICE, MODULE, "draining", NULL);
+	node->drain_start_ms = bp_clock_mono_ms(node->clock);
+	bp_platform_drain(node->platform);
+	for (i = 0; i < node->settings->queues.shards; i++) {
+		if (node->owned[i] != NULL)
+			bp_shard_release(node->owned[i]);
+	}
+	node->drain_timer =
+	    g_timeout_add(DRAIN_TICK_MS, on_drain_tick, node);
+	return G_SOURCE_CONTINUE;
+}
+
+/* Names and addresses of a running node stay; a restart takes new ones. */
+static gboolean
+on_reload(void *data)
+{
+	node_t *node = data;
+
+	bp_log(node->logger, BP_LOG_NOTICE, MODULE,
+	    "settings changed; they take effect at the next start", NULL);
+	return G_SOURCE_CONTINUE;
+}
+
+static void
+collect(bp_metrics_t *metrics, void *data)
+{
+	node_t *node = data;
+	uint32_t owned = 0;
+	uint32_t i;
+
+	for (i = 0; i < node->settings->queues.shards; i++)
+		owned += node->owned[i] != NULL;
+	bp_metric_set(bp_metrics_gauge(metrics, "bp_shards_owned", NULL),
+	    owned);
+	bp_metric_set(bp_metrics_gauge(metrics, "bp_calls_open", NULL),
+	    bp_queuedesk_open(node->desk));
+	bp_metric_set(
+	    bp_metrics_gauge(metrics, "bp_configuration_version", NULL),
+	    node->catalog != NULL ? (double)node->catalog->version : 0);
+}
+
+static int
+build_server(node_t *node, bp_error_t *err)
+{
+	bp_peer_server_options_t server;
+
+	(void)bp_peer_server_options_init(&server);
+	server.clock = node->clock;
+	server.logger = node->logger;
+	server.address = node->settings->listen.control;
+	server.connections_max = PEER_CONNECTIONS_MAX;
+	server.requests_max = PEER_REQUESTS_MAX;
+	server.handler = on_request;
+	server.data = node;
+	return bp_peer_server_new(&node->server, &server, err);
+}
+
+static void
+build_desk(node_t *node)
+{
+	bp_membership_options_t membership = {0};
+	bp_queuedesk_options_t desk = {0};
+
+	membership.clock = node->clock;
+	membership.logger = node->logger;
+	membership.store = bp_platform_get_store(node->platform);
+	membership.topic = TOPIC;
+	membership.address = node->settings->listen.control;
+	membership.incarnation =
+	    (uint64_t)g_random_int() << 32 | g_random_int();
+	membership.shards = node->settings->queues.shards;
+	membership.held = on_held;
+	membership.data = node;
+	node->membership = bp_membership_new(&membership);
+	desk.clock = node->clock;
+	desk.logger = node->logger;
+	desk.client = node->client;
+	desk.membership = node->membership;
+	desk.owned = node->owned;
+	desk.shards = node->settings->queues.shards;
+	desk.address = node->settings->listen.control;
+	node->desk = bp_queuedesk_new(&desk);
+}
+
+static int
+build(node_t *node, bp_error_t *err)
+{
+	const bp_settings_t *settings = node->settings;
+	bp_platform_options_t platform = {0};
+	int rc;
+
+	node->clock = bp_clock_system();
+	node->logger = bp_logger_new(
+	    node->clock, settings->node.name, settings->log_level);
+	bp_logger_set_stdout(node->logger);
+	node->loop = g_main_loop_new(NULL, FALSE);
+	node->metrics = bp_metrics_new();
+	node->timeline = bp_timeline_new(node->clock, settings->node.name,
+	    settings->limits.timeline_events);
+	node->zones_out =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	node->owned = g_new0(bp_shard_t *, settings->queues.shards);
+	node->rest_until_ms = g_new0(int64_t, settings->queues.shards);
+	platform.clock = node->clock;
+	platform.logger = node->logger;
+	platform.settings = settings;
+	platform.listener.catalog = on_catalog;
+	platform.listener.zone = on_zone;
+	platform.listener.executor = on_executor;
+	platform.listener.executor_gone = on_executor_gone;
+	platform.listener.executors_listed = on_executors_listed;
+	platform.listener.data = node;
+	rc = bp_platform_new(&node->platform, &platform, err);
+	if (rc != BP_OK)
+		return rc;
+	node->client = bp_peer_client_new(node->clock, node->logger);
+	rc = build_server(node, err);
+	if (rc != BP_OK)
+		return rc;
+	build_desk(node);
+	bp_metrics_on_collect(node->metrics, collect, node);
+	if (settings->listen.metrics != NULL)
+		rc = bp_metricsserver_new(&node->metrics_server,
+		    settings->listen.metrics, node->metrics, err);
+	if (rc != BP_OK)
+		return rc;
+	return bp_platform_open(node->platform, node->desk, err);
+}
+
+static void
+teardown(node_t *node)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(node->signals); i++)
+		g_clear_handle_id(&node->signals[i], g_source_remove);
+	g_clear_handle_id(&node->drain_timer, g_source_remove);
+	for (i = 0; i < node->settings->queues.shards; i++)
+		g_clear_pointer(&node->owned[i], bp_shard_free);
+	bp_queuedesk_free(node->desk);
+	bp_metricsserver_free(node->metrics_server);
+	bp_membership_free(node->membership);
+	bp_peer_client_free(node->client);
+	bp_peer_server_free(node->server);
+	bp_platform_free(node->platform);
+	bp_catalog_free(node->catalog);
+	g_hash_table_unref(node->zones_out);
+	g_free(node->owned);
+	g_free(node->rest_until_ms);
+	bp_timeline_free(node->timeline);
+	bp_metrics_free(node->metrics);
+	g_main_loop_unref(node->loop);
+	bp_logger_free(node->logger);
+}
+
+/* See the header. */
+int
+bp_queuenode_run(const bp_settings_t *settings, bp_error_t *err)
+{
+	node_t node = {0};
+	int rc;
+
+	node.settings = settings;
+	rc = build(&node, err);
+	if (rc == BP_OK) {
+		node.signals[0] = g_unix_signal_add(SIGTERM, on_stop, &node);
+		node.signals[1] = g_unix_signal_add(SIGINT, on_stop, &node);
+		node.signals[2] = g_unix_signal_add(SIGHUP, on_reload, &node);
+		bp_platform_follow(node.platform);
+		bp_log(node.logger, BP_LOG_NOTICE, MODULE, "started", "version",
+		    BP_VERSION, "zone", settings->node.zone, NULL);
+		g_main_loop_run(node.loop);
+	}
+	teardown(&node);
+	return rc;
+}
--- /dev/null
+++ b/src/queues/shard.c
@@ -0,0 +1,449 @@
+#include "queues/shard_private.h"
+
+#include "bulrushpost/hash.h"
+
+#include <string.h>
+
+/* Rounds are grouped: answers that arrive together share one. */
+#define ROUND_GAP_MS 4
+/* Period of checking leases, census, due times and ended jobs. */
+#define TICK_MS 100
+/* Silence of all earlier orders: grace and lease, with 3% clock drift. */
+#define WAIT_OUT_MS \
+	(BP_SHARD_ORDER_GRACE_MS + BP_SHARD_LEASE_MS + BP_SHARD_LEASE_MS / 20)
+#define MS_PER_S 1000
+#define SEED_JOB 0x6a6f62
+#define SEED_RACK 0x7261636b
+
+/* Returns the process's monotonic time in ms. */
+int64_t
+bp_shard_now_ms(const bp_shard_t *shard)
+{
+	return bp_clock_mono_ms(shard->options.clock);
+}
+
+/* Returns Unix time in ms; for due times and display only. */
+int64_t
+bp_shard_wall_ms(const bp_shard_t *shard)
+{
+	return bp_clock_wall_ms(shard->options.clock);
+}
+
+/* Tells whether this node may still send orders; see ORDER_GRACE. */
+bool
+bp_shard_may_order(const bp_shard_t *shard)
+{
+	return shard->phase == BP_SHARD_OWNED &&
+	    bp_shard_now_ms(shard) - shard->confirmed_ms <
+	    BP_SHARD_ORDER_GRACE_MS;
+}
+
+/* The job's progress is to be stored with the next append. */
+void
+bp_shard_mark_dirty(bp_shard_t *shard, bp_qjob_t *job)
+{
+	if (!job->dirty) {
+		job->dirty = true;
+		g_ptr_array_add(shard->dirty, job);
+	}
+	if (shard->journal != NULL)
+		bp_journal_request(shard->journal, false);
+}
+
+static gboolean
+on_round(void *data)
+{
+	bp_shard_t *shard = data;
+
+	shard->round_timer = 0;
+	if (bp_shard_may_order(shard))
+		bp_shard_round(shard);
+	return G_SOURCE_REMOVE;
+}
+
+/* Plans a round of placement unless one is planned. */
+void
+bp_shard_plan_round(bp_shard_t *shard, uint32_t delay_ms)
+{
+	if (shard->round_timer == 0 && shard->phase == BP_SHARD_OWNED)
+		shard->round_timer = g_timeout_add(
+		    MAX(delay_ms, ROUND_GAP_MS), on_round, shard);
+}
+
+static void
+stop_runs(bp_shard_t *shard, bp_qjob_t *job)
+{
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < job->n_steps * job->occurrences; i++) {
+		for (k = 0; k < job->steps[i].spec->tasks; k++) {
+			bp_qrun_t *run = job->steps[i].tasks[k].run;
+
+			if (run == NULL)
+				continue;
+			bp_qrun_abandon(run);
+			bp_shard_stop_run(shard, run, "job has ended");
+			/* Repeated by the checks when it could not be sent. */
+			run->state = BP_QRUN_STOPPING;
+		}
+	}
+}
+
+/* Brings a job to its last state and stops what runs of it. */
+void
+bp_shard_end_job(
+    bp_shard_t *shard, bp_qjob_t *job, Bp__Work__JobState state)
+{
+	job->state = state;
+	job->ended_ms = bp_shard_wall_ms(shard);
+	g_ptr_array_remove(shard->going, job);
+	stop_runs(shard, job);
+	bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE,
+	    "job ended", "job", job->spec->id, "state",
+	    state == BP__WORK__JOB_STATE__JOB_COMPLETED ? "completed"
+		: state == BP__WORK__JOB_STATE__JOB_FAILED
+		? "failed"
+		: "cancelled",
+	    NULL);
+}
+
+static gboolean
+on_lost(void *data)
+{
+	bp_shard_t *shard = data;
+
+	shard->reread_timer = 0;
+	shard->options.lost(shard, shard->options.data);
+	return G_SOURCE_REMOVE;
+}
+
+/* A later epoch was seen: nothing is ordered or stored any more. */
+void
+bp_shard_set_lost(bp_shard_t *shard)
+{
+	if (shard->phase == BP_SHARD_LOST)
+		return;
+	bp_log(shard->options.logger, BP_LOG_NOTICE, BP_SHARD_MODULE,
+	    "the shard has a later owner", NULL);
+	shard->phase = BP_SHARD_LOST;
+	if (shard->reread_timer == 0)
+		shard->reread_timer = g_idle_add(on_lost, shard);
+}
+
+static void
+end_census(bp_shard_t *shard)
+{
+	guint i;
+	uint32_t s;
+	uint32_t k;
+
+	shard->census_done = true;
+	for (i = 0; i < shard->going->len; i++) {
+		bp_qjob_t *job = shard->going->pdata[i];
+
+		for (s = 0; s < job->n_steps * job->occurrences; s++) {
+			for (k = 0; k < job->steps[s].spec->tasks; k++) {
+				bp_qtask_t *task = &job->steps[s].tasks[k];
+
+				if (task->state == BP_QTASK_CENSUS)
+					bp_qtask_set_state(
+					    task, BP_QTASK_WAITING);
+			}
+		}
+	}
+	bp_log(shard->options.logger, BP_LOG_NOTICE, BP_SHARD_MODULE,
+	    "all executors are accounted for", NULL);
+	bp_shard_plan_round(shard, 0);
+}
+
+/*
+ * Ends the census when every executor that may hold runs of earlier epochs
+ * has answered to this one, or all leases they gave have run out.
+ */
+void
+bp_shard_check_census(bp_shard_t *shard)
+{
+	int64_t owned_for_ms = bp_shard_now_ms(shard) - shard->owned_ms;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (shard->census_done || shard->phase != BP_SHARD_OWNED)
+		return;
+	if (owned_for_ms < WAIT_OUT_MS) {
+		if (!shard->executors_listed)
+			return;
+		g_hash_table_iter_init(&iter, shard->execs);
+		while (g_hash_table_iter_next(&iter, NULL, &value)) {
+			const bp_qexec_t *exec = value;
+
+			if (!exec->met)
+				return;
+		}
+	}
+	end_census(shard);
+}
+
+static void
+drop_execs(bp_shard_t *shard)
+{
+	GList *values = g_hash_table_get_values(shard->execs);
+	GList *node;
+
+	for (node = values; node != NULL; node = node->next) {
+		bp_qexec_t *exec = node->data;
+
+		if (exec->listed || exec->runs->len > 0 || exec->looks > 0 ||
+		    exec->recording || !shard->census_done)
+			continue;
+		bp_shard_drop_exec(shard, exec);
+		bp_journal_request(shard->journal, false);
+	}
+	g_list_free(values);
+}
+
+static void
+drop_jobs(bp_shard_t *shard)
+{
+	int64_t before_ms = bp_shard_wall_ms(shard) -
+	    (int64_t)shard->options.limits.status_keep_s * MS_PER_S;
+	GList *values = g_hash_table_get_values(shard->jobs);
+	GList *node;
+
+	for (node = values; node != NULL; node = node->next) {
+		bp_qjob_t *job = node->data;
+
+		if (bp_qjob_ended(job) && job->stored == job->state &&
+		    !job->dirty && job->waiters == NULL &&
+		    job->ended_ms < before_ms) {
+			bp_shard_drop_job(shard, job);
+			bp_journal_request(shard->journal, false);
+		}
+	}
+	g_list_free(values);
+}
+
+static gboolean
+on_tick(void *data)
+{
+	bp_shard_t *shard = data;
+
+	if (shard->phase != BP_SHARD_OWNED &&
+	    shard->phase != BP_SHARD_RELEASED)
+		return G_SOURCE_CONTINUE;
+	bp_shard_refuse_overdue(shard);
+	if (shard->phase == BP_SHARD_RELEASED)
+		return G_SOURCE_CONTINUE;
+	bp_shard_check_leases(shard);
+	bp_shard_check_census(shard);
+	if (!bp_journal_idle(shard->journal))
+		return G_SOURCE_CONTINUE;
+	drop_execs(shard);
+	drop_jobs(shard);
+	if (shard->dirty->len > 0)
+		bp_journal_request(shard->journal, false);
+	bp_shard_plan_round(shard, 0);
+	return G_SOURCE_CONTINUE;
+}
+
+/* Begins to take the shard over. */
+bp_shard_t *
+bp_shard_new(const bp_shard_options_t *options)
+{
+	bp_shard_t *shard = g_new0(bp_shard_t, 1);
+
+	shard->options = *options;
+	shard->jobs =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, bp_qjob_free);
+	shard->execs = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, bp_qexec_free);
+	shard->zones_out =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	shard->orders = g_hash_table_new(NULL, NULL);
+	shard->looks = g_hash_table_new(NULL, NULL);
+	shard->paces = g_hash_table_new(NULL, NULL);
+	shard->going = g_ptr_array_new();
+	shard->dirty = g_ptr_array_new();
+	shard->fresh = g_ptr_array_new();
+	shard->dropping = g_ptr_array_new_with_free_func(g_free);
+	shard->in_flight = g_array_new(FALSE, FALSE, sizeof(bp_qsent_t));
+	shard->confirmed_ms = bp_shard_now_ms(shard);
+	shard->tick_timer = g_timeout_add(TICK_MS, on_tick, shard);
+	bp_shard_read(shard);
+	return shard;
+}
+
+/* Answers all callers: what became of their call, a successor knows. */
+static void
+answer_all(bp_shard_t *shard)
+{
+	bp_shard_answer_t answer = {BP_EUNKNOWN,
+	    BP__WORK__JOB_STATE__JOB_QUEUED, 0, "the shard has a later owner"};
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, shard->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		bp_shard_answer_waiters(value, false, &answer);
+		bp_shard_answer_waiters(value, true, &answer);
+	}
+}
+
+/* Frees a shard. NULL is allowed. */
+void
+bp_shard_free(bp_shard_t *shard)
+{
+	if (shard == NULL)
+		return;
+	answer_all(shard);
+	bp_shard_stop_reading(shard);
+	bp_shard_forget_orders(shard);
+	bp_shard_forget_looks(shard);
+	bp_shard_forget_paces(shard);
+	bp_journal_free(shard->journal);
+	g_clear_handle_id(&shard->round_timer, g_source_remove);
+	g_clear_handle_id(&shard->tick_timer, g_source_remove);
+	g_hash_table_unref(shard->execs);
+	g_hash_table_unref(shard->jobs);
+	g_hash_table_unref(shard->zones_out);
+	g_hash_table_unref(shard->orders);
+	g_hash_table_unref(shard->looks);
+	g_hash_table_unref(shard->paces);
+	g_ptr_array_unref(shard->going);
+	g_ptr_array_unref(shard->dirty);
+	g_ptr_array_unref(shard->fresh);
+	g_ptr_array_unref(shard->dropping);
+	g_array_unref(shard->in_flight);
+	g_free(shard);
+}
+
+/* Returns the shard's number, which is also its partition. */
+uint32_t
+bp_shard_number(const bp_shard_t *shard)
+{
+	return shard->options.number;
+}
+
+/* Tells whether the shard's state is known and calls are taken. */
+bool
+bp_shard_ready(const bp_shard_t *shard)
+{
+	return shard->phase == BP_SHARD_OWNED;
+}
+
+/* See the header. */
+void
+bp_shard_release(bp_shard_t *shard)
+{
+	if (shard->phase == BP_SHARD_READING ||
+	    shard->phase == BP_SHARD_CLAIMING)
+		bp_shard_stop_reading(shard);
+	if (shard->phase == BP_SHARD_OWNED)
+		shard->phase = BP_SHARD_RELEASED;
+}
+
+/* Tells whether nothing is left to be stored. */
+bool
+bp_shard_idle(const bp_shard_t *shard)
+{
+	return shard->journal == NULL || shard->phase == BP_SHARD_LOST ||
+	    bp_journal_idle(shard->journal);
+}
+
+/* See the header. */
+void
+bp_shard_confirm(bp_shard_t *shard, int64_t sent_mono_ms)
+{
+	shard->confirmed_ms = MAX(shard->confirmed_ms, sent_mono_ms);
+}
+
+/* The configuration in force; it lives until the next call. */
+void
+bp_shard_set_catalog(bp_shard_t *shard, const bp_catalog_t *catalog)
+{
+	shard->catalog = catalog;
+	bp_shard_plan_round(shard, 0);
+}
+
+/* Nothing starts in a zone that is out. */
+void
+bp_shard_set_zone(bp_shard_t *shard, const char *zone, bool out)
+{
+	if (out)
+		g_hash_table_add(shard->zones_out, g_strdup(zone));
+	else
+		g_hash_table_remove(shard->zones_out, zone);
+	bp_shard_plan_round(shard, 0);
+}
+
+static bp_executor_info_t *
+copy_info(const bp_executor_info_t *info)
+{
+	bp_executor_info_t *copy = g_new(bp_executor_info_t, 1);
+
+	*copy = *info;
+	copy->id = g_strdup(info->id);
+	copy->service = g_strdup(info->service);
+	copy->address = g_strdup(info->address);
+	copy->zone = g_strdup(info->zone);
+	copy->rack = g_strdup(info->rack);
+	copy->labels = g_strdupv(info->labels);
+	return copy;
+}
+
+/* Takes an entry of the executors' list; others' racks are passed over. */
+void
+bp_shard_executor(bp_shard_t *shard, const bp_executor_info_t *info)
+{
+	bp_qexec_t *exec;
+
+	if (shard->phase != BP_SHARD_OWNED ||
+	    bp_shard_of_rack(info->zone, info->rack, shard->options.shards) !=
+		shard->options.number)
+		return;
+	exec = bp_qexec_get(shard, info->id);
+	bp_executor_info_free(exec->info);
+	exec->info = copy_info(info);
+	exec->listed = true;
+	if (info->born_ms > exec->born_ms && exec->born_ms != 0)
+		bp_shard_look(exec, 0);
+	if (!exec->recorded && !exec->recording)
+		bp_journal_request(shard->journal, false);
+	if (!exec->met && exec->looks == 0 && exec->timer == 0)
+		bp_shard_look(exec, 0);
+}
+
+/* The executor left the list; what it holds is still looked after. */
+void
+bp_shard_executor_gone(bp_shard_t *shard, const char *id)
+{
+	bp_qexec_t *exec = g_hash_table_lookup(shard->execs, id);
+
+	if (exec != NULL)
+		exec->listed = false;
+}
+
+/* See the header. */
+void
+bp_shard_executors_listed(bp_shard_t *shard)
+{
+	if (shard->phase != BP_SHARD_OWNED)
+		return;
+	shard->executors_listed = true;
+	bp_shard_check_census(shard);
+}
+
+/* Returns the shard of a job. */
+uint32_t
+bp_shard_of_job(const char *id, uint32_t shards)
+{
+	return (uint32_t)(bp_hash_text(id, SEED_JOB) % MAX(shards, 1));
+}
+
+/* Returns the shard of the executors of a rack. */
+uint32_t
+bp_shard_of_rack(const char *zone, const char *rack, uint32_t shards)
+{
+	return (uint32_t)(bp_hash_text(rack, bp_hash_text(zone, SEED_RACK)) %
+	    MAX(shards, 1));
+}
--- /dev/null
+++ b/src/queues/shard_calls.c
@@ -0,0 +1,322 @@
+#include "queues/shard_private.h"
+
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+/* New work is refused while an append has been without answer for so long. */
+#define STORE_STALLED_MS 700
+/* A submission that no append has taken up is refused after this time. */
+#define OVERDUE_MS 500
+
+static void
+answer_now(bp_shard_done_t done, void *data, bp_error_kind_t kind,
+    Bp__Work__JobState state, const char *reason)
+{
+	bp_shard_answer_t answer = {kind, state, 0, reason};
+
+	done(&answer, data);
+}
+
+static void
+add_waiter(bp_shard_t *shard, bp_qjob_t *job, bool cancel,
+    bp_shard_done_t done, void *data)
+{
+	bp_qwaiter_t waiter = {done, data, cancel, bp_shard_now_ms(shard)};
+
+	if (job->waiters == NULL)
+		job->waiters = g_array_new(FALSE, FALSE, sizeof(bp_qwaiter_t));
+	g_array_append_val(job->waiters, waiter);
+}
+
+static bool
+store_stalled(const bp_shard_t *shard)
+{
+	int64_t since_ms = bp_journal_since_ms(shard->journal);
+
+	return since_ms != 0 &&
+	    bp_shard_now_ms(shard) - since_ms > STORE_STALLED_MS;
+}
+
+static bp_qjob_t *
+find(const bp_shard_t *shard, const char *queue, const char *id)
+{
+	bp_qjob_t *job = g_hash_table_lookup(shard->jobs, id);
+
+	return job != NULL && strcmp(job->spec->queue, queue) == 0 ? job
+								   : NULL;
+}
+
+/* Returns the state that callers are told: one that the store holds. */
+static Bp__Work__JobState
+told_state(const bp_qjob_t *job)
+{
+	if (!bp_qjob_ended(job) || job->stored == job->state)
+		return job->state;
+	return BP__WORK__JOB_STATE__JOB_RUNNING;
+}
+
+static void
+submit_known(bp_shard_t *shard, bp_qjob_t *known, const char *queue,
+    bp_shard_done_t done, void *data)
+{
+	if (strcmp(known->spec->queue, queue) != 0)
+		answer_now(done, data, BP_EINVALID,
+		    BP__WORK__JOB_STATE__JOB_QUEUED,
+		    "the ID belongs to a job of another queue");
+	else if (known->accepted)
+		answer_now(done, data, BP_OK, told_state(known), "");
+	else
+		add_waiter(shard, known, false, done, data);
+}
+
+/* Accepts a job once the store holds it; the same ID again is one job. */
+void
+bp_shard_submit(bp_shard_t *shard, Bp__Work__Job *spec, bp_shard_done_t done,
+    void *data)
+{
+	bp_qjob_t *job = NULL;
+	bp_error_t err = {BP_OK, ""};
+
+	if (shard->phase != BP_SHARD_OWNED)
+		answer_now(done, data, BP_ESTATE,
+		    BP__WORK__JOB_STATE__JOB_QUEUED,
+		    "the owner of the shard is changing");
+	else if ((job = g_hash_table_lookup(shard->jobs, spec->id)) != NULL)
+		submit_known(shard, job, spec->queue, done, data);
+	else if (bp_qjob_check(spec, &err) != BP_OK)
+		answer_now(done, data, BP_EINVALID,
+		    BP__WORK__JOB_STATE__JOB_QUEUED, err.message);
+	else if (store_stalled(shard))
+		answer_now(done, data, BP_ELOGDOWN,
+		    BP__WORK__JOB_STATE__JOB_QUEUED,
+		    "the store does not answer");
+	else {
+		job = bp_qjob_new(spec);
+		spec = NULL;
+		g_hash_table_insert(shard->jobs, job->spec->id, job);
+		g_ptr_array_add(shard->going, job);
+		g_ptr_array_add(shard->fresh, job);
+		add_waiter(shard, job, false, done, data);
+		bp_journal_request(shard->journal, true);
+	}
+	if (spec != NULL)
+		bp__work__job__free_unpacked(spec, NULL);
+}
+
+/* Tells the state of a job, or BP_ENOTFOUND. */
+void
+bp_shard_status(bp_shard_t *shard, const char *queue, const char *id,
+    bp_shard_answer_t *out)
+{
+	const bp_qjob_t *job;
+
+	memset(out, 0, sizeof(*out));
+	out->reason = "";
+	if (shard->phase != BP_SHARD_OWNED) {
+		out->kind = BP_ESTATE;
+		out->reason = "the owner of the shard is changing";
+		return;
+	}
+	job = find(shard, queue, id);
+	if (job == NULL)
+		out->kind = BP_ENOTFOUND;
+	else if (!job->accepted)
+		out->kind = BP_EUNKNOWN;
+	else
+		out->state = told_state(job);
+}
+
+/* Cancels a job; answered once the store holds the cancel. */
+void
+bp_shard_cancel(bp_shard_t *shard, const char *queue, const char *id,
+    bp_shard_done_t done, void *data)
+{
+	bp_qjob_t *job;
+
+	if (shard->phase != BP_SHARD_OWNED) {
+		answer_now(done, data, BP_ESTATE,
+		    BP__WORK__JOB_STATE__JOB_QUEUED,
+		    "the owner of the shard is changing");
+		return;
+	}
+	job = find(shard, queue, id);
+	if (job == NULL) {
+		answer_now(done, data, BP_ENOTFOUND,
+		    BP__WORK__JOB_STATE__JOB_QUEUED, "no such job");
+		return;
+	}
+	if (bp_qjob_ended(job) && job->stored == job->state) {
+		answer_now(done, data, BP_OK, job->state, "");
+		return;
+	}
+	job->cancelling = true;
+	add_waiter(shard, job, true, done, data);
+	if (job->accepted)
+		bp_shard_mark_dirty(shard, job);
+	bp_journal_request(shard->journal, true);
+}
+
+/* Refuses submissions that no append has taken up in time. */
+void
+bp_shard_refuse_overdue(bp_shard_t *shard)
+{
+	int64_t now_ms = bp_shard_now_ms(shard);
+	bp_shard_answer_t answer = {BP_ELOGDOWN,
+	    BP__WORK__JOB_STATE__JOB_QUEUED, 0, "the store does not answer"};
+	guint i;
+
+	for (i = shard->fresh->len; i > 0; i--) {
+		bp_qjob_t *job = shard->fresh->pdata[i - 1];
+		const bp_qwaiter_t *first =
+		    &g_array_index(job->waiters, bp_qwaiter_t, 0);
+
+		if (now_ms - first->since_ms < OVERDUE_MS)
+			continue;
+		g_ptr_array_remove_index(shard->fresh, i - 1);
+		g_ptr_array_remove(shard->going, job);
+		bp_shard_answer_waiters(job, false, &answer);
+		bp_shard_answer_waiters(job, true, &answer);
+		g_hash_table_remove(shard->jobs, job->spec->id);
+	}
+}
+
+/* Returns the accepted jobs of a queue of which no task has started. */
+uint64_t
+bp_shard_waiting(const bp_shard_t *shard, const char *queue)
+{
+	uint64_t waiting = 0;
+	guint i;
+
+	for (i = 0; i < shard->going->len; i++) {
+		const bp_qjob_t *job = shard->going->pdata[i];
+
+		if (job->accepted && !job->begun &&
+		    strcmp(job->spec->queue, queue) == 0)
+			waiting++;
+	}
+	return waiting;
+}
+
+static const char *
+task_reason(const bp_shard_t *shard, const bp_qtask_t *task)
+{
+	const bp_qstep_t *step = task->step;
+
+	switch (task->state) {
+	case BP_QTASK_CENSUS:
+		return "census";
+	case BP_QTASK_PLACED:
+		return task->run->state == BP_QRUN_STOPPING ? "in_doubt"
+							    : "running";
+	case BP_QTASK_DONE:
+		return "done";
+	case BP_QTASK_WAITING:
+		break;
+	}
+	if (step->job->cancelling)
+		return "cancelling";
+	if (bp_qstep_due_ms(step) > bp_shard_wall_ms(shard))
+		return "not_due";
+	if (!bp_qstep_open(step, INT64_MAX))
+		return "dependency";
+	if (!bp_shard_may_order(shard))
+		return "no_owner";
+	return step->reason != NULL ? step->reason : "turn";
+}
+
+static void
+add_tasks(JsonBuilder *builder, bp_shard_t *shard, const bp_qstep_t *step)
+{
+	uint32_t k;
+
+	for (k = 0; k < step->spec->tasks; k++) {
+		const bp_qtask_t *task = &step->tasks[k];
+		char *name = bp_qtask_name(task);
+
+		json_builder_begin_object(builder);
+		json_builder_set_member_name(builder, "task");
+		json_builder_add_string_value(builder, name);
+		json_builder_set_member_name(builder, "reason");
+		json_builder_add_string_value(
+		    builder, task_reason(shard, task));
+		json_builder_set_member_name(builder, "failures");
+		json_builder_add_int_value(builder, task->failures);
+		if (task->run != NULL) {
+			json_builder_set_member_name(builder, "executor");
+			json_builder_add_string_value(
+			    builder, task->run->exec->info->id);
+		}
+		json_builder_end_object(builder);
+		g_free(name);
+	}
+}
+
+static char *
+finish(JsonBuilder *builder)
+{
+	JsonNode *root = json_builder_get_root(builder);
+	char *text = json_to_string(root, FALSE);
+
+	json_node_unref(root);
+	g_object_unref(builder);
+	return text;
+}
+
+/* See the header. */
+char *
+bp_shard_why(bp_shard_t *shard, const char *id)
+{
+	bp_qjob_t *job = g_hash_table_lookup(shard->jobs, id);
+	JsonBuilder *builder;
+	uint32_t i;
+
+	if (job == NULL)
+		return NULL;
+	builder = json_builder_new();
+	json_builder_begin_object(builder);
+	json_builder_set_member_name(builder, "job");
+	json_builder_add_string_value(builder, id);
+	json_builder_set_member_name(builder, "queue");
+	json_builder_add_string_value(builder, job->spec->queue);
+	json_builder_set_member_name(builder, "priority");
+	json_builder_add_int_value(builder, job->spec->priority);
+	json_builder_set_member_name(builder, "tasks");
+	json_builder_begin_array(builder);
+	for (i = 0; i < job->n_steps * job->occurrences; i++)
+		add_tasks(builder, shard, &job->steps[i]);
+	json_builder_end_array(builder);
+	json_builder_end_object(builder);
+	return finish(builder);
+}
+
+static void
+add_count(JsonBuilder *builder, const char *name, uint64_t value)
+{
+	json_builder_set_member_name(builder, name);
+	json_builder_add_int_value(builder, (gint64)value);
+}
+
+/* See the header. */
+char *
+bp_shard_describe(const bp_shard_t *shard)
+{
+	JsonBuilder *builder = json_builder_new();
+
+	json_builder_begin_object(builder);
+	add_count(builder, "shard", shard->options.number);
+	add_count(builder, "epoch", shard->epoch);
+	add_count(builder, "jobs", g_hash_table_size(shard->jobs));
+	add_count(builder, "going", shard->going->len);
+	add_count(builder, "executors", g_hash_table_size(shard->execs));
+	add_count(builder, "starts", shard->counts_started);
+	add_count(builder, "rejected", shard->counts_rejected);
+	add_count(builder, "doubted", shard->counts_doubted);
+	add_count(builder, "looks", shard->counts_looks);
+	add_count(builder, "done", shard->counts_done);
+	add_count(builder, "failed", shard->counts_failed);
+	add_count(builder, "lost_runs", shard->counts_lost_runs);
+	add_count(builder, "appends",
+	    shard->journal != NULL ? bp_journal_appends(shard->journal) : 0);
+	json_builder_end_object(builder);
+	return finish(builder);
+}
--- /dev/null
+++ b/src/queues/shard_execs.c
@@ -0,0 +1,161 @@
+#include "queues/shard_private.h"
+
+/* An executor's clock may be 2% slow; ours and its timers add a little. */
+#define DRIFT_PERMILLE 30
+#define DRIFT_MARGIN_MS 60
+#define PERMILLE 1000
+
+/* Returns the executor of an id; a new one is known by its id only. */
+bp_qexec_t *
+bp_qexec_get(bp_shard_t *shard, const char *id)
+{
+	bp_qexec_t *exec = g_hash_table_lookup(shard->execs, id);
+
+	if (exec != NULL)
+		return exec;
+	exec = g_new0(bp_qexec_t, 1);
+	exec->shard = shard;
+	exec->runs = g_ptr_array_new();
+	exec->info = g_new0(bp_executor_info_t, 1);
+	exec->info->id = g_strdup(id);
+	exec->info->address = g_strdup("");
+	exec->info->service = g_strdup("");
+	exec->info->zone = g_strdup("");
+	exec->info->rack = g_strdup("");
+	exec->info->labels = g_new0(char *, 1);
+	g_hash_table_insert(shard->execs, g_strdup(id), exec);
+	return exec;
+}
+
+static void
+free_run(bp_qrun_t *run)
+{
+	g_free(run->name);
+	g_free(run);
+}
+
+/* Frees an executor and its runs; no call refers to them any more. */
+void
+bp_qexec_free(gpointer data)
+{
+	bp_qexec_t *exec = data;
+	guint i;
+
+	for (i = 0; i < exec->runs->len; i++)
+		free_run(exec->runs->pdata[i]);
+	g_ptr_array_unref(exec->runs);
+	g_clear_handle_id(&exec->timer, g_source_remove);
+	bp_executor_info_free(exec->info);
+	g_free(exec);
+}
+
+/* Returns a lower bound of the executor's clock; 0 before its first answer. */
+int64_t
+bp_qexec_clock_ms(const bp_qexec_t *exec)
+{
+	int64_t passed_ms;
+
+	if (exec->clock_at_ms == 0)
+		return 0;
+	passed_ms = bp_shard_now_ms(exec->shard) - exec->clock_at_ms;
+	return exec->clock_ms +
+	    passed_ms * (PERMILLE - DRIFT_PERMILLE) / PERMILLE;
+}
+
+/* Tells whether a time of the executor's clock has passed for certain. */
+bool
+bp_qexec_surely_past(const bp_qexec_t *exec, int64_t clock_ms)
+{
+	return exec->clock_at_ms != 0 &&
+	    bp_qexec_clock_ms(exec) > clock_ms + DRIFT_MARGIN_MS;
+}
+
+/*
+ * Notes a run on an executor and takes its room. task is NULL for a run
+ * that no task wants.
+ */
+bp_qrun_t *
+bp_qrun_new(
+    bp_qexec_t *exec, bp_qtask_t *task, const char *name, uint64_t number)
+{
+	bp_qrun_t *run = g_new0(bp_qrun_t, 1);
+
+	run->exec = exec;
+	run->task = task;
+	run->name = g_strdup(name);
+	run->number = number;
+	run->pace = 100;
+	run->started_ms = bp_shard_now_ms(exec->shard);
+	run->progress_ms = run->started_ms;
+	if (task != NULL) {
+		const Bp__Work__Step *spec = task->step->spec;
+
+		run->cpu_milli = spec->filler ? 0 : spec->cpu_milli;
+		run->memory_mib = spec->memory_mib;
+		run->accelerators = spec->accelerators;
+		task->run = run;
+		bp_qtask_set_state(task, BP_QTASK_PLACED);
+	}
+	exec->cpu_used += run->cpu_milli;
+	exec->memory_used += run->memory_mib;
+	exec->accelerators_used += run->accelerators;
+	g_ptr_array_add(exec->runs, run);
+	return run;
+}
+
+/* Parts a run from its task, which may then be placed elsewhere. */
+void
+bp_qrun_abandon(bp_qrun_t *run)
+{
+	bp_qtask_t *task = run->task;
+
+	if (task == NULL)
+		return;
+	run->task = NULL;
+	task->run = NULL;
+	if (task->state == BP_QTASK_PLACED)
+		bp_qtask_set_state(task, BP_QTASK_WAITING);
+}
+
+/* The run does not exist (any more): gives its room and its task back. */
+void
+bp_qrun_remove(bp_qrun_t *run)
+{
+	bp_qexec_t *exec = run->exec;
+
+	if (run->removed)
+		return;
+	bp_qrun_abandon(run);
+	run->removed = true;
+	exec->cpu_used -= run->cpu_milli;
+	exec->memory_used -= run->memory_mib;
+	exec->accelerators_used -= run->accelerators;
+	g_ptr_array_remove_fast(exec->runs, run);
+	if (run->orders == 0)
+		free_run(run);
+	bp_shard_plan_round(exec->shard, 0);
+}
+
+/* An order of the run has ended. */
+void
+bp_qrun_unref_order(bp_qrun_t *run)
+{
+	run->orders--;
+	if (run->removed && run->orders == 0)
+		free_run(run);
+}
+
+/* Places nothing on the executor for a while. reason is static. */
+void
+bp_qexec_hold(bp_qexec_t *exec, const char *reason, uint32_t hold_ms)
+{
+	int64_t until_ms = bp_shard_now_ms(exec->shard) + hold_ms;
+
+	if (until_ms <= exec->held_until_ms)
+		return;
+	exec->held_until_ms = until_ms;
+	exec->held_for = reason;
+	bp_log(exec->shard->options.logger, BP_LOG_NOTICE, BP_SHARD_MODULE,
+	    "nothing is placed on an executor", "executor", exec->info->id,
+	    "reason", reason, NULL);
+}
--- /dev/null
+++ b/src/queues/shard_orders.c
@@ -0,0 +1,250 @@
+#include "queues/shard_private.h"
+
+#include <stdio.h>
+
+/* After a refused start an executor's room is not what we believe. */
+#define HOLD_NO_ROOM_MS 400
+/* An executor that is not reached or unhealthy gets a short rest. */
+#define HOLD_UNHEALTHY_MS 1500
+/* An order without an answer: others may get none either. */
+#define HOLD_DOUBT_MS 1000
+/* A stop without an answer is repeated after this time. */
+#define STOP_REPEAT_MS 400
+
+/* One order in flight. */
+typedef struct {
+	bp_shard_t *shard;
+	bp_qrun_t *run;
+	int64_t sent_ms;
+} order_t;
+
+static order_t *
+order_new(bp_shard_t *shard, bp_qrun_t *run)
+{
+	order_t *order = g_new0(order_t, 1);
+
+	order->shard = shard;
+	order->run = run;
+	order->sent_ms = bp_shard_now_ms(shard);
+	run->orders++;
+	g_hash_table_add(shard->orders, order);
+	return order;
+}
+
+/* The run may be freed by this. */
+static void
+order_free(order_t *order)
+{
+	g_hash_table_remove(order->shard->orders, order);
+	bp_qrun_unref_order(order->run);
+	g_free(order);
+}
+
+static bp_exec_target_t
+target_of(const bp_qexec_t *exec)
+{
+	bp_exec_target_t target = {exec->info->address, exec->info->id,
+	    exec->shard->epoch};
+
+	return target;
+}
+
+/* Returns the next number, above all runs of earlier epochs. */
+uint64_t
+bp_shard_next_run(const bp_shard_t *shard, const bp_qtask_t *task)
+{
+	uint64_t base = (shard->epoch - 1) * BP_SHARD_RUNS_PER_EPOCH;
+
+	return MAX(base, task->last_run) + 1;
+}
+
+static void
+log_refusal(const bp_qrun_t *run, const char *outcome)
+{
+	char number[32];
+
+	snprintf(number, sizeof(number), "%" G_GUINT64_FORMAT, run->number);
+	bp_log(run->exec->shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE,
+	    "start not carried out", "task", run->name, "run", number,
+	    "executor", run->exec->info->id, "outcome", outcome, NULL);
+}
+
+/* The start was refused for certain: the task waits again. */
+static void
+start_refused(bp_qrun_t *run, bp_exec_outcome_t outcome)
+{
+	bp_qexec_t *exec = run->exec;
+
+	exec->shard->counts_rejected++;
+	switch (outcome) {
+	case BP_EXEC_FENCED:
+		log_refusal(run, "fenced");
+		bp_shard_set_lost(exec->shard);
+		break;
+	case BP_EXEC_OLD:
+		log_refusal(run, "old");
+		break;
+	case BP_EXEC_LATE:
+		log_refusal(run, "late");
+		break;
+	case BP_EXEC_NO_ROOM:
+		log_refusal(run, "no_room");
+		bp_qexec_hold(exec, "no_room", HOLD_NO_ROOM_MS);
+		bp_shard_look(exec, 0);
+		break;
+	case BP_EXEC_TICKET:
+		log_refusal(run, "ticket");
+		break;
+	case BP_EXEC_OTHER_LIFE:
+		log_refusal(run, "other_life");
+		bp_qexec_hold(exec, "other_life", HOLD_UNHEALTHY_MS);
+		break;
+	case BP_EXEC_INVALID:
+		log_refusal(run, "invalid");
+		bp_qexec_hold(exec, "invalid", HOLD_UNHEALTHY_MS);
+		break;
+	case BP_EXEC_UNHEALTHY:
+	case BP_EXEC_NOT_SENT:
+		log_refusal(run, "unhealthy");
+		bp_qexec_hold(exec, "unhealthy", HOLD_UNHEALTHY_MS);
+		break;
+	case BP_EXEC_OK:
+	case BP_EXEC_UNKNOWN:
+		break;
+	}
+	bp_qrun_remove(run);
+}
+
+static void
+on_start(const bp_exec_result_t *result, void *data)
+{
+	order_t *order = data;
+	bp_qrun_t *run = order->run;
+	bp_shard_t *shard = order->shard;
+
+	shard->starts_in_flight--;
+	if (run->removed) {
+		order_free(order);
+		return;
+	}
+	if (result->outcome == BP_EXEC_OK) {
+		run->clock_ms = MAX(run->clock_ms, result->clock_ms);
+		if (run->state == BP_QRUN_STARTING)
+			run->state = BP_QRUN_RUNNING;
+		if (run->exec->looks == 0)
+			bp_shard_plan_look(run->exec, 0);
+	} else if (result->outcome == BP_EXEC_UNKNOWN) {
+		if (run->state == BP_QRUN_STARTING) {
+			shard->counts_doubted++;
+			log_refusal(run, "no_answer");
+			bp_qexec_hold(run->exec, "no_answer", HOLD_DOUBT_MS);
+			bp_shard_stop_run(shard, run, "start without answer");
+		}
+	} else {
+		start_refused(run, result->outcome);
+	}
+	order_free(order);
+	bp_shard_plan_round(shard, 0);
+}
+
+/* Sends the start of a task; its room is taken from now on. */
+void
+bp_shard_start_task(
+    bp_shard_t *shard, bp_qtask_t *task, bp_qexec_t *exec, uint64_t number)
+{
+	char *name = bp_qtask_name(task);
+	bp_qrun_t *run = bp_qrun_new(exec, task, name, number);
+	bp_exec_target_t target = target_of(exec);
+	bp_exec_start_t start = {0};
+
+	task->last_run = number;
+	if (!task->step->job->begun) {
+		task->step->job->begun = true;
+		bp_qjob_settle(task->step->job);
+	}
+	run->deadline_ms = bp_qexec_clock_ms(exec) + BP_SHARD_START_WINDOW_MS;
+	exec->lease_end_ms = MAX(exec->lease_end_ms, run->deadline_ms);
+	start.task = name;
+	start.run = number;
+	start.payload = task->step->job->spec->payload;
+	start.deadline_ms = run->deadline_ms;
+	start.checkpoint = task->checkpoint;
+	shard->starts_in_flight++;
+	shard->counts_started++;
+	shard->options.executors->start(shard->options.executors, &target,
+	    &start, on_start, order_new(shard, run));
+	g_free(name);
+}
+
+static void
+on_stop(const bp_exec_result_t *result, void *data)
+{
+	order_t *order = data;
+	bp_qrun_t *run = order->run;
+
+	if (run->removed) {
+		order_free(order);
+		return;
+	}
+	switch (result->outcome) {
+	case BP_EXEC_OK:
+	case BP_EXEC_OLD:
+		run->stop_answered = true;
+		run->clock_ms = MAX(run->clock_ms, result->clock_ms);
+		bp_shard_look(run->exec, 0);
+		break;
+	case BP_EXEC_FENCED:
+		bp_shard_set_lost(order->shard);
+		break;
+	case BP_EXEC_LATE:
+	case BP_EXEC_NO_ROOM:
+	case BP_EXEC_TICKET:
+	case BP_EXEC_OTHER_LIFE:
+	case BP_EXEC_UNHEALTHY:
+	case BP_EXEC_INVALID:
+	case BP_EXEC_NOT_SENT:
+	case BP_EXEC_UNKNOWN:
+		/* Repeated by the next check of leases. */
+		break;
+	}
+	order_free(order);
+}
+
+/*
+ * Stops a run. The task keeps it until the run is known to be gone, so that
+ * it never runs twice.
+ */
+void
+bp_shard_stop_run(bp_shard_t *shard, bp_qrun_t *run, const char *reason)
+{
+	int64_t now_ms = bp_shard_now_ms(shard);
+	bp_exec_target_t target = target_of(run->exec);
+
+	if (run->stop_answered || !bp_shard_may_order(shard))
+		return;
+	if (run->stop_sent_ms != 0 && now_ms - run->stop_sent_ms < STOP_REPEAT_MS)
+		return;
+	if (run->stop_sent_ms == 0)
+		bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE,
+		    "stopping a run", "task", run->name, "executor",
+		    run->exec->info->id, "reason", reason, NULL);
+	run->state = BP_QRUN_STOPPING;
+	run->stop_sent_ms = now_ms;
+	shard->options.executors->stop(shard->options.executors, &target,
+	    run->name, run->number, on_stop, order_new(shard, run));
+}
+
+/* Drops all orders in flight; their fate is left to the successor. */
+void
+bp_shard_forget_orders(bp_shard_t *shard)
+{
+	GList *orders = g_hash_table_get_keys(shard->orders);
+	GList *node;
+
+	for (node = orders; node != NULL; node = node->next) {
+		shard->options.executors->forget(
+		    shard->options.executors, node->data);
+		order_free(node->data);
+	}
+	g_list_free(orders);
+}
--- /dev/null
+++ b/src/queues/shard_private.h
@@ -0,0 +1,203 @@
+#ifndef BP_QUEUES_SHARD_PRIVATE_H
+#define BP_QUEUES_SHARD_PRIVATE_H
+
+#include "bulrushpost/shard.h"
+#include "queues/job.h"
+#include "queues/journal.h"
+
+#define BP_SHARD_MODULE "shard"
+/* Longest lease that an owner gives, below what executors allow. */
+#define BP_SHARD_LEASE_MS 6000
+/* A looking owner asks again after this time without an end. */
+#define BP_SHARD_LOOK_WAIT_MS 1500
+/* Longest time that orders are sent after the last confirmed membership. */
+#define BP_SHARD_ORDER_GRACE_MS 5000
+/* A start is carried out within this time or never. */
+#define BP_SHARD_START_WINDOW_MS 1500
+/* Runs of one epoch have numbers below this above the epoch's base. */
+#define BP_SHARD_RUNS_PER_EPOCH 1000
+
+typedef struct bp_qexec bp_qexec_t;
+
+typedef enum {
+	BP_QRUN_STARTING, /* the start has no answer yet */
+	BP_QRUN_RUNNING,
+	BP_QRUN_STOPPING, /* a stop was sent or is to be sent */
+} bp_qrun_state_t;
+
+/* A run of a task that does or may exist on an executor. */
+struct bp_qrun {
+	bp_qexec_t *exec;
+	bp_qtask_t *task; /* NULL when the task no longer wants this run */
+	char *name; /* of the task */
+	uint64_t number;
+	bp_qrun_state_t state;
+	uint32_t cpu_milli;
+	uint32_t memory_mib;
+	uint32_t accelerators;
+	uint32_t orders; /* in flight; the run is freed after the last */
+	bool removed;
+	bool stop_answered;
+	int64_t clock_ms; /* executor's time of the last answered order */
+	int64_t deadline_ms; /* executor's time after which a start is late */
+	int64_t started_ms; /* mono */
+	int64_t stop_sent_ms; /* mono, 0 for never */
+	uint32_t percent; /* of its work, as last seen */
+	uint32_t pace; /* share of its speed that it is allowed */
+	int64_t progress_ms; /* mono, when percent last changed */
+	int64_t figure; /* tail or cpu, as last seen */
+};
+
+/* An executor as its owner believes it to be. */
+struct bp_qexec {
+	bp_shard_t *shard;
+	bp_executor_info_t *info;
+	bool listed; /* in the executors' list */
+	bool recorded; /* the store knows that it may hold tasks */
+	bool recording; /* its record is in the batch in flight */
+	bool met; /* has answered to this epoch */
+	bool waited_out; /* cannot hold tasks of earlier owners any more */
+	bool silent; /* the last look got no answer */
+	int64_t born_ms;
+	int64_t clock_ms; /* its time in its last answer */
+	int64_t clock_at_ms; /* mono, when that answer came */
+	int64_t lease_end_ms; /* its time; latest deadline ever sent */
+	int64_t answered_ms; /* mono, of the last look that was answered */
+	uint64_t seen; /* ends processed */
+	uint64_t storing; /* ends that the batch in flight covers */
+	uint64_t acked; /* ends that the store holds */
+	GPtrArray *runs; /* bp_qrun_t */
+	uint32_t cpu_used;
+	uint32_t memory_used;
+	uint32_t accelerators_used;
+	uint32_t looks; /* in flight */
+	uint32_t failures; /* in a row */
+	int64_t held_until_ms; /* mono; nothing is placed there before */
+	const char *held_for; /* static reason */
+	guint timer; /* of the next look */
+};
+
+/* A caller that waits for the store. */
+typedef struct {
+	bp_shard_done_t done;
+	void *data;
+	bool cancel;
+	int64_t since_ms; /* mono */
+} bp_qwaiter_t;
+
+/* A job whose records are in the batch in flight. */
+typedef struct {
+	bp_qjob_t *job;
+	Bp__Work__JobState state; /* that the batch stores */
+	bool fresh;
+	bool cancel;
+} bp_qsent_t;
+
+typedef enum {
+	BP_SHARD_READING, /* the keys of the partition */
+	BP_SHARD_CLAIMING, /* appending the owner's record */
+	BP_SHARD_OWNED,
+	BP_SHARD_RELEASED, /* writes what is pending, starts nothing */
+	BP_SHARD_LOST
+} bp_shard_phase_t;
+
+struct bp_shard {
+	bp_shard_options_t options;
+	bp_shard_phase_t phase;
+	uint64_t epoch;
+	uint64_t end_offset; /* of the partition, when it was read */
+	GHashTable *raw; /* key to bp_store_record_t, while reading */
+	char *page;
+	GHashTable *jobs; /* id to bp_qjob_t */
+	GPtrArray *going; /* bp_qjob_t that have not ended */
+	GPtrArray *dirty; /* bp_qjob_t with progress to store */
+	GPtrArray *fresh; /* bp_qjob_t to be stored for the first time */
+	GArray *in_flight; /* bp_qsent_t of the batch in flight */
+	GPtrArray *dropping; /* keys to drop */
+	GHashTable *execs; /* id to bp_qexec_t */
+	GHashTable *zones_out;
+	const bp_catalog_t *catalog; /* owned by the node */
+	bp_journal_t *journal;
+	GHashTable *orders; /* contexts of orders in flight */
+	GHashTable *looks; /* contexts of looks in flight */
+	GHashTable *paces; /* contexts of pace orders in flight */
+	int64_t owned_ms; /* mono, when the epoch was won */
+	int64_t confirmed_ms; /* mono, of the last confirmed membership */
+	bool executors_listed;
+	bool census_done;
+	uint32_t starts_in_flight;
+	guint round_timer;
+	guint tick_timer;
+	guint reread_timer;
+	uint64_t counts_started;
+	uint64_t counts_rejected;
+	uint64_t counts_doubted;
+	uint64_t counts_looks;
+	uint64_t counts_done;
+	uint64_t counts_failed;
+	uint64_t counts_lost_runs;
+};
+
+/* shard.c */
+int64_t bp_shard_now_ms(const bp_shard_t *shard);
+int64_t bp_shard_wall_ms(const bp_shard_t *shard);
+bool bp_shard_may_order(const bp_shard_t *shard);
+void bp_shard_mark_dirty(bp_shard_t *shard, bp_qjob_t *job);
+void bp_shard_plan_round(bp_shard_t *shard, uint32_t delay_ms);
+void bp_shard_end_job(
+    bp_shard_t *shard, bp_qjob_t *job, Bp__Work__JobState state);
+void bp_shard_set_lost(bp_shard_t *shard);
+void bp_shard_check_census(bp_shard_t *shard);
+
+/* shard_calls.c */
+void bp_shard_refuse_overdue(bp_shard_t *shard);
+
+/* shard_takeover.c */
+void bp_shard_read(bp_shard_t *shard);
+void bp_shard_stop_reading(bp_shard_t *shard);
+
+/* shard_records.c */
+void bp_shard_fill(GPtrArray *records, void *data);
+void bp_shard_stored(bp_store_outcome_t outcome, void *data);
+void bp_shard_answer_waiters(
+    bp_qjob_t *job, bool cancels, const bp_shard_answer_t *answer);
+uint64_t bp_shard_last_epoch(const bp_shard_t *shard);
+void bp_shard_load(bp_shard_t *shard);
+bp_store_record_t *bp_shard_owner_record(const bp_shard_t *shard);
+void bp_shard_drop_job(bp_shard_t *shard, bp_qjob_t *job);
+void bp_shard_drop_exec(bp_shard_t *shard, bp_qexec_t *exec);
+
+/* shard_execs.c */
+bp_qexec_t *bp_qexec_get(bp_shard_t *shard, const char *id);
+void bp_qexec_free(gpointer exec);
+int64_t bp_qexec_clock_ms(const bp_qexec_t *exec);
+bool bp_qexec_surely_past(const bp_qexec_t *exec, int64_t clock_ms);
+bp_qrun_t *bp_qrun_new(
+    bp_qexec_t *exec, bp_qtask_t *task, const char *name, uint64_t number);
+void bp_qrun_abandon(bp_qrun_t *run);
+void bp_qrun_remove(bp_qrun_t *run);
+void bp_qrun_unref_order(bp_qrun_t *run);
+void bp_qexec_hold(
+    bp_qexec_t *exec, const char *reason, uint32_t hold_ms);
+
+/* shard_orders.c */
+void bp_shard_start_task(
+    bp_shard_t *shard, bp_qtask_t *task, bp_qexec_t *exec, uint64_t number);
+void bp_shard_stop_run(bp_shard_t *shard, bp_qrun_t *run, const char *reason);
+uint64_t bp_shard_next_run(const bp_shard_t *shard, const bp_qtask_t *task);
+void bp_shard_forget_orders(bp_shard_t *shard);
+
+/* shard_looks.c */
+void bp_shard_look(bp_qexec_t *exec, uint32_t wait_ms);
+void bp_shard_plan_look(bp_qexec_t *exec, uint32_t delay_ms);
+void bp_shard_check_leases(bp_shard_t *shard);
+void bp_shard_forget_looks(bp_shard_t *shard);
+
+/* shard_rounds.c */
+void bp_shard_round(bp_shard_t *shard);
+
+/* shard_pace.c */
+void bp_shard_pace(bp_qexec_t *exec);
+void bp_shard_forget_paces(bp_shard_t *shard);
+
+#endif
--- /dev/null
+++ b/src/queues/shard_records.c
@@ -0,0 +1,438 @@
+#include "queues/shard_private.h"
+
+#include <string.h>
+
+#define KEY_OWNER "owner"
+#define PREFIX_JOB "j/"
+#define PREFIX_PROGRESS "p/"
+#define PREFIX_HOLDER "x/"
+#define PREFIX_CHARS 2
+
+static void
+add_record(GPtrArray *records, const char *prefix, const char *id,
+    const void *bytes, size_t size)
+{
+	char *key = g_strconcat(prefix, id, NULL);
+
+	g_ptr_array_add(records, bp_store_record_new(key, bytes, size));
+	g_free(key);
+}
+
+static void
+add_job(GPtrArray *records, const bp_qjob_t *job)
+{
+	size_t size = bp__work__job__get_packed_size(job->spec);
+	uint8_t *bytes = g_malloc(MAX(size, 1));
+
+	(void)bp__work__job__pack(job->spec, bytes);
+	add_record(records, PREFIX_JOB, job->spec->id, bytes, size);
+	g_free(bytes);
+}
+
+/* A cancel is stored as the state that the job gets once it is stored. */
+static void
+add_progress(GPtrArray *records, bp_qjob_t *job, Bp__Work__JobState state)
+{
+	Bp__Work__JobState before = job->state;
+	GBytes *bytes;
+	gsize size = 0;
+	const void *data;
+
+	job->state = state;
+	bytes = bp_qjob_progress(job);
+	job->state = before;
+	data = g_bytes_get_data(bytes, &size);
+	add_record(records, PREFIX_PROGRESS, job->spec->id, data, size);
+	g_bytes_unref(bytes);
+}
+
+static void
+add_holder(GPtrArray *records, const bp_qexec_t *exec)
+{
+	Bp__Work__Holder holder = BP__WORK__HOLDER__INIT;
+	size_t size;
+	uint8_t *bytes;
+
+	holder.id = exec->info->id;
+	holder.address = exec->info->address;
+	holder.born_ms = exec->born_ms;
+	size = bp__work__holder__get_packed_size(&holder);
+	bytes = g_malloc(MAX(size, 1));
+	(void)bp__work__holder__pack(&holder, bytes);
+	add_record(records, PREFIX_HOLDER, exec->info->id, bytes, size);
+	g_free(bytes);
+}
+
+static void
+fill_execs(bp_shard_t *shard, GPtrArray *records)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, shard->execs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		bp_qexec_t *exec = value;
+
+		exec->storing = exec->seen;
+		if (exec->recorded || exec->recording || !exec->listed)
+			continue;
+		exec->recording = true;
+		add_holder(records, exec);
+	}
+}
+
+/* Adds all that is to be stored; see bp_journal_options_t. */
+void
+bp_shard_fill(GPtrArray *records, void *data)
+{
+	bp_shard_t *shard = data;
+	guint i;
+
+	g_array_set_size(shard->in_flight, 0);
+	for (i = 0; i < shard->fresh->len; i++) {
+		bp_qsent_t sent = {shard->fresh->pdata[i],
+		    BP__WORK__JOB_STATE__JOB_QUEUED, true, false};
+
+		add_job(records, sent.job);
+		g_array_append_val(shard->in_flight, sent);
+	}
+	g_ptr_array_set_size(shard->fresh, 0);
+	for (i = 0; i < shard->dirty->len; i++) {
+		bp_qjob_t *job = shard->dirty->pdata[i];
+		bool cancel = job->cancelling && !bp_qjob_ended(job);
+		bp_qsent_t sent = {job,
+		    cancel ? BP__WORK__JOB_STATE__JOB_CANCELLED : job->state,
+		    false, cancel};
+
+		job->dirty = false;
+		add_progress(records, job, sent.state);
+		g_array_append_val(shard->in_flight, sent);
+	}
+	g_ptr_array_set_size(shard->dirty, 0);
+	fill_execs(shard, records);
+	for (i = 0; i < shard->dropping->len; i++)
+		add_record(
+		    records, "", shard->dropping->pdata[i], NULL, 0);
+	g_ptr_array_set_size(shard->dropping, 0);
+	/* Ends that change no job are acknowledged without a record. */
+	if (records->len == 0)
+		bp_shard_stored(BP_STORE_OK, shard);
+}
+
+/* Answers the callers that wait for a job to be stored, or its cancel. */
+void
+bp_shard_answer_waiters(
+    bp_qjob_t *job, bool cancels, const bp_shard_answer_t *answer)
+{
+	GArray *waiters = job->waiters;
+	guint i;
+
+	if (waiters == NULL)
+		return;
+	job->waiters = NULL;
+	for (i = 0; i < waiters->len; i++) {
+		bp_qwaiter_t *waiter = &g_array_index(waiters, bp_qwaiter_t, i);
+
+		if (waiter->cancel == cancels) {
+			waiter->done(answer, waiter->data);
+			continue;
+		}
+		if (job->waiters == NULL)
+			job->waiters =
+			    g_array_new(FALSE, FALSE, sizeof(bp_qwaiter_t));
+		g_array_append_vals(job->waiters, waiter, 1);
+	}
+	g_array_unref(waiters);
+}
+
+static void
+sent_stored(bp_shard_t *shard, const bp_qsent_t *sent)
+{
+	bp_shard_answer_t answer = {BP_OK, sent->state, 0, ""};
+	bp_qjob_t *job = sent->job;
+
+	if (sent->fresh) {
+		job->accepted = true;
+		bp_shard_answer_waiters(job, false, &answer);
+		if (job->cancelling)
+			bp_shard_mark_dirty(shard, job);
+		bp_shard_plan_round(shard, 0);
+		return;
+	}
+	job->stored = sent->state;
+	if (!sent->cancel)
+		return;
+	bp_shard_end_job(shard, job, BP__WORK__JOB_STATE__JOB_CANCELLED);
+	job->cancelling = false;
+	bp_shard_answer_waiters(job, true, &answer);
+}
+
+/* Nothing was written: submissions and cancels are refused, ends kept. */
+static void
+sent_refused(
+    bp_shard_t *shard, const bp_qsent_t *sent, const bp_shard_answer_t *answer)
+{
+	bp_qjob_t *job = sent->job;
+
+	if (sent->fresh) {
+		bp_shard_answer_waiters(job, false, answer);
+		bp_shard_answer_waiters(job, true, answer);
+		if (answer->kind == BP_ELOGDOWN) {
+			g_ptr_array_remove(shard->going, job);
+			g_hash_table_remove(shard->jobs, job->spec->id);
+		}
+		return;
+	}
+	if (sent->cancel) {
+		job->cancelling = false;
+		bp_shard_answer_waiters(job, true, answer);
+	}
+	bp_shard_mark_dirty(shard, job);
+}
+
+static void
+execs_stored(bp_shard_t *shard, bool stored)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, shard->execs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		bp_qexec_t *exec = value;
+
+		exec->recorded = exec->recorded || (stored && exec->recording);
+		exec->recording = false;
+		if (!stored || exec->storing <= exec->acked)
+			continue;
+		exec->acked = exec->storing;
+		if (exec->seen == exec->acked)
+			bp_shard_plan_look(exec, 0);
+	}
+}
+
+static bp_error_kind_t
+refusal_kind(bp_store_outcome_t outcome)
+{
+	switch (outcome) {
+	case BP_STORE_REFUSED:
+		return BP_ELOGDOWN;
+	case BP_STORE_FENCED:
+	case BP_STORE_MOVED:
+	case BP_STORE_SEQUENCE:
+	case BP_STORE_DROPPED:
+		return BP_ESTATE;
+	case BP_STORE_OK:
+	case BP_STORE_UNKNOWN:
+		break;
+	}
+	return BP_EUNKNOWN;
+}
+
+/* The fate of the batch is known; see bp_journal_options_t. */
+void
+bp_shard_stored(bp_store_outcome_t outcome, void *data)
+{
+	bp_shard_t *shard = data;
+	GArray *batch = shard->in_flight;
+	bool stored = outcome == BP_STORE_OK;
+	bp_shard_answer_t refused = {refusal_kind(outcome),
+	    BP__WORK__JOB_STATE__JOB_QUEUED, 0,
+	    outcome == BP_STORE_REFUSED ? "the store refused the record"
+					: "the shard has a later owner"};
+	guint i;
+
+	shard->in_flight = g_array_new(FALSE, FALSE, sizeof(bp_qsent_t));
+	for (i = 0; i < batch->len; i++) {
+		const bp_qsent_t *sent = &g_array_index(batch, bp_qsent_t, i);
+
+		if (stored)
+			sent_stored(shard, sent);
+		else
+			sent_refused(shard, sent, &refused);
+	}
+	g_array_unref(batch);
+	execs_stored(shard, stored);
+	if (stored)
+		bp_shard_plan_round(shard, 0);
+	else if (outcome != BP_STORE_REFUSED)
+		bp_shard_set_lost(shard);
+}
+
+static void
+load_job(bp_shard_t *shard, const bp_store_record_t *record)
+{
+	gsize size = 0;
+	const uint8_t *bytes = g_bytes_get_data(record->value, &size);
+	Bp__Work__Job *spec = bp__work__job__unpack(NULL, size, bytes);
+	bp_error_t err = {BP_OK, ""};
+	bp_qjob_t *job;
+
+	if (spec == NULL || bp_qjob_check(spec, &err) != BP_OK) {
+		bp_log(shard->options.logger, BP_LOG_ERR, BP_SHARD_MODULE,
+		    "a stored job cannot be read", "key", record->key,
+		    "reason", err.message, NULL);
+		if (spec != NULL)
+			bp__work__job__free_unpacked(spec, NULL);
+		return;
+	}
+	job = bp_qjob_new(spec);
+	job->accepted = true;
+	g_hash_table_insert(shard->jobs, spec->id, job);
+}
+
+static void
+load_progress(bp_shard_t *shard, const bp_store_record_t *record)
+{
+	bp_qjob_t *job =
+	    g_hash_table_lookup(shard->jobs, record->key + PREFIX_CHARS);
+	bp_error_t err = {BP_OK, ""};
+	gsize size = 0;
+	const uint8_t *bytes = g_bytes_get_data(record->value, &size);
+
+	if (job != NULL &&
+	    bp_qjob_load_progress(job, bytes, size, &err) != BP_OK)
+		bp_log(shard->options.logger, BP_LOG_ERR, BP_SHARD_MODULE,
+		    "stored progress cannot be read", "key", record->key,
+		    "reason", err.message, NULL);
+}
+
+static void
+load_holder(bp_shard_t *shard, const bp_store_record_t *record)
+{
+	gsize size = 0;
+	const uint8_t *bytes = g_bytes_get_data(record->value, &size);
+	Bp__Work__Holder *holder = bp__work__holder__unpack(NULL, size, bytes);
+	bp_qexec_t *exec;
+
+	if (holder == NULL)
+		return;
+	exec = bp_qexec_get(shard, holder->id);
+	exec->recorded = true;
+	exec->born_ms = holder->born_ms;
+	g_free(exec->info->address);
+	exec->info->address = g_strdup(holder->address);
+	bp__work__holder__free_unpacked(holder, NULL);
+}
+
+/* Tasks that an earlier owner may have started wait for the census. */
+static void
+prepare_job(bp_shard_t *shard, bp_qjob_t *job)
+{
+	uint32_t i;
+	uint32_t k;
+
+	if (bp_qjob_ended(job))
+		return;
+	g_ptr_array_add(shard->going, job);
+	for (i = 0; i < job->n_steps * job->occurrences; i++) {
+		for (k = 0; k < job->steps[i].spec->tasks; k++) {
+			bp_qtask_t *task = &job->steps[i].tasks[k];
+
+			if (task->state == BP_QTASK_WAITING)
+				bp_qtask_set_state(task, BP_QTASK_CENSUS);
+		}
+	}
+}
+
+static uint64_t
+owner_epoch(const bp_shard_t *shard)
+{
+	const bp_store_record_t *record =
+	    g_hash_table_lookup(shard->raw, KEY_OWNER);
+	Bp__Work__Owner *owner;
+	uint64_t epoch = 0;
+	gsize size = 0;
+	const uint8_t *bytes;
+
+	if (record == NULL || record->value == NULL)
+		return 0;
+	bytes = g_bytes_get_data(record->value, &size);
+	owner = bp__work__owner__unpack(NULL, size, bytes);
+	if (owner == NULL)
+		return 0;
+	epoch = owner->epoch;
+	bp__work__owner__free_unpacked(owner, NULL);
+	return epoch;
+}
+
+static void
+load_prefix(bp_shard_t *shard, const char *prefix,
+    void (*load)(bp_shard_t *, const bp_store_record_t *))
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, shard->raw);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const bp_store_record_t *record = value;
+
+		if (record->value != NULL &&
+		    g_str_has_prefix(record->key, prefix))
+			load(shard, record);
+	}
+}
+
+/* Returns the epoch of the last owner, 0 for none. */
+uint64_t
+bp_shard_last_epoch(const bp_shard_t *shard)
+{
+	return owner_epoch(shard);
+}
+
+/* Builds the state from the keys that were read. */
+void
+bp_shard_load(bp_shard_t *shard)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	load_prefix(shard, PREFIX_JOB, load_job);
+	load_prefix(shard, PREFIX_PROGRESS, load_progress);
+	load_prefix(shard, PREFIX_HOLDER, load_holder);
+	g_hash_table_iter_init(&iter, shard->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		prepare_job(shard, value);
+}
+
+/* Returns the record by which this node becomes the owner. */
+bp_store_record_t *
+bp_shard_owner_record(const bp_shard_t *shard)
+{
+	Bp__Work__Owner owner = BP__WORK__OWNER__INIT;
+	bp_store_record_t *record;
+	uint8_t *bytes;
+	size_t size;
+
+	owner.epoch = shard->epoch;
+	owner.node = (char *)shard->options.node;
+	owner.address = (char *)shard->options.address;
+	size = bp__work__owner__get_packed_size(&owner);
+	bytes = g_malloc(MAX(size, 1));
+	(void)bp__work__owner__pack(&owner, bytes);
+	record = bp_store_record_new(KEY_OWNER, bytes, size);
+	g_free(bytes);
+	return record;
+}
+
+/* Forgets an ended job, here and at the next append in the store. */
+void
+bp_shard_drop_job(bp_shard_t *shard, bp_qjob_t *job)
+{
+	const char *id = job->spec->id;
+
+	g_ptr_array_add(
+	    shard->dropping, g_strconcat(PREFIX_JOB, id, NULL));
+	g_ptr_array_add(
+	    shard->dropping, g_strconcat(PREFIX_PROGRESS, id, NULL));
+	g_hash_table_remove(shard->jobs, id);
+}
+
+/* Forgets an executor that can hold nothing any more. */
+void
+bp_shard_drop_exec(bp_shard_t *shard, bp_qexec_t *exec)
+{
+	if (exec->recorded)
+		g_ptr_array_add(shard->dropping,
+		    g_strconcat(PREFIX_HOLDER, exec->info->id, NULL));
+	g_hash_table_remove(shard->execs, exec->info->id);
+}
--- /dev/null
+++ b/src/queues/shard_rounds.c
@@ -0,0 +1,318 @@
+#include "queues/shard_private.h"
+
+#include <string.h>
+
+/* Orders on their way at a time: more would only queue in this process. */
+#define STARTS_IN_FLIGHT_MAX 64
+/* A score is a share of the executor's processors, plus these. */
+#define SCALE 1000.0
+#define PENALTY_FAILED_ON 1500.0
+#define PENALTY_OTHER_RACK 4000.0
+#define PENALTY_SERVING 3000.0
+/* A job that is late by this factor of its objective earns nothing more. */
+#define LATE_FACTOR 3
+
+typedef struct {
+	bp_shard_t *shard;
+	int64_t now_ms;
+	int64_t wall_ms;
+	GPtrArray *execs; /* bp_qexec_t that may get work at all */
+	const char *service; /* of the step's queue */
+} round_t;
+
+/* Why an executor cannot take a task of the step; NULL when it can. */
+static const char *
+obstacle(const round_t *round, const bp_qexec_t *exec, const bp_qstep_t *step)
+{
+	const Bp__Work__Step *spec = step->spec;
+	uint32_t cpu = spec->filler ? 0 : spec->cpu_milli;
+	uint32_t here = 0;
+	guint i;
+
+	if (strcmp(exec->info->service, round->service) != 0)
+		return "service";
+	if (spec->label[0] != '\0' &&
+	    !g_strv_contains(
+		(const char *const *)exec->info->labels, spec->label))
+		return "label";
+	if (exec->cpu_used + cpu > exec->info->cpu_milli ||
+	    exec->memory_used + spec->memory_mib > exec->info->memory_mib ||
+	    exec->accelerators_used + spec->accelerators >
+		exec->info->accelerators)
+		return "no_capacity";
+	if (spec->spread_max == 0)
+		return NULL;
+	for (i = 0; i < exec->runs->len; i++) {
+		const bp_qrun_t *run = exec->runs->pdata[i];
+
+		if (run->task != NULL && run->task->step == step)
+			here++;
+	}
+	return here >= spec->spread_max ? "spread" : NULL;
+}
+
+/* Serving tasks suffer from fillers; fillers from each other. */
+static double
+filler_score(const bp_qexec_t *exec)
+{
+	double score = SCALE * exec->cpu_used / MAX(exec->info->cpu_milli, 1);
+	guint i;
+
+	for (i = 0; i < exec->runs->len; i++) {
+		const bp_qrun_t *run = exec->runs->pdata[i];
+		const Bp__Work__Step *spec;
+
+		if (run->task == NULL)
+			continue;
+		spec = run->task->step->spec;
+		if (spec->target_ms > 0)
+			score += PENALTY_SERVING;
+		if (spec->filler)
+			score += SCALE * spec->cpu_milli /
+			    MAX(exec->info->cpu_milli, 1);
+	}
+	return score;
+}
+
+/* Lower is better. */
+static double
+score_of(const bp_qexec_t *exec, const bp_qtask_t *task, const char *rack)
+{
+	const Bp__Work__Step *spec = task->step->spec;
+	double free_cpu =
+	    (double)exec->info->cpu_milli - exec->cpu_used - spec->cpu_milli;
+	double score;
+
+	if (spec->filler)
+		score = filler_score(exec);
+	else if (spec->lasting)
+		score = -SCALE * free_cpu / MAX(exec->info->cpu_milli, 1);
+	else
+		score = SCALE * free_cpu / MAX(exec->info->cpu_milli, 1);
+	if (task->failed_on == exec)
+		score += PENALTY_FAILED_ON;
+	if (rack[0] != '\0' && strcmp(exec->info->rack, rack) != 0)
+		score += PENALTY_OTHER_RACK;
+	return score;
+}
+
+/* The rack that the step is drawn to: that of its data or of its tasks. */
+static const char *
+wanted_rack(const bp_qstep_t *step)
+{
+	uint32_t i;
+
+	if (step->spec->data_rack[0] != '\0')
+		return step->spec->data_rack;
+	for (i = 0; step->spec->same_rack && i < step->spec->tasks; i++) {
+		if (step->tasks[i].run != NULL)
+			return step->tasks[i].run->exec->info->rack;
+	}
+	return "";
+}
+
+static bp_qexec_t *
+choose(const round_t *round, const bp_qtask_t *task, const char *rack,
+    const char **reason)
+{
+	bp_qexec_t *best = NULL;
+	double best_score = 0;
+	guint i;
+
+	*reason = round->execs->len == 0 ? "no_executor" : "service";
+	for (i = 0; i < round->execs->len; i++) {
+		bp_qexec_t *exec = round->execs->pdata[i];
+		const char *why = obstacle(round, exec, task->step);
+		double score;
+
+		if (why != NULL) {
+			if (strcmp(why, "service") != 0)
+				*reason = why;
+			continue;
+		}
+		score = score_of(exec, task, rack);
+		if (best == NULL || score < best_score) {
+			best = exec;
+			best_score = score;
+		}
+	}
+	return best;
+}
+
+/*
+ * Starts all members of a gang with one run number, or none. Room is taken
+ * by runs as they are planned, so the plan is undone when it does not fit.
+ */
+static void
+place_gang(round_t *round, bp_qstep_t *step)
+{
+	bp_shard_t *shard = round->shard;
+	bp_qexec_t **plan = g_new0(bp_qexec_t *, step->spec->tasks);
+	const char *rack = step->spec->data_rack;
+	uint64_t number = 0;
+	uint32_t i;
+	uint32_t planned;
+
+	for (i = 0; i < step->spec->tasks; i++)
+		number = MAX(
+		    number, bp_shard_next_run(shard, &step->tasks[i]));
+	for (planned = 0; planned < step->spec->tasks; planned++) {
+		bp_qtask_t *task = &step->tasks[planned];
+
+		plan[planned] = choose(round, task, rack, &step->reason);
+		if (plan[planned] == NULL)
+			break;
+		if (step->spec->same_rack && rack[0] == '\0')
+			rack = plan[planned]->info->rack;
+		plan[planned]->cpu_used += step->spec->cpu_milli;
+		plan[planned]->memory_used += step->spec->memory_mib;
+	}
+	for (i = 0; i < planned; i++) {
+		plan[i]->cpu_used -= step->spec->cpu_milli;
+		plan[i]->memory_used -= step->spec->memory_mib;
+	}
+	if (planned == step->spec->tasks) {
+		step->reason = NULL;
+		for (i = 0; i < planned; i++)
+			bp_shard_start_task(
+			    shard, &step->tasks[i], plan[i], number);
+	}
+	g_free(plan);
+}
+
+static void
+place_step(round_t *round, bp_qstep_t *step)
+{
+	bp_shard_t *shard = round->shard;
+	uint32_t i;
+
+	if (step->spec->gang) {
+		if (step->waiting == step->spec->tasks)
+			place_gang(round, step);
+		return;
+	}
+	for (i = 0; i < step->spec->tasks; i++) {
+		bp_qtask_t *task = &step->tasks[i];
+		bp_qexec_t *exec;
+
+		if (task->state != BP_QTASK_WAITING)
+			continue;
+		if (shard->starts_in_flight >= STARTS_IN_FLIGHT_MAX) {
+			step->reason = "turn";
+			return;
+		}
+		exec =
+		    choose(round, task, wanted_rack(step), &step->reason);
+		if (exec == NULL)
+			return;
+		step->reason = NULL;
+		bp_shard_start_task(
+		    shard, task, exec, bp_shard_next_run(shard, task));
+	}
+}
+
+static bool
+may_get_work(const round_t *round, const bp_qexec_t *exec)
+{
+	return exec->listed && exec->met && exec->recorded && !exec->silent &&
+	    !exec->info->draining && exec->held_until_ms <= round->now_ms &&
+	    exec->clock_at_ms != 0 &&
+	    !g_hash_table_contains(
+		round->shard->zones_out, exec->info->zone);
+}
+
+static bool
+hopelessly_late(const bp_qjob_t *job, int64_t wall_ms)
+{
+	int64_t objective_ms = job->due_ms - job->spec->accepted_ms;
+
+	return job->spec->times == 0 &&
+	    wall_ms - job->spec->accepted_ms > LATE_FACTOR * objective_ms;
+}
+
+typedef struct {
+	bp_qstep_t *step;
+	uint32_t priority;
+	bool late;
+	int64_t due_ms;
+} candidate_t;
+
+static gint
+compare(gconstpointer a, gconstpointer b)
+{
+	const candidate_t *x = a;
+	const candidate_t *y = b;
+
+	if (x->priority != y->priority)
+		return x->priority < y->priority ? -1 : 1;
+	if (x->late != y->late)
+		return x->late ? 1 : -1;
+	return (x->due_ms > y->due_ms) - (x->due_ms < y->due_ms);
+}
+
+static void
+add_candidates(GArray *candidates, round_t *round, bp_qjob_t *job)
+{
+	int64_t early_ms =
+	    round->wall_ms + round->shard->options.limits.early_ms / 2;
+	uint32_t i;
+
+	if (!job->accepted || job->cancelling || bp_qjob_ended(job))
+		return;
+	for (i = 0; i < job->n_steps * job->occurrences; i++) {
+		bp_qstep_t *step = &job->steps[i];
+		candidate_t candidate = {step, job->spec->priority,
+		    hopelessly_late(job, round->wall_ms),
+		    MAX(job->due_ms, bp_qstep_due_ms(step))};
+
+		if (step->waiting == 0)
+			continue;
+		if (bp_qstep_open(step, early_ms))
+			g_array_append_val(candidates, candidate);
+		else
+			step->reason = "dependency";
+	}
+}
+
+/* The queue's service now, else that of the job's acceptance. */
+static const char *
+service_of(const bp_shard_t *shard, const bp_qjob_t *job)
+{
+	const bp_queue_route_t *route = shard->catalog != NULL
+	    ? bp_catalog_queue(shard->catalog, job->spec->queue)
+	    : NULL;
+
+	return route != NULL ? route->service : job->spec->service;
+}
+
+/* Places what waits, most urgent first. */
+void
+bp_shard_round(bp_shard_t *shard)
+{
+	round_t round = {shard, bp_shard_now_ms(shard),
+	    bp_shard_wall_ms(shard), g_ptr_array_new(), NULL};
+	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	g_hash_table_iter_init(&iter, shard->execs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (may_get_work(&round, value))
+			g_ptr_array_add(round.execs, value);
+	}
+	for (i = 0; i < shard->going->len; i++)
+		add_candidates(candidates, &round, shard->going->pdata[i]);
+	g_array_sort(candidates, compare);
+	for (i = 0; i < candidates->len; i++) {
+		candidate_t *candidate =
+		    &g_array_index(candidates, candidate_t, i);
+
+		if (!bp_shard_may_order(shard))
+			break;
+		round.service = service_of(shard, candidate->step->job);
+		place_step(&round, candidate->step);
+	}
+	g_array_unref(candidates);
+	g_ptr_array_unref(round.execs);
+}
--- /dev/null
+++ b/src/queues/shard_takeover.c
@@ -0,0 +1,180 @@
+#include "queues/shard_private.h"
+
+#include <stdio.h>
+
+/* After a failed step of a takeover everything is read again. */
+#define AGAIN_MS 120
+
+static void read_page(bp_shard_t *shard);
+
+static gboolean
+on_again(void *data)
+{
+	bp_shard_t *shard = data;
+
+	shard->reread_timer = 0;
+	bp_shard_read(shard);
+	return G_SOURCE_REMOVE;
+}
+
+static void
+again(bp_shard_t *shard, const char *step, const char *reason)
+{
+	bp_log(shard->options.logger, BP_LOG_NOTICE, BP_SHARD_MODULE,
+	    "takeover is repeated", "step", step, "reason", reason, NULL);
+	if (shard->reread_timer == 0)
+		shard->reread_timer =
+		    g_timeout_add(AGAIN_MS, on_again, shard);
+}
+
+static void
+look_at_holders(bp_shard_t *shard)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, shard->execs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		bp_shard_look(value, 0);
+}
+
+static void
+begin(bp_shard_t *shard)
+{
+	bp_journal_options_t options = {0};
+	char jobs[32];
+	char epoch[32];
+
+	options.clock = shard->options.clock;
+	options.logger = shard->options.logger;
+	options.store = shard->options.store;
+	options.topic = shard->options.topic;
+	options.partition = shard->options.number;
+	options.writer = shard->options.topic;
+	options.epoch = shard->epoch;
+	options.fill = bp_shard_fill;
+	options.done = bp_shard_stored;
+	options.data = shard;
+	shard->journal = bp_journal_new(&options);
+	shard->phase = BP_SHARD_OWNED;
+	shard->owned_ms = bp_shard_now_ms(shard);
+	bp_shard_load(shard);
+	g_clear_pointer(&shard->raw, g_hash_table_unref);
+	snprintf(jobs, sizeof(jobs), "%u", g_hash_table_size(shard->jobs));
+	snprintf(epoch, sizeof(epoch), "%" G_GUINT64_FORMAT, shard->epoch);
+	bp_log(shard->options.logger, BP_LOG_NOTICE, BP_SHARD_MODULE,
+	    "owns the shard", "epoch", epoch, "jobs", jobs, NULL);
+	look_at_holders(shard);
+	shard->options.owned(shard, shard->options.data);
+	bp_shard_check_census(shard);
+}
+
+/*
+ * A claim without an answer may have taken effect, also later: the next
+ * reading shows the epoch that is to be exceeded.
+ */
+static void
+on_claimed(const bp_store_result_t *result, void *data)
+{
+	bp_shard_t *shard = data;
+
+	switch (result->outcome) {
+	case BP_STORE_OK:
+		begin(shard);
+		break;
+	case BP_STORE_FENCED:
+	case BP_STORE_MOVED:
+	case BP_STORE_SEQUENCE:
+	case BP_STORE_DROPPED:
+		again(shard, "claim", "another append came first");
+		break;
+	case BP_STORE_REFUSED:
+		again(shard, "claim", "the store refused");
+		break;
+	case BP_STORE_UNKNOWN:
+		again(shard, "claim", "no answer");
+		break;
+	}
+}
+
+static void
+claim(bp_shard_t *shard)
+{
+	GPtrArray *records =
+	    g_ptr_array_new_with_free_func(bp_store_record_free);
+	bp_store_append_t append = {0};
+
+	shard->phase = BP_SHARD_CLAIMING;
+	shard->epoch = bp_shard_last_epoch(shard) + 1;
+	g_ptr_array_add(records, bp_shard_owner_record(shard));
+	append.topic = shard->options.topic;
+	append.partition = shard->options.number;
+	append.writer = shard->options.topic;
+	append.epoch = shard->epoch;
+	append.conditional = true;
+	append.end_offset = shard->end_offset;
+	append.records = records;
+	shard->options.store->append(
+	    shard->options.store, &append, on_claimed, shard);
+	g_ptr_array_unref(records);
+}
+
+static void
+on_page(const bp_store_result_t *result, void *data)
+{
+	bp_shard_t *shard = data;
+	guint i;
+
+	if (result->outcome != BP_STORE_OK) {
+		again(shard, "read", "the store did not answer");
+		return;
+	}
+	if (shard->page == NULL)
+		shard->end_offset = result->end_offset;
+	for (i = 0; i < result->records->len; i++) {
+		const bp_store_record_t *record = result->records->pdata[i];
+		gsize size = 0;
+		const void *bytes = record->value != NULL
+		    ? g_bytes_get_data(record->value, &size)
+		    : NULL;
+
+		g_hash_table_replace(shard->raw, g_strdup(record->key),
+		    bp_store_record_new(record->key, bytes, size));
+		g_free(shard->page);
+		shard->page = g_strdup(record->key);
+	}
+	if (result->more && result->records->len > 0)
+		read_page(shard);
+	else
+		claim(shard);
+}
+
+static void
+read_page(bp_shard_t *shard)
+{
+	shard->options.store->newest(shard->options.store,
+	    shard->options.topic, shard->options.number, shard->page, on_page,
+	    shard);
+}
+
+/* Begins a takeover: reads all keys, then claims the shard. */
+void
+bp_shard_read(bp_shard_t *shard)
+{
+	shard->phase = BP_SHARD_READING;
+	g_clear_pointer(&shard->page, g_free);
+	g_clear_pointer(&shard->raw, g_hash_table_unref);
+	shard->raw = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, bp_store_record_free);
+	read_page(shard);
+}
+
+/* Ends a takeover in progress. */
+void
+bp_shard_stop_reading(bp_shard_t *shard)
+{
+	shard->options.store->forget(shard->options.store, shard);
+	g_clear_handle_id(&shard->reread_timer, g_source_remove);
+	g_clear_pointer(&shard->page, g_free);
+	g_clear_pointer(&shard->raw, g_hash_table_unref);
+}
