--- a/include/bulrushpost/executors.h
+++ b/include/bulrushpost/executors.h
@@ -68,6 +68,7 @@
 	int64_t born_ms; /* 0 when not told */
 	const GArray *running; /* bp_look_running_t; of looks, else NULL */
 	const GArray *ended; /* bp_look_ended_t; of looks, else NULL */
+	bool courier_failed; /* says nothing of the executor */
 } bp_exec_result_t;
 
 typedef void (*bp_exec_done_t)(const bp_exec_result_t *result, void *data);
@@ -75,6 +76,7 @@
 typedef struct {
 	const char *address;
 	const char *id;
+	const char *zone;
 	uint64_t fence;
 } bp_exec_target_t;
 
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -181,7 +181,7 @@
   (ProtobufCMessageInit) bp__peer__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue bp__peer__verb__enum_values_by_number[21] =
+static const ProtobufCEnumValue bp__peer__verb__enum_values_by_number[23] =
 {
   { "VERB_UNSPECIFIED", "BP__PEER__VERB__VERB_UNSPECIFIED", 0 },
   { "VERB_STATE", "BP__PEER__VERB__VERB_STATE", 1 },
@@ -204,11 +204,13 @@
   { "VERB_QUEUE_STATUS", "BP__PEER__VERB__VERB_QUEUE_STATUS", 18 },
   { "VERB_QUEUE_CANCEL", "BP__PEER__VERB__VERB_QUEUE_CANCEL", 19 },
   { "VERB_QUEUE_COUNT", "BP__PEER__VERB__VERB_QUEUE_COUNT", 20 },
+  { "VERB_QUEUE_ORDER", "BP__PEER__VERB__VERB_QUEUE_ORDER", 21 },
+  { "VERB_QUEUE_HELLO", "BP__PEER__VERB__VERB_QUEUE_HELLO", 22 },
 };
 static const ProtobufCIntRange bp__peer__verb__value_ranges[] = {
-{0, 0},{0, 21}
+{0, 0},{0, 23}
 };
-static const ProtobufCEnumValueIndex bp__peer__verb__enum_values_by_name[21] =
+static const ProtobufCEnumValueIndex bp__peer__verb__enum_values_by_name[23] =
 {
   { "VERB_JOB_CANCEL", 14 },
   { "VERB_JOB_LIST", 15 },
@@ -218,6 +220,8 @@
   { "VERB_METRICS", 5 },
   { "VERB_QUEUE_CANCEL", 19 },
   { "VERB_QUEUE_COUNT", 20 },
+  { "VERB_QUEUE_HELLO", 22 },
+  { "VERB_QUEUE_ORDER", 21 },
   { "VERB_QUEUE_STATUS", 18 },
   { "VERB_QUEUE_SUBMIT", 17 },
   { "VERB_RULES_CHECK", 8 },
@@ -239,9 +243,9 @@
   "Verb",
   "Bp__Peer__Verb",
   "bp.peer",
-  21,
+  23,
   bp__peer__verb__enum_values_by_number,
-  21,
+  23,
   bp__peer__verb__enum_values_by_name,
   1,
   bp__peer__verb__value_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -102,7 +102,15 @@
   /*
    * args: queue, shard
    */
-  BP__PEER__VERB__VERB_QUEUE_COUNT = 20
+  BP__PEER__VERB__VERB_QUEUE_COUNT = 20,
+  /*
+   * body: serialized work.Order; answer: work.OrderResult
+   */
+  BP__PEER__VERB__VERB_QUEUE_ORDER = 21,
+  /*
+   * args: control address and zone of a live node
+   */
+  BP__PEER__VERB__VERB_QUEUE_HELLO = 22
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BP__PEER__VERB)
 } Bp__Peer__Verb;
 
--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -277,6 +277,186 @@
   assert(message->base.descriptor == &bp__work__holder__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__work__order__init
+                     (Bp__Work__Order         *message)
+{
+  static const Bp__Work__Order init_value = BP__WORK__ORDER__INIT;
+  *message = init_value;
+}
+size_t bp__work__order__get_packed_size
+                     (const Bp__Work__Order *message)
+{
+  assert(message->base.descriptor == &bp__work__order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__work__order__pack
+                     (const Bp__Work__Order *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__work__order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__work__order__pack_to_buffer
+                     (const Bp__Work__Order *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__work__order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__Work__Order *
+       bp__work__order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__Work__Order *)
+     protobuf_c_message_unpack (&bp__work__order__descriptor,
+                                allocator, len, data);
+}
+void   bp__work__order__free_unpacked
+                     (Bp__Work__Order *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__work__order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bp__work__running_row__init
+                     (Bp__Work__RunningRow         *message)
+{
+  static const Bp__Work__RunningRow init_value = BP__WORK__RUNNING_ROW__INIT;
+  *message = init_value;
+}
+size_t bp__work__running_row__get_packed_size
+                     (const Bp__Work__RunningRow *message)
+{
+  assert(message->base.descriptor == &bp__work__running_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__work__running_row__pack
+                     (const Bp__Work__RunningRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__work__running_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__work__running_row__pack_to_buffer
+                     (const Bp__Work__RunningRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__work__running_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__Work__RunningRow *
+       bp__work__running_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__Work__RunningRow *)
+     protobuf_c_message_unpack (&bp__work__running_row__descriptor,
+                                allocator, len, data);
+}
+void   bp__work__running_row__free_unpacked
+                     (Bp__Work__RunningRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__work__running_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bp__work__ended_row__init
+                     (Bp__Work__EndedRow         *message)
+{
+  static const Bp__Work__EndedRow init_value = BP__WORK__ENDED_ROW__INIT;
+  *message = init_value;
+}
+size_t bp__work__ended_row__get_packed_size
+                     (const Bp__Work__EndedRow *message)
+{
+  assert(message->base.descriptor == &bp__work__ended_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__work__ended_row__pack
+                     (const Bp__Work__EndedRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__work__ended_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__work__ended_row__pack_to_buffer
+                     (const Bp__Work__EndedRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__work__ended_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__Work__EndedRow *
+       bp__work__ended_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__Work__EndedRow *)
+     protobuf_c_message_unpack (&bp__work__ended_row__descriptor,
+                                allocator, len, data);
+}
+void   bp__work__ended_row__free_unpacked
+                     (Bp__Work__EndedRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__work__ended_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bp__work__order_result__init
+                     (Bp__Work__OrderResult         *message)
+{
+  static const Bp__Work__OrderResult init_value = BP__WORK__ORDER_RESULT__INIT;
+  *message = init_value;
+}
+size_t bp__work__order_result__get_packed_size
+                     (const Bp__Work__OrderResult *message)
+{
+  assert(message->base.descriptor == &bp__work__order_result__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__work__order_result__pack
+                     (const Bp__Work__OrderResult *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__work__order_result__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__work__order_result__pack_to_buffer
+                     (const Bp__Work__OrderResult *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__work__order_result__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__Work__OrderResult *
+       bp__work__order_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__Work__OrderResult *)
+     protobuf_c_message_unpack (&bp__work__order_result__descriptor,
+                                allocator, len, data);
+}
+void   bp__work__order_result__free_unpacked
+                     (Bp__Work__OrderResult *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__work__order_result__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor bp__work__step__field_descriptors[18] =
 {
   {
@@ -1012,6 +1192,483 @@
   (ProtobufCMessageInit) bp__work__holder__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__work__order__field_descriptors[13] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Order, kind),
+    &bp__work__order_kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Order, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Order, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Order, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Order, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Order, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "payload",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Order, payload),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deadline_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Order, deadline_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Order, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Order, ticket),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cursor",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Order, cursor),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Order, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percent",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Order, percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__work__order__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  8,   /* field[8] = checkpoint */
+  10,   /* field[10] = cursor */
+  7,   /* field[7] = deadline_ms */
+  3,   /* field[3] = fence */
+  2,   /* field[2] = id */
+  0,   /* field[0] = kind */
+  6,   /* field[6] = payload */
+  12,   /* field[12] = percent */
+  5,   /* field[5] = run */
+  4,   /* field[4] = task */
+  9,   /* field[9] = ticket */
+  11,   /* field[11] = wait_ms */
+};
+static const ProtobufCIntRange bp__work__order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 13 }
+};
+const ProtobufCMessageDescriptor bp__work__order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.work.Order",
+  "Order",
+  "Bp__Work__Order",
+  "bp.work",
+  sizeof(Bp__Work__Order),
+  13,
+  bp__work__order__field_descriptors,
+  bp__work__order__field_indices_by_name,
+  1,  bp__work__order__number_ranges,
+  (ProtobufCMessageInit) bp__work__order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bp__work__running_row__field_descriptors[5] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__RunningRow, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__RunningRow, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__RunningRow, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percent",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__RunningRow, percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "figure",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__RunningRow, figure),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__work__running_row__field_indices_by_name[] = {
+  2,   /* field[2] = checkpoint */
+  4,   /* field[4] = figure */
+  3,   /* field[3] = percent */
+  1,   /* field[1] = run */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange bp__work__running_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor bp__work__running_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.work.RunningRow",
+  "RunningRow",
+  "Bp__Work__RunningRow",
+  "bp.work",
+  sizeof(Bp__Work__RunningRow),
+  5,
+  bp__work__running_row__field_descriptors,
+  bp__work__running_row__field_indices_by_name,
+  1,  bp__work__running_row__number_ranges,
+  (ProtobufCMessageInit) bp__work__running_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bp__work__ended_row__field_descriptors[5] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__EndedRow, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__EndedRow, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__EndedRow, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__EndedRow, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__EndedRow, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__work__ended_row__field_indices_by_name[] = {
+  4,   /* field[4] = checkpoint */
+  3,   /* field[3] = kind */
+  0,   /* field[0] = number */
+  2,   /* field[2] = run */
+  1,   /* field[1] = task */
+};
+static const ProtobufCIntRange bp__work__ended_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor bp__work__ended_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.work.EndedRow",
+  "EndedRow",
+  "Bp__Work__EndedRow",
+  "bp.work",
+  sizeof(Bp__Work__EndedRow),
+  5,
+  bp__work__ended_row__field_descriptors,
+  bp__work__ended_row__field_indices_by_name,
+  1,  bp__work__ended_row__number_ranges,
+  (ProtobufCMessageInit) bp__work__ended_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bp__work__order_result__field_descriptors[6] =
+{
+  {
+    "outcome",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__OrderResult, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__OrderResult, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__OrderResult, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lists",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__OrderResult, lists),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__Work__OrderResult, n_running),
+    offsetof(Bp__Work__OrderResult, running),
+    &bp__work__running_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__Work__OrderResult, n_ended),
+    offsetof(Bp__Work__OrderResult, ended),
+    &bp__work__ended_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__work__order_result__field_indices_by_name[] = {
+  2,   /* field[2] = born_ms */
+  1,   /* field[1] = clock_ms */
+  5,   /* field[5] = ended */
+  3,   /* field[3] = lists */
+  0,   /* field[0] = outcome */
+  4,   /* field[4] = running */
+};
+static const ProtobufCIntRange bp__work__order_result__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor bp__work__order_result__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.work.OrderResult",
+  "OrderResult",
+  "Bp__Work__OrderResult",
+  "bp.work",
+  sizeof(Bp__Work__OrderResult),
+  6,
+  bp__work__order_result__field_descriptors,
+  bp__work__order_result__field_indices_by_name,
+  1,  bp__work__order_result__number_ranges,
+  (ProtobufCMessageInit) bp__work__order_result__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue bp__work__job_state__enum_values_by_number[5] =
 {
   { "JOB_QUEUED", "BP__WORK__JOB_STATE__JOB_QUEUED", 0 },
@@ -1046,3 +1703,35 @@
   bp__work__job_state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue bp__work__order_kind__enum_values_by_number[4] =
+{
+  { "ORDER_START", "BP__WORK__ORDER_KIND__ORDER_START", 0 },
+  { "ORDER_STOP", "BP__WORK__ORDER_KIND__ORDER_STOP", 1 },
+  { "ORDER_LOOK", "BP__WORK__ORDER_KIND__ORDER_LOOK", 2 },
+  { "ORDER_PACE", "BP__WORK__ORDER_KIND__ORDER_PACE", 3 },
+};
+static const ProtobufCIntRange bp__work__order_kind__value_ranges[] = {
+{0, 0},{0, 4}
+};
+static const ProtobufCEnumValueIndex bp__work__order_kind__enum_values_by_name[4] =
+{
+  { "ORDER_LOOK", 2 },
+  { "ORDER_PACE", 3 },
+  { "ORDER_START", 0 },
+  { "ORDER_STOP", 1 },
+};
+const ProtobufCEnumDescriptor bp__work__order_kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "bp.work.OrderKind",
+  "OrderKind",
+  "Bp__Work__OrderKind",
+  "bp.work",
+  4,
+  bp__work__order_kind__enum_values_by_number,
+  4,
+  bp__work__order_kind__enum_values_by_name,
+  1,
+  bp__work__order_kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -21,6 +21,10 @@
 typedef struct Bp__Work__Progress Bp__Work__Progress;
 typedef struct Bp__Work__Owner Bp__Work__Owner;
 typedef struct Bp__Work__Holder Bp__Work__Holder;
+typedef struct Bp__Work__Order Bp__Work__Order;
+typedef struct Bp__Work__RunningRow Bp__Work__RunningRow;
+typedef struct Bp__Work__EndedRow Bp__Work__EndedRow;
+typedef struct Bp__Work__OrderResult Bp__Work__OrderResult;
 
 
 /* --- enums --- */
@@ -33,6 +37,16 @@
   BP__WORK__JOB_STATE__JOB_CANCELLED = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BP__WORK__JOB_STATE)
 } Bp__Work__JobState;
+/*
+ * An order or a look that a node carries out for the owner of a shard.
+ */
+typedef enum _Bp__Work__OrderKind {
+  BP__WORK__ORDER_KIND__ORDER_START = 0,
+  BP__WORK__ORDER_KIND__ORDER_STOP = 1,
+  BP__WORK__ORDER_KIND__ORDER_LOOK = 2,
+  BP__WORK__ORDER_KIND__ORDER_PACE = 3
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BP__WORK__ORDER_KIND)
+} Bp__Work__OrderKind;
 
 /* --- messages --- */
 
@@ -204,6 +218,91 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
+struct  Bp__Work__Order
+{
+  ProtobufCMessage base;
+  Bp__Work__OrderKind kind;
+  /*
+   * of the executor
+   */
+  char *address;
+  /*
+   * of the executor
+   */
+  char *id;
+  uint64_t fence;
+  char *task;
+  uint64_t run;
+  char *payload;
+  /*
+   * on the executor's clock
+   */
+  int64_t deadline_ms;
+  char *checkpoint;
+  char *ticket;
+  uint64_t cursor;
+  uint32_t wait_ms;
+  uint32_t percent;
+};
+#define BP__WORK__ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__work__order__descriptor) \
+    , BP__WORK__ORDER_KIND__ORDER_START, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+struct  Bp__Work__RunningRow
+{
+  ProtobufCMessage base;
+  char *task;
+  uint64_t run;
+  char *checkpoint;
+  uint32_t percent;
+  int64_t figure;
+};
+#define BP__WORK__RUNNING_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__work__running_row__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Bp__Work__EndedRow
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  char *task;
+  uint64_t run;
+  /*
+   * bp_end_kind_t
+   */
+  uint32_t kind;
+  char *checkpoint;
+};
+#define BP__WORK__ENDED_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__work__ended_row__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
+
+
+struct  Bp__Work__OrderResult
+{
+  ProtobufCMessage base;
+  /*
+   * bp_exec_outcome_t
+   */
+  uint32_t outcome;
+  int64_t clock_ms;
+  int64_t born_ms;
+  /*
+   * the answer held both lists
+   */
+  protobuf_c_boolean lists;
+  size_t n_running;
+  Bp__Work__RunningRow **running;
+  size_t n_ended;
+  Bp__Work__EndedRow **ended;
+};
+#define BP__WORK__ORDER_RESULT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__work__order_result__descriptor) \
+    , 0, 0, 0, 0, 0,NULL, 0,NULL }
+
+
 /* Bp__Work__Step methods */
 void   bp__work__step__init
                      (Bp__Work__Step         *message);
@@ -318,6 +417,82 @@
 void   bp__work__holder__free_unpacked
                      (Bp__Work__Holder *message,
                       ProtobufCAllocator *allocator);
+/* Bp__Work__Order methods */
+void   bp__work__order__init
+                     (Bp__Work__Order         *message);
+size_t bp__work__order__get_packed_size
+                     (const Bp__Work__Order   *message);
+size_t bp__work__order__pack
+                     (const Bp__Work__Order   *message,
+                      uint8_t             *out);
+size_t bp__work__order__pack_to_buffer
+                     (const Bp__Work__Order   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__Work__Order *
+       bp__work__order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__work__order__free_unpacked
+                     (Bp__Work__Order *message,
+                      ProtobufCAllocator *allocator);
+/* Bp__Work__RunningRow methods */
+void   bp__work__running_row__init
+                     (Bp__Work__RunningRow         *message);
+size_t bp__work__running_row__get_packed_size
+                     (const Bp__Work__RunningRow   *message);
+size_t bp__work__running_row__pack
+                     (const Bp__Work__RunningRow   *message,
+                      uint8_t             *out);
+size_t bp__work__running_row__pack_to_buffer
+                     (const Bp__Work__RunningRow   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__Work__RunningRow *
+       bp__work__running_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__work__running_row__free_unpacked
+                     (Bp__Work__RunningRow *message,
+                      ProtobufCAllocator *allocator);
+/* Bp__Work__EndedRow methods */
+void   bp__work__ended_row__init
+                     (Bp__Work__EndedRow         *message);
+size_t bp__work__ended_row__get_packed_size
+                     (const Bp__Work__EndedRow   *message);
+size_t bp__work__ended_row__pack
+                     (const Bp__Work__EndedRow   *message,
+                      uint8_t             *out);
+size_t bp__work__ended_row__pack_to_buffer
+                     (const Bp__Work__EndedRow   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__Work__EndedRow *
+       bp__work__ended_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__work__ended_row__free_unpacked
+                     (Bp__Work__EndedRow *message,
+                      ProtobufCAllocator *allocator);
+/* Bp__Work__OrderResult methods */
+void   bp__work__order_result__init
+                     (Bp__Work__OrderResult         *message);
+size_t bp__work__order_result__get_packed_size
+                     (const Bp__Work__OrderResult   *message);
+size_t bp__work__order_result__pack
+                     (const Bp__Work__OrderResult   *message,
+                      uint8_t             *out);
+size_t bp__work__order_result__pack_to_buffer
+                     (const Bp__Work__OrderResult   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__Work__OrderResult *
+       bp__work__order_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__work__order_result__free_unpacked
+                     (Bp__Work__OrderResult *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Bp__Work__Step_Closure)
@@ -338,6 +513,18 @@
 typedef void (*Bp__Work__Holder_Closure)
                  (const Bp__Work__Holder *message,
                   void *closure_data);
+typedef void (*Bp__Work__Order_Closure)
+                 (const Bp__Work__Order *message,
+                  void *closure_data);
+typedef void (*Bp__Work__RunningRow_Closure)
+                 (const Bp__Work__RunningRow *message,
+                  void *closure_data);
+typedef void (*Bp__Work__EndedRow_Closure)
+                 (const Bp__Work__EndedRow *message,
+                  void *closure_data);
+typedef void (*Bp__Work__OrderResult_Closure)
+                 (const Bp__Work__OrderResult *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -345,12 +532,17 @@
 /* --- descriptors --- */
 
 extern const ProtobufCEnumDescriptor    bp__work__job_state__descriptor;
+extern const ProtobufCEnumDescriptor    bp__work__order_kind__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__step__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__job__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__task_progress__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__progress__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__owner__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__holder__descriptor;
+extern const ProtobufCMessageDescriptor bp__work__order__descriptor;
+extern const ProtobufCMessageDescriptor bp__work__running_row__descriptor;
+extern const ProtobufCMessageDescriptor bp__work__ended_row__descriptor;
+extern const ProtobufCMessageDescriptor bp__work__order_result__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -3,6 +3,7 @@
 #include "bulrushpost/platform.h"
 #include "node/metricsserver.h"
 #include "queues/desk.h"
+#include "queues/relay.h"
 
 #include <glib-unix.h>
 #include <signal.h>
@@ -19,6 +20,8 @@
 /* The stop ends so long before the platform would kill the process. */
 #define DRAIN_MARGIN_MS 600
 #define MS_PER_S 1000
+/* Two hellos may be lost before a node counts as silent. */
+#define HELLO_PERIOD_MS 700
 /* Calls of one node on one connection to this one. */
 #define PEER_REQUESTS_MAX 4096
 #define PEER_CONNECTIONS_MAX 256
@@ -35,6 +38,7 @@
 	bp_peer_client_t *client;
 	bp_peer_server_t *server;
 	bp_membership_t *membership;
+	bp_relay_t *relay;
 	bp_queuedesk_t *desk;
 	bp_catalog_t *catalog;
 	GHashTable *zones_out;
@@ -42,6 +46,7 @@
 	int64_t *rest_until_ms; /* a shard */
 	int64_t drain_start_ms; /* 0 while serving */
 	guint drain_timer;
+	guint hello_timer;
 	guint signals[3];
 } node_t;
 
@@ -184,7 +189,7 @@
 	options.logger = node->logger;
 	options.timeline = node->timeline;
 	options.store = bp_platform_get_store(node->platform);
-	options.executors = bp_platform_get_executors(node->platform);
+	options.executors = bp_relay_interface(node->relay);
 	options.node = node->settings->node.name;
 	options.address = node->settings->listen.control;
 	options.topic = TOPIC;
@@ -315,6 +320,50 @@
 	g_free(lines);
 }
 
+static void
+serve_hello(node_t *node, bp_peer_request_t *request)
+{
+	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
+
+	if (frame->n_args == 2)
+		bp_relay_heard(node->relay, frame->args[0], frame->args[1]);
+	answer_text(request, BP_OK, "", NULL);
+}
+
+static void
+on_hello(const Bp__Peer__Frame *answer, const bp_error_t *err, void *data)
+{
+	/* An owner that does not answer is found by the calls to it. */
+	(void)answer;
+	(void)err;
+	(void)data;
+}
+
+/* Tells the owners of other shards that this node can carry out orders. */
+static gboolean
+on_hello_timer(void *data)
+{
+	node_t *node = data;
+	Bp__Peer__Frame frame = BP__PEER__FRAME__INIT;
+	char *args[] = {
+	    node->settings->listen.control, node->settings->node.zone};
+	uint32_t i;
+
+	if (node->drain_start_ms != 0)
+		return G_SOURCE_CONTINUE;
+	frame.verb = BP__PEER__VERB__VERB_QUEUE_HELLO;
+	frame.args = args;
+	frame.n_args = G_N_ELEMENTS(args);
+	for (i = 0; i < node->settings->queues.shards; i++) {
+		const char *owner = bp_membership_owner(node->membership, i);
+
+		if (node->owned[i] == NULL && owner != NULL)
+			bp_peer_client_call(node->client, owner, &frame,
+			    HELLO_PERIOD_MS, on_hello, node);
+	}
+	return G_SOURCE_CONTINUE;
+}
+
 static void
 on_request(bp_peer_request_t *request, void *data)
 {
@@ -328,6 +377,12 @@
 	case BP__PEER__VERB__VERB_QUEUE_COUNT:
 		bp_queuedesk_serve(node->desk, request);
 		return;
+	case BP__PEER__VERB__VERB_QUEUE_ORDER:
+		bp_relay_serve(node->relay, request);
+		return;
+	case BP__PEER__VERB__VERB_QUEUE_HELLO:
+		serve_hello(node, request);
+		return;
 	case BP__PEER__VERB__VERB_WHY:
 		serve_why(node, request);
 		return;
@@ -457,6 +512,22 @@
 	return bp_peer_server_new(&node->server, &server, err);
 }
 
+static void
+build_relay(node_t *node)
+{
+	bp_relay_options_t relay = {0};
+
+	relay.clock = node->clock;
+	relay.logger = node->logger;
+	relay.direct = bp_platform_get_executors(node->platform);
+	relay.client = node->client;
+	relay.address = node->settings->listen.control;
+	relay.zone = node->settings->node.zone;
+	node->relay = bp_relay_new(&relay);
+	node->hello_timer =
+	    g_timeout_add(HELLO_PERIOD_MS, on_hello_timer, node);
+}
+
 static void
 build_desk(node_t *node)
 {
@@ -516,6 +587,7 @@
 	if (rc != BP_OK)
 		return rc;
 	node->client = bp_peer_client_new(node->clock, node->logger);
+	build_relay(node);
 	rc = build_server(node, err);
 	if (rc != BP_OK)
 		return rc;
@@ -537,12 +609,14 @@
 	for (i = 0; i < G_N_ELEMENTS(node->signals); i++)
 		g_clear_handle_id(&node->signals[i], g_source_remove);
 	g_clear_handle_id(&node->drain_timer, g_source_remove);
+	g_clear_handle_id(&node->hello_timer, g_source_remove);
 	for (i = 0; i < node->settings->queues.shards; i++)
 		g_clear_pointer(&node->owned[i], bp_shard_free);
 	bp_queuedesk_free(node->desk);
 	bp_metricsserver_free(node->metrics_server);
 	bp_membership_free(node->membership);
 	bp_peer_client_free(node->client);
+	bp_relay_free(node->relay);
 	bp_peer_server_free(node->server);
 	bp_platform_free(node->platform);
 	bp_catalog_free(node->catalog);
--- /dev/null
+++ b/src/queues/relay.c
@@ -0,0 +1,501 @@
+#include "queues/relay.h"
+
+#include "bulrushpost/hash.h"
+#include "proto/work.pb-c.h"
+
+#include <string.h>
+
+/* A node that said nothing for this time carries out no orders. */
+#define SILENCE_MS 2500
+/* After a call that got no answer a node is left out for this time. */
+#define REST_MS 1500
+/* An order takes up to 0.9 s at the node; looks their wait more. */
+#define CALL_TIMEOUT_MS 1100
+#define SEED_COURIER 0x636f7572
+
+/* A live node, with the zone that it is in. */
+typedef struct {
+	char *address;
+	char *zone;
+	uint64_t hash;
+	int64_t heard_ms; /* mono */
+	int64_t rest_until_ms; /* mono */
+} courier_t;
+
+struct bp_relay {
+	bp_executors_t interface;
+	bp_relay_options_t options;
+	GHashTable *couriers; /* address to courier_t */
+	GHashTable *calls; /* sent_t in flight */
+	GHashTable *served; /* served_t in flight */
+};
+
+typedef struct {
+	bp_relay_t *relay; /* NULL once it is freed */
+	char *courier;
+	bp_exec_done_t done; /* NULL once forgotten */
+	void *data;
+} sent_t;
+
+/* An order of an owner that this node carries out. */
+typedef struct {
+	bp_relay_t *relay;
+	bp_peer_request_t *request;
+} served_t;
+
+static void
+courier_free(gpointer data)
+{
+	courier_t *courier = data;
+
+	g_free(courier->address);
+	g_free(courier->zone);
+	g_free(courier);
+}
+
+/* See the header. */
+void
+bp_relay_heard(bp_relay_t *relay, const char *address, const char *zone)
+{
+	courier_t *courier = g_hash_table_lookup(relay->couriers, address);
+
+	if (courier == NULL) {
+		courier = g_new0(courier_t, 1);
+		courier->address = g_strdup(address);
+		courier->zone = g_strdup(zone);
+		courier->hash = bp_hash_text(address, SEED_COURIER);
+		g_hash_table_insert(
+		    relay->couriers, courier->address, courier);
+	}
+	courier->heard_ms = bp_clock_mono_ms(relay->options.clock);
+}
+
+/*
+ * Returns the node that serves an executor: by rendezvous hash among the
+ * live ones of its zone, else among all. NULL stands for this node.
+ */
+static const char *
+choose(bp_relay_t *relay, const bp_exec_target_t *target)
+{
+	int64_t now_ms = bp_clock_mono_ms(relay->options.clock);
+	uint64_t key = bp_hash_text(target->id, SEED_COURIER);
+	bool near = strcmp(relay->options.zone, target->zone) == 0;
+	uint64_t best = bp_hash_mix(
+	    key ^ bp_hash_text(relay->options.address, SEED_COURIER));
+	const char *chosen = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, relay->couriers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const courier_t *courier = value;
+		bool same = strcmp(courier->zone, target->zone) == 0;
+		uint64_t rank = bp_hash_mix(key ^ courier->hash);
+
+		if (now_ms - courier->heard_ms > SILENCE_MS ||
+		    courier->rest_until_ms > now_ms)
+			continue;
+		if (same == near ? rank > best : same) {
+			chosen = courier->address;
+			best = rank;
+			near = same;
+		}
+	}
+	return chosen;
+}
+
+static void
+take_lists(const Bp__Work__OrderResult *from, bp_exec_result_t *to)
+{
+	GArray *running = g_array_new(FALSE, TRUE, sizeof(bp_look_running_t));
+	GArray *ended = g_array_new(FALSE, TRUE, sizeof(bp_look_ended_t));
+	size_t i;
+
+	for (i = 0; i < from->n_running; i++) {
+		const Bp__Work__RunningRow *row = from->running[i];
+		bp_look_running_t copy = {row->task, row->run, row->checkpoint,
+		    row->percent, row->figure};
+
+		g_array_append_val(running, copy);
+	}
+	for (i = 0; i < from->n_ended; i++) {
+		const Bp__Work__EndedRow *row = from->ended[i];
+		bp_look_ended_t copy = {row->number, row->task, row->run,
+		    row->kind <= BP_END_OTHER ? (bp_end_kind_t)row->kind
+					      : BP_END_OTHER,
+		    row->checkpoint};
+
+		g_array_append_val(ended, copy);
+	}
+	to->running = running;
+	to->ended = ended;
+}
+
+static void
+deliver(sent_t *sent, const Bp__Peer__Frame *frame)
+{
+	Bp__Work__OrderResult *body =
+	    bp__work__order_result__unpack(NULL, frame->body.len,
+		frame->body.data);
+	bp_exec_result_t result = {0};
+
+	result.outcome = BP_EXEC_UNKNOWN;
+	if (body != NULL && frame->error == BP_OK &&
+	    body->outcome <= BP_EXEC_UNKNOWN) {
+		result.outcome = (bp_exec_outcome_t)body->outcome;
+		result.clock_ms = body->clock_ms;
+		result.born_ms = body->born_ms;
+		if (body->lists)
+			take_lists(body, &result);
+	}
+	sent->done(&result, sent->data);
+	if (result.running != NULL)
+		g_array_unref((GArray *)result.running);
+	if (result.ended != NULL)
+		g_array_unref((GArray *)result.ended);
+	if (body != NULL)
+		bp__work__order_result__free_unpacked(body, NULL);
+}
+
+static void
+fail(sent_t *sent, const bp_error_t *err)
+{
+	bp_exec_result_t result = {0};
+	courier_t *courier =
+	    g_hash_table_lookup(sent->relay->couriers, sent->courier);
+
+	if (courier != NULL)
+		courier->rest_until_ms =
+		    bp_clock_mono_ms(sent->relay->options.clock) + REST_MS;
+	result.outcome = err->kind == BP_EUNREACHABLE ? BP_EXEC_NOT_SENT
+						      : BP_EXEC_UNKNOWN;
+	result.courier_failed = true;
+	sent->done(&result, sent->data);
+}
+
+static void
+sent_free(gpointer data)
+{
+	sent_t *sent = data;
+
+	g_free(sent->courier);
+	g_free(sent);
+}
+
+static void
+on_answer(const Bp__Peer__Frame *frame, const bp_error_t *err, void *data)
+{
+	sent_t *sent = data;
+
+	g_hash_table_steal(sent->relay->calls, sent);
+	if (sent->done != NULL && frame != NULL)
+		deliver(sent, frame);
+	else if (sent->done != NULL)
+		fail(sent, err);
+	sent_free(sent);
+}
+
+static void
+send_order(bp_relay_t *relay, const char *courier, Bp__Work__Order *order,
+    const bp_exec_target_t *target, uint32_t timeout_ms, bp_exec_done_t done,
+    void *data)
+{
+	Bp__Peer__Frame frame = BP__PEER__FRAME__INIT;
+	sent_t *sent = g_new0(sent_t, 1);
+	uint8_t *bytes;
+
+	order->address = (char *)target->address;
+	order->id = (char *)target->id;
+	order->fence = target->fence;
+	sent->relay = relay;
+	sent->courier = g_strdup(courier);
+	sent->done = done;
+	sent->data = data;
+	g_hash_table_add(relay->calls, sent);
+	frame.verb = BP__PEER__VERB__VERB_QUEUE_ORDER;
+	frame.body.len = bp__work__order__get_packed_size(order);
+	bytes = g_malloc(MAX(frame.body.len, 1));
+	(void)bp__work__order__pack(order, bytes);
+	frame.body.data = bytes;
+	bp_peer_client_call(relay->options.client, courier, &frame, timeout_ms,
+	    on_answer, sent);
+	g_free(bytes);
+}
+
+static void
+relay_start(bp_executors_t *self, const bp_exec_target_t *target,
+    const bp_exec_start_t *start, bp_exec_done_t done, void *data)
+{
+	bp_relay_t *relay = (bp_relay_t *)self;
+	const char *courier = choose(relay, target);
+	Bp__Work__Order order = BP__WORK__ORDER__INIT;
+
+	if (courier == NULL) {
+		relay->options.direct->start(
+		    relay->options.direct, target, start, done, data);
+		return;
+	}
+	order.kind = BP__WORK__ORDER_KIND__ORDER_START;
+	order.task = (char *)start->task;
+	order.run = start->run;
+	order.payload = (char *)start->payload;
+	order.deadline_ms = start->deadline_ms;
+	if (start->checkpoint != NULL)
+		order.checkpoint = (char *)start->checkpoint;
+	if (start->ticket != NULL)
+		order.ticket = (char *)start->ticket;
+	send_order(relay, courier, &order, target, CALL_TIMEOUT_MS, done, data);
+}
+
+static void
+relay_stop(bp_executors_t *self, const bp_exec_target_t *target,
+    const char *task, uint64_t run, bp_exec_done_t done, void *data)
+{
+	bp_relay_t *relay = (bp_relay_t *)self;
+	const char *courier = choose(relay, target);
+	Bp__Work__Order order = BP__WORK__ORDER__INIT;
+
+	if (courier == NULL) {
+		relay->options.direct->stop(
+		    relay->options.direct, target, task, run, done, data);
+		return;
+	}
+	order.kind = BP__WORK__ORDER_KIND__ORDER_STOP;
+	order.task = (char *)task;
+	order.run = run;
+	send_order(relay, courier, &order, target, CALL_TIMEOUT_MS, done, data);
+}
+
+static void
+relay_look(bp_executors_t *self, const bp_exec_target_t *target,
+    const bp_exec_look_t *look, bp_exec_done_t done, void *data)
+{
+	bp_relay_t *relay = (bp_relay_t *)self;
+	const char *courier = choose(relay, target);
+	Bp__Work__Order order = BP__WORK__ORDER__INIT;
+
+	if (courier == NULL) {
+		relay->options.direct->look(
+		    relay->options.direct, target, look, done, data);
+		return;
+	}
+	order.kind = BP__WORK__ORDER_KIND__ORDER_LOOK;
+	order.deadline_ms = look->deadline_ms;
+	order.cursor = look->cursor;
+	order.wait_ms = look->wait_ms;
+	send_order(relay, courier, &order, target,
+	    CALL_TIMEOUT_MS + look->wait_ms, done, data);
+}
+
+static void
+relay_pace(bp_executors_t *self, const bp_exec_target_t *target,
+    const char *task, uint64_t run, uint32_t percent, bp_exec_done_t done,
+    void *data)
+{
+	bp_relay_t *relay = (bp_relay_t *)self;
+	const char *courier = choose(relay, target);
+	Bp__Work__Order order = BP__WORK__ORDER__INIT;
+
+	if (courier == NULL) {
+		relay->options.direct->pace(relay->options.direct, target, task,
+		    run, percent, done, data);
+		return;
+	}
+	order.kind = BP__WORK__ORDER_KIND__ORDER_PACE;
+	order.task = (char *)task;
+	order.run = run;
+	order.percent = percent;
+	send_order(relay, courier, &order, target, CALL_TIMEOUT_MS, done, data);
+}
+
+static void
+relay_forget(bp_executors_t *self, void *data)
+{
+	bp_relay_t *relay = (bp_relay_t *)self;
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, relay->calls);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		sent_t *sent = key;
+
+		if (sent->data == data)
+			sent->done = NULL;
+	}
+	relay->options.direct->forget(relay->options.direct, data);
+}
+
+static void
+put_lists(const bp_exec_result_t *from, Bp__Work__OrderResult *to,
+    GPtrArray *rows)
+{
+	guint i;
+
+	to->lists = true;
+	to->running = g_new0(Bp__Work__RunningRow *, from->running->len);
+	to->ended = g_new0(Bp__Work__EndedRow *, from->ended->len);
+	g_ptr_array_add(rows, to->running);
+	g_ptr_array_add(rows, to->ended);
+	for (i = 0; i < from->running->len; i++) {
+		const bp_look_running_t *row =
+		    &g_array_index(from->running, bp_look_running_t, i);
+		Bp__Work__RunningRow *out = g_new(Bp__Work__RunningRow, 1);
+
+		bp__work__running_row__init(out);
+		out->task = (char *)row->task;
+		out->run = row->run;
+		out->checkpoint = (char *)row->checkpoint;
+		out->percent = row->percent;
+		out->figure = row->figure;
+		to->running[to->n_running++] = out;
+		g_ptr_array_add(rows, out);
+	}
+	for (i = 0; i < from->ended->len; i++) {
+		const bp_look_ended_t *row =
+		    &g_array_index(from->ended, bp_look_ended_t, i);
+		Bp__Work__EndedRow *out = g_new(Bp__Work__EndedRow, 1);
+
+		bp__work__ended_row__init(out);
+		out->number = row->number;
+		out->task = (char *)row->task;
+		out->run = row->run;
+		out->kind = row->kind;
+		out->checkpoint = (char *)row->checkpoint;
+		to->ended[to->n_ended++] = out;
+		g_ptr_array_add(rows, out);
+	}
+}
+
+static void
+on_served(const bp_exec_result_t *result, void *data)
+{
+	served_t *served = data;
+	Bp__Work__OrderResult body = BP__WORK__ORDER_RESULT__INIT;
+	Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
+	GPtrArray *rows = g_ptr_array_new_with_free_func(g_free);
+	uint8_t *bytes;
+
+	body.outcome = result->outcome;
+	body.clock_ms = result->clock_ms;
+	body.born_ms = result->born_ms;
+	if (result->running != NULL && result->ended != NULL)
+		put_lists(result, &body, rows);
+	answer.outcome = BP_OUTCOME_RAN;
+	answer.body.len = bp__work__order_result__get_packed_size(&body);
+	bytes = g_malloc(MAX(answer.body.len, 1));
+	(void)bp__work__order_result__pack(&body, bytes);
+	answer.body.data = bytes;
+	g_hash_table_remove(served->relay->served, served);
+	bp_peer_request_answer(served->request, &answer);
+	g_free(bytes);
+	g_ptr_array_unref(rows);
+	g_free(served);
+}
+
+static void
+carry_out(bp_relay_t *relay, const Bp__Work__Order *order, served_t *served)
+{
+	bp_executors_t *direct = relay->options.direct;
+	bp_exec_target_t target = {
+	    order->address, order->id, relay->options.zone, order->fence};
+	bp_exec_start_t start = {order->task, order->run, order->payload,
+	    order->deadline_ms, order->checkpoint,
+	    order->ticket[0] != '\0' ? order->ticket : NULL};
+	bp_exec_look_t look = {
+	    order->deadline_ms, order->cursor, order->wait_ms};
+
+	switch (order->kind) {
+	case BP__WORK__ORDER_KIND__ORDER_START:
+		direct->start(direct, &target, &start, on_served, served);
+		break;
+	case BP__WORK__ORDER_KIND__ORDER_STOP:
+		direct->stop(direct, &target, order->task, order->run,
+		    on_served, served);
+		break;
+	case BP__WORK__ORDER_KIND__ORDER_PACE:
+		direct->pace(direct, &target, order->task, order->run,
+		    order->percent, on_served, served);
+		break;
+	case BP__WORK__ORDER_KIND__ORDER_LOOK:
+	case _BP__WORK__ORDER_KIND_IS_INT_SIZE:
+		direct->look(direct, &target, &look, on_served, served);
+		break;
+	}
+}
+
+/* See the header. */
+void
+bp_relay_serve(bp_relay_t *relay, bp_peer_request_t *request)
+{
+	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
+	Bp__Work__Order *order = bp__work__order__unpack(
+	    NULL, frame->body.len, frame->body.data);
+	Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
+	served_t *served;
+
+	if (order == NULL) {
+		answer.error = BP_EINVALID;
+		answer.outcome = BP_OUTCOME_NOT_RUN;
+		bp_peer_request_answer(request, &answer);
+		return;
+	}
+	served = g_new0(served_t, 1);
+	served->relay = relay;
+	served->request = request;
+	g_hash_table_add(relay->served, served);
+	carry_out(relay, order, served);
+	bp__work__order__free_unpacked(order, NULL);
+}
+
+/* Creates a relay that knows no other node yet. */
+bp_relay_t *
+bp_relay_new(const bp_relay_options_t *options)
+{
+	bp_relay_t *relay = g_new0(bp_relay_t, 1);
+
+	relay->options = *options;
+	relay->couriers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, courier_free);
+	relay->calls = g_hash_table_new_full(NULL, NULL, sent_free, NULL);
+	relay->served = g_hash_table_new(NULL, NULL);
+	relay->interface.start = relay_start;
+	relay->interface.stop = relay_stop;
+	relay->interface.look = relay_look;
+	relay->interface.pace = relay_pace;
+	relay->interface.forget = relay_forget;
+	return relay;
+}
+
+/* Frees a relay after the client whose calls refer to it. NULL is allowed. */
+void
+bp_relay_free(bp_relay_t *relay)
+{
+	GList *served;
+	GList *node;
+
+	if (relay == NULL)
+		return;
+	served = g_hash_table_get_keys(relay->served);
+	for (node = served; node != NULL; node = node->next) {
+		Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
+		served_t *open = node->data;
+
+		relay->options.direct->forget(relay->options.direct, open);
+		answer.error = BP_EUNKNOWN;
+		answer.outcome = BP_OUTCOME_NOT_KNOWN;
+		bp_peer_request_answer(open->request, &answer);
+		g_free(open);
+	}
+	g_list_free(served);
+	g_hash_table_unref(relay->served);
+	g_hash_table_unref(relay->calls);
+	g_hash_table_unref(relay->couriers);
+	g_free(relay);
+}
+
+/* Returns the interface, which lives as long as the relay. */
+bp_executors_t *
+bp_relay_interface(bp_relay_t *relay)
+{
+	return &relay->interface;
+}
--- a/src/queues/shard_looks.c
+++ b/src/queues/shard_looks.c
@@ -309,6 +309,10 @@
 static void
 look_failed(bp_qexec_t *exec, const bp_exec_result_t *result)
 {
+	if (result->courier_failed) {
+		bp_shard_plan_look(exec, 0);
+		return;
+	}
 	if (!exec->silent)
 		bp_log(exec->shard->options.logger, BP_LOG_NOTICE,
 		    BP_SHARD_MODULE, "executor does not answer", "executor",
@@ -383,7 +387,7 @@
 {
 	bp_shard_t *shard = exec->shard;
 	bp_exec_target_t target = {exec->info->address, exec->info->id,
-	    shard->epoch};
+	    exec->info->zone, shard->epoch};
 	bp_exec_look_t request = {0};
 	look_t *look;
 
--- a/src/queues/shard_orders.c
+++ b/src/queues/shard_orders.c
@@ -44,7 +44,7 @@
 target_of(const bp_qexec_t *exec)
 {
 	bp_exec_target_t target = {exec->info->address, exec->info->id,
-	    exec->shard->epoch};
+	    exec->info->zone, exec->shard->epoch};
 
 	return target;
 }
@@ -71,12 +71,12 @@
 
 /* The start was refused for certain: the task waits again. */
 static void
-start_refused(bp_qrun_t *run, bp_exec_outcome_t outcome)
+start_refused(bp_qrun_t *run, const bp_exec_result_t *result)
 {
 	bp_qexec_t *exec = run->exec;
 
 	exec->shard->counts_rejected++;
-	switch (outcome) {
+	switch (result->outcome) {
 	case BP_EXEC_FENCED:
 		log_refusal(run, "fenced");
 		bp_shard_set_lost(exec->shard);
@@ -106,6 +106,8 @@
 	case BP_EXEC_UNHEALTHY:
 	case BP_EXEC_NOT_SENT:
 		log_refusal(run, "unhealthy");
+		if (result->courier_failed)
+			break;
 		bp_qexec_hold(exec, "unhealthy", HOLD_UNHEALTHY_MS);
 		break;
 	case BP_EXEC_OK:
@@ -137,11 +139,13 @@
 		if (run->state == BP_QRUN_STARTING) {
 			shard->counts_doubted++;
 			log_refusal(run, "no_answer");
-			bp_qexec_hold(run->exec, "no_answer", HOLD_DOUBT_MS);
+			if (!result->courier_failed)
+				bp_qexec_hold(
+				    run->exec, "no_answer", HOLD_DOUBT_MS);
 			bp_shard_stop_run(shard, run, "start without answer");
 		}
 	} else {
-		start_refused(run, result->outcome);
+		start_refused(run, result);
 	}
 	order_free(order);
 	bp_shard_plan_round(shard, 0);
--- a/src/queues/shard_pace.c
+++ b/src/queues/shard_pace.c
@@ -30,7 +30,7 @@
 {
 	bp_shard_t *shard = exec->shard;
 	bp_exec_target_t target = {exec->info->address, exec->info->id,
-	    shard->epoch};
+	    exec->info->zone, shard->epoch};
 	pace_t *pace;
 
 	if (run->pace == percent || run->orders > 0 ||
