Pack lasting tasks; place fillers by what serves beside them

Cause: lasting tasks were spread over all executors, so every filler stood beside serving tasks and was paced to a third; 700 fillers shared the rest. Now lasting tasks are packed, fillers go first where nothing serves, and no more of them than the unreserved and unused processors hold.

--- a/src/queues/shard_looks.c
+++ b/src/queues/shard_looks.c
@@ -11,6 +11,8 @@
 #define SILENT_RENEW_MS 2000
 /* Failures in a row hold an executor for this time, then twice as long. */
 #define QUARANTINE_MS 4000
+/* Executors measure a tail over half a second. */
+#define TAIL_WAIT_MS 500
 
 /* Ends with the look in flight; one context a look. */
 typedef struct {
@@ -296,6 +298,25 @@
 	}
 }
 
+/* Tails beside fillers are measured anew each half second. */
+static uint32_t
+look_wait_ms(const bp_qexec_t *exec)
+{
+	bool fillers = false;
+	bool serving = false;
+	guint i;
+
+	for (i = 0; i < exec->runs->len; i++) {
+		const bp_qrun_t *run = exec->runs->pdata[i];
+
+		if (run->task == NULL)
+			continue;
+		fillers = fillers || run->task->step->spec->filler;
+		serving = serving || run->task->step->spec->target_ms > 0;
+	}
+	return fillers && serving ? TAIL_WAIT_MS : BP_SHARD_LOOK_WAIT_MS;
+}
+
 /* Plans the next look: at once unless ends must be stored first. */
 static void
 next_look(bp_qexec_t *exec)
@@ -303,7 +324,7 @@
 	if (exec->looks > 0 || exec->seen > exec->acked)
 		return;
 	if (exec->runs->len > 0)
-		bp_shard_look(exec, BP_SHARD_LOOK_WAIT_MS);
+		bp_shard_look(exec, look_wait_ms(exec));
 }
 
 static void
--- a/src/queues/shard_pace.c
+++ b/src/queues/shard_pace.c
@@ -1,9 +1,9 @@
 #include "queues/shard_private.h"
 
 /* Fillers slow down when a tail reaches this share of its target. */
-#define SLOW_PERCENT 75
+#define SLOW_PERCENT 85
 /* Fillers speed up again below this share. */
-#define RECOVER_PERCENT 45
+#define RECOVER_PERCENT 65
 #define STEP_UP_PERCENT 15
 #define PACE_FULL 100
 #define PACE_MIN 10
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -128,6 +128,7 @@
 	uint32_t starts_in_flight;
 	guint round_timer;
 	guint tick_timer;
+	uint32_t ticks;
 	guint reread_timer;
 	uint64_t counts_started;
 	uint64_t counts_rejected;
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -9,6 +9,8 @@
 #define PENALTY_FAILED_ON 1500.0
 #define PENALTY_OTHER_RACK 4000.0
 #define PENALTY_SERVING 3000.0
+/* Share of their reserved processors that serving tasks use. */
+#define SERVING_USE_PERCENT 55
 /* A job that is late by this factor of its objective earns nothing more. */
 #define LATE_FACTOR 3
 
@@ -20,6 +22,8 @@
 	const char *service; /* of the step's queue */
 } round_t;
 
+static bool fillers_fit(const bp_qexec_t *exec, const Bp__Work__Step *spec);
+
 /* Why an executor cannot take a task of the step; NULL when it can. */
 static const char *
 obstacle(const round_t *round, const bp_qexec_t *exec, const bp_qstep_t *step)
@@ -40,6 +44,8 @@
 	    exec->accelerators_used + spec->accelerators >
 		exec->info->accelerators)
 		return "no_capacity";
+	if (spec->filler && !fillers_fit(exec, spec))
+		return "no_capacity";
 	if (spec->spread_max == 0)
 		return NULL;
 	for (i = 0; i < exec->runs->len; i++) {
@@ -51,11 +57,16 @@
 	return here >= spec->spread_max ? "spread" : NULL;
 }
 
-/* Serving tasks suffer from fillers; fillers from each other. */
-static double
-filler_score(const bp_qexec_t *exec)
+/* What an executor's runs mean for fillers beside them. */
+typedef struct {
+	uint32_t filler_milli; /* processors that its fillers ask for */
+	uint32_t serving; /* runs with a bound on their tail */
+} load_t;
+
+static load_t
+load_of(const bp_qexec_t *exec)
 {
-	double score = SCALE * exec->cpu_used / MAX(exec->info->cpu_milli, 1);
+	load_t load = {0, 0};
 	guint i;
 
 	for (i = 0; i < exec->runs->len; i++) {
@@ -65,13 +76,37 @@
 		if (run->task == NULL)
 			continue;
 		spec = run->task->step->spec;
-		if (spec->target_ms > 0)
-			score += PENALTY_SERVING;
-		if (spec->filler)
-			score += SCALE * spec->cpu_milli /
-			    MAX(exec->info->cpu_milli, 1);
+		load.serving += spec->target_ms > 0;
+		load.filler_milli += spec->filler ? spec->cpu_milli : 0;
 	}
-	return score;
+	return load;
+}
+
+/*
+ * More fillers than the processors that others leave would only slow each
+ * other down; serving tasks leave about half of what they reserve.
+ */
+static bool
+fillers_fit(const bp_qexec_t *exec, const Bp__Work__Step *spec)
+{
+	load_t load = load_of(exec);
+	uint64_t busy = load.serving > 0
+	    ? (uint64_t)exec->cpu_used * SERVING_USE_PERCENT / 100
+	    : exec->cpu_used;
+
+	return busy + load.filler_milli + spec->cpu_milli <=
+	    exec->info->cpu_milli;
+}
+
+/* Serving tasks suffer from fillers, so those go elsewhere first. */
+static double
+filler_score(const bp_qexec_t *exec)
+{
+	load_t load = load_of(exec);
+	double score = SCALE * (load.filler_milli + exec->cpu_used) /
+	    MAX(exec->info->cpu_milli, 1);
+
+	return load.serving > 0 ? score + PENALTY_SERVING : score;
 }
 
 /* Lower is better. */
@@ -85,8 +120,6 @@
 
 	if (spec->filler)
 		score = filler_score(exec);
-	else if (spec->lasting)
-		score = -SCALE * free_cpu / MAX(exec->info->cpu_milli, 1);
 	else
 		score = SCALE * free_cpu / MAX(exec->info->cpu_milli, 1);
 	if (task->failed_on == exec)
