--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -325,6 +325,7 @@
 	shard->orders = g_hash_table_new(NULL, NULL);
 	shard->looks = g_hash_table_new(NULL, NULL);
 	shard->paces = g_hash_table_new(NULL, NULL);
+	shard->pairs = bp_pairs_new();
 	shard->going = g_ptr_array_new();
 	shard->dirty = g_ptr_array_new();
 	shard->fresh = g_ptr_array_new();
@@ -364,6 +365,7 @@
 	bp_shard_forget_looks(shard);
 	bp_shard_forget_paces(shard);
 	bp_journal_free(shard->journal);
+	bp_pairs_free(shard->pairs);
 	g_clear_handle_id(&shard->round_timer, g_source_remove);
 	g_clear_handle_id(&shard->tick_timer, g_source_remove);
 	g_hash_table_unref(shard->execs);
--- a/src/queues/shard_pace.c
+++ b/src/queues/shard_pace.c
@@ -1,12 +1,14 @@
 #include "queues/shard_private.h"
 
-/* Fillers slow down when a tail reaches this share of its target. */
-#define SLOW_PERCENT 85
-/* Fillers speed up again below this share. */
-#define RECOVER_PERCENT 65
-#define STEP_UP_PERCENT 15
+/* Predicted tails are kept below this share of their target. */
+#define LIMIT_SHARE 0.75
+/* A measured tail above this share slows all fillers at once. */
+#define ALARM_SHARE 0.95
 #define PACE_FULL 100
-#define PACE_MIN 10
+/* Smaller changes are not worth an order. */
+#define PACE_STEP 10
+/* Below this a filler rests: it would hardly advance. */
+#define PACE_MIN 15
 
 typedef struct {
 	bp_shard_t *shard;
@@ -31,62 +33,253 @@
 	bp_shard_t *shard = exec->shard;
 	bp_exec_target_t target = {exec->info->address, exec->info->id,
 	    exec->info->zone, shard->epoch};
+	uint32_t change =
+	    run->pace > percent ? run->pace - percent : percent - run->pace;
 	pace_t *pace;
 
-	if (run->pace == percent || run->orders > 0 ||
-	    run->state != BP_QRUN_RUNNING || !bp_shard_may_order(shard))
+	if (change == 0 || run->orders > 0 || run->state != BP_QRUN_RUNNING ||
+	    !bp_shard_may_order(shard))
+		return;
+	if (change < PACE_STEP && percent != 0 && percent != PACE_FULL)
 		return;
 	pace = g_new0(pace_t, 1);
 	pace->shard = shard;
 	pace->run = run;
 	run->pace = percent;
 	run->orders++;
+	shard->counts_paces++;
 	g_hash_table_add(shard->paces, pace);
 	shard->options.executors->pace(shard->options.executors, &target,
 	    run->name, run->number, percent, on_paced, pace);
 }
 
-/* Returns the worst measured tail as a share of its target, in percent. */
-static int64_t
-worst_tail_percent(const bp_qexec_t *exec, bool *serves)
+static bool
+is_filler(const bp_qrun_t *run)
+{
+	return run->task != NULL && run->task->step->spec->filler;
+}
+
+static bool
+is_serving(const bp_qrun_t *run)
+{
+	return run->task != NULL && run->task->step->spec->target_ms > 0;
+}
+
+/* The fillers of an executor with the processors that they use now. */
+static GArray *
+amounts_of(const bp_qexec_t *exec)
+{
+	GArray *amounts = g_array_new(FALSE, FALSE, sizeof(bp_pairs_filler_t));
+	double capacity = MAX(exec->info->cpu_milli, 1);
+	guint i;
+
+	for (i = 0; i < exec->runs->len; i++) {
+		const bp_qrun_t *run = exec->runs->pdata[i];
+		bp_pairs_filler_t amount;
+
+		if (!is_filler(run))
+			continue;
+		amount.image = run->task->step->spec->image;
+		amount.amount = CLAMP((double)run->figure / capacity, 0, 1);
+		g_array_append_val(amounts, amount);
+	}
+	return amounts;
+}
+
+/* How a serving task's tail grows with one filler at full pace, as a share
+ * of its target. */
+static double
+effect(bp_shard_t *shard, const bp_qrun_t *serving,
+    const Bp__Work__Step *filler, double capacity)
+{
+	const Bp__Work__Step *spec = serving->task->step->spec;
+
+	return bp_pairs_base(shard->pairs, spec->image, spec->target_ms) *
+	    bp_pairs_weight(shard->pairs, spec->image, filler->image) *
+	    filler->cpu_milli / capacity;
+}
+
+static double
+undisturbed(bp_shard_t *shard, const bp_qrun_t *serving)
+{
+	const Bp__Work__Step *spec = serving->task->step->spec;
+
+	return bp_pairs_base(shard->pairs, spec->image, spec->target_ms) *
+	    (1 + serving->load);
+}
+
+/* Share of its pace that a filler must give up so that tails stay low. */
+static double
+allowed_share(bp_shard_t *shard, const bp_qexec_t *exec,
+    const bp_qrun_t *filler, const double *planned)
+{
+	double capacity = MAX(exec->info->cpu_milli, 1);
+	double share = 1;
+	guint i;
+
+	for (i = 0; i < exec->runs->len; i++) {
+		const bp_qrun_t *run = exec->runs->pdata[i];
+		double grows;
+		double room;
+
+		if (!is_serving(run))
+			continue;
+		grows = effect(
+		    shard, run, filler->task->step->spec, capacity);
+		room = LIMIT_SHARE - undisturbed(shard, run) - planned[i];
+		if (grows > 0)
+			share = MIN(share, MAX(room, 0) / grows);
+	}
+	return share;
+}
+
+static void
+add_planned(bp_shard_t *shard, const bp_qexec_t *exec,
+    const bp_qrun_t *filler, double share, double *planned)
+{
+	double capacity = MAX(exec->info->cpu_milli, 1);
+	guint i;
+
+	for (i = 0; i < exec->runs->len; i++) {
+		const bp_qrun_t *run = exec->runs->pdata[i];
+
+		if (is_serving(run))
+			planned[i] += share *
+			    effect(shard, run, filler->task->step->spec,
+				capacity);
+	}
+}
+
+/* The sum of a filler's effects, by which the gentle ones go first. */
+static double
+harm_of(bp_shard_t *shard, const bp_qexec_t *exec,
+    const Bp__Work__Step *filler)
 {
-	int64_t worst = 0;
+	double capacity = MAX(exec->info->cpu_milli, 1);
+	double worst = 0;
 	guint i;
 
-	*serves = false;
 	for (i = 0; i < exec->runs->len; i++) {
 		const bp_qrun_t *run = exec->runs->pdata[i];
-		uint32_t target_ms =
-		    run->task != NULL ? run->task->step->spec->target_ms : 0;
 
-		if (target_ms == 0)
+		if (is_serving(run))
+			worst = MAX(
+			    worst, effect(shard, run, filler, capacity));
+	}
+	return worst / MAX(filler->cpu_milli, 1);
+}
+
+typedef struct {
+	bp_qrun_t *run;
+	double harm;
+} ranked_t;
+
+static gint
+compare_harm(gconstpointer a, gconstpointer b)
+{
+	const ranked_t *x = a;
+	const ranked_t *y = b;
+
+	return (x->harm > y->harm) - (x->harm < y->harm);
+}
+
+/* Learns from the tails of a look; returns the worst share of a target. */
+static double
+learn(bp_qexec_t *exec)
+{
+	GArray *amounts = amounts_of(exec);
+	double worst = 0;
+	guint i;
+
+	for (i = 0; i < exec->runs->len; i++) {
+		bp_qrun_t *run = exec->runs->pdata[i];
+		const Bp__Work__Step *spec;
+
+		if (!is_serving(run) || run->figure <= 0)
 			continue;
-		*serves = true;
-		worst = MAX(worst, run->figure * 100 / target_ms);
+		spec = run->task->step->spec;
+		bp_pairs_learn(exec->shard->pairs, spec->image,
+		    (double)run->figure, spec->target_ms, amounts, &run->load);
+		worst =
+		    MAX(worst, (double)run->figure / spec->target_ms);
 	}
+	g_array_unref(amounts);
 	return worst;
 }
 
-/* Paces the fillers of an executor by the tails of its serving tasks. */
+/*
+ * Paces the fillers of an executor: as many as the predicted tails of its
+ * serving tasks allow run at full pace, the gentlest first.
+ */
 void
 bp_shard_pace(bp_qexec_t *exec)
 {
-	bool serves;
-	int64_t worst = worst_tail_percent(exec, &serves);
+	GArray *ranked = g_array_new(FALSE, FALSE, sizeof(ranked_t));
+	double *planned = g_new0(double, exec->runs->len);
+	double worst = learn(exec);
 	guint i;
 
 	for (i = 0; i < exec->runs->len; i++) {
-		bp_qrun_t *run = exec->runs->pdata[i];
-		uint32_t pace = MIN(run->pace, PACE_FULL);
+		ranked_t row = {exec->runs->pdata[i], 0};
 
-		if (run->task == NULL || !run->task->step->spec->filler)
+		if (!is_filler(row.run))
 			continue;
-		if (worst >= SLOW_PERCENT)
-			pace = pace / 2 < PACE_MIN ? 0 : pace / 2;
-		else if (worst < RECOVER_PERCENT || !serves)
-			pace = MIN(pace + STEP_UP_PERCENT, PACE_FULL);
-		tell_pace(exec, run, pace);
+		row.harm =
+		    harm_of(exec->shard, exec, row.run->task->step->spec);
+		g_array_append_val(ranked, row);
+	}
+	g_array_sort(ranked, compare_harm);
+	for (i = 0; i < ranked->len; i++) {
+		bp_qrun_t *run = g_array_index(ranked, ranked_t, i).run;
+		double share =
+		    allowed_share(exec->shard, exec, run, planned);
+		uint32_t pace;
+
+		share = CLAMP(share, 0, 1);
+		add_planned(exec->shard, exec, run, share, planned);
+		pace = (uint32_t)(share * PACE_FULL);
+		if (worst > ALARM_SHARE)
+			pace = MIN(pace, MIN(run->pace, PACE_FULL) / 2);
+		tell_pace(exec, run, pace < PACE_MIN ? 0 : pace);
+	}
+	g_array_unref(ranked);
+	g_free(planned);
+}
+
+/*
+ * Returns the share of its full pace that one more filler could have on an
+ * executor, 0 to 1.
+ */
+double
+bp_shard_filler_share(const bp_qexec_t *exec, const Bp__Work__Step *spec)
+{
+	bp_shard_t *shard = exec->shard;
+	double capacity = MAX(exec->info->cpu_milli, 1);
+	double share = 1;
+	guint i;
+	guint k;
+
+	for (i = 0; i < exec->runs->len; i++) {
+		const bp_qrun_t *run = exec->runs->pdata[i];
+		double room;
+		double grows;
+
+		if (!is_serving(run))
+			continue;
+		room = LIMIT_SHARE - undisturbed(shard, run);
+		for (k = 0; k < exec->runs->len; k++) {
+			const bp_qrun_t *other = exec->runs->pdata[k];
+
+			if (is_filler(other))
+				room -= effect(shard, run,
+					    other->task->step->spec, capacity) *
+				    MIN(other->pace, PACE_FULL) / PACE_FULL;
+		}
+		grows = effect(shard, run, spec, capacity);
+		if (grows > 0)
+			share = MIN(share, MAX(room, 0) / grows);
 	}
+	return share;
 }
 
 /* Drops all pace orders in flight. */
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -4,6 +4,7 @@
 #include "bulrushpost/shard.h"
 #include "queues/job.h"
 #include "queues/journal.h"
+#include "queues/pairs.h"
 
 #define BP_SHARD_MODULE "shard"
 /* Longest lease that an owner gives, below what executors allow. */
@@ -46,6 +47,7 @@
 	uint32_t pace; /* share of its speed that it is allowed */
 	int64_t progress_ms; /* mono, when percent last changed */
 	int64_t figure; /* tail or cpu, as last seen */
+	double load; /* own share of a serving task's tail, as learned */
 };
 
 /* An executor as its owner believes it to be. */
@@ -118,6 +120,7 @@
 	GHashTable *zones_out;
 	const bp_catalog_t *catalog; /* owned by the node */
 	bp_journal_t *journal;
+	bp_pairs_t *pairs;
 	GHashTable *orders; /* contexts of orders in flight */
 	GHashTable *looks; /* contexts of looks in flight */
 	GHashTable *paces; /* contexts of pace orders in flight */
@@ -137,6 +140,7 @@
 	uint64_t counts_done;
 	uint64_t counts_failed;
 	uint64_t counts_lost_runs;
+	uint64_t counts_paces;
 };
 
 /* shard.c */
@@ -199,6 +203,8 @@
 
 /* shard_pace.c */
 void bp_shard_pace(bp_qexec_t *exec);
+double bp_shard_filler_share(
+    const bp_qexec_t *exec, const Bp__Work__Step *spec);
 void bp_shard_forget_paces(bp_shard_t *shard);
 
 #endif
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -11,6 +11,8 @@
 #define PENALTY_SERVING 3000.0
 /* Share of their reserved processors that serving tasks use. */
 #define SERVING_USE_PERCENT 55
+/* A filler is not placed where it could not have this share of its pace. */
+#define FILLER_SHARE_MIN 0.3
 /* A job that is late by this factor of its objective earns nothing more. */
 #define LATE_FACTOR 3
 
@@ -46,6 +48,9 @@
 		return "no_capacity";
 	if (spec->filler && !fillers_fit(exec, spec))
 		return "no_capacity";
+	if (spec->filler &&
+	    bp_shard_filler_share(exec, spec) < FILLER_SHARE_MIN)
+		return "disturbs";
 	if (spec->spread_max == 0)
 		return NULL;
 	for (i = 0; i < exec->runs->len; i++) {
@@ -100,13 +105,15 @@
 
 /* Serving tasks suffer from fillers, so those go elsewhere first. */
 static double
-filler_score(const bp_qexec_t *exec)
+filler_score(const bp_qexec_t *exec, const Bp__Work__Step *spec)
 {
 	load_t load = load_of(exec);
 	double score = SCALE * (load.filler_milli + exec->cpu_used) /
 	    MAX(exec->info->cpu_milli, 1);
 
-	return load.serving > 0 ? score + PENALTY_SERVING : score;
+	return load.serving > 0
+	    ? score + PENALTY_SERVING * (1 - bp_shard_filler_share(exec, spec))
+	    : score;
 }
 
 /* Lower is better. */
@@ -119,7 +126,7 @@
 	double score;
 
 	if (spec->filler)
-		score = filler_score(exec);
+		score = filler_score(exec, spec);
 	else
 		score = SCALE * free_cpu / MAX(exec->info->cpu_milli, 1);
 	if (task->failed_on == exec)
