--- a/src/queues/pairs.c
+++ b/src/queues/pairs.c
@@ -1,46 +1,41 @@
 #include "queues/pairs.h"
 
-/* What is assumed of a pair that was never measured. */
-#define WEIGHT_PRIOR 2.0
-#define WEIGHT_MAX 40.0
-/* A target is commonly five times the tail of an undisturbed task. */
-#define BASE_SHARE_PRIOR 0.2
-/* Step sizes of learning: weights, the task's own load, the base. */
-#define RATE_WEIGHT 0.25
-#define RATE_LOAD 0.2
-#define RATE_BASE 0.05
-/* Keeps small amounts from moving weights far. */
-#define AMOUNT_FLOOR 0.01
-/* Fillers below this amount count as none for learning the base. */
-#define AMOUNT_NONE 0.005
-#define LOAD_MAX 6.0
-
+#include <string.h>
+
+/* Filler images that are told apart; later ones share the last place. */
+#define FILLERS_MAX 24
+/* What is assumed of a pair, and how much evidence that counts for. */
+#define WEIGHT_PRIOR 1.0
+#define WEIGHT_EVIDENCE 0.05
+/* A target is several times the tail of an undisturbed task. */
+#define BASE_PRIOR 0.35
+#define BASE_EVIDENCE 3.0
+/* Evidence halves in about ten fits. */
+#define FADE 0.95
+#define TERMS (FILLERS_MAX + 1)
+
+/* Normal equations of one serving image; term 0 is the base. */
 typedef struct {
-	double tail_ms;
-	GHashTable *weights; /* filler image to double */
-} serving_t;
+	double products[TERMS][TERMS];
+	double targets[TERMS];
+	double weights[TERMS];
+} fit_t;
 
 struct bp_pairs {
-	GHashTable *servings; /* image to serving_t */
+	GHashTable *servings; /* image to fit_t */
+	GHashTable *fillers; /* image to term */
 };
 
-static void
-serving_free(gpointer data)
-{
-	serving_t *serving = data;
-
-	g_hash_table_unref(serving->weights);
-	g_free(serving);
-}
-
 /* Creates a table in which every pair has the same weight. */
 bp_pairs_t *
 bp_pairs_new(void)
 {
 	bp_pairs_t *pairs = g_new0(bp_pairs_t, 1);
 
-	pairs->servings = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, serving_free);
+	pairs->servings =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	pairs->fillers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return pairs;
 }
 
@@ -51,92 +46,144 @@
 	if (pairs == NULL)
 		return;
 	g_hash_table_unref(pairs->servings);
+	g_hash_table_unref(pairs->fillers);
 	g_free(pairs);
 }
 
-static serving_t *
-find_serving(bp_pairs_t *pairs, const char *image)
+static double
+prior(uint32_t term)
 {
-	serving_t *serving = g_hash_table_lookup(pairs->servings, image);
-
-	if (serving != NULL)
-		return serving;
-	serving = g_new0(serving_t, 1);
-	serving->weights =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	g_hash_table_insert(pairs->servings, g_strdup(image), serving);
-	return serving;
+	return term == 0 ? BASE_PRIOR : WEIGHT_PRIOR;
 }
 
-static double *
-find_weight(serving_t *serving, const char *filler)
+static double
+evidence(uint32_t term)
 {
-	double *weight = g_hash_table_lookup(serving->weights, filler);
-
-	if (weight != NULL)
-		return weight;
-	weight = g_new(double, 1);
-	*weight = WEIGHT_PRIOR;
-	g_hash_table_insert(serving->weights, g_strdup(filler), weight);
-	return weight;
+	return term == 0 ? BASE_EVIDENCE : WEIGHT_EVIDENCE;
 }
 
-/* See the header. */
-double
-bp_pairs_weight(bp_pairs_t *pairs, const char *serving, const char *filler)
+static fit_t *
+get_fit(bp_pairs_t *pairs, const char *image)
 {
-	return *find_weight(find_serving(pairs, serving), filler);
+	fit_t *fit = g_hash_table_lookup(pairs->servings, image);
+	uint32_t i;
+
+	if (fit != NULL)
+		return fit;
+	fit = g_new0(fit_t, 1);
+	for (i = 0; i < TERMS; i++)
+		fit->weights[i] = prior(i);
+	g_hash_table_insert(pairs->servings, g_strdup(image), fit);
+	return fit;
 }
 
-/* See the header. */
-double
-bp_pairs_base(bp_pairs_t *pairs, const char *serving, uint32_t target_ms)
+/* Returns the term of a filler image, 0 when it was never seen. */
+static uint32_t
+find_term(const bp_pairs_t *pairs, const char *image)
 {
-	serving_t *found = find_serving(pairs, serving);
+	return GPOINTER_TO_UINT(g_hash_table_lookup(pairs->fillers, image));
+}
 
-	if (found->tail_ms <= 0 || target_ms == 0)
-		return BASE_SHARE_PRIOR;
-	return found->tail_ms / target_ms;
+static uint32_t
+get_term(bp_pairs_t *pairs, const char *image)
+{
+	uint32_t term = find_term(pairs, image);
+
+	if (term != 0)
+		return term;
+	term = MIN(g_hash_table_size(pairs->fillers) + 1, FILLERS_MAX);
+	g_hash_table_insert(
+	    pairs->fillers, g_strdup(image), GUINT_TO_POINTER(term));
+	return term;
 }
 
 /* See the header. */
 void
-bp_pairs_learn(bp_pairs_t *pairs, const char *image, double tail_ms,
-    uint32_t target_ms, const GArray *fillers, double *load)
+bp_pairs_learn(bp_pairs_t *pairs, const char *serving, double tail_share,
+    const GArray *fillers)
 {
-	serving_t *serving = find_serving(pairs, image);
-	double predicted = 1 + *load;
-	double norm = AMOUNT_FLOOR;
-	double sum = 0;
-	double error;
-	guint i;
-
-	if (tail_ms <= 0)
-		return;
-	for (i = 0; i < fillers->len; i++)
-		sum += g_array_index(fillers, bp_pairs_filler_t, i).amount;
-	if (serving->tail_ms <= 0)
-		serving->tail_ms = target_ms * BASE_SHARE_PRIOR;
-	if (sum < AMOUNT_NONE)
-		serving->tail_ms +=
-		    RATE_BASE * (tail_ms - serving->tail_ms);
+	fit_t *fit = get_fit(pairs, serving);
+	double row[TERMS] = {0};
+	uint32_t n;
+	uint32_t i;
+	uint32_t k;
+
+	row[0] = 1;
 	for (i = 0; i < fillers->len; i++) {
 		const bp_pairs_filler_t *filler =
 		    &g_array_index(fillers, bp_pairs_filler_t, i);
 
-		predicted +=
-		    *find_weight(serving, filler->image) * filler->amount;
-		norm += filler->amount * filler->amount;
+		row[get_term(pairs, filler->image)] += filler->amount;
 	}
-	error = tail_ms / serving->tail_ms - predicted;
-	for (i = 0; i < fillers->len; i++) {
-		const bp_pairs_filler_t *filler =
-		    &g_array_index(fillers, bp_pairs_filler_t, i);
-		double *weight = find_weight(serving, filler->image);
+	n = MIN(g_hash_table_size(pairs->fillers) + 1, TERMS);
+	for (i = 0; i < n; i++) {
+		if (row[i] == 0)
+			continue;
+		for (k = 0; k < n; k++)
+			fit->products[i][k] += row[i] * row[k];
+		fit->targets[i] += row[i] * tail_share;
+	}
+}
+
+/* One sweep of coordinate descent with weights of at least 0. */
+static void
+improve(fit_t *fit, uint32_t n)
+{
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < n; i++) {
+		double own = fit->products[i][i] + evidence(i);
+		double rest = fit->targets[i] + evidence(i) * prior(i);
+
+		for (k = 0; k < n; k++) {
+			if (k != i)
+				rest -= fit->products[i][k] * fit->weights[k];
+		}
+		fit->weights[i] = MAX(rest / own, 0);
+	}
+}
 
-		*weight = CLAMP(
-		    *weight + RATE_WEIGHT * error * filler->amount / norm, 0,
-		    WEIGHT_MAX);
+/* Weights change little between fits, so few sweeps bring them up to date. */
+void
+bp_pairs_fit(bp_pairs_t *pairs)
+{
+	uint32_t n = MIN(g_hash_table_size(pairs->fillers) + 1, TERMS);
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t i;
+	uint32_t k;
+
+	g_hash_table_iter_init(&iter, pairs->servings);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		fit_t *fit = value;
+
+		for (i = 0; i < 4; i++)
+			improve(fit, n);
+		for (i = 0; i < n; i++) {
+			for (k = 0; k < n; k++)
+				fit->products[i][k] *= FADE;
+			fit->targets[i] *= FADE;
+		}
 	}
-	*load = CLAMP(*load + RATE_LOAD * error, -1, LOAD_MAX);
+}
+
+/* See the header. */
+double
+bp_pairs_weight(
+    const bp_pairs_t *pairs, const char *serving, const char *filler)
+{
+	const fit_t *fit = g_hash_table_lookup(pairs->servings, serving);
+	uint32_t term = find_term(pairs, filler);
+
+	return fit == NULL || term == 0 ? WEIGHT_PRIOR : fit->weights[term];
+}
+
+/* See the header. */
+double
+bp_pairs_base(const bp_pairs_t *pairs, const char *serving)
+{
+	const fit_t *fit = g_hash_table_lookup(pairs->servings, serving);
+
+	return fit == NULL ? BASE_PRIOR : fit->weights[0];
 }
--- a/src/queues/pairs.h
+++ b/src/queues/pairs.h
@@ -6,9 +6,9 @@
 
 /*
  * Learns how much filling tasks of one image disturb serving tasks of
- * another, from measured tails. A tail is taken as
- * base x (1 + load + sum of weight x amount), where an amount is the share
- * of the executor's processors that the fillers of an image use.
+ * another, from measured tails: for each serving image a least-squares fit
+ * of tail / target = base + sum of weight x amount over the filler images,
+ * in which old samples fade and weights are never negative.
  */
 typedef struct bp_pairs bp_pairs_t;
 
@@ -20,17 +20,15 @@
 
 bp_pairs_t *bp_pairs_new(void);
 void bp_pairs_free(bp_pairs_t *pairs);
-/*
- * Learns from one measured tail; load is the task's own share, kept by the
- * caller between samples and updated here.
- */
-void bp_pairs_learn(bp_pairs_t *pairs, const char *serving, double tail_ms,
-    uint32_t target_ms, const GArray *fillers, double *load);
-/* Weight of a pair, as added share of the base per unit of amount. */
+/* Takes one measured tail, as a share of its target. */
+void bp_pairs_learn(bp_pairs_t *pairs, const char *serving, double tail_share,
+    const GArray *fillers);
+/* Fits the weights to the samples so far and fades those. */
+void bp_pairs_fit(bp_pairs_t *pairs);
+/* Share of the target that the tail grows per unit of amount. */
 double bp_pairs_weight(
-    bp_pairs_t *pairs, const char *serving, const char *filler);
-/* Base tail of an image as a share of a target. */
-double bp_pairs_base(
-    bp_pairs_t *pairs, const char *serving, uint32_t target_ms);
+    const bp_pairs_t *pairs, const char *serving, const char *filler);
+/* Tail without fillers as a share of the target. */
+double bp_pairs_base(const bp_pairs_t *pairs, const char *serving);
 
 #endif
--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -13,6 +13,8 @@
 #define WAIT_OUT_MS \
 	(BP_SHARD_ORDER_GRACE_MS + BP_SHARD_LEASE_MS + BP_SHARD_LEASE_MS / 20)
 #define MS_PER_S 1000
+/* Weights of image pairs are fitted every 0.5 s. */
+#define FIT_TICKS 5
 /* A summary is logged every 2 s. */
 #define SUMMARY_TICKS 20
 #define SEED_JOB 0x6a6f62
@@ -297,6 +299,8 @@
 		return G_SOURCE_CONTINUE;
 	bp_shard_check_leases(shard);
 	bp_shard_check_census(shard);
+	if (shard->ticks % FIT_TICKS == 0)
+		bp_pairs_fit(shard->pairs);
 	if (++shard->ticks % SUMMARY_TICKS == 0)
 		log_summary(shard);
 	if (!bp_journal_idle(shard->journal))
--- a/src/queues/shard_pace.c
+++ b/src/queues/shard_pace.c
@@ -5,6 +5,12 @@
 /* A measured tail above this share slows all fillers at once. */
 #define ALARM_SHARE 0.95
 #define PACE_FULL 100
+/* An effect below this share of the target is taken for none. */
+#define EFFECT_NONE 0.03
+/* How fast a serving task's own load is followed, a sample. */
+#define LOAD_RATE 0.3
+/* Tails are figures of half a second; more samples say nothing new. */
+#define SAMPLE_MS 250
 /* Smaller changes are not worth an order. */
 #define PACE_STEP 10
 /* Below this a filler rests: it would hardly advance. */
@@ -93,10 +99,11 @@
     const Bp__Work__Step *filler, double capacity)
 {
 	const Bp__Work__Step *spec = serving->task->step->spec;
-
-	return bp_pairs_base(shard->pairs, spec->image, spec->target_ms) *
+	double grows =
 	    bp_pairs_weight(shard->pairs, spec->image, filler->image) *
 	    filler->cpu_milli / capacity;
+
+	return grows < EFFECT_NONE ? 0 : grows;
 }
 
 static double
@@ -104,8 +111,7 @@
 {
 	const Bp__Work__Step *spec = serving->task->step->spec;
 
-	return bp_pairs_base(shard->pairs, spec->image, spec->target_ms) *
-	    (1 + serving->load);
+	return MAX(bp_pairs_base(shard->pairs, spec->image) + serving->load, 0);
 }
 
 /* Share of its pace that a filler must give up so that tails stay low. */
@@ -183,6 +189,25 @@
 	return (x->harm > y->harm) - (x->harm < y->harm);
 }
 
+/* What the fit leaves over is the serving task's own load. */
+static void
+learn_load(
+    bp_shard_t *shard, bp_qrun_t *run, double share, const GArray *amounts)
+{
+	const char *image = run->task->step->spec->image;
+	double predicted = bp_pairs_base(shard->pairs, image);
+	guint i;
+
+	for (i = 0; i < amounts->len; i++) {
+		const bp_pairs_filler_t *filler =
+		    &g_array_index(amounts, bp_pairs_filler_t, i);
+
+		predicted += filler->amount *
+		    bp_pairs_weight(shard->pairs, image, filler->image);
+	}
+	run->load += LOAD_RATE * (share - predicted - run->load);
+}
+
 /* Learns from the tails of a look; returns the worst share of a target. */
 static double
 learn(bp_qexec_t *exec)
@@ -194,14 +219,16 @@
 	for (i = 0; i < exec->runs->len; i++) {
 		bp_qrun_t *run = exec->runs->pdata[i];
 		const Bp__Work__Step *spec;
+		double share;
 
 		if (!is_serving(run) || run->figure <= 0)
 			continue;
 		spec = run->task->step->spec;
-		bp_pairs_learn(exec->shard->pairs, spec->image,
-		    (double)run->figure, spec->target_ms, amounts, &run->load);
-		worst =
-		    MAX(worst, (double)run->figure / spec->target_ms);
+		share = (double)run->figure / spec->target_ms;
+		bp_pairs_learn(
+		    exec->shard->pairs, spec->image, share, amounts);
+		learn_load(exec->shard, run, share, amounts);
+		worst = MAX(worst, share);
 	}
 	g_array_unref(amounts);
 	return worst;
@@ -214,11 +241,19 @@
 void
 bp_shard_pace(bp_qexec_t *exec)
 {
-	GArray *ranked = g_array_new(FALSE, FALSE, sizeof(ranked_t));
-	double *planned = g_new0(double, exec->runs->len);
-	double worst = learn(exec);
+	int64_t now_ms = bp_shard_now_ms(exec->shard);
+	GArray *ranked;
+	double *planned;
+	double worst;
 	guint i;
 
+	if (now_ms - exec->sampled_ms < SAMPLE_MS)
+		return;
+	exec->sampled_ms = now_ms;
+	worst = learn(exec);
+	ranked = g_array_new(FALSE, FALSE, sizeof(ranked_t));
+	planned = g_new0(double, exec->runs->len);
+
 	for (i = 0; i < exec->runs->len; i++) {
 		ranked_t row = {exec->runs->pdata[i], 0};
 
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -76,6 +76,7 @@
 	uint32_t failures; /* in a row */
 	int64_t held_until_ms; /* mono; nothing is placed there before */
 	const char *held_for; /* static reason */
+	int64_t sampled_ms; /* mono, when tails were last learned from */
 	guint timer; /* of the next look */
 };
 
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -9,6 +9,9 @@
 #define PENALTY_FAILED_ON 1500.0
 #define PENALTY_OTHER_RACK 4000.0
 #define PENALTY_SERVING 3000.0
+#define PENALTY_OTHER_IMAGE 1200.0
+/* An executor without serving tasks, as a share of other images. */
+#define EMPTY_IS_OTHER 0.4
 /* Share of their reserved processors that serving tasks use. */
 #define SERVING_USE_PERCENT 55
 /* A filler is not placed where it could not have this share of its pace. */
@@ -116,6 +119,33 @@
 	    : score;
 }
 
+/*
+ * Share of the serving tasks there that run another image. Serving tasks of
+ * one image stand together, so that most fillers find a place where they
+ * disturb nobody.
+ */
+static double
+other_images(const bp_qexec_t *exec, const Bp__Work__Step *spec)
+{
+	uint32_t serving = 0;
+	uint32_t others = 0;
+	guint i;
+
+	for (i = 0; i < exec->runs->len; i++) {
+		const bp_qrun_t *run = exec->runs->pdata[i];
+		const Bp__Work__Step *other;
+
+		if (run->task == NULL)
+			continue;
+		other = run->task->step->spec;
+		if (other->target_ms == 0)
+			continue;
+		serving++;
+		others += strcmp(other->image, spec->image) != 0;
+	}
+	return serving == 0 ? EMPTY_IS_OTHER : (double)others / serving;
+}
+
 /* Lower is better. */
 static double
 score_of(const bp_qexec_t *exec, const bp_qtask_t *task, const char *rack)
@@ -129,6 +159,8 @@
 		score = filler_score(exec, spec);
 	else
 		score = SCALE * free_cpu / MAX(exec->info->cpu_milli, 1);
+	if (spec->target_ms > 0)
+		score += PENALTY_OTHER_IMAGE * other_images(exec, spec);
 	if (task->failed_on == exec)
 		score += PENALTY_FAILED_ON;
 	if (rack[0] != '\0' && strcmp(exec->info->rack, rack) != 0)
