Fit pairs on changes of target over tail

Cause: a filler's effect grows with the serving task's own load, so one linear weight fits neither calm nor busy tasks.

--- a/src/queues/pairs.c
+++ b/src/queues/pairs.c
@@ -5,16 +5,13 @@
 /* Filler images that are told apart; later ones share the last place. */
 #define FILLERS_MAX 24
 /* What is assumed of a pair, and how much evidence that counts for. */
-#define WEIGHT_PRIOR 1.0
+#define WEIGHT_PRIOR 1.5
 #define WEIGHT_EVIDENCE 0.05
-/* A target is several times the tail of an undisturbed task. */
-#define BASE_PRIOR 0.35
-#define BASE_EVIDENCE 3.0
-/* Evidence halves in about ten fits. */
-#define FADE 0.95
+/* Evidence halves in about 35 fits. */
+#define FADE 0.98
 #define TERMS (FILLERS_MAX + 1)
 
-/* Normal equations of one serving image; term 0 is the base. */
+/* Normal equations of one serving image; term 0 stays unused. */
 typedef struct {
 	double products[TERMS][TERMS];
 	double targets[TERMS];
@@ -50,18 +47,6 @@
 	g_free(pairs);
 }
 
-static double
-prior(uint32_t term)
-{
-	return term == 0 ? BASE_PRIOR : WEIGHT_PRIOR;
-}
-
-static double
-evidence(uint32_t term)
-{
-	return term == 0 ? BASE_EVIDENCE : WEIGHT_EVIDENCE;
-}
-
 static fit_t *
 get_fit(bp_pairs_t *pairs, const char *image)
 {
@@ -72,7 +57,7 @@
 		return fit;
 	fit = g_new0(fit_t, 1);
 	for (i = 0; i < TERMS; i++)
-		fit->weights[i] = prior(i);
+		fit->weights[i] = WEIGHT_PRIOR;
 	g_hash_table_insert(pairs->servings, g_strdup(image), fit);
 	return fit;
 }
@@ -99,8 +84,8 @@
 
 /* See the header. */
 void
-bp_pairs_learn(bp_pairs_t *pairs, const char *serving, double tail_share,
-    const GArray *fillers)
+bp_pairs_learn(bp_pairs_t *pairs, const char *serving, double loss,
+    const GArray *changes)
 {
 	fit_t *fit = get_fit(pairs, serving);
 	double row[TERMS] = {0};
@@ -108,20 +93,19 @@
 	uint32_t i;
 	uint32_t k;
 
-	row[0] = 1;
-	for (i = 0; i < fillers->len; i++) {
-		const bp_pairs_filler_t *filler =
-		    &g_array_index(fillers, bp_pairs_filler_t, i);
+	for (i = 0; i < changes->len; i++) {
+		const bp_pairs_filler_t *change =
+		    &g_array_index(changes, bp_pairs_filler_t, i);
 
-		row[get_term(pairs, filler->image)] += filler->amount;
+		row[get_term(pairs, change->image)] += change->amount;
 	}
 	n = MIN(g_hash_table_size(pairs->fillers) + 1, TERMS);
-	for (i = 0; i < n; i++) {
+	for (i = 1; i < n; i++) {
 		if (row[i] == 0)
 			continue;
-		for (k = 0; k < n; k++)
+		for (k = 1; k < n; k++)
 			fit->products[i][k] += row[i] * row[k];
-		fit->targets[i] += row[i] * tail_share;
+		fit->targets[i] += row[i] * loss;
 	}
 }
 
@@ -132,11 +116,12 @@
 	uint32_t i;
 	uint32_t k;
 
-	for (i = 0; i < n; i++) {
-		double own = fit->products[i][i] + evidence(i);
-		double rest = fit->targets[i] + evidence(i) * prior(i);
+	for (i = 1; i < n; i++) {
+		double own = fit->products[i][i] + WEIGHT_EVIDENCE;
+		double rest =
+		    fit->targets[i] + WEIGHT_EVIDENCE * WEIGHT_PRIOR;
 
-		for (k = 0; k < n; k++) {
+		for (k = 1; k < n; k++) {
 			if (k != i)
 				rest -= fit->products[i][k] * fit->weights[k];
 		}
@@ -178,12 +163,3 @@
 
 	return fit == NULL || term == 0 ? WEIGHT_PRIOR : fit->weights[term];
 }
-
-/* See the header. */
-double
-bp_pairs_base(const bp_pairs_t *pairs, const char *serving)
-{
-	const fit_t *fit = g_hash_table_lookup(pairs->servings, serving);
-
-	return fit == NULL ? BASE_PRIOR : fit->weights[0];
-}
--- a/src/queues/pairs.h
+++ b/src/queues/pairs.h
@@ -6,29 +6,29 @@
 
 /*
  * Learns how much filling tasks of one image disturb serving tasks of
- * another, from measured tails: for each serving image a least-squares fit
- * of tail / target = base + sum of weight x amount over the filler images,
- * in which old samples fade and weights are never negative.
+ * another. A serving task's calm is its target divided by its tail: load
+ * and fillers each take a part of it. For each serving image a least-squares
+ * fit explains how calm changes from sample to sample by the fillers' use of
+ * the processors; a task's own load changes slowly and cancels out. Old
+ * samples fade and weights are never negative.
  */
 typedef struct bp_pairs bp_pairs_t;
 
 /* Fillers of one image beside a serving task. */
 typedef struct {
 	const char *image;
-	double amount; /* share of the executor's processors, 0 to 1 */
+	double amount; /* share of the executor's processors, or its change */
 } bp_pairs_filler_t;
 
 bp_pairs_t *bp_pairs_new(void);
 void bp_pairs_free(bp_pairs_t *pairs);
-/* Takes one measured tail, as a share of its target. */
-void bp_pairs_learn(bp_pairs_t *pairs, const char *serving, double tail_share,
-    const GArray *fillers);
+/* Takes the loss of calm between two samples and the changed amounts. */
+void bp_pairs_learn(bp_pairs_t *pairs, const char *serving, double loss,
+    const GArray *changes);
 /* Fits the weights to the samples so far and fades those. */
 void bp_pairs_fit(bp_pairs_t *pairs);
-/* Share of the target that the tail grows per unit of amount. */
+/* Calm that a serving image loses per unit of amount. */
 double bp_pairs_weight(
     const bp_pairs_t *pairs, const char *serving, const char *filler);
-/* Tail without fillers as a share of the target. */
-double bp_pairs_base(const bp_pairs_t *pairs, const char *serving);
 
 #endif
--- a/src/queues/shard_execs.c
+++ b/src/queues/shard_execs.c
@@ -16,6 +16,7 @@
 	exec = g_new0(bp_qexec_t, 1);
 	exec->shard = shard;
 	exec->runs = g_ptr_array_new();
+	exec->amounts = g_array_new(FALSE, FALSE, sizeof(bp_pairs_filler_t));
 	exec->info = g_new0(bp_executor_info_t, 1);
 	exec->info->id = g_strdup(id);
 	exec->info->address = g_strdup("");
@@ -44,6 +45,7 @@
 	for (i = 0; i < exec->runs->len; i++)
 		free_run(exec->runs->pdata[i]);
 	g_ptr_array_unref(exec->runs);
+	g_array_unref(exec->amounts);
 	g_clear_handle_id(&exec->timer, g_source_remove);
 	bp_executor_info_free(exec->info);
 	g_free(exec);
--- a/src/queues/shard_pace.c
+++ b/src/queues/shard_pace.c
@@ -1,14 +1,20 @@
 #include "queues/shard_private.h"
 
-/* Predicted tails are kept below this share of their target. */
-#define LIMIT_SHARE 0.75
+/* Calm (target / tail) that fillers must leave: tails of 0.7 the target. */
+#define CALM_MIN 1.43
+/* Calm that is assumed of a serving task before its first sample. */
+#define CALM_PRIOR 2.5
+/* Very short tails are no more informative than this. */
+#define CALM_MAX 8.0
 /* A measured tail above this share slows all fillers at once. */
 #define ALARM_SHARE 0.95
 #define PACE_FULL 100
-/* An effect below this share of the target is taken for none. */
-#define EFFECT_NONE 0.03
-/* How fast a serving task's own load is followed, a sample. */
-#define LOAD_RATE 0.3
+/* A loss of calm below this is taken for none. */
+#define EFFECT_NONE 0.04
+/* How fast a serving task's own calm is followed, a sample. */
+#define CALM_RATE 0.5
+/* Samples further apart than this are not compared. */
+#define COMPARE_MS 900
 /* Tails are figures of half a second; more samples say nothing new. */
 #define SAMPLE_MS 250
 /* Smaller changes are not worth an order. */
@@ -92,26 +98,26 @@
 	return amounts;
 }
 
-/* How a serving task's tail grows with one filler at full pace, as a share
- * of its target. */
+/* Calm that a serving task loses by one filler at full pace. */
 static double
 effect(bp_shard_t *shard, const bp_qrun_t *serving,
     const Bp__Work__Step *filler, double capacity)
 {
 	const Bp__Work__Step *spec = serving->task->step->spec;
-	double grows =
+	double loss =
 	    bp_pairs_weight(shard->pairs, spec->image, filler->image) *
 	    filler->cpu_milli / capacity;
 
-	return grows < EFFECT_NONE ? 0 : grows;
+	return loss < EFFECT_NONE ? 0 : loss;
 }
 
+/* Calm that fillers may take from a serving task. */
 static double
-undisturbed(bp_shard_t *shard, const bp_qrun_t *serving)
+spare_calm(const bp_qrun_t *serving)
 {
-	const Bp__Work__Step *spec = serving->task->step->spec;
+	double calm = serving->calm > 0 ? serving->calm : CALM_PRIOR;
 
-	return MAX(bp_pairs_base(shard->pairs, spec->image) + serving->load, 0);
+	return calm - CALM_MIN;
 }
 
 /* Share of its pace that a filler must give up so that tails stay low. */
@@ -132,7 +138,7 @@
 			continue;
 		grows = effect(
 		    shard, run, filler->task->step->spec, capacity);
-		room = LIMIT_SHARE - undisturbed(shard, run) - planned[i];
+		room = spare_calm(run) - planned[i];
 		if (grows > 0)
 			share = MIN(share, MAX(room, 0) / grows);
 	}
@@ -189,48 +195,90 @@
 	return (x->harm > y->harm) - (x->harm < y->harm);
 }
 
-/* What the fit leaves over is the serving task's own load. */
+/* Changes of the amounts since the last sample of the executor. */
+static GArray *
+changes_of(const bp_qexec_t *exec, const GArray *amounts)
+{
+	GArray *changes = g_array_new(FALSE, FALSE, sizeof(bp_pairs_filler_t));
+	guint i;
+
+	g_array_append_vals(changes, amounts->data, amounts->len);
+	for (i = 0; i < exec->amounts->len; i++) {
+		bp_pairs_filler_t before =
+		    g_array_index(exec->amounts, bp_pairs_filler_t, i);
+
+		before.amount = -before.amount;
+		g_array_append_val(changes, before);
+	}
+	return changes;
+}
+
+/* Keeps amounts until the next sample; images are interned to outlive jobs. */
 static void
-learn_load(
-    bp_shard_t *shard, bp_qrun_t *run, double share, const GArray *amounts)
+keep_amounts(bp_qexec_t *exec, const GArray *amounts)
+{
+	guint i;
+
+	g_array_set_size(exec->amounts, 0);
+	for (i = 0; i < amounts->len; i++) {
+		bp_pairs_filler_t copy =
+		    g_array_index(amounts, bp_pairs_filler_t, i);
+
+		copy.image = g_intern_string(copy.image);
+		g_array_append_val(exec->amounts, copy);
+	}
+}
+
+/* A serving task's calm without the fillers beside it now. */
+static double
+calm_alone(bp_shard_t *shard, const bp_qrun_t *run, double calm,
+    const GArray *amounts)
 {
 	const char *image = run->task->step->spec->image;
-	double predicted = bp_pairs_base(shard->pairs, image);
 	guint i;
 
 	for (i = 0; i < amounts->len; i++) {
 		const bp_pairs_filler_t *filler =
 		    &g_array_index(amounts, bp_pairs_filler_t, i);
 
-		predicted += filler->amount *
+		calm += filler->amount *
 		    bp_pairs_weight(shard->pairs, image, filler->image);
 	}
-	run->load += LOAD_RATE * (share - predicted - run->load);
+	return calm;
 }
 
 /* Learns from the tails of a look; returns the worst share of a target. */
 static double
-learn(bp_qexec_t *exec)
+learn(bp_qexec_t *exec, bool compare)
 {
 	GArray *amounts = amounts_of(exec);
+	GArray *changes = changes_of(exec, amounts);
 	double worst = 0;
 	guint i;
 
 	for (i = 0; i < exec->runs->len; i++) {
 		bp_qrun_t *run = exec->runs->pdata[i];
 		const Bp__Work__Step *spec;
-		double share;
+		double calm;
+		double alone;
 
 		if (!is_serving(run) || run->figure <= 0)
 			continue;
 		spec = run->task->step->spec;
-		share = (double)run->figure / spec->target_ms;
-		bp_pairs_learn(
-		    exec->shard->pairs, spec->image, share, amounts);
-		learn_load(exec->shard, run, share, amounts);
-		worst = MAX(worst, share);
+		calm = MIN((double)spec->target_ms / run->figure, CALM_MAX);
+		if (compare && run->calm_seen > 0)
+			bp_pairs_learn(exec->shard->pairs, spec->image,
+			    run->calm_seen - calm, changes);
+		run->calm_seen = calm;
+		alone = calm_alone(exec->shard, run, calm, amounts);
+		run->calm = run->calm > 0
+		    ? run->calm + CALM_RATE * (alone - run->calm)
+		    : alone;
+		worst = MAX(worst, 1 / calm);
 	}
+	keep_amounts(exec, amounts);
 	g_array_unref(amounts);
+	g_array_unref(changes);
 	return worst;
 }
 
@@ -249,8 +297,8 @@
 
 	if (now_ms - exec->sampled_ms < SAMPLE_MS)
 		return;
+	worst = learn(exec, now_ms - exec->sampled_ms < COMPARE_MS);
 	exec->sampled_ms = now_ms;
-	worst = learn(exec);
 	ranked = g_array_new(FALSE, FALSE, sizeof(ranked_t));
 	planned = g_new0(double, exec->runs->len);
 
@@ -301,7 +349,7 @@
 
 		if (!is_serving(run))
 			continue;
-		room = LIMIT_SHARE - undisturbed(shard, run);
+		room = spare_calm(run);
 		for (k = 0; k < exec->runs->len; k++) {
 			const bp_qrun_t *other = exec->runs->pdata[k];
 
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -47,7 +47,8 @@
 	uint32_t pace; /* share of its speed that it is allowed */
 	int64_t progress_ms; /* mono, when percent last changed */
 	int64_t figure; /* tail or cpu, as last seen */
-	double load; /* own share of a serving task's tail, as learned */
+	double calm; /* of a serving task without fillers, as learned */
+	double calm_seen; /* at the last sample, 0 for none */
 };
 
 /* An executor as its owner believes it to be. */
@@ -77,6 +78,7 @@
 	int64_t held_until_ms; /* mono; nothing is placed there before */
 	const char *held_for; /* static reason */
 	int64_t sampled_ms; /* mono, when tails were last learned from */
+	GArray *amounts; /* bp_pairs_filler_t of the last sample */
 	guint timer; /* of the next look */
 };
 
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -15,7 +15,7 @@
 /* Share of their reserved processors that serving tasks use. */
 #define SERVING_USE_PERCENT 55
 /* A filler is not placed where it could not have this share of its pace. */
-#define FILLER_SHARE_MIN 0.3
+#define FILLER_SHARE_MIN 0.7
 /* A job that is late by this factor of its objective earns nothing more. */
 #define LATE_FACTOR 3
 
