--- a/src/queues/shard_pace.c
+++ b/src/queues/shard_pace.c
@@ -9,6 +9,10 @@
 /* A measured tail above this share slows all fillers at once. */
 #define ALARM_SHARE 0.95
 #define PACE_FULL 100
+/* A filler that has rested for so long is moved, */
+#define REST_MS 1200
+/* without checkpoints only before this share of its work. */
+#define MOVE_PERCENT 15
 /* A loss of calm below this is taken for none. */
 #define EFFECT_NONE 0.04
 /* How fast a serving task's own calm is followed, a sample. */
@@ -57,6 +61,8 @@
 	pace = g_new0(pace_t, 1);
 	pace->shard = shard;
 	pace->run = run;
+	if (percent == 0)
+		run->resting_ms = bp_shard_now_ms(shard);
 	run->pace = percent;
 	run->orders++;
 	shard->counts_paces++;
@@ -365,6 +371,29 @@
 	return share;
 }
 
+/* A filler that rests where it disturbs is moved if little is lost by it. */
+void
+bp_shard_move_resting(bp_qexec_t *exec)
+{
+	int64_t now_ms = bp_shard_now_ms(exec->shard);
+	guint i;
+
+	for (i = 0; i < exec->runs->len; i++) {
+		bp_qrun_t *run = exec->runs->pdata[i];
+
+		if (!is_filler(run) || run->pace != 0 ||
+		    run->state != BP_QRUN_RUNNING ||
+		    now_ms - run->resting_ms < REST_MS)
+			continue;
+		if (run->task->step->spec->checkpoints ||
+		    run->percent < MOVE_PERCENT) {
+			run->task->failed_on = exec;
+			bp_shard_stop_run(
+			    exec->shard, run, "it rests where it disturbs");
+		}
+	}
+}
+
 /* Drops all pace orders in flight. */
 void
 bp_shard_forget_paces(bp_shard_t *shard)
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -44,6 +44,7 @@
 	int64_t started_ms; /* mono */
 	int64_t stop_sent_ms; /* mono, 0 for never */
 	uint32_t percent; /* of its work, as last seen */
+	int64_t resting_ms; /* mono, since when its pace is 0 */
 	uint32_t pace; /* share of its speed that it is allowed */
 	int64_t progress_ms; /* mono, when percent last changed */
 	int64_t figure; /* tail or cpu, as last seen */
@@ -206,6 +207,7 @@
 
 /* shard_pace.c */
 void bp_shard_pace(bp_qexec_t *exec);
+void bp_shard_move_resting(bp_qexec_t *exec);
 double bp_shard_filler_share(
     const bp_qexec_t *exec, const Bp__Work__Step *spec);
 void bp_shard_forget_paces(bp_shard_t *shard);
