--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -240,6 +240,7 @@
 	uint32_t over = 0;
 	uint32_t waiting = 0;
 	uint32_t open = 0;
+	uint32_t urgent = 0;
 	GHashTableIter iter;
 	gpointer value;
 	char text[256];
@@ -271,15 +272,18 @@
 
 		for (s = 0; s < job->n_steps * job->occurrences; s++) {
 			waiting += job->steps[s].waiting;
-			if (bp_qstep_open(&job->steps[s],
+			if (!bp_qstep_open(&job->steps[s],
 				bp_shard_wall_ms(shard)))
-				open += job->steps[s].waiting;
+				continue;
+			open += job->steps[s].waiting;
+			if (job->spec->priority == 0)
+				urgent += job->steps[s].waiting;
 		}
 	}
 	snprintf(text, sizeof(text),
-	    "jobs=%u waiting=%u ready=%u cores=%u/%u fillers=%u pace=%u%% "
+	    "jobs=%u waiting=%u ready=%u urgent=%u cores=%u/%u fillers=%u pace=%u%% "
 	    "serving=%u over=%u",
-	    shard->going->len, waiting, open, (unsigned)(used / 1000),
+	    shard->going->len, waiting, open, urgent, (unsigned)(used / 1000),
 	    (unsigned)(cpu / 1000), fillers,
 	    fillers > 0 ? pace / fillers : 0, serving, over);
 	bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE, "summary",
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -14,6 +14,8 @@
 #define EMPTY_IS_OTHER 0.4
 /* Share of their reserved processors that serving tasks use. */
 #define SERVING_USE_PERCENT 55
+/* Share of all processors that batch leaves to urgent work. */
+#define HEADROOM_PERCENT 6
 /* A filler is not placed where it could not have this share of its pace. */
 #define FILLER_SHARE_MIN 0.7
 /* A job that is late by this factor of its objective earns nothing more. */
@@ -24,6 +26,8 @@
 	int64_t now_ms;
 	int64_t wall_ms;
 	GPtrArray *execs; /* bp_qexec_t that may get work at all */
+	uint64_t cpu_milli; /* of all of them */
+	uint64_t cpu_used; /* of these, at the start of the round */
 	const char *service; /* of the step's queue */
 } round_t;
 
@@ -252,6 +256,19 @@
 	g_free(plan);
 }
 
+/*
+ * Batch leaves room for urgent work that comes next, which would otherwise
+ * wait for the end of a batch task. Fillers reserve nothing.
+ */
+static bool
+leaves_headroom(const round_t *round, const bp_qstep_t *step)
+{
+	if (step->job->spec->priority == 0 || step->spec->filler)
+		return true;
+	return (round->cpu_used + step->spec->cpu_milli) * 100 <=
+	    round->cpu_milli * (100 - HEADROOM_PERCENT);
+}
+
 static void
 place_step(round_t *round, bp_qstep_t *step)
 {
@@ -269,6 +286,10 @@
 
 		if (task->state != BP_QTASK_WAITING)
 			continue;
+		if (!leaves_headroom(round, step)) {
+			step->reason = "headroom";
+			return;
+		}
 		if (shard->starts_in_flight >= STARTS_IN_FLIGHT_MAX) {
 			step->reason = "turn";
 			return;
@@ -278,6 +299,8 @@
 		if (exec == NULL)
 			return;
 		step->reason = NULL;
+		if (!step->spec->filler)
+			round->cpu_used += step->spec->cpu_milli;
 		bp_shard_start_task(
 		    shard, task, exec, bp_shard_next_run(shard, task));
 	}
@@ -362,7 +385,7 @@
 bp_shard_round(bp_shard_t *shard)
 {
 	round_t round = {shard, bp_shard_now_ms(shard),
-	    bp_shard_wall_ms(shard), g_ptr_array_new(), NULL};
+	    bp_shard_wall_ms(shard), g_ptr_array_new(), 0, 0, NULL};
 	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
 	GHashTableIter iter;
 	gpointer value;
@@ -370,8 +393,13 @@
 
 	g_hash_table_iter_init(&iter, shard->execs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (may_get_work(&round, value))
-			g_ptr_array_add(round.execs, value);
+		const bp_qexec_t *exec = value;
+
+		if (!may_get_work(&round, exec))
+			continue;
+		g_ptr_array_add(round.execs, value);
+		round.cpu_milli += exec->info->cpu_milli;
+		round.cpu_used += exec->cpu_used;
 	}
 	for (i = 0; i < shard->going->len; i++)
 		add_candidates(candidates, &round, shard->going->pdata[i]);
