--- a/include/bulrushpost/clock.h
+++ b/include/bulrushpost/clock.h
@@ -1,6 +1,7 @@
 #ifndef BULRUSHPOST_CLOCK_H
 #define BULRUSHPOST_CLOCK_H
 
+#include <glib.h>
 #include <stdint.h>
 #include <time.h>
 
@@ -11,6 +12,10 @@
 typedef struct bp_clock {
 	int (*mono)(const struct bp_clock *clock, struct timespec *out);
 	int (*wall)(const struct bp_clock *clock, struct timespec *out);
+	/* Timers of the main loop; NULL stands for those of GLib. */
+	guint (*after)(const struct bp_clock *clock, uint32_t delay_ms,
+	    GSourceFunc call, void *data);
+	void (*cancel)(const struct bp_clock *clock, guint id);
 } bp_clock_t;
 
 typedef struct bp_clock_virtual bp_clock_virtual_t;
@@ -19,11 +24,21 @@
 int64_t bp_clock_mono_ms(const bp_clock_t *clock);
 int64_t bp_clock_mono_us(const bp_clock_t *clock);
 int64_t bp_clock_wall_ms(const bp_clock_t *clock);
+/*
+ * Calls back after a delay, and again after each that returns
+ * G_SOURCE_CONTINUE.
+ */
+guint bp_clock_after(const bp_clock_t *clock, uint32_t delay_ms,
+    GSourceFunc call, void *data);
+/* Ends a timer and sets its id to 0; an id of 0 is allowed. */
+void bp_clock_cancel(const bp_clock_t *clock, guint *id);
 
 bp_clock_virtual_t *bp_clock_virtual_new(int64_t start_ms);
 void bp_clock_virtual_free(bp_clock_virtual_t *clock);
 const bp_clock_t *bp_clock_virtual_clock(const bp_clock_virtual_t *clock);
 void bp_clock_virtual_advance_us(bp_clock_virtual_t *clock, int64_t delta_us);
+/* Moves forward through all timers that fall due until then. */
+void bp_clock_virtual_run_ms(bp_clock_virtual_t *clock, int64_t duration_ms);
 void bp_clock_virtual_step_wall_ms(bp_clock_virtual_t *clock, int64_t delta_ms);
 
 #endif
--- a/include/bulrushpost/shard.h
+++ b/include/bulrushpost/shard.h
@@ -63,6 +63,7 @@
 /* Nothing is started any more; pending records are still written. */
 void bp_shard_release(bp_shard_t *shard);
 bool bp_shard_idle(const bp_shard_t *shard);
+bool bp_shard_released(const bp_shard_t *shard);
 /* The membership was confirmed by a call sent at this time. */
 void bp_shard_confirm(bp_shard_t *shard, int64_t sent_mono_ms);
 
--- a/src/queues/desk.c
+++ b/src/queues/desk.c
@@ -112,7 +112,7 @@
 		return;
 	log_answer(call, answer);
 	call->desk = NULL;
-	g_clear_handle_id(&call->timer, g_source_remove);
+	bp_clock_cancel(desk->options.clock, &call->timer);
 	g_hash_table_remove(desk->calls, call);
 	call->done(answer, call->data);
 	unref(call);
@@ -149,8 +149,8 @@
 static void
 plan(call_t *call, int64_t delay_ms)
 {
-	g_clear_handle_id(&call->timer, g_source_remove);
-	call->timer = g_timeout_add((guint)MAX(delay_ms, 1), on_timer, call);
+	bp_clock_cancel(call->desk->options.clock, &call->timer);
+	call->timer = bp_clock_after(call->desk->options.clock, (guint)MAX(delay_ms, 1), on_timer, call);
 }
 
 /* No owner took the call: waits a little for one, then refuses. */
--- a/src/queues/journal.c
+++ b/src/queues/journal.c
@@ -79,7 +79,7 @@
 			break;
 		}
 		journal->timer =
-		    g_timeout_add(REPEAT_MS, on_repeat, journal);
+		    bp_clock_after(journal->options.clock, REPEAT_MS, on_repeat, journal);
 		return;
 	case BP_STORE_UNKNOWN:
 		if (!journal->uncertain)
@@ -87,7 +87,7 @@
 			    "no answer to an append; repeating it", NULL);
 		journal->uncertain = true;
 		journal->timer =
-		    g_timeout_add(REPEAT_MS, on_repeat, journal);
+		    bp_clock_after(journal->options.clock, REPEAT_MS, on_repeat, journal);
 		return;
 	}
 	schedule(journal);
@@ -138,9 +138,8 @@
 
 	if (journal->batch != NULL || !journal->wanted || journal->closed)
 		return;
-	g_clear_handle_id(&journal->timer, g_source_remove);
-	journal->timer = g_timeout_add(
-	    (guint)MAX(due_ms - now_ms, 0), on_due, journal);
+	bp_clock_cancel(journal->options.clock, &journal->timer);
+	journal->timer = bp_clock_after(journal->options.clock, (guint)MAX(due_ms - now_ms, 0), on_due, journal);
 }
 
 /*
@@ -164,7 +163,7 @@
 	if (journal == NULL)
 		return;
 	journal->options.store->forget(journal->options.store, journal);
-	g_clear_handle_id(&journal->timer, g_source_remove);
+	bp_clock_cancel(journal->options.clock, &journal->timer);
 	g_clear_pointer(&journal->batch, g_ptr_array_unref);
 	g_free(journal);
 }
--- a/src/queues/membership.c
+++ b/src/queues/membership.c
@@ -86,8 +86,8 @@
 static void
 plan_owners(bp_membership_t *self, uint32_t delay_ms)
 {
-	g_clear_handle_id(&self->owners_timer, g_source_remove);
-	self->owners_timer = g_timeout_add(delay_ms, on_owners_timer, self);
+	bp_clock_cancel(self->options.clock, &self->owners_timer);
+	self->owners_timer = bp_clock_after(self->options.clock, delay_ms, on_owners_timer, self);
 }
 
 static void
@@ -138,7 +138,7 @@
 	    options->address, options->incarnation);
 	self->owners = g_new0(char *, options->shards);
 	self->answered = true;
-	self->join_timer = g_timeout_add(JOIN_PERIOD_MS, on_join_timer, self);
+	self->join_timer = bp_clock_after(self->options.clock, JOIN_PERIOD_MS, on_join_timer, self);
 	(void)on_join_timer(self);
 	plan_owners(self, OWNERS_GAP_MS);
 	return self;
@@ -153,8 +153,8 @@
 	if (self == NULL)
 		return;
 	self->options.store->forget(self->options.store, self);
-	g_clear_handle_id(&self->join_timer, g_source_remove);
-	g_clear_handle_id(&self->owners_timer, g_source_remove);
+	bp_clock_cancel(self->options.clock, &self->join_timer);
+	bp_clock_cancel(self->options.clock, &self->owners_timer);
 	for (i = 0; i < self->options.shards; i++)
 		g_free(self->owners[i]);
 	g_free(self->owners);
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -4,6 +4,7 @@
 #include "node/metricsserver.h"
 #include "queues/desk.h"
 #include "queues/relay.h"
+#include "queues/shards.h"
 
 #include <glib-unix.h>
 #include <signal.h>
@@ -12,8 +13,6 @@
 
 #define MODULE "node"
 #define TOPIC "bulrushpost"
-/* After a shard was lost to a later epoch it is not claimed at once. */
-#define CLAIM_REST_MS 1000
 #define DRAIN_TICK_MS 50
 /* The balancer needs two misses of its check a second to send no more. */
 #define DRAIN_SERVE_MS 2600
@@ -41,9 +40,7 @@
 	bp_relay_t *relay;
 	bp_queuedesk_t *desk;
 	bp_catalog_t *catalog;
-	GHashTable *zones_out;
-	bp_shard_t **owned;
-	int64_t *rest_until_ms; /* a shard */
+	bp_shards_t *shards;
 	int64_t drain_start_ms; /* 0 while serving */
 	guint drain_timer;
 	guint hello_timer;
@@ -66,15 +63,11 @@
 {
 	node_t *node = data;
 	bp_catalog_t *before = node->catalog;
-	uint32_t i;
 
 	node->catalog = catalog;
 	log_number(node, "configuration in force", "version", catalog->version);
 	bp_queuedesk_set_catalog(node->desk, catalog);
-	for (i = 0; i < node->settings->queues.shards; i++) {
-		if (node->owned[i] != NULL)
-			bp_shard_set_catalog(node->owned[i], catalog);
-	}
+	bp_shards_set_catalog(node->shards, catalog);
 	bp_catalog_free(before);
 }
 
@@ -82,31 +75,19 @@
 on_zone(const char *zone, bool out, void *data)
 {
 	node_t *node = data;
-	uint32_t i;
 
 	bp_log(node->logger, BP_LOG_NOTICE, MODULE,
 	    out ? "zone is out of service" : "zone is back in service", "zone",
 	    zone, NULL);
-	if (out)
-		g_hash_table_add(node->zones_out, g_strdup(zone));
-	else
-		g_hash_table_remove(node->zones_out, zone);
-	for (i = 0; i < node->settings->queues.shards; i++) {
-		if (node->owned[i] != NULL)
-			bp_shard_set_zone(node->owned[i], zone, out);
-	}
+	bp_shards_set_zone(node->shards, zone, out);
 }
 
 static void
 on_executor(bp_executor_info_t *info, void *data)
 {
 	node_t *node = data;
-	uint32_t i;
 
-	for (i = 0; i < node->settings->queues.shards; i++) {
-		if (node->owned[i] != NULL)
-			bp_shard_executor(node->owned[i], info);
-	}
+	bp_shards_executor(node->shards, info);
 	bp_executor_info_free(info);
 }
 
@@ -114,124 +95,35 @@
 on_executor_gone(const char *id, void *data)
 {
 	node_t *node = data;
-	uint32_t i;
 
-	for (i = 0; i < node->settings->queues.shards; i++) {
-		if (node->owned[i] != NULL)
-			bp_shard_executor_gone(node->owned[i], id);
-	}
+	bp_shards_executor_gone(node->shards, id);
 }
 
 static void
 on_executors_listed(void *data)
 {
 	node_t *node = data;
-	uint32_t i;
-
-	for (i = 0; i < node->settings->queues.shards; i++) {
-		if (node->owned[i] != NULL)
-			bp_shard_executors_listed(node->owned[i]);
-	}
-}
-
-static void
-follow_if_owner(node_t *node)
-{
-	bool owner = false;
-	uint32_t i;
-
-	for (i = 0; i < node->settings->queues.shards; i++)
-		owner = owner || node->owned[i] != NULL;
-	bp_platform_follow_executors(node->platform, owner);
-}
-
-static void
-drop_shard(node_t *node, uint32_t number)
-{
-	bp_shard_t *shard = node->owned[number];
-
-	node->owned[number] = NULL;
-	bp_shard_free(shard);
-	follow_if_owner(node);
-	bp_membership_refresh(node->membership);
-}
-
-static void
-on_lost(bp_shard_t *shard, void *data)
-{
-	node_t *node = data;
-	uint32_t number = bp_shard_number(shard);
 
-	node->rest_until_ms[number] =
-	    bp_clock_mono_ms(node->clock) + CLAIM_REST_MS;
-	drop_shard(node, number);
+	bp_shards_executors_listed(node->shards);
 }
 
-/* The whole list of executors is read again once the shard is owned. */
+/* Shards came or went; NULL-safe while the node is being built. */
 static void
-on_owned(bp_shard_t *shard, void *data)
+on_follow(bool follow, void *data)
 {
 	node_t *node = data;
 
-	(void)shard;
-	bp_platform_follow_executors(node->platform, true);
+	bp_platform_follow_executors(node->platform, follow);
+	if (node->membership != NULL)
+		bp_membership_refresh(node->membership);
 }
 
-static void
-take_shard(node_t *node, uint32_t number)
-{
-	const bp_settings_queues_t *queues = &node->settings->queues;
-	bp_shard_options_t options = {0};
-	GHashTableIter iter;
-	gpointer zone;
-
-	options.clock = node->clock;
-	options.logger = node->logger;
-	options.timeline = node->timeline;
-	options.store = bp_platform_get_store(node->platform);
-	options.executors = bp_relay_interface(node->relay);
-	options.node = node->settings->node.name;
-	options.address = node->settings->listen.control;
-	options.topic = TOPIC;
-	options.number = number;
-	options.shards = queues->shards;
-	options.limits.lease_max_ms = queues->lease_max_ms;
-	options.limits.stop_max_ms = queues->stop_max_ms;
-	options.limits.early_ms = queues->early_ms;
-	options.limits.status_keep_s = queues->status_keep_s;
-	options.limits.quarantine_failures = queues->quarantine_failures;
-	options.lost = on_lost;
-	options.owned = on_owned;
-	options.data = node;
-	node->owned[number] = bp_shard_new(&options);
-	bp_shard_set_catalog(node->owned[number], node->catalog);
-	g_hash_table_iter_init(&iter, node->zones_out);
-	while (g_hash_table_iter_next(&iter, &zone, NULL))
-		bp_shard_set_zone(node->owned[number], zone, true);
-}
-
-/* A join was answered: these shards are ours by the store's membership. */
 static void
 on_held(const bool *shards, int64_t sent_mono_ms, void *data)
 {
 	node_t *node = data;
-	int64_t now_ms = bp_clock_mono_ms(node->clock);
-	uint32_t i;
 
-	for (i = 0; i < node->settings->queues.shards; i++) {
-		bp_shard_t *shard = node->owned[i];
-
-		if (!shards[i]) {
-			if (shard != NULL)
-				bp_shard_release(shard);
-			if (shard != NULL && bp_shard_idle(shard))
-				drop_shard(node, i);
-		} else if (shard != NULL) {
-			bp_shard_confirm(shard, sent_mono_ms);
-		} else if (now_ms >= node->rest_until_ms[i]) {
-			take_shard(node, i);
-		}
-	}
+	bp_shards_held(node->shards, shards, sent_mono_ms);
 }
 
 static void
@@ -264,14 +156,15 @@
 	number = bp_shard_of_job(
 	    frame->args[0], node->settings->queues.shards);
 	owner = bp_membership_owner(node->membership, number);
-	if (node->owned[number] == NULL) {
+	if (bp_shards_owned(node->shards)[number] == NULL) {
 		text = g_strdup_printf("the job's shard is owned by %s",
 		    owner != NULL ? owner : "no known node");
 		answer_text(request, BP_ESTATE, text, NULL);
 		g_free(text);
 		return;
 	}
-	text = bp_shard_why(node->owned[number], frame->args[0]);
+	text = bp_shard_why(
+	    bp_shards_owned(node->shards)[number], frame->args[0]);
 	if (text == NULL)
 		answer_text(request, BP_ENOTFOUND, "no such job", NULL);
 	else
@@ -289,9 +182,9 @@
 	for (i = 0; i < node->settings->queues.shards; i++) {
 		char *part;
 
-		if (node->owned[i] == NULL)
+		if (bp_shards_owned(node->shards)[i] == NULL)
 			continue;
-		part = bp_shard_describe(node->owned[i]);
+		part = bp_shard_describe(bp_shards_owned(node->shards)[i]);
 		g_string_append_printf(text, "%s%s", first ? "" : ",", part);
 		first = false;
 		g_free(part);
@@ -357,7 +250,7 @@
 	for (i = 0; i < node->settings->queues.shards; i++) {
 		const char *owner = bp_membership_owner(node->membership, i);
 
-		if (node->owned[i] == NULL && owner != NULL)
+		if (bp_shards_owned(node->shards)[i] == NULL && owner != NULL)
 			bp_peer_client_call(node->client, owner, &frame,
 			    HELLO_PERIOD_MS, on_hello, node);
 	}
@@ -404,18 +297,6 @@
 	}
 }
 
-static bool
-shards_idle(const node_t *node)
-{
-	uint32_t i;
-
-	for (i = 0; i < node->settings->queues.shards; i++) {
-		if (node->owned[i] != NULL && !bp_shard_idle(node->owned[i]))
-			return false;
-	}
-	return true;
-}
-
 /*
  * Shards are handed over first, so that the successor can start; callers
  * are served through it until the balancer has turned away.
@@ -428,13 +309,9 @@
 	    bp_clock_mono_ms(node->clock) - node->drain_start_ms;
 	int64_t limit_ms =
 	    (int64_t)node->settings->queues.grace_s * MS_PER_S - DRAIN_MARGIN_MS;
-	uint32_t i;
 
-	if (shards_idle(node) || passed_ms > limit_ms) {
-		for (i = 0; i < node->settings->queues.shards; i++) {
-			if (node->owned[i] != NULL)
-				drop_shard(node, i);
-		}
+	if (bp_shards_idle(node->shards) || passed_ms > limit_ms) {
+		bp_shards_drop_all(node->shards);
 		bp_membership_leave(node->membership);
 	}
 	if (passed_ms < MIN(DRAIN_SERVE_MS, limit_ms))
@@ -451,17 +328,13 @@
 on_stop(void *data)
 {
 	node_t *node = data;
-	uint32_t i;
 
 	if (node->drain_start_ms != 0)
 		return G_SOURCE_CONTINUE;
 	bp_log(node->logger, BP_LOG_NOTICE, MODULE, "draining", NULL);
 	node->drain_start_ms = bp_clock_mono_ms(node->clock);
 	bp_platform_drain(node->platform);
-	for (i = 0; i < node->settings->queues.shards; i++) {
-		if (node->owned[i] != NULL)
-			bp_shard_release(node->owned[i]);
-	}
+	bp_shards_release(node->shards);
 	node->drain_timer =
 	    g_timeout_add(DRAIN_TICK_MS, on_drain_tick, node);
 	return G_SOURCE_CONTINUE;
@@ -486,7 +359,7 @@
 	uint32_t i;
 
 	for (i = 0; i < node->settings->queues.shards; i++)
-		owned += node->owned[i] != NULL;
+		owned += bp_shards_owned(node->shards)[i] != NULL;
 	bp_metric_set(bp_metrics_gauge(metrics, "bp_shards_owned", NULL),
 	    owned);
 	bp_metric_set(bp_metrics_gauge(metrics, "bp_calls_open", NULL),
@@ -528,6 +401,31 @@
 	    g_timeout_add(HELLO_PERIOD_MS, on_hello_timer, node);
 }
 
+static void
+build_shards(node_t *node)
+{
+	const bp_settings_queues_t *queues = &node->settings->queues;
+	bp_shards_options_t options = {0};
+
+	options.clock = node->clock;
+	options.logger = node->logger;
+	options.timeline = node->timeline;
+	options.store = bp_platform_get_store(node->platform);
+	options.executors = bp_relay_interface(node->relay);
+	options.node = node->settings->node.name;
+	options.address = node->settings->listen.control;
+	options.topic = TOPIC;
+	options.shards = queues->shards;
+	options.limits.lease_max_ms = queues->lease_max_ms;
+	options.limits.stop_max_ms = queues->stop_max_ms;
+	options.limits.early_ms = queues->early_ms;
+	options.limits.status_keep_s = queues->status_keep_s;
+	options.limits.quarantine_failures = queues->quarantine_failures;
+	options.follow = on_follow;
+	options.data = node;
+	node->shards = bp_shards_new(&options);
+}
+
 static void
 build_desk(node_t *node)
 {
@@ -549,7 +447,7 @@
 	desk.logger = node->logger;
 	desk.client = node->client;
 	desk.membership = node->membership;
-	desk.owned = node->owned;
+	desk.owned = bp_shards_owned(node->shards);
 	desk.shards = node->settings->queues.shards;
 	desk.address = node->settings->listen.control;
 	node->desk = bp_queuedesk_new(&desk);
@@ -570,10 +468,6 @@
 	node->metrics = bp_metrics_new();
 	node->timeline = bp_timeline_new(node->clock, settings->node.name,
 	    settings->limits.timeline_events);
-	node->zones_out =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	node->owned = g_new0(bp_shard_t *, settings->queues.shards);
-	node->rest_until_ms = g_new0(int64_t, settings->queues.shards);
 	platform.clock = node->clock;
 	platform.logger = node->logger;
 	platform.settings = settings;
@@ -588,6 +482,7 @@
 		return rc;
 	node->client = bp_peer_client_new(node->clock, node->logger);
 	build_relay(node);
+	build_shards(node);
 	rc = build_server(node, err);
 	if (rc != BP_OK)
 		return rc;
@@ -610,8 +505,7 @@
 		g_clear_handle_id(&node->signals[i], g_source_remove);
 	g_clear_handle_id(&node->drain_timer, g_source_remove);
 	g_clear_handle_id(&node->hello_timer, g_source_remove);
-	for (i = 0; i < node->settings->queues.shards; i++)
-		g_clear_pointer(&node->owned[i], bp_shard_free);
+	bp_shards_free(node->shards);
 	bp_queuedesk_free(node->desk);
 	bp_metricsserver_free(node->metrics_server);
 	bp_membership_free(node->membership);
@@ -620,9 +514,6 @@
 	bp_peer_server_free(node->server);
 	bp_platform_free(node->platform);
 	bp_catalog_free(node->catalog);
-	g_hash_table_unref(node->zones_out);
-	g_free(node->owned);
-	g_free(node->rest_until_ms);
 	bp_timeline_free(node->timeline);
 	bp_metrics_free(node->metrics);
 	g_main_loop_unref(node->loop);
--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -71,8 +71,7 @@
 bp_shard_plan_round(bp_shard_t *shard, uint32_t delay_ms)
 {
 	if (shard->round_timer == 0 && shard->phase == BP_SHARD_OWNED)
-		shard->round_timer = g_timeout_add(
-		    MAX(delay_ms, ROUND_GAP_MS), on_round, shard);
+		shard->round_timer = bp_clock_after(shard->options.clock, MAX(delay_ms, ROUND_GAP_MS), on_round, shard);
 }
 
 static void
@@ -133,7 +132,7 @@
 	    "the shard has a later owner", NULL);
 	shard->phase = BP_SHARD_LOST;
 	if (shard->reread_timer == 0)
-		shard->reread_timer = g_idle_add(on_lost, shard);
+		shard->reread_timer = bp_clock_after(shard->options.clock, 0, on_lost, shard);
 }
 
 static void
@@ -340,7 +339,7 @@
 	shard->dropping = g_ptr_array_new_with_free_func(g_free);
 	shard->in_flight = g_array_new(FALSE, FALSE, sizeof(bp_qsent_t));
 	shard->confirmed_ms = bp_shard_now_ms(shard);
-	shard->tick_timer = g_timeout_add(TICK_MS, on_tick, shard);
+	shard->tick_timer = bp_clock_after(shard->options.clock, TICK_MS, on_tick, shard);
 	bp_shard_read(shard);
 	return shard;
 }
@@ -374,8 +373,8 @@
 	bp_shard_forget_paces(shard);
 	bp_journal_free(shard->journal);
 	bp_pairs_free(shard->pairs);
-	g_clear_handle_id(&shard->round_timer, g_source_remove);
-	g_clear_handle_id(&shard->tick_timer, g_source_remove);
+	bp_clock_cancel(shard->options.clock, &shard->round_timer);
+	bp_clock_cancel(shard->options.clock, &shard->tick_timer);
 	g_hash_table_unref(shard->execs);
 	g_hash_table_unref(shard->jobs);
 	g_hash_table_unref(shard->zones_out);
@@ -415,6 +414,13 @@
 		shard->phase = BP_SHARD_RELEASED;
 }
 
+/* Tells whether the shard was released and starts nothing any more. */
+bool
+bp_shard_released(const bp_shard_t *shard)
+{
+	return shard->phase == BP_SHARD_RELEASED;
+}
+
 /* Tells whether nothing is left to be stored. */
 bool
 bp_shard_idle(const bp_shard_t *shard)
--- a/src/queues/shard_calls.c
+++ b/src/queues/shard_calls.c
@@ -197,8 +197,27 @@
 	return waiting;
 }
 
+/* The cause that keeps the task from most executors. */
 static const char *
-task_reason(const bp_shard_t *shard, const bp_qtask_t *task)
+main_cause(const GPtrArray *causes)
+{
+	const bp_qcause_t *most = NULL;
+	guint i;
+
+	for (i = 0; i < causes->len; i++) {
+		const bp_qcause_t *cause = causes->pdata[i];
+
+		if (strcmp(cause->name, "turn") == 0)
+			return "turn";
+		if (most == NULL || cause->executors > most->executors)
+			most = cause;
+	}
+	return most != NULL ? most->name : "no_executor";
+}
+
+static const char *
+task_reason(const bp_shard_t *shard, const bp_qtask_t *task,
+    const GPtrArray *causes)
 {
 	const bp_qstep_t *step = task->step;
 
@@ -221,12 +240,31 @@
 		return "dependency";
 	if (!bp_shard_may_order(shard))
 		return "no_owner";
-	return step->reason != NULL ? step->reason : "turn";
+	if (step->reason != NULL && strcmp(step->reason, "headroom") == 0)
+		return "headroom";
+	return main_cause(causes);
+}
+
+static void
+add_causes(JsonBuilder *builder, const GPtrArray *causes)
+{
+	guint i;
+
+	json_builder_set_member_name(builder, "executors");
+	json_builder_begin_object(builder);
+	for (i = 0; i < causes->len; i++) {
+		const bp_qcause_t *cause = causes->pdata[i];
+
+		json_builder_set_member_name(builder, cause->name);
+		json_builder_add_int_value(builder, cause->executors);
+	}
+	json_builder_end_object(builder);
 }
 
 static void
 add_tasks(JsonBuilder *builder, bp_shard_t *shard, const bp_qstep_t *step)
 {
+	GPtrArray *causes = bp_shard_explain(shard, step);
 	uint32_t k;
 
 	for (k = 0; k < step->spec->tasks; k++) {
@@ -238,7 +276,9 @@
 		json_builder_add_string_value(builder, name);
 		json_builder_set_member_name(builder, "reason");
 		json_builder_add_string_value(
-		    builder, task_reason(shard, task));
+		    builder, task_reason(shard, task, causes));
+		if (task->state == BP_QTASK_WAITING)
+			add_causes(builder, causes);
 		json_builder_set_member_name(builder, "failures");
 		json_builder_add_int_value(builder, task->failures);
 		if (task->run != NULL) {
@@ -249,6 +289,7 @@
 		json_builder_end_object(builder);
 		g_free(name);
 	}
+	g_ptr_array_unref(causes);
 }
 
 static char *
--- a/src/queues/shard_execs.c
+++ b/src/queues/shard_execs.c
@@ -46,7 +46,7 @@
 		free_run(exec->runs->pdata[i]);
 	g_ptr_array_unref(exec->runs);
 	g_array_unref(exec->amounts);
-	g_clear_handle_id(&exec->timer, g_source_remove);
+	bp_clock_cancel(exec->shard->options.clock, &exec->timer);
 	bp_executor_info_free(exec->info);
 	g_free(exec);
 }
--- a/src/queues/shard_looks.c
+++ b/src/queues/shard_looks.c
@@ -415,7 +415,7 @@
 	if (exec->looks > 1 || exec->info->address[0] == '\0' ||
 	    !bp_shard_may_order(shard))
 		return;
-	g_clear_handle_id(&exec->timer, g_source_remove);
+	bp_clock_cancel(exec->shard->options.clock, &exec->timer);
 	look = g_new0(look_t, 1);
 	look->exec = exec;
 	look->sent_ms = bp_shard_now_ms(shard);
@@ -448,7 +448,7 @@
 bp_shard_plan_look(bp_qexec_t *exec, uint32_t delay_ms)
 {
 	if (exec->timer == 0 && exec->looks == 0)
-		exec->timer = g_timeout_add(delay_ms, on_look_timer, exec);
+		exec->timer = bp_clock_after(exec->shard->options.clock, delay_ms, on_look_timer, exec);
 }
 
 static void
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -83,6 +83,12 @@
 	guint timer; /* of the next look */
 };
 
+/* A cause that keeps a task from executors, and from how many. */
+typedef struct {
+	const char *name; /* static */
+	uint32_t executors;
+} bp_qcause_t;
+
 /* A caller that waits for the store. */
 typedef struct {
 	bp_shard_done_t done;
@@ -204,6 +210,7 @@
 
 /* shard_rounds.c */
 void bp_shard_round(bp_shard_t *shard);
+GPtrArray *bp_shard_explain(bp_shard_t *shard, const bp_qstep_t *step);
 
 /* shard_pace.c */
 void bp_shard_pace(bp_qexec_t *exec);
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -306,14 +306,21 @@
 	}
 }
 
-static bool
-may_get_work(const round_t *round, const bp_qexec_t *exec)
+/* Why an executor gets no work at all; NULL when it may. */
+static const char *
+exclusion(const round_t *round, const bp_qexec_t *exec)
 {
-	return exec->listed && exec->met && exec->recorded && !exec->silent &&
-	    !exec->info->draining && exec->held_until_ms <= round->now_ms &&
-	    exec->clock_at_ms != 0 &&
-	    !g_hash_table_contains(
-		round->shard->zones_out, exec->info->zone);
+	if (g_hash_table_contains(round->shard->zones_out, exec->info->zone))
+		return "zone_out";
+	if (!exec->listed || exec->info->draining)
+		return "draining";
+	if (exec->silent)
+		return "executor_silent";
+	if (!exec->met || !exec->recorded || exec->clock_at_ms == 0)
+		return "census";
+	if (exec->held_until_ms > round->now_ms)
+		return exec->held_for;
+	return NULL;
 }
 
 static bool
@@ -395,7 +402,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const bp_qexec_t *exec = value;
 
-		if (!may_get_work(&round, exec))
+		if (exclusion(&round, exec) != NULL)
 			continue;
 		g_ptr_array_add(round.execs, value);
 		round.cpu_milli += exec->info->cpu_milli;
@@ -416,3 +423,49 @@
 	g_array_unref(candidates);
 	g_ptr_array_unref(round.execs);
 }
+
+static void
+tally(GPtrArray *causes, const char *name)
+{
+	guint i;
+
+	for (i = 0; i < causes->len; i++) {
+		bp_qcause_t *cause = causes->pdata[i];
+
+		if (strcmp(cause->name, name) == 0) {
+			cause->executors++;
+			return;
+		}
+	}
+	g_ptr_array_add(causes, g_new0(bp_qcause_t, 1));
+	((bp_qcause_t *)causes->pdata[causes->len - 1])->name = name;
+	((bp_qcause_t *)causes->pdata[causes->len - 1])->executors = 1;
+}
+
+/*
+ * Tells for each executor what keeps a waiting task of the step from it, by
+ * the checks that placing uses: bp_qcause_t, to be freed. Executors of other
+ * services are left out; one that could take it counts as "turn".
+ */
+GPtrArray *
+bp_shard_explain(bp_shard_t *shard, const bp_qstep_t *step)
+{
+	round_t round = {shard, bp_shard_now_ms(shard),
+	    bp_shard_wall_ms(shard), NULL, 0, 0, service_of(shard, step->job)};
+	GPtrArray *causes = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, shard->execs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const bp_qexec_t *exec = value;
+		const char *why = exclusion(&round, exec);
+
+		if (why == NULL)
+			why = obstacle(&round, exec, step);
+		if (why != NULL && strcmp(why, "service") == 0)
+			continue;
+		tally(causes, why != NULL ? why : "turn");
+	}
+	return causes;
+}
--- a/src/queues/shard_takeover.c
+++ b/src/queues/shard_takeover.c
@@ -24,7 +24,7 @@
 	    "takeover is repeated", "step", step, "reason", reason, NULL);
 	if (shard->reread_timer == 0)
 		shard->reread_timer =
-		    g_timeout_add(AGAIN_MS, on_again, shard);
+		    bp_clock_after(shard->options.clock, AGAIN_MS, on_again, shard);
 }
 
 static void
@@ -174,7 +174,7 @@
 bp_shard_stop_reading(bp_shard_t *shard)
 {
 	shard->options.store->forget(shard->options.store, shard);
-	g_clear_handle_id(&shard->reread_timer, g_source_remove);
+	bp_clock_cancel(shard->options.clock, &shard->reread_timer);
 	g_clear_pointer(&shard->page, g_free);
 	g_clear_pointer(&shard->raw, g_hash_table_unref);
 }
--- /dev/null
+++ b/src/queues/shards.c
@@ -0,0 +1,245 @@
+#include "queues/shards.h"
+
+/* After a shard was lost to a later epoch it is not claimed at once. */
+#define CLAIM_REST_MS 1000
+
+struct bp_shards {
+	bp_shards_options_t options;
+	bp_shard_t **owned;
+	int64_t *rest_until_ms; /* a shard */
+	const bp_catalog_t *catalog;
+	GHashTable *zones_out;
+	bool released;
+};
+
+/* Creates the set without any shard. */
+bp_shards_t *
+bp_shards_new(const bp_shards_options_t *options)
+{
+	bp_shards_t *self = g_new0(bp_shards_t, 1);
+
+	self->options = *options;
+	self->owned = g_new0(bp_shard_t *, options->shards);
+	self->rest_until_ms = g_new0(int64_t, options->shards);
+	self->zones_out =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return self;
+}
+
+/* Frees the set; calls that wait get the answer that nothing is known. */
+void
+bp_shards_free(bp_shards_t *self)
+{
+	uint32_t i;
+
+	if (self == NULL)
+		return;
+	for (i = 0; i < self->options.shards; i++)
+		bp_shard_free(self->owned[i]);
+	g_hash_table_unref(self->zones_out);
+	g_free(self->owned);
+	g_free(self->rest_until_ms);
+	g_free(self);
+}
+
+/* See the header. */
+bp_shard_t *const *
+bp_shards_owned(const bp_shards_t *self)
+{
+	return self->owned;
+}
+
+static void
+drop(bp_shards_t *self, uint32_t number)
+{
+	bp_shard_t *shard = self->owned[number];
+	bool owner = false;
+	uint32_t i;
+
+	self->owned[number] = NULL;
+	bp_shard_free(shard);
+	for (i = 0; i < self->options.shards; i++)
+		owner = owner || self->owned[i] != NULL;
+	self->options.follow(owner, self->options.data);
+}
+
+static void
+on_lost(bp_shard_t *shard, void *data)
+{
+	bp_shards_t *self = data;
+	uint32_t number = bp_shard_number(shard);
+
+	self->rest_until_ms[number] =
+	    bp_clock_mono_ms(self->options.clock) + CLAIM_REST_MS;
+	drop(self, number);
+}
+
+/* A new owner needs the whole list of executors. */
+static void
+on_owned(bp_shard_t *shard, void *data)
+{
+	bp_shards_t *self = data;
+
+	(void)shard;
+	self->options.follow(true, self->options.data);
+}
+
+static void
+take(bp_shards_t *self, uint32_t number)
+{
+	const bp_shards_options_t *from = &self->options;
+	bp_shard_options_t options = {0};
+	GHashTableIter iter;
+	gpointer zone;
+
+	options.clock = from->clock;
+	options.logger = from->logger;
+	options.timeline = from->timeline;
+	options.store = from->store;
+	options.executors = from->executors;
+	options.node = from->node;
+	options.address = from->address;
+	options.topic = from->topic;
+	options.number = number;
+	options.shards = from->shards;
+	options.limits = from->limits;
+	options.lost = on_lost;
+	options.owned = on_owned;
+	options.data = self;
+	self->owned[number] = bp_shard_new(&options);
+	bp_shard_set_catalog(self->owned[number], self->catalog);
+	g_hash_table_iter_init(&iter, self->zones_out);
+	while (g_hash_table_iter_next(&iter, &zone, NULL))
+		bp_shard_set_zone(self->owned[number], zone, true);
+}
+
+/* See the header. */
+void
+bp_shards_held(bp_shards_t *self, const bool *shards, int64_t sent_mono_ms)
+{
+	int64_t now_ms = bp_clock_mono_ms(self->options.clock);
+	uint32_t i;
+
+	for (i = 0; i < self->options.shards; i++) {
+		bp_shard_t *shard = self->owned[i];
+
+		if (!shards[i]) {
+			if (shard != NULL)
+				bp_shard_release(shard);
+			if (shard != NULL && bp_shard_idle(shard))
+				drop(self, i);
+		} else if (shard != NULL && bp_shard_released(shard)) {
+			/* It was dealt away and back: taken over anew. */
+			if (bp_shard_idle(shard))
+				drop(self, i);
+		} else if (shard != NULL) {
+			bp_shard_confirm(shard, sent_mono_ms);
+		} else if (now_ms >= self->rest_until_ms[i] &&
+		    !self->released) {
+			take(self, i);
+		}
+	}
+}
+
+/* See the header. */
+void
+bp_shards_release(bp_shards_t *self)
+{
+	uint32_t i;
+
+	self->released = true;
+	for (i = 0; i < self->options.shards; i++) {
+		if (self->owned[i] != NULL)
+			bp_shard_release(self->owned[i]);
+	}
+}
+
+/* Tells whether nothing is left to be stored. */
+bool
+bp_shards_idle(const bp_shards_t *self)
+{
+	uint32_t i;
+
+	for (i = 0; i < self->options.shards; i++) {
+		if (self->owned[i] != NULL && !bp_shard_idle(self->owned[i]))
+			return false;
+	}
+	return true;
+}
+
+/* Gives all shards up at once. */
+void
+bp_shards_drop_all(bp_shards_t *self)
+{
+	uint32_t i;
+
+	for (i = 0; i < self->options.shards; i++) {
+		if (self->owned[i] != NULL)
+			drop(self, i);
+	}
+}
+
+/* See the header. */
+void
+bp_shards_set_catalog(bp_shards_t *self, const bp_catalog_t *catalog)
+{
+	uint32_t i;
+
+	self->catalog = catalog;
+	for (i = 0; i < self->options.shards; i++) {
+		if (self->owned[i] != NULL)
+			bp_shard_set_catalog(self->owned[i], catalog);
+	}
+}
+
+/* Nothing starts in a zone that is out. */
+void
+bp_shards_set_zone(bp_shards_t *self, const char *zone, bool out)
+{
+	uint32_t i;
+
+	if (out)
+		g_hash_table_add(self->zones_out, g_strdup(zone));
+	else
+		g_hash_table_remove(self->zones_out, zone);
+	for (i = 0; i < self->options.shards; i++) {
+		if (self->owned[i] != NULL)
+			bp_shard_set_zone(self->owned[i], zone, out);
+	}
+}
+
+/* An entry of the executors' list; each shard takes its own racks. */
+void
+bp_shards_executor(bp_shards_t *self, const bp_executor_info_t *info)
+{
+	uint32_t i;
+
+	for (i = 0; i < self->options.shards; i++) {
+		if (self->owned[i] != NULL)
+			bp_shard_executor(self->owned[i], info);
+	}
+}
+
+/* An executor left the list. */
+void
+bp_shards_executor_gone(bp_shards_t *self, const char *id)
+{
+	uint32_t i;
+
+	for (i = 0; i < self->options.shards; i++) {
+		if (self->owned[i] != NULL)
+			bp_shard_executor_gone(self->owned[i], id);
+	}
+}
+
+/* The list was told to its end. */
+void
+bp_shards_executors_listed(bp_shards_t *self)
+{
+	uint32_t i;
+
+	for (i = 0; i < self->options.shards; i++) {
+		if (self->owned[i] != NULL)
+			bp_shard_executors_listed(self->owned[i]);
+	}
+}
--- /dev/null
+++ b/src/queues/shards.h
@@ -0,0 +1,47 @@
+#ifndef BP_QUEUES_SHARDS_H
+#define BP_QUEUES_SHARDS_H
+
+#include "bulrushpost/shard.h"
+
+/*
+ * The shards that this node owns: takes them over and gives them up as the
+ * store's membership says, and passes on what all of them must know.
+ */
+typedef struct bp_shards bp_shards_t;
+
+typedef struct {
+	const bp_clock_t *clock;
+	bp_logger_t *logger;
+	bp_timeline_t *timeline;
+	bp_store_t *store;
+	bp_executors_t *executors;
+	const char *node;
+	const char *address; /* of this node's control protocol */
+	const char *topic;
+	uint32_t shards; /* of the deployment */
+	bp_shard_limits_t limits;
+	/* The executors' list is to be read, whole from now on, or not. */
+	void (*follow)(bool follow, void *data);
+	void *data;
+} bp_shards_options_t;
+
+bp_shards_t *bp_shards_new(const bp_shards_options_t *options);
+void bp_shards_free(bp_shards_t *self);
+/* By number; NULL where another node is the owner. Lives as long as self. */
+bp_shard_t *const *bp_shards_owned(const bp_shards_t *self);
+/* A join that was sent at this time was answered with these shards. */
+void bp_shards_held(
+    bp_shards_t *self, const bool *shards, int64_t sent_mono_ms);
+/* Starts nothing any more; pending records are still written. */
+void bp_shards_release(bp_shards_t *self);
+bool bp_shards_idle(const bp_shards_t *self);
+void bp_shards_drop_all(bp_shards_t *self);
+
+/* The catalog lives until the next call. */
+void bp_shards_set_catalog(bp_shards_t *self, const bp_catalog_t *catalog);
+void bp_shards_set_zone(bp_shards_t *self, const char *zone, bool out);
+void bp_shards_executor(bp_shards_t *self, const bp_executor_info_t *info);
+void bp_shards_executor_gone(bp_shards_t *self, const char *id);
+void bp_shards_executors_listed(bp_shards_t *self);
+
+#endif
--- /dev/null
+++ b/tests/queues/test_shard.c
@@ -0,0 +1,313 @@
+#include "support/queuerig.h"
+#include "support/runner.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define SEED 20261204
+#define SETTLE_MS 3000
+
+static bp_qrig_t *
+started(void)
+{
+	bp_qrig_t *rig = bp_qrig_new(SEED, 6);
+
+	bp_qrig_run_ms(rig, SETTLE_MS);
+	CU_ASSERT_TRUE(bp_qrig_owner(rig) >= 0);
+	return rig;
+}
+
+static void
+finish(bp_qrig_t *rig)
+{
+	CU_ASSERT_EQUAL(bp_qrig_broken(rig), 0);
+	if (bp_qrig_broken(rig) > 0)
+		printf("%s\n", bp_qrig_first_broken(rig));
+	bp_qrig_free(rig);
+}
+
+static void
+expect_state(bp_qrig_t *rig, const char *id, Bp__Work__JobState expected)
+{
+	Bp__Work__JobState state = BP__WORK__JOB_STATE__JOB_QUEUED;
+
+	CU_ASSERT_EQUAL(bp_qrig_status(rig, id, &state), BP_OK);
+	CU_ASSERT_EQUAL(state, expected);
+}
+
+/* The whole path: accepted, both steps run in order, shown as completed. */
+static void
+test_a_job_completes(void)
+{
+	bp_qrig_t *rig = started();
+	const char *id = bp_qrig_submit(rig, 4, 500, false);
+
+	bp_qrig_run_ms(rig, 200);
+	CU_ASSERT_EQUAL(bp_qrig_told(rig, id), BP_QRIG_ACCEPTED);
+	expect_state(rig, id, BP__WORK__JOB_STATE__JOB_RUNNING);
+	bp_qrig_run_ms(rig, 5000);
+	expect_state(rig, id, BP__WORK__JOB_STATE__JOB_COMPLETED);
+	finish(rig);
+}
+
+/* Guards against a second job when a caller repeats its ID. */
+static void
+test_the_same_id_is_one_job(void)
+{
+	bp_qrig_t *rig = started();
+	const char *id = bp_qrig_submit(rig, 4, 500, false);
+	uint32_t starts;
+
+	bp_qrig_resubmit(rig, id);
+	bp_qrig_run_ms(rig, 6000);
+	expect_state(rig, id, BP__WORK__JOB_STATE__JOB_COMPLETED);
+	starts = bp_qfleet_starts(bp_qrig_fleet(rig));
+	bp_qrig_resubmit(rig, id);
+	bp_qrig_run_ms(rig, 3000);
+	CU_ASSERT_EQUAL(bp_qrig_told(rig, id), BP_QRIG_ACCEPTED);
+	CU_ASSERT_EQUAL(bp_qfleet_starts(bp_qrig_fleet(rig)), starts);
+	finish(rig);
+}
+
+/* Guards against work that goes on after its cancel was confirmed. */
+static void
+test_a_cancel_stops_what_runs(void)
+{
+	bp_qrig_t *rig = started();
+	const char *id = bp_qrig_submit(rig, 3, 0, true);
+	char *task = g_strdup_printf("%s.0.0.1", id);
+
+	bp_qrig_run_ms(rig, 1000);
+	CU_ASSERT_EQUAL(bp_qfleet_running_of(bp_qrig_fleet(rig), task), 1);
+	bp_qrig_cancel(rig, id);
+	bp_qrig_run_ms(rig, 1000);
+	CU_ASSERT_EQUAL(bp_qrig_cancel_told(rig, id), BP_QRIG_ACCEPTED);
+	expect_state(rig, id, BP__WORK__JOB_STATE__JOB_CANCELLED);
+	CU_ASSERT_EQUAL(bp_qfleet_running_of(bp_qrig_fleet(rig), task), 0);
+	g_free(task);
+	finish(rig);
+}
+
+/* Guards against restarts of what a dead owner had started. */
+static void
+test_a_successor_adopts_what_runs(void)
+{
+	bp_qrig_t *rig = started();
+	const char *id = bp_qrig_submit(rig, 4, 0, true);
+	int before = bp_qrig_owner(rig);
+	uint32_t starts;
+
+	bp_qrig_run_ms(rig, 1000);
+	starts = bp_qfleet_starts(bp_qrig_fleet(rig));
+	bp_qrig_kill(rig, (uint32_t)before);
+	bp_qrig_run_ms(rig, 8000);
+	CU_ASSERT_TRUE(bp_qrig_owner(rig) >= 0);
+	CU_ASSERT_NOT_EQUAL(bp_qrig_owner(rig), before);
+	CU_ASSERT_EQUAL(bp_qfleet_starts(bp_qrig_fleet(rig)), starts);
+	expect_state(rig, id, BP__WORK__JOB_STATE__JOB_RUNNING);
+	finish(rig);
+}
+
+/* All processes die at once; everything is known again afterwards. */
+static void
+test_all_nodes_die_and_return(void)
+{
+	bp_qrig_t *rig = started();
+	const char *done = bp_qrig_submit(rig, 3, 300, false);
+	const char *open = bp_qrig_submit(rig, 3, 4000, false);
+	uint32_t i;
+
+	bp_qrig_run_ms(rig, 3000);
+	expect_state(rig, done, BP__WORK__JOB_STATE__JOB_COMPLETED);
+	for (i = 0; i < BP_QRIG_NODES; i++)
+		bp_qrig_kill(rig, i);
+	bp_qrig_run_ms(rig, 1000);
+	for (i = 0; i < BP_QRIG_NODES; i++)
+		bp_qrig_restart(rig, i);
+	bp_qrig_run_ms(rig, 4000);
+	expect_state(rig, done, BP__WORK__JOB_STATE__JOB_COMPLETED);
+	bp_qrig_run_ms(rig, 25000);
+	expect_state(rig, open, BP__WORK__JOB_STATE__JOB_COMPLETED);
+	finish(rig);
+}
+
+/* An executor that cannot be asked keeps its tasks until its lease is over. */
+static void
+test_a_cut_executor_is_waited_out(void)
+{
+	bp_qrig_t *rig = bp_qrig_new(SEED, 2);
+	const char *id;
+	char *task;
+
+	bp_qrig_run_ms(rig, SETTLE_MS);
+	id = bp_qrig_submit(rig, 1, 0, true);
+	task = g_strdup_printf("%s.0.0.0", id);
+	bp_qrig_run_ms(rig, 1000);
+	CU_ASSERT_EQUAL(bp_qfleet_starts_of(bp_qrig_fleet(rig), task), 1);
+	bp_qfleet_set_cut(bp_qrig_fleet(rig), 0, true);
+	bp_qfleet_set_cut(bp_qrig_fleet(rig), 1, true);
+	bp_qrig_run_ms(rig, 1000);
+	bp_qfleet_set_cut(bp_qrig_fleet(rig), 1, false);
+	bp_qrig_run_ms(rig, 9000);
+	CU_ASSERT_EQUAL(bp_qfleet_running_of(bp_qrig_fleet(rig), task), 1);
+	g_free(task);
+	finish(rig);
+}
+
+/* A refused submission never runs; one in doubt is never called refused. */
+static void
+test_store_down_refuses_at_once(void)
+{
+	bp_qrig_t *rig = started();
+	const char *first;
+	const char *second;
+	uint32_t i;
+
+	for (i = 0; i < BP_QRIG_NODES; i++)
+		bp_qrig_store_mode(rig, i, BP_QSTORE_BUSY);
+	first = bp_qrig_submit(rig, 2, 300, false);
+	bp_qrig_run_ms(rig, 100);
+	CU_ASSERT_EQUAL(bp_qrig_told(rig, first), BP_QRIG_REFUSED);
+	for (i = 0; i < BP_QRIG_NODES; i++)
+		bp_qrig_store_mode(rig, i, BP_QSTORE_SILENT);
+	second = bp_qrig_submit(rig, 2, 300, false);
+	bp_qrig_run_ms(rig, 600);
+	CU_ASSERT_NOT_EQUAL(bp_qrig_told(rig, second), BP_QRIG_REFUSED);
+	for (i = 0; i < BP_QRIG_NODES; i++)
+		bp_qrig_store_mode(rig, i, BP_QSTORE_UP);
+	bp_qrig_run_ms(rig, 9000);
+	CU_ASSERT_EQUAL(bp_qrig_told(rig, first), BP_QRIG_REFUSED);
+	finish(rig);
+}
+
+/* Guards against lost or doubled work when answers to appends are lost. */
+static void
+test_lost_answers_of_the_store(void)
+{
+	bp_qrig_t *rig = started();
+	uint32_t i;
+
+	for (i = 0; i < 2; i++) {
+		uint32_t k;
+
+		bp_qstore_set_lost(bp_qrig_store(rig), 35, i == 1);
+		for (k = 0; k < 10; k++) {
+			(void)bp_qrig_submit(rig, 3, 400, false);
+			bp_qrig_run_ms(rig, 300);
+		}
+		bp_qrig_run_ms(rig, 8000);
+	}
+	bp_qstore_set_lost(bp_qrig_store(rig), 0, false);
+	bp_qrig_run_ms(rig, 20000);
+	CU_ASSERT_EQUAL(bp_qrig_unfinished(rig, false), 0);
+	finish(rig);
+}
+
+/* A start without an answer that is carried out seconds later. */
+static void
+test_late_orders_do_not_double(void)
+{
+	bp_qrig_t *rig = started();
+	uint32_t k;
+
+	bp_qfleet_set_late(bp_qrig_fleet(rig), 20);
+	for (k = 0; k < 12; k++) {
+		(void)bp_qrig_submit(rig, 3, 700, false);
+		bp_qrig_run_ms(rig, 400);
+	}
+	bp_qrig_run_ms(rig, 6000);
+	bp_qfleet_set_late(bp_qrig_fleet(rig), 0);
+	bp_qrig_run_ms(rig, 25000);
+	CU_ASSERT_EQUAL(bp_qrig_unfinished(rig, false), 0);
+	finish(rig);
+}
+
+/* Partitions go away and come back while records are still to be stored. */
+static void
+test_a_shard_dealt_away_and_back(void)
+{
+	bp_qrig_t *rig = started();
+	uint32_t k;
+
+	for (k = 0; k < 20; k++) {
+		(void)bp_qrig_submit(rig, 2, 600, false);
+		bp_qstore_rebalance(bp_qrig_store(rig));
+		bp_qrig_run_ms(rig, 250 + 37 * k);
+	}
+	bp_qrig_run_ms(rig, 25000);
+	CU_ASSERT_TRUE(bp_qrig_owner(rig) >= 0);
+	CU_ASSERT_EQUAL(bp_qrig_unfinished(rig, false), 0);
+	finish(rig);
+}
+
+/* An executor that fails all it starts must not use up every attempt. */
+static void
+test_a_failing_executor_is_held(void)
+{
+	bp_qrig_t *rig = started();
+	uint32_t k;
+	uint32_t completed = 0;
+	const char *ids[8];
+
+	bp_qfleet_set_failing(bp_qrig_fleet(rig), 0, true);
+	for (k = 0; k < G_N_ELEMENTS(ids); k++) {
+		ids[k] = bp_qrig_submit(rig, 2, 400, false);
+		bp_qrig_run_ms(rig, 500);
+	}
+	bp_qrig_run_ms(rig, 15000);
+	for (k = 0; k < G_N_ELEMENTS(ids); k++) {
+		Bp__Work__JobState state = BP__WORK__JOB_STATE__JOB_QUEUED;
+
+		(void)bp_qrig_status(rig, ids[k], &state);
+		completed += state == BP__WORK__JOB_STATE__JOB_COMPLETED;
+	}
+	CU_ASSERT_TRUE(completed >= G_N_ELEMENTS(ids) - 1);
+	finish(rig);
+}
+
+/* Nothing starts in a zone that is out, and why says so. */
+static void
+test_a_zone_out_gets_nothing(void)
+{
+	bp_qrig_t *rig = started();
+	const char *id;
+	char *why;
+
+	bp_qrig_set_zone(rig, "za", true);
+	bp_qrig_set_zone(rig, "zb", true);
+	id = bp_qrig_submit(rig, 2, 300, false);
+	bp_qrig_run_ms(rig, 3000);
+	CU_ASSERT_EQUAL(bp_qfleet_starts(bp_qrig_fleet(rig)), 0);
+	why = bp_qrig_why(rig, id);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(why);
+	CU_ASSERT_PTR_NOT_NULL(strstr(why, "\"zone_out\""));
+	g_free(why);
+	bp_qrig_set_zone(rig, "za", false);
+	bp_qrig_run_ms(rig, 4000);
+	expect_state(rig, id, BP__WORK__JOB_STATE__JOB_COMPLETED);
+	finish(rig);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"a job completes", test_a_job_completes},
+	    {"the same ID is one job", test_the_same_id_is_one_job},
+	    {"a cancel stops what runs", test_a_cancel_stops_what_runs},
+	    {"a successor adopts what runs",
+		test_a_successor_adopts_what_runs},
+	    {"all nodes die and return", test_all_nodes_die_and_return},
+	    {"a cut executor is waited out",
+		test_a_cut_executor_is_waited_out},
+	    {"store down refuses at once", test_store_down_refuses_at_once},
+	    {"lost answers of the store", test_lost_answers_of_the_store},
+	    {"late orders do not double", test_late_orders_do_not_double},
+	    {"a shard dealt away and back", test_a_shard_dealt_away_and_back},
+	    {"a failing executor is held", test_a_failing_executor_is_held},
+	    {"a zone out gets nothing", test_a_zone_out_gets_nothing},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return bp_test_main("queues/shard", tests);
+}
--- /dev/null
+++ b/tests/queues/test_soak.c
@@ -0,0 +1,217 @@
+#include "support/queuerig.h"
+#include "support/runner.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+/* Seeds of a CI run; SOAK_SEEDS and SOAK_FIRST select others by hand. */
+#define SEEDS 120
+#define EXECUTORS 8
+#define FAULT_STEPS 40
+/* After the last fault everything must have ended within this time: the
+ * longest wait-out (11.3 s) and the work of all jobs, several times over. */
+#define HEAL_MS 90000
+
+static uint32_t
+below(bp_qrig_t *rig, uint32_t bound)
+{
+	return bp_random_below(bp_qrig_random(rig), bound);
+}
+
+static void
+fault_of_a_node(bp_qrig_t *rig)
+{
+	uint32_t node = below(rig, BP_QRIG_NODES);
+	int owner = bp_qrig_owner(rig);
+
+	/* Half of the faults hit the owner. */
+	if (owner >= 0 && below(rig, 2) == 0)
+		node = (uint32_t)owner;
+	switch (below(rig, 5)) {
+	case 0:
+		bp_qrig_kill(rig, node);
+		break;
+	case 1:
+		bp_qrig_freeze(rig, node, true);
+		break;
+	case 2:
+		bp_qrig_store_mode(rig, node, BP_QSTORE_SILENT);
+		break;
+	case 3:
+		bp_qrig_store_mode(rig, node, BP_QSTORE_BUSY);
+		break;
+	default:
+		bp_qrig_restart(rig, node);
+		bp_qrig_freeze(rig, node, false);
+		bp_qrig_store_mode(rig, node, BP_QSTORE_UP);
+		break;
+	}
+}
+
+static void
+fault_of_the_store(bp_qrig_t *rig)
+{
+	bp_qstore_t *store = bp_qrig_store(rig);
+	uint32_t mode;
+	uint32_t i;
+
+	switch (below(rig, 6)) {
+	case 0:
+		bp_qstore_rebalance(store);
+		break;
+	case 1:
+		bp_qstore_set_delay_ms(store, 200);
+		break;
+	case 2:
+		bp_qstore_set_lost(store, 30, below(rig, 2) == 0);
+		break;
+	case 3:
+		mode = below(rig, 3);
+		for (i = 0; i < BP_QRIG_NODES; i++)
+			bp_qrig_store_mode(rig, i, (bp_qstore_mode_t)mode);
+		break;
+	default:
+		bp_qstore_set_delay_ms(store, 4);
+		bp_qstore_set_lost(store, 0, false);
+		break;
+	}
+}
+
+static void
+fault_of_an_executor(bp_qrig_t *rig)
+{
+	bp_qfleet_t *fleet = bp_qrig_fleet(rig);
+	uint32_t index = below(rig, EXECUTORS);
+
+	switch (below(rig, 6)) {
+	case 0:
+		bp_qfleet_set_cut(fleet, index, true);
+		break;
+	case 1:
+		bp_qfleet_crash(fleet, index);
+		break;
+	case 2:
+		bp_qfleet_set_late(fleet, 10);
+		break;
+	case 3:
+		bp_qrig_set_zone(rig, "za", below(rig, 2) == 0);
+		break;
+	default:
+		bp_qfleet_set_cut(fleet, index, false);
+		bp_qfleet_set_late(fleet, 0);
+		break;
+	}
+}
+
+static void
+heal(bp_qrig_t *rig)
+{
+	uint32_t i;
+
+	for (i = 0; i < BP_QRIG_NODES; i++) {
+		bp_qrig_restart(rig, i);
+		bp_qrig_freeze(rig, i, false);
+		bp_qrig_store_mode(rig, i, BP_QSTORE_UP);
+	}
+	for (i = 0; i < EXECUTORS; i++)
+		bp_qfleet_set_cut(bp_qrig_fleet(rig), i, false);
+	bp_qfleet_set_late(bp_qrig_fleet(rig), 0);
+	bp_qstore_set_delay_ms(bp_qrig_store(rig), 4);
+	bp_qstore_set_lost(bp_qrig_store(rig), 0, false);
+	bp_qrig_set_zone(rig, "za", false);
+}
+
+static void
+load(bp_qrig_t *rig, GPtrArray *ids)
+{
+	uint32_t pick = below(rig, 10);
+
+	if (pick < 5)
+		g_ptr_array_add(ids,
+		    (gpointer)bp_qrig_submit(rig, 1 + below(rig, 4),
+			200 + below(rig, 1500), false));
+	else if (pick == 5)
+		g_ptr_array_add(ids,
+		    (gpointer)bp_qrig_submit(
+			rig, 1 + below(rig, 2), 0, true));
+	else if (pick == 6 && ids->len > 0)
+		bp_qrig_cancel(rig, ids->pdata[below(rig, ids->len)]);
+	else if (pick == 7 && ids->len > 0)
+		bp_qrig_resubmit(rig, ids->pdata[below(rig, ids->len)]);
+}
+
+/* Returns false and tells the seed when a rule was broken. */
+static bool
+play(uint64_t seed)
+{
+	bp_qrig_t *rig = bp_qrig_new(seed, EXECUTORS);
+	GPtrArray *ids = g_ptr_array_new();
+	uint32_t unfinished;
+	uint32_t i;
+	bool good;
+
+	for (i = 0; i < FAULT_STEPS; i++) {
+		load(rig, ids);
+		load(rig, ids);
+		switch (below(rig, 6)) {
+		case 0:
+			fault_of_a_node(rig);
+			break;
+		case 1:
+			fault_of_the_store(rig);
+			break;
+		case 2:
+			fault_of_an_executor(rig);
+			break;
+		default:
+			break;
+		}
+		bp_qrig_run_ms(rig, 100 + below(rig, 1200));
+	}
+	heal(rig);
+	bp_qrig_run_ms(rig, HEAL_MS);
+	unfinished = bp_qrig_unfinished(rig, false);
+	good = bp_qrig_broken(rig) == 0 && unfinished == 0 &&
+	    bp_qrig_owner(rig) >= 0;
+	if (!good)
+		printf("seed %" G_GUINT64_FORMAT ": %u broken (%s), %u jobs "
+		       "unfinished, owner %d\n",
+		    seed, bp_qrig_broken(rig), bp_qrig_first_broken(rig),
+		    unfinished, bp_qrig_owner(rig));
+	g_ptr_array_unref(ids);
+	bp_qrig_free(rig);
+	return good;
+}
+
+static uint64_t
+number_from(const char *name, uint64_t standard)
+{
+	const char *text = getenv(name);
+
+	return text != NULL ? g_ascii_strtoull(text, NULL, 10) : standard;
+}
+
+/* Faults of nodes, store and executors together and twice, by seed. */
+static void
+test_faults_break_no_rule(void)
+{
+	uint64_t first = number_from("SOAK_FIRST", 1);
+	uint64_t seeds = number_from("SOAK_SEEDS", SEEDS);
+	uint64_t bad = 0;
+	uint64_t i;
+
+	for (i = 0; i < seeds; i++)
+		bad += !play(first + i);
+	CU_ASSERT_EQUAL(bad, 0);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"faults break no rule", test_faults_break_no_rule},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return bp_test_main("queues/soak", tests);
+}
--- /dev/null
+++ b/tests/support/queuefleet.c
@@ -0,0 +1,818 @@
+#include "support/queuefleet.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LATENCY_MS 1
+#define ORDER_TIMEOUT_MS 900
+#define FROZEN_STEP_MS 20
+#define STOP_MS 150
+#define LEASE_MAX_MS 6000
+#define CPU_MILLI 16000
+#define RACK_SIZE 3
+/* An end counts as taken note of once the cursor has reached it. */
+
+typedef struct {
+	char *task;
+	uint64_t run;
+	int64_t ends_ms; /* on the executor's clock */
+	bp_end_kind_t how;
+	uint32_t cpu_milli;
+} run_t;
+
+typedef struct {
+	uint64_t number;
+	char *task;
+	uint64_t run;
+	bp_end_kind_t how;
+	bool lapsed_since; /* the lease ran out before it was acknowledged */
+} end_t;
+
+typedef struct {
+	bp_qfleet_t *fleet;
+	uint32_t index;
+	uint32_t life;
+	int64_t born_ms;
+	uint64_t fence;
+	int64_t lease_end_ms; /* on its clock; 0 before the first */
+	GPtrArray *running; /* run_t */
+	GPtrArray *ended; /* end_t, not acknowledged */
+	GHashTable *highest; /* task to highest run stopped or ended */
+	uint64_t last_number;
+	bool cut;
+	bool failing;
+	GPtrArray *waiting; /* call_t of looks that wait */
+} exec_t;
+
+struct bp_qfleet {
+	bp_clock_virtual_t *clock;
+	bp_random_t *random;
+	bp_qfleet_world_t world;
+	GPtrArray *execs;
+	GPtrArray *views;
+	GHashTable *starts; /* task to count */
+	GHashTable *noted; /* tasks whose done end was taken note of */
+	uint32_t late_percent;
+	uint32_t n_starts;
+	uint32_t broken;
+	char *first_broken;
+	guint timer;
+};
+
+struct bp_qfleet_view {
+	bp_executors_t interface;
+	bp_qfleet_t *fleet;
+	bool frozen;
+	GHashTable *calls;
+};
+
+typedef enum { START, STOP, LOOK, PACE } kind_t;
+
+typedef struct {
+	bp_qfleet_view_t *view;
+	kind_t kind;
+	exec_t *exec;
+	uint64_t fence;
+	char *task;
+	uint64_t run;
+	int64_t deadline_ms;
+	uint64_t cursor;
+	uint32_t wait_ms;
+	bp_exec_done_t done;
+	void *data;
+	bool forgotten;
+	bool answered;
+	bp_exec_result_t result;
+	GArray *running;
+	GArray *ended;
+	guint timer;
+} call_t;
+
+static const bp_clock_t *
+clock_of(const bp_qfleet_t *fleet)
+{
+	return bp_clock_virtual_clock(fleet->clock);
+}
+
+static int64_t
+exec_ms(const exec_t *exec)
+{
+	return bp_clock_mono_ms(clock_of(exec->fleet)) - exec->born_ms;
+}
+
+static void
+report(bp_qfleet_t *fleet, const char *rule, const char *task)
+{
+	fleet->broken++;
+	if (fleet->first_broken == NULL)
+		fleet->first_broken = g_strdup_printf("%s: %s at %d ms", rule,
+		    task, (int)bp_clock_mono_ms(clock_of(fleet)));
+}
+
+static void
+run_free(gpointer data)
+{
+	g_free(((run_t *)data)->task);
+	g_free(data);
+}
+
+static void
+end_free(gpointer data)
+{
+	g_free(((end_t *)data)->task);
+	g_free(data);
+}
+
+static uint64_t
+highest_of(const exec_t *exec, const char *task)
+{
+	return (uint64_t)(gsize)g_hash_table_lookup(exec->highest, task);
+}
+
+static void
+raise_highest(exec_t *exec, const char *task, uint64_t run)
+{
+	if (run > highest_of(exec, task))
+		g_hash_table_replace(
+		    exec->highest, g_strdup(task), GSIZE_TO_POINTER(run));
+}
+
+static void
+answer_waiting(exec_t *exec);
+
+/* Prints what executors do when RIG_LOG is set. */
+static void
+trace(const exec_t *exec, const char *what, const char *task, uint64_t run)
+{
+	if (getenv("RIG_LOG") != NULL)
+		fprintf(stderr,
+		    "%d executor %u life %u: %s %s run %" G_GUINT64_FORMAT
+		    "\n",
+		    (int)bp_clock_mono_ms(clock_of(exec->fleet)), exec->index,
+		    exec->life, what, task, run);
+}
+
+static void
+add_end(exec_t *exec, guint index, bp_end_kind_t how)
+{
+	run_t *run = exec->running->pdata[index];
+	end_t *end = g_new0(end_t, 1);
+
+	end->number = ++exec->last_number;
+	end->task = g_strdup(run->task);
+	end->run = run->run;
+	end->how = how;
+	raise_highest(exec, run->task, run->run);
+	trace(exec,
+	    how == BP_END_DONE	     ? "done"
+		: how == BP_END_FAILED ? "failed"
+		: how == BP_END_LAPSED ? "lapsed"
+				       : "stopped",
+	    run->task, run->run);
+	g_ptr_array_add(exec->ended, end);
+	g_ptr_array_remove_index(exec->running, index);
+}
+
+/* Ends what is over; a lapsed lease kills everything. */
+static void
+advance(exec_t *exec)
+{
+	int64_t now_ms = exec_ms(exec);
+	bool lapsed = exec->lease_end_ms > 0 && now_ms > exec->lease_end_ms;
+	guint before = exec->ended->len;
+	guint i;
+
+	for (i = exec->running->len; i > 0; i--) {
+		run_t *run = exec->running->pdata[i - 1];
+
+		if (now_ms >= run->ends_ms)
+			add_end(exec, i - 1, run->how);
+		else if (lapsed)
+			add_end(exec, i - 1, BP_END_LAPSED);
+	}
+	for (i = 0; lapsed && i < exec->ended->len; i++)
+		((end_t *)exec->ended->pdata[i])->lapsed_since = true;
+	if (exec->ended->len > before)
+		answer_waiting(exec);
+}
+
+static gboolean
+on_step(gpointer data)
+{
+	bp_qfleet_t *fleet = data;
+	guint i;
+
+	for (i = 0; i < fleet->execs->len; i++)
+		advance(fleet->execs->pdata[i]);
+	return G_SOURCE_CONTINUE;
+}
+
+static bool
+runs_elsewhere(bp_qfleet_t *fleet, const char *task)
+{
+	guint i;
+	guint k;
+
+	for (i = 0; i < fleet->execs->len; i++) {
+		exec_t *exec = fleet->execs->pdata[i];
+
+		advance(exec);
+		for (k = 0; k < exec->running->len; k++) {
+			const run_t *run = exec->running->pdata[k];
+
+			if (strcmp(run->task, task) == 0)
+				return true;
+		}
+	}
+	return false;
+}
+
+static void
+check_start(exec_t *exec, const char *task, uint32_t cpu_milli)
+{
+	bp_qfleet_t *fleet = exec->fleet;
+	const char *why =
+	    fleet->world.forbidden(task, fleet->world.data);
+	uint32_t used = cpu_milli;
+	guint i;
+
+	if (why != NULL)
+		report(fleet, why, task);
+	if (runs_elsewhere(fleet, task))
+		report(fleet, "runs twice", task);
+	if (g_hash_table_contains(fleet->noted, task))
+		report(fleet, "starts after its end was noted", task);
+	for (i = 0; i < exec->running->len; i++)
+		used += ((run_t *)exec->running->pdata[i])->cpu_milli;
+	if (used > CPU_MILLI)
+		report(fleet, "over capacity", task);
+}
+
+static void
+apply_start(call_t *call)
+{
+	exec_t *exec = call->exec;
+	bp_qfleet_t *fleet = exec->fleet;
+	int64_t duration_ms =
+	    fleet->world.duration_ms(call->task, call->run, fleet->world.data);
+	run_t *run;
+	guint i;
+
+	exec->lease_end_ms = MAX(exec->lease_end_ms,
+	    MIN(call->deadline_ms, exec_ms(exec) + LEASE_MAX_MS));
+	for (i = 0; i < exec->running->len; i++) {
+		run = exec->running->pdata[i];
+		if (run->run == call->run && strcmp(run->task, call->task) == 0)
+			return;
+	}
+	if (call->run <= highest_of(exec, call->task)) {
+		call->result.outcome = BP_EXEC_OLD;
+		return;
+	}
+	if (exec_ms(exec) > call->deadline_ms) {
+		call->result.outcome = BP_EXEC_LATE;
+		return;
+	}
+	run = g_new0(run_t, 1);
+	run->task = g_strdup(call->task);
+	run->run = call->run;
+	run->how = duration_ms < 0 || exec->failing ? BP_END_FAILED
+						    : BP_END_DONE;
+	run->ends_ms =
+	    exec_ms(exec) + (exec->failing ? 30 : ABS(duration_ms));
+	run->cpu_milli = fleet->world.cpu_milli(call->task, fleet->world.data);
+	check_start(exec, call->task, run->cpu_milli);
+	trace(exec, "start", call->task, call->run);
+	g_ptr_array_add(exec->running, run);
+	fleet->n_starts++;
+	g_hash_table_replace(fleet->starts, g_strdup(call->task),
+	    GUINT_TO_POINTER(
+		bp_qfleet_starts_of(fleet, call->task) + 1));
+}
+
+static void
+apply_stop(call_t *call)
+{
+	exec_t *exec = call->exec;
+	guint i;
+
+	raise_highest(exec, call->task, call->run);
+	for (i = 0; i < exec->running->len; i++) {
+		run_t *run = exec->running->pdata[i];
+
+		if (run->run == call->run &&
+		    strcmp(run->task, call->task) == 0 &&
+		    run->ends_ms > exec_ms(exec) + STOP_MS) {
+			run->ends_ms = exec_ms(exec) + STOP_MS;
+			run->how = BP_END_STOPPED;
+		}
+	}
+}
+
+static void
+apply_look(call_t *call)
+{
+	exec_t *exec = call->exec;
+
+	if (call->deadline_ms > 0)
+		exec->lease_end_ms = MAX(exec->lease_end_ms,
+		    MIN(call->deadline_ms, exec_ms(exec) + LEASE_MAX_MS));
+	while (exec->ended->len > 0) {
+		const end_t *end = exec->ended->pdata[0];
+
+		if (end->number > call->cursor)
+			break;
+		if (end->how == BP_END_DONE && !end->lapsed_since)
+			g_hash_table_add(
+			    exec->fleet->noted, g_strdup(end->task));
+		g_ptr_array_remove_index(exec->ended, 0);
+	}
+}
+
+static void
+fill_lists(call_t *call)
+{
+	exec_t *exec = call->exec;
+	guint i;
+
+	call->running = g_array_new(FALSE, TRUE, sizeof(bp_look_running_t));
+	call->ended = g_array_new(FALSE, TRUE, sizeof(bp_look_ended_t));
+	for (i = 0; i < exec->running->len; i++) {
+		const run_t *run = exec->running->pdata[i];
+		bp_look_running_t row = {
+		    g_intern_string(run->task), run->run, "", 50, 0};
+
+		g_array_append_val(call->running, row);
+	}
+	for (i = 0; i < exec->ended->len; i++) {
+		const end_t *end = exec->ended->pdata[i];
+		bp_look_ended_t row = {end->number, g_intern_string(end->task),
+		    end->run, end->how, ""};
+
+		g_array_append_val(call->ended, row);
+	}
+	call->result.running = call->running;
+	call->result.ended = call->ended;
+}
+
+static void
+call_free(call_t *call)
+{
+	guint timer = call->timer;
+
+	g_hash_table_remove(call->view->calls, call);
+	if (call->exec != NULL)
+		g_ptr_array_remove(call->exec->waiting, call);
+	bp_clock_cancel(clock_of(call->view->fleet), &timer);
+	if (call->running != NULL)
+		g_array_unref(call->running);
+	if (call->ended != NULL)
+		g_array_unref(call->ended);
+	g_free(call->task);
+	g_free(call);
+}
+
+static gboolean
+on_answer(gpointer data)
+{
+	call_t *call = data;
+
+	call->timer = 0;
+	if (call->view->frozen && !call->forgotten) {
+		call->timer = bp_clock_after(clock_of(call->view->fleet),
+		    FROZEN_STEP_MS, on_answer, call);
+		return G_SOURCE_REMOVE;
+	}
+	if (!call->forgotten)
+		call->done(&call->result, call->data);
+	call_free(call);
+	return G_SOURCE_REMOVE;
+}
+
+static void
+send_answer(call_t *call)
+{
+	exec_t *exec = call->exec;
+
+	g_ptr_array_remove(exec->waiting, call);
+	bp_clock_cancel(clock_of(call->view->fleet), &call->timer);
+	if (call->answered)
+		return;
+	call->answered = true;
+	if (exec->cut) {
+		call->result.outcome = BP_EXEC_UNKNOWN;
+		call->timer = bp_clock_after(clock_of(exec->fleet),
+		    ORDER_TIMEOUT_MS, on_answer, call);
+		return;
+	}
+	call->result.clock_ms = exec_ms(exec);
+	call->result.born_ms = exec->born_ms;
+	if (call->kind == LOOK && call->result.outcome == BP_EXEC_OK)
+		fill_lists(call);
+	call->timer = bp_clock_after(
+	    clock_of(exec->fleet), LATENCY_MS, on_answer, call);
+}
+
+static gboolean
+on_waited(gpointer data)
+{
+	call_t *call = data;
+
+	call->timer = 0;
+	send_answer(call);
+	return G_SOURCE_REMOVE;
+}
+
+static void
+answer_waiting(exec_t *exec)
+{
+	while (exec->waiting->len > 0)
+		send_answer(exec->waiting->pdata[exec->waiting->len - 1]);
+}
+
+static void
+apply(call_t *call)
+{
+	exec_t *exec = call->exec;
+
+	advance(exec);
+	call->result.outcome = BP_EXEC_OK;
+	if (call->fence < exec->fence) {
+		call->result.outcome = BP_EXEC_FENCED;
+		return;
+	}
+	exec->fence = call->fence;
+	switch (call->kind) {
+	case START:
+		apply_start(call);
+		break;
+	case STOP:
+		apply_stop(call);
+		break;
+	case LOOK:
+		apply_look(call);
+		break;
+	case PACE:
+		break;
+	}
+}
+
+static gboolean
+on_late(gpointer data)
+{
+	call_t *call = data;
+
+	call->timer = 0;
+	if (!call->exec->cut)
+		apply(call);
+	call_free(call);
+	return G_SOURCE_REMOVE;
+}
+
+static gboolean
+on_arrival(gpointer data)
+{
+	call_t *call = data;
+	exec_t *exec = call->exec;
+	bp_qfleet_t *fleet = exec->fleet;
+
+	call->timer = 0;
+	if (exec->cut) {
+		send_answer(call);
+		return G_SOURCE_REMOVE;
+	}
+	if (bp_random_below(fleet->random, 100) < fleet->late_percent) {
+		call_t *late = g_new0(call_t, 1);
+
+		*late = *call;
+		late->task = g_strdup(call->task);
+		late->forgotten = true;
+		g_hash_table_add(call->view->calls, late);
+		late->timer = bp_clock_after(clock_of(fleet),
+		    2000 + bp_random_below(fleet->random, 10000), on_late,
+		    late);
+		call->answered = true;
+		call->result.outcome = BP_EXEC_UNKNOWN;
+		call->timer = bp_clock_after(
+		    clock_of(fleet), ORDER_TIMEOUT_MS, on_answer, call);
+		return G_SOURCE_REMOVE;
+	}
+	apply(call);
+	if (call->kind == LOOK && call->result.outcome == BP_EXEC_OK &&
+	    exec->ended->len == 0 && call->wait_ms > 0) {
+		g_ptr_array_add(exec->waiting, call);
+		call->timer = bp_clock_after(
+		    clock_of(fleet), call->wait_ms, on_waited, call);
+	} else {
+		send_answer(call);
+	}
+	return G_SOURCE_REMOVE;
+}
+
+static char *
+address_of(const exec_t *exec)
+{
+	return g_strdup_printf("10.0.0.%u:80", exec->index);
+}
+
+static char *
+id_of(const exec_t *exec)
+{
+	return g_strdup_printf("i-%u", exec->index);
+}
+
+static call_t *
+new_call(bp_executors_t *interface, kind_t kind,
+    const bp_exec_target_t *target, bp_exec_done_t done, void *data)
+{
+	bp_qfleet_view_t *view = (bp_qfleet_view_t *)interface;
+	call_t *call = g_new0(call_t, 1);
+	guint64 index = 0;
+
+	(void)g_ascii_string_to_unsigned(
+	    target->id + 2, 10, 0, view->fleet->execs->len - 1, &index, NULL);
+	call->view = view;
+	call->kind = kind;
+	call->exec = view->fleet->execs->pdata[index];
+	call->fence = target->fence;
+	call->done = done;
+	call->data = data;
+	g_hash_table_add(view->calls, call);
+	call->timer = bp_clock_after(clock_of(view->fleet),
+	    LATENCY_MS + bp_random_below(view->fleet->random, 4), on_arrival,
+	    call);
+	return call;
+}
+
+static void
+fleet_start(bp_executors_t *interface, const bp_exec_target_t *target,
+    const bp_exec_start_t *start, bp_exec_done_t done, void *data)
+{
+	call_t *call = new_call(interface, START, target, done, data);
+
+	call->task = g_strdup(start->task);
+	call->run = start->run;
+	call->deadline_ms = start->deadline_ms;
+}
+
+static void
+fleet_stop(bp_executors_t *interface, const bp_exec_target_t *target,
+    const char *task, uint64_t run, bp_exec_done_t done, void *data)
+{
+	call_t *call = new_call(interface, STOP, target, done, data);
+
+	call->task = g_strdup(task);
+	call->run = run;
+}
+
+static void
+fleet_look(bp_executors_t *interface, const bp_exec_target_t *target,
+    const bp_exec_look_t *look, bp_exec_done_t done, void *data)
+{
+	call_t *call = new_call(interface, LOOK, target, done, data);
+
+	call->deadline_ms = look->deadline_ms;
+	call->cursor = look->cursor;
+	call->wait_ms = look->wait_ms;
+}
+
+static void
+fleet_pace(bp_executors_t *interface, const bp_exec_target_t *target,
+    const char *task, uint64_t run, uint32_t percent, bp_exec_done_t done,
+    void *data)
+{
+	(void)task;
+	(void)run;
+	(void)percent;
+	(void)new_call(interface, PACE, target, done, data);
+}
+
+static void
+fleet_forget(bp_executors_t *interface, void *data)
+{
+	bp_qfleet_view_t *view = (bp_qfleet_view_t *)interface;
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, view->calls);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		if (((call_t *)key)->data == data)
+			((call_t *)key)->forgotten = true;
+	}
+}
+
+static void
+exec_reset(exec_t *exec)
+{
+	g_ptr_array_set_size(exec->running, 0);
+	g_ptr_array_set_size(exec->ended, 0);
+	g_hash_table_remove_all(exec->highest);
+	exec->fence = 0;
+	exec->lease_end_ms = 0;
+	exec->last_number = 0;
+	exec->life++;
+	exec->born_ms = bp_clock_mono_ms(clock_of(exec->fleet));
+}
+
+static void
+exec_free(gpointer data)
+{
+	exec_t *exec = data;
+
+	g_ptr_array_unref(exec->running);
+	g_ptr_array_unref(exec->ended);
+	g_ptr_array_unref(exec->waiting);
+	g_hash_table_unref(exec->highest);
+	g_free(exec);
+}
+
+static void
+view_free(gpointer data)
+{
+	bp_qfleet_view_t *view = data;
+	GList *calls = g_hash_table_get_keys(view->calls);
+
+	g_list_free_full(calls, (GDestroyNotify)call_free);
+	g_hash_table_unref(view->calls);
+	g_free(view);
+}
+
+/* Creates executors of 16 cores, three to a rack, in two zones. */
+bp_qfleet_t *
+bp_qfleet_new(bp_clock_virtual_t *clock, bp_random_t *random,
+    uint32_t executors, const bp_qfleet_world_t *world)
+{
+	bp_qfleet_t *fleet = g_new0(bp_qfleet_t, 1);
+	uint32_t i;
+
+	fleet->clock = clock;
+	fleet->random = random;
+	fleet->world = *world;
+	fleet->execs = g_ptr_array_new_with_free_func(exec_free);
+	fleet->views = g_ptr_array_new_with_free_func(view_free);
+	fleet->starts =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	fleet->noted =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	for (i = 0; i < executors; i++) {
+		exec_t *exec = g_new0(exec_t, 1);
+
+		exec->fleet = fleet;
+		exec->index = i;
+		exec->running = g_ptr_array_new_with_free_func(run_free);
+		exec->ended = g_ptr_array_new_with_free_func(end_free);
+		exec->waiting = g_ptr_array_new();
+		exec->highest = g_hash_table_new_full(
+		    g_str_hash, g_str_equal, g_free, NULL);
+		exec_reset(exec);
+		g_ptr_array_add(fleet->execs, exec);
+	}
+	fleet->timer = bp_clock_after(clock_of(fleet), 10, on_step, fleet);
+	return fleet;
+}
+
+/* Frees the executors and the calls in flight. */
+void
+bp_qfleet_free(bp_qfleet_t *fleet)
+{
+	bp_clock_cancel(clock_of(fleet), &fleet->timer);
+	g_ptr_array_unref(fleet->views);
+	g_ptr_array_unref(fleet->execs);
+	g_hash_table_unref(fleet->starts);
+	g_hash_table_unref(fleet->noted);
+	g_free(fleet->first_broken);
+	g_free(fleet);
+}
+
+/* Adds the view of one node. */
+bp_qfleet_view_t *
+bp_qfleet_view(bp_qfleet_t *fleet)
+{
+	bp_qfleet_view_t *view = g_new0(bp_qfleet_view_t, 1);
+
+	view->fleet = fleet;
+	view->calls = g_hash_table_new(NULL, NULL);
+	view->interface.start = fleet_start;
+	view->interface.stop = fleet_stop;
+	view->interface.look = fleet_look;
+	view->interface.pace = fleet_pace;
+	view->interface.forget = fleet_forget;
+	g_ptr_array_add(fleet->views, view);
+	return view;
+}
+
+/* Returns the interface of a view. */
+bp_executors_t *
+bp_qfleet_interface(bp_qfleet_view_t *view)
+{
+	return &view->interface;
+}
+
+/* The node stands still: answers wait until it goes on. */
+void
+bp_qfleet_set_frozen(bp_qfleet_view_t *view, bool frozen)
+{
+	view->frozen = frozen;
+}
+
+/* Returns the number of executors. */
+uint32_t
+bp_qfleet_size(const bp_qfleet_t *fleet)
+{
+	return fleet->execs->len;
+}
+
+/* See the header. */
+bp_executor_info_t *
+bp_qfleet_info(const bp_qfleet_t *fleet, uint32_t index)
+{
+	const exec_t *exec = fleet->execs->pdata[index];
+	bp_executor_info_t *info = g_new0(bp_executor_info_t, 1);
+
+	info->id = id_of(exec);
+	info->address = address_of(exec);
+	info->service = g_strdup("pool");
+	info->zone = g_strdup(index % 2 == 0 ? "za" : "zb");
+	info->rack = g_strdup_printf("r%u", index / RACK_SIZE);
+	info->labels = g_strdupv((char *[]) {"a", info->rack, NULL});
+	info->cpu_milli = CPU_MILLI;
+	info->memory_mib = 64000;
+	info->born_ms = exec->born_ms;
+	return info;
+}
+
+/* See the header. */
+void
+bp_qfleet_set_cut(bp_qfleet_t *fleet, uint32_t index, bool cut)
+{
+	((exec_t *)fleet->execs->pdata[index])->cut = cut;
+}
+
+/* All that runs there ends unseen, and a new life begins. */
+void
+bp_qfleet_crash(bp_qfleet_t *fleet, uint32_t index)
+{
+	exec_reset(fleet->execs->pdata[index]);
+}
+
+/* Everything that starts there fails at once. */
+void
+bp_qfleet_set_failing(bp_qfleet_t *fleet, uint32_t index, bool failing)
+{
+	((exec_t *)fleet->execs->pdata[index])->failing = failing;
+}
+
+/* See the header. */
+void
+bp_qfleet_set_late(bp_qfleet_t *fleet, uint32_t percent)
+{
+	fleet->late_percent = percent;
+}
+
+/* Returns the number of starts that were carried out. */
+uint32_t
+bp_qfleet_starts(const bp_qfleet_t *fleet)
+{
+	return fleet->n_starts;
+}
+
+/* Returns how often a task was started. */
+uint32_t
+bp_qfleet_starts_of(const bp_qfleet_t *fleet, const char *task)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(fleet->starts, task));
+}
+
+/* Returns on how many executors a task runs now. */
+uint32_t
+bp_qfleet_running_of(const bp_qfleet_t *fleet, const char *task)
+{
+	uint32_t running = 0;
+	guint i;
+	guint k;
+
+	for (i = 0; i < fleet->execs->len; i++) {
+		const exec_t *exec = fleet->execs->pdata[i];
+
+		for (k = 0; k < exec->running->len; k++)
+			running += strcmp(((run_t *)exec->running->pdata[k])
+					      ->task,
+				       task) == 0;
+	}
+	return running;
+}
+
+/* Returns how often a rule was broken. */
+uint32_t
+bp_qfleet_broken(const bp_qfleet_t *fleet)
+{
+	return fleet->broken;
+}
+
+/* Returns the first broken rule, NULL for none. */
+const char *
+bp_qfleet_first_broken(const bp_qfleet_t *fleet)
+{
+	return fleet->first_broken;
+}
--- /dev/null
+++ b/tests/support/queuefleet.h
@@ -0,0 +1,49 @@
+#ifndef BP_TESTS_QUEUEFLEET_H
+#define BP_TESTS_QUEUEFLEET_H
+
+#include "bulrushpost/clock.h"
+#include "bulrushpost/executors.h"
+#include "bulrushpost/hash.h"
+
+/*
+ * Executors in memory under a virtual clock. They check fences, leases and
+ * room, and every start against what must never happen; what was broken is
+ * counted and told.
+ */
+typedef struct bp_qfleet bp_qfleet_t;
+typedef struct bp_qfleet_view bp_qfleet_view_t;
+
+typedef struct {
+	/* Duration of a task's run; negative: it fails after that time. */
+	int64_t (*duration_ms)(const char *task, uint64_t run, void *data);
+	/* Says what forbids the start of a task, or NULL. */
+	const char *(*forbidden)(const char *task, void *data);
+	/* Processors that a task takes. */
+	uint32_t (*cpu_milli)(const char *task, void *data);
+	void *data;
+} bp_qfleet_world_t;
+
+bp_qfleet_t *bp_qfleet_new(bp_clock_virtual_t *clock, bp_random_t *random,
+    uint32_t executors, const bp_qfleet_world_t *world);
+void bp_qfleet_free(bp_qfleet_t *fleet);
+bp_qfleet_view_t *bp_qfleet_view(bp_qfleet_t *fleet);
+bp_executors_t *bp_qfleet_interface(bp_qfleet_view_t *view);
+void bp_qfleet_set_frozen(bp_qfleet_view_t *view, bool frozen);
+
+uint32_t bp_qfleet_size(const bp_qfleet_t *fleet);
+/* The entry of an executor as the list shows it; free it. */
+bp_executor_info_t *bp_qfleet_info(const bp_qfleet_t *fleet, uint32_t index);
+/* Faults of one executor. */
+void bp_qfleet_set_cut(bp_qfleet_t *fleet, uint32_t index, bool cut);
+void bp_qfleet_crash(bp_qfleet_t *fleet, uint32_t index);
+void bp_qfleet_set_failing(bp_qfleet_t *fleet, uint32_t index, bool failing);
+/* Share of orders, in percent, without answer and done 2 to 12 s later. */
+void bp_qfleet_set_late(bp_qfleet_t *fleet, uint32_t percent);
+
+uint32_t bp_qfleet_starts(const bp_qfleet_t *fleet);
+uint32_t bp_qfleet_starts_of(const bp_qfleet_t *fleet, const char *task);
+uint32_t bp_qfleet_running_of(const bp_qfleet_t *fleet, const char *task);
+uint32_t bp_qfleet_broken(const bp_qfleet_t *fleet);
+const char *bp_qfleet_first_broken(const bp_qfleet_t *fleet);
+
+#endif
--- /dev/null
+++ b/tests/support/queuerig.c
@@ -0,0 +1,744 @@
+#include "support/queuerig.h"
+
+#include "queues/membership.h"
+#include "queues/shards.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LIST_PERIOD_MS 400
+#define FROZEN_STEP_MS 20
+#define QUEUE "q"
+#define TASK_CPU 4000
+#define ATTEMPTS 3
+
+typedef struct rig_node rig_node_t;
+
+/* The clock of a node that may stand still: its timers then wait. */
+typedef struct {
+	bp_clock_t clock;
+	rig_node_t *node;
+} node_clock_t;
+
+struct rig_node {
+	bp_qrig_t *rig;
+	node_clock_t clock;
+	GHashTable *timers; /* ids in use to wrapped_t */
+	guint last_timer;
+	bp_qstore_view_t *store;
+	bp_qfleet_view_t *fleet;
+	bp_membership_t *membership;
+	bp_shards_t *shards;
+	bp_catalog_t *catalog;
+	char address[32];
+	bool alive;
+	bool frozen;
+	bool follows;
+	bool list_whole; /* the next list is told from the start */
+};
+
+typedef struct {
+	char *id;
+	uint32_t tasks;
+	int64_t task_ms;
+	bool lasting;
+	bp_qrig_told_t told; /* the most that a caller knows */
+	bool ever_unknown;
+	bp_qrig_told_t cancel_told;
+	int64_t cancelled_ms;
+} caller_t;
+
+struct bp_qrig {
+	bp_clock_virtual_t *clock;
+	bp_random_t random;
+	bp_qstore_t *store;
+	bp_qfleet_t *fleet;
+	rig_node_t nodes[BP_QRIG_NODES];
+	GPtrArray *callers; /* caller_t */
+	GHashTable *by_id;
+	GHashTable *zones_out;
+	uint64_t incarnations;
+	bp_logger_t *loggers[BP_QRIG_NODES]; /* NULL unless RIG_LOG is set */
+	uint32_t broken;
+	char *first_broken;
+	guint timer;
+};
+
+static void
+report(bp_qrig_t *rig, const char *rule, const char *id)
+{
+	rig->broken++;
+	if (rig->first_broken == NULL)
+		rig->first_broken = g_strdup_printf("%s: %s at %d ms", rule, id,
+		    (int)bp_clock_mono_ms(
+			bp_clock_virtual_clock(rig->clock)));
+}
+
+typedef struct {
+	rig_node_t *node;
+	guint id;
+	guint inner;
+	uint32_t delay_ms;
+	GSourceFunc call;
+	void *data;
+} wrapped_t;
+
+static const bp_clock_t *
+base(const rig_node_t *node)
+{
+	return bp_clock_virtual_clock(node->rig->clock);
+}
+
+static int
+node_mono(const bp_clock_t *clock, struct timespec *out)
+{
+	const bp_clock_t *from = base(((const node_clock_t *)clock)->node);
+
+	return from->mono(from, out);
+}
+
+static int
+node_wall(const bp_clock_t *clock, struct timespec *out)
+{
+	const bp_clock_t *from = base(((const node_clock_t *)clock)->node);
+
+	return from->wall(from, out);
+}
+
+static gboolean
+on_wrapped(gpointer data)
+{
+	wrapped_t *timer = data;
+	rig_node_t *node = timer->node;
+	guint id = timer->id;
+
+	if (node->frozen) {
+		timer->inner = bp_clock_after(
+		    base(node), FROZEN_STEP_MS, on_wrapped, timer);
+		return G_SOURCE_REMOVE;
+	}
+	timer->inner = 0;
+	if (timer->call(timer->data) == G_SOURCE_CONTINUE &&
+	    g_hash_table_contains(node->timers, GUINT_TO_POINTER(id)))
+		timer->inner = bp_clock_after(
+		    base(node), timer->delay_ms, on_wrapped, timer);
+	else
+		g_hash_table_remove(node->timers, GUINT_TO_POINTER(id));
+	return G_SOURCE_REMOVE;
+}
+
+static guint
+node_after(const bp_clock_t *clock, uint32_t delay_ms, GSourceFunc call,
+    void *data)
+{
+	rig_node_t *node = ((const node_clock_t *)clock)->node;
+	wrapped_t *timer = g_new0(wrapped_t, 1);
+
+	timer->node = node;
+	timer->id = ++node->last_timer;
+	timer->delay_ms = MAX(delay_ms, 1);
+	timer->call = call;
+	timer->data = data;
+	g_hash_table_insert(
+	    node->timers, GUINT_TO_POINTER(timer->id), timer);
+	timer->inner =
+	    bp_clock_after(base(node), delay_ms, on_wrapped, timer);
+	return timer->id;
+}
+
+static void
+node_cancel(const bp_clock_t *clock, guint id)
+{
+	rig_node_t *node = ((const node_clock_t *)clock)->node;
+	wrapped_t *timer =
+	    g_hash_table_lookup(node->timers, GUINT_TO_POINTER(id));
+
+	if (timer == NULL)
+		return;
+	bp_clock_cancel(base(node), &timer->inner);
+	g_hash_table_remove(node->timers, GUINT_TO_POINTER(id));
+}
+
+static void
+on_follow(bool follow, void *data)
+{
+	rig_node_t *node = data;
+
+	node->follows = follow;
+	node->list_whole = follow;
+}
+
+static void
+on_held(const bool *shards, int64_t sent_mono_ms, void *data)
+{
+	rig_node_t *node = data;
+
+	bp_shards_held(node->shards, shards, sent_mono_ms);
+}
+
+/* One route to the pool of all executors. */
+static bp_catalog_t *
+new_catalog(void)
+{
+	bp_catalog_t *catalog = bp_catalog_new();
+	bp_queue_route_t *route = g_new0(bp_queue_route_t, 1);
+
+	route->name = g_strdup(QUEUE);
+	route->host = g_strdup("h");
+	route->prefix = g_strdup("/q/");
+	route->service = g_strdup("pool");
+	route->attempts = ATTEMPTS;
+	g_ptr_array_add(catalog->routes, route);
+	catalog->version = 1;
+	return catalog;
+}
+
+static bp_logger_t *
+rig_logger(const rig_node_t *node)
+{
+	return node->rig->loggers[node - node->rig->nodes];
+}
+
+static void
+build_shards(rig_node_t *node)
+{
+	bp_shards_options_t options = {0};
+	GHashTableIter iter;
+	gpointer zone;
+
+	options.clock = &node->clock.clock;
+	options.logger = rig_logger(node);
+	options.store = bp_qstore_interface(node->store);
+	options.executors = bp_qfleet_interface(node->fleet);
+	options.node = node->address;
+	options.address = node->address;
+	options.topic = "jobs";
+	options.shards = 1;
+	options.limits.lease_max_ms = 6000;
+	options.limits.stop_max_ms = 200;
+	options.limits.status_keep_s = 3600;
+	options.limits.quarantine_failures = 3;
+	options.follow = on_follow;
+	options.data = node;
+	node->shards = bp_shards_new(&options);
+	bp_shards_set_catalog(node->shards, node->catalog);
+	g_hash_table_iter_init(&iter, node->rig->zones_out);
+	while (g_hash_table_iter_next(&iter, &zone, NULL))
+		bp_shards_set_zone(node->shards, zone, true);
+}
+
+/* See the header. */
+void
+bp_qrig_restart(bp_qrig_t *rig, uint32_t index)
+{
+	rig_node_t *node = &rig->nodes[index];
+	bp_membership_options_t options = {0};
+
+	if (node->alive)
+		return;
+	node->alive = true;
+	node->frozen = false;
+	node->follows = false;
+	node->store = bp_qstore_view(rig->store);
+	node->fleet = bp_qfleet_view(rig->fleet);
+	build_shards(node);
+	options.clock = &node->clock.clock;
+	options.store = bp_qstore_interface(node->store);
+	options.topic = "jobs";
+	options.address = node->address;
+	options.incarnation = ++rig->incarnations;
+	options.shards = 1;
+	options.held = on_held;
+	options.data = node;
+	node->membership = bp_membership_new(&options);
+}
+
+/* What the node had sent may still take effect. */
+void
+bp_qrig_kill(bp_qrig_t *rig, uint32_t index)
+{
+	rig_node_t *node = &rig->nodes[index];
+
+	if (!node->alive)
+		return;
+	bp_membership_free(node->membership);
+	bp_shards_free(node->shards);
+	node->membership = NULL;
+	node->shards = NULL;
+	node->alive = false;
+	node->follows = false;
+}
+
+/* See the header. */
+void
+bp_qrig_freeze(bp_qrig_t *rig, uint32_t index, bool frozen)
+{
+	rig_node_t *node = &rig->nodes[index];
+
+	if (!node->alive)
+		return;
+	node->frozen = frozen;
+	bp_qstore_set_frozen(node->store, frozen);
+	bp_qfleet_set_frozen(node->fleet, frozen);
+}
+
+/* See the header. */
+void
+bp_qrig_store_mode(bp_qrig_t *rig, uint32_t index, bp_qstore_mode_t mode)
+{
+	if (rig->nodes[index].alive)
+		bp_qstore_set_mode(rig->nodes[index].store, mode);
+}
+
+static gboolean
+on_list(gpointer data)
+{
+	bp_qrig_t *rig = data;
+	uint32_t n;
+	uint32_t i;
+
+	for (n = 0; n < BP_QRIG_NODES; n++) {
+		rig_node_t *node = &rig->nodes[n];
+		bool whole = node->list_whole;
+
+		if (!node->alive || node->frozen || !node->follows)
+			continue;
+		for (i = 0; i < bp_qfleet_size(rig->fleet); i++) {
+			bp_executor_info_t *info =
+			    bp_qfleet_info(rig->fleet, i);
+
+			bp_shards_executor(node->shards, info);
+			bp_executor_info_free(info);
+		}
+		node->list_whole = false;
+		if (whole)
+			bp_shards_executors_listed(node->shards);
+	}
+	return G_SOURCE_CONTINUE;
+}
+
+static caller_t *
+find(const bp_qrig_t *rig, const char *id)
+{
+	return g_hash_table_lookup(rig->by_id, id);
+}
+
+static caller_t *
+caller_of_task(const bp_qrig_t *rig, const char *task, uint32_t *step)
+{
+	char *id = g_strdup(task);
+	char *dot = strchr(id, '.');
+	caller_t *caller;
+	unsigned occurrence = 0;
+	unsigned number = 0;
+
+	*dot = '\0';
+	caller = find(rig, id);
+	(void)sscanf(dot + 1, "%u.%u", &occurrence, &number);
+	*step = number;
+	g_free(id);
+	return caller;
+}
+
+/* One run in twelve fails by its own fault. */
+static int64_t
+world_duration(const char *task, uint64_t run, void *data)
+{
+	bp_qrig_t *rig = data;
+	uint32_t step;
+	const caller_t *caller = caller_of_task(rig, task, &step);
+	bool fails = bp_hash_text(task, run) % 12 == 0;
+
+	if (caller->lasting)
+		return 1000000;
+	return fails ? -caller->task_ms : caller->task_ms;
+}
+
+static uint32_t
+world_cpu(const char *task, void *data)
+{
+	(void)task;
+	(void)data;
+	return TASK_CPU;
+}
+
+static const char *
+world_forbidden(const char *task, void *data)
+{
+	bp_qrig_t *rig = data;
+	uint32_t step;
+	const caller_t *caller = caller_of_task(rig, task, &step);
+	uint32_t i;
+
+	if (caller == NULL)
+		return "nobody asked for it";
+	if (caller->told == BP_QRIG_REFUSED && !caller->ever_unknown)
+		return "a refused job starts";
+	for (i = 0; step == 1 && i < caller->tasks; i++) {
+		char *first = g_strdup_printf("%s.0.0.%u", caller->id, i);
+		uint32_t running = bp_qfleet_running_of(rig->fleet, first);
+		uint32_t starts = bp_qfleet_starts_of(rig->fleet, first);
+
+		g_free(first);
+		if (running > 0 || starts == 0)
+			return "starts before the step it depends on has ended";
+	}
+	return NULL;
+}
+
+static void
+caller_free(gpointer data)
+{
+	g_free(((caller_t *)data)->id);
+	g_free(data);
+}
+
+static void
+init_node(bp_qrig_t *rig, uint32_t index)
+{
+	rig_node_t *node = &rig->nodes[index];
+
+	node->rig = rig;
+	node->clock.node = node;
+	node->clock.clock.mono = node_mono;
+	node->clock.clock.wall = node_wall;
+	node->clock.clock.after = node_after;
+	node->clock.clock.cancel = node_cancel;
+	node->timers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	node->catalog = new_catalog();
+	snprintf(node->address, sizeof(node->address), "10.1.0.%u:7000", index);
+	if (getenv("RIG_LOG") != NULL)
+		rig->loggers[index] = bp_logger_new(
+		    &node->clock.clock, node->address, BP_LOG_INFO);
+}
+
+/* Starts all nodes. */
+bp_qrig_t *
+bp_qrig_new(uint64_t seed, uint32_t executors)
+{
+	bp_qrig_t *rig = g_new0(bp_qrig_t, 1);
+	bp_qfleet_world_t world = {
+	    world_duration, world_forbidden, world_cpu, rig};
+	uint32_t i;
+
+	rig->clock = bp_clock_virtual_new(1000000);
+	bp_random_init(&rig->random, seed);
+	rig->store = bp_qstore_new(rig->clock, &rig->random, 1);
+	rig->fleet =
+	    bp_qfleet_new(rig->clock, &rig->random, executors, &world);
+	rig->callers = g_ptr_array_new_with_free_func(caller_free);
+	rig->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	rig->zones_out =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	for (i = 0; i < BP_QRIG_NODES; i++) {
+		init_node(rig, i);
+		bp_qrig_restart(rig, i);
+	}
+	rig->timer = bp_clock_after(
+	    bp_clock_virtual_clock(rig->clock), LIST_PERIOD_MS, on_list, rig);
+	return rig;
+}
+
+/* Stops all nodes. */
+void
+bp_qrig_free(bp_qrig_t *rig)
+{
+	uint32_t i;
+
+	for (i = 0; i < BP_QRIG_NODES; i++) {
+		bp_qrig_kill(rig, i);
+		bp_catalog_free(rig->nodes[i].catalog);
+		bp_logger_free(rig->loggers[i]);
+	}
+	bp_clock_cancel(bp_clock_virtual_clock(rig->clock), &rig->timer);
+	bp_qfleet_free(rig->fleet);
+	bp_qstore_free(rig->store);
+	for (i = 0; i < BP_QRIG_NODES; i++)
+		g_hash_table_unref(rig->nodes[i].timers);
+	g_ptr_array_unref(rig->callers);
+	g_hash_table_unref(rig->by_id);
+	g_hash_table_unref(rig->zones_out);
+	g_free(rig->first_broken);
+	bp_clock_virtual_free(rig->clock);
+	g_free(rig);
+}
+
+/* Returns the store. */
+bp_qstore_t *
+bp_qrig_store(bp_qrig_t *rig)
+{
+	return rig->store;
+}
+
+/* Returns the executors. */
+bp_qfleet_t *
+bp_qrig_fleet(bp_qrig_t *rig)
+{
+	return rig->fleet;
+}
+
+/* Returns the generator that all chance comes from. */
+bp_random_t *
+bp_qrig_random(bp_qrig_t *rig)
+{
+	return &rig->random;
+}
+
+/* Returns the clock. */
+bp_clock_virtual_t *
+bp_qrig_clock(bp_qrig_t *rig)
+{
+	return rig->clock;
+}
+
+/* Lets time pass. */
+void
+bp_qrig_run_ms(bp_qrig_t *rig, int64_t duration_ms)
+{
+	bp_clock_virtual_run_ms(rig->clock, duration_ms);
+}
+
+/* See the header. */
+int
+bp_qrig_owner(const bp_qrig_t *rig)
+{
+	int i;
+
+	for (i = 0; i < BP_QRIG_NODES; i++) {
+		const rig_node_t *node = &rig->nodes[i];
+
+		if (node->alive && !node->frozen &&
+		    bp_shards_owned(node->shards)[0] != NULL &&
+		    bp_shard_ready(bp_shards_owned(node->shards)[0]))
+			return i;
+	}
+	return -1;
+}
+
+static bp_shard_t *
+owner_shard(const bp_qrig_t *rig)
+{
+	int owner = bp_qrig_owner(rig);
+
+	return owner < 0 ? NULL : bp_shards_owned(rig->nodes[owner].shards)[0];
+}
+
+static bp_qrig_told_t
+told_of(bp_error_kind_t kind)
+{
+	switch (kind) {
+	case BP_OK:
+		return BP_QRIG_ACCEPTED;
+	case BP_ELOGDOWN:
+	case BP_ESTATE:
+	case BP_EINVALID:
+		return BP_QRIG_REFUSED;
+	default:
+		return BP_QRIG_UNKNOWN;
+	}
+}
+
+static void
+on_submitted(const bp_shard_answer_t *answer, void *data)
+{
+	caller_t *caller = data;
+	bp_qrig_told_t told = told_of(answer->kind);
+
+	if (told == BP_QRIG_UNKNOWN)
+		caller->ever_unknown = true;
+	if (caller->told != BP_QRIG_ACCEPTED)
+		caller->told = told;
+}
+
+static Bp__Work__Step *
+new_step(const caller_t *caller, bool second)
+{
+	Bp__Work__Step *step = malloc(sizeof(*step));
+
+	bp__work__step__init(step);
+	step->tasks = caller->tasks;
+	step->cpu_milli = TASK_CPU;
+	step->memory_mib = 100;
+	step->expected_ms = (uint32_t)caller->task_ms;
+	step->lasting = caller->lasting;
+	if (second) {
+		step->after = calloc(1, sizeof(*step->after));
+		step->n_after = 1;
+	}
+	return step;
+}
+
+static Bp__Work__Job *
+new_job(const bp_qrig_t *rig, const caller_t *caller)
+{
+	Bp__Work__Job *job = malloc(sizeof(*job));
+	size_t steps = caller->lasting ? 1 : 2;
+	size_t i;
+
+	bp__work__job__init(job);
+	job->id = strdup(caller->id);
+	job->queue = strdup(QUEUE);
+	job->service = strdup("pool");
+	job->payload = strdup("work");
+	job->attempts = ATTEMPTS;
+	job->stretch_permille = 2000;
+	job->accepted_ms =
+	    bp_clock_wall_ms(bp_clock_virtual_clock(rig->clock));
+	job->steps = calloc(steps, sizeof(*job->steps));
+	for (i = 0; i < steps; i++)
+		job->steps[job->n_steps++] = new_step(caller, i == 1);
+	return job;
+}
+
+static void
+hand_in(bp_qrig_t *rig, caller_t *caller)
+{
+	bp_shard_t *shard = owner_shard(rig);
+
+	if (shard != NULL)
+		bp_shard_submit(
+		    shard, new_job(rig, caller), on_submitted, caller);
+	else if (caller->told == BP_QRIG_OPEN)
+		caller->told = BP_QRIG_REFUSED;
+}
+
+/* See the header. */
+const char *
+bp_qrig_submit(bp_qrig_t *rig, uint32_t tasks, int64_t task_ms, bool lasting)
+{
+	caller_t *caller = g_new0(caller_t, 1);
+
+	caller->id = g_strdup_printf("%016x", rig->callers->len + 1);
+	caller->tasks = tasks;
+	caller->task_ms = task_ms;
+	caller->lasting = lasting;
+	g_ptr_array_add(rig->callers, caller);
+	g_hash_table_insert(rig->by_id, caller->id, caller);
+	hand_in(rig, caller);
+	return caller->id;
+}
+
+/* See the header. */
+void
+bp_qrig_resubmit(bp_qrig_t *rig, const char *id)
+{
+	hand_in(rig, find(rig, id));
+}
+
+static void
+on_cancelled(const bp_shard_answer_t *answer, void *data)
+{
+	caller_t *caller = data;
+
+	if (caller->cancel_told != BP_QRIG_ACCEPTED)
+		caller->cancel_told = told_of(answer->kind);
+}
+
+/* See the header. */
+void
+bp_qrig_cancel(bp_qrig_t *rig, const char *id)
+{
+	bp_shard_t *shard = owner_shard(rig);
+	caller_t *caller = find(rig, id);
+
+	if (shard == NULL)
+		caller->cancel_told = BP_QRIG_REFUSED;
+	else
+		bp_shard_cancel(shard, QUEUE, id, on_cancelled, caller);
+}
+
+/* See the header. */
+bp_qrig_told_t
+bp_qrig_told(const bp_qrig_t *rig, const char *id)
+{
+	return find(rig, id)->told;
+}
+
+/* See the header. */
+bp_qrig_told_t
+bp_qrig_cancel_told(const bp_qrig_t *rig, const char *id)
+{
+	return find(rig, id)->cancel_told;
+}
+
+/* See the header. */
+int
+bp_qrig_status(bp_qrig_t *rig, const char *id, Bp__Work__JobState *state)
+{
+	bp_shard_t *shard = owner_shard(rig);
+	bp_shard_answer_t answer;
+
+	if (shard == NULL)
+		return BP_ESTATE;
+	bp_shard_status(shard, QUEUE, id, &answer);
+	*state = answer.state;
+	return answer.kind;
+}
+
+/* See the header. */
+char *
+bp_qrig_why(bp_qrig_t *rig, const char *id)
+{
+	bp_shard_t *shard = owner_shard(rig);
+
+	return shard != NULL ? bp_shard_why(shard, id) : NULL;
+}
+
+/* See the header. */
+uint32_t
+bp_qrig_unfinished(bp_qrig_t *rig, bool lasting)
+{
+	uint32_t unfinished = 0;
+	guint i;
+
+	for (i = 0; i < rig->callers->len; i++) {
+		const caller_t *caller = rig->callers->pdata[i];
+		Bp__Work__JobState state = BP__WORK__JOB_STATE__JOB_QUEUED;
+		int kind;
+
+		if (caller->lasting != lasting ||
+		    caller->told != BP_QRIG_ACCEPTED)
+			continue;
+		kind = bp_qrig_status(rig, caller->id, &state);
+		if (kind == BP_ENOTFOUND)
+			report(rig, "an accepted job is not known", caller->id);
+		if (kind != BP_OK || state < BP__WORK__JOB_STATE__JOB_COMPLETED)
+			unfinished++;
+	}
+	return unfinished;
+}
+
+/* See the header. */
+void
+bp_qrig_set_zone(bp_qrig_t *rig, const char *zone, bool out)
+{
+	uint32_t i;
+
+	if (out)
+		g_hash_table_add(rig->zones_out, g_strdup(zone));
+	else
+		g_hash_table_remove(rig->zones_out, zone);
+	for (i = 0; i < BP_QRIG_NODES; i++) {
+		if (rig->nodes[i].alive)
+			bp_shards_set_zone(rig->nodes[i].shards, zone, out);
+	}
+}
+
+/* Returns how often a rule was broken, by any party. */
+uint32_t
+bp_qrig_broken(const bp_qrig_t *rig)
+{
+	return rig->broken + bp_qfleet_broken(rig->fleet);
+}
+
+/* Returns the first broken rule, "" for none. */
+const char *
+bp_qrig_first_broken(const bp_qrig_t *rig)
+{
+	const char *fleet = bp_qfleet_first_broken(rig->fleet);
+
+	if (rig->first_broken != NULL)
+		return rig->first_broken;
+	return fleet != NULL ? fleet : "";
+}
--- /dev/null
+++ b/tests/support/queuerig.h
@@ -0,0 +1,62 @@
+#ifndef BP_TESTS_QUEUERIG_H
+#define BP_TESTS_QUEUERIG_H
+
+#include "bulrushpost/shard.h"
+#include "support/queuefleet.h"
+#include "support/queuestore.h"
+
+#define BP_QRIG_NODES 4
+
+/* What a caller was told of a submission or a cancel. */
+typedef enum {
+	BP_QRIG_OPEN,
+	BP_QRIG_ACCEPTED,
+	BP_QRIG_REFUSED,
+	BP_QRIG_UNKNOWN
+} bp_qrig_told_t;
+
+/*
+ * Nodes that run the real membership and shards on a store and executors in
+ * memory, under a virtual clock, and callers that remember what they were
+ * told.
+ */
+typedef struct bp_qrig bp_qrig_t;
+
+bp_qrig_t *bp_qrig_new(uint64_t seed, uint32_t executors);
+void bp_qrig_free(bp_qrig_t *rig);
+bp_qstore_t *bp_qrig_store(bp_qrig_t *rig);
+bp_qfleet_t *bp_qrig_fleet(bp_qrig_t *rig);
+bp_random_t *bp_qrig_random(bp_qrig_t *rig);
+bp_clock_virtual_t *bp_qrig_clock(bp_qrig_t *rig);
+void bp_qrig_run_ms(bp_qrig_t *rig, int64_t duration_ms);
+
+/* A job of two steps, the second after the first; returns its ID. */
+const char *bp_qrig_submit(
+    bp_qrig_t *rig, uint32_t tasks, int64_t task_ms, bool lasting);
+/* Hands the same job in again. */
+void bp_qrig_resubmit(bp_qrig_t *rig, const char *id);
+void bp_qrig_cancel(bp_qrig_t *rig, const char *id);
+bp_qrig_told_t bp_qrig_told(const bp_qrig_t *rig, const char *id);
+bp_qrig_told_t bp_qrig_cancel_told(const bp_qrig_t *rig, const char *id);
+/* What the owner says of a job: BP_OK with *state, or another kind. */
+int bp_qrig_status(
+    bp_qrig_t *rig, const char *id, Bp__Work__JobState *state);
+/* The owner's explanation of a job; free it. */
+char *bp_qrig_why(bp_qrig_t *rig, const char *id);
+/* Jobs that some caller knows to be accepted and that have not ended. */
+uint32_t bp_qrig_unfinished(bp_qrig_t *rig, bool lasting);
+/* The index of the node that owns the shard, -1 for none. */
+int bp_qrig_owner(const bp_qrig_t *rig);
+
+/* Faults of nodes. */
+void bp_qrig_kill(bp_qrig_t *rig, uint32_t node);
+void bp_qrig_restart(bp_qrig_t *rig, uint32_t node);
+void bp_qrig_freeze(bp_qrig_t *rig, uint32_t node, bool frozen);
+void bp_qrig_store_mode(
+    bp_qrig_t *rig, uint32_t node, bp_qstore_mode_t mode);
+void bp_qrig_set_zone(bp_qrig_t *rig, const char *zone, bool out);
+
+uint32_t bp_qrig_broken(const bp_qrig_t *rig);
+const char *bp_qrig_first_broken(const bp_qrig_t *rig);
+
+#endif
--- /dev/null
+++ b/tests/support/queuestore.h
@@ -0,0 +1,41 @@
+#ifndef BP_TESTS_QUEUESTORE_H
+#define BP_TESTS_QUEUESTORE_H
+
+#include "bulrushpost/clock.h"
+#include "bulrushpost/hash.h"
+#include "bulrushpost/store.h"
+
+/*
+ * A store in memory under a virtual clock: compacted partitions with epochs
+ * and sequence numbers, and groups that deal out partitions. Each node has a
+ * view of its own, which faults can cut off.
+ */
+typedef struct bp_qstore bp_qstore_t;
+typedef struct bp_qstore_view bp_qstore_view_t;
+
+typedef enum {
+	BP_QSTORE_UP,
+	BP_QSTORE_BUSY, /* refuses; nothing is done */
+	BP_QSTORE_SILENT /* no answer, nothing is done */
+} bp_qstore_mode_t;
+
+bp_qstore_t *bp_qstore_new(
+    bp_clock_virtual_t *clock, bp_random_t *random, uint32_t partitions);
+void bp_qstore_free(bp_qstore_t *store);
+bp_qstore_view_t *bp_qstore_view(bp_qstore_t *store);
+bp_store_t *bp_qstore_interface(bp_qstore_view_t *view);
+
+void bp_qstore_set_mode(bp_qstore_view_t *view, bp_qstore_mode_t mode);
+/* The node stands still: answers wait until it goes on. */
+void bp_qstore_set_frozen(bp_qstore_view_t *view, bool frozen);
+void bp_qstore_set_delay_ms(bp_qstore_t *store, uint32_t delay_ms);
+/* Share of appends, in percent, without answer; late: done 1 to 6 s later. */
+void bp_qstore_set_lost(bp_qstore_t *store, uint32_t percent, bool late);
+/* Deals all partitions anew. */
+void bp_qstore_rebalance(bp_qstore_t *store);
+uint64_t bp_qstore_appends(const bp_qstore_t *store);
+/* The newest value of a key, NULL for none; lives until the next append. */
+GBytes *bp_qstore_value(
+    const bp_qstore_t *store, uint32_t partition, const char *key);
+
+#endif
