--- a/include/bulrushpost/shard.h
+++ b/include/bulrushpost/shard.h
@@ -16,6 +16,9 @@
  */
 typedef struct bp_shard bp_shard_t;
 
+/* A member of the owners' group that says nothing for this time has left. */
+#define BP_SHARD_MEMBERSHIP_MS 2500
+
 typedef struct {
 	uint32_t lease_max_ms; /* executors shorten a longer lease */
 	uint32_t stop_max_ms; /* a stopped run has ended after this */
@@ -64,8 +67,12 @@
 void bp_shard_release(bp_shard_t *shard);
 bool bp_shard_idle(const bp_shard_t *shard);
 bool bp_shard_released(const bp_shard_t *shard);
-/* The membership was confirmed by a call sent at this time. */
-void bp_shard_confirm(bp_shard_t *shard, int64_t sent_mono_ms);
+/*
+ * The membership was confirmed by a call sent at this time. Returns false if
+ * it may have run out since the confirmation before, so that another node
+ * may have owned the shard meanwhile; the shard is to be taken over anew.
+ */
+bool bp_shard_confirm(bp_shard_t *shard, int64_t sent_mono_ms);
 
 void bp_shard_set_catalog(bp_shard_t *shard, const bp_catalog_t *catalog);
 void bp_shard_set_zone(bp_shard_t *shard, const char *zone, bool out);
--- a/src/queues/membership.c
+++ b/src/queues/membership.c
@@ -1,11 +1,11 @@
 #include "queues/membership.h"
 
+#include "bulrushpost/shard.h"
+
 #include <string.h>
 
 /* A join costs a tenth of a call; a takeover waits for one of them. */
 #define JOIN_PERIOD_MS 500
-/* A member that says nothing for this time has left. */
-#define TTL_MS 2500
 /* Owners are asked for at most so often, and once in a while unasked. */
 #define OWNERS_GAP_MS 150
 #define OWNERS_PERIOD_MS 4000
@@ -67,7 +67,7 @@
 	self->joining = true;
 	self->sent_ms = bp_clock_mono_ms(self->options.clock);
 	self->options.store->join(self->options.store, GROUP, self->member,
-	    self->options.topic, TTL_MS, self->generation, on_joined, self);
+	    self->options.topic, BP_SHARD_MEMBERSHIP_MS, self->generation, on_joined, self);
 	return G_SOURCE_CONTINUE;
 }
 
--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -430,10 +430,21 @@
 }
 
 /* See the header. */
-void
+bool
 bp_shard_confirm(bp_shard_t *shard, int64_t sent_mono_ms)
 {
+	if (!bp_shard_fresh(shard))
+		return false;
 	shard->confirmed_ms = MAX(shard->confirmed_ms, sent_mono_ms);
+	return true;
+}
+
+/* Tells whether no other node can own the shard by the group's rules. */
+bool
+bp_shard_fresh(const bp_shard_t *shard)
+{
+	return bp_shard_now_ms(shard) - shard->confirmed_ms <
+	    BP_SHARD_MEMBERSHIP_MS;
 }
 
 /* The configuration in force; it lives until the next call. */
--- a/src/queues/shard_calls.c
+++ b/src/queues/shard_calls.c
@@ -119,7 +119,7 @@
 	}
 	job = find(shard, queue, id);
 	if (job == NULL)
-		out->kind = BP_ENOTFOUND;
+		out->kind = bp_shard_fresh(shard) ? BP_ENOTFOUND : BP_ESTATE;
 	else if (!job->accepted)
 		out->kind = BP_EUNKNOWN;
 	else
@@ -141,7 +141,8 @@
 	}
 	job = find(shard, queue, id);
 	if (job == NULL) {
-		answer_now(done, data, BP_ENOTFOUND,
+		answer_now(done, data,
+		    bp_shard_fresh(shard) ? BP_ENOTFOUND : BP_ESTATE,
 		    BP__WORK__JOB_STATE__JOB_QUEUED, "no such job");
 		return;
 	}
--- a/src/queues/shard_looks.c
+++ b/src/queues/shard_looks.c
@@ -17,8 +17,7 @@
 /* Ends with the look in flight; one context a look. */
 typedef struct {
 	bp_qexec_t *exec;
-	int64_t sent_ms;
-	int64_t deadline_ms;
+	uint64_t event; /* shard's count when it was sent */
 } look_t;
 
 static bp_qtask_t *
@@ -157,7 +156,7 @@
 
 /* A run that a task of an earlier owner's epoch wants becomes ours. */
 static bp_qrun_t *
-adopt(bp_qexec_t *exec, const bp_look_running_t *row, int64_t clock_ms)
+adopt(bp_qexec_t *exec, const bp_look_running_t *row)
 {
 	bp_qtask_t *task = find_task(exec->shard, row->task);
 	bool wanted = task != NULL && task->state == BP_QTASK_CENSUS &&
@@ -165,7 +164,6 @@
 	bp_qrun_t *run =
 	    bp_qrun_new(exec, wanted ? task : NULL, row->task, row->run);
 
-	run->clock_ms = clock_ms;
 	run->state = BP_QRUN_RUNNING;
 	if (task != NULL)
 		task->last_run = MAX(task->last_run, row->run);
@@ -179,16 +177,17 @@
 }
 
 static void
-take_running(bp_qexec_t *exec, const bp_look_running_t *row, int64_t clock_ms,
-    GHashTable *seen)
+take_running(bp_qexec_t *exec, const bp_look_running_t *row, GHashTable *seen,
+    uint64_t look_event)
 {
 	bp_qrun_t *run = find_run(exec, row->task, row->run);
 
 	if (run == NULL)
-		run = adopt(exec, row, clock_ms);
+		run = adopt(exec, row);
 	else if (run->state == BP_QRUN_STARTING)
 		run->state = BP_QRUN_RUNNING;
 	g_hash_table_add(seen, run);
+	run->answer_event = MAX(run->answer_event, look_event);
 	if (run->percent != row->percent) {
 		run->percent = row->percent;
 		run->progress_ms = bp_shard_now_ms(exec->shard);
@@ -200,11 +199,17 @@
 		bp_shard_stop_run(exec->shard, run, "not wanted");
 }
 
-/* Tells whether a run that a whole list does not name is certainly gone. */
+/*
+ * Tells whether a run that a whole list does not name is certainly gone. A
+ * list proves nothing about an order that was answered after the look was
+ * sent: answers on different connections overtake each other, and the order
+ * may have been carried out in a newer life than the list tells of.
+ */
 static bool
-is_gone(const bp_qexec_t *exec, const bp_qrun_t *run, int64_t clock_ms)
+is_gone(const bp_qrun_t *run, uint64_t look_event, int64_t clock_ms)
 {
-	bool answered = run->clock_ms > 0 && clock_ms > run->clock_ms;
+	bool answered =
+	    run->answer_event > 0 && run->answer_event < look_event;
 
 	switch (run->state) {
 	case BP_QRUN_STARTING:
@@ -221,7 +226,8 @@
 }
 
 static void
-drop_missing(bp_qexec_t *exec, GHashTable *seen, int64_t clock_ms)
+drop_missing(bp_qexec_t *exec, GHashTable *seen, uint64_t look_event,
+    int64_t clock_ms)
 {
 	guint i;
 
@@ -229,7 +235,7 @@
 		bp_qrun_t *run = exec->runs->pdata[i - 1];
 
 		if (g_hash_table_contains(seen, run) ||
-		    !is_gone(exec, run, clock_ms))
+		    !is_gone(run, look_event, clock_ms))
 			continue;
 		if (run->state == BP_QRUN_RUNNING) {
 			exec->shard->counts_lost_runs++;
@@ -242,12 +248,13 @@
 	}
 }
 
-/* All that ran in an earlier life is gone; starts on their way are not. */
+/*
+ * Its counts start anew. What it still lists runs in the new life; what it
+ * does not list is found gone like any other run.
+ */
 static void
 new_life(bp_qexec_t *exec, int64_t born_ms, int64_t clock_ms)
 {
-	guint i;
-
 	bp_log(exec->shard->options.logger, BP_LOG_NOTICE, BP_SHARD_MODULE,
 	    "executor has a new life", "executor", exec->info->id, NULL);
 	exec->born_ms = born_ms;
@@ -259,18 +266,11 @@
 	/* Deadlines of the earlier life's clock are shortened to this. */
 	exec->lease_end_ms =
 	    clock_ms + exec->shard->options.limits.lease_max_ms;
-	for (i = exec->runs->len; i > 0; i--) {
-		bp_qrun_t *run = exec->runs->pdata[i - 1];
-
-		if (run->orders == 0)
-			bp_qrun_remove(run);
-		else
-			run->clock_ms = 0;
-	}
 }
 
 static void
-take_lists(bp_qexec_t *exec, const bp_exec_result_t *result)
+take_lists(
+    bp_qexec_t *exec, const bp_exec_result_t *result, uint64_t look_event)
 {
 	GHashTable *seen = g_hash_table_new(NULL, NULL);
 	uint64_t before = exec->seen;
@@ -288,9 +288,9 @@
 	for (i = 0; i < result->running->len; i++)
 		take_running(exec,
 		    &g_array_index(result->running, bp_look_running_t, i),
-		    result->clock_ms, seen);
+		    seen, look_event);
 	if (result->ended->len < ENDS_PAGE)
-		drop_missing(exec, seen, result->clock_ms);
+		drop_missing(exec, seen, look_event, result->clock_ms);
 	g_hash_table_unref(seen);
 	if (exec->seen != before) {
 		bp_journal_request(exec->shard->journal, false);
@@ -350,6 +350,7 @@
 	look_t *look = data;
 	bp_qexec_t *exec = look->exec;
 	bp_shard_t *shard = exec->shard;
+	uint64_t event = look->event;
 
 	g_hash_table_remove(shard->looks, look);
 	exec->looks--;
@@ -376,7 +377,7 @@
 	exec->clock_ms = result->clock_ms;
 	exec->clock_at_ms = bp_shard_now_ms(shard);
 	exec->answered_ms = exec->clock_at_ms;
-	take_lists(exec, result);
+	take_lists(exec, result, event);
 	if (!exec->met) {
 		exec->met = true;
 		bp_shard_check_census(shard);
@@ -418,7 +419,7 @@
 	bp_clock_cancel(exec->shard->options.clock, &exec->timer);
 	look = g_new0(look_t, 1);
 	look->exec = exec;
-	look->sent_ms = bp_shard_now_ms(shard);
+	look->event = ++shard->events;
 	request.deadline_ms = lease_deadline_ms(exec);
 	request.cursor = exec->acked;
 	request.wait_ms = wait_ms;
--- a/src/queues/shard_orders.c
+++ b/src/queues/shard_orders.c
@@ -130,7 +130,7 @@
 		return;
 	}
 	if (result->outcome == BP_EXEC_OK) {
-		run->clock_ms = MAX(run->clock_ms, result->clock_ms);
+		run->answer_event = ++shard->events;
 		if (run->state == BP_QRUN_STARTING)
 			run->state = BP_QRUN_RUNNING;
 		if (run->exec->looks == 0)
@@ -194,7 +194,7 @@
 	case BP_EXEC_OK:
 	case BP_EXEC_OLD:
 		run->stop_answered = true;
-		run->clock_ms = MAX(run->clock_ms, result->clock_ms);
+		run->answer_event = ++order->shard->events;
 		bp_shard_look(run->exec, 0);
 		break;
 	case BP_EXEC_FENCED:
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -39,7 +39,7 @@
 	uint32_t orders; /* in flight; the run is freed after the last */
 	bool removed;
 	bool stop_answered;
-	int64_t clock_ms; /* executor's time of the last answered order */
+	uint64_t answer_event; /* shard's count at the last answered order */
 	int64_t deadline_ms; /* executor's time after which a start is late */
 	int64_t started_ms; /* mono */
 	int64_t stop_sent_ms; /* mono, 0 for never */
@@ -140,6 +140,7 @@
 	bool census_done;
 	uint32_t starts_in_flight;
 	guint round_timer;
+	uint64_t events; /* looks sent and orders answered, in order */
 	guint tick_timer;
 	uint32_t ticks;
 	guint reread_timer;
@@ -157,6 +158,7 @@
 int64_t bp_shard_now_ms(const bp_shard_t *shard);
 int64_t bp_shard_wall_ms(const bp_shard_t *shard);
 bool bp_shard_may_order(const bp_shard_t *shard);
+bool bp_shard_fresh(const bp_shard_t *shard);
 void bp_shard_mark_dirty(bp_shard_t *shard, bp_qjob_t *job);
 void bp_shard_plan_round(bp_shard_t *shard, uint32_t delay_ms);
 void bp_shard_end_job(
--- a/src/queues/shards.c
+++ b/src/queues/shards.c
@@ -113,6 +113,17 @@
 		bp_shard_set_zone(self->owned[number], zone, true);
 }
 
+/* The membership had run out meanwhile: the state may be out of date. */
+static void
+renew(bp_shards_t *self, uint32_t number)
+{
+	bp_log(self->options.logger, BP_LOG_NOTICE, "shards",
+	    "membership had run out; the shard is taken over anew", NULL);
+	bp_shard_release(self->owned[number]);
+	if (bp_shard_idle(self->owned[number]))
+		drop(self, number);
+}
+
 /* See the header. */
 void
 bp_shards_held(bp_shards_t *self, const bool *shards, int64_t sent_mono_ms)
@@ -133,7 +144,8 @@
 			if (bp_shard_idle(shard))
 				drop(self, i);
 		} else if (shard != NULL) {
-			bp_shard_confirm(shard, sent_mono_ms);
+			if (!bp_shard_confirm(shard, sent_mono_ms))
+				renew(self, i);
 		} else if (now_ms >= self->rest_until_ms[i] &&
 		    !self->released) {
 			take(self, i);
