Three faults of takeovers and new lives that the soak found

- A node that could not confirm its membership went on starting tasks for 5 s; an executor's new life knows no epoch and took them, after a later owner had noted their ends.
Tasks now start only while the membership is certain; leases are still prolonged for 5 s. why: store_unavailable.
- Two nodes may claim the same epoch; the store answers a repeated sequence number like the first.
Claims draw their sequence number.
- A look with the cursor of an earlier life made a new life forget ends that nobody had seen.
Only a look that directly follows an answer acknowledges.

--- a/include/bulrushpost/clock.h
+++ b/include/bulrushpost/clock.h
@@ -28,8 +28,8 @@
  * Calls back after a delay, and again after each that returns
  * G_SOURCE_CONTINUE.
  */
-guint bp_clock_after(const bp_clock_t *clock, uint32_t delay_ms,
-    GSourceFunc call, void *data);
+guint bp_clock_after(
+    const bp_clock_t *clock, uint32_t delay_ms, GSourceFunc call, void *data);
 /* Ends a timer and sets its id to 0; an id of 0 is allowed. */
 void bp_clock_cancel(const bp_clock_t *clock, guint *id);
 
--- a/include/bulrushpost/platform.h
+++ b/include/bulrushpost/platform.h
@@ -18,8 +18,8 @@
 	bp_feed_listener_t listener;
 } bp_platform_options_t;
 
-int bp_platform_new(bp_platform_t **out, const bp_platform_options_t *options,
-    bp_error_t *err);
+int bp_platform_new(
+    bp_platform_t **out, const bp_platform_options_t *options, bp_error_t *err);
 void bp_platform_free(bp_platform_t *platform);
 bp_store_t *bp_platform_get_store(bp_platform_t *platform);
 bp_executors_t *bp_platform_get_executors(bp_platform_t *platform);
--- a/include/bulrushpost/shard.h
+++ b/include/bulrushpost/shard.h
@@ -81,8 +81,8 @@
 void bp_shard_executors_listed(bp_shard_t *shard);
 
 /* Takes job. */
-void bp_shard_submit(bp_shard_t *shard, Bp__Work__Job *job,
-    bp_shard_done_t done, void *data);
+void bp_shard_submit(
+    bp_shard_t *shard, Bp__Work__Job *job, bp_shard_done_t done, void *data);
 void bp_shard_status(bp_shard_t *shard, const char *queue, const char *id,
     bp_shard_answer_t *out);
 void bp_shard_cancel(bp_shard_t *shard, const char *queue, const char *id,
@@ -94,7 +94,6 @@
 char *bp_shard_describe(const bp_shard_t *shard);
 
 uint32_t bp_shard_of_job(const char *id, uint32_t shards);
-uint32_t bp_shard_of_rack(
-    const char *zone, const char *rack, uint32_t shards);
+uint32_t bp_shard_of_rack(const char *zone, const char *rack, uint32_t shards);
 
 #endif
--- a/src/core/clock.c
+++ b/src/core/clock.c
@@ -40,8 +40,7 @@
 	return clock_gettime(CLOCK_REALTIME, out);
 }
 
-static const bp_clock_t system_clock = {
-    system_mono, system_wall, NULL, NULL};
+static const bp_clock_t system_clock = {system_mono, system_wall, NULL, NULL};
 
 /* Returns the clock of the operating system. */
 const bp_clock_t *
@@ -85,8 +84,8 @@
 
 /* See the header. */
 guint
-bp_clock_after(const bp_clock_t *clock, uint32_t delay_ms, GSourceFunc call,
-    void *data)
+bp_clock_after(
+    const bp_clock_t *clock, uint32_t delay_ms, GSourceFunc call, void *data)
 {
 	if (clock->after != NULL)
 		return clock->after(clock, delay_ms, call, data);
@@ -154,8 +153,8 @@
 }
 
 static guint
-virtual_after(const bp_clock_t *clock, uint32_t delay_ms, GSourceFunc call,
-    void *data)
+virtual_after(
+    const bp_clock_t *clock, uint32_t delay_ms, GSourceFunc call, void *data)
 {
 	bp_clock_virtual_t *self = (bp_clock_virtual_t *)clock;
 	vtimer_t *timer = g_new0(vtimer_t, 1);
--- a/src/queues/desk.c
+++ b/src/queues/desk.c
@@ -95,11 +95,11 @@
 	    refused ? "call not served" : "call served", "call",
 	    kind_text(call->kind), "job", call->id, "queue", call->queue,
 	    "outcome",
-	    answer->outcome == BP_DESK_OK	 ? "ok"
-		: answer->outcome == BP_DESK_GONE	 ? "gone"
-		: answer->outcome == BP_DESK_NOT_RUN	 ? "not_run"
-		: answer->outcome == BP_DESK_INVALID	 ? "invalid"
-							 : "not_known",
+	    answer->outcome == BP_DESK_OK	     ? "ok"
+		: answer->outcome == BP_DESK_GONE    ? "gone"
+		: answer->outcome == BP_DESK_NOT_RUN ? "not_run"
+		: answer->outcome == BP_DESK_INVALID ? "invalid"
+						     : "not_known",
 	    "reason", answer->reason, "took_ms", took, NULL);
 }
 
@@ -150,7 +150,8 @@
 plan(call_t *call, int64_t delay_ms)
 {
 	bp_clock_cancel(call->desk->options.clock, &call->timer);
-	call->timer = bp_clock_after(call->desk->options.clock, (guint)MAX(delay_ms, 1), on_timer, call);
+	call->timer = bp_clock_after(
+	    call->desk->options.clock, (guint)MAX(delay_ms, 1), on_timer, call);
 }
 
 /* No owner took the call: waits a little for one, then refuses. */
@@ -161,16 +162,15 @@
 	int64_t left_ms = call->deadline_ms - now_ms(call->desk);
 
 	bp_membership_refresh(call->desk->options.membership);
-	if ((waited_ms < PATIENCE_MS || call->uncertain) &&
-	    left_ms > AGAIN_MS)
+	if ((waited_ms < PATIENCE_MS || call->uncertain) && left_ms > AGAIN_MS)
 		plan(call, AGAIN_MS);
 	else
 		give_up(call, reason);
 }
 
 static void
-take_answer(call_t *call, int kind, Bp__Work__JobState state,
-    uint64_t waiting, const char *reason)
+take_answer(call_t *call, int kind, Bp__Work__JobState state, uint64_t waiting,
+    const char *reason)
 {
 	bp_desk_answer_t answer = {
 	    BP_DESK_OK, state, waiting, RETRY_AFTER_MS, reason};
@@ -229,8 +229,8 @@
 static void
 try_local(call_t *call, bp_shard_t *shard)
 {
-	bp_shard_answer_t answer = {BP_OK, BP__WORK__JOB_STATE__JOB_QUEUED, 0,
-	    ""};
+	bp_shard_answer_t answer = {
+	    BP_OK, BP__WORK__JOB_STATE__JOB_QUEUED, 0, ""};
 
 	call->refs++;
 	switch (call->kind) {
@@ -255,9 +255,8 @@
 static uint64_t
 arg_number(const Bp__Peer__Frame *frame)
 {
-	return frame->n_args > 0
-	    ? g_ascii_strtoull(frame->args[0], NULL, 10)
-	    : 0;
+	return frame->n_args > 0 ? g_ascii_strtoull(frame->args[0], NULL, 10)
+				 : 0;
 }
 
 static void
@@ -351,9 +350,8 @@
 }
 
 static void
-start_call(bp_queuedesk_t *desk, kind_t kind, const char *queue,
-    const char *id, Bp__Work__Job *job, uint32_t deadline_ms,
-    bp_desk_done_t done, void *data)
+start_call(bp_queuedesk_t *desk, kind_t kind, const char *queue, const char *id,
+    Bp__Work__Job *job, uint32_t deadline_ms, bp_desk_done_t done, void *data)
 {
 	call_t *call = g_new0(call_t, 1);
 
@@ -388,8 +386,8 @@
 	job->stretch_permille = route->stretch_permille;
 	job->objective_ms = route->objective_ms;
 	job->accepted_ms = bp_clock_wall_ms(desk->options.clock);
-	start_call(desk, CALL_SUBMIT, route->name, id, job, deadline_ms, done,
-	    data);
+	start_call(
+	    desk, CALL_SUBMIT, route->name, id, job, deadline_ms, done, data);
 }
 
 /* See the header. */
@@ -397,8 +395,8 @@
 bp_queuedesk_status(bp_queuedesk_t *desk, const bp_queue_route_t *route,
     const char *id, uint32_t deadline_ms, bp_desk_done_t done, void *data)
 {
-	start_call(desk, CALL_STATUS, route->name, id, NULL, deadline_ms, done,
-	    data);
+	start_call(
+	    desk, CALL_STATUS, route->name, id, NULL, deadline_ms, done, data);
 }
 
 /* See the header. */
@@ -406,8 +404,8 @@
 bp_queuedesk_cancel(bp_queuedesk_t *desk, const bp_queue_route_t *route,
     const char *id, uint32_t deadline_ms, bp_desk_done_t done, void *data)
 {
-	start_call(desk, CALL_CANCEL, route->name, id, NULL, deadline_ms, done,
-	    data);
+	start_call(
+	    desk, CALL_CANCEL, route->name, id, NULL, deadline_ms, done, data);
 }
 
 /* Adds up the shards one after the other. */
@@ -539,8 +537,8 @@
 }
 
 static void
-answer_frame(bp_peer_request_t *request, int kind, uint64_t number,
-    const char *reason)
+answer_frame(
+    bp_peer_request_t *request, int kind, uint64_t number, const char *reason)
 {
 	Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
 	char text[32];
@@ -570,12 +568,11 @@
 	bp_shard_t *shard;
 
 	if (job == NULL) {
-		answer_frame(
-		    request, BP_EINVALID, 0, "the job cannot be read");
+		answer_frame(request, BP_EINVALID, 0, "the job cannot be read");
 		return;
 	}
-	shard = desk->options
-		    .owned[bp_shard_of_job(job->id, desk->options.shards)];
+	shard =
+	    desk->options.owned[bp_shard_of_job(job->id, desk->options.shards)];
 	if (shard == NULL) {
 		answer_frame(request, BP_ESTATE, 0, "not the owner");
 		bp__work__job__free_unpacked(job, NULL);
@@ -589,9 +586,8 @@
 {
 	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
 	uint64_t number = g_ascii_strtoull(frame->args[1], NULL, 10);
-	bp_shard_t *shard = number < desk->options.shards
-	    ? desk->options.owned[number]
-	    : NULL;
+	bp_shard_t *shard =
+	    number < desk->options.shards ? desk->options.owned[number] : NULL;
 
 	if (shard == NULL || !bp_shard_ready(shard))
 		answer_frame(request, BP_ESTATE, 0, "not the owner");
@@ -620,15 +616,16 @@
 		serve_count(desk, request);
 		return;
 	}
-	shard = desk->options.owned[bp_shard_of_job(
-	    frame->args[1], desk->options.shards)];
+	shard =
+	    desk->options
+		.owned[bp_shard_of_job(frame->args[1], desk->options.shards)];
 	if (shard == NULL) {
 		answer_frame(request, BP_ESTATE, 0, "not the owner");
 		return;
 	}
 	if (frame->verb == BP__PEER__VERB__VERB_QUEUE_CANCEL) {
-		bp_shard_cancel(shard, frame->args[0], frame->args[1],
-		    on_served, request);
+		bp_shard_cancel(
+		    shard, frame->args[0], frame->args[1], on_served, request);
 		return;
 	}
 	bp_shard_status(shard, frame->args[0], frame->args[1], &answer);
--- a/src/queues/job.c
+++ b/src/queues/job.c
@@ -165,8 +165,8 @@
 
 /* Returns a task, or NULL when the job has none of that name. */
 bp_qtask_t *
-bp_qjob_task(const bp_qjob_t *job, uint32_t occurrence, uint32_t step,
-    uint32_t index)
+bp_qjob_task(
+    const bp_qjob_t *job, uint32_t occurrence, uint32_t step, uint32_t index)
 {
 	bp_qstep_t *found;
 
@@ -345,8 +345,8 @@
 
 /* Reads stored progress into a new job; BP_EINVALID for broken bytes. */
 int
-bp_qjob_load_progress(bp_qjob_t *job, const uint8_t *bytes, size_t size_bytes,
-    bp_error_t *err)
+bp_qjob_load_progress(
+    bp_qjob_t *job, const uint8_t *bytes, size_t size_bytes, bp_error_t *err)
 {
 	Bp__Work__Progress *progress =
 	    bp__work__progress__unpack(NULL, size_bytes, bytes);
--- a/src/queues/job.h
+++ b/src/queues/job.h
@@ -66,8 +66,8 @@
 bool bp_qjob_ended(const bp_qjob_t *job);
 bool bp_qstep_open(const bp_qstep_t *step, int64_t wall_ms);
 int64_t bp_qstep_due_ms(const bp_qstep_t *step);
-bp_qtask_t *bp_qjob_task(const bp_qjob_t *job, uint32_t occurrence,
-    uint32_t step, uint32_t index);
+bp_qtask_t *bp_qjob_task(
+    const bp_qjob_t *job, uint32_t occurrence, uint32_t step, uint32_t index);
 void bp_qtask_set_state(bp_qtask_t *task, bp_qtask_state_t state);
 void bp_qtask_set_checkpoint(bp_qtask_t *task, const char *checkpoint);
 bool bp_qtask_failed(bp_qtask_t *task, uint64_t run);
@@ -80,8 +80,8 @@
 
 /* Serialized progress, and back. */
 GBytes *bp_qjob_progress(const bp_qjob_t *job);
-int bp_qjob_load_progress(bp_qjob_t *job, const uint8_t *bytes,
-    size_t size_bytes, bp_error_t *err);
+int bp_qjob_load_progress(
+    bp_qjob_t *job, const uint8_t *bytes, size_t size_bytes, bp_error_t *err);
 
 int bp_qjob_check(const Bp__Work__Job *spec, bp_error_t *err);
 
--- a/src/queues/journal.c
+++ b/src/queues/journal.c
@@ -24,8 +24,7 @@
 
 static void schedule(bp_journal_t *journal);
 
-static void
-send_batch(bp_journal_t *journal);
+static void send_batch(bp_journal_t *journal);
 
 static gboolean
 on_repeat(void *data)
@@ -69,8 +68,8 @@
 		bp_log(journal->options.logger, BP_LOG_NOTICE, MODULE,
 		    "a later epoch writes this shard", "uncertain",
 		    journal->uncertain ? "yes" : "no", NULL);
-		finish(journal, journal->uncertain ? BP_STORE_UNKNOWN
-						   : BP_STORE_FENCED);
+		finish(journal,
+		    journal->uncertain ? BP_STORE_UNKNOWN : BP_STORE_FENCED);
 		journal->closed = true;
 		return;
 	case BP_STORE_REFUSED:
@@ -78,16 +77,16 @@
 			finish(journal, BP_STORE_REFUSED);
 			break;
 		}
-		journal->timer =
-		    bp_clock_after(journal->options.clock, REPEAT_MS, on_repeat, journal);
+		journal->timer = bp_clock_after(
+		    journal->options.clock, REPEAT_MS, on_repeat, journal);
 		return;
 	case BP_STORE_UNKNOWN:
 		if (!journal->uncertain)
 			bp_log(journal->options.logger, BP_LOG_WARNING, MODULE,
 			    "no answer to an append; repeating it", NULL);
 		journal->uncertain = true;
-		journal->timer =
-		    bp_clock_after(journal->options.clock, REPEAT_MS, on_repeat, journal);
+		journal->timer = bp_clock_after(
+		    journal->options.clock, REPEAT_MS, on_repeat, journal);
 		return;
 	}
 	schedule(journal);
@@ -133,26 +132,24 @@
 schedule(bp_journal_t *journal)
 {
 	int64_t now_ms = bp_clock_mono_ms(journal->options.clock);
-	int64_t due_ms = journal->sent_ms +
-	    (journal->urgent ? URGENT_GAP_MS : GAP_MS);
+	int64_t due_ms =
+	    journal->sent_ms + (journal->urgent ? URGENT_GAP_MS : GAP_MS);
 
 	if (journal->batch != NULL || !journal->wanted || journal->closed)
 		return;
 	bp_clock_cancel(journal->options.clock, &journal->timer);
-	journal->timer = bp_clock_after(journal->options.clock, (guint)MAX(due_ms - now_ms, 0), on_due, journal);
+	journal->timer = bp_clock_after(journal->options.clock,
+	    (guint)MAX(due_ms - now_ms, 0), on_due, journal);
 }
 
-/*
- * Creates a journal whose next append has sequence number 1; number 0 was
- * the owner's record.
- */
+/* Creates a journal that has nothing to write. */
 bp_journal_t *
 bp_journal_new(const bp_journal_options_t *options)
 {
 	bp_journal_t *journal = g_new0(bp_journal_t, 1);
 
 	journal->options = *options;
-	journal->sequence = 1;
+	journal->sequence = options->sequence;
 	return journal;
 }
 
--- a/src/queues/journal.h
+++ b/src/queues/journal.h
@@ -22,6 +22,7 @@
 	uint32_t partition;
 	const char *writer;
 	uint64_t epoch;
+	uint64_t sequence; /* of the first append */
 	/* Adds what is to be stored (bp_store_record_t) to a batch. */
 	void (*fill)(GPtrArray *records, void *data);
 	/* Fate of the batch that was filled last. */
--- a/src/queues/membership.c
+++ b/src/queues/membership.c
@@ -47,8 +47,9 @@
 	self->generation = result->generation;
 	shards = g_new0(bool, self->options.shards);
 	for (i = 0; i < result->holdings->len; i++) {
-		uint32_t partition = g_array_index(result->holdings,
-		    bp_store_holding_t, i).partition;
+		uint32_t partition =
+		    g_array_index(result->holdings, bp_store_holding_t, i)
+			.partition;
 
 		if (partition < self->options.shards)
 			shards[partition] = true;
@@ -67,7 +68,8 @@
 	self->joining = true;
 	self->sent_ms = bp_clock_mono_ms(self->options.clock);
 	self->options.store->join(self->options.store, GROUP, self->member,
-	    self->options.topic, BP_SHARD_MEMBERSHIP_MS, self->generation, on_joined, self);
+	    self->options.topic, BP_SHARD_MEMBERSHIP_MS, self->generation,
+	    on_joined, self);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -87,7 +89,8 @@
 plan_owners(bp_membership_t *self, uint32_t delay_ms)
 {
 	bp_clock_cancel(self->options.clock, &self->owners_timer);
-	self->owners_timer = bp_clock_after(self->options.clock, delay_ms, on_owners_timer, self);
+	self->owners_timer = bp_clock_after(
+	    self->options.clock, delay_ms, on_owners_timer, self);
 }
 
 static void
@@ -138,7 +141,8 @@
 	    options->address, options->incarnation);
 	self->owners = g_new0(char *, options->shards);
 	self->answered = true;
-	self->join_timer = bp_clock_after(self->options.clock, JOIN_PERIOD_MS, on_join_timer, self);
+	self->join_timer = bp_clock_after(
+	    self->options.clock, JOIN_PERIOD_MS, on_join_timer, self);
 	(void)on_join_timer(self);
 	plan_owners(self, OWNERS_GAP_MS);
 	return self;
--- a/src/queues/pairs.c
+++ b/src/queues/pairs.c
@@ -84,8 +84,8 @@
 
 /* See the header. */
 void
-bp_pairs_learn(bp_pairs_t *pairs, const char *serving, double loss,
-    const GArray *changes)
+bp_pairs_learn(
+    bp_pairs_t *pairs, const char *serving, double loss, const GArray *changes)
 {
 	fit_t *fit = get_fit(pairs, serving);
 	double row[TERMS] = {0};
@@ -118,8 +118,7 @@
 
 	for (i = 1; i < n; i++) {
 		double own = fit->products[i][i] + WEIGHT_EVIDENCE;
-		double rest =
-		    fit->targets[i] + WEIGHT_EVIDENCE * WEIGHT_PRIOR;
+		double rest = fit->targets[i] + WEIGHT_EVIDENCE * WEIGHT_PRIOR;
 
 		for (k = 1; k < n; k++) {
 			if (k != i)
--- a/src/queues/pairs.h
+++ b/src/queues/pairs.h
@@ -23,8 +23,8 @@
 bp_pairs_t *bp_pairs_new(void);
 void bp_pairs_free(bp_pairs_t *pairs);
 /* Takes the loss of calm between two samples and the changed amounts. */
-void bp_pairs_learn(bp_pairs_t *pairs, const char *serving, double loss,
-    const GArray *changes);
+void bp_pairs_learn(
+    bp_pairs_t *pairs, const char *serving, double loss, const GArray *changes);
 /* Fits the weights to the samples so far and fades those. */
 void bp_pairs_fit(bp_pairs_t *pairs);
 /* Calm that a serving image loses per unit of amount. */
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -48,8 +48,8 @@
 } node_t;
 
 static void
-log_number(const node_t *node, const char *message, const char *key,
-    uint64_t value)
+log_number(
+    const node_t *node, const char *message, const char *key, uint64_t value)
 {
 	char text[32];
 
@@ -127,8 +127,8 @@
 }
 
 static void
-answer_text(bp_peer_request_t *request, int kind, const char *message,
-    const char *body)
+answer_text(
+    bp_peer_request_t *request, int kind, const char *message, const char *body)
 {
 	Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
 
@@ -153,8 +153,7 @@
 		answer_text(request, BP_EINVALID, "a job id is needed", NULL);
 		return;
 	}
-	number = bp_shard_of_job(
-	    frame->args[0], node->settings->queues.shards);
+	number = bp_shard_of_job(frame->args[0], node->settings->queues.shards);
 	owner = bp_membership_owner(node->membership, number);
 	if (bp_shards_owned(node->shards)[number] == NULL) {
 		text = g_strdup_printf("the job's shard is owned by %s",
@@ -163,8 +162,8 @@
 		g_free(text);
 		return;
 	}
-	text = bp_shard_why(
-	    bp_shards_owned(node->shards)[number], frame->args[0]);
+	text =
+	    bp_shard_why(bp_shards_owned(node->shards)[number], frame->args[0]);
 	if (text == NULL)
 		answer_text(request, BP_ENOTFOUND, "no such job", NULL);
 	else
@@ -292,7 +291,8 @@
 		return;
 	default:
 		answer_text(request, BP_EINVALID,
-		    "a node with the service queues does not answer this", NULL);
+		    "a node with the service queues does not answer this",
+		    NULL);
 		return;
 	}
 }
@@ -307,8 +307,8 @@
 	node_t *node = data;
 	int64_t passed_ms =
 	    bp_clock_mono_ms(node->clock) - node->drain_start_ms;
-	int64_t limit_ms =
-	    (int64_t)node->settings->queues.grace_s * MS_PER_S - DRAIN_MARGIN_MS;
+	int64_t limit_ms = (int64_t)node->settings->queues.grace_s * MS_PER_S -
+	    DRAIN_MARGIN_MS;
 
 	if (bp_shards_idle(node->shards) || passed_ms > limit_ms) {
 		bp_shards_drop_all(node->shards);
@@ -335,8 +335,7 @@
 	node->drain_start_ms = bp_clock_mono_ms(node->clock);
 	bp_platform_drain(node->platform);
 	bp_shards_release(node->shards);
-	node->drain_timer =
-	    g_timeout_add(DRAIN_TICK_MS, on_drain_tick, node);
+	node->drain_timer = g_timeout_add(DRAIN_TICK_MS, on_drain_tick, node);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -360,8 +359,8 @@
 
 	for (i = 0; i < node->settings->queues.shards; i++)
 		owned += bp_shards_owned(node->shards)[i] != NULL;
-	bp_metric_set(bp_metrics_gauge(metrics, "bp_shards_owned", NULL),
-	    owned);
+	bp_metric_set(
+	    bp_metrics_gauge(metrics, "bp_shards_owned", NULL), owned);
 	bp_metric_set(bp_metrics_gauge(metrics, "bp_calls_open", NULL),
 	    bp_queuedesk_open(node->desk));
 	bp_metric_set(
@@ -466,8 +465,8 @@
 	bp_logger_set_stdout(node->logger);
 	node->loop = g_main_loop_new(NULL, FALSE);
 	node->metrics = bp_metrics_new();
-	node->timeline = bp_timeline_new(node->clock, settings->node.name,
-	    settings->limits.timeline_events);
+	node->timeline = bp_timeline_new(
+	    node->clock, settings->node.name, settings->limits.timeline_events);
 	platform.clock = node->clock;
 	platform.logger = node->logger;
 	platform.settings = settings;
--- a/src/queues/relay.c
+++ b/src/queues/relay.c
@@ -64,8 +64,7 @@
 		courier->address = g_strdup(address);
 		courier->zone = g_strdup(zone);
 		courier->hash = bp_hash_text(address, SEED_COURIER);
-		g_hash_table_insert(
-		    relay->couriers, courier->address, courier);
+		g_hash_table_insert(relay->couriers, courier->address, courier);
 	}
 	courier->heard_ms = bp_clock_mono_ms(relay->options.clock);
 }
@@ -134,9 +133,8 @@
 static void
 deliver(sent_t *sent, const Bp__Peer__Frame *frame)
 {
-	Bp__Work__OrderResult *body =
-	    bp__work__order_result__unpack(NULL, frame->body.len,
-		frame->body.data);
+	Bp__Work__OrderResult *body = bp__work__order_result__unpack(
+	    NULL, frame->body.len, frame->body.data);
 	bp_exec_result_t result = {0};
 
 	result.outcome = BP_EXEC_UNKNOWN;
@@ -167,8 +165,8 @@
 	if (courier != NULL)
 		courier->rest_until_ms =
 		    bp_clock_mono_ms(sent->relay->options.clock) + REST_MS;
-	result.outcome = err->kind == BP_EUNREACHABLE ? BP_EXEC_NOT_SENT
-						      : BP_EXEC_UNKNOWN;
+	result.outcome =
+	    err->kind == BP_EUNREACHABLE ? BP_EXEC_NOT_SENT : BP_EXEC_UNKNOWN;
 	result.courier_failed = true;
 	sent->done(&result, sent->data);
 }
@@ -326,8 +324,8 @@
 }
 
 static void
-put_lists(const bp_exec_result_t *from, Bp__Work__OrderResult *to,
-    GPtrArray *rows)
+put_lists(
+    const bp_exec_result_t *from, Bp__Work__OrderResult *to, GPtrArray *rows)
 {
 	guint i;
 
@@ -428,8 +426,8 @@
 bp_relay_serve(bp_relay_t *relay, bp_peer_request_t *request)
 {
 	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
-	Bp__Work__Order *order = bp__work__order__unpack(
-	    NULL, frame->body.len, frame->body.data);
+	Bp__Work__Order *order =
+	    bp__work__order__unpack(NULL, frame->body.len, frame->body.data);
 	Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
 	served_t *served;
 
--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -43,6 +43,17 @@
 	    BP_SHARD_ORDER_GRACE_MS;
 }
 
+/*
+ * Tells whether tasks may be started: only while no other node can own the
+ * shard. An executor's new life knows no epoch and would take an earlier
+ * owner's start of what a later one knows to be done.
+ */
+bool
+bp_shard_may_start(const bp_shard_t *shard)
+{
+	return shard->phase == BP_SHARD_OWNED && bp_shard_fresh(shard);
+}
+
 /* The job's progress is to be stored with the next append. */
 void
 bp_shard_mark_dirty(bp_shard_t *shard, bp_qjob_t *job)
@@ -61,7 +72,7 @@
 	bp_shard_t *shard = data;
 
 	shard->round_timer = 0;
-	if (bp_shard_may_order(shard))
+	if (bp_shard_may_start(shard))
 		bp_shard_round(shard);
 	return G_SOURCE_REMOVE;
 }
@@ -71,7 +82,8 @@
 bp_shard_plan_round(bp_shard_t *shard, uint32_t delay_ms)
 {
 	if (shard->round_timer == 0 && shard->phase == BP_SHARD_OWNED)
-		shard->round_timer = bp_clock_after(shard->options.clock, MAX(delay_ms, ROUND_GAP_MS), on_round, shard);
+		shard->round_timer = bp_clock_after(shard->options.clock,
+		    MAX(delay_ms, ROUND_GAP_MS), on_round, shard);
 }
 
 static void
@@ -96,19 +108,17 @@
 
 /* Brings a job to its last state and stops what runs of it. */
 void
-bp_shard_end_job(
-    bp_shard_t *shard, bp_qjob_t *job, Bp__Work__JobState state)
+bp_shard_end_job(bp_shard_t *shard, bp_qjob_t *job, Bp__Work__JobState state)
 {
 	job->state = state;
 	job->ended_ms = bp_shard_wall_ms(shard);
 	g_ptr_array_remove(shard->going, job);
 	stop_runs(shard, job);
-	bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE,
-	    "job ended", "job", job->spec->id, "state",
-	    state == BP__WORK__JOB_STATE__JOB_COMPLETED ? "completed"
-		: state == BP__WORK__JOB_STATE__JOB_FAILED
-		? "failed"
-		: "cancelled",
+	bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE, "job ended",
+	    "job", job->spec->id, "state",
+	    state == BP__WORK__JOB_STATE__JOB_COMPLETED	   ? "completed"
+		: state == BP__WORK__JOB_STATE__JOB_FAILED ? "failed"
+							   : "cancelled",
 	    NULL);
 }
 
@@ -132,7 +142,8 @@
 	    "the shard has a later owner", NULL);
 	shard->phase = BP_SHARD_LOST;
 	if (shard->reread_timer == 0)
-		shard->reread_timer = bp_clock_after(shard->options.clock, 0, on_lost, shard);
+		shard->reread_timer =
+		    bp_clock_after(shard->options.clock, 0, on_lost, shard);
 }
 
 static void
@@ -271,8 +282,8 @@
 
 		for (s = 0; s < job->n_steps * job->occurrences; s++) {
 			waiting += job->steps[s].waiting;
-			if (!bp_qstep_open(&job->steps[s],
-				bp_shard_wall_ms(shard)))
+			if (!bp_qstep_open(
+				&job->steps[s], bp_shard_wall_ms(shard)))
 				continue;
 			open += job->steps[s].waiting;
 			if (job->spec->priority == 0)
@@ -280,11 +291,12 @@
 		}
 	}
 	snprintf(text, sizeof(text),
-	    "jobs=%u waiting=%u ready=%u urgent=%u cores=%u/%u fillers=%u pace=%u%% "
+	    "jobs=%u waiting=%u ready=%u urgent=%u cores=%u/%u fillers=%u "
+	    "pace=%u%% "
 	    "serving=%u over=%u",
 	    shard->going->len, waiting, open, urgent, (unsigned)(used / 1000),
-	    (unsigned)(cpu / 1000), fillers,
-	    fillers > 0 ? pace / fillers : 0, serving, over);
+	    (unsigned)(cpu / 1000), fillers, fillers > 0 ? pace / fillers : 0,
+	    serving, over);
 	bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE, "summary",
 	    "state", text, NULL);
 }
@@ -294,8 +306,7 @@
 {
 	bp_shard_t *shard = data;
 
-	if (shard->phase != BP_SHARD_OWNED &&
-	    shard->phase != BP_SHARD_RELEASED)
+	if (shard->phase != BP_SHARD_OWNED && shard->phase != BP_SHARD_RELEASED)
 		return G_SOURCE_CONTINUE;
 	bp_shard_refuse_overdue(shard);
 	if (shard->phase == BP_SHARD_RELEASED)
@@ -339,7 +350,8 @@
 	shard->dropping = g_ptr_array_new_with_free_func(g_free);
 	shard->in_flight = g_array_new(FALSE, FALSE, sizeof(bp_qsent_t));
 	shard->confirmed_ms = bp_shard_now_ms(shard);
-	shard->tick_timer = bp_clock_after(shard->options.clock, TICK_MS, on_tick, shard);
+	shard->tick_timer =
+	    bp_clock_after(shard->options.clock, TICK_MS, on_tick, shard);
 	bp_shard_read(shard);
 	return shard;
 }
@@ -495,8 +507,10 @@
 	bp_executor_info_free(exec->info);
 	exec->info = copy_info(info);
 	exec->listed = true;
-	if (info->born_ms > exec->born_ms && exec->born_ms != 0)
+	if (info->born_ms > exec->born_ms && exec->born_ms != 0) {
+		exec->answered_ms = 0;
 		bp_shard_look(exec, 0);
+	}
 	if (!exec->recorded && !exec->recording)
 		bp_journal_request(shard->journal, false);
 	if (!exec->met && exec->looks == 0 && exec->timer == 0)
--- a/src/queues/shard_calls.c
+++ b/src/queues/shard_calls.c
@@ -18,8 +18,8 @@
 }
 
 static void
-add_waiter(bp_shard_t *shard, bp_qjob_t *job, bool cancel,
-    bp_shard_done_t done, void *data)
+add_waiter(bp_shard_t *shard, bp_qjob_t *job, bool cancel, bp_shard_done_t done,
+    void *data)
 {
 	bp_qwaiter_t waiter = {done, data, cancel, bp_shard_now_ms(shard)};
 
@@ -42,8 +42,7 @@
 {
 	bp_qjob_t *job = g_hash_table_lookup(shard->jobs, id);
 
-	return job != NULL && strcmp(job->spec->queue, queue) == 0 ? job
-								   : NULL;
+	return job != NULL && strcmp(job->spec->queue, queue) == 0 ? job : NULL;
 }
 
 /* Returns the state that callers are told: one that the store holds. */
@@ -71,8 +70,8 @@
 
 /* Accepts a job once the store holds it; the same ID again is one job. */
 void
-bp_shard_submit(bp_shard_t *shard, Bp__Work__Job *spec, bp_shard_done_t done,
-    void *data)
+bp_shard_submit(
+    bp_shard_t *shard, Bp__Work__Job *spec, bp_shard_done_t done, void *data)
 {
 	bp_qjob_t *job = NULL;
 	bp_error_t err = {BP_OK, ""};
@@ -217,8 +216,8 @@
 }
 
 static const char *
-task_reason(const bp_shard_t *shard, const bp_qtask_t *task,
-    const GPtrArray *causes)
+task_reason(
+    const bp_shard_t *shard, const bp_qtask_t *task, const GPtrArray *causes)
 {
 	const bp_qstep_t *step = task->step;
 
@@ -239,8 +238,8 @@
 		return "not_due";
 	if (!bp_qstep_open(step, INT64_MAX))
 		return "dependency";
-	if (!bp_shard_may_order(shard))
-		return "no_owner";
+	if (!bp_shard_may_start(shard))
+		return "store_unavailable";
 	if (step->reason != NULL && strcmp(step->reason, "headroom") == 0)
 		return "headroom";
 	return main_cause(causes);
--- a/src/queues/shard_looks.c
+++ b/src/queues/shard_looks.c
@@ -9,6 +9,8 @@
 #define SILENT_PERIOD_MS 500
 /* A lease is not prolonged after so long a silence: it is to run out. */
 #define SILENT_RENEW_MS 2000
+/* A look so soon after an answer meets the same life. */
+#define FOLLOWS_MS 1000
 /* Failures in a row hold an executor for this time, then twice as long. */
 #define QUARANTINE_MS 4000
 /* Executors measure a tail over half a second. */
@@ -208,8 +210,7 @@
 static bool
 is_gone(const bp_qrun_t *run, uint64_t look_event, int64_t clock_ms)
 {
-	bool answered =
-	    run->answer_event > 0 && run->answer_event < look_event;
+	bool answered = run->answer_event > 0 && run->answer_event < look_event;
 
 	switch (run->state) {
 	case BP_QRUN_STARTING:
@@ -226,8 +227,8 @@
 }
 
 static void
-drop_missing(bp_qexec_t *exec, GHashTable *seen, uint64_t look_event,
-    int64_t clock_ms)
+drop_missing(
+    bp_qexec_t *exec, GHashTable *seen, uint64_t look_event, int64_t clock_ms)
 {
 	guint i;
 
@@ -287,8 +288,8 @@
 	}
 	for (i = 0; i < result->running->len; i++)
 		take_running(exec,
-		    &g_array_index(result->running, bp_look_running_t, i),
-		    seen, look_event);
+		    &g_array_index(result->running, bp_look_running_t, i), seen,
+		    look_event);
 	if (result->ended->len < ENDS_PAGE)
 		drop_missing(exec, seen, look_event, result->clock_ms);
 	g_hash_table_unref(seen);
@@ -403,6 +404,20 @@
 	return bp_qexec_clock_ms(exec) + lease_ms;
 }
 
+/*
+ * Ends that the store holds. An executor may have begun a new life with
+ * counts of its own since its last answer, and would forget ends that nobody
+ * has seen: only a look that directly follows an answer acknowledges.
+ */
+static uint64_t
+cursor_of(const bp_qexec_t *exec)
+{
+	bool follows = exec->looks == 0 && !exec->silent &&
+	    bp_shard_now_ms(exec->shard) - exec->answered_ms < FOLLOWS_MS;
+
+	return follows ? exec->acked : 0;
+}
+
 /* Looks at an executor; the answer waits up to wait_ms for an end. */
 void
 bp_shard_look(bp_qexec_t *exec, uint32_t wait_ms)
@@ -421,7 +436,7 @@
 	look->exec = exec;
 	look->event = ++shard->events;
 	request.deadline_ms = lease_deadline_ms(exec);
-	request.cursor = exec->acked;
+	request.cursor = cursor_of(exec);
 	request.wait_ms = wait_ms;
 	exec->lease_end_ms = MAX(exec->lease_end_ms, request.deadline_ms);
 	exec->looks++;
@@ -449,7 +464,8 @@
 bp_shard_plan_look(bp_qexec_t *exec, uint32_t delay_ms)
 {
 	if (exec->timer == 0 && exec->looks == 0)
-		exec->timer = bp_clock_after(exec->shard->options.clock, delay_ms, on_look_timer, exec);
+		exec->timer = bp_clock_after(
+		    exec->shard->options.clock, delay_ms, on_look_timer, exec);
 }
 
 static void
@@ -464,9 +480,9 @@
 		if (exec->silent &&
 		    bp_qexec_surely_past(exec, exec->lease_end_ms)) {
 			bp_log(shard->options.logger, BP_LOG_NOTICE,
-			    BP_SHARD_MODULE, "lease of a silent executor lapsed",
-			    "task", run->name, "executor", exec->info->id,
-			    NULL);
+			    BP_SHARD_MODULE,
+			    "lease of a silent executor lapsed", "task",
+			    run->name, "executor", exec->info->id, NULL);
 			shard->counts_lost_runs++;
 			bp_qrun_remove(run);
 		} else if (run->state == BP_QRUN_STOPPING) {
--- a/src/queues/shard_orders.c
+++ b/src/queues/shard_orders.c
@@ -226,7 +226,8 @@
 
 	if (run->stop_answered || !bp_shard_may_order(shard))
 		return;
-	if (run->stop_sent_ms != 0 && now_ms - run->stop_sent_ms < STOP_REPEAT_MS)
+	if (run->stop_sent_ms != 0 &&
+	    now_ms - run->stop_sent_ms < STOP_REPEAT_MS)
 		return;
 	if (run->stop_sent_ms == 0)
 		bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE,
--- a/src/queues/shard_pace.c
+++ b/src/queues/shard_pace.c
@@ -142,8 +142,7 @@
 
 		if (!is_serving(run))
 			continue;
-		grows = effect(
-		    shard, run, filler->task->step->spec, capacity);
+		grows = effect(shard, run, filler->task->step->spec, capacity);
 		room = spare_calm(run) - planned[i];
 		if (grows > 0)
 			share = MIN(share, MAX(room, 0) / grows);
@@ -152,8 +151,8 @@
 }
 
 static void
-add_planned(bp_shard_t *shard, const bp_qexec_t *exec,
-    const bp_qrun_t *filler, double share, double *planned)
+add_planned(bp_shard_t *shard, const bp_qexec_t *exec, const bp_qrun_t *filler,
+    double share, double *planned)
 {
 	double capacity = MAX(exec->info->cpu_milli, 1);
 	guint i;
@@ -163,15 +162,14 @@
 
 		if (is_serving(run))
 			planned[i] += share *
-			    effect(shard, run, filler->task->step->spec,
-				capacity);
+			    effect(
+				shard, run, filler->task->step->spec, capacity);
 	}
 }
 
 /* The sum of a filler's effects, by which the gentle ones go first. */
 static double
-harm_of(bp_shard_t *shard, const bp_qexec_t *exec,
-    const Bp__Work__Step *filler)
+harm_of(bp_shard_t *shard, const bp_qexec_t *exec, const Bp__Work__Step *filler)
 {
 	double capacity = MAX(exec->info->cpu_milli, 1);
 	double worst = 0;
@@ -181,8 +179,8 @@
 		const bp_qrun_t *run = exec->runs->pdata[i];
 
 		if (is_serving(run))
-			worst = MAX(
-			    worst, effect(shard, run, filler, capacity));
+			worst =
+			    MAX(worst, effect(shard, run, filler, capacity));
 	}
 	return worst / MAX(filler->cpu_milli, 1);
 }
@@ -237,8 +235,8 @@
 
 /* A serving task's calm without the fillers beside it now. */
 static double
-calm_alone(bp_shard_t *shard, const bp_qrun_t *run, double calm,
-    const GArray *amounts)
+calm_alone(
+    bp_shard_t *shard, const bp_qrun_t *run, double calm, const GArray *amounts)
 {
 	const char *image = run->task->step->spec->image;
 	guint i;
@@ -320,8 +318,7 @@
 	g_array_sort(ranked, compare_harm);
 	for (i = 0; i < ranked->len; i++) {
 		bp_qrun_t *run = g_array_index(ranked, ranked_t, i).run;
-		double share =
-		    allowed_share(exec->shard, exec, run, planned);
+		double share = allowed_share(exec->shard, exec, run, planned);
 		uint32_t pace;
 
 		share = CLAMP(share, 0, 1);
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -117,6 +117,7 @@
 	bp_shard_options_t options;
 	bp_shard_phase_t phase;
 	uint64_t epoch;
+	uint64_t claim_sequence; /* of the append that claimed the epoch */
 	uint64_t end_offset; /* of the partition, when it was read */
 	GHashTable *raw; /* key to bp_store_record_t, while reading */
 	char *page;
@@ -159,6 +160,7 @@
 int64_t bp_shard_wall_ms(const bp_shard_t *shard);
 bool bp_shard_may_order(const bp_shard_t *shard);
 bool bp_shard_fresh(const bp_shard_t *shard);
+bool bp_shard_may_start(const bp_shard_t *shard);
 void bp_shard_mark_dirty(bp_shard_t *shard, bp_qjob_t *job);
 void bp_shard_plan_round(bp_shard_t *shard, uint32_t delay_ms);
 void bp_shard_end_job(
@@ -194,8 +196,7 @@
 void bp_qrun_abandon(bp_qrun_t *run);
 void bp_qrun_remove(bp_qrun_t *run);
 void bp_qrun_unref_order(bp_qrun_t *run);
-void bp_qexec_hold(
-    bp_qexec_t *exec, const char *reason, uint32_t hold_ms);
+void bp_qexec_hold(bp_qexec_t *exec, const char *reason, uint32_t hold_ms);
 
 /* shard_orders.c */
 void bp_shard_start_task(
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -111,8 +111,7 @@
 	g_ptr_array_set_size(shard->dirty, 0);
 	fill_execs(shard, records);
 	for (i = 0; i < shard->dropping->len; i++)
-		add_record(
-		    records, "", shard->dropping->pdata[i], NULL, 0);
+		add_record(records, "", shard->dropping->pdata[i], NULL, 0);
 	g_ptr_array_set_size(shard->dropping, 0);
 	/* Ends that change no job are acknowledged without a record. */
 	if (records->len == 0)
@@ -269,8 +268,8 @@
 
 	if (spec == NULL || bp_qjob_check(spec, &err) != BP_OK) {
 		bp_log(shard->options.logger, BP_LOG_ERR, BP_SHARD_MODULE,
-		    "a stored job cannot be read", "key", record->key,
-		    "reason", err.message, NULL);
+		    "a stored job cannot be read", "key", record->key, "reason",
+		    err.message, NULL);
 		if (spec != NULL)
 			bp__work__job__free_unpacked(spec, NULL);
 		return;
@@ -420,8 +419,7 @@
 {
 	const char *id = job->spec->id;
 
-	g_ptr_array_add(
-	    shard->dropping, g_strconcat(PREFIX_JOB, id, NULL));
+	g_ptr_array_add(shard->dropping, g_strconcat(PREFIX_JOB, id, NULL));
 	g_ptr_array_add(
 	    shard->dropping, g_strconcat(PREFIX_PROGRESS, id, NULL));
 	g_hash_table_remove(shard->jobs, id);
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -230,8 +230,7 @@
 	uint32_t planned;
 
 	for (i = 0; i < step->spec->tasks; i++)
-		number = MAX(
-		    number, bp_shard_next_run(shard, &step->tasks[i]));
+		number = MAX(number, bp_shard_next_run(shard, &step->tasks[i]));
 	for (planned = 0; planned < step->spec->tasks; planned++) {
 		bp_qtask_t *task = &step->tasks[planned];
 
@@ -294,8 +293,7 @@
 			step->reason = "turn";
 			return;
 		}
-		exec =
-		    choose(round, task, wanted_rack(step), &step->reason);
+		exec = choose(round, task, wanted_rack(step), &step->reason);
 		if (exec == NULL)
 			return;
 		step->reason = NULL;
@@ -391,8 +389,8 @@
 void
 bp_shard_round(bp_shard_t *shard)
 {
-	round_t round = {shard, bp_shard_now_ms(shard),
-	    bp_shard_wall_ms(shard), g_ptr_array_new(), 0, 0, NULL};
+	round_t round = {shard, bp_shard_now_ms(shard), bp_shard_wall_ms(shard),
+	    g_ptr_array_new(), 0, 0, NULL};
 	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
 	GHashTableIter iter;
 	gpointer value;
@@ -415,7 +413,7 @@
 		candidate_t *candidate =
 		    &g_array_index(candidates, candidate_t, i);
 
-		if (!bp_shard_may_order(shard))
+		if (!bp_shard_may_start(shard))
 			break;
 		round.service = service_of(shard, candidate->step->job);
 		place_step(&round, candidate->step);
@@ -450,8 +448,8 @@
 GPtrArray *
 bp_shard_explain(bp_shard_t *shard, const bp_qstep_t *step)
 {
-	round_t round = {shard, bp_shard_now_ms(shard),
-	    bp_shard_wall_ms(shard), NULL, 0, 0, service_of(shard, step->job)};
+	round_t round = {shard, bp_shard_now_ms(shard), bp_shard_wall_ms(shard),
+	    NULL, 0, 0, service_of(shard, step->job)};
 	GPtrArray *causes = g_ptr_array_new_with_free_func(g_free);
 	GHashTableIter iter;
 	gpointer value;
--- a/src/queues/shard_takeover.c
+++ b/src/queues/shard_takeover.c
@@ -1,9 +1,13 @@
 #include "queues/shard_private.h"
 
+#include "bulrushpost/hash.h"
+
 #include <stdio.h>
 
 /* After a failed step of a takeover everything is read again. */
 #define AGAIN_MS 120
+/* Sequence numbers of claims are drawn from this many. */
+#define CLAIM_SEQUENCES (UINT64_C(1) << 31)
 
 static void read_page(bp_shard_t *shard);
 
@@ -23,8 +27,8 @@
 	bp_log(shard->options.logger, BP_LOG_NOTICE, BP_SHARD_MODULE,
 	    "takeover is repeated", "step", step, "reason", reason, NULL);
 	if (shard->reread_timer == 0)
-		shard->reread_timer =
-		    bp_clock_after(shard->options.clock, AGAIN_MS, on_again, shard);
+		shard->reread_timer = bp_clock_after(
+		    shard->options.clock, AGAIN_MS, on_again, shard);
 }
 
 static void
@@ -52,6 +56,7 @@
 	options.partition = shard->options.number;
 	options.writer = shard->options.topic;
 	options.epoch = shard->epoch;
+	options.sequence = shard->claim_sequence + 1;
 	options.fill = bp_shard_fill;
 	options.done = bp_shard_stored;
 	options.data = shard;
@@ -97,6 +102,19 @@
 	}
 }
 
+/*
+ * Two nodes may claim the same epoch. The store answers a repetition of an
+ * epoch and sequence number like the first, so each claim has its own.
+ */
+static uint64_t
+claim_sequence(const bp_shard_t *shard)
+{
+	uint64_t seed = bp_hash_mix(
+	    (uint64_t)bp_clock_mono_us(shard->options.clock) ^ shard->epoch);
+
+	return bp_hash_text(shard->options.address, seed) % CLAIM_SEQUENCES;
+}
+
 static void
 claim(bp_shard_t *shard)
 {
@@ -106,11 +124,13 @@
 
 	shard->phase = BP_SHARD_CLAIMING;
 	shard->epoch = bp_shard_last_epoch(shard) + 1;
+	shard->claim_sequence = claim_sequence(shard);
 	g_ptr_array_add(records, bp_shard_owner_record(shard));
 	append.topic = shard->options.topic;
 	append.partition = shard->options.number;
 	append.writer = shard->options.topic;
 	append.epoch = shard->epoch;
+	append.sequence = shard->claim_sequence;
 	append.conditional = true;
 	append.end_offset = shard->end_offset;
 	append.records = records;
@@ -152,9 +172,8 @@
 static void
 read_page(bp_shard_t *shard)
 {
-	shard->options.store->newest(shard->options.store,
-	    shard->options.topic, shard->options.number, shard->page, on_page,
-	    shard);
+	shard->options.store->newest(shard->options.store, shard->options.topic,
+	    shard->options.number, shard->page, on_page, shard);
 }
 
 /* Begins a takeover: reads all keys, then claims the shard. */
--- a/tests/support/queuefleet.h
+++ b/tests/support/queuefleet.h
@@ -43,6 +43,7 @@
 uint32_t bp_qfleet_starts(const bp_qfleet_t *fleet);
 uint32_t bp_qfleet_starts_of(const bp_qfleet_t *fleet, const char *task);
 uint32_t bp_qfleet_running_of(const bp_qfleet_t *fleet, const char *task);
+bool bp_qfleet_has_done(const bp_qfleet_t *fleet, const char *task);
 uint32_t bp_qfleet_broken(const bp_qfleet_t *fleet);
 const char *bp_qfleet_first_broken(const bp_qfleet_t *fleet);
 
