--- a/src/queues/shard_looks.c
+++ b/src/queues/shard_looks.c
@@ -7,8 +7,8 @@
 #define ENDS_PAGE 500
 /* A silent executor is asked again after this time. */
 #define SILENT_PERIOD_MS 500
-/* A lease is not prolonged after so long a silence: it is to run out. */
-#define SILENT_RENEW_MS 2000
+/* One answer may have been lost: the first repetition comes sooner. */
+#define SILENT_FIRST_MS 100
 /* A look so soon after an answer meets the same life. */
 #define FOLLOWS_MS 1000
 /* Failures in a row hold an executor for this time, then twice as long. */
@@ -339,10 +339,11 @@
 		bp_log(exec->shard->options.logger, BP_LOG_NOTICE,
 		    BP_SHARD_MODULE, "executor does not answer", "executor",
 		    exec->info->id, NULL);
-	exec->silent = true;
 	if (result->outcome == BP_EXEC_FENCED)
 		bp_shard_set_lost(exec->shard);
-	bp_shard_plan_look(exec, SILENT_PERIOD_MS);
+	bp_shard_plan_look(
+	    exec, exec->silent ? SILENT_PERIOD_MS : SILENT_FIRST_MS);
+	exec->silent = true;
 }
 
 static void
@@ -398,8 +399,8 @@
 
 	if (exec->clock_at_ms == 0 || exec->runs->len == 0)
 		return 0;
-	if (bp_shard_now_ms(shard) - exec->answered_ms > SILENT_RENEW_MS &&
-	    exec->silent)
+	/* The lease of a silent executor is to run out. */
+	if (exec->silent)
 		return 0;
 	return bp_qexec_clock_ms(exec) + lease_ms;
 }
@@ -485,6 +486,11 @@
 			    run->name, "executor", exec->info->id, NULL);
 			shard->counts_lost_runs++;
 			bp_qrun_remove(run);
+		} else if (run->state == BP_QRUN_RUNNING &&
+		    exec->info->draining && run->task != NULL &&
+		    (run->task->step->spec->lasting ||
+			run->task->step->spec->checkpoints)) {
+			bp_shard_stop_run(shard, run, "its executor drains");
 		} else if (run->state == BP_QRUN_STOPPING) {
 			bp_shard_stop_run(shard, run, "repeated");
 		}
