--- a/src/queues/shard_execs.c
+++ b/src/queues/shard_execs.c
@@ -74,11 +74,11 @@
 
 /*
  * Notes a run on an executor and takes its room. task is NULL for a run
- * that no task wants.
+ * that no task wants; spec, its request, is NULL when the job is not known.
  */
 bp_qrun_t *
-bp_qrun_new(
-    bp_qexec_t *exec, bp_qtask_t *task, const char *name, uint64_t number)
+bp_qrun_new(bp_qexec_t *exec, bp_qtask_t *task, const Bp__Work__Step *spec,
+    const char *name, uint64_t number)
 {
 	bp_qrun_t *run = g_new0(bp_qrun_t, 1);
 
@@ -89,12 +89,12 @@
 	run->pace = 100;
 	run->started_ms = bp_shard_now_ms(exec->shard);
 	run->progress_ms = run->started_ms;
-	if (task != NULL) {
-		const Bp__Work__Step *spec = task->step->spec;
-
+	if (spec != NULL) {
 		run->cpu_milli = spec->filler ? 0 : spec->cpu_milli;
 		run->memory_mib = spec->memory_mib;
 		run->accelerators = spec->accelerators;
+	}
+	if (task != NULL) {
 		task->run = run;
 		bp_qtask_set_state(task, BP_QTASK_PLACED);
 	}
--- a/src/queues/shard_looks.c
+++ b/src/queues/shard_looks.c
@@ -163,8 +163,8 @@
 	bp_qtask_t *task = find_task(exec->shard, row->task);
 	bool wanted = task != NULL && task->state == BP_QTASK_CENSUS &&
 	    !bp_qjob_ended(task->step->job);
-	bp_qrun_t *run =
-	    bp_qrun_new(exec, wanted ? task : NULL, row->task, row->run);
+	bp_qrun_t *run = bp_qrun_new(exec, wanted ? task : NULL,
+	    task != NULL ? task->step->spec : NULL, row->task, row->run);
 
 	run->state = BP_QRUN_RUNNING;
 	if (task != NULL)
--- a/src/queues/shard_orders.c
+++ b/src/queues/shard_orders.c
@@ -157,7 +157,8 @@
     bp_shard_t *shard, bp_qtask_t *task, bp_qexec_t *exec, uint64_t number)
 {
 	char *name = bp_qtask_name(task);
-	bp_qrun_t *run = bp_qrun_new(exec, task, name, number);
+	bp_qrun_t *run =
+	    bp_qrun_new(exec, task, task->step->spec, name, number);
 	bp_exec_target_t target = target_of(exec);
 	bp_exec_start_t start = {0};
 
