--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -457,6 +457,96 @@
   assert(message->base.descriptor == &bp__work__order_result__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__work__pair__init
+                     (Bp__Work__Pair         *message)
+{
+  static const Bp__Work__Pair init_value = BP__WORK__PAIR__INIT;
+  *message = init_value;
+}
+size_t bp__work__pair__get_packed_size
+                     (const Bp__Work__Pair *message)
+{
+  assert(message->base.descriptor == &bp__work__pair__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__work__pair__pack
+                     (const Bp__Work__Pair *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__work__pair__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__work__pair__pack_to_buffer
+                     (const Bp__Work__Pair *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__work__pair__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__Work__Pair *
+       bp__work__pair__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__Work__Pair *)
+     protobuf_c_message_unpack (&bp__work__pair__descriptor,
+                                allocator, len, data);
+}
+void   bp__work__pair__free_unpacked
+                     (Bp__Work__Pair *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__work__pair__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bp__work__pairs__init
+                     (Bp__Work__Pairs         *message)
+{
+  static const Bp__Work__Pairs init_value = BP__WORK__PAIRS__INIT;
+  *message = init_value;
+}
+size_t bp__work__pairs__get_packed_size
+                     (const Bp__Work__Pairs *message)
+{
+  assert(message->base.descriptor == &bp__work__pairs__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__work__pairs__pack
+                     (const Bp__Work__Pairs *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__work__pairs__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__work__pairs__pack_to_buffer
+                     (const Bp__Work__Pairs *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__work__pairs__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__Work__Pairs *
+       bp__work__pairs__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__Work__Pairs *)
+     protobuf_c_message_unpack (&bp__work__pairs__descriptor,
+                                allocator, len, data);
+}
+void   bp__work__pairs__free_unpacked
+                     (Bp__Work__Pairs *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__work__pairs__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor bp__work__step__field_descriptors[18] =
 {
   {
@@ -1669,6 +1759,108 @@
   (ProtobufCMessageInit) bp__work__order_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__work__pair__field_descriptors[3] =
+{
+  {
+    "serving",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Pair, serving),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "filler",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Pair, filler),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weight",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Pair, weight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__work__pair__field_indices_by_name[] = {
+  1,   /* field[1] = filler */
+  0,   /* field[0] = serving */
+  2,   /* field[2] = weight */
+};
+static const ProtobufCIntRange bp__work__pair__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bp__work__pair__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.work.Pair",
+  "Pair",
+  "Bp__Work__Pair",
+  "bp.work",
+  sizeof(Bp__Work__Pair),
+  3,
+  bp__work__pair__field_descriptors,
+  bp__work__pair__field_indices_by_name,
+  1,  bp__work__pair__number_ranges,
+  (ProtobufCMessageInit) bp__work__pair__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bp__work__pairs__field_descriptors[1] =
+{
+  {
+    "pairs",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__Work__Pairs, n_pairs),
+    offsetof(Bp__Work__Pairs, pairs),
+    &bp__work__pair__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__work__pairs__field_indices_by_name[] = {
+  0,   /* field[0] = pairs */
+};
+static const ProtobufCIntRange bp__work__pairs__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor bp__work__pairs__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.work.Pairs",
+  "Pairs",
+  "Bp__Work__Pairs",
+  "bp.work",
+  sizeof(Bp__Work__Pairs),
+  1,
+  bp__work__pairs__field_descriptors,
+  bp__work__pairs__field_indices_by_name,
+  1,  bp__work__pairs__number_ranges,
+  (ProtobufCMessageInit) bp__work__pairs__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue bp__work__job_state__enum_values_by_number[5] =
 {
   { "JOB_QUEUED", "BP__WORK__JOB_STATE__JOB_QUEUED", 0 },
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -25,6 +25,8 @@
 typedef struct Bp__Work__RunningRow Bp__Work__RunningRow;
 typedef struct Bp__Work__EndedRow Bp__Work__EndedRow;
 typedef struct Bp__Work__OrderResult Bp__Work__OrderResult;
+typedef struct Bp__Work__Pair Bp__Work__Pair;
+typedef struct Bp__Work__Pairs Bp__Work__Pairs;
 
 
 /* --- enums --- */
@@ -303,6 +305,38 @@
     , 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
+/*
+ * What was learned of image pairs, so that a successor need not learn anew.
+ */
+struct  Bp__Work__Pair
+{
+  ProtobufCMessage base;
+  /*
+   * image
+   */
+  char *serving;
+  /*
+   * image
+   */
+  char *filler;
+  double weight;
+};
+#define BP__WORK__PAIR__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__work__pair__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Bp__Work__Pairs
+{
+  ProtobufCMessage base;
+  size_t n_pairs;
+  Bp__Work__Pair **pairs;
+};
+#define BP__WORK__PAIRS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__work__pairs__descriptor) \
+    , 0,NULL }
+
+
 /* Bp__Work__Step methods */
 void   bp__work__step__init
                      (Bp__Work__Step         *message);
@@ -493,6 +527,44 @@
 void   bp__work__order_result__free_unpacked
                      (Bp__Work__OrderResult *message,
                       ProtobufCAllocator *allocator);
+/* Bp__Work__Pair methods */
+void   bp__work__pair__init
+                     (Bp__Work__Pair         *message);
+size_t bp__work__pair__get_packed_size
+                     (const Bp__Work__Pair   *message);
+size_t bp__work__pair__pack
+                     (const Bp__Work__Pair   *message,
+                      uint8_t             *out);
+size_t bp__work__pair__pack_to_buffer
+                     (const Bp__Work__Pair   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__Work__Pair *
+       bp__work__pair__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__work__pair__free_unpacked
+                     (Bp__Work__Pair *message,
+                      ProtobufCAllocator *allocator);
+/* Bp__Work__Pairs methods */
+void   bp__work__pairs__init
+                     (Bp__Work__Pairs         *message);
+size_t bp__work__pairs__get_packed_size
+                     (const Bp__Work__Pairs   *message);
+size_t bp__work__pairs__pack
+                     (const Bp__Work__Pairs   *message,
+                      uint8_t             *out);
+size_t bp__work__pairs__pack_to_buffer
+                     (const Bp__Work__Pairs   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__Work__Pairs *
+       bp__work__pairs__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__work__pairs__free_unpacked
+                     (Bp__Work__Pairs *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Bp__Work__Step_Closure)
@@ -525,6 +597,12 @@
 typedef void (*Bp__Work__OrderResult_Closure)
                  (const Bp__Work__OrderResult *message,
                   void *closure_data);
+typedef void (*Bp__Work__Pair_Closure)
+                 (const Bp__Work__Pair *message,
+                  void *closure_data);
+typedef void (*Bp__Work__Pairs_Closure)
+                 (const Bp__Work__Pairs *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -543,6 +621,8 @@
 extern const ProtobufCMessageDescriptor bp__work__running_row__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__ended_row__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__order_result__descriptor;
+extern const ProtobufCMessageDescriptor bp__work__pair__descriptor;
+extern const ProtobufCMessageDescriptor bp__work__pairs__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/queues/pairs.c
+++ b/src/queues/pairs.c
@@ -1,5 +1,7 @@
 #include "queues/pairs.h"
 
+#include "proto/work.pb-c.h"
+
 #include <string.h>
 
 /* Filler images that are told apart; later ones share the last place. */
@@ -16,6 +18,7 @@
 	double products[TERMS][TERMS];
 	double targets[TERMS];
 	double weights[TERMS];
+	double assumed[TERMS]; /* before any sample */
 } fit_t;
 
 struct bp_pairs {
@@ -57,7 +60,7 @@
 		return fit;
 	fit = g_new0(fit_t, 1);
 	for (i = 0; i < TERMS; i++)
-		fit->weights[i] = WEIGHT_PRIOR;
+		fit->weights[i] = fit->assumed[i] = WEIGHT_PRIOR;
 	g_hash_table_insert(pairs->servings, g_strdup(image), fit);
 	return fit;
 }
@@ -118,7 +121,8 @@
 
 	for (i = 1; i < n; i++) {
 		double own = fit->products[i][i] + WEIGHT_EVIDENCE;
-		double rest = fit->targets[i] + WEIGHT_EVIDENCE * WEIGHT_PRIOR;
+		double rest =
+		    fit->targets[i] + WEIGHT_EVIDENCE * fit->assumed[i];
 
 		for (k = 1; k < n; k++) {
 			if (k != i)
@@ -162,3 +166,72 @@
 
 	return fit == NULL || term == 0 ? WEIGHT_PRIOR : fit->weights[term];
 }
+
+static void
+add_pair(Bp__Work__Pairs *out, const char *serving, const char *filler,
+    double weight)
+{
+	Bp__Work__Pair *pair = g_new(Bp__Work__Pair, 1);
+
+	bp__work__pair__init(pair);
+	pair->serving = (char *)serving;
+	pair->filler = (char *)filler;
+	pair->weight = weight;
+	out->pairs[out->n_pairs++] = pair;
+}
+
+/* See the header. */
+GBytes *
+bp_pairs_save(const bp_pairs_t *pairs)
+{
+	Bp__Work__Pairs out = BP__WORK__PAIRS__INIT;
+	GHashTableIter servings;
+	GHashTableIter fillers;
+	gpointer serving;
+	gpointer filler;
+	gpointer fit;
+	gpointer term;
+	uint8_t *bytes;
+	size_t size;
+	size_t i;
+
+	out.pairs = g_new(Bp__Work__Pair *,
+	    g_hash_table_size(pairs->servings) *
+		    g_hash_table_size(pairs->fillers) +
+		1);
+	g_hash_table_iter_init(&servings, pairs->servings);
+	while (g_hash_table_iter_next(&servings, &serving, &fit)) {
+		g_hash_table_iter_init(&fillers, pairs->fillers);
+		while (g_hash_table_iter_next(&fillers, &filler, &term))
+			add_pair(&out, serving, filler,
+			    ((fit_t *)fit)->weights[GPOINTER_TO_UINT(term)]);
+	}
+	size = bp__work__pairs__get_packed_size(&out);
+	bytes = g_malloc(MAX(size, 1));
+	(void)bp__work__pairs__pack(&out, bytes);
+	for (i = 0; i < out.n_pairs; i++)
+		g_free(out.pairs[i]);
+	g_free(out.pairs);
+	return g_bytes_new_take(bytes, size);
+}
+
+/* See the header. Bytes that cannot be read are passed over. */
+void
+bp_pairs_load(bp_pairs_t *pairs, const uint8_t *bytes, size_t size_bytes)
+{
+	Bp__Work__Pairs *in =
+	    bp__work__pairs__unpack(NULL, size_bytes, bytes);
+	size_t i;
+
+	if (in == NULL)
+		return;
+	for (i = 0; i < in->n_pairs; i++) {
+		const Bp__Work__Pair *pair = in->pairs[i];
+		fit_t *fit = get_fit(pairs, pair->serving);
+		uint32_t term = get_term(pairs, pair->filler);
+
+		fit->weights[term] = MAX(pair->weight, 0);
+		fit->assumed[term] = fit->weights[term];
+	}
+	bp__work__pairs__free_unpacked(in, NULL);
+}
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -3,6 +3,9 @@
 #include <string.h>
 
 #define KEY_OWNER "owner"
+#define KEY_PAIRS "pairs"
+/* What was learned of images is stored at most so often, with other records. */
+#define PAIRS_PERIOD_MS 3000
 #define PREFIX_JOB "j/"
 #define PREFIX_PROGRESS "p/"
 #define PREFIX_HOLDER "x/"
@@ -81,6 +84,24 @@
 	}
 }
 
+static void
+fill_pairs(bp_shard_t *shard, GPtrArray *records)
+{
+	int64_t now_ms = bp_shard_now_ms(shard);
+	GBytes *bytes;
+	gsize size = 0;
+	const void *data;
+
+	if (records->len == 0 || now_ms - shard->pairs_stored_ms < PAIRS_PERIOD_MS)
+		return;
+	bytes = bp_pairs_save(shard->pairs);
+	data = g_bytes_get_data(bytes, &size);
+	if (size > 0)
+		add_record(records, "", KEY_PAIRS, data, size);
+	shard->pairs_stored_ms = now_ms;
+	g_bytes_unref(bytes);
+}
+
 /* Adds all that is to be stored; see bp_journal_options_t. */
 void
 bp_shard_fill(GPtrArray *records, void *data)
@@ -113,6 +134,7 @@
 	for (i = 0; i < shard->dropping->len; i++)
 		add_record(records, "", shard->dropping->pdata[i], NULL, 0);
 	g_ptr_array_set_size(shard->dropping, 0);
+	fill_pairs(shard, records);
 	/* Ends that change no job are acknowledged without a record. */
 	if (records->len == 0)
 		bp_shard_stored(BP_STORE_OK, shard);
@@ -378,6 +400,20 @@
 	return owner_epoch(shard);
 }
 
+static void
+load_pairs(bp_shard_t *shard)
+{
+	const bp_store_record_t *record =
+	    g_hash_table_lookup(shard->raw, KEY_PAIRS);
+	gsize size = 0;
+	const uint8_t *bytes;
+
+	if (record == NULL || record->value == NULL)
+		return;
+	bytes = g_bytes_get_data(record->value, &size);
+	bp_pairs_load(shard->pairs, bytes, size);
+}
+
 /* Builds the state from the keys that were read. */
 void
 bp_shard_load(bp_shard_t *shard)
@@ -388,6 +424,7 @@
 	load_prefix(shard, PREFIX_JOB, load_job);
 	load_prefix(shard, PREFIX_PROGRESS, load_progress);
 	load_prefix(shard, PREFIX_HOLDER, load_holder);
+	load_pairs(shard);
 	g_hash_table_iter_init(&iter, shard->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		prepare_job(shard, value);
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -56,7 +56,8 @@
 	if (spec->filler && !fillers_fit(exec, spec))
 		return "no_capacity";
 	if (spec->filler &&
-	    bp_shard_filler_share(exec, spec) < FILLER_SHARE_MIN)
+	    (bp_shard_alarmed(exec) ||
+		bp_shard_filler_share(exec, spec) < FILLER_SHARE_MIN))
 		return "disturbs";
 	if (spec->spread_max == 0)
 		return NULL;
