--- a/src/queues/shard_pace.c
+++ b/src/queues/shard_pace.c
@@ -9,9 +9,9 @@
 /* A measured tail above this share slows all fillers at once. */
 #define ALARM_SHARE 0.95
 #define PACE_FULL 100
-/* After an alarm no filler comes there, and those there speed up slowly. */
-#define ALARM_HOLD_MS 2500
-#define PACE_RECOVERY 25
+/* Fillers stop when a tail was near its target in so many samples in a row;
+ * it must not stay over it for some 4 s. */
+#define ALARMS_STOP 4
 /* A filler that has rested for so long is moved, */
 #define REST_MS 1200
 /* without checkpoints only before this share of its work. */
@@ -291,30 +291,18 @@
 
 /*
  * What is predicted may be wrong: a tail near its target halves all fillers,
- * a second one in a row stops them, and afterwards they speed up by steps.
+ * and one that stays there stops them.
  */
 static uint32_t
 cautious(const bp_qexec_t *exec, const bp_qrun_t *run, uint32_t pace)
 {
-	uint32_t before = MIN(run->pace, PACE_FULL);
-
-	if (exec->alarms >= 2)
+	if (exec->alarms >= ALARMS_STOP)
 		return 0;
-	if (exec->alarms == 1)
-		pace = MIN(pace, before / 2);
-	else if (bp_shard_alarmed(exec))
-		pace = MIN(pace, before + PACE_RECOVERY);
+	if (exec->alarms > 0)
+		pace = MIN(pace, MIN(run->pace, PACE_FULL) / 2);
 	return pace < PACE_MIN ? 0 : pace;
 }
 
-/* Tells whether a tail there was near its target a short time ago. */
-bool
-bp_shard_alarmed(const bp_qexec_t *exec)
-{
-	return exec->alarm_ms != 0 &&
-	    bp_shard_now_ms(exec->shard) - exec->alarm_ms < ALARM_HOLD_MS;
-}
-
 /*
  * Paces the fillers of an executor: as many as the predicted tails of its
  * serving tasks allow run at full pace, the gentlest first.
@@ -333,8 +321,6 @@
 	worst = learn(exec, now_ms - exec->sampled_ms < COMPARE_MS);
 	exec->sampled_ms = now_ms;
 	exec->alarms = worst > ALARM_SHARE ? exec->alarms + 1 : 0;
-	if (exec->alarms > 0)
-		exec->alarm_ms = now_ms;
 	ranked = g_array_new(FALSE, FALSE, sizeof(ranked_t));
 	planned = g_new0(double, exec->runs->len);
 
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -81,7 +81,6 @@
 	int64_t sampled_ms; /* mono, when tails were last learned from */
 	GArray *amounts; /* bp_pairs_filler_t of the last sample */
 	uint32_t alarms; /* samples in a row with a tail over its bound */
-	int64_t alarm_ms; /* mono, of the last of them */
 	guint timer; /* of the next look */
 };
 
@@ -220,7 +219,6 @@
 
 /* shard_pace.c */
 void bp_shard_pace(bp_qexec_t *exec);
-bool bp_shard_alarmed(const bp_qexec_t *exec);
 void bp_shard_move_resting(bp_qexec_t *exec);
 double bp_shard_filler_share(
     const bp_qexec_t *exec, const Bp__Work__Step *spec);
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -56,7 +56,7 @@
 	if (spec->filler && !fillers_fit(exec, spec))
 		return "no_capacity";
 	if (spec->filler &&
-	    (bp_shard_alarmed(exec) ||
+	    (exec->alarms >= 2 ||
 		bp_shard_filler_share(exec, spec) < FILLER_SHARE_MIN))
 		return "disturbs";
 	if (spec->spread_max == 0)
