Split a deployment by a plan in the store

The first node now writes how many shards there are, by the listed executors, and deals the racks out in turn.

--- a/include/bulrushpost/shard.h
+++ b/include/bulrushpost/shard.h
@@ -37,7 +37,6 @@
 	const char *address; /* of this node's control protocol */
 	const char *topic;
 	uint32_t number; /* also the partition of the topic */
-	uint32_t shards; /* of the deployment */
 	bp_shard_limits_t limits;
 	/* The shard was lost to a later epoch; called once, later. */
 	void (*lost)(bp_shard_t *shard, void *data);
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -93,7 +93,7 @@
     NUMBER(policy.quarantine_failures, 2, 1000, 5),
     NUMBER(policy.handover_racks, 1, 100, 2),
     NUMBER(policy.rank_delay_ms, 50, 10000, 300),
-    NUMBER(queues.shards, 1, 8, 1),
+    NUMBER(queues.shards, 0, 8, 0),
     NUMBER(queues.lease_max_ms, 1000, 600000, 6000),
     NUMBER(queues.stop_max_ms, 1, 60000, 1000),
     NUMBER(queues.early_ms, 0, 60000, 0),
--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -547,6 +547,96 @@
   assert(message->base.descriptor == &bp__work__pairs__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__work__rack_shard__init
+                     (Bp__Work__RackShard         *message)
+{
+  static const Bp__Work__RackShard init_value = BP__WORK__RACK_SHARD__INIT;
+  *message = init_value;
+}
+size_t bp__work__rack_shard__get_packed_size
+                     (const Bp__Work__RackShard *message)
+{
+  assert(message->base.descriptor == &bp__work__rack_shard__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__work__rack_shard__pack
+                     (const Bp__Work__RackShard *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__work__rack_shard__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__work__rack_shard__pack_to_buffer
+                     (const Bp__Work__RackShard *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__work__rack_shard__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__Work__RackShard *
+       bp__work__rack_shard__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__Work__RackShard *)
+     protobuf_c_message_unpack (&bp__work__rack_shard__descriptor,
+                                allocator, len, data);
+}
+void   bp__work__rack_shard__free_unpacked
+                     (Bp__Work__RackShard *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__work__rack_shard__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bp__work__plan__init
+                     (Bp__Work__Plan         *message)
+{
+  static const Bp__Work__Plan init_value = BP__WORK__PLAN__INIT;
+  *message = init_value;
+}
+size_t bp__work__plan__get_packed_size
+                     (const Bp__Work__Plan *message)
+{
+  assert(message->base.descriptor == &bp__work__plan__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__work__plan__pack
+                     (const Bp__Work__Plan *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__work__plan__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__work__plan__pack_to_buffer
+                     (const Bp__Work__Plan *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__work__plan__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__Work__Plan *
+       bp__work__plan__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__Work__Plan *)
+     protobuf_c_message_unpack (&bp__work__plan__descriptor,
+                                allocator, len, data);
+}
+void   bp__work__plan__free_unpacked
+                     (Bp__Work__Plan *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__work__plan__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor bp__work__step__field_descriptors[18] =
 {
   {
@@ -1861,6 +1951,121 @@
   (ProtobufCMessageInit) bp__work__pairs__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__work__rack_shard__field_descriptors[3] =
+{
+  {
+    "zone",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__RackShard, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rack",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__RackShard, rack),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shard",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__RackShard, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__work__rack_shard__field_indices_by_name[] = {
+  1,   /* field[1] = rack */
+  2,   /* field[2] = shard */
+  0,   /* field[0] = zone */
+};
+static const ProtobufCIntRange bp__work__rack_shard__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bp__work__rack_shard__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.work.RackShard",
+  "RackShard",
+  "Bp__Work__RackShard",
+  "bp.work",
+  sizeof(Bp__Work__RackShard),
+  3,
+  bp__work__rack_shard__field_descriptors,
+  bp__work__rack_shard__field_indices_by_name,
+  1,  bp__work__rack_shard__number_ranges,
+  (ProtobufCMessageInit) bp__work__rack_shard__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bp__work__plan__field_descriptors[2] =
+{
+  {
+    "shards",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Plan, shards),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "racks",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__Work__Plan, n_racks),
+    offsetof(Bp__Work__Plan, racks),
+    &bp__work__rack_shard__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__work__plan__field_indices_by_name[] = {
+  1,   /* field[1] = racks */
+  0,   /* field[0] = shards */
+};
+static const ProtobufCIntRange bp__work__plan__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bp__work__plan__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.work.Plan",
+  "Plan",
+  "Bp__Work__Plan",
+  "bp.work",
+  sizeof(Bp__Work__Plan),
+  2,
+  bp__work__plan__field_descriptors,
+  bp__work__plan__field_indices_by_name,
+  1,  bp__work__plan__number_ranges,
+  (ProtobufCMessageInit) bp__work__plan__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue bp__work__job_state__enum_values_by_number[5] =
 {
   { "JOB_QUEUED", "BP__WORK__JOB_STATE__JOB_QUEUED", 0 },
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -27,6 +27,8 @@
 typedef struct Bp__Work__OrderResult Bp__Work__OrderResult;
 typedef struct Bp__Work__Pair Bp__Work__Pair;
 typedef struct Bp__Work__Pairs Bp__Work__Pairs;
+typedef struct Bp__Work__RackShard Bp__Work__RackShard;
+typedef struct Bp__Work__Plan Bp__Work__Plan;
 
 
 /* --- enums --- */
@@ -337,6 +339,33 @@
     , 0,NULL }
 
 
+/*
+ * How a deployment is split; written once, by the first node.
+ */
+struct  Bp__Work__RackShard
+{
+  ProtobufCMessage base;
+  char *zone;
+  char *rack;
+  uint32_t shard;
+};
+#define BP__WORK__RACK_SHARD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__work__rack_shard__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Bp__Work__Plan
+{
+  ProtobufCMessage base;
+  uint32_t shards;
+  size_t n_racks;
+  Bp__Work__RackShard **racks;
+};
+#define BP__WORK__PLAN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__work__plan__descriptor) \
+    , 0, 0,NULL }
+
+
 /* Bp__Work__Step methods */
 void   bp__work__step__init
                      (Bp__Work__Step         *message);
@@ -565,6 +594,44 @@
 void   bp__work__pairs__free_unpacked
                      (Bp__Work__Pairs *message,
                       ProtobufCAllocator *allocator);
+/* Bp__Work__RackShard methods */
+void   bp__work__rack_shard__init
+                     (Bp__Work__RackShard         *message);
+size_t bp__work__rack_shard__get_packed_size
+                     (const Bp__Work__RackShard   *message);
+size_t bp__work__rack_shard__pack
+                     (const Bp__Work__RackShard   *message,
+                      uint8_t             *out);
+size_t bp__work__rack_shard__pack_to_buffer
+                     (const Bp__Work__RackShard   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__Work__RackShard *
+       bp__work__rack_shard__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__work__rack_shard__free_unpacked
+                     (Bp__Work__RackShard *message,
+                      ProtobufCAllocator *allocator);
+/* Bp__Work__Plan methods */
+void   bp__work__plan__init
+                     (Bp__Work__Plan         *message);
+size_t bp__work__plan__get_packed_size
+                     (const Bp__Work__Plan   *message);
+size_t bp__work__plan__pack
+                     (const Bp__Work__Plan   *message,
+                      uint8_t             *out);
+size_t bp__work__plan__pack_to_buffer
+                     (const Bp__Work__Plan   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__Work__Plan *
+       bp__work__plan__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__work__plan__free_unpacked
+                     (Bp__Work__Plan *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Bp__Work__Step_Closure)
@@ -603,6 +670,12 @@
 typedef void (*Bp__Work__Pairs_Closure)
                  (const Bp__Work__Pairs *message,
                   void *closure_data);
+typedef void (*Bp__Work__RackShard_Closure)
+                 (const Bp__Work__RackShard *message,
+                  void *closure_data);
+typedef void (*Bp__Work__Plan_Closure)
+                 (const Bp__Work__Plan *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -623,6 +696,8 @@
 extern const ProtobufCMessageDescriptor bp__work__order_result__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__pair__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__pairs__descriptor;
+extern const ProtobufCMessageDescriptor bp__work__rack_shard__descriptor;
+extern const ProtobufCMessageDescriptor bp__work__plan__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -4,6 +4,7 @@
 #include "node/metricsserver.h"
 #include "queues/desk.h"
 #include "queues/relay.h"
+#include "queues/sharding.h"
 #include "queues/shards.h"
 
 #include <glib-unix.h>
@@ -13,6 +14,7 @@
 
 #define MODULE "node"
 #define TOPIC "bulrushpost"
+#define TOPIC_PLAN "bulrushpost-plan"
 #define DRAIN_TICK_MS 50
 /* The balancer needs two misses of its check a second to send no more. */
 #define DRAIN_SERVE_MS 2600
@@ -40,7 +42,10 @@
 	bp_relay_t *relay;
 	bp_queuedesk_t *desk;
 	bp_catalog_t *catalog;
-	bp_shards_t *shards;
+	bp_sharding_t *sharding;
+	GHashTable *zones_out; /* set of names */
+	bp_shards_t *shards; /* this and the desk: NULL until it is decided */
+	int failed; /* error that ends the node */
 	int64_t drain_start_ms; /* 0 while serving */
 	guint drain_timer;
 	guint hello_timer;
@@ -66,8 +71,10 @@
 
 	node->catalog = catalog;
 	log_number(node, "configuration in force", "version", catalog->version);
-	bp_queuedesk_set_catalog(node->desk, catalog);
-	bp_shards_set_catalog(node->shards, catalog);
+	if (node->shards != NULL) {
+		bp_queuedesk_set_catalog(node->desk, catalog);
+		bp_shards_set_catalog(node->shards, catalog);
+	}
 	bp_catalog_free(before);
 }
 
@@ -79,7 +86,12 @@
 	bp_log(node->logger, BP_LOG_NOTICE, MODULE,
 	    out ? "zone is out of service" : "zone is back in service", "zone",
 	    zone, NULL);
-	bp_shards_set_zone(node->shards, zone, out);
+	if (out)
+		g_hash_table_add(node->zones_out, g_strdup(zone));
+	else
+		g_hash_table_remove(node->zones_out, zone);
+	if (node->shards != NULL)
+		bp_shards_set_zone(node->shards, zone, out);
 }
 
 static void
@@ -87,7 +99,9 @@
 {
 	node_t *node = data;
 
-	bp_shards_executor(node->shards, info);
+	bp_sharding_executor(node->sharding, info);
+	if (node->shards != NULL)
+		bp_shards_executor(node->shards, info);
 	bp_executor_info_free(info);
 }
 
@@ -96,7 +110,8 @@
 {
 	node_t *node = data;
 
-	bp_shards_executor_gone(node->shards, id);
+	if (node->shards != NULL)
+		bp_shards_executor_gone(node->shards, id);
 }
 
 static void
@@ -104,7 +119,9 @@
 {
 	node_t *node = data;
 
-	bp_shards_executors_listed(node->shards);
+	bp_sharding_executors_listed(node->sharding);
+	if (node->shards != NULL)
+		bp_shards_executors_listed(node->shards);
 }
 
 /* Shards came or went; NULL-safe while the node is being built. */
@@ -153,7 +170,7 @@
 		answer_text(request, BP_EINVALID, "a job id is needed", NULL);
 		return;
 	}
-	number = bp_shard_of_job(frame->args[0], node->settings->queues.shards);
+	number = bp_shard_of_job(frame->args[0], bp_sharding_count(node->sharding));
 	owner = bp_membership_owner(node->membership, number);
 	if (bp_shards_owned(node->shards)[number] == NULL) {
 		text = g_strdup_printf("the job's shard is owned by %s",
@@ -178,7 +195,7 @@
 	uint32_t i;
 	bool first = true;
 
-	for (i = 0; i < node->settings->queues.shards; i++) {
+	for (i = 0; i < bp_sharding_count(node->sharding); i++) {
 		char *part;
 
 		if (bp_shards_owned(node->shards)[i] == NULL)
@@ -241,12 +258,12 @@
 	    node->settings->listen.control, node->settings->node.zone};
 	uint32_t i;
 
-	if (node->drain_start_ms != 0)
+	if (node->drain_start_ms != 0 || node->shards == NULL)
 		return G_SOURCE_CONTINUE;
 	frame.verb = BP__PEER__VERB__VERB_QUEUE_HELLO;
 	frame.args = args;
 	frame.n_args = G_N_ELEMENTS(args);
-	for (i = 0; i < node->settings->queues.shards; i++) {
+	for (i = 0; i < bp_sharding_count(node->sharding); i++) {
 		const char *owner = bp_membership_owner(node->membership, i);
 
 		if (bp_shards_owned(node->shards)[i] == NULL && owner != NULL)
@@ -262,6 +279,10 @@
 	node_t *node = data;
 	char *text;
 
+	if (node->shards == NULL) {
+		answer_text(request, BP_ESTATE, "starting", NULL);
+		return;
+	}
 	switch (bp_peer_request_frame(request)->verb) {
 	case BP__PEER__VERB__VERB_QUEUE_SUBMIT:
 	case BP__PEER__VERB__VERB_QUEUE_STATUS:
@@ -332,6 +353,10 @@
 	if (node->drain_start_ms != 0)
 		return G_SOURCE_CONTINUE;
 	bp_log(node->logger, BP_LOG_NOTICE, MODULE, "draining", NULL);
+	if (node->shards == NULL) {
+		g_main_loop_quit(node->loop);
+		return G_SOURCE_CONTINUE;
+	}
 	node->drain_start_ms = bp_clock_mono_ms(node->clock);
 	bp_platform_drain(node->platform);
 	bp_shards_release(node->shards);
@@ -357,7 +382,9 @@
 	uint32_t owned = 0;
 	uint32_t i;
 
-	for (i = 0; i < node->settings->queues.shards; i++)
+	if (node->shards == NULL)
+		return;
+	for (i = 0; i < bp_sharding_count(node->sharding); i++)
 		owned += bp_shards_owned(node->shards)[i] != NULL;
 	bp_metric_set(
 	    bp_metrics_gauge(metrics, "bp_shards_owned", NULL), owned);
@@ -405,6 +432,8 @@
 {
 	const bp_settings_queues_t *queues = &node->settings->queues;
 	bp_shards_options_t options = {0};
+	GHashTableIter iter;
+	gpointer zone;
 
 	options.clock = node->clock;
 	options.logger = node->logger;
@@ -414,7 +443,7 @@
 	options.node = node->settings->node.name;
 	options.address = node->settings->listen.control;
 	options.topic = TOPIC;
-	options.shards = queues->shards;
+	options.sharding = node->sharding;
 	options.limits.lease_max_ms = queues->lease_max_ms;
 	options.limits.stop_max_ms = queues->stop_max_ms;
 	options.limits.early_ms = queues->early_ms;
@@ -423,6 +452,10 @@
 	options.follow = on_follow;
 	options.data = node;
 	node->shards = bp_shards_new(&options);
+	bp_shards_set_catalog(node->shards, node->catalog);
+	g_hash_table_iter_init(&iter, node->zones_out);
+	while (g_hash_table_iter_next(&iter, &zone, NULL))
+		bp_shards_set_zone(node->shards, zone, true);
 }
 
 static void
@@ -438,7 +471,7 @@
 	membership.address = node->settings->listen.control;
 	membership.incarnation =
 	    (uint64_t)g_random_int() << 32 | g_random_int();
-	membership.shards = node->settings->queues.shards;
+	membership.shards = bp_sharding_count(node->sharding);
 	membership.held = on_held;
 	membership.data = node;
 	node->membership = bp_membership_new(&membership);
@@ -447,9 +480,43 @@
 	desk.client = node->client;
 	desk.membership = node->membership;
 	desk.owned = bp_shards_owned(node->shards);
-	desk.shards = node->settings->queues.shards;
+	desk.shards = bp_sharding_count(node->sharding);
 	desk.address = node->settings->listen.control;
 	node->desk = bp_queuedesk_new(&desk);
+	bp_queuedesk_set_catalog(node->desk, node->catalog);
+}
+
+/* The plan of shards is known: the node takes its part and its callers. */
+static void
+on_decided(void *data)
+{
+	node_t *node = data;
+	bp_error_t err = {BP_OK, ""};
+
+	build_shards(node);
+	build_desk(node);
+	node->failed = bp_platform_open(node->platform, node->desk, &err);
+	if (node->failed == BP_OK)
+		return;
+	bp_log(node->logger, BP_LOG_ERR, MODULE, "cannot take calls", "reason",
+	    err.message, NULL);
+	g_main_loop_quit(node->loop);
+}
+
+static void
+build_sharding(node_t *node)
+{
+	bp_sharding_options_t options = {0};
+
+	options.clock = node->clock;
+	options.logger = node->logger;
+	options.store = bp_platform_get_store(node->platform);
+	options.topic = TOPIC_PLAN;
+	options.shards = node->settings->queues.shards;
+	options.follow = on_follow;
+	options.decided = on_decided;
+	options.data = node;
+	node->sharding = bp_sharding_new(&options);
 }
 
 static int
@@ -481,18 +548,17 @@
 		return rc;
 	node->client = bp_peer_client_new(node->clock, node->logger);
 	build_relay(node);
-	build_shards(node);
+	build_sharding(node);
+	node->zones_out =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	rc = build_server(node, err);
 	if (rc != BP_OK)
 		return rc;
-	build_desk(node);
 	bp_metrics_on_collect(node->metrics, collect, node);
 	if (settings->listen.metrics != NULL)
 		rc = bp_metricsserver_new(&node->metrics_server,
 		    settings->listen.metrics, node->metrics, err);
-	if (rc != BP_OK)
-		return rc;
-	return bp_platform_open(node->platform, node->desk, err);
+	return rc;
 }
 
 static void
@@ -505,6 +571,8 @@
 	g_clear_handle_id(&node->drain_timer, g_source_remove);
 	g_clear_handle_id(&node->hello_timer, g_source_remove);
 	bp_shards_free(node->shards);
+	bp_sharding_free(node->sharding);
+	g_hash_table_unref(node->zones_out);
 	bp_queuedesk_free(node->desk);
 	bp_metricsserver_free(node->metrics_server);
 	bp_membership_free(node->membership);
@@ -533,9 +601,11 @@
 		node.signals[1] = g_unix_signal_add(SIGINT, on_stop, &node);
 		node.signals[2] = g_unix_signal_add(SIGHUP, on_reload, &node);
 		bp_platform_follow(node.platform);
+		bp_sharding_start(node.sharding);
 		bp_log(node.logger, BP_LOG_NOTICE, MODULE, "started", "version",
 		    BP_VERSION, "zone", settings->node.zone, NULL);
 		g_main_loop_run(node.loop);
+		rc = node.failed;
 	}
 	teardown(&node);
 	return rc;
--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -493,15 +493,13 @@
 	return copy;
 }
 
-/* Takes an entry of the executors' list; others' racks are passed over. */
+/* Takes an entry of the executors' list that belongs to the shard. */
 void
 bp_shard_executor(bp_shard_t *shard, const bp_executor_info_t *info)
 {
 	bp_qexec_t *exec;
 
-	if (shard->phase != BP_SHARD_OWNED ||
-	    bp_shard_of_rack(info->zone, info->rack, shard->options.shards) !=
-		shard->options.number)
+	if (shard->phase != BP_SHARD_OWNED)
 		return;
 	exec = bp_qexec_get(shard, info->id);
 	bp_executor_info_free(exec->info);
--- /dev/null
+++ b/src/queues/sharding.c
@@ -0,0 +1,303 @@
+#include "queues/sharding.h"
+
+#include "bulrushpost/shard.h"
+#include "proto/work.pb-c.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define KEY_PLAN "plan"
+#define MODULE "sharding"
+#define RETRY_MS 150
+/* One owner looks after so many executors at a quarter of a core. */
+#define EXECUTORS_PER_SHARD 110
+/* The platform has this many partitions in a topic. */
+#define SHARDS_MAX 8
+/* Without any executor listed, a plan for few of them is made. */
+#define LIST_PATIENCE_MS 3000
+
+struct bp_sharding {
+	bp_sharding_options_t options;
+	GHashTable *racks; /* "zone/rack" to its shard */
+	GPtrArray *seen; /* names of racks, while a plan is made */
+	uint32_t executors; /* of the list */
+	uint32_t count;
+	int64_t listing_since_ms; /* mono; 0 while none is made */
+	uint64_t end_offset;
+	bool decided;
+	guint timer;
+};
+
+static void read_plan(bp_sharding_t *self);
+
+static char *
+rack_key(const char *zone, const char *rack)
+{
+	return g_strconcat(zone, "/", rack, NULL);
+}
+
+static gboolean
+on_retry(void *data)
+{
+	bp_sharding_t *self = data;
+
+	self->timer = 0;
+	read_plan(self);
+	return G_SOURCE_REMOVE;
+}
+
+static void
+retry(bp_sharding_t *self)
+{
+	if (self->timer == 0)
+		self->timer = bp_clock_after(
+		    self->options.clock, RETRY_MS, on_retry, self);
+}
+
+static void
+take_plan(bp_sharding_t *self, const bp_store_record_t *record)
+{
+	gsize size = 0;
+	const uint8_t *bytes = g_bytes_get_data(record->value, &size);
+	Bp__Work__Plan *plan = bp__work__plan__unpack(NULL, size, bytes);
+	char text[32];
+	size_t i;
+
+	if (plan == NULL || plan->shards == 0 || plan->shards > SHARDS_MAX) {
+		bp_log(self->options.logger, BP_LOG_ERR, MODULE,
+		    "the plan of shards cannot be read", NULL);
+		retry(self);
+		return;
+	}
+	for (i = 0; i < plan->n_racks; i++)
+		g_hash_table_replace(self->racks,
+		    rack_key(plan->racks[i]->zone, plan->racks[i]->rack),
+		    GUINT_TO_POINTER(plan->racks[i]->shard % plan->shards));
+	self->count = plan->shards;
+	self->decided = true;
+	snprintf(text, sizeof(text), "%u", self->count);
+	bp_log(self->options.logger, BP_LOG_NOTICE, MODULE,
+	    "plan of shards is known", "shards", text, NULL);
+	bp__work__plan__free_unpacked(plan, NULL);
+	if (self->listing_since_ms != 0)
+		self->options.follow(false, self->options.data);
+	self->options.decided(self->options.data);
+}
+
+static const bp_store_record_t *
+find_plan(const GPtrArray *records)
+{
+	guint i;
+
+	for (i = 0; i < records->len; i++) {
+		const bp_store_record_t *record = records->pdata[i];
+
+		if (strcmp(record->key, KEY_PLAN) == 0 && record->value != NULL)
+			return record;
+	}
+	return NULL;
+}
+
+static void
+on_plan(const bp_store_result_t *result, void *data)
+{
+	bp_sharding_t *self = data;
+	const bp_store_record_t *record;
+
+	if (result->outcome != BP_STORE_OK) {
+		retry(self);
+		return;
+	}
+	record = find_plan(result->records);
+	if (record != NULL) {
+		take_plan(self, record);
+		return;
+	}
+	self->end_offset = result->end_offset;
+	if (self->listing_since_ms == 0)
+		self->listing_since_ms = bp_clock_mono_ms(self->options.clock);
+	self->executors = 0;
+	g_ptr_array_set_size(self->seen, 0);
+	self->options.follow(true, self->options.data);
+}
+
+static void
+read_plan(bp_sharding_t *self)
+{
+	self->options.store->newest(self->options.store, self->options.topic, 0,
+	    NULL, on_plan, self);
+}
+
+static gint
+compare_names(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/* Deals the racks, sorted by zone and name, out in turn. */
+static bp_store_record_t *
+make_plan(bp_sharding_t *self)
+{
+	Bp__Work__Plan plan = BP__WORK__PLAN__INIT;
+	bp_store_record_t *record;
+	uint8_t *bytes;
+	size_t size;
+	guint i;
+
+	plan.shards = self->options.shards != 0
+	    ? self->options.shards
+	    : CLAMP((self->executors + EXECUTORS_PER_SHARD - 1) /
+		      EXECUTORS_PER_SHARD,
+		  1, SHARDS_MAX);
+	g_ptr_array_sort(self->seen, compare_names);
+	plan.racks = g_new0(Bp__Work__RackShard *, self->seen->len + 1);
+	for (i = 0; i < self->seen->len; i++) {
+		const char *name = self->seen->pdata[i];
+		const char *slash = strchr(name, '/');
+		Bp__Work__RackShard *rack = g_new(Bp__Work__RackShard, 1);
+
+		bp__work__rack_shard__init(rack);
+		rack->zone = g_strndup(name, (gsize)(slash - name));
+		rack->rack = g_strdup(slash + 1);
+		rack->shard = i % plan.shards;
+		plan.racks[plan.n_racks++] = rack;
+	}
+	size = bp__work__plan__get_packed_size(&plan);
+	bytes = g_malloc(size);
+	(void)bp__work__plan__pack(&plan, bytes);
+	record = bp_store_record_new(KEY_PLAN, bytes, size);
+	for (i = 0; i < plan.n_racks; i++) {
+		g_free(plan.racks[i]->zone);
+		g_free(plan.racks[i]->rack);
+		g_free(plan.racks[i]);
+	}
+	g_free(plan.racks);
+	g_free(bytes);
+	return record;
+}
+
+/* Whoever wrote first, the plan is read back. */
+static void
+on_written(const bp_store_result_t *result, void *data)
+{
+	(void)result;
+	retry(data);
+}
+
+static void
+write_plan(bp_sharding_t *self)
+{
+	GPtrArray *records =
+	    g_ptr_array_new_with_free_func(bp_store_record_free);
+	bp_store_append_t append = {0};
+
+	g_ptr_array_add(records, make_plan(self));
+	append.topic = self->options.topic;
+	append.writer = self->options.topic;
+	append.epoch = 1;
+	append.sequence = g_random_int();
+	append.conditional = true;
+	append.end_offset = self->end_offset;
+	append.records = records;
+	self->options.store->append(
+	    self->options.store, &append, on_written, self);
+	g_ptr_array_unref(records);
+}
+
+/* Notes the rack of a listed executor. */
+void
+bp_sharding_executor(bp_sharding_t *self, const bp_executor_info_t *info)
+{
+	char *key;
+
+	if (self->decided || self->listing_since_ms == 0)
+		return;
+	self->executors++;
+	key = rack_key(info->zone, info->rack);
+	if (g_ptr_array_find_with_equal_func(
+		self->seen, key, g_str_equal, NULL))
+		g_free(key);
+	else
+		g_ptr_array_add(self->seen, key);
+}
+
+/* The list is whole: makes the plan unless nothing is listed yet. */
+void
+bp_sharding_executors_listed(bp_sharding_t *self)
+{
+	int64_t waited_ms;
+
+	if (self->decided || self->listing_since_ms == 0)
+		return;
+	waited_ms = bp_clock_mono_ms(self->options.clock) -
+	    self->listing_since_ms;
+	if (self->executors == 0 && waited_ms < LIST_PATIENCE_MS)
+		retry(self);
+	else
+		write_plan(self);
+}
+
+/* Creates a sharding that is not decided, unless it has no store. */
+bp_sharding_t *
+bp_sharding_new(const bp_sharding_options_t *options)
+{
+	bp_sharding_t *self = g_new0(bp_sharding_t, 1);
+
+	self->options = *options;
+	self->racks =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	self->seen = g_ptr_array_new_with_free_func(g_free);
+	self->count = MAX(options->shards, 1);
+	self->decided = options->store == NULL;
+	return self;
+}
+
+/* Frees a sharding. NULL is allowed. */
+void
+bp_sharding_free(bp_sharding_t *self)
+{
+	if (self == NULL)
+		return;
+	if (self->options.store != NULL)
+		self->options.store->forget(self->options.store, self);
+	bp_clock_cancel(self->options.clock, &self->timer);
+	g_hash_table_unref(self->racks);
+	g_ptr_array_unref(self->seen);
+	g_free(self);
+}
+
+/* See the header. */
+void
+bp_sharding_start(bp_sharding_t *self)
+{
+	read_plan(self);
+}
+
+/* See the header. */
+bool
+bp_sharding_decided(const bp_sharding_t *self)
+{
+	return self->decided;
+}
+
+/* Returns the number of shards. */
+uint32_t
+bp_sharding_count(const bp_sharding_t *self)
+{
+	return self->count;
+}
+
+/* Returns the shard of a rack; one that the plan lacks goes by its hash. */
+uint32_t
+bp_sharding_of_rack(
+    const bp_sharding_t *self, const char *zone, const char *rack)
+{
+	char *key = rack_key(zone, rack);
+	gpointer value;
+	bool planned =
+	    g_hash_table_lookup_extended(self->racks, key, NULL, &value);
+
+	g_free(key);
+	return planned ? GPOINTER_TO_UINT(value)
+		       : bp_shard_of_rack(zone, rack, self->count);
+}
--- a/src/queues/shards.c
+++ b/src/queues/shards.c
@@ -6,6 +6,7 @@
 struct bp_shards {
 	bp_shards_options_t options;
 	bp_shard_t **owned;
+	uint32_t count; /* of shards */
 	int64_t *rest_until_ms; /* a shard */
 	const bp_catalog_t *catalog;
 	GHashTable *zones_out;
@@ -19,8 +20,9 @@
 	bp_shards_t *self = g_new0(bp_shards_t, 1);
 
 	self->options = *options;
-	self->owned = g_new0(bp_shard_t *, options->shards);
-	self->rest_until_ms = g_new0(int64_t, options->shards);
+	self->count = bp_sharding_count(options->sharding);
+	self->owned = g_new0(bp_shard_t *, bp_sharding_count(options->sharding));
+	self->rest_until_ms = g_new0(int64_t, bp_sharding_count(options->sharding));
 	self->zones_out =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return self;
@@ -34,7 +36,7 @@
 
 	if (self == NULL)
 		return;
-	for (i = 0; i < self->options.shards; i++)
+	for (i = 0; i < self->count; i++)
 		bp_shard_free(self->owned[i]);
 	g_hash_table_unref(self->zones_out);
 	g_free(self->owned);
@@ -58,7 +60,7 @@
 
 	self->owned[number] = NULL;
 	bp_shard_free(shard);
-	for (i = 0; i < self->options.shards; i++)
+	for (i = 0; i < self->count; i++)
 		owner = owner || self->owned[i] != NULL;
 	self->options.follow(owner, self->options.data);
 }
@@ -101,7 +103,6 @@
 	options.address = from->address;
 	options.topic = from->topic;
 	options.number = number;
-	options.shards = from->shards;
 	options.limits = from->limits;
 	options.lost = on_lost;
 	options.owned = on_owned;
@@ -131,7 +132,7 @@
 	int64_t now_ms = bp_clock_mono_ms(self->options.clock);
 	uint32_t i;
 
-	for (i = 0; i < self->options.shards; i++) {
+	for (i = 0; i < self->count; i++) {
 		bp_shard_t *shard = self->owned[i];
 
 		if (!shards[i]) {
@@ -160,7 +161,7 @@
 	uint32_t i;
 
 	self->released = true;
-	for (i = 0; i < self->options.shards; i++) {
+	for (i = 0; i < self->count; i++) {
 		if (self->owned[i] != NULL)
 			bp_shard_release(self->owned[i]);
 	}
@@ -172,7 +173,7 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < self->options.shards; i++) {
+	for (i = 0; i < self->count; i++) {
 		if (self->owned[i] != NULL && !bp_shard_idle(self->owned[i]))
 			return false;
 	}
@@ -185,7 +186,7 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < self->options.shards; i++) {
+	for (i = 0; i < self->count; i++) {
 		if (self->owned[i] != NULL)
 			drop(self, i);
 	}
@@ -198,7 +199,7 @@
 	uint32_t i;
 
 	self->catalog = catalog;
-	for (i = 0; i < self->options.shards; i++) {
+	for (i = 0; i < self->count; i++) {
 		if (self->owned[i] != NULL)
 			bp_shard_set_catalog(self->owned[i], catalog);
 	}
@@ -214,22 +215,21 @@
 		g_hash_table_add(self->zones_out, g_strdup(zone));
 	else
 		g_hash_table_remove(self->zones_out, zone);
-	for (i = 0; i < self->options.shards; i++) {
+	for (i = 0; i < self->count; i++) {
 		if (self->owned[i] != NULL)
 			bp_shard_set_zone(self->owned[i], zone, out);
 	}
 }
 
-/* An entry of the executors' list; each shard takes its own racks. */
+/* An entry of the executors' list, for the shard of its rack. */
 void
 bp_shards_executor(bp_shards_t *self, const bp_executor_info_t *info)
 {
-	uint32_t i;
+	uint32_t number = bp_sharding_of_rack(
+	    self->options.sharding, info->zone, info->rack);
 
-	for (i = 0; i < self->options.shards; i++) {
-		if (self->owned[i] != NULL)
-			bp_shard_executor(self->owned[i], info);
-	}
+	if (self->owned[number] != NULL)
+		bp_shard_executor(self->owned[number], info);
 }
 
 /* An executor left the list. */
@@ -238,7 +238,7 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < self->options.shards; i++) {
+	for (i = 0; i < self->count; i++) {
 		if (self->owned[i] != NULL)
 			bp_shard_executor_gone(self->owned[i], id);
 	}
@@ -250,7 +250,7 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < self->options.shards; i++) {
+	for (i = 0; i < self->count; i++) {
 		if (self->owned[i] != NULL)
 			bp_shard_executors_listed(self->owned[i]);
 	}
--- a/src/queues/shards.h
+++ b/src/queues/shards.h
@@ -2,6 +2,7 @@
 #define BP_QUEUES_SHARDS_H
 
 #include "bulrushpost/shard.h"
+#include "queues/sharding.h"
 
 /*
  * The shards that this node owns: takes them over and gives them up as the
@@ -18,7 +19,7 @@
 	const char *node;
 	const char *address; /* of this node's control protocol */
 	const char *topic;
-	uint32_t shards; /* of the deployment */
+	const bp_sharding_t *sharding; /* decided */
 	bp_shard_limits_t limits;
 	/* The executors' list is to be read, whole from now on, or not. */
 	void (*follow)(bool follow, void *data);
--- a/tests/support/queuerig.c
+++ b/tests/support/queuerig.c
@@ -59,6 +59,7 @@
 	GPtrArray *callers; /* caller_t */
 	GHashTable *by_id;
 	GHashTable *zones_out;
+	bp_sharding_t *sharding;
 	uint64_t incarnations;
 	bp_logger_t *loggers[BP_QRIG_NODES]; /* NULL unless RIG_LOG is set */
 	uint32_t broken;
@@ -212,7 +213,7 @@
 	options.node = node->address;
 	options.address = node->address;
 	options.topic = "jobs";
-	options.shards = 1;
+	options.sharding = node->rig->sharding;
 	options.limits.lease_max_ms = 6000;
 	options.limits.stop_max_ms = 200;
 	options.limits.status_keep_s = 3600;
@@ -410,6 +411,16 @@
 		    &node->clock.clock, node->address, BP_LOG_INFO);
 }
 
+static bp_sharding_t *
+new_sharding(const bp_qrig_t *rig)
+{
+	bp_sharding_options_t options = {0};
+
+	options.clock = bp_clock_virtual_clock(rig->clock);
+	options.shards = 1;
+	return bp_sharding_new(&options);
+}
+
 /* Starts all nodes. */
 bp_qrig_t *
 bp_qrig_new(uint64_t seed, uint32_t executors)
@@ -421,6 +432,7 @@
 
 	rig->clock = bp_clock_virtual_new(1000000);
 	bp_random_init(&rig->random, seed);
+	rig->sharding = new_sharding(rig);
 	rig->store = bp_qstore_new(rig->clock, &rig->random, 1);
 	rig->fleet = bp_qfleet_new(rig->clock, &rig->random, executors, &world);
 	rig->callers = g_ptr_array_new_with_free_func(caller_free);
@@ -456,6 +468,7 @@
 	g_hash_table_unref(rig->by_id);
 	g_hash_table_unref(rig->zones_out);
 	g_free(rig->first_broken);
+	bp_sharding_free(rig->sharding);
 	bp_clock_virtual_free(rig->clock);
 	g_free(rig);
 }
