--- a/src/queues/sharding.c
+++ b/src/queues/sharding.c
@@ -13,14 +13,17 @@
 #define EXECUTORS_PER_SHARD 110
 /* The platform has this many partitions in a topic. */
 #define SHARDS_MAX 8
-/* Without any executor listed, a plan for few of them is made. */
-#define LIST_PATIENCE_MS 3000
+/* Executors of a new deployment come over some seconds: the plan waits for
+ * a list that has not grown for a while, but only so long. */
+#define LIST_AGAIN_MS 1200
+#define LIST_PATIENCE_MS 4500
 
 struct bp_sharding {
 	bp_sharding_options_t options;
 	GHashTable *racks; /* "zone/rack" to its shard */
 	GPtrArray *seen; /* names of racks, while a plan is made */
 	uint32_t executors; /* of the list */
+	uint32_t executors_before; /* of the list before */
 	uint32_t count;
 	int64_t listing_since_ms; /* mono; 0 while none is made */
 	uint64_t end_offset;
@@ -47,11 +50,17 @@
 }
 
 static void
-retry(bp_sharding_t *self)
+retry_after(bp_sharding_t *self, uint32_t delay_ms)
 {
 	if (self->timer == 0)
 		self->timer = bp_clock_after(
-		    self->options.clock, RETRY_MS, on_retry, self);
+		    self->options.clock, delay_ms, on_retry, self);
+}
+
+static void
+retry(bp_sharding_t *self)
+{
+	retry_after(self, RETRY_MS);
 }
 
 static void
@@ -221,18 +230,22 @@
 		g_ptr_array_add(self->seen, key);
 }
 
-/* The list is whole: makes the plan unless nothing is listed yet. */
+/* The list is whole: makes the plan unless more executors are to come. */
 void
 bp_sharding_executors_listed(bp_sharding_t *self)
 {
 	int64_t waited_ms;
+	bool grown;
 
 	if (self->decided || self->listing_since_ms == 0)
 		return;
 	waited_ms = bp_clock_mono_ms(self->options.clock) -
 	    self->listing_since_ms;
-	if (self->executors == 0 && waited_ms < LIST_PATIENCE_MS)
-		retry(self);
+	grown = self->executors == 0 ||
+	    self->executors != self->executors_before;
+	self->executors_before = self->executors;
+	if (grown && waited_ms < LIST_PATIENCE_MS)
+		retry_after(self, LIST_AGAIN_MS);
 	else
 		write_plan(self);
 }
