--- /dev/null
+++ b/tests/adapter/test_codec.c
@@ -0,0 +1,243 @@
+#include "bulrushpost/hash.h"
+#include "platform/codec.h"
+#include "support/runner.h"
+
+#include <string.h>
+
+#define FUZZ_INPUTS 20000
+#define FUZZ_SEED 20261204
+#define SAMPLE_MAX 2048
+
+static const char job_text[] =
+    "{\"task_spec\":\"mix\",\"steps\":[{\"count\":4,\"cpu\":500,\"mem_mb\":"
+    "256,\"estimated_ms\":900,\"data_rack\":\"r1-3\"},{\"count\":20,\"cpu\":"
+    "2000,\"mem_mb\":1024,\"depends_on\":[0],\"checkpointing\":true,"
+    "\"anti_affinity\":2,\"lossy\":1,\"fills\":true,\"image\":\"a\"}],"
+    "\"repeat_count\":3,\"interval_ms\":500,\"first_run_ms\":1700000000000}";
+static const char catalog_text[] =
+    "{\"version\":7,\"routes\":[{\"name\":\"r\",\"hostname\":\"h.example\","
+    "\"path_prefix\":\"/a/\",\"service_name\":\"s\",\"target_latency_ms\":300,"
+    "\"priority\":2,\"retry_attempts\":4,\"stretch_factor\":1.5},{\"name\":"
+    "\"long\",\"hostname\":\"h.example\",\"path_prefix\":\"/a/b/\","
+    "\"service_name\":\"s\"}],\"services\":[{\"name\":\"s\","
+    "\"admission_check\":true,\"standby\":false}],\"limits\":{"
+    "\"max_body_bytes\":1000}}";
+static const char entry_text[] =
+    "{\"service_name\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","
+    "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"capacity\":{\"cpu\":"
+    "16000,\"mem_mb\":32768,\"gpu\":0},\"labels\":[\"a\",\"r1-3\"],"
+    "\"clock_ms\":482113,\"sequence\":4,\"born\":1700000000123}";
+static const char look_text[] =
+    "{\"clock_ms\":482113,\"born\":1700000000123,\"running\":[[\"j.0.1.17\",2,"
+    "\"0b\",41,35]],\"ended\":[[58,\"j.0.1.9\",1,\"done\",\"\"],[59,"
+    "\"j.0.1.8\",3,\"vanished\",\"cp\"]]}";
+
+/* Guards against fields that are lost or swapped on the way in. */
+static void
+test_a_job_is_read_whole(void)
+{
+	Bp__Work__Job *job = NULL;
+
+	CU_ASSERT_EQUAL_FATAL(
+	    bp_codec_job(&job, job_text, strlen(job_text), NULL), BP_OK);
+	CU_ASSERT_STRING_EQUAL(job->payload, "mix");
+	CU_ASSERT_EQUAL_FATAL(job->n_steps, 2);
+	CU_ASSERT_EQUAL(job->steps[0]->tasks, 4);
+	CU_ASSERT_EQUAL(job->steps[0]->cpu_milli, 500);
+	CU_ASSERT_STRING_EQUAL(job->steps[0]->data_rack, "r1-3");
+	CU_ASSERT_EQUAL_FATAL(job->steps[1]->n_after, 1);
+	CU_ASSERT_EQUAL(job->steps[1]->after[0], 0);
+	CU_ASSERT_TRUE(job->steps[1]->checkpoints);
+	CU_ASSERT_TRUE(job->steps[1]->filler);
+	CU_ASSERT_EQUAL(job->steps[1]->spread_max, 2);
+	CU_ASSERT_EQUAL(job->steps[1]->away_max, 1);
+	CU_ASSERT_EQUAL(job->times, 3);
+	CU_ASSERT_EQUAL(job->first_ms, 1700000000000);
+	bp__work__job__free_unpacked(job, NULL);
+}
+
+/* A job that names a later step, or none, is refused with the problem. */
+static void
+test_bad_jobs_are_refused(void)
+{
+	static const char *const texts[] = {"", "[]", "{}", "{\"steps\":[]}",
+	    "{\"steps\":[{\"count\":0}]}", "{\"steps\":[3]}",
+	    "{\"steps\":[{\"count\":1,\"depends_on\":[0]}]}",
+	    "{\"steps\":[{\"count\":1,\"depends_on\":[\"x\"]}]}"};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
+		Bp__Work__Job *job = NULL;
+		bp_error_t err = {BP_OK, ""};
+
+		CU_ASSERT_EQUAL(
+		    bp_codec_job(&job, texts[i], strlen(texts[i]), &err),
+		    BP_EINVALID);
+		CU_ASSERT_PTR_NULL(job);
+		CU_ASSERT_NOT_EQUAL(err.message[0], '\0');
+	}
+}
+
+/* The longest prefix of the host decides; other hosts have no queue. */
+static void
+test_the_longest_prefix_decides(void)
+{
+	bp_catalog_t *catalog = NULL;
+	const bp_queue_route_t *route;
+
+	CU_ASSERT_EQUAL_FATAL(bp_codec_catalog(&catalog, catalog_text,
+				  strlen(catalog_text), NULL),
+	    BP_OK);
+	CU_ASSERT_EQUAL(catalog->version, 7);
+	CU_ASSERT_EQUAL(catalog->body_bytes, 1000);
+	route = bp_catalog_route(catalog, "h.example", "/a/b/1");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(route);
+	CU_ASSERT_STRING_EQUAL(route->name, "long");
+	route = bp_catalog_route(catalog, "H.example", "/a/1");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(route);
+	CU_ASSERT_STRING_EQUAL(route->name, "r");
+	CU_ASSERT_EQUAL(route->stretch_permille, 1500);
+	CU_ASSERT_EQUAL(route->attempts, 4);
+	CU_ASSERT_PTR_NULL(bp_catalog_route(catalog, "other", "/a/1"));
+	CU_ASSERT_PTR_NULL(bp_catalog_route(catalog, "h.example", "/x"));
+	bp_catalog_free(catalog);
+}
+
+/* Entries of other writers name no executor. */
+static void
+test_foreign_entries_name_no_executor(void)
+{
+	static const char *const texts[] = {"", "\x01\x02", "{}", "null",
+	    "{\"service_name\":\"s\",\"address\":\"a:1\",\"zone\":\"z\","
+	    "\"slots\":8,\"state\":\"gone\",\"capacity\":{},\"sequence\":1}",
+	    "{\"service_name\":7,\"address\":\"a:1\",\"zone\":\"z\","
+	    "\"slots\":8,\"state\":\"ready\",\"capacity\":{},\"sequence\":1}",
+	    "{\"service_name\":\"s\",\"address\":\"a:1\",\"zone\":\"z\","
+	    "\"slots\":\"8\",\"state\":\"ready\",\"capacity\":{},"
+	    "\"sequence\":1}"};
+	bp_executor_info_t *info = NULL;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
+		CU_ASSERT_EQUAL(bp_codec_executor(&info, "i", texts[i],
+				    strlen(texts[i]), NULL),
+		    BP_EINVALID);
+		CU_ASSERT_PTR_NULL(info);
+	}
+	CU_ASSERT_EQUAL_FATAL(bp_codec_executor(&info, "i", entry_text,
+				  strlen(entry_text), NULL),
+	    BP_OK);
+	CU_ASSERT_STRING_EQUAL(info->rack, "r1-3");
+	CU_ASSERT_EQUAL(info->cpu_milli, 16000);
+	CU_ASSERT_EQUAL(info->born_ms, 1700000000123);
+	CU_ASSERT_FALSE(info->draining);
+	bp_executor_info_free(info);
+}
+
+/* Guards against ends that are taken for others; unknown words are kept. */
+static void
+test_a_look_is_read_whole(void)
+{
+	bp_codec_answer_t answer;
+	const bp_look_running_t *running;
+	const bp_look_ended_t *ended;
+
+	CU_ASSERT_EQUAL_FATAL(
+	    bp_codec_answer(&answer, look_text, strlen(look_text), NULL),
+	    BP_OK);
+	CU_ASSERT_EQUAL_FATAL(answer.running->len, 1);
+	CU_ASSERT_EQUAL_FATAL(answer.ended->len, 2);
+	running = &g_array_index(answer.running, bp_look_running_t, 0);
+	CU_ASSERT_STRING_EQUAL(running->task, "j.0.1.17");
+	CU_ASSERT_EQUAL(running->run, 2);
+	CU_ASSERT_STRING_EQUAL(running->checkpoint, "0b");
+	CU_ASSERT_EQUAL(running->percent, 41);
+	CU_ASSERT_EQUAL(running->figure, 35);
+	ended = &g_array_index(answer.ended, bp_look_ended_t, 0);
+	CU_ASSERT_EQUAL(ended->number, 58);
+	CU_ASSERT_EQUAL(ended->kind, BP_END_DONE);
+	ended = &g_array_index(answer.ended, bp_look_ended_t, 1);
+	CU_ASSERT_EQUAL(ended->kind, BP_END_OTHER);
+	CU_ASSERT_STRING_EQUAL(ended->checkpoint, "cp");
+	bp_codec_answer_clear(&answer);
+}
+
+static void
+feed(const char *text, size_t size)
+{
+	Bp__Work__Job *job = NULL;
+	bp_catalog_t *catalog = NULL;
+	bp_executor_info_t *info = NULL;
+	bp_codec_answer_t answer;
+
+	if (bp_codec_job(&job, text, size, NULL) == BP_OK)
+		bp__work__job__free_unpacked(job, NULL);
+	if (bp_codec_catalog(&catalog, text, size, NULL) == BP_OK)
+		bp_catalog_free(catalog);
+	if (bp_codec_executor(&info, "i", text, size, NULL) == BP_OK)
+		bp_executor_info_free(info);
+	(void)bp_codec_answer(&answer, text, size, NULL);
+	bp_codec_answer_clear(&answer);
+}
+
+/* Bytes of valid bodies, changed, cut and spliced, break no decoder. */
+static void
+test_changed_bodies_are_safe(void)
+{
+	static const char *const samples[] = {
+	    job_text, catalog_text, entry_text, look_text};
+	char text[SAMPLE_MAX];
+	bp_random_t random;
+	int i;
+
+	bp_random_init(&random, FUZZ_SEED);
+	for (i = 0; i < FUZZ_INPUTS; i++) {
+		const char *sample =
+		    samples[bp_random_below(&random, G_N_ELEMENTS(samples))];
+		size_t size = strlen(sample);
+		uint32_t changes = 1 + bp_random_below(&random, 4);
+		uint32_t k;
+
+		memcpy(text, sample, size + 1);
+		for (k = 0; k < changes; k++) {
+			uint32_t at = bp_random_below(&random, (uint32_t)size);
+			uint32_t from = bp_random_below(&random, (uint32_t)size);
+
+			switch (bp_random_below(&random, 3)) {
+			case 0:
+				text[at] = (char)bp_random_next(&random);
+				break;
+			case 1:
+				text[at] = text[from];
+				break;
+			default:
+				memmove(text + MIN(at, from),
+				    text + MAX(at, from),
+				    size - MAX(at, from));
+				size -= MAX(at, from) - MIN(at, from);
+				break;
+			}
+			if (size == 0)
+				break;
+		}
+		feed(text, size);
+	}
+	CU_PASS("no decoder failed");
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"a job is read whole", test_a_job_is_read_whole},
+	    {"bad jobs are refused", test_bad_jobs_are_refused},
+	    {"the longest prefix decides", test_the_longest_prefix_decides},
+	    {"foreign entries name no executor",
+		test_foreign_entries_name_no_executor},
+	    {"a look is read whole", test_a_look_is_read_whole},
+	    {"changed bodies are safe", test_changed_bodies_are_safe},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return bp_test_main("adapter/codec", tests);
+}
