--- a/src/queues/desk.c
+++ b/src/queues/desk.c
@@ -39,7 +39,6 @@
 	bp_desk_done_t done;
 	void *data;
 	guint timer;
-	uint32_t refs;
 } call_t;
 
 static void try_call(call_t *call);
@@ -51,15 +50,21 @@
 }
 
 static void
-unref(call_t *call)
+clear(gpointer data)
 {
-	if (--call->refs > 0)
-		return;
+	call_t *call = data;
+
 	g_free(call->queue);
 	g_free(call->id);
 	if (call->job != NULL)
 		bp__work__job__free_unpacked(call->job, NULL);
-	g_free(call);
+}
+
+/* A call is kept by the desk and by a try in flight. */
+static void
+unref(call_t *call)
+{
+	g_rc_box_release_full(call, clear);
 }
 
 static const char *
@@ -232,7 +237,7 @@
 	bp_shard_answer_t answer = {
 	    BP_OK, BP__WORK__JOB_STATE__JOB_QUEUED, 0, ""};
 
-	call->refs++;
+	(void)g_rc_box_acquire(call);
 	switch (call->kind) {
 	case CALL_SUBMIT:
 		bp_shard_submit(shard, copy_job(call->job), on_local, call);
@@ -316,7 +321,7 @@
 		args[1] = shard;
 		break;
 	}
-	call->refs++;
+	(void)g_rc_box_acquire(call);
 	bp_peer_client_call(call->desk->options.client, address, &frame,
 	    (uint32_t)CLAMP(left_ms, 1, OWNER_TIMEOUT_MS), on_remote, call);
 	g_free(bytes);
@@ -353,7 +358,7 @@
 start_call(bp_queuedesk_t *desk, kind_t kind, const char *queue, const char *id,
     Bp__Work__Job *job, uint32_t deadline_ms, bp_desk_done_t done, void *data)
 {
-	call_t *call = g_new0(call_t, 1);
+	call_t *call = g_rc_box_new0(call_t);
 
 	call->desk = desk;
 	call->kind = kind;
@@ -366,7 +371,6 @@
 	call->shard = bp_shard_of_job(id, desk->options.shards);
 	call->done = done;
 	call->data = data;
-	call->refs = 1;
 	g_hash_table_add(desk->calls, call);
 	try_call(call);
 }
@@ -444,7 +448,7 @@
 count_next(count_t *count)
 {
 	bp_queuedesk_t *desk = count->desk;
-	call_t *call = g_new0(call_t, 1);
+	call_t *call = g_rc_box_new0(call_t);
 
 	call->desk = desk;
 	call->kind = CALL_COUNT;
@@ -455,7 +459,6 @@
 	call->deadline_ms = count->deadline_ms;
 	call->done = on_counted;
 	call->data = count;
-	call->refs = 1;
 	g_hash_table_add(desk->calls, call);
 	try_call(call);
 }
--- a/src/queues/pairs.c
+++ b/src/queues/pairs.c
@@ -219,8 +219,7 @@
 void
 bp_pairs_load(bp_pairs_t *pairs, const uint8_t *bytes, size_t size_bytes)
 {
-	Bp__Work__Pairs *in =
-	    bp__work__pairs__unpack(NULL, size_bytes, bytes);
+	Bp__Work__Pairs *in = bp__work__pairs__unpack(NULL, size_bytes, bytes);
 	size_t i;
 
 	if (in == NULL)
--- a/src/queues/pairs.h
+++ b/src/queues/pairs.h
@@ -29,8 +29,7 @@
 void bp_pairs_fit(bp_pairs_t *pairs);
 /* The weights learned so far, serialized, and back; load adds to them. */
 GBytes *bp_pairs_save(const bp_pairs_t *pairs);
-void bp_pairs_load(
-    bp_pairs_t *pairs, const uint8_t *bytes, size_t size_bytes);
+void bp_pairs_load(bp_pairs_t *pairs, const uint8_t *bytes, size_t size_bytes);
 /* Calm that a serving image loses per unit of amount. */
 double bp_pairs_weight(
     const bp_pairs_t *pairs, const char *serving, const char *filler);
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -170,7 +170,8 @@
 		answer_text(request, BP_EINVALID, "a job id is needed", NULL);
 		return;
 	}
-	number = bp_shard_of_job(frame->args[0], bp_sharding_count(node->sharding));
+	number =
+	    bp_shard_of_job(frame->args[0], bp_sharding_count(node->sharding));
 	owner = bp_membership_owner(node->membership, number);
 	if (bp_shards_owned(node->shards)[number] == NULL) {
 		text = g_strdup_printf("the job's shard is owned by %s",
--- a/src/queues/shard_pace.c
+++ b/src/queues/shard_pace.c
@@ -322,7 +322,7 @@
 	exec->sampled_ms = now_ms;
 	exec->alarms = worst > ALARM_SHARE ? exec->alarms + 1 : 0;
 	ranked = g_array_new(FALSE, FALSE, sizeof(ranked_t));
-	planned = g_new0(double, exec->runs->len);
+	planned = g_new0(double, exec->runs->len + 1);
 
 	for (i = 0; i < exec->runs->len; i++) {
 		ranked_t row = {exec->runs->pdata[i], 0};
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -92,7 +92,8 @@
 	gsize size = 0;
 	const void *data;
 
-	if (records->len == 0 || now_ms - shard->pairs_stored_ms < PAIRS_PERIOD_MS)
+	if (records->len == 0 ||
+	    now_ms - shard->pairs_stored_ms < PAIRS_PERIOD_MS)
 		return;
 	bytes = bp_pairs_save(shard->pairs);
 	data = g_bytes_get_data(bytes, &size);
--- a/src/queues/sharding.c
+++ b/src/queues/sharding.c
@@ -133,8 +133,8 @@
 static void
 read_plan(bp_sharding_t *self)
 {
-	self->options.store->newest(self->options.store, self->options.topic, 0,
-	    NULL, on_plan, self);
+	self->options.store->newest(
+	    self->options.store, self->options.topic, 0, NULL, on_plan, self);
 }
 
 static gint
@@ -239,10 +239,10 @@
 
 	if (self->decided || self->listing_since_ms == 0)
 		return;
-	waited_ms = bp_clock_mono_ms(self->options.clock) -
-	    self->listing_since_ms;
-	grown = self->executors == 0 ||
-	    self->executors != self->executors_before;
+	waited_ms =
+	    bp_clock_mono_ms(self->options.clock) - self->listing_since_ms;
+	grown =
+	    self->executors == 0 || self->executors != self->executors_before;
 	self->executors_before = self->executors;
 	if (grown && waited_ms < LIST_PATIENCE_MS)
 		retry_after(self, LIST_AGAIN_MS);
--- a/src/queues/sharding.h
+++ b/src/queues/sharding.h
@@ -31,8 +31,7 @@
 /* Reads the plan, or makes it. */
 void bp_sharding_start(bp_sharding_t *self);
 /* The list of executors, while a plan is being made. */
-void bp_sharding_executor(
-    bp_sharding_t *self, const bp_executor_info_t *info);
+void bp_sharding_executor(bp_sharding_t *self, const bp_executor_info_t *info);
 void bp_sharding_executors_listed(bp_sharding_t *self);
 bool bp_sharding_decided(const bp_sharding_t *self);
 
--- a/src/queues/shards.c
+++ b/src/queues/shards.c
@@ -21,8 +21,10 @@
 
 	self->options = *options;
 	self->count = bp_sharding_count(options->sharding);
-	self->owned = g_new0(bp_shard_t *, bp_sharding_count(options->sharding));
-	self->rest_until_ms = g_new0(int64_t, bp_sharding_count(options->sharding));
+	self->owned =
+	    g_new0(bp_shard_t *, bp_sharding_count(options->sharding));
+	self->rest_until_ms =
+	    g_new0(int64_t, bp_sharding_count(options->sharding));
 	self->zones_out =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return self;
@@ -225,8 +227,8 @@
 void
 bp_shards_executor(bp_shards_t *self, const bp_executor_info_t *info)
 {
-	uint32_t number = bp_sharding_of_rack(
-	    self->options.sharding, info->zone, info->rack);
+	uint32_t number =
+	    bp_sharding_of_rack(self->options.sharding, info->zone, info->rack);
 
 	if (self->owned[number] != NULL)
 		bp_shard_executor(self->owned[number], info);
