--- a/include/bulrushpost/logline.h
+++ b/include/bulrushpost/logline.h
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include <stddef.h>
+#include <stdint.h>
 
 /* Severities of syslog, most severe first. */
 typedef enum {
@@ -21,8 +22,11 @@
 bp_logger_t *bp_logger_new(
     const bp_clock_t *clock, const char *process, bp_log_level_t level);
 void bp_logger_free(bp_logger_t *logger);
-/* Writes to standard output from now on, in place of standard error. */
-void bp_logger_set_stdout(bp_logger_t *logger);
+/*
+ * Writes to standard output from now on, never blocking and at most so many
+ * lines a second on average; a later line tells how many were left out.
+ */
+void bp_logger_set_stdout(bp_logger_t *logger, uint32_t lines_per_s);
 int bp_log_level_parse(bp_log_level_t *out, const char *name);
 
 /* Fields are pairs of const char * (key, value), ended by NULL. */
--- a/src/core/logline.c
+++ b/src/core/logline.c
@@ -1,11 +1,16 @@
 #include "bulrushpost/logline.h"
 
+#include <fcntl.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
 #define MS_PER_S 1000
+#define MILLI 1000
+/* Lines of so many seconds may come at once. */
+#define BURST_S 2
 /* Facility "daemon" of RFC 5424, shifted as in a priority value. */
 #define FACILITY_DAEMON (3 << 3)
 
@@ -14,6 +19,10 @@
 	char *process;
 	bp_log_level_t level;
 	int fd;
+	uint32_t lines_per_s; /* 0: no bound */
+	int64_t credit_milli; /* thousandths of a line */
+	int64_t credit_at_ms; /* mono */
+	uint64_t left_out;
 };
 
 static const struct {
@@ -56,9 +65,45 @@
 
 /* See the header. */
 void
-bp_logger_set_stdout(bp_logger_t *logger)
+bp_logger_set_stdout(bp_logger_t *logger, uint32_t lines_per_s)
 {
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
 	logger->fd = STDOUT_FILENO;
+	logger->lines_per_s = lines_per_s;
+	logger->credit_milli = (int64_t)lines_per_s * BURST_S * MILLI;
+	logger->credit_at_ms = bp_clock_mono_ms(logger->clock);
+	if (flags >= 0)
+		(void)fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+/* Takes one line's credit; the most severe lines are always written. */
+static bool
+may_write(bp_logger_t *logger, bp_log_level_t level)
+{
+	int64_t now_ms;
+	int64_t most;
+
+	if (logger->lines_per_s == 0)
+		return true;
+	now_ms = bp_clock_mono_ms(logger->clock);
+	most = (int64_t)logger->lines_per_s * BURST_S * MILLI;
+	logger->credit_milli +=
+	    (now_ms - logger->credit_at_ms) * logger->lines_per_s;
+	logger->credit_milli = MIN(logger->credit_milli, most);
+	logger->credit_at_ms = now_ms;
+	if (logger->credit_milli < MILLI && level > BP_LOG_WARNING)
+		return false;
+	logger->credit_milli -= MILLI;
+	return true;
+}
+
+/* A line that a slow reader leaves no room for counts as left out. */
+static void
+write_line(bp_logger_t *logger, const GString *line)
+{
+	if (write(logger->fd, line->str, line->len) != (ssize_t)line->len)
+		logger->left_out++;
 }
 
 /* Reads a level name; returns BP_OK (0) or -1 for an unknown name. */
@@ -123,6 +168,10 @@
 
 	if (logger == NULL || level > logger->level)
 		return;
+	if (!may_write(logger, level)) {
+		logger->left_out++;
+		return;
+	}
 	line = g_string_sized_new(256);
 	append_prefix(line, logger, level);
 	for (i = 0; i < G_N_ELEMENTS(level_names); i++) {
@@ -140,7 +189,12 @@
 		append_value(line, value != NULL ? value : "");
 	}
 	va_end(args);
+	if (logger->left_out > 0) {
+		g_string_append_printf(
+		    line, " left_out=%" G_GUINT64_FORMAT, logger->left_out);
+		logger->left_out = 0;
+	}
 	g_string_append_c(line, '\n');
-	(void)!write(logger->fd, line->str, line->len);
+	write_line(logger, line);
 	g_string_free(line, TRUE);
 }
--- a/src/queues/desk.c
+++ b/src/queues/desk.c
@@ -116,6 +116,9 @@
 	if (desk == NULL)
 		return;
 	log_answer(call, answer);
+	if (answer->outcome == BP_DESK_OK)
+		bp_histogram_observe(
+		    desk->options.latency, now_ms(desk) - call->start_ms);
 	call->desk = NULL;
 	bp_clock_cancel(desk->options.clock, &call->timer);
 	g_hash_table_remove(desk->calls, call);
--- a/src/queues/desk.h
+++ b/src/queues/desk.h
@@ -2,6 +2,7 @@
 #define BP_QUEUES_DESK_H
 
 #include "bulrushpost/clock.h"
+#include "bulrushpost/histogram.h"
 #include "bulrushpost/logline.h"
 #include "bulrushpost/peer.h"
 #include "bulrushpost/queuedesk.h"
@@ -16,6 +17,7 @@
 	bp_shard_t *const *owned; /* a shard, NULL when another node owns it */
 	uint32_t shards;
 	const char *address; /* of this node's control protocol */
+	bp_histogram_t *latency; /* of served calls; may be NULL */
 } bp_queuedesk_options_t;
 
 bp_queuedesk_t *bp_queuedesk_new(const bp_queuedesk_options_t *options);
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -13,6 +13,9 @@
 #include <string.h>
 
 #define MODULE "node"
+/* A busy owner decides some hundred times a second; the log is to stay
+ * cheap beside that. */
+#define LOG_LINES_PER_S 100
 #define TOPIC "bulrushpost"
 #define TOPIC_PLAN "bulrushpost-plan"
 #define DRAIN_TICK_MS 50
@@ -23,6 +26,8 @@
 #define MS_PER_S 1000
 /* Two hellos may be lost before a node counts as silent. */
 #define HELLO_PERIOD_MS 700
+/* An owner explains from memory. */
+#define WHY_TIMEOUT_MS 2000
 /* Calls of one node on one connection to this one. */
 #define PEER_REQUESTS_MAX 4096
 #define PEER_CONNECTIONS_MAX 256
@@ -35,6 +40,7 @@
 	bp_metrics_t *metrics;
 	bp_timeline_t *timeline;
 	bp_metricsserver_t *metrics_server;
+	bp_histogram_t *latency; /* of served calls */
 	bp_platform_t *platform;
 	bp_peer_client_t *client;
 	bp_peer_server_t *server;
@@ -157,7 +163,37 @@
 	bp_peer_request_answer(request, &answer);
 }
 
-/* Explains a job if this node owns its shard, else names the owner. */
+static void
+on_explained(const Bp__Peer__Frame *frame, const bp_error_t *err, void *data)
+{
+	bp_peer_request_t *request = data;
+
+	if (frame != NULL)
+		bp_peer_request_answer(request, frame);
+	else
+		answer_text(request, err->kind, err->message, NULL);
+}
+
+static void
+on_why_dropped(gpointer data)
+{
+	answer_text(data, BP_EUNKNOWN, "the node stops", NULL);
+}
+
+/* The owner of the shard explains; any node can be asked. */
+static void
+forward_why(node_t *node, bp_peer_request_t *request, const char *owner)
+{
+	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
+	Bp__Peer__Frame copy = BP__PEER__FRAME__INIT;
+
+	copy.verb = frame->verb;
+	copy.args = frame->args;
+	copy.n_args = frame->n_args;
+	bp_peer_client_call_full(node->client, owner, &copy, WHY_TIMEOUT_MS,
+	    on_explained, request, on_why_dropped);
+}
+
 static void
 serve_why(node_t *node, bp_peer_request_t *request)
 {
@@ -174,10 +210,12 @@
 	    bp_shard_of_job(frame->args[0], bp_sharding_count(node->sharding));
 	owner = bp_membership_owner(node->membership, number);
 	if (bp_shards_owned(node->shards)[number] == NULL) {
-		text = g_strdup_printf("the job's shard is owned by %s",
-		    owner != NULL ? owner : "no known node");
-		answer_text(request, BP_ESTATE, text, NULL);
-		g_free(text);
+		if (owner == NULL ||
+		    strcmp(owner, node->settings->listen.control) == 0)
+			answer_text(request, BP_ESTATE,
+			    "the owner of the job's shard is changing", NULL);
+		else
+			forward_why(node, request, owner);
 		return;
 	}
 	text =
@@ -376,6 +414,23 @@
 	return G_SOURCE_CONTINUE;
 }
 
+typedef struct {
+	bp_metrics_t *metrics;
+	char shard[16];
+} collect_t;
+
+static void
+on_count(const char *name, uint64_t value, void *data)
+{
+	const collect_t *to = data;
+	char *series = g_strconcat("bp_shard_", name, NULL);
+
+	bp_metric_set(
+	    bp_metrics_gauge(to->metrics, series, "shard", to->shard, NULL),
+	    (double)value);
+	g_free(series);
+}
+
 static void
 collect(bp_metrics_t *metrics, void *data)
 {
@@ -385,8 +440,16 @@
 
 	if (node->shards == NULL)
 		return;
-	for (i = 0; i < bp_sharding_count(node->sharding); i++)
-		owned += bp_shards_owned(node->shards)[i] != NULL;
+	for (i = 0; i < bp_sharding_count(node->sharding); i++) {
+		const bp_shard_t *shard = bp_shards_owned(node->shards)[i];
+		collect_t to = {metrics, ""};
+
+		if (shard == NULL)
+			continue;
+		owned++;
+		snprintf(to.shard, sizeof(to.shard), "%u", i);
+		bp_shard_counts(shard, on_count, &to);
+	}
 	bp_metric_set(
 	    bp_metrics_gauge(metrics, "bp_shards_owned", NULL), owned);
 	bp_metric_set(bp_metrics_gauge(metrics, "bp_calls_open", NULL),
@@ -483,6 +546,7 @@
 	desk.owned = bp_shards_owned(node->shards);
 	desk.shards = bp_sharding_count(node->sharding);
 	desk.address = node->settings->listen.control;
+	desk.latency = node->latency;
 	node->desk = bp_queuedesk_new(&desk);
 	bp_queuedesk_set_catalog(node->desk, node->catalog);
 }
@@ -530,9 +594,10 @@
 	node->clock = bp_clock_system();
 	node->logger = bp_logger_new(
 	    node->clock, settings->node.name, settings->log_level);
-	bp_logger_set_stdout(node->logger);
+	bp_logger_set_stdout(node->logger, LOG_LINES_PER_S);
 	node->loop = g_main_loop_new(NULL, FALSE);
 	node->metrics = bp_metrics_new();
+	node->latency = bp_histogram_new(node->metrics, "bp_call_ms");
 	node->timeline = bp_timeline_new(
 	    node->clock, settings->node.name, settings->limits.timeline_events);
 	platform.clock = node->clock;
@@ -583,6 +648,7 @@
 	bp_platform_free(node->platform);
 	bp_catalog_free(node->catalog);
 	bp_timeline_free(node->timeline);
+	bp_histogram_free(node->latency);
 	bp_metrics_free(node->metrics);
 	g_main_loop_unref(node->loop);
 	bp_logger_free(node->logger);
--- a/src/queues/shard_calls.c
+++ b/src/queues/shard_calls.c
@@ -330,9 +330,31 @@
 	return finish(builder);
 }
 
+/* See the header. */
+void
+bp_shard_counts(const bp_shard_t *shard, bp_shard_count_t tell, void *data)
+{
+	tell("jobs", g_hash_table_size(shard->jobs), data);
+	tell("jobs_going", shard->going->len, data);
+	tell("executors", g_hash_table_size(shard->execs), data);
+	tell("starts", shard->counts_started, data);
+	tell("starts_rejected", shard->counts_rejected, data);
+	tell("starts_unanswered", shard->counts_doubted, data);
+	tell("looks", shard->counts_looks, data);
+	tell("paces", shard->counts_paces, data);
+	tell("ends_done", shard->counts_done, data);
+	tell("ends_failed", shard->counts_failed, data);
+	tell("runs_lost", shard->counts_lost_runs, data);
+	tell("appends",
+	    shard->journal != NULL ? bp_journal_appends(shard->journal) : 0,
+	    data);
+}
+
 static void
-add_count(JsonBuilder *builder, const char *name, uint64_t value)
+add_count(const char *name, uint64_t value, void *data)
 {
+	JsonBuilder *builder = data;
+
 	json_builder_set_member_name(builder, name);
 	json_builder_add_int_value(builder, (gint64)value);
 }
@@ -344,20 +366,9 @@
 	JsonBuilder *builder = json_builder_new();
 
 	json_builder_begin_object(builder);
-	add_count(builder, "shard", shard->options.number);
-	add_count(builder, "epoch", shard->epoch);
-	add_count(builder, "jobs", g_hash_table_size(shard->jobs));
-	add_count(builder, "going", shard->going->len);
-	add_count(builder, "executors", g_hash_table_size(shard->execs));
-	add_count(builder, "starts", shard->counts_started);
-	add_count(builder, "rejected", shard->counts_rejected);
-	add_count(builder, "doubted", shard->counts_doubted);
-	add_count(builder, "looks", shard->counts_looks);
-	add_count(builder, "done", shard->counts_done);
-	add_count(builder, "failed", shard->counts_failed);
-	add_count(builder, "lost_runs", shard->counts_lost_runs);
-	add_count(builder, "appends",
-	    shard->journal != NULL ? bp_journal_appends(shard->journal) : 0);
+	add_count("shard", shard->options.number, builder);
+	add_count("epoch", shard->epoch, builder);
+	bp_shard_counts(shard, add_count, builder);
 	json_builder_end_object(builder);
 	return finish(builder);
 }
