--- /dev/null
+++ b/tests/process/test_queues.c
@@ -0,0 +1,278 @@
+#include "support/http.h"
+#include "support/process.h"
+#include "support/queuehttp.h"
+#include "support/runner.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#define NODES 3
+#define EXECUTORS 6
+/* Ports of the nodes: callers, check of the balancer, control. */
+#define PORT_BASE 21480
+#define JOB                                                                   \
+	"{\"task_spec\":\"t\",\"steps\":[{\"count\":3,\"cpu\":1000,"          \
+	"\"estimated_ms\":300},{\"count\":2,\"cpu\":1000,\"depends_on\":[0]," \
+	"\"estimated_ms\":300}]}"
+#define LASTING                                                      \
+	"{\"task_spec\":\"t\",\"steps\":[{\"count\":2,\"cpu\":1000," \
+	"\"long_running\":true}]}"
+
+typedef struct {
+	bp_queuehttp_t *platform;
+	bp_http_t *http;
+	bp_process_t *nodes[NODES];
+	char *settings[NODES];
+} fixture_t;
+
+static uint32_t
+port_of(uint32_t node, uint32_t kind)
+{
+	return PORT_BASE + node * 10 + kind;
+}
+
+static char *
+write_settings(const fixture_t *fixture, uint32_t node)
+{
+	char *path =
+	    g_strdup_printf("%s/queues-node-%u.yaml", BP_PROCESS_LOG_DIR, node);
+	char *text = g_strdup_printf(
+	    "node: {name: n%u, zone: z%u, services: [queues]}\n"
+	    "listen:\n  queues: 127.0.0.1:%u\n  ready: 127.0.0.1:%u\n"
+	    "  control: 127.0.0.1:%u\nplatform: {store: \"127.0.0.1:%u\"}\n",
+	    node, node, port_of(node, 0), port_of(node, 1), port_of(node, 2),
+	    bp_queuehttp_port(fixture->platform));
+
+	(void)g_mkdir_with_parents(BP_PROCESS_LOG_DIR, 0755);
+	CU_ASSERT_TRUE(g_file_set_contents(path, text, -1, NULL));
+	g_free(text);
+	return path;
+}
+
+static void
+start_node(fixture_t *fixture, uint32_t node)
+{
+	const char *argv[] = {"build/bulrushpost", "serve", "--settings",
+	    fixture->settings[node], NULL};
+	char *name = g_strdup_printf("queues-node-%u", node);
+
+	fixture->nodes[node] = bp_process_start(name, argv);
+	CU_ASSERT_PTR_NOT_NULL(fixture->nodes[node]);
+	g_free(name);
+}
+
+/* Sends to a node until the answer has the status; false on timeout. */
+typedef struct {
+	fixture_t *fixture;
+	uint32_t node;
+	const char *method;
+	const char *path;
+	const char *body;
+	uint32_t status;
+	const char *text; /* part of the body; NULL for any */
+	uint32_t seen;
+} ask_t;
+
+static bool
+asked(void *data)
+{
+	ask_t *ask = data;
+	char *url = g_strdup_printf("http://127.0.0.1:%u%s",
+	    port_of(ask->node, strcmp(ask->path, "/v1/readyz") == 0 ? 1 : 0),
+	    ask->path);
+	bp_reply_t *reply = bp_http_send(
+	    ask->fixture->http, ask->method, url, ask->body, "Host", "h", NULL);
+	bool good = bp_http_wait(reply) && reply->status == ask->status &&
+	    (ask->text == NULL || strstr(reply->body, ask->text) != NULL);
+
+	ask->seen = reply->status;
+	bp_reply_free(reply);
+	g_free(url);
+	return good;
+}
+
+static bool
+expect(fixture_t *fixture, uint32_t node, const char *method, const char *path,
+    const char *body, uint32_t status, const char *text)
+{
+	ask_t ask = {fixture, node, method, path, body, status, text, 0};
+	bool good = bp_wait_until(asked, &ask);
+
+	if (!good)
+		printf("%s %s at node %u: %u, not %u with %s\n", method, path,
+		    node, ask.seen, status, text != NULL ? text : "any body");
+	return good;
+}
+
+static void
+setup(fixture_t *fixture)
+{
+	uint32_t i;
+
+	memset(fixture, 0, sizeof(*fixture));
+	fixture->platform = bp_queuehttp_new(EXECUTORS);
+	bp_queuehttp_configure(fixture->platform, 3, "/q/");
+	fixture->http = bp_http_new();
+	for (i = 0; i < NODES; i++) {
+		fixture->settings[i] = write_settings(fixture, i);
+		start_node(fixture, i);
+	}
+	for (i = 0; i < NODES; i++)
+		CU_ASSERT_TRUE(
+		    expect(fixture, i, "GET", "/v1/readyz", NULL, 200, NULL));
+}
+
+static void
+teardown(fixture_t *fixture)
+{
+	uint32_t i;
+
+	for (i = 0; i < NODES; i++) {
+		bp_process_free(fixture->nodes[i]);
+		g_free(fixture->settings[i]);
+	}
+	bp_http_free(fixture->http);
+	CU_ASSERT_EQUAL(
+	    bp_qfleet_broken(bp_queuehttp_fleet(fixture->platform)), 0);
+	bp_queuehttp_free(fixture->platform);
+}
+
+/* The whole path over HTTP; every node answers alike. */
+static void
+test_a_job_over_http(void)
+{
+	fixture_t fixture;
+	uint32_t i;
+
+	setup(&fixture);
+	CU_ASSERT_TRUE(
+	    expect(&fixture, 0, "POST", "/q/00000000000000a1", JOB, 200, NULL));
+	for (i = 0; i < NODES; i++)
+		CU_ASSERT_TRUE(expect(&fixture, i, "GET", "/q/00000000000000a1",
+		    NULL, 200, "completed"));
+	CU_ASSERT_TRUE(
+	    expect(&fixture, 1, "GET", "/q/00000000000000ff", NULL, 410, NULL));
+	CU_ASSERT_TRUE(
+	    expect(&fixture, 2, "GET", "/q/", NULL, 200, "\"pending\":0"));
+	CU_ASSERT_TRUE(expect(&fixture, 2, "GET", "/none/", NULL, 404, NULL));
+	CU_ASSERT_TRUE(expect(&fixture, 1, "POST", "/q/00000000000000a2",
+	    "{\"steps\":[]}", 400, "no steps"));
+	CU_ASSERT_EQUAL(
+	    bp_qfleet_starts(bp_queuehttp_fleet(fixture.platform)), 5);
+	teardown(&fixture);
+}
+
+/* Nodes are killed one after the other; nothing is lost or started again. */
+static void
+test_nodes_are_killed(void)
+{
+	fixture_t fixture;
+	uint32_t starts;
+	uint32_t i;
+
+	setup(&fixture);
+	CU_ASSERT_TRUE(expect(
+	    &fixture, 0, "POST", "/q/f0000000000000b1", LASTING, 200, NULL));
+	CU_ASSERT_TRUE(
+	    expect(&fixture, 0, "POST", "/q/00000000000000b2", JOB, 200, NULL));
+	CU_ASSERT_TRUE(expect(
+	    &fixture, 1, "GET", "/q/00000000000000b2", NULL, 200, "completed"));
+	starts = bp_qfleet_starts(bp_queuehttp_fleet(fixture.platform));
+	for (i = 0; i < NODES; i++) {
+		uint32_t other = (i + 1) % NODES;
+
+		bp_process_signal(fixture.nodes[i], SIGKILL);
+		(void)bp_process_wait(fixture.nodes[i]);
+		bp_process_free(fixture.nodes[i]);
+		start_node(&fixture, i);
+		CU_ASSERT_TRUE(expect(&fixture, other, "GET",
+		    "/q/f0000000000000b1", NULL, 200, "running"));
+		CU_ASSERT_TRUE(expect(&fixture, i, "GET", "/q/00000000000000b2",
+		    NULL, 200, "completed"));
+	}
+	CU_ASSERT_EQUAL(
+	    bp_qfleet_starts(bp_queuehttp_fleet(fixture.platform)), starts);
+	CU_ASSERT_TRUE(expect(
+	    &fixture, 1, "DELETE", "/q/f0000000000000b1", NULL, 200, NULL));
+	CU_ASSERT_TRUE(expect(
+	    &fixture, 2, "GET", "/q/f0000000000000b1", NULL, 200, "cancelled"));
+	teardown(&fixture);
+}
+
+/* A newer configuration is in force at every node; the old path is gone. */
+static void
+test_a_configuration_changes(void)
+{
+	fixture_t fixture;
+	uint32_t i;
+
+	setup(&fixture);
+	bp_queuehttp_configure(fixture.platform, 9, "/new/");
+	for (i = 0; i < NODES; i++) {
+		CU_ASSERT_TRUE(
+		    expect(&fixture, i, "GET", "/new/", NULL, 200, NULL));
+		CU_ASSERT_TRUE(
+		    expect(&fixture, i, "GET", "/q/", NULL, 404, NULL));
+	}
+	teardown(&fixture);
+}
+
+/* While the store refuses, submissions are refused at once; then not. */
+static void
+test_the_store_refuses(void)
+{
+	fixture_t fixture;
+
+	setup(&fixture);
+	CU_ASSERT_TRUE(
+	    expect(&fixture, 0, "POST", "/q/00000000000000c1", JOB, 200, NULL));
+	bp_queuehttp_set_mode(fixture.platform, BP_QSTORE_BUSY);
+	CU_ASSERT_TRUE(
+	    expect(&fixture, 0, "POST", "/q/00000000000000c2", JOB, 503, NULL));
+	bp_queuehttp_set_mode(fixture.platform, BP_QSTORE_UP);
+	CU_ASSERT_TRUE(
+	    expect(&fixture, 1, "POST", "/q/00000000000000c3", JOB, 200, NULL));
+	CU_ASSERT_TRUE(expect(
+	    &fixture, 2, "GET", "/q/00000000000000c3", NULL, 200, "completed"));
+	CU_ASSERT_TRUE(
+	    expect(&fixture, 2, "GET", "/q/00000000000000c2", NULL, 410, NULL));
+	teardown(&fixture);
+}
+
+/* A graceful stop ends by itself, with status 0. */
+static void
+test_a_graceful_stop(void)
+{
+	fixture_t fixture;
+	uint32_t i;
+
+	setup(&fixture);
+	CU_ASSERT_TRUE(expect(
+	    &fixture, 0, "POST", "/q/f0000000000000d1", LASTING, 200, NULL));
+	for (i = 0; i < NODES; i++) {
+		CU_ASSERT_EQUAL(bp_process_stop(fixture.nodes[i]), 0);
+		bp_process_free(fixture.nodes[i]);
+		start_node(&fixture, i);
+		CU_ASSERT_TRUE(
+		    expect(&fixture, i, "GET", "/v1/readyz", NULL, 200, NULL));
+		CU_ASSERT_TRUE(expect(&fixture, (i + 1) % NODES, "GET",
+		    "/q/f0000000000000d1", NULL, 200, "running"));
+	}
+	teardown(&fixture);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"a job over HTTP", test_a_job_over_http},
+	    {"nodes are killed", test_nodes_are_killed},
+	    {"a configuration changes", test_a_configuration_changes},
+	    {"the store refuses", test_the_store_refuses},
+	    {"a graceful stop", test_a_graceful_stop},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return bp_test_main("process/queues", tests);
+}
--- /dev/null
+++ b/tests/support/queuehttp.c
@@ -0,0 +1,637 @@
+#include "support/queuehttp.h"
+
+#include <json-glib/json-glib.h>
+#include <libsoup/soup.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define STEP_MS 5
+#define TASK_MS 300
+#define LASTING_MS 1000000
+#define TASK_CPU 1000
+#define PARTITIONS 9
+/* The plan has a topic of its own; here it is one more partition. */
+#define PLAN_PARTITION 8
+#define SEED 1
+
+struct bp_queuehttp {
+	SoupServer *server;
+	uint16_t port;
+	bp_clock_virtual_t *clock;
+	bp_random_t random;
+	bp_qstore_t *store;
+	bp_qstore_view_t *store_view;
+	bp_qfleet_t *fleet;
+	bp_qfleet_view_t *fleet_view;
+	GPtrArray *operators; /* char *: values of the key config */
+	int64_t last_us;
+	guint timer;
+};
+
+/* A call that waits for the store, an executor or the time. */
+typedef struct {
+	bp_queuehttp_t *self;
+	SoupServerMessage *message;
+	uint64_t from;
+	bool owners;
+} call_t;
+
+/* Tasks of jobs whose ID begins with f last. */
+static int64_t
+duration(const char *task, uint64_t run, void *data)
+{
+	(void)run;
+	(void)data;
+	return task[0] == 'f' ? LASTING_MS : TASK_MS;
+}
+
+static const char *
+forbidden(const char *task, void *data)
+{
+	(void)task;
+	(void)data;
+	return NULL;
+}
+
+static uint32_t
+cpu(const char *task, void *data)
+{
+	(void)task;
+	(void)data;
+	return TASK_CPU;
+}
+
+static void
+answer_json(SoupServerMessage *message, guint status, char *text)
+{
+	soup_server_message_set_status(message, status, NULL);
+	soup_server_message_set_response(
+	    message, "application/json", SOUP_MEMORY_TAKE, text, strlen(text));
+}
+
+static call_t *
+wait_for(bp_queuehttp_t *self, SoupServerMessage *message)
+{
+	call_t *call = g_new0(call_t, 1);
+
+	call->self = self;
+	call->message = g_object_ref(message);
+	soup_server_message_pause(message);
+	return call;
+}
+
+static void
+finish(call_t *call, guint status, char *text)
+{
+	answer_json(call->message, status, text);
+	soup_server_message_unpause(call->message);
+	g_object_unref(call->message);
+	g_free(call);
+}
+
+static void
+add_items(GString *text, const GPtrArray *records)
+{
+	guint i;
+
+	for (i = 0; records != NULL && i < records->len; i++) {
+		const bp_store_record_t *record = records->pdata[i];
+		gsize size = 0;
+		const guchar *bytes = g_bytes_get_data(record->value, &size);
+		char *value = g_base64_encode(bytes, size);
+
+		g_string_append_printf(text,
+		    "%s{\"key\":\"%s\",\"value\":\"%s\",\"offset\":%d}",
+		    i > 0 ? "," : "", record->key, value, (int)record->offset);
+		g_free(value);
+	}
+}
+
+static void
+add_parts(GString *text, const GArray *holdings, bool owners)
+{
+	guint i;
+
+	for (i = 0; holdings != NULL && i < holdings->len; i++) {
+		const bp_store_holding_t *holding =
+		    &g_array_index(holdings, bp_store_holding_t, i);
+
+		g_string_append_printf(
+		    text, "%s[\"t\",%u,", i > 0 ? "," : "", holding->partition);
+		if (owners)
+			g_string_append_printf(
+			    text, "\"%s\",0]", holding->member);
+		else
+			g_string_append(text, "0]");
+	}
+}
+
+static void
+on_store(const bp_store_result_t *result, void *data)
+{
+	call_t *call = data;
+	GString *text = g_string_new("{");
+
+	switch (result->outcome) {
+	case BP_STORE_OK:
+		g_string_append_printf(text,
+		    "\"offset\":0,\"end_offset\":%d,\"generation\":%d,"
+		    "\"has_more\":%s,\"items\":[",
+		    (int)result->end_offset, (int)result->generation,
+		    result->more ? "true" : "false");
+		add_items(text, result->records);
+		g_string_append(text, "],\"parts\":[");
+		add_parts(text, result->holdings, call->owners);
+		g_string_append(text, "]}");
+		finish(call, 200, g_string_free(text, FALSE));
+		return;
+	case BP_STORE_FENCED:
+		g_string_append(text, "\"reason\":\"fenced\"}");
+		finish(call, 409, g_string_free(text, FALSE));
+		return;
+	case BP_STORE_SEQUENCE:
+		g_string_append(text, "\"reason\":\"seq\"}");
+		finish(call, 409, g_string_free(text, FALSE));
+		return;
+	case BP_STORE_MOVED:
+		g_string_append_printf(
+		    text, "\"end_offset\":%d}", (int)result->end_offset);
+		finish(call, 412, g_string_free(text, FALSE));
+		return;
+	case BP_STORE_REFUSED:
+	case BP_STORE_DROPPED:
+	case BP_STORE_UNKNOWN:
+		break;
+	}
+	g_string_append(text, "}");
+	finish(call, 503, g_string_free(text, FALSE));
+}
+
+static const char *
+param(GHashTable *query, const char *name)
+{
+	const char *value =
+	    query != NULL ? g_hash_table_lookup(query, name) : NULL;
+
+	return value != NULL ? value : "";
+}
+
+static uint64_t
+number(GHashTable *query, const char *name)
+{
+	return g_ascii_strtoull(param(query, name), NULL, 10);
+}
+
+static uint32_t
+partition_of(GHashTable *query)
+{
+	return g_str_has_suffix(param(query, "topic"), "-plan")
+	    ? PLAN_PARTITION
+	    : (uint32_t)number(query, "part");
+}
+
+static GPtrArray *
+read_records(const SoupMessageBody *body)
+{
+	GPtrArray *records =
+	    g_ptr_array_new_with_free_func(bp_store_record_free);
+	const uint8_t *at = (const uint8_t *)body->data;
+	size_t left = (size_t)body->length;
+
+	while (left > 5) {
+		size_t size = (size_t)at[0] << 24 | (size_t)at[1] << 16 |
+		    (size_t)at[2] << 8 | at[3];
+		size_t key = at[4];
+		char *name = g_strndup((const char *)at + 5, key);
+
+		g_ptr_array_add(records,
+		    bp_store_record_new(name, at + 5 + key, size - 1 - key));
+		g_free(name);
+		at += 4 + size;
+		left -= 4 + size;
+	}
+	return records;
+}
+
+static void
+handle_append(
+    bp_queuehttp_t *self, SoupServerMessage *message, GHashTable *query)
+{
+	bp_store_t *store = bp_qstore_interface(self->store_view);
+	bp_store_append_t append = {0};
+	GPtrArray *records =
+	    read_records(soup_server_message_get_request_body(message));
+
+	append.topic = "t";
+	append.partition = partition_of(query);
+	append.epoch = number(query, "epoch");
+	append.sequence = number(query, "sequence");
+	append.conditional = param(query, "at")[0] != '\0';
+	append.end_offset = number(query, "at");
+	append.records = records;
+	store->append(store, &append, on_store, wait_for(self, message));
+	g_ptr_array_unref(records);
+}
+
+static char *
+entry_of(bp_queuehttp_t *self, uint32_t index)
+{
+	bp_executor_info_t *info = bp_qfleet_info(self->fleet, index);
+	char *text = g_strdup_printf(
+	    "{\"service_name\":\"pool\",\"address\":\"127.0.0.1:%u\","
+	    "\"zone\":\"%s\",\"version\":\"v1\",\"slots\":8,\"state\":"
+	    "\"ready\",\"capacity\":{\"cpu\":%u,\"mem_mb\":%u,\"gpu\":0},"
+	    "\"labels\":[\"a\",\"%s\"],\"sequence\":1,\"born\":%d}",
+	    self->port, info->zone, info->cpu_milli, info->memory_mib,
+	    info->rack, (int)info->born_ms);
+
+	bp_executor_info_free(info);
+	return text;
+}
+
+static void
+add_value(GString *text, const char *key, const char *value, uint32_t offset)
+{
+	char *coded = g_base64_encode((const guchar *)value, strlen(value));
+
+	g_string_append_printf(text,
+	    "%s{\"key\":\"%s\",\"value\":\"%s\",\"offset\":%u}",
+	    text->str[text->len - 1] == '[' ? "" : ",", key, coded, offset);
+	g_free(coded);
+}
+
+static void
+handle_newest(
+    bp_queuehttp_t *self, SoupServerMessage *message, GHashTable *query)
+{
+	bp_store_t *store = bp_qstore_interface(self->store_view);
+	const char *topic = param(query, "topic");
+	GString *text;
+	uint32_t i;
+
+	if (strcmp(topic, "keyed.op") != 0 &&
+	    strcmp(topic, "keyed.servers") != 0) {
+		store->newest(store, "t", partition_of(query),
+		    g_hash_table_lookup(query, "depends_on"), on_store,
+		    wait_for(self, message));
+		return;
+	}
+	text = g_string_new("{\"has_more\":false,\"items\":[");
+	if (strcmp(topic, "keyed.op") == 0 && self->operators->len > 0)
+		add_value(text, "config",
+		    self->operators->pdata[self->operators->len - 1], 0);
+	for (i = 0; strcmp(topic, "keyed.servers") == 0 &&
+	     i < bp_qfleet_size(self->fleet);
+	     i++) {
+		char *key = g_strdup_printf("i-%u", i);
+		char *entry = entry_of(self, i);
+
+		add_value(text, key, entry, i);
+		g_free(key);
+		g_free(entry);
+	}
+	g_string_append_printf(
+	    text, "],\"end_offset\":%u}", self->operators->len);
+	answer_json(message, 200, g_string_free(text, FALSE));
+}
+
+static void
+add_be(GByteArray *out, uint64_t value, int bytes)
+{
+	int i;
+
+	for (i = bytes - 1; i >= 0; i--) {
+		uint8_t byte = (uint8_t)(value >> (8 * i));
+
+		g_byte_array_append(out, &byte, 1);
+	}
+}
+
+/* Configurations from an offset on; the executors' topic has no news. */
+static void
+answer_read(SoupServerMessage *message, const GPtrArray *values, uint64_t from)
+{
+	GByteArray *out = g_byte_array_new();
+	gsize size;
+	guint i;
+
+	add_be(out, values != NULL ? values->len : from, 8);
+	add_be(out, 0, 8);
+	for (i = (guint)from; values != NULL && i < values->len; i++) {
+		const char *value = values->pdata[i];
+
+		add_be(out, 1 + strlen("config") + strlen(value), 4);
+		add_be(out, strlen("config"), 1);
+		g_byte_array_append(
+		    out, (const uint8_t *)"config", strlen("config"));
+		g_byte_array_append(
+		    out, (const uint8_t *)value, (guint)strlen(value));
+	}
+	size = out->len;
+	soup_server_message_set_status(message, 200, NULL);
+	soup_server_message_set_response(message, "application/octet-stream",
+	    SOUP_MEMORY_TAKE, (char *)g_byte_array_free(out, FALSE), size);
+}
+
+static gboolean
+on_read_wait(gpointer data)
+{
+	call_t *call = data;
+
+	answer_read(call->message, call->self->operators, call->from);
+	soup_server_message_unpause(call->message);
+	g_object_unref(call->message);
+	g_free(call);
+	return G_SOURCE_REMOVE;
+}
+
+static void
+handle_read(bp_queuehttp_t *self, SoupServerMessage *message, GHashTable *query)
+{
+	uint64_t from = number(query, "from");
+	call_t *call;
+
+	if (strcmp(param(query, "topic"), "keyed.op") != 0) {
+		answer_read(message, NULL, from);
+		return;
+	}
+	if (from < self->operators->len) {
+		answer_read(message, self->operators, from);
+		return;
+	}
+	call = wait_for(self, message);
+	call->from = from;
+	bp_clock_after(bp_clock_virtual_clock(self->clock),
+	    (uint32_t)number(query, "wait_ms"), on_read_wait, call);
+}
+
+static JsonObject *
+body_of(SoupServerMessage *message, JsonParser **parser)
+{
+	SoupMessageBody *body = soup_server_message_get_request_body(message);
+
+	*parser = json_parser_new();
+	if (!json_parser_load_from_data(
+		*parser, body->data, (gssize)body->length, NULL))
+		return NULL;
+	return json_node_get_object(json_parser_get_root(*parser));
+}
+
+static void
+handle_group(bp_queuehttp_t *self, SoupServerMessage *message, const char *path)
+{
+	bp_store_t *store = bp_qstore_interface(self->store_view);
+	JsonParser *parser;
+	JsonObject *body = body_of(message, &parser);
+
+	if (strcmp(path, "/v1/log-join") == 0)
+		store->join(store, "g",
+		    json_object_get_string_member(body, "member"), "t",
+		    (uint32_t)json_object_get_int_member(body, "ttl_ms"),
+		    (uint64_t)json_object_get_int_member(body, "generation"),
+		    on_store, wait_for(self, message));
+	else
+		store->leave(store, "g",
+		    json_object_get_string_member(body, "member"), on_store,
+		    wait_for(self, message));
+	g_object_unref(parser);
+}
+
+static const char *
+end_word(bp_end_kind_t kind)
+{
+	switch (kind) {
+	case BP_END_DONE:
+		return "done";
+	case BP_END_FAILED:
+		return "failed";
+	case BP_END_STOPPED:
+		return "stopped";
+	case BP_END_LAPSED:
+		return "lapsed";
+	case BP_END_BROKEN:
+		return "broken";
+	case BP_END_ALONE:
+		return "alone";
+	case BP_END_OTHER:
+		break;
+	}
+	return "other";
+}
+
+static void
+add_lists(GString *text, const bp_exec_result_t *result)
+{
+	guint i;
+
+	g_string_append(text, ",\"running\":[");
+	for (i = 0; i < result->running->len; i++) {
+		const bp_look_running_t *row =
+		    &g_array_index(result->running, bp_look_running_t, i);
+
+		g_string_append_printf(text, "%s[\"%s\",%d,\"\",%u,0]",
+		    i > 0 ? "," : "", row->task, (int)row->run, row->percent);
+	}
+	g_string_append(text, "],\"ended\":[");
+	for (i = 0; i < result->ended->len; i++) {
+		const bp_look_ended_t *row =
+		    &g_array_index(result->ended, bp_look_ended_t, i);
+
+		g_string_append_printf(text, "%s[%d,\"%s\",%d,\"%s\",\"\"]",
+		    i > 0 ? "," : "", (int)row->number, row->task,
+		    (int)row->run, end_word(row->kind));
+	}
+	g_string_append(text, "]");
+}
+
+static const char *
+refusal(bp_exec_outcome_t outcome)
+{
+	switch (outcome) {
+	case BP_EXEC_FENCED:
+		return "fence";
+	case BP_EXEC_OLD:
+		return "old";
+	case BP_EXEC_LATE:
+		return "late";
+	default:
+		return "room";
+	}
+}
+
+static void
+on_executor(const bp_exec_result_t *result, void *data)
+{
+	GString *text = g_string_new("{");
+
+	g_string_append_printf(text, "\"clock_ms\":%d,\"born\":%d",
+	    (int)result->clock_ms, (int)result->born_ms);
+	if (result->running != NULL)
+		add_lists(text, result);
+	if (result->outcome != BP_EXEC_OK)
+		g_string_append_printf(
+		    text, ",\"reason\":\"%s\"", refusal(result->outcome));
+	g_string_append(text, "}");
+	finish(data, result->outcome == BP_EXEC_OK ? 200 : 409,
+	    g_string_free(text, FALSE));
+}
+
+static int64_t
+int_of(JsonObject *body, const char *name)
+{
+	return json_object_has_member(body, name)
+	    ? json_object_get_int_member(body, name)
+	    : 0;
+}
+
+static void
+handle_executor(
+    bp_queuehttp_t *self, SoupServerMessage *message, const char *path)
+{
+	bp_executors_t *fleet = bp_qfleet_interface(self->fleet_view);
+	JsonParser *parser;
+	JsonObject *body = body_of(message, &parser);
+	bp_exec_target_t target = {"", "", "", 0};
+	bp_exec_start_t start = {0};
+	bp_exec_look_t look = {0};
+	call_t *call = wait_for(self, message);
+
+	target.id = soup_message_headers_get_one(
+	    soup_server_message_get_request_headers(message),
+	    "X-Bulrushpost-Expect-Instance");
+	target.fence = (uint64_t)int_of(body, "fencing_token");
+	if (json_object_has_member(body, "task"))
+		start.task = json_object_get_string_member(body, "task");
+	start.run = (uint64_t)int_of(body, "run");
+	start.deadline_ms = look.deadline_ms = int_of(body, "deadline_ms");
+	look.cursor = (uint64_t)int_of(body, "ack_cursor");
+	look.wait_ms = (uint32_t)int_of(body, "wait_ms");
+	if (strcmp(path, "/v1/run-start") == 0)
+		fleet->start(fleet, &target, &start, on_executor, call);
+	else if (strcmp(path, "/v1/run-stop") == 0)
+		fleet->stop(
+		    fleet, &target, start.task, start.run, on_executor, call);
+	else if (strcmp(path, "/v1/pace") == 0)
+		fleet->pace(fleet, &target, start.task, start.run, 0,
+		    on_executor, call);
+	else
+		fleet->look(fleet, &target, &look, on_executor, call);
+	g_object_unref(parser);
+}
+
+static void
+on_request(SoupServer *server, SoupServerMessage *message, const char *path,
+    GHashTable *query, void *data)
+{
+	bp_queuehttp_t *self = data;
+	bp_store_t *store = bp_qstore_interface(self->store_view);
+
+	(void)server;
+	if (strcmp(path, "/v1/log-append") == 0)
+		handle_append(self, message, query);
+	else if (strcmp(path, "/v1/log-newest") == 0)
+		handle_newest(self, message, query);
+	else if (strcmp(path, "/v1/log-read") == 0)
+		handle_read(self, message, query);
+	else if (strcmp(path, "/v1/log-owners") == 0) {
+		call_t *call = wait_for(self, message);
+
+		call->owners = true;
+		store->owners(store, "g", on_store, call);
+	} else if (g_str_has_prefix(path, "/v1/log-"))
+		handle_group(self, message, path);
+	else
+		handle_executor(self, message, path);
+}
+
+static gboolean
+on_step(gpointer data)
+{
+	bp_queuehttp_t *self = data;
+	int64_t now_us = g_get_monotonic_time();
+	int64_t passed_ms = (now_us - self->last_us) / 1000;
+
+	self->last_us += passed_ms * 1000;
+	bp_clock_virtual_run_ms(self->clock, passed_ms);
+	return G_SOURCE_CONTINUE;
+}
+
+/* Listens on a free port of loopback. */
+bp_queuehttp_t *
+bp_queuehttp_new(uint32_t executors)
+{
+	bp_queuehttp_t *self = g_new0(bp_queuehttp_t, 1);
+	bp_qfleet_world_t world = {duration, forbidden, cpu, self};
+	GSList *uris;
+
+	self->server = g_object_new(SOUP_TYPE_SERVER, NULL);
+	soup_server_add_handler(self->server, NULL, on_request, self, NULL);
+	if (!soup_server_listen_local(
+		self->server, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, NULL))
+		abort();
+	uris = soup_server_get_uris(self->server);
+	self->port = (uint16_t)g_uri_get_port(uris->data);
+	g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
+	self->clock = bp_clock_virtual_new(1000);
+	bp_random_init(&self->random, SEED);
+	self->store = bp_qstore_new(self->clock, &self->random, PARTITIONS);
+	self->store_view = bp_qstore_view(self->store);
+	self->fleet =
+	    bp_qfleet_new(self->clock, &self->random, executors, &world);
+	self->fleet_view = bp_qfleet_view(self->fleet);
+	self->operators = g_ptr_array_new_with_free_func(g_free);
+	self->last_us = g_get_monotonic_time();
+	self->timer = g_timeout_add(STEP_MS, on_step, self);
+	return self;
+}
+
+/* Closes all connections; calls that wait get no answer. */
+void
+bp_queuehttp_free(bp_queuehttp_t *self)
+{
+	g_source_remove(self->timer);
+	soup_server_disconnect(self->server);
+	g_object_unref(self->server);
+	bp_qfleet_free(self->fleet);
+	bp_qstore_free(self->store);
+	bp_clock_virtual_free(self->clock);
+	g_ptr_array_unref(self->operators);
+	g_free(self);
+}
+
+/* Returns the port of store and executors. */
+uint16_t
+bp_queuehttp_port(const bp_queuehttp_t *self)
+{
+	return self->port;
+}
+
+/* See the header. */
+void
+bp_queuehttp_configure(
+    bp_queuehttp_t *self, uint64_t version, const char *prefix)
+{
+	g_ptr_array_add(self->operators,
+	    g_strdup_printf(
+		"{\"version\":%d,\"routes\":[{\"name\":\"q%d\",\"hostname\":"
+		"\"h\",\"path_prefix\":\"%s\",\"service_name\":\"pool\","
+		"\"priority\":0,\"retry_attempts\":3,\"stretch_factor\":2.0,"
+		"\"target_latency_ms\":300}],\"services\":[{\"name\":\"pool\","
+		"\"admission_check\":true}],\"limits\":{\"max_body_bytes\":"
+		"262144}}",
+		(int)version, (int)version, prefix));
+}
+
+/* Returns the executors. */
+bp_qfleet_t *
+bp_queuehttp_fleet(bp_queuehttp_t *self)
+{
+	return self->fleet;
+}
+
+/* Sets how the store answers all nodes. */
+void
+bp_queuehttp_set_mode(bp_queuehttp_t *self, bp_qstore_mode_t mode)
+{
+	bp_qstore_set_mode(self->store_view, mode);
+}
--- /dev/null
+++ b/tests/support/queuehttp.h
@@ -0,0 +1,23 @@
+#ifndef BP_TESTS_QUEUEHTTP_H
+#define BP_TESTS_QUEUEHTTP_H
+
+#include "support/queuefleet.h"
+#include "support/queuestore.h"
+
+/*
+ * The users' platform over HTTP on loopback, in real time: the store with
+ * the operators' and executors' topics, and executors at one address, told
+ * apart by the incarnation that an order names.
+ */
+typedef struct bp_queuehttp bp_queuehttp_t;
+
+bp_queuehttp_t *bp_queuehttp_new(uint32_t executors);
+void bp_queuehttp_free(bp_queuehttp_t *self);
+uint16_t bp_queuehttp_port(const bp_queuehttp_t *self);
+/* Puts a configuration with one queue: host "h", this path prefix. */
+void bp_queuehttp_configure(
+    bp_queuehttp_t *self, uint64_t version, const char *prefix);
+bp_qfleet_t *bp_queuehttp_fleet(bp_queuehttp_t *self);
+void bp_queuehttp_set_mode(bp_queuehttp_t *self, bp_qstore_mode_t mode);
+
+#endif
