--- a/include/bulrushpost/shard.h
+++ b/include/bulrushpost/shard.h
@@ -89,6 +89,8 @@
 uint64_t bp_shard_waiting(const bp_shard_t *shard, const char *queue);
 /* Explains each task that waits, as JSON; NULL when the job is not known. */
 char *bp_shard_why(bp_shard_t *shard, const char *id);
+/* The same in plain words, a line a reason. */
+char *bp_shard_why_text(bp_shard_t *shard, const char *id);
 /* One counter or gauge of a shard, for metrics. */
 typedef void (*bp_shard_count_t)(const char *name, uint64_t value, void *data);
 void bp_shard_counts(
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -200,6 +200,7 @@
 	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
 	uint32_t number;
 	const char *owner;
+	char *json;
 	char *text;
 
 	if (frame->n_args < 1) {
@@ -218,12 +219,15 @@
 			forward_why(node, request, owner);
 		return;
 	}
-	text =
+	json =
 	    bp_shard_why(bp_shards_owned(node->shards)[number], frame->args[0]);
+	text = bp_shard_why_text(
+	    bp_shards_owned(node->shards)[number], frame->args[0]);
 	if (text == NULL)
 		answer_text(request, BP_ENOTFOUND, "no such job", NULL);
 	else
-		answer_text(request, BP_OK, text, text);
+		answer_text(request, BP_OK, text, json);
+	g_free(json);
 	g_free(text);
 }
 
--- a/src/queues/shard_calls.c
+++ b/src/queues/shard_calls.c
@@ -197,101 +197,6 @@
 	return waiting;
 }
 
-/* The cause that keeps the task from most executors. */
-static const char *
-main_cause(const GPtrArray *causes)
-{
-	const bp_qcause_t *most = NULL;
-	guint i;
-
-	for (i = 0; i < causes->len; i++) {
-		const bp_qcause_t *cause = causes->pdata[i];
-
-		if (strcmp(cause->name, "turn") == 0)
-			return "turn";
-		if (most == NULL || cause->executors > most->executors)
-			most = cause;
-	}
-	return most != NULL ? most->name : "no_executor";
-}
-
-static const char *
-task_reason(
-    const bp_shard_t *shard, const bp_qtask_t *task, const GPtrArray *causes)
-{
-	const bp_qstep_t *step = task->step;
-
-	switch (task->state) {
-	case BP_QTASK_CENSUS:
-		return "census";
-	case BP_QTASK_PLACED:
-		return task->run->state == BP_QRUN_STOPPING ? "in_doubt"
-							    : "running";
-	case BP_QTASK_DONE:
-		return "done";
-	case BP_QTASK_WAITING:
-		break;
-	}
-	if (step->job->cancelling)
-		return "cancelling";
-	if (bp_qstep_due_ms(step) > bp_shard_wall_ms(shard))
-		return "not_due";
-	if (!bp_qstep_open(step, INT64_MAX))
-		return "dependency";
-	if (!bp_shard_may_start(shard))
-		return "store_unavailable";
-	if (step->reason != NULL && strcmp(step->reason, "headroom") == 0)
-		return "headroom";
-	return main_cause(causes);
-}
-
-static void
-add_causes(JsonBuilder *builder, const GPtrArray *causes)
-{
-	guint i;
-
-	json_builder_set_member_name(builder, "executors");
-	json_builder_begin_object(builder);
-	for (i = 0; i < causes->len; i++) {
-		const bp_qcause_t *cause = causes->pdata[i];
-
-		json_builder_set_member_name(builder, cause->name);
-		json_builder_add_int_value(builder, cause->executors);
-	}
-	json_builder_end_object(builder);
-}
-
-static void
-add_tasks(JsonBuilder *builder, bp_shard_t *shard, const bp_qstep_t *step)
-{
-	GPtrArray *causes = bp_shard_explain(shard, step);
-	uint32_t k;
-
-	for (k = 0; k < step->spec->tasks; k++) {
-		const bp_qtask_t *task = &step->tasks[k];
-		char *name = bp_qtask_name(task);
-
-		json_builder_begin_object(builder);
-		json_builder_set_member_name(builder, "task");
-		json_builder_add_string_value(builder, name);
-		json_builder_set_member_name(builder, "reason");
-		json_builder_add_string_value(
-		    builder, task_reason(shard, task, causes));
-		if (task->state == BP_QTASK_WAITING)
-			add_causes(builder, causes);
-		json_builder_set_member_name(builder, "failures");
-		json_builder_add_int_value(builder, task->failures);
-		if (task->run != NULL) {
-			json_builder_set_member_name(builder, "executor");
-			json_builder_add_string_value(
-			    builder, task->run->exec->info->id);
-		}
-		json_builder_end_object(builder);
-		g_free(name);
-	}
-	g_ptr_array_unref(causes);
-}
-
 static char *
 finish(JsonBuilder *builder)
 {
@@ -303,33 +208,6 @@
 	return text;
 }
 
-/* See the header. */
-char *
-bp_shard_why(bp_shard_t *shard, const char *id)
-{
-	bp_qjob_t *job = g_hash_table_lookup(shard->jobs, id);
-	JsonBuilder *builder;
-	uint32_t i;
-
-	if (job == NULL)
-		return NULL;
-	builder = json_builder_new();
-	json_builder_begin_object(builder);
-	json_builder_set_member_name(builder, "job");
-	json_builder_add_string_value(builder, id);
-	json_builder_set_member_name(builder, "queue");
-	json_builder_add_string_value(builder, job->spec->queue);
-	json_builder_set_member_name(builder, "priority");
-	json_builder_add_int_value(builder, job->spec->priority);
-	json_builder_set_member_name(builder, "tasks");
-	json_builder_begin_array(builder);
-	for (i = 0; i < job->n_steps * job->occurrences; i++)
-		add_tasks(builder, shard, &job->steps[i]);
-	json_builder_end_array(builder);
-	json_builder_end_object(builder);
-	return finish(builder);
-}
-
 /* See the header. */
 void
 bp_shard_counts(const bp_shard_t *shard, bp_shard_count_t tell, void *data)
--- a/tests/process/test_queues.c
+++ b/tests/process/test_queues.c
@@ -138,6 +138,23 @@
 	bp_queuehttp_free(fixture->platform);
 }
 
+static bool
+explains(uint32_t node, const char *id, const char *part)
+{
+	char *address =
+	    g_strdup_printf("--node=127.0.0.1:%u", port_of(node, 2));
+	const char *argv[] = {"build/bulrushpost", "why", id, address, NULL};
+	char *output = NULL;
+	int status = bp_process_run("queues-why", argv, &output);
+	bool good = status == 0 && strstr(output, part) != NULL;
+
+	if (!good)
+		printf("why %s: %d, %s\n", id, status, output);
+	g_free(output);
+	g_free(address);
+	return good;
+}
+
 /* The whole path over HTTP; every node answers alike. */
 static void
 test_a_job_over_http(void)
@@ -178,6 +195,9 @@
 	    expect(&fixture, 0, "POST", "/q/00000000000000b2", JOB, 200, NULL));
 	CU_ASSERT_TRUE(expect(
 	    &fixture, 1, "GET", "/q/00000000000000b2", NULL, 200, "completed"));
+	for (i = 0; i < NODES; i++)
+		CU_ASSERT_TRUE(
+		    explains(i, "f0000000000000b1", "2 of 2 tasks: runs"));
 	starts = bp_qfleet_starts(bp_queuehttp_fleet(fixture.platform));
 	for (i = 0; i < NODES; i++) {
 		uint32_t other = (i + 1) % NODES;
