Count each failed run of a task once, whatever the order of its ends

Progress now keeps the numbers of the failed runs. The unit test failed first; the rig checks the rule too.

--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -1090,7 +1090,7 @@
   (ProtobufCMessageInit) bp__work__job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__work__task_progress__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bp__work__task_progress__field_descriptors[4] =
 {
   {
     "task",
@@ -1117,27 +1117,15 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "failures",
+    "failed_runs",
     3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Bp__Work__TaskProgress, failures),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "last_failed_run",
-    4,
-    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Bp__Work__TaskProgress, last_failed_run),
+    offsetof(Bp__Work__TaskProgress, n_failed_runs),
+    offsetof(Bp__Work__TaskProgress, failed_runs),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
@@ -1154,16 +1142,16 @@
   },
 };
 static const unsigned bp__work__task_progress__field_indices_by_name[] = {
-  4,   /* field[4] = checkpoint */
+  3,   /* field[3] = checkpoint */
   1,   /* field[1] = done */
-  2,   /* field[2] = failures */
-  3,   /* field[3] = last_failed_run */
+  2,   /* field[2] = failed_runs */
   0,   /* field[0] = task */
 };
-static const ProtobufCIntRange bp__work__task_progress__number_ranges[1 + 1] =
+static const ProtobufCIntRange bp__work__task_progress__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 5, 3 },
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bp__work__task_progress__descriptor =
 {
@@ -1173,10 +1161,10 @@
   "Bp__Work__TaskProgress",
   "bp.work",
   sizeof(Bp__Work__TaskProgress),
-  5,
+  4,
   bp__work__task_progress__field_descriptors,
   bp__work__task_progress__field_indices_by_name,
-  1,  bp__work__task_progress__number_ranges,
+  2,  bp__work__task_progress__number_ranges,
   (ProtobufCMessageInit) bp__work__task_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -170,13 +170,13 @@
    */
   uint32_t task;
   protobuf_c_boolean done;
-  uint32_t failures;
-  uint64_t last_failed_run;
+  size_t n_failed_runs;
+  uint64_t *failed_runs;
   char *checkpoint;
 };
 #define BP__WORK__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__work__task_progress__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0,NULL, (char *)protobuf_c_empty_string }
 
 
 struct  Bp__Work__Progress
--- a/src/queues/job.c
+++ b/src/queues/job.c
@@ -103,6 +103,14 @@
 	return job;
 }
 
+static void
+clear_task(bp_qtask_t *task)
+{
+	g_free(task->checkpoint);
+	if (task->failed_runs != NULL)
+		g_array_unref(task->failed_runs);
+}
+
 /* Frees a job whose tasks have no runs any more. */
 void
 bp_qjob_free(gpointer data)
@@ -115,7 +123,7 @@
 		return;
 	for (i = 0; i < job->n_steps * job->occurrences; i++) {
 		for (k = 0; k < job->steps[i].spec->tasks; k++)
-			g_free(job->steps[i].tasks[k].checkpoint);
+			clear_task(&job->steps[i].tasks[k]);
 		g_free(job->steps[i].tasks);
 	}
 	g_free(job->steps);
@@ -207,22 +215,50 @@
 	task->checkpoint = g_strdup(checkpoint);
 }
 
+/* Returns how many runs of a task have failed. */
+uint32_t
+bp_qtask_failures(const bp_qtask_t *task)
+{
+	return task->failed_runs != NULL ? task->failed_runs->len : 0;
+}
+
+static bool
+has_failed_run(const bp_qtask_t *task, uint64_t run)
+{
+	uint32_t i;
+
+	for (i = 0; i < bp_qtask_failures(task); i++) {
+		if (g_array_index(task->failed_runs, uint64_t, i) == run)
+			return true;
+	}
+	return false;
+}
+
+static void
+add_failed_run(bp_qtask_t *task, uint64_t run)
+{
+	if (has_failed_run(task, run))
+		return;
+	if (task->failed_runs == NULL)
+		task->failed_runs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	g_array_append_val(task->failed_runs, run);
+}
+
 /*
- * Counts a failure of a run once, although executors list an end again
- * until it is acknowledged. Members of a gang share the count of member 0.
- * Returns true when the attempts of the task are used up.
+ * Counts the failure of a run once, although executors list an end again
+ * until it is acknowledged, and a successor hears of ends in any order.
+ * Members of a gang share the count of member 0; tasks that last have no
+ * bound and no count. Returns true when the attempts are used up.
  */
 bool
 bp_qtask_failed(bp_qtask_t *task, uint64_t run)
 {
 	bp_qtask_t *counted = task->step->spec->gang ? task->step->tasks : task;
 
-	if (run > counted->last_failed_run) {
-		counted->last_failed_run = run;
-		counted->failures++;
-	}
-	return !task->step->spec->lasting &&
-	    counted->failures >= task->step->job->spec->attempts;
+	if (task->step->spec->lasting)
+		return false;
+	add_failed_run(counted, run);
+	return bp_qtask_failures(counted) >= task->step->job->spec->attempts;
 }
 
 /* Derives the state of a job from its tasks. */
@@ -275,7 +311,7 @@
 static bool
 worth_storing(const bp_qtask_t *task)
 {
-	return task->state == BP_QTASK_DONE || task->failures > 0 ||
+	return task->state == BP_QTASK_DONE || task->failed_runs != NULL ||
 	    task->checkpoint != NULL;
 }
 
@@ -287,8 +323,9 @@
 	bp__work__task_progress__init(row);
 	row->task = number;
 	row->done = task->state == BP_QTASK_DONE;
-	row->failures = task->failures;
-	row->last_failed_run = task->last_failed_run;
+	row->n_failed_runs = bp_qtask_failures(task);
+	if (row->n_failed_runs > 0)
+		row->failed_runs = (uint64_t *)(void *)task->failed_runs->data;
 	if (task->checkpoint != NULL && !row->done)
 		row->checkpoint = task->checkpoint;
 	out->tasks[out->n_tasks++] = row;
@@ -351,6 +388,7 @@
 	Bp__Work__Progress *progress =
 	    bp__work__progress__unpack(NULL, size_bytes, bytes);
 	size_t i;
+	size_t k;
 
 	if (progress == NULL)
 		return bp_error_set(
@@ -365,8 +403,8 @@
 
 		if (task == NULL)
 			continue;
-		task->failures = row->failures;
-		task->last_failed_run = row->last_failed_run;
+		for (k = 0; k < row->n_failed_runs; k++)
+			add_failed_run(task, row->failed_runs[k]);
 		bp_qtask_set_checkpoint(task, row->checkpoint);
 		if (row->done)
 			bp_qtask_set_state(task, BP_QTASK_DONE);
--- a/src/queues/job.h
+++ b/src/queues/job.h
@@ -22,9 +22,8 @@
 	bp_qstep_t *step;
 	uint32_t index; /* within the step */
 	bp_qtask_state_t state;
-	uint32_t failures;
 	uint64_t last_run; /* highest number given or seen */
-	uint64_t last_failed_run;
+	GArray *failed_runs; /* uint64_t; NULL for none */
 	bp_qrun_t *run; /* of BP_QTASK_PLACED */
 	char *checkpoint; /* NULL for none */
 	const void *failed_on; /* executor of the last failure */
@@ -71,6 +70,7 @@
 void bp_qtask_set_state(bp_qtask_t *task, bp_qtask_state_t state);
 void bp_qtask_set_checkpoint(bp_qtask_t *task, const char *checkpoint);
 bool bp_qtask_failed(bp_qtask_t *task, uint64_t run);
+uint32_t bp_qtask_failures(const bp_qtask_t *task);
 void bp_qjob_settle(bp_qjob_t *job);
 
 char *bp_qtask_name(const bp_qtask_t *task);
--- a/src/queues/shard_why.c
+++ b/src/queues/shard_why.c
@@ -132,7 +132,7 @@
 		if (task->state == BP_QTASK_WAITING)
 			add_causes(builder, causes);
 		json_builder_set_member_name(builder, "failures");
-		json_builder_add_int_value(builder, task->failures);
+		json_builder_add_int_value(builder, bp_qtask_failures(task));
 		if (task->run != NULL) {
 			json_builder_set_member_name(builder, "executor");
 			json_builder_add_string_value(
--- a/tests/queues/test_parts.c
+++ b/tests/queues/test_parts.c
@@ -59,7 +59,7 @@
 	CU_ASSERT_EQUAL(bp_qjob_load_progress(copy, data, size, NULL), BP_OK);
 	CU_ASSERT_EQUAL(copy->state, BP__WORK__JOB_STATE__JOB_RUNNING);
 	CU_ASSERT_EQUAL(bp_qjob_task(copy, 0, 0, 0)->state, BP_QTASK_DONE);
-	CU_ASSERT_EQUAL(bp_qjob_task(copy, 0, 0, 1)->failures, 1);
+	CU_ASSERT_EQUAL(bp_qtask_failures(bp_qjob_task(copy, 0, 0, 1)), 1);
 	CU_ASSERT_STRING_EQUAL(bp_qjob_task(copy, 0, 0, 1)->checkpoint, "cp");
 	CU_ASSERT_EQUAL(copy->steps[0].left, 2);
 	CU_ASSERT_EQUAL(
@@ -86,6 +86,12 @@
 	CU_ASSERT_TRUE(bp_qtask_failed(bp_qjob_task(gang, 0, 0, 1), 2));
 	bp_qjob_free(job);
 	bp_qjob_free(gang);
+	/* After a takeover executors list the ends in any order. */
+	job = bp_qjob_new(new_spec(1, 1, false));
+	task = bp_qjob_task(job, 0, 0, 0);
+	CU_ASSERT_FALSE(bp_qtask_failed(task, 9));
+	CU_ASSERT_TRUE(bp_qtask_failed(task, 4));
+	bp_qjob_free(job);
 }
 
 /* A step opens when the one before is done and its time has come. */
--- a/tests/support/queuefleet.c
+++ b/tests/support/queuefleet.c
@@ -52,6 +52,7 @@
 	GPtrArray *execs;
 	GPtrArray *views;
 	GHashTable *starts; /* task to count */
+	GHashTable *failed; /* task to its failed runs that were noted */
 	GHashTable *done; /* tasks of which a run has ended done */
 	GHashTable *noted; /* tasks whose done end was taken note of */
 	uint32_t late_percent;
@@ -230,6 +231,12 @@
 	return false;
 }
 
+static uint32_t
+failures_of(const bp_qfleet_t *fleet, const char *task)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(fleet->failed, task));
+}
+
 static void
 check_start(exec_t *exec, const char *task, uint32_t cpu_milli)
 {
@@ -242,6 +249,8 @@
 		report(fleet, why, task);
 	if (runs_elsewhere(fleet, task))
 		report(fleet, "runs twice", task);
+	if (failures_of(fleet, task) >= BP_QFLEET_ATTEMPTS)
+		report(fleet, "starts after its last attempt failed", task);
 	if (g_hash_table_contains(fleet->noted, task))
 		report(fleet, "starts after its end was noted", task);
 	for (i = 0; i < exec->running->len; i++)
@@ -323,6 +332,11 @@
 		if (end->number > call->cursor)
 			break;
 		trace(exec, "noted", end->task, call->fence);
+		if (end->how == BP_END_FAILED && !end->lapsed_since)
+			g_hash_table_replace(exec->fleet->failed,
+			    g_strdup(end->task),
+			    GUINT_TO_POINTER(
+				failures_of(exec->fleet, end->task) + 1));
 		if (end->how == BP_END_DONE && !end->lapsed_since)
 			g_hash_table_add(
 			    exec->fleet->noted, g_strdup(end->task));
@@ -655,6 +669,8 @@
 	fleet->views = g_ptr_array_new_with_free_func(view_free);
 	fleet->starts =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	fleet->failed =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fleet->done =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fleet->noted =
@@ -684,6 +700,7 @@
 	g_ptr_array_unref(fleet->views);
 	g_ptr_array_unref(fleet->execs);
 	g_hash_table_unref(fleet->starts);
+	g_hash_table_unref(fleet->failed);
 	g_hash_table_unref(fleet->done);
 	g_hash_table_unref(fleet->noted);
 	g_free(fleet->first_broken);
--- a/tests/support/queuefleet.h
+++ b/tests/support/queuefleet.h
@@ -5,6 +5,9 @@
 #include "bulrushpost/executors.h"
 #include "bulrushpost/hash.h"
 
+/* Failed runs after which a task is not started again. */
+#define BP_QFLEET_ATTEMPTS 3
+
 /*
  * Executors in memory under a virtual clock. They check fences, leases and
  * room, and every start against what must never happen; what was broken is
--- a/tests/support/queuerig.c
+++ b/tests/support/queuerig.c
@@ -12,7 +12,6 @@
 #define FROZEN_STEP_MS 20
 #define QUEUE "q"
 #define TASK_CPU 4000
-#define ATTEMPTS 3
 
 typedef struct rig_node rig_node_t;
 
@@ -188,7 +187,7 @@
 	route->host = g_strdup("h");
 	route->prefix = g_strdup("/q/");
 	route->service = g_strdup("pool");
-	route->attempts = ATTEMPTS;
+	route->attempts = BP_QFLEET_ATTEMPTS;
 	g_ptr_array_add(catalog->routes, route);
 	catalog->version = 1;
 	return catalog;
@@ -339,14 +338,14 @@
 	return caller;
 }
 
-/* One run in twelve fails by its own fault. */
+/* One run in six fails by its own fault. */
 static int64_t
 world_duration(const char *task, uint64_t run, void *data)
 {
 	bp_qrig_t *rig = data;
 	uint32_t step;
 	const caller_t *caller = caller_of_task(rig, task, &step);
-	bool fails = bp_hash_text(task, run) % 12 == 0;
+	bool fails = bp_hash_text(task, run) % 6 == 0;
 
 	if (caller == NULL || caller->lasting)
 		return 1000000;
@@ -588,7 +587,7 @@
 	job->queue = strdup(QUEUE);
 	job->service = strdup("pool");
 	job->payload = strdup("work");
-	job->attempts = ATTEMPTS;
+	job->attempts = BP_QFLEET_ATTEMPTS;
 	job->stretch_permille = 2000;
 	job->accepted_ms = bp_clock_wall_ms(bp_clock_virtual_clock(rig->clock));
 	job->steps = calloc(steps, sizeof(Bp__Work__Step *));
