Add up the waiting for silent executors over owners

Executors are now recorded in each epoch before they get work, and owners store how long they have waited; the census concerns recorded executors only.

--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -1296,7 +1296,7 @@
   (ProtobufCMessageInit) bp__work__owner__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__work__holder__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bp__work__holder__field_descriptors[4] =
 {
   {
     "id",
@@ -1334,16 +1334,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "waited_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Holder, waited_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__work__holder__field_indices_by_name[] = {
   1,   /* field[1] = address */
   2,   /* field[2] = born_ms */
   0,   /* field[0] = id */
+  3,   /* field[3] = waited_ms */
 };
 static const ProtobufCIntRange bp__work__holder__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bp__work__holder__descriptor =
 {
@@ -1353,7 +1366,7 @@
   "Bp__Work__Holder",
   "bp.work",
   sizeof(Bp__Work__Holder),
-  3,
+  4,
   bp__work__holder__field_descriptors,
   bp__work__holder__field_indices_by_name,
   1,  bp__work__holder__number_ranges,
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -216,10 +216,14 @@
   char *id;
   char *address;
   int64_t born_ms;
+  /*
+   * how long owners have waited for its answer
+   */
+  uint32_t waited_ms;
 };
 #define BP__WORK__HOLDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__work__holder__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Bp__Work__Order
--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -172,29 +172,36 @@
 	bp_shard_plan_round(shard, 0);
 }
 
+/* How long owners have waited for an executor without any order to it. */
+int64_t
+bp_qexec_waited_ms(const bp_qexec_t *exec)
+{
+	const bp_shard_t *shard = exec->shard;
+
+	return exec->waited_before_ms + bp_shard_now_ms(shard) -
+	    shard->owned_ms;
+}
+
 /*
- * Ends the census when every executor that may hold runs of earlier epochs
- * has answered to this one, or all leases they gave have run out.
+ * Ends the census when every executor that an earlier owner has used has
+ * answered to this epoch, or all leases given there have run out: owners
+ * that follow each other add up their waiting.
  */
 void
 bp_shard_check_census(bp_shard_t *shard)
 {
-	int64_t owned_for_ms = bp_shard_now_ms(shard) - shard->owned_ms;
 	GHashTableIter iter;
 	gpointer value;
 
 	if (shard->census_done || shard->phase != BP_SHARD_OWNED)
 		return;
-	if (owned_for_ms < WAIT_OUT_MS) {
-		if (!shard->executors_listed)
-			return;
-		g_hash_table_iter_init(&iter, shard->execs);
-		while (g_hash_table_iter_next(&iter, NULL, &value)) {
-			const bp_qexec_t *exec = value;
+	g_hash_table_iter_init(&iter, shard->execs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const bp_qexec_t *exec = value;
 
-			if (!exec->met)
-				return;
-		}
+		if (exec->stored && !exec->met &&
+		    bp_qexec_waited_ms(exec) < WAIT_OUT_MS)
+			return;
 	}
 	end_census(shard);
 }
@@ -319,6 +326,8 @@
 		log_summary(shard);
 	if (!bp_journal_idle(shard->journal))
 		return G_SOURCE_CONTINUE;
+	if (!shard->census_done)
+		bp_journal_request(shard->journal, false);
 	drop_execs(shard);
 	drop_jobs(shard);
 	if (shard->dirty->len > 0)
@@ -509,8 +518,6 @@
 		exec->answered_ms = 0;
 		bp_shard_look(exec, 0);
 	}
-	if (!exec->recorded && !exec->recording)
-		bp_journal_request(shard->journal, false);
 	if (!exec->met && exec->looks == 0 && exec->timer == 0)
 		bp_shard_look(exec, 0);
 }
@@ -531,7 +538,6 @@
 {
 	if (shard->phase != BP_SHARD_OWNED)
 		return;
-	shard->executors_listed = true;
 	bp_shard_check_census(shard);
 }
 
--- a/src/queues/shard_looks.c
+++ b/src/queues/shard_looks.c
@@ -10,7 +10,7 @@
 /* One answer may have been lost: the first repetition comes sooner. */
 #define SILENT_FIRST_MS 100
 /* A look so soon after an answer meets the same life. */
-#define FOLLOWS_MS 1000
+#define FOLLOWS_MS 400
 /* Failures in a row hold an executor for this time, then twice as long. */
 #define QUARANTINE_MS 4000
 /* Executors measure a tail over half a second. */
@@ -382,6 +382,7 @@
 	take_lists(exec, result, event);
 	if (!exec->met) {
 		exec->met = true;
+		bp_journal_request(shard->journal, false);
 		bp_shard_check_census(shard);
 		bp_shard_plan_round(shard, 0);
 	}
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -12,7 +12,7 @@
 /* A looking owner asks again after this time without an end. */
 #define BP_SHARD_LOOK_WAIT_MS 1500
 /* Longest time that orders are sent after the last confirmed membership. */
-#define BP_SHARD_ORDER_GRACE_MS 5000
+#define BP_SHARD_ORDER_GRACE_MS 4000
 /* A start is carried out within this time or never. */
 #define BP_SHARD_START_WINDOW_MS 1500
 /* Runs of one epoch have numbers below this above the epoch's base. */
@@ -57,10 +57,12 @@
 	bp_shard_t *shard;
 	bp_executor_info_t *info;
 	bool listed; /* in the executors' list */
-	bool recorded; /* the store knows that it may hold tasks */
+	bool recorded; /* the store knows that this epoch may use it */
+	bool stored; /* the store has a record of it, of any epoch */
+	int64_t waited_before_ms; /* by earlier owners, for its answer */
+	int64_t waited_stored_ms; /* mono, when the waiting was stored last */
 	bool recording; /* its record is in the batch in flight */
 	bool met; /* has answered to this epoch */
-	bool waited_out; /* cannot hold tasks of earlier owners any more */
 	bool silent; /* the last look got no answer */
 	int64_t born_ms;
 	int64_t clock_ms; /* its time in its last answer */
@@ -139,7 +141,6 @@
 	GHashTable *paces; /* contexts of pace orders in flight */
 	int64_t owned_ms; /* mono, when the epoch was won */
 	int64_t confirmed_ms; /* mono, of the last confirmed membership */
-	bool executors_listed;
 	bool census_done;
 	uint32_t starts_in_flight;
 	guint round_timer;
@@ -192,6 +193,7 @@
 bp_qexec_t *bp_qexec_get(bp_shard_t *shard, const char *id);
 void bp_qexec_free(gpointer exec);
 int64_t bp_qexec_clock_ms(const bp_qexec_t *exec);
+int64_t bp_qexec_waited_ms(const bp_qexec_t *exec);
 bool bp_qexec_surely_past(const bp_qexec_t *exec, int64_t clock_ms);
 bp_qrun_t *bp_qrun_new(bp_qexec_t *exec, bp_qtask_t *task,
     const Bp__Work__Step *spec, const char *name, uint64_t number);
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -10,6 +10,8 @@
 #define PREFIX_PROGRESS "p/"
 #define PREFIX_HOLDER "x/"
 #define PREFIX_CHARS 2
+/* What is waited for silent executors is stored so often. */
+#define WAITED_PERIOD_MS 1000
 
 static void
 add_record(GPtrArray *records, const char *prefix, const char *id,
@@ -59,6 +61,8 @@
 	holder.id = exec->info->id;
 	holder.address = exec->info->address;
 	holder.born_ms = exec->born_ms;
+	if (!exec->met)
+		holder.waited_ms = (uint32_t)bp_qexec_waited_ms(exec);
 	size = bp__work__holder__get_packed_size(&holder);
 	bytes = g_malloc(MAX(size, 1));
 	(void)bp__work__holder__pack(&holder, bytes);
@@ -66,6 +70,19 @@
 	g_free(bytes);
 }
 
+/* Tells whether the waiting for a silent executor is to be stored again. */
+static bool
+waiting_due(const bp_qexec_t *exec)
+{
+	return exec->stored && !exec->met && !exec->shard->census_done &&
+	    bp_shard_now_ms(exec->shard) - exec->waited_stored_ms >=
+	    WAITED_PERIOD_MS;
+}
+
+/*
+ * An executor is recorded in each epoch before it gets work, which ends the
+ * waiting of earlier epochs.
+ */
 static void
 fill_execs(bp_shard_t *shard, GPtrArray *records)
 {
@@ -77,10 +94,13 @@
 		bp_qexec_t *exec = value;
 
 		exec->storing = exec->seen;
-		if (exec->recorded || exec->recording || !exec->listed)
-			continue;
-		exec->recording = true;
-		add_holder(records, exec);
+		if (waiting_due(exec)) {
+			exec->waited_stored_ms = bp_shard_now_ms(shard);
+			add_holder(records, exec);
+		} else if (exec->met && !exec->recorded && !exec->recording) {
+			exec->recording = true;
+			add_holder(records, exec);
+		}
 	}
 }
 
@@ -223,6 +243,7 @@
 		bp_qexec_t *exec = value;
 
 		exec->recorded = exec->recorded || (stored && exec->recording);
+		exec->stored = exec->stored || exec->recorded;
 		exec->recording = false;
 		if (!stored || exec->storing <= exec->acked)
 			continue;
@@ -329,7 +350,9 @@
 	if (holder == NULL)
 		return;
 	exec = bp_qexec_get(shard, holder->id);
-	exec->recorded = true;
+	exec->stored = true;
+	exec->waited_before_ms = holder->waited_ms;
+	exec->waited_stored_ms = bp_shard_now_ms(shard);
 	exec->born_ms = holder->born_ms;
 	g_free(exec->info->address);
 	exec->info->address = g_strdup(holder->address);
@@ -467,7 +490,7 @@
 void
 bp_shard_drop_exec(bp_shard_t *shard, bp_qexec_t *exec)
 {
-	if (exec->recorded)
+	if (exec->stored)
 		g_ptr_array_add(shard->dropping,
 		    g_strconcat(PREFIX_HOLDER, exec->info->id, NULL));
 	g_hash_table_remove(shard->execs, exec->info->id);
--- a/tests/queues/test_shard.c
+++ b/tests/queues/test_shard.c
@@ -154,6 +154,41 @@
 	finish(rig);
 }
 
+/*
+ * Owners that follow each other quickly must not wait for a dead executor
+ * from the start each time.
+ */
+static void
+test_waiting_goes_on_over_owners(void)
+{
+	bp_qrig_t *rig = started();
+	const char *id = bp_qrig_submit(rig, 6, 0, true);
+	uint32_t running = 0;
+	uint32_t round;
+	uint32_t k;
+
+	bp_qrig_run_ms(rig, 1000);
+	bp_qfleet_set_cut(bp_qrig_fleet(rig), 0, true);
+	for (round = 0; round < 4; round++) {
+		int owner = bp_qrig_owner(rig);
+
+		if (owner >= 0)
+			bp_qrig_kill(rig, (uint32_t)owner);
+		bp_qrig_run_ms(rig, 1000);
+		if (owner >= 0)
+			bp_qrig_restart(rig, (uint32_t)owner);
+		bp_qrig_run_ms(rig, 6000);
+	}
+	for (k = 0; k < 6; k++) {
+		char *task = g_strdup_printf("%s.0.0.%u", id, k);
+
+		running += bp_qfleet_running_of(bp_qrig_fleet(rig), task);
+		g_free(task);
+	}
+	CU_ASSERT_EQUAL(running, 6);
+	finish(rig);
+}
+
 /* A refused submission never runs; one in doubt is never called refused. */
 static void
 test_store_down_refuses_at_once(void)
@@ -298,6 +333,7 @@
 	    {"a successor adopts what runs", test_a_successor_adopts_what_runs},
 	    {"all nodes die and return", test_all_nodes_die_and_return},
 	    {"a cut executor is waited out", test_a_cut_executor_is_waited_out},
+	    {"waiting goes on over owners", test_waiting_goes_on_over_owners},
 	    {"store down refuses at once", test_store_down_refuses_at_once},
 	    {"lost answers of the store", test_lost_answers_of_the_store},
 	    {"late orders do not double", test_late_orders_do_not_double},
--- a/tests/support/queuefleet.c
+++ b/tests/support/queuefleet.c
@@ -11,6 +11,8 @@
 #define LEASE_MAX_MS 6000
 #define CPU_MILLI 16000
 #define RACK_SIZE 3
+/* A process needs some time to start again. */
+#define REBIRTH_MS 500
 /* An end counts as taken note of once the cursor has reached it. */
 
 typedef struct {
@@ -41,6 +43,7 @@
 	GHashTable *highest; /* task to highest run stopped or ended */
 	uint64_t last_number;
 	bool cut;
+	bool dead; /* between two lives */
 	bool failing;
 	GPtrArray *waiting; /* call_t of looks that wait */
 } exec_t;
@@ -414,7 +417,7 @@
 	if (call->answered)
 		return;
 	call->answered = true;
-	if (exec->cut) {
+	if (exec->cut || exec->dead) {
 		call->result.outcome = BP_EXEC_UNKNOWN;
 		call->timer = bp_clock_after(
 		    clock_of(exec->fleet), ORDER_TIMEOUT_MS, on_answer, call);
@@ -479,7 +482,8 @@
 
 	call->timer = 0;
 	/* The executor holds the order back, so it dies with that life. */
-	if (!call->exec->cut && call->life == call->exec->life)
+	if (!call->exec->cut && !call->exec->dead &&
+	    call->life == call->exec->life)
 		apply(call);
 	call_free(call);
 	return G_SOURCE_REMOVE;
@@ -493,7 +497,7 @@
 	bp_qfleet_t *fleet = exec->fleet;
 
 	call->timer = 0;
-	if (exec->cut) {
+	if (exec->cut || exec->dead) {
 		send_answer(call);
 		return G_SOURCE_REMOVE;
 	}
@@ -771,11 +775,28 @@
 	((exec_t *)fleet->execs->pdata[index])->cut = cut;
 }
 
-/* All that runs there ends unseen, and a new life begins. */
+static gboolean
+on_reborn(gpointer data)
+{
+	exec_t *exec = data;
+
+	exec_reset(exec);
+	exec->dead = false;
+	return G_SOURCE_REMOVE;
+}
+
+/* All that runs there ends unseen; a new life begins a little later. */
 void
 bp_qfleet_crash(bp_qfleet_t *fleet, uint32_t index)
 {
-	exec_reset(fleet->execs->pdata[index]);
+	exec_t *exec = fleet->execs->pdata[index];
+
+	if (exec->dead)
+		return;
+	exec->dead = true;
+	g_ptr_array_set_size(exec->running, 0);
+	g_ptr_array_set_size(exec->ended, 0);
+	bp_clock_after(clock_of(fleet), REBIRTH_MS, on_reborn, exec);
 }
 
 /* Everything that starts there fails at once. */
