--- a/src/queues/membership.c
+++ b/src/queues/membership.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 /* A join costs a tenth of a call; a takeover waits for one of them. */
-#define JOIN_PERIOD_MS 500
+#define JOIN_PERIOD_MS 300
 /* Owners are asked for at most so often, and once in a while unasked. */
 #define OWNERS_GAP_MS 150
 #define OWNERS_PERIOD_MS 4000
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -120,6 +120,8 @@
 	bp_shard_options_t options;
 	bp_shard_phase_t phase;
 	uint64_t epoch;
+	bool forced; /* the claim is made without the condition */
+	bool claimed; /* the epoch is ours; keys are read once more */
 	uint64_t claim_sequence; /* of the append that claimed the epoch */
 	uint64_t end_offset; /* of the partition, when it was read */
 	GHashTable *raw; /* key to bp_store_record_t, while reading */
--- a/src/queues/shard_takeover.c
+++ b/src/queues/shard_takeover.c
@@ -10,6 +10,7 @@
 #define CLAIM_SEQUENCES (UINT64_C(1) << 31)
 
 static void read_page(bp_shard_t *shard);
+static void start_reading(bp_shard_t *shard);
 
 static gboolean
 on_again(void *data)
@@ -85,10 +86,19 @@
 
 	switch (result->outcome) {
 	case BP_STORE_OK:
-		begin(shard);
+		if (!shard->forced) {
+			begin(shard);
+			break;
+		}
+		/* What the earlier owner wrote until then is read now. */
+		shard->claimed = true;
+		start_reading(shard);
 		break;
-	case BP_STORE_FENCED:
 	case BP_STORE_MOVED:
+		shard->forced = true;
+		again(shard, "claim", "the earlier owner still writes");
+		break;
+	case BP_STORE_FENCED:
 	case BP_STORE_SEQUENCE:
 	case BP_STORE_DROPPED:
 		again(shard, "claim", "another append came first");
@@ -131,7 +141,7 @@
 	append.writer = shard->options.topic;
 	append.epoch = shard->epoch;
 	append.sequence = shard->claim_sequence;
-	append.conditional = true;
+	append.conditional = !shard->forced;
 	append.end_offset = shard->end_offset;
 	append.records = records;
 	shard->options.store->append(
@@ -165,6 +175,8 @@
 	}
 	if (result->more && result->records->len > 0)
 		read_page(shard);
+	else if (shard->claimed)
+		begin(shard);
 	else
 		claim(shard);
 }
@@ -176,9 +188,21 @@
 	    shard->options.number, shard->page, on_page, shard);
 }
 
-/* Begins a takeover: reads all keys, then claims the shard. */
+/*
+ * Begins a takeover: reads all keys, then claims the shard on condition that
+ * nothing was written meanwhile. If an earlier owner goes on writing, the
+ * claim is made without the condition, which fences that owner, and the keys
+ * are read again.
+ */
 void
 bp_shard_read(bp_shard_t *shard)
+{
+	shard->claimed = false;
+	start_reading(shard);
+}
+
+static void
+start_reading(bp_shard_t *shard)
 {
 	shard->phase = BP_SHARD_READING;
 	g_clear_pointer(&shard->page, g_free);
