--- /dev/null
+++ b/tests/queues/test_recovery.c
@@ -0,0 +1,88 @@
+#include "support/queuerig.h"
+#include "support/runner.h"
+
+#include <stdio.h>
+
+#define SEED 11
+#define EXECUTORS 48
+/* Jobs of a day of the users' sites, some 400. */
+#define JOBS 400
+#define TASKS 10
+/* The users give 12 s from the return of the machines. */
+#define BOUND_MS 12000
+#define STEP_MS 10
+
+/* Time until a condition holds; BOUND_MS + 1 when it does not in time. */
+static int64_t
+wait_for(bp_qrig_t *rig, bool (*holds)(bp_qrig_t *rig, const char *id),
+    const char *id)
+{
+	int64_t waited_ms = 0;
+
+	while (waited_ms <= BOUND_MS && !holds(rig, id)) {
+		bp_qrig_run_ms(rig, STEP_MS);
+		waited_ms += STEP_MS;
+	}
+	return waited_ms;
+}
+
+static bool
+knows(bp_qrig_t *rig, const char *id)
+{
+	Bp__Work__JobState state;
+
+	return bp_qrig_status(rig, id, &state) == BP_OK;
+}
+
+static void
+recover(uint32_t times)
+{
+	bp_qrig_t *rig = bp_qrig_new(SEED, EXECUTORS);
+	const char *last = NULL;
+	int64_t known_ms;
+	int64_t cpu_us;
+	uint32_t i;
+
+	bp_qrig_run_ms(rig, 3000);
+	for (i = 0; i < JOBS * times; i++) {
+		last = bp_qrig_submit(rig, TASKS, 60000, false);
+		if (i % 20 == 19)
+			bp_qrig_run_ms(rig, 50);
+	}
+	bp_qrig_run_ms(rig, 2000);
+	CU_ASSERT_EQUAL(bp_qrig_told(rig, last), BP_QRIG_ACCEPTED);
+	for (i = 0; i < BP_QRIG_NODES; i++)
+		bp_qrig_kill(rig, i);
+	bp_qrig_run_ms(rig, 1000);
+	cpu_us = g_get_monotonic_time();
+	for (i = 0; i < BP_QRIG_NODES; i++)
+		bp_qrig_restart(rig, i);
+	known_ms = wait_for(rig, knows, last);
+	cpu_us = g_get_monotonic_time() - cpu_us;
+	printf("\n  %u jobs of %u tasks: all known after %d ms, %d ms of "
+	       "processor here\n",
+	    JOBS * times, TASKS * 2, (int)known_ms, (int)(cpu_us / 1000));
+	CU_ASSERT_TRUE(known_ms <= BOUND_MS);
+	CU_ASSERT_EQUAL(bp_qrig_broken(rig), 0);
+	bp_qrig_free(rig);
+}
+
+/* All processes die at once with the jobs of a day, and 4 and 16 times. */
+static void
+test_recovery_is_in_time(void)
+{
+	recover(1);
+	recover(4);
+	recover(16);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"recovery is in time", test_recovery_is_in_time},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return bp_test_main("queues/recovery", tests);
+}
--- a/tests/support/queuestore.c
+++ b/tests/support/queuestore.c
@@ -5,7 +5,7 @@
 #define DELAY_MS 4
 #define NO_ANSWER_MS 1500
 #define FROZEN_STEP_MS 20
-#define PAGE 50
+#define PAGE 500
 
 typedef struct {
 	GHashTable *newest; /* key to bp_store_record_t */
