Record starts before they are sent

An executor's record now names what may run on it and is stored before the order; a successor waits for the tasks of silent executors only.

--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -1296,7 +1296,7 @@
   (ProtobufCMessageInit) bp__work__owner__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__work__holder__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bp__work__holder__field_descriptors[5] =
 {
   {
     "id",
@@ -1346,17 +1346,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tasks",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bp__Work__Holder, n_tasks),
+    offsetof(Bp__Work__Holder, tasks),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__work__holder__field_indices_by_name[] = {
   1,   /* field[1] = address */
   2,   /* field[2] = born_ms */
   0,   /* field[0] = id */
+  4,   /* field[4] = tasks */
   3,   /* field[3] = waited_ms */
 };
 static const ProtobufCIntRange bp__work__holder__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bp__work__holder__descriptor =
 {
@@ -1366,7 +1379,7 @@
   "Bp__Work__Holder",
   "bp.work",
   sizeof(Bp__Work__Holder),
-  4,
+  5,
   bp__work__holder__field_descriptors,
   bp__work__holder__field_indices_by_name,
   1,  bp__work__holder__number_ranges,
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -220,10 +220,15 @@
    * how long owners have waited for its answer
    */
   uint32_t waited_ms;
+  /*
+   * that may run there
+   */
+  size_t n_tasks;
+  char **tasks;
 };
 #define BP__WORK__HOLDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__work__holder__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
 
 
 struct  Bp__Work__Order
--- a/src/queues/job.h
+++ b/src/queues/job.h
@@ -24,6 +24,7 @@
 	bp_qtask_state_t state;
 	uint64_t last_run; /* highest number given or seen */
 	GArray *failed_runs; /* uint64_t; NULL for none */
+	uint32_t maybe_on; /* of BP_QTASK_CENSUS: executors not heard of */
 	bp_qrun_t *run; /* of BP_QTASK_PLACED */
 	char *checkpoint; /* NULL for none */
 	const void *failed_on; /* executor of the last failure */
--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -98,6 +98,10 @@
 
 			if (run == NULL)
 				continue;
+			if (run->state == BP_QRUN_PLANNED) {
+				bp_qrun_drop_plan(run);
+				continue;
+			}
 			bp_qrun_abandon(run);
 			bp_shard_stop_run(shard, run, "job has ended");
 			/* Repeated by the checks when it could not be sent. */
@@ -146,32 +150,6 @@
 		    bp_clock_after(shard->options.clock, 0, on_lost, shard);
 }
 
-static void
-end_census(bp_shard_t *shard)
-{
-	guint i;
-	uint32_t s;
-	uint32_t k;
-
-	shard->census_done = true;
-	for (i = 0; i < shard->going->len; i++) {
-		bp_qjob_t *job = shard->going->pdata[i];
-
-		for (s = 0; s < job->n_steps * job->occurrences; s++) {
-			for (k = 0; k < job->steps[s].spec->tasks; k++) {
-				bp_qtask_t *task = &job->steps[s].tasks[k];
-
-				if (task->state == BP_QTASK_CENSUS)
-					bp_qtask_set_state(
-					    task, BP_QTASK_WAITING);
-			}
-		}
-	}
-	bp_log(shard->options.logger, BP_LOG_NOTICE, BP_SHARD_MODULE,
-	    "all executors are accounted for", NULL);
-	bp_shard_plan_round(shard, 0);
-}
-
 /* How long owners have waited for an executor without any order to it. */
 int64_t
 bp_qexec_waited_ms(const bp_qexec_t *exec)
@@ -183,27 +161,36 @@
 }
 
 /*
- * Ends the census when every executor that an earlier owner has used has
- * answered to this epoch, or all leases given there have run out: owners
- * that follow each other add up their waiting.
+ * The tasks that an executor may hold wait until it has answered to this
+ * epoch, or until all leases given there have run out: owners that follow
+ * each other add up their waiting.
  */
 void
 bp_shard_check_census(bp_shard_t *shard)
 {
 	GHashTableIter iter;
 	gpointer value;
+	bool open = false;
 
 	if (shard->census_done || shard->phase != BP_SHARD_OWNED)
 		return;
 	g_hash_table_iter_init(&iter, shard->execs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const bp_qexec_t *exec = value;
+		bp_qexec_t *exec = value;
 
-		if (exec->stored && !exec->met &&
-		    bp_qexec_waited_ms(exec) < WAIT_OUT_MS)
-			return;
+		if (!exec->stored || exec->met || exec->resolved)
+			continue;
+		if (bp_qexec_waited_ms(exec) >= WAIT_OUT_MS)
+			bp_qexec_resolve(exec);
+		else
+			open = true;
 	}
-	end_census(shard);
+	if (open)
+		return;
+	shard->census_done = true;
+	bp_log(shard->options.logger, BP_LOG_NOTICE, BP_SHARD_MODULE,
+	    "all executors are accounted for", NULL);
+	bp_shard_plan_round(shard, 0);
 }
 
 static void
--- a/src/queues/shard_execs.c
+++ b/src/queues/shard_execs.c
@@ -16,6 +16,7 @@
 	exec = g_new0(bp_qexec_t, 1);
 	exec->shard = shard;
 	exec->runs = g_ptr_array_new();
+	exec->maybe = g_ptr_array_new();
 	exec->amounts = g_array_new(FALSE, FALSE, sizeof(bp_pairs_filler_t));
 	exec->info = g_new0(bp_executor_info_t, 1);
 	exec->info->id = g_strdup(id);
@@ -45,6 +46,7 @@
 	for (i = 0; i < exec->runs->len; i++)
 		free_run(exec->runs->pdata[i]);
 	g_ptr_array_unref(exec->runs);
+	g_ptr_array_unref(exec->maybe);
 	g_array_unref(exec->amounts);
 	bp_clock_cancel(exec->shard->options.clock, &exec->timer);
 	bp_executor_info_free(exec->info);
@@ -138,6 +140,37 @@
 	bp_shard_plan_round(exec->shard, 0);
 }
 
+/* A planned run is not started after all. */
+void
+bp_qrun_drop_plan(bp_qrun_t *run)
+{
+	run->exec->shard->starts_in_flight--;
+	bp_qrun_remove(run);
+}
+
+/*
+ * The executor has answered to this epoch, or was waited for long enough:
+ * what it does not run may be placed again, unless it may run elsewhere.
+ */
+void
+bp_qexec_resolve(bp_qexec_t *exec)
+{
+	guint i;
+
+	if (exec->resolved)
+		return;
+	exec->resolved = true;
+	for (i = 0; i < exec->maybe->len; i++) {
+		bp_qtask_t *task = exec->maybe->pdata[i];
+
+		task->maybe_on--;
+		if (task->maybe_on == 0 && task->state == BP_QTASK_CENSUS)
+			bp_qtask_set_state(task, BP_QTASK_WAITING);
+	}
+	g_ptr_array_set_size(exec->maybe, 0);
+	bp_shard_plan_round(exec->shard, 0);
+}
+
 /* An order of the run has ended. */
 void
 bp_qrun_unref_order(bp_qrun_t *run)
--- a/src/queues/shard_looks.c
+++ b/src/queues/shard_looks.c
@@ -22,8 +22,9 @@
 	uint64_t event; /* shard's count when it was sent */
 } look_t;
 
-static bp_qtask_t *
-find_task(bp_shard_t *shard, const char *name)
+/* Returns the task of a name, NULL when the job is not known. */
+bp_qtask_t *
+bp_shard_find_task(const bp_shard_t *shard, const char *name)
 {
 	uint32_t occurrence;
 	uint32_t step;
@@ -99,8 +100,13 @@
 		if (task->run != NULL) {
 			bp_qrun_t *other = task->run;
 
-			bp_qrun_abandon(other);
-			if (other->state == BP_QRUN_RUNNING)
+			if (other->state == BP_QRUN_PLANNED) {
+				bp_qrun_drop_plan(other);
+				other = NULL;
+			} else {
+				bp_qrun_abandon(other);
+			}
+			if (other != NULL && other->state == BP_QRUN_RUNNING)
 				bp_shard_stop_run(
 				    shard, other, "task is done elsewhere");
 		}
@@ -133,7 +139,7 @@
 take_end(bp_qexec_t *exec, const bp_look_ended_t *end)
 {
 	bp_shard_t *shard = exec->shard;
-	bp_qtask_t *task = find_task(shard, end->task);
+	bp_qtask_t *task = bp_shard_find_task(shard, end->task);
 	bp_qrun_t *run = find_run(exec, end->task, end->run);
 
 	if (run != NULL) {
@@ -160,7 +166,7 @@
 static bp_qrun_t *
 adopt(bp_qexec_t *exec, const bp_look_running_t *row)
 {
-	bp_qtask_t *task = find_task(exec->shard, row->task);
+	bp_qtask_t *task = bp_shard_find_task(exec->shard, row->task);
 	bool wanted = task != NULL && task->state == BP_QTASK_CENSUS &&
 	    !bp_qjob_ended(task->step->job);
 	bp_qrun_t *run = bp_qrun_new(exec, wanted ? task : NULL,
@@ -213,6 +219,8 @@
 	bool answered = run->answer_event > 0 && run->answer_event < look_event;
 
 	switch (run->state) {
+	case BP_QRUN_PLANNED:
+		return false;
 	case BP_QRUN_STARTING:
 		return clock_ms > run->deadline_ms && run->deadline_ms > 0;
 	case BP_QRUN_RUNNING:
@@ -382,6 +390,7 @@
 	take_lists(exec, result, event);
 	if (!exec->met) {
 		exec->met = true;
+		bp_qexec_resolve(exec);
 		bp_journal_request(shard->journal, false);
 		bp_shard_check_census(shard);
 		bp_shard_plan_round(shard, 0);
@@ -486,7 +495,10 @@
 			    "lease of a silent executor lapsed", "task",
 			    run->name, "executor", exec->info->id, NULL);
 			shard->counts_lost_runs++;
-			bp_qrun_remove(run);
+			if (run->state == BP_QRUN_PLANNED)
+				bp_qrun_drop_plan(run);
+			else
+				bp_qrun_remove(run);
 		} else if (run->state == BP_QRUN_RUNNING &&
 		    exec->info->draining && run->task != NULL &&
 		    (run->task->step->spec->lasting ||
--- a/src/queues/shard_orders.c
+++ b/src/queues/shard_orders.c
@@ -151,7 +151,11 @@
 	bp_shard_plan_round(shard, 0);
 }
 
-/* Sends the start of a task; its room is taken from now on. */
+/*
+ * Plans the start of a task; its room is taken from now on. The order is
+ * sent once the store holds that the task may run there, so that a successor
+ * knows which tasks an executor that does not answer may hold.
+ */
 void
 bp_shard_start_task(
     bp_shard_t *shard, bp_qtask_t *task, bp_qexec_t *exec, uint64_t number)
@@ -159,26 +163,41 @@
 	char *name = bp_qtask_name(task);
 	bp_qrun_t *run =
 	    bp_qrun_new(exec, task, task->step->spec, name, number);
+
+	run->state = BP_QRUN_PLANNED;
+	task->last_run = number;
+	exec->plans++;
+	shard->starts_in_flight++;
+	bp_journal_request(shard->journal, true);
+	g_free(name);
+}
+
+/* Sends the start of a planned run. */
+void
+bp_shard_send_start(bp_shard_t *shard, bp_qrun_t *run)
+{
+	bp_qexec_t *exec = run->exec;
+	bp_qtask_t *task = run->task;
 	bp_exec_target_t target = target_of(exec);
 	bp_exec_start_t start = {0};
 
-	task->last_run = number;
 	if (!task->step->job->begun) {
 		task->step->job->begun = true;
 		bp_qjob_settle(task->step->job);
 	}
+	run->state = BP_QRUN_STARTING;
+	run->started_ms = bp_shard_now_ms(shard);
+	run->progress_ms = run->started_ms;
 	run->deadline_ms = bp_qexec_clock_ms(exec) + BP_SHARD_START_WINDOW_MS;
 	exec->lease_end_ms = MAX(exec->lease_end_ms, run->deadline_ms);
-	start.task = name;
-	start.run = number;
+	start.task = run->name;
+	start.run = run->number;
 	start.payload = task->step->job->spec->payload;
 	start.deadline_ms = run->deadline_ms;
 	start.checkpoint = task->checkpoint;
-	shard->starts_in_flight++;
 	shard->counts_started++;
 	shard->options.executors->start(shard->options.executors, &target,
 	    &start, on_start, order_new(shard, run));
-	g_free(name);
 }
 
 static void
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -21,6 +21,7 @@
 typedef struct bp_qexec bp_qexec_t;
 
 typedef enum {
+	BP_QRUN_PLANNED, /* nothing is sent before the store holds it */
 	BP_QRUN_STARTING, /* the start has no answer yet */
 	BP_QRUN_RUNNING,
 	BP_QRUN_STOPPING, /* a stop was sent or is to be sent */
@@ -38,6 +39,7 @@
 	uint32_t accelerators;
 	uint32_t orders; /* in flight; the run is freed after the last */
 	bool removed;
+	bool in_batch; /* of BP_QRUN_PLANNED: in the append in flight */
 	bool stop_answered;
 	uint64_t answer_event; /* shard's count at the last answered order */
 	int64_t deadline_ms; /* executor's time after which a start is late */
@@ -63,6 +65,9 @@
 	int64_t waited_stored_ms; /* mono, when the waiting was stored last */
 	bool recording; /* its record is in the batch in flight */
 	bool met; /* has answered to this epoch */
+	bool resolved; /* nothing of earlier owners is unknown there */
+	uint32_t plans; /* runs that no record holds yet */
+	GPtrArray *maybe; /* bp_qtask_t that may run there; until resolved */
 	bool silent; /* the last look got no answer */
 	int64_t born_ms;
 	int64_t clock_ms; /* its time in its last answer */
@@ -202,9 +207,12 @@
 void bp_qrun_abandon(bp_qrun_t *run);
 void bp_qrun_remove(bp_qrun_t *run);
 void bp_qrun_unref_order(bp_qrun_t *run);
+void bp_qrun_drop_plan(bp_qrun_t *run);
+void bp_qexec_resolve(bp_qexec_t *exec);
 void bp_qexec_hold(bp_qexec_t *exec, const char *reason, uint32_t hold_ms);
 
 /* shard_orders.c */
+void bp_shard_send_start(bp_shard_t *shard, bp_qrun_t *run);
 void bp_shard_start_task(
     bp_shard_t *shard, bp_qtask_t *task, bp_qexec_t *exec, uint64_t number);
 void bp_shard_stop_run(bp_shard_t *shard, bp_qrun_t *run, const char *reason);
@@ -212,6 +220,7 @@
 void bp_shard_forget_orders(bp_shard_t *shard);
 
 /* shard_looks.c */
+bp_qtask_t *bp_shard_find_task(const bp_shard_t *shard, const char *name);
 void bp_shard_look(bp_qexec_t *exec, uint32_t wait_ms);
 void bp_shard_plan_look(bp_qexec_t *exec, uint32_t delay_ms);
 void bp_shard_check_leases(bp_shard_t *shard);
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -51,25 +51,77 @@
 	g_bytes_unref(bytes);
 }
 
+/* Names of what may run on an executor, by this owner or earlier ones. */
+static GPtrArray *
+names_on(const bp_qexec_t *exec)
+{
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+	guint i;
+
+	for (i = 0; i < exec->runs->len; i++)
+		g_ptr_array_add(
+		    names, g_strdup(((bp_qrun_t *)exec->runs->pdata[i])->name));
+	for (i = 0; i < exec->maybe->len; i++)
+		g_ptr_array_add(names, bp_qtask_name(exec->maybe->pdata[i]));
+	return names;
+}
+
 static void
 add_holder(GPtrArray *records, const bp_qexec_t *exec)
 {
 	Bp__Work__Holder holder = BP__WORK__HOLDER__INIT;
+	GPtrArray *names = names_on(exec);
 	size_t size;
 	uint8_t *bytes;
 
 	holder.id = exec->info->id;
 	holder.address = exec->info->address;
 	holder.born_ms = exec->born_ms;
+	holder.tasks = (char **)names->pdata;
+	holder.n_tasks = names->len;
 	if (!exec->met)
 		holder.waited_ms = (uint32_t)bp_qexec_waited_ms(exec);
 	size = bp__work__holder__get_packed_size(&holder);
 	bytes = g_malloc(MAX(size, 1));
 	(void)bp__work__holder__pack(&holder, bytes);
 	add_record(records, PREFIX_HOLDER, exec->info->id, bytes, size);
+	g_ptr_array_unref(names);
 	g_free(bytes);
 }
 
+static void
+put_plans_in_batch(bp_qexec_t *exec)
+{
+	guint i;
+
+	exec->plans = 0;
+	for (i = 0; i < exec->runs->len; i++) {
+		bp_qrun_t *run = exec->runs->pdata[i];
+
+		run->in_batch = run->state == BP_QRUN_PLANNED;
+	}
+}
+
+/* Sends the starts that the store now holds; refused ones wait again. */
+static void
+carry_out_plans(bp_shard_t *shard, bp_qexec_t *exec, bool stored)
+{
+	bool start = stored && bp_shard_may_start(shard);
+	guint i;
+
+	for (i = exec->runs->len; i > 0; i--) {
+		bp_qrun_t *run = exec->runs->pdata[i - 1];
+
+		if (run->state != BP_QRUN_PLANNED || !run->in_batch)
+			continue;
+		if (start && run->task != NULL &&
+		    !run->task->step->job->cancelling)
+			bp_shard_send_start(shard, run);
+		else
+			bp_qrun_drop_plan(run);
+	}
+}
+
 /* Tells whether the waiting for a silent executor is to be stored again. */
 static bool
 waiting_due(const bp_qexec_t *exec)
@@ -81,7 +133,7 @@
 
 /*
  * An executor is recorded in each epoch before it gets work, which ends the
- * waiting of earlier epochs.
+ * waiting of earlier epochs, and again with each task that is to run there.
  */
 static void
 fill_execs(bp_shard_t *shard, GPtrArray *records)
@@ -97,8 +149,10 @@
 		if (waiting_due(exec)) {
 			exec->waited_stored_ms = bp_shard_now_ms(shard);
 			add_holder(records, exec);
-		} else if (exec->met && !exec->recorded && !exec->recording) {
+		} else if (exec->met && !exec->recording &&
+		    (!exec->recorded || exec->plans > 0)) {
 			exec->recording = true;
+			put_plans_in_batch(exec);
 			add_holder(records, exec);
 		}
 	}
@@ -244,7 +298,10 @@
 
 		exec->recorded = exec->recorded || (stored && exec->recording);
 		exec->stored = exec->stored || exec->recorded;
-		exec->recording = false;
+		if (exec->recording) {
+			exec->recording = false;
+			carry_out_plans(shard, exec, stored);
+		}
 		if (!stored || exec->storing <= exec->acked)
 			continue;
 		exec->acked = exec->storing;
@@ -339,6 +396,20 @@
 		    "reason", err.message, NULL);
 }
 
+/* An earlier owner may have started the task there. */
+static void
+load_maybe(bp_shard_t *shard, bp_qexec_t *exec, const char *name)
+{
+	bp_qtask_t *task = bp_shard_find_task(shard, name);
+
+	if (task == NULL || task->state == BP_QTASK_DONE ||
+	    bp_qjob_ended(task->step->job))
+		return;
+	task->maybe_on++;
+	bp_qtask_set_state(task, BP_QTASK_CENSUS);
+	g_ptr_array_add(exec->maybe, task);
+}
+
 static void
 load_holder(bp_shard_t *shard, const bp_store_record_t *record)
 {
@@ -346,6 +417,7 @@
 	const uint8_t *bytes = g_bytes_get_data(record->value, &size);
 	Bp__Work__Holder *holder = bp__work__holder__unpack(NULL, size, bytes);
 	bp_qexec_t *exec;
+	size_t i;
 
 	if (holder == NULL)
 		return;
@@ -356,29 +428,11 @@
 	exec->born_ms = holder->born_ms;
 	g_free(exec->info->address);
 	exec->info->address = g_strdup(holder->address);
+	for (i = 0; i < holder->n_tasks; i++)
+		load_maybe(shard, exec, holder->tasks[i]);
 	bp__work__holder__free_unpacked(holder, NULL);
 }
 
-/* Tasks that an earlier owner may have started wait for the census. */
-static void
-prepare_job(bp_shard_t *shard, bp_qjob_t *job)
-{
-	uint32_t i;
-	uint32_t k;
-
-	if (bp_qjob_ended(job))
-		return;
-	g_ptr_array_add(shard->going, job);
-	for (i = 0; i < job->n_steps * job->occurrences; i++) {
-		for (k = 0; k < job->steps[i].spec->tasks; k++) {
-			bp_qtask_t *task = &job->steps[i].tasks[k];
-
-			if (task->state == BP_QTASK_WAITING)
-				bp_qtask_set_state(task, BP_QTASK_CENSUS);
-		}
-	}
-}
-
 static uint64_t
 owner_epoch(const bp_shard_t *shard)
 {
@@ -450,8 +504,10 @@
 	load_prefix(shard, PREFIX_HOLDER, load_holder);
 	load_pairs(shard);
 	g_hash_table_iter_init(&iter, shard->jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		prepare_job(shard, value);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (!bp_qjob_ended(value))
+			g_ptr_array_add(shard->going, value);
+	}
 }
 
 /* Returns the record by which this node becomes the owner. */
--- a/src/queues/shard_why.c
+++ b/src/queues/shard_why.c
@@ -77,6 +77,8 @@
 	case BP_QTASK_CENSUS:
 		return "census";
 	case BP_QTASK_PLACED:
+		if (task->run->state == BP_QRUN_PLANNED)
+			return "turn";
 		return task->run->state == BP_QRUN_STOPPING ? "in_doubt"
 							    : "running";
 	case BP_QTASK_DONE:
