--- a/src/node/metricsserver.c
+++ b/src/node/metricsserver.c
@@ -1,8 +1,12 @@
 #include "node/metricsserver.h"
 
+#include "bulrushpost/listen.h"
+
 #include <libsoup/soup.h>
 #include <string.h>
 
+#define LISTEN_BACKLOG 16
+
 struct bp_metricsserver {
 	SoupServer *soup;
 	bp_metrics_t *metrics;
@@ -38,25 +42,17 @@
 bp_metricsserver_new(bp_metricsserver_t **out, const char *address,
     bp_metrics_t *metrics, bp_error_t *err)
 {
-	GSocketConnectable *parsed = g_network_address_parse(address, 0, NULL);
-	GSocketAddress *socket_address = NULL;
 	bp_metricsserver_t *self = g_new0(bp_metricsserver_t, 1);
+	GSocket *socket = NULL;
 	GError *error = NULL;
-	int rc = BP_OK;
+	int rc = bp_listen(&socket, address, LISTEN_BACKLOG, err);
 
 	self->metrics = metrics;
 	self->soup = g_object_new(SOUP_TYPE_SERVER, NULL);
 	soup_server_add_handler(self->soup, NULL, on_request, self, NULL);
-	if (parsed != NULL)
-		socket_address = g_inet_socket_address_new_from_string(
-		    g_network_address_get_hostname(G_NETWORK_ADDRESS(parsed)),
-		    g_network_address_get_port(G_NETWORK_ADDRESS(parsed)));
-	if (socket_address == NULL) {
-		rc = bp_error_set(err, BP_EINVALID,
-		    "listen.metrics: %s is not IP:PORT", address);
+	if (rc != BP_OK)
 		goto out;
-	}
-	if (!soup_server_listen(self->soup, socket_address, 0, &error)) {
+	if (!soup_server_listen_socket(self->soup, socket, 0, &error)) {
 		rc = bp_error_set(err, BP_EINVALID, "listen.metrics: %s: %s",
 		    address, error->message);
 		goto out;
@@ -67,8 +63,7 @@
 out:
 	bp_metricsserver_free(self);
 	g_clear_error(&error);
-	g_clear_object(&socket_address);
-	g_clear_object(&parsed);
+	g_clear_object(&socket);
 	return rc;
 }
 
