--- a/src/queues/shard_orders.c
+++ b/src/queues/shard_orders.c
@@ -168,7 +168,8 @@
 	task->last_run = number;
 	exec->plans++;
 	shard->starts_in_flight++;
-	bp_journal_request(shard->journal, true);
+	bp_journal_request(
+	    shard->journal, task->step->job->spec->priority == 0);
 	g_free(name);
 }
 
