A start without an answer is gone only after its stop's answer

Cause: after 1.5 s the shard took a start without an answer for late. An executor judges a start by the latest deadline it holds, not by the start's own, and each look moves that on, so a held start is still carried out. The rig judged by the start's own deadline and hid this.

Ruled out: the executor's clock (within 5% of ours), a second owner (one epoch in both run numbers), an overtaken list (no look in between).

Now such a run is gone only when its stop was answered and a later look does not list it. When the lease of a silent executor lapses the task is placed again, but the executor gets no start and no later deadline before the stop is answered.

New test: a held start outlasts its deadline; red before.

--- a/src/queues/shard_execs.c
+++ b/src/queues/shard_execs.c
@@ -74,6 +74,24 @@
 	    bp_qexec_clock_ms(exec) > clock_ms + DRIFT_MARGIN_MS;
 }
 
+/*
+ * Tells whether the executor may still hold back a start whose lease has
+ * lapsed. A later deadline would let it carry that start out.
+ */
+bool
+bp_qexec_in_doubt(const bp_qexec_t *exec)
+{
+	guint i;
+
+	for (i = 0; i < exec->runs->len; i++) {
+		const bp_qrun_t *run = exec->runs->pdata[i];
+
+		if (run->lapsed)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Notes a run on an executor and takes its room. task is NULL for a run
  * that no task wants; spec, its request, is NULL when the job is not known.
--- a/src/queues/shard_looks.c
+++ b/src/queues/shard_looks.c
@@ -211,32 +211,29 @@
  * Tells whether a run that a whole list does not name is certainly gone. A
  * list proves nothing about an order that was answered after the look was
  * sent: answers on different connections overtake each other, and the order
- * may have been carried out in a newer life than the list tells of.
+ * may have been carried out in a newer life than the list tells of. Nor does
+ * it prove anything about a start without an answer: the executor may carry
+ * it out as long as its deadline, which every look moves on, lies ahead. Only
+ * the answer to a stop rules that out.
  */
 static bool
-is_gone(const bp_qrun_t *run, uint64_t look_event, int64_t clock_ms)
+is_gone(const bp_qrun_t *run, uint64_t look_event)
 {
 	bool answered = run->answer_event > 0 && run->answer_event < look_event;
 
 	switch (run->state) {
 	case BP_QRUN_PLANNED:
-		return false;
 	case BP_QRUN_STARTING:
-		return clock_ms > run->deadline_ms && run->deadline_ms > 0;
+		return false;
 	case BP_QRUN_RUNNING:
-		return answered;
 	case BP_QRUN_STOPPING:
-		if (run->stop_answered)
-			return answered;
-		/* A start that is still on its way would be late now. */
-		return clock_ms > run->deadline_ms;
+		return answered;
 	}
 	return false;
 }
 
 static void
-drop_missing(
-    bp_qexec_t *exec, GHashTable *seen, uint64_t look_event, int64_t clock_ms)
+drop_missing(bp_qexec_t *exec, GHashTable *seen, uint64_t look_event)
 {
 	guint i;
 
@@ -244,7 +241,7 @@
 		bp_qrun_t *run = exec->runs->pdata[i - 1];
 
 		if (g_hash_table_contains(seen, run) ||
-		    !is_gone(run, look_event, clock_ms))
+		    !is_gone(run, look_event))
 			continue;
 		if (run->state == BP_QRUN_RUNNING) {
 			exec->shard->counts_lost_runs++;
@@ -299,7 +296,7 @@
 		    &g_array_index(result->running, bp_look_running_t, i), seen,
 		    look_event);
 	if (result->ended->len < ENDS_PAGE)
-		drop_missing(exec, seen, look_event, result->clock_ms);
+		drop_missing(exec, seen, look_event);
 	g_hash_table_unref(seen);
 	if (exec->seen != before) {
 		bp_journal_request(exec->shard->journal, false);
@@ -409,8 +406,11 @@
 
 	if (exec->clock_at_ms == 0 || exec->runs->len == 0)
 		return 0;
-	/* The lease of a silent executor is to run out. */
-	if (exec->silent)
+	/*
+	 * The lease of a silent executor is to run out. One that lapsed stays
+	 * so while a start without an answer could still be carried out.
+	 */
+	if (exec->silent || bp_qexec_in_doubt(exec))
 		return 0;
 	return bp_qexec_clock_ms(exec) + lease_ms;
 }
@@ -479,6 +479,32 @@
 		    exec->shard->options.clock, delay_ms, on_look_timer, exec);
 }
 
+/*
+ * The executor has killed the run. A start without an answer would be late
+ * now, but only until the executor gets a later deadline: its run is kept,
+ * without its task, until a stop is answered.
+ */
+static void
+lapse(bp_qrun_t *run)
+{
+	bp_qexec_t *exec = run->exec;
+
+	bp_log(exec->shard->options.logger, BP_LOG_NOTICE, BP_SHARD_MODULE,
+	    "lease of a silent executor lapsed", "task", run->name, "executor",
+	    exec->info->id, NULL);
+	exec->shard->counts_lost_runs++;
+	if (run->state == BP_QRUN_PLANNED) {
+		bp_qrun_drop_plan(run);
+	} else if (run->answer_event > 0) {
+		bp_qrun_remove(run);
+	} else {
+		run->lapsed = true;
+		bp_qrun_abandon(run);
+		bp_shard_stop_run(exec->shard, run, "lapsed without an answer");
+		bp_shard_plan_round(exec->shard, 0);
+	}
+}
+
 static void
 check_runs(bp_qexec_t *exec)
 {
@@ -488,17 +514,9 @@
 	for (i = exec->runs->len; i > 0; i--) {
 		bp_qrun_t *run = exec->runs->pdata[i - 1];
 
-		if (exec->silent &&
+		if (!run->lapsed && exec->silent &&
 		    bp_qexec_surely_past(exec, exec->lease_end_ms)) {
-			bp_log(shard->options.logger, BP_LOG_NOTICE,
-			    BP_SHARD_MODULE,
-			    "lease of a silent executor lapsed", "task",
-			    run->name, "executor", exec->info->id, NULL);
-			shard->counts_lost_runs++;
-			if (run->state == BP_QRUN_PLANNED)
-				bp_qrun_drop_plan(run);
-			else
-				bp_qrun_remove(run);
+			lapse(run);
 		} else if (run->state == BP_QRUN_RUNNING &&
 		    exec->info->draining && run->task != NULL &&
 		    (run->task->step->spec->lasting ||
--- a/src/queues/shard_orders.c
+++ b/src/queues/shard_orders.c
@@ -189,12 +189,11 @@
 	run->state = BP_QRUN_STARTING;
 	run->started_ms = bp_shard_now_ms(shard);
 	run->progress_ms = run->started_ms;
-	run->deadline_ms = bp_qexec_clock_ms(exec) + BP_SHARD_START_WINDOW_MS;
-	exec->lease_end_ms = MAX(exec->lease_end_ms, run->deadline_ms);
+	start.deadline_ms = bp_qexec_clock_ms(exec) + BP_SHARD_START_WINDOW_MS;
+	exec->lease_end_ms = MAX(exec->lease_end_ms, start.deadline_ms);
 	start.task = run->name;
 	start.run = run->number;
 	start.payload = task->step->job->spec->payload;
-	start.deadline_ms = run->deadline_ms;
 	start.checkpoint = task->checkpoint;
 	shard->counts_started++;
 	shard->options.executors->start(shard->options.executors, &target,
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -13,7 +13,7 @@
 #define BP_SHARD_LOOK_WAIT_MS 1500
 /* Longest time that orders are sent after the last confirmed membership. */
 #define BP_SHARD_ORDER_GRACE_MS 4000
-/* A start is carried out within this time or never. */
+/* Least deadline that a start gives its executor. */
 #define BP_SHARD_START_WINDOW_MS 1500
 /* Runs of one epoch have numbers below this above the epoch's base. */
 #define BP_SHARD_RUNS_PER_EPOCH 1000
@@ -42,7 +42,7 @@
 	bool in_batch; /* of BP_QRUN_PLANNED: in the append in flight */
 	bool stop_answered;
 	uint64_t answer_event; /* shard's count at the last answered order */
-	int64_t deadline_ms; /* executor's time after which a start is late */
+	bool lapsed; /* kept without its task until a stop is answered */
 	int64_t started_ms; /* mono */
 	int64_t stop_sent_ms; /* mono, 0 for never */
 	uint32_t percent; /* of its work, as last seen */
@@ -201,6 +201,7 @@
 void bp_qexec_free(gpointer exec);
 int64_t bp_qexec_clock_ms(const bp_qexec_t *exec);
 int64_t bp_qexec_waited_ms(const bp_qexec_t *exec);
+bool bp_qexec_in_doubt(const bp_qexec_t *exec);
 bool bp_qexec_surely_past(const bp_qexec_t *exec, int64_t clock_ms);
 bp_qrun_t *bp_qrun_new(bp_qexec_t *exec, bp_qtask_t *task,
     const Bp__Work__Step *spec, const char *name, uint64_t number);
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -319,6 +319,8 @@
 		return "census";
 	if (exec->held_until_ms > round->now_ms)
 		return exec->held_for;
+	if (bp_qexec_in_doubt(exec))
+		return "no_answer";
 	return NULL;
 }
 
--- a/tests/queues/test_shard.c
+++ b/tests/queues/test_shard.c
@@ -257,6 +257,29 @@
 	finish(rig);
 }
 
+/*
+ * Orders are held back while looks are answered and leases go on: a start is
+ * carried out although its own deadline has passed.
+ */
+static void
+test_a_held_start_outlasts_its_deadline(void)
+{
+	bp_qrig_t *rig = started();
+	bp_qfleet_t *fleet = bp_qrig_fleet(rig);
+	const char *id;
+
+	/* What lasts keeps all executors' deadlines moving. */
+	(void)bp_qrig_submit(rig, 6, 0, true);
+	bp_qrig_run_ms(rig, 2000);
+	bp_qfleet_set_hold_orders(fleet, true);
+	id = bp_qrig_submit(rig, 4, 8000, false);
+	bp_qrig_run_ms(rig, 6000);
+	bp_qfleet_set_hold_orders(fleet, false);
+	bp_qrig_run_ms(rig, 40000);
+	expect_state(rig, id, BP__WORK__JOB_STATE__JOB_COMPLETED);
+	finish(rig);
+}
+
 /* Partitions go away and come back while records are still to be stored. */
 static void
 test_a_shard_dealt_away_and_back(void)
@@ -337,6 +360,8 @@
 	    {"store down refuses at once", test_store_down_refuses_at_once},
 	    {"lost answers of the store", test_lost_answers_of_the_store},
 	    {"late orders do not double", test_late_orders_do_not_double},
+	    {"a held start outlasts its deadline",
+		test_a_held_start_outlasts_its_deadline},
 	    {"a shard dealt away and back", test_a_shard_dealt_away_and_back},
 	    {"a failing executor is held", test_a_failing_executor_is_held},
 	    {"a zone out gets nothing", test_a_zone_out_gets_nothing},
--- a/tests/support/queuefleet.c
+++ b/tests/support/queuefleet.c
@@ -59,6 +59,7 @@
 	GHashTable *done; /* tasks of which a run has ended done */
 	GHashTable *noted; /* tasks whose done end was taken note of */
 	uint32_t late_percent;
+	bool hold_orders; /* all starts and stops are carried out late */
 	uint32_t n_starts;
 	uint32_t broken;
 	char *first_broken;
@@ -283,7 +284,8 @@
 		call->result.outcome = BP_EXEC_OLD;
 		return;
 	}
-	if (exec_ms(exec) > call->deadline_ms) {
+	/* Looks may have prolonged the executor's deadline since. */
+	if (exec_ms(exec) > exec->lease_end_ms) {
 		call->result.outcome = BP_EXEC_LATE;
 		return;
 	}
@@ -489,6 +491,16 @@
 	return G_SOURCE_REMOVE;
 }
 
+static bool
+is_late(const call_t *call)
+{
+	bp_qfleet_t *fleet = call->exec->fleet;
+
+	if (fleet->hold_orders && (call->kind == START || call->kind == STOP))
+		return true;
+	return bp_random_below(fleet->random, 100) < fleet->late_percent;
+}
+
 static gboolean
 on_arrival(gpointer data)
 {
@@ -501,7 +513,7 @@
 		send_answer(call);
 		return G_SOURCE_REMOVE;
 	}
-	if (bp_random_below(fleet->random, 100) < fleet->late_percent) {
+	if (is_late(call)) {
 		call_t *late = g_new0(call_t, 1);
 
 		*late = *call;
@@ -813,6 +825,13 @@
 	fleet->late_percent = percent;
 }
 
+/* Leaves starts and stops, but not looks, unanswered until seconds later. */
+void
+bp_qfleet_set_hold_orders(bp_qfleet_t *fleet, bool hold)
+{
+	fleet->hold_orders = hold;
+}
+
 /* Returns the number of starts that were carried out. */
 uint32_t
 bp_qfleet_starts(const bp_qfleet_t *fleet)
--- a/tests/support/queuefleet.h
+++ b/tests/support/queuefleet.h
@@ -42,6 +42,7 @@
 void bp_qfleet_set_failing(bp_qfleet_t *fleet, uint32_t index, bool failing);
 /* Share of orders, in percent, without answer and done 2 to 12 s later. */
 void bp_qfleet_set_late(bp_qfleet_t *fleet, uint32_t percent);
+void bp_qfleet_set_hold_orders(bp_qfleet_t *fleet, bool hold);
 
 uint32_t bp_qfleet_starts(const bp_qfleet_t *fleet);
 uint32_t bp_qfleet_starts_of(const bp_qfleet_t *fleet, const char *task);
