A refused record of an executor is asked for again

Cause: the store refused the append that recorded the executors, and nothing asked for that record again unless a job changed too.

Test: refused records are repeated; red before.

--- a/src/queues/journal.c
+++ b/src/queues/journal.c
@@ -14,6 +14,7 @@
 	uint64_t sequence;
 	int64_t sent_ms; /* mono, of the last append */
 	int64_t since_ms; /* mono, when the batch was first sent */
+	int64_t rest_ms; /* mono, end of the pause after a refusal */
 	bool wanted;
 	bool urgent;
 	bool uncertain; /* an attempt of the batch got no answer */
@@ -44,6 +45,9 @@
 	journal->since_ms = 0;
 	if (outcome == BP_STORE_FENCED)
 		journal->closed = true;
+	if (outcome == BP_STORE_REFUSED)
+		journal->rest_ms =
+		    bp_clock_mono_ms(journal->options.clock) + REPEAT_MS;
 	journal->options.done(outcome, journal->options.data);
 }
 
@@ -135,6 +139,9 @@
 	int64_t due_ms =
 	    journal->sent_ms + (journal->urgent ? URGENT_GAP_MS : GAP_MS);
 
+	/* Callers learn at once that the store refuses; the rest can wait. */
+	if (!journal->urgent)
+		due_ms = MAX(due_ms, journal->rest_ms);
 	if (journal->batch != NULL || !journal->wanted || journal->closed)
 		return;
 	bp_clock_cancel(journal->options.clock, &journal->timer);
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -301,6 +301,9 @@
 		if (exec->recording) {
 			exec->recording = false;
 			carry_out_plans(shard, exec, stored);
+			/* Without its record the executor gets no work. */
+			if (!exec->recorded)
+				bp_journal_request(shard->journal, false);
 		}
 		if (!stored || exec->storing <= exec->acked)
 			continue;
--- a/tests/queues/test_shard.c
+++ b/tests/queues/test_shard.c
@@ -215,6 +215,34 @@
 	finish(rig);
 }
 
+/* Executors that the store refused to record get work after its return. */
+static void
+test_refused_records_are_repeated(void)
+{
+	bp_qrig_t *rig = started();
+	const char *id = bp_qrig_submit(rig, 1, 0, true);
+	char *task = g_strdup_printf("%s.0.0.0", id);
+	uint32_t i;
+
+	bp_qrig_run_ms(rig, 1000);
+	for (i = 0; i < BP_QRIG_NODES; i++)
+		bp_qrig_kill(rig, i);
+	/* New lives list no ends, so nothing else asks for a record. */
+	for (i = 0; i < bp_qfleet_size(bp_qrig_fleet(rig)); i++)
+		bp_qfleet_crash(bp_qrig_fleet(rig), i);
+	bp_qrig_run_ms(rig, 3000);
+	bp_qrig_restart(rig, 0);
+	for (i = 0; i < SETTLE_MS && bp_qrig_owner(rig) < 0; i++)
+		bp_qrig_run_ms(rig, 1);
+	bp_qrig_store_mode(rig, 0, BP_QSTORE_BUSY);
+	bp_qrig_run_ms(rig, 300);
+	bp_qrig_store_mode(rig, 0, BP_QSTORE_UP);
+	bp_qrig_run_ms(rig, 4000);
+	CU_ASSERT_EQUAL(bp_qfleet_running_of(bp_qrig_fleet(rig), task), 1);
+	g_free(task);
+	finish(rig);
+}
+
 /* Guards against lost or doubled work when answers to appends are lost. */
 static void
 test_lost_answers_of_the_store(void)
@@ -358,6 +386,7 @@
 	    {"a cut executor is waited out", test_a_cut_executor_is_waited_out},
 	    {"waiting goes on over owners", test_waiting_goes_on_over_owners},
 	    {"store down refuses at once", test_store_down_refuses_at_once},
+	    {"refused records are repeated", test_refused_records_are_repeated},
 	    {"lost answers of the store", test_lost_answers_of_the_store},
 	    {"late orders do not double", test_late_orders_do_not_double},
 	    {"a held start outlasts its deadline",
