One shard for each 70 executors

An owner of 110 and more executors used its machine's whole share of a core on the grown sites and tasks waited for orders. Ruled out: one shard, where nothing can be unequal: the owner is the limit. What stays LOST are jobs of a full shard beside others with room; jobs do not move between shards.

--- a/src/queues/sharding.c
+++ b/src/queues/sharding.c
@@ -9,8 +9,8 @@
 #define KEY_PLAN "plan"
 #define MODULE "sharding"
 #define RETRY_MS 150
-/* One owner looks after so many executors at a quarter of a core. */
-#define EXECUTORS_PER_SHARD 110
+/* One owner looks after so many executors on a small share of a core. */
+#define EXECUTORS_PER_SHARD 70
 /* The platform has this many partitions in a topic. */
 #define SHARDS_MAX 8
 /* Executors of a new deployment come over some seconds: the plan waits for
