--- a/src/queues/sharding.c
+++ b/src/queues/sharding.c
@@ -9,7 +9,7 @@
 #define KEY_PLAN "plan"
 #define MODULE "sharding"
 #define RETRY_MS 150
-/* One owner looks after so many executors on a small share of a core. */
+/* With more, an owner starts tasks later than they arrive (CAPACITY.md). */
 #define EXECUTORS_PER_SHARD 70
 /* The platform has this many partitions in a topic. */
 #define SHARDS_MAX 8
