Count leases that earlier owners gave an executor

Found by the soak on the code before this commit, seed 32034 of 2,500: one task ran twice. Cause: a new owner knew only its own deadlines and took a silent executor's lease for lapsed after 1.7 s; the earlier owner had given it a longer one. Now the first answer to an epoch counts as a lease of the longest kind from that moment. Ruled out: the start without an answer's stop (the task had been given up by the lapse, not by a list). Test: soak, seeds that were red (37, 316, 11342, 32034); 32034 red before.

--- a/src/queues/shard_looks.c
+++ b/src/queues/shard_looks.c
@@ -387,6 +387,9 @@
 	take_lists(exec, result, event);
 	if (!exec->met) {
 		exec->met = true;
+		/* An earlier owner may have given the longest lease. */
+		exec->lease_end_ms = MAX(exec->lease_end_ms,
+		    result->clock_ms + shard->options.limits.lease_max_ms);
 		bp_qexec_resolve(exec);
 		bp_journal_request(shard->journal, false);
 		bp_shard_check_census(shard);
--- a/tests/queues/test_soak.c
+++ b/tests/queues/test_soak.c
@@ -204,11 +204,23 @@
 	CU_ASSERT_EQUAL(bad, 0);
 }
 
+/* Each was red once; 32034: an earlier owner's lease outlasted ours. */
+static void
+test_seeds_that_were_red(void)
+{
+	static const uint64_t seeds[] = {37, 316, 11342, 32034};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(seeds); i++)
+		CU_ASSERT_TRUE(play(seeds[i]));
+}
+
 int
 main(void)
 {
 	CU_TestInfo tests[] = {
 	    {"faults break no rule", test_faults_break_no_rule},
+	    {"seeds that were red", test_seeds_that_were_red},
 	    CU_TEST_INFO_NULL,
 	};
 
