Choose free ports for the nodes of the queue tests

Cause: the suite's nodes had fixed ports, and another run of the same suite was started by hand 6 s before it (10:55:14 and 10:55:20 by the process logs); each asked the other's nodes. That run, too, gave no result. Shown: two runs of the suite side by side fail both, with the same check on the number of starts; with free ports both pass 5 of 5. Ruled out: a start too many by the product: with ports of its own the count holds beside the second run. The choice of a port moves from the cluster to support/process.

--- a/tests/process/test_queues.c
+++ b/tests/process/test_queues.c
@@ -9,8 +9,6 @@
 
 #define NODES 3
 #define EXECUTORS 6
-/* Ports of the nodes: callers, check of the balancer, control. */
-#define PORT_BASE 21480
 #define JOB                                                                   \
 	"{\"task_spec\":\"t\",\"steps\":[{\"count\":3,\"cpu\":1000,"          \
 	"\"estimated_ms\":300},{\"count\":2,\"cpu\":1000,\"depends_on\":[0]," \
@@ -19,19 +17,17 @@
 	"{\"task_spec\":\"t\",\"steps\":[{\"count\":2,\"cpu\":1000," \
 	"\"long_running\":true}]}"
 
+/* What a node listens for. */
+typedef enum { CALLERS, READY, CONTROL, LISTENERS } listener_t;
+
 typedef struct {
 	bp_queuehttp_t *platform;
 	bp_http_t *http;
 	bp_process_t *nodes[NODES];
+	uint16_t ports[NODES][LISTENERS];
 	char *settings[NODES];
 } fixture_t;
 
-static uint32_t
-port_of(uint32_t node, uint32_t kind)
-{
-	return PORT_BASE + node * 10 + kind;
-}
-
 static char *
 write_settings(const fixture_t *fixture, uint32_t node)
 {
@@ -41,7 +37,8 @@
 	    "node: {name: n%u, zone: z%u, services: [queues]}\n"
 	    "listen:\n  queues: 127.0.0.1:%u\n  ready: 127.0.0.1:%u\n"
 	    "  control: 127.0.0.1:%u\nplatform: {store: \"127.0.0.1:%u\"}\n",
-	    node, node, port_of(node, 0), port_of(node, 1), port_of(node, 2),
+	    node, node, fixture->ports[node][CALLERS],
+	    fixture->ports[node][READY], fixture->ports[node][CONTROL],
 	    bp_queuehttp_port(fixture->platform));
 
 	(void)g_mkdir_with_parents(BP_PROCESS_LOG_DIR, 0755);
@@ -78,9 +75,10 @@
 asked(void *data)
 {
 	ask_t *ask = data;
+	listener_t listener =
+	    strcmp(ask->path, "/v1/readyz") == 0 ? READY : CALLERS;
 	char *url = g_strdup_printf("http://127.0.0.1:%u%s",
-	    port_of(ask->node, strcmp(ask->path, "/v1/readyz") == 0 ? 1 : 0),
-	    ask->path);
+	    ask->fixture->ports[ask->node][listener], ask->path);
 	bp_reply_t *reply = bp_http_send(
 	    ask->fixture->http, ask->method, url, ask->body, "Host", "h", NULL);
 	bool good = bp_http_wait(reply) && reply->status == ask->status &&
@@ -109,12 +107,15 @@
 setup(fixture_t *fixture)
 {
 	uint32_t i;
+	uint32_t k;
 
 	memset(fixture, 0, sizeof(*fixture));
 	fixture->platform = bp_queuehttp_new(EXECUTORS);
 	bp_queuehttp_configure(fixture->platform, 3, "/q/");
 	fixture->http = bp_http_new();
 	for (i = 0; i < NODES; i++) {
+		for (k = 0; k < LISTENERS; k++)
+			fixture->ports[i][k] = bp_process_choose_port();
 		fixture->settings[i] = write_settings(fixture, i);
 		start_node(fixture, i);
 	}
@@ -139,10 +140,11 @@
 }
 
 static bool
-explains(uint32_t node, const char *id, const char *part)
+explains(
+    const fixture_t *fixture, uint32_t node, const char *id, const char *part)
 {
-	char *address =
-	    g_strdup_printf("--node=127.0.0.1:%u", port_of(node, 2));
+	char *address = g_strdup_printf(
+	    "--node=127.0.0.1:%u", fixture->ports[node][CONTROL]);
 	const char *argv[] = {"build/bulrushpost", "why", id, address, NULL};
 	char *output = NULL;
 	int status = bp_process_run("queues-why", argv, &output);
@@ -196,8 +198,8 @@
 	CU_ASSERT_TRUE(expect(
 	    &fixture, 1, "GET", "/q/00000000000000b2", NULL, 200, "completed"));
 	for (i = 0; i < NODES; i++)
-		CU_ASSERT_TRUE(
-		    explains(i, "f0000000000000b1", "2 of 2 tasks: runs"));
+		CU_ASSERT_TRUE(explains(
+		    &fixture, i, "f0000000000000b1", "2 of 2 tasks: runs"));
 	starts = bp_qfleet_starts(bp_queuehttp_fleet(fixture.platform));
 	for (i = 0; i < NODES; i++) {
 		uint32_t other = (i + 1) % NODES;
--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -8,9 +8,6 @@
 #define STANDIN "build/standin"
 #define BINARY "build/bulrushpost"
 #define MEMORY_MIB 61440
-/* Below the range from which systems take ports of outgoing connections. */
-#define PORT_LOW 10240
-#define PORT_HIGH 32000
 
 /* Sets a small cluster: 2 zones, 3 nodes, 4 workers in 2 racks per zone. */
 void
@@ -269,35 +266,6 @@
 	g_free(url);
 }
 
-static bool
-port_is_free(uint16_t port)
-{
-	GInetAddress *loopback =
-	    g_inet_address_new_loopback(G_SOCKET_FAMILY_IPV4);
-	GSocketAddress *address = g_inet_socket_address_new(loopback, port);
-	GSocket *socket = g_socket_new(G_SOCKET_FAMILY_IPV4,
-	    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
-	bool free_port =
-	    socket != NULL && g_socket_bind(socket, address, FALSE, NULL);
-
-	g_clear_object(&socket);
-	g_object_unref(address);
-	g_object_unref(loopback);
-	return free_port;
-}
-
-/* Nodes need ports that their peers know before they start. */
-static uint16_t
-choose_port(void)
-{
-	uint16_t port;
-
-	do
-		port = (uint16_t)g_random_int_range(PORT_LOW, PORT_HIGH);
-	while (!port_is_free(port));
-	return port;
-}
-
 static void
 add_node(bp_cluster_t *c, guint index)
 {
@@ -306,8 +274,9 @@
 	node->name = g_strdup_printf("n%u", index);
 	node->zone = g_strdup_printf("z%u", index % MAX(c->options.zones, 1));
 	node->gateway_url =
-	    g_strdup_printf("http://127.0.0.1:%u", choose_port());
-	node->control = g_strdup_printf("127.0.0.1:%u", choose_port());
+	    g_strdup_printf("http://127.0.0.1:%u", bp_process_choose_port());
+	node->control =
+	    g_strdup_printf("127.0.0.1:%u", bp_process_choose_port());
 	node->settings_path = g_strdup_printf(
 	    BP_PROCESS_LOG_DIR "/%s-%s.yaml", c->options.name, node->name);
 	g_ptr_array_add(c->nodes, node);
--- a/tests/support/process.c
+++ b/tests/support/process.c
@@ -11,6 +11,9 @@
 
 #define POLL_MS 10
 #define US_PER_MS 1000
+/* Below the range from which systems take ports of outgoing connections. */
+#define PORT_LOW 10240
+#define PORT_HIGH 32000
 
 struct bp_process {
 	GSubprocess *subprocess;
@@ -269,3 +272,35 @@
 	bp_process_free(process);
 	return status;
 }
+
+static bool
+port_is_free(uint16_t port)
+{
+	GInetAddress *loopback =
+	    g_inet_address_new_loopback(G_SOCKET_FAMILY_IPV4);
+	GSocketAddress *address = g_inet_socket_address_new(loopback, port);
+	GSocket *socket = g_socket_new(G_SOCKET_FAMILY_IPV4,
+	    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
+	bool free_port =
+	    socket != NULL && g_socket_bind(socket, address, FALSE, NULL);
+
+	g_clear_object(&socket);
+	g_object_unref(address);
+	g_object_unref(loopback);
+	return free_port;
+}
+
+/*
+ * Returns a free port of loopback. A node needs ports that others know before
+ * it starts; suites that run side by side must not have the same.
+ */
+uint16_t
+bp_process_choose_port(void)
+{
+	uint16_t port;
+
+	do
+		port = (uint16_t)g_random_int_range(PORT_LOW, PORT_HIGH);
+	while (!port_is_free(port));
+	return port;
+}
