One way to pack and copy protobuf messages

Read as a newcomer: 'get_packed_size, g_malloc, pack' stood 17 times and 'pack, unpack' as a copy 7 times (desk, cli, peer client and server, session and twice in session_calls). bp_message_pack, _refer and _copy replace them. Records of a shard are loaded in shard_load.c; the desk's side of an owner is desk_serve.c; a count makes its calls like all others. bp_queuedesk_retry was declared but never defined.

--- a/include/bulrushpost/store.h
+++ b/include/bulrushpost/store.h
@@ -77,6 +77,7 @@
 
 bp_store_record_t *bp_store_record_new(
     const char *key, const void *value, size_t size_bytes);
+bp_store_record_t *bp_store_record_new_bytes(const char *key, GBytes *value);
 void bp_store_record_free(gpointer record);
 
 #endif
--- a/src/cli/cli.c
+++ b/src/cli/cli.c
@@ -1,5 +1,6 @@
 #include "cli/cli.h"
 
+#include "bulrushpost/message.h"
 #include "bulrushpost/peer.h"
 
 #include <json-glib/json-glib.h>
@@ -179,16 +180,10 @@
 {
 	wait_t *wait = data;
 
-	if (err != NULL) {
+	if (err != NULL)
 		wait->err = *err;
-	} else {
-		size_t size_bytes = bp__peer__frame__get_packed_size(answer);
-		uint8_t *bytes = g_malloc(MAX(size_bytes, 1));
-
-		(void)bp__peer__frame__pack(answer, bytes);
-		wait->answer = bp__peer__frame__unpack(NULL, size_bytes, bytes);
-		g_free(bytes);
-	}
+	else
+		wait->answer = bp_message_copy(&answer->base);
 	g_main_loop_quit(wait->loop);
 }
 
--- a/src/cli/job.c
+++ b/src/cli/job.c
@@ -1,4 +1,6 @@
 #include "bulrushpost/amount.h"
+
+#include "bulrushpost/message.h"
 #include "bulrushpost/suggest.h"
 #include "cli/cli.h"
 #include "proto/log.pb-c.h"
@@ -106,22 +108,20 @@
 	Bp__Peer__Frame request = BP__PEER__FRAME__INIT;
 	Bp__Log__JobSpec spec = BP__LOG__JOB_SPEC__INIT;
 	char *made = g_uuid_string_random();
-	uint8_t *bytes;
+	GBytes *bytes;
 	int code = fill_spec(cli, options, &spec);
 
 	if (code == BP_EXIT_OK) {
 		spec.id = (char *)bp_cli_text(options->id, made);
 		request.verb = BP__PEER__VERB__VERB_JOB_SUBMIT;
-		request.body.len = bp__log__job_spec__get_packed_size(&spec);
-		bytes = g_malloc(request.body.len);
-		(void)bp__log__job_spec__pack(&spec, bytes);
-		request.body.data = bytes;
+		bytes = bp_message_pack(&spec.base);
+		bp_message_refer(&request.body, bytes);
 		code = bp_cli_run(cli, &request);
 		if (code == BP_EXIT_NOT_KNOWN && !bp_cli_wants_json(cli))
 			fprintf(stderr,
 			    "ask again with: bulrushpost job status %s\n",
 			    spec.id);
-		g_free(bytes);
+		g_bytes_unref(bytes);
 	}
 	g_free(made);
 	return code;
--- a/src/node/peer_client.c
+++ b/src/node/peer_client.c
@@ -1,5 +1,6 @@
 #include "bulrushpost/peer.h"
 
+#include "bulrushpost/message.h"
 #include "node/link.h"
 
 #include <string.h>
@@ -340,18 +341,10 @@
 copy_request(const Bp__Peer__Frame *request, uint64_t correlation)
 {
 	Bp__Peer__Frame frame = *request;
-	size_t size_bytes;
-	uint8_t *bytes;
-	Bp__Peer__Frame *copy;
 
 	frame.correlation = correlation;
 	frame.answer = 0;
-	size_bytes = bp__peer__frame__get_packed_size(&frame);
-	bytes = g_malloc(MAX(size_bytes, 1));
-	(void)bp__peer__frame__pack(&frame, bytes);
-	copy = bp__peer__frame__unpack(NULL, size_bytes, bytes);
-	g_free(bytes);
-	return copy;
+	return bp_message_copy(&frame.base);
 }
 
 static gboolean
--- a/src/node/peer_server.c
+++ b/src/node/peer_server.c
@@ -1,5 +1,6 @@
 #include "bulrushpost/peer.h"
 
+#include "bulrushpost/message.h"
 #include "node/link.h"
 
 #include <string.h>
@@ -70,20 +71,6 @@
 	bp_peer_request_answer(request, &answer);
 }
 
-/* Copies a frame, as the link's own copy ends with its callback. */
-static Bp__Peer__Frame *
-copy_frame(const Bp__Peer__Frame *frame)
-{
-	size_t size_bytes = bp__peer__frame__get_packed_size(frame);
-	uint8_t *bytes = g_malloc(MAX(size_bytes, 1));
-	Bp__Peer__Frame *copy;
-
-	(void)bp__peer__frame__pack(frame, bytes);
-	copy = bp__peer__frame__unpack(NULL, size_bytes, bytes);
-	g_free(bytes);
-	return copy;
-}
-
 static void
 on_frame(bp_link_t *link, const Bp__Peer__Frame *frame, void *data)
 {
@@ -95,7 +82,8 @@
 	if (server == NULL || frame->answer)
 		return;
 	request = g_new0(bp_peer_request_t, 1);
-	request->frame = copy_frame(frame);
+	/* The link's own copy ends with its callback. */
+	request->frame = bp_message_copy(&frame->base);
 	request->connection = g_rc_box_acquire(connection);
 	connection->requests++;
 	if (connection->requests > server->options.requests_max)
--- a/src/queues/desk.c
+++ b/src/queues/desk.c
@@ -1,5 +1,6 @@
 #include "queues/desk.h"
 
+#include "bulrushpost/message.h"
 #include "bulrushpost/error.h"
 
 #include <stdio.h>
@@ -7,6 +8,7 @@
 
 /* While no owner is known a call is kept this long, then refused. */
 #define PATIENCE_MS 250
+/* Between two looks for an owner; a takeover takes some 0.5 s. */
 #define AGAIN_MS 60
 /* An owner answers in some 20 ms; a slow store takes 250 ms. */
 #define OWNER_TIMEOUT_MS 1200
@@ -83,6 +85,24 @@
 	return "";
 }
 
+static const char *
+outcome_text(bp_desk_outcome_t outcome)
+{
+	switch (outcome) {
+	case BP_DESK_OK:
+		return "ok";
+	case BP_DESK_GONE:
+		return "gone";
+	case BP_DESK_NOT_RUN:
+		return "not_run";
+	case BP_DESK_INVALID:
+		return "invalid";
+	case BP_DESK_NOT_KNOWN:
+		return "not_known";
+	}
+	return "";
+}
+
 static void
 log_answer(const call_t *call, const bp_desk_answer_t *answer)
 {
@@ -99,13 +119,8 @@
 	    refused ? BP_LOG_NOTICE : BP_LOG_INFO, MODULE,
 	    refused ? "call not served" : "call served", "call",
 	    kind_text(call->kind), "job", call->id, "queue", call->queue,
-	    "outcome",
-	    answer->outcome == BP_DESK_OK	     ? "ok"
-		: answer->outcome == BP_DESK_GONE    ? "gone"
-		: answer->outcome == BP_DESK_NOT_RUN ? "not_run"
-		: answer->outcome == BP_DESK_INVALID ? "invalid"
-						     : "not_known",
-	    "reason", answer->reason, "took_ms", took, NULL);
+	    "outcome", outcome_text(answer->outcome), "reason", answer->reason,
+	    "took_ms", took, NULL);
 }
 
 static void
@@ -221,19 +236,6 @@
 	unref(call);
 }
 
-static Bp__Work__Job *
-copy_job(const Bp__Work__Job *job)
-{
-	size_t size = bp__work__job__get_packed_size(job);
-	uint8_t *bytes = g_malloc(MAX(size, 1));
-	Bp__Work__Job *copy;
-
-	(void)bp__work__job__pack(job, bytes);
-	copy = bp__work__job__unpack(NULL, size, bytes);
-	g_free(bytes);
-	return copy;
-}
-
 static void
 try_local(call_t *call, bp_shard_t *shard)
 {
@@ -243,7 +245,8 @@
 	(void)g_rc_box_acquire(call);
 	switch (call->kind) {
 	case CALL_SUBMIT:
-		bp_shard_submit(shard, copy_job(call->job), on_local, call);
+		bp_shard_submit(
+		    shard, bp_message_copy(&call->job->base), on_local, call);
 		return;
 	case CALL_CANCEL:
 		bp_shard_cancel(shard, call->queue, call->id, on_local, call);
@@ -300,7 +303,7 @@
 	int64_t left_ms = call->deadline_ms - now_ms(call->desk);
 	char shard[16];
 	char *args[] = {call->queue, call->id};
-	uint8_t *bytes = NULL;
+	GBytes *bytes = NULL;
 
 	snprintf(shard, sizeof(shard), "%u", call->shard);
 	frame.args = args;
@@ -308,10 +311,8 @@
 	switch (call->kind) {
 	case CALL_SUBMIT:
 		frame.verb = BP__PEER__VERB__VERB_QUEUE_SUBMIT;
-		frame.body.len = bp__work__job__get_packed_size(call->job);
-		bytes = g_malloc(MAX(frame.body.len, 1));
-		(void)bp__work__job__pack(call->job, bytes);
-		frame.body.data = bytes;
+		bytes = bp_message_pack(&call->job->base);
+		bp_message_refer(&frame.body, bytes);
 		break;
 	case CALL_STATUS:
 		frame.verb = BP__PEER__VERB__VERB_QUEUE_STATUS;
@@ -327,7 +328,7 @@
 	(void)g_rc_box_acquire(call);
 	bp_peer_client_call(call->desk->options.client, address, &frame,
 	    (uint32_t)CLAMP(left_ms, 1, OWNER_TIMEOUT_MS), on_remote, call);
-	g_free(bytes);
+	g_clear_pointer(&bytes, g_bytes_unref);
 }
 
 static void
@@ -357,9 +358,16 @@
 	}
 }
 
-static void
-start_call(bp_queuedesk_t *desk, kind_t kind, const char *queue, const char *id,
-    Bp__Work__Job *job, uint32_t deadline_ms, bp_desk_done_t done, void *data)
+/* Returns the time (mono) at which a caller's answer has to leave. */
+static int64_t
+due_ms(const bp_queuedesk_t *desk, uint32_t deadline_ms)
+{
+	return now_ms(desk) + MAX((int64_t)deadline_ms - RETURN_MS, RETURN_MS);
+}
+
+static call_t *
+call_new(bp_queuedesk_t *desk, kind_t kind, const char *queue, const char *id,
+    bp_desk_done_t done, void *data)
 {
 	call_t *call = g_rc_box_new0(call_t);
 
@@ -367,14 +375,22 @@
 	call->kind = kind;
 	call->queue = g_strdup(queue);
 	call->id = g_strdup(id);
-	call->job = job;
-	call->start_ms = now_ms(desk);
-	call->deadline_ms =
-	    call->start_ms + MAX((int64_t)deadline_ms - RETURN_MS, RETURN_MS);
 	call->shard = bp_shard_of_job(id, desk->options.shards);
+	call->start_ms = now_ms(desk);
 	call->done = done;
 	call->data = data;
 	g_hash_table_add(desk->calls, call);
+	return call;
+}
+
+static void
+start_call(bp_queuedesk_t *desk, kind_t kind, const char *queue, const char *id,
+    Bp__Work__Job *job, uint32_t deadline_ms, bp_desk_done_t done, void *data)
+{
+	call_t *call = call_new(desk, kind, queue, id, done, data);
+
+	call->job = job;
+	call->deadline_ms = due_ms(desk, deadline_ms);
 	try_call(call);
 }
 
@@ -450,19 +466,11 @@
 static void
 count_next(count_t *count)
 {
-	bp_queuedesk_t *desk = count->desk;
-	call_t *call = g_rc_box_new0(call_t);
+	call_t *call = call_new(
+	    count->desk, CALL_COUNT, count->queue, "", on_counted, count);
 
-	call->desk = desk;
-	call->kind = CALL_COUNT;
-	call->queue = g_strdup(count->queue);
-	call->id = g_strdup("");
 	call->shard = count->next;
-	call->start_ms = now_ms(desk);
 	call->deadline_ms = count->deadline_ms;
-	call->done = on_counted;
-	call->data = count;
-	g_hash_table_add(desk->calls, call);
 	try_call(call);
 }
 
@@ -475,8 +483,7 @@
 
 	count->desk = desk;
 	count->queue = g_strdup(route->name);
-	count->deadline_ms =
-	    now_ms(desk) + MAX((int64_t)deadline_ms - RETURN_MS, RETURN_MS);
+	count->deadline_ms = due_ms(desk, deadline_ms);
 	count->done = done;
 	count->data = data;
 	count_next(count);
@@ -542,98 +549,9 @@
 	return g_hash_table_size(desk->calls);
 }
 
-static void
-answer_frame(
-    bp_peer_request_t *request, int kind, uint64_t number, const char *reason)
+/* Returns what the desk was made with. */
+const bp_queuedesk_options_t *
+bp_queuedesk_options(const bp_queuedesk_t *desk)
 {
-	Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
-	char text[32];
-	char *args[] = {text};
-
-	snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, number);
-	answer.error = kind;
-	answer.outcome = bp_error_answer(kind)->outcome;
-	answer.message = (char *)reason;
-	answer.args = args;
-	answer.n_args = G_N_ELEMENTS(args);
-	bp_peer_request_answer(request, &answer);
-}
-
-static void
-on_served(const bp_shard_answer_t *answer, void *data)
-{
-	answer_frame(data, answer->kind, answer->state, answer->reason);
-}
-
-static void
-serve_submit(bp_queuedesk_t *desk, bp_peer_request_t *request)
-{
-	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
-	Bp__Work__Job *job =
-	    bp__work__job__unpack(NULL, frame->body.len, frame->body.data);
-	bp_shard_t *shard;
-
-	if (job == NULL) {
-		answer_frame(request, BP_EINVALID, 0, "the job cannot be read");
-		return;
-	}
-	shard =
-	    desk->options.owned[bp_shard_of_job(job->id, desk->options.shards)];
-	if (shard == NULL) {
-		answer_frame(request, BP_ESTATE, 0, "not the owner");
-		bp__work__job__free_unpacked(job, NULL);
-		return;
-	}
-	bp_shard_submit(shard, job, on_served, request);
-}
-
-static void
-serve_count(bp_queuedesk_t *desk, bp_peer_request_t *request)
-{
-	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
-	uint64_t number = g_ascii_strtoull(frame->args[1], NULL, 10);
-	bp_shard_t *shard =
-	    number < desk->options.shards ? desk->options.owned[number] : NULL;
-
-	if (shard == NULL || !bp_shard_ready(shard))
-		answer_frame(request, BP_ESTATE, 0, "not the owner");
-	else
-		answer_frame(request, BP_OK,
-		    bp_shard_waiting(shard, frame->args[0]), "");
-}
-
-/* See the header. */
-void
-bp_queuedesk_serve(bp_queuedesk_t *desk, bp_peer_request_t *request)
-{
-	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
-	bp_shard_answer_t answer;
-	bp_shard_t *shard;
-
-	if (frame->verb == BP__PEER__VERB__VERB_QUEUE_SUBMIT) {
-		serve_submit(desk, request);
-		return;
-	}
-	if (frame->n_args != 2) {
-		answer_frame(request, BP_EINVALID, 0, "two arguments expected");
-		return;
-	}
-	if (frame->verb == BP__PEER__VERB__VERB_QUEUE_COUNT) {
-		serve_count(desk, request);
-		return;
-	}
-	shard =
-	    desk->options
-		.owned[bp_shard_of_job(frame->args[1], desk->options.shards)];
-	if (shard == NULL) {
-		answer_frame(request, BP_ESTATE, 0, "not the owner");
-		return;
-	}
-	if (frame->verb == BP__PEER__VERB__VERB_QUEUE_CANCEL) {
-		bp_shard_cancel(
-		    shard, frame->args[0], frame->args[1], on_served, request);
-		return;
-	}
-	bp_shard_status(shard, frame->args[0], frame->args[1], &answer);
-	on_served(&answer, request);
+	return &desk->options;
 }
--- a/src/queues/desk.h
+++ b/src/queues/desk.h
@@ -25,10 +25,9 @@
 /* The catalog lives until the next call. */
 void bp_queuedesk_set_catalog(
     bp_queuedesk_t *desk, const bp_catalog_t *catalog);
-/* Tries calls again that wait for an owner. */
-void bp_queuedesk_retry(bp_queuedesk_t *desk);
 uint32_t bp_queuedesk_open(const bp_queuedesk_t *desk);
 /* Answers a queue verb of another node as the owner. */
-void bp_queuedesk_serve(bp_queuedesk_t *desk, bp_peer_request_t *request);
+void bp_queuedesk_serve(const bp_queuedesk_t *desk, bp_peer_request_t *request);
+const bp_queuedesk_options_t *bp_queuedesk_options(const bp_queuedesk_t *desk);
 
 #endif
--- /dev/null
+++ b/src/queues/desk_serve.c
@@ -0,0 +1,100 @@
+#include "queues/desk.h"
+
+#include "bulrushpost/error.h"
+
+#include <stdio.h>
+
+static void
+answer_frame(
+    bp_peer_request_t *request, int kind, uint64_t number, const char *reason)
+{
+	Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
+	char text[32];
+	char *args[] = {text};
+
+	snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, number);
+	answer.error = kind;
+	answer.outcome = bp_error_answer(kind)->outcome;
+	answer.message = (char *)reason;
+	answer.args = args;
+	answer.n_args = G_N_ELEMENTS(args);
+	bp_peer_request_answer(request, &answer);
+}
+
+static void
+on_served(const bp_shard_answer_t *answer, void *data)
+{
+	answer_frame(data, answer->kind, answer->state, answer->reason);
+}
+
+static void
+serve_submit(const bp_queuedesk_options_t *options, bp_peer_request_t *request)
+{
+	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
+	Bp__Work__Job *job =
+	    bp__work__job__unpack(NULL, frame->body.len, frame->body.data);
+	bp_shard_t *shard;
+
+	if (job == NULL) {
+		answer_frame(request, BP_EINVALID, 0, "the job cannot be read");
+		return;
+	}
+	shard = options->owned[bp_shard_of_job(job->id, options->shards)];
+	if (shard == NULL) {
+		answer_frame(request, BP_ESTATE, 0, "not the owner");
+		bp__work__job__free_unpacked(job, NULL);
+		return;
+	}
+	bp_shard_submit(shard, job, on_served, request);
+}
+
+static void
+serve_count(const bp_queuedesk_options_t *options, bp_peer_request_t *request)
+{
+	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
+	uint64_t number = g_ascii_strtoull(frame->args[1], NULL, 10);
+	bp_shard_t *shard =
+	    number < options->shards ? options->owned[number] : NULL;
+
+	if (shard == NULL || !bp_shard_ready(shard))
+		answer_frame(request, BP_ESTATE, 0, "not the owner");
+	else
+		answer_frame(request, BP_OK,
+		    bp_shard_waiting(shard, frame->args[0]), "");
+}
+
+/* See the header. */
+void
+bp_queuedesk_serve(const bp_queuedesk_t *desk, bp_peer_request_t *request)
+{
+	const bp_queuedesk_options_t *options = bp_queuedesk_options(desk);
+	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
+	bp_shard_answer_t answer;
+	bp_shard_t *shard;
+
+	if (frame->verb == BP__PEER__VERB__VERB_QUEUE_SUBMIT) {
+		serve_submit(options, request);
+		return;
+	}
+	if (frame->n_args != 2) {
+		answer_frame(request, BP_EINVALID, 0, "two arguments expected");
+		return;
+	}
+	if (frame->verb == BP__PEER__VERB__VERB_QUEUE_COUNT) {
+		serve_count(options, request);
+		return;
+	}
+	shard =
+	    options->owned[bp_shard_of_job(frame->args[1], options->shards)];
+	if (shard == NULL) {
+		answer_frame(request, BP_ESTATE, 0, "not the owner");
+		return;
+	}
+	if (frame->verb == BP__PEER__VERB__VERB_QUEUE_CANCEL) {
+		bp_shard_cancel(
+		    shard, frame->args[0], frame->args[1], on_served, request);
+		return;
+	}
+	bp_shard_status(shard, frame->args[0], frame->args[1], &answer);
+	on_served(&answer, request);
+}
--- a/src/queues/job.c
+++ b/src/queues/job.c
@@ -1,5 +1,7 @@
 #include "queues/job.h"
 
+#include "bulrushpost/message.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -341,8 +343,7 @@
 	uint32_t number = 0;
 	uint32_t i;
 	uint32_t k;
-	uint8_t *bytes;
-	size_t size;
+	GBytes *bytes;
 
 	for (i = 0; i < job->n_steps * job->occurrences; i++)
 		number += job->steps[i].spec->tasks;
@@ -360,11 +361,9 @@
 				add_task(&out, &step->tasks[k], number);
 		}
 	}
-	size = bp__work__progress__get_packed_size(&out);
-	bytes = g_malloc(MAX(size, 1));
-	(void)bp__work__progress__pack(&out, bytes);
+	bytes = bp_message_pack(&out.base);
 	g_ptr_array_unref(rows);
-	return g_bytes_new_take(bytes, size);
+	return bytes;
 }
 
 static bp_qtask_t *
--- a/src/queues/model.c
+++ b/src/queues/model.c
@@ -19,6 +19,17 @@
 	return record;
 }
 
+/* The same of bytes that it shares; NULL and empty ones stand for none. */
+bp_store_record_t *
+bp_store_record_new_bytes(const char *key, GBytes *value)
+{
+	bp_store_record_t *record = bp_store_record_new(key, NULL, 0);
+
+	if (value != NULL && g_bytes_get_size(value) > 0)
+		record->value = g_bytes_ref(value);
+	return record;
+}
+
 /* Frees a record. */
 void
 bp_store_record_free(gpointer data)
--- a/src/queues/pairs.c
+++ b/src/queues/pairs.c
@@ -1,5 +1,6 @@
 #include "queues/pairs.h"
 
+#include "bulrushpost/message.h"
 #include "proto/work.pb-c.h"
 
 #include <string.h>
@@ -191,8 +192,7 @@
 	gpointer filler;
 	gpointer fit;
 	gpointer term;
-	uint8_t *bytes;
-	size_t size;
+	GBytes *bytes;
 	size_t i;
 
 	out.pairs = g_new(Bp__Work__Pair *,
@@ -206,13 +206,11 @@
 			add_pair(&out, serving, filler,
 			    ((fit_t *)fit)->weights[GPOINTER_TO_UINT(term)]);
 	}
-	size = bp__work__pairs__get_packed_size(&out);
-	bytes = g_malloc(MAX(size, 1));
-	(void)bp__work__pairs__pack(&out, bytes);
+	bytes = bp_message_pack(&out.base);
 	for (i = 0; i < out.n_pairs; i++)
 		g_free(out.pairs[i]);
 	g_free(out.pairs);
-	return g_bytes_new_take(bytes, size);
+	return bytes;
 }
 
 /* See the header. Bytes that cannot be read are passed over. */
--- a/src/queues/relay.c
+++ b/src/queues/relay.c
@@ -1,5 +1,6 @@
 #include "queues/relay.h"
 
+#include "bulrushpost/message.h"
 #include "bulrushpost/hash.h"
 #include "proto/work.pb-c.h"
 
@@ -200,7 +201,7 @@
 {
 	Bp__Peer__Frame frame = BP__PEER__FRAME__INIT;
 	sent_t *sent = g_new0(sent_t, 1);
-	uint8_t *bytes;
+	GBytes *bytes;
 
 	order->address = (char *)target->address;
 	order->id = (char *)target->id;
@@ -211,13 +212,11 @@
 	sent->data = data;
 	g_hash_table_add(relay->calls, sent);
 	frame.verb = BP__PEER__VERB__VERB_QUEUE_ORDER;
-	frame.body.len = bp__work__order__get_packed_size(order);
-	bytes = g_malloc(MAX(frame.body.len, 1));
-	(void)bp__work__order__pack(order, bytes);
-	frame.body.data = bytes;
+	bytes = bp_message_pack(&order->base);
+	bp_message_refer(&frame.body, bytes);
 	bp_peer_client_call(relay->options.client, courier, &frame, timeout_ms,
 	    on_answer, sent);
-	g_free(bytes);
+	g_bytes_unref(bytes);
 }
 
 static void
@@ -371,7 +370,7 @@
 	Bp__Work__OrderResult body = BP__WORK__ORDER_RESULT__INIT;
 	Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
 	GPtrArray *rows = g_ptr_array_new_with_free_func(g_free);
-	uint8_t *bytes;
+	GBytes *bytes;
 
 	body.outcome = result->outcome;
 	body.clock_ms = result->clock_ms;
@@ -379,13 +378,11 @@
 	if (result->running != NULL && result->ended != NULL)
 		put_lists(result, &body, rows);
 	answer.outcome = BP_OUTCOME_RAN;
-	answer.body.len = bp__work__order_result__get_packed_size(&body);
-	bytes = g_malloc(MAX(answer.body.len, 1));
-	(void)bp__work__order_result__pack(&body, bytes);
-	answer.body.data = bytes;
+	bytes = bp_message_pack(&body.base);
+	bp_message_refer(&answer.body, bytes);
 	g_hash_table_remove(served->relay->served, served);
 	bp_peer_request_answer(served->request, &answer);
-	g_free(bytes);
+	g_bytes_unref(bytes);
 	g_ptr_array_unref(rows);
 	g_free(served);
 }
--- /dev/null
+++ b/src/queues/shard_load.c
@@ -0,0 +1,149 @@
+#include "queues/shard_private.h"
+
+#include <string.h>
+
+static void
+load_job(bp_shard_t *shard, const bp_store_record_t *record)
+{
+	gsize size = 0;
+	const uint8_t *bytes = g_bytes_get_data(record->value, &size);
+	Bp__Work__Job *spec = bp__work__job__unpack(NULL, size, bytes);
+	bp_error_t err = {BP_OK, ""};
+	bp_qjob_t *job;
+
+	if (spec == NULL || bp_qjob_check(spec, &err) != BP_OK) {
+		bp_log(shard->options.logger, BP_LOG_ERR, BP_SHARD_MODULE,
+		    "a stored job cannot be read", "key", record->key, "reason",
+		    err.message, NULL);
+		if (spec != NULL)
+			bp__work__job__free_unpacked(spec, NULL);
+		return;
+	}
+	job = bp_qjob_new(spec);
+	job->accepted = true;
+	g_hash_table_insert(shard->jobs, spec->id, job);
+}
+
+static void
+load_progress(bp_shard_t *shard, const bp_store_record_t *record)
+{
+	bp_qjob_t *job = g_hash_table_lookup(
+	    shard->jobs, record->key + BP_SHARD_PREFIX_CHARS);
+	bp_error_t err = {BP_OK, ""};
+	gsize size = 0;
+	const uint8_t *bytes = g_bytes_get_data(record->value, &size);
+
+	if (job != NULL &&
+	    bp_qjob_load_progress(job, bytes, size, &err) != BP_OK)
+		bp_log(shard->options.logger, BP_LOG_ERR, BP_SHARD_MODULE,
+		    "stored progress cannot be read", "key", record->key,
+		    "reason", err.message, NULL);
+}
+
+/* An earlier owner may have started the task there. */
+static void
+load_maybe(bp_shard_t *shard, bp_qexec_t *exec, const char *name)
+{
+	bp_qtask_t *task = bp_shard_find_task(shard, name);
+
+	if (task == NULL || task->state == BP_QTASK_DONE ||
+	    bp_qjob_ended(task->step->job))
+		return;
+	task->maybe_on++;
+	bp_qtask_set_state(task, BP_QTASK_CENSUS);
+	g_ptr_array_add(exec->maybe, task);
+}
+
+static void
+load_holder(bp_shard_t *shard, const bp_store_record_t *record)
+{
+	gsize size = 0;
+	const uint8_t *bytes = g_bytes_get_data(record->value, &size);
+	Bp__Work__Holder *holder = bp__work__holder__unpack(NULL, size, bytes);
+	bp_qexec_t *exec;
+	size_t i;
+
+	if (holder == NULL)
+		return;
+	exec = bp_qexec_get(shard, holder->id);
+	exec->stored = true;
+	exec->waited_before_ms = holder->waited_ms;
+	exec->waited_stored_ms = bp_shard_now_ms(shard);
+	exec->born_ms = holder->born_ms;
+	g_free(exec->info->address);
+	exec->info->address = g_strdup(holder->address);
+	for (i = 0; i < holder->n_tasks; i++)
+		load_maybe(shard, exec, holder->tasks[i]);
+	bp__work__holder__free_unpacked(holder, NULL);
+}
+
+/* Returns the epoch of the last owner, 0 for none. */
+uint64_t
+bp_shard_last_epoch(const bp_shard_t *shard)
+{
+	const bp_store_record_t *record =
+	    g_hash_table_lookup(shard->raw, BP_SHARD_KEY_OWNER);
+	Bp__Work__Owner *owner;
+	uint64_t epoch = 0;
+	gsize size = 0;
+	const uint8_t *bytes;
+
+	if (record == NULL || record->value == NULL)
+		return 0;
+	bytes = g_bytes_get_data(record->value, &size);
+	owner = bp__work__owner__unpack(NULL, size, bytes);
+	if (owner == NULL)
+		return 0;
+	epoch = owner->epoch;
+	bp__work__owner__free_unpacked(owner, NULL);
+	return epoch;
+}
+
+static void
+load_prefix(bp_shard_t *shard, const char *prefix,
+    void (*load)(bp_shard_t *, const bp_store_record_t *))
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, shard->raw);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const bp_store_record_t *record = value;
+
+		if (record->value != NULL &&
+		    g_str_has_prefix(record->key, prefix))
+			load(shard, record);
+	}
+}
+
+static void
+load_pairs(bp_shard_t *shard)
+{
+	const bp_store_record_t *record =
+	    g_hash_table_lookup(shard->raw, BP_SHARD_KEY_PAIRS);
+	gsize size = 0;
+	const uint8_t *bytes;
+
+	if (record == NULL || record->value == NULL)
+		return;
+	bytes = g_bytes_get_data(record->value, &size);
+	bp_pairs_load(shard->pairs, bytes, size);
+}
+
+/* Builds the state from the keys that were read. */
+void
+bp_shard_load(bp_shard_t *shard)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	load_prefix(shard, BP_SHARD_PREFIX_JOB, load_job);
+	load_prefix(shard, BP_SHARD_PREFIX_PROGRESS, load_progress);
+	load_prefix(shard, BP_SHARD_PREFIX_HOLDER, load_holder);
+	load_pairs(shard);
+	g_hash_table_iter_init(&iter, shard->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (!bp_qjob_ended(value))
+			g_ptr_array_add(shard->going, value);
+	}
+}
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -15,6 +15,13 @@
 #define BP_SHARD_ORDER_GRACE_MS 4000
 /* Least deadline that a start gives its executor. */
 #define BP_SHARD_START_WINDOW_MS 1500
+/* Keys of a shard's records (docs/platform.md); prefixes end with an id. */
+#define BP_SHARD_KEY_OWNER "owner"
+#define BP_SHARD_KEY_PAIRS "pairs"
+#define BP_SHARD_PREFIX_JOB "j/"
+#define BP_SHARD_PREFIX_PROGRESS "p/"
+#define BP_SHARD_PREFIX_HOLDER "x/"
+#define BP_SHARD_PREFIX_CHARS 2
 /* Runs of one epoch have numbers below this above the epoch's base. */
 #define BP_SHARD_RUNS_PER_EPOCH 1000
 
@@ -190,12 +197,14 @@
 void bp_shard_stored(bp_store_outcome_t outcome, void *data);
 void bp_shard_answer_waiters(
     bp_qjob_t *job, bool cancels, const bp_shard_answer_t *answer);
-uint64_t bp_shard_last_epoch(const bp_shard_t *shard);
-void bp_shard_load(bp_shard_t *shard);
 bp_store_record_t *bp_shard_owner_record(const bp_shard_t *shard);
 void bp_shard_drop_job(bp_shard_t *shard, bp_qjob_t *job);
 void bp_shard_drop_exec(bp_shard_t *shard, bp_qexec_t *exec);
 
+/* shard_load.c */
+uint64_t bp_shard_last_epoch(const bp_shard_t *shard);
+void bp_shard_load(bp_shard_t *shard);
+
 /* shard_execs.c */
 bp_qexec_t *bp_qexec_get(bp_shard_t *shard, const char *id);
 void bp_qexec_free(gpointer exec);
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -1,37 +1,32 @@
 #include "queues/shard_private.h"
 
+#include "bulrushpost/message.h"
+
 #include <string.h>
 
-#define KEY_OWNER "owner"
-#define KEY_PAIRS "pairs"
 /* What was learned of images is stored at most so often, with other records. */
 #define PAIRS_PERIOD_MS 3000
-#define PREFIX_JOB "j/"
-#define PREFIX_PROGRESS "p/"
-#define PREFIX_HOLDER "x/"
-#define PREFIX_CHARS 2
 /* What is waited for silent executors is stored so often. */
 #define WAITED_PERIOD_MS 1000
 
 static void
-add_record(GPtrArray *records, const char *prefix, const char *id,
-    const void *bytes, size_t size)
+add_record(
+    GPtrArray *records, const char *prefix, const char *id, GBytes *value)
 {
 	char *key = g_strconcat(prefix, id, NULL);
 
-	g_ptr_array_add(records, bp_store_record_new(key, bytes, size));
+	g_ptr_array_add(records, bp_store_record_new_bytes(key, value));
 	g_free(key);
 }
 
 static void
-add_job(GPtrArray *records, const bp_qjob_t *job)
+add_message(GPtrArray *records, const char *prefix, const char *id,
+    const ProtobufCMessage *message)
 {
-	size_t size = bp__work__job__get_packed_size(job->spec);
-	uint8_t *bytes = g_malloc(MAX(size, 1));
+	GBytes *bytes = bp_message_pack(message);
 
-	(void)bp__work__job__pack(job->spec, bytes);
-	add_record(records, PREFIX_JOB, job->spec->id, bytes, size);
-	g_free(bytes);
+	add_record(records, prefix, id, bytes);
+	g_bytes_unref(bytes);
 }
 
 /* A cancel is stored as the state that the job gets once it is stored. */
@@ -40,14 +35,11 @@
 {
 	Bp__Work__JobState before = job->state;
 	GBytes *bytes;
-	gsize size = 0;
-	const void *data;
 
 	job->state = state;
 	bytes = bp_qjob_progress(job);
 	job->state = before;
-	data = g_bytes_get_data(bytes, &size);
-	add_record(records, PREFIX_PROGRESS, job->spec->id, data, size);
+	add_record(records, BP_SHARD_PREFIX_PROGRESS, job->spec->id, bytes);
 	g_bytes_unref(bytes);
 }
 
@@ -71,8 +63,6 @@
 {
 	Bp__Work__Holder holder = BP__WORK__HOLDER__INIT;
 	GPtrArray *names = names_on(exec);
-	size_t size;
-	uint8_t *bytes;
 
 	holder.id = exec->info->id;
 	holder.address = exec->info->address;
@@ -81,12 +71,9 @@
 	holder.n_tasks = names->len;
 	if (!exec->met)
 		holder.waited_ms = (uint32_t)bp_qexec_waited_ms(exec);
-	size = bp__work__holder__get_packed_size(&holder);
-	bytes = g_malloc(MAX(size, 1));
-	(void)bp__work__holder__pack(&holder, bytes);
-	add_record(records, PREFIX_HOLDER, exec->info->id, bytes, size);
+	add_message(
+	    records, BP_SHARD_PREFIX_HOLDER, exec->info->id, &holder.base);
 	g_ptr_array_unref(names);
-	g_free(bytes);
 }
 
 static void
@@ -163,16 +150,13 @@
 {
 	int64_t now_ms = bp_shard_now_ms(shard);
 	GBytes *bytes;
-	gsize size = 0;
-	const void *data;
 
 	if (records->len == 0 ||
 	    now_ms - shard->pairs_stored_ms < PAIRS_PERIOD_MS)
 		return;
 	bytes = bp_pairs_save(shard->pairs);
-	data = g_bytes_get_data(bytes, &size);
-	if (size > 0)
-		add_record(records, "", KEY_PAIRS, data, size);
+	if (g_bytes_get_size(bytes) > 0)
+		add_record(records, "", BP_SHARD_KEY_PAIRS, bytes);
 	shard->pairs_stored_ms = now_ms;
 	g_bytes_unref(bytes);
 }
@@ -189,7 +173,8 @@
 		bp_qsent_t sent = {shard->fresh->pdata[i],
 		    BP__WORK__JOB_STATE__JOB_QUEUED, true, false};
 
-		add_job(records, sent.job);
+		add_message(records, BP_SHARD_PREFIX_JOB, sent.job->spec->id,
+		    &sent.job->spec->base);
 		g_array_append_val(shard->in_flight, sent);
 	}
 	g_ptr_array_set_size(shard->fresh, 0);
@@ -207,7 +192,7 @@
 	g_ptr_array_set_size(shard->dirty, 0);
 	fill_execs(shard, records);
 	for (i = 0; i < shard->dropping->len; i++)
-		add_record(records, "", shard->dropping->pdata[i], NULL, 0);
+		add_record(records, "", shard->dropping->pdata[i], NULL);
 	g_ptr_array_set_size(shard->dropping, 0);
 	fill_pairs(shard, records);
 	/* Ends that change no job are acknowledged without a record. */
@@ -361,175 +346,20 @@
 		bp_shard_set_lost(shard);
 }
 
-static void
-load_job(bp_shard_t *shard, const bp_store_record_t *record)
-{
-	gsize size = 0;
-	const uint8_t *bytes = g_bytes_get_data(record->value, &size);
-	Bp__Work__Job *spec = bp__work__job__unpack(NULL, size, bytes);
-	bp_error_t err = {BP_OK, ""};
-	bp_qjob_t *job;
-
-	if (spec == NULL || bp_qjob_check(spec, &err) != BP_OK) {
-		bp_log(shard->options.logger, BP_LOG_ERR, BP_SHARD_MODULE,
-		    "a stored job cannot be read", "key", record->key, "reason",
-		    err.message, NULL);
-		if (spec != NULL)
-			bp__work__job__free_unpacked(spec, NULL);
-		return;
-	}
-	job = bp_qjob_new(spec);
-	job->accepted = true;
-	g_hash_table_insert(shard->jobs, spec->id, job);
-}
-
-static void
-load_progress(bp_shard_t *shard, const bp_store_record_t *record)
-{
-	bp_qjob_t *job =
-	    g_hash_table_lookup(shard->jobs, record->key + PREFIX_CHARS);
-	bp_error_t err = {BP_OK, ""};
-	gsize size = 0;
-	const uint8_t *bytes = g_bytes_get_data(record->value, &size);
-
-	if (job != NULL &&
-	    bp_qjob_load_progress(job, bytes, size, &err) != BP_OK)
-		bp_log(shard->options.logger, BP_LOG_ERR, BP_SHARD_MODULE,
-		    "stored progress cannot be read", "key", record->key,
-		    "reason", err.message, NULL);
-}
-
-/* An earlier owner may have started the task there. */
-static void
-load_maybe(bp_shard_t *shard, bp_qexec_t *exec, const char *name)
-{
-	bp_qtask_t *task = bp_shard_find_task(shard, name);
-
-	if (task == NULL || task->state == BP_QTASK_DONE ||
-	    bp_qjob_ended(task->step->job))
-		return;
-	task->maybe_on++;
-	bp_qtask_set_state(task, BP_QTASK_CENSUS);
-	g_ptr_array_add(exec->maybe, task);
-}
-
-static void
-load_holder(bp_shard_t *shard, const bp_store_record_t *record)
-{
-	gsize size = 0;
-	const uint8_t *bytes = g_bytes_get_data(record->value, &size);
-	Bp__Work__Holder *holder = bp__work__holder__unpack(NULL, size, bytes);
-	bp_qexec_t *exec;
-	size_t i;
-
-	if (holder == NULL)
-		return;
-	exec = bp_qexec_get(shard, holder->id);
-	exec->stored = true;
-	exec->waited_before_ms = holder->waited_ms;
-	exec->waited_stored_ms = bp_shard_now_ms(shard);
-	exec->born_ms = holder->born_ms;
-	g_free(exec->info->address);
-	exec->info->address = g_strdup(holder->address);
-	for (i = 0; i < holder->n_tasks; i++)
-		load_maybe(shard, exec, holder->tasks[i]);
-	bp__work__holder__free_unpacked(holder, NULL);
-}
-
-static uint64_t
-owner_epoch(const bp_shard_t *shard)
-{
-	const bp_store_record_t *record =
-	    g_hash_table_lookup(shard->raw, KEY_OWNER);
-	Bp__Work__Owner *owner;
-	uint64_t epoch = 0;
-	gsize size = 0;
-	const uint8_t *bytes;
-
-	if (record == NULL || record->value == NULL)
-		return 0;
-	bytes = g_bytes_get_data(record->value, &size);
-	owner = bp__work__owner__unpack(NULL, size, bytes);
-	if (owner == NULL)
-		return 0;
-	epoch = owner->epoch;
-	bp__work__owner__free_unpacked(owner, NULL);
-	return epoch;
-}
-
-static void
-load_prefix(bp_shard_t *shard, const char *prefix,
-    void (*load)(bp_shard_t *, const bp_store_record_t *))
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, shard->raw);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const bp_store_record_t *record = value;
-
-		if (record->value != NULL &&
-		    g_str_has_prefix(record->key, prefix))
-			load(shard, record);
-	}
-}
-
-/* Returns the epoch of the last owner, 0 for none. */
-uint64_t
-bp_shard_last_epoch(const bp_shard_t *shard)
-{
-	return owner_epoch(shard);
-}
-
-static void
-load_pairs(bp_shard_t *shard)
-{
-	const bp_store_record_t *record =
-	    g_hash_table_lookup(shard->raw, KEY_PAIRS);
-	gsize size = 0;
-	const uint8_t *bytes;
-
-	if (record == NULL || record->value == NULL)
-		return;
-	bytes = g_bytes_get_data(record->value, &size);
-	bp_pairs_load(shard->pairs, bytes, size);
-}
-
-/* Builds the state from the keys that were read. */
-void
-bp_shard_load(bp_shard_t *shard)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	load_prefix(shard, PREFIX_JOB, load_job);
-	load_prefix(shard, PREFIX_PROGRESS, load_progress);
-	load_prefix(shard, PREFIX_HOLDER, load_holder);
-	load_pairs(shard);
-	g_hash_table_iter_init(&iter, shard->jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (!bp_qjob_ended(value))
-			g_ptr_array_add(shard->going, value);
-	}
-}
-
 /* Returns the record by which this node becomes the owner. */
 bp_store_record_t *
 bp_shard_owner_record(const bp_shard_t *shard)
 {
 	Bp__Work__Owner owner = BP__WORK__OWNER__INIT;
 	bp_store_record_t *record;
-	uint8_t *bytes;
-	size_t size;
+	GBytes *bytes;
 
 	owner.epoch = shard->epoch;
 	owner.node = (char *)shard->options.node;
 	owner.address = (char *)shard->options.address;
-	size = bp__work__owner__get_packed_size(&owner);
-	bytes = g_malloc(MAX(size, 1));
-	(void)bp__work__owner__pack(&owner, bytes);
-	record = bp_store_record_new(KEY_OWNER, bytes, size);
-	g_free(bytes);
+	bytes = bp_message_pack(&owner.base);
+	record = bp_store_record_new_bytes(BP_SHARD_KEY_OWNER, bytes);
+	g_bytes_unref(bytes);
 	return record;
 }
 
@@ -539,9 +369,10 @@
 {
 	const char *id = job->spec->id;
 
-	g_ptr_array_add(shard->dropping, g_strconcat(PREFIX_JOB, id, NULL));
 	g_ptr_array_add(
-	    shard->dropping, g_strconcat(PREFIX_PROGRESS, id, NULL));
+	    shard->dropping, g_strconcat(BP_SHARD_PREFIX_JOB, id, NULL));
+	g_ptr_array_add(
+	    shard->dropping, g_strconcat(BP_SHARD_PREFIX_PROGRESS, id, NULL));
 	g_hash_table_remove(shard->jobs, id);
 }
 
@@ -551,6 +382,6 @@
 {
 	if (exec->stored)
 		g_ptr_array_add(shard->dropping,
-		    g_strconcat(PREFIX_HOLDER, exec->info->id, NULL));
+		    g_strconcat(BP_SHARD_PREFIX_HOLDER, exec->info->id, NULL));
 	g_hash_table_remove(shard->execs, exec->info->id);
 }
--- a/src/queues/sharding.c
+++ b/src/queues/sharding.c
@@ -1,5 +1,6 @@
 #include "queues/sharding.h"
 
+#include "bulrushpost/message.h"
 #include "bulrushpost/shard.h"
 #include "proto/work.pb-c.h"
 
@@ -8,6 +9,7 @@
 
 #define KEY_PLAN "plan"
 #define MODULE "sharding"
+/* A read or write of the plan that failed is repeated after this time. */
 #define RETRY_MS 150
 /* With more, an owner starts tasks later than they arrive (CAPACITY.md). */
 #define EXECUTORS_PER_SHARD 70
@@ -149,8 +151,7 @@
 {
 	Bp__Work__Plan plan = BP__WORK__PLAN__INIT;
 	bp_store_record_t *record;
-	uint8_t *bytes;
-	size_t size;
+	GBytes *bytes;
 	guint i;
 
 	plan.shards = self->options.shards != 0
@@ -171,17 +172,15 @@
 		rack->shard = i % plan.shards;
 		plan.racks[plan.n_racks++] = rack;
 	}
-	size = bp__work__plan__get_packed_size(&plan);
-	bytes = g_malloc(size);
-	(void)bp__work__plan__pack(&plan, bytes);
-	record = bp_store_record_new(KEY_PLAN, bytes, size);
+	bytes = bp_message_pack(&plan.base);
+	record = bp_store_record_new_bytes(KEY_PLAN, bytes);
 	for (i = 0; i < plan.n_racks; i++) {
 		g_free(plan.racks[i]->zone);
 		g_free(plan.racks[i]->rack);
 		g_free(plan.racks[i]);
 	}
 	g_free(plan.racks);
-	g_free(bytes);
+	g_bytes_unref(bytes);
 	return record;
 }
 
--- a/src/scheduler/session.c
+++ b/src/scheduler/session.c
@@ -1,5 +1,7 @@
 #include "scheduler/session_private.h"
 
+#include "bulrushpost/message.h"
+
 #include <string.h>
 
 #define US_PER_MS 1000
@@ -12,14 +14,7 @@
 Bp__Worker__TaskId *
 bp_task_id_copy(const Bp__Worker__TaskId *id)
 {
-	size_t size_bytes = bp__worker__task_id__get_packed_size(id);
-	uint8_t *bytes = g_malloc(size_bytes + 1);
-	Bp__Worker__TaskId *copy;
-
-	bp__worker__task_id__pack(id, bytes);
-	copy = bp__worker__task_id__unpack(NULL, size_bytes, bytes);
-	g_free(bytes);
-	return copy;
+	return bp_message_copy(&id->base);
 }
 
 /* Compares job, task and attempt. */
--- a/src/scheduler/session_calls.c
+++ b/src/scheduler/session_calls.c
@@ -1,5 +1,7 @@
 #include "scheduler/session_private.h"
 
+#include "bulrushpost/message.h"
+
 #include <string.h>
 
 #define US_PER_MS 1000
@@ -7,32 +9,6 @@
 #define ACTIONS_PER_CALL 64U
 #define ACKS_PER_CALL 256U
 
-static Bp__Worker__StartTask *
-copy_start(const Bp__Worker__StartTask *task)
-{
-	size_t size_bytes = bp__worker__start_task__get_packed_size(task);
-	uint8_t *bytes = g_malloc(size_bytes + 1);
-	Bp__Worker__StartTask *copy;
-
-	bp__worker__start_task__pack(task, bytes);
-	copy = bp__worker__start_task__unpack(NULL, size_bytes, bytes);
-	g_free(bytes);
-	return copy;
-}
-
-static Bp__Worker__Action *
-copy_action(const Bp__Worker__Action *action)
-{
-	size_t size_bytes = bp__worker__action__get_packed_size(action);
-	uint8_t *bytes = g_malloc(size_bytes + 1);
-	Bp__Worker__Action *copy;
-
-	bp__worker__action__pack(action, bytes);
-	copy = bp__worker__action__unpack(NULL, size_bytes, bytes);
-	g_free(bytes);
-	return copy;
-}
-
 /* See the header. */
 bool
 bp_session_is_queued(const bp_session_t *session, const char *job,
@@ -130,7 +106,7 @@
 		session, task->id->job, task->id->task, task->id->attempt))
 		return;
 	item = g_new0(bp_start_item_t, 1);
-	item->task = copy_start(task);
+	item->task = bp_message_copy(&task->base);
 	g_ptr_array_add(session->starts, item);
 }
 
@@ -138,7 +114,7 @@
 void
 bp_session_act(bp_session_t *session, const Bp__Worker__Action *action)
 {
-	g_ptr_array_add(session->actions, copy_action(action));
+	g_ptr_array_add(session->actions, bp_message_copy(&action->base));
 }
 
 /* See the header. */
