--- a/include/bulrushpost/shard.h
+++ b/include/bulrushpost/shard.h
@@ -98,7 +98,4 @@
 /* Counters and gauges as a JSON object. */
 char *bp_shard_describe(const bp_shard_t *shard);
 
-uint32_t bp_shard_of_job(const char *id, uint32_t shards);
-uint32_t bp_shard_of_rack(const char *zone, const char *rack, uint32_t shards);
-
 #endif
--- /dev/null
+++ b/src/queues/courier.c
@@ -0,0 +1,173 @@
+#include "queues/courier.h"
+
+#include "bulrushpost/message.h"
+#include "proto/work.pb-c.h"
+
+struct bp_courier {
+	bp_executors_t *direct;
+	const char *zone;
+	GHashTable *served; /* served_t in flight */
+};
+
+/* An order of an owner that this node carries out. */
+typedef struct {
+	bp_courier_t *courier;
+	bp_peer_request_t *request;
+} served_t;
+
+static void
+put_lists(
+    const bp_exec_result_t *from, Bp__Work__OrderResult *to, GPtrArray *rows)
+{
+	guint i;
+
+	to->lists = true;
+	to->running = g_new0(Bp__Work__RunningRow *, from->running->len);
+	to->ended = g_new0(Bp__Work__EndedRow *, from->ended->len);
+	g_ptr_array_add(rows, to->running);
+	g_ptr_array_add(rows, to->ended);
+	for (i = 0; i < from->running->len; i++) {
+		const bp_look_running_t *row =
+		    &g_array_index(from->running, bp_look_running_t, i);
+		Bp__Work__RunningRow *out = g_new(Bp__Work__RunningRow, 1);
+
+		bp__work__running_row__init(out);
+		out->task = (char *)row->task;
+		out->run = row->run;
+		out->checkpoint = (char *)row->checkpoint;
+		out->percent = row->percent;
+		out->figure = row->figure;
+		to->running[to->n_running++] = out;
+		g_ptr_array_add(rows, out);
+	}
+	for (i = 0; i < from->ended->len; i++) {
+		const bp_look_ended_t *row =
+		    &g_array_index(from->ended, bp_look_ended_t, i);
+		Bp__Work__EndedRow *out = g_new(Bp__Work__EndedRow, 1);
+
+		bp__work__ended_row__init(out);
+		out->number = row->number;
+		out->task = (char *)row->task;
+		out->run = row->run;
+		out->kind = row->kind;
+		out->checkpoint = (char *)row->checkpoint;
+		to->ended[to->n_ended++] = out;
+		g_ptr_array_add(rows, out);
+	}
+}
+
+static void
+on_served(const bp_exec_result_t *result, void *data)
+{
+	served_t *served = data;
+	Bp__Work__OrderResult body = BP__WORK__ORDER_RESULT__INIT;
+	Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
+	GPtrArray *rows = g_ptr_array_new_with_free_func(g_free);
+	GBytes *bytes;
+
+	body.outcome = result->outcome;
+	body.clock_ms = result->clock_ms;
+	body.born_ms = result->born_ms;
+	if (result->running != NULL && result->ended != NULL)
+		put_lists(result, &body, rows);
+	answer.outcome = BP_OUTCOME_RAN;
+	bytes = bp_message_pack(&body.base);
+	bp_message_refer(&answer.body, bytes);
+	g_hash_table_remove(served->courier->served, served);
+	bp_peer_request_answer(served->request, &answer);
+	g_bytes_unref(bytes);
+	g_ptr_array_unref(rows);
+	g_free(served);
+}
+
+static void
+carry_out(bp_courier_t *courier, const Bp__Work__Order *order, served_t *served)
+{
+	bp_executors_t *direct = courier->direct;
+	bp_exec_target_t target = {
+	    order->address, order->id, courier->zone, order->fence};
+	bp_exec_start_t start = {order->task, order->run, order->payload,
+	    order->deadline_ms, order->checkpoint,
+	    order->ticket[0] != '\0' ? order->ticket : NULL};
+	bp_exec_look_t look = {
+	    order->deadline_ms, order->cursor, order->wait_ms};
+
+	switch (order->kind) {
+	case BP__WORK__ORDER_KIND__ORDER_START:
+		direct->start(direct, &target, &start, on_served, served);
+		break;
+	case BP__WORK__ORDER_KIND__ORDER_STOP:
+		direct->stop(direct, &target, order->task, order->run,
+		    on_served, served);
+		break;
+	case BP__WORK__ORDER_KIND__ORDER_PACE:
+		direct->pace(direct, &target, order->task, order->run,
+		    order->percent, on_served, served);
+		break;
+	case BP__WORK__ORDER_KIND__ORDER_LOOK:
+	case _BP__WORK__ORDER_KIND_IS_INT_SIZE:
+		direct->look(direct, &target, &look, on_served, served);
+		break;
+	}
+}
+
+/* See the header. */
+void
+bp_courier_serve(bp_courier_t *courier, bp_peer_request_t *request)
+{
+	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
+	Bp__Work__Order *order =
+	    bp__work__order__unpack(NULL, frame->body.len, frame->body.data);
+	Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
+	served_t *served;
+
+	if (order == NULL) {
+		answer.error = BP_EINVALID;
+		answer.outcome = BP_OUTCOME_NOT_RUN;
+		bp_peer_request_answer(request, &answer);
+		return;
+	}
+	served = g_new0(served_t, 1);
+	served->courier = courier;
+	served->request = request;
+	g_hash_table_add(courier->served, served);
+	carry_out(courier, order, served);
+	bp__work__order__free_unpacked(order, NULL);
+}
+
+/* See the header. */
+bp_courier_t *
+bp_courier_new(bp_executors_t *direct, const char *zone)
+{
+	bp_courier_t *courier = g_new0(bp_courier_t, 1);
+
+	courier->direct = direct;
+	courier->zone = zone;
+	courier->served = g_hash_table_new(NULL, NULL);
+	return courier;
+}
+
+/* See the header. */
+void
+bp_courier_free(bp_courier_t *courier)
+{
+	GList *served;
+	GList *node;
+
+	if (courier == NULL)
+		return;
+	served = g_hash_table_get_keys(courier->served);
+	for (node = served; node != NULL; node = node->next) {
+		Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
+		served_t *open = node->data;
+
+		courier->direct->forget(courier->direct, open);
+		answer.error = BP_EUNKNOWN;
+		answer.outcome = BP_OUTCOME_NOT_KNOWN;
+		bp_peer_request_answer(open->request, &answer);
+		g_free(open);
+	}
+	g_list_free(served);
+	g_hash_table_unref(courier->served);
+	g_free(courier);
+}
--- /dev/null
+++ b/src/queues/desk_call.c
@@ -0,0 +1,360 @@
+#include "queues/desk_private.h"
+
+#include "bulrushpost/error.h"
+#include "bulrushpost/message.h"
+#include "queues/sharding.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* While no owner is known a call is kept this long, then refused. */
+#define PATIENCE_MS 250
+/* Between two looks for an owner; a takeover takes some 0.5 s. */
+#define AGAIN_MS 60
+/* An owner answers in some 20 ms; a slow store takes 250 ms. */
+#define OWNER_TIMEOUT_MS 1200
+/* Left of a caller's deadline for the way back. */
+#define RETURN_MS 150
+/* When a refused caller is to come back. */
+#define RETRY_AFTER_MS 1000
+#define MODULE "desk"
+
+static int64_t
+now_ms(const bp_queuedesk_t *desk)
+{
+	return bp_clock_mono_ms(desk->options.clock);
+}
+
+static void
+clear(gpointer data)
+{
+	bp_deskcall_t *call = data;
+
+	g_free(call->queue);
+	g_free(call->id);
+	if (call->job != NULL)
+		bp__work__job__free_unpacked(call->job, NULL);
+}
+
+/* A call is kept by the desk and by a try in flight. */
+static void
+unref(bp_deskcall_t *call)
+{
+	g_rc_box_release_full(call, clear);
+}
+
+static const char *
+kind_text(bp_deskcall_kind_t kind)
+{
+	switch (kind) {
+	case BP_DESKCALL_SUBMIT:
+		return "submit";
+	case BP_DESKCALL_STATUS:
+		return "status";
+	case BP_DESKCALL_CANCEL:
+		return "cancel";
+	case BP_DESKCALL_COUNT:
+		return "count";
+	}
+	return "";
+}
+
+static const char *
+outcome_text(bp_desk_outcome_t outcome)
+{
+	switch (outcome) {
+	case BP_DESK_OK:
+		return "ok";
+	case BP_DESK_GONE:
+		return "gone";
+	case BP_DESK_NOT_RUN:
+		return "not_run";
+	case BP_DESK_INVALID:
+		return "invalid";
+	case BP_DESK_NOT_KNOWN:
+		return "not_known";
+	}
+	return "";
+}
+
+static void
+log_answer(const bp_deskcall_t *call, const bp_desk_answer_t *answer)
+{
+	char took[32];
+	bool refused = answer->outcome == BP_DESK_NOT_RUN ||
+	    answer->outcome == BP_DESK_NOT_KNOWN ||
+	    answer->outcome == BP_DESK_INVALID;
+
+	if (call->kind == BP_DESKCALL_STATUS && !refused)
+		return;
+	snprintf(took, sizeof(took), "%" G_GINT64_FORMAT,
+	    now_ms(call->desk) - call->start_ms);
+	bp_log(call->desk->options.logger,
+	    refused ? BP_LOG_NOTICE : BP_LOG_INFO, MODULE,
+	    refused ? "call not served" : "call served", "call",
+	    kind_text(call->kind), "job", call->id, "queue", call->queue,
+	    "outcome", outcome_text(answer->outcome), "reason", answer->reason,
+	    "took_ms", took, NULL);
+}
+
+static void
+finish(bp_deskcall_t *call, const bp_desk_answer_t *answer)
+{
+	bp_queuedesk_t *desk = call->desk;
+
+	if (desk == NULL)
+		return;
+	log_answer(call, answer);
+	if (answer->outcome == BP_DESK_OK)
+		bp_histogram_observe(
+		    desk->options.latency, now_ms(desk) - call->start_ms);
+	call->desk = NULL;
+	bp_clock_cancel(desk->options.clock, &call->timer);
+	g_hash_table_remove(desk->calls, call);
+	call->done(answer, call->data);
+	unref(call);
+}
+
+/* What may have taken effect is never told to be not run. */
+void
+bp_deskcall_give_up(bp_deskcall_t *call, const char *reason)
+{
+	bp_desk_answer_t answer = {BP_DESK_NOT_RUN,
+	    BP__WORK__JOB_STATE__JOB_QUEUED, 0, RETRY_AFTER_MS, reason};
+
+	if (call->uncertain)
+		answer.outcome = BP_DESK_NOT_KNOWN;
+	finish(call, &answer);
+}
+
+static gboolean
+on_timer(void *data)
+{
+	bp_deskcall_t *call = data;
+
+	call->timer = 0;
+	if (call->trying) {
+		/* The try in flight is left alone; its answer is late. */
+		call->uncertain = true;
+		bp_deskcall_give_up(call, "the owner did not answer in time");
+		return G_SOURCE_REMOVE;
+	}
+	bp_deskcall_try(call);
+	return G_SOURCE_REMOVE;
+}
+
+static void
+plan(bp_deskcall_t *call, int64_t delay_ms)
+{
+	bp_clock_cancel(call->desk->options.clock, &call->timer);
+	call->timer = bp_clock_after(
+	    call->desk->options.clock, (guint)MAX(delay_ms, 1), on_timer, call);
+}
+
+/* No owner took the call: waits a little for one, then refuses. */
+static void
+again_or_refuse(bp_deskcall_t *call, const char *reason)
+{
+	int64_t waited_ms = now_ms(call->desk) - call->start_ms;
+	int64_t left_ms = call->deadline_ms - now_ms(call->desk);
+
+	bp_membership_refresh(call->desk->options.membership);
+	if ((waited_ms < PATIENCE_MS || call->uncertain) && left_ms > AGAIN_MS)
+		plan(call, AGAIN_MS);
+	else
+		bp_deskcall_give_up(call, reason);
+}
+
+static void
+take_answer(bp_deskcall_t *call, int kind, Bp__Work__JobState state,
+    uint64_t waiting, const char *reason)
+{
+	bp_desk_answer_t answer = {
+	    BP_DESK_OK, state, waiting, RETRY_AFTER_MS, reason};
+
+	switch (kind) {
+	case BP_OK:
+		break;
+	case BP_ENOTFOUND:
+		answer.outcome = BP_DESK_GONE;
+		break;
+	case BP_EINVALID:
+	case BP_EREFUSED:
+		answer.outcome = BP_DESK_INVALID;
+		break;
+	case BP_ESTATE:
+		again_or_refuse(call, reason);
+		return;
+	case BP_ELOGDOWN:
+	case BP_EOVERLOAD:
+	case BP_EDRAINING:
+		bp_deskcall_give_up(call, reason);
+		return;
+	default:
+		call->uncertain = true;
+		again_or_refuse(call, reason);
+		return;
+	}
+	finish(call, &answer);
+}
+
+static void
+on_local(const bp_shard_answer_t *answer, void *data)
+{
+	bp_deskcall_t *call = data;
+
+	call->trying = false;
+	if (call->desk != NULL)
+		take_answer(call, answer->kind, answer->state, answer->waiting,
+		    answer->reason);
+	unref(call);
+}
+
+static void
+try_local(bp_deskcall_t *call, bp_shard_t *shard)
+{
+	bp_shard_answer_t answer = {
+	    BP_OK, BP__WORK__JOB_STATE__JOB_QUEUED, 0, ""};
+
+	(void)g_rc_box_acquire(call);
+	switch (call->kind) {
+	case BP_DESKCALL_SUBMIT:
+		bp_shard_submit(
+		    shard, bp_message_copy(&call->job->base), on_local, call);
+		return;
+	case BP_DESKCALL_CANCEL:
+		bp_shard_cancel(shard, call->queue, call->id, on_local, call);
+		return;
+	case BP_DESKCALL_STATUS:
+		bp_shard_status(shard, call->queue, call->id, &answer);
+		break;
+	case BP_DESKCALL_COUNT:
+		if (!bp_shard_ready(shard))
+			answer.kind = BP_ESTATE;
+		answer.waiting = bp_shard_waiting(shard, call->queue);
+		break;
+	}
+	on_local(&answer, call);
+}
+
+static uint64_t
+arg_number(const Bp__Peer__Frame *frame)
+{
+	return frame->n_args > 0 ? g_ascii_strtoull(frame->args[0], NULL, 10)
+				 : 0;
+}
+
+static void
+on_remote(const Bp__Peer__Frame *frame, const bp_error_t *err, void *data)
+{
+	bp_deskcall_t *call = data;
+	uint64_t number;
+
+	call->trying = false;
+	if (call->desk == NULL) {
+		unref(call);
+		return;
+	}
+	if (frame == NULL) {
+		if (err->kind != BP_EUNREACHABLE)
+			call->uncertain = true;
+		again_or_refuse(call, err->message);
+		unref(call);
+		return;
+	}
+	number = arg_number(frame);
+	take_answer(call, frame->error,
+	    call->kind == BP_DESKCALL_COUNT ? BP__WORK__JOB_STATE__JOB_QUEUED
+					    : (Bp__Work__JobState)number,
+	    call->kind == BP_DESKCALL_COUNT ? number : 0, frame->message);
+	unref(call);
+}
+
+static void
+try_remote(bp_deskcall_t *call, const char *address)
+{
+	Bp__Peer__Frame frame = BP__PEER__FRAME__INIT;
+	int64_t left_ms = call->deadline_ms - now_ms(call->desk);
+	char shard[16];
+	char *args[] = {call->queue, call->id};
+	GBytes *bytes = NULL;
+
+	snprintf(shard, sizeof(shard), "%u", call->shard);
+	frame.args = args;
+	frame.n_args = G_N_ELEMENTS(args);
+	switch (call->kind) {
+	case BP_DESKCALL_SUBMIT:
+		frame.verb = BP__PEER__VERB__VERB_QUEUE_SUBMIT;
+		bytes = bp_message_pack(&call->job->base);
+		bp_message_refer(&frame.body, bytes);
+		break;
+	case BP_DESKCALL_STATUS:
+		frame.verb = BP__PEER__VERB__VERB_QUEUE_STATUS;
+		break;
+	case BP_DESKCALL_CANCEL:
+		frame.verb = BP__PEER__VERB__VERB_QUEUE_CANCEL;
+		break;
+	case BP_DESKCALL_COUNT:
+		frame.verb = BP__PEER__VERB__VERB_QUEUE_COUNT;
+		args[1] = shard;
+		break;
+	}
+	(void)g_rc_box_acquire(call);
+	bp_peer_client_call(call->desk->options.client, address, &frame,
+	    (uint32_t)CLAMP(left_ms, 1, OWNER_TIMEOUT_MS), on_remote, call);
+	g_clear_pointer(&bytes, g_bytes_unref);
+}
+
+/* Tries the call at the owner that is known now. */
+void
+bp_deskcall_try(bp_deskcall_t *call)
+{
+	const bp_queuedesk_options_t *options = &call->desk->options;
+	bp_shard_t *shard = options->owned[call->shard];
+	const char *address =
+	    bp_membership_owner(options->membership, call->shard);
+	int64_t left_ms = call->deadline_ms - now_ms(call->desk);
+
+	if (left_ms <= 0) {
+		bp_deskcall_give_up(call, "the caller's deadline has passed");
+		return;
+	}
+	if (shard != NULL && bp_shard_ready(shard)) {
+		call->trying = true;
+		plan(call, left_ms);
+		try_local(call, shard);
+	} else if (shard == NULL && address != NULL &&
+	    strcmp(address, options->address) != 0) {
+		call->trying = true;
+		plan(call, left_ms);
+		try_remote(call, address);
+	} else {
+		again_or_refuse(call, "the owner of the shard is changing");
+	}
+}
+
+/* See the header. */
+int64_t
+bp_desk_due_ms(const bp_queuedesk_t *desk, uint32_t deadline_ms)
+{
+	return now_ms(desk) + MAX((int64_t)deadline_ms - RETURN_MS, RETURN_MS);
+}
+
+/* See the header. */
+bp_deskcall_t *
+bp_deskcall_new(bp_queuedesk_t *desk, bp_deskcall_kind_t kind,
+    const char *queue, const char *id, bp_desk_done_t done, void *data)
+{
+	bp_deskcall_t *call = g_rc_box_new0(bp_deskcall_t);
+
+	call->desk = desk;
+	call->kind = kind;
+	call->queue = g_strdup(queue);
+	call->id = g_strdup(id);
+	call->shard = bp_sharding_of_job(id, desk->options.shards);
+	call->start_ms = now_ms(desk);
+	call->done = done;
+	call->data = data;
+	g_hash_table_add(desk->calls, call);
+	return call;
+}
--- a/src/queues/desk_serve.c
+++ b/src/queues/desk_serve.c
@@ -1,6 +1,7 @@
 #include "queues/desk.h"
 
 #include "bulrushpost/error.h"
+#include "queues/sharding.h"
 
 #include <stdio.h>
 
@@ -39,7 +40,7 @@
 		answer_frame(request, BP_EINVALID, 0, "the job cannot be read");
 		return;
 	}
-	shard = options->owned[bp_shard_of_job(job->id, options->shards)];
+	shard = options->owned[bp_sharding_of_job(job->id, options->shards)];
 	if (shard == NULL) {
 		answer_frame(request, BP_ESTATE, 0, "not the owner");
 		bp__work__job__free_unpacked(job, NULL);
@@ -85,7 +86,7 @@
 		return;
 	}
 	shard =
-	    options->owned[bp_shard_of_job(frame->args[1], options->shards)];
+	    options->owned[bp_sharding_of_job(frame->args[1], options->shards)];
 	if (shard == NULL) {
 		answer_frame(request, BP_ESTATE, 0, "not the owner");
 		return;
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -1,11 +1,4 @@
-#include "bulrushpost/queuenode.h"
-
-#include "bulrushpost/platform.h"
-#include "node/metricsserver.h"
-#include "queues/desk.h"
-#include "queues/relay.h"
-#include "queues/sharding.h"
-#include "queues/shards.h"
+#include "queues/queuenode_private.h"
 
 #include <glib-unix.h>
 #include <signal.h>
@@ -18,6 +11,7 @@
 #define LOG_LINES_PER_S 100
 #define TOPIC "bulrushpost"
 #define TOPIC_PLAN "bulrushpost-plan"
+/* While draining, what is left is checked so often. */
 #define DRAIN_TICK_MS 50
 /* The balancer needs two misses of its check a second to send no more. */
 #define DRAIN_SERVE_MS 2600
@@ -26,41 +20,13 @@
 #define MS_PER_S 1000
 /* Two hellos may be lost before a node counts as silent. */
 #define HELLO_PERIOD_MS 700
-/* An owner explains from memory. */
-#define WHY_TIMEOUT_MS 2000
 /* Calls of one node on one connection to this one. */
 #define PEER_REQUESTS_MAX 4096
 #define PEER_CONNECTIONS_MAX 256
 
-typedef struct {
-	const bp_settings_t *settings;
-	const bp_clock_t *clock;
-	GMainLoop *loop;
-	bp_logger_t *logger;
-	bp_metrics_t *metrics;
-	bp_timeline_t *timeline;
-	bp_metricsserver_t *metrics_server;
-	bp_histogram_t *latency; /* of served calls */
-	bp_platform_t *platform;
-	bp_peer_client_t *client;
-	bp_peer_server_t *server;
-	bp_membership_t *membership;
-	bp_relay_t *relay;
-	bp_queuedesk_t *desk;
-	bp_catalog_t *catalog;
-	bp_sharding_t *sharding;
-	GHashTable *zones_out; /* set of names */
-	bp_shards_t *shards; /* this and the desk: NULL until it is decided */
-	int failed; /* error that ends the node */
-	int64_t drain_start_ms; /* 0 while serving */
-	guint drain_timer;
-	guint hello_timer;
-	guint signals[3];
-} node_t;
-
 static void
-log_number(
-    const node_t *node, const char *message, const char *key, uint64_t value)
+log_number(const bp_queuenode_t *node, const char *message, const char *key,
+    uint64_t value)
 {
 	char text[32];
 
@@ -72,7 +38,7 @@
 static void
 on_catalog(bp_catalog_t *catalog, void *data)
 {
-	node_t *node = data;
+	bp_queuenode_t *node = data;
 	bp_catalog_t *before = node->catalog;
 
 	node->catalog = catalog;
@@ -87,7 +53,7 @@
 static void
 on_zone(const char *zone, bool out, void *data)
 {
-	node_t *node = data;
+	bp_queuenode_t *node = data;
 
 	bp_log(node->logger, BP_LOG_NOTICE, MODULE,
 	    out ? "zone is out of service" : "zone is back in service", "zone",
@@ -103,7 +69,7 @@
 static void
 on_executor(bp_executor_info_t *info, void *data)
 {
-	node_t *node = data;
+	bp_queuenode_t *node = data;
 
 	bp_sharding_executor(node->sharding, info);
 	if (node->shards != NULL)
@@ -114,7 +80,7 @@
 static void
 on_executor_gone(const char *id, void *data)
 {
-	node_t *node = data;
+	bp_queuenode_t *node = data;
 
 	if (node->shards != NULL)
 		bp_shards_executor_gone(node->shards, id);
@@ -123,7 +89,7 @@
 static void
 on_executors_listed(void *data)
 {
-	node_t *node = data;
+	bp_queuenode_t *node = data;
 
 	bp_sharding_executors_listed(node->sharding);
 	if (node->shards != NULL)
@@ -134,7 +100,7 @@
 static void
 on_follow(bool follow, void *data)
 {
-	node_t *node = data;
+	bp_queuenode_t *node = data;
 
 	bp_platform_follow_executors(node->platform, follow);
 	if (node->membership != NULL)
@@ -144,144 +110,11 @@
 static void
 on_held(const bool *shards, int64_t sent_mono_ms, void *data)
 {
-	node_t *node = data;
+	bp_queuenode_t *node = data;
 
 	bp_shards_held(node->shards, shards, sent_mono_ms);
 }
 
-static void
-answer_text(
-    bp_peer_request_t *request, int kind, const char *message, const char *body)
-{
-	Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
-
-	answer.error = kind;
-	answer.outcome = bp_error_answer(kind)->outcome;
-	answer.message = (char *)message;
-	answer.body.data = (uint8_t *)body;
-	answer.body.len = body != NULL ? strlen(body) : 0;
-	bp_peer_request_answer(request, &answer);
-}
-
-static void
-on_explained(const Bp__Peer__Frame *frame, const bp_error_t *err, void *data)
-{
-	bp_peer_request_t *request = data;
-
-	if (frame != NULL)
-		bp_peer_request_answer(request, frame);
-	else
-		answer_text(request, err->kind, err->message, NULL);
-}
-
-static void
-on_why_dropped(gpointer data)
-{
-	answer_text(data, BP_EUNKNOWN, "the node stops", NULL);
-}
-
-/* The owner of the shard explains; any node can be asked. */
-static void
-forward_why(node_t *node, bp_peer_request_t *request, const char *owner)
-{
-	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
-	Bp__Peer__Frame copy = BP__PEER__FRAME__INIT;
-
-	copy.verb = frame->verb;
-	copy.args = frame->args;
-	copy.n_args = frame->n_args;
-	bp_peer_client_call_full(node->client, owner, &copy, WHY_TIMEOUT_MS,
-	    on_explained, request, on_why_dropped);
-}
-
-static void
-serve_why(node_t *node, bp_peer_request_t *request)
-{
-	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
-	uint32_t number;
-	const char *owner;
-	char *json;
-	char *text;
-
-	if (frame->n_args < 1) {
-		answer_text(request, BP_EINVALID, "a job id is needed", NULL);
-		return;
-	}
-	number =
-	    bp_shard_of_job(frame->args[0], bp_sharding_count(node->sharding));
-	owner = bp_membership_owner(node->membership, number);
-	if (bp_shards_owned(node->shards)[number] == NULL) {
-		if (owner == NULL ||
-		    strcmp(owner, node->settings->listen.control) == 0)
-			answer_text(request, BP_ESTATE,
-			    "the owner of the job's shard is changing", NULL);
-		else
-			forward_why(node, request, owner);
-		return;
-	}
-	json =
-	    bp_shard_why(bp_shards_owned(node->shards)[number], frame->args[0]);
-	text = bp_shard_why_text(
-	    bp_shards_owned(node->shards)[number], frame->args[0]);
-	if (text == NULL)
-		answer_text(request, BP_ENOTFOUND, "no such job", NULL);
-	else
-		answer_text(request, BP_OK, text, json);
-	g_free(json);
-	g_free(text);
-}
-
-static void
-serve_status(node_t *node, bp_peer_request_t *request)
-{
-	GString *text = g_string_new("{\"shards\":[");
-	uint32_t i;
-	bool first = true;
-
-	for (i = 0; i < bp_sharding_count(node->sharding); i++) {
-		char *part;
-
-		if (bp_shards_owned(node->shards)[i] == NULL)
-			continue;
-		part = bp_shard_describe(bp_shards_owned(node->shards)[i]);
-		g_string_append_printf(text, "%s%s", first ? "" : ",", part);
-		first = false;
-		g_free(part);
-	}
-	g_string_append_printf(text, "],\"version\":%" G_GUINT64_FORMAT "}",
-	    node->catalog != NULL ? node->catalog->version : 0);
-	answer_text(request, BP_OK, text->str, text->str);
-	g_string_free(text, TRUE);
-}
-
-static void
-serve_timeline(node_t *node, bp_peer_request_t *request)
-{
-	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
-	bp_timeline_filter_t filter;
-	bp_error_t err = {BP_OK, ""};
-	char *lines;
-
-	if (bp_timeline_filter_parse(
-		&filter, frame->args, frame->n_args, &err) != BP_OK) {
-		answer_text(request, err.kind, err.message, NULL);
-		return;
-	}
-	lines = bp_timeline_lines(node->timeline, &filter, 512 * 1024);
-	answer_text(request, BP_OK, "", lines);
-	g_free(lines);
-}
-
-static void
-serve_hello(node_t *node, bp_peer_request_t *request)
-{
-	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
-
-	if (frame->n_args == 2)
-		bp_relay_heard(node->relay, frame->args[0], frame->args[1]);
-	answer_text(request, BP_OK, "", NULL);
-}
-
 static void
 on_hello(const Bp__Peer__Frame *answer, const bp_error_t *err, void *data)
 {
@@ -295,7 +128,7 @@
 static gboolean
 on_hello_timer(void *data)
 {
-	node_t *node = data;
+	bp_queuenode_t *node = data;
 	Bp__Peer__Frame frame = BP__PEER__FRAME__INIT;
 	char *args[] = {
 	    node->settings->listen.control, node->settings->node.zone};
@@ -316,51 +149,6 @@
 	return G_SOURCE_CONTINUE;
 }
 
-static void
-on_request(bp_peer_request_t *request, void *data)
-{
-	node_t *node = data;
-	char *text;
-
-	if (node->shards == NULL) {
-		answer_text(request, BP_ESTATE, "starting", NULL);
-		return;
-	}
-	switch (bp_peer_request_frame(request)->verb) {
-	case BP__PEER__VERB__VERB_QUEUE_SUBMIT:
-	case BP__PEER__VERB__VERB_QUEUE_STATUS:
-	case BP__PEER__VERB__VERB_QUEUE_CANCEL:
-	case BP__PEER__VERB__VERB_QUEUE_COUNT:
-		bp_queuedesk_serve(node->desk, request);
-		return;
-	case BP__PEER__VERB__VERB_QUEUE_ORDER:
-		bp_relay_serve(node->relay, request);
-		return;
-	case BP__PEER__VERB__VERB_QUEUE_HELLO:
-		serve_hello(node, request);
-		return;
-	case BP__PEER__VERB__VERB_WHY:
-		serve_why(node, request);
-		return;
-	case BP__PEER__VERB__VERB_STATUS:
-		serve_status(node, request);
-		return;
-	case BP__PEER__VERB__VERB_TIMELINE:
-		serve_timeline(node, request);
-		return;
-	case BP__PEER__VERB__VERB_METRICS:
-		text = bp_metrics_text(node->metrics);
-		answer_text(request, BP_OK, "", text);
-		g_free(text);
-		return;
-	default:
-		answer_text(request, BP_EINVALID,
-		    "a node with the service queues does not answer this",
-		    NULL);
-		return;
-	}
-}
-
 /*
  * Shards are handed over first, so that the successor can start; callers
  * are served through it until the balancer has turned away.
@@ -368,7 +156,7 @@
 static gboolean
 on_drain_tick(void *data)
 {
-	node_t *node = data;
+	bp_queuenode_t *node = data;
 	int64_t passed_ms =
 	    bp_clock_mono_ms(node->clock) - node->drain_start_ms;
 	int64_t limit_ms = (int64_t)node->settings->queues.grace_s * MS_PER_S -
@@ -391,7 +179,7 @@
 static gboolean
 on_stop(void *data)
 {
-	node_t *node = data;
+	bp_queuenode_t *node = data;
 
 	if (node->drain_start_ms != 0)
 		return G_SOURCE_CONTINUE;
@@ -403,7 +191,8 @@
 	node->drain_start_ms = bp_clock_mono_ms(node->clock);
 	bp_platform_drain(node->platform);
 	bp_shards_release(node->shards);
-	node->drain_timer = g_timeout_add(DRAIN_TICK_MS, on_drain_tick, node);
+	node->drain_timer =
+	    bp_clock_after(node->clock, DRAIN_TICK_MS, on_drain_tick, node);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -411,60 +200,15 @@
 static gboolean
 on_reload(void *data)
 {
-	node_t *node = data;
+	bp_queuenode_t *node = data;
 
 	bp_log(node->logger, BP_LOG_NOTICE, MODULE,
 	    "settings changed; they take effect at the next start", NULL);
 	return G_SOURCE_CONTINUE;
 }
 
-typedef struct {
-	bp_metrics_t *metrics;
-	char shard[16];
-} collect_t;
-
-static void
-on_count(const char *name, uint64_t value, void *data)
-{
-	const collect_t *to = data;
-	char *series = g_strconcat("bp_shard_", name, NULL);
-
-	bp_metric_set(
-	    bp_metrics_gauge(to->metrics, series, "shard", to->shard, NULL),
-	    (double)value);
-	g_free(series);
-}
-
-static void
-collect(bp_metrics_t *metrics, void *data)
-{
-	node_t *node = data;
-	uint32_t owned = 0;
-	uint32_t i;
-
-	if (node->shards == NULL)
-		return;
-	for (i = 0; i < bp_sharding_count(node->sharding); i++) {
-		const bp_shard_t *shard = bp_shards_owned(node->shards)[i];
-		collect_t to = {metrics, ""};
-
-		if (shard == NULL)
-			continue;
-		owned++;
-		snprintf(to.shard, sizeof(to.shard), "%u", i);
-		bp_shard_counts(shard, on_count, &to);
-	}
-	bp_metric_set(
-	    bp_metrics_gauge(metrics, "bp_shards_owned", NULL), owned);
-	bp_metric_set(bp_metrics_gauge(metrics, "bp_calls_open", NULL),
-	    bp_queuedesk_open(node->desk));
-	bp_metric_set(
-	    bp_metrics_gauge(metrics, "bp_configuration_version", NULL),
-	    node->catalog != NULL ? (double)node->catalog->version : 0);
-}
-
 static int
-build_server(node_t *node, bp_error_t *err)
+build_server(bp_queuenode_t *node, bp_error_t *err)
 {
 	bp_peer_server_options_t server;
 
@@ -474,13 +218,13 @@
 	server.address = node->settings->listen.control;
 	server.connections_max = PEER_CONNECTIONS_MAX;
 	server.requests_max = PEER_REQUESTS_MAX;
-	server.handler = on_request;
+	server.handler = bp_queuenode_serve;
 	server.data = node;
 	return bp_peer_server_new(&node->server, &server, err);
 }
 
 static void
-build_relay(node_t *node)
+build_relay(bp_queuenode_t *node)
 {
 	bp_relay_options_t relay = {0};
 
@@ -491,12 +235,13 @@
 	relay.address = node->settings->listen.control;
 	relay.zone = node->settings->node.zone;
 	node->relay = bp_relay_new(&relay);
+	node->courier = bp_courier_new(relay.direct, relay.zone);
 	node->hello_timer =
-	    g_timeout_add(HELLO_PERIOD_MS, on_hello_timer, node);
+	    bp_clock_after(node->clock, HELLO_PERIOD_MS, on_hello_timer, node);
 }
 
 static void
-build_shards(node_t *node)
+build_shards(bp_queuenode_t *node)
 {
 	const bp_settings_queues_t *queues = &node->settings->queues;
 	bp_shards_options_t options = {0};
@@ -527,7 +272,7 @@
 }
 
 static void
-build_desk(node_t *node)
+build_desk(bp_queuenode_t *node)
 {
 	bp_membership_options_t membership = {0};
 	bp_queuedesk_options_t desk = {0};
@@ -559,7 +304,7 @@
 static void
 on_decided(void *data)
 {
-	node_t *node = data;
+	bp_queuenode_t *node = data;
 	bp_error_t err = {BP_OK, ""};
 
 	build_shards(node);
@@ -573,7 +318,7 @@
 }
 
 static void
-build_sharding(node_t *node)
+build_sharding(bp_queuenode_t *node)
 {
 	bp_sharding_options_t options = {0};
 
@@ -589,7 +334,7 @@
 }
 
 static int
-build(node_t *node, bp_error_t *err)
+build(bp_queuenode_t *node, bp_error_t *err)
 {
 	const bp_settings_t *settings = node->settings;
 	bp_platform_options_t platform = {0};
@@ -624,7 +369,7 @@
 	rc = build_server(node, err);
 	if (rc != BP_OK)
 		return rc;
-	bp_metrics_on_collect(node->metrics, collect, node);
+	bp_metrics_on_collect(node->metrics, bp_queuenode_collect, node);
 	if (settings->listen.metrics != NULL)
 		rc = bp_metricsserver_new(&node->metrics_server,
 		    settings->listen.metrics, node->metrics, err);
@@ -632,14 +377,14 @@
 }
 
 static void
-teardown(node_t *node)
+teardown(bp_queuenode_t *node)
 {
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(node->signals); i++)
 		g_clear_handle_id(&node->signals[i], g_source_remove);
-	g_clear_handle_id(&node->drain_timer, g_source_remove);
-	g_clear_handle_id(&node->hello_timer, g_source_remove);
+	bp_clock_cancel(node->clock, &node->drain_timer);
+	bp_clock_cancel(node->clock, &node->hello_timer);
 	bp_shards_free(node->shards);
 	bp_sharding_free(node->sharding);
 	g_hash_table_unref(node->zones_out);
@@ -648,6 +393,7 @@
 	bp_membership_free(node->membership);
 	bp_peer_client_free(node->client);
 	bp_relay_free(node->relay);
+	bp_courier_free(node->courier);
 	bp_peer_server_free(node->server);
 	bp_platform_free(node->platform);
 	bp_catalog_free(node->catalog);
@@ -662,7 +408,7 @@
 int
 bp_queuenode_run(const bp_settings_t *settings, bp_error_t *err)
 {
-	node_t node = {0};
+	bp_queuenode_t node = {0};
 	int rc;
 
 	node.settings = settings;
--- /dev/null
+++ b/src/queues/queuenode_private.h
@@ -0,0 +1,46 @@
+#ifndef BP_QUEUES_QUEUENODE_PRIVATE_H
+#define BP_QUEUES_QUEUENODE_PRIVATE_H
+
+#include "bulrushpost/platform.h"
+#include "bulrushpost/queuenode.h"
+#include "node/metricsserver.h"
+#include "queues/courier.h"
+#include "queues/desk.h"
+#include "queues/relay.h"
+#include "queues/sharding.h"
+#include "queues/shards.h"
+
+/* The parts of a node with the service queues. */
+typedef struct {
+	const bp_settings_t *settings;
+	const bp_clock_t *clock;
+	GMainLoop *loop;
+	bp_logger_t *logger;
+	bp_metrics_t *metrics;
+	bp_timeline_t *timeline;
+	bp_metricsserver_t *metrics_server;
+	bp_histogram_t *latency; /* of served calls */
+	bp_platform_t *platform;
+	bp_peer_client_t *client;
+	bp_peer_server_t *server;
+	bp_membership_t *membership;
+	bp_relay_t *relay; /* orders of this node's shards */
+	bp_courier_t *courier; /* orders of other owners */
+	bp_queuedesk_t *desk;
+	bp_catalog_t *catalog;
+	bp_sharding_t *sharding;
+	GHashTable *zones_out; /* set of names */
+	bp_shards_t *shards; /* this and the desk: NULL until it is decided */
+	int failed; /* error that ends the node */
+	int64_t drain_start_ms; /* 0 while serving */
+	guint drain_timer;
+	guint hello_timer;
+	guint signals[3];
+} bp_queuenode_t;
+
+/* queuenode_verbs.c: answers a request on the control address. */
+void bp_queuenode_serve(bp_peer_request_t *request, void *data);
+/* queuenode_metrics.c: collects gauges; data is the node. */
+void bp_queuenode_collect(bp_metrics_t *metrics, void *data);
+
+#endif
--- /dev/null
+++ b/src/queues/queuenode_verbs.c
@@ -0,0 +1,187 @@
+#include "queues/queuenode_private.h"
+
+#include <string.h>
+
+/* An owner explains from memory. */
+#define WHY_TIMEOUT_MS 2000
+/* Lines of a timeline in one answer; frames may be larger. */
+#define TIMELINE_BYTES_MAX (512 * 1024)
+
+static void
+answer_text(
+    bp_peer_request_t *request, int kind, const char *message, const char *body)
+{
+	Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
+
+	answer.error = kind;
+	answer.outcome = bp_error_answer(kind)->outcome;
+	answer.message = (char *)message;
+	answer.body.data = (uint8_t *)body;
+	answer.body.len = body != NULL ? strlen(body) : 0;
+	bp_peer_request_answer(request, &answer);
+}
+
+static void
+on_explained(const Bp__Peer__Frame *frame, const bp_error_t *err, void *data)
+{
+	bp_peer_request_t *request = data;
+
+	if (frame != NULL)
+		bp_peer_request_answer(request, frame);
+	else
+		answer_text(request, err->kind, err->message, NULL);
+}
+
+static void
+on_why_dropped(gpointer data)
+{
+	answer_text(data, BP_EUNKNOWN, "the node stops", NULL);
+}
+
+/* The owner of the shard explains; any node can be asked. */
+static void
+forward_why(bp_queuenode_t *node, bp_peer_request_t *request, const char *owner)
+{
+	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
+	Bp__Peer__Frame copy = BP__PEER__FRAME__INIT;
+
+	copy.verb = frame->verb;
+	copy.args = frame->args;
+	copy.n_args = frame->n_args;
+	bp_peer_client_call_full(node->client, owner, &copy, WHY_TIMEOUT_MS,
+	    on_explained, request, on_why_dropped);
+}
+
+static void
+serve_why(bp_queuenode_t *node, bp_peer_request_t *request)
+{
+	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
+	uint32_t number;
+	const char *owner;
+	char *json;
+	char *text;
+
+	if (frame->n_args < 1) {
+		answer_text(request, BP_EINVALID, "a job id is needed", NULL);
+		return;
+	}
+	number = bp_sharding_of_job(
+	    frame->args[0], bp_sharding_count(node->sharding));
+	owner = bp_membership_owner(node->membership, number);
+	if (bp_shards_owned(node->shards)[number] == NULL) {
+		if (owner == NULL ||
+		    strcmp(owner, node->settings->listen.control) == 0)
+			answer_text(request, BP_ESTATE,
+			    "the owner of the job's shard is changing", NULL);
+		else
+			forward_why(node, request, owner);
+		return;
+	}
+	json =
+	    bp_shard_why(bp_shards_owned(node->shards)[number], frame->args[0]);
+	text = bp_shard_why_text(
+	    bp_shards_owned(node->shards)[number], frame->args[0]);
+	if (text == NULL)
+		answer_text(request, BP_ENOTFOUND, "no such job", NULL);
+	else
+		answer_text(request, BP_OK, text, json);
+	g_free(json);
+	g_free(text);
+}
+
+static void
+serve_status(bp_queuenode_t *node, bp_peer_request_t *request)
+{
+	GString *text = g_string_new("{\"shards\":[");
+	uint32_t i;
+	bool first = true;
+
+	for (i = 0; i < bp_sharding_count(node->sharding); i++) {
+		char *part;
+
+		if (bp_shards_owned(node->shards)[i] == NULL)
+			continue;
+		part = bp_shard_describe(bp_shards_owned(node->shards)[i]);
+		g_string_append_printf(text, "%s%s", first ? "" : ",", part);
+		first = false;
+		g_free(part);
+	}
+	g_string_append_printf(text, "],\"version\":%" G_GUINT64_FORMAT "}",
+	    node->catalog != NULL ? node->catalog->version : 0);
+	answer_text(request, BP_OK, text->str, text->str);
+	g_string_free(text, TRUE);
+}
+
+static void
+serve_timeline(bp_queuenode_t *node, bp_peer_request_t *request)
+{
+	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
+	bp_timeline_filter_t filter;
+	bp_error_t err = {BP_OK, ""};
+	char *lines;
+
+	if (bp_timeline_filter_parse(
+		&filter, frame->args, frame->n_args, &err) != BP_OK) {
+		answer_text(request, err.kind, err.message, NULL);
+		return;
+	}
+	lines = bp_timeline_lines(node->timeline, &filter, TIMELINE_BYTES_MAX);
+	answer_text(request, BP_OK, "", lines);
+	g_free(lines);
+}
+
+static void
+serve_hello(bp_queuenode_t *node, bp_peer_request_t *request)
+{
+	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
+
+	if (frame->n_args == 2)
+		bp_relay_heard(node->relay, frame->args[0], frame->args[1]);
+	answer_text(request, BP_OK, "", NULL);
+}
+
+/* See the header. */
+void
+bp_queuenode_serve(bp_peer_request_t *request, void *data)
+{
+	bp_queuenode_t *node = data;
+	char *text;
+
+	if (node->shards == NULL) {
+		answer_text(request, BP_ESTATE, "starting", NULL);
+		return;
+	}
+	switch (bp_peer_request_frame(request)->verb) {
+	case BP__PEER__VERB__VERB_QUEUE_SUBMIT:
+	case BP__PEER__VERB__VERB_QUEUE_STATUS:
+	case BP__PEER__VERB__VERB_QUEUE_CANCEL:
+	case BP__PEER__VERB__VERB_QUEUE_COUNT:
+		bp_queuedesk_serve(node->desk, request);
+		return;
+	case BP__PEER__VERB__VERB_QUEUE_ORDER:
+		bp_courier_serve(node->courier, request);
+		return;
+	case BP__PEER__VERB__VERB_QUEUE_HELLO:
+		serve_hello(node, request);
+		return;
+	case BP__PEER__VERB__VERB_WHY:
+		serve_why(node, request);
+		return;
+	case BP__PEER__VERB__VERB_STATUS:
+		serve_status(node, request);
+		return;
+	case BP__PEER__VERB__VERB_TIMELINE:
+		serve_timeline(node, request);
+		return;
+	case BP__PEER__VERB__VERB_METRICS:
+		text = bp_metrics_text(node->metrics);
+		answer_text(request, BP_OK, "", text);
+		g_free(text);
+		return;
+	default:
+		answer_text(request, BP_EINVALID,
+		    "a node with the service queues does not answer this",
+		    NULL);
+		return;
+	}
+}
--- a/src/queues/relay.c
+++ b/src/queues/relay.c
@@ -28,7 +28,6 @@
 	bp_relay_options_t options;
 	GHashTable *couriers; /* address to courier_t */
 	GHashTable *calls; /* sent_t in flight */
-	GHashTable *served; /* served_t in flight */
 };
 
 typedef struct {
@@ -38,12 +37,6 @@
 	void *data;
 } sent_t;
 
-/* An order of an owner that this node carries out. */
-typedef struct {
-	bp_relay_t *relay;
-	bp_peer_request_t *request;
-} served_t;
-
 static void
 courier_free(gpointer data)
 {
@@ -322,126 +315,6 @@
 	relay->options.direct->forget(relay->options.direct, data);
 }
 
-static void
-put_lists(
-    const bp_exec_result_t *from, Bp__Work__OrderResult *to, GPtrArray *rows)
-{
-	guint i;
-
-	to->lists = true;
-	to->running = g_new0(Bp__Work__RunningRow *, from->running->len);
-	to->ended = g_new0(Bp__Work__EndedRow *, from->ended->len);
-	g_ptr_array_add(rows, to->running);
-	g_ptr_array_add(rows, to->ended);
-	for (i = 0; i < from->running->len; i++) {
-		const bp_look_running_t *row =
-		    &g_array_index(from->running, bp_look_running_t, i);
-		Bp__Work__RunningRow *out = g_new(Bp__Work__RunningRow, 1);
-
-		bp__work__running_row__init(out);
-		out->task = (char *)row->task;
-		out->run = row->run;
-		out->checkpoint = (char *)row->checkpoint;
-		out->percent = row->percent;
-		out->figure = row->figure;
-		to->running[to->n_running++] = out;
-		g_ptr_array_add(rows, out);
-	}
-	for (i = 0; i < from->ended->len; i++) {
-		const bp_look_ended_t *row =
-		    &g_array_index(from->ended, bp_look_ended_t, i);
-		Bp__Work__EndedRow *out = g_new(Bp__Work__EndedRow, 1);
-
-		bp__work__ended_row__init(out);
-		out->number = row->number;
-		out->task = (char *)row->task;
-		out->run = row->run;
-		out->kind = row->kind;
-		out->checkpoint = (char *)row->checkpoint;
-		to->ended[to->n_ended++] = out;
-		g_ptr_array_add(rows, out);
-	}
-}
-
-static void
-on_served(const bp_exec_result_t *result, void *data)
-{
-	served_t *served = data;
-	Bp__Work__OrderResult body = BP__WORK__ORDER_RESULT__INIT;
-	Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
-	GPtrArray *rows = g_ptr_array_new_with_free_func(g_free);
-	GBytes *bytes;
-
-	body.outcome = result->outcome;
-	body.clock_ms = result->clock_ms;
-	body.born_ms = result->born_ms;
-	if (result->running != NULL && result->ended != NULL)
-		put_lists(result, &body, rows);
-	answer.outcome = BP_OUTCOME_RAN;
-	bytes = bp_message_pack(&body.base);
-	bp_message_refer(&answer.body, bytes);
-	g_hash_table_remove(served->relay->served, served);
-	bp_peer_request_answer(served->request, &answer);
-	g_bytes_unref(bytes);
-	g_ptr_array_unref(rows);
-	g_free(served);
-}
-
-static void
-carry_out(bp_relay_t *relay, const Bp__Work__Order *order, served_t *served)
-{
-	bp_executors_t *direct = relay->options.direct;
-	bp_exec_target_t target = {
-	    order->address, order->id, relay->options.zone, order->fence};
-	bp_exec_start_t start = {order->task, order->run, order->payload,
-	    order->deadline_ms, order->checkpoint,
-	    order->ticket[0] != '\0' ? order->ticket : NULL};
-	bp_exec_look_t look = {
-	    order->deadline_ms, order->cursor, order->wait_ms};
-
-	switch (order->kind) {
-	case BP__WORK__ORDER_KIND__ORDER_START:
-		direct->start(direct, &target, &start, on_served, served);
-		break;
-	case BP__WORK__ORDER_KIND__ORDER_STOP:
-		direct->stop(direct, &target, order->task, order->run,
-		    on_served, served);
-		break;
-	case BP__WORK__ORDER_KIND__ORDER_PACE:
-		direct->pace(direct, &target, order->task, order->run,
-		    order->percent, on_served, served);
-		break;
-	case BP__WORK__ORDER_KIND__ORDER_LOOK:
-	case _BP__WORK__ORDER_KIND_IS_INT_SIZE:
-		direct->look(direct, &target, &look, on_served, served);
-		break;
-	}
-}
-
-/* See the header. */
-void
-bp_relay_serve(bp_relay_t *relay, bp_peer_request_t *request)
-{
-	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
-	Bp__Work__Order *order =
-	    bp__work__order__unpack(NULL, frame->body.len, frame->body.data);
-	Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
-	served_t *served;
-
-	if (order == NULL) {
-		answer.error = BP_EINVALID;
-		answer.outcome = BP_OUTCOME_NOT_RUN;
-		bp_peer_request_answer(request, &answer);
-		return;
-	}
-	served = g_new0(served_t, 1);
-	served->relay = relay;
-	served->request = request;
-	g_hash_table_add(relay->served, served);
-	carry_out(relay, order, served);
-	bp__work__order__free_unpacked(order, NULL);
-}
-
 /* Creates a relay that knows no other node yet. */
 bp_relay_t *
 bp_relay_new(const bp_relay_options_t *options)
@@ -452,7 +325,6 @@
 	relay->couriers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, courier_free);
 	relay->calls = g_hash_table_new_full(NULL, NULL, sent_free, NULL);
-	relay->served = g_hash_table_new(NULL, NULL);
 	relay->interface.start = relay_start;
 	relay->interface.stop = relay_stop;
 	relay->interface.look = relay_look;
@@ -465,24 +337,8 @@
 void
 bp_relay_free(bp_relay_t *relay)
 {
-	GList *served;
-	GList *node;
-
 	if (relay == NULL)
 		return;
-	served = g_hash_table_get_keys(relay->served);
-	for (node = served; node != NULL; node = node->next) {
-		Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
-		served_t *open = node->data;
-
-		relay->options.direct->forget(relay->options.direct, open);
-		answer.error = BP_EUNKNOWN;
-		answer.outcome = BP_OUTCOME_NOT_KNOWN;
-		bp_peer_request_answer(open->request, &answer);
-		g_free(open);
-	}
-	g_list_free(served);
-	g_hash_table_unref(relay->served);
 	g_hash_table_unref(relay->calls);
 	g_hash_table_unref(relay->couriers);
 	g_free(relay);
--- a/src/queues/relay.h
+++ b/src/queues/relay.h
@@ -27,7 +27,5 @@
 bp_executors_t *bp_relay_interface(bp_relay_t *relay);
 /* A node says that it lives. */
 void bp_relay_heard(bp_relay_t *relay, const char *address, const char *zone);
-/* Carries out an order of an owner on another node. */
-void bp_relay_serve(bp_relay_t *relay, bp_peer_request_t *request);
 
 #endif
--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -1,7 +1,5 @@
 #include "queues/shard_private.h"
 
-#include "bulrushpost/hash.h"
-
 #include <stdio.h>
 #include <string.h>
 
@@ -9,7 +7,8 @@
 #define ROUND_GAP_MS 4
 /* Period of checking leases, census, due times and ended jobs. */
 #define TICK_MS 100
-/* Silence of all earlier orders: grace and lease, with 3% clock drift. */
+/* Silence of all earlier orders: grace and lease, with 5% of a lease for clock
+ * drift. */
 #define WAIT_OUT_MS \
 	(BP_SHARD_ORDER_GRACE_MS + BP_SHARD_LEASE_MS + BP_SHARD_LEASE_MS / 20)
 #define MS_PER_S 1000
@@ -17,8 +16,6 @@
 #define FIT_TICKS 5
 /* A summary is logged every 2 s. */
 #define SUMMARY_TICKS 20
-#define SEED_JOB 0x6a6f62
-#define SEED_RACK 0x7261636b
 
 /* Returns the process's monotonic time in ms. */
 int64_t
@@ -232,69 +229,6 @@
 	g_list_free(values);
 }
 
-/* What the shard holds, as one line: jobs, tasks, room and pacing. */
-static void
-log_summary(bp_shard_t *shard)
-{
-	uint64_t cpu = 0;
-	uint64_t used = 0;
-	uint32_t fillers = 0;
-	uint32_t pace = 0;
-	uint32_t serving = 0;
-	uint32_t over = 0;
-	uint32_t waiting = 0;
-	uint32_t open = 0;
-	uint32_t urgent = 0;
-	GHashTableIter iter;
-	gpointer value;
-	char text[256];
-	guint i;
-	uint32_t s;
-
-	g_hash_table_iter_init(&iter, shard->execs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const bp_qexec_t *exec = value;
-
-		cpu += exec->info->cpu_milli;
-		used += exec->cpu_used;
-		for (i = 0; i < exec->runs->len; i++) {
-			const bp_qrun_t *run = exec->runs->pdata[i];
-			const Bp__Work__Step *spec;
-
-			if (run->task == NULL)
-				continue;
-			spec = run->task->step->spec;
-			fillers += spec->filler;
-			pace += spec->filler ? run->pace : 0;
-			serving += spec->target_ms > 0;
-			over += spec->target_ms > 0 &&
-			    run->figure > spec->target_ms;
-		}
-	}
-	for (i = 0; i < shard->going->len; i++) {
-		const bp_qjob_t *job = shard->going->pdata[i];
-
-		for (s = 0; s < job->n_steps * job->occurrences; s++) {
-			waiting += job->steps[s].waiting;
-			if (!bp_qstep_open(
-				&job->steps[s], bp_shard_wall_ms(shard)))
-				continue;
-			open += job->steps[s].waiting;
-			if (job->spec->priority == 0)
-				urgent += job->steps[s].waiting;
-		}
-	}
-	snprintf(text, sizeof(text),
-	    "jobs=%u waiting=%u ready=%u urgent=%u cores=%u/%u fillers=%u "
-	    "pace=%u%% "
-	    "serving=%u over=%u",
-	    shard->going->len, waiting, open, urgent, (unsigned)(used / 1000),
-	    (unsigned)(cpu / 1000), fillers, fillers > 0 ? pace / fillers : 0,
-	    serving, over);
-	bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE, "summary",
-	    "state", text, NULL);
-}
-
 static gboolean
 on_tick(void *data)
 {
@@ -310,7 +244,7 @@
 	if (shard->ticks % FIT_TICKS == 0)
 		bp_pairs_fit(shard->pairs);
 	if (++shard->ticks % SUMMARY_TICKS == 0)
-		log_summary(shard);
+		bp_shard_log_summary(shard);
 	if (!bp_journal_idle(shard->journal))
 		return G_SOURCE_CONTINUE;
 	if (!shard->census_done)
@@ -527,18 +461,3 @@
 		return;
 	bp_shard_check_census(shard);
 }
-
-/* Returns the shard of a job. */
-uint32_t
-bp_shard_of_job(const char *id, uint32_t shards)
-{
-	return (uint32_t)(bp_hash_text(id, SEED_JOB) % MAX(shards, 1));
-}
-
-/* Returns the shard of the executors of a rack. */
-uint32_t
-bp_shard_of_rack(const char *zone, const char *rack, uint32_t shards)
-{
-	return (uint32_t)(bp_hash_text(rack, bp_hash_text(zone, SEED_RACK)) %
-	    MAX(shards, 1));
-}
--- /dev/null
+++ b/src/queues/shard_lists.c
@@ -0,0 +1,275 @@
+#include "queues/shard_private.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* An executor lists at most this many ends at a time. */
+#define ENDS_PAGE 500
+/* Failures in a row hold an executor for this time, then twice as long. */
+#define QUARANTINE_MS 4000
+
+/* Returns the task of a name, NULL when the job is not known. */
+bp_qtask_t *
+bp_shard_find_task(const bp_shard_t *shard, const char *name)
+{
+	uint32_t occurrence;
+	uint32_t step;
+	uint32_t index;
+	char *id = NULL;
+	bp_qjob_t *job;
+
+	if (!bp_qtask_parse(name, &id, &occurrence, &step, &index))
+		return NULL;
+	job = g_hash_table_lookup(shard->jobs, id);
+	g_free(id);
+	return job != NULL ? bp_qjob_task(job, occurrence, step, index) : NULL;
+}
+
+static bp_qrun_t *
+find_run(const bp_qexec_t *exec, const char *name, uint64_t number)
+{
+	guint i;
+
+	for (i = 0; i < exec->runs->len; i++) {
+		bp_qrun_t *run = exec->runs->pdata[i];
+
+		if (run->number == number && strcmp(run->name, name) == 0)
+			return run;
+	}
+	return NULL;
+}
+
+/* Failures of several jobs' tasks in a row are the executor's fault. */
+static void
+count_end(bp_qexec_t *exec, bp_end_kind_t kind)
+{
+	bp_shard_t *shard = exec->shard;
+
+	if (kind == BP_END_DONE) {
+		exec->failures = 0;
+		shard->counts_done++;
+	} else if (kind == BP_END_FAILED) {
+		shard->counts_failed++;
+		exec->failures++;
+		if (exec->failures >= shard->options.limits.quarantine_failures)
+			bp_qexec_hold(exec, "quarantined",
+			    QUARANTINE_MS * (exec->failures));
+	}
+}
+
+/* One end of a gang's run, done, stands for all its members. */
+static void
+finish_gang(bp_shard_t *shard, bp_qstep_t *step)
+{
+	uint32_t i;
+
+	for (i = 0; i < step->spec->tasks; i++) {
+		bp_qtask_t *task = &step->tasks[i];
+
+		if (task->run != NULL)
+			bp_qrun_abandon(task->run);
+		bp_qtask_set_state(task, BP_QTASK_DONE);
+	}
+	bp_shard_mark_dirty(shard, step->job);
+}
+
+static void
+task_done(bp_shard_t *shard, bp_qtask_t *task)
+{
+	bp_qjob_t *job = task->step->job;
+
+	if (task->step->spec->lasting || task->state == BP_QTASK_DONE)
+		return;
+	if (task->step->spec->gang) {
+		finish_gang(shard, task->step);
+	} else {
+		if (task->run != NULL) {
+			bp_qrun_t *other = task->run;
+
+			if (other->state == BP_QRUN_PLANNED) {
+				bp_qrun_drop_plan(other);
+				other = NULL;
+			} else {
+				bp_qrun_abandon(other);
+			}
+			if (other != NULL && other->state == BP_QRUN_RUNNING)
+				bp_shard_stop_run(
+				    shard, other, "task is done elsewhere");
+		}
+		bp_qtask_set_state(task, BP_QTASK_DONE);
+	}
+	bp_qjob_settle(job);
+	if (job->state == BP__WORK__JOB_STATE__JOB_COMPLETED)
+		bp_shard_end_job(shard, job, job->state);
+	bp_shard_mark_dirty(shard, job);
+}
+
+static void
+task_failed(bp_qexec_t *exec, bp_qtask_t *task, uint64_t run)
+{
+	bp_qjob_t *job = task->step->job;
+	bool exhausted = bp_qtask_failed(task, run);
+
+	task->failed_on = exec;
+	bp_shard_mark_dirty(exec->shard, job);
+	if (exhausted && !bp_qjob_ended(job)) {
+		bp_log(exec->shard->options.logger, BP_LOG_NOTICE,
+		    BP_SHARD_MODULE, "job failed", "job", job->spec->id,
+		    "reason", "attempts of a task used up", NULL);
+		bp_shard_end_job(
+		    exec->shard, job, BP__WORK__JOB_STATE__JOB_FAILED);
+	}
+}
+
+static void
+take_end(bp_qexec_t *exec, const bp_look_ended_t *end)
+{
+	bp_shard_t *shard = exec->shard;
+	bp_qtask_t *task = bp_shard_find_task(shard, end->task);
+	bp_qrun_t *run = find_run(exec, end->task, end->run);
+
+	if (run != NULL) {
+		count_end(exec, end->kind);
+		bp_qrun_remove(run);
+	}
+	if (task == NULL)
+		return;
+	task->last_run = MAX(task->last_run, end->run);
+	if (end->kind == BP_END_DONE) {
+		task_done(shard, task);
+		return;
+	}
+	if (task->state != BP_QTASK_DONE) {
+		bp_qtask_set_checkpoint(task, end->checkpoint);
+		if (end->checkpoint[0] != '\0')
+			bp_shard_mark_dirty(shard, task->step->job);
+	}
+	if (end->kind == BP_END_FAILED && task->state != BP_QTASK_DONE)
+		task_failed(exec, task, end->run);
+}
+
+/* A run that a task of an earlier owner's epoch wants becomes ours. */
+static bp_qrun_t *
+adopt(bp_qexec_t *exec, const bp_look_running_t *row)
+{
+	bp_qtask_t *task = bp_shard_find_task(exec->shard, row->task);
+	bool wanted = task != NULL && task->state == BP_QTASK_CENSUS &&
+	    !bp_qjob_ended(task->step->job);
+	bp_qrun_t *run = bp_qrun_new(exec, wanted ? task : NULL,
+	    task != NULL ? task->step->spec : NULL, row->task, row->run);
+
+	run->state = BP_QRUN_RUNNING;
+	if (task != NULL)
+		task->last_run = MAX(task->last_run, row->run);
+	if (wanted) {
+		task->step->job->begun = true;
+		bp_qjob_settle(task->step->job);
+	} else {
+		bp_shard_stop_run(exec->shard, run, "not wanted");
+	}
+	return run;
+}
+
+static void
+take_running(bp_qexec_t *exec, const bp_look_running_t *row, GHashTable *seen,
+    uint64_t look_event)
+{
+	bp_qrun_t *run = find_run(exec, row->task, row->run);
+
+	if (run == NULL)
+		run = adopt(exec, row);
+	else if (run->state == BP_QRUN_STARTING)
+		run->state = BP_QRUN_RUNNING;
+	g_hash_table_add(seen, run);
+	run->answer_event = MAX(run->answer_event, look_event);
+	if (run->percent != row->percent) {
+		run->percent = row->percent;
+		run->progress_ms = bp_shard_now_ms(exec->shard);
+	}
+	run->figure = row->figure;
+	if (run->task != NULL)
+		bp_qtask_set_checkpoint(run->task, row->checkpoint);
+	else if (run->state == BP_QRUN_RUNNING)
+		bp_shard_stop_run(exec->shard, run, "not wanted");
+}
+
+/*
+ * Tells whether a run that a whole list does not name is certainly gone. A
+ * list proves nothing about an order that was answered after the look was
+ * sent: answers on different connections overtake each other, and the order
+ * may have been carried out in a newer life than the list tells of. Nor does
+ * it prove anything about a start without an answer: the executor may carry
+ * it out as long as its deadline, which every look moves on, lies ahead. Only
+ * the answer to a stop rules that out.
+ */
+static bool
+is_gone(const bp_qrun_t *run, uint64_t look_event)
+{
+	bool answered = run->answer_event > 0 && run->answer_event < look_event;
+
+	switch (run->state) {
+	case BP_QRUN_PLANNED:
+	case BP_QRUN_STARTING:
+		return false;
+	case BP_QRUN_RUNNING:
+	case BP_QRUN_STOPPING:
+		return answered;
+	}
+	return false;
+}
+
+static void
+drop_missing(bp_qexec_t *exec, GHashTable *seen, uint64_t look_event)
+{
+	guint i;
+
+	for (i = exec->runs->len; i > 0; i--) {
+		bp_qrun_t *run = exec->runs->pdata[i - 1];
+
+		if (g_hash_table_contains(seen, run) ||
+		    !is_gone(run, look_event))
+			continue;
+		if (run->state == BP_QRUN_RUNNING) {
+			exec->shard->counts_lost_runs++;
+			bp_log(exec->shard->options.logger, BP_LOG_NOTICE,
+			    BP_SHARD_MODULE, "run is not listed any more",
+			    "task", run->name, "executor", exec->info->id,
+			    NULL);
+		}
+		bp_qrun_remove(run);
+	}
+}
+
+/*
+ * Takes the lists of an answer; look_event is the shard's count when the
+ * look was sent.
+ */
+void
+bp_shard_take_lists(
+    bp_qexec_t *exec, const bp_exec_result_t *result, uint64_t look_event)
+{
+	GHashTable *seen = g_hash_table_new(NULL, NULL);
+	uint64_t before = exec->seen;
+	guint i;
+
+	for (i = 0; i < result->ended->len; i++) {
+		const bp_look_ended_t *end =
+		    &g_array_index(result->ended, bp_look_ended_t, i);
+
+		if (end->number <= exec->seen)
+			continue;
+		exec->seen = end->number;
+		take_end(exec, end);
+	}
+	for (i = 0; i < result->running->len; i++)
+		take_running(exec,
+		    &g_array_index(result->running, bp_look_running_t, i), seen,
+		    look_event);
+	if (result->ended->len < ENDS_PAGE)
+		drop_missing(exec, seen, look_event);
+	g_hash_table_unref(seen);
+	if (exec->seen != before) {
+		bp_journal_request(exec->shard->journal, false);
+		bp_shard_plan_round(exec->shard, 0);
+	}
+}
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -185,6 +185,9 @@
 void bp_shard_set_lost(bp_shard_t *shard);
 void bp_shard_check_census(bp_shard_t *shard);
 
+/* shard_summary.c */
+void bp_shard_log_summary(bp_shard_t *shard);
+
 /* shard_calls.c */
 void bp_shard_refuse_overdue(bp_shard_t *shard);
 
@@ -229,11 +232,17 @@
 uint64_t bp_shard_next_run(const bp_shard_t *shard, const bp_qtask_t *task);
 void bp_shard_forget_orders(bp_shard_t *shard);
 
-/* shard_looks.c */
+/* shard_lists.c */
 bp_qtask_t *bp_shard_find_task(const bp_shard_t *shard, const char *name);
+void bp_shard_take_lists(
+    bp_qexec_t *exec, const bp_exec_result_t *result, uint64_t look_event);
+
+/* shard_leases.c */
+void bp_shard_check_leases(bp_shard_t *shard);
+
+/* shard_looks.c */
 void bp_shard_look(bp_qexec_t *exec, uint32_t wait_ms);
 void bp_shard_plan_look(bp_qexec_t *exec, uint32_t delay_ms);
-void bp_shard_check_leases(bp_shard_t *shard);
 void bp_shard_forget_looks(bp_shard_t *shard);
 
 /* shard_rounds.c */
--- /dev/null
+++ b/src/queues/shard_summary.c
@@ -0,0 +1,84 @@
+#include "queues/shard_private.h"
+
+#include <stdio.h>
+
+#define MILLI 1000
+
+/* Figures of one line of the log. */
+typedef struct {
+	uint64_t cpu_milli;
+	uint64_t used_milli;
+	uint32_t fillers;
+	uint32_t pace; /* percent, added up over fillers */
+	uint32_t serving;
+	uint32_t over; /* serving tasks over their target */
+	uint32_t waiting;
+	uint32_t ready; /* waiting, with all earlier steps done */
+	uint32_t urgent; /* ready, of the first priority */
+} summary_t;
+
+static void
+add_exec(summary_t *sum, const bp_qexec_t *exec)
+{
+	guint i;
+
+	sum->cpu_milli += exec->info->cpu_milli;
+	sum->used_milli += exec->cpu_used;
+	for (i = 0; i < exec->runs->len; i++) {
+		const bp_qrun_t *run = exec->runs->pdata[i];
+		const Bp__Work__Step *spec;
+
+		if (run->task == NULL)
+			continue;
+		spec = run->task->step->spec;
+		sum->fillers += spec->filler;
+		sum->pace += spec->filler ? run->pace : 0;
+		sum->serving += spec->target_ms > 0;
+		sum->over +=
+		    spec->target_ms > 0 && run->figure > spec->target_ms;
+	}
+}
+
+static void
+add_job(summary_t *sum, const bp_qjob_t *job, int64_t wall_ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < job->n_steps * job->occurrences; i++) {
+		const bp_qstep_t *step = &job->steps[i];
+
+		sum->waiting += step->waiting;
+		if (!bp_qstep_open(step, wall_ms))
+			continue;
+		sum->ready += step->waiting;
+		if (job->spec->priority == 0)
+			sum->urgent += step->waiting;
+	}
+}
+
+/* Logs what the shard holds as one line: jobs, tasks, room and pacing. */
+void
+bp_shard_log_summary(bp_shard_t *shard)
+{
+	summary_t sum = {0};
+	GHashTableIter iter;
+	gpointer value;
+	char text[256];
+	guint i;
+
+	g_hash_table_iter_init(&iter, shard->execs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		add_exec(&sum, value);
+	for (i = 0; i < shard->going->len; i++)
+		add_job(&sum, shard->going->pdata[i], bp_shard_wall_ms(shard));
+	snprintf(text, sizeof(text),
+	    "jobs=%u waiting=%u ready=%u urgent=%u cores=%u/%u fillers=%u "
+	    "pace=%u%% serving=%u over=%u",
+	    shard->going->len, sum.waiting, sum.ready, sum.urgent,
+	    (unsigned)(sum.used_milli / MILLI),
+	    (unsigned)(sum.cpu_milli / MILLI), sum.fillers,
+	    sum.fillers > 0 ? sum.pace / sum.fillers : 0, sum.serving,
+	    sum.over);
+	bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE, "summary",
+	    "state", text, NULL);
+}
--- a/src/queues/sharding.c
+++ b/src/queues/sharding.c
@@ -1,7 +1,7 @@
 #include "queues/sharding.h"
 
 #include "bulrushpost/message.h"
-#include "bulrushpost/shard.h"
+#include "bulrushpost/hash.h"
 #include "proto/work.pb-c.h"
 
 #include <stdio.h>
@@ -19,6 +19,8 @@
  * a list that has not grown for a while, but only so long. */
 #define LIST_AGAIN_MS 1200
 #define LIST_PATIENCE_MS 4500
+#define SEED_JOB 0x6a6f62
+#define SEED_RACK 0x7261636b
 
 struct bp_sharding {
 	bp_sharding_options_t options;
@@ -299,6 +301,13 @@
 	return self->count;
 }
 
+static uint32_t
+rack_by_hash(const char *zone, const char *rack, uint32_t shards)
+{
+	return (uint32_t)(bp_hash_text(rack, bp_hash_text(zone, SEED_RACK)) %
+	    MAX(shards, 1));
+}
+
 /* Returns the shard of a rack; one that the plan lacks goes by its hash. */
 uint32_t
 bp_sharding_of_rack(
@@ -311,5 +320,12 @@
 
 	g_free(key);
 	return planned ? GPOINTER_TO_UINT(value)
-		       : bp_shard_of_rack(zone, rack, self->count);
+		       : rack_by_hash(zone, rack, self->count);
+}
+
+/* See the header. */
+uint32_t
+bp_sharding_of_job(const char *id, uint32_t shards)
+{
+	return (uint32_t)(bp_hash_text(id, SEED_JOB) % MAX(shards, 1));
 }
--- a/src/queues/sharding.h
+++ b/src/queues/sharding.h
@@ -35,6 +35,8 @@
 void bp_sharding_executors_listed(bp_sharding_t *self);
 bool bp_sharding_decided(const bp_sharding_t *self);
 
+/* Returns the shard of a job; every node gives the same. */
+uint32_t bp_sharding_of_job(const char *id, uint32_t shards);
 uint32_t bp_sharding_count(const bp_sharding_t *self);
 uint32_t bp_sharding_of_rack(
     const bp_sharding_t *self, const char *zone, const char *rack);
