Reserve accelerators while a gang is placed; log unreadable records

Placing a gang reserved processors and memory for the members placed so far, but neither accelerators nor their count against the spread limit: a gang of 13 with one accelerator each started on 6 executors with two each. Test: a gang gets its accelerators; red before. Ruled out: counting of single tasks (the sum of runs was right). A record of an executor, an owner or of weights that cannot be read was passed over without a line in the log; now each has one.

--- a/src/queues/pairs.c
+++ b/src/queues/pairs.c
@@ -213,15 +213,15 @@
 	return bytes;
 }
 
-/* See the header. Bytes that cannot be read are passed over. */
-void
+/* See the header. */
+bool
 bp_pairs_load(bp_pairs_t *pairs, const uint8_t *bytes, size_t size_bytes)
 {
 	Bp__Work__Pairs *in = bp__work__pairs__unpack(NULL, size_bytes, bytes);
 	size_t i;
 
 	if (in == NULL)
-		return;
+		return false;
 	for (i = 0; i < in->n_pairs; i++) {
 		const Bp__Work__Pair *pair = in->pairs[i];
 		fit_t *fit = get_fit(pairs, pair->serving);
@@ -231,4 +231,5 @@
 		fit->assumed[term] = fit->weights[term];
 	}
 	bp__work__pairs__free_unpacked(in, NULL);
+	return true;
 }
--- a/src/queues/pairs.h
+++ b/src/queues/pairs.h
@@ -27,9 +27,12 @@
     bp_pairs_t *pairs, const char *serving, double loss, const GArray *changes);
 /* Fits the weights to the samples so far and fades those. */
 void bp_pairs_fit(bp_pairs_t *pairs);
-/* The weights learned so far, serialized, and back; load adds to them. */
+/*
+ * The weights learned so far, serialized, and back; load adds to them and
+ * returns false, with nothing added, for bytes that cannot be read.
+ */
 GBytes *bp_pairs_save(const bp_pairs_t *pairs);
-void bp_pairs_load(bp_pairs_t *pairs, const uint8_t *bytes, size_t size_bytes);
+bool bp_pairs_load(bp_pairs_t *pairs, const uint8_t *bytes, size_t size_bytes);
 /* Calm that a serving image loses per unit of amount. */
 double bp_pairs_weight(
     const bp_pairs_t *pairs, const char *serving, const char *filler);
--- a/src/queues/shard_load.c
+++ b/src/queues/shard_load.c
@@ -2,6 +2,13 @@
 
 #include <string.h>
 
+static void
+log_unreadable(const bp_shard_t *shard, const char *key)
+{
+	bp_log(shard->options.logger, BP_LOG_ERR, BP_SHARD_MODULE,
+	    "a stored record cannot be read", "key", key, NULL);
+}
+
 static void
 load_job(bp_shard_t *shard, const bp_store_record_t *record)
 {
@@ -63,8 +70,10 @@
 	bp_qexec_t *exec;
 	size_t i;
 
-	if (holder == NULL)
+	if (holder == NULL) {
+		log_unreadable(shard, record->key);
 		return;
+	}
 	exec = bp_qexec_get(shard, holder->id);
 	exec->stored = true;
 	exec->waited_before_ms = holder->waited_ms;
@@ -92,8 +101,10 @@
 		return 0;
 	bytes = g_bytes_get_data(record->value, &size);
 	owner = bp__work__owner__unpack(NULL, size, bytes);
-	if (owner == NULL)
+	if (owner == NULL) {
+		log_unreadable(shard, record->key);
 		return 0;
+	}
 	epoch = owner->epoch;
 	bp__work__owner__free_unpacked(owner, NULL);
 	return epoch;
@@ -127,7 +138,8 @@
 	if (record == NULL || record->value == NULL)
 		return;
 	bytes = g_bytes_get_data(record->value, &size);
-	bp_pairs_load(shard->pairs, bytes, size);
+	if (!bp_pairs_load(shard->pairs, bytes, size))
+		log_unreadable(shard, record->key);
 }
 
 /* Builds the state from the keys that were read. */
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -88,6 +88,7 @@
 	uint32_t cpu_used;
 	uint32_t memory_used;
 	uint32_t accelerators_used;
+	uint32_t reserved; /* members of the gang that is being placed */
 	uint32_t looks; /* in flight */
 	uint32_t failures; /* in a row */
 	int64_t held_until_ms; /* mono; nothing is placed there before */
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -39,7 +39,7 @@
 {
 	const Bp__Work__Step *spec = step->spec;
 	uint32_t cpu = spec->filler ? 0 : spec->cpu_milli;
-	uint32_t here = 0;
+	uint32_t here = exec->reserved;
 	guint i;
 
 	if (strcmp(exec->info->service, round->service) != 0)
@@ -216,9 +216,26 @@
 	return best;
 }
 
+/* Takes, or gives back, the room of a gang's member that is being placed. */
+static void
+reserve(bp_qexec_t *exec, const Bp__Work__Step *spec, bool take)
+{
+	if (take) {
+		exec->reserved++;
+		exec->cpu_used += spec->cpu_milli;
+		exec->memory_used += spec->memory_mib;
+		exec->accelerators_used += spec->accelerators;
+	} else {
+		exec->reserved--;
+		exec->cpu_used -= spec->cpu_milli;
+		exec->memory_used -= spec->memory_mib;
+		exec->accelerators_used -= spec->accelerators;
+	}
+}
+
 /*
- * Starts all members of a gang with one run number, or none. Room is taken
- * by runs as they are planned, so the plan is undone when it does not fit.
+ * Plans the starts of all members of a gang with one run number, or none:
+ * room is reserved until the last member has a place.
  */
 static void
 place_gang(round_t *round, bp_qstep_t *step)
@@ -240,13 +257,10 @@
 			break;
 		if (step->spec->same_rack && rack[0] == '\0')
 			rack = plan[planned]->info->rack;
-		plan[planned]->cpu_used += step->spec->cpu_milli;
-		plan[planned]->memory_used += step->spec->memory_mib;
-	}
-	for (i = 0; i < planned; i++) {
-		plan[i]->cpu_used -= step->spec->cpu_milli;
-		plan[i]->memory_used -= step->spec->memory_mib;
+		reserve(plan[planned], step->spec, true);
 	}
+	for (i = 0; i < planned; i++)
+		reserve(plan[i], step->spec, false);
 	if (planned == step->spec->tasks) {
 		step->reason = NULL;
 		for (i = 0; i < planned; i++)
--- a/tests/queues/test_shard.c
+++ b/tests/queues/test_shard.c
@@ -374,6 +374,91 @@
 	finish(rig);
 }
 
+static uint32_t
+running(bp_qrig_t *rig, const char *job)
+{
+	bp_qfleet_t *fleet = bp_qrig_fleet(rig);
+	uint32_t sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < bp_qfleet_size(fleet); i++)
+		sum += bp_qfleet_running_on(fleet, i, job);
+	return sum;
+}
+
+/* A leaving executor gets nothing; what lasts there moves. */
+static void
+test_a_draining_executor_empties(void)
+{
+	bp_qrig_t *rig = started();
+	bp_qfleet_t *fleet = bp_qrig_fleet(rig);
+	const char *lasting;
+	const char *later;
+	uint32_t on = 0;
+
+	lasting = bp_qrig_submit(rig, 6, 0, true);
+	bp_qrig_run_ms(rig, 1000);
+	while (bp_qfleet_running_on(fleet, on, lasting) == 0)
+		on++;
+	bp_qfleet_set_draining(fleet, on, true);
+	bp_qrig_run_ms(rig, 4000);
+	CU_ASSERT_EQUAL(bp_qfleet_running_on(fleet, on, lasting), 0);
+	CU_ASSERT_EQUAL(running(rig, lasting), 6);
+	later = bp_qrig_submit(rig, 12, 0, true);
+	bp_qrig_run_ms(rig, 2000);
+	CU_ASSERT_EQUAL(bp_qfleet_running_on(fleet, on, later), 0);
+	CU_ASSERT_EQUAL(running(rig, later), 12);
+	finish(rig);
+}
+
+/* Guards against placing beside a step's limits; what cannot run waits. */
+static void
+test_label_and_spread_bind(void)
+{
+	const bp_qrig_shape_t spread = {.spread_max = 1};
+	const bp_qrig_shape_t label = {.label = "first"};
+	bp_qrig_t *rig = started();
+	bp_qfleet_t *fleet = bp_qrig_fleet(rig);
+	const char *id;
+	char *why;
+	uint32_t i;
+
+	bp_qrig_set_shape(rig, &label);
+	id = bp_qrig_submit(rig, 3, 0, true);
+	bp_qrig_run_ms(rig, 1000);
+	CU_ASSERT_EQUAL(bp_qfleet_running_on(fleet, 0, id), 3);
+	bp_qrig_set_shape(rig, &spread);
+	id = bp_qrig_submit(rig, 8, 0, true);
+	bp_qrig_run_ms(rig, 1000);
+	for (i = 0; i < bp_qfleet_size(fleet); i++)
+		CU_ASSERT_EQUAL(bp_qfleet_running_on(fleet, i, id), 1);
+	why = bp_qrig_why(rig, id);
+	CU_ASSERT_PTR_NOT_NULL(strstr(why, "spread"));
+	g_free(why);
+	finish(rig);
+}
+
+/* Members of a gang start together; each gets its accelerators. */
+static void
+test_a_gang_gets_its_accelerators(void)
+{
+	const bp_qrig_shape_t gang = {.gang = true, .accelerators = 1};
+	bp_qrig_t *rig = started();
+	bp_qfleet_t *fleet = bp_qrig_fleet(rig);
+	const char *fits;
+	const char *large;
+	uint32_t i;
+
+	bp_qrig_set_shape(rig, &gang);
+	large = bp_qrig_submit(rig, 13, 0, true);
+	fits = bp_qrig_submit(rig, 12, 0, true);
+	bp_qrig_run_ms(rig, 2000);
+	CU_ASSERT_EQUAL(running(rig, large), 0);
+	for (i = 0; i < bp_qfleet_size(fleet); i++)
+		CU_ASSERT_EQUAL(bp_qfleet_running_on(fleet, i, fits), 2);
+	finish(rig);
+}
+
 int
 main(void)
 {
@@ -394,6 +479,9 @@
 	    {"a shard dealt away and back", test_a_shard_dealt_away_and_back},
 	    {"a failing executor is held", test_a_failing_executor_is_held},
 	    {"a zone out gets nothing", test_a_zone_out_gets_nothing},
+	    {"a draining executor empties", test_a_draining_executor_empties},
+	    {"label and spread bind", test_label_and_spread_bind},
+	    {"a gang gets its accelerators", test_a_gang_gets_its_accelerators},
 	    CU_TEST_INFO_NULL,
 	};
 
--- a/tests/support/queuefleet.c
+++ b/tests/support/queuefleet.c
@@ -10,6 +10,7 @@
 #define STOP_MS 150
 #define LEASE_MAX_MS 6000
 #define CPU_MILLI 16000
+#define ACCELERATORS 2
 #define RACK_SIZE 3
 /* A process needs some time to start again. */
 #define REBIRTH_MS 500
@@ -45,6 +46,7 @@
 	bool cut;
 	bool dead; /* between two lives */
 	bool failing;
+	bool draining;
 	GPtrArray *waiting; /* call_t of looks that wait */
 } exec_t;
 
@@ -773,13 +775,23 @@
 	info->service = g_strdup("pool");
 	info->zone = g_strdup(index % 2 == 0 ? "za" : "zb");
 	info->rack = g_strdup_printf("r%u", index / RACK_SIZE);
-	info->labels = g_strdupv((char *[]){"a", info->rack, NULL});
+	info->labels = g_strdupv(
+	    (char *[]){index == 0 ? "first" : "other", info->rack, NULL});
+	info->accelerators = ACCELERATORS;
+	info->draining = exec->draining;
 	info->cpu_milli = CPU_MILLI;
 	info->memory_mib = 64000;
 	info->born_ms = exec->born_ms;
 	return info;
 }
 
+/* Lists the executor as leaving, or not. */
+void
+bp_qfleet_set_draining(bp_qfleet_t *fleet, uint32_t index, bool draining)
+{
+	((exec_t *)fleet->execs->pdata[index])->draining = draining;
+}
+
 /* See the header. */
 void
 bp_qfleet_set_cut(bp_qfleet_t *fleet, uint32_t index, bool cut)
@@ -865,6 +877,22 @@
 	return running;
 }
 
+/* See the header. */
+uint32_t
+bp_qfleet_running_on(const bp_qfleet_t *fleet, uint32_t index, const char *job)
+{
+	const exec_t *exec = fleet->execs->pdata[index];
+	uint32_t running = 0;
+	guint i;
+
+	for (i = 0; i < exec->running->len; i++) {
+		const run_t *run = exec->running->pdata[i];
+
+		running += g_str_has_prefix(run->task, job);
+	}
+	return running;
+}
+
 /* Returns how often a rule was broken. */
 uint32_t
 bp_qfleet_broken(const bp_qfleet_t *fleet)
--- a/tests/support/queuefleet.h
+++ b/tests/support/queuefleet.h
@@ -41,11 +41,15 @@
 void bp_qfleet_crash(bp_qfleet_t *fleet, uint32_t index);
 void bp_qfleet_set_failing(bp_qfleet_t *fleet, uint32_t index, bool failing);
 /* Share of orders, in percent, without answer and done 2 to 12 s later. */
+void bp_qfleet_set_draining(bp_qfleet_t *fleet, uint32_t index, bool draining);
 void bp_qfleet_set_late(bp_qfleet_t *fleet, uint32_t percent);
 void bp_qfleet_set_hold_orders(bp_qfleet_t *fleet, bool hold);
 
 uint32_t bp_qfleet_starts(const bp_qfleet_t *fleet);
 uint32_t bp_qfleet_starts_of(const bp_qfleet_t *fleet, const char *task);
+/* Tasks of a job that run on an executor. */
+uint32_t bp_qfleet_running_on(
+    const bp_qfleet_t *fleet, uint32_t index, const char *job);
 uint32_t bp_qfleet_running_of(const bp_qfleet_t *fleet, const char *task);
 bool bp_qfleet_has_done(const bp_qfleet_t *fleet, const char *task);
 uint32_t bp_qfleet_broken(const bp_qfleet_t *fleet);
--- a/tests/support/queuerig.c
+++ b/tests/support/queuerig.c
@@ -48,6 +48,7 @@
 	uint32_t refusals; /* of these */
 	bp_qrig_told_t cancel_told;
 	int64_t cancelled_ms;
+	bp_qrig_shape_t shape;
 } caller_t;
 
 struct bp_qrig {
@@ -57,6 +58,7 @@
 	bp_qfleet_t *fleet;
 	rig_node_t nodes[BP_QRIG_NODES];
 	GPtrArray *callers; /* caller_t */
+	bp_qrig_shape_t shape; /* of later jobs */
 	GHashTable *by_id;
 	GHashTable *zones_out;
 	bp_sharding_t *sharding;
@@ -568,6 +570,11 @@
 	step->memory_mib = 100;
 	step->expected_ms = (uint32_t)caller->task_ms;
 	step->lasting = caller->lasting;
+	step->spread_max = caller->shape.spread_max;
+	step->accelerators = caller->shape.accelerators;
+	step->gang = caller->shape.gang;
+	if (caller->shape.label != NULL)
+		step->label = strdup(caller->shape.label);
 	if (second) {
 		step->after = calloc(1, sizeof(*step->after));
 		step->n_after = 1;
@@ -620,12 +627,20 @@
 	caller->tasks = tasks;
 	caller->task_ms = task_ms;
 	caller->lasting = lasting;
+	caller->shape = rig->shape;
 	g_ptr_array_add(rig->callers, caller);
 	g_hash_table_insert(rig->by_id, caller->id, caller);
 	hand_in(rig, caller);
 	return caller->id;
 }
 
+/* See the header. */
+void
+bp_qrig_set_shape(bp_qrig_t *rig, const bp_qrig_shape_t *shape)
+{
+	rig->shape = *shape;
+}
+
 /* See the header. */
 void
 bp_qrig_resubmit(bp_qrig_t *rig, const char *id)
--- a/tests/support/queuerig.h
+++ b/tests/support/queuerig.h
@@ -30,6 +30,16 @@
 bp_clock_virtual_t *bp_qrig_clock(bp_qrig_t *rig);
 void bp_qrig_run_ms(bp_qrig_t *rig, int64_t duration_ms);
 
+/* What steps ask for beside room; zeros and NULL for nothing. */
+typedef struct {
+	uint32_t spread_max;
+	uint32_t accelerators;
+	bool gang;
+	const char *label;
+} bp_qrig_shape_t;
+
+/* Sets what the steps of later jobs ask for. */
+void bp_qrig_set_shape(bp_qrig_t *rig, const bp_qrig_shape_t *shape);
 /* A job of two steps, the second after the first; returns its ID. */
 const char *bp_qrig_submit(
     bp_qrig_t *rig, uint32_t tasks, int64_t task_ms, bool lasting);
