--- a/src/queues/pairs.h
+++ b/src/queues/pairs.h
@@ -2,6 +2,7 @@
 #define BP_QUEUES_PAIRS_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 /*
