--- a/include/bulrushpost/clock.h
+++ b/include/bulrushpost/clock.h
@@ -33,6 +33,16 @@
 /* Ends a timer and sets its id to 0; an id of 0 is allowed. */
 void bp_clock_cancel(const bp_clock_t *clock, guint *id);
 
+/*
+ * The clock of the operating system with timers of its own, all behind one
+ * source of the main loop.
+ */
+typedef struct bp_clock_loop bp_clock_loop_t;
+
+bp_clock_loop_t *bp_clock_loop_new(void);
+void bp_clock_loop_free(bp_clock_loop_t *clock);
+const bp_clock_t *bp_clock_loop_clock(const bp_clock_loop_t *clock);
+
 bp_clock_virtual_t *bp_clock_virtual_new(int64_t start_ms);
 void bp_clock_virtual_free(bp_clock_virtual_t *clock);
 const bp_clock_t *bp_clock_virtual_clock(const bp_clock_virtual_t *clock);
--- a/include/bulrushpost/settings.h
+++ b/include/bulrushpost/settings.h
@@ -16,6 +16,8 @@
 	bool gateway; /* node.services lists gateway */
 	bool scheduler; /* node.services lists scheduler */
 	bool queues; /* node.services lists queues */
+	uint32_t processor_share_milli; /* of each processor, for this node */
+	uint32_t processors; /* cores, or how many times as fast as one */
 } bp_settings_node_t;
 
 typedef struct {
--- a/src/core/clock.c
+++ b/src/core/clock.c
@@ -1,4 +1,5 @@
 #include "bulrushpost/clock.h"
+#include "core/timers.h"
 
 #include <glib.h>
 
@@ -12,19 +13,9 @@
 	bp_clock_t clock;
 	int64_t mono_us;
 	int64_t wall_offset_us;
-	GSequence *timers; /* vtimer_t, earliest first */
-	GHashTable *by_id; /* id to its place in timers */
-	guint last_id;
+	bp_timers_t *timers;
 };
 
-typedef struct {
-	int64_t due_us;
-	guint id;
-	uint32_t delay_ms;
-	GSourceFunc call;
-	void *data;
-} vtimer_t;
-
 /* CLOCK_BOOTTIME also counts the time that the VM spent suspended. */
 static int
 system_mono(const bp_clock_t *clock, struct timespec *out)
@@ -132,72 +123,21 @@
 	return 0;
 }
 
-static gint
-compare_timers(gconstpointer a, gconstpointer b, gpointer data)
-{
-	const vtimer_t *x = a;
-	const vtimer_t *y = b;
-
-	(void)data;
-	if (x->due_us != y->due_us)
-		return x->due_us < y->due_us ? -1 : 1;
-	return x->id < y->id ? -1 : x->id > y->id;
-}
-
-static void
-insert_timer(bp_clock_virtual_t *self, vtimer_t *timer)
-{
-	g_hash_table_insert(self->by_id, GUINT_TO_POINTER(timer->id),
-	    g_sequence_insert_sorted(
-		self->timers, timer, compare_timers, NULL));
-}
-
 static guint
 virtual_after(
     const bp_clock_t *clock, uint32_t delay_ms, GSourceFunc call, void *data)
 {
 	bp_clock_virtual_t *self = (bp_clock_virtual_t *)clock;
-	vtimer_t *timer = g_new0(vtimer_t, 1);
-
-	timer->id = ++self->last_id;
-	timer->due_us = self->mono_us + (int64_t)delay_ms * US_PER_MS;
-	timer->delay_ms = delay_ms;
-	timer->call = call;
-	timer->data = data;
-	insert_timer(self, timer);
-	return timer->id;
+
+	return bp_timers_add(self->timers, self->mono_us, delay_ms, call, data);
 }
 
 static void
 virtual_cancel(const bp_clock_t *clock, guint id)
 {
 	bp_clock_virtual_t *self = (bp_clock_virtual_t *)clock;
-	GSequenceIter *place =
-	    g_hash_table_lookup(self->by_id, GUINT_TO_POINTER(id));
 
-	if (place == NULL)
-		return;
-	g_hash_table_remove(self->by_id, GUINT_TO_POINTER(id));
-	g_free(g_sequence_get(place));
-	g_sequence_remove(place);
-}
-
-/* A repeated timer keeps its id; it may be cancelled by its own call. */
-static void
-fire(bp_clock_virtual_t *self, GSequenceIter *place)
-{
-	vtimer_t timer = *(vtimer_t *)g_sequence_get(place);
-
-	virtual_cancel(&self->clock, timer.id);
-	self->mono_us = MAX(self->mono_us, timer.due_us);
-	if (timer.call(timer.data) == G_SOURCE_CONTINUE) {
-		vtimer_t *again = g_new0(vtimer_t, 1);
-
-		*again = timer;
-		again->due_us =
-		    self->mono_us + (int64_t)timer.delay_ms * US_PER_MS;
-		insert_timer(self, again);
-	}
+	bp_timers_cancel(self->timers, id);
 }
 
 /* See the header. */
@@ -205,14 +145,12 @@
 bp_clock_virtual_run_ms(bp_clock_virtual_t *clock, int64_t duration_ms)
 {
 	int64_t until_us = clock->mono_us + duration_ms * US_PER_MS;
-	GSequenceIter *first;
-
-	for (;;) {
-		first = g_sequence_get_begin_iter(clock->timers);
-		if (g_sequence_iter_is_end(first) ||
-		    ((vtimer_t *)g_sequence_get(first))->due_us > until_us)
-			break;
-		fire(clock, first);
+	bp_timer_t timer;
+
+	while (bp_timers_take(clock->timers, until_us, &timer)) {
+		clock->mono_us = MAX(clock->mono_us, timer.due_us);
+		if (timer.call(timer.data) == G_SOURCE_CONTINUE)
+			bp_timers_repeat(clock->timers, &timer, clock->mono_us);
 	}
 	clock->mono_us = until_us;
 }
@@ -230,8 +168,7 @@
 	self->clock.wall = virtual_wall;
 	self->clock.after = virtual_after;
 	self->clock.cancel = virtual_cancel;
-	self->timers = g_sequence_new(NULL);
-	self->by_id = g_hash_table_new(NULL, NULL);
+	self->timers = bp_timers_new();
 	self->mono_us = start_ms * US_PER_MS;
 	return self;
 }
@@ -240,16 +177,9 @@
 void
 bp_clock_virtual_free(bp_clock_virtual_t *clock)
 {
-	GSequenceIter *place;
-
 	if (clock == NULL)
 		return;
-	for (place = g_sequence_get_begin_iter(clock->timers);
-	     !g_sequence_iter_is_end(place);
-	     place = g_sequence_iter_next(place))
-		g_free(g_sequence_get(place));
-	g_sequence_free(clock->timers);
-	g_hash_table_unref(clock->by_id);
+	bp_timers_free(clock->timers);
 	g_free(clock);
 }
 
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <string.h>
 
+#define MILLI 1000
 #define HEADROOM_MS 300 /* claim and session after a node's death */
 /* A record must hold the largest rule file of 32 KiB. */
 #define RECORD_BYTES_MIN 36864
@@ -20,7 +21,8 @@
 	TYPE_SERVICES,
 	TYPE_LEVEL,
 	TYPE_ORDER,
-	TYPE_NUMBER
+	TYPE_NUMBER,
+	TYPE_SHARE
 } type_t;
 
 /* One key of the file. low, high and standard are for numbers. */
@@ -44,11 +46,19 @@
 		    low, high, standard                                       \
 	}
 
+#define SHARE(member, path)                                                  \
+	{                                                                    \
+		path, TYPE_SHARE, false, offsetof(bp_settings_t, member), 1, \
+		    MILLI, MILLI                                             \
+	}
+
 /*
  * The standard values are those of docs/design.md. The ranges end where a
  * value would break a promise there, such as a zone out within 3 s.
  */
 static const row_t rows[] = {
+    SHARE(node.processor_share_milli, "node.processor_share"),
+    NUMBER(node.processors, 1, 1024, 1),
     TEXT("node.name", TYPE_NAME, true, node.name),
     TEXT("node.zone", TYPE_NAME, true, node.zone),
     TEXT("node.services", TYPE_SERVICES, true, node),
@@ -123,7 +133,7 @@
 	settings->policy.batch_order = BP_ORDER_FIFO;
 	settings->peers = g_new0(char *, 1);
 	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
-		if (rows[i].type == TYPE_NUMBER)
+		if (rows[i].type == TYPE_NUMBER || rows[i].type == TYPE_SHARE)
 			*(uint32_t *)member(settings, &rows[i]) =
 			    rows[i].standard;
 	}
@@ -179,6 +189,24 @@
 		*(uint32_t *)member(settings, row) = (uint32_t)value;
 }
 
+/* A share of a processor, written as a decimal fraction. */
+static void
+set_share(bp_settings_file_t *file, bp_settings_t *settings, const row_t *row,
+    const bp_settings_item_t *item)
+{
+	char *end = NULL;
+	double value = g_ascii_strtod(item->scalar, &end);
+	double milli = value * row->standard;
+
+	if (item->quoted || end == item->scalar || *end != '\0' ||
+	    !(milli >= row->low && milli <= row->high))
+		bp_settings_problem(file, item->line, row->path,
+		    "\"%.40s\" is not a share from 0.001 to 1 (standard 1)",
+		    item->scalar);
+	else
+		*(uint32_t *)member(settings, row) = (uint32_t)(milli + 0.5);
+}
+
 static void
 set_level(bp_settings_file_t *file, bp_settings_t *settings,
     const bp_settings_item_t *item)
@@ -212,6 +240,9 @@
 	case TYPE_NUMBER:
 		set_number(file, settings, row, item);
 		return;
+	case TYPE_SHARE:
+		set_share(file, settings, row, item);
+		return;
 	case TYPE_LEVEL:
 		set_level(file, settings, item);
 		return;
--- a/src/node/link.c
+++ b/src/node/link.c
@@ -1,32 +1,35 @@
 #include "node/link.h"
 
 #include "bulrushpost/frame.h"
+#include "bulrushpost/message.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
 #define READ_BYTES 16384
+/* After all that this turn of the loop has read. */
+#define FLUSH_PRIORITY (G_PRIORITY_DEFAULT + 1)
 /* Timeouts are checked this often in their own length. */
 #define TICKS_PER_TIMEOUT 4
 
 struct bp_link {
 	GSocketConnection *connection;
-	GCancellable *cancel;
+	GSocket *socket; /* of the connection */
+	GSource *reader;
+	GSource *writer; /* waits for room; NULL while writes do not block */
+	guint flush; /* source that writes what this turn of the loop queued */
 	bp_frame_decoder_t *decoder;
 	bp_link_options_t options;
-	GByteArray *writing; /* handed to the stream */
-	size_t written; /* of writing */
-	GByteArray *queued; /* behind writing */
+	GByteArray *unsent;
+	size_t written; /* of unsent */
 	int64_t active_ms; /* last whole frame in either direction */
 	int64_t progress_ms; /* last progress of a write */
 	guint tick;
-	bool write_busy;
 	bool closed;
 	uint8_t buffer[READ_BYTES];
 };
 
-static void start_read(bp_link_t *link);
-static void start_write(bp_link_t *link);
+static void flush(bp_link_t *link);
 
 /* Takes a reference. */
 bp_link_t *
@@ -35,6 +38,15 @@
 	return g_rc_box_acquire(link);
 }
 
+static void
+drop_source(GSource **source)
+{
+	if (*source == NULL)
+		return;
+	g_source_destroy(*source);
+	g_clear_pointer(source, g_source_unref);
+}
+
 static void
 clear_link(gpointer data)
 {
@@ -42,10 +54,8 @@
 
 	bp_link_close(link);
 	g_object_unref(link->connection);
-	g_object_unref(link->cancel);
 	bp_frame_decoder_free(link->decoder);
-	g_byte_array_unref(link->writing);
-	g_byte_array_unref(link->queued);
+	g_byte_array_unref(link->unsent);
 }
 
 /* Drops a reference; the last one frees the link. NULL is allowed. */
@@ -58,7 +68,7 @@
 
 /*
  * Closes the link without a callback. The socket is shut down at once and
- * closed with the last reference: pending operations still poll it.
+ * closed with the last reference.
  */
 void
 bp_link_close(bp_link_t *link)
@@ -66,10 +76,11 @@
 	if (link->closed)
 		return;
 	link->closed = true;
-	g_clear_handle_id(&link->tick, g_source_remove);
-	g_cancellable_cancel(link->cancel);
-	g_socket_shutdown(
-	    g_socket_connection_get_socket(link->connection), TRUE, TRUE, NULL);
+	bp_clock_cancel(link->options.clock, &link->tick);
+	g_clear_handle_id(&link->flush, g_source_remove);
+	drop_source(&link->reader);
+	drop_source(&link->writer);
+	g_socket_shutdown(link->socket, TRUE, TRUE, NULL);
 }
 
 static void
@@ -104,7 +115,7 @@
 	bp_link_t *link = data;
 	int64_t now = now_ms(link);
 
-	if (link->write_busy &&
+	if (link->unsent->len > 0 &&
 	    now - link->progress_ms > (int64_t)link->options.stall_ms) {
 		link->tick = 0;
 		fail_with(link, BP_EOVERLOAD, "the peer reads too slowly");
@@ -130,7 +141,6 @@
 	}
 	link->active_ms = now_ms(link);
 	link->options.on_frame(link, frame, link->options.data);
-	bp__peer__frame__free_unpacked(frame, NULL);
 }
 
 static void
@@ -149,108 +159,148 @@
 		fail(link, &err);
 }
 
-static void
-on_read(GObject *source, GAsyncResult *result, gpointer data)
+/* Reads once; what is left wakes the loop again. */
+static gboolean
+on_readable(GSocket *socket, GIOCondition condition, gpointer data)
 {
 	bp_link_t *link = data;
-	gssize n =
-	    g_input_stream_read_finish(G_INPUT_STREAM(source), result, NULL);
-
-	if (!link->closed && n <= 0) {
+	GError *error = NULL;
+	gssize n = g_socket_receive_with_blocking(
+	    socket, (gchar *)link->buffer, READ_BYTES, FALSE, NULL, &error);
+
+	(void)condition;
+	if (n < 0 &&
+	    g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
+		g_error_free(error);
+		return G_SOURCE_CONTINUE;
+	}
+	g_clear_error(&error);
+	bp_link_ref(link);
+	if (n <= 0) {
 		fail_with(link, BP_EUNKNOWN, "the peer closed the connection");
-	} else if (!link->closed) {
+	} else {
 		bp_frame_decoder_push(link->decoder, link->buffer, (size_t)n);
 		take_frames(link);
 	}
-	if (!link->closed)
-		start_read(link);
 	bp_link_unref(link);
+	return G_SOURCE_CONTINUE;
 }
 
-static void
-start_read(bp_link_t *link)
+static gboolean
+on_writable(GSocket *socket, GIOCondition condition, gpointer data)
 {
-	GInputStream *stream =
-	    g_io_stream_get_input_stream(G_IO_STREAM(link->connection));
+	bp_link_t *link = data;
 
-	g_input_stream_read_async(stream, link->buffer, READ_BYTES,
-	    G_PRIORITY_DEFAULT, link->cancel, on_read, bp_link_ref(link));
+	(void)socket;
+	(void)condition;
+	bp_link_ref(link);
+	flush(link);
+	bp_link_unref(link);
+	return G_SOURCE_CONTINUE;
 }
 
 static void
-on_written(GObject *source, GAsyncResult *result, gpointer data)
+wait_for_room(bp_link_t *link)
 {
-	bp_link_t *link = data;
-	gssize n =
-	    g_output_stream_write_finish(G_OUTPUT_STREAM(source), result, NULL);
+	if (link->writer != NULL)
+		return;
+	link->writer = g_socket_create_source(link->socket, G_IO_OUT, NULL);
+	g_source_set_callback(
+	    link->writer, G_SOURCE_FUNC(on_writable), link, NULL);
+	(void)g_source_attach(link->writer, NULL);
+}
 
-	link->write_busy = false;
-	if (!link->closed && n < 0) {
-		fail_with(link, BP_EUNKNOWN, "the connection is broken");
-	} else if (!link->closed) {
+/* Writes until all is sent or the connection takes no more. */
+static void
+flush(bp_link_t *link)
+{
+	GError *error = NULL;
+
+	while (!link->closed && link->written < link->unsent->len) {
+		gssize n = g_socket_send_with_blocking(link->socket,
+		    (const gchar *)link->unsent->data + link->written,
+		    link->unsent->len - link->written, FALSE, NULL, &error);
+
+		if (n < 0 &&
+		    g_error_matches(
+			error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
+			g_error_free(error);
+			wait_for_room(link);
+			return;
+		}
+		g_clear_error(&error);
+		if (n < 0) {
+			fail_with(
+			    link, BP_EUNKNOWN, "the connection is broken");
+			return;
+		}
 		link->written += (size_t)n;
 		link->progress_ms = now_ms(link);
-		start_write(link);
 	}
+	g_byte_array_set_size(link->unsent, 0);
+	link->written = 0;
+	drop_source(&link->writer);
+}
+
+static gboolean
+on_flush(gpointer data)
+{
+	bp_link_t *link = data;
+
+	link->flush = 0;
+	bp_link_ref(link);
+	flush(link);
 	bp_link_unref(link);
+	return G_SOURCE_REMOVE;
 }
 
+/* Frames of one turn of the loop are written together. */
 static void
-start_write(bp_link_t *link)
+plan_flush(bp_link_t *link)
 {
-	GOutputStream *stream =
-	    g_io_stream_get_output_stream(G_IO_STREAM(link->connection));
-	GByteArray *empty = link->writing;
-
-	if (link->write_busy)
-		return;
-	if (link->written == link->writing->len) {
-		g_byte_array_set_size(empty, 0);
-		link->writing = link->queued;
-		link->queued = empty;
-		link->written = 0;
-	}
-	if (link->writing->len == 0)
-		return;
-	link->write_busy = true;
-	g_output_stream_write_async(stream, link->writing->data + link->written,
-	    link->writing->len - link->written, G_PRIORITY_DEFAULT,
-	    link->cancel, on_written, bp_link_ref(link));
+	if (link->flush == 0 && link->writer == NULL)
+		link->flush =
+		    g_idle_add_full(FLUSH_PRIORITY, on_flush, link, NULL);
 }
 
 /*
- * Queues a frame. Returns BP_ETOOLARGE for one over the frame limit and
- * BP_EUNREACHABLE when the link is closed or its peer reads too slowly; the
- * frame was then not queued.
+ * Queues a packed frame. Returns BP_ETOOLARGE for one over the frame limit
+ * and BP_EUNREACHABLE when the link is closed or its peer reads too slowly;
+ * the frame was then not queued.
  */
 int
-bp_link_send(bp_link_t *link, const Bp__Peer__Frame *frame, bp_error_t *err)
+bp_link_send_packed(
+    bp_link_t *link, const uint8_t *body, size_t size_bytes, bp_error_t *err)
 {
-	size_t size_bytes = bp__peer__frame__get_packed_size(frame);
-	uint8_t *body;
-	int rc;
-
 	if (link->closed)
 		return bp_error_set(
 		    err, BP_EUNREACHABLE, "the connection is closed");
 	if (size_bytes > BP_FRAME_MAX_BYTES)
 		return bp_error_set(err, BP_ETOOLARGE,
 		    "%zu bytes do not fit a frame", size_bytes);
-	if (link->queued->len + link->writing->len - link->written +
-		size_bytes >
+	if (link->unsent->len - link->written + size_bytes >
 	    link->options.unsent_bytes_max) {
 		fail_with(link, BP_EOVERLOAD, "the peer reads too slowly");
 		return bp_error_set(
 		    err, BP_EUNREACHABLE, "the peer reads too slowly");
 	}
-	body = g_malloc(MAX(size_bytes, 1));
-	(void)bp__peer__frame__pack(frame, body);
-	rc = bp_frame_append(link->queued, body, size_bytes, err);
-	g_free(body);
 	link->active_ms = now_ms(link);
-	if (!link->write_busy)
+	if (link->unsent->len == 0)
 		link->progress_ms = link->active_ms;
-	start_write(link);
+	plan_flush(link);
+	return bp_frame_append(link->unsent, body, size_bytes, err);
+}
+
+/* Queues a frame; see bp_link_send_packed. */
+int
+bp_link_send(bp_link_t *link, const Bp__Peer__Frame *frame, bp_error_t *err)
+{
+	GBytes *bytes = bp_message_pack(&frame->base);
+	gsize size_bytes = 0;
+	const uint8_t *body = g_bytes_get_data(bytes, &size_bytes);
+	int rc = bp_link_send_packed(link, body, size_bytes, err);
+
+	g_bytes_unref(bytes);
 	return rc;
 }
 
@@ -262,17 +312,19 @@
 	uint32_t shortest = MIN(options->idle_ms, options->stall_ms);
 
 	link->connection = g_object_ref(connection);
-	link->cancel = g_cancellable_new();
+	link->socket = g_socket_connection_get_socket(connection);
 	link->decoder = bp_frame_decoder_new();
 	link->options = *options;
-	link->writing = g_byte_array_new();
-	link->queued = g_byte_array_new();
+	link->unsent = g_byte_array_new();
 	link->active_ms = now_ms(link);
 	/* Frames are small and complete; waiting to join them adds delay. */
-	(void)g_socket_set_option(g_socket_connection_get_socket(connection),
-	    IPPROTO_TCP, TCP_NODELAY, 1, NULL);
-	link->tick =
-	    g_timeout_add(MAX(shortest / TICKS_PER_TIMEOUT, 1), on_tick, link);
-	start_read(link);
+	(void)g_socket_set_option(
+	    link->socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+	link->tick = bp_clock_after(link->options.clock,
+	    MAX(shortest / TICKS_PER_TIMEOUT, 1), on_tick, link);
+	link->reader = g_socket_create_source(link->socket, G_IO_IN, NULL);
+	g_source_set_callback(
+	    link->reader, G_SOURCE_FUNC(on_readable), link, NULL);
+	(void)g_source_attach(link->reader, NULL);
 	return link;
 }
--- a/src/node/link.h
+++ b/src/node/link.h
@@ -16,9 +16,8 @@
 	uint32_t idle_ms;
 	uint32_t unsent_bytes_max;
 	uint32_t stall_ms;
-	/* Frames are valid during the call only. */
-	void (*on_frame)(
-	    bp_link_t *link, const Bp__Peer__Frame *frame, void *data);
+	/* Takes the frame. */
+	void (*on_frame)(bp_link_t *link, Bp__Peer__Frame *frame, void *data);
 	/* Called once when the link closes other than by bp_link_close. */
 	void (*on_closed)(bp_link_t *link, const bp_error_t *err, void *data);
 	void *data;
@@ -30,6 +29,8 @@
 void bp_link_unref(bp_link_t *link);
 /* Closes without a callback; the caller keeps its reference. */
 void bp_link_close(bp_link_t *link);
+int bp_link_send_packed(
+    bp_link_t *link, const uint8_t *body, size_t size_bytes, bp_error_t *err);
 int bp_link_send(
     bp_link_t *link, const Bp__Peer__Frame *frame, bp_error_t *err);
 
--- a/src/node/peer_client.c
+++ b/src/node/peer_client.c
@@ -26,12 +26,15 @@
 	bp_link_t *link; /* NULL unless connected */
 	GCancellable *connecting; /* NULL unless connecting */
 	GHashTable *calls; /* correlation to call_t */
+	GArray *unsent; /* correlations, in order; some may have ended */
+	guint sending; /* source that sends them; 0 for none */
 	int64_t heard_us; /* mono, of the last frame */
 } peer_t;
 
 typedef struct {
 	peer_t *peer;
-	Bp__Peer__Frame *request; /* NULL once sent */
+	const bp_clock_t *clock;
+	GBytes *request; /* packed; NULL once sent */
 	uint64_t correlation;
 	Bp__Peer__Verb verb;
 	bool sent;
@@ -47,9 +50,8 @@
 {
 	call_t *call = data;
 
-	g_clear_handle_id(&call->timer, g_source_remove);
-	if (call->request != NULL)
-		bp__peer__frame__free_unpacked(call->request, NULL);
+	bp_clock_cancel(call->clock, &call->timer);
+	g_clear_pointer(&call->request, g_bytes_unref);
 	g_free(call);
 }
 
@@ -70,6 +72,7 @@
 	peer_t *peer = data;
 
 	g_hash_table_unref(peer->calls);
+	g_array_unref(peer->unsent);
 	g_clear_object(&peer->connecting);
 	bp_link_unref(peer->link);
 	g_free(peer->address);
@@ -150,7 +153,7 @@
 }
 
 static void
-on_frame(bp_link_t *link, const Bp__Peer__Frame *frame, void *data)
+on_frame(bp_link_t *link, Bp__Peer__Frame *frame, void *data)
 {
 	peer_t *peer = data;
 	call_t *call = g_hash_table_lookup(peer->calls, &frame->correlation);
@@ -158,40 +161,43 @@
 
 	if (peer->client != NULL)
 		peer->heard_us = bp_clock_mono_us(peer->client->clock);
-	/* A late answer: its call has already ended with its time limit. */
-	if (call == NULL || !frame->answer)
-		return;
-	if (frame->verb != call->verb) {
+	/* Without a call it is a late answer: that ended with its limit. */
+	if (call != NULL && frame->answer && frame->verb != call->verb) {
 		(void)bp_error_set(&err, BP_EMISMATCH,
 		    "%s: an answer to another request was discarded",
 		    peer->address);
 		finish(call, NULL, &err);
-		return;
+	} else if (call != NULL && frame->answer) {
+		finish(call, frame, NULL);
 	}
-	finish(call, frame, NULL);
+	bp__peer__frame__free_unpacked(frame, NULL);
 }
 
 static void
 send_call(call_t *call)
 {
-	Bp__Peer__Frame *request = call->request;
+	GBytes *request = call->request;
+	gsize size_bytes = 0;
+	const uint8_t *body = g_bytes_get_data(request, &size_bytes);
 	bp_error_t err;
 
 	call->request = NULL;
 	call->sent = true;
-	call->sent_us = bp_clock_mono_us(call->peer->client->clock);
-	if (bp_link_send(call->peer->link, request, &err) == BP_ETOOLARGE)
+	call->sent_us = bp_clock_mono_us(call->clock);
+	if (bp_link_send_packed(call->peer->link, body, size_bytes, &err) ==
+	    BP_ETOOLARGE)
 		finish(call, NULL, &err);
-	bp__peer__frame__free_unpacked(request, NULL);
+	g_bytes_unref(request);
 }
 
 /* The caller holds a reference to the peer. */
 static void
 send_waiting(peer_t *peer)
 {
-	GArray *correlations = correlations_of(peer);
+	GArray *correlations = peer->unsent;
 	guint i;
 
+	peer->unsent = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	for (i = 0; i < correlations->len && peer->client != NULL &&
 	     peer->link != NULL;
 	     i++) {
@@ -200,6 +206,7 @@
 		if (call != NULL && !call->sent)
 			send_call(call);
 	}
+	/* What a link that broke meanwhile left was ended with it. */
 	g_array_unref(correlations);
 }
 
@@ -331,20 +338,21 @@
 	peer = g_rc_box_new0(peer_t);
 	peer->client = client;
 	peer->address = g_strdup(address);
+	peer->unsent = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	peer->calls =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, call_drop);
 	g_hash_table_insert(client->peers, peer->address, peer);
 	return peer;
 }
 
-static Bp__Peer__Frame *
-copy_request(const Bp__Peer__Frame *request, uint64_t correlation)
+static GBytes *
+pack_request(const Bp__Peer__Frame *request, uint64_t correlation)
 {
 	Bp__Peer__Frame frame = *request;
 
 	frame.correlation = correlation;
 	frame.answer = 0;
-	return bp_message_copy(&frame.base);
+	return bp_message_pack(&frame.base);
 }
 
 static gboolean
@@ -352,12 +360,24 @@
 {
 	peer_t *peer = data;
 
+	peer->sending = 0;
 	if (peer->client != NULL && peer->link != NULL)
 		send_waiting(peer);
 	peer_unref(peer);
 	return G_SOURCE_REMOVE;
 }
 
+/* Sending can fail at once, but done may not run in the caller's turn. */
+static void
+plan_sending(peer_t *peer)
+{
+	if (peer->sending != 0)
+		return;
+	(void)g_rc_box_acquire(peer);
+	peer->sending =
+	    g_idle_add_full(G_PRIORITY_DEFAULT, on_send_now, peer, NULL);
+}
+
 /* Sends a request; see the header for what done and dropped are told. */
 void
 bp_peer_client_call_full(bp_peer_client_t *client, const char *address,
@@ -370,20 +390,19 @@
 	call->peer = peer;
 	call->correlation = client->next_correlation++;
 	call->verb = request->verb;
-	call->request = copy_request(request, call->correlation);
+	call->request = pack_request(request, call->correlation);
 	call->done = done;
 	call->data = data;
 	call->dropped = dropped;
-	call->timer = g_timeout_add(timeout_ms, on_timeout, call);
+	call->clock = client->clock;
+	call->timer =
+	    bp_clock_after(client->clock, timeout_ms, on_timeout, call);
 	g_hash_table_insert(peer->calls, &call->correlation, call);
-	if (peer->link != NULL) {
-		/* Sending can fail at once, but done may not run in here. */
-		(void)g_rc_box_acquire(peer);
-		(void)g_idle_add_full(
-		    G_PRIORITY_DEFAULT, on_send_now, peer, NULL);
-	} else if (peer->connecting == NULL) {
+	g_array_append_val(peer->unsent, call->correlation);
+	if (peer->link != NULL)
+		plan_sending(peer);
+	else if (peer->connecting == NULL)
 		connect_peer(peer);
-	}
 }
 
 /* Sends a request whose data nobody frees if the client is freed. */
--- a/src/node/peer_server.c
+++ b/src/node/peer_server.c
@@ -1,6 +1,5 @@
 #include "bulrushpost/peer.h"
 
-#include "bulrushpost/message.h"
 #include "node/link.h"
 
 #include <string.h>
@@ -72,18 +71,19 @@
 }
 
 static void
-on_frame(bp_link_t *link, const Bp__Peer__Frame *frame, void *data)
+on_frame(bp_link_t *link, Bp__Peer__Frame *frame, void *data)
 {
 	connection_t *connection = data;
 	bp_peer_server_t *server = connection->server;
 	bp_peer_request_t *request;
 
 	/* Only clients get answers; one here belongs to nothing. */
-	if (server == NULL || frame->answer)
+	if (server == NULL || frame->answer) {
+		bp__peer__frame__free_unpacked(frame, NULL);
 		return;
+	}
 	request = g_new0(bp_peer_request_t, 1);
-	/* The link's own copy ends with its callback. */
-	request->frame = bp_message_copy(&frame->base);
+	request->frame = frame;
 	request->connection = g_rc_box_acquire(connection);
 	connection->requests++;
 	if (connection->requests > server->options.requests_max)
--- a/src/queues/job.h
+++ b/src/queues/job.h
@@ -39,6 +39,9 @@
 	bp_qtask_t *tasks;
 	uint32_t left; /* tasks that are not done */
 	uint32_t waiting; /* tasks in BP_QTASK_WAITING */
+	const double
+	    *weights; /* of its image when it serves; NULL: not asked */
+	uint32_t term; /* of its image when it fills; 0: not asked */
 	const char *reason; /* why the last round placed none; static */
 };
 
--- a/src/queues/membership.c
+++ b/src/queues/membership.c
@@ -9,17 +9,28 @@
 /* Owners are asked for at most so often, and once in a while unasked. */
 #define OWNERS_GAP_MS 150
 #define OWNERS_PERIOD_MS 4000
+/* A standby asks the store for owners when one was silent for this time:
+ * longer than a membership lasts, so that preferred nodes come first. */
+#define STANDBY_WAIT_MS (BP_SHARD_MEMBERSHIP_MS + 1500)
+/* It asks again after this time. */
+#define STANDBY_AGAIN_MS 1000
+/* Calls of `held` without any shard before a standby leaves: the first
+ * releases its shards, the second drops them once they are stored. */
+#define RELEASE_TICKS 2
 #define GROUP "owners"
 #define MODULE "membership"
 
 struct bp_membership {
 	bp_membership_options_t options;
-	char *member;
+	char *member_name;
 	uint64_t generation;
 	int64_t sent_ms; /* mono, of the join in flight */
 	bool joining;
 	bool asking;
 	bool left;
+	bool member; /* joins; a standby does so only when it must */
+	uint32_t releasing; /* ticks until a standby leaves; 0: it stays */
+	int64_t *answered_ms; /* mono, a shard: when its owner was heard */
 	bool again; /* owners are asked for once more */
 	int64_t asked_ms;
 	char **owners; /* address a shard, NULL when not known */
@@ -42,7 +53,8 @@
 				   : "the store confirms membership",
 		    NULL);
 	self->answered = result->outcome == BP_STORE_OK;
-	if (self->left || !self->answered)
+	if (self->left || !self->member || self->releasing > 0 ||
+	    !self->answered)
 		return;
 	self->generation = result->generation;
 	shards = g_new0(bool, self->options.shards);
@@ -58,6 +70,62 @@
 	g_free(shards);
 }
 
+static void
+on_left(const bp_store_result_t *result, void *data)
+{
+	bp_membership_t *self = data;
+
+	if (result->outcome != BP_STORE_OK)
+		bp_log(self->options.logger, BP_LOG_NOTICE, MODULE,
+		    "the store did not confirm leaving; membership runs out",
+		    NULL);
+}
+
+static void
+leave(bp_membership_t *self)
+{
+	self->member = false;
+	self->options.store->leave(
+	    self->options.store, GROUP, self->member_name, on_left, self);
+}
+
+/* Gives the shards up, then the membership. */
+static void
+release(bp_membership_t *self)
+{
+	bool *none = g_new0(bool, self->options.shards);
+
+	self->options.held(
+	    none, bp_clock_mono_ms(self->options.clock), self->options.data);
+	g_free(none);
+	self->releasing--;
+	if (self->releasing == 0)
+		leave(self);
+}
+
+static bool
+all_answer(const bp_membership_t *self)
+{
+	int64_t now_ms = bp_clock_mono_ms(self->options.clock);
+	uint32_t i;
+
+	for (i = 0; i < self->options.shards; i++) {
+		if (now_ms - self->answered_ms[i] > STANDBY_WAIT_MS)
+			return false;
+	}
+	return true;
+}
+
+/* An owner that is silent to this node may still be one to the store. */
+static void
+ask_as_standby(bp_membership_t *self)
+{
+	int64_t now_ms = bp_clock_mono_ms(self->options.clock);
+
+	if (now_ms - self->asked_ms >= STANDBY_AGAIN_MS)
+		bp_membership_refresh(self);
+}
+
 static gboolean
 on_join_timer(void *data)
 {
@@ -65,9 +133,18 @@
 
 	if (self->joining || self->left)
 		return G_SOURCE_CONTINUE;
+	if (self->releasing > 0) {
+		release(self);
+		return G_SOURCE_CONTINUE;
+	}
+	if (!self->member) {
+		if (!all_answer(self))
+			ask_as_standby(self);
+		return G_SOURCE_CONTINUE;
+	}
 	self->joining = true;
 	self->sent_ms = bp_clock_mono_ms(self->options.clock);
-	self->options.store->join(self->options.store, GROUP, self->member,
+	self->options.store->join(self->options.store, GROUP, self->member_name,
 	    self->options.topic, BP_SHARD_MEMBERSHIP_MS, self->generation,
 	    on_joined, self);
 	return G_SOURCE_CONTINUE;
@@ -93,10 +170,23 @@
 	    self->options.clock, delay_ms, on_owners_timer, self);
 }
 
+/* A standby joins once the store itself knows no owner of a shard. */
+static void
+join_if_vacant(bp_membership_t *self, uint32_t held)
+{
+	if (self->member || self->left || held >= self->options.shards ||
+	    all_answer(self))
+		return;
+	bp_log(self->options.logger, BP_LOG_NOTICE, MODULE,
+	    "a shard has no owner; the standby joins", NULL);
+	self->member = true;
+}
+
 static void
 on_owners(const bp_store_result_t *result, void *data)
 {
 	bp_membership_t *self = data;
+	uint32_t held = 0;
 	guint i;
 
 	self->asking = false;
@@ -108,10 +198,12 @@
 			if (holding->member == NULL ||
 			    holding->partition >= self->options.shards)
 				continue;
+			held++;
 			g_free(self->owners[holding->partition]);
 			self->owners[holding->partition] =
 			    address_of(holding->member);
 		}
+		join_if_vacant(self, held);
 	}
 	plan_owners(self, self->again ? OWNERS_GAP_MS : OWNERS_PERIOD_MS);
 	self->again = false;
@@ -135,11 +227,16 @@
 bp_membership_new(const bp_membership_options_t *options)
 {
 	bp_membership_t *self = g_new0(bp_membership_t, 1);
+	uint32_t i;
 
 	self->options = *options;
-	self->member = g_strdup_printf("%s/%016" G_GINT64_MODIFIER "x",
+	self->member_name = g_strdup_printf("%s/%016" G_GINT64_MODIFIER "x",
 	    options->address, options->incarnation);
 	self->owners = g_new0(char *, options->shards);
+	self->answered_ms = g_new0(int64_t, options->shards);
+	for (i = 0; i < options->shards; i++)
+		self->answered_ms[i] = bp_clock_mono_ms(options->clock);
+	self->member = !options->standby;
 	self->answered = true;
 	self->join_timer = bp_clock_after(
 	    self->options.clock, JOIN_PERIOD_MS, on_join_timer, self);
@@ -162,19 +259,30 @@
 	for (i = 0; i < self->options.shards; i++)
 		g_free(self->owners[i]);
 	g_free(self->owners);
-	g_free(self->member);
+	g_free(self->member_name);
+	g_free(self->answered_ms);
 	g_free(self);
 }
 
-static void
-on_left(const bp_store_result_t *result, void *data)
+/* See the header. */
+void
+bp_membership_owner_answered(bp_membership_t *self, uint32_t shard)
 {
-	bp_membership_t *self = data;
+	if (shard < self->options.shards)
+		self->answered_ms[shard] =
+		    bp_clock_mono_ms(self->options.clock);
+}
 
-	if (result->outcome != BP_STORE_OK)
-		bp_log(self->options.logger, BP_LOG_NOTICE, MODULE,
-		    "the store did not confirm leaving; membership runs out",
-		    NULL);
+/* See the header. */
+void
+bp_membership_prefer_others(bp_membership_t *self)
+{
+	if (!self->options.standby || !self->member || self->left ||
+	    self->releasing > 0)
+		return;
+	bp_log(self->options.logger, BP_LOG_NOTICE, MODULE,
+	    "a preferred owner lives; the standby leaves", NULL);
+	self->releasing = RELEASE_TICKS;
 }
 
 /* See the header. */
@@ -184,8 +292,7 @@
 	if (self->left)
 		return;
 	self->left = true;
-	self->options.store->leave(
-	    self->options.store, GROUP, self->member, on_left, self);
+	leave(self);
 	bp_membership_refresh(self);
 }
 
--- a/src/queues/membership.h
+++ b/src/queues/membership.h
@@ -16,6 +16,8 @@
 	const char *address; /* of this node's control protocol */
 	uint64_t incarnation;
 	uint32_t shards;
+	/* Joins only while the shards have no owners that answer. */
+	bool standby;
 	/* A join that was sent at this time was answered. */
 	void (*held)(const bool *shards, int64_t sent_mono_ms, void *data);
 	void *data;
@@ -23,6 +25,10 @@
 
 bp_membership_t *bp_membership_new(const bp_membership_options_t *options);
 void bp_membership_free(bp_membership_t *self);
+/* The owner of a shard answered this node, or is this node itself. */
+void bp_membership_owner_answered(bp_membership_t *self, uint32_t shard);
+/* A node lives that is no standby: a standby gives its shards up. */
+void bp_membership_prefer_others(bp_membership_t *self);
 /* Leaves the group at once and joins no more. */
 void bp_membership_leave(bp_membership_t *self);
 /* Address of a shard's owner as last read; NULL when not known. */
--- a/src/queues/pairs.c
+++ b/src/queues/pairs.c
@@ -157,6 +157,20 @@
 	}
 }
 
+/* See the header. */
+const double *
+bp_pairs_weights(bp_pairs_t *pairs, const char *serving)
+{
+	return get_fit(pairs, serving)->weights;
+}
+
+/* See the header. */
+uint32_t
+bp_pairs_term(bp_pairs_t *pairs, const char *filler)
+{
+	return get_term(pairs, filler);
+}
+
 /* See the header. */
 double
 bp_pairs_weight(
--- a/src/queues/pairs.h
+++ b/src/queues/pairs.h
@@ -34,6 +34,12 @@
  */
 GBytes *bp_pairs_save(const bp_pairs_t *pairs);
 bool bp_pairs_load(bp_pairs_t *pairs, const uint8_t *bytes, size_t size_bytes);
+/*
+ * The weights of a serving image, by the terms of filling images; they live
+ * as long as the table and change with each fit.
+ */
+const double *bp_pairs_weights(bp_pairs_t *pairs, const char *serving);
+uint32_t bp_pairs_term(bp_pairs_t *pairs, const char *filler);
 /* Calm that a serving image loses per unit of amount. */
 double bp_pairs_weight(
     const bp_pairs_t *pairs, const char *serving, const char *filler);
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -20,6 +20,9 @@
 #define MS_PER_S 1000
 /* Two hellos may be lost before a node counts as silent. */
 #define HELLO_PERIOD_MS 700
+/* Processors, in thousandths, of a node that owns shards by preference: an
+ * owner of 350 executors needs about 0.2 (CAPACITY.md). */
+#define OWNER_PROCESSOR_MILLI 200
 /* Calls of one node on one connection to this one. */
 #define PEER_REQUESTS_MAX 4096
 #define PEER_CONNECTIONS_MAX 256
@@ -118,10 +121,14 @@
 static void
 on_hello(const Bp__Peer__Frame *answer, const bp_error_t *err, void *data)
 {
-	/* An owner that does not answer is found by the calls to it. */
-	(void)answer;
+	const bp_queuenode_greeting_t *greeting = data;
+
 	(void)err;
-	(void)data;
+	/* An owner that does not answer is found by the calls to it. */
+	if (answer != NULL && answer->error == BP_OK && answer->n_args > 0 &&
+	    strcmp(answer->args[0], BP_QUEUENODE_OWNS) == 0)
+		bp_membership_owner_answered(
+		    greeting->node->membership, greeting->shard);
 }
 
 /* Tells the owners of other shards that this node can carry out orders. */
@@ -130,8 +137,10 @@
 {
 	bp_queuenode_t *node = data;
 	Bp__Peer__Frame frame = BP__PEER__FRAME__INIT;
-	char *args[] = {
-	    node->settings->listen.control, node->settings->node.zone};
+	char shard[16];
+	char *args[] = {node->settings->listen.control,
+	    node->settings->node.zone, shard,
+	    node->standby ? BP_QUEUENODE_STANDBY : BP_QUEUENODE_PREFERRED};
 	uint32_t i;
 
 	if (node->drain_start_ms != 0 || node->shards == NULL)
@@ -142,9 +151,17 @@
 	for (i = 0; i < bp_sharding_count(node->sharding); i++) {
 		const char *owner = bp_membership_owner(node->membership, i);
 
-		if (bp_shards_owned(node->shards)[i] == NULL && owner != NULL)
-			bp_peer_client_call(node->client, owner, &frame,
-			    HELLO_PERIOD_MS, on_hello, node);
+		if (bp_shards_owned(node->shards)[i] != NULL) {
+			bp_membership_owner_answered(node->membership, i);
+			continue;
+		}
+		if (owner == NULL) {
+			bp_membership_refresh(node->membership);
+			continue;
+		}
+		snprintf(shard, sizeof(shard), "%u", i);
+		bp_peer_client_call(node->client, owner, &frame,
+		    HELLO_PERIOD_MS, on_hello, &node->greetings[i]);
 	}
 	return G_SOURCE_CONTINUE;
 }
@@ -276,6 +293,7 @@
 {
 	bp_membership_options_t membership = {0};
 	bp_queuedesk_options_t desk = {0};
+	uint32_t i;
 
 	membership.clock = node->clock;
 	membership.logger = node->logger;
@@ -285,8 +303,15 @@
 	membership.incarnation =
 	    (uint64_t)g_random_int() << 32 | g_random_int();
 	membership.shards = bp_sharding_count(node->sharding);
+	membership.standby = node->standby;
 	membership.held = on_held;
 	membership.data = node;
+	node->greetings =
+	    g_new0(bp_queuenode_greeting_t, bp_sharding_count(node->sharding));
+	for (i = 0; i < bp_sharding_count(node->sharding); i++) {
+		node->greetings[i].node = node;
+		node->greetings[i].shard = i;
+	}
 	node->membership = bp_membership_new(&membership);
 	desk.clock = node->clock;
 	desk.logger = node->logger;
@@ -340,7 +365,11 @@
 	bp_platform_options_t platform = {0};
 	int rc;
 
-	node->clock = bp_clock_system();
+	node->loop_clock = bp_clock_loop_new();
+	node->clock = bp_clock_loop_clock(node->loop_clock);
+	node->standby =
+	    settings->node.processor_share_milli * settings->node.processors <
+	    OWNER_PROCESSOR_MILLI;
 	node->logger = bp_logger_new(
 	    node->clock, settings->node.name, settings->log_level);
 	bp_logger_set_stdout(node->logger, LOG_LINES_PER_S);
@@ -399,9 +428,11 @@
 	bp_catalog_free(node->catalog);
 	bp_timeline_free(node->timeline);
 	bp_histogram_free(node->latency);
+	g_free(node->greetings);
 	bp_metrics_free(node->metrics);
 	g_main_loop_unref(node->loop);
 	bp_logger_free(node->logger);
+	bp_clock_loop_free(node->loop_clock);
 }
 
 /* See the header. */
--- a/src/queues/queuenode_private.h
+++ b/src/queues/queuenode_private.h
@@ -10,10 +10,25 @@
 #include "queues/sharding.h"
 #include "queues/shards.h"
 
-/* The parts of a node with the service queues. */
+/* Words of a hello: whether its sender owns shards by preference, and of its
+ * answer: whether the answering node owns the shard. */
+#define BP_QUEUENODE_PREFERRED "preferred"
+#define BP_QUEUENODE_STANDBY "standby"
+#define BP_QUEUENODE_OWNS "owner"
+
+typedef struct bp_queuenode bp_queuenode_t;
+
+/* The owner of one shard that is told that this node lives. */
 typedef struct {
+	bp_queuenode_t *node;
+	uint32_t shard;
+} bp_queuenode_greeting_t;
+
+/* The parts of a node with the service queues. */
+struct bp_queuenode {
 	const bp_settings_t *settings;
-	const bp_clock_t *clock;
+	bp_clock_loop_t *loop_clock;
+	const bp_clock_t *clock; /* of loop_clock */
 	GMainLoop *loop;
 	bp_logger_t *logger;
 	bp_metrics_t *metrics;
@@ -35,8 +50,10 @@
 	int64_t drain_start_ms; /* 0 while serving */
 	guint drain_timer;
 	guint hello_timer;
+	bp_queuenode_greeting_t *greetings; /* a shard */
+	bool standby; /* too small to own shards by preference */
 	guint signals[3];
-} bp_queuenode_t;
+};
 
 /* queuenode_verbs.c: answers a request on the control address. */
 void bp_queuenode_serve(bp_peer_request_t *request, void *data);
--- a/src/queues/queuenode_verbs.c
+++ b/src/queues/queuenode_verbs.c
@@ -4,6 +4,8 @@
 
 /* An owner explains from memory. */
 #define WHY_TIMEOUT_MS 2000
+/* Address and zone of the sender, the shard, the kind of its membership. */
+#define HELLO_ARGS 4
 /* Lines of a timeline in one answer; frames may be larger. */
 #define TIMELINE_BYTES_MAX (512 * 1024)
 
@@ -134,10 +136,27 @@
 serve_hello(bp_queuenode_t *node, bp_peer_request_t *request)
 {
 	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
+	Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
+	char *owns[] = {BP_QUEUENODE_OWNS};
+	uint64_t shard = 0;
 
-	if (frame->n_args == 2)
-		bp_relay_heard(node->relay, frame->args[0], frame->args[1]);
-	answer_text(request, BP_OK, "", NULL);
+	if (frame->n_args != HELLO_ARGS ||
+	    !g_ascii_string_to_unsigned(frame->args[2], 10, 0,
+		bp_sharding_count(node->sharding) - 1, &shard, NULL)) {
+		answer_text(request, BP_EINVALID,
+		    "a hello names an address, a zone, a shard and a kind",
+		    NULL);
+		return;
+	}
+	bp_relay_heard(node->relay, frame->args[0], frame->args[1]);
+	if (strcmp(frame->args[3], BP_QUEUENODE_PREFERRED) == 0)
+		bp_membership_prefer_others(node->membership);
+	answer.outcome = bp_error_answer(BP_OK)->outcome;
+	if (bp_shards_owned(node->shards)[shard] != NULL) {
+		answer.args = owns;
+		answer.n_args = G_N_ELEMENTS(owns);
+	}
+	bp_peer_request_answer(request, &answer);
 }
 
 /* See the header. */
--- a/src/queues/shard_execs.c
+++ b/src/queues/shard_execs.c
@@ -17,6 +17,7 @@
 	exec->shard = shard;
 	exec->runs = g_ptr_array_new();
 	exec->maybe = g_ptr_array_new();
+	exec->rooms = g_array_new(FALSE, FALSE, sizeof(bp_qroom_t));
 	exec->amounts = g_array_new(FALSE, FALSE, sizeof(bp_pairs_filler_t));
 	exec->info = g_new0(bp_executor_info_t, 1);
 	exec->info->id = g_strdup(id);
@@ -47,6 +48,7 @@
 		free_run(exec->runs->pdata[i]);
 	g_ptr_array_unref(exec->runs);
 	g_ptr_array_unref(exec->maybe);
+	g_array_unref(exec->rooms);
 	g_array_unref(exec->amounts);
 	bp_clock_cancel(exec->shard->options.clock, &exec->timer);
 	bp_executor_info_free(exec->info);
@@ -92,6 +94,18 @@
 	return false;
 }
 
+/* Counts what a run with a task means for others on its executor. */
+static void
+count_load(bp_qexec_t *exec, const Bp__Work__Step *spec, bool add)
+{
+	uint32_t filler_milli = spec->filler ? spec->cpu_milli : 0;
+	uint32_t serving = spec->target_ms > 0;
+
+	exec->filler_milli += add ? filler_milli : -filler_milli;
+	exec->serving += add ? serving : -serving;
+	exec->rooms_stale = true;
+}
+
 /*
  * Notes a run on an executor and takes its room. task is NULL for a run
  * that no task wants; spec, its request, is NULL when the job is not known.
@@ -116,6 +130,7 @@
 	}
 	if (task != NULL) {
 		task->run = run;
+		count_load(exec, task->step->spec, true);
 		bp_qtask_set_state(task, BP_QTASK_PLACED);
 	}
 	exec->cpu_used += run->cpu_milli;
@@ -133,6 +148,7 @@
 
 	if (task == NULL)
 		return;
+	count_load(run->exec, task->step->spec, false);
 	run->task = NULL;
 	task->run = NULL;
 	if (task->state == BP_QTASK_PLACED)
--- a/src/queues/shard_pace.c
+++ b/src/queues/shard_pace.c
@@ -1,9 +1,5 @@
 #include "queues/shard_private.h"
 
-/* Calm (target / tail) that fillers must leave: tails of 0.7 the target. */
-#define CALM_MIN 1.43
-/* Calm that is assumed of a serving task before its first sample. */
-#define CALM_PRIOR 2.5
 /* Very short tails are no more informative than this. */
 #define CALM_MAX 8.0
 /* A measured tail above this share slows all fillers at once. */
@@ -16,8 +12,6 @@
 #define REST_MS 1200
 /* without checkpoints only before this share of its work. */
 #define MOVE_PERCENT 15
-/* A loss of calm below this is taken for none. */
-#define EFFECT_NONE 0.04
 /* How fast a serving task's own calm is followed, a sample. */
 #define CALM_RATE 0.5
 /* Samples further apart than this are not compared. */
@@ -67,6 +61,7 @@
 	if (percent == 0)
 		run->resting_ms = bp_shard_now_ms(shard);
 	run->pace = percent;
+	exec->rooms_stale = true;
 	run->orders++;
 	shard->counts_paces++;
 	g_hash_table_add(shard->paces, pace);
@@ -107,28 +102,6 @@
 	return amounts;
 }
 
-/* Calm that a serving task loses by one filler at full pace. */
-static double
-effect(bp_shard_t *shard, const bp_qrun_t *serving,
-    const Bp__Work__Step *filler, double capacity)
-{
-	const Bp__Work__Step *spec = serving->task->step->spec;
-	double loss =
-	    bp_pairs_weight(shard->pairs, spec->image, filler->image) *
-	    filler->cpu_milli / capacity;
-
-	return loss < EFFECT_NONE ? 0 : loss;
-}
-
-/* Calm that fillers may take from a serving task. */
-static double
-spare_calm(const bp_qrun_t *serving)
-{
-	double calm = serving->calm > 0 ? serving->calm : CALM_PRIOR;
-
-	return calm - CALM_MIN;
-}
-
 /* Share of its pace that a filler must give up so that tails stay low. */
 static double
 allowed_share(bp_shard_t *shard, const bp_qexec_t *exec,
@@ -145,8 +118,9 @@
 
 		if (!is_serving(run))
 			continue;
-		grows = effect(shard, run, filler->task->step->spec, capacity);
-		room = spare_calm(run) - planned[i];
+		grows = bp_shard_effect(
+		    shard, run->task->step, filler->task->step, capacity);
+		room = bp_shard_spare_calm(run) - planned[i];
 		if (grows > 0)
 			share = MIN(share, MAX(room, 0) / grows);
 	}
@@ -165,14 +139,14 @@
 
 		if (is_serving(run))
 			planned[i] += share *
-			    effect(
-				shard, run, filler->task->step->spec, capacity);
+			    bp_shard_effect(shard, run->task->step,
+				filler->task->step, capacity);
 	}
 }
 
 /* The sum of a filler's effects, by which the gentle ones go first. */
 static double
-harm_of(bp_shard_t *shard, const bp_qexec_t *exec, const Bp__Work__Step *filler)
+harm_of(bp_shard_t *shard, const bp_qexec_t *exec, bp_qstep_t *filler)
 {
 	double capacity = MAX(exec->info->cpu_milli, 1);
 	double worst = 0;
@@ -182,10 +156,11 @@
 		const bp_qrun_t *run = exec->runs->pdata[i];
 
 		if (is_serving(run))
-			worst =
-			    MAX(worst, effect(shard, run, filler, capacity));
+			worst = MAX(worst,
+			    bp_shard_effect(
+				shard, run->task->step, filler, capacity));
 	}
-	return worst / MAX(filler->cpu_milli, 1);
+	return worst / MAX(filler->spec->cpu_milli, 1);
 }
 
 typedef struct {
@@ -320,6 +295,7 @@
 		return;
 	worst = learn(exec, now_ms - exec->sampled_ms < COMPARE_MS);
 	exec->sampled_ms = now_ms;
+	exec->rooms_stale = true;
 	exec->alarms = worst > ALARM_SHARE ? exec->alarms + 1 : 0;
 	ranked = g_array_new(FALSE, FALSE, sizeof(ranked_t));
 	planned = g_new0(double, exec->runs->len + 1);
@@ -329,8 +305,7 @@
 
 		if (!is_filler(row.run))
 			continue;
-		row.harm =
-		    harm_of(exec->shard, exec, row.run->task->step->spec);
+		row.harm = harm_of(exec->shard, exec, row.run->task->step);
 		g_array_append_val(ranked, row);
 	}
 	g_array_sort(ranked, compare_harm);
@@ -348,42 +323,6 @@
 	g_free(planned);
 }
 
-/*
- * Returns the share of its full pace that one more filler could have on an
- * executor, 0 to 1.
- */
-double
-bp_shard_filler_share(const bp_qexec_t *exec, const Bp__Work__Step *spec)
-{
-	bp_shard_t *shard = exec->shard;
-	double capacity = MAX(exec->info->cpu_milli, 1);
-	double share = 1;
-	guint i;
-	guint k;
-
-	for (i = 0; i < exec->runs->len; i++) {
-		const bp_qrun_t *run = exec->runs->pdata[i];
-		double room;
-		double grows;
-
-		if (!is_serving(run))
-			continue;
-		room = spare_calm(run);
-		for (k = 0; k < exec->runs->len; k++) {
-			const bp_qrun_t *other = exec->runs->pdata[k];
-
-			if (is_filler(other))
-				room -= effect(shard, run,
-					    other->task->step->spec, capacity) *
-				    MIN(other->pace, PACE_FULL) / PACE_FULL;
-		}
-		grows = effect(shard, run, spec, capacity);
-		if (grows > 0)
-			share = MIN(share, MAX(room, 0) / grows);
-	}
-	return share;
-}
-
 /* A filler that rests where it disturbs is moved if little is lost by it. */
 void
 bp_shard_move_resting(bp_qexec_t *exec)
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -61,6 +61,12 @@
 	double calm_seen; /* at the last sample, 0 for none */
 };
 
+/* Calm of a serving run that its fillers do not take. */
+typedef struct {
+	const double *weights; /* of its image */
+	double calm;
+} bp_qroom_t;
+
 /* An executor as its owner believes it to be. */
 struct bp_qexec {
 	bp_shard_t *shard;
@@ -94,6 +100,10 @@
 	int64_t held_until_ms; /* mono; nothing is placed there before */
 	const char *held_for; /* static reason */
 	int64_t sampled_ms; /* mono, when tails were last learned from */
+	uint32_t filler_milli; /* processors that its fillers ask for */
+	uint32_t serving; /* runs with a bound on their tail */
+	GArray *rooms; /* bp_qroom_t, a serving run; see rooms_stale */
+	bool rooms_stale;
 	GArray *amounts; /* bp_pairs_filler_t of the last sample */
 	uint32_t alarms; /* samples in a row with a tail over its bound */
 	guint timer; /* of the next look */
@@ -248,13 +258,17 @@
 
 /* shard_rounds.c */
 void bp_shard_round(bp_shard_t *shard);
-GPtrArray *bp_shard_explain(bp_shard_t *shard, const bp_qstep_t *step);
+GPtrArray *bp_shard_explain(bp_shard_t *shard, bp_qstep_t *step);
+
+/* shard_share.c */
+double bp_shard_effect(bp_shard_t *shard, bp_qstep_t *serving,
+    bp_qstep_t *filler, double capacity);
+double bp_shard_spare_calm(const bp_qrun_t *serving);
+double bp_shard_filler_share(bp_qexec_t *exec, bp_qstep_t *step);
 
 /* shard_pace.c */
 void bp_shard_pace(bp_qexec_t *exec);
 void bp_shard_move_resting(bp_qexec_t *exec);
-double bp_shard_filler_share(
-    const bp_qexec_t *exec, const Bp__Work__Step *spec);
 void bp_shard_forget_paces(bp_shard_t *shard);
 
 #endif
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -29,13 +29,21 @@
 	uint64_t cpu_milli; /* of all of them */
 	uint64_t cpu_used; /* of these, at the start of the round */
 	const char *service; /* of the step's queue */
+	GArray *misfits; /* misfit_t */
 } round_t;
 
+/* A request that no executor could take in this round, and why. */
+typedef struct {
+	const char *service;
+	const Bp__Work__Step *spec;
+	const char *reason; /* static */
+} misfit_t;
+
 static bool fillers_fit(const bp_qexec_t *exec, const Bp__Work__Step *spec);
 
 /* Why an executor cannot take a task of the step; NULL when it can. */
 static const char *
-obstacle(const round_t *round, const bp_qexec_t *exec, const bp_qstep_t *step)
+obstacle(const round_t *round, bp_qexec_t *exec, bp_qstep_t *step)
 {
 	const Bp__Work__Step *spec = step->spec;
 	uint32_t cpu = spec->filler ? 0 : spec->cpu_milli;
@@ -57,7 +65,7 @@
 		return "no_capacity";
 	if (spec->filler &&
 	    (exec->alarms >= 2 ||
-		bp_shard_filler_share(exec, spec) < FILLER_SHARE_MIN))
+		bp_shard_filler_share(exec, step) < FILLER_SHARE_MIN))
 		return "disturbs";
 	if (spec->spread_max == 0)
 		return NULL;
@@ -70,31 +78,6 @@
 	return here >= spec->spread_max ? "spread" : NULL;
 }
 
-/* What an executor's runs mean for fillers beside them. */
-typedef struct {
-	uint32_t filler_milli; /* processors that its fillers ask for */
-	uint32_t serving; /* runs with a bound on their tail */
-} load_t;
-
-static load_t
-load_of(const bp_qexec_t *exec)
-{
-	load_t load = {0, 0};
-	guint i;
-
-	for (i = 0; i < exec->runs->len; i++) {
-		const bp_qrun_t *run = exec->runs->pdata[i];
-		const Bp__Work__Step *spec;
-
-		if (run->task == NULL)
-			continue;
-		spec = run->task->step->spec;
-		load.serving += spec->target_ms > 0;
-		load.filler_milli += spec->filler ? spec->cpu_milli : 0;
-	}
-	return load;
-}
-
 /*
  * More fillers than the processors that others leave would only slow each
  * other down; serving tasks leave about half of what they reserve.
@@ -102,25 +85,23 @@
 static bool
 fillers_fit(const bp_qexec_t *exec, const Bp__Work__Step *spec)
 {
-	load_t load = load_of(exec);
-	uint64_t busy = load.serving > 0
+	uint64_t busy = exec->serving > 0
 	    ? (uint64_t)exec->cpu_used * SERVING_USE_PERCENT / 100
 	    : exec->cpu_used;
 
-	return busy + load.filler_milli + spec->cpu_milli <=
+	return busy + exec->filler_milli + spec->cpu_milli <=
 	    exec->info->cpu_milli;
 }
 
 /* Serving tasks suffer from fillers, so those go elsewhere first. */
 static double
-filler_score(const bp_qexec_t *exec, const Bp__Work__Step *spec)
+filler_score(bp_qexec_t *exec, bp_qstep_t *step)
 {
-	load_t load = load_of(exec);
-	double score = SCALE * (load.filler_milli + exec->cpu_used) /
+	double score = SCALE * (exec->filler_milli + exec->cpu_used) /
 	    MAX(exec->info->cpu_milli, 1);
 
-	return load.serving > 0
-	    ? score + PENALTY_SERVING * (1 - bp_shard_filler_share(exec, spec))
+	return exec->serving > 0
+	    ? score + PENALTY_SERVING * (1 - bp_shard_filler_share(exec, step))
 	    : score;
 }
 
@@ -153,7 +134,7 @@
 
 /* Lower is better. */
 static double
-score_of(const bp_qexec_t *exec, const bp_qtask_t *task, const char *rack)
+score_of(bp_qexec_t *exec, const bp_qtask_t *task, const char *rack)
 {
 	const Bp__Work__Step *spec = task->step->spec;
 	double free_cpu =
@@ -161,7 +142,7 @@
 	double score;
 
 	if (spec->filler)
-		score = filler_score(exec, spec);
+		score = filler_score(exec, task->step);
 	else
 		score = SCALE * free_cpu / MAX(exec->info->cpu_milli, 1);
 	if (spec->target_ms > 0)
@@ -188,6 +169,51 @@
 	return "";
 }
 
+/*
+ * Tells whether a request asks for no less than one that found no place; a
+ * round only takes room, so there is none for it either.
+ */
+static bool
+asks_as_much(const Bp__Work__Step *spec, const Bp__Work__Step *misfit)
+{
+	if (spec->filler != misfit->filler ||
+	    spec->cpu_milli < misfit->cpu_milli ||
+	    spec->memory_mib < misfit->memory_mib ||
+	    spec->accelerators < misfit->accelerators)
+		return false;
+	if (spec->filler && strcmp(spec->image, misfit->image) != 0)
+		return false;
+	return misfit->label[0] == '\0' ||
+	    strcmp(spec->label, misfit->label) == 0;
+}
+
+/* The reason why an earlier request, no larger, found no place; or NULL. */
+static const char *
+known_misfit(const round_t *round, const bp_qstep_t *step)
+{
+	guint i;
+
+	for (i = 0; i < round->misfits->len; i++) {
+		const misfit_t *misfit =
+		    &g_array_index(round->misfits, misfit_t, i);
+
+		if (strcmp(misfit->service, round->service) == 0 &&
+		    asks_as_much(step->spec, misfit->spec))
+			return misfit->reason;
+	}
+	return NULL;
+}
+
+/* A limit on spread is the step's own and says nothing about others. */
+static void
+note_misfit(round_t *round, const bp_qstep_t *step)
+{
+	misfit_t misfit = {round->service, step->spec, step->reason};
+
+	if (step->spec->spread_max == 0 && step->reason != NULL)
+		g_array_append_val(round->misfits, misfit);
+}
+
 static bp_qexec_t *
 choose(const round_t *round, const bp_qtask_t *task, const char *rack,
     const char **reason)
@@ -287,8 +313,13 @@
 place_step(round_t *round, bp_qstep_t *step)
 {
 	bp_shard_t *shard = round->shard;
+	const char *reason = known_misfit(round, step);
 	uint32_t i;
 
+	if (reason != NULL) {
+		step->reason = reason;
+		return;
+	}
 	if (step->spec->gang) {
 		if (step->waiting == step->spec->tasks)
 			place_gang(round, step);
@@ -309,8 +340,10 @@
 			return;
 		}
 		exec = choose(round, task, wanted_rack(step), &step->reason);
-		if (exec == NULL)
+		if (exec == NULL) {
+			note_misfit(round, step);
 			return;
+		}
 		step->reason = NULL;
 		if (!step->spec->filler)
 			round->cpu_used += step->spec->cpu_milli;
@@ -407,7 +440,8 @@
 bp_shard_round(bp_shard_t *shard)
 {
 	round_t round = {shard, bp_shard_now_ms(shard), bp_shard_wall_ms(shard),
-	    g_ptr_array_new(), 0, 0, NULL};
+	    g_ptr_array_new(), 0, 0, NULL,
+	    g_array_new(FALSE, FALSE, sizeof(misfit_t))};
 	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
 	GHashTableIter iter;
 	gpointer value;
@@ -436,6 +470,7 @@
 		place_step(&round, candidate->step);
 	}
 	g_array_unref(candidates);
+	g_array_unref(round.misfits);
 	g_ptr_array_unref(round.execs);
 }
 
@@ -463,17 +498,17 @@
  * services are left out; one that could take it counts as "turn".
  */
 GPtrArray *
-bp_shard_explain(bp_shard_t *shard, const bp_qstep_t *step)
+bp_shard_explain(bp_shard_t *shard, bp_qstep_t *step)
 {
 	round_t round = {shard, bp_shard_now_ms(shard), bp_shard_wall_ms(shard),
-	    NULL, 0, 0, service_of(shard, step->job)};
+	    NULL, 0, 0, service_of(shard, step->job), NULL};
 	GPtrArray *causes = g_ptr_array_new_with_free_func(g_free);
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, shard->execs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const bp_qexec_t *exec = value;
+		bp_qexec_t *exec = value;
 		const char *why = exclusion(&round, exec);
 
 		if (why == NULL)
--- a/src/queues/shard_why.c
+++ b/src/queues/shard_why.c
@@ -71,7 +71,7 @@
 task_reason(
     const bp_shard_t *shard, const bp_qtask_t *task, const GPtrArray *causes)
 {
-	const bp_qstep_t *step = task->step;
+	bp_qstep_t *step = task->step;
 
 	switch (task->state) {
 	case BP_QTASK_CENSUS:
@@ -116,7 +116,7 @@
 }
 
 static void
-add_tasks(JsonBuilder *builder, bp_shard_t *shard, const bp_qstep_t *step)
+add_tasks(JsonBuilder *builder, bp_shard_t *shard, bp_qstep_t *step)
 {
 	GPtrArray *causes = bp_shard_explain(shard, step);
 	uint32_t k;
@@ -186,8 +186,8 @@
 
 /* Tasks of a step with the same reason, one line. */
 static void
-add_line(GString *text, const bp_qstep_t *step, const char *reason,
-    uint32_t tasks, const GPtrArray *causes)
+add_line(GString *text, bp_qstep_t *step, const char *reason, uint32_t tasks,
+    const GPtrArray *causes)
 {
 	guint i;
 
@@ -208,7 +208,7 @@
 }
 
 static void
-add_step_lines(GString *text, bp_shard_t *shard, const bp_qstep_t *step)
+add_step_lines(GString *text, bp_shard_t *shard, bp_qstep_t *step)
 {
 	GPtrArray *causes = bp_shard_explain(shard, step);
 	size_t i;
--- a/src/queues/sharding.c
+++ b/src/queues/sharding.c
@@ -12,7 +12,7 @@
 /* A read or write of the plan that failed is repeated after this time. */
 #define RETRY_MS 150
 /* With more, an owner starts tasks later than they arrive (CAPACITY.md). */
-#define EXECUTORS_PER_SHARD 70
+#define EXECUTORS_PER_SHARD 600
 /* The platform has this many partitions in a topic. */
 #define SHARDS_MAX 8
 /* Executors of a new deployment come over some seconds: the plan waits for
