An adaptive limit on starts in flight; orders to nodes by their processors

Cause: with one owner for 350 to 490 executors the fixed 64 starts in flight bound the fillers (600 running, 2,000 to 8,000 ready).

--- a/include/bulrushpost/limiter.h
+++ b/include/bulrushpost/limiter.h
@@ -7,11 +7,15 @@
 #define BP_EXECUTOR_SLOTS 8
 #define BP_EXECUTOR_CONNECTIONS 60
 
-/* Adaptive limit of requests in flight from one gateway to one endpoint. */
+/*
+ * Adaptive limit of requests in flight: from one gateway to one endpoint, or
+ * of an owner's starts to all its executors.
+ */
 typedef struct {
 	double limit;
 	double floor;
 	double ceiling;
+	double increase; /* for as many samples as the limit */
 	int64_t decreased_us; /* time of the latest decrease */
 	uint32_t slots; /* of the endpoint, for all gateways together */
 	uint32_t connections; /* of the endpoint, likewise */
@@ -29,6 +33,10 @@
 void bp_limiter_init(bp_limiter_t *limiter, uint32_t gateways);
 void bp_limiter_init_bounds(bp_limiter_t *limiter, uint32_t gateways,
     uint32_t slots, uint32_t connections);
+/* A limit of its own bounds that grows by increase for each full turn. */
+void bp_limiter_init_range(
+    bp_limiter_t *limiter, double floor, double ceiling, double increase);
+void bp_limiter_set_ceiling(bp_limiter_t *limiter, double ceiling);
 void bp_limiter_set_gateways(bp_limiter_t *limiter, uint32_t gateways);
 uint32_t bp_limiter_limit(const bp_limiter_t *limiter);
 void bp_limiter_add(bp_limiter_t *limiter, const bp_limiter_sample_t *sample);
--- a/src/gateway/limiter.c
+++ b/src/gateway/limiter.c
@@ -49,6 +49,7 @@
 	limiter->connections = connections;
 	limiter->limit = 0;
 	limiter->decreased_us = INT64_MIN / 2;
+	limiter->increase = 1;
 	bp_limiter_set_gateways(limiter, gateways);
 	limiter->limit = clamp(limiter->floor * 2, 1, limiter->ceiling);
 }
@@ -61,6 +62,29 @@
 	    limiter, gateways, BP_EXECUTOR_SLOTS, BP_EXECUTOR_CONNECTIONS);
 }
 
+/* See the header. The limit starts at its floor. */
+void
+bp_limiter_init_range(
+    bp_limiter_t *limiter, double floor, double ceiling, double increase)
+{
+	limiter->slots = 0;
+	limiter->connections = 0;
+	limiter->floor = floor;
+	limiter->ceiling = ceiling;
+	limiter->increase = increase;
+	limiter->limit = floor;
+	limiter->decreased_us = INT64_MIN / 2;
+}
+
+/* Moves the upper bound, never below the floor. */
+void
+bp_limiter_set_ceiling(bp_limiter_t *limiter, double ceiling)
+{
+	limiter->ceiling = ceiling < limiter->floor ? limiter->floor : ceiling;
+	limiter->limit =
+	    clamp(limiter->limit, limiter->floor, limiter->ceiling);
+}
+
 /* Returns how many requests may be in flight to the endpoint; at least 1. */
 uint32_t
 bp_limiter_limit(const bp_limiter_t *limiter)
@@ -89,6 +113,7 @@
 		return;
 	}
 	if (sample->in_flight >= bp_limiter_limit(limiter))
-		limiter->limit = clamp(limiter->limit + 1 / limiter->limit,
-		    limiter->floor, limiter->ceiling);
+		limiter->limit =
+		    clamp(limiter->limit + limiter->increase / limiter->limit,
+			limiter->floor, limiter->ceiling);
 }
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -138,9 +138,11 @@
 	bp_queuenode_t *node = data;
 	Bp__Peer__Frame frame = BP__PEER__FRAME__INIT;
 	char shard[16];
+	char processor[16];
 	char *args[] = {node->settings->listen.control,
 	    node->settings->node.zone, shard,
-	    node->standby ? BP_QUEUENODE_STANDBY : BP_QUEUENODE_PREFERRED};
+	    node->standby ? BP_QUEUENODE_STANDBY : BP_QUEUENODE_PREFERRED,
+	    processor};
 	uint32_t i;
 
 	if (node->drain_start_ms != 0 || node->shards == NULL)
@@ -148,6 +150,7 @@
 	frame.verb = BP__PEER__VERB__VERB_QUEUE_HELLO;
 	frame.args = args;
 	frame.n_args = G_N_ELEMENTS(args);
+	snprintf(processor, sizeof(processor), "%u", node->processor_milli);
 	for (i = 0; i < bp_sharding_count(node->sharding); i++) {
 		const char *owner = bp_membership_owner(node->membership, i);
 
@@ -251,6 +254,7 @@
 	relay.client = node->client;
 	relay.address = node->settings->listen.control;
 	relay.zone = node->settings->node.zone;
+	relay.processor_milli = node->processor_milli;
 	node->relay = bp_relay_new(&relay);
 	node->courier = bp_courier_new(relay.direct, relay.zone);
 	node->hello_timer =
@@ -367,9 +371,9 @@
 
 	node->loop_clock = bp_clock_loop_new();
 	node->clock = bp_clock_loop_clock(node->loop_clock);
-	node->standby =
-	    settings->node.processor_share_milli * settings->node.processors <
-	    OWNER_PROCESSOR_MILLI;
+	node->processor_milli =
+	    settings->node.processor_share_milli * settings->node.processors;
+	node->standby = node->processor_milli < OWNER_PROCESSOR_MILLI;
 	node->logger = bp_logger_new(
 	    node->clock, settings->node.name, settings->log_level);
 	bp_logger_set_stdout(node->logger, LOG_LINES_PER_S);
--- a/src/queues/queuenode_private.h
+++ b/src/queues/queuenode_private.h
@@ -51,6 +51,7 @@
 	guint drain_timer;
 	guint hello_timer;
 	bp_queuenode_greeting_t *greetings; /* a shard */
+	uint32_t processor_milli; /* processors of this node */
 	bool standby; /* too small to own shards by preference */
 	guint signals[3];
 };
--- a/src/queues/queuenode_verbs.c
+++ b/src/queues/queuenode_verbs.c
@@ -4,8 +4,9 @@
 
 /* An owner explains from memory. */
 #define WHY_TIMEOUT_MS 2000
-/* Address and zone of the sender, the shard, the kind of its membership. */
-#define HELLO_ARGS 4
+/* Address and zone of the sender, the shard, the kind of its membership, its
+ * processors in thousandths. */
+#define HELLO_ARGS 5
 /* Lines of a timeline in one answer; frames may be larger. */
 #define TIMELINE_BYTES_MAX (512 * 1024)
 
@@ -139,16 +140,21 @@
 	Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
 	char *owns[] = {BP_QUEUENODE_OWNS};
 	uint64_t shard = 0;
+	uint64_t processor_milli = 0;
 
 	if (frame->n_args != HELLO_ARGS ||
 	    !g_ascii_string_to_unsigned(frame->args[2], 10, 0,
-		bp_sharding_count(node->sharding) - 1, &shard, NULL)) {
+		bp_sharding_count(node->sharding) - 1, &shard, NULL) ||
+	    !g_ascii_string_to_unsigned(
+		frame->args[4], 10, 1, UINT32_MAX, &processor_milli, NULL)) {
 		answer_text(request, BP_EINVALID,
-		    "a hello names an address, a zone, a shard and a kind",
+		    "a hello names an address, a zone, a shard, a kind and "
+		    "processors",
 		    NULL);
 		return;
 	}
-	bp_relay_heard(node->relay, frame->args[0], frame->args[1]);
+	bp_relay_heard(node->relay, frame->args[0], frame->args[1],
+	    (uint32_t)processor_milli);
 	if (strcmp(frame->args[3], BP_QUEUENODE_PREFERRED) == 0)
 		bp_membership_prefer_others(node->membership);
 	answer.outcome = bp_error_answer(BP_OK)->outcome;
--- a/src/queues/relay.c
+++ b/src/queues/relay.c
@@ -4,6 +4,7 @@
 #include "bulrushpost/hash.h"
 #include "proto/work.pb-c.h"
 
+#include <math.h>
 #include <string.h>
 
 /* A node that said nothing for this time carries out no orders. */
@@ -12,6 +13,11 @@
 #define REST_MS 1500
 /* An order takes up to 0.9 s at the node; looks their wait more. */
 #define CALL_TIMEOUT_MS 1100
+/* Part of its processors that an owner spends on carrying orders out. */
+#define OWNER_SHARE 0.25
+/* The upper bits of a hash as a fraction. */
+#define UNIT_BITS 53
+#define UNIT_SHIFT (64 - UNIT_BITS)
 #define SEED_COURIER 0x636f7572
 
 /* A live node, with the zone that it is in. */
@@ -19,6 +25,7 @@
 	char *address;
 	char *zone;
 	uint64_t hash;
+	uint32_t processor_milli;
 	int64_t heard_ms; /* mono */
 	int64_t rest_until_ms; /* mono */
 } courier_t;
@@ -49,7 +56,8 @@
 
 /* See the header. */
 void
-bp_relay_heard(bp_relay_t *relay, const char *address, const char *zone)
+bp_relay_heard(bp_relay_t *relay, const char *address, const char *zone,
+    uint32_t processor_milli)
 {
 	courier_t *courier = g_hash_table_lookup(relay->couriers, address);
 
@@ -60,12 +68,25 @@
 		courier->hash = bp_hash_text(address, SEED_COURIER);
 		g_hash_table_insert(relay->couriers, courier->address, courier);
 	}
+	courier->processor_milli = processor_milli;
 	courier->heard_ms = bp_clock_mono_ms(relay->options.clock);
 }
 
+/* Weighted rendezvous hashing: the highest rank wins in proportion to weight.
+ */
+static double
+rank_of(uint64_t hash, double weight)
+{
+	double unit = ((double)(bp_hash_mix(hash) >> UNIT_SHIFT) + 0.5) /
+	    (double)(1ULL << UNIT_BITS);
+
+	return -MAX(weight, 1) / log(unit);
+}
+
 /*
- * Returns the node that serves an executor: by rendezvous hash among the
- * live ones of its zone, else among all. NULL stands for this node.
+ * Returns the node that serves an executor: by rendezvous hash, weighted by
+ * processors, among the live ones of its zone, else among all. NULL stands
+ * for this node.
  */
 static const char *
 choose(bp_relay_t *relay, const bp_exec_target_t *target)
@@ -73,8 +94,9 @@
 	int64_t now_ms = bp_clock_mono_ms(relay->options.clock);
 	uint64_t key = bp_hash_text(target->id, SEED_COURIER);
 	bool near = strcmp(relay->options.zone, target->zone) == 0;
-	uint64_t best = bp_hash_mix(
-	    key ^ bp_hash_text(relay->options.address, SEED_COURIER));
+	uint64_t own = bp_hash_text(relay->options.address, SEED_COURIER);
+	double best =
+	    rank_of(key ^ own, relay->options.processor_milli * OWNER_SHARE);
 	const char *chosen = NULL;
 	GHashTableIter iter;
 	gpointer value;
@@ -83,7 +105,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const courier_t *courier = value;
 		bool same = strcmp(courier->zone, target->zone) == 0;
-		uint64_t rank = bp_hash_mix(key ^ courier->hash);
+		double rank =
+		    rank_of(key ^ courier->hash, courier->processor_milli);
 
 		if (now_ms - courier->heard_ms > SILENCE_MS ||
 		    courier->rest_until_ms > now_ms)
--- a/src/queues/relay.h
+++ b/src/queues/relay.h
@@ -20,12 +20,15 @@
 	bp_peer_client_t *client;
 	const char *address; /* of this node's control protocol */
 	const char *zone;
+	uint32_t processor_milli; /* of this node */
 } bp_relay_options_t;
 
 bp_relay_t *bp_relay_new(const bp_relay_options_t *options);
 void bp_relay_free(bp_relay_t *relay);
 bp_executors_t *bp_relay_interface(bp_relay_t *relay);
-/* A node says that it lives. */
-void bp_relay_heard(bp_relay_t *relay, const char *address, const char *zone);
+/* A node says that it lives, and how many processors, in thousandths, it has.
+ */
+void bp_relay_heard(bp_relay_t *relay, const char *address, const char *zone,
+    uint32_t processor_milli);
 
 #endif
--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -274,6 +274,8 @@
 	shard->looks = g_hash_table_new(NULL, NULL);
 	shard->paces = g_hash_table_new(NULL, NULL);
 	shard->pairs = bp_pairs_new();
+	bp_limiter_init_range(&shard->starts_limit, BP_SHARD_STARTS_MIN,
+	    BP_SHARD_STARTS_MIN, BP_SHARD_STARTS_INCREASE);
 	shard->going = g_ptr_array_new();
 	shard->dirty = g_ptr_array_new();
 	shard->fresh = g_ptr_array_new();
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -1,6 +1,7 @@
 #ifndef BP_QUEUES_SHARD_PRIVATE_H
 #define BP_QUEUES_SHARD_PRIVATE_H
 
+#include "bulrushpost/limiter.h"
 #include "bulrushpost/shard.h"
 #include "queues/job.h"
 #include "queues/journal.h"
@@ -15,6 +16,10 @@
 #define BP_SHARD_ORDER_GRACE_MS 4000
 /* Least deadline that a start gives its executor. */
 #define BP_SHARD_START_WINDOW_MS 1500
+/* Starts on their way at a time, at least; the most is one an executor. */
+#define BP_SHARD_STARTS_MIN 64
+/* Growth of that limit for each turn of starts without congestion. */
+#define BP_SHARD_STARTS_INCREASE 64
 /* Keys of a shard's records (docs/platform.md); prefixes end with an id. */
 #define BP_SHARD_KEY_OWNER "owner"
 #define BP_SHARD_KEY_PAIRS "pairs"
@@ -168,6 +173,8 @@
 	int64_t confirmed_ms; /* mono, of the last confirmed membership */
 	bool census_done;
 	uint32_t starts_in_flight;
+	bp_limiter_t starts_limit; /* of starts_in_flight */
+	double start_latency_us; /* smoothed, of answered starts */
 	guint round_timer;
 	uint64_t events; /* looks sent and orders answered, in order */
 	guint tick_timer;
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -2,8 +2,6 @@
 
 #include <string.h>
 
-/* Orders on their way at a time: more would only queue in this process. */
-#define STARTS_IN_FLIGHT_MAX 64
 /* A score is a share of the executor's processors, plus these. */
 #define SCALE 1000.0
 #define PENALTY_FAILED_ON 1500.0
@@ -335,7 +333,8 @@
 			step->reason = "headroom";
 			return;
 		}
-		if (shard->starts_in_flight >= STARTS_IN_FLIGHT_MAX) {
+		if (shard->starts_in_flight >=
+		    bp_limiter_limit(&shard->starts_limit)) {
 			step->reason = "turn";
 			return;
 		}
@@ -457,6 +456,7 @@
 		round.cpu_milli += exec->info->cpu_milli;
 		round.cpu_used += exec->cpu_used;
 	}
+	bp_limiter_set_ceiling(&shard->starts_limit, round.execs->len);
 	for (i = 0; i < shard->going->len; i++)
 		add_candidates(candidates, &round, shard->going->pdata[i]);
 	g_array_sort(candidates, compare);
