Rounds rest four times as long as they took

Change: a round without anything to place looks at no executor; the next one waits four times the length of the last.

--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -5,6 +5,9 @@
 
 /* Rounds are grouped: answers that arrive together share one. */
 #define ROUND_GAP_MS 4
+/* After a round, others wait this many times as long as it took. */
+#define ROUND_REST_FACTOR 4
+#define US_PER_MS 1000
 /* Period of checking leases, census, due times and ended jobs. */
 #define TICK_MS 100
 /* Silence of all earlier orders: grace and lease, with 5% of a lease for clock
@@ -67,10 +70,12 @@
 on_round(void *data)
 {
 	bp_shard_t *shard = data;
+	int64_t began_us = bp_clock_mono_us(shard->options.clock);
 
 	shard->round_timer = 0;
 	if (bp_shard_may_start(shard))
 		bp_shard_round(shard);
+	shard->round_us = bp_clock_mono_us(shard->options.clock) - began_us;
 	return G_SOURCE_REMOVE;
 }
 
@@ -78,9 +83,12 @@
 void
 bp_shard_plan_round(bp_shard_t *shard, uint32_t delay_ms)
 {
+	uint32_t rest_ms =
+	    (uint32_t)(shard->round_us * ROUND_REST_FACTOR / US_PER_MS);
+
 	if (shard->round_timer == 0 && shard->phase == BP_SHARD_OWNED)
 		shard->round_timer = bp_clock_after(shard->options.clock,
-		    MAX(delay_ms, ROUND_GAP_MS), on_round, shard);
+		    MAX(delay_ms, ROUND_GAP_MS + rest_ms), on_round, shard);
 }
 
 static void
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -176,6 +176,7 @@
 	bp_limiter_t starts_limit; /* of starts_in_flight */
 	double start_latency_us; /* smoothed, of answered starts */
 	guint round_timer;
+	int64_t round_us; /* length of the last round */
 	uint64_t events; /* looks sent and orders answered, in order */
 	guint tick_timer;
 	uint32_t ticks;
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -434,41 +434,57 @@
 	return route != NULL ? route->service : job->spec->service;
 }
 
-/* Places what waits, most urgent first. */
-void
-bp_shard_round(bp_shard_t *shard)
+static void
+add_executors(round_t *round)
 {
-	round_t round = {shard, bp_shard_now_ms(shard), bp_shard_wall_ms(shard),
-	    g_ptr_array_new(), 0, 0, NULL,
-	    g_array_new(FALSE, FALSE, sizeof(misfit_t))};
-	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
 	GHashTableIter iter;
 	gpointer value;
-	guint i;
 
-	g_hash_table_iter_init(&iter, shard->execs);
+	g_hash_table_iter_init(&iter, round->shard->execs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const bp_qexec_t *exec = value;
 
-		if (exclusion(&round, exec) != NULL)
+		if (exclusion(round, exec) != NULL)
 			continue;
-		g_ptr_array_add(round.execs, value);
-		round.cpu_milli += exec->info->cpu_milli;
-		round.cpu_used += exec->cpu_used;
+		g_ptr_array_add(round->execs, value);
+		round->cpu_milli += exec->info->cpu_milli;
+		round->cpu_used += exec->cpu_used;
 	}
-	bp_limiter_set_ceiling(&shard->starts_limit, round.execs->len);
-	for (i = 0; i < shard->going->len; i++)
-		add_candidates(candidates, &round, shard->going->pdata[i]);
+	bp_limiter_set_ceiling(&round->shard->starts_limit, round->execs->len);
+}
+
+static void
+place(round_t *round, GArray *candidates)
+{
+	guint i;
+
+	add_executors(round);
 	g_array_sort(candidates, compare);
 	for (i = 0; i < candidates->len; i++) {
-		candidate_t *candidate =
-		    &g_array_index(candidates, candidate_t, i);
+		bp_qstep_t *step =
+		    g_array_index(candidates, candidate_t, i).step;
 
-		if (!bp_shard_may_start(shard))
+		if (!bp_shard_may_start(round->shard))
 			break;
-		round.service = service_of(shard, candidate->step->job);
-		place_step(&round, candidate->step);
+		round->service = service_of(round->shard, step->job);
+		place_step(round, step);
 	}
+}
+
+/* Places what waits, most urgent first. */
+void
+bp_shard_round(bp_shard_t *shard)
+{
+	round_t round = {shard, bp_shard_now_ms(shard), bp_shard_wall_ms(shard),
+	    g_ptr_array_new(), 0, 0, NULL,
+	    g_array_new(FALSE, FALSE, sizeof(misfit_t))};
+	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
+	guint i;
+
+	for (i = 0; i < shard->going->len; i++)
+		add_candidates(candidates, &round, shard->going->pdata[i]);
+	if (candidates->len > 0)
+		place(&round, candidates);
 	g_array_unref(candidates);
 	g_array_unref(round.misfits);
 	g_ptr_array_unref(round.execs);
