Steps that can still meet their objective go before late ones

Cause: earliest due first let jobs that were late already go before those that could still be in time; on a full site all were late. Change: three classes, in time, late, without chance, by the estimated chain from the step on; tasks that last and timed ones are never late.

--- a/src/queues/job.c
+++ b/src/queues/job.c
@@ -45,24 +45,33 @@
 	return BP_OK;
 }
 
-/* Returns the longest chain of estimates through the steps, in ms. */
-static int64_t
-longest_chain_ms(const Bp__Work__Job *spec)
+/* Fills in the longest chain of estimates from each step on, in ms. */
+static void
+init_tails(bp_qjob_t *job)
 {
-	int64_t *ends = g_new0(int64_t, spec->n_steps);
-	int64_t longest = 0;
-	size_t i;
+	uint32_t i;
 	size_t k;
 
-	for (i = 0; i < spec->n_steps; i++) {
-		const Bp__Work__Step *step = spec->steps[i];
+	job->tails_ms = g_new0(int64_t, job->n_steps);
+	for (i = job->n_steps; i > 0; i--) {
+		const Bp__Work__Step *step = job->spec->steps[i - 1];
 
+		job->tails_ms[i - 1] += step->expected_ms;
 		for (k = 0; k < step->n_after; k++)
-			ends[i] = MAX(ends[i], ends[step->after[k]]);
-		ends[i] += step->expected_ms;
-		longest = MAX(longest, ends[i]);
+			job->tails_ms[step->after[k]] =
+			    MAX(job->tails_ms[step->after[k]],
+				job->tails_ms[i - 1]);
 	}
-	g_free(ends);
+}
+
+static int64_t
+longest_chain_ms(const bp_qjob_t *job)
+{
+	int64_t longest = 0;
+	uint32_t i;
+
+	for (i = 0; i < job->n_steps; i++)
+		longest = MAX(longest, job->tails_ms[i]);
 	return longest;
 }
 
@@ -100,8 +109,9 @@
 	job->occurrences = occurrences_of(spec);
 	job->steps = g_new0(bp_qstep_t, job->n_steps * job->occurrences);
 	init_steps(job);
+	init_tails(job);
 	job->due_ms = spec->accepted_ms + spec->objective_ms +
-	    longest_chain_ms(spec) * spec->stretch_permille / PERMILLE;
+	    longest_chain_ms(job) * spec->stretch_permille / PERMILLE;
 	return job;
 }
 
@@ -129,6 +139,7 @@
 		g_free(job->steps[i].tasks);
 	}
 	g_free(job->steps);
+	g_free(job->tails_ms);
 	if (job->waiters != NULL)
 		g_array_unref(job->waiters);
 	bp__work__job__free_unpacked(job->spec, NULL);
--- a/src/queues/job.h
+++ b/src/queues/job.h
@@ -59,6 +59,7 @@
 	bool begun; /* a task has started */
 	bool listed; /* in the list of jobs that go on */
 	int64_t ended_ms; /* Unix ms */
+	int64_t *tails_ms; /* a step: longest chain from its start, estimated */
 	int64_t due_ms; /* Unix ms until which it meets its objective */
 	GArray *waiters; /* of submissions and cancels, by the shard */
 };
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -18,6 +18,8 @@
 #define FILLER_SHARE_MIN 0.7
 /* A job that is late by this factor of its objective earns nothing more. */
 #define LATE_FACTOR 3
+/* Estimates are off by as much: less is assumed to be left than they say. */
+#define ESTIMATE_TRUST_PERCENT 50
 
 typedef struct {
 	bp_shard_t *shard;
@@ -370,22 +372,35 @@
 	return NULL;
 }
 
-static bool
-hopelessly_late(const bp_qjob_t *job, int64_t wall_ms)
-{
-	int64_t objective_ms = job->due_ms - job->spec->accepted_ms;
-
-	return job->spec->times == 0 &&
-	    wall_ms - job->spec->accepted_ms > LATE_FACTOR * objective_ms;
-}
+/* What a step's job can still earn; lower goes first. */
+typedef enum {
+	CHANCE_IN_TIME, /* it can still meet its objective, or lasts */
+	CHANCE_LATE, /* it earns a little */
+	CHANCE_NONE
+} chance_t;
 
 typedef struct {
 	bp_qstep_t *step;
 	uint32_t priority;
-	bool late;
+	chance_t chance;
 	int64_t due_ms;
 } candidate_t;
 
+static chance_t
+chance_of(const bp_qstep_t *step, int64_t wall_ms)
+{
+	const bp_qjob_t *job = step->job;
+	int64_t objective_ms = job->due_ms - job->spec->accepted_ms;
+	int64_t needs_ms =
+	    job->tails_ms[step->number] * ESTIMATE_TRUST_PERCENT / 100;
+
+	if (step->spec->lasting || job->spec->times > 0)
+		return CHANCE_IN_TIME;
+	if (wall_ms - job->spec->accepted_ms > LATE_FACTOR * objective_ms)
+		return CHANCE_NONE;
+	return wall_ms + needs_ms > job->due_ms ? CHANCE_LATE : CHANCE_IN_TIME;
+}
+
 static gint
 compare(gconstpointer a, gconstpointer b)
 {
@@ -394,8 +409,8 @@
 
 	if (x->priority != y->priority)
 		return x->priority < y->priority ? -1 : 1;
-	if (x->late != y->late)
-		return x->late ? 1 : -1;
+	if (x->chance != y->chance)
+		return x->chance < y->chance ? -1 : 1;
 	return (x->due_ms > y->due_ms) - (x->due_ms < y->due_ms);
 }
 
@@ -411,7 +426,7 @@
 	for (i = 0; i < job->n_steps * job->occurrences; i++) {
 		bp_qstep_t *step = &job->steps[i];
 		candidate_t candidate = {step, job->spec->priority,
-		    hopelessly_late(job, round->wall_ms),
+		    chance_of(step, round->wall_ms),
 		    MAX(job->due_ms, bp_qstep_due_ms(step))};
 
 		if (step->waiting == 0)
