A list that was overtaken ends no run; standbys join one at a time

The one sent first named a new run, the one sent later had been made before the start; the owner took the event of the first look's sending as proof that the run existed, so the later look seemed to prove its end, and the task was started again. Change: a run that a list names is answered as of the list's arrival. Test first: queues/lists, with an executor whose answers the test gives, red before. The soak has a second run in which orders and answers overtake. Standbys: the store may go on naming a dead owner while nobody joins (found by the new test queues/membership), so silence of 10 s suffices; each waits a time of its own. The plan follows the planner's processors, standbys leave it to larger nodes. Tests of timers and of the limit's own range.

--- a/src/queues/membership.c
+++ b/src/queues/membership.c
@@ -1,5 +1,6 @@
 #include "queues/membership.h"
 
+#include "bulrushpost/hash.h"
 #include "bulrushpost/shard.h"
 
 #include <string.h>
@@ -12,6 +13,11 @@
 /* A standby asks the store for owners when one was silent for this time:
  * longer than a membership lasts, so that preferred nodes come first. */
 #define STANDBY_WAIT_MS (BP_SHARD_MEMBERSHIP_MS + 1500)
+/* Silence for this time is a reason to join whatever the store says. */
+#define STANDBY_SURE_MS 10000
+/* Standbys join at different times within this span. */
+#define STANDBY_SPREAD_MS 2000
+#define SEED_SPREAD 0x73746279
 /* It asks again after this time. */
 #define STANDBY_AGAIN_MS 1000
 /* Calls of `held` without any shard before a standby leaves: the first
@@ -30,6 +36,7 @@
 	bool left;
 	bool member; /* joins; a standby does so only when it must */
 	uint32_t releasing; /* ticks until a standby leaves; 0: it stays */
+	int64_t spread_ms; /* of a standby, by its name */
 	int64_t *answered_ms; /* mono, a shard: when its owner was heard */
 	bool again; /* owners are asked for once more */
 	int64_t asked_ms;
@@ -103,17 +110,17 @@
 		leave(self);
 }
 
-static bool
-all_answer(const bp_membership_t *self)
+/* How long the owner has been silent that was silent for the longest. */
+static int64_t
+silence_ms(const bp_membership_t *self)
 {
 	int64_t now_ms = bp_clock_mono_ms(self->options.clock);
+	int64_t longest_ms = 0;
 	uint32_t i;
 
-	for (i = 0; i < self->options.shards; i++) {
-		if (now_ms - self->answered_ms[i] > STANDBY_WAIT_MS)
-			return false;
-	}
-	return true;
+	for (i = 0; i < self->options.shards; i++)
+		longest_ms = MAX(longest_ms, now_ms - self->answered_ms[i]);
+	return longest_ms;
 }
 
 /* An owner that is silent to this node may still be one to the store. */
@@ -138,7 +145,7 @@
 		return G_SOURCE_CONTINUE;
 	}
 	if (!self->member) {
-		if (!all_answer(self))
+		if (silence_ms(self) > STANDBY_WAIT_MS)
 			ask_as_standby(self);
 		return G_SOURCE_CONTINUE;
 	}
@@ -170,12 +177,19 @@
 	    self->options.clock, delay_ms, on_owners_timer, self);
 }
 
-/* A standby joins once the store itself knows no owner of a shard. */
+/*
+ * A standby joins once the store knows no owner of a shard. The store may go
+ * on naming one that has died while nobody joins, so that silence alone
+ * suffices after a while. Each waits a time of its own: one is enough.
+ */
 static void
 join_if_vacant(bp_membership_t *self, uint32_t held)
 {
-	if (self->member || self->left || held >= self->options.shards ||
-	    all_answer(self))
+	int64_t needed_ms =
+	    held < self->options.shards ? STANDBY_WAIT_MS : STANDBY_SURE_MS;
+
+	if (self->member || self->left ||
+	    silence_ms(self) <= needed_ms + self->spread_ms)
 		return;
 	bp_log(self->options.logger, BP_LOG_NOTICE, MODULE,
 	    "a shard has no owner; the standby joins", NULL);
@@ -237,6 +251,9 @@
 	for (i = 0; i < options->shards; i++)
 		self->answered_ms[i] = bp_clock_mono_ms(options->clock);
 	self->member = !options->standby;
+	self->spread_ms =
+	    (int64_t)(bp_hash_text(self->member_name, SEED_SPREAD) %
+		STANDBY_SPREAD_MS);
 	self->answered = true;
 	self->join_timer = bp_clock_after(
 	    self->options.clock, JOIN_PERIOD_MS, on_join_timer, self);
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -23,6 +23,9 @@
 /* Processors, in thousandths, of a node that owns shards by preference: an
  * owner of 350 executors needs about 0.2 (CAPACITY.md). */
 #define OWNER_PROCESSOR_MILLI 200
+/* An owner bears so many executors for each processor (CAPACITY.md). */
+#define EXECUTORS_PER_PROCESSOR 1200
+#define MILLI 1000
 /* Calls of one node on one connection to this one. */
 #define PEER_REQUESTS_MAX 4096
 #define PEER_CONNECTIONS_MAX 256
@@ -356,6 +359,9 @@
 	options.store = bp_platform_get_store(node->platform);
 	options.topic = TOPIC_PLAN;
 	options.shards = node->settings->queues.shards;
+	options.executors_per_shard =
+	    node->processor_milli * EXECUTORS_PER_PROCESSOR / MILLI;
+	options.standby = node->standby;
 	options.follow = on_follow;
 	options.decided = on_decided;
 	options.data = node;
--- a/src/queues/shard_lists.c
+++ b/src/queues/shard_lists.c
@@ -171,8 +171,7 @@
 }
 
 static void
-take_running(bp_qexec_t *exec, const bp_look_running_t *row, GHashTable *seen,
-    uint64_t look_event)
+take_running(bp_qexec_t *exec, const bp_look_running_t *row, GHashTable *seen)
 {
 	bp_qrun_t *run = find_run(exec, row->task, row->run);
 
@@ -181,7 +180,8 @@
 	else if (run->state == BP_QRUN_STARTING)
 		run->state = BP_QRUN_RUNNING;
 	g_hash_table_add(seen, run);
-	run->answer_event = MAX(run->answer_event, look_event);
+	/* A look that was sent before now may have been listed before. */
+	run->answer_event = ++exec->shard->events;
 	if (run->percent != row->percent) {
 		run->percent = row->percent;
 		run->progress_ms = bp_shard_now_ms(exec->shard);
@@ -263,8 +263,8 @@
 	}
 	for (i = 0; i < result->running->len; i++)
 		take_running(exec,
-		    &g_array_index(result->running, bp_look_running_t, i), seen,
-		    look_event);
+		    &g_array_index(result->running, bp_look_running_t, i),
+		    seen);
 	if (result->ended->len < ENDS_PAGE)
 		drop_missing(exec, seen, look_event);
 	g_hash_table_unref(seen);
--- a/src/queues/sharding.c
+++ b/src/queues/sharding.c
@@ -11,14 +11,14 @@
 #define MODULE "sharding"
 /* A read or write of the plan that failed is repeated after this time. */
 #define RETRY_MS 150
-/* With more, an owner starts tasks later than they arrive (CAPACITY.md). */
-#define EXECUTORS_PER_SHARD 600
 /* The platform has this many partitions in a topic. */
 #define SHARDS_MAX 8
 /* Executors of a new deployment come over some seconds: the plan waits for
  * a list that has not grown for a while, but only so long. */
 #define LIST_AGAIN_MS 1200
 #define LIST_PATIENCE_MS 4500
+/* A standby lets others write the plan for so much longer. */
+#define STANDBY_PATIENCE_MS 3000
 #define SEED_JOB 0x6a6f62
 #define SEED_RACK 0x7261636b
 
@@ -158,8 +158,8 @@
 
 	plan.shards = self->options.shards != 0
 	    ? self->options.shards
-	    : CLAMP((self->executors + EXECUTORS_PER_SHARD - 1) /
-		      EXECUTORS_PER_SHARD,
+	    : CLAMP((self->executors + self->options.executors_per_shard - 1) /
+		      self->options.executors_per_shard,
 		  1, SHARDS_MAX);
 	g_ptr_array_sort(self->seen, compare_names);
 	plan.racks = g_new0(Bp__Work__RackShard *, self->seen->len + 1);
@@ -236,6 +236,8 @@
 bp_sharding_executors_listed(bp_sharding_t *self)
 {
 	int64_t waited_ms;
+	int64_t standby_ms =
+	    self->options.standby ? LIST_PATIENCE_MS + STANDBY_PATIENCE_MS : 0;
 	bool grown;
 
 	if (self->decided || self->listing_since_ms == 0)
@@ -245,7 +247,7 @@
 	grown =
 	    self->executors == 0 || self->executors != self->executors_before;
 	self->executors_before = self->executors;
-	if (grown && waited_ms < LIST_PATIENCE_MS)
+	if ((grown && waited_ms < LIST_PATIENCE_MS) || waited_ms < standby_ms)
 		retry_after(self, LIST_AGAIN_MS);
 	else
 		write_plan(self);
@@ -261,6 +263,8 @@
 	self->racks =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	self->seen = g_ptr_array_new_with_free_func(g_free);
+	self->options.executors_per_shard =
+	    MAX(options->executors_per_shard, 1);
 	self->count = MAX(options->shards, 1);
 	self->decided = options->store == NULL;
 	return self;
--- a/src/queues/sharding.h
+++ b/src/queues/sharding.h
@@ -19,6 +19,9 @@
 	bp_store_t *store; /* NULL: the plan is shards racks by hash */
 	const char *topic;
 	uint32_t shards; /* 0: by the number of executors */
+	uint32_t
+	    executors_per_shard; /* that an owner of this node's size bears */
+	bool standby; /* leaves the plan to larger nodes for a while */
 	/* The executors' list is to be read, whole from now on, or not. */
 	void (*follow)(bool follow, void *data);
 	/* The plan is known; called once, later. */
--- a/tests/gateway/test_limiter.c
+++ b/tests/gateway/test_limiter.c
@@ -91,6 +91,28 @@
 	CU_ASSERT_EQUAL(bp_limiter_limit(&limiter), 5);
 }
 
+/* A limit of its own bounds doubles a turn and falls to its floor. */
+static void
+test_a_range_of_its_own(void)
+{
+	bp_limiter_t limiter;
+
+	bp_limiter_init_range(&limiter, 64, 64, 64);
+	add(&limiter, 100, 10000, false);
+	CU_ASSERT_EQUAL(bp_limiter_limit(&limiter), 64);
+	bp_limiter_set_ceiling(&limiter, 300);
+	add(&limiter, 64, 10000, false);
+	CU_ASSERT_TRUE(bp_limiter_limit(&limiter) >= 100);
+	add(&limiter, 2000, 10000, false);
+	CU_ASSERT_EQUAL(bp_limiter_limit(&limiter), 300);
+	add(&limiter, 1, 10000, true);
+	CU_ASSERT_TRUE(bp_limiter_limit(&limiter) < 300);
+	add(&limiter, 100, 90000, false);
+	CU_ASSERT_EQUAL(bp_limiter_limit(&limiter), 64);
+	bp_limiter_set_ceiling(&limiter, 10);
+	CU_ASSERT_EQUAL(bp_limiter_limit(&limiter), 64);
+}
+
 int
 main(void)
 {
@@ -99,6 +121,7 @@
 	    {"bounds set", test_bounds_can_be_set},
 	    {"congestion", test_limit_follows_congestion},
 	    {"spacing", test_decreases_are_spaced},
+	    {"a range of its own", test_a_range_of_its_own},
 	    CU_TEST_INFO_NULL,
 	};
 
--- /dev/null
+++ b/tests/queues/test_lists.c
@@ -0,0 +1,273 @@
+#include "bulrushpost/shard.h"
+#include "support/queuestore.h"
+#include "support/runner.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define START_MS 1000000
+#define STEP_MS 10
+#define CALLS_MAX 64
+
+typedef enum { START, STOP, LOOK } kind_t;
+
+/* An order that waits for the test's answer. */
+typedef struct {
+	kind_t kind;
+	char *task; /* of START and STOP */
+	uint64_t run;
+	bp_exec_done_t done;
+	void *data;
+	bool answered;
+} call_t;
+
+/* One shard, and an executor whose answers the test gives. */
+typedef struct {
+	bp_executors_t interface;
+	bp_clock_virtual_t *clock;
+	bp_random_t random;
+	bp_qstore_t *store;
+	bp_shard_t *shard;
+	call_t calls[CALLS_MAX];
+	uint32_t n_calls;
+} script_t;
+
+static void
+record(bp_executors_t *self, kind_t kind, const char *task, uint64_t run,
+    bp_exec_done_t done, void *data)
+{
+	script_t *script = (script_t *)self;
+	call_t *call = &script->calls[script->n_calls++];
+
+	call->kind = kind;
+	call->task = g_strdup(task);
+	call->run = run;
+	call->done = done;
+	call->data = data;
+}
+
+static void
+script_start(bp_executors_t *self, const bp_exec_target_t *target,
+    const bp_exec_start_t *start, bp_exec_done_t done, void *data)
+{
+	(void)target;
+	record(self, START, start->task, start->run, done, data);
+}
+
+static void
+script_stop(bp_executors_t *self, const bp_exec_target_t *target,
+    const char *task, uint64_t run, bp_exec_done_t done, void *data)
+{
+	(void)target;
+	record(self, STOP, task, run, done, data);
+}
+
+static void
+script_look(bp_executors_t *self, const bp_exec_target_t *target,
+    const bp_exec_look_t *look, bp_exec_done_t done, void *data)
+{
+	(void)target;
+	(void)look;
+	record(self, LOOK, NULL, 0, done, data);
+}
+
+static void
+script_forget(bp_executors_t *self, void *data)
+{
+	(void)self;
+	(void)data;
+}
+
+static void
+on_event(bp_shard_t *shard, void *data)
+{
+	(void)shard;
+	(void)data;
+}
+
+/* Time passes with the shard's membership confirmed. */
+static void
+pass(script_t *script, int64_t duration_ms)
+{
+	const bp_clock_t *clock = bp_clock_virtual_clock(script->clock);
+	int64_t passed_ms;
+
+	for (passed_ms = 0; passed_ms < duration_ms; passed_ms += STEP_MS) {
+		bp_clock_virtual_run_ms(script->clock, STEP_MS);
+		(void)bp_shard_confirm(script->shard, bp_clock_mono_ms(clock));
+	}
+}
+
+/* The oldest open call of a kind, for a task if one is named; or NULL. */
+static call_t *
+open_call(script_t *script, kind_t kind, const char *task)
+{
+	uint32_t i;
+
+	for (i = 0; i < script->n_calls; i++) {
+		call_t *call = &script->calls[i];
+
+		if (call->kind == kind && !call->answered &&
+		    (task == NULL || g_strcmp0(call->task, task) == 0))
+			return call;
+	}
+	return NULL;
+}
+
+static void
+answer(call_t *call, bp_exec_outcome_t outcome, int64_t clock_ms,
+    const call_t *running)
+{
+	GArray *rows = g_array_new(FALSE, TRUE, sizeof(bp_look_running_t));
+	GArray *ends = g_array_new(FALSE, TRUE, sizeof(bp_look_ended_t));
+	bp_exec_result_t result = {outcome, clock_ms, 1, NULL, NULL, false};
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(call);
+	if (running != NULL) {
+		bp_look_running_t row = {
+		    running->task, running->run, "", 50, 0};
+
+		g_array_append_val(rows, row);
+	}
+	if (call->kind == LOOK) {
+		result.running = rows;
+		result.ended = ends;
+	}
+	call->answered = true;
+	call->done(&result, call->data);
+	g_array_unref(rows);
+	g_array_unref(ends);
+}
+
+static void
+list_executor(script_t *script)
+{
+	char *labels[] = {NULL};
+	bp_executor_info_t info = {"i-1", "pool", "10.0.0.1:80", "za", "r1",
+	    labels, 16000, 64000, 0, false, 1};
+
+	bp_shard_executor(script->shard, &info);
+}
+
+static script_t *
+script_new(void)
+{
+	script_t *script = g_new0(script_t, 1);
+	bp_shard_options_t options = {0};
+
+	script->interface.start = script_start;
+	script->interface.stop = script_stop;
+	script->interface.look = script_look;
+	script->interface.forget = script_forget;
+	script->clock = bp_clock_virtual_new(START_MS);
+	bp_random_init(&script->random, 1);
+	script->store = bp_qstore_new(script->clock, &script->random, 1);
+	options.clock = bp_clock_virtual_clock(script->clock);
+	options.store = bp_qstore_interface(bp_qstore_view(script->store));
+	options.executors = &script->interface;
+	options.node = "n";
+	options.address = "10.0.0.9:7000";
+	options.topic = "jobs";
+	options.limits.lease_max_ms = 6000;
+	options.limits.status_keep_s = 3600;
+	options.limits.quarantine_failures = 3;
+	options.lost = on_event;
+	options.owned = on_event;
+	script->shard = bp_shard_new(&options);
+	pass(script, 500);
+	list_executor(script);
+	answer(open_call(script, LOOK, NULL), BP_EXEC_OK, 1000, NULL);
+	pass(script, 100);
+	return script;
+}
+
+static void
+script_free(script_t *script)
+{
+	uint32_t i;
+
+	bp_shard_free(script->shard);
+	bp_qstore_free(script->store);
+	bp_clock_virtual_free(script->clock);
+	for (i = 0; i < script->n_calls; i++)
+		g_free(script->calls[i].task);
+	g_free(script);
+}
+
+static void
+on_submitted(const bp_shard_answer_t *told, void *data)
+{
+	(void)data;
+	CU_ASSERT_EQUAL(told->kind, BP_OK);
+}
+
+static void
+submit(script_t *script, const char *id)
+{
+	Bp__Work__Job *job = malloc(sizeof(*job));
+	Bp__Work__Step *step = malloc(sizeof(*step));
+
+	bp__work__step__init(step);
+	step->tasks = 1;
+	step->cpu_milli = 1000;
+	step->memory_mib = 100;
+	step->expected_ms = 5000;
+	bp__work__job__init(job);
+	job->id = strdup(id);
+	job->queue = strdup("q");
+	job->service = strdup("pool");
+	job->payload = strdup("work");
+	job->attempts = 3;
+	job->stretch_permille = 2000;
+	job->accepted_ms = START_MS;
+	job->steps = calloc(1, sizeof(Bp__Work__Step *));
+	job->steps[job->n_steps++] = step;
+	bp_shard_submit(script->shard, job, on_submitted, NULL);
+}
+
+/*
+ * Lists of one millisecond tell nothing of their order: the one that was
+ * asked for later may be older, and then proves nothing about a run that
+ * only the other one names.
+ */
+static void
+test_an_overtaken_list_ends_no_run(void)
+{
+	script_t *script = script_new();
+	call_t *start;
+	call_t *refused;
+	call_t *newer;
+	call_t *older;
+
+	submit(script, "000000000000000a");
+	pass(script, 200);
+	start = open_call(script, START, "000000000000000a.0.0.0");
+	newer = open_call(script, LOOK, NULL);
+	submit(script, "000000000000000b");
+	pass(script, 200);
+	refused = open_call(script, START, "000000000000000b.0.0.0");
+	answer(refused, BP_EXEC_NO_ROOM, 1400, NULL);
+	answer(newer, BP_EXEC_OK, 1500, start);
+	older = open_call(script, LOOK, NULL);
+	answer(older, BP_EXEC_OK, 1500, NULL);
+	pass(script, 300);
+	CU_ASSERT_PTR_EQUAL(
+	    open_call(script, START, "000000000000000a.0.0.0"), start);
+	CU_ASSERT_PTR_NULL(open_call(script, STOP, NULL));
+	answer(start, BP_EXEC_OK, 1900, NULL);
+	pass(script, 300);
+	CU_ASSERT_PTR_NULL(open_call(script, START, "000000000000000a.0.0.0"));
+	script_free(script);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"an overtaken list ends no run",
+		test_an_overtaken_list_ends_no_run},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return bp_test_main("queues/lists", tests);
+}
--- /dev/null
+++ b/tests/queues/test_membership.c
@@ -0,0 +1,204 @@
+#include "bulrushpost/shard.h"
+#include "queues/membership.h"
+#include "support/queuestore.h"
+#include "support/runner.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define SHARDS 2
+#define MEMBERS 3
+#define HELLO_MS 500
+#define START_MS 1000000
+
+/* A member of the group, and the shards that it holds. */
+typedef struct {
+	bp_qstore_view_t *view;
+	bp_membership_t *membership;
+	char address[32];
+	bool holds[SHARDS];
+} member_t;
+
+typedef struct {
+	bp_clock_virtual_t *clock;
+	bp_random_t random;
+	bp_qstore_t *store;
+	member_t members[MEMBERS];
+} fixture_t;
+
+static void
+on_held(const bool *shards, int64_t sent_mono_ms, void *data)
+{
+	member_t *member = data;
+
+	(void)sent_mono_ms;
+	memcpy(member->holds, shards, sizeof(member->holds));
+}
+
+static fixture_t *
+fixture_new(void)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+
+	fixture->clock = bp_clock_virtual_new(START_MS);
+	bp_random_init(&fixture->random, 1);
+	fixture->store =
+	    bp_qstore_new(fixture->clock, &fixture->random, SHARDS);
+	return fixture;
+}
+
+static void
+join(fixture_t *fixture, uint32_t index, bool standby)
+{
+	member_t *member = &fixture->members[index];
+	bp_membership_options_t options = {0};
+
+	member->view = bp_qstore_view(fixture->store);
+	snprintf(
+	    member->address, sizeof(member->address), "10.0.0.%u:7000", index);
+	options.clock = bp_clock_virtual_clock(fixture->clock);
+	options.store = bp_qstore_interface(member->view);
+	options.topic = "jobs";
+	options.address = member->address;
+	options.incarnation = index + 1;
+	options.shards = SHARDS;
+	options.standby = standby;
+	options.held = on_held;
+	options.data = member;
+	member->membership = bp_membership_new(&options);
+}
+
+static void
+leave(fixture_t *fixture, uint32_t index)
+{
+	bp_membership_free(fixture->members[index].membership);
+	fixture->members[index].membership = NULL;
+	memset(fixture->members[index].holds, 0, SHARDS);
+}
+
+static uint32_t
+held(const member_t *member)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < SHARDS; i++)
+		n += member->holds[i];
+	return n;
+}
+
+/* Time passes; who holds a shard answers the hellos of all others. */
+static void
+pass(fixture_t *fixture, int64_t duration_ms)
+{
+	int64_t passed_ms;
+	uint32_t i;
+	uint32_t k;
+	uint32_t shard;
+
+	for (passed_ms = 0; passed_ms < duration_ms; passed_ms += HELLO_MS) {
+		bp_clock_virtual_run_ms(fixture->clock, HELLO_MS);
+		for (i = 0; i < MEMBERS * MEMBERS; i++) {
+			const member_t *owner = &fixture->members[i / MEMBERS];
+			member_t *other = &fixture->members[i % MEMBERS];
+
+			for (shard = 0; shard < SHARDS; shard++) {
+				if (owner->holds[shard] &&
+				    other->membership != NULL)
+					bp_membership_owner_answered(
+					    other->membership, shard);
+			}
+		}
+	}
+	for (k = 0; k < SHARDS; k++) {
+		uint32_t owners = 0;
+
+		for (i = 0; i < MEMBERS; i++)
+			owners += fixture->members[i].holds[k];
+		CU_ASSERT_TRUE(owners <= 1);
+	}
+}
+
+static void
+fixture_free(fixture_t *fixture)
+{
+	uint32_t i;
+
+	for (i = 0; i < MEMBERS; i++)
+		leave(fixture, i);
+	bp_qstore_free(fixture->store);
+	bp_clock_virtual_free(fixture->clock);
+	g_free(fixture);
+}
+
+/* A small node takes no shard while larger ones live, and all without them. */
+static void
+test_a_standby_owns_only_without_others(void)
+{
+	fixture_t *fixture = fixture_new();
+
+	join(fixture, 0, true);
+	join(fixture, 1, false);
+	pass(fixture, 20000);
+	CU_ASSERT_EQUAL(held(&fixture->members[0]), 0);
+	CU_ASSERT_EQUAL(held(&fixture->members[1]), SHARDS);
+	leave(fixture, 1);
+	pass(fixture, 15000);
+	CU_ASSERT_EQUAL(held(&fixture->members[0]), SHARDS);
+	fixture_free(fixture);
+}
+
+/*
+ * An owner that is silent to a standby, but not to the store, keeps its
+ * shards: standbys that join for nothing would have them dealt anew.
+ */
+static void
+test_a_silent_owner_that_renews_is_kept(void)
+{
+	fixture_t *fixture = fixture_new();
+	uint32_t i;
+
+	join(fixture, 0, true);
+	join(fixture, 1, false);
+	for (i = 0; i < 18; i++) {
+		bp_clock_virtual_run_ms(fixture->clock, HELLO_MS);
+		CU_ASSERT_EQUAL(held(&fixture->members[0]), 0);
+	}
+	CU_ASSERT_EQUAL(held(&fixture->members[1]), SHARDS);
+	fixture_free(fixture);
+}
+
+/* A larger node that returns gets the shards back. */
+static void
+test_a_standby_gives_its_shards_up(void)
+{
+	fixture_t *fixture = fixture_new();
+
+	join(fixture, 0, true);
+	pass(fixture, 10000);
+	CU_ASSERT_EQUAL(held(&fixture->members[0]), SHARDS);
+	bp_membership_prefer_others(fixture->members[0].membership);
+	join(fixture, 1, false);
+	pass(fixture, 3000);
+	CU_ASSERT_EQUAL(held(&fixture->members[0]), 0);
+	CU_ASSERT_EQUAL(held(&fixture->members[1]), SHARDS);
+	pass(fixture, 10000);
+	CU_ASSERT_EQUAL(held(&fixture->members[0]), 0);
+	fixture_free(fixture);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"a standby owns only without others",
+		test_a_standby_owns_only_without_others},
+	    {"a silent owner that renews is kept",
+		test_a_silent_owner_that_renews_is_kept},
+	    {"a standby gives its shards up",
+		test_a_standby_gives_its_shards_up},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return bp_test_main("queues/membership", tests);
+}
--- a/tests/queues/test_parts.c
+++ b/tests/queues/test_parts.c
@@ -346,7 +346,8 @@
 }
 
 static void
-plan_start(plan_rig_t *rig, journal_rig_t *store, uint32_t executors)
+plan_start(
+    plan_rig_t *rig, journal_rig_t *store, uint32_t executors, bool standby)
 {
 	bp_sharding_options_t options = {0};
 
@@ -355,6 +356,8 @@
 	options.clock = bp_clock_virtual_clock(store->clock);
 	options.store = bp_qstore_interface(store->view);
 	options.topic = "plan";
+	options.executors_per_shard = 70;
+	options.standby = standby;
 	options.follow = on_follow;
 	options.decided = on_decided;
 	options.data = rig;
@@ -373,9 +376,9 @@
 	uint32_t counts[8] = {0};
 
 	journal_start(&store);
-	plan_start(&first, &store, 480);
+	plan_start(&first, &store, 480, false);
 	bp_clock_virtual_run_ms(store.clock, 3000);
-	plan_start(&second, &store, 20);
+	plan_start(&second, &store, 20, false);
 	bp_clock_virtual_run_ms(store.clock, 6000);
 	CU_ASSERT_TRUE(first.decided && second.decided);
 	CU_ASSERT_EQUAL(bp_sharding_count(first.sharding), 7);
@@ -398,6 +401,42 @@
 	journal_stop(&store);
 }
 
+/* A small node would split the executors into more shards than needed. */
+static void
+test_a_standby_leaves_the_plan_to_others(void)
+{
+	journal_rig_t store;
+	plan_rig_t standby;
+	plan_rig_t preferred;
+
+	journal_start(&store);
+	plan_start(&standby, &store, 480, true);
+	bp_clock_virtual_run_ms(store.clock, 1000);
+	plan_start(&preferred, &store, 60, false);
+	bp_clock_virtual_run_ms(store.clock, 9000);
+	CU_ASSERT_TRUE(standby.decided && preferred.decided);
+	CU_ASSERT_EQUAL(bp_sharding_count(standby.sharding), 1);
+	bp_sharding_free(standby.sharding);
+	bp_sharding_free(preferred.sharding);
+	journal_stop(&store);
+}
+
+/* Without others a standby makes the plan itself. */
+static void
+test_a_standby_plans_alone(void)
+{
+	journal_rig_t store;
+	plan_rig_t standby;
+
+	journal_start(&store);
+	plan_start(&standby, &store, 480, true);
+	bp_clock_virtual_run_ms(store.clock, 9000);
+	CU_ASSERT_TRUE(standby.decided);
+	CU_ASSERT_EQUAL(bp_sharding_count(standby.sharding), 7);
+	bp_sharding_free(standby.sharding);
+	journal_stop(&store);
+}
+
 int
 main(void)
 {
@@ -412,6 +451,9 @@
 		test_journal_never_refuses_what_may_be_done},
 	    {"journal repeats are one", test_journal_repeats_are_one},
 	    {"one plan for all nodes", test_one_plan_for_all_nodes},
+	    {"a standby leaves the plan to others",
+		test_a_standby_leaves_the_plan_to_others},
+	    {"a standby plans alone", test_a_standby_plans_alone},
 	    CU_TEST_INFO_NULL,
 	};
 
--- a/tests/queues/test_soak.c
+++ b/tests/queues/test_soak.c
@@ -6,6 +6,8 @@
 
 /* Seeds of a CI run; SOAK_SEEDS and SOAK_FIRST select others by hand. */
 #define SEEDS 120
+/* Orders and answers at a busy node take up to so long. */
+#define JITTER_MS 150
 #define EXECUTORS 8
 #define FAULT_STEPS 40
 /* After the last fault everything must have ended within this time: the
@@ -141,7 +143,7 @@
 
 /* Returns false and tells the seed when a rule was broken. */
 static bool
-play(uint64_t seed)
+play(uint64_t seed, uint32_t jitter_ms)
 {
 	bp_qrig_t *rig = bp_qrig_new(seed, EXECUTORS);
 	GPtrArray *ids = g_ptr_array_new();
@@ -149,6 +151,7 @@
 	uint32_t i;
 	bool good;
 
+	bp_qfleet_set_jitter_ms(bp_qrig_fleet(rig), jitter_ms);
 	for (i = 0; i < FAULT_STEPS; i++) {
 		load(rig, ids);
 		load(rig, ids);
@@ -173,10 +176,11 @@
 	good = bp_qrig_broken(rig) == 0 && unfinished == 0 &&
 	    bp_qrig_owner(rig) >= 0;
 	if (!good)
-		printf("seed %" G_GUINT64_FORMAT ": %u broken (%s), %u jobs "
+		printf("seed %" G_GUINT64_FORMAT
+		       ", jitter %u ms: %u broken (%s), %u jobs "
 		       "unfinished, owner %d\n",
-		    seed, bp_qrig_broken(rig), bp_qrig_first_broken(rig),
-		    unfinished, bp_qrig_owner(rig));
+		    seed, jitter_ms, bp_qrig_broken(rig),
+		    bp_qrig_first_broken(rig), unfinished, bp_qrig_owner(rig));
 	g_ptr_array_unref(ids);
 	bp_qrig_free(rig);
 	return good;
@@ -192,7 +196,7 @@
 
 /* Faults of nodes, store and executors together and twice, by seed. */
 static void
-test_faults_break_no_rule(void)
+soak(uint32_t jitter_ms)
 {
 	uint64_t first = number_from("SOAK_FIRST", 1);
 	uint64_t seeds = number_from("SOAK_SEEDS", SEEDS);
@@ -200,10 +204,23 @@
 	uint64_t i;
 
 	for (i = 0; i < seeds; i++)
-		bad += !play(first + i);
+		bad += !play(first + i, jitter_ms);
 	CU_ASSERT_EQUAL(bad, 0);
 }
 
+static void
+test_faults_break_no_rule(void)
+{
+	soak(0);
+}
+
+/* Nodes that carry orders out are busy: orders and answers overtake. */
+static void
+test_overtaking_breaks_no_rule(void)
+{
+	soak(JITTER_MS);
+}
+
 /* Each was red once; 32034: an earlier owner's lease outlasted ours. */
 static void
 test_seeds_that_were_red(void)
@@ -212,7 +229,7 @@
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(seeds); i++)
-		CU_ASSERT_TRUE(play(seeds[i]));
+		CU_ASSERT_TRUE(play(seeds[i], 0));
 }
 
 int
@@ -220,6 +237,7 @@
 {
 	CU_TestInfo tests[] = {
 	    {"faults break no rule", test_faults_break_no_rule},
+	    {"overtaking breaks no rule", test_overtaking_breaks_no_rule},
 	    {"seeds that were red", test_seeds_that_were_red},
 	    CU_TEST_INFO_NULL,
 	};
--- a/tests/support/queuefleet.c
+++ b/tests/support/queuefleet.c
@@ -61,6 +61,7 @@
 	GHashTable *done; /* tasks of which a run has ended done */
 	GHashTable *noted; /* tasks whose done end was taken note of */
 	uint32_t late_percent;
+	uint32_t jitter_ms;
 	bool hold_orders; /* all starts and stops are carried out late */
 	uint32_t n_starts;
 	uint32_t broken;
@@ -394,6 +395,14 @@
 	g_free(call);
 }
 
+static uint32_t
+jitter_of(bp_qfleet_t *fleet)
+{
+	return fleet->jitter_ms > 0
+	    ? bp_random_below(fleet->random, fleet->jitter_ms)
+	    : 0;
+}
+
 static gboolean
 on_answer(gpointer data)
 {
@@ -431,8 +440,8 @@
 	call->result.born_ms = exec->born_ms;
 	if (call->kind == LOOK && call->result.outcome == BP_EXEC_OK)
 		fill_lists(call);
-	call->timer =
-	    bp_clock_after(clock_of(exec->fleet), LATENCY_MS, on_answer, call);
+	call->timer = bp_clock_after(clock_of(exec->fleet),
+	    LATENCY_MS + jitter_of(exec->fleet), on_answer, call);
 }
 
 static gboolean
@@ -574,8 +583,9 @@
 	call->data = data;
 	g_hash_table_add(view->calls, call);
 	call->timer = bp_clock_after(clock_of(view->fleet),
-	    LATENCY_MS + bp_random_below(view->fleet->random, 4), on_arrival,
-	    call);
+	    LATENCY_MS + bp_random_below(view->fleet->random, 4) +
+		jitter_of(view->fleet),
+	    on_arrival, call);
 	return call;
 }
 
@@ -837,6 +847,13 @@
 	fleet->late_percent = percent;
 }
 
+/* See the header. */
+void
+bp_qfleet_set_jitter_ms(bp_qfleet_t *fleet, uint32_t jitter_ms)
+{
+	fleet->jitter_ms = jitter_ms;
+}
+
 /* Leaves starts and stops, but not looks, unanswered until seconds later. */
 void
 bp_qfleet_set_hold_orders(bp_qfleet_t *fleet, bool hold)
--- a/tests/support/queuefleet.h
+++ b/tests/support/queuefleet.h
@@ -43,6 +43,9 @@
 /* Share of orders, in percent, without answer and done 2 to 12 s later. */
 void bp_qfleet_set_draining(bp_qfleet_t *fleet, uint32_t index, bool draining);
 void bp_qfleet_set_late(bp_qfleet_t *fleet, uint32_t percent);
+/* Orders and answers take up to so much longer, each its own time: they
+ * overtake each other. */
+void bp_qfleet_set_jitter_ms(bp_qfleet_t *fleet, uint32_t jitter_ms);
 void bp_qfleet_set_hold_orders(bp_qfleet_t *fleet, bool hold);
 
 uint32_t bp_qfleet_starts(const bp_qfleet_t *fleet);
