Entries of executors that only repeat themselves are not read anew

Cause: an owner of 490 executors parses 445 entries a second that differ only in time and count. Test: adapter/codec.

--- a/tests/adapter/test_codec.c
+++ b/tests/adapter/test_codec.c
@@ -56,6 +56,30 @@
 	bp__work__job__free_unpacked(job, NULL);
 }
 
+/* Entries that tell the same but for their time and count are not told again.
+ */
+static void
+test_repeated_entries_are_the_same(void)
+{
+	static const char *const texts[] = {
+	    "{\"state\":\"ready\",\"clock_ms\":99,\"sequence\":4,\"born\":17}",
+	    "{\"state\":\"ready\",\"clock_ms\":100,\"sequence\":12,\"born\":"
+	    "17}",
+	    "{\"state\":\"draining\",\"clock_ms\":99,\"sequence\":4,\"born\":"
+	    "17}",
+	    "{\"state\":\"ready\",\"clock_ms\":99,\"sequence\":4,\"born\":18}"};
+	char *entries[G_N_ELEMENTS(texts)];
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(texts); i++)
+		entries[i] = bp_codec_entry(texts[i], strlen(texts[i]));
+	CU_ASSERT_STRING_EQUAL(entries[0], entries[1]);
+	CU_ASSERT_STRING_NOT_EQUAL(entries[0], entries[2]);
+	CU_ASSERT_STRING_NOT_EQUAL(entries[0], entries[3]);
+	for (i = 0; i < G_N_ELEMENTS(texts); i++)
+		g_free(entries[i]);
+}
+
 /* A job that names a later step, or none, is refused with the problem. */
 static void
 test_bad_jobs_are_refused(void)
@@ -229,6 +253,8 @@
 	CU_TestInfo tests[] = {
 	    {"a job is read whole", test_a_job_is_read_whole},
 	    {"bad jobs are refused", test_bad_jobs_are_refused},
+	    {"repeated entries are the same",
+		test_repeated_entries_are_the_same},
 	    {"the longest prefix decides", test_the_longest_prefix_decides},
 	    {"foreign entries name no executor",
 		test_foreign_entries_name_no_executor},
