A cancel that the store cannot take is refused at once

Ruled out: a change of owner (it kept the shard). Change: as with submissions, a new cancel is refused with a time to come back while an append has been without answer for 0.7 s; nothing is done then. Test: queues/shard, red before.

--- a/src/queues/shard_calls.c
+++ b/src/queues/shard_calls.c
@@ -149,6 +149,12 @@
 		answer_now(done, data, BP_OK, job->state, "");
 		return;
 	}
+	/* A cancel under way may be stored yet; a new one is not begun. */
+	if (!job->cancelling && store_stalled(shard)) {
+		answer_now(done, data, BP_ELOGDOWN, job->state,
+		    "the store does not answer");
+		return;
+	}
 	job->cancelling = true;
 	add_waiter(shard, job, true, done, data);
 	if (job->accepted)
--- a/tests/queues/test_shard.c
+++ b/tests/queues/test_shard.c
@@ -459,6 +459,37 @@
 	finish(rig);
 }
 
+/*
+ * A cancel that cannot be stored is refused at once, with nothing done, so
+ * that its caller comes back: held back until the deadline its tries run out.
+ */
+static void
+test_store_down_refuses_cancels(void)
+{
+	bp_qrig_t *rig = started();
+	const char *id = bp_qrig_submit(rig, 2, 0, true);
+	const char *other;
+	uint32_t node;
+
+	bp_qrig_run_ms(rig, 1000);
+	for (node = 0; node < BP_QRIG_NODES; node++)
+		bp_qrig_store_mode(rig, node, BP_QSTORE_SILENT);
+	other = bp_qrig_submit(rig, 1, 200, false);
+	bp_qrig_run_ms(rig, 1200);
+	bp_qrig_cancel(rig, id);
+	bp_qrig_run_ms(rig, 50);
+	CU_ASSERT_EQUAL(bp_qrig_cancel_told(rig, id), BP_QRIG_REFUSED);
+	for (node = 0; node < BP_QRIG_NODES; node++)
+		bp_qrig_store_mode(rig, node, BP_QSTORE_UP);
+	bp_qrig_run_ms(rig, 6000);
+	expect_state(rig, id, BP__WORK__JOB_STATE__JOB_RUNNING);
+	bp_qrig_cancel(rig, id);
+	bp_qrig_run_ms(rig, 1000);
+	CU_ASSERT_EQUAL(bp_qrig_cancel_told(rig, id), BP_QRIG_ACCEPTED);
+	CU_ASSERT_NOT_EQUAL(bp_qrig_told(rig, other), BP_QRIG_REFUSED);
+	finish(rig);
+}
+
 int
 main(void)
 {
@@ -482,6 +513,7 @@
 	    {"a draining executor empties", test_a_draining_executor_empties},
 	    {"label and spread bind", test_label_and_spread_bind},
 	    {"a gang gets its accelerators", test_a_gang_gets_its_accelerators},
+	    {"store down refuses cancels", test_store_down_refuses_cancels},
 	    CU_TEST_INFO_NULL,
 	};
 
