--- a/tests/core/test_settings.c
+++ b/tests/core/test_settings.c
@@ -178,6 +178,46 @@
 	}
 }
 
+/* Parses the settings of a queue node with this share of a processor. */
+static int
+parse_share(const char *share, uint32_t *milli)
+{
+	bp_settings_t *settings = NULL;
+	bp_error_t err = {0};
+	char *text = g_strdup_printf(
+	    "node: {name: a, zone: z, services: [queues], processor_share: %s, "
+	    "processors: 2}\n"
+	    "listen: {queues: 127.0.0.1:1, control: 127.0.0.1:2}\n"
+	    "platform: {store: 127.0.0.1:3}\n",
+	    share);
+	int rc = bp_settings_parse(
+	    &settings, "a.yaml", text, strlen(text), NULL, &err);
+
+	*milli = settings != NULL
+	    ? settings->node.processor_share_milli * settings->node.processors
+	    : 0;
+	bp_settings_free(settings);
+	g_free(text);
+	return rc;
+}
+
+/* Guards against shares that are cut to whole numbers or have no bounds. */
+static void
+test_shares_are_fractions(void)
+{
+	static const char *const bad[] = {"0", "-0.5", "1.01", "nan", "inf",
+	    "half", "0.5x", "\"0.5\"", "\"\""};
+	uint32_t milli;
+	size_t i;
+
+	CU_ASSERT_EQUAL(parse_share("0.12", &milli), BP_OK);
+	CU_ASSERT_EQUAL(milli, 240);
+	CU_ASSERT_EQUAL(parse_share("1", &milli), BP_OK);
+	CU_ASSERT_EQUAL(milli, 2000);
+	for (i = 0; i < G_N_ELEMENTS(bad); i++)
+		CU_ASSERT_EQUAL(parse_share(bad[i], &milli), BP_EINVALID);
+}
+
 int
 main(void)
 {
@@ -185,6 +225,7 @@
 	    {"sample", test_sample_is_read},
 	    {"all problems", test_all_problems_are_reported},
 	    {"odd documents", test_odd_documents_are_refused},
+	    {"shares are fractions", test_shares_are_fractions},
 	    {"mutations", test_mutated_files_are_safe},
 	    CU_TEST_INFO_NULL,
 	};
