--- a/src/core/timers.c
+++ b/src/core/timers.c
@@ -6,6 +6,7 @@
 	GSequence *queue; /* bp_timer_t, earliest first */
 	GHashTable *by_id; /* id to its place in the queue */
 	guint last_id;
+	guint taken; /* the last one taken out, until it is cancelled */
 };
 
 /* Creates an empty queue. */
@@ -75,6 +76,8 @@
 	GSequenceIter *place =
 	    g_hash_table_lookup(timers->by_id, GUINT_TO_POINTER(id));
 
+	if (id == timers->taken)
+		timers->taken = 0;
 	if (place == NULL)
 		return;
 	g_hash_table_remove(timers->by_id, GUINT_TO_POINTER(id));
@@ -104,6 +107,7 @@
 	if (out->due_us > until_us)
 		return FALSE;
 	bp_timers_cancel(timers, out->id);
+	timers->taken = out->id;
 	return TRUE;
 }
 
@@ -113,6 +117,8 @@
 {
 	bp_timer_t again = *timer;
 
+	if (timers->taken != timer->id)
+		return;
 	again.due_us = now_us + (int64_t)timer->delay_ms * US_PER_MS;
 	insert(timers, &again);
 }
--- a/src/core/timers.h
+++ b/src/core/timers.h
@@ -30,7 +30,8 @@
 int64_t bp_timers_next_us(const bp_timers_t *timers);
 /*
  * Takes out the first timer that is due until then; FALSE without one. The
- * caller calls it and, if it is to go on, hands it back.
+ * caller calls it and, if it is to go on, hands it back, which does nothing
+ * if it was cancelled meanwhile.
  */
 gboolean bp_timers_take(bp_timers_t *timers, int64_t until_us, bp_timer_t *out);
 void bp_timers_repeat(
--- a/tests/core/test_timers.c
+++ b/tests/core/test_timers.c
@@ -44,6 +44,12 @@
 	CU_ASSERT_EQUAL(bp_timers_next_us(timers), 50 * US_PER_MS);
 	bp_timers_cancel(timers, early);
 	CU_ASSERT_EQUAL(bp_timers_next_us(timers), -1);
+	/* One that its own call cancels does not go on. */
+	(void)bp_timers_add(timers, 0, 1, count, &unused);
+	CU_ASSERT_TRUE(bp_timers_take(timers, 40 * US_PER_MS, &timer));
+	bp_timers_cancel(timers, timer.id);
+	bp_timers_repeat(timers, &timer, 40 * US_PER_MS);
+	CU_ASSERT_EQUAL(bp_timers_next_us(timers), -1);
 	bp_timers_free(timers);
 }
 
