--- a/tests/support/queuehttp.c
+++ b/tests/support/queuehttp.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Executors repeat their entries after this time. */
+#define HEARTBEAT_MS 1000
 #define STEP_MS 5
 #define TASK_MS 300
 #define LASTING_MS 1000000
@@ -234,16 +236,17 @@
 }
 
 static char *
-entry_of(bp_queuehttp_t *self, uint32_t index)
+entry_of(bp_queuehttp_t *self, uint32_t index, uint64_t sequence)
 {
 	bp_executor_info_t *info = bp_qfleet_info(self->fleet, index);
 	char *text = g_strdup_printf(
 	    "{\"service_name\":\"pool\",\"address\":\"127.0.0.1:%u\","
 	    "\"zone\":\"%s\",\"version\":\"v1\",\"slots\":8,\"state\":"
 	    "\"ready\",\"capacity\":{\"cpu\":%u,\"mem_mb\":%u,\"gpu\":0},"
-	    "\"labels\":[\"a\",\"%s\"],\"sequence\":1,\"born\":%d}",
+	    "\"labels\":[\"a\",\"%s\"],\"clock_ms\":%" G_GUINT64_FORMAT
+	    ",\"sequence\":%" G_GUINT64_FORMAT ",\"born\":%d}",
 	    self->port, info->zone, info->cpu_milli, info->memory_mib,
-	    info->rack, (int)info->born_ms);
+	    info->rack, sequence * HEARTBEAT_MS, sequence, (int)info->born_ms);
 
 	bp_executor_info_free(info);
 	return text;
@@ -284,7 +287,7 @@
 	     i < bp_qfleet_size(self->fleet);
 	     i++) {
 		char *key = g_strdup_printf("i-%u", i);
-		char *entry = entry_of(self, i);
+		char *entry = entry_of(self, i, 1);
 
 		add_value(text, key, entry, i);
 		g_free(key);
@@ -308,11 +311,51 @@
 }
 
 /* Configurations from an offset on; the executors' topic has no news. */
+static void
+add_record(GByteArray *out, const char *key, const char *value)
+{
+	add_be(out, 1 + strlen(key) + strlen(value), 4);
+	add_be(out, strlen(key), 1);
+	g_byte_array_append(out, (const uint8_t *)key, (guint)strlen(key));
+	g_byte_array_append(out, (const uint8_t *)value, (guint)strlen(value));
+}
+
+static void
+answer_bytes(SoupServerMessage *message, GByteArray *out)
+{
+	gsize size = out->len;
+
+	soup_server_message_set_status(message, 200, NULL);
+	soup_server_message_set_response(message, "application/octet-stream",
+	    SOUP_MEMORY_TAKE, (char *)g_byte_array_free(out, FALSE), size);
+}
+
+/* Each read finds that all executors have repeated their entries. */
+static void
+answer_heartbeats(
+    bp_queuehttp_t *self, SoupServerMessage *message, uint64_t from)
+{
+	GByteArray *out = g_byte_array_new();
+	uint32_t executors = bp_qfleet_size(self->fleet);
+	uint32_t i;
+
+	add_be(out, from + executors, 8);
+	add_be(out, 0, 8);
+	for (i = 0; i < executors; i++) {
+		char *key = g_strdup_printf("i-%u", i);
+		char *value = entry_of(self, i, from + i + 2);
+
+		add_record(out, key, value);
+		g_free(key);
+		g_free(value);
+	}
+	answer_bytes(message, out);
+}
+
 static void
 answer_read(SoupServerMessage *message, const GPtrArray *values, uint64_t from)
 {
 	GByteArray *out = g_byte_array_new();
-	gsize size;
 	guint i;
 
 	add_be(out, values != NULL ? values->len : from, 8);
@@ -320,17 +363,9 @@
 	for (i = (guint)from; values != NULL && i < values->len; i++) {
 		const char *value = values->pdata[i];
 
-		add_be(out, 1 + strlen("config") + strlen(value), 4);
-		add_be(out, strlen("config"), 1);
-		g_byte_array_append(
-		    out, (const uint8_t *)"config", strlen("config"));
-		g_byte_array_append(
-		    out, (const uint8_t *)value, (guint)strlen(value));
+		add_record(out, "config", value);
 	}
-	size = out->len;
-	soup_server_message_set_status(message, 200, NULL);
-	soup_server_message_set_response(message, "application/octet-stream",
-	    SOUP_MEMORY_TAKE, (char *)g_byte_array_free(out, FALSE), size);
+	answer_bytes(message, out);
 }
 
 static gboolean
@@ -351,6 +386,10 @@
 	uint64_t from = number(query, "from");
 	call_t *call;
 
+	if (strcmp(param(query, "topic"), "keyed.servers") == 0) {
+		answer_heartbeats(self, message, from);
+		return;
+	}
 	if (strcmp(param(query, "topic"), "keyed.op") != 0) {
 		answer_read(message, NULL, from);
 		return;
