--- a/src/queues/membership.c
+++ b/src/queues/membership.c
@@ -96,15 +96,22 @@
 	    self->options.store, GROUP, self->member_name, on_left, self);
 }
 
-/* Gives the shards up, then the membership. */
+/* What this node still owns is given up, once its records are stored. */
 static void
-release(bp_membership_t *self)
+hold_nothing(bp_membership_t *self)
 {
 	bool *none = g_new0(bool, self->options.shards);
 
 	self->options.held(
 	    none, bp_clock_mono_ms(self->options.clock), self->options.data);
 	g_free(none);
+}
+
+/* Gives the shards up, then the membership. */
+static void
+release(bp_membership_t *self)
+{
+	hold_nothing(self);
 	self->releasing--;
 	if (self->releasing == 0)
 		leave(self);
@@ -145,6 +152,8 @@
 		return G_SOURCE_CONTINUE;
 	}
 	if (!self->member) {
+		/* A shard whose records the store did not take in time. */
+		hold_nothing(self);
 		if (silence_ms(self) > STANDBY_WAIT_MS)
 			ask_as_standby(self);
 		return G_SOURCE_CONTINUE;
--- a/tests/queues/test_membership.c
+++ b/tests/queues/test_membership.c
@@ -17,6 +17,7 @@
 	bp_membership_t *membership;
 	char address[32];
 	bool holds[SHARDS];
+	uint32_t told; /* how often it was told what it holds */
 } member_t;
 
 typedef struct {
@@ -32,6 +33,7 @@
 	member_t *member = data;
 
 	(void)sent_mono_ms;
+	member->told++;
 	memcpy(member->holds, shards, sizeof(member->holds));
 }
 
@@ -180,6 +182,10 @@
 	bp_membership_prefer_others(fixture->members[0].membership);
 	join(fixture, 1, false);
 	pass(fixture, 3000);
+	fixture->members[0].told = 0;
+	pass(fixture, 1000);
+	/* A shard that could not be stored before is still given up. */
+	CU_ASSERT_TRUE(fixture->members[0].told > 0);
 	CU_ASSERT_EQUAL(held(&fixture->members[0]), 0);
 	CU_ASSERT_EQUAL(held(&fixture->members[1]), SHARDS);
 	pass(fixture, 10000);
