Log why ready tasks wait, what an owner did and how late it was

The summary told how many tasks are ready, not why they wait, so three hypotheses looked the same: the owner's processor, room beside serving tasks, the order of jobs.

No decision changes.

--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -76,6 +76,8 @@
 	if (bp_shard_may_start(shard))
 		bp_shard_round(shard);
 	shard->round_us = bp_clock_mono_us(shard->options.clock) - began_us;
+	shard->rounds_us += shard->round_us;
+	shard->counts_rounds++;
 	return G_SOURCE_REMOVE;
 }
 
@@ -237,11 +239,22 @@
 	g_list_free(values);
 }
 
+/* A tick that comes late tells how long this process could not keep up. */
+static void
+note_lag(bp_shard_t *shard)
+{
+	int64_t now_ms = bp_shard_now_ms(shard);
+
+	shard->lag_ms = MAX(shard->lag_ms, now_ms - shard->tick_due_ms);
+	shard->tick_due_ms = now_ms + TICK_MS;
+}
+
 static gboolean
 on_tick(void *data)
 {
 	bp_shard_t *shard = data;
 
+	note_lag(shard);
 	if (shard->phase != BP_SHARD_OWNED && shard->phase != BP_SHARD_RELEASED)
 		return G_SOURCE_CONTINUE;
 	bp_shard_refuse_overdue(shard);
@@ -290,6 +303,7 @@
 	shard->dropping = g_ptr_array_new_with_free_func(g_free);
 	shard->in_flight = g_array_new(FALSE, FALSE, sizeof(bp_qsent_t));
 	shard->confirmed_ms = bp_shard_now_ms(shard);
+	shard->tick_due_ms = shard->confirmed_ms + TICK_MS;
 	shard->tick_timer =
 	    bp_clock_after(shard->options.clock, TICK_MS, on_tick, shard);
 	bp_shard_read(shard);
--- a/src/queues/shard_orders.c
+++ b/src/queues/shard_orders.c
@@ -278,10 +278,12 @@
 	if (run->stop_sent_ms != 0 &&
 	    now_ms - run->stop_sent_ms < STOP_REPEAT_MS)
 		return;
-	if (run->stop_sent_ms == 0)
+	if (run->stop_sent_ms == 0) {
+		shard->counts_stopped++;
 		bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE,
 		    "stopping a run", "task", run->name, "executor",
 		    run->exec->info->id, "reason", reason, NULL);
+	}
 	run->state = BP_QRUN_STOPPING;
 	run->stop_sent_ms = now_ms;
 	shard->options.executors->stop(shard->options.executors, &target,
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -115,10 +115,10 @@
 	guint timer; /* of the next look */
 };
 
-/* A cause that keeps a task from executors, and from how many. */
+/* A cause of waiting with the executors or tasks that it concerns. */
 typedef struct {
 	const char *name; /* static */
-	uint32_t executors;
+	uint32_t amount;
 } bp_qcause_t;
 
 /* A caller that waits for the store. */
@@ -137,6 +137,16 @@
 	bool cancel;
 } bp_qsent_t;
 
+/* Counts at the last summary; the log tells the difference. */
+typedef struct {
+	uint64_t started;
+	uint64_t done;
+	uint64_t failed;
+	uint64_t stopped;
+	uint64_t rounds;
+	int64_t rounds_us;
+} bp_qwindow_t;
+
 typedef enum {
 	BP_SHARD_READING, /* the keys of the partition */
 	BP_SHARD_CLAIMING, /* appending the owner's record */
@@ -190,6 +200,12 @@
 	uint64_t counts_failed;
 	uint64_t counts_lost_runs;
 	uint64_t counts_paces;
+	uint64_t counts_stopped; /* runs that were ordered to stop */
+	uint64_t counts_rounds;
+	int64_t rounds_us; /* spent in rounds so far */
+	int64_t tick_due_ms; /* mono, when the next tick falls due */
+	int64_t lag_ms; /* latest tick since the last summary */
+	bp_qwindow_t window;
 };
 
 /* shard.c */
@@ -273,6 +289,7 @@
 
 /* shard_rounds.c */
 void bp_shard_round(bp_shard_t *shard);
+void bp_qcauses_add(GPtrArray *causes, const char *name, uint32_t amount);
 GPtrArray *bp_shard_explain(bp_shard_t *shard, bp_qstep_t *step);
 
 /* shard_share.c */
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -379,22 +379,24 @@
 	g_ptr_array_unref(round.execs);
 }
 
-static void
-tally(GPtrArray *causes, const char *name)
+/* Adds to a cause in a list of bp_qcause_t. name is static. */
+void
+bp_qcauses_add(GPtrArray *causes, const char *name, uint32_t amount)
 {
+	bp_qcause_t *cause;
 	guint i;
 
 	for (i = 0; i < causes->len; i++) {
-		bp_qcause_t *cause = causes->pdata[i];
-
+		cause = causes->pdata[i];
 		if (strcmp(cause->name, name) == 0) {
-			cause->executors++;
+			cause->amount += amount;
 			return;
 		}
 	}
-	g_ptr_array_add(causes, g_new0(bp_qcause_t, 1));
-	((bp_qcause_t *)causes->pdata[causes->len - 1])->name = name;
-	((bp_qcause_t *)causes->pdata[causes->len - 1])->executors = 1;
+	cause = g_new0(bp_qcause_t, 1);
+	cause->name = name;
+	cause->amount = amount;
+	g_ptr_array_add(causes, cause);
 }
 
 /*
@@ -420,7 +422,7 @@
 			why = bp_qexec_obstacle(exec, step, round.service);
 		if (why != NULL && strcmp(why, "service") == 0)
 			continue;
-		tally(causes, why != NULL ? why : "turn");
+		bp_qcauses_add(causes, why != NULL ? why : "turn", 1);
 	}
 	return causes;
 }
--- a/src/queues/shard_summary.c
+++ b/src/queues/shard_summary.c
@@ -16,6 +16,7 @@
 	uint32_t waiting;
 	uint32_t ready; /* waiting, with all earlier steps done */
 	uint32_t urgent; /* ready, of the first priority */
+	GPtrArray *causes; /* bp_qcause_t, of what is ready */
 } summary_t;
 
 static void
@@ -52,16 +53,65 @@
 		if (!bp_qstep_open(step, wall_ms))
 			continue;
 		sum->ready += step->waiting;
+		if (step->waiting > 0)
+			bp_qcauses_add(sum->causes,
+			    step->reason != NULL ? step->reason : "turn",
+			    step->waiting);
 		if (job->spec->priority == 0)
 			sum->urgent += step->waiting;
 	}
 }
 
-/* Logs what the shard holds as one line: jobs, tasks, room and pacing. */
+/* Logs how many ready tasks wait for which reason. */
+static void
+log_causes(const bp_shard_t *shard, const GPtrArray *causes)
+{
+	GString *text = g_string_new("");
+	guint i;
+
+	for (i = 0; i < causes->len; i++) {
+		const bp_qcause_t *cause = causes->pdata[i];
+
+		g_string_append_printf(text, "%s%s=%u", i > 0 ? " " : "",
+		    cause->name, cause->amount);
+	}
+	if (causes->len > 0)
+		bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE,
+		    "ready tasks wait", "reasons", text->str, NULL);
+	g_string_free(text, TRUE);
+}
+
+/* Logs the shard's work since the last summary and how late it was. */
+static void
+log_work(bp_shard_t *shard)
+{
+	const bp_qwindow_t *before = &shard->window;
+	bp_qwindow_t now = {shard->counts_started, shard->counts_done,
+	    shard->counts_failed, shard->counts_stopped, shard->counts_rounds,
+	    shard->rounds_us};
+	char text[192];
+
+	snprintf(text, sizeof(text),
+	    "started=%u done=%u failed=%u stopped=%u rounds=%u "
+	    "rounds_ms=%u lag_ms=%u",
+	    (unsigned)(now.started - before->started),
+	    (unsigned)(now.done - before->done),
+	    (unsigned)(now.failed - before->failed),
+	    (unsigned)(now.stopped - before->stopped),
+	    (unsigned)(now.rounds - before->rounds),
+	    (unsigned)((now.rounds_us - before->rounds_us) / US_PER_MS),
+	    (unsigned)MAX(shard->lag_ms, 0));
+	bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE, "work done",
+	    "state", text, NULL);
+	shard->window = now;
+	shard->lag_ms = 0;
+}
+
+/* Logs what the shard holds, why tasks wait, and the work done since. */
 void
 bp_shard_log_summary(bp_shard_t *shard)
 {
-	summary_t sum = {0};
+	summary_t sum = {.causes = g_ptr_array_new_with_free_func(g_free)};
 	GHashTableIter iter;
 	gpointer value;
 	char text[256];
@@ -83,4 +133,7 @@
 	    (unsigned)(shard->start_latency_us / US_PER_MS));
 	bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE, "summary",
 	    "state", text, NULL);
+	log_causes(shard, sum.causes);
+	log_work(shard);
+	g_ptr_array_unref(sum.causes);
 }
--- a/src/queues/shard_why.c
+++ b/src/queues/shard_why.c
@@ -61,7 +61,7 @@
 
 		if (strcmp(cause->name, "turn") == 0)
 			return "turn";
-		if (most == NULL || cause->executors > most->executors)
+		if (most == NULL || cause->amount > most->amount)
 			most = cause;
 	}
 	return most != NULL ? most->name : "no_executor";
@@ -110,7 +110,7 @@
 		const bp_qcause_t *cause = causes->pdata[i];
 
 		json_builder_set_member_name(builder, cause->name);
-		json_builder_add_int_value(builder, cause->executors);
+		json_builder_add_int_value(builder, cause->amount);
 	}
 	json_builder_end_object(builder);
 }
@@ -203,7 +203,7 @@
 		const bp_qcause_t *cause = causes->pdata[i];
 
 		g_string_append_printf(text, "%s%s on %u executors",
-		    i == 0 ? "; " : ", ", cause->name, cause->executors);
+		    i == 0 ? "; " : ", ", cause->name, cause->amount);
 	}
 }
 
