--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -1760,7 +1760,7 @@
   (ProtobufCMessageInit) bp__work__ended_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__work__order_result__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bp__work__order_result__field_descriptors[7] =
 {
   {
     "outcome",
@@ -1834,6 +1834,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "took_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__OrderResult, took_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__work__order_result__field_indices_by_name[] = {
   2,   /* field[2] = born_ms */
@@ -1842,11 +1854,12 @@
   3,   /* field[3] = lists */
   0,   /* field[0] = outcome */
   4,   /* field[4] = running */
+  6,   /* field[6] = took_ms */
 };
 static const ProtobufCIntRange bp__work__order_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bp__work__order_result__descriptor =
 {
@@ -1856,7 +1869,7 @@
   "Bp__Work__OrderResult",
   "bp.work",
   sizeof(Bp__Work__OrderResult),
-  6,
+  7,
   bp__work__order_result__field_descriptors,
   bp__work__order_result__field_indices_by_name,
   1,  bp__work__order_result__number_ranges,
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -310,10 +310,14 @@
   Bp__Work__RunningRow **running;
   size_t n_ended;
   Bp__Work__EndedRow **ended;
+  /*
+   * at the node that carried the order out
+   */
+  uint32_t took_ms;
 };
 #define BP__WORK__ORDER_RESULT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__work__order_result__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
--- a/src/queues/courier.c
+++ b/src/queues/courier.c
@@ -4,6 +4,7 @@
 #include "proto/work.pb-c.h"
 
 struct bp_courier {
+	const bp_clock_t *clock;
 	bp_executors_t *direct;
 	const char *zone;
 	GHashTable *served; /* served_t in flight */
@@ -13,6 +14,7 @@
 typedef struct {
 	bp_courier_t *courier;
 	bp_peer_request_t *request;
+	int64_t since_ms; /* mono */
 } served_t;
 
 static void
@@ -68,6 +70,8 @@
 	body.outcome = result->outcome;
 	body.clock_ms = result->clock_ms;
 	body.born_ms = result->born_ms;
+	body.took_ms = (uint32_t)(bp_clock_mono_ms(served->courier->clock) -
+	    served->since_ms);
 	if (result->running != NULL && result->ended != NULL)
 		put_lists(result, &body, rows);
 	answer.outcome = BP_OUTCOME_RAN;
@@ -130,6 +134,7 @@
 	served = g_new0(served_t, 1);
 	served->courier = courier;
 	served->request = request;
+	served->since_ms = bp_clock_mono_ms(courier->clock);
 	g_hash_table_add(courier->served, served);
 	carry_out(courier, order, served);
 	bp__work__order__free_unpacked(order, NULL);
@@ -137,10 +142,12 @@
 
 /* See the header. */
 bp_courier_t *
-bp_courier_new(bp_executors_t *direct, const char *zone)
+bp_courier_new(
+    const bp_clock_t *clock, bp_executors_t *direct, const char *zone)
 {
 	bp_courier_t *courier = g_new0(bp_courier_t, 1);
 
+	courier->clock = clock;
 	courier->direct = direct;
 	courier->zone = zone;
 	courier->served = g_hash_table_new(NULL, NULL);
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -259,7 +259,7 @@
 	relay.zone = node->settings->node.zone;
 	relay.processor_milli = node->processor_milli;
 	node->relay = bp_relay_new(&relay);
-	node->courier = bp_courier_new(relay.direct, relay.zone);
+	node->courier = bp_courier_new(node->clock, relay.direct, relay.zone);
 	node->hello_timer =
 	    bp_clock_after(node->clock, HELLO_PERIOD_MS, on_hello_timer, node);
 }
--- a/src/queues/relay.c
+++ b/src/queues/relay.c
@@ -5,6 +5,7 @@
 #include "proto/work.pb-c.h"
 
 #include <math.h>
+#include <stdio.h>
 #include <string.h>
 
 /* A node that said nothing for this time carries out no orders. */
@@ -20,6 +21,17 @@
 #define UNIT_SHIFT (64 - UNIT_BITS)
 #define SEED_COURIER 0x636f7572
 
+#define MODULE "relay"
+/* Period of the log's line on what the couriers took. */
+#define SUMMARY_MS 2000
+
+/* Starts that a courier answered since the last summary. */
+typedef struct {
+	uint32_t starts;
+	uint64_t total_ms; /* from sending to the answer, added up */
+	uint64_t carried_ms; /* of these, at the courier */
+} tally_t;
+
 /* A live node, with the zone that it is in. */
 typedef struct {
 	char *address;
@@ -28,6 +40,7 @@
 	uint32_t processor_milli;
 	int64_t heard_ms; /* mono */
 	int64_t rest_until_ms; /* mono */
+	tally_t tally;
 } courier_t;
 
 struct bp_relay {
@@ -35,11 +48,14 @@
 	bp_relay_options_t options;
 	GHashTable *couriers; /* address to courier_t */
 	GHashTable *calls; /* sent_t in flight */
+	guint summary_timer;
 };
 
 typedef struct {
 	bp_relay_t *relay; /* NULL once it is freed */
 	char *courier;
+	bool start;
+	int64_t sent_ms; /* mono */
 	bp_exec_done_t done; /* NULL once forgotten */
 	void *data;
 } sent_t;
@@ -147,6 +163,21 @@
 	to->ended = ended;
 }
 
+static void
+count_start(const sent_t *sent, const Bp__Work__OrderResult *body)
+{
+	bp_relay_t *relay = sent->relay;
+	courier_t *courier =
+	    g_hash_table_lookup(relay->couriers, sent->courier);
+
+	if (!sent->start || courier == NULL)
+		return;
+	courier->tally.starts++;
+	courier->tally.total_ms +=
+	    (uint64_t)(bp_clock_mono_ms(relay->options.clock) - sent->sent_ms);
+	courier->tally.carried_ms += body->took_ms;
+}
+
 static void
 deliver(sent_t *sent, const Bp__Peer__Frame *frame)
 {
@@ -157,6 +188,7 @@
 	result.outcome = BP_EXEC_UNKNOWN;
 	if (body != NULL && frame->error == BP_OK &&
 	    body->outcome <= BP_EXEC_UNKNOWN) {
+		count_start(sent, body);
 		result.outcome = (bp_exec_outcome_t)body->outcome;
 		result.clock_ms = body->clock_ms;
 		result.born_ms = body->born_ms;
@@ -224,6 +256,8 @@
 	order->fence = target->fence;
 	sent->relay = relay;
 	sent->courier = g_strdup(courier);
+	sent->start = order->kind == BP__WORK__ORDER_KIND__ORDER_START;
+	sent->sent_ms = bp_clock_mono_ms(relay->options.clock);
 	sent->done = done;
 	sent->data = data;
 	g_hash_table_add(relay->calls, sent);
@@ -338,6 +372,59 @@
 	relay->options.direct->forget(relay->options.direct, data);
 }
 
+static uint32_t
+mean_ms(uint64_t sum_ms, uint32_t count)
+{
+	return count > 0 ? (uint32_t)(sum_ms / count) : 0;
+}
+
+static void
+add_tally(tally_t *sum, const tally_t *tally)
+{
+	sum->starts += tally->starts;
+	sum->total_ms += tally->total_ms;
+	sum->carried_ms += tally->carried_ms;
+}
+
+/* Tells a slow courier from slow ones everywhere and from a busy owner. */
+static gboolean
+on_summary(void *data)
+{
+	bp_relay_t *relay = data;
+	tally_t sum = {0, 0, 0};
+	tally_t worst = {0, 0, 0};
+	char *slowest = NULL;
+	GHashTableIter iter;
+	gpointer value;
+	char text[256];
+
+	g_hash_table_iter_init(&iter, relay->couriers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		courier_t *courier = value;
+
+		add_tally(&sum, &courier->tally);
+		if (slowest == NULL ||
+		    mean_ms(courier->tally.total_ms, courier->tally.starts) >
+			mean_ms(worst.total_ms, worst.starts)) {
+			worst = courier->tally;
+			slowest = courier->address;
+		}
+		memset(&courier->tally, 0, sizeof(courier->tally));
+	}
+	if (sum.starts == 0)
+		return G_SOURCE_CONTINUE;
+	snprintf(text, sizeof(text),
+	    "starts=%u mean_ms=%u carried_ms=%u slowest=%s its_starts=%u "
+	    "its_ms=%u its_carried_ms=%u",
+	    sum.starts, mean_ms(sum.total_ms, sum.starts),
+	    mean_ms(sum.carried_ms, sum.starts), slowest, worst.starts,
+	    mean_ms(worst.total_ms, worst.starts),
+	    mean_ms(worst.carried_ms, worst.starts));
+	bp_log(relay->options.logger, BP_LOG_INFO, MODULE, "starts carried out",
+	    "state", text, NULL);
+	return G_SOURCE_CONTINUE;
+}
+
 /* Creates a relay that knows no other node yet. */
 bp_relay_t *
 bp_relay_new(const bp_relay_options_t *options)
@@ -348,6 +435,8 @@
 	relay->couriers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, courier_free);
 	relay->calls = g_hash_table_new_full(NULL, NULL, sent_free, NULL);
+	relay->summary_timer =
+	    bp_clock_after(options->clock, SUMMARY_MS, on_summary, relay);
 	relay->interface.start = relay_start;
 	relay->interface.stop = relay_stop;
 	relay->interface.look = relay_look;
@@ -362,6 +451,7 @@
 {
 	if (relay == NULL)
 		return;
+	bp_clock_cancel(relay->options.clock, &relay->summary_timer);
 	g_hash_table_unref(relay->calls);
 	g_hash_table_unref(relay->couriers);
 	g_free(relay);
