Send frames while a node is busy

Cause: frames were flushed one priority below reading. GLib dispatches only the best priority that is ready, so on a node that always finds something to read, orders and answers waited for a turn without any input. Flushes now have the priority of reading: frames of one turn go out in the next one, still joined. The same class elsewhere: a call with a bad URL ended at idle priority.

Not the whole cause: tasks still wait for the limit.

--- a/src/clients/httpcall.c
+++ b/src/clients/httpcall.c
@@ -317,7 +317,8 @@
 	g_hash_table_add(http->calls, call);
 	call->message = soup_message_new(request->method, request->url);
 	if (call->message == NULL) {
-		call->source = g_idle_add(on_invalid, call);
+		call->source =
+		    g_idle_add_full(G_PRIORITY_DEFAULT, on_invalid, call, NULL);
 		return;
 	}
 	set_message(call, request);
--- a/src/node/link.c
+++ b/src/node/link.c
@@ -7,8 +7,11 @@
 #include <netinet/tcp.h>
 
 #define READ_BYTES 16384
-/* After all that this turn of the loop has read. */
-#define FLUSH_PRIORITY (G_PRIORITY_DEFAULT + 1)
+/*
+ * That of reading: sources of a lower priority wait until a turn of the loop
+ * finds nothing to read, which a busy node may not see for long.
+ */
+#define FLUSH_PRIORITY G_PRIORITY_DEFAULT
 /* Timeouts are checked this often in their own length. */
 #define TICKS_PER_TIMEOUT 4
 
@@ -254,7 +257,7 @@
 	return G_SOURCE_REMOVE;
 }
 
-/* Frames of one turn of the loop are written together. */
+/* Frames of one turn of the loop are written together, in the next one. */
 static void
 plan_flush(bp_link_t *link)
 {
--- a/tests/node/test_peer.c
+++ b/tests/node/test_peer.c
@@ -342,6 +342,37 @@
 	tear_down(&fixture);
 }
 
+static gboolean
+on_busy(gpointer data)
+{
+	unsigned int *turns = data;
+
+	(*turns)++;
+	return G_SOURCE_CONTINUE;
+}
+
+/* Guards against frames that wait until a node has nothing else to do. */
+static void
+test_a_busy_loop_sends_frames(void)
+{
+	int64_t end_us = g_get_monotonic_time() + WAIT_MS * 1000;
+	unsigned int turns = 0;
+	fixture_t fixture;
+	guint busy;
+
+	set_up(&fixture, NULL);
+	call(&fixture, "connects", WAIT_MS);
+	wait_done(&fixture, 1);
+	busy = g_idle_add_full(G_PRIORITY_DEFAULT, on_busy, &turns, NULL);
+	call(&fixture, "while busy", WAIT_MS);
+	while (fixture.done < 2 && g_get_monotonic_time() < end_us)
+		(void)g_main_context_iteration(NULL, FALSE);
+	CU_ASSERT_EQUAL(fixture.done, 2);
+	CU_ASSERT_TRUE(turns > 0);
+	g_source_remove(busy);
+	tear_down(&fixture);
+}
+
 int
 main(void)
 {
@@ -352,6 +383,7 @@
 	    {"limits", test_limits_hold},
 	    {"slow reader", test_slow_reader_is_closed},
 	    {"mutations", test_mutated_frames_are_safe},
+	    {"a busy loop sends frames", test_a_busy_loop_sends_frames},
 	    CU_TEST_INFO_NULL,
 	};
 
