A limit on starts in flight for each node that carries them out

All of them waited for their turn: one limit on starts in flight for all executors stood at 65 to 130.

Cause: the limit fell by a quarter whenever the smoothed latency of starts passed 0.2 s, and that figure followed the last ten answers. A single slow courier (300 to 700 ms, one in 36) answers in groups, so it cut the limit for everybody; a start without any answer did so as well. Class: one feedback signal over independent servers, governed by the slowest. Now each courier has a lane with a limit of its own; a full lane takes its executors out of the choice, and other executors get the task. The bounds of all lanes together are those of the one limit before.

Test: queues/overload/a slow courier holds up no others (1,200 starts a second, one courier in ten at 0.7 s): 3,393 starts in 4 s before, floor 4,320, passes now; 5,497 without a slow courier. Ruled out: room (no ready task waited for capacity), the owner's lateness (2 to 44 ms), rounds (7 to 10% of the time).

--- a/include/bulrushpost/executors.h
+++ b/include/bulrushpost/executors.h
@@ -107,6 +107,12 @@
 	void (*pace)(bp_executors_t *self, const bp_exec_target_t *target,
 	    const char *task, uint64_t run, uint32_t percent,
 	    bp_exec_done_t done, void *data);
+	/*
+	 * Names the node that would carry out an order, "" for this one; valid
+	 * until the next call. NULL when all orders go from here.
+	 */
+	const char *(*carrier)(
+	    bp_executors_t *self, const bp_exec_target_t *target);
 	/* Drops calls whose data is this pointer. */
 	void (*forget)(bp_executors_t *self, void *data);
 };
--- a/include/bulrushpost/limiter.h
+++ b/include/bulrushpost/limiter.h
@@ -9,7 +9,7 @@
 
 /*
  * Adaptive limit of requests in flight: from one gateway to one endpoint, or
- * of an owner's starts to all its executors.
+ * of an owner's starts that one node carries out.
  */
 typedef struct {
 	double limit;
@@ -36,7 +36,8 @@
 /* A limit of its own bounds that grows by increase for each full turn. */
 void bp_limiter_init_range(
     bp_limiter_t *limiter, double floor, double ceiling, double increase);
-void bp_limiter_set_ceiling(bp_limiter_t *limiter, double ceiling);
+void bp_limiter_set_range(
+    bp_limiter_t *limiter, double floor, double ceiling, double increase);
 void bp_limiter_set_gateways(bp_limiter_t *limiter, uint32_t gateways);
 uint32_t bp_limiter_limit(const bp_limiter_t *limiter);
 void bp_limiter_add(bp_limiter_t *limiter, const bp_limiter_sample_t *sample);
--- a/src/gateway/limiter.c
+++ b/src/gateway/limiter.c
@@ -76,11 +76,14 @@
 	limiter->decreased_us = INT64_MIN / 2;
 }
 
-/* Moves the upper bound, never below the floor. */
+/* Moves the bounds, the upper one never below the floor. */
 void
-bp_limiter_set_ceiling(bp_limiter_t *limiter, double ceiling)
+bp_limiter_set_range(
+    bp_limiter_t *limiter, double floor, double ceiling, double increase)
 {
-	limiter->ceiling = ceiling < limiter->floor ? limiter->floor : ceiling;
+	limiter->floor = floor;
+	limiter->ceiling = ceiling < floor ? floor : ceiling;
+	limiter->increase = increase;
 	limiter->limit =
 	    clamp(limiter->limit, limiter->floor, limiter->ceiling);
 }
--- a/src/queues/relay.c
+++ b/src/queues/relay.c
@@ -355,6 +355,14 @@
 	send_order(relay, courier, &order, target, CALL_TIMEOUT_MS, done, data);
 }
 
+static const char *
+relay_carrier(bp_executors_t *self, const bp_exec_target_t *target)
+{
+	const char *courier = choose((bp_relay_t *)self, target);
+
+	return courier != NULL ? courier : "";
+}
+
 static void
 relay_forget(bp_executors_t *self, void *data)
 {
@@ -441,6 +449,7 @@
 	relay->interface.stop = relay_stop;
 	relay->interface.look = relay_look;
 	relay->interface.pace = relay_pace;
+	relay->interface.carrier = relay_carrier;
 	relay->interface.forget = relay_forget;
 	return relay;
 }
--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -295,8 +295,8 @@
 	shard->looks = g_hash_table_new(NULL, NULL);
 	shard->paces = g_hash_table_new(NULL, NULL);
 	shard->pairs = bp_pairs_new();
-	bp_limiter_init_range(&shard->starts_limit, BP_SHARD_STARTS_MIN,
-	    BP_SHARD_STARTS_MIN, BP_SHARD_STARTS_INCREASE);
+	shard->lanes =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, bp_qlane_free);
 	shard->going = g_ptr_array_new();
 	shard->dirty = g_ptr_array_new();
 	shard->fresh = g_ptr_array_new();
@@ -342,6 +342,7 @@
 	bp_clock_cancel(shard->options.clock, &shard->round_timer);
 	bp_clock_cancel(shard->options.clock, &shard->tick_timer);
 	g_hash_table_unref(shard->execs);
+	g_hash_table_unref(shard->lanes);
 	g_hash_table_unref(shard->jobs);
 	g_hash_table_unref(shard->zones_out);
 	g_hash_table_unref(shard->orders);
--- a/src/queues/shard_calls.c
+++ b/src/queues/shard_calls.c
@@ -230,7 +230,7 @@
 	tell("rounds", shard->counts_rounds, data);
 	tell("rounds_us", (uint64_t)shard->rounds_us, data);
 	tell("starts_in_flight", shard->starts_in_flight, data);
-	tell("starts_limit", bp_limiter_limit(&shard->starts_limit), data);
+	tell("starts_limit", bp_shard_starts_limit(shard), data);
 	tell("ends_done", shard->counts_done, data);
 	tell("ends_failed", shard->counts_failed, data);
 	tell("runs_lost", shard->counts_lost_runs, data);
--- a/src/queues/shard_execs.c
+++ b/src/queues/shard_execs.c
@@ -171,7 +171,7 @@
 void
 bp_qrun_drop_plan(bp_qrun_t *run)
 {
-	run->exec->shard->starts_in_flight--;
+	bp_qrun_leave_lane(run);
 	bp_qrun_remove(run);
 }
 
--- a/src/queues/shard_looks.c
+++ b/src/queues/shard_looks.c
@@ -177,6 +177,7 @@
 	    !bp_shard_may_order(shard))
 		return;
 	bp_clock_cancel(exec->shard->options.clock, &exec->timer);
+	bp_qexec_find_lane(exec);
 	look = g_new0(look_t, 1);
 	look->exec = exec;
 	look->event = ++shard->events;
--- a/src/queues/shard_orders.c
+++ b/src/queues/shard_orders.c
@@ -11,13 +11,6 @@
 /* A stop without an answer is repeated after this time. */
 #define STOP_REPEAT_MS 400
 
-/* A start is answered in this time without queues (CAPACITY.md); the limit
- * on starts falls from twice that on. */
-#define START_BASE_MS 100
-/* Weight of one answer in the smoothed latency of starts. */
-#define START_LATENCY_RATE 0.1
-#define US_PER_MS 1000
-
 /* One order in flight. */
 typedef struct {
 	bp_shard_t *shard;
@@ -124,27 +117,6 @@
 	bp_qrun_remove(run);
 }
 
-/*
- * Late answers mean that starts queue at this node or at those that carry
- * them out; more at a time would only grow the queue.
- */
-static void
-adapt_limit(bp_shard_t *shard, const order_t *order, bool answered)
-{
-	bp_limiter_sample_t sample = {0};
-	int64_t now_ms = bp_shard_now_ms(shard);
-
-	shard->start_latency_us += START_LATENCY_RATE *
-	    ((double)(now_ms - order->sent_ms) * US_PER_MS -
-		shard->start_latency_us);
-	sample.now_us = now_ms * US_PER_MS;
-	sample.in_flight = shard->starts_in_flight;
-	sample.latency_us = shard->start_latency_us;
-	sample.base_us = START_BASE_MS * US_PER_MS;
-	sample.overloaded = !answered;
-	bp_limiter_add(&shard->starts_limit, &sample);
-}
-
 static void
 on_start(const bp_exec_result_t *result, void *data)
 {
@@ -152,8 +124,9 @@
 	bp_qrun_t *run = order->run;
 	bp_shard_t *shard = order->shard;
 
-	adapt_limit(shard, order, result->outcome != BP_EXEC_UNKNOWN);
-	shard->starts_in_flight--;
+	bp_qrun_learn_latency(run, bp_shard_now_ms(shard) - order->sent_ms,
+	    result->outcome != BP_EXEC_UNKNOWN);
+	bp_qrun_leave_lane(run);
 	if (run->removed) {
 		order_free(order);
 		return;
@@ -196,7 +169,7 @@
 	run->state = BP_QRUN_PLANNED;
 	task->last_run = number;
 	exec->plans++;
-	shard->starts_in_flight++;
+	bp_qrun_enter_lane(run);
 	bp_journal_request(
 	    shard->journal, task->step->job->spec->priority == 0);
 	g_free(name);
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -16,10 +16,6 @@
 #define BP_SHARD_ORDER_GRACE_MS 4000
 /* Least deadline that a start gives its executor. */
 #define BP_SHARD_START_WINDOW_MS 1500
-/* Starts on their way at a time, at least; the most is one an executor. */
-#define BP_SHARD_STARTS_MIN 64
-/* Growth of that limit for each turn of starts without congestion. */
-#define BP_SHARD_STARTS_INCREASE 64
 /* Keys of a shard's records (docs/platform.md); prefixes end with an id. */
 #define BP_SHARD_KEY_OWNER "owner"
 #define BP_SHARD_KEY_PAIRS "pairs"
@@ -32,6 +28,18 @@
 
 typedef struct bp_qexec bp_qexec_t;
 
+/*
+ * The starts that one node carries out. Each has a limit of its own, so that
+ * a slow node holds up no others. Lives as long as the shard.
+ */
+typedef struct {
+	char *carrier;
+	bp_limiter_t limit; /* of in_flight */
+	uint32_t in_flight; /* planned or sent */
+	uint32_t executors; /* that may get work, in the last round */
+	double latency_us; /* smoothed, of answered starts */
+} bp_qlane_t;
+
 typedef enum {
 	BP_QRUN_PLANNED, /* nothing is sent before the store holds it */
 	BP_QRUN_STARTING, /* the start has no answer yet */
@@ -42,6 +50,7 @@
 /* A run of a task that does or may exist on an executor. */
 struct bp_qrun {
 	bp_qexec_t *exec;
+	bp_qlane_t *lane; /* that its start takes room of */
 	bp_qtask_t *task; /* NULL when the task no longer wants this run */
 	char *name; /* of the task */
 	uint64_t number;
@@ -75,6 +84,7 @@
 /* An executor as its owner believes it to be. */
 struct bp_qexec {
 	bp_shard_t *shard;
+	bp_qlane_t *lane; /* of its starts; NULL before the first look */
 	bp_executor_info_t *info;
 	bool listed; /* in the executors' list */
 	bool recorded; /* the store knows that this epoch may use it */
@@ -184,8 +194,7 @@
 	int64_t confirmed_ms; /* mono, of the last confirmed membership */
 	bool census_done;
 	uint32_t starts_in_flight;
-	bp_limiter_t starts_limit; /* of starts_in_flight */
-	double start_latency_us; /* smoothed, of answered starts */
+	GHashTable *lanes; /* carrier to bp_qlane_t */
 	guint round_timer;
 	int64_t round_us; /* length of the last round */
 	uint64_t events; /* looks sent and orders answered, in order */
@@ -268,6 +277,17 @@
 uint64_t bp_shard_next_run(const bp_shard_t *shard, const bp_qtask_t *task);
 void bp_shard_forget_orders(bp_shard_t *shard);
 
+/* shard_lanes.c */
+void bp_qlane_free(gpointer lane);
+void bp_qexec_find_lane(bp_qexec_t *exec);
+void bp_shard_count_lanes(bp_shard_t *shard, const GPtrArray *execs);
+uint32_t bp_shard_starts_limit(const bp_shard_t *shard);
+bool bp_qlane_full(const bp_qlane_t *lane);
+void bp_qrun_enter_lane(bp_qrun_t *run);
+void bp_qrun_leave_lane(bp_qrun_t *run);
+void bp_qrun_learn_latency(
+    const bp_qrun_t *run, int64_t latency_ms, bool answered);
+
 /* shard_lists.c */
 bp_qtask_t *bp_shard_find_task(const bp_shard_t *shard, const char *name);
 void bp_shard_take_lists(
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -93,6 +93,7 @@
 {
 	bp_qexec_t *best = NULL;
 	double best_score = 0;
+	bool turn = false;
 	guint i;
 
 	*reason = round->execs->len == 0 ? "no_executor" : "service";
@@ -103,10 +104,15 @@
 		double score;
 
 		if (why != NULL) {
-			if (strcmp(why, "service") != 0)
+			if (!turn && strcmp(why, "service") != 0)
 				*reason = why;
 			continue;
 		}
+		if (bp_qlane_full(exec->lane)) {
+			turn = true;
+			*reason = "turn";
+			continue;
+		}
 		score = bp_qexec_score(exec, task, rack);
 		if (best == NULL || score < best_score) {
 			best = exec;
@@ -209,11 +215,6 @@
 			step->reason = "headroom";
 			return;
 		}
-		if (shard->starts_in_flight >=
-		    bp_limiter_limit(&shard->starts_limit)) {
-			step->reason = "turn";
-			return;
-		}
 		exec = choose(round, task, wanted_rack(step), &step->reason);
 		if (exec == NULL) {
 			note_misfit(round, step);
@@ -331,15 +332,17 @@
 
 	g_hash_table_iter_init(&iter, round->shard->execs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const bp_qexec_t *exec = value;
+		bp_qexec_t *exec = value;
 
 		if (exclusion(round, exec) != NULL)
 			continue;
+		if (exec->lane == NULL)
+			bp_qexec_find_lane(exec);
 		g_ptr_array_add(round->execs, value);
 		round->cpu_milli += exec->info->cpu_milli;
 		round->cpu_used += exec->cpu_used;
 	}
-	bp_limiter_set_ceiling(&round->shard->starts_limit, round->execs->len);
+	bp_shard_count_lanes(round->shard, round->execs);
 }
 
 static void
--- a/src/queues/shard_summary.c
+++ b/src/queues/shard_summary.c
@@ -124,13 +124,12 @@
 		add_job(&sum, shard->going->pdata[i], bp_shard_wall_ms(shard));
 	snprintf(text, sizeof(text),
 	    "jobs=%u waiting=%u ready=%u urgent=%u cores=%u/%u fillers=%u "
-	    "pace=%u%% serving=%u over=%u starts=%u/%u start_ms=%u",
+	    "pace=%u%% serving=%u over=%u starts=%u/%u",
 	    shard->going->len, sum.waiting, sum.ready, sum.urgent,
 	    (unsigned)(sum.used_milli / MILLI),
 	    (unsigned)(sum.cpu_milli / MILLI), sum.fillers,
 	    sum.fillers > 0 ? sum.pace / sum.fillers : 0, sum.serving, sum.over,
-	    shard->starts_in_flight, bp_limiter_limit(&shard->starts_limit),
-	    (unsigned)(shard->start_latency_us / US_PER_MS));
+	    shard->starts_in_flight, bp_shard_starts_limit(shard));
 	bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE, "summary",
 	    "state", text, NULL);
 	log_causes(shard, sum.causes);
--- a/tests/gateway/test_limiter.c
+++ b/tests/gateway/test_limiter.c
@@ -100,7 +100,7 @@
 	bp_limiter_init_range(&limiter, 64, 64, 64);
 	add(&limiter, 100, 10000, false);
 	CU_ASSERT_EQUAL(bp_limiter_limit(&limiter), 64);
-	bp_limiter_set_ceiling(&limiter, 300);
+	bp_limiter_set_range(&limiter, 64, 300, 64);
 	add(&limiter, 64, 10000, false);
 	CU_ASSERT_TRUE(bp_limiter_limit(&limiter) >= 100);
 	add(&limiter, 2000, 10000, false);
@@ -109,7 +109,7 @@
 	CU_ASSERT_TRUE(bp_limiter_limit(&limiter) < 300);
 	add(&limiter, 100, 90000, false);
 	CU_ASSERT_EQUAL(bp_limiter_limit(&limiter), 64);
-	bp_limiter_set_ceiling(&limiter, 10);
+	bp_limiter_set_range(&limiter, 64, 10, 64);
 	CU_ASSERT_EQUAL(bp_limiter_limit(&limiter), 64);
 }
 
--- a/tests/queues/test_relay.c
+++ b/tests/queues/test_relay.c
@@ -35,7 +35,7 @@
 static double
 own_share(uint32_t own_milli, const char *zone, uint32_t other_milli)
 {
-	direct_t direct = {{direct_start, NULL, NULL, NULL, NULL}, 0};
+	direct_t direct = {.interface = {.start = direct_start}};
 	bp_peer_client_t *client = bp_peer_client_new(bp_clock_system(), NULL);
 	bp_relay_options_t options = {0};
 	bp_relay_t *relay;
--- a/tests/support/queuefleet.c
+++ b/tests/support/queuefleet.c
@@ -14,6 +14,7 @@
 #define RACK_SIZE 3
 /* A process needs some time to start again. */
 #define REBIRTH_MS 500
+#define CARRIERS 10
 /* An end counts as taken note of once the cursor has reached it. */
 
 typedef struct {
@@ -47,6 +48,7 @@
 	bool dead; /* between two lives */
 	bool failing;
 	bool draining;
+	uint32_t slow_ms; /* until a start is answered */
 	GPtrArray *waiting; /* call_t of looks that wait */
 } exec_t;
 
@@ -62,6 +64,7 @@
 	GHashTable *noted; /* tasks whose done end was taken note of */
 	uint32_t late_percent;
 	uint32_t jitter_ms;
+	char carrier[16]; /* last answer of the interface */
 	bool hold_orders; /* all starts and stops are carried out late */
 	uint32_t n_starts;
 	uint32_t broken;
@@ -441,7 +444,9 @@
 	if (call->kind == LOOK && call->result.outcome == BP_EXEC_OK)
 		fill_lists(call);
 	call->timer = bp_clock_after(clock_of(exec->fleet),
-	    LATENCY_MS + jitter_of(exec->fleet), on_answer, call);
+	    LATENCY_MS + jitter_of(exec->fleet) +
+		(call->kind == START ? exec->slow_ms : 0),
+	    on_answer, call);
 }
 
 static gboolean
@@ -632,6 +637,19 @@
 	(void)new_call(interface, PACE, target, done, data);
 }
 
+static const char *
+fleet_carrier(bp_executors_t *interface, const bp_exec_target_t *target)
+{
+	bp_qfleet_t *fleet = ((bp_qfleet_view_t *)interface)->fleet;
+	guint64 index = 0;
+
+	(void)g_ascii_string_to_unsigned(
+	    target->id + 2, 10, 0, fleet->execs->len - 1, &index, NULL);
+	snprintf(fleet->carrier, sizeof(fleet->carrier), "c%u",
+	    bp_qfleet_carrier_of((uint32_t)index));
+	return fleet->carrier;
+}
+
 static void
 fleet_forget(bp_executors_t *interface, void *data)
 {
@@ -747,6 +765,7 @@
 	view->interface.stop = fleet_stop;
 	view->interface.look = fleet_look;
 	view->interface.pace = fleet_pace;
+	view->interface.carrier = fleet_carrier;
 	view->interface.forget = fleet_forget;
 	g_ptr_array_add(fleet->views, view);
 	return view;
@@ -854,6 +873,20 @@
 	fleet->jitter_ms = jitter_ms;
 }
 
+/* See the header. */
+uint32_t
+bp_qfleet_carrier_of(uint32_t index)
+{
+	return index % CARRIERS;
+}
+
+/* See the header. */
+void
+bp_qfleet_set_slow_ms(bp_qfleet_t *fleet, uint32_t index, uint32_t slow_ms)
+{
+	((exec_t *)fleet->execs->pdata[index])->slow_ms = slow_ms;
+}
+
 /* Leaves starts and stops, but not looks, unanswered until seconds later. */
 void
 bp_qfleet_set_hold_orders(bp_qfleet_t *fleet, bool hold)
--- a/tests/support/queuefleet.h
+++ b/tests/support/queuefleet.h
@@ -46,6 +46,11 @@
 /* Orders and answers take up to so much longer, each its own time: they
  * overtake each other. */
 void bp_qfleet_set_jitter_ms(bp_qfleet_t *fleet, uint32_t jitter_ms);
+/* Executors with the same carrier share the way of their orders. */
+uint32_t bp_qfleet_carrier_of(uint32_t index);
+/* Starts there are carried out at once but answered so much later. */
+void bp_qfleet_set_slow_ms(
+    bp_qfleet_t *fleet, uint32_t index, uint32_t slow_ms);
 void bp_qfleet_set_hold_orders(bp_qfleet_t *fleet, bool hold);
 
 uint32_t bp_qfleet_starts(const bp_qfleet_t *fleet);
