Call a job in time only if steps like its own take no longer

Cause: with more work than can be started, earliest due first serves each job at the last moment at which it still counts as in time. That moment assumed that half of the estimated work was left, so all jobs met it and all ended late together. Class: an order by deadlines under overload whose test of what can still be met is optimistic; every job is served, none in time. Now each queue learns how long its steps take against their estimates (mean and deviation, from the first start to the last end), and the rest of a job is taken for that long. Jobs that cannot end within three times their objective go last before they have passed it.

--- a/src/queues/job.h
+++ b/src/queues/job.h
@@ -42,6 +42,7 @@
 	const double
 	    *weights; /* of its image when it serves; NULL: not asked */
 	uint32_t term; /* of its image when it fills; 0: not asked */
+	int64_t begun_ms; /* mono, of its first start by this owner; 0: none */
 	const char *reason; /* why the last round placed none; static */
 };
 
--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -294,6 +294,7 @@
 	shard->orders = g_hash_table_new(NULL, NULL);
 	shard->looks = g_hash_table_new(NULL, NULL);
 	shard->paces = g_hash_table_new(NULL, NULL);
+	shard->estimates = bp_estimates_new();
 	shard->pairs = bp_pairs_new();
 	shard->lanes =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, bp_qlane_free);
@@ -338,6 +339,7 @@
 	bp_shard_forget_looks(shard);
 	bp_shard_forget_paces(shard);
 	bp_journal_free(shard->journal);
+	bp_estimates_free(shard->estimates);
 	bp_pairs_free(shard->pairs);
 	bp_clock_cancel(shard->options.clock, &shard->round_timer);
 	bp_clock_cancel(shard->options.clock, &shard->tick_timer);
--- a/src/queues/shard_lists.c
+++ b/src/queues/shard_lists.c
@@ -73,6 +73,16 @@
 	bp_shard_mark_dirty(shard, step->job);
 }
 
+/* Steps that an earlier owner began tell nothing. */
+static void
+learn_duration(bp_shard_t *shard, const bp_qstep_t *step)
+{
+	if (step->left == 0 && step->begun_ms != 0)
+		bp_estimates_note(shard->estimates, step->job->spec->queue,
+		    step->spec->expected_ms,
+		    bp_shard_now_ms(shard) - step->begun_ms);
+}
+
 static void
 task_done(bp_shard_t *shard, bp_qtask_t *task)
 {
@@ -98,6 +108,7 @@
 		}
 		bp_qtask_set_state(task, BP_QTASK_DONE);
 	}
+	learn_duration(shard, task->step);
 	bp_qjob_settle(job);
 	if (job->state == BP__WORK__JOB_STATE__JOB_COMPLETED)
 		bp_shard_end_job(shard, job, job->state);
--- a/src/queues/shard_orders.c
+++ b/src/queues/shard_orders.c
@@ -167,6 +167,8 @@
 	    bp_qrun_new(exec, task, task->step->spec, name, number);
 
 	run->state = BP_QRUN_PLANNED;
+	if (task->step->begun_ms == 0)
+		task->step->begun_ms = bp_shard_now_ms(shard);
 	task->last_run = number;
 	exec->plans++;
 	bp_qrun_enter_lane(run);
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -3,6 +3,7 @@
 
 #include "bulrushpost/limiter.h"
 #include "bulrushpost/shard.h"
+#include "queues/estimates.h"
 #include "queues/job.h"
 #include "queues/journal.h"
 #include "queues/pairs.h"
@@ -185,6 +186,7 @@
 	GHashTable *zones_out;
 	const bp_catalog_t *catalog; /* owned by the node */
 	bp_journal_t *journal;
+	bp_estimates_t *estimates;
 	bp_pairs_t *pairs;
 	int64_t pairs_stored_ms; /* mono */
 	GHashTable *orders; /* contexts of orders in flight */
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -6,8 +6,6 @@
 #define HEADROOM_PERCENT 6
 /* A job that is late by this factor of its objective earns nothing more. */
 #define LATE_FACTOR 3
-/* Estimates are off by as much: less is assumed to be left than they say. */
-#define ESTIMATE_TRUST_PERCENT 50
 
 typedef struct {
 	bp_shard_t *shard;
@@ -261,19 +259,28 @@
 	int64_t due_ms;
 } candidate_t;
 
+/*
+ * What a job earns if its step starts now. With more work than room, earliest
+ * due first starts each job at the last moment that this still calls in
+ * time, so its rest is taken for as long as such steps have really been.
+ */
 static chance_t
-chance_of(const bp_qstep_t *step, int64_t wall_ms)
+chance_of(const round_t *round, const bp_qstep_t *step)
 {
 	const bp_qjob_t *job = step->job;
 	int64_t objective_ms = job->due_ms - job->spec->accepted_ms;
-	int64_t needs_ms =
-	    job->tails_ms[step->number] * ESTIMATE_TRUST_PERCENT / 100;
+	double factor =
+	    bp_estimates_factor(round->shard->estimates, job->spec->queue);
+	int64_t end_ms = round->wall_ms +
+	    (int64_t)((double)job->tails_ms[step->number] * factor);
 
 	if (step->spec->lasting || job->spec->times > 0)
 		return CHANCE_IN_TIME;
-	if (wall_ms - job->spec->accepted_ms > LATE_FACTOR * objective_ms)
-		return CHANCE_NONE;
-	return wall_ms + needs_ms > job->due_ms ? CHANCE_LATE : CHANCE_IN_TIME;
+	if (end_ms <= job->due_ms)
+		return CHANCE_IN_TIME;
+	return end_ms - job->spec->accepted_ms <= LATE_FACTOR * objective_ms
+	    ? CHANCE_LATE
+	    : CHANCE_NONE;
 }
 
 static gint
@@ -301,7 +308,7 @@
 	for (i = 0; i < job->n_steps * job->occurrences; i++) {
 		bp_qstep_t *step = &job->steps[i];
 		candidate_t candidate = {step, job->spec->priority,
-		    chance_of(step, round->wall_ms),
+		    chance_of(round, step),
 		    MAX(job->due_ms, bp_qstep_due_ms(step))};
 
 		if (step->waiting == 0)
--- a/tests/queues/test_overload.c
+++ b/tests/queues/test_overload.c
@@ -41,12 +41,79 @@
 	bp_qrig_free(rig);
 }
 
+/* Jobs of two steps that keep their objective of four times a task. */
+#define JOBS 200
+#define JOB_TASKS 8
+#define JOB_PERIOD_MS 100
+#define JOB_EXECUTORS 20
+#define SLOTS (JOB_EXECUTORS * 4)
+
+typedef struct {
+	const char *id;
+	int64_t due_ms; /* since the first job */
+	bool done;
+	bool in_time;
+} expected_t;
+
+static void
+note_completed(bp_qrig_t *rig, expected_t *jobs, uint32_t n, int64_t at_ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		Bp__Work__JobState state = BP__WORK__JOB_STATE__JOB_QUEUED;
+
+		if (jobs[i].done ||
+		    bp_qrig_status(rig, jobs[i].id, &state) != BP_OK ||
+		    state != BP__WORK__JOB_STATE__JOB_COMPLETED)
+			continue;
+		jobs[i].done = true;
+		jobs[i].in_time = at_ms <= jobs[i].due_ms;
+	}
+}
+
+/*
+ * Guards against an order in which all jobs wait so long that they miss their
+ * objective together: with twice the work that there is room for, half of
+ * those that the room could serve are to be in time.
+ */
+static void
+test_jobs_are_in_time_beside_too_much_work(void)
+{
+	bp_qrig_shape_t shape = {.reliable = true};
+	bp_qrig_t *rig = bp_qrig_new(SEED, JOB_EXECUTORS);
+	expected_t jobs[JOBS] = {{0}};
+	uint32_t servable =
+	    SLOTS * JOBS * JOB_PERIOD_MS / (2 * JOB_TASKS * TASK_MS);
+	uint32_t in_time = 0;
+	uint32_t n;
+
+	bp_qrig_set_shape(rig, &shape);
+	bp_qrig_run_ms(rig, SETTLE_MS);
+	for (n = 0; n < JOBS; n++) {
+		jobs[n].id = bp_qrig_submit(rig, JOB_TASKS, TASK_MS, false);
+		jobs[n].due_ms = (int64_t)n * JOB_PERIOD_MS + 4 * TASK_MS;
+		bp_qrig_run_ms(rig, JOB_PERIOD_MS);
+		note_completed(rig, jobs, n + 1, (n + 1) * JOB_PERIOD_MS);
+	}
+	for (n = 0; n < JOBS; n++)
+		in_time += jobs[n].in_time;
+	CU_ASSERT_TRUE(in_time >= servable / 2);
+	if (in_time < servable / 2)
+		printf(
+		    "%u of %u in time, room for %u\n", in_time, JOBS, servable);
+	CU_ASSERT_EQUAL(bp_qrig_broken(rig), 0);
+	bp_qrig_free(rig);
+}
+
 int
 main(void)
 {
 	CU_TestInfo tests[] = {
 	    {"a slow courier holds up no others",
 		test_a_slow_courier_holds_up_no_others},
+	    {"jobs are in time beside too much work",
+		test_jobs_are_in_time_beside_too_much_work},
 	    CU_TEST_INFO_NULL,
 	};
 
--- a/tests/support/queuerig.c
+++ b/tests/support/queuerig.c
@@ -351,6 +351,8 @@
 
 	if (caller == NULL || caller->lasting)
 		return 1000000;
+	if (caller->shape.reliable)
+		return caller->task_ms;
 	return fails ? -caller->task_ms : caller->task_ms;
 }
 
--- a/tests/support/queuerig.h
+++ b/tests/support/queuerig.h
@@ -36,6 +36,7 @@
 	uint32_t accelerators;
 	bool gang;
 	const char *label;
+	bool reliable; /* no run fails by its own fault */
 } bp_qrig_shape_t;
 
 /* Sets what the steps of later jobs ask for. */
