Rounds cost no more when starts wait for their lanes

Cause: for each step that waits, all executors were asked and most turned out to be behind a full lane; and each filler, three starts in four, asked all executors for the best place. Now executors whose lane is full leave the round, and a filler takes the best of 48 that fit, from where the last search ended. The reason of a step that finds no place is that of the executors left, or its turn when most have full lanes.

--- a/src/queues/shard_calls.c
+++ b/src/queues/shard_calls.c
@@ -228,6 +228,7 @@
 	tell("paces", shard->counts_paces, data);
 	tell("stops", shard->counts_stopped, data);
 	tell("rounds", shard->counts_rounds, data);
+	tell("executors_examined", shard->counts_examined, data);
 	tell("rounds_us", (uint64_t)shard->rounds_us, data);
 	tell("starts_in_flight", shard->starts_in_flight, data);
 	tell("starts_limit", bp_shard_starts_limit(shard), data);
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -198,6 +198,7 @@
 	uint32_t starts_in_flight;
 	GHashTable *lanes; /* carrier to bp_qlane_t */
 	guint round_timer;
+	guint filler_cursor; /* where the next round looks first */
 	int64_t round_us; /* length of the last round */
 	uint64_t events; /* looks sent and orders answered, in order */
 	guint tick_timer;
@@ -213,6 +214,7 @@
 	uint64_t counts_paces;
 	uint64_t counts_stopped; /* runs that were ordered to stop */
 	uint64_t counts_rounds;
+	uint64_t counts_examined; /* executors, to place tasks */
 	int64_t rounds_us; /* spent in rounds so far */
 	int64_t tick_due_ms; /* mono, when the next tick falls due */
 	int64_t lag_ms; /* latest tick since the last summary */
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -4,6 +4,9 @@
 
 /* Share of all processors that batch leaves to urgent work. */
 #define HEADROOM_PERCENT 6
+/* Fillers go to the best of so many executors that can take them: they are
+ * most of all starts, and a look at all executors for each is too dear. */
+#define FILLER_CHOICES 48
 /* A job that is late by this factor of its objective earns nothing more. */
 #define LATE_FACTOR 3
 
@@ -16,6 +19,8 @@
 	uint64_t cpu_used; /* of these, at the start of the round */
 	const char *service; /* of the step's queue */
 	GArray *misfits; /* misfit_t */
+	guint n_execs; /* of execs, before those with full lanes left */
+	guint cursor; /* where the next choice for a filler begins */
 } round_t;
 
 /* A request that no executor could take in this round, and why. */
@@ -85,38 +90,54 @@
 		g_array_append_val(round->misfits, misfit);
 }
 
+/*
+ * Returns the best executor for a task, NULL with a reason when none can take
+ * it now. Executors whose lane is full leave the round: lanes only fill in it.
+ */
 static bp_qexec_t *
-choose(const round_t *round, const bp_qtask_t *task, const char *rack,
+choose(round_t *round, const bp_qtask_t *task, const char *rack,
     const char **reason)
 {
+	bool filler = task->step->spec->filler;
 	bp_qexec_t *best = NULL;
 	double best_score = 0;
-	bool turn = false;
-	guint i;
+	guint i = filler ? round->cursor : 0;
+	guint seen = 0;
+	guint fit = 0;
 
 	*reason = round->execs->len == 0 ? "no_executor" : "service";
-	for (i = 0; i < round->execs->len; i++) {
-		bp_qexec_t *exec = round->execs->pdata[i];
-		const char *why =
-		    bp_qexec_obstacle(exec, task->step, round->service);
+	while (seen < round->execs->len && (!filler || fit < FILLER_CHOICES)) {
+		bp_qexec_t *exec;
+		const char *why;
 		double score;
 
-		if (why != NULL) {
-			if (!turn && strcmp(why, "service") != 0)
-				*reason = why;
+		if (i >= round->execs->len)
+			i = 0;
+		exec = round->execs->pdata[i];
+		if (bp_qlane_full(exec->lane)) {
+			g_ptr_array_remove_index_fast(round->execs, i);
 			continue;
 		}
-		if (bp_qlane_full(exec->lane)) {
-			turn = true;
-			*reason = "turn";
+		i++;
+		seen++;
+		why = bp_qexec_obstacle(exec, task->step, round->service);
+		if (why != NULL) {
+			if (strcmp(why, "service") != 0)
+				*reason = why;
 			continue;
 		}
+		fit++;
 		score = bp_qexec_score(exec, task, rack);
 		if (best == NULL || score < best_score) {
 			best = exec;
 			best_score = score;
 		}
 	}
+	round->shard->counts_examined += seen;
+	if (filler)
+		round->cursor = i;
+	if (best == NULL && round->execs->len * 2 < round->n_execs)
+		*reason = "turn";
 	return best;
 }
 
@@ -191,7 +212,9 @@
 place_step(round_t *round, bp_qstep_t *step)
 {
 	bp_shard_t *shard = round->shard;
-	const char *reason = known_misfit(round, step);
+	const char *reason = round->n_execs > 0 && round->execs->len == 0
+	    ? "turn"
+	    : known_misfit(round, step);
 	uint32_t i;
 
 	if (reason != NULL) {
@@ -349,6 +372,7 @@
 		round->cpu_milli += exec->info->cpu_milli;
 		round->cpu_used += exec->cpu_used;
 	}
+	round->n_execs = round->execs->len;
 	bp_shard_count_lanes(round->shard, round->execs);
 }
 
@@ -376,7 +400,8 @@
 {
 	round_t round = {shard, bp_shard_now_ms(shard), bp_shard_wall_ms(shard),
 	    g_ptr_array_new(), 0, 0, NULL,
-	    g_array_new(FALSE, FALSE, sizeof(misfit_t))};
+	    g_array_new(FALSE, FALSE, sizeof(misfit_t)), 0,
+	    shard->filler_cursor};
 	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
 	guint i;
 
@@ -384,6 +409,7 @@
 		add_candidates(candidates, &round, shard->going->pdata[i]);
 	if (candidates->len > 0)
 		place(&round, candidates);
+	shard->filler_cursor = round.cursor;
 	g_array_unref(candidates);
 	g_array_unref(round.misfits);
 	g_ptr_array_unref(round.execs);
@@ -418,7 +444,7 @@
 bp_shard_explain(bp_shard_t *shard, bp_qstep_t *step)
 {
 	round_t round = {shard, bp_shard_now_ms(shard), bp_shard_wall_ms(shard),
-	    NULL, 0, 0, service_of(shard, step->job), NULL};
+	    NULL, 0, 0, service_of(shard, step->job), NULL, 0, 0};
 	GPtrArray *causes = g_ptr_array_new_with_free_func(g_free);
 	GHashTableIter iter;
 	gpointer value;
--- a/tests/queues/test_overload.c
+++ b/tests/queues/test_overload.c
@@ -41,6 +41,37 @@
 	bp_qrig_free(rig);
 }
 
+/*
+ * Guards against rounds that grow with executors and waiting tasks alike:
+ * fillers are most of all starts, also when they wait for lanes.
+ */
+static void
+test_fillers_are_placed_without_asking_all(void)
+{
+	bp_qrig_shape_t shape = {.reliable = true, .filler = true};
+	bp_qrig_t *rig = bp_qrig_new(SEED, EXECUTORS);
+	uint64_t starts;
+	uint64_t examined;
+	uint32_t i;
+
+	bp_qrig_set_shape(rig, &shape);
+	bp_qfleet_set_jitter_ms(bp_qrig_fleet(rig), JITTER_MS);
+	bp_qrig_run_ms(rig, SETTLE_MS);
+	/* Three quarters of the room. */
+	for (i = 0; i < 6; i++)
+		(void)bp_qrig_submit(rig, 200, TASK_MS, false);
+	bp_qrig_run_ms(rig, 4000);
+	starts = bp_qrig_count(rig, "starts");
+	examined = bp_qrig_count(rig, "executors_examined");
+	CU_ASSERT_TRUE(starts > 2 * EXECUTORS);
+	CU_ASSERT_TRUE(examined / MAX(starts, 1) < EXECUTORS / 4);
+	if (examined / MAX(starts, 1) >= EXECUTORS / 4)
+		printf("%u executors examined for %u starts\n",
+		    (unsigned)examined, (unsigned)starts);
+	CU_ASSERT_EQUAL(bp_qrig_broken(rig), 0);
+	bp_qrig_free(rig);
+}
+
 /* Jobs of two steps that keep their objective of four times a task. */
 #define JOBS 200
 #define JOB_TASKS 8
@@ -112,6 +143,8 @@
 	CU_TestInfo tests[] = {
 	    {"a slow courier holds up no others",
 		test_a_slow_courier_holds_up_no_others},
+	    {"fillers are placed without asking all",
+		test_fillers_are_placed_without_asking_all},
 	    {"jobs are in time beside too much work",
 		test_jobs_are_in_time_beside_too_much_work},
 	    CU_TEST_INFO_NULL,
--- a/tests/support/queuerig.c
+++ b/tests/support/queuerig.c
@@ -575,6 +575,7 @@
 	step->spread_max = caller->shape.spread_max;
 	step->accelerators = caller->shape.accelerators;
 	step->gang = caller->shape.gang;
+	step->filler = caller->shape.filler;
 	if (caller->shape.label != NULL)
 		step->label = strdup(caller->shape.label);
 	if (second) {
@@ -709,6 +710,32 @@
 	return shard != NULL ? bp_shard_why(shard, id) : NULL;
 }
 
+typedef struct {
+	const char *name;
+	uint64_t value;
+} wanted_count_t;
+
+static void
+on_count(const char *name, uint64_t value, void *data)
+{
+	wanted_count_t *wanted = data;
+
+	if (strcmp(wanted->name, name) == 0)
+		wanted->value = value;
+}
+
+/* See the header. */
+uint64_t
+bp_qrig_count(bp_qrig_t *rig, const char *name)
+{
+	const bp_shard_t *shard = owner_shard(rig);
+	wanted_count_t wanted = {name, 0};
+
+	if (shard != NULL)
+		bp_shard_counts(shard, on_count, &wanted);
+	return wanted.value;
+}
+
 /* See the header. */
 uint32_t
 bp_qrig_unfinished(bp_qrig_t *rig, bool lasting)
--- a/tests/support/queuerig.h
+++ b/tests/support/queuerig.h
@@ -36,6 +36,7 @@
 	uint32_t accelerators;
 	bool gang;
 	const char *label;
+	bool filler; /* uses processor time that others leave */
 	bool reliable; /* no run fails by its own fault */
 } bp_qrig_shape_t;
 
@@ -55,6 +56,8 @@
 char *bp_qrig_why(bp_qrig_t *rig, const char *id);
 /* Jobs that some caller knows to be accepted and that have not ended. */
 uint32_t bp_qrig_unfinished(bp_qrig_t *rig, bool lasting);
+/* A counter of the owner's shard, see bp_shard_counts; 0 without owner. */
+uint64_t bp_qrig_count(bp_qrig_t *rig, const char *name);
 /* The index of the node that owns the shard, -1 for none. */
 int bp_qrig_owner(const bp_qrig_t *rig);
 
