A successor counts the silence that its predecessor saw

Cause: an owner stored how long it had waited for executors that never answered to it, not for those that fell silent later. A zone was lost, the owner changed three times, and each successor waited 10.3 s from its own beginning although no lease had been given for long. Now the record of a silent executor tells, once a second, the time since the last start or lease. Before such an executor gets a lease or a start again its record is written anew; that also holds after a takeover, where leases were prolonged before the record took back the waiting of earlier owners (found in reading: a successor could have started what still ran).

--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -157,12 +157,18 @@
 		    bp_clock_after(shard->options.clock, 0, on_lost, shard);
 }
 
-/* How long owners have waited for an executor without any order to it. */
+/*
+ * How long owners have waited for an executor without any order to it. One
+ * that this owner has met heard no earlier owner since.
+ */
 int64_t
 bp_qexec_waited_ms(const bp_qexec_t *exec)
 {
 	const bp_shard_t *shard = exec->shard;
 
+	if (exec->met)
+		return exec->silent ? bp_shard_now_ms(shard) - exec->ordered_ms
+				    : 0;
 	return exec->waited_before_ms + bp_shard_now_ms(shard) -
 	    shard->owned_ms;
 }
--- a/src/queues/shard_leases.c
+++ b/src/queues/shard_leases.c
@@ -62,6 +62,8 @@
 		bp_qexec_t *exec = value;
 
 		check_runs(exec);
+		if (bp_qexec_waiting_due(exec))
+			bp_journal_request(shard->journal, false);
 		bp_shard_move_resting(exec);
 		if (exec->looks == 0 && exec->timer == 0 &&
 		    (exec->runs->len > 0 || (!exec->met && exec->listed)) &&
--- a/src/queues/shard_looks.c
+++ b/src/queues/shard_looks.c
@@ -102,6 +102,8 @@
 	if (exec->silent)
 		bp_log(shard->options.logger, BP_LOG_NOTICE, BP_SHARD_MODULE,
 		    "executor answers again", "executor", exec->info->id, NULL);
+	if (exec->silent && !exec->recorded)
+		bp_journal_request(shard->journal, false);
 	exec->silent = false;
 	if (exec->born_ms != 0 && result->born_ms > exec->born_ms)
 		new_life(exec, result->born_ms, result->clock_ms);
@@ -118,6 +120,7 @@
 	bp_shard_take_lists(exec, result, event);
 	if (!exec->met) {
 		exec->met = true;
+		exec->ordered_ms = exec->answered_ms;
 		/* An earlier owner may have given the longest lease. */
 		exec->lease_end_ms = MAX(exec->lease_end_ms,
 		    result->clock_ms + shard->options.limits.lease_max_ms);
@@ -141,10 +144,11 @@
 	if (exec->clock_at_ms == 0 || exec->runs->len == 0)
 		return 0;
 	/*
-	 * The lease of a silent executor is to run out. One that lapsed stays
-	 * so while a start without an answer could still be carried out.
+	 * The lease of a silent executor is to run out, and successors rely on
+	 * the waiting that its record tells. One that lapsed stays so while a
+	 * start without an answer could still be carried out.
 	 */
-	if (exec->silent || bp_qexec_in_doubt(exec))
+	if (exec->silent || !exec->recorded || bp_qexec_in_doubt(exec))
 		return 0;
 	return bp_qexec_clock_ms(exec) + lease_ms;
 }
@@ -185,6 +189,8 @@
 	request.cursor = cursor_of(exec);
 	request.wait_ms = wait_ms;
 	exec->lease_end_ms = MAX(exec->lease_end_ms, request.deadline_ms);
+	if (request.deadline_ms > 0)
+		exec->ordered_ms = bp_shard_now_ms(shard);
 	exec->looks++;
 	shard->counts_looks++;
 	g_hash_table_add(shard->looks, look);
--- a/src/queues/shard_orders.c
+++ b/src/queues/shard_orders.c
@@ -195,6 +195,7 @@
 	run->progress_ms = run->started_ms;
 	start.deadline_ms = bp_qexec_clock_ms(exec) + BP_SHARD_START_WINDOW_MS;
 	exec->lease_end_ms = MAX(exec->lease_end_ms, start.deadline_ms);
+	exec->ordered_ms = run->started_ms;
 	start.task = run->name;
 	start.run = run->number;
 	start.payload = task->step->job->spec->payload;
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -92,6 +92,8 @@
 	bool stored; /* the store has a record of it, of any epoch */
 	int64_t waited_before_ms; /* by earlier owners, for its answer */
 	int64_t waited_stored_ms; /* mono, when the waiting was stored last */
+	int64_t ordered_ms; /* mono, of the last start or lease */
+	bool named; /* its record names tasks */
 	bool recording; /* its record is in the batch in flight */
 	bool met; /* has answered to this epoch */
 	bool resolved; /* nothing of earlier owners is unknown there */
@@ -262,6 +264,7 @@
 void bp_qexec_free(gpointer exec);
 int64_t bp_qexec_clock_ms(const bp_qexec_t *exec);
 int64_t bp_qexec_waited_ms(const bp_qexec_t *exec);
+bool bp_qexec_waiting_due(const bp_qexec_t *exec);
 bool bp_qexec_in_doubt(const bp_qexec_t *exec);
 bool bp_qexec_surely_past(const bp_qexec_t *exec, int64_t clock_ms);
 bp_qrun_t *bp_qrun_new(bp_qexec_t *exec, bp_qtask_t *task,
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -59,7 +59,7 @@
 }
 
 static void
-add_holder(GPtrArray *records, const bp_qexec_t *exec)
+add_holder(GPtrArray *records, bp_qexec_t *exec, uint32_t waited_ms)
 {
 	Bp__Work__Holder holder = BP__WORK__HOLDER__INIT;
 	GPtrArray *names = names_on(exec);
@@ -69,8 +69,8 @@
 	holder.born_ms = exec->born_ms;
 	holder.tasks = (char **)names->pdata;
 	holder.n_tasks = names->len;
-	if (!exec->met)
-		holder.waited_ms = (uint32_t)bp_qexec_waited_ms(exec);
+	holder.waited_ms = waited_ms;
+	exec->named = names->len > 0;
 	add_message(
 	    records, BP_SHARD_PREFIX_HOLDER, exec->info->id, &holder.base);
 	g_ptr_array_unref(names);
@@ -109,18 +109,25 @@
 	}
 }
 
-/* Tells whether the waiting for a silent executor is to be stored again. */
-static bool
-waiting_due(const bp_qexec_t *exec)
+/*
+ * Tells whether the waiting for a silent executor is to be stored again: a
+ * successor need not wait anew, whether this owner had met it or not.
+ */
+bool
+bp_qexec_waiting_due(const bp_qexec_t *exec)
 {
-	return exec->stored && !exec->met && !exec->shard->census_done &&
+	bool matters = exec->met ? exec->silent && exec->plans == 0 &&
+		(exec->runs->len > 0 || exec->named)
+				 : !exec->shard->census_done;
+
+	return exec->stored && matters && !exec->recording &&
 	    bp_shard_now_ms(exec->shard) - exec->waited_stored_ms >=
 	    WAITED_PERIOD_MS;
 }
 
 /*
- * An executor is recorded in each epoch before it gets work, which ends the
- * waiting of earlier epochs, and again with each task that is to run there.
+ * An executor is recorded in each epoch before it gets work or a lease, which
+ * ends the waiting for it, and again with each task that is to run there.
  */
 static void
 fill_execs(bp_shard_t *shard, GPtrArray *records)
@@ -133,14 +140,16 @@
 		bp_qexec_t *exec = value;
 
 		exec->storing = exec->seen;
-		if (waiting_due(exec)) {
+		if (bp_qexec_waiting_due(exec)) {
 			exec->waited_stored_ms = bp_shard_now_ms(shard);
-			add_holder(records, exec);
+			exec->recorded = false;
+			add_holder(
+			    records, exec, (uint32_t)bp_qexec_waited_ms(exec));
 		} else if (exec->met && !exec->recording &&
-		    (!exec->recorded || exec->plans > 0)) {
+		    (exec->plans > 0 || (!exec->recorded && !exec->silent))) {
 			exec->recording = true;
 			put_plans_in_batch(exec);
-			add_holder(records, exec);
+			add_holder(records, exec, 0);
 		}
 	}
 }
@@ -271,6 +280,24 @@
 	bp_shard_mark_dirty(shard, job);
 }
 
+/* The fate of an executor's record is known. */
+static void
+exec_recorded(bp_qexec_t *exec, bool stored)
+{
+	bool first = stored && !exec->recorded;
+
+	exec->recording = false;
+	exec->recorded = exec->recorded || stored;
+	exec->stored = exec->stored || stored;
+	carry_out_plans(exec->shard, exec, stored);
+	/* Without its record the executor gets no work. */
+	if (!exec->recorded)
+		bp_journal_request(exec->shard->journal, false);
+	/* What runs there had no new lease until now. */
+	if (first && exec->runs->len > 0)
+		bp_shard_look(exec, 0);
+}
+
 static void
 execs_stored(bp_shard_t *shard, bool stored)
 {
@@ -281,15 +308,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		bp_qexec_t *exec = value;
 
-		exec->recorded = exec->recorded || (stored && exec->recording);
-		exec->stored = exec->stored || exec->recorded;
-		if (exec->recording) {
-			exec->recording = false;
-			carry_out_plans(shard, exec, stored);
-			/* Without its record the executor gets no work. */
-			if (!exec->recorded)
-				bp_journal_request(shard->journal, false);
-		}
+		if (exec->recording)
+			exec_recorded(exec, stored);
 		if (!stored || exec->storing <= exec->acked)
 			continue;
 		exec->acked = exec->storing;
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -259,8 +259,10 @@
 		return "draining";
 	if (exec->silent)
 		return "executor_silent";
-	if (!exec->met || !exec->recorded || exec->clock_at_ms == 0)
+	if (!exec->met || exec->clock_at_ms == 0)
 		return "census";
+	if (!exec->recorded)
+		return "not_recorded";
 	if (exec->held_until_ms > round->now_ms)
 		return exec->held_for;
 	if (bp_qexec_in_doubt(exec))
--- a/src/queues/shard_why.c
+++ b/src/queues/shard_why.c
@@ -27,6 +27,8 @@
     {"headroom", "waits: batch leaves the remaining room to urgent work"},
     {"zone_out", "waits: the zone is out of service"},
     {"draining", "waits: the executor is leaving"},
+    {"not_recorded",
+	"waits: the store does not hold yet that the executor gets work"},
     {"executor_silent", "waits: the executor does not answer"},
     {"quarantined", "waits: the executor fails what it starts"},
     {"no_room", "waits: the executor refused a start for want of room"},
--- a/tests/queues/test_shard.c
+++ b/tests/queues/test_shard.c
@@ -189,6 +189,35 @@
 	finish(rig);
 }
 
+/*
+ * Guards against a successor that waits anew for an executor which its
+ * predecessor had met and had given no lease for long.
+ */
+static void
+test_a_successor_counts_the_silence_before(void)
+{
+	bp_qrig_t *rig = started();
+	const char *id = bp_qrig_submit(rig, 6, 0, true);
+	uint32_t running = 0;
+	uint32_t k;
+
+	bp_qrig_run_ms(rig, 1000);
+	bp_qfleet_set_cut(bp_qrig_fleet(rig), 0, true);
+	/* Leases there have not lapsed before the owner dies. */
+	bp_qrig_run_ms(rig, 5000);
+	bp_qrig_kill(rig, (uint32_t)bp_qrig_owner(rig));
+	/* A takeover (3.5 s) and the rest of 10.3 s, of which 4 s are stored. */
+	bp_qrig_run_ms(rig, 10500);
+	for (k = 0; k < 6; k++) {
+		char *task = g_strdup_printf("%s.0.0.%u", id, k);
+
+		running += bp_qfleet_running_of(bp_qrig_fleet(rig), task);
+		g_free(task);
+	}
+	CU_ASSERT_EQUAL(running, 6);
+	finish(rig);
+}
+
 /* A refused submission never runs; one in doubt is never called refused. */
 static void
 test_store_down_refuses_at_once(void)
@@ -501,6 +530,8 @@
 	    {"all nodes die and return", test_all_nodes_die_and_return},
 	    {"a cut executor is waited out", test_a_cut_executor_is_waited_out},
 	    {"waiting goes on over owners", test_waiting_goes_on_over_owners},
+	    {"a successor counts the silence before",
+		test_a_successor_counts_the_silence_before},
 	    {"store down refuses at once", test_store_down_refuses_at_once},
 	    {"refused records are repeated", test_refused_records_are_repeated},
 	    {"lost answers of the store", test_lost_answers_of_the_store},
