Ended jobs leave their specification out of the store

Jobs are known for 120 s after their end, so most of what is read belongs to jobs that have ended.

The record of a job is dropped with the one that stores its end; the progress of an ended job names its queue and stands for the whole job.

Test: queues/shard/ended jobs are stored small: red on the code before (two checks), green now; it also hands the ended job in again after a takeover.

--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -1168,7 +1168,7 @@
   (ProtobufCMessageInit) bp__work__task_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__work__progress__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bp__work__progress__field_descriptors[4] =
 {
   {
     "state",
@@ -1206,16 +1206,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "queue",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Progress, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__work__progress__field_indices_by_name[] = {
   2,   /* field[2] = ended_ms */
+  3,   /* field[3] = queue */
   0,   /* field[0] = state */
   1,   /* field[1] = tasks */
 };
 static const ProtobufCIntRange bp__work__progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bp__work__progress__descriptor =
 {
@@ -1225,7 +1238,7 @@
   "Bp__Work__Progress",
   "bp.work",
   sizeof(Bp__Work__Progress),
-  3,
+  4,
   bp__work__progress__field_descriptors,
   bp__work__progress__field_indices_by_name,
   1,  bp__work__progress__number_ranges,
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -189,10 +189,14 @@
    * Unix ms, 0 while the job goes on
    */
   int64_t ended_ms;
+  /*
+   * of an ended job, whose own record is dropped
+   */
+  char *queue;
 };
 #define BP__WORK__PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__work__progress__descriptor) \
-    , BP__WORK__JOB_STATE__JOB_QUEUED, 0,NULL, 0 }
+    , BP__WORK__JOB_STATE__JOB_QUEUED, 0,NULL, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Bp__Work__Owner
--- a/src/queues/job.c
+++ b/src/queues/job.c
@@ -363,6 +363,8 @@
 	out.tasks = (Bp__Work__TaskProgress **)rows->pdata;
 	out.state = job->state;
 	out.ended_ms = job->ended_ms;
+	if (ended)
+		out.queue = job->spec->queue;
 	number = 0;
 	for (i = 0; i < job->n_steps * job->occurrences; i++) {
 		const bp_qstep_t *step = &job->steps[i];
@@ -390,6 +392,34 @@
 	return NULL;
 }
 
+/*
+ * Returns an ended job of which only the progress is stored; NULL when the
+ * progress cannot be read or is that of a job that goes on.
+ */
+bp_qjob_t *
+bp_qjob_new_ended(const char *id, const uint8_t *bytes, size_t size_bytes)
+{
+	Bp__Work__Progress *progress =
+	    bp__work__progress__unpack(NULL, size_bytes, bytes);
+	bp_qjob_t *job = NULL;
+
+	if (progress != NULL && progress->queue[0] != '\0' &&
+	    progress->state >= BP__WORK__JOB_STATE__JOB_COMPLETED) {
+		Bp__Work__Job spec = BP__WORK__JOB__INIT;
+
+		spec.id = (char *)id;
+		spec.queue = progress->queue;
+		job = bp_qjob_new(bp_message_copy(&spec.base));
+		job->state = progress->state;
+		job->stored = progress->state;
+		job->ended_ms = progress->ended_ms;
+		job->begun = true;
+	}
+	if (progress != NULL)
+		bp__work__progress__free_unpacked(progress, NULL);
+	return job;
+}
+
 /* Reads stored progress into a new job; BP_EINVALID for broken bytes. */
 int
 bp_qjob_load_progress(
--- a/src/queues/job.h
+++ b/src/queues/job.h
@@ -86,6 +86,8 @@
 
 /* Serialized progress, and back. */
 GBytes *bp_qjob_progress(const bp_qjob_t *job);
+bp_qjob_t *bp_qjob_new_ended(
+    const char *id, const uint8_t *bytes, size_t size_bytes);
 int bp_qjob_load_progress(
     bp_qjob_t *job, const uint8_t *bytes, size_t size_bytes, bp_error_t *err);
 
--- a/src/queues/shard_load.c
+++ b/src/queues/shard_load.c
@@ -31,17 +31,34 @@
 	g_hash_table_insert(shard->jobs, spec->id, job);
 }
 
+/* The progress of an ended job stands for the whole job. */
+static void
+load_ended(bp_shard_t *shard, const char *id, const uint8_t *bytes, gsize size)
+{
+	bp_qjob_t *job = bp_qjob_new_ended(id, bytes, size);
+
+	if (job == NULL) {
+		log_unreadable(shard, id);
+		return;
+	}
+	job->accepted = true;
+	g_hash_table_insert(shard->jobs, job->spec->id, job);
+}
+
 static void
 load_progress(bp_shard_t *shard, const bp_store_record_t *record)
 {
-	bp_qjob_t *job = g_hash_table_lookup(
-	    shard->jobs, record->key + BP_SHARD_PREFIX_CHARS);
+	const char *id = record->key + BP_SHARD_PREFIX_CHARS;
+	bp_qjob_t *job = g_hash_table_lookup(shard->jobs, id);
 	bp_error_t err = {BP_OK, ""};
 	gsize size = 0;
 	const uint8_t *bytes = g_bytes_get_data(record->value, &size);
 
-	if (job != NULL &&
-	    bp_qjob_load_progress(job, bytes, size, &err) != BP_OK)
+	if (job == NULL) {
+		load_ended(shard, id, bytes, size);
+		return;
+	}
+	if (bp_qjob_load_progress(job, bytes, size, &err) != BP_OK)
 		bp_log(shard->options.logger, BP_LOG_ERR, BP_SHARD_MODULE,
 		    "stored progress cannot be read", "key", record->key,
 		    "reason", err.message, NULL);
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -196,6 +196,10 @@
 
 		job->dirty = false;
 		add_progress(records, job, sent.state);
+		/* Successors read the less, and start nothing of it. */
+		if (sent.state >= BP__WORK__JOB_STATE__JOB_COMPLETED)
+			add_record(
+			    records, BP_SHARD_PREFIX_JOB, job->spec->id, NULL);
 		g_array_append_val(shard->in_flight, sent);
 	}
 	g_ptr_array_set_size(shard->dirty, 0);
--- a/tests/queues/test_shard.c
+++ b/tests/queues/test_shard.c
@@ -131,6 +131,37 @@
 	finish(rig);
 }
 
+/* Guards against takeovers that read all jobs of the day with their tasks. */
+static void
+test_ended_jobs_are_stored_small(void)
+{
+	bp_qrig_t *rig = started();
+	const char *done = bp_qrig_submit(rig, 3, 300, false);
+	const char *cancelled = bp_qrig_submit(rig, 3, 0, true);
+	char *key = g_strconcat("j/", done, NULL);
+	char *other = g_strconcat("j/", cancelled, NULL);
+	uint32_t starts;
+
+	bp_qrig_run_ms(rig, 1000);
+	CU_ASSERT_PTR_NOT_NULL(bp_qstore_value(bp_qrig_store(rig), 0, other));
+	bp_qrig_cancel(rig, cancelled);
+	bp_qrig_run_ms(rig, 5000);
+	CU_ASSERT_PTR_NULL(bp_qstore_value(bp_qrig_store(rig), 0, key));
+	CU_ASSERT_PTR_NULL(bp_qstore_value(bp_qrig_store(rig), 0, other));
+	bp_qrig_kill(rig, (uint32_t)bp_qrig_owner(rig));
+	bp_qrig_run_ms(rig, 5000);
+	expect_state(rig, done, BP__WORK__JOB_STATE__JOB_COMPLETED);
+	expect_state(rig, cancelled, BP__WORK__JOB_STATE__JOB_CANCELLED);
+	starts = bp_qfleet_starts(bp_qrig_fleet(rig));
+	bp_qrig_resubmit(rig, done);
+	bp_qrig_run_ms(rig, 2000);
+	CU_ASSERT_EQUAL(bp_qrig_told(rig, done), BP_QRIG_ACCEPTED);
+	CU_ASSERT_EQUAL(bp_qfleet_starts(bp_qrig_fleet(rig)), starts);
+	g_free(key);
+	g_free(other);
+	finish(rig);
+}
+
 /* An executor that cannot be asked keeps its tasks until its lease is over. */
 static void
 test_a_cut_executor_is_waited_out(void)
@@ -206,7 +237,8 @@
 	/* Leases there have not lapsed before the owner dies. */
 	bp_qrig_run_ms(rig, 5000);
 	bp_qrig_kill(rig, (uint32_t)bp_qrig_owner(rig));
-	/* A takeover (3.5 s) and the rest of 10.3 s, of which 4 s are stored. */
+	/* A takeover (3.5 s) and the rest of 10.3 s, of which 4 s are stored.
+	 */
 	bp_qrig_run_ms(rig, 10500);
 	for (k = 0; k < 6; k++) {
 		char *task = g_strdup_printf("%s.0.0.%u", id, k);
@@ -532,6 +564,7 @@
 	    {"waiting goes on over owners", test_waiting_goes_on_over_owners},
 	    {"a successor counts the silence before",
 		test_a_successor_counts_the_silence_before},
+	    {"ended jobs are stored small", test_ended_jobs_are_stored_small},
 	    {"store down refuses at once", test_store_down_refuses_at_once},
 	    {"refused records are repeated", test_refused_records_are_repeated},
 	    {"lost answers of the store", test_lost_answers_of_the_store},
