A contested takeover lists the keys once

Now it claims without the condition at once and reads from the log what was written since the listing; a history that was dropped leads to the listing as before.

--- a/include/bulrushpost/store.h
+++ b/include/bulrushpost/store.h
@@ -63,6 +63,12 @@
 	/* The newest record of each key after a key (NULL: from the start). */
 	void (*newest)(bp_store_t *store, const char *topic, uint32_t partition,
 	    const char *after, bp_store_done_t done, void *data);
+	/*
+	 * Records from an offset on, in order, as many as one answer holds;
+	 * end_offset is that after the last of them.
+	 */
+	void (*read)(bp_store_t *store, const char *topic, uint32_t partition,
+	    uint64_t from, bp_store_done_t done, void *data);
 	/* Joins, or stays in, the group that deals out a topic. */
 	void (*join)(bp_store_t *store, const char *group, const char *member,
 	    const char *topic, uint32_t ttl_ms, uint64_t generation,
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -176,6 +176,7 @@
 	bool claimed; /* the epoch is ours; keys are read once more */
 	uint64_t claim_sequence; /* of the append that claimed the epoch */
 	uint64_t end_offset; /* of the partition, when it was read */
+	uint64_t claim_end; /* of the partition, after the forced claim */
 	GHashTable *raw; /* key to bp_store_record_t, while reading */
 	char *page;
 	GHashTable *jobs; /* id to bp_qjob_t */
--- a/src/queues/shard_takeover.c
+++ b/src/queues/shard_takeover.c
@@ -10,7 +10,9 @@
 #define CLAIM_SEQUENCES (UINT64_C(1) << 31)
 
 static void read_page(bp_shard_t *shard);
+static void read_rest(bp_shard_t *shard);
 static void start_reading(bp_shard_t *shard);
+static void claim(bp_shard_t *shard);
 
 static gboolean
 on_again(void *data)
@@ -90,13 +92,15 @@
 			begin(shard);
 			break;
 		}
-		/* What the earlier owner wrote until then is read now. */
 		shard->claimed = true;
-		start_reading(shard);
+		shard->claim_end = result->end_offset;
+		read_rest(shard);
 		break;
 	case BP_STORE_MOVED:
+		bp_log(shard->options.logger, BP_LOG_NOTICE, BP_SHARD_MODULE,
+		    "the earlier owner still writes; it is fenced", NULL);
 		shard->forced = true;
-		again(shard, "claim", "the earlier owner still writes");
+		claim(shard);
 		break;
 	case BP_STORE_FENCED:
 	case BP_STORE_SEQUENCE:
@@ -149,6 +153,52 @@
 	g_ptr_array_unref(records);
 }
 
+static void
+keep(bp_shard_t *shard, const bp_store_record_t *record)
+{
+	gsize size = 0;
+	const void *bytes = record->value != NULL
+	    ? g_bytes_get_data(record->value, &size)
+	    : NULL;
+
+	g_hash_table_replace(shard->raw, g_strdup(record->key),
+	    bp_store_record_new(record->key, bytes, size));
+}
+
+/* History that the store has dropped leaves only the listing of all keys. */
+static void
+on_rest(const bp_store_result_t *result, void *data)
+{
+	bp_shard_t *shard = data;
+	guint i;
+
+	if (result->outcome == BP_STORE_DROPPED) {
+		start_reading(shard);
+		return;
+	}
+	if (result->outcome != BP_STORE_OK) {
+		again(shard, "read", "the store did not answer");
+		return;
+	}
+	for (i = 0; i < result->records->len; i++)
+		keep(shard, result->records->pdata[i]);
+	shard->end_offset = result->end_offset;
+	if (shard->end_offset >= shard->claim_end)
+		begin(shard);
+	else if (result->records->len > 0)
+		read_rest(shard);
+	else
+		again(shard, "read", "the log ends before the claim");
+}
+
+/* What the earlier owner wrote between the listing and the forced claim. */
+static void
+read_rest(bp_shard_t *shard)
+{
+	shard->options.store->read(shard->options.store, shard->options.topic,
+	    shard->options.number, shard->end_offset, on_rest, shard);
+}
+
 static void
 on_page(const bp_store_result_t *result, void *data)
 {
@@ -163,13 +213,8 @@
 		shard->end_offset = result->end_offset;
 	for (i = 0; i < result->records->len; i++) {
 		const bp_store_record_t *record = result->records->pdata[i];
-		gsize size = 0;
-		const void *bytes = record->value != NULL
-		    ? g_bytes_get_data(record->value, &size)
-		    : NULL;
 
-		g_hash_table_replace(shard->raw, g_strdup(record->key),
-		    bp_store_record_new(record->key, bytes, size));
+		keep(shard, record);
 		g_free(shard->page);
 		shard->page = g_strdup(record->key);
 	}
@@ -191,8 +236,8 @@
 /*
  * Begins a takeover: reads all keys, then claims the shard on condition that
  * nothing was written meanwhile. If an earlier owner goes on writing, the
- * claim is made without the condition, which fences that owner, and the keys
- * are read again.
+ * claim is made without the condition, which fences that owner, and what it
+ * wrote meanwhile is read.
  */
 void
 bp_shard_read(bp_shard_t *shard)
--- a/tests/queues/test_shard.c
+++ b/tests/queues/test_shard.c
@@ -162,6 +162,64 @@
 	finish(rig);
 }
 
+static void
+on_shard_event(bp_shard_t *shard, void *data)
+{
+	(void)shard;
+	(void)data;
+}
+
+/* A node that takes the shard while its owner goes on. */
+static bp_shard_t *
+new_rival(bp_qrig_t *rig)
+{
+	bp_shard_options_t options = {0};
+
+	options.clock = bp_clock_virtual_clock(bp_qrig_clock(rig));
+	options.store = bp_qstore_interface(bp_qstore_view(bp_qrig_store(rig)));
+	options.executors =
+	    bp_qfleet_interface(bp_qfleet_view(bp_qrig_fleet(rig)));
+	options.node = "rival";
+	options.address = "rival";
+	options.topic = "jobs";
+	options.limits.lease_max_ms = 6000;
+	options.limits.status_keep_s = 3600;
+	options.lost = on_shard_event;
+	options.owned = on_shard_event;
+	return bp_shard_new(&options);
+}
+
+#define MANY_JOBS 1200
+#define PAGE 500
+
+/* Guards against takeovers that list all keys again and again. */
+static void
+test_a_contested_takeover_lists_once(void)
+{
+	bp_qrig_t *rig = started();
+	uint64_t before = bp_qstore_listings(bp_qrig_store(rig));
+	bp_shard_t *rival;
+	uint64_t listings;
+	uint32_t i;
+
+	for (i = 0; i < MANY_JOBS; i++)
+		(void)bp_qrig_submit(rig, 1, 200, false);
+	bp_qrig_run_ms(rig, 200);
+	rival = new_rival(rig);
+	for (i = 0; i < 3000 && !bp_shard_ready(rival); i++) {
+		(void)bp_qrig_submit(rig, 1, 200, false);
+		bp_qrig_run_ms(rig, 1);
+	}
+	CU_ASSERT_TRUE(bp_shard_ready(rival));
+	/* At most two records a job and some for executors, each once. */
+	listings = bp_qstore_listings(bp_qrig_store(rig)) - before;
+	CU_ASSERT_TRUE(listings <= 2 * (MANY_JOBS + i) / PAGE + 2);
+	if (listings > 2 * (MANY_JOBS + i) / PAGE + 2)
+		printf("%u pages listed\n", (unsigned)listings);
+	bp_shard_free(rival);
+	finish(rig);
+}
+
 /* An executor that cannot be asked keeps its tasks until its lease is over. */
 static void
 test_a_cut_executor_is_waited_out(void)
@@ -564,6 +622,8 @@
 	    {"waiting goes on over owners", test_waiting_goes_on_over_owners},
 	    {"a successor counts the silence before",
 		test_a_successor_counts_the_silence_before},
+	    {"a contested takeover lists once",
+		test_a_contested_takeover_lists_once},
 	    {"ended jobs are stored small", test_ended_jobs_are_stored_small},
 	    {"store down refuses at once", test_store_down_refuses_at_once},
 	    {"refused records are repeated", test_refused_records_are_repeated},
--- a/tests/support/queuehttp.c
+++ b/tests/support/queuehttp.c
@@ -368,6 +368,39 @@
 	answer_bytes(message, out);
 }
 
+static void
+add_raw(GByteArray *out, const bp_store_record_t *record)
+{
+	gsize size = 0;
+	const uint8_t *bytes = record->value != NULL
+	    ? g_bytes_get_data(record->value, &size)
+	    : NULL;
+
+	add_be(out, 1 + strlen(record->key) + size, 4);
+	add_be(out, strlen(record->key), 1);
+	g_byte_array_append(
+	    out, (const uint8_t *)record->key, (guint)strlen(record->key));
+	if (size > 0)
+		g_byte_array_append(out, bytes, (guint)size);
+}
+
+static void
+on_log_read(const bp_store_result_t *result, void *data)
+{
+	call_t *call = data;
+	GByteArray *out = g_byte_array_new();
+	guint i;
+
+	add_be(out, result->end_offset, 8);
+	add_be(out, 0, 8);
+	for (i = 0; result->records != NULL && i < result->records->len; i++)
+		add_raw(out, result->records->pdata[i]);
+	answer_bytes(call->message, out);
+	soup_server_message_unpause(call->message);
+	g_object_unref(call->message);
+	g_free(call);
+}
+
 static gboolean
 on_read_wait(gpointer data)
 {
@@ -391,7 +424,10 @@
 		return;
 	}
 	if (strcmp(param(query, "topic"), "keyed.op") != 0) {
-		answer_read(message, NULL, from);
+		bp_store_t *store = bp_qstore_interface(self->store_view);
+
+		store->read(store, "", (uint32_t)number(query, "part"), from,
+		    on_log_read, wait_for(self, message));
 		return;
 	}
 	if (from < self->operators->len) {
--- a/tests/support/queuestore.c
+++ b/tests/support/queuestore.c
@@ -9,6 +9,7 @@
 
 typedef struct {
 	GHashTable *newest; /* key to bp_store_record_t */
+	GPtrArray *log; /* bp_store_record_t, all; the index is the offset */
 	uint64_t end;
 	uint64_t epoch;
 	uint64_t sequence; /* of the last append of this epoch */
@@ -36,6 +37,7 @@
 	uint32_t lost_percent;
 	bool lost_late;
 	uint64_t appends;
+	uint64_t listings;
 	GPtrArray *views;
 };
 
@@ -47,7 +49,7 @@
 	GHashTable *calls; /* call_t */
 };
 
-typedef enum { APPEND, NEWEST, JOIN, LEAVE, OWNERS } kind_t;
+typedef enum { APPEND, NEWEST, READ, JOIN, LEAVE, OWNERS } kind_t;
 
 typedef struct {
 	bp_qstore_view_t *view;
@@ -141,6 +143,7 @@
 		bp_store_record_t *copy = copy_record(call->records->pdata[i]);
 
 		copy->offset = part->end++;
+		g_ptr_array_add(part->log, copy_record(copy));
 		if (copy->value == NULL) {
 			g_hash_table_remove(part->newest, copy->key);
 			bp_store_record_free(copy);
@@ -201,6 +204,20 @@
 	call->result.end_offset = part->end;
 }
 
+static void
+apply_read(call_t *call)
+{
+	part_t *part = &call->view->store->parts[call->partition];
+	uint64_t at = call->end_offset;
+
+	call->records = g_ptr_array_new_with_free_func(bp_store_record_free);
+	while (at < part->end && call->records->len < PAGE)
+		g_ptr_array_add(
+		    call->records, copy_record(part->log->pdata[at++]));
+	call->result.outcome = BP_STORE_OK;
+	call->result.end_offset = at;
+}
+
 static bool
 alive(const bp_qstore_t *store, const member_t *member)
 {
@@ -312,6 +329,9 @@
 	case NEWEST:
 		apply_newest(call);
 		break;
+	case READ:
+		apply_read(call);
+		break;
 	case JOIN:
 		apply_join(call);
 		break;
@@ -336,7 +356,8 @@
 		    on_answer, call);
 		return G_SOURCE_REMOVE;
 	}
-	call->result.records = call->kind == NEWEST ? call->records : NULL;
+	call->result.records =
+	    call->kind == NEWEST || call->kind == READ ? call->records : NULL;
 	call->result.holdings = call->holdings;
 	if (!call->forgotten)
 		call->done(&call->result, call->data);
@@ -453,10 +474,22 @@
 	call_t *call = new_call(interface, NEWEST, done, data);
 
 	(void)topic;
+	call->view->store->listings++;
 	call->partition = partition;
 	call->text = g_strdup(after);
 }
 
+static void
+store_read(bp_store_t *interface, const char *topic, uint32_t partition,
+    uint64_t from, bp_store_done_t done, void *data)
+{
+	call_t *call = new_call(interface, READ, done, data);
+
+	(void)topic;
+	call->partition = partition;
+	call->end_offset = from;
+}
+
 static void
 store_join(bp_store_t *interface, const char *group, const char *member,
     const char *topic, uint32_t ttl_ms, uint64_t generation,
@@ -534,9 +567,12 @@
 	store->n_parts = partitions;
 	store->delay_ms = DELAY_MS;
 	store->parts = g_new0(part_t, partitions);
-	for (i = 0; i < partitions; i++)
+	for (i = 0; i < partitions; i++) {
 		store->parts[i].newest = g_hash_table_new_full(
 		    g_str_hash, g_str_equal, NULL, bp_store_record_free);
+		store->parts[i].log =
+		    g_ptr_array_new_with_free_func(bp_store_record_free);
+	}
 	store->members = g_ptr_array_new_with_free_func(member_free);
 	store->holder = g_new0(member_t *, partitions);
 	store->wanted = g_new0(member_t *, partitions);
@@ -551,8 +587,10 @@
 	uint32_t i;
 
 	g_ptr_array_unref(store->views);
-	for (i = 0; i < store->n_parts; i++)
+	for (i = 0; i < store->n_parts; i++) {
 		g_hash_table_unref(store->parts[i].newest);
+		g_ptr_array_unref(store->parts[i].log);
+	}
 	g_free(store->parts);
 	g_ptr_array_unref(store->members);
 	g_free(store->holder);
@@ -570,6 +608,7 @@
 	view->calls = g_hash_table_new(NULL, NULL);
 	view->interface.append = store_append;
 	view->interface.newest = store_newest;
+	view->interface.read = store_read;
 	view->interface.join = store_join;
 	view->interface.leave = store_leave;
 	view->interface.owners = store_owners;
@@ -621,6 +660,13 @@
 	deal(store, true);
 }
 
+/* Returns how many pages of keys were asked for. */
+uint64_t
+bp_qstore_listings(const bp_qstore_t *store)
+{
+	return store->listings;
+}
+
 /* Returns the number of appends that were sent. */
 uint64_t
 bp_qstore_appends(const bp_qstore_t *store)
--- a/tests/support/queuestore.h
+++ b/tests/support/queuestore.h
@@ -34,6 +34,7 @@
 /* Deals all partitions anew. */
 void bp_qstore_rebalance(bp_qstore_t *store);
 uint64_t bp_qstore_appends(const bp_qstore_t *store);
+uint64_t bp_qstore_listings(const bp_qstore_t *store);
 /* The newest value of a key, NULL for none; lives until the next append. */
 GBytes *bp_qstore_value(
     const bp_qstore_t *store, uint32_t partition, const char *key);
