Keep room for urgent tasks that need a large gap

The site is 97% reserved; a task of 10 to 31 processors waits until enough neighbours end at once, and small ones take each gap before.

An urgent step that has found no room for 0.15 s gets executors kept for it for up to 1.5 s: those with most room now whose short runs leave enough when they end, one executor in 24 at most. Tasks that last are kept out for 1 s, fillers never.

Test: queues/overload/a large task gets its gap: without it a task of 12 processors beside small ones does not start within 9.4 s; green now.

--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -124,6 +124,7 @@
 	job->state = state;
 	job->ended_ms = bp_shard_wall_ms(shard);
 	g_ptr_array_remove(shard->going, job);
+	bp_shard_release_job(shard, job);
 	stop_runs(shard, job);
 	bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE, "job ended",
 	    "job", job->spec->id, "state",
@@ -302,6 +303,7 @@
 	shard->paces = g_hash_table_new(NULL, NULL);
 	shard->estimates = bp_estimates_new();
 	shard->pairs = bp_pairs_new();
+	shard->kept = g_ptr_array_new();
 	shard->lanes =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, bp_qlane_free);
 	shard->going = g_ptr_array_new();
@@ -351,6 +353,7 @@
 	bp_clock_cancel(shard->options.clock, &shard->tick_timer);
 	g_hash_table_unref(shard->execs);
 	g_hash_table_unref(shard->lanes);
+	g_ptr_array_unref(shard->kept);
 	g_hash_table_unref(shard->jobs);
 	g_hash_table_unref(shard->zones_out);
 	g_hash_table_unref(shard->orders);
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -118,6 +118,8 @@
 	uint32_t failures; /* in a row */
 	int64_t held_until_ms; /* mono; nothing is placed there before */
 	const char *held_for; /* static reason */
+	const bp_qstep_t *kept_for; /* urgent step that its room is kept for */
+	int64_t kept_until_ms; /* mono */
 	int64_t sampled_ms; /* mono, when tails were last learned from */
 	uint32_t filler_milli; /* processors that its fillers ask for */
 	uint32_t serving; /* runs with a bound on their tail */
@@ -186,6 +188,7 @@
 	GArray *in_flight; /* bp_qsent_t of the batch in flight */
 	GPtrArray *dropping; /* keys to drop */
 	GHashTable *execs; /* id to bp_qexec_t */
+	GPtrArray *kept; /* bp_qexec_t with kept_for */
 	GHashTable *zones_out;
 	const bp_catalog_t *catalog; /* owned by the node */
 	bp_journal_t *journal;
@@ -301,6 +304,15 @@
 void bp_shard_take_lists(
     bp_qexec_t *exec, const bp_exec_result_t *result, uint64_t look_event);
 
+/* shard_keep.c */
+void bp_shard_keep_room(bp_shard_t *shard, const bp_qstep_t *step,
+    const GPtrArray *execs, const char *service);
+bool bp_qexec_kept_from(const bp_qexec_t *exec, const bp_qstep_t *step);
+void bp_shard_release_expired(bp_shard_t *shard);
+void bp_shard_release_step(bp_shard_t *shard, const bp_qstep_t *step);
+void bp_shard_release_job(bp_shard_t *shard, const bp_qjob_t *job);
+void bp_qexec_release(bp_qexec_t *exec);
+
 /* shard_leases.c */
 void bp_shard_check_leases(bp_shard_t *shard);
 
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -208,6 +208,18 @@
 	    round->cpu_milli * (100 - HEADROOM_PERCENT);
 }
 
+/* Notes since when a step has found no room; urgent ones get some kept. */
+static void
+want_room(round_t *round, bp_qstep_t *step)
+{
+	if (step->wanting_ms == 0)
+		step->wanting_ms = round->now_ms;
+	if (step->job->spec->priority == 0 && !step->spec->lasting &&
+	    !step->spec->filler)
+		bp_shard_keep_room(
+		    round->shard, step, round->execs, round->service);
+}
+
 static void
 place_step(round_t *round, bp_qstep_t *step)
 {
@@ -219,6 +231,7 @@
 
 	if (reason != NULL) {
 		step->reason = reason;
+		want_room(round, step);
 		return;
 	}
 	if (step->spec->gang) {
@@ -239,14 +252,19 @@
 		exec = choose(round, task, wanted_rack(step), &step->reason);
 		if (exec == NULL) {
 			note_misfit(round, step);
+			want_room(round, step);
 			return;
 		}
 		step->reason = NULL;
 		if (!step->spec->filler)
 			round->cpu_used += step->spec->cpu_milli;
+		if (exec->kept_for == step)
+			bp_qexec_release(exec);
 		bp_shard_start_task(
 		    shard, task, exec, bp_shard_next_run(shard, task));
 	}
+	step->wanting_ms = 0;
+	bp_shard_release_step(shard, step);
 }
 
 /* Why an executor gets no work at all; NULL when it may. */
@@ -383,6 +401,7 @@
 {
 	guint i;
 
+	bp_shard_release_expired(round->shard);
 	add_executors(round);
 	g_array_sort(candidates, compare);
 	for (i = 0; i < candidates->len; i++) {
--- a/src/queues/shard_score.c
+++ b/src/queues/shard_score.c
@@ -8,6 +8,8 @@
 #define PENALTY_OTHER_RACK 4000.0
 #define PENALTY_SERVING 3000.0
 #define PENALTY_OTHER_IMAGE 1200.0
+/* Room that was kept for the step is used first. */
+#define PREFER_KEPT 8000.0
 /* An executor without serving tasks, as a share of other images. */
 #define EMPTY_IS_OTHER 0.4
 /* Share of their reserved processors that serving tasks use. */
@@ -53,6 +55,8 @@
 	    exec->accelerators_used + spec->accelerators >
 		exec->info->accelerators)
 		return "no_capacity";
+	if (bp_qexec_kept_from(exec, step))
+		return "kept";
 	if (spec->filler && !fillers_fit(exec, spec))
 		return "no_capacity";
 	if (spec->filler &&
@@ -124,6 +128,8 @@
 		score = SCALE * free_cpu / MAX(exec->info->cpu_milli, 1);
 	if (spec->target_ms > 0)
 		score += PENALTY_OTHER_IMAGE * other_images(exec, spec);
+	if (exec->kept_for == task->step)
+		score -= PREFER_KEPT;
 	if (task->failed_on == exec)
 		score += PENALTY_FAILED_ON;
 	if (rack[0] != '\0' && strcmp(exec->info->rack, rack) != 0)
--- a/src/queues/shard_why.c
+++ b/src/queues/shard_why.c
@@ -21,6 +21,7 @@
 	"waits: the store does not confirm that this node owns the shard"},
     {"no_executor", "waits: no executor of the queue's service is listed"},
     {"no_capacity", "waits for room"},
+    {"kept", "waits: the room is kept for an urgent task that waits longer"},
     {"label", "waits for an executor with the required label"},
     {"spread", "waits: executors with room run too many of its step"},
     {"disturbs", "waits: it would disturb serving tasks too much"},
--- a/tests/queues/test_overload.c
+++ b/tests/queues/test_overload.c
@@ -72,6 +72,45 @@
 	bp_qrig_free(rig);
 }
 
+/* Urgent work is to start within this time. */
+#define URGENT_START_MS 9400
+#define FULL_EXECUTORS 24
+#define LARGE_MILLI 12000
+
+/* Guards against a large urgent task for which small ones leave no gap. */
+static void
+test_a_large_task_gets_its_gap(void)
+{
+	bp_qrig_shape_t small = {.reliable = true, .cpu_milli = 2000};
+	bp_qrig_shape_t large = {.reliable = true, .cpu_milli = LARGE_MILLI};
+	bp_qrig_t *rig = bp_qrig_new(SEED, FULL_EXECUTORS);
+	char *task = NULL;
+	uint32_t starts;
+	uint32_t i;
+
+	bp_qrig_run_ms(rig, SETTLE_MS);
+	/* Twice the work that there is room for. */
+	for (i = 0; i < 200; i++) {
+		if (i == 20) {
+			bp_qrig_set_shape(rig, &large);
+			task = g_strdup_printf(
+			    "%s.0.0.0", bp_qrig_submit(rig, 1, 800, false));
+		}
+		bp_qrig_set_shape(rig, &small);
+		(void)bp_qrig_submit(rig, 24, 300 + i * 137 % 900, false);
+		bp_qrig_run_ms(rig, 80);
+		starts = task != NULL
+		    ? bp_qfleet_starts_of(bp_qrig_fleet(rig), task)
+		    : 0;
+		if (starts > 0 || i * 80 > 20 * 80 + URGENT_START_MS)
+			break;
+	}
+	CU_ASSERT_EQUAL(starts, 1);
+	CU_ASSERT_EQUAL(bp_qrig_broken(rig), 0);
+	g_free(task);
+	bp_qrig_free(rig);
+}
+
 /* Jobs of two steps that keep their objective of four times a task. */
 #define JOBS 200
 #define JOB_TASKS 8
@@ -145,6 +184,7 @@
 		test_a_slow_courier_holds_up_no_others},
 	    {"fillers are placed without asking all",
 		test_fillers_are_placed_without_asking_all},
+	    {"a large task gets its gap", test_a_large_task_gets_its_gap},
 	    {"jobs are in time beside too much work",
 		test_jobs_are_in_time_beside_too_much_work},
 	    CU_TEST_INFO_NULL,
--- a/tests/support/queuerig.c
+++ b/tests/support/queuerig.c
@@ -356,12 +356,19 @@
 	return fails ? -caller->task_ms : caller->task_ms;
 }
 
+static uint32_t
+cpu_of(const caller_t *caller)
+{
+	return caller->shape.cpu_milli > 0 ? caller->shape.cpu_milli : TASK_CPU;
+}
+
 static uint32_t
 world_cpu(const char *task, void *data)
 {
-	(void)task;
-	(void)data;
-	return TASK_CPU;
+	uint32_t step;
+	const caller_t *caller = caller_of_task(data, task, &step);
+
+	return caller != NULL ? cpu_of(caller) : TASK_CPU;
 }
 
 static const char *
@@ -568,7 +575,7 @@
 
 	bp__work__step__init(step);
 	step->tasks = caller->tasks;
-	step->cpu_milli = TASK_CPU;
+	step->cpu_milli = cpu_of(caller);
 	step->memory_mib = 100;
 	step->expected_ms = (uint32_t)caller->task_ms;
 	step->lasting = caller->lasting;
--- a/tests/support/queuerig.h
+++ b/tests/support/queuerig.h
@@ -36,6 +36,7 @@
 	uint32_t accelerators;
 	bool gang;
 	const char *label;
+	uint32_t cpu_milli; /* of a task, 0: 4000 */
 	bool filler; /* uses processor time that others leave */
 	bool reliable; /* no run fails by its own fault */
 } bp_qrig_shape_t;
