--- a/src/clients/httpcall.c
+++ b/src/clients/httpcall.c
@@ -27,6 +27,7 @@
 	GInputStream *stream;
 	GByteArray *body;
 	size_t answer_bytes;
+	int priority;
 	size_t received_bytes;
 	bp_error_t failure; /* of reading the body */
 	guint source;
@@ -206,7 +207,7 @@
 	want = MIN(want, room);
 	g_byte_array_set_size(call->body, (guint)(call->received_bytes + want));
 	g_input_stream_read_async(call->stream,
-	    call->body->data + call->received_bytes, want, G_PRIORITY_DEFAULT,
+	    call->body->data + call->received_bytes, want, call->priority,
 	    call->cancellable, on_read, call);
 }
 
@@ -248,8 +249,8 @@
 		bp_error_set(&call->failure, BP_ETOOLARGE,
 		    "the answer exceeds %zu bytes", call->answer_bytes);
 	g_clear_error(&error);
-	g_input_stream_close_async(call->stream, G_PRIORITY_DEFAULT,
-	    call->cancellable, on_closed, call);
+	g_input_stream_close_async(
+	    call->stream, call->priority, call->cancellable, on_closed, call);
 }
 
 static void
@@ -312,17 +313,18 @@
 	call->free_data = free_data;
 	call->owner = owner;
 	call->answer_bytes = request->answer_bytes;
+	call->priority = request->priority;
 	call->cancellable = g_cancellable_new();
 	call->body = g_byte_array_new();
 	g_hash_table_add(http->calls, call);
 	call->message = soup_message_new(request->method, request->url);
 	if (call->message == NULL) {
 		call->source =
-		    g_idle_add_full(G_PRIORITY_DEFAULT, on_invalid, call, NULL);
+		    g_idle_add_full(call->priority, on_invalid, call, NULL);
 		return;
 	}
 	set_message(call, request);
 	call->source = g_timeout_add(request->timeout_ms, on_timeout, call);
-	soup_session_send_async(http->session, call->message,
-	    G_PRIORITY_DEFAULT, call->cancellable, on_sent, call);
+	soup_session_send_async(http->session, call->message, call->priority,
+	    call->cancellable, on_sent, call);
 }
--- a/src/clients/httpcall.h
+++ b/src/clients/httpcall.h
@@ -18,6 +18,7 @@
 	const char *header_value;
 	size_t answer_bytes; /* a larger answer is an error */
 	uint32_t timeout_ms;
+	int priority; /* of its steps on the main loop, as that of sources */
 } bp_httpcall_request_t;
 
 /* Valid during the callback only. */
--- a/tests/clients/test_httpcall.c
+++ b/tests/clients/test_httpcall.c
@@ -2,6 +2,7 @@
 #include "support/runner.h"
 
 #include <stdbool.h>
+#include <string.h>
 
 #define WAIT_MS 2000
 #define MS_PER_S 1000
@@ -49,11 +50,121 @@
 	bp_httpcall_free(http);
 }
 
+#define BODY_BYTES 200000
+#define SLICE_BYTES 8192
+#define SLICE_PAUSE_US 2000
+/* One turn of a busy owner's loop. */
+#define TURN_US 20000
+#define REQUEST_BYTES 4096
+
+/* Answers one request with a body that comes in slices. */
+static gpointer
+serve(gpointer data)
+{
+	GSocket *listener = data;
+	GSocket *socket = g_socket_accept(listener, NULL, NULL);
+	char *body = g_strnfill(BODY_BYTES, 'x');
+	char *head = g_strdup_printf(
+	    "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", BODY_BYTES);
+	char request[REQUEST_BYTES];
+	gsize at = 0;
+
+	(void)g_socket_receive(socket, request, sizeof(request), NULL, NULL);
+	(void)g_socket_send(socket, head, strlen(head), NULL, NULL);
+	while (at < BODY_BYTES) {
+		gssize n = g_socket_send(socket, body + at,
+		    MIN(SLICE_BYTES, BODY_BYTES - at), NULL, NULL);
+
+		if (n <= 0)
+			break;
+		at += (gsize)n;
+		g_usleep(SLICE_PAUSE_US);
+	}
+	g_object_unref(socket);
+	g_free(body);
+	g_free(head);
+	return NULL;
+}
+
+static gboolean
+on_long_turn(gpointer data)
+{
+	uint32_t *turns = data;
+
+	(*turns)++;
+	g_usleep(TURN_US);
+	return G_SOURCE_CONTINUE;
+}
+
+/* Turns of a busy loop until a call of this priority has its answer. */
+static uint32_t
+turns_until_answered(int priority)
+{
+	GInetAddress *loopback =
+	    g_inet_address_new_loopback(G_SOCKET_FAMILY_IPV4);
+	GSocketAddress *any = g_inet_socket_address_new(loopback, 0);
+	GSocket *listener = g_socket_new(G_SOCKET_FAMILY_IPV4,
+	    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
+	bp_httpcall_client_t *http = bp_httpcall_new(1, 1);
+	bp_httpcall_request_t request = {0};
+	outcome_t outcome = {false, BP_OK};
+	GSocketAddress *bound;
+	uint32_t turns = 0;
+	GThread *server;
+	guint busy;
+	char *url;
+
+	CU_ASSERT_TRUE(g_socket_bind(listener, any, TRUE, NULL));
+	CU_ASSERT_TRUE(g_socket_listen(listener, NULL));
+	bound = g_socket_get_local_address(listener, NULL);
+	url = g_strdup_printf("http://127.0.0.1:%u/",
+	    g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound)));
+	server = g_thread_new("server", serve, listener);
+	busy = g_idle_add_full(G_PRIORITY_DEFAULT, on_long_turn, &turns, NULL);
+	request.method = "GET";
+	request.url = url;
+	request.answer_bytes = BODY_BYTES;
+	request.timeout_ms = 10 * WAIT_MS;
+	request.priority = priority;
+	bp_httpcall_start(http, &request, on_done, &outcome, NULL, NULL);
+	while (!outcome.done)
+		(void)g_main_context_iteration(NULL, FALSE);
+	CU_ASSERT_EQUAL(outcome.kind, BP_OK);
+	g_source_remove(busy);
+	g_thread_join(server);
+	bp_httpcall_free(http);
+	g_object_unref(bound);
+	g_object_unref(listener);
+	g_object_unref(any);
+	g_object_unref(loopback);
+	g_free(url);
+	return turns;
+}
+
+/* A configuration is to be in force within 3 s; a busy owner has turns of up
+ * to 0.3 s. */
+#define URGENT_TURNS_MAX 10
+
+/*
+ * Guards against a configuration that a busy owner reads for seconds: each
+ * step of a call waits for a turn of the loop.
+ */
+static void
+test_urgent_calls_take_few_turns(void)
+{
+	uint32_t turns = turns_until_answered(G_PRIORITY_HIGH);
+
+	CU_ASSERT_TRUE(turns <= URGENT_TURNS_MAX);
+	if (turns > URGENT_TURNS_MAX)
+		printf("%u turns\n", turns);
+}
+
 int
 main(void)
 {
 	CU_TestInfo tests[] = {
 	    {"a busy loop ends bad calls", test_a_busy_loop_ends_bad_calls},
+	    {"urgent calls take few turns", test_urgent_calls_take_few_turns},
 	    CU_TEST_INFO_NULL,
 	};
 
