Keep the logs of each process test of queues apart

A failure of process/queues/a job over HTTP (KNOWN-RED.txt: node 1 was not ready for the whole test, once of some 12 runs) could not be traced because the next test wrote over the logs of the nodes. Files carry the name of the test now.

--- a/tests/process/test_queues.c
+++ b/tests/process/test_queues.c
@@ -26,13 +26,14 @@
 	bp_process_t *nodes[NODES];
 	uint16_t ports[NODES][LISTENERS];
 	char *settings[NODES];
+	const char *name; /* of the test, for the files of its nodes */
 } fixture_t;
 
 static char *
 write_settings(const fixture_t *fixture, uint32_t node)
 {
-	char *path =
-	    g_strdup_printf("%s/queues-node-%u.yaml", BP_PROCESS_LOG_DIR, node);
+	char *path = g_strdup_printf("%s/queues-%s-node-%u.yaml",
+	    BP_PROCESS_LOG_DIR, fixture->name, node);
 	char *text = g_strdup_printf(
 	    "node: {name: n%u, zone: z%u, services: [queues]}\n"
 	    "listen:\n  queues: 127.0.0.1:%u\n  ready: 127.0.0.1:%u\n"
@@ -52,7 +53,7 @@
 {
 	const char *argv[] = {"build/bulrushpost", "serve", "--settings",
 	    fixture->settings[node], NULL};
-	char *name = g_strdup_printf("queues-node-%u", node);
+	char *name = g_strdup_printf("queues-%s-node-%u", fixture->name, node);
 
 	fixture->nodes[node] = bp_process_start(name, argv);
 	CU_ASSERT_PTR_NOT_NULL(fixture->nodes[node]);
@@ -104,12 +105,13 @@
 }
 
 static void
-setup(fixture_t *fixture)
+setup(fixture_t *fixture, const char *name)
 {
 	uint32_t i;
 	uint32_t k;
 
 	memset(fixture, 0, sizeof(*fixture));
+	fixture->name = name;
 	fixture->platform = bp_queuehttp_new(EXECUTORS);
 	bp_queuehttp_configure(fixture->platform, 3, "/q/");
 	fixture->http = bp_http_new();
@@ -164,7 +166,7 @@
 	fixture_t fixture;
 	uint32_t i;
 
-	setup(&fixture);
+	setup(&fixture, "job");
 	CU_ASSERT_TRUE(
 	    expect(&fixture, 0, "POST", "/q/00000000000000a1", JOB, 200, NULL));
 	for (i = 0; i < NODES; i++)
@@ -190,7 +192,7 @@
 	uint32_t starts;
 	uint32_t i;
 
-	setup(&fixture);
+	setup(&fixture, "killed");
 	CU_ASSERT_TRUE(expect(
 	    &fixture, 0, "POST", "/q/f0000000000000b1", LASTING, 200, NULL));
 	CU_ASSERT_TRUE(
@@ -229,7 +231,7 @@
 	fixture_t fixture;
 	uint32_t i;
 
-	setup(&fixture);
+	setup(&fixture, "configuration");
 	bp_queuehttp_configure(fixture.platform, 9, "/new/");
 	for (i = 0; i < NODES; i++) {
 		CU_ASSERT_TRUE(
@@ -246,7 +248,7 @@
 {
 	fixture_t fixture;
 
-	setup(&fixture);
+	setup(&fixture, "refuses");
 	CU_ASSERT_TRUE(
 	    expect(&fixture, 0, "POST", "/q/00000000000000c1", JOB, 200, NULL));
 	bp_queuehttp_set_mode(fixture.platform, BP_QSTORE_BUSY);
@@ -269,7 +271,7 @@
 	fixture_t fixture;
 	uint32_t i;
 
-	setup(&fixture);
+	setup(&fixture, "stop");
 	CU_ASSERT_TRUE(expect(
 	    &fixture, 0, "POST", "/q/f0000000000000d1", LASTING, 200, NULL));
 	for (i = 0; i < NODES; i++) {
