Fillers of an executor are slowed alike

Fillers beside serving tasks ran at 75% of their pace on average, but the gentlest at full pace and the last ones at none. A step of 20 tasks ends with its slowest, so nearly every step waited for one at rest. Class: a policy that is good for the mean and bad for the maximum that callers wait for.

Those that disturb the same serving tasks now share what the predicted tails allow in equal parts. The sum of the effects is the same as before.

Test: queues/lists/fillers are slowed alike (a scripted executor; the first test of the controller): red before, where not all were slowed and the slowest had less than 60% of its pace; green now.

--- a/src/queues/shard_pace.c
+++ b/src/queues/shard_pace.c
@@ -102,10 +102,10 @@
 	return amounts;
 }
 
-/* Share of its pace that a filler must give up so that tails stay low. */
+/* Share that all fillers that disturb the same serving tasks may have. */
 static double
-allowed_share(bp_shard_t *shard, const bp_qexec_t *exec,
-    const bp_qrun_t *filler, const double *planned)
+common_share(bp_shard_t *shard, const bp_qexec_t *exec, const bp_qrun_t *filler,
+    const double *wanted)
 {
 	double capacity = MAX(exec->info->cpu_milli, 1);
 	double share = 1;
@@ -113,23 +113,21 @@
 
 	for (i = 0; i < exec->runs->len; i++) {
 		const bp_qrun_t *run = exec->runs->pdata[i];
-		double grows;
-		double room;
 
-		if (!is_serving(run))
+		if (!is_serving(run) ||
+		    bp_shard_effect(shard, run->task->step, filler->task->step,
+			capacity) <= 0)
 			continue;
-		grows = bp_shard_effect(
-		    shard, run->task->step, filler->task->step, capacity);
-		room = bp_shard_spare_calm(run) - planned[i];
-		if (grows > 0)
-			share = MIN(share, MAX(room, 0) / grows);
+		share =
+		    MIN(share, MAX(bp_shard_spare_calm(run), 0) / wanted[i]);
 	}
 	return share;
 }
 
+/* Adds what a filler at full pace takes from each serving task. */
 static void
-add_planned(bp_shard_t *shard, const bp_qexec_t *exec, const bp_qrun_t *filler,
-    double share, double *planned)
+add_wanted(bp_shard_t *shard, const bp_qexec_t *exec, const bp_qrun_t *filler,
+    double *wanted)
 {
 	double capacity = MAX(exec->info->cpu_milli, 1);
 	guint i;
@@ -138,45 +136,11 @@
 		const bp_qrun_t *run = exec->runs->pdata[i];
 
 		if (is_serving(run))
-			planned[i] += share *
-			    bp_shard_effect(shard, run->task->step,
-				filler->task->step, capacity);
+			wanted[i] += bp_shard_effect(shard, run->task->step,
+			    filler->task->step, capacity);
 	}
 }
 
-/* The sum of a filler's effects, by which the gentle ones go first. */
-static double
-harm_of(bp_shard_t *shard, const bp_qexec_t *exec, bp_qstep_t *filler)
-{
-	double capacity = MAX(exec->info->cpu_milli, 1);
-	double worst = 0;
-	guint i;
-
-	for (i = 0; i < exec->runs->len; i++) {
-		const bp_qrun_t *run = exec->runs->pdata[i];
-
-		if (is_serving(run))
-			worst = MAX(worst,
-			    bp_shard_effect(
-				shard, run->task->step, filler, capacity));
-	}
-	return worst / MAX(filler->spec->cpu_milli, 1);
-}
-
-typedef struct {
-	bp_qrun_t *run;
-	double harm;
-} ranked_t;
-
-static gint
-compare_harm(gconstpointer a, gconstpointer b)
-{
-	const ranked_t *x = a;
-	const ranked_t *y = b;
-
-	return (x->harm > y->harm) - (x->harm < y->harm);
-}
-
 /* Changes of the amounts since the last sample of the executor. */
 static GArray *
 changes_of(const bp_qexec_t *exec, const GArray *amounts)
@@ -279,15 +243,15 @@
 }
 
 /*
- * Paces the fillers of an executor: as many as the predicted tails of its
- * serving tasks allow run at full pace, the gentlest first.
+ * Paces the fillers of an executor: those that disturb the same serving tasks
+ * are slowed alike, by what the predicted tails allow. A step ends with its
+ * slowest task, so that one filler at rest would hold up all the others.
  */
 void
 bp_shard_pace(bp_qexec_t *exec)
 {
 	int64_t now_ms = bp_shard_now_ms(exec->shard);
-	GArray *ranked;
-	double *planned;
+	double *wanted;
 	double worst;
 	guint i;
 
@@ -297,30 +261,24 @@
 	exec->sampled_ms = now_ms;
 	exec->rooms_stale = true;
 	exec->alarms = worst > ALARM_SHARE ? exec->alarms + 1 : 0;
-	ranked = g_array_new(FALSE, FALSE, sizeof(ranked_t));
-	planned = g_new0(double, exec->runs->len + 1);
+	wanted = g_new0(double, exec->runs->len + 1);
+	for (i = 0; i < exec->runs->len; i++) {
+		const bp_qrun_t *run = exec->runs->pdata[i];
 
+		if (is_filler(run))
+			add_wanted(exec->shard, exec, run, wanted);
+	}
 	for (i = 0; i < exec->runs->len; i++) {
-		ranked_t row = {exec->runs->pdata[i], 0};
+		bp_qrun_t *run = exec->runs->pdata[i];
+		double share;
 
-		if (!is_filler(row.run))
+		if (!is_filler(run))
 			continue;
-		row.harm = harm_of(exec->shard, exec, row.run->task->step);
-		g_array_append_val(ranked, row);
-	}
-	g_array_sort(ranked, compare_harm);
-	for (i = 0; i < ranked->len; i++) {
-		bp_qrun_t *run = g_array_index(ranked, ranked_t, i).run;
-		double share = allowed_share(exec->shard, exec, run, planned);
-		uint32_t pace;
-
-		share = CLAMP(share, 0, 1);
-		add_planned(exec->shard, exec, run, share, planned);
-		pace = (uint32_t)(share * PACE_FULL);
-		tell_pace(exec, run, cautious(exec, run, pace));
+		share = common_share(exec->shard, exec, run, wanted);
+		tell_pace(exec, run,
+		    cautious(exec, run, (uint32_t)(share * PACE_FULL)));
 	}
-	g_array_unref(ranked);
-	g_free(planned);
+	g_free(wanted);
 }
 
 /* A filler that rests where it disturbs is moved if little is lost by it. */
--- a/tests/queues/test_lists.c
+++ b/tests/queues/test_lists.c
@@ -9,13 +9,14 @@
 #define STEP_MS 10
 #define CALLS_MAX 64
 
-typedef enum { START, STOP, LOOK } kind_t;
+typedef enum { START, STOP, LOOK, PACE } kind_t;
 
 /* An order that waits for the test's answer. */
 typedef struct {
 	kind_t kind;
 	char *task; /* of START and STOP */
 	uint64_t run;
+	uint32_t percent; /* of PACE */
 	bp_exec_done_t done;
 	void *data;
 	bool answered;
@@ -71,6 +72,17 @@
 	record(self, LOOK, NULL, 0, done, data);
 }
 
+static void
+script_pace(bp_executors_t *self, const bp_exec_target_t *target,
+    const char *task, uint64_t run, uint32_t percent, bp_exec_done_t done,
+    void *data)
+{
+	(void)target;
+	((script_t *)self)->calls[((script_t *)self)->n_calls].percent =
+	    percent;
+	record(self, PACE, task, run, done, data);
+}
+
 static void
 script_forget(bp_executors_t *self, void *data)
 {
@@ -166,6 +178,7 @@
 	script->interface.start = script_start;
 	script->interface.stop = script_stop;
 	script->interface.look = script_look;
+	script->interface.pace = script_pace;
 	script->interface.forget = script_forget;
 	script->clock = bp_clock_virtual_new(START_MS);
 	bp_random_init(&script->random, 1);
@@ -209,17 +222,25 @@
 	CU_ASSERT_EQUAL(told->kind, BP_OK);
 }
 
-static void
-submit(script_t *script, const char *id)
+static Bp__Work__Step *
+new_step(uint32_t tasks, uint32_t cpu_milli)
 {
-	Bp__Work__Job *job = malloc(sizeof(*job));
 	Bp__Work__Step *step = malloc(sizeof(*step));
 
 	bp__work__step__init(step);
-	step->tasks = 1;
-	step->cpu_milli = 1000;
+	step->tasks = tasks;
+	step->cpu_milli = cpu_milli;
 	step->memory_mib = 100;
 	step->expected_ms = 5000;
+	return step;
+}
+
+/* Takes step. */
+static void
+submit_step(script_t *script, const char *id, Bp__Work__Step *step)
+{
+	Bp__Work__Job *job = malloc(sizeof(*job));
+
 	bp__work__job__init(job);
 	job->id = strdup(id);
 	job->queue = strdup("q");
@@ -233,6 +254,12 @@
 	bp_shard_submit(script->shard, job, on_submitted, NULL);
 }
 
+static void
+submit(script_t *script, const char *id)
+{
+	submit_step(script, id, new_step(1, 1000));
+}
+
 /*
  * Lists of one millisecond tell nothing of their order: the one that was
  * asked for later may be older, and then proves nothing about a run that
@@ -268,12 +295,96 @@
 	script_free(script);
 }
 
+#define FILLERS 3
+#define SERVING_MILLI 7000
+#define FILLER_MILLI 4000
+#define TARGET_MS 100
+
+/* A serving task with fillers beside it, all started. */
+static script_t *
+script_with_fillers(void)
+{
+	script_t *script = script_new();
+	Bp__Work__Step *serving = new_step(1, SERVING_MILLI);
+	Bp__Work__Step *fillers = new_step(FILLERS, FILLER_MILLI);
+	call_t *start;
+
+	serving->lasting = true;
+	serving->target_ms = TARGET_MS;
+	serving->image = strdup("serving");
+	fillers->filler = true;
+	fillers->image = strdup("filler");
+	fillers->checkpoints = true;
+	submit_step(script, "000000000000000a", serving);
+	pass(script, 200);
+	submit_step(script, "000000000000000b", fillers);
+	pass(script, 200);
+	while ((start = open_call(script, START, NULL)) != NULL)
+		answer(start, BP_EXEC_OK, 0, NULL);
+	return script;
+}
+
+/* Answers a look with all that was started; tail_ms is the serving task's. */
+static void
+answer_with_tail(script_t *script, int64_t clock_ms, int64_t tail_ms)
+{
+	GArray *rows = g_array_new(FALSE, TRUE, sizeof(bp_look_running_t));
+	GArray *ends = g_array_new(FALSE, TRUE, sizeof(bp_look_ended_t));
+	bp_exec_result_t result = {BP_EXEC_OK, clock_ms, 1, rows, ends, false};
+	call_t *look = open_call(script, LOOK, NULL);
+	uint32_t i;
+
+	for (i = 0; i < script->n_calls; i++) {
+		const call_t *call = &script->calls[i];
+		bool serving = call->task != NULL && call->task[15] == 'a';
+		bp_look_running_t row = {call->task, call->run, "", 10,
+		    serving ? tail_ms : FILLER_MILLI};
+
+		if (call->kind == START)
+			g_array_append_val(rows, row);
+	}
+	CU_ASSERT_EQUAL(rows->len, 1 + FILLERS);
+	CU_ASSERT_PTR_NOT_NULL(look);
+	if (look != NULL) {
+		look->answered = true;
+		look->done(&result, look->data);
+	}
+	g_array_unref(rows);
+	g_array_unref(ends);
+}
+
+/*
+ * Guards against a step that waits for the one filler which rests while its
+ * siblings run at full pace: the fillers of an executor are slowed alike.
+ */
+static void
+test_fillers_are_slowed_alike(void)
+{
+	script_t *script = script_with_fillers();
+	uint32_t paced = 0;
+	uint32_t least = 100;
+	uint32_t i;
+
+	/* Three quarters of what the fillers want to take are left. */
+	answer_with_tail(script, 1500, 87);
+	for (i = 0; i < script->n_calls; i++) {
+		if (script->calls[i].kind != PACE)
+			continue;
+		paced++;
+		least = MIN(least, script->calls[i].percent);
+	}
+	CU_ASSERT_EQUAL(paced, FILLERS);
+	CU_ASSERT_TRUE(least >= 60);
+	script_free(script);
+}
+
 int
 main(void)
 {
 	CU_TestInfo tests[] = {
 	    {"an overtaken list ends no run",
 		test_an_overtaken_list_ends_no_run},
+	    {"fillers are slowed alike", test_fillers_are_slowed_alike},
 	    CU_TEST_INFO_NULL,
 	};
 
