Fillers at rest are moved after half a second

Moving costs the stop (0.2 s), a start (0.1 s) and the restoring of its checkpoint (0.25 s); now it is moved after 0.5 s.

Test: queues/lists/a filler at rest is moved soon (no stop within 0.9 s before, one now).

--- a/src/queues/shard_pace.c
+++ b/src/queues/shard_pace.c
@@ -9,7 +9,7 @@
  * it must not stay over it for some 4 s. */
 #define ALARMS_STOP 4
 /* A filler that has rested for so long is moved, */
-#define REST_MS 1200
+#define REST_MS 500
 /* without checkpoints only before this share of its work. */
 #define MOVE_PERCENT 15
 /* How fast a serving task's own calm is followed, a sample. */
--- a/tests/queues/test_lists.c
+++ b/tests/queues/test_lists.c
@@ -378,6 +378,24 @@
 	script_free(script);
 }
 
+/* Guards against fillers that rest for long where they disturb. */
+static void
+test_a_filler_at_rest_is_moved_soon(void)
+{
+	script_t *script = script_with_fillers();
+	call_t *pace;
+
+	answer_with_tail(script, 1500, 4 * TARGET_MS);
+	while ((pace = open_call(script, PACE, NULL)) != NULL) {
+		CU_ASSERT_EQUAL(pace->percent, 0);
+		answer(pace, BP_EXEC_OK, 0, NULL);
+	}
+	CU_ASSERT_PTR_NULL(open_call(script, STOP, NULL));
+	pass(script, 900);
+	CU_ASSERT_PTR_NOT_NULL(open_call(script, STOP, NULL));
+	script_free(script);
+}
+
 int
 main(void)
 {
@@ -385,6 +403,8 @@
 	    {"an overtaken list ends no run",
 		test_an_overtaken_list_ends_no_run},
 	    {"fillers are slowed alike", test_fillers_are_slowed_alike},
+	    {"a filler at rest is moved soon",
+		test_a_filler_at_rest_is_moved_soon},
 	    CU_TEST_INFO_NULL,
 	};
 
