Short urgent tasks go before those that last

Cause: a task that lasts counted as always in time, with a due time long past, so it took each gap that a short task left, and held it for a minute. Class: priority by due time between work that returns its room and work that does not. Now steps that can still be in time go before tasks that last, these before late ones. No room stands idle for it: what no short task wants goes to a lasting one at once.

--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -290,7 +290,8 @@
 
 /* What a step's job can still earn; lower goes first. */
 typedef enum {
-	CHANCE_IN_TIME, /* it can still meet its objective, or lasts */
+	CHANCE_IN_TIME, /* it can still meet its objective */
+	CHANCE_LASTING, /* holds its room for long once it has it */
 	CHANCE_LATE, /* it earns a little */
 	CHANCE_NONE
 } chance_t;
@@ -317,7 +318,9 @@
 	int64_t end_ms = round->wall_ms +
 	    (int64_t)((double)job->tails_ms[step->number] * factor);
 
-	if (step->spec->lasting || job->spec->times > 0)
+	if (step->spec->lasting)
+		return CHANCE_LASTING;
+	if (job->spec->times > 0)
 		return CHANCE_IN_TIME;
 	if (end_ms <= job->due_ms)
 		return CHANCE_IN_TIME;
--- a/tests/queues/test_overload.c
+++ b/tests/queues/test_overload.c
@@ -176,6 +176,50 @@
 	bp_qrig_free(rig);
 }
 
+/* Short jobs that need half of the room, and lasting ones that want it all. */
+#define SHORT_JOBS 150
+#define SHORT_MS 800
+#define LASTING_JOBS 60
+#define LASTING_STAY 20
+
+/*
+ * Guards against tasks that last, which take each gap that short urgent ones
+ * leave and hold it for long: those that can be in time go first.
+ */
+static void
+test_short_tasks_go_before_lasting_ones(void)
+{
+	bp_qrig_shape_t shape = {.reliable = true};
+	bp_qrig_t *rig = bp_qrig_new(SEED, FULL_EXECUTORS);
+	expected_t jobs[SHORT_JOBS] = {{0}};
+	const char *lasting[LASTING_JOBS];
+	uint32_t in_time = 0;
+	uint32_t n;
+
+	bp_qrig_set_shape(rig, &shape);
+	bp_qrig_run_ms(rig, SETTLE_MS);
+	for (n = 0; n < SHORT_JOBS; n++) {
+		if (n % 3 == 0 && n / 3 < LASTING_JOBS) {
+			uint32_t k = n / 3;
+
+			lasting[k] = bp_qrig_submit(rig, 8, 0, true);
+			if (k >= LASTING_STAY)
+				bp_qrig_cancel(rig, lasting[k - LASTING_STAY]);
+		}
+		jobs[n].id = bp_qrig_submit(rig, 6, SHORT_MS, false);
+		jobs[n].due_ms = (int64_t)n * JOB_PERIOD_MS + 4 * SHORT_MS;
+		bp_qrig_run_ms(rig, JOB_PERIOD_MS);
+		note_completed(rig, jobs, n + 1, (n + 1) * JOB_PERIOD_MS);
+	}
+	for (n = 0; n < SHORT_JOBS; n++)
+		in_time += jobs[n].in_time;
+	CU_ASSERT_TRUE(in_time >= SHORT_JOBS / 2);
+	if (in_time < SHORT_JOBS / 2)
+		printf("%u of %u in time\n", in_time, SHORT_JOBS);
+	CU_ASSERT_EQUAL(bp_qrig_broken(rig), 0);
+	bp_qrig_free(rig);
+}
+
 int
 main(void)
 {
@@ -187,6 +231,8 @@
 	    {"a large task gets its gap", test_a_large_task_gets_its_gap},
 	    {"jobs are in time beside too much work",
 		test_jobs_are_in_time_beside_too_much_work},
+	    {"short tasks go before lasting ones",
+		test_short_tasks_go_before_lasting_ones},
 	    CU_TEST_INFO_NULL,
 	};
 
