Kept room goes to the largest step; order and census in files of their own

Executors kept for an urgent step are few (one in 24), and on a full site small steps asked for them as well: the large one that they are meant for got none. Found while tidying: with another order among equal executors queues/overload/a large task gets its gap was red (not started within 9.4 s), so it had passed by luck of the packing. What is kept for a smaller request now goes to a larger one; the test passes with either order.

Moved without change: the order of steps to shard_order.c, the census and the stored waiting to shard_census.c; choose() is two functions.

--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -10,10 +10,6 @@
 #define US_PER_MS 1000
 /* Period of checking leases, census, due times and ended jobs. */
 #define TICK_MS 100
-/* Silence of all earlier orders: grace and lease, with 5% of a lease for clock
- * drift. */
-#define WAIT_OUT_MS \
-	(BP_SHARD_ORDER_GRACE_MS + BP_SHARD_LEASE_MS + BP_SHARD_LEASE_MS / 20)
 #define MS_PER_S 1000
 /* Weights of image pairs are fitted every 0.5 s. */
 #define FIT_TICKS 5
@@ -158,55 +154,6 @@
 		    bp_clock_after(shard->options.clock, 0, on_lost, shard);
 }
 
-/*
- * How long owners have waited for an executor without any order to it. One
- * that this owner has met heard no earlier owner since.
- */
-int64_t
-bp_qexec_waited_ms(const bp_qexec_t *exec)
-{
-	const bp_shard_t *shard = exec->shard;
-
-	if (exec->met)
-		return exec->silent ? bp_shard_now_ms(shard) - exec->ordered_ms
-				    : 0;
-	return exec->waited_before_ms + bp_shard_now_ms(shard) -
-	    shard->owned_ms;
-}
-
-/*
- * The tasks that an executor may hold wait until it has answered to this
- * epoch, or until all leases given there have run out: owners that follow
- * each other add up their waiting.
- */
-void
-bp_shard_check_census(bp_shard_t *shard)
-{
-	GHashTableIter iter;
-	gpointer value;
-	bool open = false;
-
-	if (shard->census_done || shard->phase != BP_SHARD_OWNED)
-		return;
-	g_hash_table_iter_init(&iter, shard->execs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		bp_qexec_t *exec = value;
-
-		if (!exec->stored || exec->met || exec->resolved)
-			continue;
-		if (bp_qexec_waited_ms(exec) >= WAIT_OUT_MS)
-			bp_qexec_resolve(exec);
-		else
-			open = true;
-	}
-	if (open)
-		return;
-	shard->census_done = true;
-	bp_log(shard->options.logger, BP_LOG_NOTICE, BP_SHARD_MODULE,
-	    "all executors are accounted for", NULL);
-	bp_shard_plan_round(shard, 0);
-}
-
 static void
 drop_execs(bp_shard_t *shard)
 {
--- a/src/queues/shard_keep.c
+++ b/src/queues/shard_keep.c
@@ -87,6 +87,30 @@
 	return count;
 }
 
+static bool
+is_slot_free(const bp_shard_t *shard)
+{
+	return (shard->kept->len + 1) * KEPT_PART <=
+	    g_hash_table_size(shard->execs);
+}
+
+/* Small tasks find gaps; what is kept for them goes to a larger one. */
+static bool
+take_slot(bp_shard_t *shard, const bp_qstep_t *step)
+{
+	guint i;
+
+	for (i = 0; i < shard->kept->len; i++) {
+		bp_qexec_t *exec = shard->kept->pdata[i];
+
+		if (exec->kept_for->spec->cpu_milli < step->spec->cpu_milli) {
+			bp_qexec_release(exec);
+			return true;
+		}
+	}
+	return false;
+}
+
 /* An urgent step has found no room: keeps some when it has waited. */
 void
 bp_shard_keep_room(bp_shard_t *shard, const bp_qstep_t *step,
@@ -98,9 +122,8 @@
 	if (step->wanting_ms == 0 || now_ms - step->wanting_ms < WANTING_MS)
 		return;
 	wanted -= MIN(wanted, kept_by(shard, step));
-	while (wanted-- > 0 &&
-	    (shard->kept->len + 1) * KEPT_PART <=
-		g_hash_table_size(shard->execs)) {
+	while (
+	    wanted-- > 0 && (is_slot_free(shard) || take_slot(shard, step))) {
 		bp_qexec_t *exec = find(step, execs, service);
 
 		if (exec == NULL)
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -204,7 +204,7 @@
 	uint32_t starts_in_flight;
 	GHashTable *lanes; /* carrier to bp_qlane_t */
 	guint round_timer;
-	guint filler_cursor; /* where the next round looks first */
+	guint cursor; /* where the next round looks first */
 	int64_t round_us; /* length of the last round */
 	uint64_t events; /* looks sent and orders answered, in order */
 	guint tick_timer;
@@ -238,6 +238,10 @@
 void bp_shard_end_job(
     bp_shard_t *shard, bp_qjob_t *job, Bp__Work__JobState state);
 void bp_shard_set_lost(bp_shard_t *shard);
+
+/* shard_census.c */
+int64_t bp_qexec_waited_ms(const bp_qexec_t *exec);
+bool bp_qexec_waiting_due(const bp_qexec_t *exec);
 void bp_shard_check_census(bp_shard_t *shard);
 
 /* shard_summary.c */
@@ -267,8 +271,6 @@
 bp_qexec_t *bp_qexec_get(bp_shard_t *shard, const char *id);
 void bp_qexec_free(gpointer exec);
 int64_t bp_qexec_clock_ms(const bp_qexec_t *exec);
-int64_t bp_qexec_waited_ms(const bp_qexec_t *exec);
-bool bp_qexec_waiting_due(const bp_qexec_t *exec);
 bool bp_qexec_in_doubt(const bp_qexec_t *exec);
 bool bp_qexec_surely_past(const bp_qexec_t *exec, int64_t clock_ms);
 bp_qrun_t *bp_qrun_new(bp_qexec_t *exec, bp_qtask_t *task,
@@ -327,6 +329,9 @@
 double bp_qexec_score(
     bp_qexec_t *exec, const bp_qtask_t *task, const char *rack);
 
+/* shard_order.c */
+GPtrArray *bp_shard_open_steps(bp_shard_t *shard);
+
 /* shard_rounds.c */
 void bp_shard_round(bp_shard_t *shard);
 void bp_qcauses_add(GPtrArray *causes, const char *name, uint32_t amount);
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -6,8 +6,6 @@
 
 /* What was learned of images is stored at most so often, with other records. */
 #define PAIRS_PERIOD_MS 3000
-/* What is waited for silent executors is stored so often. */
-#define WAITED_PERIOD_MS 1000
 
 static void
 add_record(
@@ -109,22 +107,6 @@
 	}
 }
 
-/*
- * Tells whether the waiting for a silent executor is to be stored again: a
- * successor need not wait anew, whether this owner had met it or not.
- */
-bool
-bp_qexec_waiting_due(const bp_qexec_t *exec)
-{
-	bool matters = exec->met ? exec->silent && exec->plans == 0 &&
-		(exec->runs->len > 0 || exec->named)
-				 : !exec->shard->census_done;
-
-	return exec->stored && matters && !exec->recording &&
-	    bp_shard_now_ms(exec->shard) - exec->waited_stored_ms >=
-	    WAITED_PERIOD_MS;
-}
-
 /*
  * An executor is recorded in each epoch before it gets work or a lease, which
  * ends the waiting for it, and again with each task that is to run there.
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -7,13 +7,10 @@
 /* Fillers go to the best of so many executors that can take them: they are
  * most of all starts, and a look at all executors for each is too dear. */
 #define FILLER_CHOICES 48
-/* A job that is late by this factor of its objective earns nothing more. */
-#define LATE_FACTOR 3
 
 typedef struct {
 	bp_shard_t *shard;
 	int64_t now_ms;
-	int64_t wall_ms;
 	GPtrArray *execs; /* bp_qexec_t that may get work at all */
 	uint64_t cpu_milli; /* of all of them */
 	uint64_t cpu_used; /* of these, at the start of the round */
@@ -90,36 +87,52 @@
 		g_array_append_val(round->misfits, misfit);
 }
 
+/*
+ * Returns the next executor of the round, NULL for none. Those whose lane is
+ * full leave the round: lanes only fill in it.
+ */
+static bp_qexec_t *
+next_exec(round_t *round, guint *at)
+{
+	while (round->execs->len > 0) {
+		bp_qexec_t *exec;
+
+		if (*at >= round->execs->len)
+			*at = 0;
+		exec = round->execs->pdata[*at];
+		if (!bp_qlane_full(exec->lane)) {
+			(*at)++;
+			return exec;
+		}
+		g_ptr_array_remove_index_fast(round->execs, *at);
+	}
+	return NULL;
+}
+
 /*
  * Returns the best executor for a task, NULL with a reason when none can take
- * it now. Executors whose lane is full leave the round: lanes only fill in it.
+ * it now.
  */
 static bp_qexec_t *
 choose(round_t *round, const bp_qtask_t *task, const char *rack,
     const char **reason)
 {
 	bool filler = task->step->spec->filler;
+	guint most = filler ? FILLER_CHOICES : G_MAXUINT;
+	guint at = filler ? round->cursor : 0;
 	bp_qexec_t *best = NULL;
 	double best_score = 0;
-	guint i = filler ? round->cursor : 0;
-	guint seen = 0;
+	guint seen;
 	guint fit = 0;
 
 	*reason = round->execs->len == 0 ? "no_executor" : "service";
-	while (seen < round->execs->len && (!filler || fit < FILLER_CHOICES)) {
-		bp_qexec_t *exec;
+	for (seen = 0; seen < round->execs->len && fit < most; seen++) {
+		bp_qexec_t *exec = next_exec(round, &at);
 		const char *why;
 		double score;
 
-		if (i >= round->execs->len)
-			i = 0;
-		exec = round->execs->pdata[i];
-		if (bp_qlane_full(exec->lane)) {
-			g_ptr_array_remove_index_fast(round->execs, i);
-			continue;
-		}
-		i++;
-		seen++;
+		if (exec == NULL)
+			break;
 		why = bp_qexec_obstacle(exec, task->step, round->service);
 		if (why != NULL) {
 			if (strcmp(why, "service") != 0)
@@ -135,7 +148,7 @@
 	}
 	round->shard->counts_examined += seen;
 	if (filler)
-		round->cursor = i;
+		round->cursor = at;
 	if (best == NULL && round->execs->len * 2 < round->n_execs)
 		*reason = "turn";
 	return best;
@@ -288,84 +301,6 @@
 	return NULL;
 }
 
-/* What a step's job can still earn; lower goes first. */
-typedef enum {
-	CHANCE_IN_TIME, /* it can still meet its objective */
-	CHANCE_LASTING, /* holds its room for long once it has it */
-	CHANCE_LATE, /* it earns a little */
-	CHANCE_NONE
-} chance_t;
-
-typedef struct {
-	bp_qstep_t *step;
-	uint32_t priority;
-	chance_t chance;
-	int64_t due_ms;
-} candidate_t;
-
-/*
- * What a job earns if its step starts now. With more work than room, earliest
- * due first starts each job at the last moment that this still calls in
- * time, so its rest is taken for as long as such steps have really been.
- */
-static chance_t
-chance_of(const round_t *round, const bp_qstep_t *step)
-{
-	const bp_qjob_t *job = step->job;
-	int64_t objective_ms = job->due_ms - job->spec->accepted_ms;
-	double factor =
-	    bp_estimates_factor(round->shard->estimates, job->spec->queue);
-	int64_t end_ms = round->wall_ms +
-	    (int64_t)((double)job->tails_ms[step->number] * factor);
-
-	if (step->spec->lasting)
-		return CHANCE_LASTING;
-	if (job->spec->times > 0)
-		return CHANCE_IN_TIME;
-	if (end_ms <= job->due_ms)
-		return CHANCE_IN_TIME;
-	return end_ms - job->spec->accepted_ms <= LATE_FACTOR * objective_ms
-	    ? CHANCE_LATE
-	    : CHANCE_NONE;
-}
-
-static gint
-compare(gconstpointer a, gconstpointer b)
-{
-	const candidate_t *x = a;
-	const candidate_t *y = b;
-
-	if (x->priority != y->priority)
-		return x->priority < y->priority ? -1 : 1;
-	if (x->chance != y->chance)
-		return x->chance < y->chance ? -1 : 1;
-	return (x->due_ms > y->due_ms) - (x->due_ms < y->due_ms);
-}
-
-static void
-add_candidates(GArray *candidates, round_t *round, bp_qjob_t *job)
-{
-	int64_t early_ms =
-	    round->wall_ms + round->shard->options.limits.early_ms / 2;
-	uint32_t i;
-
-	if (!job->accepted || job->cancelling || bp_qjob_ended(job))
-		return;
-	for (i = 0; i < job->n_steps * job->occurrences; i++) {
-		bp_qstep_t *step = &job->steps[i];
-		candidate_t candidate = {step, job->spec->priority,
-		    chance_of(round, step),
-		    MAX(job->due_ms, bp_qstep_due_ms(step))};
-
-		if (step->waiting == 0)
-			continue;
-		if (bp_qstep_open(step, early_ms))
-			g_array_append_val(candidates, candidate);
-		else
-			step->reason = "dependency";
-	}
-}
-
 /* The queue's service now, else that of the job's acceptance. */
 static const char *
 service_of(const bp_shard_t *shard, const bp_qjob_t *job)
@@ -400,16 +335,14 @@
 }
 
 static void
-place(round_t *round, GArray *candidates)
+place(round_t *round, const GPtrArray *steps)
 {
 	guint i;
 
 	bp_shard_release_expired(round->shard);
 	add_executors(round);
-	g_array_sort(candidates, compare);
-	for (i = 0; i < candidates->len; i++) {
-		bp_qstep_t *step =
-		    g_array_index(candidates, candidate_t, i).step;
+	for (i = 0; i < steps->len; i++) {
+		bp_qstep_t *step = steps->pdata[i];
 
 		if (!bp_shard_may_start(round->shard))
 			break;
@@ -422,19 +355,19 @@
 void
 bp_shard_round(bp_shard_t *shard)
 {
-	round_t round = {shard, bp_shard_now_ms(shard), bp_shard_wall_ms(shard),
-	    g_ptr_array_new(), 0, 0, NULL,
-	    g_array_new(FALSE, FALSE, sizeof(misfit_t)), 0,
-	    shard->filler_cursor};
-	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
-	guint i;
-
-	for (i = 0; i < shard->going->len; i++)
-		add_candidates(candidates, &round, shard->going->pdata[i]);
-	if (candidates->len > 0)
-		place(&round, candidates);
-	shard->filler_cursor = round.cursor;
-	g_array_unref(candidates);
+	round_t round = {
+	    .shard = shard,
+	    .now_ms = bp_shard_now_ms(shard),
+	    .execs = g_ptr_array_new(),
+	    .misfits = g_array_new(FALSE, FALSE, sizeof(misfit_t)),
+	    .cursor = shard->cursor,
+	};
+	GPtrArray *steps = bp_shard_open_steps(shard);
+
+	if (steps->len > 0)
+		place(&round, steps);
+	shard->cursor = round.cursor;
+	g_ptr_array_unref(steps);
 	g_array_unref(round.misfits);
 	g_ptr_array_unref(round.execs);
 }
@@ -467,8 +400,11 @@
 GPtrArray *
 bp_shard_explain(bp_shard_t *shard, bp_qstep_t *step)
 {
-	round_t round = {shard, bp_shard_now_ms(shard), bp_shard_wall_ms(shard),
-	    NULL, 0, 0, service_of(shard, step->job), NULL, 0, 0};
+	round_t round = {
+	    .shard = shard,
+	    .now_ms = bp_shard_now_ms(shard),
+	    .service = service_of(shard, step->job),
+	};
 	GPtrArray *causes = g_ptr_array_new_with_free_func(g_free);
 	GHashTableIter iter;
 	gpointer value;
