A cancelled job stays known after a takeover

Cause: a cancel is stored before the job ends in memory, so its record had no time of the end. A successor took 0 for long ago and dropped the job at once. Class: a record written before the fields that it holds are set. The time is set with the record; records without one count from the takeover.

Test: queues/shard/a cancelled job stays known: not found by the successor before, cancelled now.

--- a/src/queues/shard_load.c
+++ b/src/queues/shard_load.c
@@ -172,7 +172,12 @@
 	load_pairs(shard);
 	g_hash_table_iter_init(&iter, shard->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (!bp_qjob_ended(value))
-			g_ptr_array_add(shard->going, value);
+		bp_qjob_t *job = value;
+
+		if (!bp_qjob_ended(job))
+			g_ptr_array_add(shard->going, job);
+		else if (job->ended_ms == 0)
+			/* Cancels of earlier releases had no time. */
+			job->ended_ms = bp_shard_wall_ms(shard);
 	}
 }
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -177,6 +177,9 @@
 		    false, cancel};
 
 		job->dirty = false;
+		/* Successors keep the job known from then on. */
+		if (cancel)
+			job->ended_ms = bp_shard_wall_ms(shard);
 		add_progress(records, job, sent.state);
 		/* Successors read the less, and start nothing of it. */
 		if (sent.state >= BP__WORK__JOB_STATE__JOB_COMPLETED)
--- a/tests/queues/test_shard.c
+++ b/tests/queues/test_shard.c
@@ -183,12 +183,43 @@
 	options.address = "rival";
 	options.topic = "jobs";
 	options.limits.lease_max_ms = 6000;
-	options.limits.status_keep_s = 3600;
+	options.limits.status_keep_s = 60;
 	options.lost = on_shard_event;
 	options.owned = on_shard_event;
 	return bp_shard_new(&options);
 }
 
+/*
+ * Guards against a cancelled job that a successor forgets at once: the same
+ * ID, handed in again, would run.
+ */
+static void
+test_a_cancelled_job_stays_known(void)
+{
+	bp_qrig_t *rig = started();
+	const char *id = bp_qrig_submit(rig, 3, 300, false);
+	bp_shard_answer_t answer = {0};
+	bp_shard_t *rival;
+	uint32_t i;
+
+	bp_qrig_run_ms(rig, 20);
+	bp_qrig_cancel(rig, id);
+	bp_qrig_run_ms(rig, 500);
+	CU_ASSERT_EQUAL(bp_qrig_cancel_told(rig, id), BP_QRIG_ACCEPTED);
+	rival = new_rival(rig);
+	for (i = 0; i < 2000; i += 10) {
+		bp_qrig_run_ms(rig, 10);
+		(void)bp_shard_confirm(rival,
+		    bp_clock_mono_ms(
+			bp_clock_virtual_clock(bp_qrig_clock(rig))));
+	}
+	bp_shard_status(rival, "q", id, &answer);
+	CU_ASSERT_EQUAL(answer.kind, BP_OK);
+	CU_ASSERT_EQUAL(answer.state, BP__WORK__JOB_STATE__JOB_CANCELLED);
+	bp_shard_free(rival);
+	finish(rig);
+}
+
 #define MANY_JOBS 1200
 #define PAGE 500
 
@@ -622,6 +653,7 @@
 	    {"waiting goes on over owners", test_waiting_goes_on_over_owners},
 	    {"a successor counts the silence before",
 		test_a_successor_counts_the_silence_before},
+	    {"a cancelled job stays known", test_a_cancelled_job_stays_known},
 	    {"a contested takeover lists once",
 		test_a_contested_takeover_lists_once},
 	    {"ended jobs are stored small", test_ended_jobs_are_stored_small},
