A successor prolongs leases before its records are stored

The record only has to come first where the stored one tells of waiting that a successor would count.

--- a/src/queues/shard_looks.c
+++ b/src/queues/shard_looks.c
@@ -148,7 +148,7 @@
 	 * the waiting that its record tells. One that lapsed stays so while a
 	 * start without an answer could still be carried out.
 	 */
-	if (exec->silent || !exec->recorded || bp_qexec_in_doubt(exec))
+	if (exec->silent || exec->waiting_told || bp_qexec_in_doubt(exec))
 		return 0;
 	return bp_qexec_clock_ms(exec) + lease_ms;
 }
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -94,6 +94,7 @@
 	int64_t waited_stored_ms; /* mono, when the waiting was stored last */
 	int64_t ordered_ms; /* mono, of the last start or lease */
 	bool named; /* its record names tasks */
+	bool waiting_told; /* by its record; it gets no lease meanwhile */
 	bool recording; /* its record is in the batch in flight */
 	bool met; /* has answered to this epoch */
 	bool resolved; /* nothing of earlier owners is unknown there */
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -125,6 +125,7 @@
 		if (bp_qexec_waiting_due(exec)) {
 			exec->waited_stored_ms = bp_shard_now_ms(shard);
 			exec->recorded = false;
+			exec->waiting_told = true;
 			add_holder(
 			    records, exec, (uint32_t)bp_qexec_waited_ms(exec));
 		} else if (exec->met && !exec->recording &&
@@ -273,17 +274,18 @@
 static void
 exec_recorded(bp_qexec_t *exec, bool stored)
 {
-	bool first = stored && !exec->recorded;
+	bool lease = stored && exec->waiting_told;
 
 	exec->recording = false;
 	exec->recorded = exec->recorded || stored;
 	exec->stored = exec->stored || stored;
+	exec->waiting_told = exec->waiting_told && !stored;
 	carry_out_plans(exec->shard, exec, stored);
 	/* Without its record the executor gets no work. */
 	if (!exec->recorded)
 		bp_journal_request(exec->shard->journal, false);
 	/* What runs there had no new lease until now. */
-	if (first && exec->runs->len > 0)
+	if (lease && exec->runs->len > 0)
 		bp_shard_look(exec, 0);
 }
 
--- a/tests/queues/test_shard.c
+++ b/tests/queues/test_shard.c
@@ -162,6 +162,30 @@
 	finish(rig);
 }
 
+/* Guards against leases that lapse since a successor cannot store records. */
+static void
+test_a_successor_prolongs_leases_at_once(void)
+{
+	bp_qrig_t *rig = started();
+	uint32_t starts;
+	uint32_t i;
+
+	(void)bp_qrig_submit(rig, 6, 0, true);
+	bp_qrig_run_ms(rig, 1000);
+	starts = bp_qfleet_starts(bp_qrig_fleet(rig));
+	bp_qrig_kill(rig, (uint32_t)bp_qrig_owner(rig));
+	for (i = 0; i < 5000 && bp_qrig_owner(rig) < 0; i++)
+		bp_qrig_run_ms(rig, 1);
+	for (i = 0; i < BP_QRIG_NODES; i++)
+		bp_qrig_store_mode(rig, i, BP_QSTORE_BUSY);
+	bp_qrig_run_ms(rig, 3500);
+	for (i = 0; i < BP_QRIG_NODES; i++)
+		bp_qrig_store_mode(rig, i, BP_QSTORE_UP);
+	bp_qrig_run_ms(rig, 8000);
+	CU_ASSERT_EQUAL(bp_qfleet_starts(bp_qrig_fleet(rig)), starts);
+	finish(rig);
+}
+
 static void
 on_shard_event(bp_shard_t *shard, void *data)
 {
@@ -653,6 +677,8 @@
 	    {"waiting goes on over owners", test_waiting_goes_on_over_owners},
 	    {"a successor counts the silence before",
 		test_a_successor_counts_the_silence_before},
+	    {"a successor prolongs leases at once",
+		test_a_successor_prolongs_leases_at_once},
 	    {"a cancelled job stays known", test_a_cancelled_job_stays_known},
 	    {"a contested takeover lists once",
 		test_a_contested_takeover_lists_once},
