--- a/src/queues/shard_summary.c
+++ b/src/queues/shard_summary.c
@@ -41,9 +41,19 @@
 	}
 }
 
+/* Reasons of the last round hold only while there are rounds. */
+static const char *
+reason_of(const bp_shard_t *shard, const bp_qstep_t *step)
+{
+	if (!bp_shard_may_start(shard))
+		return "store_unavailable";
+	return step->reason != NULL ? step->reason : "turn";
+}
+
 static void
-add_job(summary_t *sum, const bp_qjob_t *job, int64_t wall_ms)
+add_job(summary_t *sum, const bp_shard_t *shard, const bp_qjob_t *job)
 {
+	int64_t wall_ms = bp_shard_wall_ms(shard);
 	uint32_t i;
 
 	for (i = 0; i < job->n_steps * job->occurrences; i++) {
@@ -54,9 +64,8 @@
 			continue;
 		sum->ready += step->waiting;
 		if (step->waiting > 0)
-			bp_qcauses_add(sum->causes,
-			    step->reason != NULL ? step->reason : "turn",
-			    step->waiting);
+			bp_qcauses_add(
+			    sum->causes, reason_of(shard, step), step->waiting);
 		if (job->spec->priority == 0)
 			sum->urgent += step->waiting;
 	}
@@ -121,7 +130,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		add_exec(&sum, value);
 	for (i = 0; i < shard->going->len; i++)
-		add_job(&sum, shard->going->pdata[i], bp_shard_wall_ms(shard));
+		add_job(&sum, shard, shard->going->pdata[i]);
 	snprintf(text, sizeof(text),
 	    "jobs=%u waiting=%u ready=%u urgent=%u cores=%u/%u fillers=%u "
 	    "pace=%u%% serving=%u over=%u starts=%u/%u",
