Waiting for a silent executor goes on over owners

Cause: a successor waits 10.3 s for a silent executor: 6.3 s of lease and 4 s in which earlier owners may still prolong it. An owner that had met the executor knows when it ordered last, but told successors only the time since, so that they waited for its own grace too; with a zone lost and two or three owners after each other the tasks that last stayed away for over 16 s, past the 7 s of calm that the rule allows. Change: of the grace, what has passed since the owner took over counts as waited. It may: while its record tells of waiting, the owner gives that executor no order, so earlier owners' grace is the only one left.

Test: queues/shard/waiting outlasts three owners, red before, green now.

--- a/src/queues/shard_census.c
+++ b/src/queues/shard_census.c
@@ -8,19 +8,25 @@
 #define WAITED_PERIOD_MS 1000
 
 /*
- * How long owners have waited for an executor without any order to it. One
- * that this owner has met heard no earlier owner since.
+ * How much of WAIT_OUT_MS has passed for an executor, in ms. One that this
+ * owner has met heard no earlier owner since, and its last order is known:
+ * of the grace, what earlier owners can no longer use has passed too. The
+ * owner gives no order before its record tells that the waiting is over, so
+ * successors may add theirs.
  */
 int64_t
 bp_qexec_waited_ms(const bp_qexec_t *exec)
 {
 	const bp_shard_t *shard = exec->shard;
+	int64_t now_ms = bp_shard_now_ms(shard);
+	int64_t owned_ms = now_ms - shard->owned_ms;
 
-	if (exec->met)
-		return exec->silent ? bp_shard_now_ms(shard) - exec->ordered_ms
-				    : 0;
-	return exec->waited_before_ms + bp_shard_now_ms(shard) -
-	    shard->owned_ms;
+	if (!exec->met)
+		return exec->waited_before_ms + owned_ms;
+	if (!exec->silent)
+		return 0;
+	return now_ms - exec->ordered_ms +
+	    MIN(owned_ms, BP_SHARD_ORDER_GRACE_MS);
 }
 
 /*
--- a/tests/queues/test_shard.c
+++ b/tests/queues/test_shard.c
@@ -363,6 +363,40 @@
 	finish(rig);
 }
 
+/* Calm before and while a task that lasts may be away: 4 s and 3 s. */
+#define AWAY_MS 7000
+
+/*
+ * Guards against waiting that starts again with each owner: a zone is lost
+ * and two owners die one after the other. The owner that saw the silence
+ * begin knows when it ordered last, and tells it.
+ */
+static void
+test_waiting_outlasts_three_owners(void)
+{
+	bp_qrig_t *rig = started();
+	const char *id = bp_qrig_submit(rig, 6, 0, true);
+	uint32_t running = 0;
+	uint32_t k;
+
+	bp_qrig_run_ms(rig, 1000);
+	bp_qfleet_set_cut(bp_qrig_fleet(rig), 0, true);
+	bp_qrig_run_ms(rig, 3500);
+	bp_qrig_kill(rig, (uint32_t)bp_qrig_owner(rig));
+	bp_qrig_run_ms(rig, 5000);
+	CU_ASSERT_TRUE_FATAL(bp_qrig_owner(rig) >= 0);
+	bp_qrig_kill(rig, (uint32_t)bp_qrig_owner(rig));
+	bp_qrig_run_ms(rig, AWAY_MS);
+	for (k = 0; k < 6; k++) {
+		char *task = g_strdup_printf("%s.0.0.%u", id, k);
+
+		running += bp_qfleet_running_of(bp_qrig_fleet(rig), task);
+		g_free(task);
+	}
+	CU_ASSERT_EQUAL(running, 6);
+	finish(rig);
+}
+
 /* A refused submission never runs; one in doubt is never called refused. */
 static void
 test_store_down_refuses_at_once(void)
@@ -677,6 +711,8 @@
 	    {"waiting goes on over owners", test_waiting_goes_on_over_owners},
 	    {"a successor counts the silence before",
 		test_a_successor_counts_the_silence_before},
+	    {"waiting outlasts three owners",
+		test_waiting_outlasts_three_owners},
 	    {"a successor prolongs leases at once",
 		test_a_successor_prolongs_leases_at_once},
 	    {"a cancelled job stays known", test_a_cancelled_job_stays_known},
