A node confirms its configuration before it answers from it

Cause: a node answered from whatever configuration it had read last, however long ago. That it is recent rested on long reads being answered and handled in time, which a cut, a pause, lost answers or long turns of the loop break. Change: the feed tells as of when everything was read; a call that comes when that is longer ago than queues.config_apply_ms (new setting, the users' bound) waits for one read of the store, for 0.4 s at most. A queue that is not known is denied only by a confirmed configuration, otherwise refused (503). A store that does not answer holds up callers once a second, not each of them.

--- a/include/bulrushpost/catalog.h
+++ b/include/bulrushpost/catalog.h
@@ -45,6 +45,8 @@
 /* What a feed tells its listener; members may be NULL. */
 typedef struct {
 	void (*catalog)(bp_catalog_t *catalog, void *data); /* takes it */
+	/* All configurations accepted until as_of_ms (mono) were told. */
+	void (*catalog_current)(int64_t as_of_ms, void *data);
 	void (*zone)(const char *zone, bool out, void *data);
 	void (*executor)(bp_executor_info_t *info, void *data); /* takes it */
 	void (*executor_gone)(const char *id, void *data);
--- a/include/bulrushpost/platform.h
+++ b/include/bulrushpost/platform.h
@@ -25,6 +25,8 @@
 bp_executors_t *bp_platform_get_executors(bp_platform_t *platform);
 /* Reads operators' commands from now on. */
 void bp_platform_follow(bp_platform_t *platform);
+/* Reads at once what operators have written by now. */
+void bp_platform_confirm(bp_platform_t *platform);
 /* Reads the executors' list, whole, from now on; or ends that. */
 void bp_platform_follow_executors(bp_platform_t *platform, bool follow);
 /* Listens for callers and passes their calls to the desk. */
--- a/include/bulrushpost/queuedesk.h
+++ b/include/bulrushpost/queuedesk.h
@@ -31,6 +31,12 @@
 
 /* The configuration in force; NULL before the first was read. */
 const bp_catalog_t *bp_queuedesk_catalog(const bp_queuedesk_t *desk);
+/*
+ * Calls done once the configuration in force is known to be no older than
+ * the operators allow; confirmed is false if the store does not tell in time.
+ */
+void bp_queuedesk_confirm(
+    bp_queuedesk_t *desk, void (*done)(bool confirmed, void *data), void *data);
 /* Takes job, whose queue, service and limits are filled in here. */
 void bp_queuedesk_submit(bp_queuedesk_t *desk, const bp_queue_route_t *route,
     const char *id, Bp__Work__Job *job, uint32_t deadline_ms,
--- a/include/bulrushpost/settings.h
+++ b/include/bulrushpost/settings.h
@@ -82,6 +82,7 @@
 	uint32_t status_keep_s;
 	uint32_t quarantine_failures;
 	uint32_t grace_s;
+	uint32_t config_apply_ms;
 } bp_settings_queues_t;
 
 typedef struct {
--- a/include/bulrushpost/store.h
+++ b/include/bulrushpost/store.h
@@ -45,7 +45,7 @@
 	bp_store_outcome_t outcome;
 	uint64_t end_offset;
 	uint64_t generation; /* of a group */
-	bool more; /* further pages of keys follow */
+	bool more; /* further pages of keys, or records, follow */
 	const GPtrArray *records; /* bp_store_record_t, of reads */
 	const GArray *holdings; /* bp_store_holding_t, of groups */
 } bp_store_result_t;
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -110,6 +110,7 @@
     NUMBER(queues.status_keep_s, 1, 86400, 120),
     NUMBER(queues.quarantine_failures, 2, 1000, 3),
     NUMBER(queues.grace_s, 1, 3600, 6),
+    NUMBER(queues.config_apply_ms, 100, 60000, 2000),
 };
 
 static const char *const level_words[] = {
--- /dev/null
+++ b/src/queues/confirm.c
@@ -0,0 +1,130 @@
+#include "queues/confirm.h"
+
+/* A slow store answers in 250 ms; callers wait no longer than this. */
+#define ASK_TIMEOUT_MS 400
+/* After a question without an answer, calls wait for no other for so long. */
+#define ASK_REST_MS 1000
+
+typedef struct {
+	bp_confirm_done_t done;
+	void *data;
+} waiter_t;
+
+struct bp_confirm {
+	bp_confirm_options_t options;
+	bool told; /* as_of_ms is known */
+	int64_t as_of_ms; /* mono */
+	bool failed; /* the last question had no answer */
+	int64_t failed_ms; /* mono */
+	GArray *waiters; /* waiter_t */
+	guint timer; /* of the question under way, 0 for none */
+};
+
+/* Creates one that knows of no configuration. */
+bp_confirm_t *
+bp_confirm_new(const bp_confirm_options_t *options)
+{
+	bp_confirm_t *confirm = g_new0(bp_confirm_t, 1);
+
+	confirm->options = *options;
+	confirm->waiters = g_array_new(FALSE, FALSE, sizeof(waiter_t));
+	return confirm;
+}
+
+/* Frees it; no call may wait any more. NULL is allowed. */
+void
+bp_confirm_free(bp_confirm_t *confirm)
+{
+	if (confirm == NULL)
+		return;
+	bp_clock_cancel(confirm->options.clock, &confirm->timer);
+	g_array_unref(confirm->waiters);
+	g_free(confirm);
+}
+
+/* Tells whether no newer configuration has been in force for limit_ms. */
+bool
+bp_confirm_holds(const bp_confirm_t *confirm)
+{
+	return confirm->told &&
+	    bp_clock_mono_ms(confirm->options.clock) - confirm->as_of_ms <=
+	    confirm->options.limit_ms;
+}
+
+static void
+answer(bp_confirm_t *confirm, bool confirmed)
+{
+	GArray *waiters = confirm->waiters;
+	guint i;
+
+	bp_clock_cancel(confirm->options.clock, &confirm->timer);
+	confirm->waiters = g_array_new(FALSE, FALSE, sizeof(waiter_t));
+	for (i = 0; i < waiters->len; i++) {
+		const waiter_t *waiter = &g_array_index(waiters, waiter_t, i);
+
+		waiter->done(confirmed, waiter->data);
+	}
+	g_array_unref(waiters);
+}
+
+/* See the header. */
+void
+bp_confirm_told(bp_confirm_t *confirm, int64_t as_of_ms)
+{
+	if (!confirm->told || as_of_ms > confirm->as_of_ms)
+		confirm->as_of_ms = as_of_ms;
+	confirm->told = true;
+	if (!bp_confirm_holds(confirm))
+		return;
+	confirm->failed = false;
+	answer(confirm, true);
+}
+
+static gboolean
+on_timeout(void *data)
+{
+	bp_confirm_t *confirm = data;
+
+	confirm->timer = 0;
+	confirm->failed = true;
+	confirm->failed_ms = bp_clock_mono_ms(confirm->options.clock);
+	answer(confirm, false);
+	return G_SOURCE_REMOVE;
+}
+
+static bool
+is_resting(const bp_confirm_t *confirm)
+{
+	return confirm->failed &&
+	    bp_clock_mono_ms(confirm->options.clock) - confirm->failed_ms <
+	    ASK_REST_MS;
+}
+
+/* See the header. */
+void
+bp_confirm_run(bp_confirm_t *confirm, bp_confirm_done_t done, void *data)
+{
+	waiter_t waiter = {done, data};
+
+	if (bp_confirm_holds(confirm)) {
+		done(true, data);
+		return;
+	}
+	if (is_resting(confirm)) {
+		done(false, data);
+		return;
+	}
+	g_array_append_val(confirm->waiters, waiter);
+	if (confirm->timer != 0)
+		return;
+	confirm->timer = bp_clock_after(
+	    confirm->options.clock, ASK_TIMEOUT_MS, on_timeout, confirm);
+	confirm->options.ask(confirm->options.data);
+}
+
+/* See the header. */
+void
+bp_confirm_give_up(bp_confirm_t *confirm)
+{
+	answer(confirm, false);
+}
--- a/src/queues/desk.c
+++ b/src/queues/desk.c
@@ -131,6 +131,7 @@
 
 	if (desk == NULL)
 		return;
+	bp_confirm_give_up(desk->options.confirm);
 	calls = g_hash_table_get_keys(desk->calls);
 	for (node = calls; node != NULL; node = node->next) {
 		bp_deskcall_t *call = node->data;
@@ -164,6 +165,14 @@
 	return desk->catalog != NULL;
 }
 
+/* See the header. */
+void
+bp_queuedesk_confirm(
+    bp_queuedesk_t *desk, void (*done)(bool confirmed, void *data), void *data)
+{
+	bp_confirm_run(desk->options.confirm, done, data);
+}
+
 /* Returns the number of calls without an answer. */
 uint32_t
 bp_queuedesk_open(const bp_queuedesk_t *desk)
--- a/src/queues/desk.h
+++ b/src/queues/desk.h
@@ -7,6 +7,7 @@
 #include "bulrushpost/peer.h"
 #include "bulrushpost/queuedesk.h"
 #include "bulrushpost/shard.h"
+#include "queues/confirm.h"
 #include "queues/membership.h"
 
 typedef struct {
@@ -18,6 +19,7 @@
 	uint32_t shards;
 	const char *address; /* of this node's control protocol */
 	bp_histogram_t *latency; /* of served calls; may be NULL */
+	bp_confirm_t *confirm; /* of the configuration */
 } bp_queuedesk_options_t;
 
 bp_queuedesk_t *bp_queuedesk_new(const bp_queuedesk_options_t *options);
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -56,6 +56,25 @@
 	bp_catalog_free(before);
 }
 
+static void
+on_catalog_current(int64_t as_of_ms, void *data)
+{
+	bp_queuenode_t *node = data;
+
+	bp_confirm_told(node->confirm, as_of_ms);
+}
+
+/* A caller waits for a configuration that is recent enough. */
+static void
+on_ask(void *data)
+{
+	bp_queuenode_t *node = data;
+
+	bp_log(node->logger, BP_LOG_NOTICE, MODULE,
+	    "the configuration may be out of date; asking the store", NULL);
+	bp_platform_confirm(node->platform);
+}
+
 static void
 on_zone(const char *zone, bool out, void *data)
 {
@@ -328,6 +347,7 @@
 	desk.shards = bp_sharding_count(node->sharding);
 	desk.address = node->settings->listen.control;
 	desk.latency = node->latency;
+	desk.confirm = node->confirm;
 	node->desk = bp_queuedesk_new(&desk);
 	bp_queuedesk_set_catalog(node->desk, node->catalog);
 }
@@ -373,6 +393,7 @@
 {
 	const bp_settings_t *settings = node->settings;
 	bp_platform_options_t platform = {0};
+	bp_confirm_options_t confirm = {0};
 	int rc;
 
 	node->loop_clock = bp_clock_loop_new();
@@ -392,11 +413,17 @@
 	platform.logger = node->logger;
 	platform.settings = settings;
 	platform.listener.catalog = on_catalog;
+	platform.listener.catalog_current = on_catalog_current;
 	platform.listener.zone = on_zone;
 	platform.listener.executor = on_executor;
 	platform.listener.executor_gone = on_executor_gone;
 	platform.listener.executors_listed = on_executors_listed;
 	platform.listener.data = node;
+	confirm.clock = node->clock;
+	confirm.limit_ms = settings->queues.config_apply_ms;
+	confirm.ask = on_ask;
+	confirm.data = node;
+	node->confirm = bp_confirm_new(&confirm);
 	rc = bp_platform_new(&node->platform, &platform, err);
 	if (rc != BP_OK)
 		return rc;
@@ -435,6 +462,7 @@
 	bp_courier_free(node->courier);
 	bp_peer_server_free(node->server);
 	bp_platform_free(node->platform);
+	bp_confirm_free(node->confirm);
 	bp_catalog_free(node->catalog);
 	bp_timeline_free(node->timeline);
 	bp_histogram_free(node->latency);
--- a/src/queues/queuenode_private.h
+++ b/src/queues/queuenode_private.h
@@ -4,6 +4,7 @@
 #include "bulrushpost/platform.h"
 #include "bulrushpost/queuenode.h"
 #include "node/metricsserver.h"
+#include "queues/confirm.h"
 #include "queues/courier.h"
 #include "queues/desk.h"
 #include "queues/relay.h"
@@ -43,6 +44,7 @@
 	bp_courier_t *courier; /* orders of other owners */
 	bp_queuedesk_t *desk;
 	bp_catalog_t *catalog;
+	bp_confirm_t *confirm; /* of the catalog */
 	bp_sharding_t *sharding;
 	GHashTable *zones_out; /* set of names */
 	bp_shards_t *shards; /* this and the desk: NULL until it is decided */
--- a/tests/process/test_queues.c
+++ b/tests/process/test_queues.c
@@ -1,3 +1,4 @@
+#include "bulrushpost/listen.h"
 #include "support/http.h"
 #include "support/process.h"
 #include "support/queuehttp.h"
@@ -25,6 +26,7 @@
 	bp_http_t *http;
 	bp_process_t *nodes[NODES];
 	uint16_t ports[NODES][LISTENERS];
+	GPtrArray *held; /* sockets that keep the ports */
 	char *settings[NODES];
 	const char *name; /* of the test, for the files of its nodes */
 } fixture_t;
@@ -112,12 +114,14 @@
 
 	memset(fixture, 0, sizeof(*fixture));
 	fixture->name = name;
+	fixture->held = g_ptr_array_new_with_free_func(g_object_unref);
 	fixture->platform = bp_queuehttp_new(EXECUTORS);
 	bp_queuehttp_configure(fixture->platform, 3, "/q/");
 	fixture->http = bp_http_new();
 	for (i = 0; i < NODES; i++) {
 		for (k = 0; k < LISTENERS; k++)
-			fixture->ports[i][k] = bp_process_choose_port();
+			fixture->ports[i][k] =
+			    bp_process_reserve_port(fixture->held);
 		fixture->settings[i] = write_settings(fixture, i);
 		start_node(fixture, i);
 	}
@@ -135,6 +139,7 @@
 		bp_process_free(fixture->nodes[i]);
 		g_free(fixture->settings[i]);
 	}
+	g_ptr_array_unref(fixture->held);
 	bp_http_free(fixture->http);
 	CU_ASSERT_EQUAL(
 	    bp_qfleet_broken(bp_queuehttp_fleet(fixture->platform)), 0);
@@ -242,6 +247,55 @@
 	teardown(&fixture);
 }
 
+/* An accepted configuration is in force after this. */
+#define CONFIG_APPLY_MS 2000
+#define LONG_READ_MS 1500
+
+/*
+ * A node that the store does not answer cannot know that a queue does not
+ * exist: it says so, and answers once it has read the configuration.
+ */
+static void
+test_an_old_configuration_denies_nothing(void)
+{
+	fixture_t fixture;
+	ask_t ask = {&fixture, 0, "GET", "/new/", NULL, 503, "not confirm", 0};
+
+	setup(&fixture, "confirm");
+	bp_queuehttp_set_mode(fixture.platform, BP_QSTORE_SILENT);
+	/* The read under way is still answered. */
+	bp_run_for_ms(LONG_READ_MS);
+	bp_queuehttp_configure(fixture.platform, 9, "/new/");
+	bp_run_for_ms(CONFIG_APPLY_MS + 300);
+	CU_ASSERT_TRUE(asked(&ask));
+	CU_ASSERT_EQUAL(ask.seen, 503);
+	bp_queuehttp_set_mode(fixture.platform, BP_QSTORE_UP);
+	CU_ASSERT_TRUE(expect(&fixture, 0, "GET", "/new/", NULL, 200, NULL));
+	CU_ASSERT_TRUE(expect(&fixture, 0, "GET", "/q/", NULL, 404, NULL));
+	teardown(&fixture);
+}
+
+/* Another process cannot take a node's port while the node is down. */
+static void
+test_ports_are_kept(void)
+{
+	GPtrArray *held = g_ptr_array_new_with_free_func(g_object_unref);
+	uint16_t port = bp_process_reserve_port(held);
+	char *address = g_strdup_printf("127.0.0.1:%u", port);
+	GSocket *node = NULL;
+	GSocket *again = NULL;
+	bp_error_t err = {BP_OK, ""};
+	uint32_t i;
+
+	for (i = 0; i < 2; i++) {
+		CU_ASSERT_EQUAL(bp_listen(&node, address, 1, &err), BP_OK);
+		CU_ASSERT_NOT_EQUAL(bp_listen(&again, address, 1, &err), BP_OK);
+		g_clear_object(&node);
+	}
+	g_free(address);
+	g_ptr_array_unref(held);
+}
+
 /* While the store refuses, submissions are refused at once; then not. */
 static void
 test_the_store_refuses(void)
@@ -293,6 +347,9 @@
 	    {"a job over HTTP", test_a_job_over_http},
 	    {"nodes are killed", test_nodes_are_killed},
 	    {"a configuration changes", test_a_configuration_changes},
+	    {"an old configuration denies nothing",
+		test_an_old_configuration_denies_nothing},
+	    {"ports are kept", test_ports_are_kept},
 	    {"the store refuses", test_the_store_refuses},
 	    {"a graceful stop", test_a_graceful_stop},
 	    CU_TEST_INFO_NULL,
--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -273,10 +273,10 @@
 
 	node->name = g_strdup_printf("n%u", index);
 	node->zone = g_strdup_printf("z%u", index % MAX(c->options.zones, 1));
-	node->gateway_url =
-	    g_strdup_printf("http://127.0.0.1:%u", bp_process_choose_port());
+	node->gateway_url = g_strdup_printf(
+	    "http://127.0.0.1:%u", bp_process_reserve_port(c->held));
 	node->control =
-	    g_strdup_printf("127.0.0.1:%u", bp_process_choose_port());
+	    g_strdup_printf("127.0.0.1:%u", bp_process_reserve_port(c->held));
 	node->settings_path = g_strdup_printf(
 	    BP_PROCESS_LOG_DIR "/%s-%s.yaml", c->options.name, node->name);
 	g_ptr_array_add(c->nodes, node);
@@ -418,6 +418,7 @@
 	c->workers = g_ptr_array_new_with_free_func(server_free);
 	c->executors = g_ptr_array_new_with_free_func(server_free);
 	c->nodes = g_ptr_array_new_with_free_func(node_free);
+	c->held = g_ptr_array_new_with_free_func(g_object_unref);
 	c->states =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->outages = g_array_new(FALSE, FALSE, sizeof(bp_cluster_outage_t));
@@ -438,6 +439,7 @@
 	if (cluster == NULL)
 		return;
 	g_ptr_array_unref(cluster->nodes);
+	g_ptr_array_unref(cluster->held);
 	g_ptr_array_unref(cluster->workers);
 	g_ptr_array_unref(cluster->executors);
 	clear_server(&cluster->log);
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -53,6 +53,7 @@
 	GPtrArray *workers; /* bp_cluster_server_t, one for each zone */
 	GPtrArray *executors; /* bp_cluster_server_t, one for each zone */
 	GPtrArray *nodes; /* bp_cluster_node_t */
+	GPtrArray *held; /* sockets that keep the ports of nodes */
 	GHashTable *states; /* VM name -> "leaving" or "gone" */
 	GArray *outages; /* bp_cluster_outage_t */
 	bp_checker_t *checker;
--- a/tests/support/process.c
+++ b/tests/support/process.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 
 #define POLL_MS 10
 #define US_PER_MS 1000
@@ -273,34 +274,42 @@
 	return status;
 }
 
-static bool
-port_is_free(uint16_t port)
+static GSocket *
+bind_port(uint16_t port)
 {
 	GInetAddress *loopback =
 	    g_inet_address_new_loopback(G_SOCKET_FAMILY_IPV4);
 	GSocketAddress *address = g_inet_socket_address_new(loopback, port);
 	GSocket *socket = g_socket_new(G_SOCKET_FAMILY_IPV4,
 	    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
-	bool free_port =
-	    socket != NULL && g_socket_bind(socket, address, FALSE, NULL);
 
-	g_clear_object(&socket);
+	/* Without sharing it is bound by one process only; then the node, which
+	 * shares, may listen there. */
+	if (socket != NULL &&
+	    (!g_socket_bind(socket, address, FALSE, NULL) ||
+		!g_socket_set_option(
+		    socket, SOL_SOCKET, SO_REUSEADDR, 1, NULL)))
+		g_clear_object(&socket);
 	g_object_unref(address);
 	g_object_unref(loopback);
-	return free_port;
+	return socket;
 }
 
 /*
- * Returns a free port of loopback. A node needs ports that others know before
- * it starts; suites that run side by side must not have the same.
+ * Returns a port of loopback that only a node of this test can listen on for
+ * as long as held lives: a bound socket that does not listen keeps it. A node
+ * needs ports that others know before it starts, and again when it restarts.
  */
 uint16_t
-bp_process_choose_port(void)
+bp_process_reserve_port(GPtrArray *held)
 {
+	GSocket *socket;
 	uint16_t port;
 
-	do
+	do {
 		port = (uint16_t)g_random_int_range(PORT_LOW, PORT_HIGH);
-	while (!port_is_free(port));
+		socket = bind_port(port);
+	} while (socket == NULL);
+	g_ptr_array_add(held, socket);
 	return port;
 }
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -1,6 +1,7 @@
 #ifndef BP_TESTS_PROCESS_H
 #define BP_TESTS_PROCESS_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -34,8 +35,8 @@
 int bp_process_stop(bp_process_t *process);
 /* Waits for the line "WORD number" on its output; 0 when none came. */
 uint16_t bp_process_port(bp_process_t *process, const char *word);
-/* Returns a port that is free on loopback now. */
-uint16_t bp_process_choose_port(void);
+/* Returns a port of loopback that is kept for this test; held owns sockets. */
+uint16_t bp_process_reserve_port(GPtrArray *held);
 const char *bp_process_output_path(const bp_process_t *process);
 const char *bp_process_error_path(const bp_process_t *process);
 
--- a/tests/support/queuehttp.c
+++ b/tests/support/queuehttp.c
@@ -16,6 +16,9 @@
 #define PLAN_PARTITION 8
 #define SEED 1
 
+/* Callers have given up by then. */
+#define SILENT_MS 4000
+
 struct bp_queuehttp {
 	SoupServer *server;
 	uint16_t port;
@@ -26,6 +29,7 @@
 	bp_qfleet_t *fleet;
 	bp_qfleet_view_t *fleet_view;
 	GPtrArray *operators; /* char *: values of the key config */
+	bool silent; /* the operators' topic is answered after SILENT_MS */
 	int64_t last_us;
 	guint timer;
 };
@@ -430,14 +434,15 @@
 		    on_log_read, wait_for(self, message));
 		return;
 	}
-	if (from < self->operators->len) {
+	if (from < self->operators->len && !self->silent) {
 		answer_read(message, self->operators, from);
 		return;
 	}
 	call = wait_for(self, message);
 	call->from = from;
 	bp_clock_after(bp_clock_virtual_clock(self->clock),
-	    (uint32_t)number(query, "wait_ms"), on_read_wait, call);
+	    self->silent ? SILENT_MS : (uint32_t)number(query, "wait_ms"),
+	    on_read_wait, call);
 }
 
 static JsonObject *
@@ -709,4 +714,5 @@
 bp_queuehttp_set_mode(bp_queuehttp_t *self, bp_qstore_mode_t mode)
 {
 	bp_qstore_set_mode(self->store_view, mode);
+	self->silent = mode == BP_QSTORE_SILENT;
 }
