--- a/src/queues/shard_lanes.c
+++ b/src/queues/shard_lanes.c
@@ -12,6 +12,8 @@
 #define START_BASE_MS 100
 /* Weight of one answer in the smoothed latency of a lane. */
 #define LATENCY_RATE 0.2
+/* Part of a lane that starts of fillers may take. */
+#define FILLERS_PERCENT 70
 #define US_PER_MS 1000
 
 /* Frees a lane. */
@@ -93,11 +95,19 @@
 	return limit;
 }
 
-/* Tells whether no further start may take this way now. */
+/*
+ * Tells whether no further start may take this way now. Fillers leave a part
+ * of each lane to others: most starts are theirs, and urgent tasks would wait
+ * for their answers.
+ */
 bool
-bp_qlane_full(const bp_qlane_t *lane)
+bp_qlane_full(const bp_qlane_t *lane, bool filler)
 {
-	return lane->in_flight >= bp_limiter_limit(&lane->limit);
+	uint32_t limit = bp_limiter_limit(&lane->limit);
+
+	if (filler)
+		limit = MAX(limit * FILLERS_PERCENT / 100, 1);
+	return lane->in_flight >= limit;
 }
 
 /* The start of a run is planned. */
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -296,7 +296,7 @@
 void bp_qexec_find_lane(bp_qexec_t *exec);
 void bp_shard_count_lanes(bp_shard_t *shard, const GPtrArray *execs);
 uint32_t bp_shard_starts_limit(const bp_shard_t *shard);
-bool bp_qlane_full(const bp_qlane_t *lane);
+bool bp_qlane_full(const bp_qlane_t *lane, bool filler);
 void bp_qrun_enter_lane(bp_qrun_t *run);
 void bp_qrun_leave_lane(bp_qrun_t *run);
 void bp_qrun_learn_latency(
@@ -325,6 +325,7 @@
 void bp_shard_forget_looks(bp_shard_t *shard);
 
 /* shard_score.c */
+bool bp_qstep_takes_slow_place(const bp_shard_t *shard, const bp_qstep_t *step);
 const char *bp_qexec_obstacle(
     bp_qexec_t *exec, bp_qstep_t *step, const char *service);
 double bp_qexec_score(
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -12,6 +12,7 @@
 	bp_shard_t *shard;
 	int64_t now_ms;
 	GPtrArray *execs; /* bp_qexec_t that may get work at all */
+	GPtrArray *for_fillers; /* of execs, as long as fillers may start */
 	uint64_t cpu_milli; /* of all of them */
 	uint64_t cpu_used; /* of these, at the start of the round */
 	const char *service; /* of the step's queue */
@@ -25,6 +26,7 @@
 	const char *service;
 	const Bp__Work__Step *spec;
 	const char *reason; /* static */
+	bool slow; /* a filler that would have taken a slow place */
 } misfit_t;
 
 /* The rack that the step is drawn to: that of its data or of its tasks. */
@@ -70,8 +72,11 @@
 		const misfit_t *misfit =
 		    &g_array_index(round->misfits, misfit_t, i);
 
-		if (strcmp(misfit->service, round->service) == 0 &&
-		    asks_as_much(step->spec, misfit->spec))
+		if (strcmp(misfit->service, round->service) != 0 ||
+		    !asks_as_much(step->spec, misfit->spec))
+			continue;
+		if (misfit->slow ||
+		    !bp_qstep_takes_slow_place(round->shard, step))
 			return misfit->reason;
 	}
 	return NULL;
@@ -81,30 +86,32 @@
 static void
 note_misfit(round_t *round, const bp_qstep_t *step)
 {
-	misfit_t misfit = {round->service, step->spec, step->reason};
+	misfit_t misfit = {round->service, step->spec, step->reason,
+	    !step->spec->filler ||
+		bp_qstep_takes_slow_place(round->shard, step)};
 
 	if (step->spec->spread_max == 0 && step->reason != NULL)
 		g_array_append_val(round->misfits, misfit);
 }
 
 /*
- * Returns the next executor of the round, NULL for none. Those whose lane is
- * full leave the round: lanes only fill in it.
+ * Returns the next executor of a round's list, NULL for none. Those whose lane
+ * is full leave the list: lanes only fill in a round.
  */
 static bp_qexec_t *
-next_exec(round_t *round, guint *at)
+next_exec(GPtrArray *execs, guint *at, bool filler)
 {
-	while (round->execs->len > 0) {
+	while (execs->len > 0) {
 		bp_qexec_t *exec;
 
-		if (*at >= round->execs->len)
+		if (*at >= execs->len)
 			*at = 0;
-		exec = round->execs->pdata[*at];
-		if (!bp_qlane_full(exec->lane)) {
+		exec = execs->pdata[*at];
+		if (!bp_qlane_full(exec->lane, filler)) {
 			(*at)++;
 			return exec;
 		}
-		g_ptr_array_remove_index_fast(round->execs, *at);
+		g_ptr_array_remove_index_fast(execs, *at);
 	}
 	return NULL;
 }
@@ -122,12 +129,13 @@
 	guint at = filler ? round->cursor : 0;
 	bp_qexec_t *best = NULL;
 	double best_score = 0;
+	GPtrArray *execs = filler ? round->for_fillers : round->execs;
 	guint seen;
 	guint fit = 0;
 
-	*reason = round->execs->len == 0 ? "no_executor" : "service";
-	for (seen = 0; seen < round->execs->len && fit < most; seen++) {
-		bp_qexec_t *exec = next_exec(round, &at);
+	*reason = execs->len == 0 ? "no_executor" : "service";
+	for (seen = 0; seen < execs->len && fit < most; seen++) {
+		bp_qexec_t *exec = next_exec(execs, &at, filler);
 		const char *why;
 		double score;
 
@@ -149,7 +157,7 @@
 	round->shard->counts_examined += seen;
 	if (filler)
 		round->cursor = at;
-	if (best == NULL && round->execs->len * 2 < round->n_execs)
+	if (best == NULL && execs->len * 2 < round->n_execs)
 		*reason = "turn";
 	return best;
 }
@@ -237,7 +245,9 @@
 place_step(round_t *round, bp_qstep_t *step)
 {
 	bp_shard_t *shard = round->shard;
-	const char *reason = round->n_execs > 0 && round->execs->len == 0
+	const GPtrArray *execs =
+	    step->spec->filler ? round->for_fillers : round->execs;
+	const char *reason = round->n_execs > 0 && execs->len == 0
 	    ? "turn"
 	    : known_misfit(round, step);
 	uint32_t i;
@@ -327,6 +337,7 @@
 		if (exec->lane == NULL)
 			bp_qexec_find_lane(exec);
 		g_ptr_array_add(round->execs, value);
+		g_ptr_array_add(round->for_fillers, value);
 		round->cpu_milli += exec->info->cpu_milli;
 		round->cpu_used += exec->cpu_used;
 	}
@@ -359,6 +370,7 @@
 	    .shard = shard,
 	    .now_ms = bp_shard_now_ms(shard),
 	    .execs = g_ptr_array_new(),
+	    .for_fillers = g_ptr_array_new(),
 	    .misfits = g_array_new(FALSE, FALSE, sizeof(misfit_t)),
 	    .cursor = shard->cursor,
 	};
@@ -369,6 +381,7 @@
 	shard->cursor = round.cursor;
 	g_ptr_array_unref(steps);
 	g_array_unref(round.misfits);
+	g_ptr_array_unref(round.for_fillers);
 	g_ptr_array_unref(round.execs);
 }
 
