Batch that can be in time: what has begun first, then the newest

Cause of late batch on bursts (SHORT): with more work than can be started, earliest due first begins each job when the least delay makes it late. Change: of batch that can still be in time, jobs that have begun go first, then the newest. Jobs passed over go as late ones when load falls.

--- a/src/queues/shard_order.c
+++ b/src/queues/shard_order.c
@@ -15,6 +15,8 @@
 	bp_qstep_t *step;
 	uint32_t priority;
 	chance_t chance;
+	bool filler;
+	bool begun; /* some task of its job has started */
 	int64_t due_ms;
 } candidate_t;
 
@@ -41,6 +43,21 @@
 	    : CHANCE_NONE;
 }
 
+/*
+ * Batch that can still be in time. A job that has begun is finished first;
+ * of the others the newest goes first. With more work than can be started,
+ * earliest due first would begin each job when the least delay makes it late;
+ * with less, hardly any job waits. Those passed over go when load falls.
+ */
+static gint
+compare_batch(const candidate_t *x, const candidate_t *y)
+{
+	if (x->begun != y->begun)
+		return x->begun ? -1 : 1;
+	return x->begun ? (x->due_ms > y->due_ms) - (x->due_ms < y->due_ms)
+			: (x->due_ms < y->due_ms) - (x->due_ms > y->due_ms);
+}
+
 static gint
 compare(gconstpointer a, gconstpointer b)
 {
@@ -51,6 +68,10 @@
 		return x->priority < y->priority ? -1 : 1;
 	if (x->chance != y->chance)
 		return x->chance < y->chance ? -1 : 1;
+	if (x->filler != y->filler)
+		return x->filler ? 1 : -1;
+	if (x->filler && x->chance == CHANCE_IN_TIME)
+		return compare_batch(x, y);
 	return (x->due_ms > y->due_ms) - (x->due_ms < y->due_ms);
 }
 
@@ -66,6 +87,7 @@
 	for (i = 0; i < job->n_steps * job->occurrences; i++) {
 		bp_qstep_t *step = &job->steps[i];
 		candidate_t candidate = {step, job->spec->priority, CHANCE_NONE,
+		    step->spec->filler, job->begun,
 		    MAX(job->due_ms, bp_qstep_due_ms(step))};
 
 		if (step->waiting == 0)
--- a/tests/queues/test_overload.c
+++ b/tests/queues/test_overload.c
@@ -220,6 +220,97 @@
 	bp_qrig_free(rig);
 }
 
+/*
+ * The batch of the burst on swarmline-ne-grown scale-2, at a tenth: jobs of
+ * two steps of fillers come several times faster than they can be started,
+ * as each start is answered after half a second.
+ */
+#define BATCH_JOBS 200
+#define BATCH_TASKS 20
+#define BATCH_TASK_MS 1700
+#define BATCH_EXECUTORS 100
+#define BATCH_PERIOD_MS 85
+#define BATCH_DUE_MS (5 * BATCH_TASK_MS)
+#define BATCH_ANSWER_MS 500
+
+/*
+ * Guards against batch that is all late: half of the jobs for which there
+ * were starts are to be in time.
+ */
+static void
+test_batch_is_in_time_beside_too_much_work(void)
+{
+	bp_qrig_shape_t shape = {.reliable = true, .filler = true};
+	bp_qrig_t *rig = bp_qrig_new(SEED, BATCH_EXECUTORS);
+	expected_t jobs[BATCH_JOBS] = {{0}};
+	uint32_t servable;
+	uint32_t in_time = 0;
+	uint32_t n;
+
+	bp_qrig_set_shape(rig, &shape);
+	bp_qfleet_set_jitter_ms(bp_qrig_fleet(rig), JITTER_MS);
+	for (n = 0; n < BATCH_EXECUTORS; n++)
+		bp_qfleet_set_slow_ms(bp_qrig_fleet(rig), n, BATCH_ANSWER_MS);
+	bp_qrig_run_ms(rig, SETTLE_MS);
+	for (n = 0; n < BATCH_JOBS; n++) {
+		jobs[n].id =
+		    bp_qrig_submit(rig, BATCH_TASKS, BATCH_TASK_MS, false);
+		jobs[n].due_ms = (int64_t)n * BATCH_PERIOD_MS + BATCH_DUE_MS;
+		bp_qrig_run_ms(rig, BATCH_PERIOD_MS);
+		note_completed(rig, jobs, n + 1, (n + 1) * BATCH_PERIOD_MS);
+	}
+	for (n = 0; n < BATCH_JOBS; n++)
+		in_time += jobs[n].in_time;
+	servable = bp_qfleet_starts(bp_qrig_fleet(rig)) / (2 * BATCH_TASKS);
+	CU_ASSERT_TRUE(in_time >= servable / 2);
+	if (in_time < servable / 2)
+		printf("%u in time, starts for %u\n", in_time, servable);
+	CU_ASSERT_EQUAL(bp_qrig_broken(rig), 0);
+	bp_qrig_free(rig);
+}
+
+/* The latest that an urgent task may wait for a lane. */
+#define LANE_WAIT_MS 600
+
+/*
+ * Guards against urgent tasks that wait until the starts of fillers are
+ * answered: these leave a part of each lane.
+ */
+static void
+test_fillers_leave_lanes_to_urgent_tasks(void)
+{
+	bp_qrig_shape_t filler = {.reliable = true, .filler = true};
+	bp_qrig_shape_t urgent = {.reliable = true};
+	bp_qrig_t *rig = bp_qrig_new(SEED, BATCH_EXECUTORS);
+	uint32_t started = 0;
+	const char *id;
+	uint32_t n;
+
+	bp_qfleet_set_jitter_ms(bp_qrig_fleet(rig), JITTER_MS);
+	for (n = 0; n < BATCH_EXECUTORS; n++)
+		bp_qfleet_set_slow_ms(
+		    bp_qrig_fleet(rig), n, 2 * BATCH_ANSWER_MS);
+	bp_qrig_run_ms(rig, SETTLE_MS);
+	bp_qrig_set_shape(rig, &filler);
+	for (n = 0; n < 10; n++)
+		(void)bp_qrig_submit(rig, 200, BATCH_TASK_MS, false);
+	bp_qrig_run_ms(rig, 4000);
+	bp_qrig_set_shape(rig, &urgent);
+	id = bp_qrig_submit(rig, 10, BATCH_TASK_MS, false);
+	bp_qrig_run_ms(rig, LANE_WAIT_MS);
+	for (n = 0; n < 10; n++) {
+		char *task = g_strdup_printf("%s.0.0.%u", id, n);
+
+		started += bp_qfleet_starts_of(bp_qrig_fleet(rig), task);
+		g_free(task);
+	}
+	CU_ASSERT_EQUAL(started, 10);
+	if (started != 10)
+		printf("%u of 10 started\n", started);
+	CU_ASSERT_EQUAL(bp_qrig_broken(rig), 0);
+	bp_qrig_free(rig);
+}
+
 int
 main(void)
 {
@@ -231,6 +322,10 @@
 	    {"a large task gets its gap", test_a_large_task_gets_its_gap},
 	    {"jobs are in time beside too much work",
 		test_jobs_are_in_time_beside_too_much_work},
+	    {"batch is in time beside too much work",
+		test_batch_is_in_time_beside_too_much_work},
+	    {"fillers leave lanes to urgent tasks",
+		test_fillers_leave_lanes_to_urgent_tasks},
 	    {"short tasks go before lasting ones",
 		test_short_tasks_go_before_lasting_ones},
 	    CU_TEST_INFO_NULL,
