Fillers yield lanes only beside urgent waiting; slow places are taken back

Change: fillers leave 30% of a lane only within 1 s after an urgent step waited for one. Slow places are reverted.

--- a/src/queues/shard_lanes.c
+++ b/src/queues/shard_lanes.c
@@ -12,8 +12,8 @@
 #define START_BASE_MS 100
 /* Weight of one answer in the smoothed latency of a lane. */
 #define LATENCY_RATE 0.2
-/* Part of a lane that starts of fillers may take. */
-#define FILLERS_PERCENT 70
+/* Part of a lane that starts which yield may take. */
+#define YIELD_PERCENT 70
 #define US_PER_MS 1000
 
 /* Frees a lane. */
@@ -96,17 +96,17 @@
 }
 
 /*
- * Tells whether no further start may take this way now. Fillers leave a part
- * of each lane to others: most starts are theirs, and urgent tasks would wait
- * for their answers.
+ * Tells whether no further start may take this way now; one that yields leaves
+ * a part of it to others. Most starts are those of fillers, and urgent tasks
+ * would wait for their answers.
  */
 bool
-bp_qlane_full(const bp_qlane_t *lane, bool filler)
+bp_qlane_full(const bp_qlane_t *lane, bool yields)
 {
 	uint32_t limit = bp_limiter_limit(&lane->limit);
 
-	if (filler)
-		limit = MAX(limit * FILLERS_PERCENT / 100, 1);
+	if (yields)
+		limit = MAX(limit * YIELD_PERCENT / 100, 1);
 	return lane->in_flight >= limit;
 }
 
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -203,6 +203,7 @@
 	int64_t confirmed_ms; /* mono, of the last confirmed membership */
 	bool census_done;
 	uint32_t starts_in_flight;
+	int64_t urgent_wait_ms; /* mono, when an urgent step waited for lanes */
 	GHashTable *lanes; /* carrier to bp_qlane_t */
 	guint round_timer;
 	guint cursor; /* where the next round looks first */
@@ -296,7 +297,7 @@
 void bp_qexec_find_lane(bp_qexec_t *exec);
 void bp_shard_count_lanes(bp_shard_t *shard, const GPtrArray *execs);
 uint32_t bp_shard_starts_limit(const bp_shard_t *shard);
-bool bp_qlane_full(const bp_qlane_t *lane, bool filler);
+bool bp_qlane_full(const bp_qlane_t *lane, bool yields);
 void bp_qrun_enter_lane(bp_qrun_t *run);
 void bp_qrun_leave_lane(bp_qrun_t *run);
 void bp_qrun_learn_latency(
@@ -325,7 +326,6 @@
 void bp_shard_forget_looks(bp_shard_t *shard);
 
 /* shard_score.c */
-bool bp_qstep_takes_slow_place(const bp_shard_t *shard, const bp_qstep_t *step);
 const char *bp_qexec_obstacle(
     bp_qexec_t *exec, bp_qstep_t *step, const char *service);
 double bp_qexec_score(
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -7,12 +7,16 @@
 /* Fillers go to the best of so many executors that can take them: they are
  * most of all starts, and a look at all executors for each is too dear. */
 #define FILLER_CHOICES 48
+/* Fillers leave a part of each lane so long after an urgent step waited for
+ * one. */
+#define YIELD_MS 1000
 
 typedef struct {
 	bp_shard_t *shard;
 	int64_t now_ms;
 	GPtrArray *execs; /* bp_qexec_t that may get work at all */
 	GPtrArray *for_fillers; /* of execs, as long as fillers may start */
+	bool fillers_yield; /* they leave a part of each lane to others */
 	uint64_t cpu_milli; /* of all of them */
 	uint64_t cpu_used; /* of these, at the start of the round */
 	const char *service; /* of the step's queue */
@@ -26,7 +30,6 @@
 	const char *service;
 	const Bp__Work__Step *spec;
 	const char *reason; /* static */
-	bool slow; /* a filler that would have taken a slow place */
 } misfit_t;
 
 /* The rack that the step is drawn to: that of its data or of its tasks. */
@@ -72,11 +75,8 @@
 		const misfit_t *misfit =
 		    &g_array_index(round->misfits, misfit_t, i);
 
-		if (strcmp(misfit->service, round->service) != 0 ||
-		    !asks_as_much(step->spec, misfit->spec))
-			continue;
-		if (misfit->slow ||
-		    !bp_qstep_takes_slow_place(round->shard, step))
+		if (strcmp(misfit->service, round->service) == 0 &&
+		    asks_as_much(step->spec, misfit->spec))
 			return misfit->reason;
 	}
 	return NULL;
@@ -86,9 +86,7 @@
 static void
 note_misfit(round_t *round, const bp_qstep_t *step)
 {
-	misfit_t misfit = {round->service, step->spec, step->reason,
-	    !step->spec->filler ||
-		bp_qstep_takes_slow_place(round->shard, step)};
+	misfit_t misfit = {round->service, step->spec, step->reason};
 
 	if (step->spec->spread_max == 0 && step->reason != NULL)
 		g_array_append_val(round->misfits, misfit);
@@ -99,7 +97,7 @@
  * is full leave the list: lanes only fill in a round.
  */
 static bp_qexec_t *
-next_exec(GPtrArray *execs, guint *at, bool filler)
+next_exec(GPtrArray *execs, guint *at, bool yields)
 {
 	while (execs->len > 0) {
 		bp_qexec_t *exec;
@@ -107,7 +105,7 @@
 		if (*at >= execs->len)
 			*at = 0;
 		exec = execs->pdata[*at];
-		if (!bp_qlane_full(exec->lane, filler)) {
+		if (!bp_qlane_full(exec->lane, yields)) {
 			(*at)++;
 			return exec;
 		}
@@ -135,7 +133,8 @@
 
 	*reason = execs->len == 0 ? "no_executor" : "service";
 	for (seen = 0; seen < execs->len && fit < most; seen++) {
-		bp_qexec_t *exec = next_exec(execs, &at, filler);
+		bp_qexec_t *exec =
+		    next_exec(execs, &at, round->fillers_yield && filler);
 		const char *why;
 		double score;
 
@@ -235,10 +234,12 @@
 {
 	if (step->wanting_ms == 0)
 		step->wanting_ms = round->now_ms;
-	if (step->job->spec->priority == 0 && !step->spec->lasting &&
-	    !step->spec->filler)
-		bp_shard_keep_room(
-		    round->shard, step, round->execs, round->service);
+	if (step->job->spec->priority != 0 || step->spec->lasting ||
+	    step->spec->filler)
+		return;
+	if (g_strcmp0(step->reason, "turn") == 0)
+		round->shard->urgent_wait_ms = round->now_ms;
+	bp_shard_keep_room(round->shard, step, round->execs, round->service);
 }
 
 static void
@@ -351,6 +352,8 @@
 	guint i;
 
 	bp_shard_release_expired(round->shard);
+	round->fillers_yield = round->shard->urgent_wait_ms != 0 &&
+	    round->now_ms - round->shard->urgent_wait_ms < YIELD_MS;
 	add_executors(round);
 	for (i = 0; i < steps->len; i++) {
 		bp_qstep_t *step = steps->pdata[i];
