Fillers that found no place for a second take a slow one, after all

Cause: fillers ready for seconds gave `disturbs`, while the calm of serving tasks had half a place left on many executors and processors stood idle. Change: a step of fillers that has found no place for 1 s goes where it has 30% of its pace. Test: queues/lists/a filler takes a slow place, red without.

--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -328,6 +328,7 @@
 void bp_shard_forget_looks(bp_shard_t *shard);
 
 /* shard_score.c */
+bool bp_qstep_takes_slow_place(const bp_shard_t *shard, const bp_qstep_t *step);
 const char *bp_qexec_obstacle(
     bp_qexec_t *exec, bp_qstep_t *step, const char *service);
 double bp_qexec_score(
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -30,6 +30,7 @@
 	const char *service;
 	const Bp__Work__Step *spec;
 	const char *reason; /* static */
+	bool slow; /* a filler that would have taken a slow place */
 } misfit_t;
 
 /* The rack that the step is drawn to: that of its data or of its tasks. */
@@ -75,8 +76,11 @@
 		const misfit_t *misfit =
 		    &g_array_index(round->misfits, misfit_t, i);
 
-		if (strcmp(misfit->service, round->service) == 0 &&
-		    asks_as_much(step->spec, misfit->spec))
+		if (strcmp(misfit->service, round->service) != 0 ||
+		    !asks_as_much(step->spec, misfit->spec))
+			continue;
+		if (misfit->slow ||
+		    !bp_qstep_takes_slow_place(round->shard, step))
 			return misfit->reason;
 	}
 	return NULL;
@@ -86,7 +90,9 @@
 static void
 note_misfit(round_t *round, const bp_qstep_t *step)
 {
-	misfit_t misfit = {round->service, step->spec, step->reason};
+	misfit_t misfit = {round->service, step->spec, step->reason,
+	    !step->spec->filler ||
+		bp_qstep_takes_slow_place(round->shard, step)};
 
 	if (step->spec->spread_max == 0 && step->reason != NULL)
 		g_array_append_val(round->misfits, misfit);
--- a/src/queues/shard_score.c
+++ b/src/queues/shard_score.c
@@ -14,8 +14,12 @@
 #define EMPTY_IS_OTHER 0.4
 /* Share of their reserved processors that serving tasks use. */
 #define SERVING_USE_PERCENT 55
-/* A filler is not placed where it could not have this share of its pace. */
+/* A filler is not placed where it could not have this share of its pace, */
 #define FILLER_SHARE_MIN 0.7
+/* nor, once its step has found no place for PATIENCE_MS, this one: what is
+ * left beside serving tasks would stay unused. */
+#define FILLER_SHARE_LEAST 0.3
+#define PATIENCE_MS 1000
 
 /*
  * More fillers than the processors that others leave would only slow each
@@ -32,6 +36,22 @@
 	    exec->info->cpu_milli;
 }
 
+/* Tells whether the step has waited so long that a slow place is better. */
+bool
+bp_qstep_takes_slow_place(const bp_shard_t *shard, const bp_qstep_t *step)
+{
+	return step->wanting_ms != 0 &&
+	    bp_shard_now_ms(shard) - step->wanting_ms >= PATIENCE_MS;
+}
+
+/* Share of its pace that a filler must have where it is placed. */
+static double
+least_share(const bp_shard_t *shard, const bp_qstep_t *step)
+{
+	return bp_qstep_takes_slow_place(shard, step) ? FILLER_SHARE_LEAST
+						      : FILLER_SHARE_MIN;
+}
+
 /*
  * Returns why an executor cannot take a task of the step, a static text, or
  * NULL when it can; service is that of the step's queue.
@@ -61,7 +81,8 @@
 		return "no_capacity";
 	if (spec->filler &&
 	    (exec->alarms >= 2 ||
-		bp_shard_filler_share(exec, step) < FILLER_SHARE_MIN))
+		bp_shard_filler_share(exec, step) <
+		    least_share(exec->shard, step)))
 		return "disturbs";
 	if (spec->spread_max == 0)
 		return NULL;
--- a/tests/queues/test_lists.c
+++ b/tests/queues/test_lists.c
@@ -396,6 +396,47 @@
 	script_free(script);
 }
 
+/* Leaves half of its pace to one of WIDE_MILLI beside two of FILLER_MILLI. */
+#define NARROW_MILLI 1000
+#define WIDE_MILLI 7000
+
+static Bp__Work__Step *
+new_filler(uint32_t tasks, uint32_t cpu_milli)
+{
+	Bp__Work__Step *step = new_step(tasks, cpu_milli);
+
+	step->filler = true;
+	step->image = strdup("filler");
+	return step;
+}
+
+/*
+ * Guards against processors that nobody uses: a filler that finds no place
+ * where it could run at most of its pace takes a slower one after 1 s.
+ */
+static void
+test_a_filler_takes_a_slow_place(void)
+{
+	script_t *script = script_new();
+	Bp__Work__Step *serving = new_step(1, NARROW_MILLI);
+	call_t *start;
+
+	serving->lasting = true;
+	serving->target_ms = TARGET_MS;
+	serving->image = strdup("serving");
+	submit_step(script, "000000000000000a", serving);
+	submit_step(script, "000000000000000b", new_filler(2, FILLER_MILLI));
+	pass(script, 200);
+	while ((start = open_call(script, START, NULL)) != NULL)
+		answer(start, BP_EXEC_OK, 0, NULL);
+	submit_step(script, "000000000000000c", new_filler(1, WIDE_MILLI));
+	pass(script, 800);
+	CU_ASSERT_PTR_NULL(open_call(script, START, NULL));
+	pass(script, 600);
+	CU_ASSERT_PTR_NOT_NULL(open_call(script, START, NULL));
+	script_free(script);
+}
+
 int
 main(void)
 {
@@ -405,6 +446,7 @@
 	    {"fillers are slowed alike", test_fillers_are_slowed_alike},
 	    {"a filler at rest is moved soon",
 		test_a_filler_at_rest_is_moved_soon},
+	    {"a filler takes a slow place", test_a_filler_takes_a_slow_place},
 	    CU_TEST_INFO_NULL,
 	};
 
