A deployment that one owner cannot bear is divided with room to spare

The issue asks for owners by measured load; this is the plan that the first node writes, not that. Change: one shard as long as one owner bears the executors (1,200 a processor, as before), else owners get 40% of what they bear: 4 shards on the large site; the others keep one.

--- a/src/queues/sharding.c
+++ b/src/queues/sharding.c
@@ -13,6 +13,8 @@
 #define RETRY_MS 150
 /* The platform has this many partitions in a topic. */
 #define SHARDS_MAX 8
+/* Part of the executors that an owner bears, once they are divided. */
+#define SPLIT_PERCENT 40
 /* Executors of a new deployment come over some seconds: the plan waits for
  * a list that has not grown for a while, but only so long. */
 #define LIST_AGAIN_MS 1200
@@ -147,6 +149,23 @@
 	return strcmp(*(const char *const *)a, *(const char *const *)b);
 }
 
+/*
+ * Returns how many shards the listed executors make. One owner sees all room,
+ * so that a deployment that it bears is not divided. Beyond that owners get
+ * SPLIT_PERCENT of what they bear: jobs are dealt by hash, unevenly, and an
+ * owner that starts more than it can makes all of its jobs late.
+ */
+static uint32_t
+shards_for(const bp_sharding_t *self)
+{
+	uint64_t bears = self->options.executors_per_shard;
+	uint64_t share = MAX(bears * SPLIT_PERCENT / 100, 1);
+
+	if (self->executors <= bears)
+		return 1;
+	return (uint32_t)MIN((self->executors + share - 1) / share, SHARDS_MAX);
+}
+
 /* Deals the racks, sorted by zone and name, out in turn. */
 static bp_store_record_t *
 make_plan(bp_sharding_t *self)
@@ -156,11 +175,8 @@
 	GBytes *bytes;
 	guint i;
 
-	plan.shards = self->options.shards != 0
-	    ? self->options.shards
-	    : CLAMP((self->executors + self->options.executors_per_shard - 1) /
-		      self->options.executors_per_shard,
-		  1, SHARDS_MAX);
+	plan.shards =
+	    self->options.shards != 0 ? self->options.shards : shards_for(self);
 	g_ptr_array_sort(self->seen, compare_names);
 	plan.racks = g_new0(Bp__Work__RackShard *, self->seen->len + 1);
 	for (i = 0; i < self->seen->len; i++) {
