A stopping node reads what has arrived before it ends

Cause: the drain ended the loop when no call was open, also while a request waited unread in a socket of a small, busy node. Change: the end waits for a turn of the loop in which nothing is left to read.

Test: process/queues/a stop answers what has arrived (a node that is paused around its end): red with the program before, green now.

--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -191,6 +191,26 @@
 	return G_SOURCE_CONTINUE;
 }
 
+static void
+end_drain(bp_queuenode_t *node)
+{
+	log_number(node, "stopped gracefully", "took_ms",
+	    (uint64_t)(bp_clock_mono_ms(node->clock) - node->drain_start_ms));
+	g_main_loop_quit(node->loop);
+}
+
+/* Nothing that has arrived is unread; a call that it brought is answered. */
+static gboolean
+on_quiet(void *data)
+{
+	bp_queuenode_t *node = data;
+
+	node->quiet_source = 0;
+	if (bp_platform_calls(node->platform) == 0)
+		end_drain(node);
+	return G_SOURCE_REMOVE;
+}
+
 /*
  * Shards are handed over first, so that the successor can start; callers
  * are served through it until the balancer has turned away.
@@ -210,11 +230,14 @@
 	}
 	if (passed_ms < MIN(DRAIN_SERVE_MS, limit_ms))
 		return G_SOURCE_CONTINUE;
-	if (bp_platform_calls(node->platform) > 0 && passed_ms < limit_ms)
+	if (passed_ms < limit_ms) {
+		if (node->quiet_source == 0)
+			node->quiet_source = g_idle_add_full(
+			    G_PRIORITY_LOW, on_quiet, node, NULL);
 		return G_SOURCE_CONTINUE;
-	log_number(node, "stopped gracefully", "took_ms", (uint64_t)passed_ms);
+	}
 	node->drain_timer = 0;
-	g_main_loop_quit(node->loop);
+	end_drain(node);
 	return G_SOURCE_REMOVE;
 }
 
@@ -450,6 +473,7 @@
 	for (i = 0; i < G_N_ELEMENTS(node->signals); i++)
 		g_clear_handle_id(&node->signals[i], g_source_remove);
 	bp_clock_cancel(node->clock, &node->drain_timer);
+	g_clear_handle_id(&node->quiet_source, g_source_remove);
 	bp_clock_cancel(node->clock, &node->hello_timer);
 	bp_shards_free(node->shards);
 	bp_sharding_free(node->sharding);
--- a/src/queues/queuenode_private.h
+++ b/src/queues/queuenode_private.h
@@ -51,6 +51,7 @@
 	int failed; /* error that ends the node */
 	int64_t drain_start_ms; /* 0 while serving */
 	guint drain_timer;
+	guint quiet_source; /* of the end of the drain, 0 for none */
 	guint hello_timer;
 	bp_queuenode_greeting_t *greetings; /* a shard */
 	uint32_t processor_milli; /* processors of this node */
--- a/tests/process/test_queues.c
+++ b/tests/process/test_queues.c
@@ -340,6 +340,34 @@
 	teardown(&fixture);
 }
 
+/* A stopping node ends at the earliest after this. */
+#define DRAIN_SERVE_MS 2600
+
+/* A call that has arrived when the node is about to end is answered. */
+static void
+test_a_stop_answers_what_has_arrived(void)
+{
+	fixture_t fixture;
+	char *url;
+	bp_reply_t *reply;
+
+	setup(&fixture, "arrived");
+	bp_process_signal(fixture.nodes[0], SIGTERM);
+	bp_run_for_ms(DRAIN_SERVE_MS - 300);
+	bp_process_signal(fixture.nodes[0], SIGSTOP);
+	url = g_strdup_printf(
+	    "http://127.0.0.1:%u/q/", fixture.ports[0][CALLERS]);
+	reply = bp_http_send(fixture.http, "GET", url, NULL, "Host", "h", NULL);
+	bp_run_for_ms(600);
+	bp_process_signal(fixture.nodes[0], SIGCONT);
+	CU_ASSERT_TRUE(bp_http_wait(reply));
+	CU_ASSERT_NOT_EQUAL(reply->status, 0);
+	CU_ASSERT_EQUAL(bp_process_wait(fixture.nodes[0]), 0);
+	bp_reply_free(reply);
+	g_free(url);
+	teardown(&fixture);
+}
+
 int
 main(void)
 {
@@ -352,6 +380,8 @@
 	    {"ports are kept", test_ports_are_kept},
 	    {"the store refuses", test_the_store_refuses},
 	    {"a graceful stop", test_a_graceful_stop},
+	    {"a stop answers what has arrived",
+		test_a_stop_answers_what_has_arrived},
 	    CU_TEST_INFO_NULL,
 	};
 
