--- a/src/queues/shard_order.c
+++ b/src/queues/shard_order.c
@@ -58,6 +58,8 @@
 			: (x->due_ms < y->due_ms) - (x->due_ms > y->due_ms);
 }
 
+/* Of what has the same priority and chance, fillers go last: they need only
+ * what the others leave. */
 static gint
 compare(gconstpointer a, gconstpointer b)
 {
--- a/tests/queues/test_shard.c
+++ b/tests/queues/test_shard.c
@@ -17,6 +17,22 @@
 	return rig;
 }
 
+/* Runs of the first tasks of a job's first step. */
+static uint32_t
+count_running(bp_qrig_t *rig, const char *id, uint32_t tasks)
+{
+	uint32_t running = 0;
+	uint32_t k;
+
+	for (k = 0; k < tasks; k++) {
+		char *task = g_strdup_printf("%s.0.0.%u", id, k);
+
+		running += bp_qfleet_running_of(bp_qrig_fleet(rig), task);
+		g_free(task);
+	}
+	return running;
+}
+
 static void
 finish(bp_qrig_t *rig)
 {
@@ -307,9 +323,7 @@
 {
 	bp_qrig_t *rig = started();
 	const char *id = bp_qrig_submit(rig, 6, 0, true);
-	uint32_t running = 0;
 	uint32_t round;
-	uint32_t k;
 
 	bp_qrig_run_ms(rig, 1000);
 	bp_qfleet_set_cut(bp_qrig_fleet(rig), 0, true);
@@ -323,13 +337,7 @@
 			bp_qrig_restart(rig, (uint32_t)owner);
 		bp_qrig_run_ms(rig, 6000);
 	}
-	for (k = 0; k < 6; k++) {
-		char *task = g_strdup_printf("%s.0.0.%u", id, k);
-
-		running += bp_qfleet_running_of(bp_qrig_fleet(rig), task);
-		g_free(task);
-	}
-	CU_ASSERT_EQUAL(running, 6);
+	CU_ASSERT_EQUAL(count_running(rig, id, 6), 6);
 	finish(rig);
 }
 
@@ -342,8 +350,6 @@
 {
 	bp_qrig_t *rig = started();
 	const char *id = bp_qrig_submit(rig, 6, 0, true);
-	uint32_t running = 0;
-	uint32_t k;
 
 	bp_qrig_run_ms(rig, 1000);
 	bp_qfleet_set_cut(bp_qrig_fleet(rig), 0, true);
@@ -353,13 +359,7 @@
 	/* A takeover (3.5 s) and the rest of 10.3 s, of which 4 s are stored.
 	 */
 	bp_qrig_run_ms(rig, 10500);
-	for (k = 0; k < 6; k++) {
-		char *task = g_strdup_printf("%s.0.0.%u", id, k);
-
-		running += bp_qfleet_running_of(bp_qrig_fleet(rig), task);
-		g_free(task);
-	}
-	CU_ASSERT_EQUAL(running, 6);
+	CU_ASSERT_EQUAL(count_running(rig, id, 6), 6);
 	finish(rig);
 }
 
@@ -376,8 +376,6 @@
 {
 	bp_qrig_t *rig = started();
 	const char *id = bp_qrig_submit(rig, 6, 0, true);
-	uint32_t running = 0;
-	uint32_t k;
 
 	bp_qrig_run_ms(rig, 1000);
 	bp_qfleet_set_cut(bp_qrig_fleet(rig), 0, true);
@@ -387,13 +385,7 @@
 	CU_ASSERT_TRUE_FATAL(bp_qrig_owner(rig) >= 0);
 	bp_qrig_kill(rig, (uint32_t)bp_qrig_owner(rig));
 	bp_qrig_run_ms(rig, AWAY_MS);
-	for (k = 0; k < 6; k++) {
-		char *task = g_strdup_printf("%s.0.0.%u", id, k);
-
-		running += bp_qfleet_running_of(bp_qrig_fleet(rig), task);
-		g_free(task);
-	}
-	CU_ASSERT_EQUAL(running, 6);
+	CU_ASSERT_EQUAL(count_running(rig, id, 6), 6);
 	finish(rig);
 }
 
