Review: stand-ins take ports below those of outgoing connections

A port chosen from the range of outgoing connections could be taken before the node listened: one of three trials beside each other could not run.

--- a/review/standin/rig.c
+++ b/review/standin/rig.c
@@ -177,21 +177,27 @@
 	store_put("keyed.op", "config", configuration);
 }
 
+/* Below the ports that outgoing connections get, so that it stays free. */
 static uint16_t
 free_port(void)
 {
 	struct sockaddr_in address = {0};
-	socklen_t size = sizeof(address);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int tries;
 
 	address.sin_family = AF_INET;
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	if (fd < 0 ||
-	    bind(fd, (struct sockaddr *)&address, sizeof(address)) != 0 ||
-	    getsockname(fd, (struct sockaddr *)&address, &size) != 0)
-		rig_fail("no free port");
-	close(fd);
-	return ntohs(address.sin_port);
+	for (tries = 0; tries < 200; tries++) {
+		uint16_t port = (uint16_t)g_random_int_range(15000, 32000);
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+		int rc;
+
+		address.sin_port = htons(port);
+		rc = bind(fd, (struct sockaddr *)&address, sizeof(address));
+		close(fd);
+		if (rc == 0)
+			return port;
+	}
+	rig_fail("no free port");
 }
 
 static char *
