--- a/review/1/case.c
+++ b/review/1/case.c
@@ -10,7 +10,7 @@
 #define WATCH "000000000000c002"
 #define TASKS 12500
 #define WATCHERS 12
-#define WATCH_MS 60000
+#define WATCH_MS 70000
 #define STEP_MS 250
 /* A task that lasts: from 6 s after its last run, for 3 s. */
 #define AWAY_MS (6000 + 3000)
@@ -76,8 +76,8 @@
 	if (exec_running_of_job(WATCH) != WATCHERS)
 		rig_fail("the tasks that last do not run");
 	body = g_strdup_printf(
-	    "{\"task_spec\":\"work=25000 cpu=20 mem=20 saves=1\",\"steps\":[{"
-	    "\"count\":%d,\"cpu\":20,\"mem_mb\":20,\"estimated_ms\":25000,"
+	    "{\"task_spec\":\"work=35000 cpu=20 mem=20 saves=1\",\"steps\":[{"
+	    "\"count\":%d,\"cpu\":20,\"mem_mb\":20,\"estimated_ms\":35000,"
 	    "\"checkpointing\":true}]}",
 	    TASKS);
 	if (trouble &&
