Queues: a submission whose caller has given up is not accepted

Change: one watch of pauses for the job router and the order proxy, which had its own; a call that may have arrived during a pause counts its deadline from the start of it.

--- a/src/queues/jobrouter.h
+++ b/src/queues/jobrouter.h
@@ -4,6 +4,7 @@
 #include "bulrushpost/clock.h"
 #include "bulrushpost/histogram.h"
 #include "bulrushpost/logline.h"
+#include "bulrushpost/pausewatch.h"
 #include "bulrushpost/peer.h"
 #include "bulrushpost/jobrouter.h"
 #include "bulrushpost/shard.h"
@@ -12,6 +13,7 @@
 
 typedef struct {
 	const bp_clock_t *clock;
+	bp_pause_watch_t *pauses;
 	bp_logger_t *logger;
 	bp_peer_client_t *client;
 	bp_membership_t *membership;
--- a/src/queues/jobrouter_call.c
+++ b/src/queues/jobrouter_call.c
@@ -357,7 +357,7 @@
 bp_job_router_answer_deadline_ms(
     const bp_job_router_t *router, uint32_t deadline_ms)
 {
-	return now_ms(router) +
+	return bp_pause_watch_arrival_ms(router->options.pauses) +
 	    MAX((int64_t)deadline_ms - RESPONSE_MARGIN_MS, RESPONSE_MARGIN_MS);
 }
 
--- a/src/queues/jobrouter_private.h
+++ b/src/queues/jobrouter_private.h
@@ -38,7 +38,8 @@
 } bp_job_call_t;
 
 /* Returns the time on the monotonic clock by which the answer has to be sent
- * to a caller that waits for deadline_ms. */
+ * to a caller that waits for deadline_ms. A call that may have arrived during
+ * a pause of this process counts from its start. */
 int64_t bp_job_router_answer_deadline_ms(
     const bp_job_router_t *router, uint32_t deadline_ms);
 /* Creates an open call. Job and deadline are to be set before it is tried. */
--- a/src/queues/orderproxy.c
+++ b/src/queues/orderproxy.c
@@ -5,15 +5,10 @@
 
 /* Time after which an owner gives up on an order; see orderrouter.c. */
 #define ORDER_TIMEOUT_MS 1100
-#define TICK_MS 200
-/* Time after a pause in which requests that arrived during it are read. */
-#define STALE_PERIOD_MS 500
 
 struct bp_order_proxy {
 	const bp_clock_t *clock;
-	int64_t last_active_ms; /* mono, of the last tick or order */
-	int64_t stale_until_ms; /* mono; orders are refused until then */
-	guint timer;
+	bp_pause_watch_t *pauses;
 	bp_executors_t *direct;
 	const char *zone;
 	GHashTable *pending_orders; /* set of pending_order_t */
@@ -125,24 +120,6 @@
 	}
 }
 
-/* Records that this process runs, and detects the end of a pause. */
-static void
-note_activity(bp_order_proxy_t *proxy)
-{
-	int64_t now_ms = bp_clock_mono_ms(proxy->clock);
-
-	if (now_ms - proxy->last_active_ms > ORDER_TIMEOUT_MS)
-		proxy->stale_until_ms = now_ms + STALE_PERIOD_MS;
-	proxy->last_active_ms = now_ms;
-}
-
-static gboolean
-on_tick(void *data)
-{
-	note_activity(data);
-	return G_SOURCE_CONTINUE;
-}
-
 /*
  * Returns whether an order that is read now may have been delayed by a pause
  * of this process. Its owner has given up on it. The executor may have a new
@@ -152,8 +129,10 @@
 static bool
 may_be_stale(bp_order_proxy_t *proxy)
 {
-	note_activity(proxy);
-	return proxy->last_active_ms < proxy->stale_until_ms;
+	bp_pause_t pause;
+
+	return bp_pause_watch_recent(proxy->pauses, &pause) &&
+	    pause.end_ms - pause.start_ms > ORDER_TIMEOUT_MS;
 }
 
 static void
@@ -195,8 +174,8 @@
 
 /* See the header. */
 bp_order_proxy_t *
-bp_order_proxy_new(
-    const bp_clock_t *clock, bp_executors_t *direct, const char *zone)
+bp_order_proxy_new(const bp_clock_t *clock, bp_pause_watch_t *pauses,
+    bp_executors_t *direct, const char *zone)
 {
 	bp_order_proxy_t *proxy = g_new0(bp_order_proxy_t, 1);
 
@@ -204,8 +183,7 @@
 	proxy->direct = direct;
 	proxy->zone = zone;
 	proxy->pending_orders = g_hash_table_new(NULL, NULL);
-	proxy->last_active_ms = bp_clock_mono_ms(clock);
-	proxy->timer = bp_clock_add_timer(clock, TICK_MS, on_tick, proxy);
+	proxy->pauses = pauses;
 	return proxy;
 }
 
@@ -218,7 +196,6 @@
 
 	if (proxy == NULL)
 		return;
-	bp_clock_cancel_timer(proxy->clock, &proxy->timer);
 	keys = g_hash_table_get_keys(proxy->pending_orders);
 	for (node = keys; node != NULL; node = node->next) {
 		Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -347,8 +347,8 @@
 	router.zone = node->settings->node.zone;
 	router.processor_milli = node->processor_milli;
 	node->order_router = bp_order_router_new(&router);
-	node->order_proxy =
-	    bp_order_proxy_new(node->clock, router.direct, router.zone);
+	node->order_proxy = bp_order_proxy_new(
+	    node->clock, node->pauses, router.direct, router.zone);
 	node->heartbeat_timer = bp_clock_add_timer(
 	    node->clock, HEARTBEAT_INTERVAL_MS, on_heartbeat_timer, node);
 }
@@ -411,6 +411,7 @@
 	}
 	node->membership = bp_membership_new(&membership);
 	router.clock = node->clock;
+	router.pauses = node->pauses;
 	router.logger = node->logger;
 	router.client = node->client;
 	router.membership = node->membership;
@@ -472,6 +473,7 @@
 	node->processor_milli =
 	    settings->node.processor_share_milli * settings->node.processors;
 	node->standby = node->processor_milli < OWNER_PROCESSOR_MILLI;
+	node->pauses = bp_pause_watch_new(node->clock);
 	node->logger = bp_logger_new(
 	    node->clock, settings->node.name, settings->log_level);
 	bp_logger_set_stdout(node->logger, LOG_LINES_PER_S);
@@ -542,6 +544,7 @@
 	bp_metrics_free(node->metrics);
 	g_main_loop_unref(node->loop);
 	bp_logger_free(node->logger);
+	bp_pause_watch_free(node->pauses);
 	bp_clock_loop_free(node->loop_clock);
 }
 
--- a/src/queues/queuenode_private.h
+++ b/src/queues/queuenode_private.h
@@ -30,6 +30,7 @@
 	const bp_settings_t *settings;
 	bp_clock_loop_t *loop_clock;
 	const bp_clock_t *clock; /* of loop_clock */
+	bp_pause_watch_t *pauses; /* of this process */
 	GMainLoop *loop;
 	bp_logger_t *logger;
 	bp_metrics_t *metrics;
--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -214,6 +214,7 @@
 	if (shard->phase != BP_SHARD_OWNED && shard->phase != BP_SHARD_RELEASED)
 		return G_SOURCE_CONTINUE;
 	bp_shard_refuse_overdue(shard);
+	bp_cancelled_ids_expire(shard->cancelled_ids, bp_shard_now_ms(shard));
 	if (shard->phase == BP_SHARD_RELEASED)
 		return G_SOURCE_CONTINUE;
 	bp_shard_check_leases(shard);
@@ -259,6 +260,7 @@
 	shard->active_jobs = g_ptr_array_new();
 	shard->dirty_jobs = g_ptr_array_new();
 	shard->new_jobs = g_ptr_array_new();
+	shard->cancelled_ids = bp_cancelled_ids_new();
 	shard->deleted_keys = g_ptr_array_new_with_free_func(g_free);
 	shard->in_flight =
 	    g_array_new(FALSE, FALSE, sizeof(bp_qappended_job_t));
@@ -313,6 +315,7 @@
 	g_ptr_array_unref(shard->active_jobs);
 	g_ptr_array_unref(shard->dirty_jobs);
 	g_ptr_array_unref(shard->new_jobs);
+	bp_cancelled_ids_free(shard->cancelled_ids);
 	g_ptr_array_unref(shard->deleted_keys);
 	g_array_unref(shard->in_flight);
 	g_free(shard);
--- a/src/queues/shard_calls.c
+++ b/src/queues/shard_calls.c
@@ -108,6 +108,11 @@
 		    "the owner of the shard is changing");
 	else if ((job = g_hash_table_lookup(shard->jobs, spec->id)) != NULL)
 		resubmit(shard, job, spec->queue, done, data);
+	else if (bp_cancelled_ids_contains(
+		     shard->cancelled_ids, spec->queue, spec->id))
+		answer_now(done, data, BP_EREFUSED,
+		    BP__WORK__JOB_STATE__JOB_CANCELLED,
+		    "the job was cancelled before it arrived");
 	else if (bp_qjob_validate(spec, &err) != BP_OK)
 		answer_now(done, data, BP_EINVALID,
 		    BP__WORK__JOB_STATE__JOB_QUEUED, err.message);
@@ -151,7 +156,10 @@
 		out->state = reported_state(job);
 }
 
-/* Cancels a job; answers once the store holds the cancellation. */
+/*
+ * Cancels a job; answers once the store holds the cancellation. An unknown job
+ * is not accepted later: its submission may have been delayed on its way.
+ */
 void
 bp_shard_cancel(bp_shard_t *shard, const char *queue, const char *id,
     bp_shard_done_t done, void *data)
@@ -166,8 +174,13 @@
 	}
 	job = find(shard, queue, id);
 	if (job == NULL) {
-		answer_now(done, data, unknown_job_kind(shard),
-		    BP__WORK__JOB_STATE__JOB_QUEUED, "no such job");
+		bp_error_kind_t kind = unknown_job_kind(shard);
+
+		if (kind == BP_ENOTFOUND)
+			bp_cancelled_ids_add(shard->cancelled_ids, queue, id,
+			    bp_shard_now_ms(shard));
+		answer_now(done, data, kind, BP__WORK__JOB_STATE__JOB_QUEUED,
+		    "no such job");
 		return;
 	}
 	if (bp_qjob_ended(job) && job->stored == job->state) {
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -3,6 +3,7 @@
 
 #include "bulrushpost/limiter.h"
 #include "bulrushpost/shard.h"
+#include "queues/cancelledids.h"
 #include "queues/estimates.h"
 #include "queues/job.h"
 #include "queues/recordwriter.h"
@@ -192,6 +193,7 @@
 	GPtrArray *active_jobs; /* bp_qjob_t */
 	GPtrArray *dirty_jobs; /* bp_qjob_t with progress to store */
 	GPtrArray *new_jobs; /* bp_qjob_t, not stored yet */
+	bp_cancelled_ids_t *cancelled_ids; /* of jobs that were not known */
 	GArray *in_flight; /* bp_qappended_job_t of the append in flight */
 	GPtrArray *deleted_keys; /* keys to delete with the next append */
 	GHashTable *execs; /* ID to bp_qexec_t */
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -254,6 +254,8 @@
 	gsize bytes = 0;
 	guint i;
 
+	/* After a pause the append may be due before the next tick. */
+	bp_shard_refuse_overdue(shard);
 	g_array_set_size(shard->in_flight, 0);
 	move_jobs(shard, records, shard->new_jobs, add_new_job, &bytes);
 	move_jobs(shard, records, shard->dirty_jobs, add_changed_job, &bytes);
--- a/tests/adapter/test_front.c
+++ b/tests/adapter/test_front.c
@@ -377,6 +377,29 @@
 	teardown(&fixture);
 }
 
+/*
+ * Guards against jobs whose caller gave up before the node, paused or cut off,
+ * read the submission.
+ */
+static void
+test_a_caller_that_has_gone_submits_nothing(void)
+{
+	fixture_t fixture;
+	bp_rawcall_t *call;
+
+	setup(&fixture, true);
+	call = bp_rawcall_new(fixture.port);
+	CU_ASSERT_TRUE(bp_rawcall_send_text(
+	    call, SUBMIT "Content-Length: 23\r\n\r\n" JOB));
+	bp_rawcall_free(call);
+	bp_run_for_ms(100);
+	CU_ASSERT_EQUAL(fixture.router.submitted, 0);
+	CU_ASSERT_TRUE(bp_wait_until(none_open, &fixture));
+	CU_ASSERT_TRUE(serves(&fixture));
+	CU_ASSERT_EQUAL(fixture.router.submitted, 1);
+	teardown(&fixture);
+}
+
 int
 main(void)
 {
@@ -386,6 +409,8 @@
 	    {"endless headers", test_endless_headers},
 	    {"odd requests", test_odd_requests},
 	    {"open calls", test_open_calls},
+	    {"a caller that has gone submits nothing",
+		test_a_caller_that_has_gone_submits_nothing},
 	    CU_TEST_INFO_NULL,
 	};
 
--- a/tests/gateway/test_gateway.c
+++ b/tests/gateway/test_gateway.c
@@ -1,6 +1,7 @@
 #include "bulrushpost/gateway.h"
 #include "bulrushpost/hash.h"
 #include "support/gatewayfix.h"
+#include "support/rawcall.h"
 #include "support/runner.h"
 
 #include <string.h>
@@ -431,6 +432,27 @@
 	fix_stop(&f);
 }
 
+/* Guards against requests that wait unread, in a paused process or a cut off
+ * network, and run after their caller has given up. */
+static void
+test_abandoned_request_is_not_run(void)
+{
+	const char *request =
+	    "POST /s/x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab";
+	bp_rawcall_t *call;
+	fix_t f;
+
+	fix_start(&f, 1, EXECUTOR_OK, NULL);
+	call = bp_rawcall_new(f.port);
+	CU_ASSERT_TRUE(bp_rawcall_send_text(call, request));
+	bp_rawcall_free(call);
+	fix_run_ms(100);
+	CU_ASSERT_EQUAL(count_received(&f, 0), 0);
+	CU_ASSERT_EQUAL(fix_counters(&f).cancelled, 1);
+	CU_ASSERT_EQUAL(fix_counters(&f).in_flight, 0);
+	fix_stop(&f);
+}
+
 /*
  * Guards against outcomes that contradict the executors' counts: sends 300
  * non-idempotent requests to executors with random faults.
@@ -501,6 +523,7 @@
 	    {"slots", test_requests_wait_for_slots},
 	    {"shedding", test_batch_is_shed_first},
 	    {"cancelled", test_cancelled_request_ends},
+	    {"abandoned", test_abandoned_request_is_not_run},
 	    {"outcomes", test_outcomes_match_executors},
 	    CU_TEST_INFO_NULL,
 	};
--- a/tests/queues/test_jobrouter.c
+++ b/tests/queues/test_jobrouter.c
@@ -31,6 +31,7 @@
 	bp_peer_server_t *server; /* of the owner; NULL while it is down */
 	GPtrArray *unanswered; /* requests without an answer */
 	char *owner; /* address; NULL: the store knows none */
+	bp_pause_watch_t *pauses;
 	bp_job_router_t *router;
 	bp_shard_t *owned[1];
 	const attempt_t *tries;
@@ -148,7 +149,8 @@
 }
 
 static void
-setup(fixture_t *fixture, const attempt_t *tries)
+setup_with_clock(
+    fixture_t *fixture, const attempt_t *tries, const bp_clock_t *clock)
 {
 	bp_job_router_options_t options = {0};
 	bp_freshness_options_t freshness = {0};
@@ -174,7 +176,9 @@
 	membership.assigned = on_assigned;
 	fixture->membership = bp_membership_new(&membership);
 	fixture->client = bp_peer_client_new(freshness.clock, NULL);
-	options.clock = freshness.clock;
+	fixture->pauses = bp_pause_watch_new(clock);
+	options.clock = clock;
+	options.pauses = fixture->pauses;
 	options.client = fixture->client;
 	options.membership = fixture->membership;
 	options.owned = fixture->owned;
@@ -186,6 +190,12 @@
 		CU_ASSERT_TRUE(bp_wait_until(knows_owner, fixture));
 }
 
+static void
+setup(fixture_t *fixture, const attempt_t *tries)
+{
+	setup_with_clock(fixture, tries, bp_clock_system());
+}
+
 static void
 teardown(fixture_t *fixture)
 {
@@ -193,6 +203,7 @@
 	guint i;
 
 	bp_job_router_free(fixture->router);
+	bp_pause_watch_free(fixture->pauses);
 	bp_membership_free(fixture->membership);
 	bp_peer_client_free(fixture->client);
 	g_clear_pointer(&fixture->server, bp_peer_server_free);
@@ -293,6 +304,46 @@
 	teardown(&fixture);
 }
 
+/*
+ * Guards against submissions that wait in the socket of a paused process and
+ * are passed on when it resumes: the caller has given up, and may have
+ * cancelled the job at another node.
+ */
+static void
+test_a_call_read_after_a_pause_has_waited(void)
+{
+	static const attempt_t tries[ATTEMPTS_MAX] = {TRY_ACCEPTED};
+	static const struct {
+		int64_t pause_ms;
+		int64_t run_ms; /* from the end of the pause to the call */
+		bool passed_on;
+	} cases[] = {{DEADLINE_MS, 0, false}, {DEADLINE_MS, 400, false},
+	    {DEADLINE_MS - 200, 400, false}, {DEADLINE_MS, 1000, true},
+	    {DEADLINE_MS / 2, 0, true}, {0, 0, true}};
+	fixture_t fixture;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		bp_clock_virtual_t *clock = bp_clock_virtual_new(1000000);
+
+		setup_with_clock(
+		    &fixture, tries, bp_clock_virtual_clock(clock));
+		bp_clock_virtual_run_ms(clock, 1000);
+		bp_clock_virtual_advance_us(clock, cases[i].pause_ms * 1000);
+		bp_clock_virtual_run_ms(clock, cases[i].run_ms);
+		submit(&fixture, 0);
+		if (cases[i].passed_on)
+			CU_ASSERT_TRUE(bp_wait_until(is_answered, &fixture));
+		CU_ASSERT_EQUAL(fixture.answers, 1);
+		CU_ASSERT_EQUAL(fixture.outcome,
+		    cases[i].passed_on ? BP_JOB_ROUTER_OK
+				       : BP_JOB_ROUTER_NOT_RUN);
+		CU_ASSERT_EQUAL(fixture.attempts_seen, cases[i].passed_on);
+		teardown(&fixture);
+		bp_clock_virtual_free(clock);
+	}
+}
+
 static void
 on_confirmed(bool confirmed, void *data)
 {
@@ -341,6 +392,8 @@
 	CU_TestInfo tests[] = {
 	    {"only a proof refuses", test_only_a_proof_refuses},
 	    {"what was not sent", test_what_was_not_sent},
+	    {"a call read after a pause has waited",
+		test_a_call_read_after_a_pause_has_waited},
 	    {"a stop answers by what is known",
 		test_a_stop_answers_by_what_is_known},
 	    CU_TEST_INFO_NULL,
--- a/tests/queues/test_orderproxy.c
+++ b/tests/queues/test_orderproxy.c
@@ -25,6 +25,7 @@
 struct fixture {
 	manual_clock_t clock;
 	direct_t direct;
+	bp_pause_watch_t *pauses;
 	bp_order_proxy_t *proxy;
 	bp_peer_server_t *server;
 	bp_peer_client_t *client;
@@ -108,8 +109,9 @@
 	fixture->clock.now_ms = 1000000;
 	fixture->direct.interface.start = direct_start;
 	fixture->direct.interface.forget = direct_forget;
-	fixture->proxy = bp_order_proxy_new(
-	    &fixture->clock.clock, &fixture->direct.interface, "za");
+	fixture->pauses = bp_pause_watch_new(&fixture->clock.clock);
+	fixture->proxy = bp_order_proxy_new(&fixture->clock.clock,
+	    fixture->pauses, &fixture->direct.interface, "za");
 	(void)bp_peer_server_options_init(&server);
 	server.address = "127.0.0.1:0";
 	server.handler = on_request;
@@ -134,6 +136,7 @@
 	bp_peer_client_free(fixture->client);
 	bp_order_router_free(fixture->router);
 	bp_order_proxy_free(fixture->proxy);
+	bp_pause_watch_free(fixture->pauses);
 	bp_peer_server_free(fixture->server);
 	g_free(fixture->address);
 	g_free(fixture);
--- a/tests/queues/test_shard.c
+++ b/tests/queues/test_shard.c
@@ -107,6 +107,30 @@
 	finish_simulation(sim);
 }
 
+/*
+ * Guards against a submission that is delayed on its way to the owner and
+ * accepted after its cancel was answered: the job would run for nobody.
+ */
+static void
+test_a_cancel_overtakes_its_submission(void)
+{
+	bp_qrig_t *sim = start_simulation();
+	const char *other = bp_qrig_submit(sim, 1, 300, false);
+	const char *id = bp_qrig_prepare(sim, 3, 0, true);
+	Bp__Work__JobState state;
+
+	bp_qrig_run_ms(sim, 500);
+	CU_ASSERT_EQUAL(bp_qrig_status(sim, id, &state), BP_ENOTFOUND);
+	bp_qrig_cancel(sim, id);
+	bp_qrig_run_ms(sim, 2000);
+	bp_qrig_resubmit(sim, id);
+	bp_qrig_run_ms(sim, 2000);
+	CU_ASSERT_EQUAL(bp_qrig_told(sim, id), BP_QRIG_REFUSED);
+	CU_ASSERT_EQUAL(count_running(sim, id, 3), 0);
+	CU_ASSERT_EQUAL(bp_qrig_told(sim, other), BP_QRIG_ACCEPTED);
+	finish_simulation(sim);
+}
+
 /* Guards against restarts of tasks that a dead owner had started. */
 static void
 test_a_successor_adopts_what_runs(void)
@@ -965,6 +989,8 @@
 	    {"a draining executor empties", test_a_draining_executor_empties},
 	    {"label and spread bind", test_label_and_spread_bind},
 	    {"a gang gets its accelerators", test_a_gang_gets_its_accelerators},
+	    {"a cancel overtakes its submission",
+		test_a_cancel_overtakes_its_submission},
 	    {"store down refuses cancels", test_store_down_refuses_cancels},
 	    CU_TEST_INFO_NULL,
 	};
--- a/tests/support/queuerig.c
+++ b/tests/support/queuerig.c
@@ -647,6 +647,7 @@
 	case BP_ELOGDOWN:
 	case BP_ESTATE:
 	case BP_EINVALID:
+	case BP_EREFUSED:
 		return BP_QRIG_REFUSED;
 	default:
 		return BP_QRIG_UNKNOWN;
@@ -727,7 +728,7 @@
 
 /* See the header. */
 const char *
-bp_qrig_submit(bp_qrig_t *rig, uint32_t tasks, int64_t task_ms, bool lasting)
+bp_qrig_prepare(bp_qrig_t *rig, uint32_t tasks, int64_t task_ms, bool lasting)
 {
 	caller_t *caller = g_new0(caller_t, 1);
 
@@ -738,10 +739,19 @@
 	caller->shape = rig->shape;
 	g_ptr_array_add(rig->callers, caller);
 	g_hash_table_insert(rig->by_id, caller->id, caller);
-	hand_in(rig, caller);
 	return caller->id;
 }
 
+/* See the header. */
+const char *
+bp_qrig_submit(bp_qrig_t *rig, uint32_t tasks, int64_t task_ms, bool lasting)
+{
+	const char *id = bp_qrig_prepare(rig, tasks, task_ms, lasting);
+
+	hand_in(rig, find(rig, id));
+	return id;
+}
+
 /* See the header. */
 void
 bp_qrig_set_shape(bp_qrig_t *rig, const bp_qrig_shape_t *shape)
--- a/tests/support/queuerig.h
+++ b/tests/support/queuerig.h
@@ -49,7 +49,10 @@
 /* A job of two steps, the second after the first; returns its ID. */
 const char *bp_qrig_submit(
     bp_qrig_t *rig, uint32_t tasks, int64_t task_ms, bool lasting);
-/* Hands the same job in again. */
+/* Makes such a job without handing it in; returns its ID. */
+const char *bp_qrig_prepare(
+    bp_qrig_t *rig, uint32_t tasks, int64_t task_ms, bool lasting);
+/* Hands a prepared job in, or the same job again. */
 void bp_qrig_resubmit(bp_qrig_t *rig, const char *id);
 void bp_qrig_cancel(bp_qrig_t *rig, const char *id);
 bp_qrig_told_t bp_qrig_told(const bp_qrig_t *rig, const char *id);
