Queues: sums of requests have 64 bits

Cause: what runs on an executor and what a task asks for was added in 32 bits, so the sum wrapped and the executor seemed to have room. Each such start was refused, closed the executor for 0.4 s and used up starts in flight. Change: sums of 64 bits and one function that compares them with the capacity, for one task or for two; reservations and fillers had the same sums.

--- a/src/queues/shard_execs.c
+++ b/src/queues/shard_execs.c
@@ -94,8 +94,13 @@
 	uint32_t filler_milli = spec->filler ? spec->cpu_milli : 0;
 	uint32_t serving = spec->target_ms > 0;
 
-	exec->filler_milli += add ? filler_milli : -filler_milli;
-	exec->serving += add ? serving : -serving;
+	if (add) {
+		exec->filler_milli += filler_milli;
+		exec->serving += serving;
+	} else {
+		exec->filler_milli -= filler_milli;
+		exec->serving -= serving;
+	}
 	exec->slacks_stale = true;
 }
 
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -115,9 +115,10 @@
 	uint64_t ends_storing; /* of the last end that the append covers */
 	uint64_t ends_stored; /* of the last end that the store covers */
 	GPtrArray *runs; /* bp_qrun_t */
-	uint32_t cpu_used;
-	uint32_t memory_used;
-	uint32_t accelerators_used;
+	/* Sums of what its runs request, which may be up to UINT32_MAX each. */
+	uint64_t cpu_used;
+	uint64_t memory_used;
+	uint64_t accelerators_used;
 	uint32_t gang_members_placed; /* of the gang that is being placed */
 	uint32_t polls_in_flight;
 	uint32_t orders_in_flight; /* of its runs */
@@ -129,7 +130,7 @@
 	const bp_qstep_t *reserved_for; /* urgent step */
 	int64_t reserved_until_ms; /* monotonic */
 	int64_t sampled_ms; /* monotonic, of the last tail latency sample */
-	uint32_t filler_milli; /* CPU that its fillers request */
+	uint64_t filler_milli; /* CPU that its fillers request */
 	uint32_t serving; /* runs with a tail latency target */
 	GArray *slacks; /* bp_qslack_t for each serving run */
 	bool slacks_stale; /* slacks must be computed again before use */
@@ -350,6 +351,10 @@
 /* shard_score.c */
 bool bp_qstep_accepts_slow_placement(
     const bp_shard_t *shard, const bp_qstep_t *step);
+/* Returns whether an executor has capacity for so many tasks of the size; tasks
+ * that fill take no processors. */
+bool bp_qexec_has_capacity(
+    const bp_qexec_t *exec, const Bp__Work__Step *spec, uint32_t tasks);
 const char *bp_qexec_reject_reason(
     bp_qexec_t *exec, bp_qstep_t *step, const char *service);
 double bp_qexec_score(
--- a/src/queues/shard_reservations.c
+++ b/src/queues/shard_reservations.c
@@ -24,11 +24,20 @@
 	return run->task != NULL && !run->task->step->spec->lasting;
 }
 
+/* Returns the processors of an executor that a sum of requests leaves free. */
+static uint32_t
+free_cpu_of(const bp_qexec_t *exec, uint64_t used)
+{
+	return used < exec->info->cpu_milli
+	    ? exec->info->cpu_milli - (uint32_t)used
+	    : 0;
+}
+
 /* Returns the processors that are free once the short runs have ended. */
 static uint32_t
 cpu_after_short_runs(const bp_qexec_t *exec)
 {
-	uint32_t used = exec->cpu_used;
+	uint64_t used = exec->cpu_used;
 	guint i;
 
 	for (i = 0; i < exec->runs->len; i++) {
@@ -37,7 +46,7 @@
 		if (is_short(run))
 			used -= run->cpu_milli;
 	}
-	return exec->info->cpu_milli - MIN(used, exec->info->cpu_milli);
+	return free_cpu_of(exec, used);
 }
 
 static bool
@@ -66,8 +75,7 @@
 
 	for (i = 0; i < execs->len; i++) {
 		bp_qexec_t *exec = execs->pdata[i];
-		uint32_t free_cpu = exec->info->cpu_milli -
-		    MIN(exec->cpu_used, exec->info->cpu_milli);
+		uint32_t free_cpu = free_cpu_of(exec, exec->cpu_used);
 
 		if ((best == NULL || free_cpu > best_free) &&
 		    can_be_reserved(exec, step, service)) {
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -148,16 +148,6 @@
 	return NULL;
 }
 
-static bool
-has_capacity_for_two(const bp_qexec_t *exec, const Bp__Work__Step *spec)
-{
-	return exec->cpu_used + 2 * spec->cpu_milli <= exec->info->cpu_milli &&
-	    exec->memory_used + 2 * spec->memory_mib <=
-	    exec->info->memory_mib &&
-	    exec->accelerators_used + 2 * spec->accelerators <=
-	    exec->info->accelerators;
-}
-
 /*
  * Returns a quarantined executor for a long-running task that has waited and
  * that no other executor can take, NULL for none. The attempts of long-running
@@ -215,7 +205,7 @@
 			break;
 		why = bp_qexec_reject_reason(exec, task->step, round->service);
 		if (why == NULL && round->needs_spare &&
-		    !has_capacity_for_two(exec, task->step->spec))
+		    !bp_qexec_has_capacity(exec, task->step->spec, 2))
 			why = "no_capacity";
 		if (why != NULL) {
 			if (strcmp(why, "service") != 0)
@@ -377,7 +367,7 @@
 		if (exec->start_limiter != NULL &&
 		    bp_qstart_limiter_full(exec->start_limiter, false) &&
 		    exclusion_reason(exec, round->now_ms) == NULL &&
-		    has_capacity_for_two(exec, step->spec) &&
+		    bp_qexec_has_capacity(exec, step->spec, 2) &&
 		    bp_qexec_reject_reason(exec, step, round->service) == NULL)
 			return true;
 	}
--- a/src/queues/shard_score.c
+++ b/src/queues/shard_score.c
@@ -31,7 +31,7 @@
 fillers_fit(const bp_qexec_t *exec, const Bp__Work__Step *spec)
 {
 	uint64_t busy = exec->serving > 0
-	    ? (uint64_t)exec->cpu_used * SERVING_USE_PERCENT / 100
+	    ? exec->cpu_used * SERVING_USE_PERCENT / 100
 	    : exec->cpu_used;
 
 	return busy + exec->filler_milli + spec->cpu_milli <=
@@ -57,6 +57,22 @@
 	    : FILLER_SPEED_MIN;
 }
 
+/* See the header. */
+bool
+bp_qexec_has_capacity(
+    const bp_qexec_t *exec, const Bp__Work__Step *spec, uint32_t tasks)
+{
+	const bp_executor_info_t *info = exec->info;
+	uint64_t cpu = spec->filler ? 0 : spec->cpu_milli;
+	uint64_t memory = spec->memory_mib;
+	uint64_t accelerators = spec->accelerators;
+
+	return exec->cpu_used + cpu * tasks <= info->cpu_milli &&
+	    exec->memory_used + memory * tasks <= info->memory_mib &&
+	    exec->accelerators_used + accelerators * tasks <=
+	    info->accelerators;
+}
+
 /*
  * Returns why an executor cannot take a task of the step, a static string, or
  * NULL when it can. service is that of the step's queue.
@@ -65,7 +81,6 @@
 bp_qexec_reject_reason(bp_qexec_t *exec, bp_qstep_t *step, const char *service)
 {
 	const Bp__Work__Step *spec = step->spec;
-	uint32_t cpu = spec->filler ? 0 : spec->cpu_milli;
 	uint32_t here = exec->gang_members_placed;
 	guint i;
 
@@ -75,10 +90,7 @@
 	    !g_strv_contains(
 		(const char *const *)exec->info->labels, spec->label))
 		return "label";
-	if (exec->cpu_used + cpu > exec->info->cpu_milli ||
-	    exec->memory_used + spec->memory_mib > exec->info->memory_mib ||
-	    exec->accelerators_used + spec->accelerators >
-		exec->info->accelerators)
+	if (!bp_qexec_has_capacity(exec, spec, 1))
 		return "no_capacity";
 	if (bp_qexec_reserved_from(exec, step))
 		return "kept";
@@ -105,7 +117,7 @@
 static double
 filler_score(bp_qexec_t *exec, bp_qstep_t *step)
 {
-	double score = SCALE * (exec->filler_milli + exec->cpu_used) /
+	double score = SCALE * (double)(exec->filler_milli + exec->cpu_used) /
 	    MAX(exec->info->cpu_milli, 1);
 
 	return exec->serving > 0
@@ -145,8 +157,8 @@
 bp_qexec_score(bp_qexec_t *exec, const bp_qtask_t *task, const char *rack)
 {
 	const Bp__Work__Step *spec = task->step->spec;
-	double free_cpu =
-	    (double)exec->info->cpu_milli - exec->cpu_used - spec->cpu_milli;
+	double free_cpu = (double)exec->info->cpu_milli -
+	    (double)exec->cpu_used - spec->cpu_milli;
 	double score;
 
 	if (spec->filler)
--- a/tests/queues/test_waiting.c
+++ b/tests/queues/test_waiting.c
@@ -236,6 +236,57 @@
 	finish_simulation(sim);
 }
 
+#define BATCH_JOBS 8
+
+/*
+ * Guards against sums of requests that wrap: a job that asks for more than any
+ * executor has would seem to fit beside what runs there, be started in vain
+ * again and again, and use up the starts of all other jobs.
+ */
+static void
+test_a_request_of_any_size_starts_nothing(void)
+{
+	static const uint32_t sizes[] = {UINT32_MAX, UINT32_MAX - 999,
+	    UINT32_MAX - 3999, (uint32_t)1 << 31, ((uint32_t)1 << 31) - 2000};
+	bp_qrig_shape_t sound = {.reliable = true, .cpu_milli = 1000};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		bp_qrig_shape_t poison = {.cpu_milli = sizes[i]};
+		bp_qrig_t *sim = start_simulation(6);
+		const char *ids[BATCH_JOBS];
+		const char *poisoned[2];
+		uint32_t k;
+
+		bp_qrig_set_shape(sim, &sound);
+		(void)bp_qrig_submit(sim, 12, 0, true);
+		bp_qrig_run_ms(sim, 1000);
+		bp_qrig_set_shape(sim, &poison);
+		poisoned[0] = bp_qrig_submit(sim, 36, 1000, false);
+		poisoned[1] = bp_qrig_submit(sim, 36, 0, true);
+		sound.priority = 1;
+		bp_qrig_set_shape(sim, &sound);
+		for (k = 0; k < BATCH_JOBS; k++)
+			ids[k] = bp_qrig_submit(sim, 2, 300, false);
+		bp_qrig_run_ms(sim, 3000);
+		for (k = 0; k < BATCH_JOBS; k++) {
+			char *task = g_strdup_printf("%s.0.0.1", ids[k]);
+
+			CU_ASSERT_TRUE(
+			    bp_qfleet_has_done(bp_qrig_fleet(sim), task));
+			g_free(task);
+		}
+		for (k = 0; k < G_N_ELEMENTS(poisoned); k++) {
+			char *task = g_strdup_printf("%s.0.0.0", poisoned[k]);
+
+			CU_ASSERT_EQUAL(
+			    bp_qfleet_starts_of(bp_qrig_fleet(sim), task), 0);
+			g_free(task);
+		}
+		finish_simulation(sim);
+	}
+}
+
 #define RESTART_PERIOD_MS 2000
 #define RESTARTS 12
 
@@ -386,6 +437,8 @@
 		test_what_lasts_and_fails_comes_back},
 	    {"a hopeless job holds no executors",
 		test_a_hopeless_job_holds_no_executors},
+	    {"a request of any size starts nothing",
+		test_a_request_of_any_size_starts_nothing},
 	    {"what lasts comes back while owners roll",
 		test_long_running_tasks_return_during_rolling_restart},
 	    {"what lasts comes back beside a rush",
--- a/tests/support/queuefleet.c
+++ b/tests/support/queuefleet.c
@@ -264,7 +264,7 @@
 {
 	bp_qfleet_t *fleet = exec->fleet;
 	const char *why = fleet->world.forbidden(task, fleet->world.data);
-	uint32_t used = cpu_milli;
+	uint64_t used = cpu_milli;
 	guint i;
 
 	if (why != NULL)
