Queues: an executor gets work by the entry of its own life only

Cause: a poll tells of a new life, the list of its kind 0.4 s later; the two were not compared. Change: no work while the entry and the last answer name different starts of the executor, with the reason "restarted"; checked again before a planned start is sent. Zone, service and capacity are covered, too.

--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -340,6 +340,9 @@
 		return "executor_silent";
 	if (!exec->answered_this_epoch || exec->clock_at_ms == 0)
 		return "census";
+	/* Service, zone, labels and capacity may be those of another life. */
+	if (exec->info->born_ms != exec->born_ms)
+		return "restarted";
 	if (!exec->recorded_in_epoch)
 		return "not_recorded";
 	if (bp_qexec_has_unconfirmed_start(exec))
--- a/src/queues/shard_why.c
+++ b/src/queues/shard_why.c
@@ -31,6 +31,9 @@
     {"not_recorded",
 	"waits: the store has not recorded yet that the executor is used"},
     {"executor_silent", "waits: the executor does not answer"},
+    {"restarted",
+	"waits: the executor has restarted, and its entry in the list is not "
+	"of this life"},
     {"quarantined", "waits: runs fail repeatedly on the executor"},
     {"no_room", "waits: the executor refused a start for lack of capacity"},
     {"unhealthy", "waits: the executor refuses orders or is unreachable"},
--- a/tests/queues/test_shard.c
+++ b/tests/queues/test_shard.c
@@ -889,6 +889,39 @@
 	finish_simulation(sim);
 }
 
+/*
+ * Guards against starts by the entry of an earlier life: an executor that
+ * restarts may be of another kind, which the list shows later than its answers.
+ */
+static void
+test_a_new_life_gets_nothing_by_an_old_entry(void)
+{
+	const bp_qrig_shape_t label = {.label = "first"};
+	int64_t delay_ms;
+
+	for (delay_ms = 0; delay_ms < 400; delay_ms += 40) {
+		bp_qrig_t *sim = start_simulation();
+		bp_qfleet_t *fleet = bp_qrig_fleet(sim);
+		uint32_t starts;
+		const char *id;
+
+		bp_qrig_set_shape(sim, &label);
+		id = bp_qrig_submit(sim, 3, 0, true);
+		bp_qrig_run_ms(sim, 1000 + delay_ms);
+		CU_ASSERT_EQUAL(bp_qfleet_running_on(fleet, 0, id), 3);
+		starts = bp_qfleet_starts(fleet);
+		bp_qfleet_set_kind(fleet, 0, "other");
+		bp_qfleet_crash(fleet, 0);
+		bp_qrig_run_ms(sim, 4000);
+		CU_ASSERT_EQUAL(bp_qfleet_starts(fleet), starts);
+		bp_qfleet_set_kind(fleet, 0, "first");
+		bp_qfleet_crash(fleet, 0);
+		bp_qrig_run_ms(sim, 4000);
+		CU_ASSERT_EQUAL(bp_qfleet_running_on(fleet, 0, id), 3);
+		finish_simulation(sim);
+	}
+}
+
 /* A gang starts only as a whole, with the accelerators of all its members. */
 static void
 test_a_gang_gets_its_accelerators(void)
@@ -988,6 +1021,8 @@
 		test_a_leaving_executor_drops_what_is_planned},
 	    {"a draining executor empties", test_a_draining_executor_empties},
 	    {"label and spread bind", test_label_and_spread_bind},
+	    {"a new life gets nothing by an old entry",
+		test_a_new_life_gets_nothing_by_an_old_entry},
 	    {"a gang gets its accelerators", test_a_gang_gets_its_accelerators},
 	    {"a cancel overtakes its submission",
 		test_a_cancel_overtakes_its_submission},
--- a/tests/support/queuefleet.c
+++ b/tests/support/queuefleet.c
@@ -50,6 +50,8 @@
 	bool draining;
 	bool unlisted;
 	const char *service; /* static */
+	const char *kind; /* static, a label */
+	const char *next_kind; /* of its later lives */
 	uint32_t losing; /* answers that will be lost */
 	uint32_t slow_ms; /* until a start is answered */
 	GPtrArray *waiting; /* call_t of polls that wait */
@@ -742,6 +744,8 @@
 		exec->fleet = fleet;
 		exec->index = i;
 		exec->service = "pool";
+		exec->kind = i == 0 ? "first" : "other";
+		exec->next_kind = exec->kind;
 		exec->running = g_ptr_array_new_with_free_func(run_free);
 		exec->ended = g_ptr_array_new_with_free_func(end_free);
 		exec->waiting = g_ptr_array_new();
@@ -835,8 +839,8 @@
 	info->service = g_strdup(exec->service);
 	info->zone = g_strdup(index % 2 == 0 ? "za" : "zb");
 	info->rack = g_strdup_printf("r%u", index / RACK_SIZE);
-	info->labels = g_strdupv(
-	    (char *[]){index == 0 ? "first" : "other", info->rack, NULL});
+	info->labels =
+	    g_strdupv((char *[]){(char *)exec->kind, info->rack, NULL});
 	info->accelerators = ACCELERATORS;
 	info->draining = exec->draining;
 	info->cpu_milli = CPU_MILLI;
@@ -872,6 +876,7 @@
 	exec_t *exec = data;
 
 	exec_reset(exec);
+	exec->kind = exec->next_kind;
 	exec->dead = false;
 	return G_SOURCE_REMOVE;
 }
@@ -890,6 +895,13 @@
 	bp_clock_add_timer(clock_of(fleet), REBIRTH_MS, on_reborn, exec);
 }
 
+/* See the header. */
+void
+bp_qfleet_set_kind(bp_qfleet_t *fleet, uint32_t index, const char *kind)
+{
+	((exec_t *)fleet->execs->pdata[index])->next_kind = kind;
+}
+
 /* See the header. */
 void
 bp_qfleet_set_listed(bp_qfleet_t *fleet, uint32_t index, bool listed)
--- a/tests/support/queuefleet.h
+++ b/tests/support/queuefleet.h
@@ -47,6 +47,8 @@
 void bp_qfleet_lose_answers(
     bp_qfleet_t *fleet, uint32_t index, uint32_t answers);
 void bp_qfleet_crash(bp_qfleet_t *fleet, uint32_t index);
+/* The kind of its later lives, a static label. */
+void bp_qfleet_set_kind(bp_qfleet_t *fleet, uint32_t index, const char *kind);
 /* Its entry leaves the list, or returns; the executor goes on. */
 void bp_qfleet_set_listed(bp_qfleet_t *fleet, uint32_t index, bool listed);
 bool bp_qfleet_is_listed(const bp_qfleet_t *fleet, uint32_t index);
