Queues: a new owner asks earlier owners whether they still send orders

Cause: a task that may run on a silent executor waits for 10.3 s from the takeover, of which 4 s stand for orders that the owner before may still send, though it is dead. Change: the new owner asks the nodes of all earlier owners that may send orders; once they say that they have stopped, only the last lease has to expire. The owner record names these owners, for successors in quick succession. No answer, or a record of an earlier release, proves nothing.

--- a/include/bulrushpost/shard.h
+++ b/include/bulrushpost/shard.h
@@ -47,6 +47,10 @@
 	bp_shard_limits_t limits;
 	/* Monotonic; when the join that assigned the shard was sent. */
 	int64_t membership_confirmed_ms;
+	/* Asks the node at the address whether it may still send orders as an
+	 * earlier owner of the shard; bp_shard_owner_stopped() tells it. May be
+	 * NULL. */
+	void (*ask_owner)(bp_shard_t *shard, const char *address, void *data);
 	/* A later epoch owns the shard. Called once, from the event loop. */
 	void (*lost)(bp_shard_t *shard, void *data);
 	/* The epoch was claimed; list all executors from the start. */
@@ -76,6 +80,7 @@
 /* Pending calls are answered with BP_EUNKNOWN. NULL is allowed. */
 void bp_shard_free(bp_shard_t *shard);
 uint32_t bp_shard_number(const bp_shard_t *shard);
+uint64_t bp_shard_epoch(const bp_shard_t *shard);
 bool bp_shard_ready(const bp_shard_t *shard);
 /* Stops all starts; pending records are still written. */
 void bp_shard_release(bp_shard_t *shard);
@@ -89,6 +94,13 @@
  */
 bool bp_shard_confirm_membership(bp_shard_t *shard, int64_t sent_mono_ms);
 
+/*
+ * The node at the address has said, after the shard was claimed, that it has
+ * sent no orders as an earlier owner since stopped_ms (mono).
+ */
+void bp_shard_owner_stopped(
+    bp_shard_t *shard, const char *address, int64_t stopped_ms);
+
 void bp_shard_set_catalog(bp_shard_t *shard, const bp_catalog_t *catalog);
 void bp_shard_set_zone(bp_shard_t *shard, const char *zone, bool out);
 void bp_shard_update_executor(
--- a/src/node/control.c
+++ b/src/node/control.c
@@ -62,6 +62,7 @@
 	case BP__PEER__VERB__VERB_QUEUE_COUNT:
 	case BP__PEER__VERB__VERB_QUEUE_ORDER:
 	case BP__PEER__VERB__VERB_QUEUE_HELLO:
+	case BP__PEER__VERB__VERB_QUEUE_OWNER:
 		/* Nodes with the service queues answer these. */
 	case BP__PEER__VERB__VERB_UNSPECIFIED:
 	case _BP__PEER__VERB_IS_INT_SIZE:
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -181,7 +181,7 @@
   (ProtobufCMessageInit) bp__peer__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue bp__peer__verb__enum_values_by_number[23] =
+static const ProtobufCEnumValue bp__peer__verb__enum_values_by_number[24] =
 {
   { "VERB_UNSPECIFIED", "BP__PEER__VERB__VERB_UNSPECIFIED", 0 },
   { "VERB_STATE", "BP__PEER__VERB__VERB_STATE", 1 },
@@ -206,11 +206,12 @@
   { "VERB_QUEUE_COUNT", "BP__PEER__VERB__VERB_QUEUE_COUNT", 20 },
   { "VERB_QUEUE_ORDER", "BP__PEER__VERB__VERB_QUEUE_ORDER", 21 },
   { "VERB_QUEUE_HELLO", "BP__PEER__VERB__VERB_QUEUE_HELLO", 22 },
+  { "VERB_QUEUE_OWNER", "BP__PEER__VERB__VERB_QUEUE_OWNER", 23 },
 };
 static const ProtobufCIntRange bp__peer__verb__value_ranges[] = {
-{0, 0},{0, 23}
+{0, 0},{0, 24}
 };
-static const ProtobufCEnumValueIndex bp__peer__verb__enum_values_by_name[23] =
+static const ProtobufCEnumValueIndex bp__peer__verb__enum_values_by_name[24] =
 {
   { "VERB_JOB_CANCEL", 14 },
   { "VERB_JOB_LIST", 15 },
@@ -222,6 +223,7 @@
   { "VERB_QUEUE_COUNT", 20 },
   { "VERB_QUEUE_HELLO", 22 },
   { "VERB_QUEUE_ORDER", 21 },
+  { "VERB_QUEUE_OWNER", 23 },
   { "VERB_QUEUE_STATUS", 18 },
   { "VERB_QUEUE_SUBMIT", 17 },
   { "VERB_RULES_CHECK", 8 },
@@ -243,9 +245,9 @@
   "Verb",
   "Bp__Peer__Verb",
   "bp.peer",
-  23,
+  24,
   bp__peer__verb__enum_values_by_number,
-  23,
+  24,
   bp__peer__verb__enum_values_by_name,
   1,
   bp__peer__verb__value_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -108,9 +108,17 @@
    */
   BP__PEER__VERB__VERB_QUEUE_ORDER = 21,
   /*
-   * args: control address and zone of a live node
+   * args: control address and zone of a live node, shard,
    */
-  BP__PEER__VERB__VERB_QUEUE_HELLO = 22
+  BP__PEER__VERB__VERB_QUEUE_HELLO = 22,
+  /*
+   * preferred|standby, processors in thousandths;
+   * answer: args "owner" from the shard's owner
+   */
+  /*
+   * args: shard; answer: args "owner", or "stopped" and for how
+   */
+  BP__PEER__VERB__VERB_QUEUE_OWNER = 23
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BP__PEER__VERB)
 } Bp__Peer__Verb;
 
--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -1245,7 +1245,7 @@
   (ProtobufCMessageInit) bp__work__progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__work__owner__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bp__work__owner__field_descriptors[5] =
 {
   {
     "epoch",
@@ -1283,16 +1283,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "earlier",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bp__Work__Owner, n_earlier),
+    offsetof(Bp__Work__Owner, earlier),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "earlier_known",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Owner, earlier_known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__work__owner__field_indices_by_name[] = {
   2,   /* field[2] = address */
+  3,   /* field[3] = earlier */
+  4,   /* field[4] = earlier_known */
   0,   /* field[0] = epoch */
   1,   /* field[1] = node */
 };
 static const ProtobufCIntRange bp__work__owner__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bp__work__owner__descriptor =
 {
@@ -1302,7 +1328,7 @@
   "Bp__Work__Owner",
   "bp.work",
   sizeof(Bp__Work__Owner),
-  3,
+  5,
   bp__work__owner__field_descriptors,
   bp__work__owner__field_indices_by_name,
   1,  bp__work__owner__number_ranges,
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -205,10 +205,19 @@
   uint64_t epoch;
   char *node;
   char *address;
+  /*
+   * addresses of earlier owners that may still send orders
+   */
+  size_t n_earlier;
+  char **earlier;
+  /*
+   * the list is complete
+   */
+  protobuf_c_boolean earlier_known;
 };
 #define BP__WORK__OWNER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__work__owner__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0 }
 
 
 /*
--- a/src/queues/ownedshards.c
+++ b/src/queues/ownedshards.c
@@ -1,5 +1,7 @@
 #include "queues/ownedshards.h"
 
+#include <string.h>
+
 /* Delay before a shard that was lost to a later epoch is claimed again. */
 #define CLAIM_BACKOFF_MS 1000
 
@@ -8,6 +10,8 @@
 	bp_shard_t **owned;
 	uint32_t count; /* of shards */
 	int64_t *backoff_until_ms; /* mono, by shard */
+	/* Mono, by shard: when this process last stopped owning it. */
+	int64_t *stopped_ms;
 	const bp_catalog_t *catalog;
 	GHashTable *zones_out; /* set of zones that are out of service */
 	bool released;
@@ -18,6 +22,8 @@
 bp_owned_shards_new(const bp_owned_shards_options_t *options)
 {
 	bp_owned_shards_t *self = g_new0(bp_owned_shards_t, 1);
+	int64_t now_ms = bp_clock_mono_ms(options->clock);
+	uint32_t i;
 
 	self->options = *options;
 	self->count = bp_sharding_count(options->sharding);
@@ -25,6 +31,10 @@
 	    g_new0(bp_shard_t *, bp_sharding_count(options->sharding));
 	self->backoff_until_ms =
 	    g_new0(int64_t, bp_sharding_count(options->sharding));
+	self->stopped_ms =
+	    g_new0(int64_t, bp_sharding_count(options->sharding));
+	for (i = 0; i < self->count; i++)
+		self->stopped_ms[i] = now_ms;
 	self->zones_out =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return self;
@@ -43,6 +53,7 @@
 	g_hash_table_unref(self->zones_out);
 	g_free(self->owned);
 	g_free(self->backoff_until_ms);
+	g_free(self->stopped_ms);
 	g_free(self);
 }
 
@@ -62,6 +73,7 @@
 
 	self->owned[number] = NULL;
 	bp_shard_free(shard);
+	self->stopped_ms[number] = bp_clock_mono_ms(self->options.clock);
 	for (i = 0; i < self->count; i++)
 		owner = owner || self->owned[i] != NULL;
 	self->options.watch_executors(owner, self->options.data);
@@ -88,6 +100,43 @@
 	self->options.watch_executors(true, self->options.data);
 }
 
+/* An earlier owner at this address was this process, or one that has ended. */
+static void
+on_ask_owner(bp_shard_t *shard, const char *address, void *data)
+{
+	bp_owned_shards_t *self = data;
+	uint32_t number = bp_shard_number(shard);
+
+	if (strcmp(address, self->options.address) == 0)
+		bp_shard_owner_stopped(
+		    shard, address, self->stopped_ms[number]);
+	else if (self->options.ask_owner != NULL)
+		self->options.ask_owner(
+		    address, number, bp_shard_epoch(shard), self->options.data);
+}
+
+/* See the header. */
+bool
+bp_owned_shards_stopped(
+    const bp_owned_shards_t *self, uint32_t number, int64_t *stopped_ms)
+{
+	if (self->owned[number] != NULL)
+		return false;
+	*stopped_ms = self->stopped_ms[number];
+	return true;
+}
+
+/* See the header. */
+void
+bp_owned_shards_owner_stopped(bp_owned_shards_t *self, const char *address,
+    uint32_t number, uint64_t epoch, int64_t stopped_ms)
+{
+	bp_shard_t *shard = self->owned[number];
+
+	if (shard != NULL && bp_shard_epoch(shard) == epoch)
+		bp_shard_owner_stopped(shard, address, stopped_ms);
+}
+
 static void
 on_unfit(bp_shard_t *shard, bp_shard_unfit_t why, void *data)
 {
@@ -116,6 +165,7 @@
 	options.number = number;
 	options.limits = from->limits;
 	options.membership_confirmed_ms = sent_mono_ms;
+	options.ask_owner = on_ask_owner;
 	options.lost = on_lost;
 	options.owned = on_owned;
 	options.unfit = on_unfit;
--- a/src/queues/ownedshards.h
+++ b/src/queues/ownedshards.h
@@ -23,6 +23,11 @@
 	bp_shard_limits_t limits;
 	/* Starts to read the whole list of executors, or stops reading it. */
 	void (*watch_executors)(bool follow, void *data);
+	/* Asks the node at the address whether it may still send orders as an
+	 * owner of the shard before the epoch. Its answer is passed to
+	 * bp_owned_shards_owner_stopped(). May be NULL. */
+	void (*ask_owner)(
+	    const char *address, uint32_t number, uint64_t epoch, void *data);
 	/* This node cannot do an owner's work; another one is to own. */
 	void (*unfit)(bp_shard_unfit_t why, void *data);
 	void *data;
@@ -38,6 +43,13 @@
  * shard i is assigned to this node. */
 void bp_owned_shards_set_assigned(
     bp_owned_shards_t *self, const bool *shards, int64_t sent_mono_ms);
+/* Returns whether this node sends no orders as the owner of a shard, and sets
+ * *stopped_ms to since when (mono). */
+bool bp_owned_shards_stopped(
+    const bp_owned_shards_t *self, uint32_t number, int64_t *stopped_ms);
+/* The node at the address was asked for the epoch, and has stopped. */
+void bp_owned_shards_owner_stopped(bp_owned_shards_t *self, const char *address,
+    uint32_t number, uint64_t epoch, int64_t stopped_ms);
 /* Releases all shards: nothing is started any more, but pending records are
  * still written. */
 void bp_owned_shards_release(bp_owned_shards_t *self);
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -376,6 +376,7 @@
 	options.limits.status_keep_s = queues->status_keep_s;
 	options.limits.quarantine_failures = queues->quarantine_failures;
 	options.watch_executors = on_watch_executors;
+	options.ask_owner = bp_queuenode_ask_owner;
 	options.unfit = on_unfit;
 	options.data = node;
 	node->shards = bp_owned_shards_new(&options);
--- a/src/queues/queuenode_private.h
+++ b/src/queues/queuenode_private.h
@@ -16,6 +16,8 @@
 #define BP_QUEUENODE_PREFERRED "preferred"
 #define BP_QUEUENODE_STANDBY "standby"
 #define BP_QUEUENODE_OWNS "owner"
+/* In the answer of an earlier owner: it sends no orders any more. */
+#define BP_QUEUENODE_STOPPED "stopped"
 
 typedef struct bp_queuenode bp_queuenode_t;
 
@@ -68,4 +70,11 @@
 /* queuenode_metrics.c: sets the gauges; data is the node. */
 void bp_queuenode_collect(bp_metrics_t *metrics, void *data);
 
+/* Asks the node at the address whether it may still send orders as an owner of
+ * the shard before the epoch; data is the bp_queuenode_t. */
+void bp_queuenode_ask_owner(
+    const char *address, uint32_t number, uint64_t epoch, void *data);
+/* Answers that question of another node. */
+void bp_queuenode_serve_owner(bp_queuenode_t *node, bp_peer_request_t *request);
+
 #endif
--- a/src/queues/queuenode_verbs.c
+++ b/src/queues/queuenode_verbs.c
@@ -192,6 +192,9 @@
 	case BP__PEER__VERB__VERB_QUEUE_HELLO:
 		serve_heartbeat(node, request);
 		return;
+	case BP__PEER__VERB__VERB_QUEUE_OWNER:
+		bp_queuenode_serve_owner(node, request);
+		return;
 	case BP__PEER__VERB__VERB_WHY:
 		serve_why(node, request);
 		return;
--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -219,6 +219,7 @@
 		return G_SOURCE_CONTINUE;
 	bp_shard_check_leases(shard);
 	bp_shard_check_fitness(shard);
+	bp_shard_ask_predecessors(shard);
 	bp_shard_check_reconciliation(shard);
 	if (shard->ticks % FIT_TICKS == 0)
 		bp_filler_model_fit(shard->filler_model);
@@ -260,6 +261,7 @@
 	shard->active_jobs = g_ptr_array_new();
 	shard->dirty_jobs = g_ptr_array_new();
 	shard->new_jobs = g_ptr_array_new();
+	shard->predecessors = bp_shard_predecessors_new();
 	shard->cancelled_ids = bp_cancelled_ids_new();
 	shard->deleted_keys = g_ptr_array_new_with_free_func(g_free);
 	shard->in_flight =
@@ -315,6 +317,7 @@
 	g_ptr_array_unref(shard->active_jobs);
 	g_ptr_array_unref(shard->dirty_jobs);
 	g_ptr_array_unref(shard->new_jobs);
+	g_ptr_array_unref(shard->predecessors);
 	bp_cancelled_ids_free(shard->cancelled_ids);
 	g_ptr_array_unref(shard->deleted_keys);
 	g_array_unref(shard->in_flight);
@@ -328,6 +331,13 @@
 	return shard->options.number;
 }
 
+/* Returns the epoch that was claimed or is being claimed. */
+uint64_t
+bp_shard_epoch(const bp_shard_t *shard)
+{
+	return shard->epoch;
+}
+
 /* Returns whether the shard's state is loaded and it accepts calls. */
 bool
 bp_shard_ready(const bp_shard_t *shard)
--- a/src/queues/shard_load.c
+++ b/src/queues/shard_load.c
@@ -104,9 +104,9 @@
 	bp__work__holder__free_unpacked(holder, NULL);
 }
 
-/* Returns the epoch of the last owner, 0 for none. */
+/* Reads the record of the last owner; returns its epoch, 0 for none. */
 uint64_t
-bp_shard_last_epoch(const bp_shard_t *shard)
+bp_shard_load_owner(bp_shard_t *shard)
 {
 	const bp_store_record_t *record =
 	    g_hash_table_lookup(shard->loaded_records, BP_SHARD_KEY_OWNER);
@@ -115,15 +115,18 @@
 	gsize size = 0;
 	const uint8_t *bytes;
 
+	bp_shard_load_predecessors(shard, NULL);
 	if (record == NULL || record->value == NULL)
 		return 0;
 	bytes = g_bytes_get_data(record->value, &size);
 	owner = bp__work__owner__unpack(NULL, size, bytes);
 	if (owner == NULL) {
 		log_unreadable(shard, record->key);
+		shard->predecessors_known = false;
 		return 0;
 	}
 	epoch = owner->epoch;
+	bp_shard_load_predecessors(shard, owner);
 	bp__work__owner__free_unpacked(owner, NULL);
 	return epoch;
 }
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -209,6 +209,13 @@
 	GHashTable *polls; /* contexts of polls in flight */
 	GHashTable *throttles; /* contexts of throttle orders in flight */
 	int64_t owned_ms; /* monotonic, when the epoch was claimed */
+	GPtrArray *predecessors; /* earlier owners; see shard_predecessors.c */
+	bool predecessors_known; /* the list is complete */
+	bool orders_stopped; /* no earlier owner sends orders any more */
+	int64_t orders_stopped_ms; /* monotonic, since when */
+	int64_t asked_ms; /* monotonic, when earlier owners were last asked */
+	bool owner_record_due; /* the next append holds the owner record */
+	bool owner_record_in_flight;
 	int64_t claim_sent_ms; /* monotonic */
 	bool epoch_check_wanted; /* append a record to verify the epoch */
 	int64_t confirmed_ms; /* monotonic, of the last confirmed membership */
@@ -260,6 +267,14 @@
 bool bp_qexec_wait_record_due(const bp_qexec_t *exec);
 void bp_shard_check_reconciliation(bp_shard_t *shard);
 
+/* shard_predecessors.c */
+GPtrArray *bp_shard_predecessors_new(void);
+void bp_shard_load_predecessors(
+    bp_shard_t *shard, const Bp__Work__Owner *previous);
+void bp_shard_store_predecessors(
+    const bp_shard_t *shard, Bp__Work__Owner *owner);
+void bp_shard_ask_predecessors(bp_shard_t *shard);
+
 /* shard_summary.c */
 void bp_shard_log_summary(bp_shard_t *shard);
 
@@ -280,7 +295,7 @@
 void bp_shard_drop_exec(bp_shard_t *shard, bp_qexec_t *exec);
 
 /* shard_load.c */
-uint64_t bp_shard_last_epoch(const bp_shard_t *shard);
+uint64_t bp_shard_load_owner(bp_shard_t *shard);
 void bp_shard_load(bp_shard_t *shard);
 
 /* shard_execs.c */
--- a/src/queues/shard_reconcile.c
+++ b/src/queues/shard_reconcile.c
@@ -14,6 +14,34 @@
 /* Period of storing the wait for unresponsive executors. */
 #define WAIT_STORE_PERIOD_MS 1000
 
+/* Returns how much of the grace earlier owners can no longer use, in ms. */
+static int64_t
+passed_grace_ms(const bp_shard_t *shard)
+{
+	return shard->orders_stopped
+	    ? BP_SHARD_ORDER_GRACE_MS
+	    : MIN(bp_shard_now_ms(shard) - shard->owned_ms,
+		  BP_SHARD_ORDER_GRACE_MS);
+}
+
+/*
+ * Returns how much of LEASE_EXPIRY_WAIT_MS has passed for an executor that has
+ * not answered this owner. Once all earlier owners have stopped sending orders,
+ * only the last lease that they may have granted has to expire.
+ */
+static int64_t
+earlier_leases_wait_ms(const bp_qexec_t *exec)
+{
+	const bp_shard_t *shard = exec->shard;
+	int64_t now_ms = bp_shard_now_ms(shard);
+	int64_t wait_ms = exec->earlier_wait_ms + now_ms - shard->owned_ms;
+
+	return shard->orders_stopped
+	    ? MAX(wait_ms,
+		  BP_SHARD_ORDER_GRACE_MS + now_ms - shard->orders_stopped_ms)
+	    : wait_ms;
+}
+
 /*
  * Returns how much of LEASE_EXPIRY_WAIT_MS has passed for an executor, in ms.
  * One that has answered this owner has obeyed no earlier owner since, and the
@@ -25,15 +53,13 @@
 bp_qexec_lease_wait_ms(const bp_qexec_t *exec)
 {
 	const bp_shard_t *shard = exec->shard;
-	int64_t now_ms = bp_shard_now_ms(shard);
-	int64_t owned_ms = now_ms - shard->owned_ms;
 
 	if (!exec->answered_this_epoch)
-		return exec->earlier_wait_ms + owned_ms;
+		return earlier_leases_wait_ms(exec);
 	if (!exec->unresponsive)
 		return 0;
-	return now_ms - exec->ordered_ms +
-	    MIN(owned_ms, BP_SHARD_ORDER_GRACE_MS);
+	return bp_shard_now_ms(shard) - exec->ordered_ms +
+	    passed_grace_ms(shard);
 }
 
 /*
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -177,7 +177,9 @@
 	owner.epoch = shard->epoch;
 	owner.node = (char *)shard->options.node;
 	owner.address = (char *)shard->options.address;
+	bp_shard_store_predecessors(shard, &owner);
 	bytes = bp_message_pack(&owner.base);
+	g_free(owner.earlier);
 	record = bp_store_record_new_bytes(BP_SHARD_KEY_OWNER, bytes);
 	g_bytes_unref(bytes);
 	return record;
@@ -265,8 +267,12 @@
 		add_record(records, "", shard->deleted_keys->pdata[i], NULL);
 	g_ptr_array_set_size(shard->deleted_keys, 0);
 	add_filler_model_record(shard, records);
-	if (records->len == 0 && shard->epoch_check_wanted)
+	if (shard->owner_record_due ||
+	    (records->len == 0 && shard->epoch_check_wanted)) {
 		g_ptr_array_add(records, bp_shard_owner_record(shard));
+		shard->owner_record_in_flight = shard->owner_record_due;
+		shard->owner_record_due = false;
+	}
 	shard->epoch_check_wanted = false;
 	if (shard->new_jobs->len > 0 || shard->dirty_jobs->len > 0)
 		bp_record_writer_request(
@@ -431,6 +437,9 @@
 			on_job_refused(shard, sent, &refused);
 	}
 	g_array_unref(batch);
+	if (shard->owner_record_in_flight && !stored)
+		shard->owner_record_due = true;
+	shard->owner_record_in_flight = false;
 	on_exec_records(shard, stored);
 	if (stored)
 		bp_shard_plan_round(shard, 0);
--- a/src/queues/shard_takeover.c
+++ b/src/queues/shard_takeover.c
@@ -75,6 +75,7 @@
 	bp_log(shard->options.logger, BP_LOG_NOTICE, BP_SHARD_MODULE,
 	    "owns the shard", "epoch", epoch, "jobs", jobs, NULL);
 	poll_recorded_executors(shard);
+	bp_shard_ask_predecessors(shard);
 	shard->options.owned(shard, shard->options.data);
 	bp_shard_check_reconciliation(shard);
 }
@@ -151,7 +152,7 @@
 		return;
 	}
 	shard->phase = BP_SHARD_CLAIMING;
-	shard->epoch = bp_shard_last_epoch(shard) + 1;
+	shard->epoch = bp_shard_load_owner(shard) + 1;
 	shard->claim_sequence = draw_claim_sequence(shard);
 	g_ptr_array_add(records, bp_shard_owner_record(shard));
 	append.topic = shard->options.topic;
--- a/tests/queues/test_shard.c
+++ b/tests/queues/test_shard.c
@@ -489,6 +489,75 @@
 	finish_simulation(sim);
 }
 
+/*
+ * Guards against waits that count from the takeover: executors are lost for
+ * good and the owner is killed in the same moment. Its node, once it is back,
+ * sends no orders any more, so only the last lease has to expire.
+ */
+static void
+test_a_dead_owner_ends_the_grace(void)
+{
+	uint32_t back;
+
+	for (back = 0; back < 2; back++) {
+		bp_qrig_t *sim = start_simulation();
+		const char *id = bp_qrig_submit(sim, 6, 0, true);
+		uint32_t owner;
+		uint32_t lost;
+
+		bp_qrig_run_ms(sim, 5000);
+		lost = bp_qfleet_running_on(bp_qrig_fleet(sim), 0, id);
+		CU_ASSERT_TRUE(lost > 0);
+		owner = (uint32_t)bp_qrig_owner(sim);
+		bp_qfleet_set_cut(bp_qrig_fleet(sim), 0, true);
+		bp_qrig_kill(sim, owner);
+		bp_qrig_run_ms(sim, 1000);
+		if (back == 1)
+			bp_qrig_restart(sim, owner);
+		/* 4 s of calm after the restart, 6 s after the last run, and 3
+		 * s for which a task may be down. */
+		bp_qrig_run_ms(sim, 10000);
+		CU_ASSERT_EQUAL(
+		    count_running(sim, id, 6), back == 1 ? 6 : 6 - lost);
+		bp_qrig_run_ms(sim, 4000);
+		CU_ASSERT_EQUAL(count_running(sim, id, 6), 6);
+		finish_simulation(sim);
+	}
+}
+
+/*
+ * Guards against a proof by the previous owner alone: the one before it may
+ * still grant leases, and the previous owner's record says so.
+ */
+static void
+test_all_earlier_owners_must_have_stopped(void)
+{
+	bp_qrig_t *sim = start_simulation();
+	const char *id = bp_qrig_submit(sim, 6, 0, true);
+	uint32_t first;
+	uint32_t second;
+	uint32_t lost;
+
+	bp_qrig_run_ms(sim, 5000);
+	lost = bp_qfleet_running_on(bp_qrig_fleet(sim), 0, id);
+	CU_ASSERT_TRUE(lost > 0);
+	first = (uint32_t)bp_qrig_owner(sim);
+	bp_qfleet_set_cut(bp_qrig_fleet(sim), 0, true);
+	bp_qrig_freeze(sim, first, true);
+	bp_qrig_run_ms(sim, 3500);
+	CU_ASSERT_TRUE_FATAL(bp_qrig_owner(sim) >= 0);
+	second = (uint32_t)bp_qrig_owner(sim);
+	bp_qrig_kill(sim, second);
+	bp_qrig_run_ms(sim, 500);
+	bp_qrig_restart(sim, second);
+	bp_qrig_run_ms(sim, 7500);
+	/* The second owner's node has stopped for more than a lease by now. */
+	CU_ASSERT_EQUAL(count_running(sim, id, 6), 6 - lost);
+	bp_qrig_run_ms(sim, 7000);
+	CU_ASSERT_EQUAL(count_running(sim, id, 6), 6);
+	finish_simulation(sim);
+}
+
 /* A poll waits 1.5 s for a run to end, and its caller 0.9 s more. */
 #define POLL_LOST_MS 2450
 #define STORE_DOWN_MS 4500
@@ -1024,6 +1093,9 @@
 	    {"a new life gets nothing by an old entry",
 		test_a_new_life_gets_nothing_by_an_old_entry},
 	    {"a gang gets its accelerators", test_a_gang_gets_its_accelerators},
+	    {"a dead owner ends the grace", test_a_dead_owner_ends_the_grace},
+	    {"all earlier owners must have stopped",
+		test_all_earlier_owners_must_have_stopped},
 	    {"a cancel overtakes its submission",
 		test_a_cancel_overtakes_its_submission},
 	    {"store down refuses cancels", test_store_down_refuses_cancels},
--- a/tests/support/queuerig.c
+++ b/tests/support/queuerig.c
@@ -11,6 +11,7 @@
 #define LIST_PERIOD_MS 400
 #define HEARTBEAT_PERIOD_MS 700
 #define FROZEN_STEP_MS 20
+#define QUESTION_MS 10
 #define QUEUE "q"
 #define TASK_CPU 4000
 
@@ -222,6 +223,54 @@
 	return node->rig->loggers[node - node->rig->nodes];
 }
 
+/* A question to an earlier owner, on its way. */
+typedef struct {
+	rig_node_t *from;
+	bp_owned_shards_t *shards; /* that ask */
+	char *address;
+	uint64_t epoch;
+} question_t;
+
+/* A node that is dead or stands still does not answer. */
+static gboolean
+on_question(gpointer data)
+{
+	question_t *question = data;
+	rig_node_t *from = question->from;
+	bp_qrig_t *rig = from->rig;
+	int64_t stopped_ms = 0;
+	uint32_t i;
+
+	for (i = 0; i < BP_QRIG_NODES; i++) {
+		const rig_node_t *node = &rig->nodes[i];
+
+		if (strcmp(node->address, question->address) != 0 ||
+		    !node->alive || node->frozen)
+			continue;
+		if (from->shards == question->shards && !from->frozen &&
+		    bp_owned_shards_stopped(node->shards, 0, &stopped_ms))
+			bp_owned_shards_owner_stopped(from->shards,
+			    question->address, 0, question->epoch, stopped_ms);
+	}
+	g_free(question->address);
+	g_free(question);
+	return G_SOURCE_REMOVE;
+}
+
+static void
+on_ask_owner(const char *address, uint32_t number, uint64_t epoch, void *data)
+{
+	rig_node_t *node = data;
+	question_t *question = g_new0(question_t, 1);
+
+	(void)number;
+	question->from = node;
+	question->shards = node->shards;
+	question->address = g_strdup(address);
+	question->epoch = epoch;
+	bp_clock_add_timer(base(node), QUESTION_MS, on_question, question);
+}
+
 static void
 build_shards(rig_node_t *node)
 {
@@ -242,6 +291,7 @@
 	options.limits.status_keep_s = 3600;
 	options.limits.quarantine_failures = 3;
 	options.watch_executors = on_follow;
+	options.ask_owner = on_ask_owner;
 	options.unfit = on_unfit;
 	options.data = node;
 	node->shards = bp_owned_shards_new(&options);
