Adapter: an entry of the executors' list is checked whole

Report of other operators: one odd entry stopped the machines that read the list. Here none ended, but two entries with racks of 200,000 bytes kept a new site from ever starting, as the shard plan outgrew a record; a port of 99999 or none and an ID with a line break or NUL were taken, and integers beyond 64 bits wrapped (a born of 2^70 was -1).

Integers beyond 64 bits keep their magnitude in all JSON from outside. A string with NUL is refused in submissions and replaced in the store's pages.

--- a/include/bulrushpost/executors.h
+++ b/include/bulrushpost/executors.h
@@ -17,7 +17,7 @@
 	uint32_t memory_mib;
 	uint32_t accelerators;
 	bool draining;
-	int64_t born_ms; /* Unix ms, start of the incarnation; 0: unknown */
+	int64_t born_ms; /* Unix ms, start of the incarnation */
 } bp_executor_info_t;
 
 /* A task that runs on an executor. */
@@ -125,6 +125,9 @@
 	void (*forget)(bp_executors_t *self, void *data);
 };
 
+/* Returns BP_EINVALID, with the field and its limits, for an entry that cannot
+ * be that of an executor. */
+int bp_executor_info_check(const bp_executor_info_t *info, bp_error_t *err);
 void bp_executor_info_free(gpointer info);
 
 #endif
--- a/src/clients/jsondoc.c
+++ b/src/clients/jsondoc.c
@@ -5,74 +5,203 @@
 /* The characters that RFC 8259 allows outside of strings. */
 #define OUTSIDE_STRINGS " \t\r\n{}[]:,+-.0123456789eEtrufalsn"
 
-/*
- * Checks depth and characters before parsing, because json-glib recurses for
- * each level and accepts comments and single quotes.
- */
+/* A literal with fewer digits fits 64 bits. */
+#define INTEGER_DIGITS_MAX 18
+#define NUL_ESCAPE "\\u0000"
+#define REPLACEMENT_ESCAPE "\\ufffd"
+#define ESCAPE_BYTES 6
+
+/* A document that is checked and copied. */
+typedef struct {
+	const char *text;
+	size_t size_bytes;
+	size_t at;
+	uint32_t depth;
+	bool replace_nul;
+	GString *copy; /* NULL until it differs from the text */
+} scan_t;
+
+/* Starts the copy, which then holds the text up to the current position. */
+static void
+copy_from_here(scan_t *scan)
+{
+	if (scan->copy == NULL)
+		scan->copy = g_string_new_len(scan->text, (gssize)scan->at);
+}
+
+static void
+take(scan_t *scan, size_t size_bytes)
+{
+	size_bytes = MIN(size_bytes, scan->size_bytes - scan->at);
+	if (scan->copy != NULL)
+		g_string_append_len(
+		    scan->copy, scan->text + scan->at, (gssize)size_bytes);
+	scan->at += size_bytes;
+}
+
+/* Strings of json-glib end at a NUL character. */
 static int
-check_text(
-    const char *text, size_t size_bytes, uint32_t max_depth, bp_error_t *err)
+scan_escape(scan_t *scan, bp_error_t *err)
 {
-	uint32_t depth = 0;
-	bool in_string = false;
-	size_t i;
+	if (scan->size_bytes - scan->at < ESCAPE_BYTES ||
+	    strncmp(scan->text + scan->at, NUL_ESCAPE, ESCAPE_BYTES) != 0) {
+		take(scan, 2);
+		return BP_OK;
+	}
+	if (!scan->replace_nul)
+		return bp_error_set(err, BP_EINVALID,
+		    "a string contains \\u0000 at byte %zu", scan->at);
+	copy_from_here(scan);
+	g_string_append(scan->copy, REPLACEMENT_ESCAPE);
+	scan->at += ESCAPE_BYTES;
+	return BP_OK;
+}
 
-	for (i = 0; i < size_bytes; i++) {
-		char c = text[i];
+static int
+scan_string(scan_t *scan, bp_error_t *err)
+{
+	const char *text = scan->text;
+	size_t end = scan->at + 1;
 
-		if (in_string) {
-			if (c == '\\')
-				i++;
-			in_string = c != '"';
-			continue;
-		}
-		if (c == '"') {
-			in_string = true;
+	while (end < scan->size_bytes && text[end] != '"') {
+		if (text[end] != '\\') {
+			end++;
 			continue;
 		}
-		if (c == '\0' || strchr(OUTSIDE_STRINGS, c) == NULL)
-			return bp_error_set(err, BP_EINVALID,
-			    "invalid character at byte %zu", i);
-		if (c == '{' || c == '[')
-			depth++;
-		else if ((c == '}' || c == ']') && depth > 0)
-			depth--;
-		if (depth > max_depth)
-			return bp_error_set(err, BP_EINVALID,
-			    "more than %u levels at byte %zu",
-			    (unsigned)max_depth, i);
+		take(scan, end - scan->at);
+		if (scan_escape(scan, err) != BP_OK)
+			return BP_EINVALID;
+		end = scan->at;
 	}
+	take(scan, end + 1 - scan->at);
 	return BP_OK;
 }
 
 /*
- * Parses a JSON object with at most max_depth levels. The caller frees the
- * parser with g_object_unref. Returns BP_EINVALID for any other text.
+ * json-glib wraps integers that exceed 64 bits. With an exponent it reads them
+ * as floating point numbers, which keep their magnitude.
  */
-int
-bp_json_parse(JsonParser **out, const char *text, size_t size_bytes,
-    uint32_t max_depth, bp_error_t *err)
+static void
+scan_number(scan_t *scan)
+{
+	size_t end = scan->at;
+	char next;
+
+	while (end < scan->size_bytes && g_ascii_isdigit(scan->text[end]))
+		end++;
+	next = end < scan->size_bytes ? scan->text[end] : '\0';
+	if (end - scan->at > INTEGER_DIGITS_MAX && next != '.' && next != 'e' &&
+	    next != 'E') {
+		copy_from_here(scan);
+		take(scan, end - scan->at);
+		g_string_append(scan->copy, "e0");
+		return;
+	}
+	while (end < scan->size_bytes && scan->text[end] != '\0' &&
+	    strchr("+-.eE0123456789", scan->text[end]) != NULL)
+		end++;
+	take(scan, end - scan->at);
+}
+
+static int
+scan_other(scan_t *scan, uint32_t max_depth, bp_error_t *err)
+{
+	char c = scan->text[scan->at];
+
+	if (c == '\0' || strchr(OUTSIDE_STRINGS, c) == NULL)
+		return bp_error_set(err, BP_EINVALID,
+		    "invalid character at byte %zu", scan->at);
+	if (c == '{' || c == '[')
+		scan->depth++;
+	else if ((c == '}' || c == ']') && scan->depth > 0)
+		scan->depth--;
+	if (scan->depth > max_depth)
+		return bp_error_set(err, BP_EINVALID,
+		    "more than %u levels at byte %zu", (unsigned)max_depth,
+		    scan->at);
+	take(scan, 1);
+	return BP_OK;
+}
+
+/*
+ * Checks depth and characters before parsing, because json-glib recurses for
+ * each level and accepts comments and single quotes. Copies the text where
+ * json-glib would misread it.
+ */
+static int
+scan_text(scan_t *scan, uint32_t max_depth, bp_error_t *err)
 {
-	JsonParser *parser;
+	int rc = BP_OK;
+
+	while (scan->at < scan->size_bytes && rc == BP_OK) {
+		char c = scan->text[scan->at];
+
+		if (c == '"')
+			rc = scan_string(scan, err);
+		else if (g_ascii_isdigit(c))
+			scan_number(scan);
+		else
+			rc = scan_other(scan, max_depth, err);
+	}
+	return rc;
+}
+
+static int
+parse(JsonParser **out, scan_t *scan, uint32_t max_depth, bp_error_t *err)
+{
+	JsonParser *parser = NULL;
 	JsonNode *root;
-	int rc;
+	int rc = BP_OK;
 
 	*out = NULL;
-	if (!g_utf8_validate_len(text, size_bytes, NULL))
-		return bp_error_set(err, BP_EINVALID, "not valid UTF-8");
-	rc = check_text(text, size_bytes, max_depth, err);
+	if (!g_utf8_validate_len(scan->text, scan->size_bytes, NULL))
+		rc = bp_error_set(err, BP_EINVALID, "not valid UTF-8");
+	if (rc == BP_OK)
+		rc = scan_text(scan, max_depth, err);
 	if (rc != BP_OK)
-		return rc;
+		goto cleanup;
 	parser = json_parser_new_immutable();
-	if (json_parser_load_from_data(
-		parser, text, (gssize)size_bytes, NULL) &&
+	if (json_parser_load_from_data(parser,
+		scan->copy != NULL ? scan->copy->str : scan->text,
+		scan->copy != NULL ? (gssize)scan->copy->len
+				   : (gssize)scan->size_bytes,
+		NULL) &&
 	    (root = json_parser_get_root(parser)) != NULL &&
-	    JSON_NODE_HOLDS_OBJECT(root)) {
-		*out = parser;
-		return BP_OK;
-	}
-	g_object_unref(parser);
-	return bp_error_set(err, BP_EINVALID, "not a JSON object");
+	    JSON_NODE_HOLDS_OBJECT(root))
+		*out = g_steal_pointer(&parser);
+	else
+		rc = bp_error_set(err, BP_EINVALID, "not a JSON object");
+cleanup:
+	g_clear_object(&parser);
+	if (scan->copy != NULL)
+		(void)g_string_free(scan->copy, TRUE);
+	return rc;
+}
+
+/*
+ * Parses a JSON object with at most max_depth levels. Integers that exceed 64
+ * bits become floating point numbers. The caller frees the parser with
+ * g_object_unref. Returns BP_EINVALID for any other text, and for a string with
+ * a NUL character.
+ */
+int
+bp_json_parse(JsonParser **out, const char *text, size_t size_bytes,
+    uint32_t max_depth, bp_error_t *err)
+{
+	scan_t scan = {text, size_bytes, 0, 0, false, NULL};
+
+	return parse(out, &scan, max_depth, err);
+}
+
+/* Does the same, but replaces NUL characters in strings by U+FFFD: for a
+ * document of which one string must not spoil the rest. */
+int
+bp_json_parse_all(JsonParser **out, const char *text, size_t size_bytes,
+    uint32_t max_depth, bp_error_t *err)
+{
+	scan_t scan = {text, size_bytes, 0, 0, true, NULL};
+
+	return parse(out, &scan, max_depth, err);
 }
 
 /*
--- a/src/queues/model.c
+++ b/src/queues/model.c
@@ -2,11 +2,16 @@
 #include "bulrushpost/executors.h"
 #include "bulrushpost/store.h"
 
+#include <gio/gio.h>
 #include <string.h>
 
 /* Largest body of a call, in bytes, unless the configuration sets another. */
 #define DEFAULT_BODY_BYTES_MAX 262144
 
+/* Limits of an executor's entry; store keys have at most 255 bytes. */
+#define NAME_BYTES_MAX 128
+#define LABELS_MAX 64
+
 /* Creates a record with copies of key and value; size 0 means no value. */
 bp_store_record_t *
 bp_store_record_new(const char *key, const void *value, size_t size_bytes)
@@ -41,6 +46,109 @@
 	g_free(record);
 }
 
+static bool
+is_graphic(const char *text)
+{
+	const char *p;
+
+	for (p = text; *p != '\0'; p++) {
+		if (!g_ascii_isgraph(*p))
+			return false;
+	}
+	return true;
+}
+
+static int
+check_name(const char *field, const char *name, bool required, bp_error_t *err)
+{
+	size_t size_bytes = strlen(name);
+	const char *p;
+
+	if (size_bytes > NAME_BYTES_MAX || (required && size_bytes == 0))
+		return bp_error_set(err, BP_EINVALID,
+		    "%s has %zu bytes; %d to %d are expected", field,
+		    size_bytes, required ? 1 : 0, NAME_BYTES_MAX);
+	for (p = name; *p != '\0'; p++) {
+		if (g_ascii_iscntrl(*p))
+			return bp_error_set(err, BP_EINVALID,
+			    "%s has a control character", field);
+	}
+	return BP_OK;
+}
+
+/* Accepts IP:PORT with a port above 0; IPv6 addresses need brackets. */
+static bool
+is_ip_and_port(const char *address)
+{
+	const char *colon = strrchr(address, ':');
+	GInetAddress *parsed = NULL;
+	char *host;
+	size_t size_bytes;
+	bool bracketed;
+
+	if (colon == NULL ||
+	    !g_ascii_string_to_unsigned(
+		colon + 1, 10, 1, UINT16_MAX, NULL, NULL))
+		return false;
+	size_bytes = (size_t)(colon - address);
+	bracketed = size_bytes > 2 && address[0] == '[' && colon[-1] == ']';
+	host = bracketed ? g_strndup(address + 1, size_bytes - 2)
+			 : g_strndup(address, size_bytes);
+	parsed = g_inet_address_new_from_string(host);
+	g_free(host);
+	if (parsed == NULL)
+		return false;
+	bracketed = bracketed ==
+	    (g_inet_address_get_family(parsed) == G_SOCKET_FAMILY_IPV6);
+	g_object_unref(parsed);
+	return bracketed;
+}
+
+static int
+check_labels(const bp_executor_info_t *info, bp_error_t *err)
+{
+	guint i;
+
+	if (g_strv_length(info->labels) > LABELS_MAX)
+		return bp_error_set(err, BP_EINVALID,
+		    "%u labels; at most %d are expected",
+		    g_strv_length(info->labels), LABELS_MAX);
+	for (i = 0; info->labels[i] != NULL; i++) {
+		if (check_name("a label", info->labels[i], false, err) != BP_OK)
+			return BP_EINVALID;
+	}
+	return check_name("rack", info->rack, false, err);
+}
+
+/*
+ * The list may hold entries of other writers. An ID becomes part of a store key
+ * and of a header, a rack part of the shard plan, an address part of a URL.
+ */
+int
+bp_executor_info_check(const bp_executor_info_t *info, bp_error_t *err)
+{
+	int rc = check_name("id", info->id, true, err);
+
+	if (rc == BP_OK && !is_graphic(info->id))
+		rc = bp_error_set(err, BP_EINVALID,
+		    "id has a character that is not printable ASCII");
+	if (rc == BP_OK)
+		rc = check_name("service", info->service, true, err);
+	if (rc == BP_OK)
+		rc = check_name("zone", info->zone, true, err);
+	if (rc == BP_OK)
+		rc = check_labels(info, err);
+	if (rc == BP_OK && !is_ip_and_port(info->address))
+		rc = bp_error_set(err, BP_EINVALID,
+		    "address \"%.60s\" is not an IP address and a port from "
+		    "1 to %d",
+		    info->address, UINT16_MAX);
+	if (rc == BP_OK && info->born_ms <= 0)
+		rc = bp_error_set(err, BP_EINVALID,
+		    "the time of the start is missing or not above 0");
+	return rc;
+}
+
 /* Frees an executor's list entry. NULL is allowed. */
 void
 bp_executor_info_free(gpointer data)
--- a/tests/adapter/test_codec.c
+++ b/tests/adapter/test_codec.c
@@ -130,11 +130,11 @@
 test_foreign_entries_name_no_executor(void)
 {
 	static const char *const texts[] = {"", "\x01\x02", "{}", "null",
-	    "{\"service_name\":\"s\",\"address\":\"a:1\",\"zone\":\"z\","
+	    "{\"service_name\":\"s\",\"address\":\"10.0.0.9:1\",\"zone\":\"z\","
 	    "\"slots\":8,\"state\":\"gone\",\"capacity\":{},\"sequence\":1}",
-	    "{\"service_name\":7,\"address\":\"a:1\",\"zone\":\"z\","
+	    "{\"service_name\":7,\"address\":\"10.0.0.9:1\",\"zone\":\"z\","
 	    "\"slots\":8,\"state\":\"ready\",\"capacity\":{},\"sequence\":1}",
-	    "{\"service_name\":\"s\",\"address\":\"a:1\",\"zone\":\"z\","
+	    "{\"service_name\":\"s\",\"address\":\"10.0.0.9:1\",\"zone\":\"z\","
 	    "\"slots\":\"8\",\"state\":\"ready\",\"capacity\":{},"
 	    "\"sequence\":1}"};
 	bp_executor_info_t *info = NULL;
@@ -156,6 +156,101 @@
 	bp_executor_info_free(info);
 }
 
+/* Replaces the first occurrence of a part of the sample entry. */
+static char *
+entry_with(const char *part, const char *other)
+{
+	const char *at = strstr(entry_text, part);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(at);
+	return g_strdup_printf("%.*s%s%s", (int)(at - entry_text), entry_text,
+	    other, at + strlen(part));
+}
+
+/*
+ * Guards against odd entries of other writers: numbers that wrap, addresses
+ * that are none, and names that do not fit a store key, a header or the shard
+ * plan.
+ */
+static void
+test_odd_entries_name_no_executor(void)
+{
+	static const char *const changes[][2] = {
+	    {"10.0.0.9:8080", "10.0.0.9:99999"}, {"10.0.0.9:8080", "10.0.0.9"},
+	    {"10.0.0.9:8080", "10.0.0.9:"}, {"10.0.0.9:8080", "10.0.0.9:0"},
+	    {"10.0.0.9:8080", "10.0.0.9:-1"}, {"10.0.0.9:8080", "10.0.0.9: 80"},
+	    {"10.0.0.9:8080", "10.0.0.9:18446744073709551696"},
+	    {"10.0.0.9:8080", "10.0.0.9:80/x"},
+	    {"10.0.0.9:8080", "u@10.0.0.9:80"},
+	    {"10.0.0.9:8080", "10.0.0.9:80#10.0.0.8:80"},
+	    {"10.0.0.9:8080", "host.example:80"}, {"10.0.0.9:8080", "::1:80"},
+	    {"10.0.0.9:8080", "[10.0.0.9]:80"},
+	    {"10.0.0.9:8080", "10.0.0.9\\u0000:80"},
+	    {"1700000000123", "1180591620717411303424"},
+	    {"1700000000123", "18446744073709551615"},
+	    {"1700000000123", "9223372036854775808"},
+	    {"1700000000123", "9007199254740993000"},
+	    {"1700000000123", "1e308"}, {"1700000000123", "1e999"},
+	    {"1700000000123", "-1"}, {"1700000000123", "0"},
+	    {"1700000000123", "1.5"}, {"1700000000123", "\"1\""},
+	    {"1700000000123", "null"}, {"1700000000123", "[]"},
+	    {",\"born\":1700000000123", ""}, {"16000", "1e300"},
+	    {"16000", "-1"}, {"16000", "4294967296"}, {"16000", "0.5"},
+	    {"32768", "18446744073709551617"}, {"\"gpu\":0", "\"gpu\":{}"},
+	    {"\"sequence\":4", "\"sequence\":-4"},
+	    {"\"slots\":8", "\"slots\":1e30"}, {"\"z\"", "\"a\\nb\""},
+	    {"r1-3", "r\\u0001"}};
+	bp_executor_info_t *info = NULL;
+	GString *many = g_string_new("r1-3");
+	char *text;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(changes); i++) {
+		bp_error_t err = {BP_OK, ""};
+
+		text = entry_with(changes[i][0], changes[i][1]);
+		CU_ASSERT_EQUAL(
+		    bp_codec_executor(&info, "i", text, strlen(text), &err),
+		    BP_EINVALID);
+		CU_ASSERT_PTR_NULL(info);
+		CU_ASSERT_NOT_EQUAL(err.message[0], '\0');
+		g_clear_pointer(&info, bp_executor_info_free);
+		g_free(text);
+	}
+	for (i = 0; i < 200; i++)
+		g_string_append(many, i < 100 ? "rack" : "\",\"x");
+	text = entry_with("r1-3", many->str);
+	CU_ASSERT_EQUAL(bp_codec_executor(&info, "i", text, strlen(text), NULL),
+	    BP_EINVALID);
+	g_free(text);
+	g_string_free(many, TRUE);
+	text = entry_with("10.0.0.9:8080", "[fd00::9]:65535");
+	CU_ASSERT_EQUAL(
+	    bp_codec_executor(&info, "i", text, strlen(text), NULL), BP_OK);
+	g_clear_pointer(&info, bp_executor_info_free);
+	g_free(text);
+}
+
+/* The same for the keys of entries. */
+static void
+test_odd_ids_name_no_executor(void)
+{
+	char id[256];
+	const char *ids[] = {"", "a b", "a\r\nHost: x", "\xc3\xa9", id};
+	bp_executor_info_t *info = NULL;
+	size_t i;
+
+	memset(id, 'i', sizeof(id) - 1);
+	id[sizeof(id) - 1] = '\0';
+	for (i = 0; i < G_N_ELEMENTS(ids); i++) {
+		CU_ASSERT_EQUAL(bp_codec_executor(&info, ids[i], entry_text,
+				    strlen(entry_text), NULL),
+		    BP_EINVALID);
+		CU_ASSERT_PTR_NULL(info);
+		g_clear_pointer(&info, bp_executor_info_free);
+	}
+}
+
 /* Guards against ends that are taken for others; unknown words are kept. */
 static void
 test_a_poll_is_read_whole(void)
@@ -318,6 +413,8 @@
 	    {"the longest prefix decides", test_the_longest_prefix_decides},
 	    {"foreign entries name no executor",
 		test_foreign_entries_name_no_executor},
+	    {"odd entries name no executor", test_odd_entries_name_no_executor},
+	    {"odd ids name no executor", test_odd_ids_name_no_executor},
 	    {"a look is read whole", test_a_poll_is_read_whole},
 	    {"numbers out of range", test_numbers_out_of_range},
 	    {"changed bodies are safe", test_changed_bodies_are_safe},
--- a/tests/adapter/test_feed.c
+++ b/tests/adapter/test_feed.c
@@ -329,6 +329,41 @@
 	script_clear(&script);
 }
 
+/* Odd entries of other writers hold up none of the others, and take nothing
+ * from an executor whose key they have. */
+static void
+test_odd_entries_hold_up_none(void)
+{
+	static const char *const odd[] = {"",
+	    "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[", "{\"a\":", "null", "\"x\"",
+	    ENTRY("1180591620717411303424"), ENTRY("-1"), ENTRY("1e308"),
+	    ENTRY("\"1\""), "\xff\xfe", "{\"state\":\"ready\",\"born\":1}"};
+	GString *expected = g_string_new("a=1 b=2 listed ");
+	script_t script;
+	size_t i;
+
+	script_init(&script);
+	script.page_end = 2;
+	for (i = 1; i < G_N_ELEMENTS(odd); i++)
+		add(script.page, 0, "odd", odd[i]);
+	add(script.page, 0, "a", ENTRY("1"));
+	add(script.page, 1, "odd\\u0000", ENTRY("7"));
+	add(script.page, 1, "odd\\r\\n", ENTRY("7"));
+	add(script.page, 1, "b", ENTRY("2"));
+	bp_platform_feed_follow_executors(script.feed, true);
+	run_ms(SETTLE_MS);
+	CU_ASSERT_STRING_EQUAL(script.told->str, expected->str);
+	for (i = 1; i < G_N_ELEMENTS(odd); i++)
+		add(script.log, 1 + i, i % 2 == 0 ? "odd" : "a", odd[i]);
+	add(script.log, 2 + i, "c", ENTRY("3"));
+	add(script.log, 3 + i, "a", ENTRY("4"));
+	run_ms(3 * SETTLE_MS);
+	g_string_append(expected, "c=3 a=4 ");
+	CU_ASSERT_STRING_EQUAL(script.told->str, expected->str);
+	script_clear(&script);
+	g_string_free(expected, TRUE);
+}
+
 /* The same of zones and configurations, and after records were dropped. */
 static void
 test_an_operators_page_is_newer_than_the_log(void)
@@ -364,6 +399,7 @@
 	    {"repeated entries are told once",
 		test_repeated_entries_are_told_once},
 	    {"a list is followed anew", test_a_list_is_followed_anew},
+	    {"odd entries hold up none", test_odd_entries_hold_up_none},
 	    {"a page is newer than the log", test_a_page_is_newer_than_the_log},
 	    {"an operators' page is newer than the log",
 		test_an_operators_page_is_newer_than_the_log},
--- a/tests/process/test_queues.c
+++ b/tests/process/test_queues.c
@@ -323,6 +323,86 @@
 	bp_queuenodes_teardown(&fixture);
 }
 
+#define NESTED_LEVELS 60000
+#define RACK_BYTES 200000
+#define LONG_KEY_BYTES 250
+
+static char *
+foreign_entry(uint16_t port, const char *born, const char *rack)
+{
+	return g_strdup_printf(
+	    "{\"service_name\":\"pool\",\"address\":\"127.0.0.1:%u\","
+	    "\"zone\":\"za\",\"slots\":8,\"state\":\"ready\",\"capacity\":"
+	    "{\"cpu\":4000000000,\"mem_mb\":64000,\"gpu\":0},\"labels\":"
+	    "[\"a\",\"%s\"],\"clock_ms\":1,\"sequence\":1,\"born\":%s}",
+	    (unsigned)port, rack, born);
+}
+
+static void
+add_foreign_entries(bp_queuehttp_t *platform)
+{
+	uint16_t port = bp_queuehttp_port(platform);
+	char *key = g_strnfill(LONG_KEY_BYTES, 'k');
+	char *nested = g_strnfill(NESTED_LEVELS, '[');
+	char *rack = g_strnfill(RACK_BYTES, 'r');
+	char *other_rack = g_strnfill(RACK_BYTES, 's');
+	char *entries[] = {foreign_entry(port, "1180591620717411303424", "r0"),
+	    foreign_entry(port, "1", rack),
+	    foreign_entry(port, "1", other_rack),
+	    foreign_entry(port, "1", "r0"), foreign_entry(port, "1", "r0")};
+	char *good = foreign_entry(port, "1", "r0");
+	size_t i;
+
+	bp_queuehttp_add_entry(platform, "nested", nested);
+	bp_queuehttp_add_entry(platform, "born", entries[0]);
+	bp_queuehttp_add_entry(platform, "rack-1", entries[1]);
+	bp_queuehttp_add_entry(platform, "rack-2", entries[2]);
+	bp_queuehttp_add_entry(platform, "i-0\\n", entries[3]);
+	bp_queuehttp_add_entry(platform, "i-0\\u0000x", entries[4]);
+	bp_queuehttp_add_entry(platform, key, good);
+	g_free(good);
+	good = g_strdup("{\"service_name\":\"pool\",\"address\":"
+			"\"127.0.0.1:99999\",\"zone\":\"za\",\"slots\":8,"
+			"\"state\":\"ready\",\"capacity\":{\"cpu\":1000},"
+			"\"labels\":[\"a\",\"r0\"],\"sequence\":1,"
+			"\"born\":1}");
+	bp_queuehttp_add_entry(platform, "port", good);
+	g_free(good);
+	for (i = 0; i < G_N_ELEMENTS(entries); i++)
+		g_free(entries[i]);
+	g_free(key);
+	g_free(nested);
+	g_free(rack);
+	g_free(other_rack);
+}
+
+/*
+ * Guards against entries of other writers in the executors' list that end
+ * nodes, hold up their start or take runs of an executor for others.
+ */
+static void
+test_foreign_entries(void)
+{
+	bp_queuenodes_t fixture;
+	uint32_t starts;
+	uint32_t i;
+
+	bp_queuenodes_setup_with(&fixture, "foreign", add_foreign_entries);
+	CU_ASSERT_TRUE(bp_queuenodes_expect(&fixture, 0, "POST",
+	    "/q/f0000000000000a3", BP_JOB_LASTING, 200, NULL));
+	CU_ASSERT_TRUE(bp_queuenodes_expect(
+	    &fixture, 0, "POST", "/q/00000000000000a4", BP_JOB, 200, NULL));
+	for (i = 0; i < BP_QUEUENODES; i++)
+		CU_ASSERT_TRUE(bp_queuenodes_expect(&fixture, i, "GET",
+		    "/q/00000000000000a4", NULL, 200, "completed"));
+	bp_run_for_ms(2000);
+	starts = bp_qfleet_starts(bp_queuehttp_fleet(fixture.platform));
+	CU_ASSERT_EQUAL(starts, 7);
+	CU_ASSERT_TRUE(bp_queuenodes_expect(
+	    &fixture, 1, "GET", "/q/f0000000000000a3", NULL, 200, "running"));
+	bp_queuenodes_teardown(&fixture);
+}
+
 int
 main(void)
 {
@@ -335,6 +415,7 @@
 	    {"ports are kept", test_ports_are_kept},
 	    {"the store refuses", test_the_store_refuses},
 	    {"odd frames", test_odd_frames},
+	    {"foreign entries", test_foreign_entries},
 	    CU_TEST_INFO_NULL,
 	};
 
--- a/tests/support/queuehttp.c
+++ b/tests/support/queuehttp.c
@@ -18,6 +18,7 @@
 
 /* Callers have given up by then. */
 #define SILENT_MS 4000
+#define RECORD_BYTES_MAX (256 * 1024)
 
 struct bp_queuehttp {
 	SoupServer *server;
@@ -29,6 +30,7 @@
 	bp_qfleet_t *fleet;
 	bp_qfleet_view_t *fleet_view;
 	GPtrArray *operators; /* char *: values of the key config */
+	GPtrArray *entries; /* char *: keys and values of other writers */
 	bool silent; /* the operators' topic is answered after SILENT_MS */
 	int64_t last_us;
 	guint timer;
@@ -242,6 +244,7 @@
 	bp_store_append_t append = {0};
 	GPtrArray *records =
 	    read_records(soup_server_message_get_request_body(message));
+	guint i;
 
 	append.topic = "t";
 	append.partition = partition_of(query);
@@ -250,6 +253,17 @@
 	append.conditional = param(query, "at")[0] != '\0';
 	append.end_offset = number(query, "at");
 	append.records = records;
+	for (i = 0; i < records->len; i++) {
+		const bp_store_record_t *record = records->pdata[i];
+
+		if (record->value != NULL &&
+		    g_bytes_get_size(record->value) + strlen(record->key) >=
+			RECORD_BYTES_MAX) {
+			answer_json(message, 413, g_strdup("{}"));
+			g_ptr_array_unref(records);
+			return;
+		}
+	}
 	store->append(store, &append, on_store, wait_for(self, message));
 	g_ptr_array_unref(records);
 }
@@ -312,6 +326,11 @@
 		g_free(key);
 		g_free(entry);
 	}
+	for (i = 0;
+	     strcmp(topic, "keyed.servers") == 0 && i < self->entries->len;
+	     i += 2)
+		add_value(text, self->entries->pdata[i],
+		    self->entries->pdata[i + 1], i);
 	g_string_append_printf(
 	    text, "],\"end_offset\":%u}", self->operators->len);
 	answer_json(message, 200, g_string_free(text, FALSE));
@@ -680,6 +699,7 @@
 	    bp_qfleet_new(self->clock, &self->random, executors, &world);
 	self->fleet_view = bp_qfleet_view(self->fleet);
 	self->operators = g_ptr_array_new_with_free_func(g_free);
+	self->entries = g_ptr_array_new_with_free_func(g_free);
 	self->last_us = g_get_monotonic_time();
 	self->timer = g_timeout_add(STEP_MS, on_step, self);
 	return self;
@@ -696,6 +716,7 @@
 	bp_qstore_free(self->store);
 	bp_clock_virtual_free(self->clock);
 	g_ptr_array_unref(self->operators);
+	g_ptr_array_unref(self->entries);
 	g_free(self);
 }
 
@@ -772,3 +793,11 @@
 	bp_qstore_set_mode(self->store_view, mode);
 	self->silent = mode == BP_QSTORE_SILENT;
 }
+
+/* See the header. */
+void
+bp_queuehttp_add_entry(bp_queuehttp_t *self, const char *key, const char *value)
+{
+	g_ptr_array_add(self->entries, g_strdup(key));
+	g_ptr_array_add(self->entries, g_strdup(value));
+}
--- a/tests/support/queuehttp.h
+++ b/tests/support/queuehttp.h
@@ -20,6 +20,10 @@
 /* The same with the queue /q/, which keeps its name, besides. */
 void bp_queuehttp_configure_more(
     bp_queuehttp_t *self, uint64_t version, const char *prefix);
+/* Adds an entry of another writer to the executors' list. The key is written
+ * as it is in JSON. */
+void bp_queuehttp_add_entry(
+    bp_queuehttp_t *self, const char *key, const char *value);
 bp_qstore_t *bp_queuehttp_store(bp_queuehttp_t *self);
 bp_qfleet_t *bp_queuehttp_fleet(bp_queuehttp_t *self);
 void bp_queuehttp_set_mode(bp_queuehttp_t *self, bp_qstore_mode_t mode);
--- a/tests/support/queuenodes.c
+++ b/tests/support/queuenodes.c
@@ -80,7 +80,8 @@
 
 /* Starts the platform and all nodes; returns once they are ready. */
 void
-bp_queuenodes_setup(bp_queuenodes_t *fixture, const char *name)
+bp_queuenodes_setup_with(bp_queuenodes_t *fixture, const char *name,
+    void (*prepare)(bp_queuehttp_t *platform))
 {
 	uint32_t i;
 	uint32_t k;
@@ -90,6 +91,8 @@
 	fixture->held = g_ptr_array_new_with_free_func(g_object_unref);
 	fixture->platform = bp_queuehttp_new(EXECUTORS);
 	bp_queuehttp_configure(fixture->platform, 3, "/q/");
+	if (prepare != NULL)
+		prepare(fixture->platform);
 	fixture->http = bp_http_new();
 	for (i = 0; i < BP_QUEUENODES; i++) {
 		for (k = 0; k < BP_LISTENERS; k++)
@@ -103,6 +106,13 @@
 		    fixture, i, "GET", "/v1/readyz", NULL, 200, NULL));
 }
 
+/* See the header. */
+void
+bp_queuenodes_setup(bp_queuenodes_t *fixture, const char *name)
+{
+	bp_queuenodes_setup_with(fixture, name, NULL);
+}
+
 /* See the header. */
 void
 bp_queuenodes_teardown(bp_queuenodes_t *fixture)
--- a/tests/support/queuenodes.h
+++ b/tests/support/queuenodes.h
@@ -49,6 +49,9 @@
 } bp_queuenodes_ask_t;
 
 void bp_queuenodes_setup(bp_queuenodes_t *fixture, const char *name);
+/* Calls prepare before the nodes start. */
+void bp_queuenodes_setup_with(bp_queuenodes_t *fixture, const char *name,
+    void (*prepare)(bp_queuehttp_t *platform));
 /* Kills what still runs; checks that no executor was misused. */
 void bp_queuenodes_teardown(bp_queuenodes_t *fixture);
 void bp_queuenodes_start(bp_queuenodes_t *fixture, uint32_t node);
