Queues: the progress of a job of many tasks is divided

Cause: its progress was one record, larger than the store takes, and a record that is refused for good was sent again and again with all others. At most 1,200 runs on one executor, so that its record fits.

--- a/include/bulrushpost/store.h
+++ b/include/bulrushpost/store.h
@@ -12,6 +12,8 @@
 	BP_STORE_CONFLICT, /* the partition does not end at end_offset */
 	BP_STORE_BAD_SEQUENCE, /* not the next sequence number */
 	BP_STORE_REFUSED, /* nothing was done; the call may be repeated */
+	BP_STORE_REJECTED, /* nothing was done, nor will it be for these records
+			    */
 	BP_STORE_TRUNCATED, /* the records were deleted; list the keys again */
 	BP_STORE_UNKNOWN /* no answer: may take effect, also later */
 } bp_store_outcome_t;
--- a/src/queues/job.c
+++ b/src/queues/job.c
@@ -1,7 +1,5 @@
 #include "queues/job.h"
 
-#include "bulrushpost/message.h"
-
 #include <stdlib.h>
 #include <string.h>
 
@@ -9,8 +7,6 @@
 /* Bounds of one job, so that a request cannot exhaust a node's memory. */
 #define TASKS_MAX 20000
 #define STEPS_MAX 256
-/* The store accepts records of 256 KiB, including the key. */
-#define RECORD_BYTES_MAX (255 * 1024)
 #define ID_BYTES_MAX 64
 /* Bounds within which sums and products of times do not overflow. */
 #define STRETCH_MAX_PERMILLE 1000000
@@ -43,10 +39,10 @@
 		return bp_error_set(err, BP_EINVALID,
 		    "a time or the stretch factor of the job is out of range");
 	size_bytes = bp__work__job__get_packed_size(spec);
-	if (size_bytes > RECORD_BYTES_MAX)
+	if (size_bytes > BP_QJOB_RECORD_BYTES_MAX)
 		return bp_error_set(err, BP_EINVALID,
 		    "a job has at most %d bytes when stored, this one %zu",
-		    RECORD_BYTES_MAX, size_bytes);
+		    BP_QJOB_RECORD_BYTES_MAX, size_bytes);
 	return BP_OK;
 }
 
@@ -115,6 +111,7 @@
 static void
 init_steps(bp_qjob_t *job)
 {
+	uint32_t first_number = 0;
 	uint32_t i;
 	uint32_t k;
 
@@ -125,6 +122,8 @@
 		step->occurrence = i / job->n_steps;
 		step->number = i % job->n_steps;
 		step->spec = job->spec->steps[step->number];
+		step->first_number = first_number;
+		first_number += step->spec->tasks;
 		step->remaining_tasks = step->spec->tasks;
 		step->waiting_tasks = step->spec->tasks;
 		step->tasks = g_new0(bp_qtask_t, step->spec->tasks);
@@ -133,6 +132,11 @@
 			step->tasks[k].index = k;
 		}
 	}
+	if (first_number > BP_QJOB_PART_TASKS) {
+		job->n_parts = (first_number + BP_QJOB_PART_TASKS - 1) /
+		    BP_QJOB_PART_TASKS;
+		job->parts = g_new0(uint8_t, job->n_parts);
+	}
 }
 
 /* Creates a job without runs. Takes ownership of spec, which is valid. */
@@ -176,6 +180,7 @@
 		g_free(job->steps[i].tasks);
 	}
 	g_free(job->steps);
+	g_free(job->parts);
 	g_free(job->critical_paths_ms);
 	if (job->waiters != NULL)
 		g_array_unref(job->waiters);
@@ -250,8 +255,10 @@
 	task->state = state;
 	if (state == BP_QTASK_WAITING)
 		step->waiting_tasks++;
-	if (state == BP_QTASK_DONE)
+	if (state == BP_QTASK_DONE) {
 		step->remaining_tasks--;
+		bp_qtask_mark_changed(task);
+	}
 }
 
 /* Replaces a task's checkpoint; "" and NULL keep the present one. */
@@ -285,14 +292,16 @@
 	return false;
 }
 
-static void
-add_failed_run(bp_qtask_t *task, uint64_t run)
+/* Adds a failed run of a task; one that is known already counts once. */
+void
+bp_qtask_add_failed_run(bp_qtask_t *task, uint64_t run)
 {
 	if (has_failed_run(task, run))
 		return;
 	if (task->failed_runs == NULL)
 		task->failed_runs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	g_array_append_val(task->failed_runs, run);
+	bp_qtask_mark_changed(task);
 }
 
 /*
@@ -309,7 +318,7 @@
 
 	if (task->step->spec->lasting)
 		return false;
-	add_failed_run(counted, run);
+	bp_qtask_add_failed_run(counted, run);
 	return bp_qtask_failures(counted) >= task->step->job->spec->attempts;
 }
 
@@ -359,135 +368,3 @@
 	g_strfreev(parts);
 	return ok;
 }
-
-static bool
-has_progress(const bp_qtask_t *task)
-{
-	return task->state == BP_QTASK_DONE || task->failed_runs != NULL ||
-	    task->checkpoint != NULL;
-}
-
-static void
-add_task(Bp__Work__Progress *out, const bp_qtask_t *task, uint32_t number)
-{
-	Bp__Work__TaskProgress *row = g_new(Bp__Work__TaskProgress, 1);
-
-	bp__work__task_progress__init(row);
-	row->task = number;
-	row->done = task->state == BP_QTASK_DONE;
-	row->n_failed_runs = bp_qtask_failures(task);
-	if (row->n_failed_runs > 0)
-		row->failed_runs = (uint64_t *)(void *)task->failed_runs->data;
-	if (task->checkpoint != NULL && !row->done)
-		row->checkpoint = task->checkpoint;
-	out->tasks[out->n_tasks++] = row;
-}
-
-/* Serializes what a later owner cannot learn from the executors. */
-GBytes *
-bp_qjob_serialize_progress(const bp_qjob_t *job)
-{
-	Bp__Work__Progress out = BP__WORK__PROGRESS__INIT;
-	bool ended = bp_qjob_ended(job);
-	GPtrArray *rows;
-	uint32_t number = 0;
-	uint32_t i;
-	uint32_t k;
-	GBytes *bytes;
-
-	for (i = 0; i < job->n_steps * job->occurrences; i++)
-		number += job->steps[i].spec->tasks;
-	rows = g_ptr_array_new_with_free_func(g_free);
-	g_ptr_array_set_size(rows, (gint)number);
-	out.tasks = (Bp__Work__TaskProgress **)rows->pdata;
-	out.state = job->state;
-	out.ended_ms = job->ended_ms;
-	if (ended)
-		out.queue = job->spec->queue;
-	number = 0;
-	for (i = 0; i < job->n_steps * job->occurrences; i++) {
-		const bp_qstep_t *step = &job->steps[i];
-
-		for (k = 0; k < step->spec->tasks; k++, number++) {
-			if (!ended && has_progress(&step->tasks[k]))
-				add_task(&out, &step->tasks[k], number);
-		}
-	}
-	bytes = bp_message_pack(&out.base);
-	g_ptr_array_unref(rows);
-	return bytes;
-}
-
-static bp_qtask_t *
-find_task_by_number(const bp_qjob_t *job, uint32_t number)
-{
-	uint32_t i;
-
-	for (i = 0; i < job->n_steps * job->occurrences; i++) {
-		if (number < job->steps[i].spec->tasks)
-			return &job->steps[i].tasks[number];
-		number -= job->steps[i].spec->tasks;
-	}
-	return NULL;
-}
-
-/*
- * Creates an ended job of which only the progress is stored. Returns NULL when
- * the progress is malformed or is that of a job that has not ended.
- */
-bp_qjob_t *
-bp_qjob_new_ended(const char *id, const uint8_t *bytes, size_t size_bytes)
-{
-	Bp__Work__Progress *progress =
-	    bp__work__progress__unpack(NULL, size_bytes, bytes);
-	bp_qjob_t *job = NULL;
-
-	if (progress != NULL && progress->queue[0] != '\0' &&
-	    progress->state >= BP__WORK__JOB_STATE__JOB_COMPLETED) {
-		Bp__Work__Job spec = BP__WORK__JOB__INIT;
-
-		spec.id = (char *)id;
-		spec.queue = progress->queue;
-		job = bp_qjob_new(bp_message_copy(&spec.base));
-		job->state = progress->state;
-		job->stored = progress->state;
-		job->ended_ms = progress->ended_ms;
-		job->started = true;
-	}
-	if (progress != NULL)
-		bp__work__progress__free_unpacked(progress, NULL);
-	return job;
-}
-
-/* Reads stored progress into a new job; BP_EINVALID for malformed bytes. */
-int
-bp_qjob_load_progress(
-    bp_qjob_t *job, const uint8_t *bytes, size_t size_bytes, bp_error_t *err)
-{
-	Bp__Work__Progress *progress =
-	    bp__work__progress__unpack(NULL, size_bytes, bytes);
-	size_t i;
-	size_t k;
-
-	if (progress == NULL)
-		return bp_error_set(
-		    err, BP_EINVALID, "the stored progress is malformed");
-	job->state = progress->state;
-	job->stored = progress->state;
-	job->ended_ms = progress->ended_ms;
-	job->started = progress->state != BP__WORK__JOB_STATE__JOB_QUEUED;
-	for (i = 0; i < progress->n_tasks; i++) {
-		const Bp__Work__TaskProgress *row = progress->tasks[i];
-		bp_qtask_t *task = find_task_by_number(job, row->task);
-
-		if (task == NULL)
-			continue;
-		for (k = 0; k < row->n_failed_runs; k++)
-			add_failed_run(task, row->failed_runs[k]);
-		bp_qtask_set_checkpoint(task, row->checkpoint);
-		if (row->done)
-			bp_qtask_set_state(task, BP_QTASK_DONE);
-	}
-	bp__work__progress__free_unpacked(progress, NULL);
-	return BP_OK;
-}
--- a/src/queues/job.h
+++ b/src/queues/job.h
@@ -11,6 +11,27 @@
 typedef struct bp_qstep bp_qstep_t;
 typedef struct bp_qrun bp_qrun_t;
 
+/* Tasks whose progress shares a record; see scripts/bench progress. */
+#define BP_QJOB_PART_TASKS 128
+/* Longest checkpoint that is stored: a part then fits a record. */
+#define BP_QJOB_CHECKPOINT_BYTES_MAX 512
+/* Largest record of the store, without its key and with some reserve. */
+#define BP_QJOB_RECORD_BYTES_MAX (255 * 1024)
+
+/* State of a part of a job's progress. */
+typedef enum {
+	BP_QPART_CHANGED = 1, /* since it was added to an append */
+	BP_QPART_IN_APPEND = 2,
+	BP_QPART_STORED = 4 /* the store has a record of it */
+} bp_qpart_t;
+
+/* Appends with only the records of one job or executor that the store has
+ * rejected for good. */
+typedef struct {
+	uint32_t count;
+	uint64_t stored_before; /* shard's stored appends at the first */
+} bp_qrejections_t;
+
 typedef enum {
 	BP_QTASK_WAITING, /* for its step, its start time or placement */
 	BP_QTASK_PLACED, /* has a run */
@@ -36,6 +57,7 @@
 	const Bp__Work__Step *spec;
 	uint32_t occurrence;
 	uint32_t number; /* within the job */
+	uint32_t first_number; /* of its first task, among all of the job */
 	bp_qtask_t *tasks;
 	uint32_t remaining_tasks; /* not done */
 	uint32_t waiting_tasks; /* in BP_QTASK_WAITING */
@@ -65,6 +87,9 @@
 	int64_t ended_ms; /* Unix ms */
 	int64_t *critical_paths_ms; /* estimates, from each step on */
 	int64_t due_ms; /* Unix ms, latest end that meets the objective */
+	uint32_t n_parts; /* of its progress; 0: one record */
+	uint8_t *parts; /* BP_QPART flags */
+	bp_qrejections_t rejections;
 	GArray *waiters; /* callers of submit and cancel; used by the shard */
 };
 
@@ -87,8 +112,14 @@
 bool bp_qtask_parse(const char *name, char **id, uint32_t *occurrence,
     uint32_t *step, uint32_t *index);
 
+void bp_qtask_mark_changed(const bp_qtask_t *task);
+void bp_qtask_add_failed_run(bp_qtask_t *task, uint64_t run);
+
 /* Serialize and read a job's progress. */
 GBytes *bp_qjob_serialize_progress(const bp_qjob_t *job);
+GBytes *bp_qjob_serialize_part(const bp_qjob_t *job, uint32_t part);
+int bp_qjob_load_part(bp_qjob_t *job, uint32_t part, const uint8_t *bytes,
+    size_t size_bytes, bp_error_t *err);
 bp_qjob_t *bp_qjob_new_ended(
     const char *id, const uint8_t *bytes, size_t size_bytes);
 int bp_qjob_load_progress(
--- a/src/queues/recordwriter.c
+++ b/src/queues/recordwriter.c
@@ -48,7 +48,7 @@
 	writer->first_sent_ms = 0;
 	if (outcome == BP_STORE_FENCED)
 		writer->fenced = true;
-	if (outcome == BP_STORE_REFUSED)
+	if (outcome == BP_STORE_REFUSED || outcome == BP_STORE_REJECTED)
 		writer->backoff_until_ms =
 		    bp_clock_mono_ms(writer->options.clock) + RETRY_MS;
 	writer->options.done(outcome, writer->options.data);
@@ -87,6 +87,9 @@
 		writer->timer = bp_clock_add_timer(
 		    writer->options.clock, RETRY_MS, on_retry, writer);
 		return;
+	case BP_STORE_REJECTED:
+		finish(writer, BP_STORE_REJECTED);
+		break;
 	case BP_STORE_UNKNOWN:
 		if (!writer->maybe_applied)
 			bp_log(writer->options.logger, BP_LOG_WARNING, MODULE,
--- a/src/queues/shard_load.c
+++ b/src/queues/shard_load.c
@@ -172,6 +172,7 @@
 
 	load_prefix(shard, BP_SHARD_PREFIX_JOB, load_job);
 	load_prefix(shard, BP_SHARD_PREFIX_PROGRESS, load_progress);
+	load_prefix(shard, BP_SHARD_PREFIX_PART, bp_shard_load_part);
 	load_prefix(shard, BP_SHARD_PREFIX_HOLDER, load_holder);
 	load_filler_model(shard);
 	g_hash_table_iter_init(&iter, shard->jobs);
--- a/src/queues/shard_pollresults.c
+++ b/src/queues/shard_pollresults.c
@@ -206,8 +206,10 @@
 	}
 	if (task->state != BP_QTASK_DONE) {
 		bp_qtask_set_checkpoint(task, row->checkpoint);
-		if (row->checkpoint[0] != '\0')
+		if (row->checkpoint[0] != '\0') {
+			bp_qtask_mark_changed(task);
 			bp_shard_mark_dirty(shard, task->step->job);
+		}
 	}
 	if (row->kind == BP_END_FAILED && task->state != BP_QTASK_DONE)
 		on_task_failed(exec, task, row->run);
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -23,6 +23,7 @@
 #define BP_SHARD_KEY_FILLER_MODEL "pairs"
 #define BP_SHARD_PREFIX_JOB "j/"
 #define BP_SHARD_PREFIX_PROGRESS "p/"
+#define BP_SHARD_PREFIX_PART "q/" /* followed by ID/part */
 #define BP_SHARD_PREFIX_HOLDER "x/"
 #define BP_SHARD_PREFIX_CHARS 2
 /* Run numbers reserved for each epoch. */
@@ -98,6 +99,8 @@
 	bool has_recorded_tasks;
 	bool wait_recorded; /* its record holds a wait, so it gets no lease */
 	bool recording; /* its record is in the append in flight */
+	bp_qrejections_t rejections;
+	bool unstorable; /* the store rejects its record for good */
 	bool answered_this_epoch; /* a poll */
 	bool reconciled; /* earlier owners' starts are known */
 	uint32_t unconfirmed_starts; /* whose lease has expired */
@@ -159,6 +162,7 @@
 	Bp__Work__JobState state; /* that the append stores */
 	bool first_record; /* the job is stored for the first time */
 	bool cancel; /* the append stores its cancellation */
+	bool partial; /* only some parts of its progress; the rest follows */
 } bp_qappended_job_t;
 
 /* Counts at the last summary, which logs the difference. */
@@ -196,6 +200,10 @@
 	GPtrArray *new_jobs; /* bp_qjob_t, not stored yet */
 	bp_cancelled_ids_t *cancelled_ids; /* of jobs that were not known */
 	GArray *in_flight; /* bp_qappended_job_t of the append in flight */
+	bool append_alone; /* each append holds the records of one job */
+	bool exec_alone; /* or of one executor */
+	bool probe_due; /* the next append shows whether the store takes any */
+	uint64_t stored_appends;
 	GPtrArray *deleted_keys; /* keys to delete with the next append */
 	GHashTable *execs; /* ID to bp_qexec_t */
 	GPtrArray *reserved_execs; /* bp_qexec_t with reserved capacity */
@@ -294,6 +302,17 @@
 void bp_shard_drop_job(bp_shard_t *shard, bp_qjob_t *job);
 void bp_shard_drop_exec(bp_shard_t *shard, bp_qexec_t *exec);
 
+/* shard_parts.c */
+bool bp_qjob_add_parts(
+    GPtrArray *records, bp_qjob_t *job, gsize *bytes, gsize max_bytes);
+void bp_qjob_remove_parts(GPtrArray *records, bp_qjob_t *job);
+void bp_qjob_parts_done(bp_qjob_t *job, bool stored);
+void bp_shard_load_part(bp_shard_t *shard, const bp_store_record_t *record);
+
+/* shard_rejections.c */
+void bp_shard_job_rejected(bp_shard_t *shard, const bp_qappended_job_t *sent);
+void bp_shard_append_rejected(bp_shard_t *shard, const GArray *batch);
+
 /* shard_load.c */
 uint64_t bp_shard_load_owner(bp_shard_t *shard);
 void bp_shard_load(bp_shard_t *shard);
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -127,11 +127,16 @@
 {
 	GHashTableIter iter;
 	gpointer value;
+	bool added = false;
 
 	g_hash_table_iter_init(&iter, shard->execs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		bp_qexec_t *exec = value;
 
+		if (exec->unstorable)
+			continue;
+		if (shard->exec_alone && added)
+			break;
 		if (covers_all_jobs)
 			exec->ends_storing = exec->ends_seen;
 		if (bp_qexec_wait_record_due(exec)) {
@@ -140,14 +145,18 @@
 			exec->wait_recorded = true;
 			add_holder(records, exec,
 			    (uint32_t)bp_qexec_lease_wait_ms(exec));
+			added = true;
 		} else if (exec->answered_this_epoch && !exec->recording &&
 		    (exec->planned_starts > 0 ||
 			(!exec->recorded_in_epoch && !exec->unresponsive))) {
 			exec->recording = true;
 			mark_plans_in_append(exec);
 			add_holder(records, exec, 0);
+			added = true;
 		}
 	}
+	if (shard->exec_alone && added)
+		bp_record_writer_request(shard->writer, false);
 }
 
 static void
@@ -160,7 +169,9 @@
 	    now_ms - shard->filler_model_stored_ms < FILLER_MODEL_PERIOD_MS)
 		return;
 	bytes = bp_filler_model_serialize(shard->filler_model);
-	if (g_bytes_get_size(bytes) > 0)
+	/* A model of very many images is learned anew by each owner. */
+	if (g_bytes_get_size(bytes) > 0 &&
+	    g_bytes_get_size(bytes) <= BP_QJOB_RECORD_BYTES_MAX)
 		add_record(records, "", BP_SHARD_KEY_FILLER_MODEL, bytes);
 	shard->filler_model_stored_ms = now_ms;
 	g_bytes_unref(bytes);
@@ -201,53 +212,88 @@
 	return bytes;
 }
 
-static void
-add_new_job(bp_shard_t *shard, GPtrArray *records, bp_qjob_t *job)
+static bool
+add_new_job(bp_shard_t *shard, GPtrArray *records, bp_qjob_t *job, gsize *bytes)
 {
 	bp_qappended_job_t sent = {
-	    job, BP__WORK__JOB_STATE__JOB_QUEUED, true, false};
+	    job, BP__WORK__JOB_STATE__JOB_QUEUED, true, false, false};
+	guint from = records->len;
 
 	add_message(
 	    records, BP_SHARD_PREFIX_JOB, job->spec->id, &job->spec->base);
 	g_array_append_val(shard->in_flight, sent);
+	*bytes += size_of(records, from);
+	return true;
 }
 
-static void
-add_changed_job(bp_shard_t *shard, GPtrArray *records, bp_qjob_t *job)
+/* Returns false when some parts of its progress are left for later. */
+static bool
+add_changed_job(
+    bp_shard_t *shard, GPtrArray *records, bp_qjob_t *job, gsize *bytes)
 {
 	bool cancel = job->cancelling && !bp_qjob_ended(job);
 	bp_qappended_job_t sent = {job,
 	    cancel ? BP__WORK__JOB_STATE__JOB_CANCELLED : job->state, false,
-	    cancel};
-
+	    cancel, false};
+	bool ends = sent.state >= BP__WORK__JOB_STATE__JOB_COMPLETED;
+	guint from = records->len;
+
+	if (!ends && !bp_qjob_add_parts(records, job, bytes, APPEND_MAX_BYTES))
+		sent.partial = true;
+	if (sent.partial) {
+		g_array_append_val(shard->in_flight, sent);
+		return false;
+	}
 	job->dirty = false;
 	/* Successors keep the ended job for status_keep_s from this time. */
 	if (cancel)
 		job->ended_ms = bp_shard_wall_ms(shard);
+	from = records->len;
 	add_progress(records, job, sent.state);
 	/* A takeover reads less, and cannot start any task of the job. */
-	if (sent.state >= BP__WORK__JOB_STATE__JOB_COMPLETED)
+	if (ends) {
 		add_record(records, BP_SHARD_PREFIX_JOB, job->spec->id, NULL);
+		bp_qjob_remove_parts(records, job);
+	}
+	*bytes += size_of(records, from);
 	g_array_append_val(shard->in_flight, sent);
+	return true;
 }
 
-/* Moves jobs from the list to the append until that has its full size. */
+/*
+ * Moves jobs from the list to the append until that has its full size, or holds
+ * one job if it is to hold no more.
+ */
 static void
 move_jobs(bp_shard_t *shard, GPtrArray *records, GPtrArray *jobs,
-    void (*add)(bp_shard_t *, GPtrArray *, bp_qjob_t *), gsize *bytes)
+    bool (*add)(bp_shard_t *, GPtrArray *, bp_qjob_t *, gsize *), gsize *bytes)
 {
 	guint taken = 0;
 
-	while (taken < jobs->len && *bytes < APPEND_MAX_BYTES) {
-		guint from = records->len;
-
-		add(shard, records, jobs->pdata[taken++]);
-		*bytes += size_of(records, from);
+	while (taken < jobs->len && *bytes < APPEND_MAX_BYTES &&
+	    (!shard->append_alone || shard->in_flight->len == 0)) {
+		if (!add(shard, records, jobs->pdata[taken], bytes))
+			break;
+		taken++;
 	}
 	if (taken > 0)
 		g_ptr_array_remove_range(jobs, 0, taken);
 }
 
+static void end_append(bp_shard_t *shard, bp_store_outcome_t outcome);
+
+static void
+add_owner_record(bp_shard_t *shard, GPtrArray *records)
+{
+	if (shard->owner_record_due ||
+	    (records->len == 0 && shard->epoch_check_wanted)) {
+		g_ptr_array_add(records, bp_shard_owner_record(shard));
+		shard->owner_record_in_flight = shard->owner_record_due;
+		shard->owner_record_due = false;
+	}
+	shard->epoch_check_wanted = false;
+}
+
 /* Adds the pending records to an append; see bp_record_writer_options_t. */
 void
 bp_shard_collect_records(GPtrArray *records, void *data)
@@ -259,27 +305,32 @@
 	/* After a pause the append may be due before the next tick. */
 	bp_shard_refuse_overdue(shard);
 	g_array_set_size(shard->in_flight, 0);
+	if (shard->probe_due) {
+		shard->probe_due = false;
+		g_ptr_array_add(records, bp_shard_owner_record(shard));
+		bp_record_writer_request(shard->writer, false);
+		return;
+	}
 	move_jobs(shard, records, shard->new_jobs, add_new_job, &bytes);
 	move_jobs(shard, records, shard->dirty_jobs, add_changed_job, &bytes);
+	if (shard->new_jobs->len > 0 || shard->dirty_jobs->len > 0)
+		bp_record_writer_request(
+		    shard->writer, shard->new_jobs->len > 0);
+	if (shard->append_alone && records->len > 0) {
+		bp_record_writer_request(shard->writer, false);
+		return;
+	}
+	shard->append_alone = false;
 	/* Run ends are acknowledged once the progress of all jobs is stored. */
 	add_exec_records(shard, records, shard->dirty_jobs->len == 0);
 	for (i = 0; i < shard->deleted_keys->len; i++)
 		add_record(records, "", shard->deleted_keys->pdata[i], NULL);
 	g_ptr_array_set_size(shard->deleted_keys, 0);
 	add_filler_model_record(shard, records);
-	if (shard->owner_record_due ||
-	    (records->len == 0 && shard->epoch_check_wanted)) {
-		g_ptr_array_add(records, bp_shard_owner_record(shard));
-		shard->owner_record_in_flight = shard->owner_record_due;
-		shard->owner_record_due = false;
-	}
-	shard->epoch_check_wanted = false;
-	if (shard->new_jobs->len > 0 || shard->dirty_jobs->len > 0)
-		bp_record_writer_request(
-		    shard->writer, shard->new_jobs->len > 0);
+	add_owner_record(shard, records);
 	/* Run ends that change no job are acknowledged without a record. */
 	if (records->len == 0)
-		bp_shard_append_done(BP_STORE_OK, shard);
+		end_append(shard, BP_STORE_OK);
 }
 
 /* Answers the callers that wait for the job or, with cancels, its cancellation
@@ -315,6 +366,10 @@
 	bp_shard_answer_t answer = {BP_OK, sent->state, 0, ""};
 	bp_qjob_t *job = sent->job;
 
+	job->rejections.count = 0;
+	bp_qjob_parts_done(job, true);
+	if (sent->partial)
+		return;
 	if (sent->first_record) {
 		job->accepted = true;
 		bp_shard_answer_waiters(job, false, &answer);
@@ -339,6 +394,7 @@
 {
 	bp_qjob_t *job = sent->job;
 
+	bp_qjob_parts_done(job, false);
 	if (sent->first_record) {
 		bp_shard_answer_waiters(job, false, answer);
 		bp_shard_answer_waiters(job, true, answer);
@@ -362,6 +418,8 @@
 	bool lease = stored && exec->wait_recorded;
 
 	exec->recording = false;
+	if (stored)
+		exec->rejections.count = 0;
 	exec->recorded_in_epoch = exec->recorded_in_epoch || stored;
 	exec->stored = exec->stored || stored;
 	exec->wait_recorded = exec->wait_recorded && !stored;
@@ -399,6 +457,7 @@
 {
 	switch (outcome) {
 	case BP_STORE_REFUSED:
+	case BP_STORE_REJECTED:
 		return BP_ELOGDOWN;
 	case BP_STORE_FENCED:
 	case BP_STORE_CONFLICT:
@@ -412,11 +471,9 @@
 	return BP_EUNKNOWN;
 }
 
-/* Handles the outcome of an append; see bp_record_writer_options_t. */
-void
-bp_shard_append_done(bp_store_outcome_t outcome, void *data)
+static void
+end_append(bp_shard_t *shard, bp_store_outcome_t outcome)
 {
-	bp_shard_t *shard = data;
 	GArray *batch = shard->in_flight;
 	bool stored = outcome == BP_STORE_OK;
 	bp_shard_answer_t refused = {refusal_kind(outcome),
@@ -433,9 +490,13 @@
 
 		if (stored)
 			on_job_stored(shard, sent);
+		else if (outcome == BP_STORE_REJECTED)
+			bp_shard_job_rejected(shard, sent);
 		else
 			on_job_refused(shard, sent, &refused);
 	}
+	if (outcome == BP_STORE_REJECTED)
+		bp_shard_append_rejected(shard, batch);
 	g_array_unref(batch);
 	if (shard->owner_record_in_flight && !stored)
 		shard->owner_record_due = true;
@@ -443,10 +504,20 @@
 	on_exec_records(shard, stored);
 	if (stored)
 		bp_shard_plan_round(shard, 0);
-	else if (outcome != BP_STORE_REFUSED)
+	else if (outcome != BP_STORE_REFUSED && outcome != BP_STORE_REJECTED)
 		bp_shard_set_lost(shard);
 }
 
+/* Handles the outcome of an append; see bp_record_writer_options_t. */
+void
+bp_shard_append_done(bp_store_outcome_t outcome, void *data)
+{
+	bp_shard_t *shard = data;
+
+	shard->stored_appends += outcome == BP_STORE_OK;
+	end_append(shard, outcome);
+}
+
 /* Removes an ended job; the next append removes its records. */
 void
 bp_shard_drop_job(bp_shard_t *shard, bp_qjob_t *job)
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -343,7 +343,7 @@
 	/* Service, zone, labels and capacity may be those of another life. */
 	if (exec->info->born_ms != exec->born_ms)
 		return "restarted";
-	if (!exec->recorded_in_epoch)
+	if (!exec->recorded_in_epoch || exec->unstorable)
 		return "not_recorded";
 	if (bp_qexec_has_unconfirmed_start(exec))
 		return "no_answer";
--- a/src/queues/shard_score.c
+++ b/src/queues/shard_score.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+/* Runs on one executor: its record, which names them, fits the store. */
+#define RUNS_MAX 1200
 /* Scores are in thousandths of the executor's processors, plus penalties. */
 #define SCALE 1000.0
 #define PENALTY_FAILED_ON 1500.0
@@ -90,7 +92,8 @@
 	    !g_strv_contains(
 		(const char *const *)exec->info->labels, spec->label))
 		return "label";
-	if (!bp_qexec_has_capacity(exec, spec, 1))
+	if (exec->runs->len >= RUNS_MAX ||
+	    !bp_qexec_has_capacity(exec, spec, 1))
 		return "no_capacity";
 	if (bp_qexec_reserved_from(exec, step))
 		return "kept";
--- a/src/queues/shard_takeover.c
+++ b/src/queues/shard_takeover.c
@@ -111,6 +111,7 @@
 		retry(shard, "claim", "another append came first");
 		break;
 	case BP_STORE_REFUSED:
+	case BP_STORE_REJECTED:
 		retry(shard, "claim", "the store refused the append");
 		break;
 	case BP_STORE_UNKNOWN:
--- a/tests/queues/test_parts.c
+++ b/tests/queues/test_parts.c
@@ -106,6 +106,66 @@
 	bp_qjob_free(copy);
 }
 
+#define MANY_TASKS 20000
+#define RECORD_BYTES_MAX ((gsize)256 * 1024)
+
+/* The progress of a job of many tasks is divided into records that the store
+ * takes; only what has changed is written, and a new owner reads all of it. */
+static void
+test_divided_progress_survives(void)
+{
+	bp_qjob_t *job = bp_qjob_new(new_spec(2, MANY_TASKS / 2, false));
+	bp_qjob_t *copy = bp_qjob_new(new_spec(2, MANY_TASKS / 2, false));
+	char *checkpoint = g_strnfill(BP_QJOB_CHECKPOINT_BYTES_MAX, 'c');
+	GBytes *bytes;
+	gsize size = 0;
+	const uint8_t *data;
+	uint32_t changed = 0;
+	uint32_t i;
+
+	for (i = 0; i < MANY_TASKS; i++) {
+		bp_qtask_t *task = bp_qjob_task(
+		    job, 0, i / (MANY_TASKS / 2), i % (MANY_TASKS / 2));
+
+		bp_qtask_set_checkpoint(task, checkpoint);
+		bp_qtask_mark_changed(task);
+		(void)bp_qtask_record_failure(task, 1000 + i);
+	}
+	bp_qtask_set_state(bp_qjob_task(job, 0, 1, 3), BP_QTASK_DONE);
+	for (i = 0; i < job->n_parts; i++) {
+		CU_ASSERT_EQUAL(job->parts[i], BP_QPART_CHANGED);
+		job->parts[i] = 0;
+		bytes = bp_qjob_serialize_part(job, i);
+		data = g_bytes_get_data(bytes, &size);
+		CU_ASSERT_TRUE(size < RECORD_BYTES_MAX);
+		CU_ASSERT_EQUAL(
+		    bp_qjob_load_part(copy, i, data, size, NULL), BP_OK);
+		CU_ASSERT_EQUAL(copy->parts[i], BP_QPART_STORED);
+		g_bytes_unref(bytes);
+	}
+	bytes = bp_qjob_serialize_progress(job);
+	CU_ASSERT_TRUE(g_bytes_get_size(bytes) < 100);
+	g_bytes_unref(bytes);
+	for (i = 0; i < MANY_TASKS / 2; i++) {
+		CU_ASSERT_EQUAL(
+		    bp_qtask_failures(bp_qjob_task(copy, 0, 1, i)), 1);
+		CU_ASSERT_EQUAL(bp_qjob_task(copy, 0, 1, i)->state,
+		    i == 3 ? BP_QTASK_DONE : BP_QTASK_WAITING);
+	}
+	CU_ASSERT_STRING_EQUAL(
+	    bp_qjob_task(copy, 0, 0, 9999)->checkpoint, checkpoint);
+	bp_qtask_set_state(bp_qjob_task(job, 0, 0, 5000), BP_QTASK_DONE);
+	for (i = 0; i < job->n_parts; i++)
+		changed += job->parts[i] != 0;
+	CU_ASSERT_EQUAL(changed, 1);
+	CU_ASSERT_EQUAL(bp_qjob_load_part(
+			    copy, copy->n_parts, (const uint8_t *)"", 0, NULL),
+	    BP_EINVALID);
+	g_free(checkpoint);
+	bp_qjob_free(job);
+	bp_qjob_free(copy);
+}
+
 /* A run end that is listed again counts once; the tasks of a gang share their
  * count of failures. */
 static void
@@ -511,6 +571,7 @@
 	CU_TestInfo tests[] = {
 	    {"impossible jobs are refused", test_impossible_jobs_are_refused},
 	    {"progress survives", test_progress_survives},
+	    {"divided progress survives", test_divided_progress_survives},
 	    {"failures count once", test_failures_count_once},
 	    {"steps open in order", test_steps_open_in_order},
 	    {"task names", test_task_names},
--- a/tests/support/queuefleet.c
+++ b/tests/support/queuefleet.c
@@ -58,6 +58,7 @@
 } exec_t;
 
 struct bp_qfleet {
+	const char *checkpoint; /* static */
 	bp_clock_virtual_t *clock;
 	bp_random_t *random;
 	bp_qfleet_world_t world;
@@ -380,15 +381,15 @@
 	call->ended = g_array_new(FALSE, TRUE, sizeof(bp_exec_ended_t));
 	for (i = 0; i < exec->running->len; i++) {
 		const run_t *run = exec->running->pdata[i];
-		bp_exec_running_t row = {
-		    g_intern_string(run->task), run->run, "", 50, 0};
+		bp_exec_running_t row = {g_intern_string(run->task), run->run,
+		    exec->fleet->checkpoint, 50, 0};
 
 		g_array_append_val(call->running, row);
 	}
 	for (i = 0; i < exec->ended->len; i++) {
 		const end_t *end = exec->ended->pdata[i];
 		bp_exec_ended_t row = {end->number, g_intern_string(end->task),
-		    end->run, end->how, ""};
+		    end->run, end->how, exec->fleet->checkpoint};
 
 		g_array_append_val(call->ended, row);
 	}
@@ -725,6 +726,7 @@
 	bp_qfleet_t *fleet = g_new0(bp_qfleet_t, 1);
 	uint32_t i;
 
+	fleet->checkpoint = "";
 	fleet->clock = clock;
 	fleet->random = random;
 	fleet->world = *world;
@@ -1049,3 +1051,10 @@
 {
 	return g_hash_table_contains(fleet->done, task);
 }
+
+/* See the header. */
+void
+bp_qfleet_set_checkpoint(bp_qfleet_t *fleet, const char *checkpoint)
+{
+	fleet->checkpoint = checkpoint;
+}
--- a/tests/support/queuefleet.h
+++ b/tests/support/queuefleet.h
@@ -66,6 +66,8 @@
 /* Starts there are carried out at once but answered so much later. */
 void bp_qfleet_set_slow_ms(
     bp_qfleet_t *fleet, uint32_t index, uint32_t slow_ms);
+/* The checkpoint that all runs report, static; "" for none. */
+void bp_qfleet_set_checkpoint(bp_qfleet_t *fleet, const char *checkpoint);
 void bp_qfleet_set_hold_orders(bp_qfleet_t *fleet, bool hold);
 
 uint32_t bp_qfleet_starts(const bp_qfleet_t *fleet);
--- a/tests/support/queuehttp.c
+++ b/tests/support/queuehttp.c
@@ -183,6 +183,7 @@
 		drop(call);
 		return;
 	case BP_STORE_REFUSED:
+	case BP_STORE_REJECTED:
 	case BP_STORE_TRUNCATED:
 		break;
 	}
--- a/tests/support/queuestore.c
+++ b/tests/support/queuestore.c
@@ -4,6 +4,7 @@
 
 /* As the platform's store: of one append. */
 #define APPEND_BYTES_MAX (2 * 1024 * 1024)
+#define RECORD_BYTES_MAX (256 * 1024)
 #define DELAY_MS 4
 #define NO_ANSWER_MS 1500
 #define FROZEN_STEP_MS 20
@@ -36,6 +37,7 @@
 	member_t **wanted; /* a partition */
 	uint64_t generation;
 	uint32_t delay_ms;
+	const char *rejected; /* part of a key; NULL for none */
 	uint32_t lost_percent;
 	bool lost_late;
 	uint64_t appends;
@@ -131,12 +133,36 @@
 	return bytes;
 }
 
+/* A record that is too large, or of the rejected key, is never taken. */
+static bool
+is_rejected(const call_t *call)
+{
+	const char *rejected = call->view->store->rejected;
+	guint i;
+
+	for (i = 0; i < call->records->len; i++) {
+		const bp_store_record_t *record = call->records->pdata[i];
+
+		if (record->value != NULL &&
+		    (g_bytes_get_size(record->value) + strlen(record->key) >=
+			    RECORD_BYTES_MAX ||
+			(rejected != NULL &&
+			    strstr(record->key, rejected) != NULL)))
+			return true;
+	}
+	return false;
+}
+
 static void
 apply_append(call_t *call)
 {
 	part_t *part = &call->view->store->parts[call->partition];
 	guint i;
 
+	if (is_rejected(call)) {
+		call->result.outcome = BP_STORE_REJECTED;
+		return;
+	}
 	if (size_of(call->records) > APPEND_BYTES_MAX) {
 		call->result.outcome = BP_STORE_REFUSED;
 		return;
@@ -709,3 +735,10 @@
 
 	return record != NULL ? record->value : NULL;
 }
+
+/* See the header. */
+void
+bp_qstore_set_rejected(bp_qstore_t *store, const char *key_part)
+{
+	store->rejected = key_part;
+}
--- a/tests/support/queuestore.h
+++ b/tests/support/queuestore.h
@@ -31,6 +31,9 @@
 void bp_qstore_set_delay_ms(bp_qstore_t *store, uint32_t delay_ms);
 /* Share of appends, in percent, without answer; late: done 1 to 6 s later. */
 void bp_qstore_set_lost(bp_qstore_t *store, uint32_t percent, bool late);
+/* Rejects each append with a value for such a key, for good; NULL for none.
+ * key_part is static. */
+void bp_qstore_set_rejected(bp_qstore_t *store, const char *key_part);
 /* Deals all partitions anew. */
 void bp_qstore_rebalance(bp_qstore_t *store);
 uint64_t bp_qstore_appends(const bp_qstore_t *store);
