Queues: a cancel that arrives while its job's end is stored is answered

Change: the stored end answers it with the state. Red before: queues/shard "a cancel during the end is answered".

--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -379,8 +379,14 @@
 		return;
 	}
 	job->stored = sent->state;
-	if (!sent->cancel)
+	if (!sent->cancel) {
+		/* A cancel that came while the end was being stored. */
+		if (bp_qjob_ended(job) && job->stored == job->state) {
+			job->cancelling = false;
+			bp_shard_answer_waiters(job, true, &answer);
+		}
 		return;
+	}
 	bp_shard_end_job(shard, job, BP__WORK__JOB_STATE__JOB_CANCELLED);
 	job->cancelling = false;
 	bp_shard_answer_waiters(job, true, &answer);
--- a/tests/queues/test_shard.c
+++ b/tests/queues/test_shard.c
@@ -131,6 +131,35 @@
 	finish_simulation(sim);
 }
 
+#define SLOW_END_MS 400
+
+/* Guards against a cancel that arrives while the end of its job is being
+ * stored, and is never answered. */
+static void
+test_a_cancel_during_the_end_is_answered(void)
+{
+	const bp_qrig_shape_t shape = {.reliable = true};
+	bp_qrig_t *sim = start_simulation();
+	const char *id;
+	char *last;
+
+	bp_qrig_set_shape(sim, &shape);
+	id = bp_qrig_submit(sim, 1, 300, false);
+	last = g_strdup_printf("%s.0.1.0", id);
+	bp_qrig_run_ms(sim, 550);
+	bp_qstore_set_delay_ms(bp_qrig_store(sim), SLOW_END_MS);
+	while (!bp_qfleet_has_done(bp_qrig_fleet(sim), last))
+		bp_qrig_run_ms(sim, 10);
+	g_free(last);
+	bp_qrig_run_ms(sim, 100);
+	bp_qrig_cancel(sim, id);
+	CU_ASSERT_EQUAL(bp_qrig_cancel_told(sim, id), BP_QRIG_OPEN);
+	bp_qrig_run_ms(sim, 1500);
+	CU_ASSERT_EQUAL(bp_qrig_cancel_told(sim, id), BP_QRIG_ACCEPTED);
+	expect_state(sim, id, BP__WORK__JOB_STATE__JOB_COMPLETED);
+	finish_simulation(sim);
+}
+
 /* Guards against restarts of tasks that a dead owner had started. */
 static void
 test_a_successor_adopts_what_runs(void)
@@ -1093,6 +1122,8 @@
 	    {"a new life gets nothing by an old entry",
 		test_a_new_life_gets_nothing_by_an_old_entry},
 	    {"a gang gets its accelerators", test_a_gang_gets_its_accelerators},
+	    {"a cancel during the end is answered",
+		test_a_cancel_during_the_end_is_answered},
 	    {"a dead owner ends the grace", test_a_dead_owner_ends_the_grace},
 	    {"all earlier owners must have stopped",
 		test_all_earlier_owners_must_have_stopped},
