--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -974,7 +974,7 @@
     "interval_ms",
     7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
     offsetof(Bp__Work__Job, interval_ms),
     NULL,
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -137,7 +137,7 @@
    * Unix ms at which occurrence 0 is due
    */
   int64_t first_ms;
-  uint32_t interval_ms;
+  uint64_t interval_ms;
   /*
    * occurrences; 0: one, due at once
    */
--- a/src/queues/job.c
+++ b/src/queues/job.c
@@ -24,6 +24,18 @@
 	return ms >= -TIME_MAX_MS && ms <= TIME_MAX_MS;
 }
 
+/* Returns whether the last occurrence is due at a valid time. */
+static bool
+is_valid_schedule(const Bp__Work__Job *spec)
+{
+	uint64_t intervals = occurrences_of(spec) - 1;
+
+	return is_valid_time(spec->first_ms) &&
+	    (intervals == 0 ||
+		spec->interval_ms <=
+		    (uint64_t)(TIME_MAX_MS - spec->first_ms) / intervals);
+}
+
 static int
 check_bounds(const Bp__Work__Job *spec, bp_error_t *err)
 {
@@ -33,8 +45,7 @@
 	if (id_bytes == 0 || id_bytes > ID_BYTES_MAX)
 		return bp_error_set(err, BP_EINVALID,
 		    "an ID has 1 to %d characters", ID_BYTES_MAX);
-	if (!is_valid_time(spec->first_ms) ||
-	    !is_valid_time(spec->accepted_ms) ||
+	if (!is_valid_schedule(spec) || !is_valid_time(spec->accepted_ms) ||
 	    spec->stretch_permille > STRETCH_MAX_PERMILLE)
 		return bp_error_set(err, BP_EINVALID,
 		    "a time or the stretch factor of the job is out of range");
@@ -203,7 +214,8 @@
 
 	if (spec->times == 0)
 		return 0;
-	return spec->first_ms + (int64_t)step->occurrence * spec->interval_ms;
+	return spec->first_ms +
+	    (int64_t)step->occurrence * (int64_t)spec->interval_ms;
 }
 
 /* Tells whether the step's dependencies are done and its start time has been
--- a/tests/queues/test_parts.c
+++ b/tests/queues/test_parts.c
@@ -59,6 +59,15 @@
 	job->first_ms = INT64_MAX;
 	CU_ASSERT_EQUAL(bp_qjob_validate(job, &err), BP_EINVALID);
 	job->first_ms = 0;
+	job->times = 100;
+	job->interval_ms = (uint64_t)1 << 53;
+	CU_ASSERT_EQUAL(bp_qjob_validate(job, &err), BP_EINVALID);
+	job->interval_ms = 7776000000;
+	CU_ASSERT_EQUAL(bp_qjob_validate(job, &err), BP_OK);
+	job->times = 1;
+	job->interval_ms = UINT64_MAX;
+	CU_ASSERT_EQUAL(bp_qjob_validate(job, &err), BP_OK);
+	job->interval_ms = 0;
 	job->stretch_permille = UINT32_MAX;
 	CU_ASSERT_EQUAL(bp_qjob_validate(job, &err), BP_EINVALID);
 	job->stretch_permille = 1000;
