Lint: a store that is never read, and the size of a pointer

Change: two lines; the compiled decisions stay. Checked: the linter on all files that changed since.

--- a/bench/bench_progress.c
+++ b/bench/bench_progress.c
@@ -35,7 +35,7 @@
 	spec->queue = strdup("q");
 	step->tasks = TASKS;
 	step->checkpoints = true;
-	spec->steps = calloc(1, sizeof(*spec->steps));
+	spec->steps = calloc(1, sizeof(Bp__Work__Step *));
 	spec->steps[spec->n_steps++] = step;
 	job = bp_qjob_new(spec);
 	for (i = 0; i < TASKS; i++)
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -236,7 +236,7 @@
 	    cancel ? BP__WORK__JOB_STATE__JOB_CANCELLED : job->state, false,
 	    cancel, false};
 	bool ends = sent.state >= BP__WORK__JOB_STATE__JOB_COMPLETED;
-	guint from = records->len;
+	guint from;
 
 	if (!ends && !bp_qjob_add_parts(records, job, bytes, APPEND_MAX_BYTES))
 		sent.partial = true;
