--- a/include/bulrushpost/executors.h
+++ b/include/bulrushpost/executors.h
@@ -61,7 +61,9 @@
 	BP_EXEC_UNHEALTHY, /* nothing was done */
 	BP_EXEC_INVALID, /* the order is malformed */
 	BP_EXEC_NOT_SENT, /* not connected; nothing was done */
-	BP_EXEC_UNKNOWN /* no answer: may take effect, also later */
+	BP_EXEC_UNKNOWN, /* no answer: may take effect, also later */
+	BP_EXEC_UNCONFIRMED /* not sent: there is no connection on which the
+			     * target's incarnation has answered */
 } bp_exec_outcome_t;
 
 /* Valid during the callback. */
@@ -81,6 +83,8 @@
 	const char *id;
 	const char *zone;
 	uint64_t fence; /* fencing token */
+	/* Unix ms, the incarnation that the order is for; 0: any. */
+	int64_t born_ms;
 } bp_exec_target_t;
 
 typedef struct {
--- a/src/clients/httpcall.c
+++ b/src/clients/httpcall.c
@@ -1,5 +1,7 @@
 #include "clients/httpcall.h"
 
+#include "clients/connections.h"
+
 #include <string.h>
 
 #define READ_MIN_BYTES 4096
@@ -15,6 +17,7 @@
 struct bp_http {
 	SoupSession *session;
 	GHashTable *calls; /* call_t, not owned */
+	bp_connections_t *connections;
 };
 
 /*
@@ -38,7 +41,12 @@
 	int64_t deadline_us; /* monotonic deadline */
 	gboolean extended; /* the deadline was extended once */
 	guint source;
+	gboolean started; /* an operation of libsoup frees it */
 	gboolean sent;
+	int64_t incarnation; /* of the server; 0: any */
+	gboolean mismatch; /* its connection is not of that incarnation */
+	char *host; /* with the port */
+	uint64_t connection; /* in use; 0: none */
 } call_t;
 
 static void
@@ -48,9 +56,32 @@
 	g_clear_object(&call->message);
 	g_object_unref(call->cancellable);
 	g_byte_array_unref(call->body);
+	g_free(call->host);
 	g_free(call);
 }
 
+/* The host and the port of a URL, by which connections are known. */
+static char *
+host_of(const char *url)
+{
+	const char *start = strstr(url, "://");
+	size_t bytes;
+
+	start = start != NULL ? start + strlen("://") : url;
+	bytes = strcspn(start, "/?#");
+	return g_strndup(start, bytes);
+}
+
+/* The call uses no connection any more. */
+static void
+release_connection(call_t *call)
+{
+	if (call->connection != 0)
+		bp_connections_set_busy(call->http->connections, call->host,
+		    call->connection, false);
+	call->connection = 0;
+}
+
 /* Removes the call from its client. Returns FALSE if it was removed before. */
 static gboolean
 detach(call_t *call)
@@ -58,6 +89,7 @@
 	if (call->http == NULL)
 		return FALSE;
 	g_hash_table_remove(call->http->calls, call);
+	release_connection(call);
 	call->http = NULL;
 	if (call->source != 0)
 		g_source_remove(call->source);
@@ -84,7 +116,7 @@
 	if (call->free_data != NULL)
 		call->free_data(call->data);
 	g_cancellable_cancel(call->cancellable);
-	if (call->message == NULL)
+	if (!call->started)
 		call_free(call);
 }
 
@@ -104,6 +136,8 @@
 	soup_session_remove_feature_by_type(
 	    http->session, SOUP_TYPE_CONTENT_DECODER);
 	http->calls = g_hash_table_new(NULL, NULL);
+	http->connections =
+	    bp_connections_new(connections, connections_per_host);
 	return http;
 }
 
@@ -130,6 +164,7 @@
 		return;
 	cancel_calls(http, NULL, TRUE);
 	g_hash_table_unref(http->calls);
+	bp_connections_free(http->connections);
 	g_object_unref(http->session);
 	g_free(http);
 }
@@ -151,9 +186,10 @@
 	bp_error_t err;
 
 	bp_error_set(&err,
-	    !call->sent		       ? BP_ENOTSENT
-		: call->stream == NULL ? BP_EUNKNOWN
-				       : BP_ETRUNCATED,
+	    !call->sent && call->mismatch ? BP_EMISMATCH
+		: !call->sent		  ? BP_ENOTSENT
+		: call->stream == NULL	  ? BP_EUNKNOWN
+					  : BP_ETRUNCATED,
 	    "%s", reason);
 	finish(call, NULL, &err);
 }
@@ -192,12 +228,44 @@
 	return G_SOURCE_REMOVE;
 }
 
+/* Nothing was sent: no connection of the incarnation is idle. */
+static gboolean
+on_no_connection(void *data)
+{
+	call_t *call = data;
+
+	call->source = 0;
+	call->mismatch = TRUE;
+	fail(call, "no connection of the expected incarnation");
+	call_free(call);
+	return G_SOURCE_REMOVE;
+}
+
+/*
+ * libsoup has a connection for the message and has written nothing to it yet.
+ * This happens again when it repeats a message whose connection was closed.
+ * Cancelling here keeps it from writing.
+ */
 static void
 on_starting(SoupMessage *message, void *data)
 {
 	call_t *call = data;
+	uint64_t connection = soup_message_get_connection_id(message);
 
+	if (call->http == NULL)
+		return;
+	release_connection(call);
+	if (call->incarnation != 0 &&
+	    !bp_connections_is_confirmed(call->http->connections, call->host,
+		connection, call->incarnation)) {
+		call->mismatch = TRUE;
+		g_cancellable_cancel(call->cancellable);
+		return;
+	}
 	call->sent = TRUE;
+	call->connection = connection;
+	bp_connections_set_busy(
+	    call->http->connections, call->host, connection, true);
 }
 
 static void
@@ -208,6 +276,7 @@
 	    .headers = soup_message_get_response_headers(call->message),
 	    .body = call->body->data,
 	    .size_bytes = call->received_bytes,
+	    .connection = soup_message_get_connection_id(call->message),
 	};
 
 	finish(call, &answer, NULL);
@@ -316,6 +385,18 @@
 	    call->message, "starting", G_CALLBACK(on_starting), call);
 }
 
+/* See the header. */
+void
+bp_httpcall_confirm(bp_httpcall_client_t *http, const char *url,
+    uint64_t connection, int64_t incarnation)
+{
+	char *host = host_of(url);
+
+	bp_connections_confirm(
+	    http->connections, host, connection, incarnation);
+	g_free(host);
+}
+
 /*
  * Starts a call. done runs later from the main loop, exactly once unless the
  * call is cancelled. free_data, if not NULL, frees data in either case.
@@ -343,10 +424,20 @@
 		    g_idle_add_full(call->priority, on_invalid, call, NULL);
 		return;
 	}
+	call->host = host_of(request->url);
+	call->incarnation = request->incarnation;
+	if (call->incarnation != 0 &&
+	    !bp_connections_may_send(
+		http->connections, call->host, call->incarnation)) {
+		call->source = g_idle_add_full(
+		    call->priority, on_no_connection, call, NULL);
+		return;
+	}
 	set_message(call, request);
 	call->deadline_us =
 	    g_get_monotonic_time() + (int64_t)request->timeout_ms * US_PER_MS;
 	call->source = g_timeout_add(request->timeout_ms, on_timeout, call);
+	call->started = TRUE;
 	soup_session_send_async(http->session, call->message, call->priority,
 	    call->cancellable, on_sent, call);
 }
--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -1425,7 +1425,7 @@
   (ProtobufCMessageInit) bp__work__holder__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__work__order__field_descriptors[13] =
+static const ProtobufCFieldDescriptor bp__work__order__field_descriptors[14] =
 {
   {
     "kind",
@@ -1583,9 +1583,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "born_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Order, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__work__order__field_indices_by_name[] = {
   1,   /* field[1] = address */
+  13,   /* field[13] = born_ms */
   8,   /* field[8] = checkpoint */
   10,   /* field[10] = cursor */
   7,   /* field[7] = deadline_ms */
@@ -1602,7 +1615,7 @@
 static const ProtobufCIntRange bp__work__order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor bp__work__order__descriptor =
 {
@@ -1612,7 +1625,7 @@
   "Bp__Work__Order",
   "bp.work",
   sizeof(Bp__Work__Order),
-  13,
+  14,
   bp__work__order__field_descriptors,
   bp__work__order__field_indices_by_name,
   1,  bp__work__order__number_ranges,
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -269,10 +269,14 @@
   uint64_t cursor;
   uint32_t wait_ms;
   uint32_t percent;
+  /*
+   * incarnation that the order is for, 0: any
+   */
+  int64_t born_ms;
 };
 #define BP__WORK__ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__work__order__descriptor) \
-    , BP__WORK__ORDER_KIND__ORDER_START, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , BP__WORK__ORDER_KIND__ORDER_START, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Bp__Work__RunningRow
--- a/src/queues/orderproxy.c
+++ b/src/queues/orderproxy.c
@@ -93,8 +93,8 @@
     pending_order_t *pending)
 {
 	bp_executors_t *direct = proxy->direct;
-	bp_exec_target_t target = {
-	    order->address, order->id, proxy->zone, order->fence};
+	bp_exec_target_t target = {order->address, order->id, proxy->zone,
+	    order->fence, order->born_ms};
 	bp_exec_start_t start = {order->task, order->run, order->payload,
 	    order->deadline_ms, order->checkpoint,
 	    order->ticket[0] != '\0' ? order->ticket : NULL};
--- a/src/queues/orderrouter.c
+++ b/src/queues/orderrouter.c
@@ -246,7 +246,7 @@
 	bp_exec_result_t result = {0};
 
 	result.outcome = BP_EXEC_UNKNOWN;
-	if (body != NULL && body->outcome <= BP_EXEC_UNKNOWN) {
+	if (body != NULL && body->outcome <= BP_EXEC_UNCONFIRMED) {
 		record_start(call, body);
 		result.outcome = (bp_exec_outcome_t)body->outcome;
 		result.clock_ms = body->clock_ms;
@@ -311,6 +311,7 @@
 	order->address = (char *)target->address;
 	order->id = (char *)target->id;
 	order->fence = target->fence;
+	order->born_ms = target->born_ms;
 	call->router = router;
 	call->proxy = g_strdup(proxy);
 	call->start = order->kind == BP__WORK__ORDER_KIND__ORDER_START;
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -341,7 +341,9 @@
 
 	router.clock = node->clock;
 	router.logger = node->logger;
-	router.direct = bp_platform_get_executors(node->platform);
+	node->incarnation_guard = bp_incarnation_guard_new(
+	    node->clock, bp_platform_get_executors(node->platform));
+	router.direct = bp_incarnation_guard_interface(node->incarnation_guard);
 	router.client = node->client;
 	router.address = node->settings->listen.control;
 	router.zone = node->settings->node.zone;
@@ -535,6 +537,7 @@
 	bp_peer_client_free(node->client);
 	bp_order_router_free(node->order_router);
 	bp_order_proxy_free(node->order_proxy);
+	bp_incarnation_guard_free(node->incarnation_guard);
 	bp_peer_server_free(node->server);
 	bp_platform_free(node->platform);
 	bp_freshness_free(node->freshness);
--- a/src/queues/queuenode_private.h
+++ b/src/queues/queuenode_private.h
@@ -5,6 +5,7 @@
 #include "bulrushpost/queuenode.h"
 #include "node/metricsserver.h"
 #include "queues/freshness.h"
+#include "queues/incarnationguard.h"
 #include "queues/orderproxy.h"
 #include "queues/jobrouter.h"
 #include "queues/orderrouter.h"
@@ -43,6 +44,7 @@
 	bp_peer_client_t *client;
 	bp_peer_server_t *server;
 	bp_membership_t *membership;
+	bp_incarnation_guard_t *incarnation_guard; /* all orders pass it */
 	bp_order_router_t *order_router; /* for this node's shards */
 	bp_order_proxy_t *order_proxy; /* for the orders of other owners */
 	bp_job_router_t *job_router;
--- a/src/queues/shard_execs.c
+++ b/src/queues/shard_execs.c
@@ -118,6 +118,7 @@
 	run->task = task;
 	run->name = g_strdup(name);
 	run->number = number;
+	run->born_ms = exec->born_ms;
 	run->speed_percent = 100;
 	run->started_ms = bp_shard_now_ms(exec->shard);
 	run->progress_ms = run->started_ms;
--- a/src/queues/shard_orders.c
+++ b/src/queues/shard_orders.c
@@ -41,11 +41,12 @@
 	g_free(order);
 }
 
-static bp_exec_target_t
-target_of(const bp_qexec_t *exec)
+/* See the header. */
+bp_exec_target_t
+bp_qexec_target(const bp_qexec_t *exec)
 {
 	bp_exec_target_t target = {exec->info->address, exec->info->id,
-	    exec->info->zone, exec->shard->epoch};
+	    exec->info->zone, exec->shard->epoch, exec->born_ms};
 
 	return target;
 }
@@ -99,6 +100,10 @@
 	case BP_EXEC_OTHER_INCARNATION:
 		log_refusal(run, "other_life");
 		bp_qexec_back_off(exec, "other_life", BACKOFF_UNHEALTHY_MS);
+		bp_shard_poll(exec, 0);
+		break;
+	case BP_EXEC_UNCONFIRMED:
+		log_refusal(run, "unconfirmed");
 		break;
 	case BP_EXEC_INVALID:
 		log_refusal(run, "invalid");
@@ -185,13 +190,14 @@
 {
 	bp_qexec_t *exec = run->exec;
 	bp_qtask_t *task = run->task;
-	bp_exec_target_t target = target_of(exec);
+	bp_exec_target_t target = bp_qexec_target(exec);
 	bp_exec_start_t start = {0};
 
 	if (!task->step->job->started) {
 		task->step->job->started = true;
 		bp_qjob_update_state(task->step->job);
 	}
+	target.born_ms = run->born_ms;
 	run->state = BP_QRUN_STARTING;
 	run->started_ms = bp_shard_now_ms(shard);
 	run->progress_ms = run->started_ms;
@@ -227,14 +233,18 @@
 	case BP_EXEC_FENCED:
 		bp_shard_set_lost(order->shard);
 		break;
+	case BP_EXEC_OTHER_INCARNATION:
+		/* The stop is repeated to the incarnation that answers. */
+		bp_shard_poll(run->exec, 0);
+		break;
 	case BP_EXEC_EXPIRED:
 	case BP_EXEC_NO_CAPACITY:
 	case BP_EXEC_BAD_TICKET:
-	case BP_EXEC_OTHER_INCARNATION:
 	case BP_EXEC_UNHEALTHY:
 	case BP_EXEC_INVALID:
 	case BP_EXEC_NOT_SENT:
 	case BP_EXEC_UNKNOWN:
+	case BP_EXEC_UNCONFIRMED:
 		/* The next check of leases repeats the stop. */
 		break;
 	}
@@ -249,7 +259,7 @@
 bp_shard_stop_run(bp_shard_t *shard, bp_qrun_t *run, const char *reason)
 {
 	int64_t now_ms = bp_shard_now_ms(shard);
-	bp_exec_target_t target = target_of(run->exec);
+	bp_exec_target_t target = bp_qexec_target(run->exec);
 
 	if (run->stop_answered || !bp_shard_may_order(shard))
 		return;
--- a/src/queues/shard_polls.c
+++ b/src/queues/shard_polls.c
@@ -179,8 +179,7 @@
 bp_shard_poll(bp_qexec_t *exec, uint32_t wait_ms)
 {
 	bp_shard_t *shard = exec->shard;
-	bp_exec_target_t target = {exec->info->address, exec->info->id,
-	    exec->info->zone, shard->epoch};
+	bp_exec_target_t target = bp_qexec_target(exec);
 	bp_exec_poll_t request = {0};
 	poll_t *poll;
 
@@ -194,6 +193,9 @@
 	poll->event = ++shard->events;
 	request.deadline_ms = lease_deadline_ms(exec);
 	request.cursor = last_end_to_ack(exec);
+	/* Another incarnation would drop ends that no owner has seen. */
+	if (request.cursor == 0)
+		target.born_ms = 0;
 	request.wait_ms = wait_ms;
 	exec->lease_end_ms = MAX(exec->lease_end_ms, request.deadline_ms);
 	if (request.deadline_ms > 0)
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -57,6 +57,7 @@
 	bp_qtask_t *task; /* NULL once the task no longer needs this run */
 	char *name; /* of the task */
 	uint64_t number;
+	int64_t born_ms; /* incarnation of its executor, when it was planned */
 	bp_qrun_state_t state;
 	uint32_t cpu_milli;
 	uint32_t memory_mib;
@@ -335,6 +336,8 @@
     bp_qexec_t *exec, const char *reason, uint32_t backoff_ms);
 
 /* shard_orders.c */
+/* The executor in the incarnation that answered last; 0 before its answer. */
+bp_exec_target_t bp_qexec_target(const bp_qexec_t *exec);
 void bp_shard_send_start(bp_shard_t *shard, bp_qrun_t *run);
 void bp_shard_start_task(
     bp_shard_t *shard, bp_qtask_t *task, bp_qexec_t *exec, uint64_t number);
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -483,6 +483,9 @@
 	const bp_qexec_t *exec = run->exec;
 	const char *why = exclusion_reason(exec, bp_shard_now_ms(exec->shard));
 
+	/* Its labels, zone and capacity may differ from those planned with. */
+	if (run->born_ms != exec->born_ms)
+		return false;
 	if (why != NULL &&
 	    (!run->task->step->spec->lasting || strcmp(why, QUARANTINED) != 0))
 		return false;
--- a/src/queues/shard_startlimits.c
+++ b/src/queues/shard_startlimits.c
@@ -48,8 +48,7 @@
 bp_qexec_set_start_limiter(bp_qexec_t *exec)
 {
 	bp_executors_t *executors = exec->shard->options.executors;
-	bp_exec_target_t target = {exec->info->address, exec->info->id,
-	    exec->info->zone, exec->shard->epoch};
+	bp_exec_target_t target = bp_qexec_target(exec);
 
 	exec->start_limiter = get_start_limiter(exec->shard,
 	    executors->proxy_address != NULL
--- a/src/queues/shard_throttle.c
+++ b/src/queues/shard_throttle.c
@@ -48,8 +48,7 @@
 set_speed(bp_qexec_t *exec, bp_qrun_t *run, uint32_t percent)
 {
 	bp_shard_t *shard = exec->shard;
-	bp_exec_target_t target = {exec->info->address, exec->info->id,
-	    exec->info->zone, shard->epoch};
+	bp_exec_target_t target = bp_qexec_target(exec);
 	uint32_t change = run->speed_percent > percent
 	    ? run->speed_percent - percent
 	    : percent - run->speed_percent;
--- a/tests/clients/test_httpcall.c
+++ b/tests/clients/test_httpcall.c
@@ -228,6 +228,146 @@
 	g_free(url);
 }
 
+#define INCARNATION 7
+#define ANSWER "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+/* A server that closes its first connection when a second request arrives
+ * there, and counts the requests that it reads on later ones. */
+typedef struct {
+	GSocket *listener;
+	bool pinned_sent; /* a request for one incarnation came later */
+	bool any_sent; /* one for any */
+} restarting_t;
+
+/* Reads one request into text; false when the connection has ended. */
+static bool
+read_request(GSocket *socket, char *text, gsize size)
+{
+	gssize n = g_socket_receive(socket, text, size - 1, NULL, NULL);
+
+	text[MAX(n, 0)] = '\0';
+	return n > 0;
+}
+
+static gpointer
+serve_restarting(gpointer data)
+{
+	restarting_t *server = data;
+	GSocket *first = g_socket_accept(server->listener, NULL, NULL);
+	char text[REQUEST_BYTES];
+	GSocket *later;
+
+	(void)read_request(first, text, sizeof(text));
+	(void)g_socket_send(first, ANSWER, strlen(ANSWER), NULL, NULL);
+	(void)read_request(first, text, sizeof(text));
+	(void)g_socket_close(first, NULL);
+	g_object_unref(first);
+	while (!server->any_sent) {
+		later = g_socket_accept(server->listener, NULL, NULL);
+		if (read_request(later, text, sizeof(text))) {
+			server->pinned_sent = server->pinned_sent ||
+			    strstr(text, "/pinned") != NULL;
+			server->any_sent = strstr(text, "/any") != NULL;
+			(void)g_socket_send(
+			    later, ANSWER, strlen(ANSWER), NULL, NULL);
+		}
+		g_object_unref(later);
+	}
+	return NULL;
+}
+
+typedef struct {
+	bool done;
+	int kind;
+	uint64_t connection;
+} reply_t;
+
+static void
+on_reply(
+    const bp_httpcall_response_t *answer, const bp_error_t *err, void *data)
+{
+	reply_t *reply = data;
+
+	reply->done = true;
+	reply->kind = answer != NULL ? BP_OK : (int)err->kind;
+	reply->connection = answer != NULL ? answer->connection : 0;
+}
+
+static reply_t
+call_and_wait(bp_httpcall_client_t *http, const char *url, int64_t incarnation)
+{
+	bp_httpcall_request_t request = {0};
+	reply_t reply = {false, BP_OK, 0};
+
+	request.method = "POST";
+	request.url = url;
+	request.max_response_bytes = BODY_BYTES;
+	request.timeout_ms = WAIT_MS;
+	request.incarnation = incarnation;
+	bp_httpcall_start(http, &request, on_reply, &reply, NULL, NULL);
+	while (!reply.done)
+		(void)g_main_context_iteration(NULL, TRUE);
+	return reply;
+}
+
+/*
+ * A server restarts while a request for its first incarnation is on its way or
+ * about to be sent. Guards against the HTTP library sending such a request over
+ * a new connection, to the next incarnation.
+ */
+static void
+test_a_request_reaches_its_incarnation_only(void)
+{
+	GInetAddress *loopback =
+	    g_inet_address_new_loopback(G_SOCKET_FAMILY_IPV4);
+	GSocketAddress *any = g_inet_socket_address_new(loopback, 0);
+	bp_httpcall_client_t *http = bp_httpcall_new(3, 3);
+	restarting_t server = {NULL, false, false};
+	GSocketAddress *bound;
+	GThread *thread;
+	char *pinned;
+	char *other;
+	reply_t reply;
+
+	server.listener = g_socket_new(G_SOCKET_FAMILY_IPV4,
+	    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
+	CU_ASSERT_TRUE(g_socket_bind(server.listener, any, TRUE, NULL));
+	CU_ASSERT_TRUE(g_socket_listen(server.listener, NULL));
+	bound = g_socket_get_local_address(server.listener, NULL);
+	pinned = g_strdup_printf("http://127.0.0.1:%u/pinned",
+	    g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound)));
+	other = g_strdup_printf("http://127.0.0.1:%u/any",
+	    g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound)));
+	thread = g_thread_new("server", serve_restarting, &server);
+	/* No connection is known. */
+	reply = call_and_wait(http, pinned, INCARNATION);
+	CU_ASSERT_EQUAL(reply.kind, BP_EMISMATCH);
+	/* Another incarnation has answered on the only one. */
+	reply = call_and_wait(http, pinned, 0);
+	CU_ASSERT_EQUAL(reply.kind, BP_OK);
+	CU_ASSERT_NOT_EQUAL(reply.connection, 0);
+	bp_httpcall_confirm(http, pinned, reply.connection, INCARNATION + 1);
+	CU_ASSERT_EQUAL(
+	    call_and_wait(http, pinned, INCARNATION).kind, BP_EMISMATCH);
+	/* It is sent over the confirmed connection, which is then closed. */
+	bp_httpcall_confirm(http, pinned, reply.connection, INCARNATION);
+	CU_ASSERT_EQUAL(
+	    call_and_wait(http, pinned, INCARNATION).kind, BP_EUNKNOWN);
+	/* The record of the closed connection sends nothing either. */
+	CU_ASSERT_EQUAL(
+	    call_and_wait(http, pinned, INCARNATION).kind, BP_EMISMATCH);
+	CU_ASSERT_EQUAL(call_and_wait(http, other, 0).kind, BP_OK);
+	g_thread_join(thread);
+	CU_ASSERT_FALSE(server.pinned_sent);
+	bp_httpcall_free(http);
+	g_object_unref(bound);
+	g_object_unref(server.listener);
+	g_object_unref(any);
+	g_object_unref(loopback);
+	g_free(pinned);
+	g_free(other);
+}
+
 int
 main(void)
 {
@@ -235,6 +375,8 @@
 	    {"a busy loop ends bad calls", test_a_busy_loop_ends_bad_calls},
 	    {"urgent calls take few turns", test_urgent_calls_take_few_turns},
 	    {"a pause loses no answer", test_a_pause_loses_no_answer},
+	    {"a request reaches its incarnation only",
+		test_a_request_reaches_its_incarnation_only},
 	    CU_TEST_INFO_NULL,
 	};
 
--- a/tests/queues/test_orderproxy.c
+++ b/tests/queues/test_orderproxy.c
@@ -160,7 +160,7 @@
 send_order(fixture_t *fixture)
 {
 	bp_executors_t *interface;
-	bp_exec_target_t target = {"10.0.0.9:80", "i-1", "za", 1};
+	bp_exec_target_t target = {"10.0.0.9:80", "i-1", "za", 1, 0};
 	bp_exec_start_t start = {"t.0.0.0", 1, "work", 1000, NULL, NULL};
 	int64_t end_us = g_get_monotonic_time() + WAIT_MS * 1000;
 
--- a/tests/queues/test_orderrouter.c
+++ b/tests/queues/test_orderrouter.c
@@ -54,7 +54,7 @@
 		bp_order_router_heartbeat(router, NOBODY, zone, other_milli);
 	for (i = 0; i < EXECUTORS; i++) {
 		char id[32];
-		bp_exec_target_t target = {"10.0.0.9:80", id, "za", 1};
+		bp_exec_target_t target = {"10.0.0.9:80", id, "za", 1, 0};
 		bp_exec_start_t start = {
 		    "t.0.0.0", 1, "work", 1000, NULL, NULL};
 
@@ -189,7 +189,7 @@
 static void
 send_start(proxy_fixture_t *fixture)
 {
-	bp_exec_target_t target = {"10.0.0.9:80", "i-1", "za", 1};
+	bp_exec_target_t target = {"10.0.0.9:80", "i-1", "za", 1, 0};
 	bp_exec_start_t start = {"t.0.0.0", 1, "work", 1000, NULL, NULL};
 
 	bp_order_router_interface(fixture->router)
@@ -318,7 +318,7 @@
 {
 	owner_t *owner = owner_new();
 	bp_executors_t *interface = bp_order_router_interface(owner->router);
-	bp_exec_target_t target = {"10.0.0.9:80", "i-1", "za", 1};
+	bp_exec_target_t target = {"10.0.0.9:80", "i-1", "za", 1, 0};
 	bp_exec_poll_t request = {0};
 	int64_t end_us = g_get_monotonic_time() + WAIT_MS * 1000;
 
--- a/tests/queues/test_shard.c
+++ b/tests/queues/test_shard.c
@@ -1020,6 +1020,40 @@
 	}
 }
 
+/*
+ * An executor restarts as another kind between the choice of a place and the
+ * end of the slow append that precedes the start. Guards against starting what
+ * was planned for the earlier incarnation.
+ */
+static void
+test_a_plan_ends_with_its_incarnation(void)
+{
+	const bp_qrig_shape_t label = {.label = "first"};
+	int64_t delay_ms;
+
+	for (delay_ms = 0; delay_ms < 700; delay_ms += 50) {
+		bp_qrig_t *sim = start_simulation();
+		bp_qfleet_t *fleet = bp_qrig_fleet(sim);
+		const char *id;
+
+		bp_qrig_set_shape(sim, &label);
+		bp_qstore_set_delay_ms(bp_qrig_store(sim), 400);
+		id = bp_qrig_submit(sim, 3, 0, true);
+		bp_qrig_run_ms(sim, delay_ms);
+		bp_qstore_set_delay_ms(bp_qrig_store(sim), 1600);
+		bp_qfleet_set_kind(fleet, 0, "other");
+		bp_qfleet_crash(fleet, 0);
+		bp_qrig_run_ms(sim, 4000);
+		CU_ASSERT_EQUAL(bp_qfleet_running_on(fleet, 0, id), 0);
+		bp_qstore_set_delay_ms(bp_qrig_store(sim), 4);
+		bp_qfleet_set_kind(fleet, 0, "first");
+		bp_qfleet_crash(fleet, 0);
+		bp_qrig_run_ms(sim, 8000);
+		CU_ASSERT_EQUAL(bp_qfleet_running_on(fleet, 0, id), 3);
+		finish_simulation(sim);
+	}
+}
+
 /* A gang starts only as a whole, with the accelerators of all its members. */
 static void
 test_a_gang_gets_its_accelerators(void)
@@ -1121,6 +1155,8 @@
 	    {"label and spread bind", test_label_and_spread_bind},
 	    {"a new life gets nothing by an old entry",
 		test_a_new_life_gets_nothing_by_an_old_entry},
+	    {"a plan ends with its incarnation",
+		test_a_plan_ends_with_its_incarnation},
 	    {"a gang gets its accelerators", test_a_gang_gets_its_accelerators},
 	    {"a cancel during the end is answered",
 		test_a_cancel_during_the_end_is_answered},
--- a/tests/support/queuefleet.c
+++ b/tests/support/queuefleet.c
@@ -101,6 +101,7 @@
 	uint32_t wait_ms;
 	bp_exec_done_t done;
 	void *data;
+	int64_t born_ms; /* incarnation that the order is for; 0: any */
 	uint32_t incarnation; /* of the executor, for orders carried out late */
 	bool forgotten;
 	bool answered;
@@ -547,6 +548,12 @@
 		send_answer(call);
 		return G_SOURCE_REMOVE;
 	}
+	/* Its sender has no connection to the incarnation that is meant. */
+	if (call->born_ms != 0 && call->born_ms != exec->born_ms) {
+		call->result.outcome = BP_EXEC_OTHER_INCARNATION;
+		send_answer(call);
+		return G_SOURCE_REMOVE;
+	}
 	if (is_late(call)) {
 		call_t *late = g_new0(call_t, 1);
 
@@ -602,6 +609,7 @@
 	call->kind = kind;
 	call->exec = view->fleet->execs->pdata[index];
 	call->fence = target->fence;
+	call->born_ms = target->born_ms;
 	call->done = done;
 	call->data = data;
 	g_hash_table_add(view->calls, call);
--- a/tests/support/queuehttp.c
+++ b/tests/support/queuehttp.c
@@ -20,9 +20,16 @@
 #define SILENT_MS 4000
 #define RECORD_BYTES_MAX (256 * 1024)
 
+/* An executor's own address. */
+typedef struct {
+	SoupServer *server;
+	uint16_t port;
+} listener_t;
+
 struct bp_queuehttp {
 	SoupServer *server;
 	uint16_t port;
+	listener_t *listeners; /* of the executors */
 	bp_clock_virtual_t *clock;
 	bp_random_t random;
 	bp_qstore_t *store;
@@ -277,10 +284,11 @@
 	    "{\"service_name\":\"pool\",\"address\":\"127.0.0.1:%u\","
 	    "\"zone\":\"%s\",\"version\":\"v1\",\"slots\":8,\"state\":"
 	    "\"ready\",\"capacity\":{\"cpu\":%u,\"mem_mb\":%u,\"gpu\":0},"
-	    "\"labels\":[\"a\",\"%s\"],\"clock_ms\":%" G_GUINT64_FORMAT
+	    "\"labels\":[\"a\",\"%s\",\"%s\"],\"clock_ms\":%" G_GUINT64_FORMAT
 	    ",\"sequence\":%" G_GUINT64_FORMAT ",\"born\":%d}",
-	    self->port, info->zone, info->cpu_milli, info->memory_mib,
-	    info->rack, sequence * HEARTBEAT_MS, sequence, (int)info->born_ms);
+	    self->listeners[index].port, info->zone, info->cpu_milli,
+	    info->memory_mib, info->rack, info->labels[0],
+	    sequence * HEARTBEAT_MS, sequence, (int)info->born_ms);
 
 	bp_executor_info_free(info);
 	return text;
@@ -611,7 +619,7 @@
 	bp_executors_t *fleet = bp_qfleet_interface(self->fleet_view);
 	JsonParser *parser;
 	JsonObject *body = body_of(message, &parser);
-	bp_exec_target_t target = {"", "", "", 0};
+	bp_exec_target_t target = {"", "", "", 0, 0};
 	bp_exec_start_t start = {0};
 	bp_exec_poll_t poll = {0};
 	call_t *call = wait_for(self, message);
@@ -676,22 +684,35 @@
 	return G_SOURCE_CONTINUE;
 }
 
-/* Listens on a free port of loopback. */
-bp_queuehttp_t *
-bp_queuehttp_new(uint32_t executors)
+/* Listens on a port of loopback; 0: a free one. */
+static void
+listen_on(bp_queuehttp_t *self, SoupServer **server, uint16_t *port)
 {
-	bp_queuehttp_t *self = g_new0(bp_queuehttp_t, 1);
-	bp_qfleet_world_t world = {duration, forbidden, cpu, self};
 	GSList *uris;
 
-	self->server = g_object_new(SOUP_TYPE_SERVER, NULL);
-	soup_server_add_handler(self->server, NULL, on_request, self, NULL);
+	*server = g_object_new(SOUP_TYPE_SERVER, NULL);
+	soup_server_add_handler(*server, NULL, on_request, self, NULL);
 	if (!soup_server_listen_local(
-		self->server, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, NULL))
+		*server, *port, SOUP_SERVER_LISTEN_IPV4_ONLY, NULL))
 		abort();
-	uris = soup_server_get_uris(self->server);
-	self->port = (uint16_t)g_uri_get_port(uris->data);
+	uris = soup_server_get_uris(*server);
+	*port = (uint16_t)g_uri_get_port(uris->data);
 	g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
+}
+
+/* Listens on free ports of loopback. */
+bp_queuehttp_t *
+bp_queuehttp_new(uint32_t executors)
+{
+	bp_queuehttp_t *self = g_new0(bp_queuehttp_t, 1);
+	bp_qfleet_world_t world = {duration, forbidden, cpu, self};
+	uint32_t i;
+
+	listen_on(self, &self->server, &self->port);
+	self->listeners = g_new0(listener_t, executors);
+	for (i = 0; i < executors; i++)
+		listen_on(
+		    self, &self->listeners[i].server, &self->listeners[i].port);
 	self->clock = bp_clock_virtual_new(1000);
 	bp_random_init(&self->random, SEED);
 	self->store = bp_qstore_new(self->clock, &self->random, PARTITIONS);
@@ -710,9 +731,16 @@
 void
 bp_queuehttp_free(bp_queuehttp_t *self)
 {
+	uint32_t i;
+
 	g_source_remove(self->timer);
 	soup_server_disconnect(self->server);
 	g_object_unref(self->server);
+	for (i = 0; i < bp_qfleet_size(self->fleet); i++) {
+		soup_server_disconnect(self->listeners[i].server);
+		g_object_unref(self->listeners[i].server);
+	}
+	g_free(self->listeners);
 	bp_qfleet_free(self->fleet);
 	bp_qstore_free(self->store);
 	bp_clock_virtual_free(self->clock);
@@ -721,7 +749,19 @@
 	g_free(self);
 }
 
-/* Returns the port of store and executors. */
+/* See the header. */
+void
+bp_queuehttp_crash(bp_queuehttp_t *self, uint32_t index)
+{
+	listener_t *listener = &self->listeners[index];
+
+	bp_qfleet_crash(self->fleet, index);
+	soup_server_disconnect(listener->server);
+	g_object_unref(listener->server);
+	listen_on(self, &listener->server, &listener->port);
+}
+
+/* Returns the port of the store. */
 uint16_t
 bp_queuehttp_port(const bp_queuehttp_t *self)
 {
--- a/tests/support/queuehttp.h
+++ b/tests/support/queuehttp.h
@@ -6,8 +6,8 @@
 
 /*
  * The users' platform over HTTP on loopback, in real time: the store with
- * the operators' and executors' topics, and executors at one address, told
- * apart by the incarnation that an order names.
+ * the operators' and executors' topics, and executors, each at its own
+ * address.
  */
 typedef struct bp_queuehttp bp_queuehttp_t;
 
@@ -26,6 +26,9 @@
     bp_queuehttp_t *self, const char *key, const char *value);
 bp_qstore_t *bp_queuehttp_store(bp_queuehttp_t *self);
 bp_qfleet_t *bp_queuehttp_fleet(bp_queuehttp_t *self);
+/* An executor crashes: its connections end, and it starts again a little later
+ * at the same address (bp_qfleet_crash). */
+void bp_queuehttp_crash(bp_queuehttp_t *self, uint32_t index);
 void bp_queuehttp_set_mode(bp_queuehttp_t *self, bp_qstore_mode_t mode);
 
 #endif
