--- a/include/bulrushpost/catalog.h
+++ b/include/bulrushpost/catalog.h
@@ -18,8 +18,20 @@
 	uint32_t objective_ms; /* constant part of the objective */
 	uint32_t timeout_ms;
 	bool advised; /* executors have to be allowed one by one */
+	bool is_public; /* calls need no key of a customer */
 } bp_queue_route_t;
 
+/* A customer. Its caps limit what its tasks request over all executors; 0 is
+ * no limit. */
+typedef struct {
+	char *name;
+	GPtrArray *keys; /* char *; never logged */
+	uint32_t weight; /* share at full load, and jobs a second */
+	uint32_t cap_cpu_milli;
+	uint32_t cap_memory_mib;
+	uint32_t cap_accelerators;
+} bp_customer_t;
+
 /* A pool of executors. */
 typedef struct {
 	char *name;
@@ -32,6 +44,7 @@
 	uint64_t version;
 	GPtrArray *routes; /* bp_queue_route_t */
 	GPtrArray *pools; /* bp_pool_t */
+	GPtrArray *customers; /* bp_customer_t; empty: calls need no keys */
 	uint32_t body_bytes; /* largest body of a call, in bytes */
 } bp_catalog_t;
 
@@ -41,6 +54,10 @@
     const bp_catalog_t *catalog, const char *host, const char *path);
 const bp_queue_route_t *bp_catalog_queue(
     const bp_catalog_t *catalog, const char *name);
+bp_customer_t *bp_customer_new(void);
+/* Returns the customer of a name, NULL for none. */
+const bp_customer_t *bp_catalog_customer(
+    const bp_catalog_t *catalog, const char *name);
 
 /* Callbacks of the feed of configuration, zones and executors. Each may be
  * NULL. */
--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -896,7 +896,7 @@
   (ProtobufCMessageInit) bp__work__step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__work__job__field_descriptors[13] =
+static const ProtobufCFieldDescriptor bp__work__job__field_descriptors[14] =
 {
   {
     "id",
@@ -1054,10 +1054,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "customer",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Job, customer),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__work__job__field_indices_by_name[] = {
   12,   /* field[12] = accepted_ms */
   9,   /* field[9] = attempts */
+  13,   /* field[13] = customer */
   5,   /* field[5] = first_ms */
   0,   /* field[0] = id */
   6,   /* field[6] = interval_ms */
@@ -1073,7 +1086,7 @@
 static const ProtobufCIntRange bp__work__job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor bp__work__job__descriptor =
 {
@@ -1083,7 +1096,7 @@
   "Bp__Work__Job",
   "bp.work",
   sizeof(Bp__Work__Job),
-  13,
+  14,
   bp__work__job__field_descriptors,
   bp__work__job__field_indices_by_name,
   1,  bp__work__job__number_ranges,
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -156,10 +156,14 @@
    * Unix ms
    */
   int64_t accepted_ms;
+  /*
+   * name, empty for none
+   */
+  char *customer;
 };
 #define BP__WORK__JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__work__job__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Bp__Work__TaskProgress
--- a/src/queues/model.c
+++ b/src/queues/model.c
@@ -185,6 +185,26 @@
 	g_free(data);
 }
 
+static void
+free_customer(gpointer data)
+{
+	bp_customer_t *customer = data;
+
+	g_free(customer->name);
+	g_ptr_array_unref(customer->keys);
+	g_free(customer);
+}
+
+/* Creates a customer without a name, keys and caps. */
+bp_customer_t *
+bp_customer_new(void)
+{
+	bp_customer_t *customer = g_new0(bp_customer_t, 1);
+
+	customer->keys = g_ptr_array_new_with_free_func(g_free);
+	return customer;
+}
+
 /* Creates an empty configuration of version 0. */
 bp_catalog_t *
 bp_catalog_new(void)
@@ -193,6 +213,7 @@
 
 	catalog->routes = g_ptr_array_new_with_free_func(free_route);
 	catalog->pools = g_ptr_array_new_with_free_func(free_pool);
+	catalog->customers = g_ptr_array_new_with_free_func(free_customer);
 	catalog->body_bytes = DEFAULT_BODY_BYTES_MAX;
 	return catalog;
 }
@@ -205,6 +226,7 @@
 		return;
 	g_ptr_array_unref(catalog->routes);
 	g_ptr_array_unref(catalog->pools);
+	g_ptr_array_unref(catalog->customers);
 	g_free(catalog);
 }
 
@@ -243,3 +265,18 @@
 	}
 	return NULL;
 }
+
+/* See the header. */
+const bp_customer_t *
+bp_catalog_customer(const bp_catalog_t *catalog, const char *name)
+{
+	guint i;
+
+	for (i = 0; i < catalog->customers->len; i++) {
+		const bp_customer_t *customer = catalog->customers->pdata[i];
+
+		if (strcmp(customer->name, name) == 0)
+			return customer;
+	}
+	return NULL;
+}
