--- a/include/bulrushpost/catalog.h
+++ b/include/bulrushpost/catalog.h
@@ -46,6 +46,10 @@
 	GPtrArray *pools; /* bp_pool_t */
 	GPtrArray *customers; /* bp_customer_t; empty: calls need no keys */
 	uint32_t body_bytes; /* largest body of a call, in bytes */
+	/* Further limits of calls; 0 if the configuration has none. */
+	uint32_t header_bytes;
+	uint32_t header_timeout_ms;
+	uint32_t idle_timeout_ms;
 } bp_catalog_t;
 
 bp_catalog_t *bp_catalog_new(void);
