--- a/src/clients/jsondoc.c
+++ b/src/clients/jsondoc.c
@@ -146,11 +146,23 @@
 	return rc;
 }
 
+/* The parser knows its line only until it returns: that of the last token that
+ * it took, which may be before the wrong one. */
+static void
+on_syntax_error(JsonParser *parser, const GError *error, gpointer data)
+{
+	guint *line = data;
+
+	(void)error;
+	*line = json_parser_get_current_line(parser);
+}
+
 static int
 parse(JsonParser **out, scan_t *scan, uint32_t max_depth, bp_error_t *err)
 {
 	JsonParser *parser = NULL;
 	JsonNode *root;
+	guint line = 0;
 	int rc = BP_OK;
 
 	*out = NULL;
@@ -161,12 +173,16 @@
 	if (rc != BP_OK)
 		goto cleanup;
 	parser = json_parser_new_immutable();
-	if (json_parser_load_from_data(parser,
+	g_signal_connect(parser, "error", G_CALLBACK(on_syntax_error), &line);
+	if (!json_parser_load_from_data(parser,
 		scan->copy != NULL ? scan->copy->str : scan->text,
 		scan->copy != NULL ? (gssize)scan->copy->len
 				   : (gssize)scan->size_bytes,
-		NULL) &&
-	    (root = json_parser_get_root(parser)) != NULL &&
+		NULL))
+		rc = bp_error_set(err, BP_EINVALID,
+		    "not a JSON object: syntax error in line %u or later",
+		    line);
+	else if ((root = json_parser_get_root(parser)) != NULL &&
 	    JSON_NODE_HOLDS_OBJECT(root))
 		*out = g_steal_pointer(&parser);
 	else
--- a/tests/adapter/test_codec.c
+++ b/tests/adapter/test_codec.c
@@ -429,9 +429,171 @@
 	expect_refused(texts, G_N_ELEMENTS(texts));
 }
 
+static const char config_text[] =
+    "{\"version\":7,\"routes\":[{\"name\":\"r-1\",\"hostname\":\"a.example\","
+    "\"path_prefix\":\"/a/\",\"route_type\":\"non_idempotent\","
+    "\"timeout_ms\":3000,\"target_latency_ms\":2500,\"priority\":0,"
+    "\"service_name\":\"svc\",\"retry_attempts\":3,\"stretch_factor\":2.2,"
+    "\"public\":true,\"advice\":{}}],\"services\":[{\"name\":\"svc\","
+    "\"health_path\":\"/healthz\",\"max_connections\":64,\"protocol\":"
+    "\"h1\",\"tls\":false,\"cold_start_s\":0.0,\"cold_per_s\":0.5,"
+    "\"admission_check\":true,\"standby\":false}],\"limits\":{"
+    "\"max_header_bytes\":16384,\"max_body_bytes\":262144,"
+    "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},\"tenants\":[{"
+    "\"name\":\"c1\",\"api_keys\":[\"k1\",\"k2\"],\"priority\":1,"
+    "\"weight\":18,\"cap\":{\"cpu\":3943417,\"mem_mb\":7251453,\"gpu\":2}}]}";
+
+/* Checks config_text with one part replaced; returns "place: problem" lines. */
+static char *
+check_with(const char *part, const char *other)
+{
+	GPtrArray *problems = bp_config_problems_new();
+	const char *at = strstr(config_text, part);
+	GString *lines = g_string_new("");
+	bp_catalog_t *catalog = NULL;
+	char *text;
+	guint i;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(at);
+	text = g_strdup_printf("%.*s%s%s", (int)(at - config_text), config_text,
+	    other, at + strlen(part));
+	CU_ASSERT_EQUAL_FATAL(bp_codec_catalog_check(
+				  &catalog, problems, text, strlen(text), NULL),
+	    BP_OK);
+	for (i = 0; i < problems->len; i++) {
+		const bp_config_problem_t *problem = problems->pdata[i];
+
+		g_string_append_printf(
+		    lines, "%s: %s\n", problem->place, problem->text);
+	}
+	bp_catalog_free(catalog);
+	g_ptr_array_unref(problems);
+	g_free(text);
+	return g_string_free(lines, FALSE);
+}
+
+/* Guards against wrong fields that nodes take as missing ones in silence. */
+static void
+test_problems_of_a_configuration_have_places(void)
+{
+	static const struct {
+		const char *part;
+		const char *other;
+		const char *lines;
+	} cases[] = {
+	    {"", "", ""},
+	    {"7", "0",
+		"version: 0 is not a whole number from 1 to "
+		"9007199254740992\n"},
+	    {"\"version\":7,", "", "version: is missing\n"},
+	    {"3000", "-1",
+		"routes[0].timeout_ms: -1 is not a whole number from 1 to "
+		"4294967295\n"},
+	    {"2500", "4294967296",
+		"routes[0].target_latency_ms: 4294967296 is not a whole number "
+		"from 0 to 4294967295\n"},
+	    {"2.2", "1001",
+		"routes[0].stretch_factor: 1001 is not a number from 0 to "
+		"1000\n"},
+	    {"\"/a/\"", "null",
+		"routes[0].path_prefix: is null; a text is expected\n"},
+	    {"\"a.example\"", "\"\"", "routes[0].hostname: is empty\n"},
+	    {"\"public\"", "\"pubilc\"",
+		"routes[0].pubilc: is an unknown field; did you mean "
+		"public?\n"},
+	    {"\"services\":[{", "\"services\":[5,{",
+		"services[0]: is a number; an object is expected\n"},
+	    {"0.5", "-0.5",
+		"services[0].cold_per_s: -0.5 is not a number from 0 to "
+		"4294967295\n"},
+	    {"16384", "0",
+		"limits.max_header_bytes: 0 is not a whole number from 1 to "
+		"4294967295\n"},
+	    {"3943417", "1.5",
+		"tenants[0].cap.cpu: 1.5 is not a whole number from 0 to "
+		"4294967295\n"},
+	    {"\"weight\":18,", "", "tenants[0].weight: is missing\n"},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *lines = check_with(cases[i].part, cases[i].other);
+
+		CU_ASSERT_STRING_EQUAL(lines, cases[i].lines);
+		g_free(lines);
+	}
+}
+
+/* Guards against keys that a problem shows, wherever they were put. */
+static void
+test_problems_show_no_keys(void)
+{
+	static const char *const cases[][2] = {
+	    {"[\"k1\",\"k2\"]", "\"secret\""},
+	    {"[\"k1\",\"k2\"]", "{\"secret\":1}"}, {"\"k2\"", "[\"secret\"]"},
+	    {"\"k2\"", "\"secret \""}, {"\"k2\"", "77777777"},
+	    {"\"cap\"", "\"secret\":1,\"cap\""}, {"18", "\"secret\""},
+	    {"\"c1\"", "[\"secret\"]"},
+	    {"[{\"name\":\"c1\"", "[\"secret\",{\"name\":\"c1\""}};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *lines = check_with(cases[i][0], cases[i][1]);
+
+		CU_ASSERT_STRING_NOT_EQUAL(lines, "");
+		CU_ASSERT_PTR_NULL(strstr(lines, "secret"));
+		CU_ASSERT_PTR_NULL(strstr(lines, "7777"));
+		g_free(lines);
+	}
+}
+
+/* Guards against a check that reads other values than nodes do. */
+static void
+test_a_check_reads_what_nodes_read(void)
+{
+	GPtrArray *problems = bp_config_problems_new();
+	bp_catalog_t *checked = NULL;
+	bp_catalog_t *read = NULL;
+	GPtrArray *lines;
+	const bp_customer_t *customer;
+
+	CU_ASSERT_EQUAL_FATAL(bp_codec_catalog_check(&checked, problems,
+				  config_text, strlen(config_text), NULL),
+	    BP_OK);
+	CU_ASSERT_EQUAL_FATAL(
+	    bp_codec_catalog(&read, config_text, strlen(config_text), NULL),
+	    BP_OK);
+	/* Customers and public are compared once nodes read them. */
+	CU_ASSERT_EQUAL_FATAL(checked->customers->len, 1);
+	customer = checked->customers->pdata[0];
+	CU_ASSERT_STRING_EQUAL(customer->name, "c1");
+	CU_ASSERT_EQUAL(customer->keys->len, 2);
+	CU_ASSERT_EQUAL(customer->weight, 18);
+	CU_ASSERT_EQUAL(customer->cap_cpu_milli, 3943417);
+	CU_ASSERT_EQUAL(customer->cap_memory_mib, 7251453);
+	CU_ASSERT_EQUAL(customer->cap_accelerators, 2);
+	CU_ASSERT_TRUE(
+	    ((bp_queue_route_t *)checked->routes->pdata[0])->is_public);
+	((bp_queue_route_t *)checked->routes->pdata[0])->is_public =
+	    ((bp_queue_route_t *)read->routes->pdata[0])->is_public;
+	g_ptr_array_set_size(checked->customers, 0);
+	g_ptr_array_set_size(read->customers, 0);
+	lines = bp_config_differences(read, checked);
+	CU_ASSERT_EQUAL(lines->len, 0);
+	CU_ASSERT_EQUAL(read->version, 7);
+	CU_ASSERT_EQUAL(read->header_bytes, 16384);
+	CU_ASSERT_EQUAL(read->header_timeout_ms, 3000);
+	CU_ASSERT_EQUAL(read->idle_timeout_ms, 15000);
+	g_ptr_array_unref(lines);
+	g_ptr_array_unref(problems);
+	bp_catalog_free(checked);
+	bp_catalog_free(read);
+}
+
 static void
 feed(const char *text, size_t size)
 {
+	GPtrArray *problems = bp_config_problems_new();
 	Bp__Work__Job *job = NULL;
 	bp_catalog_t *catalog = NULL;
 	bp_executor_info_t *info = NULL;
@@ -441,6 +603,10 @@
 		bp__work__job__free_unpacked(job, NULL);
 	if (bp_codec_catalog(&catalog, text, size, NULL) == BP_OK)
 		bp_catalog_free(catalog);
+	if (bp_codec_catalog_check(&catalog, problems, text, size, NULL) ==
+	    BP_OK)
+		bp_catalog_free(catalog);
+	g_ptr_array_unref(problems);
 	if (bp_codec_executor(&info, "i", text, size, NULL) == BP_OK)
 		bp_executor_info_free(info);
 	(void)bp_codec_answer(&answer, text, size, NULL);
@@ -453,7 +619,7 @@
 test_changed_bodies_are_safe(void)
 {
 	static const char *const samples[] = {
-	    job_text, catalog_text, entry_text, poll_text};
+	    job_text, catalog_text, config_text, entry_text, poll_text};
 	char text[SAMPLE_MAX];
 	bp_random_t random;
 	int i;
@@ -515,6 +681,11 @@
 	    {"each number is kept or refused",
 		test_each_number_is_kept_or_refused},
 	    {"other types are refused", test_other_types_are_refused},
+	    {"problems of a configuration have places",
+		test_problems_of_a_configuration_have_places},
+	    {"problems show no keys", test_problems_show_no_keys},
+	    {"a check reads what nodes read",
+		test_a_check_reads_what_nodes_read},
 	    {"changed bodies are safe", test_changed_bodies_are_safe},
 	    CU_TEST_INFO_NULL,
 	};
