--- a/include/bulrushpost/platform.h
+++ b/include/bulrushpost/platform.h
@@ -3,6 +3,7 @@
 
 #include "bulrushpost/catalog.h"
 #include "bulrushpost/clock.h"
+#include "bulrushpost/configcheck.h"
 #include "bulrushpost/logline.h"
 #include "bulrushpost/jobrouter.h"
 #include "bulrushpost/settings.h"
@@ -39,4 +40,13 @@
 /* Closes the callers' connections. */
 void bp_platform_close(bp_platform_t *platform);
 
+/*
+ * Reads an operators' configuration as nodes do and appends the problems of its
+ * fields (bp_config_problem_t). BP_EINVALID if it cannot be read at all.
+ */
+int bp_platform_read_configuration(bp_catalog_t **out, GPtrArray *problems,
+    const char *text, size_t size_bytes, bp_error_t *err);
+/* The path of a place in the text of a configuration; free it. */
+char *bp_platform_place(const bp_config_place_t *place);
+
 #endif
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -64,6 +64,7 @@
 /* Each takes the arguments after its own words; argv[0] is the last word. */
 int bp_cmd_serve(int argc, char **argv);
 int bp_cmd_settings_check(int argc, char **argv);
+int bp_cmd_config_check(int argc, char **argv);
 int bp_cmd_rules_check(int argc, char **argv);
 int bp_cmd_rules_publish(int argc, char **argv);
 int bp_cmd_rules_show(int argc, char **argv);
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -13,6 +13,7 @@
 static const command_t commands[] = {
     {"serve", "run a node", bp_cmd_serve},
     {"settings check", "check a settings file", bp_cmd_settings_check},
+    {"config check", "check an operators' configuration", bp_cmd_config_check},
     {"rules check", "check a rule file and warn of its effects",
 	bp_cmd_rules_check},
     {"rules publish", "put a rule file in force", bp_cmd_rules_publish},
--- a/tests/cli/test_cli.c
+++ b/tests/cli/test_cli.c
@@ -177,16 +177,69 @@
 	g_free(path);
 }
 
+/* The exit code of a bad configuration keeps scripts from sending it. */
+static void
+test_config_check_prints_all_problems(void)
+{
+	char *old = write_file("old",
+	    "{\"version\":6,\"routes\":[],\"services\":[],\"tenants\":["
+	    "{\"name\":\"c1\",\"api_keys\":[\"secret-1\"],\"weight\":2}]}");
+	char *good = write_file("good",
+	    "{\"version\":7,\"routes\":[],\"services\":[],\"tenants\":["
+	    "{\"name\":\"c1\",\"api_keys\":[\"secret-2\"],\"weight\":3}]}");
+	char *bad = write_file("bad",
+	    "{\"version\":7,\"routes\":[{\"name\":\"r\",\"hostname\":\"h\","
+	    "\"path_prefix\":\"a\",\"service_name\":\"s\","
+	    "\"timeout_ms\":\"9\"}],\"services\":[]}");
+	char *broken = write_file("broken", "{\"version\":7,\n,}");
+
+	expect(bp_cmd_config_check, 0, "no problem found", "check %s", good);
+	expect(bp_cmd_config_check, 0,
+	    "customer c1: weight changed from 2 to 3\n"
+	    "customer c1: keys added: 1, removed: 1\n",
+	    "check %s --against %s", good, old);
+	expect(bp_cmd_config_check, 0,
+	    "{\"ok\":true,\"problems\":[],\"differences\":[\"customer c1: "
+	    "weight",
+	    "check %s --against %s --json", good, old);
+	expect(bp_cmd_config_check, 2,
+	    "routes[0].timeout_ms: is a text; a whole number is expected\n"
+	    "routes[0].path_prefix: does not begin with /: no call matches\n"
+	    "routes[0].service_name: no service is named \"s\"\n",
+	    "check %s", bad);
+	expect(bp_cmd_config_check, 2,
+	    "{\"ok\":false,\"problems\":[{\"place\":\"routes[0].timeout_ms\","
+	    "\"problem\":\"is a text",
+	    "check %s --json", bad);
+	expect(bp_cmd_config_check, 2, "version: 6 is not above 7",
+	    "check %s --against %s", old, good);
+	expect(bp_cmd_config_check, 2, "syntax error in line 1 or later",
+	    "check %s", broken);
+	expect(bp_cmd_config_check, 2, "syntax error in line 1 or later",
+	    "check %s --against %s", good, broken);
+	expect(bp_cmd_config_check, 2, "No such file", "check /nonexistent");
+	expect(bp_cmd_config_check, 2, "FILE", "check");
+	(void)g_unlink(old);
+	(void)g_unlink(good);
+	(void)g_unlink(bad);
+	(void)g_unlink(broken);
+	g_free(old);
+	g_free(good);
+	g_free(bad);
+	g_free(broken);
+}
+
 /* Guards against a subcommand that lacks the common options. */
 static void
 test_every_command_has_help_and_version(void)
 {
 	static const command_t commands[] = {bp_cmd_serve,
-	    bp_cmd_settings_check, bp_cmd_rules_check, bp_cmd_rules_publish,
-	    bp_cmd_rules_show, bp_cmd_rules_history, bp_cmd_zone_out,
-	    bp_cmd_zone_in, bp_cmd_zone_list, bp_cmd_job_submit,
-	    bp_cmd_job_status, bp_cmd_job_cancel, bp_cmd_job_list, bp_cmd_why,
-	    bp_cmd_timeline, bp_cmd_status, bp_cmd_metrics};
+	    bp_cmd_settings_check, bp_cmd_config_check, bp_cmd_rules_check,
+	    bp_cmd_rules_publish, bp_cmd_rules_show, bp_cmd_rules_history,
+	    bp_cmd_zone_out, bp_cmd_zone_in, bp_cmd_zone_list,
+	    bp_cmd_job_submit, bp_cmd_job_status, bp_cmd_job_cancel,
+	    bp_cmd_job_list, bp_cmd_why, bp_cmd_timeline, bp_cmd_status,
+	    bp_cmd_metrics};
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(commands); i++) {
@@ -203,6 +256,7 @@
 	    {"exit codes", test_exit_codes_follow_the_outcome},
 	    {"missing nodes", test_timeline_tells_of_missing_nodes},
 	    {"settings check", test_settings_check_prints_all_problems},
+	    {"config check", test_config_check_prints_all_problems},
 	    {"help", test_every_command_has_help_and_version},
 	    CU_TEST_INFO_NULL,
 	};
