--- a/tests/adapter/test_codec.c
+++ b/tests/adapter/test_codec.c
@@ -2,6 +2,7 @@
 #include "platform/codec.h"
 #include "support/runner.h"
 
+#include <stddef.h>
 #include <string.h>
 
 #define FUZZ_INPUTS 20000
@@ -123,6 +124,9 @@
 	CU_ASSERT_EQUAL(catalog->body_bytes, 1000);
 	route = bp_catalog_route(catalog, "h.example", "/a/b/1");
 	CU_ASSERT_STRING_EQUAL(route != NULL ? route->name : "", "long");
+	/* Its numbers are missing. */
+	CU_ASSERT_EQUAL(route != NULL ? route->attempts : 0, 1);
+	CU_ASSERT_EQUAL(route != NULL ? route->stretch_permille : 0, 1000);
 	route = bp_catalog_route(catalog, "H.example", "/a/1");
 	CU_ASSERT_STRING_EQUAL(route != NULL ? route->name : "", "r");
 	CU_ASSERT_EQUAL(route != NULL ? route->stretch_permille : 0, 1500);
@@ -524,6 +528,41 @@
 	}
 }
 
+/* Guards against places that are off by the entries that nodes skip. */
+static void
+test_a_check_keeps_positions(void)
+{
+	static const char text[] =
+	    "{\"version\":1,\"routes\":[7,{\"name\":\"r\"}],\"services\":[[],"
+	    "{\"name\":\"s\"}],\"tenants\":[0,{\"name\":\"c\",\"api_keys\":[1,"
+	    "\"k1\"]}]}";
+	GPtrArray *problems = bp_config_problems_new();
+	bp_catalog_t *catalog = NULL;
+	bp_customer_t *customer;
+	const bp_config_place_t place = {offsetof(bp_catalog_t, customers), 1,
+	    offsetof(bp_customer_t, keys), 1};
+	char *path = bp_codec_place(&place);
+
+	CU_ASSERT_EQUAL_FATAL(bp_codec_catalog_check(
+				  &catalog, problems, text, strlen(text), NULL),
+	    BP_OK);
+	CU_ASSERT_EQUAL_FATAL(catalog->routes->len, 2);
+	CU_ASSERT_EQUAL_FATAL(catalog->pools->len, 2);
+	CU_ASSERT_EQUAL_FATAL(catalog->customers->len, 2);
+	customer = catalog->customers->pdata[1];
+	CU_ASSERT_EQUAL_FATAL(customer->keys->len, 2);
+	CU_ASSERT_STRING_EQUAL(customer->keys->pdata[1], "k1");
+	CU_ASSERT_STRING_EQUAL(path, "tenants[1].api_keys[1]");
+	g_free(path);
+	bp_catalog_free(catalog);
+	CU_ASSERT_EQUAL_FATAL(
+	    bp_codec_catalog(&catalog, text, strlen(text), NULL), BP_OK);
+	CU_ASSERT_EQUAL(catalog->routes->len, 1);
+	CU_ASSERT_EQUAL(catalog->pools->len, 1);
+	bp_catalog_free(catalog);
+	g_ptr_array_unref(problems);
+}
+
 /* Guards against keys that a problem shows, wherever they were put. */
 static void
 test_problems_show_no_keys(void)
@@ -683,6 +722,7 @@
 	    {"other types are refused", test_other_types_are_refused},
 	    {"problems of a configuration have places",
 		test_problems_of_a_configuration_have_places},
+	    {"a check keeps positions", test_a_check_keeps_positions},
 	    {"problems show no keys", test_problems_show_no_keys},
 	    {"a check reads what nodes read",
 		test_a_check_reads_what_nodes_read},
--- a/tests/queues/test_configcheck.c
+++ b/tests/queues/test_configcheck.c
@@ -287,6 +287,9 @@
 	g_ptr_array_remove_index(customer->keys, 0);
 	g_ptr_array_add(customer->keys, g_strdup("key-8"));
 	g_ptr_array_add(customer->keys, g_strdup("key-9"));
+	/* Neither an unreadable key nor a repeated one counts. */
+	g_ptr_array_add(customer->keys, g_strdup(""));
+	g_ptr_array_add(customer->keys, g_strdup("key-9"));
 	customer->weight = 20;
 	customer->cap_cpu_milli = 4000;
 	g_ptr_array_remove_index(new->customers, 1);
