--- a/include/bulrushpost/shard.h
+++ b/include/bulrushpost/shard.h
@@ -44,6 +44,7 @@
 	const char *address; /* of this node's control protocol */
 	const char *topic;
 	uint32_t number; /* also the partition of the topic */
+	uint32_t shards; /* of the deployment, 0: 1 */
 	bp_shard_limits_t limits;
 	/* Monotonic; when the join that assigned the shard was sent. */
 	int64_t membership_confirmed_ms;
--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &bp__work__owner__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__work__held__init
+                     (Bp__Work__Held         *message)
+{
+  static const Bp__Work__Held init_value = BP__WORK__HELD__INIT;
+  *message = init_value;
+}
+size_t bp__work__held__get_packed_size
+                     (const Bp__Work__Held *message)
+{
+  assert(message->base.descriptor == &bp__work__held__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__work__held__pack
+                     (const Bp__Work__Held *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__work__held__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__work__held__pack_to_buffer
+                     (const Bp__Work__Held *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__work__held__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__Work__Held *
+       bp__work__held__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__Work__Held *)
+     protobuf_c_message_unpack (&bp__work__held__descriptor,
+                                allocator, len, data);
+}
+void   bp__work__held__free_unpacked
+                     (Bp__Work__Held *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__work__held__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__work__holder__init
                      (Bp__Work__Holder         *message)
 {
@@ -1348,7 +1393,110 @@
   (ProtobufCMessageInit) bp__work__owner__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__work__holder__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bp__work__held__field_descriptors[6] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Held, task),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "customer",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Held, customer),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_milli",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Held, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "filler",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Held, filler),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mib",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Held, memory_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Held, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__work__held__field_indices_by_name[] = {
+  5,   /* field[5] = accelerators */
+  2,   /* field[2] = cpu_milli */
+  1,   /* field[1] = customer */
+  3,   /* field[3] = filler */
+  4,   /* field[4] = memory_mib */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange bp__work__held__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor bp__work__held__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.work.Held",
+  "Held",
+  "Bp__Work__Held",
+  "bp.work",
+  sizeof(Bp__Work__Held),
+  6,
+  bp__work__held__field_descriptors,
+  bp__work__held__field_indices_by_name,
+  1,  bp__work__held__number_ranges,
+  (ProtobufCMessageInit) bp__work__held__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bp__work__holder__field_descriptors[6] =
 {
   {
     "id",
@@ -1410,10 +1558,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "held",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__Work__Holder, n_held),
+    offsetof(Bp__Work__Holder, held),
+    &bp__work__held__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__work__holder__field_indices_by_name[] = {
   1,   /* field[1] = address */
   2,   /* field[2] = born_ms */
+  5,   /* field[5] = held */
   0,   /* field[0] = id */
   4,   /* field[4] = tasks */
   3,   /* field[3] = waited_ms */
@@ -1421,7 +1582,7 @@
 static const ProtobufCIntRange bp__work__holder__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bp__work__holder__descriptor =
 {
@@ -1431,7 +1592,7 @@
   "Bp__Work__Holder",
   "bp.work",
   sizeof(Bp__Work__Holder),
-  5,
+  6,
   bp__work__holder__field_descriptors,
   bp__work__holder__field_indices_by_name,
   1,  bp__work__holder__number_ranges,
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Bp__Work__TaskProgress Bp__Work__TaskProgress;
 typedef struct Bp__Work__Progress Bp__Work__Progress;
 typedef struct Bp__Work__Owner Bp__Work__Owner;
+typedef struct Bp__Work__Held Bp__Work__Held;
 typedef struct Bp__Work__Holder Bp__Work__Holder;
 typedef struct Bp__Work__Order Bp__Work__Order;
 typedef struct Bp__Work__RunningRow Bp__Work__RunningRow;
@@ -224,6 +225,27 @@
     , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0 }
 
 
+/*
+ * What a customer's task requests; it outlives the record of its job.
+ */
+struct  Bp__Work__Held
+{
+  ProtobufCMessage base;
+  /*
+   * index in the executor's tasks
+   */
+  uint32_t task;
+  char *customer;
+  uint32_t cpu_milli;
+  protobuf_c_boolean filler;
+  uint32_t memory_mib;
+  uint32_t accelerators;
+};
+#define BP__WORK__HELD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__work__held__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
 /*
  * An executor that may hold tasks.
  */
@@ -242,10 +264,15 @@
    */
   size_t n_tasks;
   char **tasks;
+  /*
+   * those of customers
+   */
+  size_t n_held;
+  Bp__Work__Held **held;
 };
 #define BP__WORK__HOLDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__work__holder__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL }
 
 
 struct  Bp__Work__Order
@@ -495,6 +522,25 @@
 void   bp__work__owner__free_unpacked
                      (Bp__Work__Owner *message,
                       ProtobufCAllocator *allocator);
+/* Bp__Work__Held methods */
+void   bp__work__held__init
+                     (Bp__Work__Held         *message);
+size_t bp__work__held__get_packed_size
+                     (const Bp__Work__Held   *message);
+size_t bp__work__held__pack
+                     (const Bp__Work__Held   *message,
+                      uint8_t             *out);
+size_t bp__work__held__pack_to_buffer
+                     (const Bp__Work__Held   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__Work__Held *
+       bp__work__held__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__work__held__free_unpacked
+                     (Bp__Work__Held *message,
+                      ProtobufCAllocator *allocator);
 /* Bp__Work__Holder methods */
 void   bp__work__holder__init
                      (Bp__Work__Holder         *message);
@@ -683,6 +729,9 @@
 typedef void (*Bp__Work__Owner_Closure)
                  (const Bp__Work__Owner *message,
                   void *closure_data);
+typedef void (*Bp__Work__Held_Closure)
+                 (const Bp__Work__Held *message,
+                  void *closure_data);
 typedef void (*Bp__Work__Holder_Closure)
                  (const Bp__Work__Holder *message,
                   void *closure_data);
@@ -723,6 +772,7 @@
 extern const ProtobufCMessageDescriptor bp__work__task_progress__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__progress__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__owner__descriptor;
+extern const ProtobufCMessageDescriptor bp__work__held__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__holder__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__order__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__running_row__descriptor;
--- a/src/queues/job.h
+++ b/src/queues/job.h
@@ -10,6 +10,7 @@
 typedef struct bp_qjob bp_qjob_t;
 typedef struct bp_qstep bp_qstep_t;
 typedef struct bp_qrun bp_qrun_t;
+typedef struct bp_customer_account bp_customer_account_t;
 
 /* Tasks whose progress shares a record; see scripts/bench progress. */
 #define BP_QJOB_PART_TASKS 128
@@ -91,6 +92,7 @@
 	uint8_t *parts; /* BP_QPART flags */
 	bp_qrejections_t rejections;
 	GArray *waiters; /* callers of submit and cancel; used by the shard */
+	bp_customer_account_t *account; /* set by the shard */
 };
 
 bp_qjob_t *bp_qjob_new(Bp__Work__Job *spec);
--- a/src/queues/ownedshards.c
+++ b/src/queues/ownedshards.c
@@ -163,6 +163,7 @@
 	options.address = from->address;
 	options.topic = from->topic;
 	options.number = number;
+	options.shards = self->count;
 	options.limits = from->limits;
 	options.membership_confirmed_ms = sent_mono_ms;
 	options.ask_owner = on_ask_owner;
--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -253,6 +253,7 @@
 	shard->orders = g_hash_table_new(NULL, NULL);
 	shard->polls = g_hash_table_new(NULL, NULL);
 	shard->throttles = g_hash_table_new(NULL, NULL);
+	shard->customers = bp_customers_new(options->number, options->shards);
 	shard->estimates = bp_estimates_new();
 	shard->filler_model = bp_filler_model_new();
 	shard->reserved_execs = g_ptr_array_new();
@@ -321,6 +322,7 @@
 	bp_cancelled_ids_free(shard->cancelled_ids);
 	g_ptr_array_unref(shard->deleted_keys);
 	g_array_unref(shard->in_flight);
+	bp_customers_free(shard->customers);
 	g_free(shard);
 }
 
@@ -394,6 +396,7 @@
 bp_shard_set_catalog(bp_shard_t *shard, const bp_catalog_t *catalog)
 {
 	shard->catalog = catalog;
+	bp_customers_set_catalog(shard->customers, catalog);
 	bp_shard_plan_round(shard, 0);
 }
 
--- a/src/queues/shard_calls.c
+++ b/src/queues/shard_calls.c
@@ -122,6 +122,8 @@
 		    "the store does not answer");
 	else {
 		job = bp_qjob_new(spec);
+		job->account =
+		    bp_customers_account(shard->customers, job->spec->customer);
 		spec = NULL;
 		g_hash_table_insert(shard->jobs, job->spec->id, job);
 		g_ptr_array_add(shard->active_jobs, job);
--- a/src/queues/shard_execs.c
+++ b/src/queues/shard_execs.c
@@ -17,6 +17,7 @@
 	exec->shard = shard;
 	exec->runs = g_ptr_array_new();
 	exec->possible_tasks = g_ptr_array_new();
+	exec->held = g_ptr_array_new_with_free_func(bp_qheld_free);
 	exec->slacks = g_array_new(FALSE, FALSE, sizeof(bp_qslack_t));
 	exec->filler_usage =
 	    g_array_new(FALSE, FALSE, sizeof(bp_filler_usage_t));
@@ -49,6 +50,7 @@
 		free_run(exec->runs->pdata[i]);
 	g_ptr_array_unref(exec->runs);
 	g_ptr_array_unref(exec->possible_tasks);
+	g_ptr_array_unref(exec->held);
 	g_array_unref(exec->slacks);
 	g_array_unref(exec->filler_usage);
 	bp_clock_cancel_timer(exec->shard->options.clock, &exec->poll_timer);
@@ -138,6 +140,7 @@
 	exec->cpu_used += run->cpu_milli;
 	exec->memory_used += run->memory_mib;
 	exec->accelerators_used += run->accelerators;
+	bp_qrun_charge(run, spec);
 	g_ptr_array_add(exec->runs, run);
 	return run;
 }
@@ -172,6 +175,7 @@
 	exec->cpu_used -= run->cpu_milli;
 	exec->memory_used -= run->memory_mib;
 	exec->accelerators_used -= run->accelerators;
+	bp_customer_remove(run->account, &run->size);
 	g_ptr_array_remove_fast(exec->runs, run);
 	if (run->orders_in_flight == 0)
 		free_run(run);
@@ -208,6 +212,7 @@
 			bp_qtask_set_state(task, BP_QTASK_WAITING);
 	}
 	g_ptr_array_set_size(exec->possible_tasks, 0);
+	bp_qexec_drop_held(exec);
 	bp_shard_plan_round(exec->shard, 0);
 }
 
--- a/src/queues/shard_load.c
+++ b/src/queues/shard_load.c
@@ -28,6 +28,7 @@
 	}
 	job = bp_qjob_new(spec);
 	job->accepted = true;
+	job->account = bp_customers_account(shard->customers, spec->customer);
 	g_hash_table_insert(shard->jobs, spec->id, job);
 }
 
@@ -42,6 +43,7 @@
 		return;
 	}
 	job->accepted = true;
+	job->account = bp_customers_account(shard->customers, "");
 	g_hash_table_insert(shard->jobs, job->spec->id, job);
 }
 
@@ -101,6 +103,7 @@
 	exec->info->address = g_strdup(holder->address);
 	for (i = 0; i < holder->n_tasks; i++)
 		load_possible_task(shard, exec, holder->tasks[i]);
+	bp_qexec_load_held(exec, holder);
 	bp__work__holder__free_unpacked(holder, NULL);
 }
 
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -4,6 +4,7 @@
 #include "bulrushpost/limiter.h"
 #include "bulrushpost/shard.h"
 #include "queues/cancelledids.h"
+#include "queues/customers.h"
 #include "queues/estimates.h"
 #include "queues/job.h"
 #include "queues/recordwriter.h"
@@ -62,6 +63,8 @@
 	uint32_t cpu_milli;
 	uint32_t memory_mib;
 	uint32_t accelerators;
+	bp_customer_account_t *account;
+	bp_customer_size_t size; /* that it has in the account */
 	uint32_t orders_in_flight; /* the run is freed after the last */
 	bool removed;
 	bool in_append; /* BP_QRUN_PLANNED: part of the append in flight */
@@ -86,6 +89,13 @@
 	double slack;
 } bp_qslack_t;
 
+/* A customer's task that may run on an executor which is not reconciled. */
+typedef struct {
+	char *name; /* of the task */
+	bp_customer_account_t *account;
+	bp_customer_size_t size;
+} bp_qheld_t;
+
 /* The owner's view of an executor. */
 struct bp_qexec {
 	bp_shard_t *shard;
@@ -108,6 +118,7 @@
 	uint32_t unknown_size_runs;
 	uint32_t planned_starts; /* that no stored record names yet */
 	GPtrArray *possible_tasks; /* bp_qtask_t; until reconciled */
+	GPtrArray *held; /* bp_qheld_t; until reconciled */
 	bool unresponsive; /* the last poll got no answer */
 	int64_t unresponsive_ms; /* monotonic, since when */
 	int64_t born_ms; /* Unix, start of its incarnation */
@@ -210,6 +221,7 @@
 	GPtrArray *reserved_execs; /* bp_qexec_t with reserved capacity */
 	GHashTable *zones_out;
 	const bp_catalog_t *catalog; /* owned by the node */
+	bp_customers_t *customers;
 	bp_record_writer_t *writer;
 	bp_estimates_t *estimates;
 	bp_filler_model_t *filler_model;
@@ -318,6 +330,17 @@
 uint64_t bp_shard_load_owner(bp_shard_t *shard);
 void bp_shard_load(bp_shard_t *shard);
 
+/* shard_customers.c */
+bp_customer_size_t bp_qstep_size(const Bp__Work__Step *spec);
+bool bp_qstep_within_cap(const bp_qstep_t *step);
+void bp_qrun_charge(bp_qrun_t *run, const Bp__Work__Step *spec);
+void bp_qheld_free(gpointer held);
+void bp_qexec_load_held(bp_qexec_t *exec, const Bp__Work__Holder *holder);
+void bp_qexec_drop_held(bp_qexec_t *exec);
+void bp_qexec_store_held(
+    const bp_qexec_t *exec, GPtrArray *names, Bp__Work__Holder *holder);
+void bp_qexec_free_stored_held(Bp__Work__Holder *holder);
+
 /* shard_execs.c */
 bp_qexec_t *bp_qexec_get(bp_shard_t *shard, const char *id);
 void bp_qexec_free(gpointer exec);
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -72,12 +72,14 @@
 	holder.id = exec->info->id;
 	holder.address = exec->info->address;
 	holder.born_ms = exec->born_ms;
+	bp_qexec_store_held(exec, names, &holder);
 	holder.tasks = (char **)names->pdata;
 	holder.n_tasks = names->len;
 	holder.waited_ms = waited_ms;
 	exec->has_recorded_tasks = names->len > 0;
 	add_message(
 	    records, BP_SHARD_PREFIX_HOLDER, exec->info->id, &holder.base);
+	bp_qexec_free_stored_held(&holder);
 	g_ptr_array_unref(names);
 }
 
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -406,6 +406,16 @@
 	    round->shard, step, round->execs, round->service);
 }
 
+/* A step that waits only for the cap of its customer holds no executors. */
+static void
+wait_for_cap(const round_t *round, bp_qstep_t *step)
+{
+	step->reason = "customer_cap";
+	step->unplaced_ms = 0;
+	step->blocked_by_start_limits = false;
+	bp_shard_release_step_reservations(round->shard, step);
+}
+
 static void
 place_step(round_t *round, bp_qstep_t *step)
 {
@@ -418,6 +428,10 @@
 	bool skipped = false;
 	uint32_t i;
 
+	if (!bp_qstep_within_cap(step)) {
+		wait_for_cap(round, step);
+		return;
+	}
 	if (reason != NULL) {
 		step->reason = reason;
 		note_unplaced(round, step);
@@ -438,6 +452,10 @@
 			skipped = true;
 			continue;
 		}
+		if (!bp_qstep_within_cap(step)) {
+			wait_for_cap(round, step);
+			return;
+		}
 		if (!leaves_headroom(round, step)) {
 			step->reason = "headroom";
 			return;
@@ -486,6 +504,9 @@
 	/* Its labels, zone and capacity may differ from those planned with. */
 	if (run->born_ms != exec->born_ms)
 		return false;
+	/* A cap may have been lowered, or runs of earlier owners found. */
+	if (bp_customer_over_cap(run->account))
+		return false;
 	if (why != NULL &&
 	    (!run->task->step->spec->lasting || strcmp(why, QUARANTINED) != 0))
 		return false;
--- a/src/queues/shard_why.c
+++ b/src/queues/shard_why.c
@@ -3,6 +3,8 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
+#define PERCENT 100.0
+
 /* Text of each reason for operators; docs/OPERATIONS.md has a row for each. */
 static const struct {
 	const char *name;
@@ -40,6 +42,7 @@
     {"no_answer", "waits: the executor did not answer an order"},
     {"other_life", "waits: another executor answers at the address"},
     {"invalid", "waits: the executor rejected a start as malformed"},
+    {"customer_cap", "waits: its customer's running tasks are at their cap"},
     {"turn", "may be placed in one of the next scheduling rounds"},
 };
 
@@ -101,6 +104,8 @@
 		return "dependency";
 	if (!bp_shard_may_start(shard))
 		return "store_unavailable";
+	if (!bp_qstep_within_cap(step))
+		return "customer_cap";
 	if (step->reason != NULL && strcmp(step->reason, "headroom") == 0)
 		return "headroom";
 	return main_cause(causes);
@@ -153,6 +158,46 @@
 	g_ptr_array_unref(causes);
 }
 
+static void
+add_size(
+    JsonBuilder *builder, const char *member, const bp_customer_size_t *size)
+{
+	json_builder_set_member_name(builder, member);
+	json_builder_begin_object(builder);
+	json_builder_set_member_name(builder, "cpu_milli");
+	json_builder_add_int_value(builder, (gint64)size->cpu_milli);
+	json_builder_set_member_name(builder, "memory_mib");
+	json_builder_add_int_value(builder, (gint64)size->memory_mib);
+	json_builder_set_member_name(builder, "accelerators");
+	json_builder_add_int_value(builder, (gint64)size->accelerators);
+	json_builder_end_object(builder);
+}
+
+/* Adds what the job's customer uses and may use on this shard. */
+static void
+add_customer(
+    JsonBuilder *builder, const bp_shard_t *shard, const bp_qjob_t *job)
+{
+	bp_customer_figures_t figures;
+
+	if (!bp_customers_enabled(shard->customers) ||
+	    bp_customer_name(job->account)[0] == '\0')
+		return;
+	bp_customer_figures(job->account, &figures);
+	json_builder_set_member_name(builder, "customer");
+	json_builder_begin_object(builder);
+	json_builder_set_member_name(builder, "name");
+	json_builder_add_string_value(builder, bp_customer_name(job->account));
+	add_size(builder, "in_use", &figures.used);
+	add_size(builder, "cap", &figures.part);
+	json_builder_set_member_name(builder, "share_percent");
+	json_builder_add_double_value(builder, figures.used_share * PERCENT);
+	json_builder_set_member_name(builder, "entitled_percent");
+	json_builder_add_double_value(
+	    builder, figures.entitled_share * PERCENT);
+	json_builder_end_object(builder);
+}
+
 static char *
 finish(JsonBuilder *builder)
 {
@@ -182,6 +227,7 @@
 	json_builder_add_string_value(builder, job->spec->queue);
 	json_builder_set_member_name(builder, "priority");
 	json_builder_add_int_value(builder, job->spec->priority);
+	add_customer(builder, shard, job);
 	json_builder_set_member_name(builder, "tasks");
 	json_builder_begin_array(builder);
 	for (i = 0; i < job->n_steps * job->occurrences; i++)
@@ -191,6 +237,24 @@
 	return finish(builder);
 }
 
+/* Adds the customer's use and cap on this shard to a line. */
+static void
+add_cap_text(GString *text, const bp_qjob_t *job)
+{
+	bp_customer_figures_t figures;
+
+	bp_customer_figures(job->account, &figures);
+	g_string_append_printf(text,
+	    "; customer %s uses %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT
+	    " milli-CPUs, %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT
+	    " MiB, %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT
+	    " accelerators (0: no cap)",
+	    bp_customer_name(job->account), figures.used.cpu_milli,
+	    figures.part.cpu_milli, figures.used.memory_mib,
+	    figures.part.memory_mib, figures.used.accelerators,
+	    figures.part.accelerators);
+}
+
 /* Adds one line for the tasks of a step with the same reason. */
 static void
 add_line(GString *text, bp_qstep_t *step, const char *reason, uint32_t tasks,
@@ -204,6 +268,8 @@
 		    text, " of occurrence %u", step->occurrence);
 	g_string_append_printf(text, ": %u of %u tasks: %s (%s)", tasks,
 	    step->spec->tasks, text_of(reason), reason);
+	if (strcmp(reason, "customer_cap") == 0)
+		add_cap_text(text, step->job);
 	if (strcmp(reason, "running") == 0 || strcmp(reason, "done") == 0)
 		return;
 	for (i = 0; i < causes->len; i++) {
--- a/tests/support/queuefleet.c
+++ b/tests/support/queuefleet.c
@@ -1008,6 +1008,22 @@
 	return running;
 }
 
+/* See the header. */
+void
+bp_qfleet_each_running(const bp_qfleet_t *fleet,
+    void (*visit)(const char *task, void *data), void *data)
+{
+	guint i;
+	guint k;
+
+	for (i = 0; i < fleet->execs->len; i++) {
+		const exec_t *exec = fleet->execs->pdata[i];
+
+		for (k = 0; k < exec->running->len; k++)
+			visit(((run_t *)exec->running->pdata[k])->task, data);
+	}
+}
+
 /* See the header. */
 uint32_t
 bp_qfleet_free_milli(const bp_qfleet_t *fleet, uint32_t index)
--- a/tests/support/queuefleet.h
+++ b/tests/support/queuefleet.h
@@ -76,6 +76,9 @@
 uint32_t bp_qfleet_running_on(
     const bp_qfleet_t *fleet, uint32_t index, const char *job);
 uint32_t bp_qfleet_running_of(const bp_qfleet_t *fleet, const char *task);
+/* Visits the task of each run. */
+void bp_qfleet_each_running(const bp_qfleet_t *fleet,
+    void (*visit)(const char *task, void *data), void *data);
 /* Processors that runs leave on an executor; 0 when it takes no new ones. */
 uint32_t bp_qfleet_free_milli(const bp_qfleet_t *fleet, uint32_t index);
 bool bp_qfleet_has_done(const bp_qfleet_t *fleet, const char *task);
--- a/tests/support/queuerig.c
+++ b/tests/support/queuerig.c
@@ -50,9 +50,21 @@
 	uint32_t refusals; /* of these */
 	bp_qrig_told_t cancel_told;
 	int64_t cancelled_ms;
+	uint32_t retry_after_ms;
 	bp_qrig_shape_t shape;
 } caller_t;
 
+#define CUSTOMERS_MAX 24
+/* Starts that were sent under an earlier configuration arrive within it. */
+#define OLD_CAP_MS 500
+
+/* The caps that a start is checked against. */
+typedef struct {
+	bp_qrig_customer_t customer;
+	uint32_t old_cap_cpu_milli;
+	int64_t changed_ms;
+} limit_t;
+
 struct bp_qrig {
 	bp_clock_virtual_t *clock;
 	bp_random_t random;
@@ -61,6 +73,8 @@
 	rig_node_t nodes[BP_QRIG_NODES];
 	GPtrArray *callers; /* caller_t */
 	bp_qrig_shape_t shape; /* of later jobs */
+	limit_t limits[CUSTOMERS_MAX];
+	uint32_t n_limits;
 	GHashTable *by_id;
 	GHashTable *zones_out;
 	bp_sharding_t *sharding;
@@ -509,6 +523,59 @@
 	return caller->shape.filler ? 0 : cpu_of(caller);
 }
 
+typedef struct {
+	const bp_qrig_t *rig;
+	const char *customer;
+	uint32_t sum_milli;
+} customer_sum_t;
+
+static void
+add_running(const char *task, void *data)
+{
+	customer_sum_t *sum = data;
+	uint32_t step;
+	const caller_t *caller = caller_of_task(sum->rig, task, &step);
+
+	if (caller != NULL &&
+	    g_strcmp0(caller->shape.customer, sum->customer) == 0)
+		sum->sum_milli += cpu_of(caller);
+}
+
+/* See the header. */
+uint32_t
+bp_qrig_customer_milli(bp_qrig_t *rig, const char *customer)
+{
+	customer_sum_t sum = {rig, customer, 0};
+
+	bp_qfleet_each_running(rig->fleet, add_running, &sum);
+	return sum.sum_milli;
+}
+
+/* Tells whether a start brings a customer above its cap. */
+static bool
+exceeds_cap(bp_qrig_t *rig, const caller_t *caller)
+{
+	uint32_t i;
+
+	for (i = 0; i < rig->n_limits; i++) {
+		const limit_t *limit = &rig->limits[i];
+		const bp_qrig_customer_t *customer = &limit->customer;
+		uint32_t cap = customer->cap_cpu_milli;
+
+		if (g_strcmp0(customer->name, caller->shape.customer) != 0)
+			continue;
+		if (bp_clock_mono_ms(bp_clock_virtual_clock(rig->clock)) -
+			limit->changed_ms <
+		    OLD_CAP_MS)
+			cap = MAX(cap, limit->old_cap_cpu_milli);
+		return cap > 0 &&
+		    bp_qrig_customer_milli(rig, customer->name) +
+			cpu_of(caller) >
+		    cap;
+	}
+	return false;
+}
+
 static const char *
 world_forbidden(const char *task, void *data)
 {
@@ -521,6 +588,8 @@
 		return "nobody asked for it";
 	if (caller->refusals == caller->attempts)
 		return "a refused job starts";
+	if (exceeds_cap(rig, caller))
+		return "starts above the cap of its customer";
 	for (i = 0; step == 1 && i < caller->tasks; i++) {
 		char *first = g_strdup_printf("%s.0.0.%u", caller->id, i);
 		bool done = bp_qfleet_has_done(rig->fleet, first);
@@ -558,6 +627,61 @@
 		    &node->clock.clock, node->address, BP_LOG_INFO);
 }
 
+static uint32_t
+old_cap(const bp_qrig_t *rig, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < rig->n_limits; i++) {
+		if (strcmp(rig->limits[i].customer.name, name) == 0)
+			return rig->limits[i].customer.cap_cpu_milli;
+	}
+	return 0;
+}
+
+static void
+set_node_customers(rig_node_t *node)
+{
+	bp_qrig_t *rig = node->rig;
+	bp_catalog_t *before = node->catalog;
+	uint32_t i;
+
+	node->catalog = new_catalog();
+	node->catalog->version = before->version + 1;
+	for (i = 0; i < rig->n_limits; i++) {
+		bp_customer_t *customer = bp_customer_new();
+
+		customer->name = g_strdup(rig->limits[i].customer.name);
+		customer->weight = rig->limits[i].customer.weight;
+		customer->cap_cpu_milli = rig->limits[i].customer.cap_cpu_milli;
+		g_ptr_array_add(node->catalog->customers, customer);
+	}
+	if (node->alive)
+		bp_owned_shards_set_catalog(node->shards, node->catalog);
+	bp_catalog_free(before);
+}
+
+/* See the header. */
+void
+bp_qrig_set_customers(
+    bp_qrig_t *rig, const bp_qrig_customer_t *customers, uint32_t n)
+{
+	limit_t limits[CUSTOMERS_MAX];
+	uint32_t i;
+
+	memset(limits, 0, sizeof(limits));
+	for (i = 0; i < n; i++) {
+		limits[i].customer = customers[i];
+		limits[i].old_cap_cpu_milli = old_cap(rig, customers[i].name);
+		limits[i].changed_ms =
+		    bp_clock_mono_ms(bp_clock_virtual_clock(rig->clock));
+	}
+	memcpy(rig->limits, limits, sizeof(limits));
+	rig->n_limits = n;
+	for (i = 0; i < BP_QRIG_NODES; i++)
+		set_node_customers(&rig->nodes[i]);
+}
+
 static bp_sharding_t *
 new_sharding(const bp_qrig_t *rig)
 {
@@ -698,6 +822,7 @@
 	case BP_ESTATE:
 	case BP_EINVALID:
 	case BP_EREFUSED:
+	case BP_EOVERLOAD:
 		return BP_QRIG_REFUSED;
 	default:
 		return BP_QRIG_UNKNOWN;
@@ -752,6 +877,8 @@
 	job->queue = strdup(service != NULL ? service : QUEUE);
 	job->service = strdup(service != NULL ? service : "pool");
 	job->payload = strdup("work");
+	if (caller->shape.customer != NULL)
+		job->customer = strdup(caller->shape.customer);
 	job->priority = caller->shape.priority;
 	job->attempts = BP_QFLEET_ATTEMPTS;
 	job->stretch_permille = 2000;
@@ -845,6 +972,13 @@
 	return find(rig, id)->told;
 }
 
+/* See the header. */
+uint32_t
+bp_qrig_retry_after_ms(const bp_qrig_t *rig, const char *id)
+{
+	return find(rig, id)->retry_after_ms;
+}
+
 /* See the header. */
 bp_qrig_told_t
 bp_qrig_cancel_told(const bp_qrig_t *rig, const char *id)
--- a/tests/support/queuerig.h
+++ b/tests/support/queuerig.h
@@ -42,10 +42,29 @@
 	uint32_t priority; /* 0 goes first */
 	const char *service; /* NULL: that of all executors */
 	uint32_t fails_after_ms; /* each run of a task that lasts; 0: none */
+	const char *customer; /* static; NULL: none */
 } bp_qrig_shape_t;
 
+/* A customer of the configuration; see bp_customer_t. */
+typedef struct {
+	const char *name; /* static */
+	uint32_t weight;
+	uint32_t cap_cpu_milli;
+} bp_qrig_customer_t;
+
 /* Sets what the steps of later jobs ask for. */
 void bp_qrig_set_shape(bp_qrig_t *rig, const bp_qrig_shape_t *shape);
+/*
+ * Puts a configuration with these customers in force on all nodes. Each start
+ * is then checked against the caps; of the caps of the last moment the higher
+ * one counts.
+ */
+void bp_qrig_set_customers(
+    bp_qrig_t *rig, const bp_qrig_customer_t *customers, uint32_t n);
+/* Processors that a customer's tasks request on all executors. */
+uint32_t bp_qrig_customer_milli(bp_qrig_t *rig, const char *customer);
+/* After how many ms a refused caller is to try again, 0 if it was not told. */
+uint32_t bp_qrig_retry_after_ms(const bp_qrig_t *rig, const char *id);
 /* A job of two steps, the second after the first; returns its ID. */
 const char *bp_qrig_submit(
     bp_qrig_t *rig, uint32_t tasks, int64_t task_ms, bool lasting);
