--- a/include/bulrushpost/shard.h
+++ b/include/bulrushpost/shard.h
@@ -63,14 +63,16 @@
 
 /*
  * Result of a call on a job. Kinds: BP_OK, BP_ENOTFOUND, BP_EINVALID,
- * BP_ELOGDOWN (store unavailable, nothing done), BP_ESTATE (not the owner,
- * nothing done), BP_EUNKNOWN (may or may not have been done).
+ * BP_ELOGDOWN (store unavailable, nothing done), BP_EOVERLOAD (refused by the
+ * share of the customer, nothing done), BP_ESTATE (not the owner, nothing
+ * done), BP_EUNKNOWN (may or may not have been done).
  */
 typedef struct {
 	bp_error_kind_t kind;
 	Bp__Work__JobState state;
 	uint64_t waiting;
 	const char *reason; /* static or "" */
+	uint32_t retry_after_ms; /* of a refusal; 0: the caller's default */
 } bp_shard_answer_t;
 
 /* Called once for each call on a job, possibly before the call returns. */
--- a/src/queues/customers.c
+++ b/src/queues/customers.c
@@ -33,6 +33,7 @@
 struct bp_customer_account {
 	bp_customers_t *customers;
 	char *name;
+	guint index; /* in the order of creation */
 	bool listed; /* in the configuration in force */
 	bool has_cap; /* as last listed */
 	bool is_home; /* its shard takes tasks that are larger than a part */
@@ -159,6 +160,13 @@
 	return self->enabled;
 }
 
+/* See the header. */
+bool
+bp_customers_limit_starts(const bp_customers_t *self)
+{
+	return self->enabled || !self->known;
+}
+
 /* See the header. */
 bp_customer_account_t *
 bp_customers_account(bp_customers_t *self, const char *name)
@@ -170,6 +178,7 @@
 		return account;
 	account = g_new0(bp_customer_account_t, 1);
 	account->customers = self;
+	account->index = g_hash_table_size(self->accounts);
 	account->name = g_strdup(name);
 	account->is_home = bp_hash_text(name, 0) % self->shards == self->shard;
 	account->weight = 1;
@@ -178,6 +187,20 @@
 	return account;
 }
 
+/* See the header. */
+guint
+bp_customers_count(const bp_customers_t *self)
+{
+	return g_hash_table_size(self->accounts);
+}
+
+/* Returns the index, which never changes. */
+guint
+bp_customer_index(const bp_customer_account_t *account)
+{
+	return account->index;
+}
+
 /* Returns the name, "" for the jobs without a customer. */
 const char *
 bp_customer_name(const bp_customer_account_t *account)
--- a/src/queues/customers.h
+++ b/src/queues/customers.h
@@ -42,11 +42,17 @@
     bp_customers_t *self, const bp_customer_size_t *capacity);
 /* Returns whether the configuration in force has customers. */
 bool bp_customers_enabled(const bp_customers_t *self);
+/* Returns whether any start may be limited: the configuration has customers, or
+ * is not known. */
+bool bp_customers_limit_starts(const bp_customers_t *self);
 /* Returns the account of a name, which lives as long as self. "" is the account
  * of the jobs without a customer. */
 bp_customer_account_t *bp_customers_account(
     bp_customers_t *self, const char *name);
 
+/* Returns the number of accounts, whose indexes are below it. */
+guint bp_customers_count(const bp_customers_t *self);
+guint bp_customer_index(const bp_customer_account_t *account);
 const char *bp_customer_name(const bp_customer_account_t *account);
 /* Adds, or removes, a task that runs or may run. */
 void bp_customer_add(
--- a/src/queues/jobrouter_call.c
+++ b/src/queues/jobrouter_call.c
@@ -17,6 +17,8 @@
 #define RESPONSE_MARGIN_MS 150
 /* Time after which a refused caller is to retry. */
 #define RETRY_AFTER_MS 1000
+/* Longest such time that the owner of a shard may ask for. */
+#define RETRY_AFTER_MAX_MS 120000
 #define MODULE "desk"
 
 static int64_t
@@ -116,17 +118,24 @@
 }
 
 /* A call that may have taken effect is never reported as not run. */
-void
-bp_job_call_fail(bp_job_call_t *call, const char *reason)
+static void
+fail(bp_job_call_t *call, const char *reason, uint32_t retry_after_ms)
 {
 	bp_job_router_answer_t answer = {BP_JOB_ROUTER_NOT_RUN,
-	    BP__WORK__JOB_STATE__JOB_QUEUED, 0, RETRY_AFTER_MS, reason};
+	    BP__WORK__JOB_STATE__JOB_QUEUED, 0, retry_after_ms, reason};
 
 	if (call->maybe_applied)
 		answer.outcome = BP_JOB_ROUTER_NOT_KNOWN;
 	finish(call, &answer);
 }
 
+/* Ends a call that was not served; the caller is to retry soon. */
+void
+bp_job_call_fail(bp_job_call_t *call, const char *reason)
+{
+	fail(call, reason, RETRY_AFTER_MS);
+}
+
 static gboolean
 on_timer(void *data)
 {
@@ -169,7 +178,7 @@
 
 static void
 handle_answer(bp_job_call_t *call, int kind, Bp__Work__JobState state,
-    uint64_t waiting, const char *reason)
+    uint64_t waiting, uint32_t retry_after_ms, const char *reason)
 {
 	bp_job_router_answer_t answer = {
 	    BP_JOB_ROUTER_OK, state, waiting, RETRY_AFTER_MS, reason};
@@ -190,7 +199,8 @@
 	case BP_ELOGDOWN:
 	case BP_EOVERLOAD:
 	case BP_EDRAINING:
-		bp_job_call_fail(call, reason);
+		fail(call, reason,
+		    retry_after_ms > 0 ? retry_after_ms : RETRY_AFTER_MS);
 		return;
 	default:
 		call->maybe_applied = true;
@@ -208,7 +218,7 @@
 	call->attempt_pending = false;
 	if (call->router != NULL)
 		handle_answer(call, answer->kind, answer->state,
-		    answer->waiting, answer->reason);
+		    answer->waiting, answer->retry_after_ms, answer->reason);
 	unref(call);
 }
 
@@ -216,7 +226,7 @@
 try_local(bp_job_call_t *call, bp_shard_t *shard)
 {
 	bp_shard_answer_t answer = {
-	    BP_OK, BP__WORK__JOB_STATE__JOB_QUEUED, 0, ""};
+	    BP_OK, BP__WORK__JOB_STATE__JOB_QUEUED, 0, "", 0};
 
 	(void)g_rc_box_acquire(call);
 	switch (call->kind) {
@@ -240,10 +250,11 @@
 }
 
 static uint64_t
-first_arg_number(const Bp__Peer__Frame *frame)
+arg_number(const Bp__Peer__Frame *frame, size_t index)
 {
-	return frame->n_args > 0 ? g_ascii_strtoull(frame->args[0], NULL, 10)
-				 : 0;
+	return frame->n_args > index
+	    ? g_ascii_strtoull(frame->args[index], NULL, 10)
+	    : 0;
 }
 
 static void
@@ -259,7 +270,7 @@
 	}
 	if (frame == NULL && err->kind == BP_ETOOLARGE) {
 		handle_answer(call, BP_EINVALID,
-		    BP__WORK__JOB_STATE__JOB_QUEUED, 0, err->message);
+		    BP__WORK__JOB_STATE__JOB_QUEUED, 0, 0, err->message);
 		unref(call);
 		return;
 	}
@@ -270,11 +281,13 @@
 		unref(call);
 		return;
 	}
-	number = first_arg_number(frame);
+	number = arg_number(frame, 0);
 	handle_answer(call, frame->error,
 	    call->kind == BP_JOB_CALL_COUNT ? BP__WORK__JOB_STATE__JOB_QUEUED
 					    : (Bp__Work__JobState)number,
-	    call->kind == BP_JOB_CALL_COUNT ? number : 0, frame->message);
+	    call->kind == BP_JOB_CALL_COUNT ? number : 0,
+	    (uint32_t)MIN(arg_number(frame, 1), RETRY_AFTER_MAX_MS),
+	    frame->message);
 	unref(call);
 }
 
--- a/src/queues/jobrouter_serve.c
+++ b/src/queues/jobrouter_serve.c
@@ -5,27 +5,39 @@
 
 #include <stdio.h>
 
+/* The second argument, the time after which to retry, is left out when it is
+ * 0. */
 static void
-answer_frame(
-    bp_peer_request_t *request, int kind, uint64_t number, const char *reason)
+answer_with_retry(bp_peer_request_t *request, int kind, uint64_t number,
+    uint32_t retry_after_ms, const char *reason)
 {
 	Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
 	char text[32];
-	char *args[] = {text};
+	char retry_text[32];
+	char *args[] = {text, retry_text};
 
 	snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, number);
+	snprintf(retry_text, sizeof(retry_text), "%u", retry_after_ms);
 	answer.error = kind;
 	answer.outcome = bp_error_info(kind)->outcome;
 	answer.message = (char *)reason;
 	answer.args = args;
-	answer.n_args = G_N_ELEMENTS(args);
+	answer.n_args = retry_after_ms > 0 ? 2 : 1;
 	bp_peer_request_answer(request, &answer);
 }
 
+static void
+answer_frame(
+    bp_peer_request_t *request, int kind, uint64_t number, const char *reason)
+{
+	answer_with_retry(request, kind, number, 0, reason);
+}
+
 static void
 on_served(const bp_shard_answer_t *answer, void *data)
 {
-	answer_frame(data, answer->kind, answer->state, answer->reason);
+	answer_with_retry(data, answer->kind, answer->state,
+	    answer->retry_after_ms, answer->reason);
 }
 
 static void
--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -254,6 +254,9 @@
 	shard->polls = g_hash_table_new(NULL, NULL);
 	shard->throttles = g_hash_table_new(NULL, NULL);
 	shard->customers = bp_customers_new(options->number, options->shards);
+	bp_random_init(&shard->random,
+	    bp_hash_text(
+		options->address, (uint64_t)bp_clock_mono_us(options->clock)));
 	shard->estimates = bp_estimates_new();
 	shard->filler_model = bp_filler_model_new();
 	shard->reserved_execs = g_ptr_array_new();
@@ -280,7 +283,8 @@
 answer_pending_calls(bp_shard_t *shard)
 {
 	bp_shard_answer_t answer = {BP_EUNKNOWN,
-	    BP__WORK__JOB_STATE__JOB_QUEUED, 0, "the shard has a later owner"};
+	    BP__WORK__JOB_STATE__JOB_QUEUED, 0, "the shard has a later owner",
+	    0};
 	GHashTableIter iter;
 	gpointer value;
 
--- a/src/queues/shard_calls.c
+++ b/src/queues/shard_calls.c
@@ -18,7 +18,7 @@
 answer_now(bp_shard_done_t done, void *data, bp_error_kind_t kind,
     Bp__Work__JobState state, const char *reason)
 {
-	bp_shard_answer_t answer = {kind, state, 0, reason};
+	bp_shard_answer_t answer = {kind, state, 0, reason, 0};
 
 	done(&answer, data);
 }
@@ -94,6 +94,50 @@
 	return BP_ESTATE;
 }
 
+/*
+ * Returns after how many ms the caller is to try again if the job is refused:
+ * it comes beyond the rate of its customer, and would wait. Returns 0 if the
+ * job is to be accepted.
+ */
+static uint32_t
+refuse_beyond_share(bp_shard_t *shard, const bp_qjob_t *job)
+{
+	int64_t now_ms = bp_shard_now_ms(shard);
+
+	if (!bp_customer_job_exceeds(job->account, now_ms) ||
+	    bp_shard_has_room(shard, job))
+		return 0;
+	shard->counts_refused++;
+	return bp_customer_refuse(job->account, now_ms, &shard->random);
+}
+
+/* Adds a new job to the next append, or refuses it. */
+static void
+accept_or_refuse(
+    bp_shard_t *shard, Bp__Work__Job *spec, bp_shard_done_t done, void *data)
+{
+	bp_shard_answer_t answer = {BP_EOVERLOAD,
+	    BP__WORK__JOB_STATE__JOB_QUEUED, 0,
+	    "the customer sends far more than its share, and there is no room",
+	    0};
+	bp_qjob_t *job = bp_qjob_new(spec);
+
+	job->account =
+	    bp_customers_account(shard->customers, job->spec->customer);
+	answer.retry_after_ms = refuse_beyond_share(shard, job);
+	if (answer.retry_after_ms > 0) {
+		bp_qjob_free(job);
+		done(&answer, data);
+		return;
+	}
+	bp_customer_add_waiting_job(job->account);
+	g_hash_table_insert(shard->jobs, job->spec->id, job);
+	g_ptr_array_add(shard->active_jobs, job);
+	g_ptr_array_add(shard->new_jobs, job);
+	add_waiter(shard, job, false, done, data);
+	bp_record_writer_request(shard->writer, true);
+}
+
 /* Accepts a job once the store holds it. A repeated ID adds no other job. */
 void
 bp_shard_submit(
@@ -121,15 +165,8 @@
 		    BP__WORK__JOB_STATE__JOB_QUEUED,
 		    "the store does not answer");
 	else {
-		job = bp_qjob_new(spec);
-		job->account =
-		    bp_customers_account(shard->customers, job->spec->customer);
+		accept_or_refuse(shard, spec, done, data);
 		spec = NULL;
-		g_hash_table_insert(shard->jobs, job->spec->id, job);
-		g_ptr_array_add(shard->active_jobs, job);
-		g_ptr_array_add(shard->new_jobs, job);
-		add_waiter(shard, job, false, done, data);
-		bp_record_writer_request(shard->writer, true);
 	}
 	if (spec != NULL)
 		bp__work__job__free_unpacked(spec, NULL);
@@ -208,7 +245,7 @@
 {
 	int64_t now_ms = bp_shard_now_ms(shard);
 	bp_shard_answer_t answer = {BP_ELOGDOWN,
-	    BP__WORK__JOB_STATE__JOB_QUEUED, 0, "the store does not answer"};
+	    BP__WORK__JOB_STATE__JOB_QUEUED, 0, "the store does not answer", 0};
 	guint i;
 
 	for (i = shard->new_jobs->len; i > 0; i--) {
@@ -268,6 +305,7 @@
 	report("paces", shard->counts_throttles, data);
 	report("stops", shard->counts_stopped, data);
 	report("rounds", shard->counts_rounds, data);
+	report("jobs_refused", shard->counts_refused, data);
 	report("executors_examined", shard->counts_examined, data);
 	report("rounds_us", (uint64_t)shard->rounds_us, data);
 	report("starts_in_flight", shard->starts_in_flight, data);
--- a/src/queues/shard_customers.c
+++ b/src/queues/shard_customers.c
@@ -32,6 +32,43 @@
 	    step->spec->gang ? step->spec->tasks : 1);
 }
 
+/* Returns whether the customer of a step uses more than its share. */
+bool
+bp_qstep_over_share(const bp_shard_t *shard, const bp_qstep_t *step)
+{
+	bp_customer_figures_t figures;
+
+	if (!bp_customers_enabled(shard->customers))
+		return false;
+	bp_customer_figures(step->job->account, &figures);
+	return figures.used_share > figures.entitled_share;
+}
+
+/* Counts the capacity of which shares are parts. The jobs that wait are counted
+ * while the ready steps are collected. */
+void
+bp_shard_update_customers(bp_shard_t *shard)
+{
+	bp_customer_size_t capacity = {0};
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!bp_customers_enabled(shard->customers))
+		return;
+	bp_customers_reset_backlogs(shard->customers);
+	g_hash_table_iter_init(&iter, shard->execs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const bp_qexec_t *exec = value;
+
+		if (!exec->listed)
+			continue;
+		capacity.reserved_milli += exec->info->cpu_milli;
+		capacity.memory_mib += exec->info->memory_mib;
+		capacity.accelerators += exec->info->accelerators;
+	}
+	bp_customers_set_capacity(shard->customers, &capacity);
+}
+
 static const bp_qheld_t *
 find_held(const bp_qexec_t *exec, const char *name)
 {
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -10,6 +10,8 @@
 #include "queues/recordwriter.h"
 #include "queues/fillermodel.h"
 
+#include <math.h>
+
 #define BP_SHARD_MODULE "shard"
 /* Longest lease that an owner grants; executors allow longer ones. */
 #define BP_SHARD_LEASE_MS 6000
@@ -222,6 +224,7 @@
 	GHashTable *zones_out;
 	const bp_catalog_t *catalog; /* owned by the node */
 	bp_customers_t *customers;
+	bp_random_t random; /* for retry times */
 	bp_record_writer_t *writer;
 	bp_estimates_t *estimates;
 	bp_filler_model_t *filler_model;
@@ -264,6 +267,7 @@
 	uint64_t counts_throttles;
 	uint64_t counts_stopped; /* runs ordered to stop */
 	uint64_t counts_rounds;
+	uint64_t counts_refused; /* jobs of customers beyond their share */
 	uint64_t counts_examined; /* executors considered for tasks */
 	int64_t rounds_us; /* total time spent in rounds */
 	int64_t tick_due_ms; /* monotonic, due time of the next tick */
@@ -333,6 +337,8 @@
 /* shard_customers.c */
 bp_customer_size_t bp_qstep_size(const Bp__Work__Step *spec);
 bool bp_qstep_within_cap(const bp_qstep_t *step);
+bool bp_qstep_over_share(const bp_shard_t *shard, const bp_qstep_t *step);
+void bp_shard_update_customers(bp_shard_t *shard);
 void bp_qrun_charge(bp_qrun_t *run, const Bp__Work__Step *spec);
 void bp_qheld_free(gpointer held);
 void bp_qexec_load_held(bp_qexec_t *exec, const Bp__Work__Holder *holder);
@@ -423,7 +429,17 @@
 /* shard_priority.c */
 GPtrArray *bp_shard_ready_steps(bp_shard_t *shard);
 
+/* shard_turns.c */
+typedef struct bp_qturns bp_qturns_t;
+bp_qturns_t *bp_qturns_new(const bp_shard_t *shard, const GPtrArray *steps);
+void bp_qturns_free(bp_qturns_t *turns);
+bp_qstep_t *bp_qturns_next(bp_qturns_t *turns, double *until, uint32_t *from);
+void bp_qturns_placed(
+    bp_qturns_t *turns, bool started, bool yields, uint32_t from);
+
 /* shard_rounds.c */
+/* Returns whether a task of a step that comes first in the job could start. */
+bool bp_shard_has_room(bp_shard_t *shard, const bp_qjob_t *job);
 void bp_shard_run_round(bp_shard_t *shard);
 /*
  * Returns whether a planned run that has a task may still start on its
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -365,7 +365,7 @@
 static void
 on_job_stored(bp_shard_t *shard, const bp_qappended_job_t *sent)
 {
-	bp_shard_answer_t answer = {BP_OK, sent->state, 0, ""};
+	bp_shard_answer_t answer = {BP_OK, sent->state, 0, "", 0};
 	bp_qjob_t *job = sent->job;
 
 	job->rejections.count = 0;
@@ -487,7 +487,8 @@
 	bp_shard_answer_t refused = {refusal_kind(outcome),
 	    BP__WORK__JOB_STATE__JOB_QUEUED, 0,
 	    outcome == BP_STORE_REFUSED ? "the store refused the record"
-					: "the shard has a later owner"};
+					: "the shard has a later owner",
+	    0};
 	guint i;
 
 	shard->in_flight =
--- a/src/queues/shard_rejections.c
+++ b/src/queues/shard_rejections.c
@@ -27,7 +27,7 @@
 {
 	bp_shard_answer_t answer = {BP_EINVALID,
 	    BP__WORK__JOB_STATE__JOB_QUEUED, 0,
-	    "the store does not take the record of this job"};
+	    "the store does not take the record of this job", 0};
 
 	bp_shard_answer_waiters(job, false, &answer);
 	bp_shard_answer_waiters(job, true, &answer);
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -38,6 +38,10 @@
 	bool reruns_only; /* only tasks that have run before */
 	GArray *unplaced; /* unplaced_t */
 	guint execs_total; /* of execs, before removals at start limits */
+	bool limited; /* starts, by caps of customers */
+	double until; /* level of its customer at which a step yields */
+	bool yielded; /* the step placed last has */
+	uint32_t from; /* first task of the step to look at */
 	guint cursor; /* index at which the next choice for a filler begins */
 } round_t;
 
@@ -316,15 +320,15 @@
  * processors, and long-running tasks are to run wherever there is capacity.
  */
 static bool
-leaves_headroom(round_t *round, const bp_qstep_t *step)
+leaves_headroom(
+    round_t *round, const bp_qjob_t *job, const Bp__Work__Step *spec)
 {
 	const pool_t *pool;
 
-	if (step->job->spec->priority == 0 || step->spec->filler ||
-	    step->spec->lasting)
+	if (job->spec->priority == 0 || spec->filler || spec->lasting)
 		return true;
 	pool = get_pool(round, round->service);
-	return (pool->cpu_used + step->spec->cpu_milli) * 100 <=
+	return (pool->cpu_used + spec->cpu_milli) * 100 <=
 	    pool->cpu_milli * (100 - HEADROOM_PERCENT);
 }
 
@@ -416,6 +420,16 @@
 	bp_shard_release_step_reservations(round->shard, step);
 }
 
+/* Returns whether the customer of a step with tasks left has caught up with the
+ * one after it, whose turn it then is. */
+static bool
+yields(round_t *round, const bp_qstep_t *step)
+{
+	round->yielded = step->waiting_tasks > 0 && round->until < INFINITY &&
+	    bp_customer_level(step->job->account) > round->until;
+	return round->yielded;
+}
+
 static void
 place_step(round_t *round, bp_qstep_t *step)
 {
@@ -425,10 +439,10 @@
 	const char *reason = round->execs_total > 0 && execs->len == 0
 	    ? "turn"
 	    : known_reason(round, step);
-	bool skipped = false;
+	bool skipped = round->reruns_only && round->from > 0;
 	uint32_t i;
 
-	if (!bp_qstep_within_cap(step)) {
+	if (round->limited && !bp_qstep_within_cap(step)) {
 		wait_for_cap(round, step);
 		return;
 	}
@@ -442,7 +456,7 @@
 			place_gang(round, step);
 		return;
 	}
-	for (i = 0; i < step->spec->tasks; i++) {
+	for (i = round->from; i < step->spec->tasks; i++) {
 		bp_qtask_t *task = &step->tasks[i];
 		bp_qexec_t *exec;
 
@@ -452,11 +466,11 @@
 			skipped = true;
 			continue;
 		}
-		if (!bp_qstep_within_cap(step)) {
+		if (round->limited && !bp_qstep_within_cap(step)) {
 			wait_for_cap(round, step);
 			return;
 		}
-		if (!leaves_headroom(round, step)) {
+		if (!leaves_headroom(round, step->job, step->spec)) {
 			step->reason = "headroom";
 			return;
 		}
@@ -474,6 +488,10 @@
 			bp_qexec_release_reservation(exec);
 		bp_shard_start_task(
 		    shard, task, exec, bp_shard_next_run(shard, task));
+		if (yields(round, step)) {
+			round->from = i + 1;
+			return;
+		}
 	}
 	if (skipped)
 		return;
@@ -563,22 +581,47 @@
 	bp_shard_divide_start_limits(round->shard, round->execs);
 }
 
+/* Places steps in the turns of their customers. */
+static void
+place_in_turns(round_t *round, const GPtrArray *steps)
+{
+	bp_qturns_t *turns = bp_qturns_new(round->shard, steps);
+	bp_qstep_t *step;
+
+	while ((step = bp_qturns_next(turns, &round->until, &round->from)) !=
+	    NULL) {
+		uint32_t waiting = step->waiting_tasks;
+
+		if (waiting == 0)
+			continue;
+		if (!bp_shard_may_start(round->shard))
+			break;
+		round->service = service_of(round->shard, step->job);
+		round->yielded = false;
+		place_step(round, step);
+		bp_qturns_placed(turns, step->waiting_tasks < waiting,
+		    round->yielded, round->from);
+	}
+	bp_qturns_free(turns);
+}
+
 static void
 place_selected(round_t *round, const GPtrArray *steps)
 {
+	GPtrArray *selected = g_ptr_array_new();
 	guint i;
 
 	for (i = 0; i < steps->len; i++) {
 		bp_qstep_t *step = steps->pdata[i];
 
-		if (step->waiting_tasks == 0 ||
-		    !(round->reruns_only
+		if (step->waiting_tasks > 0 &&
+		    (round->reruns_only
 			    ? bp_qstep_ignores_reservations(round->shard, step)
 			    : step->blocked_by_start_limits))
-			continue;
-		round->service = service_of(round->shard, step->job);
-		place_step(round, step);
+			g_ptr_array_add(selected, step);
 	}
+	place_in_turns(round, selected);
+	g_ptr_array_unref(selected);
 	g_array_set_size(round->unplaced, 0);
 }
 
@@ -605,26 +648,76 @@
 static void
 place_steps(round_t *round, const GPtrArray *steps)
 {
-	guint i;
-
 	bp_shard_release_expired_reservations(round->shard);
 	round->fillers_yield = round->shard->urgent_blocked_ms != 0 &&
 	    round->now_ms - round->shard->urgent_blocked_ms < FILLER_YIELD_MS;
 	add_executors(round);
 	place_long_running(round, steps);
-	for (i = 0; i < steps->len; i++) {
-		bp_qstep_t *step = steps->pdata[i];
+	place_in_turns(round, steps);
+}
 
-		if (!bp_shard_may_start(round->shard))
-			break;
-		if (step->waiting_tasks == 0)
-			continue;
-		round->service = service_of(round->shard, step->job);
-		place_step(round, step);
+static bool
+has_label(const bp_executor_info_t *info, const char *label)
+{
+	return label[0] == '\0' ||
+	    g_strv_contains((const gchar *const *)info->labels, label);
+}
+
+/* Returns whether an executor may get a task of a step now. */
+static bool
+takes_task(
+    const round_t *round, const bp_qexec_t *exec, const Bp__Work__Step *spec)
+{
+	return exclusion_reason(exec, round->now_ms) == NULL &&
+	    strcmp(exec->info->service, round->service) == 0 &&
+	    has_label(exec->info, spec->label) &&
+	    bp_qexec_has_capacity(exec, spec, 1);
+}
+
+/* Returns whether a service has room for a task of a step. */
+static bool
+has_room_for(round_t *round, const bp_qjob_t *job, const Bp__Work__Step *spec)
+{
+	GHashTableIter iter;
+	gpointer value;
+	bool found = false;
+
+	g_hash_table_iter_init(&iter, round->shard->execs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const bp_qexec_t *exec = value;
+
+		if (exclusion_reason(exec, round->now_ms) == NULL)
+			count_cpu(round, exec->info->service,
+			    exec->info->cpu_milli, exec->cpu_used);
+		found = found || takes_task(round, exec, spec);
 	}
+	found = found && leaves_headroom(round, job, spec);
+	g_array_set_size(round->pools, 0);
+	return found;
+}
+
+/* See the header. */
+bool
+bp_shard_has_room(bp_shard_t *shard, const bp_qjob_t *job)
+{
+	round_t round = {
+	    .shard = shard,
+	    .now_ms = bp_shard_now_ms(shard),
+	    .service = service_of(shard, job),
+	    .pools = g_array_new(FALSE, FALSE, sizeof(pool_t)),
+	};
+	bool found = false;
+	size_t i;
+
+	for (i = 0; i < job->spec->n_steps && !found; i++)
+		found = job->spec->steps[i]->n_after == 0 &&
+		    has_room_for(&round, job, job->spec->steps[i]);
+	g_array_unref(round.pools);
+	return found;
 }
 
-/* Places waiting tasks, in the order of bp_shard_ready_steps. */
+/* Places waiting tasks, in the order of bp_shard_ready_steps and the turns of
+ * the customers. */
 void
 bp_shard_run_round(bp_shard_t *shard)
 {
@@ -637,9 +730,12 @@
 	    .pools = g_array_new(FALSE, FALSE, sizeof(pool_t)),
 	    .unplaced = g_array_new(FALSE, FALSE, sizeof(unplaced_t)),
 	    .cursor = shard->filler_cursor,
+	    .limited = bp_customers_limit_starts(shard->customers),
 	};
-	GPtrArray *steps = bp_shard_ready_steps(shard);
+	GPtrArray *steps;
 
+	bp_shard_update_customers(shard);
+	steps = bp_shard_ready_steps(shard);
 	if (steps->len > 0)
 		place_steps(&round, steps);
 	shard->filler_cursor = round.cursor;
--- a/src/queues/shard_why.c
+++ b/src/queues/shard_why.c
@@ -43,6 +43,8 @@
     {"other_life", "waits: another executor answers at the address"},
     {"invalid", "waits: the executor rejected a start as malformed"},
     {"customer_cap", "waits: its customer's running tasks are at their cap"},
+    {"customer_share",
+	"waits: its customer uses more than its share of a full site"},
     {"turn", "may be placed in one of the next scheduling rounds"},
 };
 
@@ -77,11 +79,19 @@
 	return most != NULL ? most->name : "no_executor";
 }
 
+static bool
+is_lack_of_room(const char *cause)
+{
+	return strcmp(cause, "no_capacity") == 0 ||
+	    strcmp(cause, "headroom") == 0;
+}
+
 static const char *
 task_reason(
     const bp_shard_t *shard, const bp_qtask_t *task, const GPtrArray *causes)
 {
 	bp_qstep_t *step = task->step;
+	const char *cause;
 
 	switch (task->state) {
 	case BP_QTASK_RECONCILING:
@@ -107,8 +117,13 @@
 	if (!bp_qstep_within_cap(step))
 		return "customer_cap";
 	if (step->reason != NULL && strcmp(step->reason, "headroom") == 0)
-		return "headroom";
-	return main_cause(causes);
+		cause = "headroom";
+	else
+		cause = main_cause(causes);
+	/* Others go first only where there is not room for all. */
+	if (is_lack_of_room(cause) && bp_qstep_over_share(shard, step))
+		return "customer_share";
+	return cause;
 }
 
 static void
@@ -255,6 +270,20 @@
 	    figures.part.accelerators);
 }
 
+/* Adds the customer's use and share of the site to a line. */
+static void
+add_share_text(GString *text, const bp_qjob_t *job)
+{
+	bp_customer_figures_t figures;
+
+	bp_customer_figures(job->account, &figures);
+	g_string_append_printf(text,
+	    "; customer %s uses %.1f%% of the site, its share by weight is "
+	    "%.1f%%",
+	    bp_customer_name(job->account), figures.used_share * PERCENT,
+	    figures.entitled_share * PERCENT);
+}
+
 /* Adds one line for the tasks of a step with the same reason. */
 static void
 add_line(GString *text, bp_qstep_t *step, const char *reason, uint32_t tasks,
@@ -270,6 +299,8 @@
 	    step->spec->tasks, text_of(reason), reason);
 	if (strcmp(reason, "customer_cap") == 0)
 		add_cap_text(text, step->job);
+	if (strcmp(reason, "customer_share") == 0)
+		add_share_text(text, step->job);
 	if (strcmp(reason, "running") == 0 || strcmp(reason, "done") == 0)
 		return;
 	for (i = 0; i < causes->len; i++) {
--- a/tests/queues/test_jobrouter.c
+++ b/tests/queues/test_jobrouter.c
@@ -18,6 +18,7 @@
 	TRY_STATE,
 	TRY_STORE_DOWN,
 	TRY_OVERLOAD,
+	TRY_OVERLOAD_WITH_TIME, /* after which to retry */
 	TRY_INTERNAL,
 	TRY_SILENT
 } attempt_t;
@@ -37,6 +38,7 @@
 	const attempt_t *tries;
 	uint32_t attempts_seen;
 	bp_job_router_outcome_t outcome;
+	uint32_t retry_after_ms;
 	uint32_t answers;
 } fixture_t;
 
@@ -102,7 +104,11 @@
 	    [TRY_STATE] = BP_ESTATE,
 	    [TRY_STORE_DOWN] = BP_ELOGDOWN,
 	    [TRY_OVERLOAD] = BP_EOVERLOAD,
+	    [TRY_OVERLOAD_WITH_TIME] = BP_EOVERLOAD,
 	    [TRY_INTERNAL] = BP_EINTERNAL};
+	static char number[] = "0";
+	static char retry_after_ms[] = "7000";
+	char *args[] = {number, retry_after_ms};
 	fixture_t *fixture = data;
 	uint32_t i = MIN(fixture->attempts_seen, ATTEMPTS_MAX - 1);
 	Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
@@ -116,6 +122,10 @@
 		return;
 	}
 	answer.error = kinds[what];
+	if (what == TRY_OVERLOAD_WITH_TIME) {
+		answer.args = args;
+		answer.n_args = G_N_ELEMENTS(args);
+	}
 	bp_peer_request_answer(request, &answer);
 }
 
@@ -125,6 +135,7 @@
 	fixture_t *fixture = data;
 
 	fixture->outcome = answer->outcome;
+	fixture->retry_after_ms = answer->retry_after_ms;
 	fixture->answers++;
 }
 
@@ -282,6 +293,34 @@
 	}
 }
 
+/* Guards against callers that come again after the default time, all at once,
+ * although the owner has told each of them another one. */
+static void
+test_a_retry_time_of_the_owner_is_kept(void)
+{
+	static const struct {
+		attempt_t tries[ATTEMPTS_MAX];
+		uint32_t retry_after_ms;
+	} cases[] = {
+	    {{TRY_OVERLOAD_WITH_TIME}, 7000},
+	    {{TRY_STATE, TRY_OVERLOAD_WITH_TIME}, 7000},
+	    {{TRY_OVERLOAD}, 1000},
+	    {{TRY_STORE_DOWN}, 1000},
+	};
+	fixture_t fixture;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		setup(&fixture, cases[i].tries);
+		submit(&fixture, 0);
+		CU_ASSERT_TRUE(bp_wait_until(is_answered, &fixture));
+		CU_ASSERT_EQUAL(fixture.outcome, BP_JOB_ROUTER_NOT_RUN);
+		CU_ASSERT_EQUAL(
+		    fixture.retry_after_ms, cases[i].retry_after_ms);
+		teardown(&fixture);
+	}
+}
+
 /* An attempt that was never sent has no effect: the owner is down, or the job
  * is too large for a frame. */
 static void
@@ -391,6 +430,8 @@
 {
 	CU_TestInfo tests[] = {
 	    {"only a proof refuses", test_only_a_proof_refuses},
+	    {"a retry time of the owner is kept",
+		test_a_retry_time_of_the_owner_is_kept},
 	    {"what was not sent", test_what_was_not_sent},
 	    {"a call read after a pause has waited",
 		test_a_call_read_after_a_pause_has_waited},
--- a/tests/support/queuerig.c
+++ b/tests/support/queuerig.c
@@ -836,6 +836,7 @@
 	bp_qrig_told_t told = told_of(answer->kind);
 
 	caller->refusals += told == BP_QRIG_REFUSED;
+	caller->retry_after_ms = answer->retry_after_ms;
 	if (caller->told != BP_QRIG_ACCEPTED)
 		caller->told = told;
 }
