--- a/src/queues/shard_calls.c
+++ b/src/queues/shard_calls.c
@@ -97,13 +97,15 @@
 /*
  * Returns after how many ms the caller is to try again if the job is refused:
  * it comes beyond the rate of its customer, and would wait. Returns 0 if the
- * job is to be accepted.
+ * job is to be accepted, as is any that is due later, when there may be room.
  */
 static uint32_t
 refuse_beyond_share(bp_shard_t *shard, const bp_qjob_t *job)
 {
 	int64_t now_ms = bp_shard_now_ms(shard);
 
+	if (!bp_qjob_waits_for_room(job, bp_shard_wall_ms(shard)))
+		return 0;
 	if (!bp_customer_job_exceeds(job->account, now_ms) ||
 	    bp_shard_has_room(shard, job))
 		return 0;
@@ -130,7 +132,8 @@
 		done(&answer, data);
 		return;
 	}
-	bp_customer_add_waiting_job(job->account);
+	if (bp_qjob_waits_for_room(job, bp_shard_wall_ms(shard)))
+		bp_customer_add_waiting_job(job->account);
 	g_hash_table_insert(shard->jobs, job->spec->id, job);
 	g_ptr_array_add(shard->active_jobs, job);
 	g_ptr_array_add(shard->new_jobs, job);
--- a/src/queues/shard_customers.c
+++ b/src/queues/shard_customers.c
@@ -21,6 +21,14 @@
 	return size;
 }
 
+/* Returns whether a job is due and no task of it has started. */
+bool
+bp_qjob_waits_for_room(const bp_qjob_t *job, int64_t wall_ms)
+{
+	return !job->started &&
+	    bp_qstep_not_before_ms(&job->steps[0]) <= wall_ms;
+}
+
 /* Returns whether the cap of its customer lets a waiting task of the step
  * start; all tasks of a gang. */
 bool
--- a/src/queues/shard_priority.c
+++ b/src/queues/shard_priority.c
@@ -86,7 +86,8 @@
 	    wall_ms + shard->options.limits.start_early_ms / 2;
 	uint32_t i;
 
-	if (!job->started && bp_customers_enabled(shard->customers))
+	if (bp_customers_enabled(shard->customers) &&
+	    bp_qjob_waits_for_room(job, wall_ms))
 		bp_customer_add_waiting_job(job->account);
 	if (!job->accepted || job->cancelling || bp_qjob_ended(job))
 		return;
--- a/tests/queues/test_customer_caps.c
+++ b/tests/queues/test_customer_caps.c
@@ -175,6 +175,92 @@
 	finish(rig);
 }
 
+#define FAULTS 80
+#define JOBS_MAX (3 * FAULTS)
+
+/* One fault of a node, an executor or the store, or the end of one. */
+static void
+cause_fault(bp_qrig_t *rig)
+{
+	bp_random_t *random = bp_qrig_random(rig);
+	uint32_t node = bp_random_below(random, BP_QRIG_NODES);
+	uint32_t exec = bp_random_below(random, EXECUTORS);
+	bp_qfleet_t *fleet = bp_qrig_fleet(rig);
+
+	switch (bp_random_below(random, 8)) {
+	case 0:
+		if (bp_qrig_owner(rig) >= 0)
+			bp_qrig_kill(rig, (uint32_t)bp_qrig_owner(rig));
+		break;
+	case 1:
+		bp_qrig_freeze(rig, node, true);
+		break;
+	case 2:
+		bp_qfleet_set_cut(fleet, exec, true);
+		break;
+	case 3:
+		bp_qfleet_crash(fleet, exec);
+		break;
+	case 4:
+		bp_qrig_cut_executors(rig, node, true);
+		break;
+	case 5:
+		bp_qfleet_lose_answers(fleet, exec, 3);
+		break;
+	default:
+		bp_qrig_freeze(rig, node, false);
+		bp_qrig_restart(rig, node);
+		bp_qrig_cut_executors(rig, node, false);
+		bp_qfleet_set_cut(fleet, exec, false);
+		break;
+	}
+}
+
+/*
+ * Faults of all kinds beside short, long-running, filling and cancelled work:
+ * guards against any run that an owner does not count.
+ */
+static void
+test_caps_hold_under_faults(void)
+{
+	bp_qrig_t *rig = start_rig();
+	const char *ids[JOBS_MAX];
+	uint32_t n = 0;
+	uint32_t i;
+
+	bp_qfleet_set_late(bp_qrig_fleet(rig), 10);
+	bp_qfleet_set_jitter_ms(bp_qrig_fleet(rig), 30);
+	for (i = 0; i < FAULTS; i++) {
+		bp_qrig_shape_t filler = narrow;
+
+		filler.filler = true;
+		ids[n++] = submit(rig, &narrow, 2, 0, true);
+		ids[n++] = submit(rig, &filler, 3, 800, false);
+		ids[n++] = submit(rig, &narrow, 2, 500, false);
+		bp_qrig_cancel(
+		    rig, ids[bp_random_below(bp_qrig_random(rig), n)]);
+		cause_fault(rig);
+		bp_qrig_run_ms(
+		    rig, 100 + bp_random_below(bp_qrig_random(rig), 1500));
+	}
+	for (i = 0; i < BP_QRIG_NODES; i++) {
+		bp_qrig_freeze(rig, i, false);
+		bp_qrig_restart(rig, i);
+		bp_qrig_cut_executors(rig, i, false);
+	}
+	for (i = 0; i < EXECUTORS; i++)
+		bp_qfleet_set_cut(bp_qrig_fleet(rig), i, false);
+	bp_qfleet_set_late(bp_qrig_fleet(rig), 0);
+	for (i = 0; i < n; i++)
+		bp_qrig_cancel(rig, ids[i]);
+	bp_qrig_run_ms(rig, 30000);
+	/* Nothing stays in the account for good. */
+	(void)submit(rig, &narrow, 5, 0, true);
+	bp_qrig_run_ms(rig, 3000);
+	CU_ASSERT_EQUAL(bp_qrig_customer_milli(rig, "narrow"), CAP_MILLI);
+	finish(rig);
+}
+
 /* Guards against starts above a cap that was lowered while in use, and against
  * a raised one that is not used. */
 static void
@@ -258,6 +344,7 @@
 	    {"unanswered starts count", test_unanswered_starts_count},
 	    {"caps hold while owners change",
 		test_caps_hold_while_owners_change},
+	    {"caps hold under faults", test_caps_hold_under_faults},
 	    {"a cap changes in use", test_a_cap_changes_in_use},
 	    {"a gang starts whole or not", test_a_gang_starts_whole_or_not},
 	    {"a removed customer", test_a_removed_customer},
--- a/tests/queues/test_customer_shares.c
+++ b/tests/queues/test_customer_shares.c
@@ -265,6 +265,33 @@
 	finish(rig);
 }
 
+/* Guards against refusals because of jobs that are due much later, and of such
+ * jobs: there may be room then. */
+static void
+test_jobs_due_later_are_no_backlog(void)
+{
+	const bp_qrig_customer_t few = {"one", 1, 0};
+	bp_qrig_shape_t later = of_one;
+	bp_qrig_t *rig = start_rig();
+	uint32_t i;
+
+	bp_qrig_set_customers(rig, &few, 1);
+	later.due_after_ms = 20000;
+	(void)submit(rig, &of_one, 2 * SITE_TASKS, 3000);
+	bp_qrig_run_ms(rig, 300);
+	for (i = 0; i < 50; i++)
+		(void)submit(rig, &later, 1, 100);
+	bp_qrig_run_ms(rig, 300);
+	for (i = 0; i < 5; i++)
+		(void)submit(rig, &of_one, 1, 100);
+	bp_qrig_run_ms(rig, 300);
+	CU_ASSERT_EQUAL(bp_qrig_count(rig, "jobs_refused"), 0);
+	for (i = 0; i < 20; i++)
+		(void)submit(rig, &of_one, 1, 100);
+	CU_ASSERT_TRUE(bp_qrig_count(rig, "jobs_refused") > 0);
+	finish(rig);
+}
+
 /* A customer beyond its share sees that as the reason, with both figures. */
 static void
 test_why_names_the_share(void)
@@ -361,6 +388,8 @@
 		test_only_the_sender_of_too_much_is_refused},
 	    {"nothing is refused while there is room",
 		test_nothing_is_refused_while_there_is_room},
+	    {"jobs due later are no backlog",
+		test_jobs_due_later_are_no_backlog},
 	    {"why names the share", test_why_names_the_share},
 	    {"without customers nothing changes",
 		test_without_customers_nothing_changes},
--- a/tests/support/queuerig.c
+++ b/tests/support/queuerig.c
@@ -884,6 +884,10 @@
 	job->attempts = BP_QFLEET_ATTEMPTS;
 	job->stretch_permille = 2000;
 	job->accepted_ms = bp_clock_wall_ms(bp_clock_virtual_clock(rig->clock));
+	if (caller->shape.due_after_ms > 0) {
+		job->times = 1;
+		job->first_ms = job->accepted_ms + caller->shape.due_after_ms;
+	}
 	job->steps = calloc(steps, sizeof(Bp__Work__Step *));
 	for (i = 0; i < steps; i++)
 		job->steps[job->n_steps++] = new_step(caller, i == 1);
--- a/tests/support/queuerig.h
+++ b/tests/support/queuerig.h
@@ -43,6 +43,7 @@
 	const char *service; /* NULL: that of all executors */
 	uint32_t fails_after_ms; /* each run of a task that lasts; 0: none */
 	const char *customer; /* static; NULL: none */
+	uint32_t due_after_ms; /* from when it is handed in; 0: at once */
 } bp_qrig_shape_t;
 
 /* A customer of the configuration; see bp_customer_t. */
