--- a/src/queues/customers.c
+++ b/src/queues/customers.c
@@ -40,6 +40,7 @@
 	uint32_t weight;
 	bp_customer_size_t cap; /* as last listed; 0: no limit */
 	bp_customer_size_t used;
+	bp_customer_size_t urgent; /* the urgent tasks of used */
 	uint32_t tasks; /* in used */
 	uint32_t waiting_jobs;
 	double owed_jobs; /* that may come within the rate now */
@@ -208,15 +209,32 @@
 	return account->name;
 }
 
+static void
+add_size(bp_customer_size_t *sum, const bp_customer_size_t *size)
+{
+	sum->cpu_milli += size->cpu_milli;
+	sum->reserved_milli += size->reserved_milli;
+	sum->memory_mib += size->memory_mib;
+	sum->accelerators += size->accelerators;
+}
+
+static void
+subtract_size(bp_customer_size_t *sum, const bp_customer_size_t *size)
+{
+	sum->cpu_milli -= size->cpu_milli;
+	sum->reserved_milli -= size->reserved_milli;
+	sum->memory_mib -= size->memory_mib;
+	sum->accelerators -= size->accelerators;
+}
+
 /* See the header. */
 void
 bp_customer_add(bp_customer_account_t *account, const bp_customer_size_t *size)
 {
 	account->tasks++;
-	account->used.cpu_milli += size->cpu_milli;
-	account->used.reserved_milli += size->reserved_milli;
-	account->used.memory_mib += size->memory_mib;
-	account->used.accelerators += size->accelerators;
+	add_size(&account->used, size);
+	if (size->urgent)
+		add_size(&account->urgent, size);
 }
 
 /* See the header. */
@@ -225,10 +243,9 @@
     bp_customer_account_t *account, const bp_customer_size_t *size)
 {
 	account->tasks--;
-	account->used.cpu_milli -= size->cpu_milli;
-	account->used.reserved_milli -= size->reserved_milli;
-	account->used.memory_mib -= size->memory_mib;
-	account->used.accelerators -= size->accelerators;
+	subtract_size(&account->used, size);
+	if (size->urgent)
+		subtract_size(&account->urgent, size);
 }
 
 /* Returns whether a sum stays within the part of a cap; cap 0 is no limit. */
@@ -302,10 +319,11 @@
 /* Returns the part of the capacity that an account uses, of the resource of
  * which it uses the largest part. */
 static double
-used_share(const bp_customer_account_t *account)
+used_share(const bp_customer_account_t *account, bool urgent)
 {
 	const bp_customer_size_t *capacity = &account->customers->capacity;
-	const bp_customer_size_t *used = &account->used;
+	const bp_customer_size_t *used =
+	    urgent ? &account->urgent : &account->used;
 	double cpu = part_of(used->reserved_milli, capacity->reserved_milli);
 	double memory = part_of(used->memory_mib, capacity->memory_mib);
 	double accelerators =
@@ -323,15 +341,15 @@
 
 /* See the header. */
 double
-bp_customer_level(const bp_customer_account_t *account)
+bp_customer_level(const bp_customer_account_t *account, bool urgent)
 {
-	return used_share(account) / weight_of(account);
+	return used_share(account, urgent) / weight_of(account);
 }
 
 /* See the header. */
 guint
 bp_customers_next(
-    bp_customer_account_t *const *accounts, guint n, double *until)
+    bp_customer_account_t *const *accounts, guint n, bool urgent, double *until)
 {
 	double lowest = INFINITY;
 	guint next = 0;
@@ -339,7 +357,7 @@
 
 	*until = INFINITY;
 	for (i = 0; i < n; i++) {
-		double level = bp_customer_level(accounts[i]);
+		double level = bp_customer_level(accounts[i], urgent);
 
 		if (level < lowest) {
 			*until = lowest;
@@ -444,10 +462,11 @@
 	return sum;
 }
 
-/* Reports what an account uses and what it is entitled to. */
+/* Reports what an account uses and what it is entitled to; the share is that of
+ * its urgent tasks, or of all. */
 void
-bp_customer_figures(
-    const bp_customer_account_t *account, bp_customer_figures_t *out)
+bp_customer_figures(const bp_customer_account_t *account, bool urgent,
+    bp_customer_figures_t *out)
 {
 	const bp_customers_t *customers = account->customers;
 	double weights = active_weights(customers);
@@ -458,6 +477,6 @@
 	out->part.memory_mib = account->cap.memory_mib / customers->shards;
 	out->part.accelerators = account->cap.accelerators / customers->shards;
 	out->weight = weight_of(account);
-	out->used_share = used_share(account);
+	out->used_share = used_share(account, urgent);
 	out->entitled_share = weights > 0 ? out->weight / weights : 1;
 }
--- a/src/queues/customers.h
+++ b/src/queues/customers.h
@@ -21,6 +21,7 @@
 	uint64_t reserved_milli; /* counts against the share; fillers: 0 */
 	uint64_t memory_mib;
 	uint64_t accelerators;
+	bool urgent; /* of one task: its job has the first priority */
 } bp_customer_size_t;
 
 /* Figures of an account for operators. */
@@ -65,14 +66,15 @@
 /* Returns whether more is in use than the cap in force admits. */
 bool bp_customer_over_cap(const bp_customer_account_t *account);
 
-/* Returns the use of an account divided by its weight; the lowest goes next. */
-double bp_customer_level(const bp_customer_account_t *account);
+/* Returns the use of an account divided by its weight; the lowest goes next.
+ * Among urgent work only the use by urgent tasks counts. */
+double bp_customer_level(const bp_customer_account_t *account, bool urgent);
 /*
  * Returns the index of the account that goes next, the first of equals. *until
  * is the level up to which it goes on: that of the account after it.
  */
-guint bp_customers_next(
-    bp_customer_account_t *const *accounts, guint n, double *until);
+guint bp_customers_next(bp_customer_account_t *const *accounts, guint n,
+    bool urgent, double *until);
 
 /* Sets the number of jobs that wait for their first start. */
 void bp_customers_reset_backlogs(bp_customers_t *self);
@@ -87,7 +89,7 @@
 uint32_t bp_customer_refuse(
     bp_customer_account_t *account, int64_t now_ms, bp_random_t *random);
 
-void bp_customer_figures(
-    const bp_customer_account_t *account, bp_customer_figures_t *out);
+void bp_customer_figures(const bp_customer_account_t *account, bool urgent,
+    bp_customer_figures_t *out);
 
 #endif
--- a/src/queues/shard_customers.c
+++ b/src/queues/shard_customers.c
@@ -12,11 +12,11 @@
 
 /* Returns what a task of the step requests. */
 bp_customer_size_t
-bp_qstep_size(const Bp__Work__Step *spec)
+bp_qstep_size(const Bp__Work__Step *spec, bool urgent)
 {
 	bp_customer_size_t size = {spec->cpu_milli,
 	    spec->filler ? 0 : spec->cpu_milli, spec->memory_mib,
-	    spec->accelerators};
+	    spec->accelerators, urgent};
 
 	return size;
 }
@@ -34,7 +34,7 @@
 bool
 bp_qstep_within_cap(const bp_qstep_t *step)
 {
-	bp_customer_size_t size = bp_qstep_size(step->spec);
+	bp_customer_size_t size = bp_qstep_size(step->spec, false);
 
 	return bp_customer_may_start(step->job->account, &size,
 	    step->spec->gang ? step->spec->tasks : 1);
@@ -48,7 +48,8 @@
 
 	if (!bp_customers_enabled(shard->customers))
 		return false;
-	bp_customer_figures(step->job->account, &figures);
+	bp_customer_figures(
+	    step->job->account, step->job->spec->priority == 0, &figures);
 	return figures.used_share > figures.entitled_share;
 }
 
@@ -105,7 +106,8 @@
 	if (task == NULL)
 		held = find_held(run->exec, run->name);
 	if (spec != NULL)
-		run->size = bp_qstep_size(spec);
+		run->size = bp_qstep_size(
+		    spec, task != NULL && task->step->job->spec->priority == 0);
 	else if (held != NULL)
 		run->size = held->size;
 	if (task != NULL)
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -335,7 +335,7 @@
 void bp_shard_load(bp_shard_t *shard);
 
 /* shard_customers.c */
-bp_customer_size_t bp_qstep_size(const Bp__Work__Step *spec);
+bp_customer_size_t bp_qstep_size(const Bp__Work__Step *spec, bool urgent);
 bool bp_qjob_waits_for_room(const bp_qjob_t *job, int64_t wall_ms);
 bool bp_qstep_within_cap(const bp_qstep_t *step);
 bool bp_qstep_over_share(const bp_shard_t *shard, const bp_qstep_t *step);
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -426,7 +426,8 @@
 yields(round_t *round, const bp_qstep_t *step)
 {
 	round->yielded = step->waiting_tasks > 0 && round->until < INFINITY &&
-	    bp_customer_level(step->job->account) > round->until;
+	    bp_customer_level(step->job->account,
+		step->job->spec->priority == 0) > round->until;
 	return round->yielded;
 }
 
--- a/src/queues/shard_turns.c
+++ b/src/queues/shard_turns.c
@@ -23,6 +23,7 @@
 	GPtrArray *accounts; /* bp_customer_account_t with steps left */
 	GArray *lines; /* line_t, for each of them */
 	guint *line_of; /* index of an account's line + 1; 0 for none */
+	bool urgent; /* the steps in the lines */
 	guint current; /* index of the line whose turn it is */
 	double until; /* level at which its turn ends; < 0: not chosen */
 	bool started; /* a task of the line, since its turn was checked */
@@ -84,6 +85,7 @@
 	const bp_qstep_t *first = turns->steps->pdata[turns->at];
 
 	turns->until = -1;
+	turns->urgent = first->job->spec->priority == 0;
 	memset(turns->line_of, 0,
 	    bp_customers_count(turns->shard->customers) * sizeof(guint));
 	while (turns->at < turns->steps->len) {
@@ -124,9 +126,10 @@
 
 	if (turns->until < 0 ||
 	    (turns->started &&
-		bp_customer_level(accounts[turns->current]) > turns->until))
-		turns->current = bp_customers_next(
-		    accounts, turns->accounts->len, &turns->until);
+		bp_customer_level(accounts[turns->current], turns->urgent) >
+		    turns->until))
+		turns->current = bp_customers_next(accounts,
+		    turns->accounts->len, turns->urgent, &turns->until);
 	turns->started = false;
 }
 
--- a/src/queues/shard_why.c
+++ b/src/queues/shard_why.c
@@ -198,7 +198,7 @@
 	if (!bp_customers_enabled(shard->customers) ||
 	    bp_customer_name(job->account)[0] == '\0')
 		return;
-	bp_customer_figures(job->account, &figures);
+	bp_customer_figures(job->account, job->spec->priority == 0, &figures);
 	json_builder_set_member_name(builder, "customer");
 	json_builder_begin_object(builder);
 	json_builder_set_member_name(builder, "name");
@@ -258,7 +258,7 @@
 {
 	bp_customer_figures_t figures;
 
-	bp_customer_figures(job->account, &figures);
+	bp_customer_figures(job->account, job->spec->priority == 0, &figures);
 	g_string_append_printf(text,
 	    "; customer %s uses %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT
 	    " milli-CPUs, %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT
@@ -276,7 +276,7 @@
 {
 	bp_customer_figures_t figures;
 
-	bp_customer_figures(job->account, &figures);
+	bp_customer_figures(job->account, job->spec->priority == 0, &figures);
 	g_string_append_printf(text,
 	    "; customer %s uses %.1f%% of the site, its share by weight is "
 	    "%.1f%%",
--- a/tests/queues/test_customer_shares.c
+++ b/tests/queues/test_customer_shares.c
@@ -171,6 +171,31 @@
 	finish(rig);
 }
 
+/* Guards against an urgent job that waits behind a burst of another customer's
+ * urgent jobs because its customer's batch work uses the site. */
+static void
+test_batch_use_does_not_delay_urgent_work(void)
+{
+	bp_qrig_shape_t batch = of_one;
+	bp_qrig_t *rig = start_rig();
+	const char *id;
+	uint32_t i;
+
+	batch.priority = 1;
+	for (i = 0; i < 2 * SITE_TASKS; i++) {
+		(void)submit(rig, &batch, 1, 8000);
+		bp_qrig_run_ms(rig, 200);
+	}
+	CU_ASSERT_TRUE(
+	    bp_qrig_customer_milli(rig, "one") >= SITE_MILLI * 9 / 10);
+	(void)submit(rig, &of_three, 20, 3000);
+	bp_qrig_run_ms(rig, 300);
+	id = submit(rig, &of_one, 1, 400);
+	bp_qrig_run_ms(rig, 1500);
+	CU_ASSERT_EQUAL(count_started(rig, id, 1), 1);
+	finish(rig);
+}
+
 /* Guards against a whole job of many tasks that takes all room at once although
  * another customer waits at the same moment. */
 static void
@@ -383,6 +408,8 @@
 	    {"a burst does not delay another customer",
 		test_a_burst_does_not_delay_another_customer},
 	    {"priority goes first", test_priority_goes_first},
+	    {"batch use does not delay urgent work",
+		test_batch_use_does_not_delay_urgent_work},
 	    {"a large job shares a round", test_a_large_job_shares_a_round},
 	    {"only the sender of too much is refused",
 		test_only_the_sender_of_too_much_is_refused},
--- a/tests/queues/test_customers.c
+++ b/tests/queues/test_customers.c
@@ -214,14 +214,14 @@
 	accounts[0] = bp_customers_account(customers, "a");
 	accounts[1] = bp_customers_account(customers, "b");
 	for (i = 0; i < 400; i++) {
-		guint next = bp_customers_next(accounts, 2, &until);
+		guint next = bp_customers_next(accounts, 2, false, &until);
 
 		bp_customer_add(accounts[next], &one_core);
 		started[next]++;
 	}
 	CU_ASSERT_EQUAL(started[0], 100);
 	CU_ASSERT_EQUAL(started[1], 300);
-	CU_ASSERT_EQUAL(bp_customers_next(accounts, 1, &until), 0);
+	CU_ASSERT_EQUAL(bp_customers_next(accounts, 1, false, &until), 0);
 	CU_ASSERT_TRUE(until > 1e300);
 	bp_customers_free(customers);
 	bp_catalog_free(catalog);
@@ -248,9 +248,34 @@
 	bp_customer_add(memory, &large);
 	bp_customer_add(accelerators, &gpu);
 	bp_customer_add(fills, &filler);
-	CU_ASSERT_DOUBLE_EQUAL(bp_customer_level(memory), 0.5, 1e-9);
-	CU_ASSERT_DOUBLE_EQUAL(bp_customer_level(accelerators), 0.75, 1e-9);
-	CU_ASSERT_DOUBLE_EQUAL(bp_customer_level(fills), 0, 1e-9);
+	CU_ASSERT_DOUBLE_EQUAL(bp_customer_level(memory, false), 0.5, 1e-9);
+	CU_ASSERT_DOUBLE_EQUAL(
+	    bp_customer_level(accelerators, false), 0.75, 1e-9);
+	CU_ASSERT_DOUBLE_EQUAL(bp_customer_level(fills, false), 0, 1e-9);
+	bp_customers_free(customers);
+}
+
+/* Guards against urgent work that goes last because of its customer's batch
+ * work, and against batch work that ignores the urgent use. */
+static void
+test_batch_use_counts_among_batch_only(void)
+{
+	const bp_customer_size_t capacity = {.reserved_milli = 10000};
+	bp_customer_size_t urgent = one_core;
+	bp_customers_t *customers = bp_customers_new(0, 1);
+	bp_customer_account_t *account = bp_customers_account(customers, "a");
+
+	urgent.urgent = true;
+	bp_customers_set_capacity(customers, &capacity);
+	bp_customer_add(account, &one_core);
+	bp_customer_add(account, &one_core);
+	bp_customer_add(account, &urgent);
+	CU_ASSERT_DOUBLE_EQUAL(bp_customer_level(account, true), 0.1, 1e-9);
+	CU_ASSERT_DOUBLE_EQUAL(bp_customer_level(account, false), 0.3, 1e-9);
+	bp_customer_remove(account, &one_core);
+	bp_customer_remove(account, &urgent);
+	CU_ASSERT_DOUBLE_EQUAL(bp_customer_level(account, true), 0, 1e-9);
+	CU_ASSERT_DOUBLE_EQUAL(bp_customer_level(account, false), 0.1, 1e-9);
 	bp_customers_free(customers);
 }
 
@@ -340,6 +365,8 @@
 	    {"turns follow the weights", test_turns_follow_the_weights},
 	    {"the scarcest resource decides",
 		test_the_scarcest_resource_decides},
+	    {"batch use counts among batch only",
+		test_batch_use_counts_among_batch_only},
 	    {"only jobs beyond the rate exceed",
 		test_only_jobs_beyond_the_rate_exceed},
 	    {"retry times grow and differ", test_retry_times_grow_and_differ},
