--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -253,6 +253,10 @@
 	shard->orders = g_hash_table_new(NULL, NULL);
 	shard->polls = g_hash_table_new(NULL, NULL);
 	shard->throttles = g_hash_table_new(NULL, NULL);
+	shard->customers = bp_customers_new(options->number, options->shards);
+	bp_random_init(&shard->random,
+	    bp_hash_text(
+		options->address, (uint64_t)bp_clock_mono_us(options->clock)));
 	shard->estimates = bp_estimates_new();
 	shard->filler_model = bp_filler_model_new();
 	shard->reserved_execs = g_ptr_array_new();
@@ -279,7 +283,8 @@
 answer_pending_calls(bp_shard_t *shard)
 {
 	bp_shard_answer_t answer = {BP_EUNKNOWN,
-	    BP__WORK__JOB_STATE__JOB_QUEUED, 0, "the shard has a later owner"};
+	    BP__WORK__JOB_STATE__JOB_QUEUED, 0, "the shard has a later owner",
+	    0};
 	GHashTableIter iter;
 	gpointer value;
 
@@ -321,6 +326,7 @@
 	bp_cancelled_ids_free(shard->cancelled_ids);
 	g_ptr_array_unref(shard->deleted_keys);
 	g_array_unref(shard->in_flight);
+	bp_customers_free(shard->customers);
 	g_free(shard);
 }
 
@@ -394,6 +400,7 @@
 bp_shard_set_catalog(bp_shard_t *shard, const bp_catalog_t *catalog)
 {
 	shard->catalog = catalog;
+	bp_customers_set_catalog(shard->customers, catalog);
 	bp_shard_plan_round(shard, 0);
 }
 
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -72,12 +72,14 @@
 	holder.id = exec->info->id;
 	holder.address = exec->info->address;
 	holder.born_ms = exec->born_ms;
+	bp_qexec_store_held(exec, names, &holder);
 	holder.tasks = (char **)names->pdata;
 	holder.n_tasks = names->len;
 	holder.waited_ms = waited_ms;
 	exec->has_recorded_tasks = names->len > 0;
 	add_message(
 	    records, BP_SHARD_PREFIX_HOLDER, exec->info->id, &holder.base);
+	bp_qexec_free_stored_held(&holder);
 	g_ptr_array_unref(names);
 }
 
@@ -363,7 +365,7 @@
 static void
 on_job_stored(bp_shard_t *shard, const bp_qappended_job_t *sent)
 {
-	bp_shard_answer_t answer = {BP_OK, sent->state, 0, ""};
+	bp_shard_answer_t answer = {BP_OK, sent->state, 0, "", 0};
 	bp_qjob_t *job = sent->job;
 
 	job->rejections.count = 0;
@@ -485,7 +487,8 @@
 	bp_shard_answer_t refused = {refusal_kind(outcome),
 	    BP__WORK__JOB_STATE__JOB_QUEUED, 0,
 	    outcome == BP_STORE_REFUSED ? "the store refused the record"
-					: "the shard has a later owner"};
+					: "the shard has a later owner",
+	    0};
 	guint i;
 
 	shard->in_flight =
