--- a/include/bulrushpost/catalog.h
+++ b/include/bulrushpost/catalog.h
@@ -44,7 +44,11 @@
 	uint64_t version;
 	GPtrArray *routes; /* bp_queue_route_t */
 	GPtrArray *pools; /* bp_pool_t */
-	GPtrArray *customers; /* bp_customer_t; empty: calls need no keys */
+	GPtrArray *customers; /* bp_customer_t */
+	/* Calls need a customer's key. Also set if no row of the customers'
+	 * list could be read, so that a wrong list opens no queue. */
+	bool requires_keys;
+	struct bp_key_index *key_index; /* NULL before bp_catalog_index_keys */
 	uint32_t body_bytes; /* largest body of a call, in bytes */
 } bp_catalog_t;
 
@@ -58,6 +62,13 @@
 /* Returns the customer of a name, NULL for none. */
 const bp_customer_t *bp_catalog_customer(
     const bp_catalog_t *catalog, const char *name);
+/* Prepares the look-up of keys; called once, after the last customer was
+ * added. */
+void bp_catalog_index_keys(bp_catalog_t *catalog);
+/* Returns the customer of a key, NULL for none. The time that it takes does not
+ * depend on the keys of the customers. */
+const bp_customer_t *bp_catalog_customer_of_key(
+    const bp_catalog_t *catalog, const char *key);
 
 /* Callbacks of the feed of configuration, zones and executors. Each may be
  * NULL. */
--- a/src/queues/model.c
+++ b/src/queues/model.c
@@ -1,6 +1,7 @@
 #include "bulrushpost/catalog.h"
 #include "bulrushpost/executors.h"
 #include "bulrushpost/store.h"
+#include "queues/keyindex.h"
 
 #include <gio/gio.h>
 #include <string.h>
@@ -227,6 +228,7 @@
 	g_ptr_array_unref(catalog->routes);
 	g_ptr_array_unref(catalog->pools);
 	g_ptr_array_unref(catalog->customers);
+	bp_key_index_free(catalog->key_index);
 	g_free(catalog);
 }
 
@@ -280,3 +282,34 @@
 	}
 	return NULL;
 }
+
+/* See the header. An empty key is no key. */
+void
+bp_catalog_index_keys(bp_catalog_t *catalog)
+{
+	guint i;
+	guint k;
+
+	bp_key_index_free(catalog->key_index);
+	catalog->key_index = bp_key_index_new();
+	for (i = 0; i < catalog->customers->len; i++) {
+		const bp_customer_t *customer = catalog->customers->pdata[i];
+
+		for (k = 0; k < customer->keys->len; k++) {
+			const char *key = customer->keys->pdata[k];
+
+			if (key[0] != '\0')
+				bp_key_index_add(
+				    catalog->key_index, key, customer);
+		}
+	}
+}
+
+/* See the header. */
+const bp_customer_t *
+bp_catalog_customer_of_key(const bp_catalog_t *catalog, const char *key)
+{
+	return catalog->key_index != NULL
+	    ? bp_key_index_find(catalog->key_index, key)
+	    : NULL;
+}
--- a/tests/adapter/test_codec.c
+++ b/tests/adapter/test_codec.c
@@ -22,6 +22,14 @@
     "\"service_name\":\"s\"}],\"services\":[{\"name\":\"s\","
     "\"admission_check\":true,\"standby\":false}],\"limits\":{"
     "\"max_body_bytes\":1000}}";
+static const char customers_text[] =
+    "{\"version\":8,\"routes\":[{\"name\":\"r\",\"hostname\":\"h\","
+    "\"path_prefix\":\"/a/\",\"public\":true},{\"name\":\"s\",\"hostname\":"
+    "\"h\",\"path_prefix\":\"/b/\",\"public\":\"yes\"}],\"tenants\":[{\"name\":"
+    "\"acme\",\"api_keys\":[\"k1\",\"k2\"],\"priority\":1,\"weight\":7,"
+    "\"cap\":{\"cpu\":1500,\"mem_mb\":2048,\"gpu\":2}},3,{\"api_keys\":["
+    "\"k3\"]},{\"name\":\"borea\",\"api_keys\":[7,\"\",\"k1\",null,\"k4\"],"
+    "\"weight\":\"x\",\"cap\":5}]}";
 static const char entry_text[] =
     "{\"service_name\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","
     "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"capacity\":{\"cpu\":"
@@ -132,6 +140,82 @@
 	bp_catalog_free(catalog);
 }
 
+static const char *
+customer_of(const bp_catalog_t *catalog, const char *key)
+{
+	const bp_customer_t *customer =
+	    bp_catalog_customer_of_key(catalog, key);
+
+	return customer != NULL ? customer->name : "";
+}
+
+/*
+ * Rows and keys that cannot be read are left out without the others, a shared
+ * key belongs to the first customer, and an empty one to nobody.
+ */
+static void
+test_customers_are_read(void)
+{
+	bp_catalog_t *catalog = NULL;
+	const bp_customer_t *customer;
+
+	CU_ASSERT_EQUAL_FATAL(bp_codec_catalog(&catalog, customers_text,
+				  strlen(customers_text), NULL),
+	    BP_OK);
+	CU_ASSERT_TRUE(catalog->requires_keys);
+	CU_ASSERT_EQUAL_FATAL(catalog->customers->len, 2);
+	customer = catalog->customers->pdata[0];
+	CU_ASSERT_PTR_EQUAL(customer, bp_catalog_customer(catalog, "acme"));
+	CU_ASSERT_EQUAL(customer->weight, 7);
+	CU_ASSERT_EQUAL(customer->cap_cpu_milli, 1500);
+	CU_ASSERT_EQUAL(customer->cap_memory_mib, 2048);
+	CU_ASSERT_EQUAL(customer->cap_accelerators, 2);
+	customer = catalog->customers->pdata[1];
+	CU_ASSERT_PTR_EQUAL(customer, bp_catalog_customer(catalog, "borea"));
+	CU_ASSERT_EQUAL(customer->weight, 0);
+	CU_ASSERT_EQUAL(customer->cap_cpu_milli, 0);
+	CU_ASSERT_STRING_EQUAL(customer_of(catalog, "k1"), "acme");
+	CU_ASSERT_STRING_EQUAL(customer_of(catalog, "k2"), "acme");
+	CU_ASSERT_STRING_EQUAL(customer_of(catalog, "k4"), "borea");
+	CU_ASSERT_STRING_EQUAL(customer_of(catalog, "k3"), "");
+	CU_ASSERT_STRING_EQUAL(customer_of(catalog, "k"), "");
+	CU_ASSERT_STRING_EQUAL(customer_of(catalog, "7"), "");
+	CU_ASSERT_STRING_EQUAL(customer_of(catalog, ""), "");
+	CU_ASSERT_TRUE(bp_catalog_queue(catalog, "r")->is_public);
+	CU_ASSERT_FALSE(bp_catalog_queue(catalog, "s")->is_public);
+	bp_catalog_free(catalog);
+}
+
+/* Guards against a wrong list of customers that opens all queues. */
+static void
+test_a_wrong_list_of_customers_opens_nothing(void)
+{
+	static const struct {
+		const char *text;
+		bool requires_keys;
+	} cases[] = {
+	    {"{\"version\":1}", false},
+	    {"{\"version\":1,\"tenants\":null}", false},
+	    {"{\"version\":1,\"tenants\":[]}", false},
+	    {"{\"version\":1,\"tenants\":[3]}", true},
+	    {"{\"version\":1,\"tenants\":[{\"name\":\"\"}]}", true},
+	    {"{\"version\":1,\"tenants\":{}}", true},
+	    {"{\"version\":1,\"tenants\":\"acme\"}", true},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		bp_catalog_t *catalog = NULL;
+
+		CU_ASSERT_EQUAL_FATAL(bp_codec_catalog(&catalog, cases[i].text,
+					  strlen(cases[i].text), NULL),
+		    BP_OK);
+		CU_ASSERT_EQUAL(catalog->requires_keys, cases[i].requires_keys);
+		CU_ASSERT_EQUAL(catalog->customers->len, 0);
+		bp_catalog_free(catalog);
+	}
+}
+
 /* Entries of other writers name no executor. */
 static void
 test_foreign_entries_name_no_executor(void)
@@ -453,7 +537,7 @@
 test_changed_bodies_are_safe(void)
 {
 	static const char *const samples[] = {
-	    job_text, catalog_text, entry_text, poll_text};
+	    job_text, catalog_text, customers_text, entry_text, poll_text};
 	char text[SAMPLE_MAX];
 	bp_random_t random;
 	int i;
@@ -506,6 +590,9 @@
 	    {"repeated entries are the same",
 		test_repeated_entries_are_the_same},
 	    {"the longest prefix decides", test_the_longest_prefix_decides},
+	    {"customers are read", test_customers_are_read},
+	    {"a wrong list of customers opens nothing",
+		test_a_wrong_list_of_customers_opens_nothing},
 	    {"foreign entries name no executor",
 		test_foreign_entries_name_no_executor},
 	    {"odd entries name no executor", test_odd_entries_name_no_executor},
