--- a/include/bulrushpost/jobrouter.h
+++ b/include/bulrushpost/jobrouter.h
@@ -1,7 +1,7 @@
 #ifndef BULRUSHPOST_JOBROUTER_H
 #define BULRUSHPOST_JOBROUTER_H
 
-#include "bulrushpost/catalog.h"
+#include "bulrushpost/access.h"
 #include "proto/work.pb-c.h"
 
 /*
@@ -31,6 +31,8 @@
 typedef void (*bp_job_router_done_t)(
     const bp_job_router_answer_t *answer, void *data);
 
+typedef void (*bp_job_router_admitted_t)(const bp_access_t *access, void *data);
+
 /* Returns the configuration in force, NULL before the first was read. */
 const bp_catalog_t *bp_job_router_catalog(const bp_job_router_t *router);
 /*
@@ -40,14 +42,24 @@
  */
 void bp_job_router_check_catalog(bp_job_router_t *router,
     void (*done)(bool confirmed, void *data), void *data);
+/*
+ * Decides whether a call may pass, by one check of freshness, host, path and
+ * key, and counts it. Calls done at once or later; access is valid during the
+ * callback. key is NULL if the call has none.
+ */
+void bp_job_router_admit(bp_job_router_t *router, const char *host,
+    const char *path, const char *key, bp_job_router_admitted_t done,
+    void *data);
 /*
  * The following calls invoke done exactly once, at once or later. deadline_ms
  * is the time that the caller still waits.
  */
-/* Takes ownership of job and fills in its ID, queue, service and limits. */
+/* Takes ownership of job and fills in its ID, queue, service, limits and the
+ * name of its customer, which is empty for none. */
 void bp_job_router_submit(bp_job_router_t *router,
-    const bp_queue_route_t *route, const char *id, Bp__Work__Job *job,
-    uint32_t deadline_ms, bp_job_router_done_t done, void *data);
+    const bp_queue_route_t *route, const char *customer, const char *id,
+    Bp__Work__Job *job, uint32_t deadline_ms, bp_job_router_done_t done,
+    void *data);
 void bp_job_router_status(bp_job_router_t *router,
     const bp_queue_route_t *route, const char *id, uint32_t deadline_ms,
     bp_job_router_done_t done, void *data);
--- a/src/queues/jobrouter.c
+++ b/src/queues/jobrouter.c
@@ -20,11 +20,12 @@
 /* See the header. */
 void
 bp_job_router_submit(bp_job_router_t *router, const bp_queue_route_t *route,
-    const char *id, Bp__Work__Job *job, uint32_t deadline_ms,
-    bp_job_router_done_t done, void *data)
+    const char *customer, const char *id, Bp__Work__Job *job,
+    uint32_t deadline_ms, bp_job_router_done_t done, void *data)
 {
 	free(job->id == protobuf_c_empty_string ? NULL : job->id);
 	job->id = strdup(id);
+	job->customer = strdup(customer);
 	job->queue = strdup(route->name);
 	job->service = strdup(route->service);
 	job->priority = route->priority;
@@ -187,6 +188,56 @@
 		bp_freshness_check(router->options.freshness, done, data);
 }
 
+/* A call that waits until the freshness of the configuration is known. */
+typedef struct {
+	bp_job_router_t *router;
+	char *host;
+	char *path;
+	char *key; /* NULL for none */
+	bp_job_router_admitted_t done;
+	void *data;
+} admission_t;
+
+static void
+on_checked(bool confirmed, void *data)
+{
+	admission_t *admission = data;
+	const bp_job_router_t *router = admission->router;
+	const bp_catalog_t *catalog = router->catalog;
+	bp_access_t access = bp_access_decide(catalog, confirmed,
+	    catalog != NULL
+		? bp_catalog_route(catalog, admission->host, admission->path)
+		: NULL,
+	    admission->key);
+
+	if (router->stopped && access.verdict == BP_ACCESS_UNCONFIRMED)
+		access.reason = BP_JOB_ROUTER_STOPPING;
+	if (catalog != NULL && catalog->requires_keys)
+		bp_call_counters_count(
+		    router->options.counters, &access, admission->key != NULL);
+	admission->done(&access, admission->data);
+	g_free(admission->host);
+	g_free(admission->path);
+	g_free(admission->key);
+	g_free(admission);
+}
+
+/* See the header. */
+void
+bp_job_router_admit(bp_job_router_t *router, const char *host, const char *path,
+    const char *key, bp_job_router_admitted_t done, void *data)
+{
+	admission_t *admission = g_new0(admission_t, 1);
+
+	admission->router = router;
+	admission->host = g_strdup(host);
+	admission->path = g_strdup(path);
+	admission->key = g_strdup(key);
+	admission->done = done;
+	admission->data = data;
+	bp_job_router_check_catalog(router, on_checked, admission);
+}
+
 /* Returns the number of calls without an answer. */
 uint32_t
 bp_job_router_open_calls(const bp_job_router_t *router)
--- a/src/queues/jobrouter.h
+++ b/src/queues/jobrouter.h
@@ -8,6 +8,7 @@
 #include "bulrushpost/peer.h"
 #include "bulrushpost/jobrouter.h"
 #include "bulrushpost/shard.h"
+#include "queues/callcounters.h"
 #include "queues/freshness.h"
 #include "queues/membership.h"
 
@@ -22,6 +23,7 @@
 	const char *address; /* of this node's control protocol */
 	bp_histogram_t *latency; /* of served calls, in ms; may be NULL */
 	bp_freshness_t *freshness; /* freshness of the configuration */
+	bp_call_counters_t *counters; /* may be NULL */
 } bp_job_router_options_t;
 
 bp_job_router_t *bp_job_router_new(const bp_job_router_options_t *options);
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -423,6 +423,7 @@
 	router.address = node->settings->listen.control;
 	router.latency = node->latency;
 	router.freshness = node->freshness;
+	router.counters = node->call_counters;
 	node->job_router = bp_job_router_new(&router);
 	bp_job_router_set_catalog(node->job_router, node->catalog);
 }
@@ -483,6 +484,7 @@
 	node->loop = g_main_loop_new(NULL, FALSE);
 	node->metrics = bp_metrics_new();
 	node->latency = bp_histogram_new(node->metrics, "bp_call_ms");
+	node->call_counters = bp_call_counters_new(node->metrics);
 	node->timeline = bp_timeline_new(
 	    node->clock, settings->node.name, settings->limits.timeline_events);
 	platform.clock = node->clock;
@@ -544,6 +546,7 @@
 	bp_catalog_free(node->catalog);
 	bp_timeline_free(node->timeline);
 	bp_histogram_free(node->latency);
+	bp_call_counters_free(node->call_counters);
 	g_free(node->heartbeats);
 	bp_metrics_free(node->metrics);
 	g_main_loop_unref(node->loop);
--- a/src/queues/queuenode_private.h
+++ b/src/queues/queuenode_private.h
@@ -50,6 +50,7 @@
 	bp_job_router_t *job_router;
 	bp_catalog_t *catalog;
 	bp_freshness_t *freshness; /* freshness of the catalog */
+	bp_call_counters_t *call_counters;
 	bp_sharding_t *sharding;
 	GHashTable *zones_out; /* set of zones that are out of service */
 	bp_owned_shards_t *shards; /* NULL until the plan is known */
--- a/tests/adapter/test_front.c
+++ b/tests/adapter/test_front.c
@@ -26,6 +26,8 @@
 	bp_job_router_done_t done; /* of the call that is held */
 	void *data;
 	uint32_t submitted;
+	char customer[32]; /* of the last submission */
+	bool unconfirmed; /* the configuration may be out of date */
 };
 
 typedef struct {
@@ -56,22 +58,26 @@
 }
 
 void
-bp_job_router_check_catalog(bp_job_router_t *router,
-    void (*done)(bool confirmed, void *data), void *data)
+bp_job_router_admit(bp_job_router_t *router, const char *host, const char *path,
+    const char *key, bp_job_router_admitted_t done, void *data)
 {
-	(void)router;
-	done(true, data);
+	bp_access_t access =
+	    bp_access_decide(router->catalog, !router->unconfirmed,
+		bp_catalog_route(router->catalog, host, path), key);
+
+	done(&access, data);
 }
 
 void
 bp_job_router_submit(bp_job_router_t *router, const bp_queue_route_t *route,
-    const char *id, Bp__Work__Job *job, uint32_t deadline_ms,
-    bp_job_router_done_t done, void *data)
+    const char *customer, const char *id, Bp__Work__Job *job,
+    uint32_t deadline_ms, bp_job_router_done_t done, void *data)
 {
 	(void)route;
 	(void)id;
 	(void)deadline_ms;
 	router->submitted++;
+	(void)g_strlcpy(router->customer, customer, sizeof(router->customer));
 	bp__work__job__free_unpacked(job, NULL);
 	answer(router, done, data);
 }
@@ -400,6 +406,120 @@
 	teardown(&fixture);
 }
 
+#define KEY_HEADER "X-Bulrushpost-Credential: "
+#define KEY "key-of-acme-0001"
+
+static void
+add_customer(bp_catalog_t *catalog)
+{
+	bp_customer_t *customer = bp_customer_new();
+
+	customer->name = g_strdup("acme");
+	g_ptr_array_add(customer->keys, g_strdup(KEY));
+	g_ptr_array_add(catalog->customers, customer);
+	catalog->requires_keys = true;
+	bp_catalog_index_keys(catalog);
+}
+
+/* Sends one call of each kind; all have to get the same status. */
+static bool
+all_answered(fixture_t *fixture, const char *header, const char *status)
+{
+	static const char *const starts[] = {"POST /q/a", "GET /q/a",
+	    "DELETE /q/a", "GET /q/", "PUT /q/a", "POST /q/no+id"};
+	char *part = g_strdup_printf("HTTP/1.1 %s", status);
+	bool good = true;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(starts); i++) {
+		bp_rawcall_t *call = bp_rawcall_new(fixture->port);
+		char *text = g_strdup_printf("%s HTTP/1.1\r\nHost: h\r\n%s"
+					     "Connection: close\r\n"
+					     "Content-Length: 23\r\n\r\n" JOB,
+		    starts[i], header);
+
+		/* Of the last two only refusals before the call is looked at
+		 * have the same status as the others. */
+		if (i < 4 || strcmp(status, "200") != 0)
+			good = bp_rawcall_send_text(call, text) &&
+			    bp_rawcall_wait(call, part) &&
+			    strstr(bp_rawcall_text(call), KEY) == NULL && good;
+		bp_rawcall_free(call);
+		g_free(text);
+	}
+	g_free(part);
+	return good;
+}
+
+/*
+ * A wrong, missing, empty or repeated key is refused alike on every kind of
+ * call, nothing runs, and the answer does not contain the key.
+ */
+static void
+test_calls_without_a_valid_key(void)
+{
+	static const char *const headers[] = {"", KEY_HEADER "\r\n",
+	    KEY_HEADER "wrong\r\n", KEY_HEADER KEY "x\r\n",
+	    KEY_HEADER KEY "\r\n" KEY_HEADER "other\r\n",
+	    KEY_HEADER "other\r\n" KEY_HEADER KEY "\r\n",
+	    KEY_HEADER "Bearer " KEY "\r\n"};
+	fixture_t fixture;
+	size_t i;
+
+	setup(&fixture, true);
+	add_customer(fixture.router.catalog);
+	for (i = 0; i < G_N_ELEMENTS(headers); i++)
+		CU_ASSERT_TRUE(all_answered(&fixture, headers[i], "401"));
+	CU_ASSERT_EQUAL(fixture.router.submitted, 0);
+	CU_ASSERT_TRUE(all_answered(&fixture, KEY_HEADER KEY "\r\n", "200"));
+	CU_ASSERT_EQUAL(fixture.router.submitted, 1);
+	CU_ASSERT_STRING_EQUAL(fixture.router.customer, "acme");
+	teardown(&fixture);
+}
+
+/*
+ * A node whose configuration may be out of date refuses valid and wrong keys
+ * with 503 and a time to retry, never with 401.
+ */
+static void
+test_keys_of_an_old_configuration(void)
+{
+	static const char *const headers[] = {
+	    "", KEY_HEADER "wrong\r\n", KEY_HEADER KEY "\r\n"};
+	fixture_t fixture;
+	bp_rawcall_t *call;
+	size_t i;
+
+	setup(&fixture, true);
+	add_customer(fixture.router.catalog);
+	fixture.router.unconfirmed = true;
+	for (i = 0; i < G_N_ELEMENTS(headers); i++)
+		CU_ASSERT_TRUE(all_answered(&fixture, headers[i], "503"));
+	CU_ASSERT_EQUAL(fixture.router.submitted, 0);
+	call = bp_rawcall_new(fixture.port);
+	CU_ASSERT_TRUE(
+	    bp_rawcall_send_text(call, "GET /q/a HTTP/1.1\r\nHost: h\r\n\r\n"));
+	CU_ASSERT_TRUE(bp_rawcall_wait(call, "Retry-After: 1\r\n"));
+	bp_rawcall_free(call);
+	teardown(&fixture);
+}
+
+/* Where the configuration has no customers, keys have no effect, and a queue
+ * that the node knows is served from an old configuration as before. */
+static void
+test_no_customers_no_keys(void)
+{
+	fixture_t fixture;
+
+	setup(&fixture, true);
+	CU_ASSERT_TRUE(all_answered(&fixture, "", "200"));
+	CU_ASSERT_TRUE(all_answered(&fixture, KEY_HEADER "wrong\r\n", "200"));
+	fixture.router.unconfirmed = true;
+	CU_ASSERT_TRUE(all_answered(&fixture, "", "200"));
+	CU_ASSERT_STRING_EQUAL(fixture.router.customer, "");
+	teardown(&fixture);
+}
+
 int
 main(void)
 {
@@ -411,6 +531,9 @@
 	    {"open calls", test_open_calls},
 	    {"a caller that has gone submits nothing",
 		test_a_caller_that_has_gone_submits_nothing},
+	    {"calls without a valid key", test_calls_without_a_valid_key},
+	    {"keys of an old configuration", test_keys_of_an_old_configuration},
+	    {"no customers, no keys", test_no_customers_no_keys},
 	    CU_TEST_INFO_NULL,
 	};
 
--- a/tests/queues/test_jobrouter.c
+++ b/tests/queues/test_jobrouter.c
@@ -8,6 +8,8 @@
 #define DEADLINE_MS 1500
 #define OWN "10.0.0.1:7"
 #define ATTEMPTS_MAX 4
+#define CUSTOMER "acme"
+#define KEY "key-of-acme-0001"
 /* A payload of this size does not fit a frame. */
 #define PAYLOAD_BYTES ((size_t)2 * 1024 * 1024)
 
@@ -36,6 +38,7 @@
 	bp_shard_t *owned[1];
 	const attempt_t *tries;
 	uint32_t attempts_seen;
+	uint32_t of_customer; /* attempts with the customer's name */
 	bp_job_router_outcome_t outcome;
 	uint32_t answers;
 } fixture_t;
@@ -95,6 +98,19 @@
 	return G_SOURCE_REMOVE;
 }
 
+static void
+note_customer(fixture_t *fixture, const Bp__Peer__Frame *frame)
+{
+	Bp__Work__Job *job =
+	    bp__work__job__unpack(NULL, frame->body.len, frame->body.data);
+
+	if (job == NULL)
+		return;
+	if (strcmp(job->customer, CUSTOMER) == 0)
+		fixture->of_customer++;
+	bp__work__job__free_unpacked(job, NULL);
+}
+
 static void
 on_request(bp_peer_request_t *request, void *data)
 {
@@ -109,6 +125,7 @@
 	attempt_t what = fixture->tries[i];
 
 	fixture->attempts_seen++;
+	note_customer(fixture, bp_peer_request_frame(request));
 	if (what == TRY_LOST || what == TRY_SILENT) {
 		g_ptr_array_add(fixture->unanswered, request);
 		if (what == TRY_LOST)
@@ -226,8 +243,8 @@
 		job->payload = calloc(1, payload_bytes + 1);
 		memset(job->payload, 'x', payload_bytes);
 	}
-	bp_job_router_submit(
-	    fixture->router, &route, "a", job, DEADLINE_MS, on_answer, fixture);
+	bp_job_router_submit(fixture->router, &route, CUSTOMER, "a", job,
+	    DEADLINE_MS, on_answer, fixture);
 }
 
 static bool
@@ -386,6 +403,121 @@
 	teardown(&fixture);
 }
 
+/* A job keeps its customer's name at an owner on another node. */
+static void
+test_a_job_carries_its_customer(void)
+{
+	static const attempt_t tries[ATTEMPTS_MAX] = {TRY_STATE, TRY_ACCEPTED};
+	fixture_t fixture;
+
+	setup(&fixture, tries);
+	submit(&fixture, 0);
+	CU_ASSERT_TRUE(bp_wait_until(is_answered, &fixture));
+	CU_ASSERT_EQUAL(fixture.outcome, BP_JOB_ROUTER_OK);
+	CU_ASSERT_EQUAL(fixture.of_customer, 2);
+	teardown(&fixture);
+}
+
+typedef struct {
+	uint32_t answers;
+	bp_access_verdict_t verdict;
+	char customer[32];
+} admitted_t;
+
+static void
+on_admitted(const bp_access_t *access, void *data)
+{
+	admitted_t *admitted = data;
+
+	admitted->answers++;
+	admitted->verdict = access->verdict;
+	(void)g_strlcpy(
+	    admitted->customer, access->customer, sizeof(admitted->customer));
+}
+
+/* A configuration with the queue /q/ of host "h" and one customer. */
+static bp_catalog_t *
+make_catalog(const char *key)
+{
+	bp_catalog_t *catalog = bp_catalog_new();
+	bp_queue_route_t *route = g_new0(bp_queue_route_t, 1);
+	bp_customer_t *customer = bp_customer_new();
+
+	route->name = g_strdup("q");
+	route->host = g_strdup("h");
+	route->prefix = g_strdup("/q/");
+	route->service = g_strdup("s");
+	g_ptr_array_add(catalog->routes, route);
+	customer->name = g_strdup(CUSTOMER);
+	g_ptr_array_add(customer->keys, g_strdup(key));
+	g_ptr_array_add(catalog->customers, customer);
+	catalog->requires_keys = true;
+	bp_catalog_index_keys(catalog);
+	return catalog;
+}
+
+static void
+admit(fixture_t *fixture, const char *key, admitted_t *admitted)
+{
+	memset(admitted, 0, sizeof(*admitted));
+	bp_job_router_admit(
+	    fixture->router, "h", "/q/a", key, on_admitted, admitted);
+}
+
+static bool
+is_admitted(void *data)
+{
+	return ((const admitted_t *)data)->answers > 0;
+}
+
+/*
+ * Guards against a node that was frozen, cut off or started just now and
+ * honours a key that was removed meanwhile, or denies one that was added: the
+ * call waits for the store, and is decided by what the refresh brought.
+ */
+static void
+test_keys_wait_for_the_store(void)
+{
+	fixture_t fixture;
+	bp_catalog_t *before = make_catalog(KEY);
+	bp_catalog_t *after = make_catalog("key-of-acme-0002");
+	admitted_t removed;
+	admitted_t added;
+
+	setup(&fixture, NULL);
+	bp_job_router_set_catalog(fixture.router, before);
+	admit(&fixture, KEY, &removed);
+	admit(&fixture, "key-of-acme-0002", &added);
+	CU_ASSERT_EQUAL(removed.answers + added.answers, 0);
+	bp_job_router_set_catalog(fixture.router, after);
+	bp_freshness_update(
+	    fixture.freshness, bp_clock_mono_ms(bp_clock_system()));
+	CU_ASSERT_EQUAL(removed.answers, 1);
+	CU_ASSERT_EQUAL(removed.verdict, BP_ACCESS_UNAUTHORIZED);
+	CU_ASSERT_EQUAL(added.answers, 1);
+	CU_ASSERT_EQUAL(added.verdict, BP_ACCESS_ALLOWED);
+	CU_ASSERT_STRING_EQUAL(added.customer, CUSTOMER);
+	/* It is fresh now, so calls are decided at once. */
+	admit(&fixture, KEY, &removed);
+	CU_ASSERT_EQUAL(removed.verdict, BP_ACCESS_UNAUTHORIZED);
+	teardown(&fixture);
+	/* The store does not answer: neither is decided. */
+	setup(&fixture, NULL);
+	bp_job_router_set_catalog(fixture.router, before);
+	admit(&fixture, KEY, &removed);
+	admit(&fixture, "key-of-acme-0002", &added);
+	CU_ASSERT_TRUE(bp_wait_until(is_admitted, &removed));
+	CU_ASSERT_TRUE(bp_wait_until(is_admitted, &added));
+	CU_ASSERT_EQUAL(removed.verdict, BP_ACCESS_UNCONFIRMED);
+	CU_ASSERT_EQUAL(added.verdict, BP_ACCESS_UNCONFIRMED);
+	bp_job_router_stop(fixture.router);
+	admit(&fixture, KEY, &removed);
+	CU_ASSERT_EQUAL(removed.verdict, BP_ACCESS_UNCONFIRMED);
+	teardown(&fixture);
+	bp_catalog_free(before);
+	bp_catalog_free(after);
+}
+
 int
 main(void)
 {
@@ -396,6 +528,8 @@
 		test_a_call_read_after_a_pause_has_waited},
 	    {"a stop answers by what is known",
 		test_a_stop_answers_by_what_is_known},
+	    {"a job carries its customer", test_a_job_carries_its_customer},
+	    {"keys wait for the store", test_keys_wait_for_the_store},
 	    CU_TEST_INFO_NULL,
 	};
 
