--- a/tests/support/queuehttp.c
+++ b/tests/support/queuehttp.c
@@ -1,5 +1,7 @@
 #include "support/queuehttp.h"
 
+#include "proto/work.pb-c.h"
+
 #include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
 #include <stdlib.h>
@@ -15,6 +17,8 @@
 /* The plan has a topic of its own; here it is one more partition. */
 #define PLAN_PARTITION 8
 #define SEED 1
+/* The queue that needs no key. */
+#define OPEN_PREFIX "/open/"
 
 /* Callers have given up by then. */
 #define SILENT_MS 4000
@@ -775,18 +779,22 @@
 	g_string_append_printf(text,
 	    "%s{\"name\":\"q%u\",\"hostname\":\"h\",\"path_prefix\":\"%s\","
 	    "\"service_name\":\"pool\",\"priority\":0,\"retry_attempts\":3,"
-	    "\"stretch_factor\":2.0,\"target_latency_ms\":300}",
-	    separator, number, prefix);
+	    "\"stretch_factor\":2.0,\"target_latency_ms\":300,\"public\":%s}",
+	    separator, number, prefix,
+	    strcmp(prefix, OPEN_PREFIX) == 0 ? "true" : "false");
 }
 
 static void
-put_configuration(bp_queuehttp_t *self, uint64_t version, GString *routes)
+put_configuration(bp_queuehttp_t *self, uint64_t version, GString *routes,
+    const char *customers)
 {
 	g_ptr_array_add(self->operators,
 	    g_strdup_printf("{\"version\":%d,\"routes\":[%s],\"services\":[{"
 			    "\"name\":\"pool\",\"admission_check\":true}],"
-			    "\"limits\":{\"max_body_bytes\":262144}}",
-		(int)version, routes->str));
+			    "%s%s\"limits\":{\"max_body_bytes\":262144}}",
+		(int)version, routes->str,
+		customers != NULL ? "\"tenants\":" : "",
+		customers != NULL ? customers : ""));
 	g_string_free(routes, TRUE);
 }
 
@@ -798,7 +806,7 @@
 	GString *routes = g_string_new(NULL);
 
 	add_route(routes, (uint32_t)version, prefix, "");
-	put_configuration(self, version, routes);
+	put_configuration(self, version, routes, NULL);
 }
 
 /* See the header. */
@@ -810,7 +818,52 @@
 
 	add_route(routes, 0, "/q/", "");
 	add_route(routes, (uint32_t)version, prefix, ",");
-	put_configuration(self, version, routes);
+	put_configuration(self, version, routes, NULL);
+}
+
+/* See the header. */
+void
+bp_queuehttp_configure_customers(
+    bp_queuehttp_t *self, uint64_t version, const char *customers)
+{
+	GString *routes = g_string_new(NULL);
+	char *list = g_strconcat(customers, ",", NULL);
+
+	add_route(routes, 0, "/q/", "");
+	add_route(routes, 1, OPEN_PREFIX, ",");
+	put_configuration(self, version, routes, list);
+	g_free(list);
+}
+
+/* See the header. */
+void
+bp_queuehttp_set_silent(bp_queuehttp_t *self, bool silent)
+{
+	self->silent = silent;
+}
+
+/* See the header. */
+char *
+bp_queuehttp_customer(bp_queuehttp_t *self, const char *id)
+{
+	char *key = g_strconcat("j/", id, NULL);
+	char *customer = NULL;
+	uint32_t i;
+
+	for (i = 0; i < PLAN_PARTITION && customer == NULL; i++) {
+		GBytes *value = bp_qstore_value(self->store, i, key);
+		Bp__Work__Job *job = value != NULL
+		    ? bp__work__job__unpack(NULL, g_bytes_get_size(value),
+			  g_bytes_get_data(value, NULL))
+		    : NULL;
+
+		if (job != NULL) {
+			customer = g_strdup(job->customer);
+			bp__work__job__free_unpacked(job, NULL);
+		}
+	}
+	g_free(key);
+	return customer;
 }
 
 /* See the header. */
--- a/tests/support/queuehttp.h
+++ b/tests/support/queuehttp.h
@@ -20,6 +20,10 @@
 /* The same with the queue /q/, which keeps its name, besides. */
 void bp_queuehttp_configure_more(
     bp_queuehttp_t *self, uint64_t version, const char *prefix);
+/* Puts a configuration with customers, the queue /q/ and the queue /open/,
+ * which needs no key. customers is the list in JSON. */
+void bp_queuehttp_configure_customers(
+    bp_queuehttp_t *self, uint64_t version, const char *customers);
 /* Adds an entry of another writer to the executors' list. The key is written
  * as it is in JSON. */
 void bp_queuehttp_add_entry(
@@ -30,5 +34,10 @@
  * at the same address (bp_qfleet_crash). */
 void bp_queuehttp_crash(bp_queuehttp_t *self, uint32_t index);
 void bp_queuehttp_set_mode(bp_queuehttp_t *self, bp_qstore_mode_t mode);
+/* Sets only whether reads of the operators' topic are answered. */
+void bp_queuehttp_set_silent(bp_queuehttp_t *self, bool silent);
+/* The name of the customer in the newest record of a job; free it. NULL: no
+ * shard has such a record. */
+char *bp_queuehttp_customer(bp_queuehttp_t *self, const char *id);
 
 #endif
--- a/tests/support/queuenodes.c
+++ b/tests/support/queuenodes.c
@@ -16,10 +16,12 @@
 	char *text = g_strdup_printf(
 	    "node: {name: n%u, zone: z%u, services: [queues]}\n"
 	    "listen:\n  queues: 127.0.0.1:%u\n  ready: 127.0.0.1:%u\n"
-	    "  control: 127.0.0.1:%u\nplatform: {store: \"127.0.0.1:%u\"}\n",
+	    "  control: 127.0.0.1:%u\n  metrics: 127.0.0.1:%u\n"
+	    "platform: {store: \"127.0.0.1:%u\"}\n",
 	    node, node, fixture->ports[node][BP_LISTEN_CALLERS],
 	    fixture->ports[node][BP_LISTEN_READY],
 	    fixture->ports[node][BP_LISTEN_CONTROL],
+	    fixture->ports[node][BP_LISTEN_METRICS],
 	    bp_queuehttp_port(fixture->platform));
 
 	(void)g_mkdir_with_parents(BP_PROCESS_LOG_DIR, 0755);
@@ -41,18 +43,27 @@
 	g_free(name);
 }
 
+static bp_listener_t
+listener_of(const char *path)
+{
+	if (strcmp(path, "/v1/readyz") == 0)
+		return BP_LISTEN_READY;
+	return strcmp(path, "/metrics") == 0 ? BP_LISTEN_METRICS
+					     : BP_LISTEN_CALLERS;
+}
+
 /* See the header. */
 bool
 bp_queuenodes_asked(void *data)
 {
 	bp_queuenodes_ask_t *ask = data;
-	bp_listener_t listener = strcmp(ask->path, "/v1/readyz") == 0
-	    ? BP_LISTEN_READY
-	    : BP_LISTEN_CALLERS;
+	bp_listener_t listener = listener_of(ask->path);
 	char *url = g_strdup_printf("http://127.0.0.1:%u%s",
 	    ask->fixture->ports[ask->node][listener], ask->path);
-	bp_reply_t *reply = bp_http_send(
-	    ask->fixture->http, ask->method, url, ask->body, "Host", "h", NULL);
+	bp_reply_t *reply = bp_http_send(ask->fixture->http, ask->method, url,
+	    ask->body, "Host", "h",
+	    ask->fixture->key != NULL ? "X-Bulrushpost-Credential" : NULL,
+	    ask->fixture->key, NULL);
 	bool good = bp_http_wait(reply) && reply->status == ask->status &&
 	    (ask->text == NULL || strstr(reply->body, ask->text) != NULL);
 
--- a/tests/support/queuenodes.h
+++ b/tests/support/queuenodes.h
@@ -23,6 +23,7 @@
 	BP_LISTEN_CALLERS,
 	BP_LISTEN_READY,
 	BP_LISTEN_CONTROL,
+	BP_LISTEN_METRICS,
 	BP_LISTENERS
 } bp_listener_t;
 
@@ -34,6 +35,7 @@
 	GPtrArray *held; /* sockets that keep the ports */
 	char *settings[BP_QUEUENODES];
 	const char *name; /* of the test, for the files of its nodes */
+	const char *key; /* of the calls' customer, NULL for none */
 } bp_queuenodes_t;
 
 /* A call, the answer that is expected and the status that came. */
