--- a/tests/adapter/test_codec.c
+++ b/tests/adapter/test_codec.c
@@ -216,6 +216,31 @@
 	}
 }
 
+/* Guards against keys in the log line of a configuration that cannot be read.
+ */
+static void
+test_problems_name_no_keys(void)
+{
+	static const char *const texts[] = {
+	    "{\"version\":1,\"tenants\":[{\"api_keys\":[\"a\" \"secret\"]}]}",
+	    "{\"version\":1,\"tenants\":[{\"api_keys\":[secret]}]}",
+	    "{\"version\":1,\"tenants\":[{\"api_keys\":[\"secret]}]}",
+	    "{\"version\":\"secret\"}",
+	    "{\"version\":1,\"tenants\":[{\"api_keys\":[\"secret\\u0000\"]}]}"};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
+		bp_catalog_t *catalog = NULL;
+		bp_error_t err = {BP_OK, ""};
+
+		CU_ASSERT_EQUAL(bp_codec_catalog(
+				    &catalog, texts[i], strlen(texts[i]), &err),
+		    BP_EINVALID);
+		CU_ASSERT_NOT_EQUAL(err.message[0], '\0');
+		CU_ASSERT_PTR_NULL(strstr(err.message, "secret"));
+	}
+}
+
 /* Entries of other writers name no executor. */
 static void
 test_foreign_entries_name_no_executor(void)
@@ -593,6 +618,7 @@
 	    {"customers are read", test_customers_are_read},
 	    {"a wrong list of customers opens nothing",
 		test_a_wrong_list_of_customers_opens_nothing},
+	    {"problems name no keys", test_problems_name_no_keys},
 	    {"foreign entries name no executor",
 		test_foreign_entries_name_no_executor},
 	    {"odd entries name no executor", test_odd_entries_name_no_executor},
