--- a/include/bulrushpost/settings.h
+++ b/include/bulrushpost/settings.h
@@ -83,6 +83,7 @@
 	uint32_t quarantine_failures;
 	uint32_t grace_s;
 	uint32_t config_apply_ms;
+	bool large_task_planning; /* reserve capacity for large tasks */
 } bp_settings_queues_t;
 
 typedef struct {
--- a/include/bulrushpost/shard.h
+++ b/include/bulrushpost/shard.h
@@ -25,6 +25,7 @@
 	uint32_t start_early_ms; /* before a task's start time */
 	uint32_t status_keep_s; /* retention of ended jobs */
 	uint32_t quarantine_failures; /* consecutive, of one executor */
+	bool large_task_planning; /* reserve capacity for large tasks */
 } bp_shard_limits_t;
 
 /* Reason for which a node should release its shards. */
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -22,10 +22,12 @@
 	TYPE_LEVEL,
 	TYPE_ORDER,
 	TYPE_NUMBER,
-	TYPE_SHARE
+	TYPE_SHARE,
+	TYPE_BOOL
 } value_type_t;
 
-/* One key of the file. low, high and default_value are for numbers. */
+/* One key of the file. low, high and default_value are for numbers; a BOOL is
+ * false by default. */
 typedef struct {
 	const char *path;
 	value_type_t type;
@@ -112,6 +114,8 @@
     NUMBER(queues.quarantine_failures, 2, 1000, 3),
     NUMBER(queues.grace_s, 1, 3600, 6),
     NUMBER(queues.config_apply_ms, 100, 60000, 2000),
+    TEXT("queues.large_task_planning", TYPE_BOOL, false,
+	queues.large_task_planning),
 };
 
 static const char *const level_words[] = {
@@ -209,6 +213,20 @@
 		*(uint32_t *)member(settings, row) = (uint32_t)(milli + 0.5);
 }
 
+static void
+set_bool(bp_settings_file_t *file, bp_settings_t *settings,
+    const setting_t *row, const bp_settings_item_t *item)
+{
+	bool value = strcmp(item->scalar, "true") == 0;
+
+	if (item->quoted || (!value && strcmp(item->scalar, "false") != 0))
+		bp_settings_problem(file, item->line, row->path,
+		    "\"%.40s\" is not true or false (standard false)",
+		    item->scalar);
+	else
+		*(bool *)member(settings, row) = value;
+}
+
 static void
 set_level(bp_settings_file_t *file, bp_settings_t *settings,
     const bp_settings_item_t *item)
@@ -245,6 +263,9 @@
 	case TYPE_SHARE:
 		set_share(file, settings, row, item);
 		return;
+	case TYPE_BOOL:
+		set_bool(file, settings, row, item);
+		return;
 	case TYPE_LEVEL:
 		set_level(file, settings, item);
 		return;
--- a/src/queues/estimates.c
+++ b/src/queues/estimates.c
@@ -1,5 +1,8 @@
 #include "queues/estimates.h"
 
+#include <stdlib.h>
+#include <string.h>
+
 /* Factor of a queue without samples: its declared durations are used. */
 #define FACTOR_DEFAULT 1.0
 /* Weights of one step in the smoothed mean and deviation, as in RFC 6298. */
@@ -7,14 +10,42 @@
 #define DEVIATION_RATE 0.25
 /* Bound of one sample: a step that stalled says nothing about others. */
 #define SAMPLE_MAX 4.0
+/* Latest runs of one image from which quantiles are taken. */
+#define RUN_SAMPLES 64
+/* Fewer runs than this say too little about a quantile of 90%. */
+#define RUN_SAMPLES_MIN 10
+/* The sorted samples are used until so many more have arrived. */
+#define RUNS_PER_SORT 8
+/* Bound of one run's multiple; jobs that declare 1 ms exist. */
+#define RUN_RATIO_MAX 1000.0
+/* Images with samples of their own; callers choose the names of images. */
+#define IMAGES_MAX 512
+/* Multiples of the declared duration before there are samples: the declared
+ * duration is a rough estimate of the middle. */
+#define COLD_MEDIAN 1.0
+#define COLD_TAIL 2.0
+#define MEDIAN_PERCENT 50
+#define PERCENT 100
 
 typedef struct {
 	double mean;
 	double deviation;
 } ratio_t;
 
+/* Multiples of the declared duration that the latest runs took. */
+typedef struct {
+	float latest[RUN_SAMPLES]; /* a ring */
+	float sorted[RUN_SAMPLES];
+	uint32_t at; /* of the next sample in the ring */
+	uint32_t count;
+	uint32_t n_sorted;
+	uint32_t unsorted; /* samples since the last sort */
+} runs_t;
+
 struct bp_estimates {
 	GHashTable *queues; /* name to ratio_t */
+	GHashTable *queue_runs; /* name to runs_t */
+	GHashTable *image_runs; /* queue, line feed and image to runs_t */
 };
 
 /* Creates a table without samples. */
@@ -25,6 +56,10 @@
 
 	estimates->queues =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	estimates->queue_runs =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	estimates->image_runs =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return estimates;
 }
 
@@ -35,6 +70,8 @@
 	if (estimates == NULL)
 		return;
 	g_hash_table_unref(estimates->queues);
+	g_hash_table_unref(estimates->queue_runs);
+	g_hash_table_unref(estimates->image_runs);
 	g_free(estimates);
 }
 
@@ -67,3 +104,91 @@
 
 	return ratio == NULL ? FACTOR_DEFAULT : ratio->mean + ratio->deviation;
 }
+
+static int
+compare_ratios(const void *a, const void *b)
+{
+	float x = *(const float *)a;
+	float y = *(const float *)b;
+
+	return (x > y) - (x < y);
+}
+
+static void
+add_ratio(runs_t *runs, float ratio)
+{
+	runs->latest[runs->at] = ratio;
+	runs->at = (runs->at + 1) % RUN_SAMPLES;
+	runs->count = MIN(runs->count + 1, RUN_SAMPLES);
+	runs->unsorted++;
+}
+
+/* Returns the samples of a name; adds the name if there are fewer than max. */
+static runs_t *
+get_runs(GHashTable *table, const char *name, guint max)
+{
+	runs_t *runs = g_hash_table_lookup(table, name);
+
+	if (runs == NULL && g_hash_table_size(table) < max) {
+		runs = g_new0(runs_t, 1);
+		g_hash_table_insert(table, g_strdup(name), runs);
+	}
+	return runs;
+}
+
+/* See the header. */
+void
+bp_estimates_add_run(bp_estimates_t *estimates, const char *queue,
+    const char *image, int64_t expected_ms, int64_t took_ms)
+{
+	double ratio = (double)took_ms / (double)MAX(expected_ms, 1);
+	char *key = g_strconcat(queue, "\n", image, NULL);
+	runs_t *of_queue = get_runs(estimates->queue_runs, queue, G_MAXUINT);
+	runs_t *of_image = get_runs(estimates->image_runs, key, IMAGES_MAX);
+
+	ratio = CLAMP(ratio, 0, RUN_RATIO_MAX);
+	add_ratio(of_queue, (float)ratio);
+	if (of_image != NULL)
+		add_ratio(of_image, (float)ratio);
+	g_free(key);
+}
+
+/* Returns the multiple that a share of the samples does not exceed; 0 when
+ * there are too few. */
+static double
+quantile(runs_t *runs, uint32_t percent)
+{
+	uint32_t rank;
+
+	if (runs == NULL || runs->count < RUN_SAMPLES_MIN)
+		return 0;
+	if (runs->n_sorted < RUN_SAMPLES_MIN ||
+	    runs->unsorted >= RUNS_PER_SORT) {
+		memcpy(runs->sorted, runs->latest,
+		    runs->count * sizeof(runs->latest[0]));
+		qsort(runs->sorted, runs->count, sizeof(runs->sorted[0]),
+		    compare_ratios);
+		runs->n_sorted = runs->count;
+		runs->unsorted = 0;
+	}
+	rank = (runs->n_sorted * percent + PERCENT - 1) / PERCENT;
+	return runs->sorted[CLAMP(rank, 1, runs->n_sorted) - 1];
+}
+
+/* See the header. */
+int64_t
+bp_estimates_run_ms(bp_estimates_t *estimates, const char *queue,
+    const char *image, int64_t expected_ms, uint32_t percent)
+{
+	char *key = g_strconcat(queue, "\n", image, NULL);
+	double ratio =
+	    quantile(g_hash_table_lookup(estimates->image_runs, key), percent);
+
+	if (ratio <= 0)
+		ratio = quantile(
+		    g_hash_table_lookup(estimates->queue_runs, queue), percent);
+	if (ratio <= 0)
+		ratio = percent > MEDIAN_PERCENT ? COLD_TAIL : COLD_MEDIAN;
+	g_free(key);
+	return (int64_t)((double)expected_ms * ratio);
+}
--- a/src/queues/estimates.h
+++ b/src/queues/estimates.h
@@ -5,8 +5,8 @@
 #include <stdint.h>
 
 /*
- * Durations of the steps of each queue's jobs, as a multiple of the durations
- * that the jobs declare.
+ * Durations of the steps of each queue's jobs, and of their single runs, as a
+ * multiple of the durations that the jobs declare.
  */
 typedef struct bp_estimates bp_estimates_t;
 
@@ -18,4 +18,16 @@
 /* Returns a multiple that most steps of the queue do not exceed. */
 double bp_estimates_factor(const bp_estimates_t *estimates, const char *queue);
 
+/* Adds a run that ended well and took took_ms from its start order to its
+ * reported end. */
+void bp_estimates_add_run(bp_estimates_t *estimates, const char *queue,
+    const char *image, int64_t expected_ms, int64_t took_ms);
+/*
+ * Returns a duration that this share of the runs of the queue and image does
+ * not exceed, in percent of all runs. Before there are enough samples of the
+ * image it is that of the queue, then a multiple of the declared duration.
+ */
+int64_t bp_estimates_run_ms(bp_estimates_t *estimates, const char *queue,
+    const char *image, int64_t expected_ms, uint32_t percent);
+
 #endif
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -377,6 +377,7 @@
 	options.limits.start_early_ms = queues->early_ms;
 	options.limits.status_keep_s = queues->status_keep_s;
 	options.limits.quarantine_failures = queues->quarantine_failures;
+	options.limits.large_task_planning = queues->large_task_planning;
 	options.watch_executors = on_watch_executors;
 	options.ask_owner = bp_queuenode_ask_owner;
 	options.unfit = on_unfit;
--- a/tests/core/test_settings.c
+++ b/tests/core/test_settings.c
@@ -218,6 +218,48 @@
 		CU_ASSERT_EQUAL(parse_share(bad[i], &milli), BP_EINVALID);
 }
 
+/* Parses the settings of a queue node with this value of large task planning;
+ * NULL for none. */
+static int
+parse_planning(const char *value, bool *enabled)
+{
+	bp_settings_t *settings = NULL;
+	bp_error_t err = {0};
+	char *text = g_strdup_printf(
+	    "node: {name: a, zone: z, services: [queues]}\n"
+	    "listen: {queues: 127.0.0.1:1, control: 127.0.0.1:2}\n"
+	    "platform: {store: 127.0.0.1:3}\n"
+	    "%s%s\n",
+	    value != NULL ? "queues:\n  large_task_planning: " : "",
+	    value != NULL ? value : "");
+	int rc = bp_settings_parse(
+	    &settings, "a.yaml", text, strlen(text), NULL, &err);
+
+	*enabled = settings != NULL && settings->queues.large_task_planning;
+	bp_settings_free(settings);
+	g_free(text);
+	return rc;
+}
+
+/* Guards against a switch that is on by default, or on by a misspelt value. */
+static void
+test_switches_are_true_or_false(void)
+{
+	static const char *const bad[] = {
+	    "yes", "1", "True", "\"true\"", "\"\"", "[true]"};
+	bool enabled;
+	size_t i;
+
+	CU_ASSERT_EQUAL(parse_planning(NULL, &enabled), BP_OK);
+	CU_ASSERT_FALSE(enabled);
+	CU_ASSERT_EQUAL(parse_planning("false", &enabled), BP_OK);
+	CU_ASSERT_FALSE(enabled);
+	CU_ASSERT_EQUAL(parse_planning("true", &enabled), BP_OK);
+	CU_ASSERT_TRUE(enabled);
+	for (i = 0; i < G_N_ELEMENTS(bad); i++)
+		CU_ASSERT_EQUAL(parse_planning(bad[i], &enabled), BP_EINVALID);
+}
+
 int
 main(void)
 {
@@ -226,6 +268,7 @@
 	    {"all problems", test_all_problems_are_reported},
 	    {"odd documents", test_odd_documents_are_refused},
 	    {"shares are fractions", test_shares_are_fractions},
+	    {"switches are true or false", test_switches_are_true_or_false},
 	    {"mutations", test_mutated_files_are_safe},
 	    CU_TEST_INFO_NULL,
 	};
--- a/tests/queues/test_estimates.c
+++ b/tests/queues/test_estimates.c
@@ -48,6 +48,73 @@
 	bp_estimates_free(estimates);
 }
 
+/* Without samples the declared duration is the middle, and a multiple of it
+ * the tail; guards against an estimate of 0 for an unknown queue. */
+static void
+test_runs_without_samples(void)
+{
+	bp_estimates_t *estimates = bp_estimates_new();
+
+	CU_ASSERT_EQUAL(bp_estimates_run_ms(estimates, "q", "a", 100, 50), 100);
+	CU_ASSERT_EQUAL(bp_estimates_run_ms(estimates, "q", "a", 100, 90), 200);
+	bp_estimates_add_run(estimates, "q", "a", 100, 900);
+	CU_ASSERT_EQUAL(bp_estimates_run_ms(estimates, "q", "a", 100, 90), 200);
+	bp_estimates_free(estimates);
+}
+
+/* Guards against plans by declared durations that are three times too short or
+ * too long. */
+static void
+test_runs_correct_declared_durations(void)
+{
+	bp_estimates_t *estimates = bp_estimates_new();
+	uint32_t i;
+
+	for (i = 0; i < STEPS; i++) {
+		bp_estimates_add_run(
+		    estimates, "q", "slow", 100, i % 10 == 9 ? 600 : 300);
+		bp_estimates_add_run(estimates, "q", "fast", 900, 300);
+	}
+	CU_ASSERT_EQUAL(
+	    bp_estimates_run_ms(estimates, "q", "slow", 200, 50), 600);
+	CU_ASSERT_TRUE(
+	    bp_estimates_run_ms(estimates, "q", "slow", 200, 95) >= 1200);
+	CU_ASSERT_EQUAL(
+	    bp_estimates_run_ms(estimates, "q", "fast", 900, 90), 300);
+	bp_estimates_free(estimates);
+}
+
+/* An image without samples is estimated like its queue; another queue is not.
+ */
+static void
+test_runs_of_a_new_image(void)
+{
+	bp_estimates_t *estimates = bp_estimates_new();
+	uint32_t i;
+
+	for (i = 0; i < STEPS; i++)
+		bp_estimates_add_run(estimates, "q", "a", 100, 400);
+	CU_ASSERT_EQUAL(
+	    bp_estimates_run_ms(estimates, "q", "new", 100, 90), 400);
+	CU_ASSERT_EQUAL(bp_estimates_run_ms(estimates, "r", "a", 100, 90), 200);
+	bp_estimates_free(estimates);
+}
+
+/* Guards against durations of an earlier version of an image that stay in the
+ * estimate. */
+static void
+test_runs_follow_a_change(void)
+{
+	bp_estimates_t *estimates = bp_estimates_new();
+	uint32_t i;
+
+	for (i = 0; i < 4 * STEPS; i++)
+		bp_estimates_add_run(
+		    estimates, "q", "a", 100, i < 2 * STEPS ? 100 : 500);
+	CU_ASSERT_EQUAL(bp_estimates_run_ms(estimates, "q", "a", 100, 50), 500);
+	bp_estimates_free(estimates);
+}
+
 int
 main(void)
 {
@@ -55,6 +122,11 @@
 	    {"an unknown queue", test_an_unknown_queue},
 	    {"most steps keep within", test_most_steps_keep_within},
 	    {"outliers are bounded", test_outliers_are_bounded},
+	    {"runs without samples", test_runs_without_samples},
+	    {"runs correct declared durations",
+		test_runs_correct_declared_durations},
+	    {"runs of a new image", test_runs_of_a_new_image},
+	    {"runs follow a change", test_runs_follow_a_change},
 	    CU_TEST_INFO_NULL,
 	};
 
