--- a/src/queues/job.h
+++ b/src/queues/job.h
@@ -69,6 +69,14 @@
 	bool blocked_by_start_limits; /* and by nothing else; long-running */
 	int64_t start_limits_checked_ms; /* monotonic */
 	const char *reason; /* why the last round placed none; static */
+	/* Of large tasks, and of small ones beside them; shard_largetasks.c. */
+	uint32_t rooms; /* executors reserved for it as a large step */
+	uint32_t rooms_missed; /* reservations that were not kept */
+	const void *missed_on; /* executor of the last one */
+	bool moved; /* a run of it was stopped for a large task */
+	int64_t median_ms; /* expected duration of a run */
+	int64_t late_ms; /* the same with the certainty that plans use */
+	int64_t estimated_ms; /* monotonic, when both were computed; 0: never */
 };
 
 /* A job with its steps, as the owner of its shard holds it. */
--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -122,6 +122,7 @@
 	job->ended_ms = bp_shard_wall_ms(shard);
 	g_ptr_array_remove(shard->active_jobs, job);
 	bp_shard_release_job_reservations(shard, job);
+	bp_shard_drop_job_rooms(shard, job);
 	stop_runs(shard, job);
 	bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE, "job ended",
 	    "job", job->spec->id, "state",
@@ -256,6 +257,8 @@
 	shard->estimates = bp_estimates_new();
 	shard->filler_model = bp_filler_model_new();
 	shard->reserved_execs = g_ptr_array_new();
+	if (options->limits.large_task_planning)
+		shard->large = bp_shard_large_new();
 	shard->start_limiters = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, bp_qstart_limiter_free);
 	shard->active_jobs = g_ptr_array_new();
@@ -306,6 +309,7 @@
 	bp_filler_model_free(shard->filler_model);
 	bp_clock_cancel_timer(shard->options.clock, &shard->round_timer);
 	bp_clock_cancel_timer(shard->options.clock, &shard->tick_timer);
+	bp_shard_large_free(shard->large);
 	g_hash_table_unref(shard->execs);
 	g_hash_table_unref(shard->start_limiters);
 	g_ptr_array_unref(shard->reserved_execs);
--- a/src/queues/shard_calls.c
+++ b/src/queues/shard_calls.c
@@ -273,6 +273,7 @@
 	report("ends_done", shard->counts_done, data);
 	report("ends_failed", shard->counts_failed, data);
 	report("runs_lost", shard->counts_lost_runs, data);
+	bp_shard_large_counts(shard, report, data);
 	report("appends",
 	    shard->writer != NULL ? bp_record_writer_appends(shard->writer) : 0,
 	    data);
--- a/src/queues/shard_orders.c
+++ b/src/queues/shard_orders.c
@@ -170,9 +170,10 @@
     bp_shard_t *shard, bp_qtask_t *task, bp_qexec_t *exec, uint64_t number)
 {
 	char *name = bp_qtask_name(task);
-	bp_qrun_t *run =
-	    bp_qrun_new(exec, task, task->step->spec, name, number);
+	bp_qrun_t *run;
 
+	bp_qexec_large_started(exec, task->step);
+	run = bp_qrun_new(exec, task, task->step->spec, name, number);
 	run->state = BP_QRUN_PLANNED;
 	if (task->step->first_start_ms == 0)
 		task->step->first_start_ms = bp_shard_now_ms(shard);
--- a/src/queues/shard_pollresults.c
+++ b/src/queues/shard_pollresults.c
@@ -195,6 +195,8 @@
 
 	if (run != NULL) {
 		count_end(exec, run, task, row->kind);
+		if (row->kind == BP_END_DONE)
+			bp_qrun_learn_duration(run);
 		bp_qrun_remove(run);
 	}
 	if (task == NULL)
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -8,6 +8,7 @@
 #include "queues/job.h"
 #include "queues/recordwriter.h"
 #include "queues/fillermodel.h"
+#include "queues/roomplan.h"
 
 #define BP_SHARD_MODULE "shard"
 /* Longest lease that an owner grants; executors allow longer ones. */
@@ -86,6 +87,17 @@
 	double slack;
 } bp_qslack_t;
 
+/* An executor that is reserved for a large task from a time on. */
+typedef struct {
+	bp_qexec_t *exec;
+	bp_qstep_t *step;
+	bp_room_reservation_t limit; /* indexes are those of the last plan */
+	bool kept; /* by the plan that is being applied */
+} bp_qroom_t;
+
+/* Planning of large tasks; see shard_largetasks.c. */
+typedef struct bp_shard_large bp_shard_large_t;
+
 /* The owner's view of an executor. */
 struct bp_qexec {
 	bp_shard_t *shard;
@@ -133,6 +145,7 @@
 	const char *backoff_reason; /* static */
 	const bp_qstep_t *reserved_for; /* urgent step */
 	int64_t reserved_until_ms; /* monotonic */
+	bp_qroom_t *room; /* reservation for a large task; NULL */
 	int64_t sampled_ms; /* monotonic, of the last tail latency sample */
 	uint64_t filler_milli; /* CPU that its fillers request */
 	uint32_t serving; /* runs with a tail latency target */
@@ -208,6 +221,7 @@
 	GPtrArray *deleted_keys; /* keys to delete with the next append */
 	GHashTable *execs; /* ID to bp_qexec_t */
 	GPtrArray *reserved_execs; /* bp_qexec_t with reserved capacity */
+	bp_shard_large_t *large; /* NULL unless large tasks are planned */
 	GHashTable *zones_out;
 	const bp_catalog_t *catalog; /* owned by the node */
 	bp_record_writer_t *writer;
@@ -373,6 +387,35 @@
 void bp_shard_release_job_reservations(bp_shard_t *shard, const bp_qjob_t *job);
 void bp_qexec_release_reservation(bp_qexec_t *exec);
 
+/* shard_largetasks.c; without planning these do nothing */
+bp_shard_large_t *bp_shard_large_new(void);
+void bp_shard_large_free(bp_shard_large_t *large);
+void bp_shard_plan_large(
+    bp_shard_t *shard, const GPtrArray *steps, const GPtrArray *execs);
+bool bp_qstep_is_large(
+    const bp_shard_t *shard, const bp_qstep_t *step, const char *service);
+bool bp_qstep_is_planned(
+    const bp_shard_t *shard, const bp_qstep_t *step, const char *service);
+bool bp_qexec_reserved_for_large(const bp_qexec_t *exec, bp_qstep_t *step);
+bool bp_qexec_has_gap(const bp_qexec_t *exec, bp_qstep_t *step);
+/* Returns the free processors that are held for large tasks of other steps. */
+uint64_t bp_shard_large_held_cpu(
+    const bp_shard_t *shard, const bp_qstep_t *step, const char *service);
+int64_t bp_qstep_late_ms(const bp_shard_t *shard, bp_qstep_t *step);
+void bp_qexec_large_started(bp_qexec_t *exec, bp_qstep_t *step);
+void bp_qrun_learn_duration(const bp_qrun_t *run);
+double bp_qexec_lasting_score(
+    const bp_qexec_t *exec, const Bp__Work__Step *spec);
+/* Returns the earliest reservation for a step; NULL for none. */
+const bp_qroom_t *bp_qstep_room(
+    const bp_shard_t *shard, const bp_qstep_t *step);
+void bp_qexec_drop_room(bp_qexec_t *exec);
+void bp_shard_drop_step_rooms(bp_shard_t *shard, const bp_qstep_t *step);
+void bp_shard_drop_job_rooms(bp_shard_t *shard, const bp_qjob_t *job);
+/* Receives one counter. */
+void bp_shard_large_counts(
+    const bp_shard_t *shard, bp_shard_count_t report, void *data);
+
 /* shard_leases.c */
 void bp_shard_check_leases(bp_shard_t *shard);
 
@@ -401,6 +444,7 @@
 GPtrArray *bp_shard_ready_steps(bp_shard_t *shard);
 
 /* shard_rounds.c */
+const char *bp_shard_service_of(const bp_shard_t *shard, const bp_qjob_t *job);
 void bp_shard_run_round(bp_shard_t *shard);
 /*
  * Returns whether a planned run that has a task may still start on its
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -546,5 +546,6 @@
 		g_ptr_array_add(shard->deleted_keys,
 		    g_strconcat(BP_SHARD_PREFIX_HOLDER, exec->info->id, NULL));
 	bp_qexec_release_reservation(exec);
+	bp_qexec_drop_room(exec);
 	g_hash_table_remove(shard->execs, exec->info->id);
 }
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -10,6 +10,9 @@
 /* Time after an urgent step waited for a start limiter during which fillers
  * may use only a part of each limit. */
 #define FILLER_YIELD_MS 1000
+/* Tasks of one round that are tried in the gaps before large tasks; each try
+ * looks at every executor. */
+#define GAP_TRIES_MAX 32
 /* Backoff reason of executors on which runs fail repeatedly. */
 #define QUARANTINED "quarantined"
 /* Least time between trials of a quarantined executor with long-running
@@ -35,7 +38,12 @@
 	GArray *pools; /* pool_t */
 	const char *service; /* of the step's queue */
 	bool needs_spare; /* only executors with capacity for two such tasks */
+	/* Only executors with a reservation for a large task before which the
+	 * task ends: such tasks take nothing from the headroom. */
+	bool gaps_only;
+	uint32_t gap_tries; /* choices with gaps_only */
 	bool reruns_only; /* only tasks that have run before */
+	bool refused_for_large; /* the last choice, by a large reservation */
 	GArray *unplaced; /* unplaced_t */
 	guint execs_total; /* of execs, before removals at start limits */
 	guint cursor; /* index at which the next choice for a filler begins */
@@ -47,6 +55,9 @@
 	const Bp__Work__Step *spec;
 	const char *reason; /* static */
 	bool accepts_any; /* the step accepted any placement */
+	/* Duration of its runs when a reservation for a large task kept it out:
+	 * shorter ones may be admitted. 0: none did. */
+	int64_t refused_late_ms;
 } unplaced_t;
 
 /* Returns the preferred rack of a step: that of its data or of its running
@@ -96,10 +107,12 @@
 /* Returns why an earlier request that was no larger could not be placed; NULL
  * when there was none. */
 static const char *
-known_reason(const round_t *round, const bp_qstep_t *step)
+known_reason(const round_t *round, bp_qstep_t *step)
 {
 	guint i;
 
+	if (step->rooms > 0)
+		return NULL;
 	for (i = 0; i < round->unplaced->len; i++) {
 		const unplaced_t *entry =
 		    &g_array_index(round->unplaced, unplaced_t, i);
@@ -107,6 +120,10 @@
 		if (strcmp(entry->service, round->service) != 0 ||
 		    !asks_no_less(step->spec, entry->spec))
 			continue;
+		if (entry->refused_late_ms > 0 &&
+		    bp_qstep_late_ms(round->shard, step) <
+			entry->refused_late_ms)
+			continue;
 		if (entry->accepts_any || !accepts_any_placement(round, step))
 			return entry->reason;
 	}
@@ -116,10 +133,12 @@
 /* Records that a step could not be placed. Steps with a limit on their tasks
  * per executor are left out: that limit says nothing about other steps. */
 static void
-add_unplaced(round_t *round, const bp_qstep_t *step)
+add_unplaced(round_t *round, bp_qstep_t *step)
 {
 	unplaced_t entry = {round->service, step->spec, step->reason,
-	    accepts_any_placement(round, step)};
+	    accepts_any_placement(round, step),
+	    round->refused_for_large ? bp_qstep_late_ms(round->shard, step)
+				     : 0};
 
 	if (step->spec->spread_max == 0 && step->reason != NULL)
 		g_array_append_val(round->unplaced, entry);
@@ -194,6 +213,7 @@
 	guint seen;
 	guint fit = 0;
 
+	round->refused_for_large = false;
 	*reason = execs->len == 0 ? "no_executor" : "service";
 	for (seen = 0; seen < execs->len && fit < most; seen++) {
 		bp_qexec_t *exec =
@@ -203,6 +223,8 @@
 
 		if (exec == NULL)
 			break;
+		if (round->gaps_only && !bp_qexec_has_gap(exec, task->step))
+			continue;
 		why = bp_qexec_reject_reason(exec, task->step, round->service);
 		if (why == NULL && round->needs_spare &&
 		    !bp_qexec_has_capacity(exec, task->step->spec, 2))
@@ -210,6 +232,8 @@
 		if (why != NULL) {
 			if (strcmp(why, "service") != 0)
 				*reason = why;
+			if (strcmp(why, "reserved_for_large") == 0)
+				round->refused_for_large = true;
 			continue;
 		}
 		fit++;
@@ -314,18 +338,37 @@
  * Tells whether a step leaves enough capacity to urgent work that may arrive,
  * which would otherwise wait for the end of a batch task. Fillers reserve no
  * processors, and long-running tasks are to run wherever there is capacity.
+ * With held_too, capacity that is held for large tasks does not count as free.
  */
 static bool
-leaves_headroom(round_t *round, const bp_qstep_t *step)
+leaves_headroom(round_t *round, const bp_qstep_t *step, bool held_too)
 {
 	const pool_t *pool;
+	uint64_t held;
+	uint32_t percent = HEADROOM_PERCENT;
 
 	if (step->job->spec->priority == 0 || step->spec->filler ||
 	    step->spec->lasting)
 		return true;
+	/* Small batch tasks would use up the headroom's bound while the
+	 * executor of a reservation empties. */
+	if (step->rooms > 0)
+		percent = HEADROOM_PERCENT / 2;
+	held = held_too
+	    ? bp_shard_large_held_cpu(round->shard, step, round->service)
+	    : 0;
 	pool = get_pool(round, round->service);
-	return (pool->cpu_used + step->spec->cpu_milli) * 100 <=
-	    pool->cpu_milli * (100 - HEADROOM_PERCENT);
+	return (pool->cpu_used + held + step->spec->cpu_milli) * 100 <=
+	    pool->cpu_milli * (100 - percent);
+}
+
+/* Tells whether a task that leaves too little headroom may be placed where
+ * capacity is held for large tasks. */
+static bool
+may_try_gaps(round_t *round, const bp_qstep_t *step)
+{
+	return step->rooms == 0 && leaves_headroom(round, step, false) &&
+	    round->gap_tries++ < GAP_TRIES_MAX;
 }
 
 /* Returns why an executor gets no work at all; NULL when it may get some. */
@@ -402,6 +445,8 @@
 		return;
 	if (g_strcmp0(step->reason, "turn") == 0)
 		round->shard->urgent_blocked_ms = round->now_ms;
+	if (bp_qstep_is_planned(round->shard, step, round->service))
+		return;
 	bp_shard_reserve_executors(
 	    round->shard, step, round->execs, round->service);
 }
@@ -438,13 +483,20 @@
 			skipped = true;
 			continue;
 		}
-		if (!leaves_headroom(round, step)) {
+		round->gaps_only = !leaves_headroom(round, step, true);
+		if (round->gaps_only && !may_try_gaps(round, step)) {
 			step->reason = "headroom";
+			if (step->unplaced_ms == 0 &&
+			    bp_qstep_is_large(shard, step, round->service))
+				step->unplaced_ms = round->now_ms;
 			return;
 		}
 		exec = choose(round, task, wanted_rack(step), &step->reason);
 		if (exec == NULL) {
-			add_unplaced(round, step);
+			if (round->gaps_only)
+				step->reason = "headroom";
+			else
+				add_unplaced(round, step);
 			note_unplaced(round, step);
 			return;
 		}
@@ -462,6 +514,7 @@
 	step->unplaced_ms = 0;
 	step->blocked_by_start_limits = false;
 	bp_shard_release_step_reservations(shard, step);
+	bp_shard_drop_step_rooms(shard, step);
 }
 
 /* Returns the current service of the job's queue; the service at the job's
@@ -476,6 +529,13 @@
 	return route != NULL ? route->service : job->spec->service;
 }
 
+/* Returns the service on whose executors the job's tasks run. */
+const char *
+bp_shard_service_of(const bp_shard_t *shard, const bp_qjob_t *job)
+{
+	return service_of(shard, job);
+}
+
 /* Tells whether a planned run could still be placed on its executor. */
 static bool
 is_still_allowed(const bp_qrun_t *run)
@@ -590,6 +650,7 @@
 	round->fillers_yield = round->shard->urgent_blocked_ms != 0 &&
 	    round->now_ms - round->shard->urgent_blocked_ms < FILLER_YIELD_MS;
 	add_executors(round);
+	bp_shard_plan_large(round->shard, steps, round->execs);
 	place_long_running(round, steps);
 	for (i = 0; i < steps->len; i++) {
 		bp_qstep_t *step = steps->pdata[i];
--- a/src/queues/shard_score.c
+++ b/src/queues/shard_score.c
@@ -10,6 +10,9 @@
 #define PENALTY_OTHER_RACK 4000.0
 #define PENALTY_SERVING 3000.0
 #define PENALTY_OTHER_IMAGE 1200.0
+/* Executors that are reserved for a large task of another step are used last.
+ */
+#define PENALTY_RESERVED 2000.0
 /* Executors that are reserved for the step are used first. */
 #define BONUS_RESERVED 8000.0
 /* Share of other images that is assumed of an executor without serving
@@ -97,6 +100,8 @@
 		return "no_capacity";
 	if (bp_qexec_reserved_from(exec, step))
 		return "kept";
+	if (bp_qexec_reserved_for_large(exec, step))
+		return "reserved_for_large";
 	if (spec->filler && !fillers_fit(exec, spec))
 		return "no_capacity";
 	if (spec->filler &&
@@ -166,11 +171,16 @@
 
 	if (spec->filler)
 		score = filler_score(exec, task->step);
+	else if (spec->lasting && exec->shard->large != NULL)
+		score = SCALE * bp_qexec_lasting_score(exec, spec);
 	else
 		score = SCALE * free_cpu / MAX(exec->info->cpu_milli, 1);
 	if (spec->target_ms > 0)
 		score += PENALTY_OTHER_IMAGE * other_images_share(exec, spec);
-	if (exec->reserved_for == task->step)
+	if (exec->room != NULL && exec->room->step != task->step)
+		score += PENALTY_RESERVED;
+	if (exec->reserved_for == task->step ||
+	    (exec->room != NULL && exec->room->step == task->step))
 		score -= BONUS_RESERVED;
 	if (task->last_failed_executor == exec)
 		score += PENALTY_FAILED_ON;
--- a/src/queues/shard_why.c
+++ b/src/queues/shard_why.c
@@ -1,5 +1,6 @@
 #include "queues/shard_private.h"
 
+#include <inttypes.h>
 #include <json-glib/json-glib.h>
 #include <string.h>
 
@@ -21,6 +22,8 @@
 	"waits: the store does not confirm that this node owns the shard"},
     {"no_executor", "waits: no executor of the queue's service is listed"},
     {"no_capacity", "waits for free capacity"},
+    {"reserved_for_large",
+	"waits: capacity is reserved for a large task until its time"},
     {"kept", "waits: capacity is reserved for a longer waiting urgent task"},
     {"label", "waits for an executor with the required label"},
     {"spread", "waits: executors with capacity run too many of its step"},
@@ -101,6 +104,8 @@
 		return "dependency";
 	if (!bp_shard_may_start(shard))
 		return "store_unavailable";
+	if (step->rooms > 0)
+		return "reserved_for_large";
 	if (step->reason != NULL && strcmp(step->reason, "headroom") == 0)
 		return "headroom";
 	return main_cause(causes);
@@ -122,6 +127,23 @@
 	json_builder_end_object(builder);
 }
 
+/* Adds the reservation of a large step: the executor, and the time (Unix ms) by
+ * which it has enough capacity. */
+static void
+add_room(JsonBuilder *builder, const bp_shard_t *shard, const bp_qstep_t *step)
+{
+	const bp_qroom_t *room = bp_qstep_room(shard, step);
+
+	if (room == NULL)
+		return;
+	json_builder_set_member_name(builder, "reserved_executor");
+	json_builder_add_string_value(builder, room->exec->info->id);
+	json_builder_set_member_name(builder, "expected_ms");
+	json_builder_add_int_value(builder,
+	    room->limit.at_ms - bp_shard_now_ms(shard) +
+		bp_shard_wall_ms(shard));
+}
+
 static void
 add_tasks(JsonBuilder *builder, bp_shard_t *shard, bp_qstep_t *step)
 {
@@ -138,8 +160,10 @@
 		json_builder_set_member_name(builder, "reason");
 		json_builder_add_string_value(
 		    builder, task_reason(shard, task, causes));
-		if (task->state == BP_QTASK_WAITING)
+		if (task->state == BP_QTASK_WAITING) {
 			add_causes(builder, causes);
+			add_room(builder, shard, step);
+		}
 		json_builder_set_member_name(builder, "failures");
 		json_builder_add_int_value(builder, bp_qtask_failures(task));
 		if (task->run != NULL) {
@@ -214,6 +238,20 @@
 	}
 }
 
+/* Adds the reservation of a large step to its line. */
+static void
+add_room_text(GString *text, const bp_shard_t *shard, const bp_qstep_t *step)
+{
+	const bp_qroom_t *room = bp_qstep_room(shard, step);
+
+	if (room != NULL)
+		g_string_append_printf(text,
+		    "; executor %s is reserved for it, expected in %" PRId64
+		    " ms",
+		    room->exec->info->id,
+		    MAX(room->limit.at_ms - bp_shard_now_ms(shard), 0));
+}
+
 static void
 add_step_lines(GString *text, bp_shard_t *shard, bp_qstep_t *step)
 {
@@ -228,8 +266,11 @@
 			tasks += strcmp(reasons[i].name,
 				     task_reason(
 					 shard, &step->tasks[k], causes)) == 0;
-		if (tasks > 0)
-			add_line(text, step, reasons[i].name, tasks, causes);
+		if (tasks == 0)
+			continue;
+		add_line(text, step, reasons[i].name, tasks, causes);
+		if (strcmp(reasons[i].name, "reserved_for_large") == 0)
+			add_room_text(text, shard, step);
 	}
 	g_ptr_array_unref(causes);
 }
--- a/tests/support/queuerig.c
+++ b/tests/support/queuerig.c
@@ -50,6 +50,8 @@
 	uint32_t refusals; /* of these */
 	bp_qrig_told_t cancel_told;
 	int64_t cancelled_ms;
+	int64_t submitted_ms;
+	int64_t *first_start_ms; /* by task of the first step; 0: none yet */
 	bp_qrig_shape_t shape;
 } caller_t;
 
@@ -65,6 +67,8 @@
 	GHashTable *zones_out;
 	bp_sharding_t *sharding;
 	uint64_t incarnations;
+	bool large_task_planning;
+	uint64_t starts_digest;
 	bp_logger_t *loggers[BP_QRIG_NODES]; /* NULL unless RIG_LOG is set */
 	uint32_t broken;
 	char *first_broken;
@@ -290,6 +294,7 @@
 	options.limits.stop_max_ms = 200;
 	options.limits.status_keep_s = 3600;
 	options.limits.quarantine_failures = 3;
+	options.limits.large_task_planning = node->rig->large_task_planning;
 	options.watch_executors = on_follow;
 	options.ask_owner = on_ask_owner;
 	options.unfit = on_unfit;
@@ -464,6 +469,32 @@
 	return caller;
 }
 
+static int64_t
+rig_now_ms(const bp_qrig_t *rig)
+{
+	return bp_clock_mono_ms(bp_clock_virtual_clock(rig->clock));
+}
+
+static void
+note_start(bp_qrig_t *rig, const char *task, uint64_t run)
+{
+	uint32_t occurrence;
+	uint32_t step;
+	uint32_t index;
+	char *id = NULL;
+	const caller_t *caller;
+
+	rig->starts_digest = rig->starts_digest * 31 +
+	    bp_hash_text(task, run + (uint64_t)rig_now_ms(rig));
+	if (!bp_qtask_parse(task, &id, &occurrence, &step, &index))
+		return;
+	caller = find(rig, id);
+	g_free(id);
+	if (caller != NULL && step == 0 && index < caller->tasks &&
+	    caller->first_start_ms[index] == 0)
+		caller->first_start_ms[index] = rig_now_ms(rig);
+}
+
 /* One run in six fails by its own fault. */
 static int64_t
 world_duration(const char *task, uint64_t run, void *data)
@@ -473,6 +504,7 @@
 	const caller_t *caller = caller_of_task(rig, task, &step);
 	bool fails = bp_hash_text(task, run) % 6 == 0;
 
+	note_start(rig, task, run);
 	if (caller != NULL && caller->shape.fails_after_ms > 0)
 		return -(int64_t)caller->shape.fails_after_ms;
 	if (caller == NULL || caller->lasting)
@@ -536,6 +568,7 @@
 caller_free(gpointer data)
 {
 	g_free(((caller_t *)data)->id);
+	g_free(((caller_t *)data)->first_start_ms);
 	g_free(data);
 }
 
@@ -568,15 +601,15 @@
 	return bp_sharding_new(&options);
 }
 
-/* Starts all nodes. */
-bp_qrig_t *
-bp_qrig_new(uint64_t seed, uint32_t executors)
+static bp_qrig_t *
+new_rig(uint64_t seed, uint32_t executors, bool large_task_planning)
 {
 	bp_qrig_t *rig = g_new0(bp_qrig_t, 1);
 	bp_qfleet_world_t world = {
 	    world_duration, world_forbidden, world_cpu, rig};
 	uint32_t i;
 
+	rig->large_task_planning = large_task_planning;
 	rig->clock = bp_clock_virtual_new(1000000);
 	bp_random_init(&rig->random, seed);
 	rig->sharding = new_sharding(rig);
@@ -599,6 +632,20 @@
 	return rig;
 }
 
+/* Starts all nodes. */
+bp_qrig_t *
+bp_qrig_new(uint64_t seed, uint32_t executors)
+{
+	return new_rig(seed, executors, false);
+}
+
+/* See the header. */
+bp_qrig_t *
+bp_qrig_new_planning(uint64_t seed, uint32_t executors)
+{
+	return new_rig(seed, executors, true);
+}
+
 /* Stops all nodes. */
 void
 bp_qrig_free(bp_qrig_t *rig)
@@ -723,8 +770,12 @@
 	bp__work__step__init(step);
 	step->tasks = caller->tasks;
 	step->cpu_milli = cpu_of(caller);
-	step->memory_mib = 100;
-	step->expected_ms = (uint32_t)caller->task_ms;
+	step->memory_mib =
+	    caller->shape.memory_mib > 0 ? caller->shape.memory_mib : 100;
+	step->expected_ms = caller->shape.declared_ms > 0
+	    ? caller->shape.declared_ms
+	    : (uint32_t)caller->task_ms;
+	step->checkpoints = caller->shape.checkpoints;
 	step->lasting = caller->lasting;
 	step->spread_max = caller->shape.spread_max;
 	step->accelerators = caller->shape.accelerators;
@@ -744,7 +795,7 @@
 {
 	Bp__Work__Job *job = malloc(sizeof(*job));
 	const char *service = caller->shape.service;
-	size_t steps = caller->lasting ? 1 : 2;
+	size_t steps = caller->lasting || caller->shape.single ? 1 : 2;
 	size_t i;
 
 	bp__work__job__init(job);
@@ -773,6 +824,7 @@
 		return;
 	}
 	caller->attempts++;
+	caller->submitted_ms = rig_now_ms(rig);
 	bp_shard_submit(shard, new_job(rig, caller), on_submitted, caller);
 }
 
@@ -784,6 +836,7 @@
 
 	caller->id = g_strdup_printf("%016x", rig->callers->len + 1);
 	caller->tasks = tasks;
+	caller->first_start_ms = g_new0(int64_t, tasks + 1);
 	caller->task_ms = task_ms;
 	caller->lasting = lasting;
 	caller->shape = rig->shape;
@@ -901,6 +954,24 @@
 	return wanted.value;
 }
 
+/* See the header. */
+int64_t
+bp_qrig_wait_ms(const bp_qrig_t *rig, const char *id, uint32_t index)
+{
+	const caller_t *caller = find(rig, id);
+
+	return caller->first_start_ms[index] == 0
+	    ? -1
+	    : caller->first_start_ms[index] - caller->submitted_ms;
+}
+
+/* See the header. */
+uint64_t
+bp_qrig_starts_digest(const bp_qrig_t *rig)
+{
+	return rig->starts_digest;
+}
+
 /* See the header. */
 uint32_t
 bp_qrig_unfinished(bp_qrig_t *rig, bool lasting)
--- a/tests/support/queuerig.h
+++ b/tests/support/queuerig.h
@@ -23,6 +23,8 @@
 typedef struct bp_qrig bp_qrig_t;
 
 bp_qrig_t *bp_qrig_new(uint64_t seed, uint32_t executors);
+/* The same with planning of large tasks, see docs/decisions/large-tasks.md. */
+bp_qrig_t *bp_qrig_new_planning(uint64_t seed, uint32_t executors);
 void bp_qrig_free(bp_qrig_t *rig);
 bp_qstore_t *bp_qrig_store(bp_qrig_t *rig);
 bp_qfleet_t *bp_qrig_fleet(bp_qrig_t *rig);
@@ -42,6 +44,10 @@
 	uint32_t priority; /* 0 goes first */
 	const char *service; /* NULL: that of all executors */
 	uint32_t fails_after_ms; /* each run of a task that lasts; 0: none */
+	uint32_t memory_mib; /* of a task, 0: 100 */
+	uint32_t declared_ms; /* duration that the job declares, 0: the true */
+	bool checkpoints;
+	bool single; /* the job has no second step */
 } bp_qrig_shape_t;
 
 /* Sets what the steps of later jobs ask for. */
@@ -68,6 +74,12 @@
 uint32_t bp_qrig_away(const bp_qrig_t *rig);
 /* A counter of the owner's shard, see bp_shard_counts; 0 without owner. */
 uint64_t bp_qrig_count(bp_qrig_t *rig, const char *name);
+/* Time from the submission of a job to the first start of a task of its first
+ * step; -1 if it has not started. */
+int64_t bp_qrig_wait_ms(const bp_qrig_t *rig, const char *id, uint32_t index);
+/* A sum over the tasks, runs and times of all starts so far: equal for equal
+ * decisions. */
+uint64_t bp_qrig_starts_digest(const bp_qrig_t *rig);
 /* The index of the node that owns the shard, -1 for none. */
 int bp_qrig_owner(const bp_qrig_t *rig);
 
