--- a/tests/queues/test_largetasks.c
+++ b/tests/queues/test_largetasks.c
@@ -534,6 +534,86 @@
 	finish_rig(rig);
 }
 
+/*
+ * Guards against plans by declared durations that are far off: tasks that
+ * declare ten times their duration are admitted beside a reservation once that
+ * has been learned.
+ */
+static bool
+starts_beside(uint32_t learned_from)
+{
+	bp_qrig_t *rig = start_rig(true, 1);
+	bp_qrig_shape_t shape = {.reliable = true,
+	    .single = true,
+	    .cpu_milli = 5000,
+	    .declared_ms = 4000};
+	const char *quick;
+	bool started;
+
+	bp_qrig_set_shape(rig, &shape);
+	if (learned_from > 0)
+		(void)bp_qrig_submit(rig, learned_from, 400, false);
+	bp_qrig_run_ms(rig, 5000);
+	shape.cpu_milli = 6000;
+	shape.declared_ms = learned_from > 0 ? 20000 : 2500;
+	bp_qrig_set_shape(rig, &shape);
+	(void)bp_qrig_submit(rig, 1, 2000, false);
+	bp_qrig_run_ms(rig, 300);
+	shape.cpu_milli = 12000;
+	shape.declared_ms = 20000;
+	bp_qrig_set_shape(rig, &shape);
+	(void)bp_qrig_submit(rig, 1, 2000, false);
+	bp_qrig_run_ms(rig, 600);
+	shape.cpu_milli = 5000;
+	shape.declared_ms = 4000;
+	bp_qrig_set_shape(rig, &shape);
+	quick = bp_qrig_submit(rig, 1, 400, false);
+	bp_qrig_run_ms(rig, 200);
+	CU_ASSERT_EQUAL(bp_qrig_count(rig, "large_reserved"), 1);
+	started = bp_qrig_wait_ms(rig, quick, 0) >= 0;
+	finish_rig(rig);
+	return started;
+}
+
+static void
+test_durations_are_learned(void)
+{
+	CU_ASSERT_FALSE(starts_beside(0));
+	CU_ASSERT_TRUE(starts_beside(20));
+}
+
+/* Guards against reservations by processors only: memory is what is missing. */
+static void
+test_memory_bound_tasks_get_a_place(void)
+{
+	bp_qrig_t *rig = start_rig(true, 1);
+	bp_qrig_shape_t shape = {.reliable = true,
+	    .single = true,
+	    .cpu_milli = 1000,
+	    .memory_mib = 40000};
+	const char *large;
+	const char *small;
+
+	bp_qrig_set_shape(rig, &shape);
+	(void)bp_qrig_submit(rig, 1, 1500, false);
+	bp_qrig_run_ms(rig, 300);
+	shape.memory_mib = 50000;
+	bp_qrig_set_shape(rig, &shape);
+	large = bp_qrig_submit(rig, 1, 8000, false);
+	bp_qrig_run_ms(rig, 600);
+	CU_ASSERT_EQUAL(bp_qrig_count(rig, "large_reserved"), 1);
+	/* Its processors do not matter, its memory would keep the large task
+	 * out. */
+	shape.memory_mib = 15500;
+	bp_qrig_set_shape(rig, &shape);
+	small = bp_qrig_submit(rig, 1, 20000, false);
+	bp_qrig_run_ms(rig, 200);
+	CU_ASSERT_EQUAL(bp_qrig_wait_ms(rig, small, 0), -1);
+	bp_qrig_run_ms(rig, 2000);
+	CU_ASSERT_TRUE(bp_qrig_wait_ms(rig, large, 0) >= 0);
+	finish_rig(rig);
+}
+
 /* Returns the executor of two that a long-running task gets beside short work
  * on the first and long-running work on the second. */
 static uint32_t
@@ -609,6 +689,9 @@
 	    {"a cancelled job gives its place up",
 		test_a_cancelled_job_gives_its_place_up},
 	    {"a new owner plans anew", test_a_new_owner_plans_anew},
+	    {"durations are learned", test_durations_are_learned},
+	    {"memory-bound tasks get a place",
+		test_memory_bound_tasks_get_a_place},
 	    {"long-running tasks keep gaps whole",
 		test_long_running_tasks_keep_gaps_whole},
 	    {"checkpointed tasks are moved", test_checkpointed_tasks_are_moved},
