--- a/src/queues/shard_largetasks.c
+++ b/src/queues/shard_largetasks.c
@@ -14,8 +14,7 @@
 /* Large steps in one plan, in the order of placement. */
 #define STEPS_MAX 24
 /* At most one in this number of executors is reserved at a time, for each
- * priority: reserved executors stand partly empty. With one in 8 the use of
- * processors fell by 1.7% on a full site, with one in 12 by 0.6%. */
+ * priority: reserved executors stand partly empty. */
 #define EXECS_PER_ROOM 12
 #define ROOMS_MAX 64
 /* Executors are reserved for a step that was unplaced for this time; most find
@@ -286,35 +285,6 @@
 	return is_bound(exec, step) && admission(exec, step) == BP_ROOM_REFUSED;
 }
 
-/* Tells whether an executor is reserved for a large task before which a task of
- * the step ends. */
-bool
-bp_qexec_has_gap(const bp_qexec_t *exec, bp_qstep_t *step)
-{
-	return is_bound(exec, step) &&
-	    admission(exec, step) == BP_ROOM_ENDS_BEFORE;
-}
-
-/* See the header. Urgent work would find the headroom only there. */
-uint64_t
-bp_shard_large_held_cpu(
-    const bp_shard_t *shard, const bp_qstep_t *step, const char *service)
-{
-	uint64_t held = 0;
-	guint i;
-
-	for (i = 0; shard->large != NULL && i < shard->large->rooms->len; i++) {
-		const bp_qroom_t *room = shard->large->rooms->pdata[i];
-		const bp_executor_info_t *info = room->exec->info;
-
-		if (room->step == step || strcmp(info->service, service) != 0)
-			continue;
-		held += MIN(free_of(info->cpu_milli, room->exec->cpu_used),
-		    room->step->spec->cpu_milli);
-	}
-	return held;
-}
-
 /* Notes that a task of the step is about to start on an executor. */
 void
 bp_qexec_large_started(bp_qexec_t *exec, bp_qstep_t *step)
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -397,10 +397,6 @@
 bool bp_qstep_is_planned(
     const bp_shard_t *shard, const bp_qstep_t *step, const char *service);
 bool bp_qexec_reserved_for_large(const bp_qexec_t *exec, bp_qstep_t *step);
-bool bp_qexec_has_gap(const bp_qexec_t *exec, bp_qstep_t *step);
-/* Returns the free processors that are held for large tasks of other steps. */
-uint64_t bp_shard_large_held_cpu(
-    const bp_shard_t *shard, const bp_qstep_t *step, const char *service);
 int64_t bp_qstep_late_ms(const bp_shard_t *shard, bp_qstep_t *step);
 void bp_qexec_large_started(bp_qexec_t *exec, bp_qstep_t *step);
 void bp_qrun_learn_duration(const bp_qrun_t *run);
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -10,9 +10,6 @@
 /* Time after an urgent step waited for a start limiter during which fillers
  * may use only a part of each limit. */
 #define FILLER_YIELD_MS 1000
-/* Tasks of one round that are tried in the gaps before large tasks; each try
- * looks at every executor. */
-#define GAP_TRIES_MAX 32
 /* Backoff reason of executors on which runs fail repeatedly. */
 #define QUARANTINED "quarantined"
 /* Least time between trials of a quarantined executor with long-running
@@ -38,10 +35,6 @@
 	GArray *pools; /* pool_t */
 	const char *service; /* of the step's queue */
 	bool needs_spare; /* only executors with capacity for two such tasks */
-	/* Only executors with a reservation for a large task before which the
-	 * task ends: such tasks take nothing from the headroom. */
-	bool gaps_only;
-	uint32_t gap_tries; /* choices with gaps_only */
 	bool reruns_only; /* only tasks that have run before */
 	bool refused_for_large; /* the last choice, by a large reservation */
 	GArray *unplaced; /* unplaced_t */
@@ -223,8 +216,6 @@
 
 		if (exec == NULL)
 			break;
-		if (round->gaps_only && !bp_qexec_has_gap(exec, task->step))
-			continue;
 		why = bp_qexec_reject_reason(exec, task->step, round->service);
 		if (why == NULL && round->needs_spare &&
 		    !bp_qexec_has_capacity(exec, task->step->spec, 2))
@@ -338,13 +329,11 @@
  * Tells whether a step leaves enough capacity to urgent work that may arrive,
  * which would otherwise wait for the end of a batch task. Fillers reserve no
  * processors, and long-running tasks are to run wherever there is capacity.
- * With held_too, capacity that is held for large tasks does not count as free.
  */
 static bool
-leaves_headroom(round_t *round, const bp_qstep_t *step, bool held_too)
+leaves_headroom(round_t *round, const bp_qstep_t *step)
 {
 	const pool_t *pool;
-	uint64_t held;
 	uint32_t percent = HEADROOM_PERCENT;
 
 	if (step->job->spec->priority == 0 || step->spec->filler ||
@@ -354,23 +343,11 @@
 	 * executor of a reservation empties. */
 	if (step->rooms > 0)
 		percent = HEADROOM_PERCENT / 2;
-	held = held_too
-	    ? bp_shard_large_held_cpu(round->shard, step, round->service)
-	    : 0;
 	pool = get_pool(round, round->service);
-	return (pool->cpu_used + held + step->spec->cpu_milli) * 100 <=
+	return (pool->cpu_used + step->spec->cpu_milli) * 100 <=
 	    pool->cpu_milli * (100 - percent);
 }
 
-/* Tells whether a task that leaves too little headroom may be placed where
- * capacity is held for large tasks. */
-static bool
-may_try_gaps(round_t *round, const bp_qstep_t *step)
-{
-	return step->rooms == 0 && leaves_headroom(round, step, false) &&
-	    round->gap_tries++ < GAP_TRIES_MAX;
-}
-
 /* Returns why an executor gets no work at all; NULL when it may get some. */
 static const char *
 exclusion_reason(const bp_qexec_t *exec, int64_t now_ms)
@@ -483,8 +460,7 @@
 			skipped = true;
 			continue;
 		}
-		round->gaps_only = !leaves_headroom(round, step, true);
-		if (round->gaps_only && !may_try_gaps(round, step)) {
+		if (!leaves_headroom(round, step)) {
 			step->reason = "headroom";
 			if (step->unplaced_ms == 0 &&
 			    bp_qstep_is_large(shard, step, round->service))
@@ -493,10 +469,7 @@
 		}
 		exec = choose(round, task, wanted_rack(step), &step->reason);
 		if (exec == NULL) {
-			if (round->gaps_only)
-				step->reason = "headroom";
-			else
-				add_unplaced(round, step);
+			add_unplaced(round, step);
 			note_unplaced(round, step);
 			return;
 		}
