--- a/tests/queues/test_soak.c
+++ b/tests/queues/test_soak.c
@@ -17,6 +17,9 @@
  * as bounded for LOST: 4 s and 3 s. */
 #define RESUME_MS 7000
 
+/* Reservations for large tasks that the last owners of all scenarios made. */
+static uint64_t reservations;
+
 static uint32_t
 below(bp_qrig_t *rig, uint32_t bound)
 {
@@ -157,26 +160,43 @@
 static void
 submit_load(bp_qrig_t *rig, GPtrArray *ids)
 {
+	const bp_qrig_shape_t any = {0};
 	uint32_t pick = below(rig, 10);
 
 	if (pick < 5)
 		g_ptr_array_add(ids,
 		    (gpointer)bp_qrig_submit(
 			rig, 1 + below(rig, 4), 200 + below(rig, 1500), false));
-	else if (pick == 5)
+	else if (pick == 5) {
+		/* Long-running tasks must not fill the site for good. */
+		bp_qrig_set_shape(rig, &any);
 		g_ptr_array_add(ids,
 		    (gpointer)bp_qrig_submit(rig, 1 + below(rig, 2), 0, true));
-	else if (pick == 6 && ids->len > 0)
+	} else if (pick == 6 && ids->len > 0)
 		bp_qrig_cancel(rig, ids->pdata[below(rig, ids->len)]);
 	else if (pick == 7 && ids->len > 0)
 		bp_qrig_resubmit(rig, ids->pdata[below(rig, ids->len)]);
 }
 
+/* Tasks of all sizes, of which some have checkpoints. */
+static void
+draw_shape(bp_qrig_t *rig)
+{
+	bp_qrig_shape_t shape = {.cpu_milli = 1000 + below(rig, 7000),
+	    .memory_mib = 100 + below(rig, 20000),
+	    .priority = below(rig, 2),
+	    .checkpoints = below(rig, 2) == 0,
+	    .declared_ms = 50 + below(rig, 3000)};
+
+	bp_qrig_set_shape(rig, &shape);
+}
+
 /* Returns false and prints the seed if an invariant was violated. */
 static bool
-run_scenario(uint64_t seed, uint32_t jitter_ms, bool reports)
+run_scenario(uint64_t seed, uint32_t jitter_ms, bool reports, bool planning)
 {
-	bp_qrig_t *rig = bp_qrig_new(seed, EXECUTORS);
+	bp_qrig_t *rig = planning ? bp_qrig_new_planning(seed, EXECUTORS)
+				  : bp_qrig_new(seed, EXECUTORS);
 	GPtrArray *ids = g_ptr_array_new();
 	uint32_t unfinished;
 	uint32_t away;
@@ -185,6 +205,8 @@
 
 	bp_qfleet_set_jitter_ms(bp_qrig_fleet(rig), jitter_ms);
 	for (i = 0; i < FAULT_STEPS; i++) {
+		if (planning)
+			draw_shape(rig);
 		submit_load(rig, ids);
 		submit_load(rig, ids);
 		switch (below(rig, 6)) {
@@ -204,6 +226,7 @@
 			fault_of_a_report(rig);
 		bp_qrig_run_ms(rig, 100 + below(rig, 1200));
 	}
+	reservations += bp_qrig_count(rig, "large_reservations_made");
 	clear_faults(rig);
 	bp_qrig_run_ms(rig, RESUME_MS);
 	away = bp_qrig_away(rig);
@@ -213,9 +236,10 @@
 	    bp_qrig_owner(rig) >= 0 && away == 0;
 	if (!good)
 		printf("seed %" G_GUINT64_FORMAT
-		       ", jitter %u ms, reports %d: %u broken (%s), %u jobs "
+		       ", jitter %u ms, reports %d, planning %d: %u broken "
+		       "(%s), %u jobs "
 		       "unfinished, owner %d, %u away\n",
-		    seed, jitter_ms, reports, bp_qrig_broken(rig),
+		    seed, jitter_ms, reports, planning, bp_qrig_broken(rig),
 		    bp_qrig_first_broken(rig), unfinished, bp_qrig_owner(rig),
 		    away);
 	g_ptr_array_unref(ids);
@@ -233,7 +257,7 @@
 
 /* Runs seeded scenarios with faults of nodes, the store and executors. */
 static void
-soak(uint32_t jitter_ms, bool reports)
+soak(uint32_t jitter_ms, bool reports, bool planning)
 {
 	uint64_t first = number_from("SOAK_FIRST", 1);
 	uint64_t seeds = number_from("SOAK_SEEDS", SEEDS);
@@ -241,28 +265,37 @@
 	uint64_t i;
 
 	for (i = 0; i < seeds; i++)
-		bad += !run_scenario(first + i, jitter_ms, reports);
+		bad += !run_scenario(first + i, jitter_ms, reports, planning);
 	CU_ASSERT_EQUAL(bad, 0);
 }
 
 static void
 test_faults_break_no_rule(void)
 {
-	soak(0, false);
+	soak(0, false, false);
 }
 
 /* Proxies are busy, so that orders and answers overtake each other. */
 static void
 test_overtaking_breaks_no_rule(void)
 {
-	soak(JITTER_MS, false);
+	soak(JITTER_MS, false, false);
 }
 
 /* List entries of executors expire and return, and answers are late or lost. */
 static void
 test_reports_break_no_rule(void)
 {
-	soak(JITTER_MS, true);
+	soak(JITTER_MS, true, false);
+}
+
+/* Large tasks get reservations, and runs are moved for them, during the same
+ * faults. */
+static void
+test_planning_breaks_no_rule(void)
+{
+	soak(JITTER_MS, true, true);
+	CU_ASSERT_TRUE(reservations > 0);
 }
 
 /*
@@ -281,8 +314,8 @@
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(plays); i++)
-		CU_ASSERT_TRUE(
-		    run_scenario(plays[i].seed, plays[i].jitter_ms, false));
+		CU_ASSERT_TRUE(run_scenario(
+		    plays[i].seed, plays[i].jitter_ms, false, false));
 }
 
 int
@@ -292,6 +325,7 @@
 	    {"faults break no rule", test_faults_break_no_rule},
 	    {"overtaking breaks no rule", test_overtaking_breaks_no_rule},
 	    {"reports break no rule", test_reports_break_no_rule},
+	    {"planning breaks no rule", test_planning_breaks_no_rule},
 	    {"seeds that were red", test_seeds_that_were_red},
 	    CU_TEST_INFO_NULL,
 	};
