--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -36,6 +36,7 @@
 	const char *service; /* of the step's queue */
 	bool needs_spare; /* only executors with capacity for two such tasks */
 	bool reruns_only; /* only tasks that have run before */
+	bool refused_for_large; /* the last choice, by a large reservation */
 	GArray *unplaced; /* unplaced_t */
 	guint execs_total; /* of execs, before removals at start limits */
 	bool limited; /* starts, by caps of customers */
@@ -51,6 +52,9 @@
 	const Bp__Work__Step *spec;
 	const char *reason; /* static */
 	bool accepts_any; /* the step accepted any placement */
+	/* Duration of its runs when a reservation for a large task kept it out:
+	 * shorter ones may be admitted. 0: none did. */
+	int64_t refused_late_ms;
 } unplaced_t;
 
 /* Returns the preferred rack of a step: that of its data or of its running
@@ -100,10 +104,12 @@
 /* Returns why an earlier request that was no larger could not be placed; NULL
  * when there was none. */
 static const char *
-known_reason(const round_t *round, const bp_qstep_t *step)
+known_reason(const round_t *round, bp_qstep_t *step)
 {
 	guint i;
 
+	if (step->rooms > 0)
+		return NULL;
 	for (i = 0; i < round->unplaced->len; i++) {
 		const unplaced_t *entry =
 		    &g_array_index(round->unplaced, unplaced_t, i);
@@ -111,6 +117,10 @@
 		if (strcmp(entry->service, round->service) != 0 ||
 		    !asks_no_less(step->spec, entry->spec))
 			continue;
+		if (entry->refused_late_ms > 0 &&
+		    bp_qstep_late_ms(round->shard, step) <
+			entry->refused_late_ms)
+			continue;
 		if (entry->accepts_any || !accepts_any_placement(round, step))
 			return entry->reason;
 	}
@@ -120,10 +130,12 @@
 /* Records that a step could not be placed. Steps with a limit on their tasks
  * per executor are left out: that limit says nothing about other steps. */
 static void
-add_unplaced(round_t *round, const bp_qstep_t *step)
+add_unplaced(round_t *round, bp_qstep_t *step)
 {
 	unplaced_t entry = {round->service, step->spec, step->reason,
-	    accepts_any_placement(round, step)};
+	    accepts_any_placement(round, step),
+	    round->refused_for_large ? bp_qstep_late_ms(round->shard, step)
+				     : 0};
 
 	if (step->spec->spread_max == 0 && step->reason != NULL)
 		g_array_append_val(round->unplaced, entry);
@@ -198,6 +210,7 @@
 	guint seen;
 	guint fit = 0;
 
+	round->refused_for_large = false;
 	*reason = execs->len == 0 ? "no_executor" : "service";
 	for (seen = 0; seen < execs->len && fit < most; seen++) {
 		bp_qexec_t *exec =
@@ -214,6 +227,8 @@
 		if (why != NULL) {
 			if (strcmp(why, "service") != 0)
 				*reason = why;
+			if (strcmp(why, "reserved_for_large") == 0)
+				round->refused_for_large = true;
 			continue;
 		}
 		fit++;
@@ -320,16 +335,21 @@
  * processors, and long-running tasks are to run wherever there is capacity.
  */
 static bool
-leaves_headroom(
-    round_t *round, const bp_qjob_t *job, const Bp__Work__Step *spec)
+leaves_headroom(round_t *round, const bp_qjob_t *job,
+    const Bp__Work__Step *spec, bool reserved)
 {
 	const pool_t *pool;
+	uint32_t percent = HEADROOM_PERCENT;
 
 	if (job->spec->priority == 0 || spec->filler || spec->lasting)
 		return true;
+	/* Small batch tasks would use up the headroom's bound while the
+	 * executor of a reservation empties. */
+	if (reserved)
+		percent = HEADROOM_PERCENT / 2;
 	pool = get_pool(round, round->service);
 	return (pool->cpu_used + spec->cpu_milli) * 100 <=
-	    pool->cpu_milli * (100 - HEADROOM_PERCENT);
+	    pool->cpu_milli * (100 - percent);
 }
 
 /* Returns why an executor gets no work at all; NULL when it may get some. */
@@ -406,6 +426,8 @@
 		return;
 	if (g_strcmp0(step->reason, "turn") == 0)
 		round->shard->urgent_blocked_ms = round->now_ms;
+	if (bp_qstep_is_planned(round->shard, step, round->service))
+		return;
 	bp_shard_reserve_executors(
 	    round->shard, step, round->execs, round->service);
 }
@@ -471,8 +493,12 @@
 			wait_for_cap(round, step);
 			return;
 		}
-		if (!leaves_headroom(round, step->job, step->spec)) {
+		if (!leaves_headroom(
+			round, step->job, step->spec, step->rooms > 0)) {
 			step->reason = "headroom";
+			if (step->unplaced_ms == 0 &&
+			    bp_qstep_is_large(shard, step, round->service))
+				step->unplaced_ms = round->now_ms;
 			return;
 		}
 		exec = choose(round, task, wanted_rack(step), &step->reason);
@@ -499,12 +525,14 @@
 	step->unplaced_ms = 0;
 	step->blocked_by_start_limits = false;
 	bp_shard_release_step_reservations(shard, step);
+	bp_shard_drop_step_rooms(shard, step);
 }
 
-/* Returns the current service of the job's queue; the service at the job's
- * acceptance when the catalog does not have the queue. */
-static const char *
-service_of(const bp_shard_t *shard, const bp_qjob_t *job)
+/* Returns the current service of the job's queue, whose executors run its
+ * tasks; the service at the job's acceptance when the catalog does not have the
+ * queue. */
+const char *
+bp_shard_service_of(const bp_shard_t *shard, const bp_qjob_t *job)
 {
 	const bp_queue_route_t *route = shard->catalog != NULL
 	    ? bp_catalog_queue(shard->catalog, job->spec->queue)
@@ -530,7 +558,7 @@
 	    (!run->task->step->spec->lasting || strcmp(why, QUARANTINED) != 0))
 		return false;
 	return strcmp(exec->info->service,
-		   service_of(exec->shard, run->task->step->job)) == 0;
+		   bp_shard_service_of(exec->shard, run->task->step->job)) == 0;
 }
 
 /* See the header. */
@@ -597,7 +625,7 @@
 			continue;
 		if (!bp_shard_may_start(round->shard))
 			break;
-		round->service = service_of(round->shard, step->job);
+		round->service = bp_shard_service_of(round->shard, step->job);
 		round->yielded = false;
 		place_step(round, step);
 		bp_qturns_placed(turns, step->waiting_tasks < waiting,
@@ -653,6 +681,7 @@
 	round->fillers_yield = round->shard->urgent_blocked_ms != 0 &&
 	    round->now_ms - round->shard->urgent_blocked_ms < FILLER_YIELD_MS;
 	add_executors(round);
+	bp_shard_plan_large(round->shard, steps, round->execs);
 	place_long_running(round, steps);
 	place_in_turns(round, steps);
 }
@@ -692,7 +721,7 @@
 			    exec->info->cpu_milli, exec->cpu_used);
 		found = found || takes_task(round, exec, spec);
 	}
-	found = found && leaves_headroom(round, job, spec);
+	found = found && leaves_headroom(round, job, spec, false);
 	g_array_set_size(round->pools, 0);
 	return found;
 }
@@ -704,7 +733,7 @@
 	round_t round = {
 	    .shard = shard,
 	    .now_ms = bp_shard_now_ms(shard),
-	    .service = service_of(shard, job),
+	    .service = bp_shard_service_of(shard, job),
 	    .pools = g_array_new(FALSE, FALSE, sizeof(pool_t)),
 	};
 	bool found = false;
@@ -781,7 +810,7 @@
 	round_t round = {
 	    .shard = shard,
 	    .now_ms = bp_shard_now_ms(shard),
-	    .service = service_of(shard, step->job),
+	    .service = bp_shard_service_of(shard, step->job),
 	};
 	GPtrArray *causes = g_ptr_array_new_with_free_func(g_free);
 	GHashTableIter iter;
