--- a/tests/support/queuenodes.c
+++ b/tests/support/queuenodes.c
@@ -13,18 +13,25 @@
 {
 	char *path = g_strdup_printf("%s/queues-%s-node-%u.yaml",
 	    BP_PROCESS_LOG_DIR, fixture->name, node);
+	char *metrics = fixture->more == NULL
+	    ? g_strdup("")
+	    : g_strdup_printf("  metrics: 127.0.0.1:%u\n",
+		  fixture->ports[node][BP_LISTEN_METRICS]);
 	char *text = g_strdup_printf(
 	    "node: {name: n%u, zone: z%u, services: [queues]}\n"
 	    "listen:\n  queues: 127.0.0.1:%u\n  ready: 127.0.0.1:%u\n"
-	    "  control: 127.0.0.1:%u\nplatform: {store: \"127.0.0.1:%u\"}\n",
+	    "  control: 127.0.0.1:%u\n%splatform: {store: \"127.0.0.1:%u\"}\n"
+	    "%s",
 	    node, node, fixture->ports[node][BP_LISTEN_CALLERS],
 	    fixture->ports[node][BP_LISTEN_READY],
-	    fixture->ports[node][BP_LISTEN_CONTROL],
-	    bp_queuehttp_port(fixture->platform));
+	    fixture->ports[node][BP_LISTEN_CONTROL], metrics,
+	    bp_queuehttp_port(fixture->platform),
+	    fixture->more != NULL ? fixture->more : "");
 
 	(void)g_mkdir_with_parents(BP_PROCESS_LOG_DIR, 0755);
 	CU_ASSERT_TRUE(g_file_set_contents(path, text, -1, NULL));
 	g_free(text);
+	g_free(metrics);
 	return path;
 }
 
@@ -78,34 +85,50 @@
 	return good;
 }
 
-/* Starts the platform and all nodes; returns once they are ready. */
-void
-bp_queuenodes_setup_with(bp_queuenodes_t *fixture, const char *name,
-    void (*prepare)(bp_queuehttp_t *platform))
+static void
+setup(bp_queuenodes_t *fixture, const char *name, uint32_t nodes,
+    const char *more, void (*prepare)(bp_queuehttp_t *platform))
 {
 	uint32_t i;
 	uint32_t k;
 
 	memset(fixture, 0, sizeof(*fixture));
 	fixture->name = name;
+	fixture->more = more;
 	fixture->held = g_ptr_array_new_with_free_func(g_object_unref);
 	fixture->platform = bp_queuehttp_new(EXECUTORS);
 	bp_queuehttp_configure(fixture->platform, 3, "/q/");
 	if (prepare != NULL)
 		prepare(fixture->platform);
 	fixture->http = bp_http_new();
-	for (i = 0; i < BP_QUEUENODES; i++) {
+	for (i = 0; i < nodes; i++) {
 		for (k = 0; k < BP_LISTENERS; k++)
 			fixture->ports[i][k] =
 			    bp_process_reserve_port(fixture->held);
 		fixture->settings[i] = write_settings(fixture, i);
 		bp_queuenodes_start(fixture, i);
 	}
-	for (i = 0; i < BP_QUEUENODES; i++)
+	for (i = 0; i < nodes; i++)
 		CU_ASSERT_TRUE(bp_queuenodes_expect(
 		    fixture, i, "GET", "/v1/readyz", NULL, 200, NULL));
 }
 
+/* Starts the platform and all nodes; returns once they are ready. */
+void
+bp_queuenodes_setup_with(bp_queuenodes_t *fixture, const char *name,
+    void (*prepare)(bp_queuehttp_t *platform))
+{
+	setup(fixture, name, BP_QUEUENODES, NULL, prepare);
+}
+
+/* See the header. */
+void
+bp_queuenodes_setup_settings(bp_queuenodes_t *fixture, const char *name,
+    uint32_t nodes, const char *more)
+{
+	setup(fixture, name, nodes, more, NULL);
+}
+
 /* See the header. */
 void
 bp_queuenodes_setup(bp_queuenodes_t *fixture, const char *name)
--- a/tests/support/queuenodes.h
+++ b/tests/support/queuenodes.h
@@ -23,6 +23,7 @@
 	BP_LISTEN_CALLERS,
 	BP_LISTEN_READY,
 	BP_LISTEN_CONTROL,
+	BP_LISTEN_METRICS, /* only with settings of the test */
 	BP_LISTENERS
 } bp_listener_t;
 
@@ -34,6 +35,7 @@
 	GPtrArray *held; /* sockets that keep the ports */
 	char *settings[BP_QUEUENODES];
 	const char *name; /* of the test, for the files of its nodes */
+	const char *more; /* settings of the test; NULL for none */
 } bp_queuenodes_t;
 
 /* A call, the answer that is expected and the status that came. */
@@ -52,6 +54,10 @@
 /* Calls prepare before the nodes start. */
 void bp_queuenodes_setup_with(bp_queuenodes_t *fixture, const char *name,
     void (*prepare)(bp_queuehttp_t *platform));
+/* Starts so many nodes, which serve metrics too; more is added to their
+ * settings. */
+void bp_queuenodes_setup_settings(bp_queuenodes_t *fixture, const char *name,
+    uint32_t nodes, const char *more);
 /* Kills what still runs; checks that no executor was misused. */
 void bp_queuenodes_teardown(bp_queuenodes_t *fixture);
 void bp_queuenodes_start(bp_queuenodes_t *fixture, uint32_t node);
