--- a/tests/adapter/test_codec.c
+++ b/tests/adapter/test_codec.c
@@ -497,6 +497,59 @@
 	CU_PASS("no decoder failed");
 }
 
+static char *
+repeated(const char *head, const char *unit, uint32_t n, const char *tail)
+{
+	GString *text = g_string_new(head);
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		g_string_append(text, unit);
+	g_string_append(text, tail);
+	return g_string_free(text, FALSE);
+}
+
+static int
+read_text(char *text, bp_error_t *err)
+{
+	Bp__Work__Job *job = NULL;
+	int rc = bp_codec_job(&job, text, strlen(text), err);
+
+	if (job != NULL)
+		bp__work__job__free_unpacked(job, NULL);
+	g_free(text);
+	return rc;
+}
+
+/* Guards against bodies of legal size that take far more memory decoded. */
+static void
+test_heavy_bodies_are_refused(void)
+{
+	bp_error_t err = {BP_OK, ""};
+
+	CU_ASSERT_EQUAL(
+	    read_text(repeated("{\"steps\":[", "{},", 87000, "{}]}"), &err),
+	    BP_EINVALID);
+	CU_ASSERT_PTR_NOT_NULL(strstr(err.message, "objects and lists"));
+	CU_ASSERT_EQUAL(
+	    read_text(repeated("{\"x\":[", "0,", 120000, "0]}"), &err),
+	    BP_EINVALID);
+	CU_ASSERT_PTR_NOT_NULL(strstr(err.message, "values"));
+	/* Characters within strings count for nothing. */
+	CU_ASSERT_EQUAL(
+	    read_text(repeated("{\"steps\":[{}],\"task_spec\":\"\\\"", "{[,",
+			  60000, "\"}"),
+		&err),
+	    BP_OK);
+	/* The most steps that a job may have, with other fields. */
+	CU_ASSERT_EQUAL(
+	    read_text(repeated("{\"steps\":[",
+			  "{\"count\":1,\"x\":[0,0,0,0,0,0,0,0,0],\"y\":{}},",
+			  255, "{}]}"),
+		&err),
+	    BP_OK);
+}
+
 int
 main(void)
 {
@@ -515,6 +568,7 @@
 	    {"each number is kept or refused",
 		test_each_number_is_kept_or_refused},
 	    {"other types are refused", test_other_types_are_refused},
+	    {"heavy bodies are refused", test_heavy_bodies_are_refused},
 	    {"changed bodies are safe", test_changed_bodies_are_safe},
 	    CU_TEST_INFO_NULL,
 	};
