--- a/include/bulrushpost/control.h
+++ b/include/bulrushpost/control.h
@@ -1,6 +1,7 @@
 #ifndef BULRUSHPOST_CONTROL_H
 #define BULRUSHPOST_CONTROL_H
 
+#include "bulrushpost/admission.h"
 #include "bulrushpost/appender.h"
 #include "bulrushpost/follower.h"
 #include "bulrushpost/gateway.h"
@@ -27,6 +28,7 @@
 	bp_timeline_t *timeline;
 	const bp_settings_t *settings;
 	uint64_t incarnation;
+	bp_admission_t *admission; /* of callers; or NULL */
 } bp_control_options_t;
 
 /* Listens on settings->listen.control when it returns 0. */
--- a/include/bulrushpost/peer.h
+++ b/include/bulrushpost/peer.h
@@ -1,6 +1,7 @@
 #ifndef BULRUSHPOST_PEER_H
 #define BULRUSHPOST_PEER_H
 
+#include "bulrushpost/admission.h"
 #include "bulrushpost/clock.h"
 #include "bulrushpost/error.h"
 #include "bulrushpost/logline.h"
@@ -25,6 +26,7 @@
 	uint32_t idle_timeout_ms; /* without a whole frame either way */
 	uint32_t unsent_bytes_max; /* answers queued for a slow reader */
 	uint32_t write_timeout_ms; /* without progress of a write */
+	bp_admission_t *admission; /* of callers; NULL: only the limits above */
 	bp_peer_handler_t handler;
 	void *data;
 } bp_peer_server_options_t;
--- a/include/bulrushpost/platform.h
+++ b/include/bulrushpost/platform.h
@@ -1,6 +1,7 @@
 #ifndef BULRUSHPOST_PLATFORM_H
 #define BULRUSHPOST_PLATFORM_H
 
+#include "bulrushpost/admission.h"
 #include "bulrushpost/catalog.h"
 #include "bulrushpost/clock.h"
 #include "bulrushpost/logline.h"
@@ -15,6 +16,7 @@
 	const bp_clock_t *clock;
 	bp_logger_t *logger;
 	const bp_settings_t *settings;
+	bp_admission_t *admission; /* of callers; outlives the platform */
 	bp_feed_listener_t listener;
 } bp_platform_options_t;
 
--- a/include/bulrushpost/settings.h
+++ b/include/bulrushpost/settings.h
@@ -59,6 +59,8 @@
 	uint32_t endpoint_connections; /* of one executor, by all gateways */
 	uint32_t control_connections;
 	uint32_t timeline_events;
+	uint32_t memory_mb; /* of the machine */
+	uint32_t descriptors; /* that the process may open */
 } bp_settings_limits_t;
 
 typedef struct {
--- a/include/bulrushpost/shard.h
+++ b/include/bulrushpost/shard.h
@@ -25,6 +25,7 @@
 	uint32_t start_early_ms; /* before a task's start time */
 	uint32_t status_keep_s; /* retention of ended jobs */
 	uint32_t quarantine_failures; /* consecutive, of one executor */
+	uint64_t jobs_bytes_max; /* memory of all jobs held; 0: no limit */
 } bp_shard_limits_t;
 
 /* Reason for which a node should release its shards. */
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -96,6 +96,8 @@
     NUMBER(limits.endpoint_connections, 1, 10000, 60),
     NUMBER(limits.control_connections, 1, 1024, 64),
     NUMBER(limits.timeline_events, 100, 1000000, 20000),
+    NUMBER(limits.memory_mb, 64, 1048576, 160),
+    NUMBER(limits.descriptors, 512, 1048576, 4100),
     NUMBER(policy.eviction_budget_per_min, 0, 10000, 30),
     NUMBER(policy.slowdown_target_permille, 1001, 10000, 1500),
     NUMBER(policy.batch_wait_max_s, 1, 604800, 3600),
--- a/src/node/control.c
+++ b/src/node/control.c
@@ -147,6 +147,7 @@
 	server.logger = options->logger;
 	server.address = settings->listen.control;
 	server.connections_max = settings->limits.control_connections;
+	server.admission = options->admission;
 	server.handler = on_request;
 	server.data = control;
 	rc = bp_peer_server_new(&control->server, &server, err);
--- a/src/node/link.c
+++ b/src/node/link.c
@@ -30,6 +30,9 @@
 	int64_t progress_ms; /* last progress of a write */
 	guint tick;
 	bool closed;
+	bp_admitted_t *admitted; /* NULL when it is not counted */
+	uint64_t held_bytes; /* of unanswered requests */
+	uint32_t held_requests;
 	uint8_t buffer[READ_BYTES];
 };
 
@@ -84,6 +87,8 @@
 	g_clear_handle_id(&link->flush, g_source_remove);
 	drop_source(&link->reader);
 	drop_source(&link->writer);
+	bp_admitted_leave(link->admitted);
+	link->admitted = NULL;
 	g_socket_shutdown(link->socket, TRUE, TRUE, NULL);
 }
 
@@ -107,6 +112,61 @@
 	fail(link, &err);
 }
 
+/*
+ * Called by the admission, for a link that is not being read from or sent to
+ * at the time. Its memory is freed at once; the next event of the socket ends
+ * it.
+ */
+static void
+on_shut(void *data)
+{
+	bp_link_t *link = data;
+
+	g_byte_array_unref(link->unsent);
+	link->unsent = g_byte_array_new();
+	link->written = 0;
+	bp_frame_decoder_free(link->decoder);
+	link->decoder = bp_frame_decoder_new();
+	(void)g_socket_shutdown(link->socket, TRUE, TRUE, NULL);
+}
+
+/* Counts what the peer has begun and not read; false when there is no room. */
+static bool
+count(bp_link_t *link, size_t more_bytes)
+{
+	size_t unread = link->unsent->len - link->written + more_bytes;
+	size_t partial = bp_frame_decoder_pending(link->decoder);
+
+	if (link->admitted == NULL)
+		return true;
+	if (unread > 0)
+		bp_admitted_set_phase(link->admitted, BP_ADMITTED_ANSWER);
+	else if (link->held_requests > 0)
+		bp_admitted_set_phase(link->admitted, BP_ADMITTED_SERVED);
+	else if (partial == 0)
+		bp_admitted_set_phase(link->admitted, BP_ADMITTED_IDLE);
+	else if (bp_admitted_phase(link->admitted) != BP_ADMITTED_BODY)
+		bp_admitted_set_phase(link->admitted, BP_ADMITTED_BODY);
+	return bp_admitted_set_bytes(
+	    link->admitted, link->held_bytes + unread + partial);
+}
+
+/* See the header. */
+bool
+bp_link_set_held(bp_link_t *link, uint64_t bytes, uint32_t requests)
+{
+	link->held_bytes = bytes;
+	link->held_requests = requests;
+	return link->closed || count(link, 0);
+}
+
+/* See the header. */
+bool
+bp_link_admitted(const bp_link_t *link)
+{
+	return link->options.admission == NULL || link->admitted != NULL;
+}
+
 static int64_t
 now_ms(const bp_link_t *link)
 {
@@ -144,6 +204,8 @@
 		return;
 	}
 	link->active_ms = now_ms(link);
+	/* The age of the next frame begins now. */
+	bp_admitted_set_phase(link->admitted, BP_ADMITTED_IDLE);
 	link->options.on_frame(link, frame, link->options.data);
 }
 
@@ -180,11 +242,16 @@
 	}
 	g_clear_error(&error);
 	bp_link_ref(link);
-	if (n <= 0) {
+	if (bp_admitted_closing(link->admitted)) {
+		fail_with(link, BP_EOVERLOAD, "a limit on callers was reached");
+	} else if (n <= 0) {
 		fail_with(link, BP_EUNKNOWN, "the peer closed the connection");
 	} else {
 		bp_frame_decoder_push(link->decoder, link->buffer, (size_t)n);
 		take_frames(link);
+		if (!link->closed && !count(link, 0))
+			fail_with(link, BP_EOVERLOAD,
+			    "no memory for an unfinished frame");
 	}
 	bp_link_unref(link);
 	return G_SOURCE_CONTINUE;
@@ -240,10 +307,13 @@
 		}
 		link->written += (size_t)n;
 		link->progress_ms = now_ms(link);
+		(void)count(link, 0);
 	}
 	g_byte_array_set_size(link->unsent, 0);
 	link->written = 0;
 	drop_source(&link->writer);
+	if (!link->closed)
+		(void)count(link, 0);
 }
 
 static gboolean
@@ -288,6 +358,11 @@
 		return bp_error_set(
 		    err, BP_EUNREACHABLE, "the peer reads too slowly");
 	}
+	if (!count(link, size_bytes)) {
+		fail_with(link, BP_EOVERLOAD, "no memory for unread answers");
+		return bp_error_set(
+		    err, BP_EUNREACHABLE, "no memory for unread answers");
+	}
 	link->active_ms = now_ms(link);
 	if (link->unsent->len == 0)
 		link->progress_ms = link->active_ms;
@@ -330,5 +405,8 @@
 	g_source_set_callback(
 	    link->reader, G_SOURCE_FUNC(on_readable), link, NULL);
 	(void)g_source_attach(link->reader, NULL);
+	if (options->admission != NULL)
+		link->admitted = bp_admission_enter(
+		    options->admission, BP_ADMISSION_CONTROL, on_shut, link);
 	return link;
 }
--- a/src/node/metricsserver.c
+++ b/src/node/metricsserver.c
@@ -1,14 +1,16 @@
 #include "node/metricsserver.h"
 
-#include "bulrushpost/listen.h"
+#include "node/httpgate.h"
 
 #include <libsoup/soup.h>
 #include <string.h>
 
-#define LISTEN_BACKLOG 16
+/* A shorter one leaves callers connected that the kernel has dropped. */
+#define LISTEN_BACKLOG 128
 
 struct bp_metricsserver {
 	SoupServer *soup;
+	bp_httpgate_t *gate;
 	bp_metrics_t *metrics;
 };
 
@@ -32,6 +34,13 @@
 		return;
 	}
 	text = bp_metrics_text(self->metrics);
+	if (!bp_admitted_set_bytes(
+		bp_httpgate_admitted(message), strlen(text))) {
+		soup_server_message_set_status(
+		    message, SOUP_STATUS_SERVICE_UNAVAILABLE, NULL);
+		g_free(text);
+		return;
+	}
 	soup_server_message_set_status(message, SOUP_STATUS_OK, NULL);
 	soup_server_message_set_response(message, "text/plain; version=0.0.4",
 	    SOUP_MEMORY_TAKE, text, strlen(text));
@@ -40,30 +49,22 @@
 /* Listens when it returns 0; BP_EINVALID when the address cannot be used. */
 int
 bp_metricsserver_new(bp_metricsserver_t **out, const char *address,
-    bp_metrics_t *metrics, bp_error_t *err)
+    bp_metrics_t *metrics, bp_admission_t *admission, bp_error_t *err)
 {
 	bp_metricsserver_t *self = g_new0(bp_metricsserver_t, 1);
-	GSocket *socket = NULL;
-	GError *error = NULL;
-	int rc = bp_listen(&socket, address, LISTEN_BACKLOG, err);
+	bp_httpgate_options_t options = {NULL, address, LISTEN_BACKLOG,
+	    admission, BP_ADMISSION_METRICS, true};
+	int rc;
 
 	self->metrics = metrics;
 	self->soup = g_object_new(SOUP_TYPE_SERVER, NULL);
 	soup_server_add_handler(self->soup, NULL, on_request, self, NULL);
-	if (rc != BP_OK)
-		goto out;
-	if (!soup_server_listen_socket(self->soup, socket, 0, &error)) {
-		rc = bp_error_set(err, BP_EINVALID, "listen.metrics: %s: %s",
-		    address, error->message);
-		goto out;
-	}
-	*out = self;
-	self = NULL;
-
-out:
-	bp_metricsserver_free(self);
-	g_clear_error(&error);
-	g_clear_object(&socket);
+	options.server = self->soup;
+	rc = bp_httpgate_new(&self->gate, &options, err);
+	if (rc == BP_OK)
+		*out = self;
+	else
+		bp_metricsserver_free(self);
 	return rc;
 }
 
@@ -73,6 +74,7 @@
 {
 	if (self == NULL)
 		return;
+	bp_httpgate_free(self->gate);
 	soup_server_disconnect(self->soup);
 	g_object_unref(self->soup);
 	g_free(self);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -44,6 +44,7 @@
 	bp_bootstrap_t *bootstrap;
 	bp_counters_t counters;
 	bp_metricsserver_t *metrics_server;
+	bp_admission_t *admission; /* of the metrics' and control callers */
 	uint32_t draining; /* services that still drain */
 	bool stopping;
 	guint signal_term;
@@ -216,8 +217,17 @@
 build_control(node_t *node, bp_error_t *err)
 {
 	bp_control_options_t options = {0};
+	bp_admission_options_t admission;
 	int rc;
 
+	bp_admission_options_init(&admission, node->settings->limits.memory_mb,
+	    node->settings->limits.descriptors);
+	admission.clock = node->clock;
+	admission.logger = node->logger;
+	admission.metrics = node->metrics;
+	admission.connections_max[BP_ADMISSION_CONTROL] =
+	    node->settings->limits.control_connections;
+	node->admission = bp_admission_new(&admission);
 	options.clock = node->clock;
 	options.logger = node->logger;
 	options.follower = node->follower;
@@ -228,6 +238,7 @@
 	options.timeline = node->timeline;
 	options.settings = node->settings;
 	options.incarnation = node->incarnation;
+	options.admission = node->admission;
 	rc = bp_control_new(&node->control, &options, err);
 	if (rc != BP_OK)
 		return rc;
@@ -240,7 +251,8 @@
 	bp_counters_register(&node->counters, node->metrics);
 	if (node->settings->listen.metrics != NULL) {
 		rc = bp_metricsserver_new(&node->metrics_server,
-		    node->settings->listen.metrics, node->metrics, err);
+		    node->settings->listen.metrics, node->metrics,
+		    node->admission, err);
 		if (rc != BP_OK)
 			return rc;
 	}
@@ -301,6 +313,7 @@
 	bp_follower_free(node->follower);
 	bp_logclient_free(node->log);
 	bp_registry_free(node->registry);
+	bp_admission_free(node->admission);
 	bp_timeline_free(node->timeline);
 	bp_metrics_free(node->metrics);
 	if (node->loop != NULL)
--- a/src/node/peer_client.c
+++ b/src/node/peer_client.c
@@ -229,7 +229,7 @@
 	if (peer->client != NULL && connection != NULL) {
 		bp_link_options_t options = {peer->client->clock,
 		    IDLE_TIMEOUT_MS, UNSENT_BYTES_MAX, WRITE_TIMEOUT_MS,
-		    on_frame, on_closed, peer};
+		    on_frame, on_closed, peer, NULL};
 
 		peer->link = bp_link_new(connection, &options);
 		send_waiting(peer);
--- a/src/node/peer_server.c
+++ b/src/node/peer_server.c
@@ -6,10 +6,15 @@
 
 #define MODULE "peer"
 #define CONNECTIONS_MAX 64
+/* A crowd that connects at once must not keep other nodes out. */
+#define LISTEN_BACKLOG 128
 #define REQUESTS_MAX 64
 #define IDLE_MS 60000
 #define STALL_MS 10000
 #define UNSENT_BYTES_MAX (8 * 1024 * 1024)
+/* Memory of a decoded frame beside its body, and of each argument. */
+#define FRAME_BYTES 256
+#define ARG_BYTES 64
 
 struct bp_peer_server {
 	bp_peer_server_options_t options;
@@ -23,11 +28,13 @@
 	bp_peer_server_t *server; /* NULL once closed */
 	bp_link_t *link;
 	uint32_t requests; /* unanswered */
+	uint64_t bytes; /* of their frames */
 } connection_t;
 
 struct bp_peer_request {
 	connection_t *connection;
 	Bp__Peer__Frame *frame;
+	uint64_t bytes; /* of the frame */
 };
 
 /* Sets limits for a node of the expected size. */
@@ -85,8 +92,13 @@
 	request = g_new0(bp_peer_request_t, 1);
 	request->frame = frame;
 	request->connection = g_rc_box_acquire(connection);
+	request->bytes =
+	    FRAME_BYTES + frame->body.len + ARG_BYTES * frame->n_args;
 	connection->requests++;
-	if (connection->requests > server->options.requests_max)
+	connection->bytes += request->bytes;
+	if (!bp_link_set_held(link, connection->bytes, connection->requests))
+		answer_error(request, BP_EOVERLOAD, "no memory for a request");
+	else if (connection->requests > server->options.requests_max)
 		answer_error(request, BP_EOVERLOAD,
 		    "too many unanswered requests on this connection");
 	else
@@ -116,10 +128,13 @@
 	bp_peer_server_t *server = data;
 	bp_link_options_t options = {server->options.clock,
 	    server->options.idle_timeout_ms, server->options.unsent_bytes_max,
-	    server->options.write_timeout_ms, on_frame, on_closed, NULL};
+	    server->options.write_timeout_ms, on_frame, on_closed, NULL,
+	    server->options.admission};
 	connection_t *connection;
 
-	if (server->connections->len >= server->options.connections_max) {
+	/* An admission closes an idle connection for a new one. */
+	if (options.admission == NULL &&
+	    server->connections->len >= server->options.connections_max) {
 		bp_log(server->options.logger, BP_LOG_WARNING, MODULE,
 		    "refused a control connection", "reason",
 		    "connection limit", NULL);
@@ -129,6 +144,11 @@
 	connection->server = server;
 	options.data = connection;
 	connection->link = bp_link_new(stream, &options);
+	if (!bp_link_admitted(connection->link)) {
+		bp_link_close(connection->link);
+		connection_unref(connection);
+		return TRUE;
+	}
 	g_ptr_array_add(server->connections, connection);
 	return TRUE;
 }
@@ -199,6 +219,8 @@
 	server->options.address = NULL;
 	server->connections = g_ptr_array_new_with_free_func(connection_unref);
 	server->service = g_socket_service_new();
+	g_socket_listener_set_backlog(
+	    G_SOCKET_LISTENER(server->service), LISTEN_BACKLOG);
 	rc = listen_on(server, options->address, err);
 	if (rc != BP_OK) {
 		bp_peer_server_free(server);
@@ -269,6 +291,9 @@
 	frame.verb = request->frame->verb;
 	frame.answer = 1;
 	connection->requests--;
+	connection->bytes -= request->bytes;
+	(void)bp_link_set_held(
+	    connection->link, connection->bytes, connection->requests);
 	if (connection->server != NULL &&
 	    bp_link_send(connection->link, &frame, &err) == BP_ETOOLARGE) {
 		frame.error = BP_ETOOLARGE;
--- a/src/queues/job.c
+++ b/src/queues/job.c
@@ -8,6 +8,9 @@
 #define TASKS_MAX 20000
 #define STEPS_MAX 256
 #define ID_BYTES_MAX 64
+/* For the estimate of a job's memory. */
+#define STEP_TEXTS_BYTES 128
+#define TASK_PROGRESS_BYTES 16
 /* Bounds within which sums and products of times do not overflow. */
 #define STRETCH_MAX_PERMILLE 1000000
 #define TIME_MAX_MS (1LL << 53)
@@ -150,6 +153,25 @@
 	}
 }
 
+/*
+ * See the header. A task takes its entry, and a part of it again while its
+ * progress is stored.
+ */
+uint64_t
+bp_qjob_bytes_of(const Bp__Work__Job *spec)
+{
+	uint64_t tasks = 0;
+	size_t i;
+
+	for (i = 0; i < spec->n_steps; i++)
+		tasks += spec->steps[i]->tasks;
+	return sizeof(bp_qjob_t) + bp__work__job__get_packed_size(spec) +
+	    spec->n_steps * (sizeof(Bp__Work__Step) + STEP_TEXTS_BYTES) +
+	    occurrences_of(spec) *
+	    (spec->n_steps * sizeof(bp_qstep_t) +
+		tasks * (sizeof(bp_qtask_t) + TASK_PROGRESS_BYTES));
+}
+
 /* Creates a job without runs. Takes ownership of spec, which is valid. */
 bp_qjob_t *
 bp_qjob_new(Bp__Work__Job *spec)
@@ -157,6 +179,7 @@
 	bp_qjob_t *job = g_new0(bp_qjob_t, 1);
 
 	job->spec = spec;
+	job->bytes = bp_qjob_bytes_of(spec);
 	job->n_steps = (uint32_t)spec->n_steps;
 	job->occurrences = occurrences_of(spec);
 	job->steps = g_new0(bp_qstep_t, job->n_steps * job->occurrences);
--- a/src/queues/job.h
+++ b/src/queues/job.h
@@ -90,6 +90,7 @@
 	uint32_t n_parts; /* of its progress; 0: one record */
 	uint8_t *parts; /* BP_QPART flags */
 	bp_qrejections_t rejections;
+	uint64_t bytes; /* estimate of its memory */
 	GArray *waiters; /* callers of submit and cancel; used by the shard */
 };
 
@@ -120,11 +121,15 @@
 GBytes *bp_qjob_serialize_part(const bp_qjob_t *job, uint32_t part);
 int bp_qjob_load_part(bp_qjob_t *job, uint32_t part, const uint8_t *bytes,
     size_t size_bytes, bp_error_t *err);
+/* Returns an ended job without its tasks, as a successor would read it. */
+bp_qjob_t *bp_qjob_new_compact(const bp_qjob_t *job);
 bp_qjob_t *bp_qjob_new_ended(
     const char *id, const uint8_t *bytes, size_t size_bytes);
 int bp_qjob_load_progress(
     bp_qjob_t *job, const uint8_t *bytes, size_t size_bytes, bp_error_t *err);
 
+/* Returns an estimate of the memory that a job takes while it is held. */
+uint64_t bp_qjob_bytes_of(const Bp__Work__Job *spec);
 int bp_qjob_validate(const Bp__Work__Job *spec, bp_error_t *err);
 
 #endif
--- a/src/queues/job_progress.c
+++ b/src/queues/job_progress.c
@@ -154,6 +154,23 @@
 	return BP_OK;
 }
 
+static bp_qjob_t *
+new_without_tasks(const char *id, const char *queue, Bp__Work__JobState state,
+    int64_t ended_ms)
+{
+	Bp__Work__Job spec = BP__WORK__JOB__INIT;
+	bp_qjob_t *job;
+
+	spec.id = (char *)id;
+	spec.queue = (char *)queue;
+	job = bp_qjob_new(bp_message_copy(&spec.base));
+	job->state = state;
+	job->stored = state;
+	job->ended_ms = ended_ms;
+	job->started = true;
+	return job;
+}
+
 /*
  * Creates an ended job of which only the progress is stored. Returns NULL when
  * the progress is malformed or is that of a job that has not ended.
@@ -166,22 +183,25 @@
 	bp_qjob_t *job = NULL;
 
 	if (progress != NULL && progress->queue[0] != '\0' &&
-	    progress->state >= BP__WORK__JOB_STATE__JOB_COMPLETED) {
-		Bp__Work__Job spec = BP__WORK__JOB__INIT;
-
-		spec.id = (char *)id;
-		spec.queue = progress->queue;
-		job = bp_qjob_new(bp_message_copy(&spec.base));
-		job->state = progress->state;
-		job->stored = progress->state;
-		job->ended_ms = progress->ended_ms;
-		job->started = true;
-	}
+	    progress->state >= BP__WORK__JOB_STATE__JOB_COMPLETED)
+		job = new_without_tasks(
+		    id, progress->queue, progress->state, progress->ended_ms);
 	if (progress != NULL)
 		bp__work__progress__free_unpacked(progress, NULL);
 	return job;
 }
 
+/* See the header. */
+bp_qjob_t *
+bp_qjob_new_compact(const bp_qjob_t *job)
+{
+	bp_qjob_t *copy = new_without_tasks(
+	    job->spec->id, job->spec->queue, job->state, job->ended_ms);
+
+	copy->accepted = job->accepted;
+	return copy;
+}
+
 /* Reads stored progress into a new job; BP_EINVALID for malformed bytes. */
 int
 bp_qjob_load_progress(
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -32,6 +32,9 @@
 /* Executors that an owner can handle for each processor (CAPACITY.md). */
 #define EXECUTORS_PER_PROCESSOR 1200
 #define MILLI 1000
+#define MIB (1024 * 1024)
+/* A quarter of the machine's memory is for the jobs that an owner holds. */
+#define JOBS_PARTS 4
 /* Largest number of open requests of a node on one connection. */
 #define PEER_REQUESTS_MAX 4096
 #define PEER_CONNECTIONS_MAX 256
@@ -329,6 +332,7 @@
 	server.address = node->settings->listen.control;
 	server.connections_max = PEER_CONNECTIONS_MAX;
 	server.requests_max = PEER_REQUESTS_MAX;
+	server.admission = node->admission;
 	server.handler = bp_queuenode_serve;
 	server.data = node;
 	return bp_peer_server_new(&node->server, &server, err);
@@ -377,6 +381,8 @@
 	options.limits.start_early_ms = queues->early_ms;
 	options.limits.status_keep_s = queues->status_keep_s;
 	options.limits.quarantine_failures = queues->quarantine_failures;
+	options.limits.jobs_bytes_max =
+	    (uint64_t)node->settings->limits.memory_mb * MIB / JOBS_PARTS;
 	options.watch_executors = on_watch_executors;
 	options.ask_owner = bp_queuenode_ask_owner;
 	options.unfit = on_unfit;
@@ -469,6 +475,7 @@
 	const bp_settings_t *settings = node->settings;
 	bp_platform_options_t platform = {0};
 	bp_freshness_options_t freshness = {0};
+	bp_admission_options_t admission;
 	int rc;
 
 	node->loop_clock = bp_clock_loop_new();
@@ -485,6 +492,13 @@
 	node->latency = bp_histogram_new(node->metrics, "bp_call_ms");
 	node->timeline = bp_timeline_new(
 	    node->clock, settings->node.name, settings->limits.timeline_events);
+	bp_admission_options_init(&admission, settings->limits.memory_mb,
+	    settings->limits.descriptors);
+	admission.clock = node->clock;
+	admission.logger = node->logger;
+	admission.metrics = node->metrics;
+	node->admission = bp_admission_new(&admission);
+	platform.admission = node->admission;
 	platform.clock = node->clock;
 	platform.logger = node->logger;
 	platform.settings = settings;
@@ -514,7 +528,8 @@
 	bp_metrics_on_collect(node->metrics, bp_queuenode_collect, node);
 	if (settings->listen.metrics != NULL)
 		rc = bp_metricsserver_new(&node->metrics_server,
-		    settings->listen.metrics, node->metrics, err);
+		    settings->listen.metrics, node->metrics, node->admission,
+		    err);
 	return rc;
 }
 
@@ -540,6 +555,7 @@
 	bp_incarnation_guard_free(node->incarnation_guard);
 	bp_peer_server_free(node->server);
 	bp_platform_free(node->platform);
+	bp_admission_free(node->admission);
 	bp_freshness_free(node->freshness);
 	bp_catalog_free(node->catalog);
 	bp_timeline_free(node->timeline);
--- a/src/queues/queuenode_private.h
+++ b/src/queues/queuenode_private.h
@@ -39,6 +39,7 @@
 	bp_metrics_t *metrics;
 	bp_timeline_t *timeline;
 	bp_metricsserver_t *metrics_server;
+	bp_admission_t *admission; /* of the callers at all addresses */
 	bp_histogram_t *latency; /* of served calls */
 	bp_platform_t *platform;
 	bp_peer_client_t *client;
--- a/src/queues/shard_calls.c
+++ b/src/queues/shard_calls.c
@@ -13,6 +13,10 @@
  * not found, which leaves time for the answer.
  */
 #define EPOCH_VERIFIED_MAX_MS 1500
+/* Longer than a lease, after which no run of a job is left. */
+#define COMPACT_AFTER_MS 20000
+/* Least interval of counting the memory of all jobs. */
+#define JOBS_COUNT_INTERVAL_MS 500
 
 static void
 answer_now(bp_shard_done_t done, void *data, bp_error_kind_t kind,
@@ -94,6 +98,66 @@
 	return BP_ESTATE;
 }
 
+/*
+ * Returns whether an ended job is needed only for its state: the store holds
+ * it, and its runs have ended or are of no task any more.
+ */
+static bool
+is_compactible(const bp_shard_t *shard, const bp_qjob_t *job)
+{
+	return bp_qjob_ended(job) && job->stored == job->state && !job->dirty &&
+	    !job->in_active_list && job->waiters == NULL && job->n_steps > 0 &&
+	    bp_shard_wall_ms(shard) - job->ended_ms > COMPACT_AFTER_MS;
+}
+
+/* Counts the memory of all jobs anew, and drops the tasks of ended ones. */
+static void
+count_jobs(bp_shard_t *shard)
+{
+	GList *values = g_hash_table_get_values(shard->jobs);
+	GList *entry;
+
+	shard->jobs_bytes = 0;
+	for (entry = values; entry != NULL; entry = entry->next) {
+		bp_qjob_t *job = entry->data;
+
+		if (is_compactible(shard, job)) {
+			job = bp_qjob_new_compact(job);
+			/* Replaces the key, which is in the old job, too. */
+			g_hash_table_replace(shard->jobs, job->spec->id, job);
+		}
+		shard->jobs_bytes += job->bytes;
+	}
+	g_list_free(values);
+}
+
+/*
+ * Returns whether there is memory for a job. Ended jobs are dropped at many
+ * places, so that all are counted anew once it seems that there is none.
+ */
+static bool
+has_room(bp_shard_t *shard, const Bp__Work__Job *spec)
+{
+	uint64_t bytes_max = shard->options.limits.jobs_bytes_max;
+	uint64_t bytes = bp_qjob_bytes_of(spec);
+	int64_t now_ms = bp_shard_now_ms(shard);
+
+	if (bytes_max == 0)
+		return true;
+	if (shard->jobs_counted_ms == 0 ||
+	    (shard->jobs_bytes + bytes > bytes_max &&
+		now_ms - shard->jobs_counted_ms >= JOBS_COUNT_INTERVAL_MS)) {
+		count_jobs(shard);
+		shard->jobs_counted_ms = MAX(now_ms, 1);
+	}
+	if (shard->jobs_bytes + bytes > bytes_max) {
+		shard->counts_refused++;
+		return false;
+	}
+	shard->jobs_bytes += bytes;
+	return true;
+}
+
 /* Accepts a job once the store holds it. A repeated ID adds no other job. */
 void
 bp_shard_submit(
@@ -120,6 +184,10 @@
 		answer_now(done, data, BP_ELOGDOWN,
 		    BP__WORK__JOB_STATE__JOB_QUEUED,
 		    "the store does not answer");
+	else if (!has_room(shard, spec))
+		answer_now(done, data, BP_EOVERLOAD,
+		    BP__WORK__JOB_STATE__JOB_QUEUED,
+		    "the owner holds as many jobs as its memory allows");
 	else {
 		job = bp_qjob_new(spec);
 		spec = NULL;
@@ -258,6 +326,8 @@
 {
 	report("jobs", g_hash_table_size(shard->jobs), data);
 	report("jobs_going", shard->active_jobs->len, data);
+	report("jobs_bytes", shard->jobs_bytes, data);
+	report("jobs_refused", shard->counts_refused, data);
 	report("executors", g_hash_table_size(shard->execs), data);
 	report("starts", shard->counts_started, data);
 	report("starts_rejected", shard->counts_rejected, data);
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -199,6 +199,9 @@
 	GPtrArray *active_jobs; /* bp_qjob_t */
 	GPtrArray *dirty_jobs; /* bp_qjob_t with progress to store */
 	GPtrArray *new_jobs; /* bp_qjob_t, not stored yet */
+	uint64_t jobs_bytes; /* estimate; grows until the next count */
+	int64_t jobs_counted_ms; /* of jobs_bytes; 0: never */
+	uint64_t counts_refused; /* submissions, for lack of memory */
 	bp_cancelled_ids_t *cancelled_ids; /* of jobs that were not known */
 	GArray *in_flight; /* bp_qappended_job_t of the append in flight */
 	bool append_alone; /* each append holds the records of one job */
--- a/tests/adapter/test_front.c
+++ b/tests/adapter/test_front.c
@@ -400,6 +400,26 @@
 	teardown(&fixture);
 }
 
+/* Guards against a server that closes the connection after each request. */
+static void
+test_connections_are_kept(void)
+{
+	static const char request[] = "GET /q/00000000000000a1 HTTP/1.1\r\n"
+				      "Host: h\r\n\r\n";
+	fixture_t fixture;
+	bp_rawcall_t *call;
+
+	setup(&fixture, true);
+	call = bp_rawcall_new(fixture.port);
+	CU_ASSERT_TRUE(bp_rawcall_send_text(call, request));
+	CU_ASSERT_TRUE(bp_rawcall_wait(call, "queued\"}"));
+	CU_ASSERT_TRUE(bp_rawcall_send_text(call, request));
+	CU_ASSERT_TRUE(bp_rawcall_wait(call, "queued\"}HTTP/1.1 200"));
+	CU_ASSERT_FALSE(bp_rawcall_closed(call));
+	bp_rawcall_free(call);
+	teardown(&fixture);
+}
+
 int
 main(void)
 {
@@ -411,6 +431,7 @@
 	    {"open calls", test_open_calls},
 	    {"a caller that has gone submits nothing",
 		test_a_caller_that_has_gone_submits_nothing},
+	    {"connections are kept", test_connections_are_kept},
 	    CU_TEST_INFO_NULL,
 	};
 
--- a/tests/support/queuerig.c
+++ b/tests/support/queuerig.c
@@ -8,6 +8,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* More than the jobs of the tests with this rig take, but for test_joblimit. */
+#define JOBS_BYTES_MAX ((uint64_t)64 * 1024 * 1024)
 #define LIST_PERIOD_MS 400
 #define HEARTBEAT_PERIOD_MS 700
 #define FROZEN_STEP_MS 20
@@ -290,6 +292,7 @@
 	options.limits.stop_max_ms = 200;
 	options.limits.status_keep_s = 3600;
 	options.limits.quarantine_failures = 3;
+	options.limits.jobs_bytes_max = JOBS_BYTES_MAX;
 	options.watch_executors = on_follow;
 	options.ask_owner = on_ask_owner;
 	options.unfit = on_unfit;
@@ -698,6 +701,7 @@
 	case BP_ESTATE:
 	case BP_EINVALID:
 	case BP_EREFUSED:
+	case BP_EOVERLOAD:
 		return BP_QRIG_REFUSED;
 	default:
 		return BP_QRIG_UNKNOWN;
