--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -60,7 +60,7 @@
 	uint32_t connections[BP_ADMISSION_ADDRESSES];
 	uint64_t bytes;
 	uint64_t peak_bytes; /* since memory was last given back */
-	bool trim_due; /* the closed connections are freed by the next check */
+	bool trim_due; /* at the next check */
 	int64_t served_ms; /* time, without that for which this was paused */
 	int64_t checked_ms; /* mono */
 	GHashTable *logged_ms; /* reason to mono ms + 1 of its last line */
@@ -400,16 +400,20 @@
 	}
 }
 
-/* The system gets the memory of a burst back, which malloc would keep. */
+/*
+ * The system gets the memory of a burst back, which malloc would keep; once
+ * more at the next check, as some of it is freed only after the closing.
+ */
 static void
 trim(bp_admission_t *admission)
 {
-	if (admission->trim_due)
+	bool due = admission->peak_bytes - admission->bytes >= TRIM_BYTES;
+
+	if (due || admission->trim_due)
 		(void)malloc_trim(0);
-	admission->trim_due =
-	    admission->peak_bytes - admission->bytes >= TRIM_BYTES;
-	if (admission->trim_due)
+	if (due)
 		admission->peak_bytes = admission->bytes;
+	admission->trim_due = due;
 }
 
 /* See the header. */
