--- a/include/bulrushpost/frame.h
+++ b/include/bulrushpost/frame.h
@@ -21,6 +21,9 @@
     bp_frame_decoder_t *decoder, const uint8_t *bytes, size_t size_bytes);
 int bp_frame_decoder_next(bp_frame_decoder_t *decoder, const uint8_t **body,
     size_t *size_bytes, bp_error_t *err);
+/* Frees the room of large frames once all were returned; bodies become
+ * invalid. */
+void bp_frame_decoder_trim(bp_frame_decoder_t *decoder);
 size_t bp_frame_decoder_pending(const bp_frame_decoder_t *decoder);
 
 #endif
--- a/src/core/frame.c
+++ b/src/core/frame.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+/* Room that a decoder keeps between frames. */
+#define KEPT_BYTES 65536
+
 struct bp_frame_decoder {
 	GByteArray *bytes;
 	size_t start; /* of the first byte not yet returned */
@@ -103,3 +106,15 @@
 {
 	return decoder->bytes->len - decoder->start;
 }
+
+/* See the header. */
+void
+bp_frame_decoder_trim(bp_frame_decoder_t *decoder)
+{
+	if (bp_frame_decoder_pending(decoder) > 0 ||
+	    decoder->bytes->len <= KEPT_BYTES)
+		return;
+	g_byte_array_unref(decoder->bytes);
+	decoder->bytes = g_byte_array_new();
+	decoder->start = 0;
+}
--- a/src/node/link.c
+++ b/src/node/link.c
@@ -7,6 +7,8 @@
 #include <netinet/tcp.h>
 
 #define READ_BYTES 16384
+/* Room that a link keeps for what it sends. */
+#define KEPT_BYTES 65536
 /*
  * The priority of reading: a source of a lower priority would wait for a main
  * loop iteration with nothing to read, which a busy node may not reach for
@@ -130,11 +132,24 @@
 	(void)g_socket_shutdown(link->socket, TRUE, TRUE, NULL);
 }
 
+/* A byte array's capacity is a power of two. */
+static uint64_t
+capacity_of(uint64_t size_bytes)
+{
+	uint64_t capacity = size_bytes > 0 ? 1 : 0;
+
+	while (capacity < size_bytes)
+		capacity *= 2;
+	return capacity;
+}
+
 /* Counts what the peer has begun and not read; false when there is no room. */
 static bool
 count(bp_link_t *link, size_t more_bytes)
 {
-	size_t unread = link->unsent->len - link->written + more_bytes;
+	uint64_t unread = link->unsent->len > link->written || more_bytes > 0
+	    ? capacity_of(link->unsent->len + more_bytes)
+	    : 0;
 	size_t partial = bp_frame_decoder_pending(link->decoder);
 
 	if (link->admitted == NULL)
@@ -148,7 +163,7 @@
 	else if (bp_admitted_phase(link->admitted) != BP_ADMITTED_BODY)
 		bp_admitted_set_phase(link->admitted, BP_ADMITTED_BODY);
 	return bp_admitted_set_bytes(
-	    link->admitted, link->held_bytes + unread + partial);
+	    link->admitted, link->held_bytes + unread + capacity_of(partial));
 }
 
 /* See the header. */
@@ -249,6 +264,7 @@
 	} else {
 		bp_frame_decoder_push(link->decoder, link->buffer, (size_t)n);
 		take_frames(link);
+		bp_frame_decoder_trim(link->decoder);
 		if (!link->closed && !count(link, 0))
 			fail_with(link, BP_EOVERLOAD,
 			    "no memory for an unfinished frame");
@@ -309,6 +325,10 @@
 		link->progress_ms = now_ms(link);
 		(void)count(link, 0);
 	}
+	if (link->unsent->len > KEPT_BYTES) {
+		g_byte_array_unref(link->unsent);
+		link->unsent = g_byte_array_new();
+	}
 	g_byte_array_set_size(link->unsent, 0);
 	link->written = 0;
 	drop_source(&link->writer);
--- a/tests/core/test_frame.c
+++ b/tests/core/test_frame.c
@@ -124,12 +124,44 @@
 	g_byte_array_unref(stream);
 }
 
+/* Guards against bytes of the next frame that are lost with the room. */
+static void
+test_trim_keeps_the_stream(void)
+{
+	bp_frame_decoder_t *decoder = bp_frame_decoder_new();
+	GByteArray *stream = g_byte_array_new();
+	uint8_t *body = g_malloc0(BP_FRAME_MAX_BYTES);
+	const uint8_t *found;
+	size_t size = 0;
+
+	(void)bp_frame_append(stream, body, BP_FRAME_MAX_BYTES, NULL);
+	(void)bp_frame_append(stream, (const uint8_t *)"one", 3, NULL);
+	bp_frame_decoder_push(decoder, stream->data, stream->len - 1);
+	CU_ASSERT_EQUAL(bp_frame_decoder_next(decoder, &found, &size, NULL), 1);
+	bp_frame_decoder_trim(decoder);
+	CU_ASSERT_EQUAL(bp_frame_decoder_pending(decoder), 6);
+	bp_frame_decoder_push(decoder, (const uint8_t *)"e", 1);
+	CU_ASSERT_EQUAL(bp_frame_decoder_next(decoder, &found, &size, NULL), 1);
+	CU_ASSERT_TRUE(size == 3 && memcmp(found, "one", 3) == 0);
+	bp_frame_decoder_push(decoder, stream->data, stream->len);
+	CU_ASSERT_EQUAL(bp_frame_decoder_next(decoder, &found, &size, NULL), 1);
+	CU_ASSERT_EQUAL(bp_frame_decoder_next(decoder, &found, &size, NULL), 1);
+	bp_frame_decoder_trim(decoder);
+	bp_frame_decoder_push(decoder, stream->data, stream->len);
+	CU_ASSERT_EQUAL(bp_frame_decoder_next(decoder, &found, &size, NULL), 1);
+	CU_ASSERT_EQUAL(size, BP_FRAME_MAX_BYTES);
+	bp_frame_decoder_free(decoder);
+	g_free(body);
+	g_byte_array_unref(stream);
+}
+
 int
 main(void)
 {
 	CU_TestInfo tests[] = {
 	    {"splits", test_any_split_gives_the_same_frames},
 	    {"broken input", test_broken_input_is_safe},
+	    {"trim", test_trim_keeps_the_stream},
 	    {"limit", test_limit_holds_on_both_sides},
 	    CU_TEST_INFO_NULL,
 	};
