--- a/tests/support/queuenodes.h
+++ b/tests/support/queuenodes.h
@@ -36,6 +36,7 @@
 	char *settings[BP_QUEUENODES];
 	const char *name; /* of the test, for the files of its nodes */
 	const char *key; /* of the calls' customer, NULL for none */
+	const char *more; /* settings of the test; NULL for none */
 } bp_queuenodes_t;
 
 /* A call, the answer that is expected and the status that came. */
@@ -54,6 +55,10 @@
 /* Calls prepare before the nodes start. */
 void bp_queuenodes_setup_with(bp_queuenodes_t *fixture, const char *name,
     void (*prepare)(bp_queuehttp_t *platform));
+/* Starts so many nodes, which serve metrics too; more is added to their
+ * settings. */
+void bp_queuenodes_setup_settings(bp_queuenodes_t *fixture, const char *name,
+    uint32_t nodes, const char *more);
 /* Kills what still runs; checks that no executor was misused. */
 void bp_queuenodes_teardown(bp_queuenodes_t *fixture);
 void bp_queuenodes_start(bp_queuenodes_t *fixture, uint32_t node);
