--- a/src/queues/shard_score.c
+++ b/src/queues/shard_score.c
@@ -21,7 +21,8 @@
 /* Share of their requested processors that serving tasks use. */
 #define SERVING_USE_PERCENT 55
 /* Share of its full speed that a filler must be able to have on an executor. A
- * step ends with its slowest filler, and a slowed one takes slack for longer. */
+ * step ends with its slowest filler, and a slowed one takes slack for longer.
+ */
 #define FILLER_SPEED_MIN 1.0
 /* The same once its step was unplaced for SLOW_PLACEMENT_AFTER_MS; processors
  * that serving tasks leave would stay unused otherwise. */
