--- a/src/queues/job.h
+++ b/src/queues/job.h
@@ -92,7 +92,6 @@
 	bool cancelling; /* nothing starts while its cancel is stored */
 	bool dirty; /* has progress to be stored */
 	bool started; /* a task of it */
-	bool in_active_list; /* of the shard */
 	int64_t ended_ms; /* Unix ms */
 	int64_t *critical_paths_ms; /* estimates, from each step on */
 	int64_t due_ms; /* Unix ms, latest end that meets the objective */
--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -188,7 +188,8 @@
 
 		if (bp_qjob_ended(job) && job->stored == job->state &&
 		    !job->dirty && job->waiters == NULL &&
-		    job->ended_ms < expired_before_ms) {
+		    job->ended_ms < expired_before_ms &&
+		    !bp_shard_appends_job(shard, job)) {
 			bp_shard_drop_job(shard, job);
 			bp_record_writer_request(shard->writer, false);
 		}
--- a/src/queues/shard_calls.c
+++ b/src/queues/shard_calls.c
@@ -148,13 +148,15 @@
 
 /*
  * Returns whether an ended job is needed only for its state: the store holds
- * it, and its runs have ended or are of no task any more.
+ * it, no append refers to it, and its runs have ended or are of no task any
+ * more.
  */
 static bool
 is_compactible(const bp_shard_t *shard, const bp_qjob_t *job)
 {
-	return bp_qjob_ended(job) && job->stored == job->state && !job->dirty &&
-	    !job->in_active_list && job->waiters == NULL && job->n_steps > 0 &&
+	return shard->reconciled && bp_qjob_ended(job) &&
+	    job->stored == job->state && !job->dirty && job->waiters == NULL &&
+	    job->n_steps > 0 && !bp_shard_appends_job(shard, job) &&
 	    bp_shard_wall_ms(shard) - job->ended_ms > COMPACT_AFTER_MS;
 }
 
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -333,6 +333,8 @@
     bp_qjob_t *job, bool cancels, const bp_shard_answer_t *answer);
 bp_store_record_t *bp_shard_owner_record(const bp_shard_t *shard);
 void bp_shard_drop_job(bp_shard_t *shard, bp_qjob_t *job);
+/* Returns whether the append in flight refers to a job. */
+bool bp_shard_appends_job(const bp_shard_t *shard, const bp_qjob_t *job);
 void bp_shard_drop_exec(bp_shard_t *shard, bp_qexec_t *exec);
 
 /* shard_parts.c */
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -527,6 +527,20 @@
 	end_append(shard, outcome);
 }
 
+/* See the header. */
+bool
+bp_shard_appends_job(const bp_shard_t *shard, const bp_qjob_t *job)
+{
+	guint i;
+
+	for (i = 0; i < shard->in_flight->len; i++) {
+		if (g_array_index(shard->in_flight, bp_qappended_job_t, i)
+			.job == job)
+			return true;
+	}
+	return false;
+}
+
 /* Removes an ended job; the next append removes its records. */
 void
 bp_shard_drop_job(bp_shard_t *shard, bp_qjob_t *job)
