Logs tell who sends orders, how long an append waits, and keep summaries

Change: "orders sent" counts direct and proxied orders every 2 s; an append without an answer is logged again every 2 s with its attempts and its age; one message takes at most a quarter of the lines of a second.

--- a/src/core/logline.c
+++ b/src/core/logline.c
@@ -11,6 +11,9 @@
 #define MILLI 1000
 /* Capacity of the token bucket, in seconds of the line rate. */
 #define BURST_S 2
+/* One message may take this part of the lines of a second, so that what a fault
+ * repeats for each executor or task leaves room for the other messages. */
+#define MESSAGE_PARTS 4
 /* Facility "daemon" of RFC 5424, shifted as in a priority value. */
 #define FACILITY_DAEMON (3 << 3)
 
@@ -22,6 +25,8 @@
 	uint32_t lines_per_s; /* 0: unlimited */
 	int64_t tokens_milli; /* thousandths of a line */
 	int64_t refilled_at_ms; /* monotonic ms */
+	GHashTable *message_lines; /* message to its lines in this second */
+	int64_t message_lines_since_ms; /* monotonic ms */
 	uint64_t dropped_lines;
 };
 
@@ -50,6 +55,8 @@
 	logger->process = g_strdup(process);
 	logger->level = level;
 	logger->fd = STDERR_FILENO;
+	logger->message_lines =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return logger;
 }
 
@@ -59,6 +66,7 @@
 {
 	if (logger == NULL)
 		return;
+	g_hash_table_unref(logger->message_lines);
 	g_free(logger->process);
 	g_free(logger);
 }
@@ -77,6 +85,29 @@
 		(void)fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 
+/* Counts a line of a message; returns whether the message has not taken its
+ * part of this second. */
+static bool
+within_message_part(bp_logger_t *logger, const char *message)
+{
+	int64_t now_ms = bp_clock_mono_ms(logger->clock);
+	guint lines;
+
+	if (logger->lines_per_s == 0)
+		return true;
+	if (now_ms - logger->message_lines_since_ms >= MS_PER_S) {
+		g_hash_table_remove_all(logger->message_lines);
+		logger->message_lines_since_ms = now_ms;
+	}
+	lines = GPOINTER_TO_UINT(
+	    g_hash_table_lookup(logger->message_lines, message));
+	if (lines >= MAX(logger->lines_per_s / MESSAGE_PARTS, 1))
+		return false;
+	g_hash_table_replace(logger->message_lines, g_strdup(message),
+	    GUINT_TO_POINTER(lines + 1));
+	return true;
+}
+
 /* Takes a token; lines from warning upwards pass even without one. */
 static bool
 take_token(bp_logger_t *logger, bp_log_level_t level)
@@ -171,7 +202,8 @@
 
 	if (logger == NULL || level > logger->level)
 		return;
-	if (!take_token(logger, level)) {
+	if ((level > BP_LOG_WARNING && !within_message_part(logger, message)) ||
+	    !take_token(logger, level)) {
 		logger->dropped_lines++;
 		return;
 	}
--- a/src/queues/orderrouter.c
+++ b/src/queues/orderrouter.c
@@ -25,7 +25,7 @@
 #define SEED_PROXY 0x636f7572
 
 #define MODULE "relay"
-/* Interval of the log line on the latency of starts through proxies. */
+/* Interval of the log lines on orders and the latency of starts. */
 #define SUMMARY_MS 2000
 
 /* Starts that a proxy answered since the last summary. */
@@ -55,6 +55,9 @@
 	GHashTable *proxies; /* address to proxy_t */
 	GHashTable *calls; /* set of call_t in flight */
 	uint64_t calls_sent;
+	uint64_t direct_sent; /* orders that this node sent itself */
+	uint64_t calls_summarized; /* calls_sent at the last summary */
+	uint64_t direct_summarized; /* direct_sent at the last summary */
 	guint summary_timer;
 };
 
@@ -109,6 +112,14 @@
 	return -MAX(weight, 1) / log(unit);
 }
 
+/* Returns whether a node gets orders. */
+static bool
+is_usable(const proxy_t *proxy, int64_t now_ms)
+{
+	return now_ms - proxy->last_heartbeat_ms <= HEARTBEAT_TIMEOUT_MS &&
+	    proxy->backoff_until_ms <= now_ms;
+}
+
 /*
  * Returns the address of an executor's proxy, NULL for this node: the highest
  * rendezvous score, weighted by processors, among the live nodes of the
@@ -134,8 +145,7 @@
 		double score = rendezvous_score(
 		    executor_hash ^ proxy->hash, proxy->processor_milli);
 
-		if (now_ms - proxy->last_heartbeat_ms > HEARTBEAT_TIMEOUT_MS ||
-		    proxy->backoff_until_ms > now_ms)
+		if (!is_usable(proxy, now_ms))
 			continue;
 		if (in_zone == best_in_zone ? score > best_score : in_zone) {
 			best_address = proxy->address;
@@ -338,6 +348,7 @@
 	Bp__Work__Order order = BP__WORK__ORDER__INIT;
 
 	if (proxy == NULL) {
+		router->direct_sent++;
 		router->options.direct->start(
 		    router->options.direct, target, start, done, data);
 		return;
@@ -363,6 +374,7 @@
 	Bp__Work__Order order = BP__WORK__ORDER__INIT;
 
 	if (proxy == NULL) {
+		router->direct_sent++;
 		router->options.direct->stop(
 		    router->options.direct, target, task, run, done, data);
 		return;
@@ -382,6 +394,7 @@
 	Bp__Work__Order order = BP__WORK__ORDER__INIT;
 
 	if (proxy == NULL) {
+		router->direct_sent++;
 		router->options.direct->poll(
 		    router->options.direct, target, poll, done, data);
 		return;
@@ -404,6 +417,7 @@
 	Bp__Work__Order order = BP__WORK__ORDER__INIT;
 
 	if (proxy == NULL) {
+		router->direct_sent++;
 		router->options.direct->throttle(router->options.direct, target,
 		    task, run, percent, done, data);
 		return;
@@ -454,6 +468,43 @@
 	sum->proxy_ms += stats->proxy_ms;
 }
 
+/* Returns the number of nodes that currently get orders. */
+static uint32_t
+usable_proxies(const bp_order_router_t *router)
+{
+	int64_t now_ms = bp_clock_mono_ms(router->options.clock);
+	uint32_t usable = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, router->proxies);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		usable += is_usable(value, now_ms);
+	return usable;
+}
+
+/* Logs how many orders this node sends itself, as each costs far more than one
+ * that a proxy sends. */
+static void
+log_orders(bp_order_router_t *router)
+{
+	uint64_t direct = router->direct_sent - router->direct_summarized;
+	uint64_t proxied = router->calls_sent - router->calls_summarized;
+	char text[128];
+
+	router->direct_summarized = router->direct_sent;
+	router->calls_summarized = router->calls_sent;
+	if (direct == 0 && proxied == 0)
+		return;
+	snprintf(text, sizeof(text),
+	    "direct=%" G_GUINT64_FORMAT " proxied=%" G_GUINT64_FORMAT
+	    " proxies=%u unanswered=%u",
+	    direct, proxied, usable_proxies(router),
+	    g_hash_table_size(router->calls));
+	bp_log(router->options.logger, BP_LOG_INFO, MODULE, "orders sent",
+	    "state", text, NULL);
+}
+
 /* Logs what tells one slow proxy from slow proxies everywhere and from a busy
  * owner. */
 static gboolean
@@ -467,6 +518,7 @@
 	gpointer value;
 	char text[256];
 
+	log_orders(router);
 	g_hash_table_iter_init(&iter, router->proxies);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		proxy_t *proxy = value;
--- a/src/queues/recordwriter.c
+++ b/src/queues/recordwriter.c
@@ -1,11 +1,15 @@
 #include "queues/recordwriter.h"
 
+#include <stdio.h>
+
 /* Shortest time between appends, so that many run ends share one call. */
 #define APPEND_INTERVAL_MS 25
 /* The same while a caller waits: groups only simultaneous requests. */
 #define URGENT_INTERVAL_MS 8
 /* Delay before a refused or unanswered append is repeated. */
 #define RETRY_MS 150
+/* Interval at which an append without an answer is logged again. */
+#define REPORT_INTERVAL_MS 2000
 #define MODULE "journal"
 
 struct bp_record_writer {
@@ -21,6 +25,8 @@
 	bool maybe_applied; /* an attempt in flight got no answer */
 	bool fenced; /* another writer took over: nothing is appended */
 	uint64_t appends;
+	uint32_t attempts; /* of the append in flight */
+	int64_t reported_ms; /* mono, when it was last logged as unanswered */
 	guint timer;
 };
 
@@ -54,6 +60,29 @@
 	writer->options.done(outcome, writer->options.data);
 }
 
+/* Logs an append without an answer, with what tells a store that is silent from
+ * a node that is too busy to store. */
+static void
+report_unanswered(bp_record_writer_t *writer)
+{
+	int64_t now_ms = bp_clock_mono_ms(writer->options.clock);
+	char attempts[16];
+	char records[16];
+	char since[32];
+
+	if (writer->attempts > 1 &&
+	    now_ms - writer->reported_ms < REPORT_INTERVAL_MS)
+		return;
+	writer->reported_ms = now_ms;
+	snprintf(attempts, sizeof(attempts), "%u", writer->attempts);
+	snprintf(records, sizeof(records), "%u", writer->records->len);
+	snprintf(since, sizeof(since), "%" G_GINT64_FORMAT,
+	    now_ms - writer->first_sent_ms);
+	bp_log(writer->options.logger, BP_LOG_WARNING, MODULE,
+	    "no answer to an append; repeating it", "attempts", attempts,
+	    "since_ms", since, "records", records, NULL);
+}
+
 /*
  * Once an attempt was not answered, the refusal of a repetition says nothing
  * about that attempt: only success or a fencing error ends the append.
@@ -91,9 +120,7 @@
 		finish(writer, BP_STORE_REJECTED);
 		break;
 	case BP_STORE_UNKNOWN:
-		if (!writer->maybe_applied)
-			bp_log(writer->options.logger, BP_LOG_WARNING, MODULE,
-			    "no answer to an append; repeating it", NULL);
+		report_unanswered(writer);
 		writer->maybe_applied = true;
 		writer->timer = bp_clock_add_timer(
 		    writer->options.clock, RETRY_MS, on_retry, writer);
@@ -116,6 +143,7 @@
 	append.records = writer->records;
 	writer->last_sent_ms = bp_clock_mono_ms(options->clock);
 	writer->appends++;
+	writer->attempts++;
 	options->store->append(options->store, &append, on_append, writer);
 }
 
@@ -134,6 +162,7 @@
 		return G_SOURCE_REMOVE;
 	}
 	writer->first_sent_ms = bp_clock_mono_ms(writer->options.clock);
+	writer->attempts = 0;
 	send_append(writer);
 	return G_SOURCE_REMOVE;
 }
