Tests: groups of the store in memory follow the protocol

Cause: the store that the tests use gave a partition to another member only when its member was gone, and moved it at the next join of any generation. The platform's store assigns all partitions anew when a member comes or goes, and moves one only once its holder joins with the generation of that change, leaves or expires, so that no test showed an owner that loses its shard although it is well. Change: support/queuegroup follows PROTOCOL.md: assignments are even after each change of the live members, holders keep what they hold until they name the generation, and a reassignment at once waits for nobody. Whether a change assigns all partitions anew or as few as possible is chosen by the test; the latter stays the default, since replays with a recorded digest count on the numbers drawn. Answers to joins and to reads of the owners can be lost, or their effect can be late.

--- a/tests/support/queuestore.c
+++ b/tests/support/queuestore.c
@@ -1,4 +1,5 @@
 #include "support/queuestore.h"
+#include "support/queuegroup.h"
 
 #include <string.h>
 
@@ -20,28 +21,20 @@
 	uint64_t last_end; /* end after the last append */
 } part_t;
 
-typedef struct {
-	char *name;
-	int64_t joined_ms;
-	uint32_t ttl_ms;
-	bool left;
-} member_t;
-
 struct bp_qstore {
 	bp_clock_virtual_t *clock;
 	bp_random_t *random;
 	uint32_t n_parts;
 	part_t *parts;
-	GPtrArray *members; /* member_t */
-	member_t **holder; /* a partition */
-	member_t **wanted; /* a partition */
-	uint64_t generation;
+	bp_qgroup_t *group;
 	uint32_t delay_ms;
 	const char *rejected; /* part of a key; NULL for none */
 	uint32_t lost_percent;
 	bool lost_late;
+	uint32_t group_lost_percent;
 	uint64_t appends;
 	uint64_t listings;
+	uint64_t owner_reads;
 	GPtrArray *views;
 };
 
@@ -80,12 +73,6 @@
 	return bp_clock_virtual_clock(store->clock);
 }
 
-static int64_t
-now_ms(const bp_qstore_t *store)
-{
-	return bp_clock_mono_ms(clock_of(store));
-}
-
 static void
 assignment_clear(gpointer data)
 {
@@ -266,55 +253,6 @@
 	call->result.end_offset = at;
 }
 
-static bool
-alive(const bp_qstore_t *store, const member_t *member)
-{
-	return member != NULL && !member->left &&
-	    now_ms(store) - member->joined_ms <= member->ttl_ms;
-}
-
-/* Gives partitions without a live wanted member to the others in turn. */
-static void
-deal(bp_qstore_t *store, bool anew)
-{
-	GPtrArray *live = g_ptr_array_new();
-	uint32_t i;
-
-	for (i = 0; i < store->members->len; i++) {
-		if (alive(store, store->members->pdata[i]))
-			g_ptr_array_add(live, store->members->pdata[i]);
-	}
-	for (i = 0; i < store->n_parts && live->len > 0; i++) {
-		if (!anew && alive(store, store->wanted[i]))
-			continue;
-		store->wanted[i] =
-		    live->pdata[bp_random_below(store->random, live->len)];
-		store->generation++;
-	}
-	for (i = 0; i < store->n_parts; i++) {
-		if (!alive(store, store->holder[i]))
-			store->holder[i] = NULL;
-	}
-	g_ptr_array_unref(live);
-}
-
-static member_t *
-find_member(bp_qstore_t *store, const char *name)
-{
-	member_t *member;
-	guint i;
-
-	for (i = 0; i < store->members->len; i++) {
-		member = store->members->pdata[i];
-		if (strcmp(member->name, name) == 0)
-			return member;
-	}
-	member = g_new0(member_t, 1);
-	member->name = g_strdup(name);
-	g_ptr_array_add(store->members, member);
-	return member;
-}
-
 static void
 add_assignment(call_t *call, uint32_t partition, const char *member)
 {
@@ -335,24 +273,16 @@
 apply_join(call_t *call)
 {
 	bp_qstore_t *store = call->view->store;
-	member_t *member = find_member(store, call->text);
 	uint32_t i;
 
-	member->joined_ms = now_ms(store);
-	member->ttl_ms = call->ttl_ms;
-	member->left = false;
-	deal(store, false);
+	call->result.generation = bp_qgroup_join(
+	    store->group, call->text, call->ttl_ms, call->generation);
 	new_assignments(call);
 	for (i = 0; i < store->n_parts; i++) {
-		if (store->holder[i] == member && store->wanted[i] != member)
-			store->holder[i] = NULL;
-		if (store->holder[i] == NULL && store->wanted[i] == member)
-			store->holder[i] = member;
-		if (store->holder[i] == member)
+		if (bp_qgroup_listed(store->group, i, call->text))
 			add_assignment(call, i, NULL);
 	}
 	call->result.outcome = BP_STORE_OK;
-	call->result.generation = store->generation;
 }
 
 static void
@@ -363,8 +293,10 @@
 
 	new_assignments(call);
 	for (i = 0; i < store->n_parts; i++) {
-		if (store->holder[i] != NULL)
-			add_assignment(call, i, store->holder[i]->name);
+		const char *holder = bp_qgroup_holder(store->group, i);
+
+		if (holder != NULL)
+			add_assignment(call, i, holder);
 	}
 	call->result.outcome = BP_STORE_OK;
 }
@@ -386,8 +318,7 @@
 		apply_join(call);
 		break;
 	case LEAVE:
-		find_member(call->view->store, call->text)->left = true;
-		deal(call->view->store, false);
+		bp_qgroup_leave(call->view->store->group, call->text);
 		call->result.outcome = BP_STORE_OK;
 		break;
 	case OWNERS:
@@ -434,7 +365,7 @@
 	return on_answer(call);
 }
 
-/* The append takes effect later, when the caller has given it up. */
+/* The call takes effect later, when the caller has given it up. */
 static void
 lose_late(const call_t *call)
 {
@@ -442,21 +373,43 @@
 	call_t *late = g_new0(call_t, 1);
 
 	*late = *call;
-	late->records = g_ptr_array_ref(call->records);
-	late->text = NULL;
+	late->records =
+	    call->records != NULL ? g_ptr_array_ref(call->records) : NULL;
+	late->text = g_strdup(call->text);
 	late->forgotten = true;
 	g_hash_table_add(call->view->calls, late);
 	bp_clock_add_timer(clock_of(store),
 	    1000 + bp_random_below(store->random, 5000), on_late, late);
 }
 
+static bool
+is_lost(const call_t *call)
+{
+	const bp_qstore_t *store = call->view->store;
+	bool group = call->kind == JOIN || call->kind == OWNERS;
+
+	if (group && store->group_lost_percent > 0)
+		return bp_random_below(store->random, 100) <
+		    store->group_lost_percent;
+	return call->kind == APPEND &&
+	    bp_random_below(store->random, 100) < store->lost_percent;
+}
+
+static bool
+takes_effect_late(const call_t *call)
+{
+	const bp_qstore_t *store = call->view->store;
+
+	return call->kind == APPEND ? store->lost_late
+				    : bp_random_below(store->random, 2) == 0;
+}
+
 static gboolean
 on_arrival(gpointer data)
 {
 	call_t *call = data;
 	bp_qstore_t *store = call->view->store;
-	bool lost = call->kind == APPEND &&
-	    bp_random_below(store->random, 100) < store->lost_percent;
+	bool lost = is_lost(call);
 
 	switch (call->view->mode) {
 	case BP_QSTORE_BUSY:
@@ -470,7 +423,7 @@
 		break;
 	}
 	if (lost) {
-		if (store->lost_late)
+		if (takes_effect_late(call))
 			lose_late(call);
 		else
 			apply(call);
@@ -570,8 +523,10 @@
 store_owners(
     bp_store_t *interface, const char *group, bp_store_done_t done, void *data)
 {
+	call_t *call = new_call(interface, OWNERS, done, data);
+
 	(void)group;
-	(void)new_call(interface, OWNERS, done, data);
+	call->view->store->owner_reads++;
 }
 
 static void
@@ -588,13 +543,6 @@
 	}
 }
 
-static void
-member_free(gpointer data)
-{
-	g_free(((member_t *)data)->name);
-	g_free(data);
-}
-
 static void
 view_free(gpointer data)
 {
@@ -625,9 +573,7 @@
 		store->parts[i].log =
 		    g_ptr_array_new_with_free_func(bp_store_record_free);
 	}
-	store->members = g_ptr_array_new_with_free_func(member_free);
-	store->holder = g_new0(member_t *, partitions);
-	store->wanted = g_new0(member_t *, partitions);
+	store->group = bp_qgroup_new(clock_of(store), random, partitions);
 	store->views = g_ptr_array_new_with_free_func(view_free);
 	return store;
 }
@@ -644,9 +590,7 @@
 		g_ptr_array_unref(store->parts[i].log);
 	}
 	g_free(store->parts);
-	g_ptr_array_unref(store->members);
-	g_free(store->holder);
-	g_free(store->wanted);
+	bp_qgroup_free(store->group);
 	g_free(store);
 }
 
@@ -705,11 +649,25 @@
 	store->lost_late = late;
 }
 
+/* See the header. */
+void
+bp_qstore_set_shuffled(bp_qstore_t *store, bool shuffled)
+{
+	bp_qgroup_set_shuffled(store->group, shuffled);
+}
+
+/* See the header. */
+void
+bp_qstore_set_group_lost(bp_qstore_t *store, uint32_t percent)
+{
+	store->group_lost_percent = percent;
+}
+
 /* See the header. */
 void
 bp_qstore_rebalance(bp_qstore_t *store)
 {
-	deal(store, true);
+	bp_qgroup_rebalance(store->group);
 }
 
 /* Returns how many pages of keys were asked for. */
@@ -719,6 +677,20 @@
 	return store->listings;
 }
 
+/* See the header. */
+const char *
+bp_qstore_wanted(const bp_qstore_t *store, uint32_t partition)
+{
+	return bp_qgroup_wanted(store->group, partition);
+}
+
+/* Returns how often the owners were asked for. */
+uint64_t
+bp_qstore_owner_reads(const bp_qstore_t *store)
+{
+	return store->owner_reads;
+}
+
 /* Returns the number of appends that were sent. */
 uint64_t
 bp_qstore_appends(const bp_qstore_t *store)
--- a/tests/support/queuestore.h
+++ b/tests/support/queuestore.h
@@ -34,10 +34,20 @@
 /* Rejects each append with a value for such a key, for good; NULL for none.
  * key_part is static. */
 void bp_qstore_set_rejected(bp_qstore_t *store, const char *key_part);
-/* Deals all partitions anew. */
+/* Share of joins and of reads of the owners, in percent, without answer; half
+ * of them take effect 1 to 6 s later. */
+void bp_qstore_set_group_lost(bp_qstore_t *store, uint32_t percent);
+/* Each change of a group's members assigns all partitions anew, as the
+ * platform's store does, instead of as few as possible. */
+void bp_qstore_set_shuffled(bp_qstore_t *store, bool shuffled);
+/* Reassigns all partitions at once, without any request. */
 void bp_qstore_rebalance(bp_qstore_t *store);
+/* The member that a partition is assigned to, though another one may hold it;
+ * NULL for none. */
+const char *bp_qstore_wanted(const bp_qstore_t *store, uint32_t partition);
 uint64_t bp_qstore_appends(const bp_qstore_t *store);
 uint64_t bp_qstore_listings(const bp_qstore_t *store);
+uint64_t bp_qstore_owner_reads(const bp_qstore_t *store);
 /* The newest value of a key, NULL for none; lives until the next append. */
 GBytes *bp_qstore_value(
     const bp_qstore_t *store, uint32_t partition, const char *key);
