An owner that is well keeps its shard when a node returns

Cause: the group assigns its partitions anew whenever a node joins, returns or goes. The owner took each new generation at once, with which the store moves what is not listed any more. Change: a member that serves a single shard, and is listed for none, goes on naming its earlier generation while the store's list of owners has its name and incarnation. The confirmation counts from the join that was answered before the list was asked for. Without an answer it neither confirms nor releases. When the list names another member, or the shard is not served any more, it takes the new generation and releases the shard as before. The list is read at once after a change of the group and each 600 ms from then on, one read at a time and at most each 300 ms. A member that is listed for a shard keeps only what is listed, and one with several of which none is listed gives all up, because a generation is of the whole member. It also lets go when the store holds another shard for it, which it has not been told of as the answer to a join was lost: nobody would own that one.

--- a/src/queues/membership.c
+++ b/src/queues/membership.c
@@ -2,7 +2,9 @@
 
 #include "bulrushpost/hash.h"
 #include "bulrushpost/shard.h"
+#include "queues/keptshard.h"
 
+#include <stdio.h>
 #include <string.h>
 
 /* A join costs a tenth of a call, and a takeover waits for the next join. */
@@ -48,6 +50,8 @@
 	int64_t owners_asked_ms;
 	char **owners; /* addresses by shard, NULL if unknown */
 	bool store_confirms; /* the last join succeeded */
+	bp_kept_shard_t kept;
+	uint64_t kept_count; /* changes after which a shard was kept */
 	guint join_timer;
 	guint owners_timer;
 };
@@ -68,16 +72,75 @@
 leave(bp_membership_t *self)
 {
 	self->member = false;
+	self->kept.active = false;
 	self->options.store->leave(self->options.store, OWNERS_GROUP,
 	    self->member_name, on_left, self);
 }
 
+/* Returns whether this member may own shards. */
+static bool
+may_own(const bp_membership_t *self)
+{
+	return !self->left && self->member && self->release_ticks == 0;
+}
+
+static bool
+serves(const bp_membership_t *self, uint32_t shard)
+{
+	return self->options.serves != NULL &&
+	    self->options.serves(shard, self->options.data);
+}
+
+static gboolean on_owners_timer(void *data);
+
+/* Reads the owners at once if the kept shard needs it. */
+static void
+query_kept_owner(bp_membership_t *self)
+{
+	if (self->owners_pending ||
+	    !bp_kept_shard_query_due(&self->kept,
+		bp_clock_mono_ms(self->options.clock), self->owners_asked_ms))
+		return;
+	bp_clock_cancel_timer(self->options.clock, &self->owners_timer);
+	(void)on_owners_timer(self);
+}
+
+/* Takes the generation of a join and its assignments, unless a shard that is
+ * served but not listed is kept. */
+static void
+apply_join(bp_membership_t *self, const bp_store_result_t *result)
+{
+	uint32_t n = self->options.shards;
+	bool *listed = g_new0(bool, n);
+	bool *served = g_new0(bool, n);
+	guint i;
+
+	for (i = 0; i < result->assignments->len; i++) {
+		uint32_t partition =
+		    g_array_index(result->assignments, bp_store_assignment_t, i)
+			.partition;
+
+		if (partition < n)
+			listed[partition] = true;
+	}
+	for (i = 0; i < n; i++)
+		served[i] = serves(self, i);
+	if (bp_kept_shard_joined(&self->kept, listed, served, n,
+		result->generation, self->join_sent_ms)) {
+		query_kept_owner(self);
+	} else {
+		self->generation = result->generation;
+		self->options.assigned(
+		    listed, self->join_sent_ms, self->options.data);
+	}
+	g_free(listed);
+	g_free(served);
+}
+
 static void
 on_joined(const bp_store_result_t *result, void *data)
 {
 	bp_membership_t *self = data;
-	bool *shards;
-	guint i;
 
 	self->join_pending = false;
 	if (self->leave_pending) {
@@ -91,21 +154,8 @@
 			: "the store confirms membership",
 		    NULL);
 	self->store_confirms = result->outcome == BP_STORE_OK;
-	if (self->left || !self->member || self->release_ticks > 0 ||
-	    !self->store_confirms)
-		return;
-	self->generation = result->generation;
-	shards = g_new0(bool, self->options.shards);
-	for (i = 0; i < result->assignments->len; i++) {
-		uint32_t partition =
-		    g_array_index(result->assignments, bp_store_assignment_t, i)
-			.partition;
-
-		if (partition < self->options.shards)
-			shards[partition] = true;
-	}
-	self->options.assigned(shards, self->join_sent_ms, self->options.data);
-	g_free(shards);
+	if (may_own(self) && self->store_confirms)
+		apply_join(self, result);
 }
 
 /* Reports no assigned shards, so that those still owned are released once
@@ -198,8 +248,6 @@
 			     : g_strdup(member);
 }
 
-static gboolean on_owners_timer(void *data);
-
 static void
 schedule_owners_query(bp_membership_t *self, uint32_t delay_ms)
 {
@@ -230,15 +278,110 @@
 	self->member = true;
 }
 
+/* Logged once, when the shard begins to be kept. */
+static void
+log_kept(bp_membership_t *self)
+{
+	char number[16];
+
+	if (self->kept.confirmed)
+		return;
+	self->kept.confirmed = true;
+	self->kept_count++;
+	snprintf(number, sizeof(number), "%u", self->kept.number);
+	bp_log(self->options.logger, BP_LOG_NOTICE, MODULE,
+	    "the group assigns the shard to another node; its owner keeps it",
+	    "shard", number, NULL);
+}
+
+static void
+confirm_kept_shard(bp_membership_t *self)
+{
+	bool *shards = g_new0(bool, self->options.shards);
+
+	log_kept(self);
+	shards[self->kept.number] = true;
+	self->options.assigned(
+	    shards, self->kept.confirmed_ms, self->options.data);
+	g_free(shards);
+}
+
+/*
+ * Returns whether the owners name this member for the kept shard and no other
+ * one. The store may hold another shard for this member if the answer to a
+ * join was lost; nobody would own that one while the earlier generation is
+ * named.
+ */
+static bool
+holds_only_kept_shard(
+    const bp_membership_t *self, const bp_store_result_t *result)
+{
+	bool kept = false;
+	guint i;
+
+	for (i = 0; i < result->assignments->len; i++) {
+		const bp_store_assignment_t *assignment = &g_array_index(
+		    result->assignments, bp_store_assignment_t, i);
+
+		if (assignment->member == NULL ||
+		    assignment->partition >= self->options.shards ||
+		    strcmp(assignment->member, self->member_name) != 0)
+			continue;
+		if (assignment->partition != self->kept.number)
+			return false;
+		kept = true;
+	}
+	return kept;
+}
+
+/* A kept shard that the store names for another member, or that is not served
+ * any more, is released. */
+static void
+apply_owners(bp_membership_t *self, bool owned)
+{
+	uint32_t number = self->kept.number;
+
+	if (!may_own(self))
+		return;
+	switch (bp_kept_shard_answered(
+	    &self->kept, owned && serves(self, number))) {
+	case BP_KEPT_SHARD_UNDECIDED:
+		break;
+	case BP_KEPT_SHARD_CONFIRMED:
+		confirm_kept_shard(self);
+		break;
+	case BP_KEPT_SHARD_REASSIGNED:
+		self->generation = self->kept.generation;
+		release_all_shards(self);
+		break;
+	}
+}
+
+/* Returns the delay of the next query, after one that has succeeded or not. */
+static uint32_t
+owners_delay_ms(const bp_membership_t *self, bool succeeded)
+{
+	int64_t passed_ms =
+	    bp_clock_mono_ms(self->options.clock) - self->owners_asked_ms;
+
+	if (!succeeded && self->kept.active)
+		return (uint32_t)CLAMP(
+		    BP_KEPT_SHARD_QUERY_INTERVAL_MS - passed_ms, 0,
+		    BP_KEPT_SHARD_QUERY_INTERVAL_MS);
+	return self->refresh_again ? OWNERS_INTERVAL_MIN_MS
+				   : OWNERS_INTERVAL_MS;
+}
+
 static void
 on_owners(const bp_store_result_t *result, void *data)
 {
 	bp_membership_t *self = data;
+	bool succeeded = result->outcome == BP_STORE_OK;
 	uint32_t assigned = 0;
 	guint i;
 
 	self->owners_pending = false;
-	if (result->outcome == BP_STORE_OK) {
+	if (succeeded) {
 		for (i = 0; i < result->assignments->len; i++) {
 			const bp_store_assignment_t *assignment =
 			    &g_array_index(
@@ -254,9 +397,11 @@
 		}
 		join_if_vacant(self, assigned);
 	}
-	schedule_owners_query(self,
-	    self->refresh_again ? OWNERS_INTERVAL_MIN_MS : OWNERS_INTERVAL_MS);
+	schedule_owners_query(self, owners_delay_ms(self, succeeded));
 	self->refresh_again = false;
+	/* May request another query, since shards are released. */
+	if (succeeded)
+		apply_owners(self, holds_only_kept_shard(self, result));
 }
 
 static gboolean
@@ -267,6 +412,7 @@
 	self->owners_timer = 0;
 	self->owners_pending = true;
 	self->owners_asked_ms = bp_clock_mono_ms(self->options.clock);
+	bp_kept_shard_query_sent(&self->kept);
 	self->options.store->owners(
 	    self->options.store, OWNERS_GROUP, on_owners, self);
 	return G_SOURCE_REMOVE;
@@ -382,6 +528,13 @@
 	return shard < self->options.shards ? self->owners[shard] : NULL;
 }
 
+/* See the header. */
+uint64_t
+bp_membership_kept(const bp_membership_t *self)
+{
+	return self->kept_count;
+}
+
 /* See the header. */
 void
 bp_membership_refresh_owners(bp_membership_t *self)
--- a/src/queues/membership.h
+++ b/src/queues/membership.h
@@ -25,6 +25,10 @@
 	 * whether shard i is assigned to this node. Also called without any
 	 * shard while this node is not to own one. */
 	void (*assigned)(const bool *shards, int64_t sent_mono_ms, void *data);
+	/* Returns whether this node serves a shard, with a membership that is
+	 * valid. The membership keeps such a shard when the group would assign
+	 * it elsewhere. NULL: it keeps none. */
+	bool (*serves)(uint32_t shard, void *data);
 	void *data;
 } bp_membership_options_t;
 
@@ -44,6 +48,8 @@
 /* Returns the address of a shard's owner as last read, NULL if unknown. The
  * string lives until the owners are read again. */
 const char *bp_membership_owner(const bp_membership_t *self, uint32_t shard);
+/* Returns how often a shard was kept that the group had assigned elsewhere. */
+uint64_t bp_membership_kept(const bp_membership_t *self);
 /* Reads the owners from the store again, as the cached ones may be wrong. */
 void bp_membership_refresh_owners(bp_membership_t *self);
 
--- a/src/queues/ownedshards.c
+++ b/src/queues/ownedshards.c
@@ -115,6 +115,16 @@
 		    address, number, bp_shard_epoch(shard), self->options.data);
 }
 
+/* See the header. */
+bool
+bp_owned_shards_serves(const bp_owned_shards_t *self, uint32_t number)
+{
+	const bp_shard_t *shard = self->owned[number];
+
+	return shard != NULL && !self->released && !bp_shard_released(shard) &&
+	    bp_shard_membership_valid(shard);
+}
+
 /* See the header. */
 bool
 bp_owned_shards_stopped(
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -164,6 +164,14 @@
 	bp_owned_shards_set_assigned(node->shards, shards, sent_mono_ms);
 }
 
+static bool
+on_serves(uint32_t shard, void *data)
+{
+	const bp_queuenode_t *node = data;
+
+	return bp_owned_shards_serves(node->shards, shard);
+}
+
 static void
 on_heartbeat_answer(
     const Bp__Peer__Frame *answer, const bp_error_t *err, void *data)
@@ -412,6 +420,7 @@
 	membership.shards = bp_sharding_count(node->sharding);
 	membership.standby = node->standby;
 	membership.assigned = on_assigned;
+	membership.serves = on_serves;
 	membership.data = node;
 	node->heartbeats =
 	    g_new0(bp_queuenode_heartbeat_t, bp_sharding_count(node->sharding));
--- a/src/queues/queuenode_metrics.c
+++ b/src/queues/queuenode_metrics.c
@@ -42,6 +42,8 @@
 	}
 	bp_metric_set(
 	    bp_metrics_gauge(metrics, "bp_shards_owned", NULL), owned);
+	bp_metric_set(bp_metrics_counter(metrics, "bp_shards_kept", NULL),
+	    (double)bp_membership_kept(node->membership));
 	bp_metric_set(bp_metrics_gauge(metrics, "bp_calls_open", NULL),
 	    bp_job_router_open_calls(node->job_router));
 	bp_metric_set(
--- a/tests/queues/test_permits.c
+++ b/tests/queues/test_permits.c
@@ -133,6 +133,26 @@
 	node_free(node);
 }
 
+/* Guards against a shard that is kept although it is not served any more. */
+static void
+test_only_a_valid_shard_is_served(void)
+{
+	node_t *node = node_new();
+
+	CU_ASSERT_FALSE(bp_owned_shards_serves(node->shards, 0));
+	assign_shard(node, 0);
+	CU_ASSERT_TRUE(bp_owned_shards_serves(node->shards, 0));
+	bp_clock_virtual_run_ms(node->clock, EXPIRED_MS);
+	CU_ASSERT_FALSE(bp_owned_shards_serves(node->shards, 0));
+	assign_shard(node, 0);
+	bp_clock_virtual_run_ms(node->clock, SETTLE_MS);
+	assign_shard(node, 0);
+	CU_ASSERT_TRUE(bp_owned_shards_serves(node->shards, 0));
+	bp_owned_shards_release(node->shards);
+	CU_ASSERT_FALSE(bp_owned_shards_serves(node->shards, 0));
+	node_free(node);
+}
+
 int
 main(void)
 {
@@ -142,6 +162,7 @@
 		test_nothing_is_claimed_after_the_membership},
 	    {"the membership counts from the call",
 		test_the_membership_counts_from_the_call},
+	    {"only a valid shard is served", test_only_a_valid_shard_is_served},
 	    CU_TEST_INFO_NULL,
 	};
 
--- a/tests/queues/test_soak.c
+++ b/tests/queues/test_soak.c
@@ -154,6 +154,7 @@
 	bp_qfleet_set_late(bp_qrig_fleet(rig), 0);
 	bp_qstore_set_delay_ms(bp_qrig_store(rig), 4);
 	bp_qstore_set_lost(bp_qrig_store(rig), 0, false);
+	bp_qstore_set_group_lost(bp_qrig_store(rig), 0);
 	bp_qrig_set_zone(rig, "za", false);
 }
 
@@ -191,21 +192,32 @@
 	bp_qrig_set_shape(rig, &shape);
 }
 
+typedef struct {
+	uint32_t jitter_ms; /* of orders and answers */
+	bool reports; /* with faults of the executors' reports */
+	bool planning; /* of large tasks */
+	/* The group reassigns all partitions at each change of its members, and
+	 * answers of the group may be lost. */
+	bool reassigning;
+} scenario_t;
+
 /* Returns false and prints the seed if an invariant was violated. */
 static bool
-run_scenario(uint64_t seed, uint32_t jitter_ms, bool reports, bool planning)
+run_scenario(uint64_t seed, const scenario_t *scenario)
 {
-	bp_qrig_t *rig = planning ? bp_qrig_new_planning(seed, EXECUTORS)
-				  : bp_qrig_new(seed, EXECUTORS);
+	bp_qrig_t *rig = scenario->planning
+	    ? bp_qrig_new_planning(seed, EXECUTORS)
+	    : bp_qrig_new(seed, EXECUTORS);
 	GPtrArray *ids = g_ptr_array_new();
 	uint32_t unfinished;
 	uint32_t away;
 	uint32_t i;
 	bool good;
 
-	bp_qfleet_set_jitter_ms(bp_qrig_fleet(rig), jitter_ms);
+	bp_qfleet_set_jitter_ms(bp_qrig_fleet(rig), scenario->jitter_ms);
+	bp_qstore_set_shuffled(bp_qrig_store(rig), scenario->reassigning);
 	for (i = 0; i < FAULT_STEPS; i++) {
-		if (planning)
+		if (scenario->planning)
 			draw_shape(rig);
 		submit_load(rig, ids);
 		submit_load(rig, ids);
@@ -222,7 +234,10 @@
 		default:
 			break;
 		}
-		if (reports && below(rig, 3) == 0)
+		if (scenario->reassigning)
+			bp_qstore_set_group_lost(bp_qrig_store(rig),
+			    below(rig, 3) == 0 ? below(rig, 60) : 0);
+		if (scenario->reports && below(rig, 3) == 0)
 			fault_of_a_report(rig);
 		bp_qrig_run_ms(rig, 100 + below(rig, 1200));
 	}
@@ -236,12 +251,13 @@
 	    bp_qrig_owner(rig) >= 0 && away == 0;
 	if (!good)
 		printf("seed %" G_GUINT64_FORMAT
-		       ", jitter %u ms, reports %d, planning %d: %u broken "
-		       "(%s), %u jobs "
+		       ", jitter %u ms, reports %d, planning %d, "
+		       "reassigning %d: %u broken (%s), %u jobs "
 		       "unfinished, owner %d, %u away\n",
-		    seed, jitter_ms, reports, planning, bp_qrig_broken(rig),
-		    bp_qrig_first_broken(rig), unfinished, bp_qrig_owner(rig),
-		    away);
+		    seed, scenario->jitter_ms, scenario->reports,
+		    scenario->planning, scenario->reassigning,
+		    bp_qrig_broken(rig), bp_qrig_first_broken(rig), unfinished,
+		    bp_qrig_owner(rig), away);
 	g_ptr_array_unref(ids);
 	bp_qrig_free(rig);
 	return good;
@@ -257,7 +273,7 @@
 
 /* Runs seeded scenarios with faults of nodes, the store and executors. */
 static void
-soak(uint32_t jitter_ms, bool reports, bool planning)
+soak(const scenario_t *scenario)
 {
 	uint64_t first = number_from("SOAK_FIRST", 1);
 	uint64_t seeds = number_from("SOAK_SEEDS", SEEDS);
@@ -265,28 +281,34 @@
 	uint64_t i;
 
 	for (i = 0; i < seeds; i++)
-		bad += !run_scenario(first + i, jitter_ms, reports, planning);
+		bad += !run_scenario(first + i, scenario);
 	CU_ASSERT_EQUAL(bad, 0);
 }
 
 static void
 test_faults_break_no_rule(void)
 {
-	soak(0, false, false);
+	const scenario_t scenario = {0};
+
+	soak(&scenario);
 }
 
 /* Proxies are busy, so that orders and answers overtake each other. */
 static void
 test_overtaking_breaks_no_rule(void)
 {
-	soak(JITTER_MS, false, false);
+	const scenario_t scenario = {.jitter_ms = JITTER_MS};
+
+	soak(&scenario);
 }
 
 /* List entries of executors expire and return, and answers are late or lost. */
 static void
 test_reports_break_no_rule(void)
 {
-	soak(JITTER_MS, true, false);
+	const scenario_t scenario = {.jitter_ms = JITTER_MS, .reports = true};
+
+	soak(&scenario);
 }
 
 /* Large tasks get reservations, and runs are moved for them, during the same
@@ -294,10 +316,24 @@
 static void
 test_planning_breaks_no_rule(void)
 {
-	soak(JITTER_MS, true, true);
+	const scenario_t scenario = {
+	    .jitter_ms = JITTER_MS, .reports = true, .planning = true};
+
+	soak(&scenario);
 	CU_ASSERT_TRUE(reservations > 0);
 }
 
+/* The group moves the shard at each change of its members, while answers to
+ * joins and to reads of the owners are lost or take effect late. */
+static void
+test_reassignments_break_no_rule(void)
+{
+	const scenario_t scenario = {
+	    .jitter_ms = JITTER_MS, .reassigning = true};
+
+	soak(&scenario);
+}
+
 /*
  * Seeds that failed once. 32034: the lease of an earlier owner outlasted that
  * of the current one. 70026, 70774 and 70534: after a takeover, runs of a
@@ -313,9 +349,11 @@
 	    {70774, 0}, {70534, JITTER_MS}};
 	size_t i;
 
-	for (i = 0; i < G_N_ELEMENTS(plays); i++)
-		CU_ASSERT_TRUE(run_scenario(
-		    plays[i].seed, plays[i].jitter_ms, false, false));
+	for (i = 0; i < G_N_ELEMENTS(plays); i++) {
+		const scenario_t scenario = {.jitter_ms = plays[i].jitter_ms};
+
+		CU_ASSERT_TRUE(run_scenario(plays[i].seed, &scenario));
+	}
 }
 
 int
@@ -326,6 +364,7 @@
 	    {"overtaking breaks no rule", test_overtaking_breaks_no_rule},
 	    {"reports break no rule", test_reports_break_no_rule},
 	    {"planning breaks no rule", test_planning_breaks_no_rule},
+	    {"reassignments break no rule", test_reassignments_break_no_rule},
 	    {"seeds that were red", test_seeds_that_were_red},
 	    CU_TEST_INFO_NULL,
 	};
--- a/tests/support/queuerig.c
+++ b/tests/support/queuerig.c
@@ -220,6 +220,14 @@
 	bp_owned_shards_set_assigned(node->shards, shards, sent_mono_ms);
 }
 
+static bool
+on_serves(uint32_t shard, void *data)
+{
+	const rig_node_t *node = data;
+
+	return bp_owned_shards_serves(node->shards, shard);
+}
+
 /* One route to the pool of all executors. */
 static bp_catalog_t *
 new_catalog(void)
@@ -345,6 +353,7 @@
 	options.incarnation = ++rig->incarnations;
 	options.shards = 1;
 	options.assigned = on_held;
+	options.serves = on_serves;
 	options.data = node;
 	node->membership = bp_membership_new(&options);
 }
