An owner without membership says so, and its successor gets heartbeats soon

What callers saw: after a change of owner up to 2.3 s without an answer, as the new owner knew no order proxy and sent all orders itself. Cause: a node answered heartbeats as the owner by the mere presence of a shard, also while it took the shard over or had lost the store. The other nodes went on sending heartbeats to it and read the owners only every 4 s; a heartbeat without a connection read nothing. A newly named owner got the next regular heartbeat. Fix: a node owns a shard in its answer only once the shard is loaded and while its membership is valid; other answers and failed connections have the sender read the owners.

--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -22,8 +22,8 @@
 /* Time before the kill at which the drain ends in any case. */
 #define DRAIN_END_MARGIN_MS 300
 #define MS_PER_S 1000
-/* Two heartbeats may be lost before a node counts as unresponsive. */
-#define HEARTBEAT_INTERVAL_MS 700
+/* Time-out of a heartbeat. */
+#define HEARTBEAT_CALL_TIMEOUT_MS 700
 /* A node without a heartbeat for this time does not count as alive. */
 #define HEARTBEAT_TIMEOUT_MS 2500
 /* Fewest processors, in thousandths, of a preferred owner: an owner of 350
@@ -169,58 +169,62 @@
     const Bp__Peer__Frame *answer, const bp_error_t *err, void *data)
 {
 	const bp_queuenode_heartbeat_t *heartbeat = data;
+	bp_queuenode_t *node = heartbeat->node;
+	bool owns = answer != NULL && answer->error == BP_OK &&
+	    answer->n_args > 0 &&
+	    strcmp(answer->args[0], BP_QUEUENODE_OWNS) == 0;
 
-	(void)err;
-	/* An owner that does not answer is detected by the calls to it. */
-	if (answer == NULL || answer->error != BP_OK)
-		return;
-	if (answer->n_args > 0 &&
-	    strcmp(answer->args[0], BP_QUEUENODE_OWNS) == 0)
+	bp_heartbeats_answered(node->heartbeats, heartbeat->shard, owns);
+	if (owns)
 		bp_membership_owner_answered(
-		    heartbeat->node->membership, heartbeat->shard);
-	else
-		bp_membership_refresh_owners(heartbeat->node->membership);
+		    node->membership, heartbeat->shard);
+	else if (answer != NULL ? answer->error == BP_OK
+				: err->kind != BP_EDEADLINE)
+		bp_membership_refresh_owners(node->membership);
 }
 
-/* Sends heartbeats to the owners of other shards, which then use this node as
- * an order proxy. */
-static gboolean
-on_heartbeat_timer(void *data)
+/* Returns the owner that is to get heartbeats for a shard of another node. */
+static const char *
+heartbeat_owner(uint32_t shard, void *data)
+{
+	bp_queuenode_t *node = data;
+	const char *owner;
+
+	if (node->drain_start_ms != 0)
+		return NULL;
+	if (bp_owned_shards_by_number(node->shards)[shard] != NULL) {
+		bp_membership_owner_answered(node->membership, shard);
+		return NULL;
+	}
+	owner = bp_membership_owner(node->membership, shard);
+	if (owner == NULL)
+		bp_membership_refresh_owners(node->membership);
+	return owner;
+}
+
+/* Sends a heartbeat to the owner of a shard, which then uses this node as an
+ * order proxy. */
+static void
+send_heartbeat(uint32_t shard, const char *owner, void *data)
 {
 	bp_queuenode_t *node = data;
 	Bp__Peer__Frame frame = BP__PEER__FRAME__INIT;
-	char shard[16];
+	char number[16];
 	char processor[16];
 	char *args[] = {node->settings->listen.control,
-	    node->settings->node.zone, shard, BP_QUEUENODE_PREFERRED,
+	    node->settings->node.zone, number, BP_QUEUENODE_PREFERRED,
 	    processor};
-	uint32_t i;
 
-	if (node->drain_start_ms != 0 || node->shards == NULL)
-		return G_SOURCE_CONTINUE;
 	if (node->standby || bp_membership_stepped_down(node->membership))
 		args[3] = BP_QUEUENODE_STANDBY;
 	frame.verb = BP__PEER__VERB__VERB_QUEUE_HELLO;
 	frame.args = args;
 	frame.n_args = G_N_ELEMENTS(args);
+	snprintf(number, sizeof(number), "%u", shard);
 	snprintf(processor, sizeof(processor), "%u", node->processor_milli);
-	for (i = 0; i < bp_sharding_count(node->sharding); i++) {
-		const char *owner = bp_membership_owner(node->membership, i);
-
-		if (bp_owned_shards_by_number(node->shards)[i] != NULL) {
-			bp_membership_owner_answered(node->membership, i);
-			continue;
-		}
-		if (owner == NULL) {
-			bp_membership_refresh_owners(node->membership);
-			continue;
-		}
-		snprintf(shard, sizeof(shard), "%u", i);
-		bp_peer_client_call(node->client, owner, &frame,
-		    HEARTBEAT_INTERVAL_MS, on_heartbeat_answer,
-		    &node->heartbeats[i]);
-	}
-	return G_SOURCE_CONTINUE;
+	bp_peer_client_call(node->client, owner, &frame,
+	    HEARTBEAT_CALL_TIMEOUT_MS, on_heartbeat_answer,
+	    &node->heartbeat_contexts[shard]);
 }
 
 /* Closes the connections first: one that stayed open while memory is freed
@@ -355,8 +359,6 @@
 	node->order_router = bp_order_router_new(&router);
 	node->order_proxy = bp_order_proxy_new(
 	    node->clock, node->pauses, router.direct, router.zone);
-	node->heartbeat_timer = bp_clock_add_timer(
-	    node->clock, HEARTBEAT_INTERVAL_MS, on_heartbeat_timer, node);
 }
 
 static void
@@ -400,7 +402,6 @@
 {
 	bp_membership_options_t membership = {0};
 	bp_job_router_options_t router = {0};
-	uint32_t i;
 
 	membership.clock = node->clock;
 	membership.logger = node->logger;
@@ -413,12 +414,6 @@
 	membership.standby = node->standby;
 	membership.assigned = on_assigned;
 	membership.data = node;
-	node->heartbeats =
-	    g_new0(bp_queuenode_heartbeat_t, bp_sharding_count(node->sharding));
-	for (i = 0; i < bp_sharding_count(node->sharding); i++) {
-		node->heartbeats[i].node = node;
-		node->heartbeats[i].shard = i;
-	}
 	node->membership = bp_membership_new(&membership);
 	router.clock = node->clock;
 	router.pauses = node->pauses;
@@ -435,6 +430,27 @@
 	bp_job_router_set_catalog(node->job_router, node->catalog);
 }
 
+/* Starts to send heartbeats to the owners of other shards. */
+static void
+build_heartbeats(bp_queuenode_t *node)
+{
+	bp_heartbeats_options_t options = {0};
+	uint32_t i;
+
+	options.clock = node->clock;
+	options.shards = bp_sharding_count(node->sharding);
+	options.owner = heartbeat_owner;
+	options.send = send_heartbeat;
+	options.data = node;
+	node->heartbeat_contexts =
+	    g_new0(bp_queuenode_heartbeat_t, options.shards);
+	for (i = 0; i < options.shards; i++) {
+		node->heartbeat_contexts[i].node = node;
+		node->heartbeat_contexts[i].shard = i;
+	}
+	node->heartbeats = bp_heartbeats_new(&options);
+}
+
 /* The shard plan is known: joins the owners and accepts callers. */
 static void
 on_plan_ready(void *data)
@@ -444,6 +460,7 @@
 
 	build_shards(node);
 	build_job_router(node);
+	build_heartbeats(node);
 	node->failed = bp_platform_open(node->platform, node->job_router, &err);
 	if (node->failed == BP_OK)
 		return;
@@ -545,7 +562,7 @@
 		g_clear_handle_id(&node->signals[i], g_source_remove);
 	bp_clock_cancel_timer(node->clock, &node->drain_timer);
 	g_clear_handle_id(&node->drain_end_source, g_source_remove);
-	bp_clock_cancel_timer(node->clock, &node->heartbeat_timer);
+	bp_heartbeats_free(node->heartbeats);
 	bp_owned_shards_free(node->shards);
 	bp_sharding_free(node->sharding);
 	g_hash_table_unref(node->zones_out);
@@ -564,7 +581,7 @@
 	bp_timeline_free(node->timeline);
 	bp_histogram_free(node->latency);
 	bp_call_counters_free(node->call_counters);
-	g_free(node->heartbeats);
+	g_free(node->heartbeat_contexts);
 	bp_metrics_free(node->metrics);
 	g_main_loop_unref(node->loop);
 	bp_logger_free(node->logger);
--- a/src/queues/queuenode_private.h
+++ b/src/queues/queuenode_private.h
@@ -5,6 +5,7 @@
 #include "bulrushpost/queuenode.h"
 #include "node/metricsserver.h"
 #include "queues/freshness.h"
+#include "queues/heartbeats.h"
 #include "queues/incarnationguard.h"
 #include "queues/orderproxy.h"
 #include "queues/jobrouter.h"
@@ -62,8 +63,8 @@
 					   node */
 	guint drain_timer;
 	guint drain_end_source; /* idle source, 0 for none */
-	guint heartbeat_timer;
-	bp_queuenode_heartbeat_t *heartbeats; /* by shard */
+	bp_heartbeats_t *heartbeats; /* NULL until the plan is known */
+	bp_queuenode_heartbeat_t *heartbeat_contexts; /* by shard */
 	uint32_t processor_milli; /* processors of this node, in thousandths */
 	bool standby; /* too small to be a preferred owner */
 	guint signals[3];
--- a/src/queues/queuenode_verbs.c
+++ b/src/queues/queuenode_verbs.c
@@ -134,12 +134,27 @@
 	g_free(lines);
 }
 
+/*
+ * Returns whether this node does an owner's work for a shard. One that takes a
+ * shard over, or has lost the store, may have a successor that needs the
+ * sender's heartbeats.
+ */
+static bool
+owns(const bp_queuenode_t *node, uint64_t number)
+{
+	const bp_shard_t *shard =
+	    bp_owned_shards_by_number(node->shards)[number];
+
+	return shard != NULL && bp_shard_ready(shard) &&
+	    bp_shard_membership_valid(shard);
+}
+
 static void
 serve_heartbeat(bp_queuenode_t *node, bp_peer_request_t *request)
 {
 	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
 	Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
-	char *owns[] = {BP_QUEUENODE_OWNS};
+	char *args[] = {BP_QUEUENODE_OWNS};
 	uint64_t shard = 0;
 	uint64_t processor_milli = 0;
 
@@ -161,9 +176,9 @@
 		bp_membership_yield_to_preferred(node->membership);
 	}
 	answer.outcome = bp_error_info(BP_OK)->outcome;
-	if (bp_owned_shards_by_number(node->shards)[shard] != NULL) {
-		answer.args = owns;
-		answer.n_args = G_N_ELEMENTS(owns);
+	if (owns(node, shard)) {
+		answer.args = args;
+		answer.n_args = G_N_ELEMENTS(args);
 	}
 	bp_peer_request_answer(request, &answer);
 }
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -295,7 +295,6 @@
 int64_t bp_shard_now_ms(const bp_shard_t *shard);
 int64_t bp_shard_wall_ms(const bp_shard_t *shard);
 bool bp_shard_may_order(const bp_shard_t *shard);
-bool bp_shard_membership_valid(const bp_shard_t *shard);
 bool bp_shard_may_start(const bp_shard_t *shard);
 void bp_shard_mark_dirty(bp_shard_t *shard, bp_qjob_t *job);
 void bp_shard_plan_round(bp_shard_t *shard, uint32_t delay_ms);
--- a/tests/process/test_queues.c
+++ b/tests/process/test_queues.c
@@ -403,6 +403,83 @@
 	bp_queuenodes_teardown(&fixture);
 }
 
+/* The membership of an owner has expired after this. */
+#define EXPIRED_MS 3500
+
+/* Heartbeats to all nodes, and what they answered. */
+typedef struct {
+	bp_peer_client_t *client;
+	uint32_t answers;
+	uint32_t owners; /* nodes that said that they own the shard */
+} heartbeats_t;
+
+static void
+on_heartbeat(const Bp__Peer__Frame *answer, const bp_error_t *err, void *data)
+{
+	heartbeats_t *heartbeats = data;
+
+	(void)err;
+	heartbeats->answers++;
+	if (answer != NULL && answer->error == BP_OK && answer->n_args > 0 &&
+	    strcmp(answer->args[0], "owner") == 0)
+		heartbeats->owners++;
+}
+
+static bool
+all_heartbeats_answered(void *data)
+{
+	return ((const heartbeats_t *)data)->answers == BP_QUEUENODES;
+}
+
+/* Returns how many nodes say that they own the shard. */
+static uint32_t
+count_owners(const bp_queuenodes_t *fixture, bp_peer_client_t *client)
+{
+	heartbeats_t heartbeats = {.client = client};
+	char *args[] = {"127.0.0.1:9", "za", "0", "standby", "1"};
+	Bp__Peer__Frame frame = BP__PEER__FRAME__INIT;
+	uint32_t i;
+
+	frame.verb = BP__PEER__VERB__VERB_QUEUE_HELLO;
+	frame.args = args;
+	frame.n_args = G_N_ELEMENTS(args);
+	for (i = 0; i < BP_QUEUENODES; i++) {
+		char *address = g_strdup_printf(
+		    "127.0.0.1:%u", fixture->ports[i][BP_LISTEN_CONTROL]);
+
+		bp_peer_client_call(
+		    client, address, &frame, 1000, on_heartbeat, &heartbeats);
+		g_free(address);
+	}
+	CU_ASSERT_TRUE(bp_wait_until(all_heartbeats_answered, &heartbeats));
+	return heartbeats.owners;
+}
+
+/*
+ * Guards against an owner that has lost the store and still answers heartbeats
+ * as the owner: the other nodes then send them to it, not to its successor,
+ * which has no order proxies.
+ */
+static void
+test_an_owner_without_membership_says_so(void)
+{
+	bp_queuenodes_t fixture;
+	bp_peer_client_t *client = bp_peer_client_new(bp_clock_system(), NULL);
+
+	bp_queuenodes_setup(&fixture, "heartbeats");
+	CU_ASSERT_TRUE(bp_queuenodes_expect(
+	    &fixture, 0, "POST", "/q/00000000000000a5", BP_JOB, 200, NULL));
+	CU_ASSERT_EQUAL(count_owners(&fixture, client), 1);
+	bp_queuehttp_set_mode(fixture.platform, BP_QSTORE_SILENT);
+	bp_run_for_ms(EXPIRED_MS);
+	CU_ASSERT_EQUAL(count_owners(&fixture, client), 0);
+	bp_queuehttp_set_mode(fixture.platform, BP_QSTORE_UP);
+	CU_ASSERT_TRUE(bp_queuenodes_expect(
+	    &fixture, 1, "GET", "/q/00000000000000a5", NULL, 200, "completed"));
+	bp_peer_client_free(client);
+	bp_queuenodes_teardown(&fixture);
+}
+
 int
 main(void)
 {
@@ -416,6 +493,8 @@
 	    {"the store refuses", test_the_store_refuses},
 	    {"odd frames", test_odd_frames},
 	    {"foreign entries", test_foreign_entries},
+	    {"an owner without membership says so",
+		test_an_owner_without_membership_says_so},
 	    CU_TEST_INFO_NULL,
 	};
 
