A node that is backed off sends orders rather than the owner alone

What callers saw: an owner that kept its membership and started nothing for 8 s. Cause: calls to order proxies also time out because the owner is too busy to read their answers. With all proxies backed off it sent all orders itself, some 4 ms each, which kept it busy; and a node that was back got nothing for the rest of its back-off. Fix: if no node is usable, those with a recent heartbeat are used, by the same rendezvous. A node that answered with an error or refused its connections is none of them before its next heartbeat. A heartbeat doesn't end a back-off, so that a node which cannot send orders gets none while others can ("a heartbeat ends no back-off").

--- a/src/queues/orderrouter.c
+++ b/src/queues/orderrouter.c
@@ -43,6 +43,8 @@
 	uint32_t processor_milli;
 	int64_t last_heartbeat_ms; /* mono */
 	int64_t backoff_until_ms; /* mono */
+	/* It refused an order or its connections since its last heartbeat. */
+	bool refuses;
 	/* Value of calls_sent when a connection failed first; 0: none failed
 	 * since the last answer. */
 	uint64_t failed_at_call;
@@ -99,6 +101,7 @@
 	}
 	proxy->processor_milli = processor_milli;
 	proxy->last_heartbeat_ms = bp_clock_mono_ms(router->options.clock);
+	proxy->refuses = false;
 }
 
 /* Weighted rendezvous hashing: the highest score wins, and nodes win in
@@ -112,22 +115,55 @@
 	return -MAX(weight, 1) / log(unit);
 }
 
+/* Returns whether a node lives as far as its heartbeats tell. */
+static bool
+is_alive(const proxy_t *proxy, int64_t now_ms)
+{
+	return now_ms - proxy->last_heartbeat_ms <= HEARTBEAT_TIMEOUT_MS;
+}
+
 /* Returns whether a node gets orders. */
 static bool
 is_usable(const proxy_t *proxy, int64_t now_ms)
 {
-	return now_ms - proxy->last_heartbeat_ms <= HEARTBEAT_TIMEOUT_MS &&
-	    proxy->backoff_until_ms <= now_ms;
+	return is_alive(proxy, now_ms) && proxy->backoff_until_ms <= now_ms;
+}
+
+/* Returns whether a node gets orders if none is usable. */
+static bool
+is_last_resort(const proxy_t *proxy, int64_t now_ms)
+{
+	return is_alive(proxy, now_ms) && !proxy->refuses;
+}
+
+/* Returns the number of nodes that currently get orders. */
+static uint32_t
+usable_proxies(const bp_order_router_t *router)
+{
+	int64_t now_ms = bp_clock_mono_ms(router->options.clock);
+	uint32_t usable = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, router->proxies);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		usable += is_usable(value, now_ms);
+	return usable;
 }
 
 /*
  * Returns the address of an executor's proxy, NULL for this node: the highest
- * rendezvous score, weighted by processors, among the live nodes of the
- * executor's zone, or among all live nodes if that zone has none.
+ * rendezvous score, weighted by processors, among the usable nodes of the
+ * executor's zone, or among all usable nodes if that zone has none. If no node
+ * is usable, one that is backed off is better than this node alone: calls also
+ * time out because this node is too busy to read their answers, and sending
+ * all orders itself would keep it so.
  */
 static const char *
 choose_proxy(bp_order_router_t *router, const bp_exec_target_t *target)
 {
+	bool (*may_send)(const proxy_t *, int64_t) =
+	    usable_proxies(router) > 0 ? is_usable : is_last_resort;
 	int64_t now_ms = bp_clock_mono_ms(router->options.clock);
 	uint64_t executor_hash = bp_hash_text(target->id, SEED_PROXY);
 	bool best_in_zone = strcmp(router->options.zone, target->zone) == 0;
@@ -145,7 +181,7 @@
 		double score = rendezvous_score(
 		    executor_hash ^ proxy->hash, proxy->processor_milli);
 
-		if (!is_usable(proxy, now_ms))
+		if (!may_send(proxy, now_ms))
 			continue;
 		if (in_zone == best_in_zone ? score > best_score : in_zone) {
 			best_address = proxy->address;
@@ -214,6 +250,14 @@
 	    bp_clock_mono_ms(router->options.clock) + BACKOFF_MS;
 }
 
+/* The node backs off, and is no last resort before its next heartbeat. */
+static void
+refuse(const bp_order_router_t *router, proxy_t *proxy)
+{
+	back_off(router, proxy);
+	proxy->refuses = true;
+}
+
 /* A broken connection fails all calls on it, which does not prove that the node
  * failed: it backs off only if a call that was sent later fails as well. */
 static void
@@ -222,7 +266,7 @@
 	if (proxy->failed_at_call == 0)
 		proxy->failed_at_call = call->router->calls_sent;
 	else if (call->call_number > proxy->failed_at_call)
-		back_off(call->router, proxy);
+		refuse(call->router, proxy);
 }
 
 /*
@@ -241,7 +285,7 @@
 	if (frame != NULL && frame->error == BP_OK)
 		proxy->failed_at_call = 0;
 	else if (frame != NULL)
-		back_off(call->router, proxy);
+		refuse(call->router, proxy);
 	else if (err->kind != BP_EDEADLINE)
 		note_connection_failure(call, proxy);
 	else if (!was_stalled(call))
@@ -468,21 +512,6 @@
 	sum->proxy_ms += stats->proxy_ms;
 }
 
-/* Returns the number of nodes that currently get orders. */
-static uint32_t
-usable_proxies(const bp_order_router_t *router)
-{
-	int64_t now_ms = bp_clock_mono_ms(router->options.clock);
-	uint32_t usable = 0;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, router->proxies);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		usable += is_usable(value, now_ms);
-	return usable;
-}
-
 /* Logs how many orders this node sends itself, as each costs far more than one
  * that a proxy sends. */
 static void
--- a/tests/queues/test_orderrouter.c
+++ b/tests/queues/test_orderrouter.c
@@ -3,6 +3,7 @@
 #include "support/runner.h"
 
 #include <stdio.h>
+#include <string.h>
 
 #define EXECUTORS 4000
 /* Nothing listens there; calls to it stay open until the client is freed. */
@@ -239,6 +240,87 @@
 	fixture_teardown(&fixture);
 }
 
+/* Starts a task and waits for the end of the start. */
+static void
+send_start_and_wait(proxy_fixture_t *fixture)
+{
+	send_start(fixture);
+	CU_ASSERT_TRUE(bp_wait_until(all_ended, fixture));
+}
+
+/*
+ * Guards against an owner that was too busy to read the answers of its proxies
+ * in time and then sends all orders itself, which keeps it busy.
+ */
+static void
+test_a_slow_node_is_better_than_none(void)
+{
+	proxy_fixture_t fixture = {.hold = true};
+
+	fixture_setup(&fixture);
+	send_start_and_wait(&fixture);
+	fixture.hold = false;
+	send_start_and_wait(&fixture);
+	CU_ASSERT_EQUAL(fixture.received, 2);
+	CU_ASSERT_EQUAL(fixture.direct.starts, 0);
+	fixture_teardown(&fixture);
+}
+
+/* Returns how many of the executors have the fixture's node as their proxy. */
+static uint32_t
+count_proxied(proxy_fixture_t *fixture)
+{
+	bp_executors_t *orders = bp_order_router_interface(fixture->router);
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < EXECUTORS; i++) {
+		char id[32];
+		bp_exec_target_t target = {"10.0.0.9:80", id, "za", 1, 0};
+
+		snprintf(id, sizeof(id), "i-%u", i);
+		count += strcmp(orders->proxy_address(orders, &target),
+			     fixture->address) == 0;
+	}
+	return count;
+}
+
+/* Guards against a node that cannot send orders and gets all of them again with
+ * each of its heartbeats while others could send them. */
+static void
+test_a_heartbeat_ends_no_back_off(void)
+{
+	proxy_fixture_t fixture = {.hold = true};
+
+	fixture_setup(&fixture);
+	send_start_and_wait(&fixture);
+	bp_order_router_heartbeat(fixture.router, fixture.address, "za", 1000);
+	bp_order_router_heartbeat(fixture.router, NOBODY, "za", 1000);
+	CU_ASSERT_EQUAL(count_proxied(&fixture), 0);
+	fixture_teardown(&fixture);
+}
+
+/* Guards against an owner that sends all orders itself although the only other
+ * node is back. */
+static void
+test_a_heartbeat_shows_that_a_node_is_back(void)
+{
+	proxy_fixture_t fixture = {0};
+
+	fixture_setup(&fixture);
+	stop_node(&fixture);
+	send_start_and_wait(&fixture);
+	send_start_and_wait(&fixture);
+	CU_ASSERT_EQUAL(count_proxied(&fixture), 0);
+	start_node(&fixture);
+	bp_order_router_heartbeat(fixture.router, fixture.address, "za", 1000);
+	CU_ASSERT_EQUAL(count_proxied(&fixture), EXECUTORS);
+	send_start_and_wait(&fixture);
+	CU_ASSERT_EQUAL(fixture.received, 1);
+	CU_ASSERT_EQUAL(fixture.direct.starts, 0);
+	fixture_teardown(&fixture);
+}
+
 #define WAIT_MS 3000
 
 /* An owner's order router and a node that answers its orders with an error. */
@@ -362,6 +444,11 @@
 	    {"a broken connection is made anew",
 		test_a_broken_connection_is_made_anew},
 	    {"a node that is gone rests", test_a_node_that_is_gone_rests},
+	    {"a slow node is better than none",
+		test_a_slow_node_is_better_than_none},
+	    {"a heartbeat ends no back-off", test_a_heartbeat_ends_no_back_off},
+	    {"a heartbeat shows that a node is back",
+		test_a_heartbeat_shows_that_a_node_is_back},
 	    {"an error of a courier is its own",
 		test_an_error_of_a_proxy_is_its_own},
 	    CU_TEST_INFO_NULL,
