An owner that was busy does not back its order proxies off

What callers saw: an owner that kept its membership and started nothing for 8 s, with 85 to 230 ms from one turn of its event loop to the next. Cause: each step of a call waits for a turn of the loop, so that calls to proxies which answer at once time out. Only a call that ended 0.3 s after its limit counted as one that the owner itself had held up. Evidence: queues/relay "a busy owner blames itself" failed before: after four pauses of 0.15 s within the call no executor of 4000 had the node as its proxy. Fix: the order router measures with a timer of 50 ms by how much the loop is late; a call within which this adds up to 0.3 s backs no proxy off. Without pauses a time-out still does.

--- a/src/queues/orderrouter.c
+++ b/src/queues/orderrouter.c
@@ -14,9 +14,11 @@
 #define BACKOFF_MS 1500
 /* An order takes up to 0.9 s at the proxy; a poll also takes its wait. */
 #define CALL_TIMEOUT_MS 1100
-/* A call that ends this much after its timeout shows that this process was
- * stalled. */
-#define STALL_MS 300
+/* Period of the timer that measures by how much the event loop is late. */
+#define PROBE_MS 50
+/* Lateness of the event loop within a call that may have cost its answer: each
+ * step of the call waits for a turn of the loop. */
+#define BUSY_MS 300
 /* Part of its processors that an owner uses to send orders itself. */
 #define OWNER_PROXY_SHARE 0.25
 /* Number of upper bits of a hash that make a fraction. */
@@ -61,6 +63,9 @@
 	uint64_t calls_summarized; /* calls_sent at the last summary */
 	uint64_t direct_summarized; /* direct_sent at the last summary */
 	guint summary_timer;
+	int64_t late_ms; /* sum of the lateness of all probes */
+	int64_t probe_due_ms; /* mono */
+	guint probe_timer;
 };
 
 /* An order in flight through a proxy. */
@@ -70,7 +75,7 @@
 	bool start; /* the order is a start */
 	uint64_t call_number; /* of this order router, from 1 */
 	int64_t sent_ms; /* mono */
-	uint32_t timeout_ms;
+	int64_t late_ms; /* lateness_ms() when it was sent */
 	bp_exec_done_t done; /* NULL after forget() */
 	void *data;
 } call_t;
@@ -233,14 +238,33 @@
 	proxy->stats.proxy_ms += body->took_ms;
 }
 
+/* Returns by how much the event loop has been late in total, including the
+ * probe that is due. */
+static int64_t
+lateness_ms(const bp_order_router_t *router)
+{
+	int64_t overdue_ms =
+	    bp_clock_mono_ms(router->options.clock) - router->probe_due_ms;
+
+	return router->late_ms + MAX(overdue_ms, 0);
+}
+
+static gboolean
+on_probe(void *data)
+{
+	bp_order_router_t *router = data;
+
+	router->late_ms = lateness_ms(router);
+	router->probe_due_ms =
+	    bp_clock_mono_ms(router->options.clock) + PROBE_MS;
+	return G_SOURCE_CONTINUE;
+}
+
 /* Returns whether this process may have been too busy to read the answer. */
 static bool
-was_stalled(const call_t *call)
+was_busy(const call_t *call)
 {
-	int64_t passed_ms =
-	    bp_clock_mono_ms(call->router->options.clock) - call->sent_ms;
-
-	return passed_ms > (int64_t)call->timeout_ms + STALL_MS;
+	return lateness_ms(call->router) - call->late_ms >= BUSY_MS;
 }
 
 static void
@@ -288,7 +312,7 @@
 		refuse(call->router, proxy);
 	else if (err->kind != BP_EDEADLINE)
 		note_connection_failure(call, proxy);
-	else if (!was_stalled(call))
+	else if (!was_busy(call))
 		back_off(call->router, proxy);
 }
 
@@ -370,7 +394,7 @@
 	call->proxy = g_strdup(proxy);
 	call->start = order->kind == BP__WORK__ORDER_KIND__ORDER_START;
 	call->call_number = ++router->calls_sent;
-	call->timeout_ms = timeout_ms;
+	call->late_ms = lateness_ms(router);
 	call->sent_ms = bp_clock_mono_ms(router->options.clock);
 	call->done = done;
 	call->data = data;
@@ -587,6 +611,9 @@
 	router->calls = g_hash_table_new_full(NULL, NULL, call_free, NULL);
 	router->summary_timer =
 	    bp_clock_add_timer(options->clock, SUMMARY_MS, on_summary, router);
+	router->probe_due_ms = bp_clock_mono_ms(options->clock) + PROBE_MS;
+	router->probe_timer =
+	    bp_clock_add_timer(options->clock, PROBE_MS, on_probe, router);
 	router->interface.start = router_start;
 	router->interface.stop = router_stop;
 	router->interface.poll = router_poll;
@@ -604,6 +631,7 @@
 	if (router == NULL)
 		return;
 	bp_clock_cancel_timer(router->options.clock, &router->summary_timer);
+	bp_clock_cancel_timer(router->options.clock, &router->probe_timer);
 	g_hash_table_unref(router->calls);
 	g_hash_table_unref(router->proxies);
 	g_free(router);
--- a/tests/queues/test_orderrouter.c
+++ b/tests/queues/test_orderrouter.c
@@ -321,6 +321,40 @@
 	fixture_teardown(&fixture);
 }
 
+/* Sends a start that is not answered; in the meantime the loop of this process
+ * stands still for so long, in each of so many turns. Returns the number of
+ * executors that have the fixture's node as their proxy afterwards. */
+static uint32_t
+proxied_after_pauses(uint32_t pauses, uint32_t pause_ms)
+{
+	proxy_fixture_t fixture = {.hold = true};
+	uint32_t count;
+	uint32_t i;
+
+	fixture_setup(&fixture);
+	send_start(&fixture);
+	bp_order_router_heartbeat(fixture.router, NOBODY, "za", 1000);
+	for (i = 0; i < pauses; i++) {
+		bp_run_for_ms(10);
+		g_usleep(pause_ms * 1000);
+	}
+	CU_ASSERT_TRUE(bp_wait_until(all_ended, &fixture));
+	count = count_proxied(&fixture);
+	fixture_teardown(&fixture);
+	return count;
+}
+
+/*
+ * Guards against an owner that takes its own busy loop for a failure of all its
+ * proxies, and against proxies that never back off.
+ */
+static void
+test_a_busy_owner_blames_itself(void)
+{
+	CU_ASSERT_TRUE(proxied_after_pauses(4, 150) > 0);
+	CU_ASSERT_EQUAL(proxied_after_pauses(0, 0), 0);
+}
+
 #define WAIT_MS 3000
 
 /* An owner's order router and a node that answers its orders with an error. */
@@ -449,6 +483,7 @@
 	    {"a heartbeat ends no back-off", test_a_heartbeat_ends_no_back_off},
 	    {"a heartbeat shows that a node is back",
 		test_a_heartbeat_shows_that_a_node_is_back},
+	    {"a busy owner blames itself", test_a_busy_owner_blames_itself},
 	    {"an error of a courier is its own",
 		test_an_error_of_a_proxy_is_its_own},
 	    CU_TEST_INFO_NULL,
