Orders that an owner sends itself are paced

What callers saw: after a change of owner no line of the new one for up to 2.3 s, timers 0.7 to 2 s late, 64 executors that "do not answer", a first append that ends at its limit of 1.5 s, and the next change of owner. Cause: a new owner knows no order proxy yet and sent the first polls of all 490 executors itself, some 4 ms each on half a processor, in one turn of its event loop. Their answers, its timers and its appends waited. Fix: orders that no other node can send pass a queue: four in a turn, no more while 64 of the last 250 ms are unanswered (polls that wait don't count). Starts and stops go first, then polls that are answered at once; every fourth order is the one that has waited longest, so that none is held up for good. Each order is routed anew in its turn. A start, stop or throttle that has waited for 0.4 s ends as not sent, without blame for its executor: with the 1.08 s that sending takes this is within the 1.5 s of a start's window. Deadlines of leases are absolute, so that a poll may wait. Tests: queues/orderqueue covers the queue under a virtual clock. The fixture of queues/relay now answers direct starts and runs the router's clock between them, as an order may wait for the turn of another one; its limits are unchanged.

--- a/src/queues/orderrouter.c
+++ b/src/queues/orderrouter.c
@@ -3,6 +3,7 @@
 #include "bulrushpost/message.h"
 #include "bulrushpost/hash.h"
 #include "proto/work.pb-c.h"
+#include "queues/orderqueue.h"
 
 #include <math.h>
 #include <stdio.h>
@@ -59,9 +60,9 @@
 	GHashTable *proxies; /* address to proxy_t */
 	GHashTable *calls; /* set of call_t in flight */
 	uint64_t calls_sent;
-	uint64_t direct_sent; /* orders that this node sent itself */
+	bp_order_queue_t *queue; /* of orders that this node sends itself */
 	uint64_t calls_summarized; /* calls_sent at the last summary */
-	uint64_t direct_summarized; /* direct_sent at the last summary */
+	uint64_t direct_summarized; /* sent by queue at the last summary */
 	guint summary_timer;
 	int64_t late_ms; /* sum of the lateness of all probes */
 	int64_t probe_due_ms; /* mono */
@@ -377,22 +378,19 @@
 	call_free(call);
 }
 
+/* Sends the frame of an order to a node. */
 static void
-send_order(bp_order_router_t *router, const char *proxy, Bp__Work__Order *order,
-    const bp_exec_target_t *target, uint32_t timeout_ms, bp_exec_done_t done,
+call_proxy(bp_order_router_t *router, const char *proxy,
+    const Bp__Work__Order *message, uint32_t timeout_ms, bp_exec_done_t done,
     void *data)
 {
 	Bp__Peer__Frame frame = BP__PEER__FRAME__INIT;
 	call_t *call = g_new0(call_t, 1);
 	GBytes *bytes;
 
-	order->address = (char *)target->address;
-	order->id = (char *)target->id;
-	order->fence = target->fence;
-	order->born_ms = target->born_ms;
 	call->router = router;
 	call->proxy = g_strdup(proxy);
-	call->start = order->kind == BP__WORK__ORDER_KIND__ORDER_START;
+	call->start = message->kind == BP__WORK__ORDER_KIND__ORDER_START;
 	call->call_number = ++router->calls_sent;
 	call->late_ms = lateness_ms(router);
 	call->sent_ms = bp_clock_mono_ms(router->options.clock);
@@ -400,79 +398,104 @@
 	call->data = data;
 	g_hash_table_add(router->calls, call);
 	frame.verb = BP__PEER__VERB__VERB_QUEUE_ORDER;
-	bytes = bp_message_pack(&order->base);
+	bytes = bp_message_pack(&message->base);
 	bp_message_refer(&frame.body, bytes);
 	bp_peer_client_call(
 	    router->options.client, proxy, &frame, timeout_ms, on_answer, call);
 	g_bytes_unref(bytes);
 }
 
+/* Sends an order through the executor's proxy. Returns false if that is this
+ * node. */
+static bool
+send_proxied(
+    const bp_order_t *order, bp_exec_done_t done, void *done_data, void *data)
+{
+	bp_order_router_t *router = data;
+	const char *proxy = choose_proxy(router, &order->target);
+	Bp__Work__Order message = BP__WORK__ORDER__INIT;
+	uint32_t timeout_ms = CALL_TIMEOUT_MS;
+
+	if (proxy == NULL)
+		return false;
+	message.address = (char *)order->target.address;
+	message.id = (char *)order->target.id;
+	message.fence = order->target.fence;
+	message.born_ms = order->target.born_ms;
+	switch (order->kind) {
+	case BP_ORDER_START:
+		message.kind = BP__WORK__ORDER_KIND__ORDER_START;
+		message.task = (char *)order->start.task;
+		message.run = order->start.run;
+		message.payload = (char *)order->start.payload;
+		message.deadline_ms = order->start.deadline_ms;
+		if (order->start.checkpoint != NULL)
+			message.checkpoint = (char *)order->start.checkpoint;
+		if (order->start.ticket != NULL)
+			message.ticket = (char *)order->start.ticket;
+		break;
+	case BP_ORDER_STOP:
+		message.kind = BP__WORK__ORDER_KIND__ORDER_STOP;
+		message.task = (char *)order->stop.task;
+		message.run = order->stop.run;
+		break;
+	case BP_ORDER_POLL:
+		message.kind = BP__WORK__ORDER_KIND__ORDER_LOOK;
+		message.deadline_ms = order->poll.deadline_ms;
+		message.cursor = order->poll.cursor;
+		message.wait_ms = order->poll.wait_ms;
+		timeout_ms += order->poll.wait_ms;
+		break;
+	case BP_ORDER_THROTTLE:
+		message.kind = BP__WORK__ORDER_KIND__ORDER_PACE;
+		message.task = (char *)order->throttle.task;
+		message.run = order->throttle.run;
+		message.percent = order->throttle.percent;
+		break;
+	}
+	call_proxy(router, proxy, &message, timeout_ms, done, done_data);
+	return true;
+}
+
+static void
+route(bp_executors_t *self, const bp_order_t *order, bp_exec_done_t done,
+    void *data)
+{
+	bp_order_router_t *router = (bp_order_router_t *)self;
+
+	if (!send_proxied(order, done, data, router))
+		bp_order_queue_add(router->queue, order, done, data);
+}
+
 static void
 router_start(bp_executors_t *self, const bp_exec_target_t *target,
     const bp_exec_start_t *start, bp_exec_done_t done, void *data)
 {
-	bp_order_router_t *router = (bp_order_router_t *)self;
-	const char *proxy = choose_proxy(router, target);
-	Bp__Work__Order order = BP__WORK__ORDER__INIT;
+	bp_order_t order = {.kind = BP_ORDER_START, .target = *target};
 
-	if (proxy == NULL) {
-		router->direct_sent++;
-		router->options.direct->start(
-		    router->options.direct, target, start, done, data);
-		return;
-	}
-	order.kind = BP__WORK__ORDER_KIND__ORDER_START;
-	order.task = (char *)start->task;
-	order.run = start->run;
-	order.payload = (char *)start->payload;
-	order.deadline_ms = start->deadline_ms;
-	if (start->checkpoint != NULL)
-		order.checkpoint = (char *)start->checkpoint;
-	if (start->ticket != NULL)
-		order.ticket = (char *)start->ticket;
-	send_order(router, proxy, &order, target, CALL_TIMEOUT_MS, done, data);
+	order.start = *start;
+	route(self, &order, done, data);
 }
 
 static void
 router_stop(bp_executors_t *self, const bp_exec_target_t *target,
     const char *task, uint64_t run, bp_exec_done_t done, void *data)
 {
-	bp_order_router_t *router = (bp_order_router_t *)self;
-	const char *proxy = choose_proxy(router, target);
-	Bp__Work__Order order = BP__WORK__ORDER__INIT;
+	bp_order_t order = {.kind = BP_ORDER_STOP, .target = *target};
 
-	if (proxy == NULL) {
-		router->direct_sent++;
-		router->options.direct->stop(
-		    router->options.direct, target, task, run, done, data);
-		return;
-	}
-	order.kind = BP__WORK__ORDER_KIND__ORDER_STOP;
-	order.task = (char *)task;
-	order.run = run;
-	send_order(router, proxy, &order, target, CALL_TIMEOUT_MS, done, data);
+	order.stop.task = task;
+	order.stop.run = run;
+	route(self, &order, done, data);
 }
 
 static void
 router_poll(bp_executors_t *self, const bp_exec_target_t *target,
     const bp_exec_poll_t *poll, bp_exec_done_t done, void *data)
 {
-	bp_order_router_t *router = (bp_order_router_t *)self;
-	const char *proxy = choose_proxy(router, target);
-	Bp__Work__Order order = BP__WORK__ORDER__INIT;
+	bp_order_t order = {.kind = BP_ORDER_POLL, .target = *target};
 
-	if (proxy == NULL) {
-		router->direct_sent++;
-		router->options.direct->poll(
-		    router->options.direct, target, poll, done, data);
-		return;
-	}
-	order.kind = BP__WORK__ORDER_KIND__ORDER_LOOK;
-	order.deadline_ms = poll->deadline_ms;
-	order.cursor = poll->cursor;
-	order.wait_ms = poll->wait_ms;
-	send_order(router, proxy, &order, target,
-	    CALL_TIMEOUT_MS + poll->wait_ms, done, data);
+	order.poll = *poll;
+	route(self, &order, done, data);
 }
 
 static void
@@ -480,21 +503,12 @@
     const char *task, uint64_t run, uint32_t percent, bp_exec_done_t done,
     void *data)
 {
-	bp_order_router_t *router = (bp_order_router_t *)self;
-	const char *proxy = choose_proxy(router, target);
-	Bp__Work__Order order = BP__WORK__ORDER__INIT;
+	bp_order_t order = {.kind = BP_ORDER_THROTTLE, .target = *target};
 
-	if (proxy == NULL) {
-		router->direct_sent++;
-		router->options.direct->throttle(router->options.direct, target,
-		    task, run, percent, done, data);
-		return;
-	}
-	order.kind = BP__WORK__ORDER_KIND__ORDER_PACE;
-	order.task = (char *)task;
-	order.run = run;
-	order.percent = percent;
-	send_order(router, proxy, &order, target, CALL_TIMEOUT_MS, done, data);
+	order.throttle.task = task;
+	order.throttle.run = run;
+	order.throttle.percent = percent;
+	route(self, &order, done, data);
 }
 
 static const char *
@@ -519,7 +533,7 @@
 		if (call->data == data)
 			call->done = NULL;
 	}
-	router->options.direct->forget(router->options.direct, data);
+	bp_order_queue_forget(router->queue, data);
 }
 
 static uint32_t
@@ -541,19 +555,21 @@
 static void
 log_orders(bp_order_router_t *router)
 {
-	uint64_t direct = router->direct_sent - router->direct_summarized;
+	uint64_t sent = bp_order_queue_sent(router->queue);
+	uint64_t direct = sent - router->direct_summarized;
 	uint64_t proxied = router->calls_sent - router->calls_summarized;
 	char text[128];
 
-	router->direct_summarized = router->direct_sent;
+	router->direct_summarized = sent;
 	router->calls_summarized = router->calls_sent;
 	if (direct == 0 && proxied == 0)
 		return;
 	snprintf(text, sizeof(text),
 	    "direct=%" G_GUINT64_FORMAT " proxied=%" G_GUINT64_FORMAT
-	    " proxies=%u unanswered=%u",
+	    " proxies=%u unanswered=%u waiting=%u",
 	    direct, proxied, usable_proxies(router),
-	    g_hash_table_size(router->calls));
+	    g_hash_table_size(router->calls),
+	    bp_order_queue_waiting(router->queue));
 	bp_log(router->options.logger, BP_LOG_INFO, MODULE, "orders sent",
 	    "state", text, NULL);
 }
@@ -604,8 +620,14 @@
 bp_order_router_new(const bp_order_router_options_t *options)
 {
 	bp_order_router_t *router = g_new0(bp_order_router_t, 1);
+	bp_order_queue_options_t queue = {0};
 
 	router->options = *options;
+	queue.clock = options->clock;
+	queue.executors = options->direct;
+	queue.reroute = send_proxied;
+	queue.data = router;
+	router->queue = bp_order_queue_new(&queue);
 	router->proxies =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, proxy_free);
 	router->calls = g_hash_table_new_full(NULL, NULL, call_free, NULL);
@@ -632,6 +654,7 @@
 		return;
 	bp_clock_cancel_timer(router->options.clock, &router->summary_timer);
 	bp_clock_cancel_timer(router->options.clock, &router->probe_timer);
+	bp_order_queue_free(router->queue);
 	g_hash_table_unref(router->calls);
 	g_hash_table_unref(router->proxies);
 	g_free(router);
--- a/tests/queues/test_orderrouter.c
+++ b/tests/queues/test_orderrouter.c
@@ -9,21 +9,42 @@
 /* Nothing listens there; calls to it stay open until the client is freed. */
 #define NOBODY "127.0.0.1:9"
 
-/* Counts the orders that the owner sends itself. */
+/* Counts the orders that the owner sends itself and answers the last one. */
 typedef struct {
 	bp_executors_t interface;
 	uint32_t starts;
+	bp_exec_done_t done; /* of the last start; NULL once answered */
+	void *data;
 } direct_t;
 
 static void
 direct_start(bp_executors_t *self, const bp_exec_target_t *target,
     const bp_exec_start_t *start, bp_exec_done_t done, void *data)
 {
+	direct_t *direct = (direct_t *)self;
+
 	(void)target;
 	(void)start;
-	(void)done;
+	direct->starts++;
+	direct->done = done;
+	direct->data = data;
+}
+
+static void
+direct_forget(bp_executors_t *self, void *data)
+{
+	(void)self;
 	(void)data;
-	((direct_t *)self)->starts++;
+}
+
+static void
+answer_direct(direct_t *direct)
+{
+	bp_exec_result_t result = {0};
+
+	if (direct->done != NULL)
+		direct->done(&result, direct->data);
+	direct->done = NULL;
 }
 
 static void
@@ -38,21 +59,21 @@
 static double
 own_share(uint32_t own_milli, const char *zone, uint32_t other_milli)
 {
-	direct_t direct = {.interface = {.start = direct_start}};
+	direct_t direct = {
+	    .interface = {.start = direct_start, .forget = direct_forget}};
+	bp_clock_virtual_t *clock = bp_clock_virtual_new(1000);
 	bp_peer_client_t *client = bp_peer_client_new(bp_clock_system(), NULL);
 	bp_order_router_options_t options = {0};
 	bp_order_router_t *router;
 	uint32_t i;
 
-	options.clock = bp_clock_system();
+	options.clock = bp_clock_virtual_clock(clock);
 	options.direct = &direct.interface;
 	options.client = client;
 	options.address = "10.0.0.1:7000";
 	options.zone = "za";
 	options.processor_milli = own_milli;
 	router = bp_order_router_new(&options);
-	if (zone != NULL)
-		bp_order_router_heartbeat(router, NOBODY, zone, other_milli);
 	for (i = 0; i < EXECUTORS; i++) {
 		char id[32];
 		bp_exec_target_t target = {"10.0.0.9:80", id, "za", 1, 0};
@@ -60,12 +81,19 @@
 		    "t.0.0.0", 1, "work", 1000, NULL, NULL};
 
 		snprintf(id, sizeof(id), "i-%u", i);
+		if (zone != NULL)
+			bp_order_router_heartbeat(
+			    router, NOBODY, zone, other_milli);
 		bp_order_router_interface(router)->start(
 		    bp_order_router_interface(router), &target, &start, on_done,
 		    NULL);
+		answer_direct(&direct);
+		/* No order waits for the turn of another one. */
+		bp_clock_virtual_run_ms(clock, 2);
 	}
 	bp_peer_client_free(client);
 	bp_order_router_free(router);
+	bp_clock_virtual_free(clock);
 	return direct.starts * 100.0 / EXECUTORS;
 }
 
@@ -137,6 +165,7 @@
 	bp_order_router_options_t options = {0};
 
 	fixture->direct.interface.start = direct_start;
+	fixture->direct.interface.forget = direct_forget;
 	fixture->loop_clock = bp_clock_loop_new();
 	fixture->clock = bp_clock_loop_clock(fixture->loop_clock);
 	fixture->address = g_strdup("127.0.0.1:0");
@@ -384,13 +413,6 @@
 	owner->done = true;
 }
 
-static void
-direct_forget(bp_executors_t *self, void *data)
-{
-	(void)self;
-	(void)data;
-}
-
 static owner_t *
 owner_new(void)
 {
