--- a/tests/adapter/test_store.c
+++ b/tests/adapter/test_store.c
@@ -4,6 +4,7 @@
 #include "support/runner.h"
 
 #include <libsoup/soup.h>
+#include <stdio.h>
 #include <string.h>
 
 #define ANSWERS 1200
@@ -201,12 +202,190 @@
 	teardown(&fixture);
 }
 
+/* Length of the turns of a busy owner's loop. */
+#define TURN_US 20000
+/* An append has 1.5 s, and turns of a busy owner's loop take up to 0.25 s. */
+#define APPEND_TURNS_MAX 4
+#define READ_TURNS_MAX 10
+#define APPENDS 40
+
+/* A store that answers in a thread of its own. */
+typedef struct {
+	GMainContext *context;
+	GMainLoop *loop;
+	GThread *thread;
+	char *address;
+	GAsyncQueue *started;
+} threaded_t;
+
+static void
+on_threaded_call(SoupServer *server, SoupServerMessage *message,
+    const char *path, GHashTable *query, void *data)
+{
+	bool raw = g_str_has_suffix(path, "/log-read");
+
+	(void)server;
+	(void)query;
+	(void)data;
+	soup_server_message_set_status(message, 200, NULL);
+	soup_server_message_set_response(message, "application/json",
+	    SOUP_MEMORY_STATIC, raw ? raw_text : json_text,
+	    raw ? sizeof(raw_text) - 1 : strlen(json_text));
+}
+
+static gpointer
+serve(gpointer data)
+{
+	threaded_t *threaded = data;
+	SoupServer *server;
+	GSList *uris;
+
+	g_main_context_push_thread_default(threaded->context);
+	server = g_object_new(SOUP_TYPE_SERVER, NULL);
+	soup_server_add_handler(server, NULL, on_threaded_call, NULL, NULL);
+	(void)soup_server_listen_local(
+	    server, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, NULL);
+	uris = soup_server_get_uris(server);
+	g_async_queue_push(threaded->started,
+	    g_strdup_printf("127.0.0.1:%d", g_uri_get_port(uris->data)));
+	g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
+	g_main_loop_run(threaded->loop);
+	soup_server_disconnect(server);
+	g_object_unref(server);
+	g_main_context_pop_thread_default(threaded->context);
+	return NULL;
+}
+
+static void
+threaded_setup(threaded_t *threaded, fixture_t *fixture)
+{
+	memset(fixture, 0, sizeof(*fixture));
+	threaded->context = g_main_context_new();
+	threaded->loop = g_main_loop_new(threaded->context, FALSE);
+	threaded->started = g_async_queue_new();
+	threaded->thread = g_thread_new("store", serve, threaded);
+	threaded->address = g_async_queue_pop(threaded->started);
+	fixture->http = bp_httpcall_new(CONNECTIONS, CONNECTIONS);
+	fixture->client =
+	    bp_platform_store_new(fixture->http, threaded->address);
+}
+
+static void
+threaded_teardown(threaded_t *threaded, fixture_t *fixture)
+{
+	bp_httpcall_free(fixture->http);
+	bp_platform_store_free(fixture->client);
+	g_main_loop_quit(threaded->loop);
+	g_thread_join(threaded->thread);
+	g_main_loop_unref(threaded->loop);
+	g_main_context_unref(threaded->context);
+	g_async_queue_unref(threaded->started);
+	g_free(threaded->address);
+}
+
+static gboolean
+on_long_turn(gpointer data)
+{
+	(*(uint32_t *)data)++;
+	g_usleep(TURN_US);
+	return G_SOURCE_CONTINUE;
+}
+
+/* Guards against a busy owner whose appends all reach their time limit, since
+ * each step of a call waits for a turn of its loop. */
+static void
+test_an_append_takes_few_turns(void)
+{
+	threaded_t threaded;
+	fixture_t fixture;
+	uint32_t turns = 0;
+	uint32_t i;
+	guint busy;
+
+	threaded_setup(&threaded, &fixture);
+	busy = g_idle_add_full(G_PRIORITY_DEFAULT, on_long_turn, &turns, NULL);
+	for (i = 0; i < APPENDS; i++) {
+		ask(&fixture, 0);
+		CU_ASSERT_EQUAL(fixture.outcome, BP_STORE_OK);
+	}
+	g_source_remove(busy);
+	CU_ASSERT_TRUE(turns <= APPENDS * APPEND_TURNS_MAX);
+	if (turns > APPENDS * APPEND_TURNS_MAX)
+		printf("  %u turns\n", turns);
+	threaded_teardown(&threaded, &fixture);
+}
+
+/* Appends one after the other, and the reads that go on meanwhile. */
+typedef struct {
+	fixture_t *fixture;
+	uint32_t appends;
+	uint32_t reads;
+} traffic_t;
+
+static void
+on_read(const bp_store_result_t *result, void *data)
+{
+	traffic_t *traffic = data;
+	bp_store_t *store =
+	    bp_platform_store_interface(traffic->fixture->client);
+
+	CU_ASSERT_EQUAL(result->outcome, BP_STORE_OK);
+	traffic->reads++;
+	if (traffic->appends < APPENDS)
+		store->read(store, "t", 0, 5, on_read, traffic);
+}
+
+static void
+on_appended(const bp_store_result_t *result, void *data)
+{
+	traffic_t *traffic = data;
+	bp_store_t *store =
+	    bp_platform_store_interface(traffic->fixture->client);
+	GPtrArray *records = g_ptr_array_new();
+	bp_store_append_t append = {
+	    .topic = "t", .writer = "w", .records = records};
+
+	if (result != NULL)
+		traffic->appends++;
+	if (traffic->appends < APPENDS)
+		store->append(store, &append, on_appended, traffic);
+	g_ptr_array_unref(records);
+}
+
+/* Guards against appends that hold up the reads of a takeover or of the
+ * configuration on a busy loop. */
+static void
+test_appends_leave_turns_to_reads(void)
+{
+	threaded_t threaded;
+	fixture_t fixture;
+	traffic_t traffic = {.fixture = &fixture};
+	bp_store_t *store;
+	uint32_t turns = 0;
+	guint busy;
+
+	threaded_setup(&threaded, &fixture);
+	busy = g_idle_add_full(G_PRIORITY_DEFAULT, on_long_turn, &turns, NULL);
+	store = bp_platform_store_interface(fixture.client);
+	on_appended(NULL, &traffic);
+	store->read(store, "t", 0, 5, on_read, &traffic);
+	while (traffic.appends < APPENDS)
+		g_main_context_iteration(NULL, TRUE);
+	g_source_remove(busy);
+	CU_ASSERT_TRUE(traffic.reads * READ_TURNS_MAX >= turns);
+	if (traffic.reads * READ_TURNS_MAX < turns)
+		printf("  %u reads in %u turns\n", traffic.reads, turns);
+	threaded_teardown(&threaded, &fixture);
+}
+
 int
 main(void)
 {
 	CU_TestInfo tests[] = {
 	    {"odd members", test_odd_members},
 	    {"changed answers", test_changed_answers},
+	    {"an append takes few turns", test_an_append_takes_few_turns},
+	    {"appends leave turns to reads", test_appends_leave_turns_to_reads},
 	    CU_TEST_INFO_NULL,
 	};
 
