An owner whose appends get no answer steps down

Cause: only isolation from executors and late timers made an owner step down. Evidence: queues/fitness "an owner without appends steps back" failed before: 7 s after the store had stopped to answer the owner's appends it was still the owner, and a job handed in again was not accepted. Fix: once an append has been sent three times and has had no answer for 4 s, while the membership is valid, the node is unfit. Like a slow one it steps down only while another preferred node is alive ("the only node without appends stays"); the report is repeated every 4 s, as such a node may come later. The attempts are logged.

--- a/include/bulrushpost/shard.h
+++ b/include/bulrushpost/shard.h
@@ -33,6 +33,7 @@
 typedef enum {
 	BP_SHARD_UNFIT_ISOLATED, /* most executors have stopped answering it */
 	BP_SHARD_UNFIT_SLOW, /* its timers fire late repeatedly */
+	BP_SHARD_UNFIT_UNSTORED, /* its appends get no answer, joins do */
 	BP_SHARD_UNFIT_KINDS
 } bp_shard_unfit_t;
 
@@ -58,7 +59,8 @@
 	void (*lost)(bp_shard_t *shard, void *data);
 	/* The epoch was claimed; list all executors from the start. */
 	void (*owned)(bp_shard_t *shard, void *data);
-	/* This node cannot serve as owner. Called once for each reason. */
+	/* This node cannot serve as owner. Called once for each reason, and
+	 * again while an append gets no answer. */
 	void (*unfit)(bp_shard_t *shard, bp_shard_unfit_t why, void *data);
 	void *data;
 } bp_shard_options_t;
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -141,8 +141,8 @@
 		bp_membership_refresh_owners(node->membership);
 }
 
-/* A slow owner is better than none, so it steps down only if a preferred node
- * is alive. */
+/* An owner that is slow or cannot store is better than none, so it steps down
+ * only if a preferred node is alive. */
 static void
 on_unfit(bp_shard_unfit_t why, void *data)
 {
@@ -151,7 +151,8 @@
 	    bp_clock_mono_ms(node->clock) - node->preferred_heartbeat_ms <
 		HEARTBEAT_TIMEOUT_MS;
 
-	if (why == BP_SHARD_UNFIT_SLOW && (node->standby || !preferred_alive))
+	if (why != BP_SHARD_UNFIT_ISOLATED &&
+	    (node->standby || !preferred_alive))
 		return;
 	bp_membership_step_down(node->membership);
 }
--- a/src/queues/recordwriter.c
+++ b/src/queues/recordwriter.c
@@ -230,6 +230,13 @@
 	return writer->first_sent_ms;
 }
 
+/* See the header. */
+uint32_t
+bp_record_writer_attempts(const bp_record_writer_t *writer)
+{
+	return writer->attempts;
+}
+
 /* See the header. */
 int64_t
 bp_record_writer_last_stored_ms(const bp_record_writer_t *writer)
--- a/src/queues/recordwriter.h
+++ b/src/queues/recordwriter.h
@@ -41,6 +41,8 @@
 /* Returns when, on the monotonic clock, the append in flight was first sent; 0
  * for none. */
 int64_t bp_record_writer_pending_since_ms(const bp_record_writer_t *writer);
+/* Returns how often the append in flight was sent. */
+uint32_t bp_record_writer_attempts(const bp_record_writer_t *writer);
 /* Returns when, on the monotonic clock, the last append that succeeded was
  * first sent; 0 for none. */
 int64_t bp_record_writer_last_stored_ms(const bp_record_writer_t *writer);
--- a/src/queues/shard_fitness.c
+++ b/src/queues/shard_fitness.c
@@ -20,6 +20,10 @@
  * 0.1 s, that were late by LATE_MS or more. */
 #define LATE_MS 500
 #define LATE_TICKS 3
+/* An append must have no answer for this time, and after this many attempts: a
+ * pause of the process alone does not count. */
+#define UNSTORED_MS 4000
+#define UNSTORED_ATTEMPTS 3
 
 /* Counts polled executors, and the unresponsive ones among them. */
 static void
@@ -83,6 +87,33 @@
 	    "most executors do not answer this node", "silent", counts);
 }
 
+/*
+ * A store that confirms the membership and does not answer an append may answer
+ * another node: this one may be too busy to store. The report is repeated, as
+ * no other node may have been there to take the shard.
+ */
+static void
+check_appends(bp_shard_t *shard)
+{
+	int64_t now_ms = bp_shard_now_ms(shard);
+	int64_t since_ms = bp_record_writer_pending_since_ms(shard->writer);
+	uint32_t attempts = bp_record_writer_attempts(shard->writer);
+	char text[16];
+
+	if (since_ms == 0 || now_ms - since_ms < UNSTORED_MS ||
+	    attempts < UNSTORED_ATTEMPTS || !bp_shard_membership_valid(shard))
+		return;
+	if (shard->unstored_reported_ms != 0 &&
+	    now_ms - shard->unstored_reported_ms < UNSTORED_MS)
+		return;
+	shard->unstored_reported_ms = now_ms;
+	shard->unfit_reported[BP_SHARD_UNFIT_UNSTORED] = false;
+	snprintf(text, sizeof(text), "%u", attempts);
+	report_unfit(shard, BP_SHARD_UNFIT_UNSTORED,
+	    "the store answers this node's joins but no append", "attempts",
+	    text);
+}
+
 /* Records by how much a tick was late. */
 void
 bp_shard_record_lag(bp_shard_t *shard, int64_t lag_ms)
@@ -98,6 +129,7 @@
 	char lag[32];
 
 	check_isolation(shard);
+	check_appends(shard);
 	if (shard->late_ticks < LATE_TICKS)
 		return;
 	snprintf(lag, sizeof(lag), "%" G_GINT64_FORMAT, shard->lag_ms);
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -262,6 +262,7 @@
 	int64_t isolated_ms; /* monotonic, start of a likely isolation */
 	uint32_t late_ticks; /* consecutive */
 	bool unfit_reported[BP_SHARD_UNFIT_KINDS];
+	int64_t unstored_reported_ms; /* mono, 0: never */
 	bool reconciled;
 	uint32_t starts_in_flight;
 	int64_t urgent_blocked_ms; /* monotonic, last time by start limits */
--- a/tests/queues/test_fitness.c
+++ b/tests/queues/test_fitness.c
@@ -218,6 +218,58 @@
 	finish_simulation(sim);
 }
 
+/* Guards against an owner that keeps its membership but cannot store: nothing
+ * starts and no job is accepted, although other nodes could. */
+static void
+test_an_owner_without_appends_steps_back(void)
+{
+	const char *id;
+	bp_qrig_t *sim = start_simulation(&id);
+	int before = bp_qrig_owner(sim);
+	uint32_t starts = bp_qfleet_starts(bp_qrig_fleet(sim));
+	const char *later;
+
+	bp_qrig_store_mode(sim, (uint32_t)before, BP_QSTORE_SILENT_APPENDS);
+	later = bp_qrig_submit(sim, 1, 300, false);
+	bp_qrig_run_ms(sim, 3000);
+	CU_ASSERT_EQUAL(bp_qrig_owner(sim), before);
+	bp_qrig_run_ms(sim, 4000);
+	CU_ASSERT_TRUE(bp_qrig_owner(sim) >= 0);
+	CU_ASSERT_NOT_EQUAL(bp_qrig_owner(sim), before);
+	CU_ASSERT_EQUAL(running(sim, id), TASKS);
+	CU_ASSERT_EQUAL(bp_qfleet_starts(bp_qrig_fleet(sim)), starts);
+	bp_qrig_resubmit(sim, later);
+	bp_qrig_run_ms(sim, 2000);
+	CU_ASSERT_EQUAL(bp_qrig_told(sim, later), BP_QRIG_ACCEPTED);
+	finish_simulation(sim);
+}
+
+/* Guards against a store that answers nobody's appends and has the shard handed
+ * from node to node. */
+static void
+test_the_only_node_without_appends_stays(void)
+{
+	const char *id;
+	bp_qrig_t *sim = start_simulation(&id);
+	int owner = bp_qrig_owner(sim);
+	uint32_t i;
+
+	for (i = 0; i < BP_QRIG_NODES; i++) {
+		if ((int)i != owner)
+			bp_qrig_kill(sim, i);
+	}
+	bp_qrig_store_mode(sim, (uint32_t)owner, BP_QSTORE_SILENT_APPENDS);
+	(void)bp_qrig_submit(sim, 1, 300, false);
+	for (i = 0; i < 10; i++) {
+		bp_qrig_run_ms(sim, 1000);
+		CU_ASSERT_EQUAL(bp_qrig_owner(sim), owner);
+	}
+	bp_qrig_store_mode(sim, (uint32_t)owner, BP_QSTORE_UP);
+	bp_qrig_run_ms(sim, 2000);
+	CU_ASSERT_EQUAL(running(sim, id), TASKS);
+	finish_simulation(sim);
+}
+
 int
 main(void)
 {
@@ -231,6 +283,10 @@
 	    {"the only slow node reports isolation",
 		test_the_only_slow_node_reports_isolation},
 	    {"a pause changes no owner", test_a_pause_changes_no_owner},
+	    {"an owner without appends steps back",
+		test_an_owner_without_appends_steps_back},
+	    {"the only node without appends stays",
+		test_the_only_node_without_appends_stays},
 	    CU_TEST_INFO_NULL,
 	};
 
--- a/tests/support/queuerig.c
+++ b/tests/support/queuerig.c
@@ -208,7 +208,7 @@
 		    (other != node && other->alive &&
 			!bp_membership_stepped_down(other->membership));
 	}
-	if (why != BP_SHARD_UNFIT_SLOW || others)
+	if (why == BP_SHARD_UNFIT_ISOLATED || others)
 		bp_membership_step_down(node->membership);
 }
 
--- a/tests/support/queuestore.c
+++ b/tests/support/queuestore.c
@@ -466,6 +466,12 @@
 		bp_clock_add_timer(
 		    clock_of(store), NO_ANSWER_MS, on_silence, call);
 		return G_SOURCE_REMOVE;
+	case BP_QSTORE_SILENT_APPENDS:
+		if (call->kind != APPEND)
+			break;
+		bp_clock_add_timer(
+		    clock_of(store), NO_ANSWER_MS, on_silence, call);
+		return G_SOURCE_REMOVE;
 	case BP_QSTORE_UP:
 		break;
 	}
--- a/tests/support/queuestore.h
+++ b/tests/support/queuestore.h
@@ -16,7 +16,8 @@
 typedef enum {
 	BP_QSTORE_UP,
 	BP_QSTORE_BUSY, /* refuses; nothing is done */
-	BP_QSTORE_SILENT /* no answer, nothing is done */
+	BP_QSTORE_SILENT, /* no answer, nothing is done */
+	BP_QSTORE_SILENT_APPENDS /* the same for appends only */
 } bp_qstore_mode_t;
 
 bp_qstore_t *bp_qstore_new(
