A busy owner polls again before it takes an executor as unresponsive

What callers saw: 64 executors that "do not answer" 2 s after a change of owner, whose tasks then waited, though their answers were in the owner's sockets. Cause: a poll that ended without an answer always counted against the executor, also if the owner's event loop had stood still in the meantime. Fix: the shard adds up by how much its ticks are late. A poll without an answer within which this reaches 0.3 s is repeated at once and doesn't count, three times in a row at most ("a busy owner counts lasting silence"), so that an executor which is down is still found. An idle owner counts as before.

--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -197,6 +197,15 @@
 	g_list_free(values);
 }
 
+/* See the header. The tick that is due is included. */
+int64_t
+bp_shard_lateness_ms(const bp_shard_t *shard)
+{
+	int64_t overdue_ms = bp_shard_now_ms(shard) - shard->tick_due_ms;
+
+	return shard->late_ms + MAX(overdue_ms, 0);
+}
+
 /* A late tick shows for how long the event loop was blocked. */
 static void
 measure_tick_lag(bp_shard_t *shard)
@@ -204,6 +213,7 @@
 	int64_t now_ms = bp_shard_now_ms(shard);
 
 	bp_shard_record_lag(shard, now_ms - shard->tick_due_ms);
+	shard->late_ms = bp_shard_lateness_ms(shard);
 	shard->tick_due_ms = now_ms + TICK_MS;
 }
 
--- a/src/queues/shard_polls.c
+++ b/src/queues/shard_polls.c
@@ -9,9 +9,16 @@
 /* Executors measure a tail latency over half a second. */
 #define TAIL_SAMPLE_MS 500
 
+/* Lateness of this node's event loop within a poll that may have cost the
+ * answer. */
+#define BUSY_MS 300
+/* Polls in a row that are excused by it: an executor may be down, too. */
+#define EXCUSED_MAX 3
+
 /* Context of one poll in flight. */
 typedef struct {
 	bp_qexec_t *exec;
+	int64_t late_ms; /* bp_shard_lateness_ms() when it was sent */
 	uint64_t event; /* shard's event count when it was sent */
 } poll_t;
 
@@ -65,10 +72,25 @@
 		bp_shard_poll(exec, poll_wait_ms(exec));
 }
 
+/* Returns whether this node may have been too busy to read the answer. */
+static bool
+is_excused(
+    bp_qexec_t *exec, const bp_exec_result_t *result, int64_t poll_late_ms)
+{
+	if (poll_late_ms < BUSY_MS || exec->excused_polls >= EXCUSED_MAX ||
+	    (result->outcome != BP_EXEC_UNKNOWN &&
+		result->outcome != BP_EXEC_NOT_SENT))
+		return false;
+	exec->excused_polls++;
+	return true;
+}
+
+/* poll_late_ms: by how much the event loop was late within the poll. */
 static void
-on_poll_failure(bp_qexec_t *exec, const bp_exec_result_t *result)
+on_poll_failure(
+    bp_qexec_t *exec, const bp_exec_result_t *result, int64_t poll_late_ms)
 {
-	if (result->proxy_failed) {
+	if (result->proxy_failed || is_excused(exec, result, poll_late_ms)) {
 		bp_shard_schedule_poll(exec, 0);
 		return;
 	}
@@ -92,6 +114,7 @@
 	bp_qexec_t *exec = poll->exec;
 	bp_shard_t *shard = exec->shard;
 	uint64_t event = poll->event;
+	int64_t poll_late_ms = bp_shard_lateness_ms(shard) - poll->late_ms;
 
 	g_hash_table_remove(shard->polls, poll);
 	exec->polls_in_flight--;
@@ -99,7 +122,7 @@
 	if (shard->phase == BP_SHARD_LOST)
 		return;
 	if (result->outcome != BP_EXEC_OK || result->running == NULL) {
-		on_poll_failure(exec, result);
+		on_poll_failure(exec, result, poll_late_ms);
 		return;
 	}
 	if (exec->unresponsive)
@@ -108,6 +131,7 @@
 	if (exec->unresponsive && !exec->recorded_in_epoch)
 		bp_record_writer_request(shard->writer, false);
 	exec->unresponsive = false;
+	exec->excused_polls = 0;
 	if (exec->born_ms != 0 && result->born_ms > exec->born_ms)
 		reset_incarnation(exec, result->born_ms, result->clock_ms);
 	/* Drops an answer that a later one or a restart has overtaken. */
@@ -191,6 +215,7 @@
 	poll = g_new0(poll_t, 1);
 	poll->exec = exec;
 	poll->event = ++shard->events;
+	poll->late_ms = bp_shard_lateness_ms(shard);
 	request.deadline_ms = lease_deadline_ms(exec);
 	request.cursor = last_end_to_ack(exec);
 	/* Another incarnation would drop ends that no owner has seen. */
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -134,6 +134,7 @@
 	GPtrArray *held; /* bp_qheld_t; until reconciled */
 	bool unresponsive; /* the last poll got no answer */
 	int64_t unresponsive_ms; /* monotonic, since when */
+	uint32_t excused_polls; /* without answer while this node was busy */
 	int64_t born_ms; /* Unix, start of its incarnation */
 	int64_t clock_ms; /* its clock at its last answer */
 	int64_t clock_at_ms; /* monotonic, when that answer arrived */
@@ -288,6 +289,7 @@
 	uint64_t counts_examined; /* executors considered for tasks */
 	int64_t rounds_us; /* total time spent in rounds */
 	int64_t tick_due_ms; /* monotonic, due time of the next tick */
+	int64_t late_ms; /* sum of the lateness of all ticks */
 	int64_t lag_ms; /* worst tick delay since the last summary */
 	bp_qsummary_counts_t last_summary;
 };
@@ -297,6 +299,8 @@
 int64_t bp_shard_wall_ms(const bp_shard_t *shard);
 bool bp_shard_may_order(const bp_shard_t *shard);
 bool bp_shard_may_start(const bp_shard_t *shard);
+/* Returns by how much ticks have been late in total. */
+int64_t bp_shard_lateness_ms(const bp_shard_t *shard);
 void bp_shard_mark_dirty(bp_shard_t *shard, bp_qjob_t *job);
 void bp_shard_plan_round(bp_shard_t *shard, uint32_t delay_ms);
 void bp_shard_end_job(
