The order router's tests measure no lateness of the machine

Cause: the router measures how late its event loop is, and the tests ran it on the clock of the system. On a loaded machine a call within which the loop was late by 0.3 s would back no proxy off, against what three tests expect. Change: the fixture's router has a virtual clock; its peers keep the clock of the loop.

--- a/tests/queues/test_orderrouter.c
+++ b/tests/queues/test_orderrouter.c
@@ -115,6 +115,7 @@
 	direct_t direct;
 	bp_clock_loop_t *loop_clock;
 	const bp_clock_t *clock;
+	bp_clock_virtual_t *router_clock; /* a busy machine delays no probe */
 	bp_peer_server_t *server;
 	char *address; /* of the node */
 	bp_peer_client_t *client;
@@ -174,7 +175,8 @@
 	fixture->address = g_strdup_printf(
 	    "127.0.0.1:%u", bp_peer_server_port(fixture->server));
 	fixture->client = bp_peer_client_new(fixture->clock, NULL);
-	options.clock = fixture->clock;
+	fixture->router_clock = bp_clock_virtual_new(1000);
+	options.clock = bp_clock_virtual_clock(fixture->router_clock);
 	options.direct = &fixture->direct.interface;
 	options.client = fixture->client;
 	options.address = "127.0.0.1:1";
@@ -191,6 +193,7 @@
 	bp_peer_client_free(fixture->client);
 	bp_order_router_free(fixture->router);
 	bp_peer_server_free(fixture->server);
+	bp_clock_virtual_free(fixture->router_clock);
 	bp_clock_loop_free(fixture->loop_clock);
 	g_free(fixture->address);
 }
@@ -350,11 +353,11 @@
 	fixture_teardown(&fixture);
 }
 
-/* Sends a start that is not answered; in the meantime the loop of this process
- * stands still for so long, in each of so many turns. Returns the number of
- * executors that have the fixture's node as their proxy afterwards. */
+/* Sends a start that is not answered; in the meantime the event loop has so
+ * many turns of this length. Returns the number of executors that have the
+ * fixture's node as their proxy afterwards. */
 static uint32_t
-proxied_after_pauses(uint32_t pauses, uint32_t pause_ms)
+proxied_after_turns(uint32_t turns, int64_t turn_ms)
 {
 	proxy_fixture_t fixture = {.hold = true};
 	uint32_t count;
@@ -363,9 +366,10 @@
 	fixture_setup(&fixture);
 	send_start(&fixture);
 	bp_order_router_heartbeat(fixture.router, NOBODY, "za", 1000);
-	for (i = 0; i < pauses; i++) {
-		bp_run_for_ms(10);
-		g_usleep(pause_ms * 1000);
+	for (i = 0; i < turns; i++) {
+		bp_clock_virtual_advance_us(
+		    fixture.router_clock, turn_ms * 1000);
+		bp_clock_virtual_run_ms(fixture.router_clock, 0);
 	}
 	CU_ASSERT_TRUE(bp_wait_until(all_ended, &fixture));
 	count = count_proxied(&fixture);
@@ -380,8 +384,8 @@
 static void
 test_a_busy_owner_blames_itself(void)
 {
-	CU_ASSERT_TRUE(proxied_after_pauses(4, 150) > 0);
-	CU_ASSERT_EQUAL(proxied_after_pauses(0, 0), 0);
+	CU_ASSERT_TRUE(proxied_after_turns(7, 150) > 0);
+	CU_ASSERT_EQUAL(proxied_after_turns(210, 5), 0);
 }
 
 #define WAIT_MS 3000
