--- a/src/queues/orderrouter.c
+++ b/src/queues/orderrouter.c
@@ -3,6 +3,7 @@
 #include "bulrushpost/message.h"
 #include "bulrushpost/hash.h"
 #include "proto/work.pb-c.h"
+#include "queues/orderqueue.h"
 
 #include <math.h>
 #include <stdio.h>
@@ -14,9 +15,11 @@
 #define BACKOFF_MS 1500
 /* An order takes up to 0.9 s at the proxy; a poll also takes its wait. */
 #define CALL_TIMEOUT_MS 1100
-/* A call that ends this much after its timeout shows that this process was
- * stalled. */
-#define STALL_MS 300
+/* Period of the timer that measures by how much the event loop is late. */
+#define PROBE_MS 50
+/* Lateness of the event loop within a call that may have cost its answer: each
+ * step of the call waits for a turn of the loop. */
+#define BUSY_MS 300
 /* Part of its processors that an owner uses to send orders itself. */
 #define OWNER_PROXY_SHARE 0.25
 /* Number of upper bits of a hash that make a fraction. */
@@ -43,6 +46,8 @@
 	uint32_t processor_milli;
 	int64_t last_heartbeat_ms; /* mono */
 	int64_t backoff_until_ms; /* mono */
+	/* It refused an order or its connections since its last heartbeat. */
+	bool refuses;
 	/* Value of calls_sent when a connection failed first; 0: none failed
 	 * since the last answer. */
 	uint64_t failed_at_call;
@@ -55,10 +60,13 @@
 	GHashTable *proxies; /* address to proxy_t */
 	GHashTable *calls; /* set of call_t in flight */
 	uint64_t calls_sent;
-	uint64_t direct_sent; /* orders that this node sent itself */
+	bp_order_queue_t *queue; /* of orders that this node sends itself */
 	uint64_t calls_summarized; /* calls_sent at the last summary */
-	uint64_t direct_summarized; /* direct_sent at the last summary */
+	uint64_t direct_summarized; /* sent by queue at the last summary */
 	guint summary_timer;
+	int64_t late_ms; /* sum of the lateness of all probes */
+	int64_t probe_due_ms; /* mono */
+	guint probe_timer;
 };
 
 /* An order in flight through a proxy. */
@@ -68,7 +76,7 @@
 	bool start; /* the order is a start */
 	uint64_t call_number; /* of this order router, from 1 */
 	int64_t sent_ms; /* mono */
-	uint32_t timeout_ms;
+	int64_t late_ms; /* lateness_ms() when it was sent */
 	bp_exec_done_t done; /* NULL after forget() */
 	void *data;
 } call_t;
@@ -99,6 +107,7 @@
 	}
 	proxy->processor_milli = processor_milli;
 	proxy->last_heartbeat_ms = bp_clock_mono_ms(router->options.clock);
+	proxy->refuses = false;
 }
 
 /* Weighted rendezvous hashing: the highest score wins, and nodes win in
@@ -112,22 +121,55 @@
 	return -MAX(weight, 1) / log(unit);
 }
 
+/* Returns whether a node lives as far as its heartbeats tell. */
+static bool
+is_alive(const proxy_t *proxy, int64_t now_ms)
+{
+	return now_ms - proxy->last_heartbeat_ms <= HEARTBEAT_TIMEOUT_MS;
+}
+
 /* Returns whether a node gets orders. */
 static bool
 is_usable(const proxy_t *proxy, int64_t now_ms)
 {
-	return now_ms - proxy->last_heartbeat_ms <= HEARTBEAT_TIMEOUT_MS &&
-	    proxy->backoff_until_ms <= now_ms;
+	return is_alive(proxy, now_ms) && proxy->backoff_until_ms <= now_ms;
+}
+
+/* Returns whether a node gets orders if none is usable. */
+static bool
+is_last_resort(const proxy_t *proxy, int64_t now_ms)
+{
+	return is_alive(proxy, now_ms) && !proxy->refuses;
+}
+
+/* Returns the number of nodes that currently get orders. */
+static uint32_t
+usable_proxies(const bp_order_router_t *router)
+{
+	int64_t now_ms = bp_clock_mono_ms(router->options.clock);
+	uint32_t usable = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, router->proxies);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		usable += is_usable(value, now_ms);
+	return usable;
 }
 
 /*
  * Returns the address of an executor's proxy, NULL for this node: the highest
- * rendezvous score, weighted by processors, among the live nodes of the
- * executor's zone, or among all live nodes if that zone has none.
+ * rendezvous score, weighted by processors, among the usable nodes of the
+ * executor's zone, or among all usable nodes if that zone has none. If no node
+ * is usable, one that is backed off is better than this node alone: calls also
+ * time out because this node is too busy to read their answers, and sending
+ * all orders itself would keep it so.
  */
 static const char *
 choose_proxy(bp_order_router_t *router, const bp_exec_target_t *target)
 {
+	bool (*may_send)(const proxy_t *, int64_t) =
+	    usable_proxies(router) > 0 ? is_usable : is_last_resort;
 	int64_t now_ms = bp_clock_mono_ms(router->options.clock);
 	uint64_t executor_hash = bp_hash_text(target->id, SEED_PROXY);
 	bool best_in_zone = strcmp(router->options.zone, target->zone) == 0;
@@ -145,7 +187,7 @@
 		double score = rendezvous_score(
 		    executor_hash ^ proxy->hash, proxy->processor_milli);
 
-		if (!is_usable(proxy, now_ms))
+		if (!may_send(proxy, now_ms))
 			continue;
 		if (in_zone == best_in_zone ? score > best_score : in_zone) {
 			best_address = proxy->address;
@@ -197,14 +239,33 @@
 	proxy->stats.proxy_ms += body->took_ms;
 }
 
+/* Returns by how much the event loop has been late in total, including the
+ * probe that is due. */
+static int64_t
+lateness_ms(const bp_order_router_t *router)
+{
+	int64_t overdue_ms =
+	    bp_clock_mono_ms(router->options.clock) - router->probe_due_ms;
+
+	return router->late_ms + MAX(overdue_ms, 0);
+}
+
+static gboolean
+on_probe(void *data)
+{
+	bp_order_router_t *router = data;
+
+	router->late_ms = lateness_ms(router);
+	router->probe_due_ms =
+	    bp_clock_mono_ms(router->options.clock) + PROBE_MS;
+	return G_SOURCE_CONTINUE;
+}
+
 /* Returns whether this process may have been too busy to read the answer. */
 static bool
-was_stalled(const call_t *call)
+was_busy(const call_t *call)
 {
-	int64_t passed_ms =
-	    bp_clock_mono_ms(call->router->options.clock) - call->sent_ms;
-
-	return passed_ms > (int64_t)call->timeout_ms + STALL_MS;
+	return lateness_ms(call->router) - call->late_ms >= BUSY_MS;
 }
 
 static void
@@ -214,6 +275,14 @@
 	    bp_clock_mono_ms(router->options.clock) + BACKOFF_MS;
 }
 
+/* The node backs off, and is no last resort before its next heartbeat. */
+static void
+refuse(const bp_order_router_t *router, proxy_t *proxy)
+{
+	back_off(router, proxy);
+	proxy->refuses = true;
+}
+
 /* A broken connection fails all calls on it, which does not prove that the node
  * failed: it backs off only if a call that was sent later fails as well. */
 static void
@@ -222,7 +291,7 @@
 	if (proxy->failed_at_call == 0)
 		proxy->failed_at_call = call->router->calls_sent;
 	else if (call->call_number > proxy->failed_at_call)
-		back_off(call->router, proxy);
+		refuse(call->router, proxy);
 }
 
 /*
@@ -241,10 +310,10 @@
 	if (frame != NULL && frame->error == BP_OK)
 		proxy->failed_at_call = 0;
 	else if (frame != NULL)
-		back_off(call->router, proxy);
+		refuse(call->router, proxy);
 	else if (err->kind != BP_EDEADLINE)
 		note_connection_failure(call, proxy);
-	else if (!was_stalled(call))
+	else if (!was_busy(call))
 		back_off(call->router, proxy);
 }
 
@@ -309,102 +378,124 @@
 	call_free(call);
 }
 
+/* Sends the frame of an order to a node. */
 static void
-send_order(bp_order_router_t *router, const char *proxy, Bp__Work__Order *order,
-    const bp_exec_target_t *target, uint32_t timeout_ms, bp_exec_done_t done,
+call_proxy(bp_order_router_t *router, const char *proxy,
+    const Bp__Work__Order *message, uint32_t timeout_ms, bp_exec_done_t done,
     void *data)
 {
 	Bp__Peer__Frame frame = BP__PEER__FRAME__INIT;
 	call_t *call = g_new0(call_t, 1);
 	GBytes *bytes;
 
-	order->address = (char *)target->address;
-	order->id = (char *)target->id;
-	order->fence = target->fence;
-	order->born_ms = target->born_ms;
 	call->router = router;
 	call->proxy = g_strdup(proxy);
-	call->start = order->kind == BP__WORK__ORDER_KIND__ORDER_START;
+	call->start = message->kind == BP__WORK__ORDER_KIND__ORDER_START;
 	call->call_number = ++router->calls_sent;
-	call->timeout_ms = timeout_ms;
+	call->late_ms = lateness_ms(router);
 	call->sent_ms = bp_clock_mono_ms(router->options.clock);
 	call->done = done;
 	call->data = data;
 	g_hash_table_add(router->calls, call);
 	frame.verb = BP__PEER__VERB__VERB_QUEUE_ORDER;
-	bytes = bp_message_pack(&order->base);
+	bytes = bp_message_pack(&message->base);
 	bp_message_refer(&frame.body, bytes);
 	bp_peer_client_call(
 	    router->options.client, proxy, &frame, timeout_ms, on_answer, call);
 	g_bytes_unref(bytes);
 }
 
+/* Sends an order through the executor's proxy. Returns false if that is this
+ * node. */
+static bool
+send_proxied(
+    const bp_order_t *order, bp_exec_done_t done, void *done_data, void *data)
+{
+	bp_order_router_t *router = data;
+	const char *proxy = choose_proxy(router, &order->target);
+	Bp__Work__Order message = BP__WORK__ORDER__INIT;
+	uint32_t timeout_ms = CALL_TIMEOUT_MS;
+
+	if (proxy == NULL)
+		return false;
+	message.address = (char *)order->target.address;
+	message.id = (char *)order->target.id;
+	message.fence = order->target.fence;
+	message.born_ms = order->target.born_ms;
+	switch (order->kind) {
+	case BP_ORDER_START:
+		message.kind = BP__WORK__ORDER_KIND__ORDER_START;
+		message.task = (char *)order->start.task;
+		message.run = order->start.run;
+		message.payload = (char *)order->start.payload;
+		message.deadline_ms = order->start.deadline_ms;
+		if (order->start.checkpoint != NULL)
+			message.checkpoint = (char *)order->start.checkpoint;
+		if (order->start.ticket != NULL)
+			message.ticket = (char *)order->start.ticket;
+		break;
+	case BP_ORDER_STOP:
+		message.kind = BP__WORK__ORDER_KIND__ORDER_STOP;
+		message.task = (char *)order->stop.task;
+		message.run = order->stop.run;
+		break;
+	case BP_ORDER_POLL:
+		message.kind = BP__WORK__ORDER_KIND__ORDER_LOOK;
+		message.deadline_ms = order->poll.deadline_ms;
+		message.cursor = order->poll.cursor;
+		message.wait_ms = order->poll.wait_ms;
+		timeout_ms += order->poll.wait_ms;
+		break;
+	case BP_ORDER_THROTTLE:
+		message.kind = BP__WORK__ORDER_KIND__ORDER_PACE;
+		message.task = (char *)order->throttle.task;
+		message.run = order->throttle.run;
+		message.percent = order->throttle.percent;
+		break;
+	}
+	call_proxy(router, proxy, &message, timeout_ms, done, done_data);
+	return true;
+}
+
+static void
+route(bp_executors_t *self, const bp_order_t *order, bp_exec_done_t done,
+    void *data)
+{
+	bp_order_router_t *router = (bp_order_router_t *)self;
+
+	if (!send_proxied(order, done, data, router))
+		bp_order_queue_add(router->queue, order, done, data);
+}
+
 static void
 router_start(bp_executors_t *self, const bp_exec_target_t *target,
     const bp_exec_start_t *start, bp_exec_done_t done, void *data)
 {
-	bp_order_router_t *router = (bp_order_router_t *)self;
-	const char *proxy = choose_proxy(router, target);
-	Bp__Work__Order order = BP__WORK__ORDER__INIT;
+	bp_order_t order = {.kind = BP_ORDER_START, .target = *target};
 
-	if (proxy == NULL) {
-		router->direct_sent++;
-		router->options.direct->start(
-		    router->options.direct, target, start, done, data);
-		return;
-	}
-	order.kind = BP__WORK__ORDER_KIND__ORDER_START;
-	order.task = (char *)start->task;
-	order.run = start->run;
-	order.payload = (char *)start->payload;
-	order.deadline_ms = start->deadline_ms;
-	if (start->checkpoint != NULL)
-		order.checkpoint = (char *)start->checkpoint;
-	if (start->ticket != NULL)
-		order.ticket = (char *)start->ticket;
-	send_order(router, proxy, &order, target, CALL_TIMEOUT_MS, done, data);
+	order.start = *start;
+	route(self, &order, done, data);
 }
 
 static void
 router_stop(bp_executors_t *self, const bp_exec_target_t *target,
     const char *task, uint64_t run, bp_exec_done_t done, void *data)
 {
-	bp_order_router_t *router = (bp_order_router_t *)self;
-	const char *proxy = choose_proxy(router, target);
-	Bp__Work__Order order = BP__WORK__ORDER__INIT;
+	bp_order_t order = {.kind = BP_ORDER_STOP, .target = *target};
 
-	if (proxy == NULL) {
-		router->direct_sent++;
-		router->options.direct->stop(
-		    router->options.direct, target, task, run, done, data);
-		return;
-	}
-	order.kind = BP__WORK__ORDER_KIND__ORDER_STOP;
-	order.task = (char *)task;
-	order.run = run;
-	send_order(router, proxy, &order, target, CALL_TIMEOUT_MS, done, data);
+	order.stop.task = task;
+	order.stop.run = run;
+	route(self, &order, done, data);
 }
 
 static void
 router_poll(bp_executors_t *self, const bp_exec_target_t *target,
     const bp_exec_poll_t *poll, bp_exec_done_t done, void *data)
 {
-	bp_order_router_t *router = (bp_order_router_t *)self;
-	const char *proxy = choose_proxy(router, target);
-	Bp__Work__Order order = BP__WORK__ORDER__INIT;
+	bp_order_t order = {.kind = BP_ORDER_POLL, .target = *target};
 
-	if (proxy == NULL) {
-		router->direct_sent++;
-		router->options.direct->poll(
-		    router->options.direct, target, poll, done, data);
-		return;
-	}
-	order.kind = BP__WORK__ORDER_KIND__ORDER_LOOK;
-	order.deadline_ms = poll->deadline_ms;
-	order.cursor = poll->cursor;
-	order.wait_ms = poll->wait_ms;
-	send_order(router, proxy, &order, target,
-	    CALL_TIMEOUT_MS + poll->wait_ms, done, data);
+	order.poll = *poll;
+	route(self, &order, done, data);
 }
 
 static void
@@ -412,21 +503,12 @@
     const char *task, uint64_t run, uint32_t percent, bp_exec_done_t done,
     void *data)
 {
-	bp_order_router_t *router = (bp_order_router_t *)self;
-	const char *proxy = choose_proxy(router, target);
-	Bp__Work__Order order = BP__WORK__ORDER__INIT;
+	bp_order_t order = {.kind = BP_ORDER_THROTTLE, .target = *target};
 
-	if (proxy == NULL) {
-		router->direct_sent++;
-		router->options.direct->throttle(router->options.direct, target,
-		    task, run, percent, done, data);
-		return;
-	}
-	order.kind = BP__WORK__ORDER_KIND__ORDER_PACE;
-	order.task = (char *)task;
-	order.run = run;
-	order.percent = percent;
-	send_order(router, proxy, &order, target, CALL_TIMEOUT_MS, done, data);
+	order.throttle.task = task;
+	order.throttle.run = run;
+	order.throttle.percent = percent;
+	route(self, &order, done, data);
 }
 
 static const char *
@@ -451,7 +533,7 @@
 		if (call->data == data)
 			call->done = NULL;
 	}
-	router->options.direct->forget(router->options.direct, data);
+	bp_order_queue_forget(router->queue, data);
 }
 
 static uint32_t
@@ -468,39 +550,26 @@
 	sum->proxy_ms += stats->proxy_ms;
 }
 
-/* Returns the number of nodes that currently get orders. */
-static uint32_t
-usable_proxies(const bp_order_router_t *router)
-{
-	int64_t now_ms = bp_clock_mono_ms(router->options.clock);
-	uint32_t usable = 0;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, router->proxies);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		usable += is_usable(value, now_ms);
-	return usable;
-}
-
 /* Logs how many orders this node sends itself, as each costs far more than one
  * that a proxy sends. */
 static void
 log_orders(bp_order_router_t *router)
 {
-	uint64_t direct = router->direct_sent - router->direct_summarized;
+	uint64_t sent = bp_order_queue_sent(router->queue);
+	uint64_t direct = sent - router->direct_summarized;
 	uint64_t proxied = router->calls_sent - router->calls_summarized;
 	char text[128];
 
-	router->direct_summarized = router->direct_sent;
+	router->direct_summarized = sent;
 	router->calls_summarized = router->calls_sent;
 	if (direct == 0 && proxied == 0)
 		return;
 	snprintf(text, sizeof(text),
 	    "direct=%" G_GUINT64_FORMAT " proxied=%" G_GUINT64_FORMAT
-	    " proxies=%u unanswered=%u",
+	    " proxies=%u unanswered=%u waiting=%u",
 	    direct, proxied, usable_proxies(router),
-	    g_hash_table_size(router->calls));
+	    g_hash_table_size(router->calls),
+	    bp_order_queue_waiting(router->queue));
 	bp_log(router->options.logger, BP_LOG_INFO, MODULE, "orders sent",
 	    "state", text, NULL);
 }
@@ -551,13 +620,22 @@
 bp_order_router_new(const bp_order_router_options_t *options)
 {
 	bp_order_router_t *router = g_new0(bp_order_router_t, 1);
+	bp_order_queue_options_t queue = {0};
 
 	router->options = *options;
+	queue.clock = options->clock;
+	queue.executors = options->direct;
+	queue.reroute = send_proxied;
+	queue.data = router;
+	router->queue = bp_order_queue_new(&queue);
 	router->proxies =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, proxy_free);
 	router->calls = g_hash_table_new_full(NULL, NULL, call_free, NULL);
 	router->summary_timer =
 	    bp_clock_add_timer(options->clock, SUMMARY_MS, on_summary, router);
+	router->probe_due_ms = bp_clock_mono_ms(options->clock) + PROBE_MS;
+	router->probe_timer =
+	    bp_clock_add_timer(options->clock, PROBE_MS, on_probe, router);
 	router->interface.start = router_start;
 	router->interface.stop = router_stop;
 	router->interface.poll = router_poll;
@@ -575,6 +653,8 @@
 	if (router == NULL)
 		return;
 	bp_clock_cancel_timer(router->options.clock, &router->summary_timer);
+	bp_clock_cancel_timer(router->options.clock, &router->probe_timer);
+	bp_order_queue_free(router->queue);
 	g_hash_table_unref(router->calls);
 	g_hash_table_unref(router->proxies);
 	g_free(router);
