--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -54,6 +54,10 @@
 	BP_QRUN_STOPPING, /* a stop was sent or is pending */
 } bp_qrun_state_t;
 
+/* Speed limit of a filler before this owner has set one: an earlier owner's
+ * limit stays in force, and an order without an answer may be. */
+#define BP_QRUN_SPEED_UNKNOWN UINT32_MAX
+
 /* A run of a task that exists or may exist on an executor. */
 struct bp_qrun {
 	bp_qexec_t *exec;
@@ -79,7 +83,10 @@
 	int64_t stop_sent_ms; /* monotonic, 0 for never */
 	uint32_t percent; /* of its work, as last reported */
 	int64_t paused_ms; /* monotonic, since when */
-	uint32_t speed_percent; /* limit; 0: paused */
+	uint32_t samples_paused; /* tail latency samples that reflect it */
+	uint32_t speed_percent; /* limit; 0: paused; BP_QRUN_SPEED_UNKNOWN */
+	int64_t adopted_ms; /* monotonic, from an earlier epoch; 0: its limit is
+			     * not that of an earlier owner */
 	int64_t progress_ms; /* monotonic, when percent last changed */
 	int64_t measured; /* tail latency or CPU in use, as last reported */
 	double solo_slack; /* learned, without fillers; serving tasks */
@@ -165,6 +172,7 @@
 	GArray *slacks; /* bp_qslack_t for each serving run */
 	bool slacks_stale; /* slacks must be computed again before use */
 	GArray *filler_usage; /* bp_filler_usage_t of the last sample */
+	int64_t moves_sampled_ms; /* sampled_ms when moves were last examined */
 	uint32_t consecutive_overruns; /* samples near or above a target */
 	guint poll_timer;
 };
@@ -506,7 +514,9 @@
 
 /* shard_throttle.c */
 void bp_shard_throttle_fillers(bp_qexec_t *exec);
-void bp_shard_move_paused(bp_qexec_t *exec);
 void bp_shard_cancel_throttles(bp_shard_t *shard);
 
+/* shard_moves.c */
+void bp_shard_move_paused(bp_qexec_t *exec);
+
 #endif
--- a/src/queues/shard_throttle.c
+++ b/src/queues/shard_throttle.c
@@ -10,10 +10,6 @@
 /* Fillers are paused when a tail latency was near its target in this number of
  * consecutive samples; it must not stay above the target for about 4 s. */
 #define OVERRUNS_TO_PAUSE 4
-/* A filler that was paused for this long is moved to another executor. */
-#define MOVE_AFTER_PAUSED_MS 500
-/* Without checkpoints it is moved only before this share of its work. */
-#define MOVE_PERCENT_MAX 15
 /* Weight of one sample in the smoothed slack of a serving task. */
 #define SLACK_RATE 0.5
 /* Samples further apart than this are not compared. */
@@ -24,6 +20,12 @@
 #define SPEED_CHANGE_MIN 10
 /* Below this a filler is paused: it would hardly advance. */
 #define SPEED_MIN 15
+/* An adopted filler that uses this share of its processors is not slowed. */
+#define FULL_SPEED_USE_PERCENT 90
+/* Tail latencies sampled this long after a pause reflect it. */
+#define PAUSE_SEEN_MS 400
+/* Time after which a measured CPU use reflects the last speed limit. */
+#define USE_SETTLED_MS 1000
 
 /* A throttle order in flight. */
 typedef struct {
@@ -38,33 +40,64 @@
 
 	g_hash_table_remove(throttle->shard->throttles, throttle);
 	if (result->outcome != BP_EXEC_OK)
-		throttle->run->speed_percent =
-		    SPEED_FULL + 1; /* unknown: sent again */
+		throttle->run->speed_percent = BP_QRUN_SPEED_UNKNOWN;
 	bp_qrun_unref_order(throttle->run);
 	g_free(throttle);
 }
 
+/*
+ * Tells whether an adopted filler is to have full speed and uses as much. Most
+ * fillers do at a takeover, and each order would delay first polls.
+ */
+static bool
+has_full_speed(bp_shard_t *shard, bp_qrun_t *run, uint32_t percent)
+{
+	int64_t cpu_milli = run->task->step->spec->cpu_milli;
+
+	if (run->speed_percent != BP_QRUN_SPEED_UNKNOWN ||
+	    run->adopted_ms == 0 || percent != SPEED_FULL ||
+	    run->measured * 100 < cpu_milli * FULL_SPEED_USE_PERCENT)
+		return false;
+	if (bp_shard_now_ms(shard) - run->adopted_ms >= USE_SETTLED_MS)
+		run->speed_percent = SPEED_FULL;
+	return true;
+}
+
+/* Returns whether a speed limit differs enough from the one in force. */
+static bool
+is_worth_an_order(const bp_qrun_t *run, uint32_t percent)
+{
+	uint32_t change = run->speed_percent > percent
+	    ? run->speed_percent - percent
+	    : percent - run->speed_percent;
+
+	if (run->speed_percent == BP_QRUN_SPEED_UNKNOWN)
+		return true;
+	return change >= SPEED_CHANGE_MIN ||
+	    (change > 0 && (percent == 0 || percent == SPEED_FULL));
+}
+
 static void
 set_speed(bp_qexec_t *exec, bp_qrun_t *run, uint32_t percent)
 {
 	bp_shard_t *shard = exec->shard;
 	bp_exec_target_t target = bp_qexec_target(exec);
-	uint32_t change = run->speed_percent > percent
-	    ? run->speed_percent - percent
-	    : percent - run->speed_percent;
 	throttle_t *throttle;
 
-	if (change == 0 || run->orders_in_flight > 0 ||
-	    run->state != BP_QRUN_RUNNING || !bp_shard_may_order(shard))
+	if (run->orders_in_flight > 0 || run->state != BP_QRUN_RUNNING ||
+	    !bp_shard_may_order(shard))
 		return;
-	if (change < SPEED_CHANGE_MIN && percent != 0 && percent != SPEED_FULL)
+	if (has_full_speed(shard, run, percent) ||
+	    !is_worth_an_order(run, percent))
 		return;
 	throttle = g_new0(throttle_t, 1);
 	throttle->shard = shard;
 	throttle->run = run;
 	if (percent == 0)
 		run->paused_ms = bp_shard_now_ms(shard);
+	run->samples_paused = 0;
 	run->speed_percent = percent;
+	run->adopted_ms = 0;
 	exec->slacks_stale = true;
 	bp_qrun_ref_order(run);
 	shard->counts_throttles++;
@@ -287,6 +320,9 @@
 
 		if (!is_filler(run))
 			continue;
+		if (run->speed_percent == 0 &&
+		    now_ms - run->paused_ms >= PAUSE_SEEN_MS)
+			run->samples_paused++;
 		share = common_speed_share(exec->shard, exec, run, losses);
 		set_speed(exec, run,
 		    limit_by_overruns(
@@ -295,29 +331,6 @@
 	g_free(losses);
 }
 
-/* Stops paused fillers, to restart them elsewhere, when little work is lost. */
-void
-bp_shard_move_paused(bp_qexec_t *exec)
-{
-	int64_t now_ms = bp_shard_now_ms(exec->shard);
-	guint i;
-
-	for (i = 0; i < exec->runs->len; i++) {
-		bp_qrun_t *run = exec->runs->pdata[i];
-
-		if (!is_filler(run) || run->speed_percent != 0 ||
-		    run->state != BP_QRUN_RUNNING ||
-		    now_ms - run->paused_ms < MOVE_AFTER_PAUSED_MS)
-			continue;
-		if (run->task->step->spec->checkpoints ||
-		    run->percent < MOVE_PERCENT_MAX) {
-			run->task->last_failed_executor = exec;
-			bp_shard_stop_run(
-			    exec->shard, run, "paused because of interference");
-		}
-	}
-}
-
 /* Abandons all throttle orders in flight. */
 void
 bp_shard_cancel_throttles(bp_shard_t *shard)
