Connections are not closed as idle before their time

Callers saw: a connection that was reused after 14.5 s was closed as "idle too long", although the limit is 15 s (and an unfinished head after 2.5 s instead of 3 s). Cause: the age of a phase began at the last check, up to 0.5 s before it, and checks that came a little late added up. Change: the age begins at the time of the call, with the same bound on what a pause counts. An idle connection has 0.25 s more, for a request that a caller sends at the end of its time. Evidence: "admission/ages begin between checks" failed before: a head was closed after 2,505 ms and an idle connection after 14,529 ms.

--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -27,6 +27,9 @@
 #define BODY_MS 15000
 #define ANSWER_MS 15000
 #define CHECK_MS 500
+/* A caller that keeps to the time of idle connections may send at its end; the
+ * request takes a while to arrive. */
+#define IDLE_MARGIN_MS 250
 /* A process that was paused does not count the pause as its callers' delay. */
 #define CHECK_ELAPSED_MAX_MS (2 * CHECK_MS)
 /* libsoup keeps about 9 KB for a connection (measured: 640 cost 6 MB). */
@@ -183,6 +186,16 @@
 	    address_names[address], "reason", reason, NULL);
 }
 
+/* The time since the last check counts up to the same bound as there. */
+static int64_t
+served_ms_now(const bp_admission_t *admission)
+{
+	int64_t elapsed_ms =
+	    bp_clock_mono_ms(admission->options.clock) - admission->checked_ms;
+
+	return admission->served_ms + MIN(elapsed_ms, CHECK_ELAPSED_MAX_MS);
+}
+
 static GQueue *
 queue_of(bp_admitted_t *admitted)
 {
@@ -269,7 +282,7 @@
 	admitted->close = close;
 	admitted->data = data;
 	admitted->link.data = admitted;
-	admitted->since_ms = admission->served_ms;
+	admitted->since_ms = served_ms_now(admission);
 	admission->connections[address]++;
 	g_queue_push_tail_link(queue_of(admitted), &admitted->link);
 	if (!bp_admitted_set_bytes(admitted, 0)) {
@@ -300,7 +313,7 @@
 		return;
 	g_queue_unlink(queue_of(admitted), &admitted->link);
 	admitted->phase = phase;
-	admitted->since_ms = admitted->admission->served_ms;
+	admitted->since_ms = served_ms_now(admitted->admission);
 	g_queue_push_tail_link(queue_of(admitted), &admitted->link);
 }
 
@@ -386,6 +399,14 @@
 		report(admitted->admission, admitted->address, reason);
 }
 
+static bool
+is_aged(const bp_admission_t *admission, const bp_admitted_t *admitted,
+    uint32_t age_ms)
+{
+	return admitted != NULL &&
+	    admission->served_ms - admitted->since_ms > (int64_t)age_ms;
+}
+
 static void
 shut_aged(bp_admission_t *admission, bp_admission_address_t address,
     bp_admitted_phase_t phase)
@@ -393,8 +414,11 @@
 	uint32_t age_ms = admission->options.age_max_ms[address][phase];
 	bp_admitted_t *oldest = oldest_of(admission, address, phase, NULL);
 
-	while (age_ms > 0 && oldest != NULL &&
-	    admission->served_ms - oldest->since_ms > (int64_t)age_ms) {
+	if (age_ms == 0)
+		return;
+	if (phase == BP_ADMITTED_IDLE)
+		age_ms += IDLE_MARGIN_MS;
+	while (is_aged(admission, oldest, age_ms)) {
 		shut(oldest, age_reasons[phase]);
 		oldest = oldest_of(admission, address, phase, NULL);
 	}
--- a/tests/core/test_admission.c
+++ b/tests/core/test_admission.c
@@ -218,6 +218,34 @@
 	teardown(&fixture);
 }
 
+/*
+ * Guards against connections that are closed before their time: the age counts
+ * from the moment a phase begins, not from the check before it, however late
+ * the checks are.
+ */
+static void
+test_ages_begin_between_checks(void)
+{
+	fixture_t fixture;
+	size_t i;
+
+	setup(&fixture, CONNECTIONS);
+	bp_clock_virtual_advance_us(fixture.clock, 499 * 1000);
+	CU_ASSERT_TRUE(enter(&fixture, 0) && enter(&fixture, 1));
+	set_phase(&fixture, 1, BP_ADMITTED_HEAD);
+	for (i = 0; i < 29; i++) {
+		bp_clock_virtual_advance_us(fixture.clock, 501 * 1000);
+		bp_admission_check(fixture.admission);
+		if (i == 4)
+			CU_ASSERT_FALSE(fixture.closed[1]);
+	}
+	CU_ASSERT_TRUE(fixture.closed[1]);
+	CU_ASSERT_FALSE(fixture.closed[0]);
+	pass(&fixture, 1000);
+	CU_ASSERT_TRUE(fixture.closed[0]);
+	teardown(&fixture);
+}
+
 /* Guards against callers that are cut off because this process was paused. */
 static void
 test_pause(void)
@@ -264,6 +292,7 @@
 	    {"memory", test_memory},
 	    {"reserve of control", test_reserve_of_control},
 	    {"ages", test_ages},
+	    {"ages begin between checks", test_ages_begin_between_checks},
 	    {"pause", test_pause},
 	    {"defaults", test_defaults},
 	    CU_TEST_INFO_NULL,
