A request that waits unread in the socket is not idle

Callers saw: a connection closed as "idle too long", or for a new connection at the bound, while the request that ended its idleness had arrived. Cause: after a long turn of the event loop or a pause the check, and the accept of a new connection, ran before the sockets were read. Change: a connection that would be closed as idle is asked for unread bytes (FIONREAD; one system call for each candidate). With some it has begun a head, which has the time of a head, so that the limits hold for a caller that sends a part of one and stops. Evidence: "adapter/front/an unread request is not idle" failed before: the connection had left the account and its request got no answer.

--- a/include/bulrushpost/admission.h
+++ b/include/bulrushpost/admission.h
@@ -51,6 +51,9 @@
 /* Closes the connection; must not call the admission. */
 typedef void (*bp_admitted_close_t)(void *data);
 
+/* Tells whether bytes that were not read wait in the connection's socket. */
+typedef bool (*bp_admitted_unread_t)(void *data);
+
 /* Sets the bounds for a machine of this memory and number of descriptors. */
 void bp_admission_options_init(
     bp_admission_options_t *options, uint64_t memory_mib, uint32_t descriptors);
@@ -70,6 +73,9 @@
 bp_admitted_t *bp_admission_enter(bp_admission_t *admission,
     bp_admission_address_t address, bp_admitted_close_t close, void *data);
 /* The functions below allow NULL, for a connection that is not counted. */
+/* An idle connection with unread bytes is not closed but has begun a head. */
+void bp_admitted_set_unread(
+    bp_admitted_t *admitted, bp_admitted_unread_t unread);
 void bp_admitted_leave(bp_admitted_t *admitted);
 /* The age of a phase begins with it; that of BP_ADMITTED_IDLE, and of all at
  * the control address, with each call. */
--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -50,6 +50,7 @@
 	bp_admission_address_t address;
 	bp_admitted_phase_t phase;
 	bp_admitted_close_t close;
+	bp_admitted_unread_t unread; /* or NULL */
 	void *data;
 	uint64_t bytes;
 	int64_t since_ms; /* of served time */
@@ -257,6 +258,24 @@
 	    found, oldest_of(admission, address, BP_ADMITTED_ANSWER, except));
 }
 
+/*
+ * Returns the connection of an address that is idle longest, NULL for none. One
+ * whose socket holds bytes sends a request: its time for a head begins.
+ */
+static bp_admitted_t *
+longest_idle(bp_admission_t *admission, bp_admission_address_t address)
+{
+	bp_admitted_t *idle =
+	    oldest_of(admission, address, BP_ADMITTED_IDLE, NULL);
+
+	while (
+	    idle != NULL && idle->unread != NULL && idle->unread(idle->data)) {
+		bp_admitted_set_phase(idle, BP_ADMITTED_HEAD);
+		idle = oldest_of(admission, address, BP_ADMITTED_IDLE, NULL);
+	}
+	return idle;
+}
+
 /* See the header. */
 bp_admitted_t *
 bp_admission_enter(bp_admission_t *admission, bp_admission_address_t address,
@@ -267,7 +286,7 @@
 
 	if (admission->connections[address] >=
 	    admission->options.connections_max[address]) {
-		victim = oldest_of(admission, address, BP_ADMITTED_IDLE, NULL);
+		victim = longest_idle(admission, address);
 		if (victim == NULL)
 			victim = slowest(admission, address, NULL);
 		if (victim == NULL) {
@@ -292,6 +311,14 @@
 	return admitted;
 }
 
+/* See the header. */
+void
+bp_admitted_set_unread(bp_admitted_t *admitted, bp_admitted_unread_t unread)
+{
+	if (admitted != NULL)
+		admitted->unread = unread;
+}
+
 /* See the header. */
 void
 bp_admitted_leave(bp_admitted_t *admitted)
@@ -419,6 +446,11 @@
 	if (phase == BP_ADMITTED_IDLE)
 		age_ms += IDLE_MARGIN_MS;
 	while (is_aged(admission, oldest, age_ms)) {
+		/* Only one that would be closed is asked for unread bytes. */
+		if (phase == BP_ADMITTED_IDLE)
+			oldest = longest_idle(admission, address);
+		if (!is_aged(admission, oldest, age_ms))
+			return;
 		shut(oldest, age_reasons[phase]);
 		oldest = oldest_of(admission, address, phase, NULL);
 	}
--- a/src/node/httpgate.c
+++ b/src/node/httpgate.c
@@ -84,6 +84,15 @@
 	    g_socket_connection_get_socket(stream->base), TRUE, TRUE, NULL);
 }
 
+static bool
+has_unread(void *data)
+{
+	BpGateStream *stream = data;
+
+	return g_socket_get_available_bytes(
+		   g_socket_connection_get_socket(stream->base)) > 0;
+}
+
 static void
 refuse(BpGateStream *stream, const char *reason)
 {
@@ -437,6 +446,7 @@
 	if (gate->options.admission != NULL)
 		stream->admitted = bp_admission_enter(
 		    gate->options.admission, gate->options.kind, shut, stream);
+	bp_admitted_set_unread(stream->admitted, has_unread);
 	return stream;
 }
 
--- a/tests/adapter/test_front.c
+++ b/tests/adapter/test_front.c
@@ -14,6 +14,8 @@
 #define HEADERS_MAX_BYTES ((size_t)1024 * 1024)
 /* More than the caller's and the server's sides keep of a flood. */
 #define GROWTH_MAX_KIB (16 * 1024)
+/* More than a segment takes on the loopback interface. */
+#define SEGMENT_US 20000
 #define SUBMIT                                                           \
 	"POST /q/00000000000000a1 HTTP/1.1\r\nHost: h\r\nContent-Type: " \
 	"application/json\r\n"
@@ -128,7 +130,8 @@
 }
 
 static void
-setup(fixture_t *fixture, bool configured)
+setup_with_admission(
+    fixture_t *fixture, bool configured, bp_admission_t *admission)
 {
 	bp_platform_front_options_t options = {0};
 	bp_error_t err = {BP_OK, ""};
@@ -141,12 +144,19 @@
 		fixture->router.catalog = make_catalog();
 	address = g_strdup_printf("127.0.0.1:%u", fixture->port);
 	options.router = &fixture->router;
+	options.admission = admission;
 	options.clients_address = address;
 	CU_ASSERT_EQUAL_FATAL(
 	    bp_platform_front_new(&fixture->front, &options, &err), BP_OK);
 	g_free(address);
 }
 
+static void
+setup(fixture_t *fixture, bool configured)
+{
+	setup_with_admission(fixture, configured, NULL);
+}
+
 static void
 teardown(fixture_t *fixture)
 {
@@ -540,6 +550,92 @@
 	teardown(&fixture);
 }
 
+/* Lets time pass for the admission; the main loop does not run. */
+static void
+pass(bp_clock_virtual_t *clock, bp_admission_t *admission, int64_t ms)
+{
+	for (; ms > 0; ms -= 500) {
+		bp_clock_virtual_advance_us(clock, MIN(ms, 500) * 1000);
+		bp_admission_check(admission);
+	}
+}
+
+/* Returns a connection that had one request answered and is idle. */
+static bp_rawcall_t *
+open_idle(fixture_t *fixture)
+{
+	bp_rawcall_t *call = bp_rawcall_new(fixture->port);
+
+	CU_ASSERT_TRUE(
+	    bp_rawcall_send_text(call, "GET /q/ HTTP/1.1\r\nHost: h\r\n\r\n"));
+	CU_ASSERT_TRUE(bp_rawcall_wait(call, "\"pending\""));
+	bp_run_for_ms(20);
+	return call;
+}
+
+/* Sends bytes that arrive in the socket, while the main loop does not run. */
+static void
+send_part(bp_rawcall_t *call, const char *text)
+{
+	CU_ASSERT_TRUE(bp_rawcall_send_text(call, text));
+	g_usleep(SEGMENT_US);
+}
+
+/*
+ * Guards against a node that was busy and closes a connection as idle, or for
+ * a new one at the bound, while a request waits unread in its socket. A part
+ * of a head keeps the connection for no longer than a head may take.
+ */
+static void
+test_an_unread_request_is_not_idle(void)
+{
+	bp_clock_virtual_t *clock = bp_clock_virtual_new(1000000);
+	bp_admission_options_t options;
+	bp_admission_t *admission;
+	bp_rawcall_t *calls[3];
+	fixture_t fixture;
+	size_t i;
+
+	bp_admission_options_init(&options, 160, 4100);
+	options.clock = bp_clock_virtual_clock(clock);
+	options.manual = true;
+	options.connections_max[BP_ADMISSION_CALLERS] = 2;
+	admission = bp_admission_new(&options);
+	setup_with_admission(&fixture, true, admission);
+	for (i = 0; i < 2; i++)
+		calls[i] = open_idle(&fixture);
+	pass(clock, admission, 14900);
+	send_part(calls[0], "GET /q/00000000");
+	pass(clock, admission, 1000);
+	CU_ASSERT_EQUAL(
+	    bp_admission_connections(admission, BP_ADMISSION_CALLERS), 1);
+	send_part(calls[0], "000000a1 HTTP/1.1\r\nHost: h\r\n\r\n");
+	CU_ASSERT_TRUE(bp_rawcall_wait(calls[0], "\"state\""));
+	CU_ASSERT_TRUE(bp_rawcall_wait_closed(calls[1]));
+	bp_rawcall_free(calls[1]);
+	/* At the bound the next one goes. */
+	calls[1] = open_idle(&fixture);
+	send_part(calls[0], "GET /q/");
+	calls[2] = open_idle(&fixture);
+	CU_ASSERT_TRUE(bp_rawcall_wait_closed(calls[1]));
+	bp_rawcall_free(calls[1]);
+	bp_rawcall_free(calls[0]);
+	bp_run_for_ms(20);
+	/* An unread part of a head ends with the time for heads. */
+	pass(clock, admission, 14900);
+	send_part(calls[2], "GET");
+	pass(clock, admission, 4500);
+	CU_ASSERT_EQUAL(
+	    bp_admission_connections(admission, BP_ADMISSION_CALLERS), 0);
+	CU_ASSERT_TRUE(bp_rawcall_wait_closed(calls[2]));
+	bp_rawcall_free(calls[2]);
+	bp_run_for_ms(20);
+	teardown(&fixture);
+	bp_run_for_ms(20);
+	bp_admission_free(admission);
+	bp_clock_virtual_free(clock);
+}
+
 int
 main(void)
 {
@@ -555,6 +651,8 @@
 	    {"keys of an old configuration", test_keys_of_an_old_configuration},
 	    {"no customers, no keys", test_no_customers_no_keys},
 	    {"connections are kept", test_connections_are_kept},
+	    {"an unread request is not idle",
+		test_an_unread_request_is_not_idle},
 	    CU_TEST_INFO_NULL,
 	};
 
