--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -27,6 +27,9 @@
 #define BODY_MS 15000
 #define ANSWER_MS 15000
 #define CHECK_MS 500
+/* A caller that keeps to the time of idle connections may send at its end; the
+ * request takes a while to arrive. */
+#define IDLE_MARGIN_MS 250
 /* A process that was paused does not count the pause as its callers' delay. */
 #define CHECK_ELAPSED_MAX_MS (2 * CHECK_MS)
 /* libsoup keeps about 9 KB for a connection (measured: 640 cost 6 MB). */
@@ -47,6 +50,7 @@
 	bp_admission_address_t address;
 	bp_admitted_phase_t phase;
 	bp_admitted_close_t close;
+	bp_admitted_unread_t unread; /* or NULL */
 	void *data;
 	uint64_t bytes;
 	int64_t since_ms; /* of served time */
@@ -183,6 +187,16 @@
 	    address_names[address], "reason", reason, NULL);
 }
 
+/* The time since the last check counts up to the same bound as there. */
+static int64_t
+served_ms_now(const bp_admission_t *admission)
+{
+	int64_t elapsed_ms =
+	    bp_clock_mono_ms(admission->options.clock) - admission->checked_ms;
+
+	return admission->served_ms + MIN(elapsed_ms, CHECK_ELAPSED_MAX_MS);
+}
+
 static GQueue *
 queue_of(bp_admitted_t *admitted)
 {
@@ -244,6 +258,24 @@
 	    found, oldest_of(admission, address, BP_ADMITTED_ANSWER, except));
 }
 
+/*
+ * Returns the connection of an address that is idle longest, NULL for none. One
+ * whose socket holds bytes sends a request: its time for a head begins.
+ */
+static bp_admitted_t *
+longest_idle(bp_admission_t *admission, bp_admission_address_t address)
+{
+	bp_admitted_t *idle =
+	    oldest_of(admission, address, BP_ADMITTED_IDLE, NULL);
+
+	while (
+	    idle != NULL && idle->unread != NULL && idle->unread(idle->data)) {
+		bp_admitted_set_phase(idle, BP_ADMITTED_HEAD);
+		idle = oldest_of(admission, address, BP_ADMITTED_IDLE, NULL);
+	}
+	return idle;
+}
+
 /* See the header. */
 bp_admitted_t *
 bp_admission_enter(bp_admission_t *admission, bp_admission_address_t address,
@@ -254,7 +286,7 @@
 
 	if (admission->connections[address] >=
 	    admission->options.connections_max[address]) {
-		victim = oldest_of(admission, address, BP_ADMITTED_IDLE, NULL);
+		victim = longest_idle(admission, address);
 		if (victim == NULL)
 			victim = slowest(admission, address, NULL);
 		if (victim == NULL) {
@@ -269,7 +301,7 @@
 	admitted->close = close;
 	admitted->data = data;
 	admitted->link.data = admitted;
-	admitted->since_ms = admission->served_ms;
+	admitted->since_ms = served_ms_now(admission);
 	admission->connections[address]++;
 	g_queue_push_tail_link(queue_of(admitted), &admitted->link);
 	if (!bp_admitted_set_bytes(admitted, 0)) {
@@ -279,6 +311,14 @@
 	return admitted;
 }
 
+/* See the header. */
+void
+bp_admitted_set_unread(bp_admitted_t *admitted, bp_admitted_unread_t unread)
+{
+	if (admitted != NULL)
+		admitted->unread = unread;
+}
+
 /* See the header. */
 void
 bp_admitted_leave(bp_admitted_t *admitted)
@@ -300,7 +340,7 @@
 		return;
 	g_queue_unlink(queue_of(admitted), &admitted->link);
 	admitted->phase = phase;
-	admitted->since_ms = admitted->admission->served_ms;
+	admitted->since_ms = served_ms_now(admitted->admission);
 	g_queue_push_tail_link(queue_of(admitted), &admitted->link);
 }
 
@@ -386,6 +426,14 @@
 		report(admitted->admission, admitted->address, reason);
 }
 
+static bool
+is_aged(const bp_admission_t *admission, const bp_admitted_t *admitted,
+    uint32_t age_ms)
+{
+	return admitted != NULL &&
+	    admission->served_ms - admitted->since_ms > (int64_t)age_ms;
+}
+
 static void
 shut_aged(bp_admission_t *admission, bp_admission_address_t address,
     bp_admitted_phase_t phase)
@@ -393,8 +441,16 @@
 	uint32_t age_ms = admission->options.age_max_ms[address][phase];
 	bp_admitted_t *oldest = oldest_of(admission, address, phase, NULL);
 
-	while (age_ms > 0 && oldest != NULL &&
-	    admission->served_ms - oldest->since_ms > (int64_t)age_ms) {
+	if (age_ms == 0)
+		return;
+	if (phase == BP_ADMITTED_IDLE)
+		age_ms += IDLE_MARGIN_MS;
+	while (is_aged(admission, oldest, age_ms)) {
+		/* Only one that would be closed is asked for unread bytes. */
+		if (phase == BP_ADMITTED_IDLE)
+			oldest = longest_idle(admission, address);
+		if (!is_aged(admission, oldest, age_ms))
+			return;
 		shut(oldest, age_reasons[phase]);
 		oldest = oldest_of(admission, address, phase, NULL);
 	}
