Accepted batch jobs get one running task after a bounded wait

Cause: batch that can still be in time goes newest first, and late jobs go by due time; nothing in either order depends on how long a job has had nothing running. Change: src/queues/batchorder.c decides which jobs may start one task before others: after 20 s without a running task before jobs that can be in time, which keep four fifths of the running fillers; after 0.5 s before late jobs, once the service has accepted no batch for 7 s and urgent and long-running work uses less than half of its processors. The job with the longest wait goes first. Why it works: a claim is for one task of a job with nothing running, so places that become free go round among the waiting jobs; the count of jobs that claims have started bounds what those in time lose.

--- a/src/queues/job.c
+++ b/src/queues/job.c
@@ -241,6 +241,19 @@
 	    (int64_t)step->occurrence * (int64_t)spec->interval_ms;
 }
 
+/* See the header. */
+uint32_t
+bp_qjob_placed_tasks(const bp_qjob_t *job)
+{
+	uint32_t placed = 0;
+	uint32_t i;
+
+	for (i = 0; i < job->n_steps * job->occurrences; i++)
+		placed +=
+		    job->steps[i].remaining_tasks - job->steps[i].waiting_tasks;
+	return placed;
+}
+
 /* Tells whether the step's dependencies are done and its start time has been
  * reached at wall_ms, in Unix ms. */
 bool
--- a/src/queues/job.h
+++ b/src/queues/job.h
@@ -3,6 +3,7 @@
 
 #include "bulrushpost/error.h"
 #include "proto/work.pb-c.h"
+#include "queues/batchorder.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -70,6 +71,8 @@
 	bool blocked_by_start_limits; /* and by nothing else; long-running */
 	int64_t start_limits_checked_ms; /* monotonic */
 	const char *reason; /* why the last round placed none; static */
+	bp_batch_claim_t claim; /* in the current round */
+	bool shares_processors; /* a claim may use those of other fillers */
 	/* Of large tasks, and of small ones beside them; shard_largetasks.c. */
 	uint32_t rooms; /* executors reserved for it as a large step */
 	uint32_t rooms_missed; /* reservations that were not kept */
@@ -92,6 +95,9 @@
 	bool cancelling; /* nothing starts while its cancel is stored */
 	bool dirty; /* has progress to be stored */
 	bool started; /* a task of it */
+	bool claimed; /* a claim to go first started what runs */
+	int64_t idle_since_ms; /* Unix ms, nothing has run; 0: never ran */
+	int64_t claim_tried_ms; /* Unix ms, a claim was last used */
 	int64_t ended_ms; /* Unix ms */
 	int64_t *critical_paths_ms; /* estimates, from each step on */
 	int64_t due_ms; /* Unix ms, latest end that meets the objective */
@@ -108,6 +114,8 @@
 
 bool bp_qjob_ended(const bp_qjob_t *job);
 bool bp_qstep_ready(const bp_qstep_t *step, int64_t wall_ms);
+/* Returns the number of tasks of a job that have a run or may have one. */
+uint32_t bp_qjob_placed_tasks(const bp_qjob_t *job);
 int64_t bp_qstep_not_before_ms(const bp_qstep_t *step);
 bp_qtask_t *bp_qjob_task(
     const bp_qjob_t *job, uint32_t occurrence, uint32_t step, uint32_t index);
--- a/src/queues/shard_priority.c
+++ b/src/queues/shard_priority.c
@@ -16,7 +16,9 @@
 	uint32_t priority;
 	outlook_t outlook;
 	bool filler;
-	bool started; /* a task of its job has started */
+	bp_batch_in_time_t in_time; /* its job, of OUTLOOK_IN_TIME */
+	bp_batch_claim_t claim;
+	guint rank; /* among claims */
 	int64_t due_ms;
 } candidate_t;
 
@@ -44,23 +46,9 @@
 	    : OUTLOOK_NONE;
 }
 
-/*
- * Orders batch jobs that can still be in time. Started jobs go first, by due
- * time; of the others the newest goes first. Under overload, earliest due first
- * would start each job when the least delay makes it late; without overload
- * hardly any job waits. Jobs that were passed over start when the load falls.
- */
-static gint
-compare_batch_jobs(const candidate_t *x, const candidate_t *y)
-{
-	if (x->started != y->started)
-		return x->started ? -1 : 1;
-	return x->started ? (x->due_ms > y->due_ms) - (x->due_ms < y->due_ms)
-			  : (x->due_ms < y->due_ms) - (x->due_ms > y->due_ms);
-}
-
 /* Orders candidates. With the same priority and outlook, fillers go last: they
- * need only the processors that the others leave. */
+ * need only the processors that the others leave. Of these, jobs with a claim
+ * go first. */
 static gint
 compare(gconstpointer a, gconstpointer b)
 {
@@ -73,11 +61,109 @@
 		return x->outlook < y->outlook ? -1 : 1;
 	if (x->filler != y->filler)
 		return x->filler ? 1 : -1;
+	if ((x->claim == BP_BATCH_CLAIM_NONE) !=
+	    (y->claim == BP_BATCH_CLAIM_NONE))
+		return x->claim != BP_BATCH_CLAIM_NONE ? -1 : 1;
+	if (x->claim != BP_BATCH_CLAIM_NONE)
+		return (x->rank > y->rank) - (x->rank < y->rank);
 	if (x->filler && x->outlook == OUTLOOK_IN_TIME)
-		return compare_batch_jobs(x, y);
+		return bp_batch_compare_in_time(&x->in_time, &y->in_time);
 	return (x->due_ms > y->due_ms) - (x->due_ms < y->due_ms);
 }
 
+/* Returns the first step of fillers of a job that a claim may start; NULL for
+ * none. */
+static bp_qstep_t *
+claimable_step(const bp_shard_t *shard, bp_qjob_t *job, int64_t start_until_ms)
+{
+	bool limited = bp_customers_limit_starts(shard->customers);
+	uint32_t i;
+
+	for (i = 0; i < job->n_steps * job->occurrences; i++) {
+		bp_qstep_t *step = &job->steps[i];
+
+		if (step->spec->filler && step->waiting_tasks > 0 &&
+		    bp_qstep_ready(step, start_until_ms) &&
+		    (!limited || bp_qstep_within_cap(step)))
+			return step;
+	}
+	return NULL;
+}
+
+/* Adds a job with steps of fillers to the order of batch jobs. */
+static void
+add_batch_job(bp_batch_order_t *order, const bp_shard_t *shard, bp_qjob_t *job,
+    int64_t wall_ms)
+{
+	bp_batch_job_t added = {.service = bp_shard_service_of(shard, job),
+	    .accepted_ms = job->spec->accepted_ms,
+	    .running = bp_qjob_placed_tasks(job)};
+	bp_qstep_t *ready = claimable_step(
+	    shard, job, wall_ms + shard->options.limits.start_early_ms / 2);
+	uint32_t i;
+
+	if (added.running > 0)
+		job->idle_since_ms = wall_ms;
+	else
+		job->claimed = false;
+	for (i = 0; i < job->n_steps * job->occurrences; i++)
+		job->steps[i].claim = BP_BATCH_CLAIM_NONE;
+	added.claimed = job->claimed;
+	added.idle_since_ms = MAX(job->idle_since_ms, job->spec->accepted_ms);
+	if (ready != NULL)
+		added.idle_since_ms =
+		    MAX(added.idle_since_ms, bp_qstep_not_before_ms(ready));
+	added.tried_ms = job->claim_tried_ms;
+	added.ready = ready;
+	bp_batch_order_add(order, &added);
+}
+
+static bool
+has_fillers(const bp_qjob_t *job)
+{
+	size_t i;
+
+	for (i = 0; i < job->spec->n_steps; i++) {
+		if (job->spec->steps[i]->filler)
+			return true;
+	}
+	return false;
+}
+
+static void
+add_claim(GArray *candidates, bp_qstep_t *step, outlook_t outlook, guint rank)
+{
+	candidate_t candidate = {.step = step,
+	    .priority = step->job->spec->priority,
+	    .outlook = outlook,
+	    .filler = true,
+	    .claim = step->claim,
+	    .rank = rank};
+
+	g_array_append_val(candidates, candidate);
+}
+
+/* Adds the steps with a claim, in addition to their places by due time. */
+static void
+add_claims(GArray *candidates, bp_batch_order_t *order, int64_t wall_ms)
+{
+	const GArray *jobs = bp_batch_order_decide(order, wall_ms);
+	guint i;
+
+	for (i = 0; i < jobs->len; i++) {
+		const bp_batch_job_t *job =
+		    &g_array_index(jobs, bp_batch_job_t, i);
+		bp_qstep_t *step = job->ready;
+
+		step->claim = job->claim;
+		step->shares_processors = job->shares_processors;
+		if (job->claim != BP_BATCH_CLAIM_LATE)
+			add_claim(candidates, step, OUTLOOK_IN_TIME, i);
+		if (job->claim != BP_BATCH_CLAIM_FIRST)
+			add_claim(candidates, step, OUTLOOK_LATE, i);
+	}
+}
+
 static void
 add_candidates(GArray *candidates, const bp_shard_t *shard, bp_qjob_t *job,
     int64_t wall_ms)
@@ -93,9 +179,11 @@
 		return;
 	for (i = 0; i < job->n_steps * job->occurrences; i++) {
 		bp_qstep_t *step = &job->steps[i];
-		candidate_t candidate = {step, job->spec->priority,
-		    OUTLOOK_NONE, step->spec->filler, job->started,
-		    MAX(job->due_ms, bp_qstep_not_before_ms(step))};
+		candidate_t candidate = {.step = step,
+		    .priority = job->spec->priority,
+		    .outlook = OUTLOOK_NONE,
+		    .filler = step->spec->filler,
+		    .due_ms = MAX(job->due_ms, bp_qstep_not_before_ms(step))};
 
 		if (step->waiting_tasks == 0)
 			continue;
@@ -104,25 +192,35 @@
 			continue;
 		}
 		candidate.outlook = outlook_of(shard, step, wall_ms);
+		candidate.in_time.started = job->started;
+		candidate.in_time.due_ms = candidate.due_ms;
 		g_array_append_val(candidates, candidate);
 	}
 }
 
 /*
  * Returns the steps with waiting tasks that may start, bp_qstep_t, in the order
- * in which they are placed.
+ * in which they are placed. A step with a claim comes once or twice more, for
+ * one task; the order of batch jobs, which is empty, tells whether it may use
+ * the claim.
  */
 GPtrArray *
-bp_shard_ready_steps(bp_shard_t *shard)
+bp_shard_ready_steps(bp_shard_t *shard, bp_batch_order_t *order)
 {
 	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
 	GPtrArray *steps = g_ptr_array_new();
 	int64_t wall_ms = bp_shard_wall_ms(shard);
 	guint i;
 
-	for (i = 0; i < shard->active_jobs->len; i++)
-		add_candidates(
-		    candidates, shard, shard->active_jobs->pdata[i], wall_ms);
+	for (i = 0; i < shard->active_jobs->len; i++) {
+		bp_qjob_t *job = shard->active_jobs->pdata[i];
+
+		add_candidates(candidates, shard, job, wall_ms);
+		if (job->accepted && !job->cancelling && !bp_qjob_ended(job) &&
+		    has_fillers(job))
+			add_batch_job(order, shard, job, wall_ms);
+	}
+	add_claims(candidates, order, wall_ms);
 	g_array_sort(candidates, compare);
 	for (i = 0; i < candidates->len; i++)
 		g_ptr_array_add(
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -3,6 +3,7 @@
 
 #include "bulrushpost/limiter.h"
 #include "bulrushpost/shard.h"
+#include "queues/batchorder.h"
 #include "queues/cancelledids.h"
 #include "queues/customers.h"
 #include "queues/estimates.h"
@@ -471,7 +472,7 @@
     bp_qexec_t *exec, const bp_qtask_t *task, const char *rack);
 
 /* shard_priority.c */
-GPtrArray *bp_shard_ready_steps(bp_shard_t *shard);
+GPtrArray *bp_shard_ready_steps(bp_shard_t *shard, bp_batch_order_t *order);
 
 /* shard_turns.c */
 typedef struct bp_qturns bp_qturns_t;
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -43,6 +43,8 @@
 	double until; /* level of its customer at which a step yields */
 	bool yielded; /* the step placed last has */
 	uint32_t from; /* first task of the step to look at */
+	bool one_task; /* place only one task of the step */
+	bp_batch_order_t *batch_order;
 	guint cursor; /* index at which the next choice for a filler begins */
 } round_t;
 
@@ -515,6 +517,8 @@
 			bp_qexec_release_reservation(exec);
 		bp_shard_start_task(
 		    shard, task, exec, bp_shard_next_run(shard, task));
+		if (round->one_task && step->waiting_tasks > 0)
+			return;
 		if (yields(round, step)) {
 			round->from = i + 1;
 			return;
@@ -610,6 +614,57 @@
 	bp_shard_divide_start_limits(round->shard, round->execs);
 }
 
+/* Tells whether urgent and long-running work uses less than half of the
+ * processors of the round's service. */
+static bool
+is_half_empty(round_t *round)
+{
+	const pool_t *pool = get_pool(round, round->service);
+
+	return pool->cpu_used * 2 < pool->cpu_milli;
+}
+
+/* Tells whether a step may use its claim now. */
+static bool
+may_use_claim(round_t *round, const bp_qstep_t *step)
+{
+	if (bp_qjob_placed_tasks(step->job) > 0)
+		return false;
+	switch (step->claim) {
+	case BP_BATCH_CLAIM_FIRST:
+	case BP_BATCH_CLAIM_FIRST_OR_LATE:
+		return bp_batch_order_may_go_first(
+		    round->batch_order, round->service);
+	case BP_BATCH_CLAIM_LATE:
+		return is_half_empty(round);
+	case BP_BATCH_CLAIM_NONE:
+		break;
+	}
+	return false;
+}
+
+/* Places one task of a step with a claim, if its job has nothing running. */
+static void
+place_claim(round_t *round, bp_qstep_t *step)
+{
+	bool first = step->claim != BP_BATCH_CLAIM_LATE;
+
+	if (may_use_claim(round, step)) {
+		step->job->claim_tried_ms = bp_shard_wall_ms(round->shard);
+		round->one_task = true;
+		place_step(round, step);
+		round->one_task = false;
+		if (first && bp_qjob_placed_tasks(step->job) > 0) {
+			step->job->claimed = true;
+			bp_batch_order_went_first(
+			    round->batch_order, round->service);
+		}
+	}
+	step->claim = step->claim == BP_BATCH_CLAIM_FIRST_OR_LATE
+	    ? BP_BATCH_CLAIM_LATE
+	    : BP_BATCH_CLAIM_NONE;
+}
+
 /* Places steps in the turns of their customers. */
 static void
 place_in_turns(round_t *round, const GPtrArray *steps)
@@ -627,7 +682,10 @@
 			break;
 		round->service = bp_shard_service_of(round->shard, step->job);
 		round->yielded = false;
-		place_step(round, step);
+		if (step->claim != BP_BATCH_CLAIM_NONE)
+			place_claim(round, step);
+		else
+			place_step(round, step);
 		bp_qturns_placed(turns, step->waiting_tasks < waiting,
 		    round->yielded, round->from);
 	}
@@ -761,14 +819,16 @@
 	    .unplaced = g_array_new(FALSE, FALSE, sizeof(unplaced_t)),
 	    .cursor = shard->filler_cursor,
 	    .limited = bp_customers_limit_starts(shard->customers),
+	    .batch_order = bp_batch_order_new(),
 	};
 	GPtrArray *steps;
 
 	bp_shard_update_customers(shard);
-	steps = bp_shard_ready_steps(shard);
+	steps = bp_shard_ready_steps(shard, round.batch_order);
 	if (steps->len > 0)
 		place_steps(&round, steps);
 	shard->filler_cursor = round.cursor;
+	bp_batch_order_free(round.batch_order);
 	g_ptr_array_unref(steps);
 	g_array_unref(round.unplaced);
 	g_array_unref(round.pools);
