A waiting batch job may share processors once the traffic has ended

Cause: fillers_fit() ends placement with "no_capacity" where the fillers of an executor ask for more than its unused processors. That is right for throughput, since more fillers would only slow each other down, but the platform counts no processors for a step that fills: a job without a running task waits although there is capacity. Change: a task that a claim starts may bring the fillers of an executor to twice the unused processors, if its service has accepted no batch for 7 s, urgent and long-running work uses less than half of the processors, and the job has had nothing running for 1 s. Beside serving tasks it is placed only if no measured tail is near its target and the throttle would leave all fillers at least a fifth of their speed. Why it works: one task for each waiting job is a bounded number, the throttle keeps the serving tasks at 0.7 of their targets as before, and an executor over it takes none.

--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -460,6 +460,7 @@
 void bp_shard_cancel_polls(bp_shard_t *shard);
 
 /* shard_score.c */
+bool bp_qstep_shares_processors(const bp_qstep_t *step);
 bool bp_qstep_accepts_slow_placement(
     const bp_shard_t *shard, const bp_qstep_t *step);
 /* Returns whether an executor has capacity for so many tasks of the size; tasks
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -48,12 +48,21 @@
 	guint cursor; /* index at which the next choice for a filler begins */
 } round_t;
 
+/* What a step accepts; each value includes those before it. */
+typedef enum {
+	PLACEMENT_USUAL,
+	/* Executors that are closed to others of its kind: slow ones, and those
+	 * reserved for urgent work. */
+	PLACEMENT_ANY,
+	PLACEMENT_SHARED /* processors that other fillers use */
+} placement_t;
+
 /* A request that no executor could take in this round, with the reason. */
 typedef struct {
 	const char *service;
 	const Bp__Work__Step *spec;
 	const char *reason; /* static */
-	bool accepts_any; /* the step accepted any placement */
+	placement_t accepted; /* by the step */
 	/* Duration of its runs when a reservation for a large task kept it out:
 	 * shorter ones may be admitted. 0: none did. */
 	int64_t refused_late_ms;
@@ -93,14 +102,17 @@
 	    strcmp(spec->label, unplaced->label) == 0;
 }
 
-/* Tells whether a step has waited long enough to use executors that are closed
- * to others of its kind: slow ones, and those reserved for urgent work. */
-static bool
-accepts_any_placement(const round_t *round, const bp_qstep_t *step)
+/* Returns what a step accepts after the time that it has waited. */
+static placement_t
+accepted_placement(const round_t *round, const bp_qstep_t *step)
 {
-	return step->spec->filler
+	bool any = step->spec->filler
 	    ? bp_qstep_accepts_slow_placement(round->shard, step)
 	    : bp_qstep_ignores_reservations(round->shard, step);
+
+	if (bp_qstep_shares_processors(step))
+		return PLACEMENT_SHARED;
+	return any ? PLACEMENT_ANY : PLACEMENT_USUAL;
 }
 
 /* Returns why an earlier request that was no larger could not be placed; NULL
@@ -123,7 +135,7 @@
 		    bp_qstep_late_ms(round->shard, step) <
 			entry->refused_late_ms)
 			continue;
-		if (entry->accepts_any || !accepts_any_placement(round, step))
+		if (entry->accepted >= accepted_placement(round, step))
 			return entry->reason;
 	}
 	return NULL;
@@ -135,7 +147,7 @@
 add_unplaced(round_t *round, bp_qstep_t *step)
 {
 	unplaced_t entry = {round->service, step->spec, step->reason,
-	    accepts_any_placement(round, step),
+	    accepted_placement(round, step),
 	    round->refused_for_large ? bp_qstep_late_ms(round->shard, step)
 				     : 0};
 
@@ -650,6 +662,8 @@
 	bool first = step->claim != BP_BATCH_CLAIM_LATE;
 
 	if (may_use_claim(round, step)) {
+		step->shares_processors =
+		    step->shares_processors && is_half_empty(round);
 		step->job->claim_tried_ms = bp_shard_wall_ms(round->shard);
 		round->one_task = true;
 		place_step(round, step);
--- a/src/queues/shard_score.c
+++ b/src/queues/shard_score.c
@@ -28,21 +28,40 @@
  * that serving tasks leave would stay unused otherwise. */
 #define FILLER_SPEED_MIN_LATE 0.45
 #define SLOW_PLACEMENT_AFTER_MS 1000
+/* Multiple of the unused processors that fillers may ask for where one of them
+ * belongs to a job that has nothing running since the traffic has ended. */
+#define FILLER_SHARING 2
+/* Share of full speed that such a filler leaves to all on its executor once
+ * they are throttled. */
+#define FILLER_SPEED_MIN_SHARED 0.2
+
+/* Tells whether a task that a claim of its job is about to start may share
+ * processors with other fillers. */
+bool
+bp_qstep_shares_processors(const bp_qstep_t *step)
+{
+	return step->claim != BP_BATCH_CLAIM_NONE && step->shares_processors;
+}
 
 /*
  * Tells whether one more filler finds unused processors: more fillers than
  * that would only slow each other down. Serving tasks leave about half of the
- * processors that they request.
+ * processors that they request. Once the traffic has ended, a job that has
+ * waited with nothing running is not to wait for other fillers to end, and a
+ * slow task is better for it than none.
  */
 static bool
-fillers_fit(const bp_qexec_t *exec, const Bp__Work__Step *spec)
+fillers_fit(const bp_qexec_t *exec, const bp_qstep_t *step)
 {
 	uint64_t busy = exec->serving > 0
 	    ? exec->cpu_used * SERVING_USE_PERCENT / 100
 	    : exec->cpu_used;
 
-	return busy + exec->filler_milli + spec->cpu_milli <=
-	    exec->info->cpu_milli;
+	uint64_t fillers = exec->filler_milli + step->spec->cpu_milli;
+
+	if (bp_qstep_shares_processors(step))
+		fillers /= FILLER_SHARING;
+	return busy + fillers <= exec->info->cpu_milli;
 }
 
 /* Tells whether a step was unplaced so long that a slow placement is better
@@ -50,9 +69,52 @@
 bool
 bp_qstep_accepts_slow_placement(const bp_shard_t *shard, const bp_qstep_t *step)
 {
-	return step->unplaced_ms != 0 &&
-	    bp_shard_now_ms(shard) - step->unplaced_ms >=
-	    SLOW_PLACEMENT_AFTER_MS;
+	return bp_qstep_shares_processors(step) ||
+	    (step->unplaced_ms != 0 &&
+		bp_shard_now_ms(shard) - step->unplaced_ms >=
+		    SLOW_PLACEMENT_AFTER_MS);
+}
+
+/* Returns the slack that the fillers of an executor and one more of the step
+ * would take from a serving run at full speed; 0 when the one more takes none.
+ */
+static double
+slack_loss_with(bp_qexec_t *exec, bp_qstep_t *serving, bp_qstep_t *step)
+{
+	double capacity = MAX(exec->info->cpu_milli, 1);
+	double loss = bp_shard_slack_loss(exec->shard, serving, step, capacity);
+	guint i;
+
+	for (i = 0; loss > 0 && i < exec->runs->len; i++) {
+		const bp_qrun_t *run = exec->runs->pdata[i];
+
+		if (run->task != NULL && run->task->step->spec->filler)
+			loss += bp_shard_slack_loss(
+			    exec->shard, serving, run->task->step, capacity);
+	}
+	return loss;
+}
+
+/* Returns the share of full speed to which the fillers of an executor and one
+ * more of the step would be throttled, 0 to 1. */
+static double
+throttled_speed(bp_qexec_t *exec, bp_qstep_t *step)
+{
+	double share = 1;
+	guint i;
+
+	for (i = 0; i < exec->runs->len; i++) {
+		const bp_qrun_t *run = exec->runs->pdata[i];
+		double loss;
+
+		if (run->task == NULL || run->task->step->spec->target_ms == 0)
+			continue;
+		loss = slack_loss_with(exec, run->task->step, step);
+		if (loss > 0)
+			share = MIN(
+			    share, MAX(bp_shard_spare_slack(run), 0) / loss);
+	}
+	return share;
 }
 
 /* Returns the share of its full speed that a filler of the step must have. */
@@ -64,6 +126,19 @@
 	    : FILLER_SPEED_MIN;
 }
 
+/* Tells whether a filler of the step would be too slow on an executor beside
+ * its serving tasks. One that shares processors may slow other fillers too. */
+static bool
+disturbs(bp_qexec_t *exec, bp_qstep_t *step)
+{
+	if (bp_shard_filler_speed(exec, step) >=
+	    min_speed_share(exec->shard, step))
+		return false;
+	return !bp_qstep_shares_processors(step) ||
+	    exec->consecutive_overruns > 0 ||
+	    throttled_speed(exec, step) < FILLER_SPEED_MIN_SHARED;
+}
+
 /* See the header. */
 bool
 bp_qexec_has_capacity(
@@ -104,12 +179,10 @@
 		return "kept";
 	if (bp_qexec_reserved_for_large(exec, step))
 		return "reserved_for_large";
-	if (spec->filler && !fillers_fit(exec, spec))
+	if (spec->filler && !fillers_fit(exec, step))
 		return "no_capacity";
 	if (spec->filler &&
-	    (exec->consecutive_overruns >= 2 ||
-		bp_shard_filler_speed(exec, step) <
-		    min_speed_share(exec->shard, step)))
+	    (exec->consecutive_overruns >= 2 || disturbs(exec, step)))
 		return "disturbs";
 	if (spec->spread_max == 0)
 		return NULL;
--- a/tests/queues/test_batchwait.c
+++ b/tests/queues/test_batchwait.c
@@ -1,6 +1,8 @@
 #include "support/queuerig.h"
 #include "support/runner.h"
 
+#include <string.h>
+
 #define SEED 20261205
 #define SETTLE_MS 3000
 
@@ -11,12 +13,58 @@
 #define BATCH_PERIOD_MS 125
 #define BATCH_TASKS 10
 #define BATCH_EXECUTORS 20
+#define BATCH_STEP_MS 100
 /* Longest time until the first start of an accepted job. */
 #define BATCH_FIRST_START_MS 30000
+/* No job may have nothing running for so long after the traffic. */
+#define BATCH_IDLE_MS 3000
+/* The platform looks 14 s after the end of the traffic. */
+#define LEFT_SETTLE_MS 14000
+#define BATCH_WATCHED_MS 20000
+
+/* An accepted job and for how long it has had nothing running. */
+typedef struct {
+	const char *id;
+	int64_t idle_ms;
+} idle_job_t;
+
+static void
+mark_running(const char *task, void *data)
+{
+	GHashTable *running = data;
+	const char *end = strchr(task, '.');
+
+	g_hash_table_add(running, g_strndup(task, (gsize)(end - task)));
+}
+
+/* Adds a time step to the idle time of each job; returns the longest. */
+static int64_t
+add_idle_ms(bp_qrig_t *rig, idle_job_t *jobs, uint32_t n)
+{
+	GHashTable *running =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	int64_t longest_ms = 0;
+	uint32_t i;
+
+	bp_qfleet_each_running(bp_qrig_fleet(rig), mark_running, running);
+	for (i = 0; i < n; i++) {
+		Bp__Work__JobState state = BP__WORK__JOB_STATE__JOB_QUEUED;
+
+		if (g_hash_table_contains(running, jobs[i].id) ||
+		    bp_qrig_status(rig, jobs[i].id, &state) != BP_OK ||
+		    state == BP__WORK__JOB_STATE__JOB_COMPLETED)
+			jobs[i].idle_ms = 0;
+		else
+			jobs[i].idle_ms += BATCH_STEP_MS;
+		longest_ms = MAX(longest_ms, jobs[i].idle_ms);
+	}
+	g_hash_table_unref(running);
+	return longest_ms;
+}
 
 /* Hands in batch jobs of fillers for a minute. */
 static bp_qrig_t *
-run_long_batch(const char **jobs, uint32_t n, int64_t task_ms)
+run_long_batch(idle_job_t *jobs, uint32_t n, int64_t task_ms)
 {
 	bp_qrig_shape_t shape = {
 	    .reliable = true, .filler = true, .priority = 2};
@@ -26,7 +74,7 @@
 	bp_qrig_set_shape(rig, &shape);
 	bp_qrig_run_ms(rig, SETTLE_MS);
 	for (i = 0; i < n; i++) {
-		jobs[i] = bp_qrig_submit(rig, BATCH_TASKS, task_ms, false);
+		jobs[i].id = bp_qrig_submit(rig, BATCH_TASKS, task_ms, false);
 		bp_qrig_run_ms(rig, BATCH_PERIOD_MS);
 	}
 	return rig;
@@ -39,7 +87,7 @@
 static void
 test_waits_of_batch_are_bounded(void)
 {
-	const char *jobs[BATCH_JOBS];
+	idle_job_t jobs[BATCH_JOBS] = {{0}};
 	bp_qrig_t *rig = run_long_batch(jobs, BATCH_JOBS, BATCH_TASK_MS);
 	int64_t longest_ms = 0;
 	uint32_t overdue = 0;
@@ -47,7 +95,7 @@
 
 	for (i = 0; i < BATCH_JOBS; i++) {
 		int64_t age_ms = (BATCH_JOBS - i) * BATCH_PERIOD_MS;
-		int64_t wait_ms = bp_qrig_wait_ms(rig, jobs[i], 0);
+		int64_t wait_ms = bp_qrig_wait_ms(rig, jobs[i].id, 0);
 
 		wait_ms = wait_ms < 0 ? age_ms : wait_ms;
 		longest_ms = MAX(longest_ms, wait_ms);
@@ -60,11 +108,45 @@
 	bp_qrig_free(rig);
 }
 
+/*
+ * Guards against accepted batch jobs without a running task beside free
+ * capacity once the traffic has ended, while other jobs have several running.
+ */
+static void
+test_batch_left_after_the_traffic_runs(void)
+{
+	/* At the end jobs left for each place as on komora-rota. */
+	uint32_t n = BATCH_JOBS / 2;
+	idle_job_t jobs[BATCH_JOBS] = {{0}};
+	bp_qrig_t *rig = run_long_batch(jobs, n, 3 * BATCH_TASK_MS);
+	int64_t longest_ms = 0;
+	uint32_t left = bp_qrig_unfinished(rig, false);
+	uint32_t i;
+
+	bp_qrig_run_ms(rig, LEFT_SETTLE_MS);
+	for (i = 0; i < BATCH_WATCHED_MS / BATCH_STEP_MS; i++) {
+		int64_t idle_ms;
+
+		bp_qrig_run_ms(rig, BATCH_STEP_MS);
+		idle_ms = add_idle_ms(rig, jobs, n);
+		longest_ms = MAX(longest_ms, idle_ms);
+	}
+	printf("%u jobs left, %u at the end; longest without a running task "
+	       "%d ms\n",
+	    left, bp_qrig_unfinished(rig, false), (int)longest_ms);
+	CU_ASSERT_TRUE(left > BATCH_EXECUTORS * 4);
+	CU_ASSERT_TRUE(longest_ms < BATCH_IDLE_MS);
+	CU_ASSERT_EQUAL(bp_qrig_broken(rig), 0);
+	bp_qrig_free(rig);
+}
+
 int
 main(void)
 {
 	CU_TestInfo tests[] = {
 	    {"waits of batch are bounded", test_waits_of_batch_are_bounded},
+	    {"batch left after the traffic runs",
+		test_batch_left_after_the_traffic_runs},
 	    CU_TEST_INFO_NULL,
 	};
 
--- a/tests/queues/test_lists.c
+++ b/tests/queues/test_lists.c
@@ -7,7 +7,7 @@
 
 #define START_MS 1000000
 #define STEP_MS 10
-#define ORDERS_MAX 64
+#define ORDERS_MAX 256
 
 typedef enum { START, STOP, POLL, THROTTLE } order_kind_t;
 
@@ -484,6 +484,73 @@
 	sim_free(sim);
 }
 
+/* Three fillers and a serving task leave no processors for a fourth. */
+#define LATER_JOB "000000000000000c"
+#define LATER_TASK LATER_JOB ".0.0.0"
+#define TRAFFIC_MS 3000
+#define QUIET_MS 5000
+#define POLL_MS 500
+
+/* Lets time pass while polls report all runs; returns whether the later job has
+ * been started. */
+static bool
+pass_with_polls(sim_t *sim, int64_t duration_ms, int64_t tail_ms)
+{
+	int64_t passed_ms;
+
+	for (passed_ms = 0; passed_ms < duration_ms; passed_ms += POLL_MS) {
+		int64_t now_ms =
+		    bp_clock_mono_ms(bp_clock_virtual_clock(sim->clock));
+
+		pass(sim, POLL_MS);
+		if (open_order(sim, START, LATER_TASK) != NULL)
+			return true;
+		if (open_order(sim, POLL, NULL) != NULL)
+			answer_with_tail(
+			    sim, 1000 + now_ms - START_MS, tail_ms);
+	}
+	return false;
+}
+
+/* Creates a shard whose executor has no processors left for the task of a later
+ * job. */
+static sim_t *
+sim_with_waiting_job(void)
+{
+	sim_t *sim = sim_with_fillers();
+
+	answer_with_tail(sim, 1500, SHORT_TAIL_MS);
+	submit_step(sim, LATER_JOB, new_filler(1, FILLER_MILLI));
+	return sim;
+}
+
+/*
+ * Guards against a job that waits with nothing running while another one has
+ * several fillers on an executor whose processors are half free: once the
+ * traffic has ended, it shares processors with them.
+ */
+static void
+test_a_waiting_job_shares_processors(void)
+{
+	sim_t *sim = sim_with_waiting_job();
+
+	CU_ASSERT_FALSE(pass_with_polls(sim, TRAFFIC_MS, SHORT_TAIL_MS));
+	CU_ASSERT_TRUE(pass_with_polls(sim, QUIET_MS, SHORT_TAIL_MS));
+	sim_free(sim);
+}
+
+/* Guards against shared processors that bring a serving task near its target.
+ */
+static void
+test_shared_processors_spare_serving_tasks(void)
+{
+	sim_t *sim = sim_with_waiting_job();
+
+	CU_ASSERT_FALSE(pass_with_polls(sim, TRAFFIC_MS, SHORT_TAIL_MS));
+	CU_ASSERT_FALSE(pass_with_polls(sim, QUIET_MS, TARGET_MS));
+	sim_free(sim);
+}
+
 int
 main(void)
 {
@@ -495,6 +562,10 @@
 		test_a_paused_filler_is_moved_soon},
 	    {"a filler takes a slow place", test_a_filler_takes_a_slow_place},
 	    {"a filler keeps a margin", test_a_filler_keeps_a_margin},
+	    {"a waiting job shares processors",
+		test_a_waiting_job_shares_processors},
+	    {"shared processors spare serving tasks",
+		test_shared_processors_spare_serving_tasks},
 	    CU_TEST_INFO_NULL,
 	};
 
