--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -3,6 +3,7 @@
 
 #include "bulrushpost/limiter.h"
 #include "bulrushpost/shard.h"
+#include "queues/batchorder.h"
 #include "queues/cancelledids.h"
 #include "queues/customers.h"
 #include "queues/estimates.h"
@@ -471,6 +472,7 @@
 void bp_shard_cancel_polls(bp_shard_t *shard);
 
 /* shard_score.c */
+bool bp_qstep_shares_processors(const bp_qstep_t *step);
 bool bp_qstep_accepts_slow_placement(
     const bp_shard_t *shard, const bp_qstep_t *step);
 /* Returns whether an executor has capacity for so many tasks of the size; tasks
@@ -483,7 +485,7 @@
     bp_qexec_t *exec, const bp_qtask_t *task, const char *rack);
 
 /* shard_priority.c */
-GPtrArray *bp_shard_ready_steps(bp_shard_t *shard);
+GPtrArray *bp_shard_ready_steps(bp_shard_t *shard, bp_batch_order_t *order);
 
 /* shard_turns.c */
 typedef struct bp_qturns bp_qturns_t;
--- a/tests/support/shardsim.h
+++ b/tests/support/shardsim.h
@@ -4,7 +4,7 @@
 #include "bulrushpost/shard.h"
 #include "support/queuestore.h"
 
-#define BP_SHARDSIM_ORDERS_MAX 160
+#define BP_SHARDSIM_ORDERS_MAX 256
 
 typedef enum {
 	BP_SIM_START,
