Order router measures its loop only while calls are in flight

Cause: the probe of the event loop's lateness ran each 50 ms on all nodes, though only owners send calls to proxies, and each order counted all usable proxies where one is enough; a merge had left one declaration twice. Change: the first call in flight starts the probe, which ends with the last; the search ends at the first usable proxy.

--- a/include/bulrushpost/shard.h
+++ b/include/bulrushpost/shard.h
@@ -101,7 +101,6 @@
  * it over again.
  */
 bool bp_shard_confirm_membership(bp_shard_t *shard, int64_t sent_mono_ms);
-bool bp_shard_membership_valid(const bp_shard_t *shard);
 
 /*
  * The node at the address has said, after the shard was claimed, that it has
--- a/src/queues/orderrouter.c
+++ b/src/queues/orderrouter.c
@@ -142,6 +142,21 @@
 	return is_alive(proxy, now_ms) && !proxy->refuses;
 }
 
+static bool
+any_usable(const bp_order_router_t *router)
+{
+	int64_t now_ms = bp_clock_mono_ms(router->options.clock);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, router->proxies);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (is_usable(value, now_ms))
+			return true;
+	}
+	return false;
+}
+
 /* Returns the number of nodes that currently get orders. */
 static uint32_t
 usable_proxies(const bp_order_router_t *router)
@@ -169,7 +184,7 @@
 choose_proxy(bp_order_router_t *router, const bp_exec_target_t *target)
 {
 	bool (*may_send)(const proxy_t *, int64_t) =
-	    usable_proxies(router) > 0 ? is_usable : is_last_resort;
+	    any_usable(router) ? is_usable : is_last_resort;
 	int64_t now_ms = bp_clock_mono_ms(router->options.clock);
 	uint64_t executor_hash = bp_hash_text(target->id, SEED_PROXY);
 	bool best_in_zone = strcmp(router->options.zone, target->zone) == 0;
@@ -247,7 +262,8 @@
 	int64_t overdue_ms =
 	    bp_clock_mono_ms(router->options.clock) - router->probe_due_ms;
 
-	return router->late_ms + MAX(overdue_ms, 0);
+	return router->late_ms +
+	    (router->probe_timer != 0 ? MAX(overdue_ms, 0) : 0);
 }
 
 static gboolean
@@ -258,7 +274,22 @@
 	router->late_ms = lateness_ms(router);
 	router->probe_due_ms =
 	    bp_clock_mono_ms(router->options.clock) + PROBE_MS;
-	return G_SOURCE_CONTINUE;
+	if (g_hash_table_size(router->calls) > 0)
+		return G_SOURCE_CONTINUE;
+	router->probe_timer = 0;
+	return G_SOURCE_REMOVE;
+}
+
+/* Measures the event loop while calls are in flight; most nodes send none. */
+static void
+start_probe(bp_order_router_t *router)
+{
+	if (router->probe_timer != 0)
+		return;
+	router->probe_due_ms =
+	    bp_clock_mono_ms(router->options.clock) + PROBE_MS;
+	router->probe_timer = bp_clock_add_timer(
+	    router->options.clock, PROBE_MS, on_probe, router);
 }
 
 /* Returns whether this process may have been too busy to read the answer. */
@@ -392,6 +423,7 @@
 	call->proxy = g_strdup(proxy);
 	call->start = message->kind == BP__WORK__ORDER_KIND__ORDER_START;
 	call->call_number = ++router->calls_sent;
+	start_probe(router);
 	call->late_ms = lateness_ms(router);
 	call->sent_ms = bp_clock_mono_ms(router->options.clock);
 	call->done = done;
@@ -633,9 +665,6 @@
 	router->calls = g_hash_table_new_full(NULL, NULL, call_free, NULL);
 	router->summary_timer =
 	    bp_clock_add_timer(options->clock, SUMMARY_MS, on_summary, router);
-	router->probe_due_ms = bp_clock_mono_ms(options->clock) + PROBE_MS;
-	router->probe_timer =
-	    bp_clock_add_timer(options->clock, PROBE_MS, on_probe, router);
 	router->interface.start = router_start;
 	router->interface.stop = router_stop;
 	router->interface.poll = router_poll;
