Calls follow the owner, and a stalled one is not flooded

Cause: a call waited 0.25 s for an owner; an attempt at an owner that had stalled was waited for up to 1.2 s whomever the store named meanwhile; every new call was sent to the stalled owner, which made its outcome unknown; repeats had neither bound nor budget, and a waiting call asked every 60 ms. Change: a call that nobody took waits for 0.7 s, with growing delays, and is refused. One without an answer for 0.6 s reads the owner and is sent to another one beside the attempt in flight; jobs have IDs, so it remains one job. It is not run only if each attempt was answered so or never sent. After an unknown outcome a call is repeated twice at most, a node repeats one call in ten, and an owner that answered nothing for 0.7 s gets one call in 0.25 s. The decisions are a module without input and output, callretry; attempts at other nodes moved to jobrouter_remote.c. Status, cancel and count go the same way. Evidence: in queues/desk "a call waits for a takeover" (refused), "a call follows the owner" (no answer within the time, one attempt) and "a stalled owner is not called" (unknown outcomes, more attempts) failed before.

--- a/src/queues/jobrouter.c
+++ b/src/queues/jobrouter.c
@@ -122,6 +122,7 @@
 
 	router->options = *options;
 	router->calls = g_hash_table_new(NULL, NULL);
+	router->retry = bp_call_retry_new(options->clock, options->shards);
 	return router;
 }
 
@@ -138,8 +139,6 @@
 	for (node = calls; node != NULL; node = node->next) {
 		bp_job_call_t *call = node->data;
 
-		call->maybe_applied =
-		    call->maybe_applied || call->attempt_pending;
 		bp_job_call_fail(call, BP_JOB_ROUTER_STOPPING);
 	}
 	g_list_free(calls);
@@ -153,6 +152,7 @@
 		return;
 	bp_job_router_stop(router);
 	g_hash_table_unref(router->calls);
+	bp_call_retry_free(router->retry);
 	g_free(router);
 }
 
--- a/src/queues/jobrouter_call.c
+++ b/src/queues/jobrouter_call.c
@@ -7,18 +7,19 @@
 #include <stdio.h>
 #include <string.h>
 
-/* Longest wait of a call for an owner, after which it is refused. */
-#define OWNER_WAIT_MAX_MS 250
-/* Interval between attempts to find the owner; a takeover takes 0.5 s. */
-#define OWNER_RETRY_MS 60
-/* An owner answers in about 20 ms, or in 250 ms with a slow store. */
-#define OWNER_TIMEOUT_MS 1200
+/* Longest wait of a call for an owner, after which it is refused. A takeover
+ * takes 0.3 to 1 s. */
+#define OWNER_WAIT_MAX_MS 700
+/* Time after which a call without an answer asks the store for the owner, and
+ * the interval from then on. */
+#define FOLLOW_DELAY_MS 600
+#define FOLLOW_INTERVAL_MS 150
+/* A call is repeated twice at most after an unknown outcome. */
+#define UNKNOWN_ATTEMPTS_MAX 3
 /* Part of a caller's deadline that is reserved for sending the answer. */
 #define RESPONSE_MARGIN_MS 150
 /* Time after which a refused caller is to retry. */
 #define RETRY_AFTER_MS 1000
-/* Longest such time that the owner of a shard may ask for. */
-#define RETRY_AFTER_MAX_MS 120000
 #define MODULE "desk"
 
 static int64_t
@@ -34,13 +35,14 @@
 
 	g_free(call->queue);
 	g_free(call->id);
+	g_free(call->address);
 	if (call->job != NULL)
 		bp__work__job__free_unpacked(call->job, NULL);
 }
 
-/* The job router and an attempt in flight each hold a reference. */
-static void
-unref(bp_job_call_t *call)
+/* See the header. */
+void
+bp_job_call_unref(bp_job_call_t *call)
 {
 	g_rc_box_release_full(call, call_clear);
 }
@@ -114,17 +116,18 @@
 	bp_clock_cancel_timer(router->options.clock, &call->timer);
 	g_hash_table_remove(router->calls, call);
 	call->done(answer, call->data);
-	unref(call);
+	bp_job_call_unref(call);
 }
 
-/* A call that may have taken effect is never reported as not run. */
+/* A call that may have taken effect, or may yet, is never reported as not
+ * run. */
 static void
 fail(bp_job_call_t *call, const char *reason, uint32_t retry_after_ms)
 {
 	bp_job_router_answer_t answer = {BP_JOB_ROUTER_NOT_RUN,
 	    BP__WORK__JOB_STATE__JOB_QUEUED, 0, retry_after_ms, reason};
 
-	if (call->maybe_applied)
+	if (call->maybe_applied || call->open_attempts > 0)
 		answer.outcome = BP_JOB_ROUTER_NOT_KNOWN;
 	finish(call, &answer);
 }
@@ -136,19 +139,56 @@
 	fail(call, reason, RETRY_AFTER_MS);
 }
 
+static void set_timer(bp_job_call_t *call, int64_t delay_ms);
+static void try_local(bp_job_call_t *call, bp_shard_t *shard);
+
+static bool
+may_repeat(const bp_job_call_t *call)
+{
+	return call->unknown_attempts + call->open_attempts <
+	    UNKNOWN_ATTEMPTS_MAX;
+}
+
+/* The attempt in flight goes on beside one at the owner that the store names
+ * now, if that is another one: a job has an ID and remains one job. */
+static void
+follow_owner(bp_job_call_t *call)
+{
+	const bp_job_router_options_t *options = &call->router->options;
+	bp_shard_t *shard = options->owned[call->shard];
+	int64_t left_ms = call->deadline_ms - now_ms(call->router);
+	const char *address;
+
+	bp_membership_refresh_owners(options->membership);
+	address = bp_membership_owner(options->membership, call->shard);
+	set_timer(call, MIN(left_ms, FOLLOW_INTERVAL_MS));
+	if (call->address == NULL || !may_repeat(call))
+		return;
+	if (shard != NULL && bp_shard_ready(shard)) {
+		g_clear_pointer(&call->address, g_free);
+		try_local(call, shard);
+	} else if (shard == NULL && address != NULL &&
+	    strcmp(address, options->address) != 0 &&
+	    (call->refused || strcmp(address, call->address) != 0) &&
+	    bp_call_retry_send(call->router->retry, call->shard, address,
+		BP_CALL_RETRY_REPEATED)) {
+		bp_job_call_send(call, address);
+	}
+}
+
 static gboolean
 on_timer(void *data)
 {
 	bp_job_call_t *call = data;
 
 	call->timer = 0;
-	if (call->attempt_pending) {
-		/* The attempt in flight goes on, but its answer is ignored. */
-		call->maybe_applied = true;
+	if (call->open_attempts == 0)
+		bp_job_call_try(call);
+	else if (now_ms(call->router) < call->deadline_ms)
+		follow_owner(call);
+	else
+		/* Attempts in flight go on, but their answers are ignored. */
 		bp_job_call_fail(call, "the owner did not answer in time");
-		return G_SOURCE_REMOVE;
-	}
-	bp_job_call_try(call);
 	return G_SOURCE_REMOVE;
 }
 
@@ -165,24 +205,51 @@
 static void
 retry_or_fail(bp_job_call_t *call, const char *reason)
 {
-	int64_t elapsed_ms = now_ms(call->router) - call->start_ms;
-	int64_t left_ms = call->deadline_ms - now_ms(call->router);
+	int64_t now = now_ms(call->router);
+	int64_t wait_ms = call->start_ms + OWNER_WAIT_MAX_MS - now;
+	int64_t delay_ms = bp_call_retry_delay_ms(call->tries);
 
 	bp_membership_refresh_owners(call->router->options.membership);
-	if ((elapsed_ms < OWNER_WAIT_MAX_MS || call->maybe_applied) &&
-	    left_ms > OWNER_RETRY_MS)
-		set_timer(call, OWNER_RETRY_MS);
+	if (!call->maybe_applied)
+		delay_ms = MIN(delay_ms, wait_ms);
+	if (delay_ms > 0 && may_repeat(call) &&
+	    call->deadline_ms - now > delay_ms)
+		set_timer(call, delay_ms);
 	else
 		bp_job_call_fail(call, reason);
 }
 
+static bool
+is_final(int kind)
+{
+	return kind == BP_OK || kind == BP_ENOTFOUND || kind == BP_EINVALID ||
+	    kind == BP_EREFUSED;
+}
+
+/* The outcome of an attempt is not known. */
 static void
-handle_answer(bp_job_call_t *call, int kind, Bp__Work__JobState state,
-    uint64_t waiting, uint32_t retry_after_ms, const char *reason)
+note_unknown(bp_job_call_t *call)
+{
+	call->maybe_applied = true;
+	call->unknown_attempts++;
+}
+
+/* See the header. */
+void
+bp_job_call_handle_answer(bp_job_call_t *call, int kind,
+    Bp__Work__JobState state, uint64_t waiting, uint32_t retry_after_ms,
+    const char *reason)
 {
 	bp_job_router_answer_t answer = {
 	    BP_JOB_ROUTER_OK, state, waiting, RETRY_AFTER_MS, reason};
 
+	if (call->open_attempts > 0 && !is_final(kind)) {
+		/* Another attempt may still be answered; its timer runs. */
+		if (kind != BP_ESTATE && kind != BP_ELOGDOWN &&
+		    kind != BP_EOVERLOAD && kind != BP_EDRAINING)
+			note_unknown(call);
+		return;
+	}
 	switch (kind) {
 	case BP_OK:
 		break;
@@ -203,7 +270,7 @@
 		    retry_after_ms > 0 ? retry_after_ms : RETRY_AFTER_MS);
 		return;
 	default:
-		call->maybe_applied = true;
+		note_unknown(call);
 		retry_or_fail(call, reason);
 		return;
 	}
@@ -215,11 +282,11 @@
 {
 	bp_job_call_t *call = data;
 
-	call->attempt_pending = false;
+	call->open_attempts--;
 	if (call->router != NULL)
-		handle_answer(call, answer->kind, answer->state,
+		bp_job_call_handle_answer(call, answer->kind, answer->state,
 		    answer->waiting, answer->retry_after_ms, answer->reason);
-	unref(call);
+	bp_job_call_unref(call);
 }
 
 static void
@@ -229,6 +296,7 @@
 	    BP_OK, BP__WORK__JOB_STATE__JOB_QUEUED, 0, "", 0};
 
 	(void)g_rc_box_acquire(call);
+	call->open_attempts++;
 	switch (call->kind) {
 	case BP_JOB_CALL_SUBMIT:
 		bp_shard_submit(
@@ -249,88 +317,12 @@
 	on_local(&answer, call);
 }
 
-static uint64_t
-arg_number(const Bp__Peer__Frame *frame, size_t index)
-{
-	return frame->n_args > index
-	    ? g_ascii_strtoull(frame->args[index], NULL, 10)
-	    : 0;
-}
-
-static void
-on_remote(const Bp__Peer__Frame *frame, const bp_error_t *err, void *data)
-{
-	bp_job_call_t *call = data;
-	uint64_t number;
-
-	call->attempt_pending = false;
-	if (call->router == NULL) {
-		unref(call);
-		return;
-	}
-	if (frame == NULL && err->kind == BP_ETOOLARGE) {
-		handle_answer(call, BP_EINVALID,
-		    BP__WORK__JOB_STATE__JOB_QUEUED, 0, 0, err->message);
-		unref(call);
-		return;
-	}
-	if (frame == NULL) {
-		if (err->kind != BP_EUNREACHABLE)
-			call->maybe_applied = true;
-		retry_or_fail(call, err->message);
-		unref(call);
-		return;
-	}
-	number = arg_number(frame, 0);
-	handle_answer(call, frame->error,
-	    call->kind == BP_JOB_CALL_COUNT ? BP__WORK__JOB_STATE__JOB_QUEUED
-					    : (Bp__Work__JobState)number,
-	    call->kind == BP_JOB_CALL_COUNT ? number : 0,
-	    (uint32_t)MIN(arg_number(frame, 1), RETRY_AFTER_MAX_MS),
-	    frame->message);
-	unref(call);
-}
-
-static void
-on_dropped(gpointer data)
-{
-	unref(data);
-}
-
-static void
-try_remote(bp_job_call_t *call, const char *address)
+static bp_call_retry_kind_t
+retry_kind(const bp_job_call_t *call)
 {
-	Bp__Peer__Frame frame = BP__PEER__FRAME__INIT;
-	int64_t left_ms = call->deadline_ms - now_ms(call->router);
-	char shard[16];
-	char *args[] = {call->queue, call->id};
-	GBytes *bytes = NULL;
-
-	snprintf(shard, sizeof(shard), "%u", call->shard);
-	frame.args = args;
-	frame.n_args = G_N_ELEMENTS(args);
-	switch (call->kind) {
-	case BP_JOB_CALL_SUBMIT:
-		frame.verb = BP__PEER__VERB__VERB_QUEUE_SUBMIT;
-		bytes = bp_message_pack(&call->job->base);
-		bp_message_refer(&frame.body, bytes);
-		break;
-	case BP_JOB_CALL_STATUS:
-		frame.verb = BP__PEER__VERB__VERB_QUEUE_STATUS;
-		break;
-	case BP_JOB_CALL_CANCEL:
-		frame.verb = BP__PEER__VERB__VERB_QUEUE_CANCEL;
-		break;
-	case BP_JOB_CALL_COUNT:
-		frame.verb = BP__PEER__VERB__VERB_QUEUE_COUNT;
-		args[1] = shard;
-		break;
-	}
-	(void)g_rc_box_acquire(call);
-	bp_peer_client_call_full(call->router->options.client, address, &frame,
-	    (uint32_t)CLAMP(left_ms, 1, OWNER_TIMEOUT_MS), on_remote, call,
-	    on_dropped);
-	g_clear_pointer(&bytes, g_bytes_unref);
+	if (call->maybe_applied)
+		return BP_CALL_RETRY_REPEATED;
+	return call->tries > 1 ? BP_CALL_RETRY_WAITED : BP_CALL_RETRY_NEW;
 }
 
 /* See the header. */
@@ -351,17 +343,20 @@
 		bp_job_call_fail(call, "the caller's deadline has passed");
 		return;
 	}
+	call->tries++;
 	if (shard != NULL && bp_shard_ready(shard)) {
-		call->attempt_pending = true;
 		set_timer(call, left_ms);
+		g_clear_pointer(&call->address, g_free);
 		try_local(call, shard);
-	} else if (shard == NULL && address != NULL &&
-	    strcmp(address, options->address) != 0) {
-		call->attempt_pending = true;
-		set_timer(call, left_ms);
-		try_remote(call, address);
-	} else {
+	} else if (shard != NULL || address == NULL ||
+	    strcmp(address, options->address) == 0) {
 		retry_or_fail(call, "the owner of the shard is changing");
+	} else if (!bp_call_retry_send(call->router->retry, call->shard,
+		       address, retry_kind(call))) {
+		retry_or_fail(call, "the owner does not answer");
+	} else {
+		set_timer(call, MIN(left_ms, FOLLOW_DELAY_MS));
+		bp_job_call_send(call, address);
 	}
 }
 
--- a/src/queues/jobrouter_private.h
+++ b/src/queues/jobrouter_private.h
@@ -1,6 +1,7 @@
 #ifndef BP_QUEUES_JOBROUTER_PRIVATE_H
 #define BP_QUEUES_JOBROUTER_PRIVATE_H
 
+#include "queues/callretry.h"
 #include "queues/jobrouter.h"
 
 /* Reason for which a stopped job router refuses calls. */
@@ -17,6 +18,7 @@
 	bp_job_router_options_t options;
 	const bp_catalog_t *catalog;
 	GHashTable *calls; /* set of open bp_job_call_t */
+	bp_call_retry_t *retry;
 	bool stopped; /* refuses calls */
 };
 
@@ -31,7 +33,11 @@
 	int64_t start_ms; /* mono */
 	int64_t deadline_ms; /* mono */
 	bool maybe_applied; /* an earlier attempt may have taken effect */
-	bool attempt_pending; /* an attempt is in flight */
+	uint32_t tries; /* also those that found no owner */
+	uint32_t open_attempts; /* in flight */
+	uint32_t unknown_attempts; /* that ended with an unknown outcome */
+	char *address; /* of the last owner on another node; or NULL */
+	bool refused; /* that owner has answered, but did not take the call */
 	bp_job_router_done_t done;
 	void *data;
 	guint timer;
@@ -47,6 +53,15 @@
     const char *queue, const char *id, bp_job_router_done_t done, void *data);
 /* Attempts the call at the owner of its shard, if that is known now. */
 void bp_job_call_try(bp_job_call_t *call);
+/* Sends the call to the owner at address, on another node. */
+void bp_job_call_send(bp_job_call_t *call, const char *address);
+/* Ends, repeats or goes on with a call after an attempt ended; kind is one of
+ * bp_error_kind_t. */
+void bp_job_call_handle_answer(bp_job_call_t *call, int kind,
+    Bp__Work__JobState state, uint64_t waiting, uint32_t retry_after_ms,
+    const char *reason);
+/* The job router and each attempt in flight hold a reference. */
+void bp_job_call_unref(bp_job_call_t *call);
 /* Answers the call as refused, or with an unknown outcome. */
 void bp_job_call_fail(bp_job_call_t *call, const char *reason);
 
--- a/tests/queues/test_jobrouter.c
+++ b/tests/queues/test_jobrouter.c
@@ -8,6 +8,12 @@
 #define DEADLINE_MS 1500
 #define OWN "10.0.0.1:7"
 #define ATTEMPTS_MAX 4
+#define TAKEOVER_MS 450
+/* An owner that gave no answer for this long is known to be stalled. */
+#define STALLED_MS 750
+#define CALLS_MAX 8
+/* A call is refused by then when its shard has no owner. */
+#define OWNERLESS_MS 1000
 #define CUSTOMER "acme"
 #define KEY "key-of-acme-0001"
 /* A payload of this size does not fit a frame. */
@@ -22,7 +28,8 @@
 	TRY_OVERLOAD,
 	TRY_OVERLOAD_WITH_TIME, /* after which to retry */
 	TRY_INTERNAL,
-	TRY_SILENT
+	TRY_SILENT,
+	TRY_TAKING_OVER /* TRY_STATE for a while, then TRY_ACCEPTED */
 } attempt_t;
 
 /* A job router and another node, which the store names as the owner. */
@@ -43,6 +50,8 @@
 	bp_job_router_outcome_t outcome;
 	uint32_t retry_after_ms;
 	uint32_t answers;
+	uint32_t not_run; /* of the answers */
+	int64_t started_ms; /* mono, of the fixture */
 } fixture_t;
 
 static void
@@ -130,6 +139,12 @@
 	Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
 	attempt_t what = fixture->tries[i];
 
+	if (what == TRY_TAKING_OVER)
+		what =
+		    bp_clock_mono_ms(bp_clock_system()) - fixture->started_ms <
+			TAKEOVER_MS
+		    ? TRY_STATE
+		    : TRY_ACCEPTED;
 	fixture->attempts_seen++;
 	note_customer(fixture, bp_peer_request_frame(request));
 	if (what == TRY_LOST || what == TRY_SILENT) {
@@ -154,6 +169,8 @@
 	fixture->outcome = answer->outcome;
 	fixture->retry_after_ms = answer->retry_after_ms;
 	fixture->answers++;
+	if (answer->outcome == BP_JOB_ROUTER_NOT_RUN)
+		fixture->not_run++;
 }
 
 static void
@@ -216,6 +233,7 @@
 	fixture->router = bp_job_router_new(&options);
 	if (tries != NULL)
 		CU_ASSERT_TRUE(bp_wait_until(knows_owner, fixture));
+	fixture->started_ms = bp_clock_mono_ms(bp_clock_system());
 }
 
 static void
@@ -243,7 +261,7 @@
 }
 
 static void
-submit(fixture_t *fixture, size_t payload_bytes)
+submit_within(fixture_t *fixture, size_t payload_bytes, uint32_t deadline_ms)
 {
 	static char name[] = "q";
 	const bp_queue_route_t route = {.name = name, .service = name};
@@ -255,7 +273,13 @@
 		memset(job->payload, 'x', payload_bytes);
 	}
 	bp_job_router_submit(fixture->router, &route, CUSTOMER, "a", job,
-	    DEADLINE_MS, on_answer, fixture);
+	    deadline_ms, on_answer, fixture);
+}
+
+static void
+submit(fixture_t *fixture, size_t payload_bytes)
+{
+	submit_within(fixture, payload_bytes, DEADLINE_MS);
 }
 
 static bool
@@ -400,6 +424,118 @@
 	}
 }
 
+/* Guards against submissions that are refused although the owner is ready a
+ * moment later. */
+static void
+test_a_call_waits_for_a_takeover(void)
+{
+	static const attempt_t tries[ATTEMPTS_MAX] = {
+	    TRY_TAKING_OVER, TRY_TAKING_OVER, TRY_TAKING_OVER, TRY_TAKING_OVER};
+	fixture_t fixture;
+
+	setup(&fixture, tries);
+	submit(&fixture, 0);
+	CU_ASSERT_TRUE(bp_wait_until(is_answered, &fixture));
+	CU_ASSERT_EQUAL(fixture.outcome, BP_JOB_ROUTER_OK);
+	CU_ASSERT_TRUE(fixture.attempts_seen <= 5);
+	teardown(&fixture);
+}
+
+/*
+ * Guards against calls that wait for an owner that has stalled although the
+ * store names another one: jobs have IDs, so both may get the call. The other
+ * one may still be taking over.
+ */
+static void
+test_a_call_follows_the_owner(void)
+{
+	static const attempt_t cases[][ATTEMPTS_MAX] = {
+	    {TRY_SILENT, TRY_ACCEPTED, TRY_SILENT, TRY_SILENT},
+	    {TRY_SILENT, TRY_STATE, TRY_ACCEPTED, TRY_SILENT}};
+	fixture_t fixture;
+	bp_peer_server_t *stalled;
+	char *address;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		setup(&fixture, cases[i]);
+		submit(&fixture, 0);
+		bp_run_for_ms(200);
+		CU_ASSERT_EQUAL(fixture.attempts_seen, 1);
+		stalled = g_steal_pointer(&fixture.server);
+		address = g_steal_pointer(&fixture.owner);
+		start_owner(&fixture);
+		bp_run_for_ms(900);
+		CU_ASSERT_EQUAL(fixture.answers, 1);
+		CU_ASSERT_EQUAL(fixture.outcome, BP_JOB_ROUTER_OK);
+		CU_ASSERT_EQUAL(fixture.attempts_seen, i + 2);
+		bp_peer_server_free(stalled);
+		g_free(address);
+		teardown(&fixture);
+	}
+}
+
+/* Guards against a call that is not repeated at an owner that was silent for
+ * 1.2 s and is the only one that the store names. */
+static void
+test_a_call_is_repeated_at_the_same_owner(void)
+{
+	static const attempt_t tries[ATTEMPTS_MAX] = {
+	    TRY_SILENT, TRY_ACCEPTED, TRY_SILENT, TRY_SILENT};
+	fixture_t fixture;
+
+	setup(&fixture, tries);
+	submit_within(&fixture, 0, 2 * DEADLINE_MS);
+	CU_ASSERT_TRUE(bp_wait_until(is_answered, &fixture));
+	CU_ASSERT_EQUAL(fixture.outcome, BP_JOB_ROUTER_OK);
+	CU_ASSERT_EQUAL(fixture.attempts_seen, 2);
+	teardown(&fixture);
+}
+
+/* Guards against reads that wait for their deadline, or end with an unknown
+ * outcome, while no node owns the shard. */
+static void
+test_reads_without_an_owner(void)
+{
+	static char name[] = "q";
+	const bp_queue_route_t route = {.name = name, .service = name};
+	fixture_t fixture;
+
+	setup(&fixture, NULL);
+	bp_job_router_status(
+	    fixture.router, &route, "a", 10000, on_answer, &fixture);
+	bp_job_router_count(fixture.router, &route, 10000, on_answer, &fixture);
+	bp_run_for_ms(OWNERLESS_MS);
+	CU_ASSERT_EQUAL(fixture.answers, 2);
+	CU_ASSERT_EQUAL(fixture.not_run, 2);
+	teardown(&fixture);
+}
+
+/*
+ * Guards against calls that go on to be sent to an owner that has stalled and
+ * end with an unknown outcome: all but a few are refused, which did not run.
+ */
+static void
+test_a_stalled_owner_is_not_called(void)
+{
+	static const attempt_t tries[ATTEMPTS_MAX] = {
+	    TRY_SILENT, TRY_SILENT, TRY_SILENT, TRY_SILENT};
+	fixture_t fixture;
+	uint32_t i;
+
+	setup(&fixture, tries);
+	submit(&fixture, 0);
+	bp_run_for_ms(STALLED_MS);
+	for (i = 0; i < CALLS_MAX; i++)
+		submit(&fixture, 0);
+	bp_run_for_ms(DEADLINE_MS);
+	CU_ASSERT_EQUAL(fixture.answers, CALLS_MAX + 1);
+	CU_ASSERT_TRUE(fixture.not_run >= CALLS_MAX - 1);
+	/* The first call, one of the others, and a repeat of each. */
+	CU_ASSERT_TRUE(fixture.attempts_seen <= 4);
+	teardown(&fixture);
+}
+
 static void
 on_confirmed(bool confirmed, void *data)
 {
@@ -567,6 +703,13 @@
 	    {"what was not sent", test_what_was_not_sent},
 	    {"a call read after a pause has waited",
 		test_a_call_read_after_a_pause_has_waited},
+	    {"a call waits for a takeover", test_a_call_waits_for_a_takeover},
+	    {"a call follows the owner", test_a_call_follows_the_owner},
+	    {"a call is repeated at the same owner",
+		test_a_call_is_repeated_at_the_same_owner},
+	    {"reads without an owner", test_reads_without_an_owner},
+	    {"a stalled owner is not called",
+		test_a_stalled_owner_is_not_called},
 	    {"a stop answers by what is known",
 		test_a_stop_answers_by_what_is_known},
 	    {"a job carries its customer", test_a_job_carries_its_customer},
