Callers' times follow the operators' configuration

Callers saw: connections closed after 15 s and heads after 3 s, whatever idle_timeout_ms and header_timeout_ms of the limits said. Versions may change them. Cause: both fields were read and checked but used nowhere; the ages were constants, which equal the values of the documented limits. Change: a configuration that comes into force sets both ages at the callers' address, for open connections too; the constants are the defaults.

--- a/include/bulrushpost/admission.h
+++ b/include/bulrushpost/admission.h
@@ -60,6 +60,10 @@
 bp_admission_t *bp_admission_new(const bp_admission_options_t *options);
 /* All connections have left. NULL is allowed. */
 void bp_admission_free(bp_admission_t *admission);
+/* Sets the ages of idle connections and heads at the callers' address, of open
+ * connections too; 0 for the default. */
+void bp_admission_set_caller_ages(
+    bp_admission_t *admission, uint32_t idle_ms, uint32_t head_ms);
 /* Closes what is too old. */
 void bp_admission_check(bp_admission_t *admission);
 uint64_t bp_admission_bytes(const bp_admission_t *admission);
--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -148,6 +148,17 @@
 	g_free(admission);
 }
 
+/* See the header. */
+void
+bp_admission_set_caller_ages(
+    bp_admission_t *admission, uint32_t idle_ms, uint32_t head_ms)
+{
+	uint32_t *ages_ms = admission->options.age_max_ms[BP_ADMISSION_CALLERS];
+
+	ages_ms[BP_ADMITTED_IDLE] = idle_ms > 0 ? idle_ms : IDLE_MS;
+	ages_ms[BP_ADMITTED_HEAD] = head_ms > 0 ? head_ms : HEAD_MS;
+}
+
 /* See the header. */
 uint64_t
 bp_admission_bytes(const bp_admission_t *admission)
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -58,6 +58,8 @@
 
 	node->catalog = catalog;
 	log_number(node, "configuration in force", "version", catalog->version);
+	bp_admission_set_caller_ages(node->admission, catalog->idle_timeout_ms,
+	    catalog->header_timeout_ms);
 	if (node->shards != NULL) {
 		bp_job_router_set_catalog(node->job_router, catalog);
 		bp_owned_shards_set_catalog(node->shards, catalog);
--- a/tests/support/queuehttp.c
+++ b/tests/support/queuehttp.c
@@ -41,6 +41,7 @@
 	bp_qfleet_t *fleet;
 	bp_qfleet_view_t *fleet_view;
 	GPtrArray *operators; /* char *: values of the key config */
+	const char *limits; /* more of them; or NULL */
 	GPtrArray *entries; /* char *: keys and values of other writers */
 	bool silent; /* the operators' topic is answered after SILENT_MS */
 	int64_t last_us;
@@ -784,6 +785,13 @@
 	    strcmp(prefix, OPEN_PREFIX) == 0 ? "true" : "false");
 }
 
+/* See the header. */
+void
+bp_queuehttp_set_limits(bp_queuehttp_t *self, const char *limits)
+{
+	self->limits = limits;
+}
+
 static void
 put_configuration(bp_queuehttp_t *self, uint64_t version, GString *routes,
     const char *customers)
@@ -791,10 +799,11 @@
 	g_ptr_array_add(self->operators,
 	    g_strdup_printf("{\"version\":%d,\"routes\":[%s],\"services\":[{"
 			    "\"name\":\"pool\",\"admission_check\":true}],"
-			    "%s%s\"limits\":{\"max_body_bytes\":262144}}",
+			    "%s%s\"limits\":{\"max_body_bytes\":262144%s}}",
 		(int)version, routes->str,
 		customers != NULL ? "\"tenants\":" : "",
-		customers != NULL ? customers : ""));
+		customers != NULL ? customers : "",
+		self->limits != NULL ? self->limits : ""));
 	g_string_free(routes, TRUE);
 }
 
--- a/tests/support/queuehttp.h
+++ b/tests/support/queuehttp.h
@@ -28,6 +28,9 @@
  * as it is in JSON. */
 void bp_queuehttp_add_entry(
     bp_queuehttp_t *self, const char *key, const char *value);
+/* Adds fields to the limits of later configurations, such as ",\"a\":1". The
+ * text has to outlive the platform. */
+void bp_queuehttp_set_limits(bp_queuehttp_t *self, const char *limits);
 bp_qstore_t *bp_queuehttp_store(bp_queuehttp_t *self);
 bp_qfleet_t *bp_queuehttp_fleet(bp_queuehttp_t *self);
 /* An executor crashes: its connections end, and it starts again a little later
