--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -84,7 +84,6 @@
 	int64_t stop_sent_ms; /* monotonic, 0 for never */
 	uint32_t percent; /* of its work, as last reported */
 	int64_t paused_ms; /* monotonic, since when */
-	uint32_t samples_paused; /* tail latency samples that reflect it */
 	uint32_t speed_percent; /* limit; 0: paused; BP_QRUN_SPEED_UNKNOWN */
 	int64_t adopted_ms; /* monotonic, from an earlier epoch; 0: its limit is
 			     * not that of an earlier owner */
@@ -173,7 +172,6 @@
 	GArray *slacks; /* bp_qslack_t for each serving run */
 	bool slacks_stale; /* slacks must be computed again before use */
 	GArray *filler_usage; /* bp_filler_usage_t of the last sample */
-	int64_t moves_sampled_ms; /* sampled_ms when moves were last examined */
 	uint32_t consecutive_overruns; /* samples near or above a target */
 	guint poll_timer;
 };
@@ -516,9 +514,7 @@
 
 /* shard_throttle.c */
 void bp_shard_throttle_fillers(bp_qexec_t *exec);
-void bp_shard_cancel_throttles(bp_shard_t *shard);
-
-/* shard_moves.c */
 void bp_shard_move_paused(bp_qexec_t *exec);
+void bp_shard_cancel_throttles(bp_shard_t *shard);
 
 #endif
--- a/src/queues/shard_throttle.c
+++ b/src/queues/shard_throttle.c
@@ -10,6 +10,10 @@
 /* Fillers are paused when a tail latency was near its target in this number of
  * consecutive samples; it must not stay above the target for about 4 s. */
 #define OVERRUNS_TO_PAUSE 4
+/* A filler that was paused for this long is moved to another executor. */
+#define MOVE_AFTER_PAUSED_MS 500
+/* Without checkpoints it is moved only before this share of its work. */
+#define MOVE_PERCENT_MAX 15
 /* Weight of one sample in the smoothed slack of a serving task. */
 #define SLACK_RATE 0.5
 /* Samples further apart than this are not compared. */
@@ -22,8 +26,6 @@
 #define SPEED_MIN 15
 /* An adopted filler that uses this share of its processors is not slowed. */
 #define FULL_SPEED_USE_PERCENT 90
-/* Tail latencies sampled this long after a pause reflect it. */
-#define PAUSE_SEEN_MS 400
 /* Time after which a measured CPU use reflects the last speed limit. */
 #define USE_SETTLED_MS 1000
 
@@ -95,7 +97,6 @@
 	throttle->run = run;
 	if (percent == 0)
 		run->paused_ms = bp_shard_now_ms(shard);
-	run->samples_paused = 0;
 	run->speed_percent = percent;
 	run->adopted_ms = 0;
 	exec->slacks_stale = true;
@@ -320,9 +321,6 @@
 
 		if (!is_filler(run))
 			continue;
-		if (run->speed_percent == 0 &&
-		    now_ms - run->paused_ms >= PAUSE_SEEN_MS)
-			run->samples_paused++;
 		share = common_speed_share(exec->shard, exec, run, losses);
 		set_speed(exec, run,
 		    limit_by_overruns(
@@ -331,6 +329,29 @@
 	g_free(losses);
 }
 
+/* Stops paused fillers, to restart them elsewhere, when little work is lost. */
+void
+bp_shard_move_paused(bp_qexec_t *exec)
+{
+	int64_t now_ms = bp_shard_now_ms(exec->shard);
+	guint i;
+
+	for (i = 0; i < exec->runs->len; i++) {
+		bp_qrun_t *run = exec->runs->pdata[i];
+
+		if (!is_filler(run) || run->speed_percent != 0 ||
+		    run->state != BP_QRUN_RUNNING ||
+		    now_ms - run->paused_ms < MOVE_AFTER_PAUSED_MS)
+			continue;
+		if (run->task->step->spec->checkpoints ||
+		    run->percent < MOVE_PERCENT_MAX) {
+			run->task->last_failed_executor = exec;
+			bp_shard_stop_run(
+			    exec->shard, run, "paused because of interference");
+		}
+	}
+}
+
 /* Abandons all throttle orders in flight. */
 void
 bp_shard_cancel_throttles(bp_shard_t *shard)
