Fillers: repeat a speed limit whose order got no answer

Batch tasks could stay slowed or paused, which callers see as late jobs. What the unanswered order had set stayed in force until the limit next fell below 92. The unknown limit is now a value of its own, and any limit replaces it. Evidence: queues/fillers/an unanswered limit is repeated, with the change left out: the 3 orders were not sent (CU_ASSERT_EQUAL(repeated, FILLERS) fails).

--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -54,6 +54,9 @@
 	BP_QRUN_STOPPING, /* a stop was sent or is pending */
 } bp_qrun_state_t;
 
+/* Speed limit of a filler after an order without an answer. */
+#define BP_QRUN_SPEED_UNKNOWN UINT32_MAX
+
 /* A run of a task that exists or may exist on an executor. */
 struct bp_qrun {
 	bp_qexec_t *exec;
@@ -79,7 +82,7 @@
 	int64_t stop_sent_ms; /* monotonic, 0 for never */
 	uint32_t percent; /* of its work, as last reported */
 	int64_t paused_ms; /* monotonic, since when */
-	uint32_t speed_percent; /* limit; 0: paused */
+	uint32_t speed_percent; /* limit; 0: paused; BP_QRUN_SPEED_UNKNOWN */
 	int64_t progress_ms; /* monotonic, when percent last changed */
 	int64_t measured; /* tail latency or CPU in use, as last reported */
 	double solo_slack; /* learned, without fillers; serving tasks */
--- a/src/queues/shard_summary.c
+++ b/src/queues/shard_summary.c
@@ -4,6 +4,7 @@
 
 #define US_PER_MS 1000
 #define MILLI 1000
+#define SPEED_FULL 100
 
 /* Sums that one log line shows. */
 typedef struct {
@@ -35,7 +36,8 @@
 			continue;
 		spec = run->task->step->spec;
 		sum->fillers += spec->filler;
-		sum->speed_percent += spec->filler ? run->speed_percent : 0;
+		sum->speed_percent +=
+		    spec->filler ? MIN(run->speed_percent, SPEED_FULL) : 0;
 		sum->serving += spec->target_ms > 0;
 		sum->over_target +=
 		    spec->target_ms > 0 && run->measured > spec->target_ms;
--- a/src/queues/shard_throttle.c
+++ b/src/queues/shard_throttle.c
@@ -38,26 +38,36 @@
 
 	g_hash_table_remove(throttle->shard->throttles, throttle);
 	if (result->outcome != BP_EXEC_OK)
-		throttle->run->speed_percent =
-		    SPEED_FULL + 1; /* unknown: sent again */
+		throttle->run->speed_percent = BP_QRUN_SPEED_UNKNOWN;
 	bp_qrun_unref_order(throttle->run);
 	g_free(throttle);
 }
 
+/* Returns whether a speed limit differs enough from the one in force. */
+static bool
+is_worth_an_order(const bp_qrun_t *run, uint32_t percent)
+{
+	uint32_t change = run->speed_percent > percent
+	    ? run->speed_percent - percent
+	    : percent - run->speed_percent;
+
+	if (run->speed_percent == BP_QRUN_SPEED_UNKNOWN)
+		return true;
+	return change >= SPEED_CHANGE_MIN ||
+	    (change > 0 && (percent == 0 || percent == SPEED_FULL));
+}
+
 static void
 set_speed(bp_qexec_t *exec, bp_qrun_t *run, uint32_t percent)
 {
 	bp_shard_t *shard = exec->shard;
 	bp_exec_target_t target = bp_qexec_target(exec);
-	uint32_t change = run->speed_percent > percent
-	    ? run->speed_percent - percent
-	    : percent - run->speed_percent;
 	throttle_t *throttle;
 
-	if (change == 0 || run->orders_in_flight > 0 ||
-	    run->state != BP_QRUN_RUNNING || !bp_shard_may_order(shard))
+	if (run->orders_in_flight > 0 || run->state != BP_QRUN_RUNNING ||
+	    !bp_shard_may_order(shard))
 		return;
-	if (change < SPEED_CHANGE_MIN && percent != 0 && percent != SPEED_FULL)
+	if (!is_worth_an_order(run, percent))
 		return;
 	throttle = g_new0(throttle_t, 1);
 	throttle->shard = shard;
--- /dev/null
+++ b/tests/queues/test_fillers.c
@@ -0,0 +1,108 @@
+#include "support/runner.h"
+#include "support/shardsim.h"
+
+#include <string.h>
+
+#define FILLERS 3
+#define SERVING_MILLI 7000
+#define FILLER_MILLI 4000
+#define TARGET_MS 100
+/* A filler that cannot have its full speed is placed after this. */
+#define SLOW_PLACEMENT_MS 1200
+
+/* Creates a shard with a serving task and fillers on one executor, all
+ * started. */
+static bp_shardsim_t *
+sim_with_fillers(void)
+{
+	bp_shardsim_t *sim = bp_shardsim_new();
+	Bp__Work__Step *serving = bp_shardsim_step(1, SERVING_MILLI);
+	Bp__Work__Step *fillers = bp_shardsim_step(FILLERS, FILLER_MILLI);
+	bp_sim_order_t *start;
+
+	serving->lasting = true;
+	serving->target_ms = TARGET_MS;
+	serving->image = strdup("serving");
+	fillers->filler = true;
+	fillers->image = strdup("filler");
+	fillers->checkpoints = true;
+	bp_shardsim_submit_step(sim, "000000000000000a", serving);
+	bp_shardsim_run_ms(sim, 200);
+	bp_shardsim_submit_step(sim, "000000000000000b", fillers);
+	bp_shardsim_run_ms(sim, SLOW_PLACEMENT_MS);
+	while (
+	    (start = bp_shardsim_open_order(sim, BP_SIM_START, NULL)) != NULL)
+		bp_shardsim_answer(start, BP_EXEC_OK, 0, NULL);
+	return sim;
+}
+
+/*
+ * Answers the open poll of i-1 with all tasks that were started there. tail_ms
+ * is the tail latency of the serving task, milli what each filler uses.
+ */
+static void
+answer_poll(
+    bp_shardsim_t *sim, int64_t clock_ms, int64_t tail_ms, int64_t milli)
+{
+	GArray *rows = g_array_new(FALSE, TRUE, sizeof(bp_exec_running_t));
+	uint32_t i;
+
+	for (i = 0; i < sim->n_orders; i++) {
+		const bp_sim_order_t *order = &sim->orders[i];
+		bool serving = order->task != NULL && order->task[15] == 'a';
+		bp_exec_running_t row = {
+		    order->task, order->run, "", 10, serving ? tail_ms : milli};
+
+		if (order->kind == BP_SIM_START &&
+		    strcmp(order->executor, "i-1") == 0)
+			g_array_append_val(rows, row);
+	}
+	bp_shardsim_answer_poll(
+	    bp_shardsim_open_order_to(sim, BP_SIM_POLL, "i-1"), clock_ms, rows);
+	g_array_unref(rows);
+}
+
+/* A tail latency at which fillers are slowed, and one that then allows them 91
+ * to 99% of their speed. */
+#define SLOWING_MS 87
+#define NEARLY_FULL_MS 62
+
+/*
+ * Guards against an unknown speed limit that is never replaced: a limit just
+ * below full speed counted as too small a change.
+ */
+static void
+test_an_unanswered_limit_is_repeated(void)
+{
+	bp_shardsim_t *sim = sim_with_fillers();
+	bp_sim_order_t *throttle;
+	uint32_t repeated = 0;
+
+	answer_poll(sim, 1500, SLOWING_MS, FILLER_MILLI);
+	while ((throttle = bp_shardsim_open_order(
+		    sim, BP_SIM_THROTTLE, NULL)) != NULL)
+		bp_shardsim_answer(throttle, BP_EXEC_UNKNOWN, 0, NULL);
+	bp_shardsim_run_ms(sim, 1000);
+	answer_poll(sim, 2500, NEARLY_FULL_MS, FILLER_MILLI);
+	while ((throttle = bp_shardsim_open_order(
+		    sim, BP_SIM_THROTTLE, NULL)) != NULL) {
+		CU_ASSERT_TRUE(throttle->percent > 90);
+		CU_ASSERT_TRUE(throttle->percent < 100);
+		repeated++;
+		bp_shardsim_answer(throttle, BP_EXEC_OK, 0, NULL);
+	}
+	CU_ASSERT_EQUAL(repeated, FILLERS);
+	bp_shardsim_free(sim);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"an unanswered limit is repeated",
+		test_an_unanswered_limit_is_repeated},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return bp_test_main("queues/fillers", tests);
+}
