Takeover: set the speed of adopted fillers instead of assuming the full one

Steps of batch jobs waited for single tasks after a change of the owner, which callers see as late jobs (how often was not measured). Speed limits are not stored. A new owner took each running filler for one at full speed; a filler that its predecessor had paused or slowed got no order as long as it was to have full speed, and one that stayed paused was not moved either, as it did not count as paused. An adopted filler now has an unknown limit, which any decision replaces. None is sent for full speed to a filler whose CPU use shows it for more than a second: at a takeover most have it, and the first polls go the same way.

--- a/src/queues/shard_pollresults.c
+++ b/src/queues/shard_pollresults.c
@@ -228,6 +228,8 @@
 	    task != NULL ? task->step->spec : NULL, row->task, row->run);
 
 	run->state = BP_QRUN_RUNNING;
+	run->speed_percent = BP_QRUN_SPEED_UNKNOWN;
+	run->adopted_ms = bp_shard_now_ms(exec->shard);
 	if (task != NULL)
 		task->last_run = MAX(task->last_run, row->run);
 	if (wanted) {
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -54,7 +54,8 @@
 	BP_QRUN_STOPPING, /* a stop was sent or is pending */
 } bp_qrun_state_t;
 
-/* Speed limit of a filler after an order without an answer. */
+/* Speed limit of a filler before this owner has set one: an earlier owner's
+ * limit stays in force, and an order without an answer may be. */
 #define BP_QRUN_SPEED_UNKNOWN UINT32_MAX
 
 /* A run of a task that exists or may exist on an executor. */
@@ -83,6 +84,8 @@
 	uint32_t percent; /* of its work, as last reported */
 	int64_t paused_ms; /* monotonic, since when */
 	uint32_t speed_percent; /* limit; 0: paused; BP_QRUN_SPEED_UNKNOWN */
+	int64_t adopted_ms; /* monotonic, from an earlier epoch; 0: its limit is
+			     * not that of an earlier owner */
 	int64_t progress_ms; /* monotonic, when percent last changed */
 	int64_t measured; /* tail latency or CPU in use, as last reported */
 	double solo_slack; /* learned, without fillers; serving tasks */
--- a/src/queues/shard_throttle.c
+++ b/src/queues/shard_throttle.c
@@ -24,6 +24,10 @@
 #define SPEED_CHANGE_MIN 10
 /* Below this a filler is paused: it would hardly advance. */
 #define SPEED_MIN 15
+/* An adopted filler that uses this share of its processors is not slowed. */
+#define FULL_SPEED_USE_PERCENT 90
+/* Time after which a measured CPU use reflects the last speed limit. */
+#define USE_SETTLED_MS 1000
 
 /* A throttle order in flight. */
 typedef struct {
@@ -43,6 +47,24 @@
 	g_free(throttle);
 }
 
+/*
+ * Tells whether an adopted filler is to have full speed and uses as much. Most
+ * fillers do at a takeover, and each order would delay first polls.
+ */
+static bool
+has_full_speed(bp_shard_t *shard, bp_qrun_t *run, uint32_t percent)
+{
+	int64_t cpu_milli = run->task->step->spec->cpu_milli;
+
+	if (run->speed_percent != BP_QRUN_SPEED_UNKNOWN ||
+	    run->adopted_ms == 0 || percent != SPEED_FULL ||
+	    run->measured * 100 < cpu_milli * FULL_SPEED_USE_PERCENT)
+		return false;
+	if (bp_shard_now_ms(shard) - run->adopted_ms >= USE_SETTLED_MS)
+		run->speed_percent = SPEED_FULL;
+	return true;
+}
+
 /* Returns whether a speed limit differs enough from the one in force. */
 static bool
 is_worth_an_order(const bp_qrun_t *run, uint32_t percent)
@@ -67,7 +89,8 @@
 	if (run->orders_in_flight > 0 || run->state != BP_QRUN_RUNNING ||
 	    !bp_shard_may_order(shard))
 		return;
-	if (!is_worth_an_order(run, percent))
+	if (has_full_speed(shard, run, percent) ||
+	    !is_worth_an_order(run, percent))
 		return;
 	throttle = g_new0(throttle_t, 1);
 	throttle->shard = shard;
@@ -75,6 +98,7 @@
 	if (percent == 0)
 		run->paused_ms = bp_shard_now_ms(shard);
 	run->speed_percent = percent;
+	run->adopted_ms = 0;
 	exec->slacks_stale = true;
 	bp_qrun_ref_order(run);
 	shard->counts_throttles++;
--- a/tests/queues/test_fillers.c
+++ b/tests/queues/test_fillers.c
@@ -7,6 +7,9 @@
 #define SERVING_MILLI 7000
 #define FILLER_MILLI 4000
 #define TARGET_MS 100
+/* Tail latencies: far over the target, and far below it. */
+#define OVER_MS 400
+#define CALM_MS 10
 /* A filler that cannot have its full speed is placed after this. */
 #define SLOW_PLACEMENT_MS 1200
 
@@ -62,6 +65,54 @@
 	g_array_unref(rows);
 }
 
+/* Answers the open throttle orders; returns how many set this speed. */
+static uint32_t
+answer_throttles(bp_shardsim_t *sim, uint32_t percent)
+{
+	bp_sim_order_t *throttle;
+	uint32_t n = 0;
+
+	while ((throttle = bp_shardsim_open_order(
+		    sim, BP_SIM_THROTTLE, NULL)) != NULL) {
+		n += throttle->percent == percent;
+		bp_shardsim_answer(throttle, BP_EXEC_OK, 0, NULL);
+	}
+	return n;
+}
+
+/*
+ * Guards against fillers that stay paused after a takeover: a new owner that
+ * takes them for fillers at full speed never resumes them.
+ */
+static void
+test_a_new_owner_resumes_paused_fillers(void)
+{
+	bp_shardsim_t *sim = sim_with_fillers();
+
+	answer_poll(sim, 1500, OVER_MS, FILLER_MILLI);
+	CU_ASSERT_EQUAL(answer_throttles(sim, 0), FILLERS);
+	bp_shardsim_take_over(sim);
+	answer_poll(sim, 2500, CALM_MS, 0);
+	CU_ASSERT_EQUAL(answer_throttles(sim, 100), FILLERS);
+	bp_shardsim_free(sim);
+}
+
+/*
+ * Guards against orders for fillers that run at full speed already: a new owner
+ * has its first polls to send at that time.
+ */
+static void
+test_a_new_owner_leaves_full_speed(void)
+{
+	bp_shardsim_t *sim = sim_with_fillers();
+
+	answer_poll(sim, 1500, CALM_MS, FILLER_MILLI);
+	bp_shardsim_take_over(sim);
+	answer_poll(sim, 2500, CALM_MS, FILLER_MILLI);
+	CU_ASSERT_PTR_NULL(bp_shardsim_open_order(sim, BP_SIM_THROTTLE, NULL));
+	bp_shardsim_free(sim);
+}
+
 /* A tail latency at which fillers are slowed, and one that then allows them 91
  * to 99% of their speed. */
 #define SLOWING_MS 87
@@ -99,6 +150,10 @@
 main(void)
 {
 	CU_TestInfo tests[] = {
+	    {"a new owner resumes paused fillers",
+		test_a_new_owner_resumes_paused_fillers},
+	    {"a new owner leaves full speed",
+		test_a_new_owner_leaves_full_speed},
 	    {"an unanswered limit is repeated",
 		test_an_unanswered_limit_is_repeated},
 	    CU_TEST_INFO_NULL,
