Claims leave the regular turn of a job as it is

Callers saw: nothing that is attributed to this yet; found by review. A batch job that could still be in time got one task in its turn, or none where urgent and long-running work used half of the processors, and all others at the place of its claim behind jobs in time, where the claim is to start one task. Cause: a step with a claim stands in the order of a round twice or three times, and placement asked the step, not the entry, whether it has a claim, and cleared it at the first entry. Change: the order consists of entries with the step and the claim of this entry. A step has a claim only while one of its tasks is placed by it. Evidence: "queues/batchwait/a claim does not replace the regular turn" failed before: 1 task of the newer job and 3 of the older one were started, 4 and 1 now.

--- a/src/queues/job.h
+++ b/src/queues/job.h
@@ -71,7 +71,7 @@
 	bool blocked_by_start_limits; /* and by nothing else; long-running */
 	int64_t start_limits_checked_ms; /* monotonic */
 	const char *reason; /* why the last round placed none; static */
-	bp_batch_claim_t claim; /* in the current round */
+	bp_batch_claim_t claim; /* that is being used to place a task */
 	bool shares_processors; /* a claim may use those of other fillers */
 	/* Of large tasks, and of small ones beside them; shard_largetasks.c. */
 	uint32_t rooms; /* executors reserved for it as a large step */
--- a/src/queues/shard_largetasks.c
+++ b/src/queues/shard_largetasks.c
@@ -434,13 +434,13 @@
 }
 
 static void
-add_steps(bp_shard_t *shard, const GPtrArray *steps)
+add_steps(bp_shard_t *shard, const GArray *steps)
 {
 	bp_room_model_t *model = &shard->large->model;
 	guint i;
 
 	for (i = 0; i < steps->len && model->steps->len < STEPS_MAX; i++) {
-		bp_qstep_t *step = steps->pdata[i];
+		bp_qstep_t *step = g_array_index(steps, bp_qready_t, i).step;
 		const char *service;
 		bp_room_step_t added = {0};
 
@@ -591,7 +591,7 @@
 }
 
 static void
-build_model(bp_shard_t *shard, const GPtrArray *steps, const GPtrArray *execs)
+build_model(bp_shard_t *shard, const GArray *steps, const GPtrArray *execs)
 {
 	bp_shard_large_t *large = shard->large;
 	bp_room_model_t *model = &large->model;
@@ -735,7 +735,7 @@
  */
 void
 bp_shard_plan_large(
-    bp_shard_t *shard, const GPtrArray *steps, const GPtrArray *execs)
+    bp_shard_t *shard, const GArray *steps, const GPtrArray *execs)
 {
 	bp_shard_large_t *large = shard->large;
 	int64_t now_ms = bp_shard_now_ms(shard);
--- a/src/queues/shard_priority.c
+++ b/src/queues/shard_priority.c
@@ -100,14 +100,11 @@
 	    .running = bp_qjob_placed_tasks(job)};
 	bp_qstep_t *ready = claimable_step(
 	    shard, job, wall_ms + shard->options.limits.start_early_ms / 2);
-	uint32_t i;
 
 	if (added.running > 0)
 		job->idle_since_ms = wall_ms;
 	else
 		job->claimed = false;
-	for (i = 0; i < job->n_steps * job->occurrences; i++)
-		job->steps[i].claim = BP_BATCH_CLAIM_NONE;
 	added.claimed = job->claimed;
 	added.idle_since_ms = MAX(job->idle_since_ms, job->spec->accepted_ms);
 	if (ready != NULL)
@@ -131,13 +128,15 @@
 }
 
 static void
-add_claim(GArray *candidates, bp_qstep_t *step, outlook_t outlook, guint rank)
+add_claim(
+    GArray *candidates, bp_qstep_t *step, bp_batch_claim_t claim, guint rank)
 {
 	candidate_t candidate = {.step = step,
 	    .priority = step->job->spec->priority,
-	    .outlook = outlook,
+	    .outlook =
+		claim == BP_BATCH_CLAIM_LATE ? OUTLOOK_LATE : OUTLOOK_IN_TIME,
 	    .filler = true,
-	    .claim = step->claim,
+	    .claim = claim,
 	    .rank = rank};
 
 	g_array_append_val(candidates, candidate);
@@ -155,12 +154,11 @@
 		    &g_array_index(jobs, bp_batch_job_t, i);
 		bp_qstep_t *step = job->ready;
 
-		step->claim = job->claim;
 		step->shares_processors = job->shares_processors;
 		if (job->claim != BP_BATCH_CLAIM_LATE)
-			add_claim(candidates, step, OUTLOOK_IN_TIME, i);
+			add_claim(candidates, step, BP_BATCH_CLAIM_FIRST, i);
 		if (job->claim != BP_BATCH_CLAIM_FIRST)
-			add_claim(candidates, step, OUTLOOK_LATE, i);
+			add_claim(candidates, step, BP_BATCH_CLAIM_LATE, i);
 	}
 }
 
@@ -199,16 +197,16 @@
 }
 
 /*
- * Returns the steps with waiting tasks that may start, bp_qstep_t, in the order
- * in which they are placed. A step with a claim comes once or twice more, for
- * one task; the order of batch jobs, which is empty, tells whether it may use
- * the claim.
+ * Returns the steps with waiting tasks that may start, bp_qready_t, in the
+ * order in which they are placed. A step with a claim comes once or twice more,
+ * for one task; the order of batch jobs, which is empty, tells whether it may
+ * use the claim.
  */
-GPtrArray *
+GArray *
 bp_shard_ready_steps(bp_shard_t *shard, bp_batch_order_t *order)
 {
 	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
-	GPtrArray *steps = g_ptr_array_new();
+	GArray *steps = g_array_new(FALSE, FALSE, sizeof(bp_qready_t));
 	int64_t wall_ms = bp_shard_wall_ms(shard);
 	guint i;
 
@@ -222,9 +220,13 @@
 	}
 	add_claims(candidates, order, wall_ms);
 	g_array_sort(candidates, compare);
-	for (i = 0; i < candidates->len; i++)
-		g_ptr_array_add(
-		    steps, g_array_index(candidates, candidate_t, i).step);
+	for (i = 0; i < candidates->len; i++) {
+		const candidate_t *candidate =
+		    &g_array_index(candidates, candidate_t, i);
+		bp_qready_t ready = {candidate->step, candidate->claim};
+
+		g_array_append_val(steps, ready);
+	}
 	g_array_unref(candidates);
 	return steps;
 }
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -438,7 +438,7 @@
 bp_shard_large_t *bp_shard_large_new(void);
 void bp_shard_large_free(bp_shard_large_t *large);
 void bp_shard_plan_large(
-    bp_shard_t *shard, const GPtrArray *steps, const GPtrArray *execs);
+    bp_shard_t *shard, const GArray *steps, const GPtrArray *execs);
 bool bp_qstep_is_large(
     const bp_shard_t *shard, const bp_qstep_t *step, const char *service);
 bool bp_qstep_is_planned(
@@ -485,13 +485,21 @@
     bp_qexec_t *exec, const bp_qtask_t *task, const char *rack);
 
 /* shard_priority.c */
-GPtrArray *bp_shard_ready_steps(bp_shard_t *shard, bp_batch_order_t *order);
+/* An entry of the order in which steps are placed. */
+typedef struct {
+	bp_qstep_t *step;
+	/* That starts one task; BP_BATCH_CLAIM_NONE: the step's regular turn,
+	 * for all of its tasks. */
+	bp_batch_claim_t claim;
+} bp_qready_t;
+GArray *bp_shard_ready_steps(bp_shard_t *shard, bp_batch_order_t *order);
 
 /* shard_turns.c */
 typedef struct bp_qturns bp_qturns_t;
-bp_qturns_t *bp_qturns_new(const bp_shard_t *shard, const GPtrArray *steps);
+bp_qturns_t *bp_qturns_new(const bp_shard_t *shard, const GArray *steps);
 void bp_qturns_free(bp_qturns_t *turns);
-bp_qstep_t *bp_qturns_next(bp_qturns_t *turns, double *until, uint32_t *from);
+const bp_qready_t *bp_qturns_next(
+    bp_qturns_t *turns, double *until, uint32_t *from);
 void bp_qturns_placed(
     bp_qturns_t *turns, bool started, bool yields, uint32_t from);
 
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -638,11 +638,11 @@
 
 /* Tells whether a step may use its claim now. */
 static bool
-may_use_claim(round_t *round, const bp_qstep_t *step)
+may_use_claim(round_t *round, const bp_qready_t *ready)
 {
-	if (bp_qjob_placed_tasks(step->job) > 0)
+	if (bp_qjob_placed_tasks(ready->step->job) > 0)
 		return false;
-	switch (step->claim) {
+	switch (ready->claim) {
 	case BP_BATCH_CLAIM_FIRST:
 	case BP_BATCH_CLAIM_FIRST_OR_LATE:
 		return bp_batch_order_may_go_first(
@@ -657,37 +657,37 @@
 
 /* Places one task of a step with a claim, if its job has nothing running. */
 static void
-place_claim(round_t *round, bp_qstep_t *step)
-{
-	bool first = step->claim != BP_BATCH_CLAIM_LATE;
-
-	if (may_use_claim(round, step)) {
-		step->shares_processors =
-		    step->shares_processors && is_half_empty(round);
-		step->job->claim_tried_ms = bp_shard_wall_ms(round->shard);
-		round->one_task = true;
-		place_step(round, step);
-		round->one_task = false;
-		if (first && bp_qjob_placed_tasks(step->job) > 0) {
-			step->job->claimed = true;
-			bp_batch_order_went_first(
-			    round->batch_order, round->service);
-		}
+place_claim(round_t *round, const bp_qready_t *ready)
+{
+	bp_qstep_t *step = ready->step;
+
+	if (!may_use_claim(round, ready))
+		return;
+	step->claim = ready->claim;
+	step->shares_processors =
+	    step->shares_processors && is_half_empty(round);
+	step->job->claim_tried_ms = bp_shard_wall_ms(round->shard);
+	round->one_task = true;
+	place_step(round, step);
+	round->one_task = false;
+	step->claim = BP_BATCH_CLAIM_NONE;
+	if (ready->claim != BP_BATCH_CLAIM_LATE &&
+	    bp_qjob_placed_tasks(step->job) > 0) {
+		step->job->claimed = true;
+		bp_batch_order_went_first(round->batch_order, round->service);
 	}
-	step->claim = step->claim == BP_BATCH_CLAIM_FIRST_OR_LATE
-	    ? BP_BATCH_CLAIM_LATE
-	    : BP_BATCH_CLAIM_NONE;
 }
 
 /* Places steps in the turns of their customers. */
 static void
-place_in_turns(round_t *round, const GPtrArray *steps)
+place_in_turns(round_t *round, const GArray *steps)
 {
 	bp_qturns_t *turns = bp_qturns_new(round->shard, steps);
-	bp_qstep_t *step;
+	const bp_qready_t *ready;
 
-	while ((step = bp_qturns_next(turns, &round->until, &round->from)) !=
+	while ((ready = bp_qturns_next(turns, &round->until, &round->from)) !=
 	    NULL) {
+		bp_qstep_t *step = ready->step;
 		uint32_t waiting = step->waiting_tasks;
 
 		if (waiting == 0)
@@ -696,8 +696,8 @@
 			break;
 		round->service = bp_shard_service_of(round->shard, step->job);
 		round->yielded = false;
-		if (step->claim != BP_BATCH_CLAIM_NONE)
-			place_claim(round, step);
+		if (ready->claim != BP_BATCH_CLAIM_NONE)
+			place_claim(round, ready);
 		else
 			place_step(round, step);
 		bp_qturns_placed(turns, step->waiting_tasks < waiting,
@@ -707,22 +707,24 @@
 }
 
 static void
-place_selected(round_t *round, const GPtrArray *steps)
+place_selected(round_t *round, const GArray *steps)
 {
-	GPtrArray *selected = g_ptr_array_new();
+	GArray *selected = g_array_new(FALSE, FALSE, sizeof(bp_qready_t));
 	guint i;
 
 	for (i = 0; i < steps->len; i++) {
-		bp_qstep_t *step = steps->pdata[i];
+		const bp_qready_t *ready =
+		    &g_array_index(steps, bp_qready_t, i);
+		bp_qstep_t *step = ready->step;
 
 		if (step->waiting_tasks > 0 &&
 		    (round->reruns_only
 			    ? bp_qstep_ignores_reservations(round->shard, step)
 			    : step->blocked_by_start_limits))
-			g_ptr_array_add(selected, step);
+			g_array_append_vals(selected, ready, 1);
 	}
 	place_in_turns(round, selected);
-	g_ptr_array_unref(selected);
+	g_array_unref(selected);
 	g_array_set_size(round->unplaced, 0);
 }
 
@@ -736,7 +738,7 @@
  * freed for the next one.
  */
 static void
-place_long_running(round_t *round, const GPtrArray *steps)
+place_long_running(round_t *round, const GArray *steps)
 {
 	round->reruns_only = true;
 	place_selected(round, steps);
@@ -747,7 +749,7 @@
 }
 
 static void
-place_steps(round_t *round, const GPtrArray *steps)
+place_steps(round_t *round, const GArray *steps)
 {
 	bp_shard_release_expired_reservations(round->shard);
 	round->fillers_yield = round->shard->urgent_blocked_ms != 0 &&
@@ -835,7 +837,7 @@
 	    .limited = bp_customers_limit_starts(shard->customers),
 	    .batch_order = bp_batch_order_new(),
 	};
-	GPtrArray *steps;
+	GArray *steps;
 
 	bp_shard_update_customers(shard);
 	steps = bp_shard_ready_steps(shard, round.batch_order);
@@ -843,7 +845,7 @@
 		place_steps(&round, steps);
 	shard->filler_cursor = round.cursor;
 	bp_batch_order_free(round.batch_order);
-	g_ptr_array_unref(steps);
+	g_array_unref(steps);
 	g_array_unref(round.unplaced);
 	g_array_unref(round.pools);
 	g_ptr_array_unref(round.quarantined);
--- a/src/queues/shard_turns.c
+++ b/src/queues/shard_turns.c
@@ -11,14 +11,14 @@
 
 /* Steps of one customer and one priority. */
 typedef struct {
-	GPtrArray *steps; /* bp_qstep_t */
+	GPtrArray *steps; /* bp_qready_t, of the turns */
 	guint at; /* index of the next step */
 	uint32_t from; /* its first task that was not looked at yet */
 } line_t;
 
 struct bp_qturns {
 	const bp_shard_t *shard;
-	const GPtrArray *steps;
+	const GArray *steps; /* bp_qready_t */
 	guint at; /* index of the first step that is in no line yet */
 	GPtrArray *accounts; /* bp_customer_account_t with steps left */
 	GArray *lines; /* line_t, for each of them */
@@ -37,7 +37,7 @@
 
 /* Creates turns for steps that are ordered without regard to customers. */
 bp_qturns_t *
-bp_qturns_new(const bp_shard_t *shard, const GPtrArray *steps)
+bp_qturns_new(const bp_shard_t *shard, const GArray *steps)
 {
 	bp_qturns_t *turns = g_new0(bp_qturns_t, 1);
 
@@ -78,23 +78,31 @@
 	return &g_array_index(turns->lines, line_t, *index - 1);
 }
 
+static const bp_qready_t *
+get_step(const bp_qturns_t *turns, guint index)
+{
+	return &g_array_index(turns->steps, bp_qready_t, index);
+}
+
 /* Makes the lines of the next priority. */
 static void
 fill_lines(bp_qturns_t *turns)
 {
-	const bp_qstep_t *first = turns->steps->pdata[turns->at];
+	const Bp__Work__Job *first =
+	    get_step(turns, turns->at)->step->job->spec;
 
 	turns->until = -1;
-	turns->urgent = first->job->spec->priority == 0;
+	turns->urgent = first->priority == 0;
 	memset(turns->line_of, 0,
 	    bp_customers_count(turns->shard->customers) * sizeof(guint));
 	while (turns->at < turns->steps->len) {
-		bp_qstep_t *step = turns->steps->pdata[turns->at];
+		const bp_qready_t *ready = get_step(turns, turns->at);
+		const bp_qjob_t *job = ready->step->job;
 
-		if (step->job->spec->priority != first->job->spec->priority)
+		if (job->spec->priority != first->priority)
 			break;
 		g_ptr_array_add(
-		    get_line(turns, step->job->account)->steps, step);
+		    get_line(turns, job->account)->steps, (gpointer)ready);
 		turns->at++;
 	}
 }
@@ -137,7 +145,7 @@
  * Returns the next step, NULL after the last. Its tasks *from on may be placed
  * up to the level of *until; bp_qturns_placed() tells whether any was.
  */
-bp_qstep_t *
+const bp_qready_t *
 bp_qturns_next(bp_qturns_t *turns, double *until, uint32_t *from)
 {
 	line_t *line;
@@ -146,7 +154,7 @@
 	*from = 0;
 	if (turns->lines == NULL)
 		return turns->at < turns->steps->len
-		    ? turns->steps->pdata[turns->at++]
+		    ? get_step(turns, turns->at++)
 		    : NULL;
 	drop_empty_line(turns);
 	if (turns->lines->len == 0 && turns->at == turns->steps->len)
--- a/tests/queues/test_batchwait.c
+++ b/tests/queues/test_batchwait.c
@@ -1,5 +1,7 @@
+#include "queues/batchorder.h"
 #include "support/queuerig.h"
 #include "support/runner.h"
+#include "support/shardsim.h"
 
 #include <string.h>
 
@@ -140,6 +142,73 @@
 	bp_qrig_free(rig);
 }
 
+/* The executor of a simulated shard has processors for this many fillers. */
+#define PLACES 4
+#define FILLER_MILLI 4000
+#define FILLER_MS 20000
+#define OLDER_JOB "000000000000000a"
+#define NEWER_JOB "000000000000000b"
+/* By then the traffic has ended and each waiting job has a claim. */
+#define CLAIMS_AFTER_MS (BP_BATCH_QUIET_MS + 500)
+
+/* Lists the executor i-1 of a simulated shard as draining, or not. */
+static void
+set_draining(bp_shardsim_t *sim, bool draining)
+{
+	char *labels[] = {NULL};
+	bp_executor_info_t info = {"i-1", "pool", "10.0.0.1:80", "za", "r1",
+	    labels, PLACES * FILLER_MILLI, 64000, 0, draining, 1};
+
+	bp_shard_update_executor(sim->shard, &info);
+}
+
+static void
+submit_fillers(bp_shardsim_t *sim, const char *id, uint32_t expected_ms)
+{
+	Bp__Work__Step *fillers = bp_shardsim_step(PLACES, FILLER_MILLI);
+
+	fillers->filler = true;
+	fillers->image = strdup("filler");
+	fillers->expected_ms = expected_ms;
+	bp_shardsim_submit_step(sim, id, fillers);
+}
+
+static uint32_t
+count_starts(const bp_shardsim_t *sim, const char *job)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < sim->n_orders; i++)
+		n += sim->orders[i].kind == BP_SIM_START &&
+		    g_str_has_prefix(sim->orders[i].task, job);
+	return n;
+}
+
+/*
+ * Guards against the regular turn of a job being taken for its claim: a job
+ * that can still be in time got one task in its turn and the rest behind
+ * others, and the claim placed more than one task.
+ */
+static void
+test_a_claim_does_not_replace_the_regular_turn(void)
+{
+	bp_shardsim_t *sim = bp_shardsim_new();
+
+	set_draining(sim, true);
+	submit_fillers(sim, OLDER_JOB, FILLER_MS);
+	submit_fillers(sim, NEWER_JOB, FILLER_MS + 1000);
+	bp_shardsim_run_ms(sim, CLAIMS_AFTER_MS);
+	CU_ASSERT_EQUAL(count_starts(sim, NEWER_JOB), 0);
+	set_draining(sim, false);
+	bp_shardsim_run_ms(sim, 300);
+	printf("%u tasks of the newer job, %u of the older one\n",
+	    count_starts(sim, NEWER_JOB), count_starts(sim, OLDER_JOB));
+	CU_ASSERT_EQUAL(count_starts(sim, NEWER_JOB), PLACES);
+	CU_ASSERT_EQUAL(count_starts(sim, OLDER_JOB), 1);
+	bp_shardsim_free(sim);
+}
+
 int
 main(void)
 {
@@ -147,6 +216,8 @@
 	    {"waits of batch are bounded", test_waits_of_batch_are_bounded},
 	    {"batch left after the traffic runs",
 		test_batch_left_after_the_traffic_runs},
+	    {"a claim does not replace the regular turn",
+		test_a_claim_does_not_replace_the_regular_turn},
 	    CU_TEST_INFO_NULL,
 	};
 
