Moves count adopted fillers by the processors they use

Callers saw: nothing that is attributed to this yet; found by review. A paused filler may be stopped for the next place that becomes free elsewhere, which is expected soon when many fillers run there at a useful speed. Cause: the unknown speed limit of a filler that an earlier owner started, or whose order to set it had no answer, is UINT32_MAX and passed for a useful speed, also where the predecessor had paused the filler. Change: a filler with an unknown limit counts by the processors that it uses according to the last poll. Leaving all of them out would count none of those that run at full speed, for which a new owner sends no order for 1 s. Evidence: "queues/fillers/paused fillers are no busy places" failed before: a filler was stopped for the places of four that used no processors. With full use it is stopped before and after.

--- a/src/queues/shard_moves.c
+++ b/src/queues/shard_moves.c
@@ -5,6 +5,7 @@
 #define CHOICES 16
 /* Share of full speed that makes a place worth a restart. */
 #define USEFUL_PERCENT 45
+#define PERCENT 100
 
 static bool
 is_paused_filler(const bp_qrun_t *run)
@@ -25,6 +26,18 @@
 	    !g_hash_table_contains(exec->shard->zones_out, exec->info->zone);
 }
 
+/* Returns whether a filler runs at a useful speed. Where no limit of this owner
+ * is in force, the processors that it uses show its speed. */
+static bool
+is_at_useful_speed(const bp_qrun_t *run)
+{
+	int64_t cpu_milli = run->task->step->spec->cpu_milli;
+
+	if (run->speed_percent != BP_QRUN_SPEED_UNKNOWN)
+		return run->speed_percent >= USEFUL_PERCENT;
+	return run->measured * PERCENT >= cpu_milli * USEFUL_PERCENT;
+}
+
 /* Returns the fillers of an executor that run at a useful speed. */
 static uint32_t
 count_busy_places(const bp_qexec_t *exec)
@@ -36,8 +49,7 @@
 		const bp_qrun_t *run = exec->runs->pdata[i];
 
 		places += run->task != NULL && run->task->step->spec->filler &&
-		    run->state == BP_QRUN_RUNNING &&
-		    run->speed_percent >= USEFUL_PERCENT;
+		    run->state == BP_QRUN_RUNNING && is_at_useful_speed(run);
 	}
 	return places;
 }
--- a/tests/queues/test_fillers.c
+++ b/tests/queues/test_fillers.c
@@ -12,11 +12,12 @@
 #define CALM_MS 10
 /* A filler that cannot have its full speed is placed after this. */
 #define SLOW_PLACEMENT_MS 1200
+#define FILLER_MS 5000
 
 /* Creates a shard with a serving task and fillers on one executor, all
  * started. */
 static bp_shardsim_t *
-sim_with_fillers(void)
+sim_with_fillers(uint32_t filler_ms)
 {
 	bp_shardsim_t *sim = bp_shardsim_new();
 	Bp__Work__Step *serving = bp_shardsim_step(1, SERVING_MILLI);
@@ -29,6 +30,7 @@
 	fillers->filler = true;
 	fillers->image = strdup("filler");
 	fillers->checkpoints = true;
+	fillers->expected_ms = filler_ms;
 	bp_shardsim_submit_step(sim, "000000000000000a", serving);
 	bp_shardsim_run_ms(sim, 200);
 	bp_shardsim_submit_step(sim, "000000000000000b", fillers);
@@ -40,12 +42,12 @@
 }
 
 /*
- * Answers the open poll of i-1 with all tasks that were started there. tail_ms
- * is the tail latency of the serving task, milli what each filler uses.
+ * Answers the open poll of an executor with all tasks that were started there.
+ * tail_ms is the tail latency of the serving task, milli what each filler uses.
  */
 static void
-answer_poll(
-    bp_shardsim_t *sim, int64_t clock_ms, int64_t tail_ms, int64_t milli)
+answer_poll_of(bp_shardsim_t *sim, const char *executor, int64_t clock_ms,
+    int64_t tail_ms, int64_t milli)
 {
 	GArray *rows = g_array_new(FALSE, TRUE, sizeof(bp_exec_running_t));
 	uint32_t i;
@@ -57,14 +59,23 @@
 		    order->task, order->run, "", 10, serving ? tail_ms : milli};
 
 		if (order->kind == BP_SIM_START &&
-		    strcmp(order->executor, "i-1") == 0)
+		    strcmp(order->executor, executor) == 0)
 			g_array_append_val(rows, row);
 	}
 	bp_shardsim_answer_poll(
-	    bp_shardsim_open_order_to(sim, BP_SIM_POLL, "i-1"), clock_ms, rows);
+	    bp_shardsim_open_order_to(sim, BP_SIM_POLL, executor), clock_ms,
+	    rows);
 	g_array_unref(rows);
 }
 
+/* Answers the open poll of i-1, where the serving task runs. */
+static void
+answer_poll(
+    bp_shardsim_t *sim, int64_t clock_ms, int64_t tail_ms, int64_t milli)
+{
+	answer_poll_of(sim, "i-1", clock_ms, tail_ms, milli);
+}
+
 /* Answers the open throttle orders; returns how many set this speed. */
 static uint32_t
 answer_throttles(bp_shardsim_t *sim, uint32_t percent)
@@ -87,7 +98,7 @@
 static void
 test_a_new_owner_resumes_paused_fillers(void)
 {
-	bp_shardsim_t *sim = sim_with_fillers();
+	bp_shardsim_t *sim = sim_with_fillers(FILLER_MS);
 
 	answer_poll(sim, 1500, OVER_MS, FILLER_MILLI);
 	CU_ASSERT_EQUAL(answer_throttles(sim, 0), FILLERS);
@@ -104,7 +115,7 @@
 static void
 test_a_new_owner_leaves_full_speed(void)
 {
-	bp_shardsim_t *sim = sim_with_fillers();
+	bp_shardsim_t *sim = sim_with_fillers(FILLER_MS);
 
 	answer_poll(sim, 1500, CALM_MS, FILLER_MILLI);
 	bp_shardsim_take_over(sim);
@@ -125,7 +136,7 @@
 static void
 test_an_unanswered_limit_is_repeated(void)
 {
-	bp_shardsim_t *sim = sim_with_fillers();
+	bp_shardsim_t *sim = sim_with_fillers(FILLER_MS);
 	bp_sim_order_t *throttle;
 	uint32_t repeated = 0;
 
@@ -179,7 +190,7 @@
 static void
 test_a_filler_without_a_place_is_not_stopped(void)
 {
-	bp_shardsim_t *sim = sim_with_fillers();
+	bp_shardsim_t *sim = sim_with_fillers(FILLER_MS);
 	int64_t clock_ms = 1500;
 
 	answer_poll(sim, clock_ms, OVER_MS, FILLER_MILLI);
@@ -199,7 +210,7 @@
 static void
 test_a_move_waits_for_a_later_sample(void)
 {
-	bp_shardsim_t *sim = sim_with_fillers();
+	bp_shardsim_t *sim = sim_with_fillers(FILLER_MS);
 	int64_t clock_ms = 2500;
 
 	bp_shardsim_take_over(sim);
@@ -214,6 +225,70 @@
 	bp_shardsim_free(sim);
 }
 
+/* Fillers that use all processors of i-2. */
+#define OTHER_FILLERS 4
+/* Duration of the fillers of i-1: they are in time for all of the test. */
+#define LONG_FILLER_MS 10000
+#define SAMPLES_UNTIL_MOVE 8
+
+static void
+list_other_executor(bp_shardsim_t *sim)
+{
+	char *labels[] = {NULL};
+	bp_executor_info_t info = {"i-2", "pool", "10.0.0.1:80", "za", "r1",
+	    labels, OTHER_FILLERS * FILLER_MILLI, 64000, 0, false, 1};
+
+	bp_shard_update_executor(sim->shard, &info);
+}
+
+/*
+ * Returns how many fillers of i-1, which are paused by a new owner, are stopped
+ * for places on i-2. All places there are taken by fillers of which the new
+ * owner knows only that they use so many processors: its own limits are not
+ * answered.
+ */
+static uint32_t
+count_stops_beside_adopted(int64_t milli)
+{
+	bp_shardsim_t *sim = sim_with_fillers(LONG_FILLER_MS);
+	int64_t clock_ms = 2500;
+	bp_sim_order_t *order;
+	Bp__Work__Step *others = bp_shardsim_step(OTHER_FILLERS, FILLER_MILLI);
+	uint32_t stops;
+
+	bp_shardsim_list(sim, "i-2");
+	others->filler = true;
+	others->image = strdup("filler");
+	bp_shardsim_submit_step(sim, "000000000000000c", others);
+	bp_shardsim_run_ms(sim, 200);
+	while ((order = bp_shardsim_open_order_to(sim, BP_SIM_START, "i-2")) !=
+	    NULL)
+		bp_shardsim_answer(order, BP_EXEC_OK, 0, NULL);
+	bp_shardsim_take_over(sim);
+	list_other_executor(sim);
+	answer_poll_of(sim, "i-2", clock_ms, 0, milli);
+	while ((order = bp_shardsim_open_order_to(
+		    sim, BP_SIM_THROTTLE, "i-2")) != NULL)
+		bp_shardsim_answer(order, BP_EXEC_UNKNOWN, 0, NULL);
+	answer_poll(sim, clock_ms, OVER_MS, FILLER_MILLI);
+	CU_ASSERT_EQUAL(answer_throttles(sim, 0), FILLERS);
+	run_with_samples(sim, &clock_ms, SAMPLES_UNTIL_MOVE, OVER_MS);
+	stops = count_stops(sim);
+	bp_shardsim_free(sim);
+	return stops;
+}
+
+/*
+ * Guards against fillers that the predecessor has paused being taken for places
+ * which become free soon: a filler that is stopped for one waits for it.
+ */
+static void
+test_paused_fillers_are_no_busy_places(void)
+{
+	CU_ASSERT_EQUAL(count_stops_beside_adopted(0), 0);
+	CU_ASSERT_TRUE(count_stops_beside_adopted(FILLER_MILLI) > 0);
+}
+
 int
 main(void)
 {
@@ -228,6 +303,8 @@
 		test_a_filler_without_a_place_is_not_stopped},
 	    {"a move waits for a later sample",
 		test_a_move_waits_for_a_later_sample},
+	    {"paused fillers are no busy places",
+		test_paused_fillers_are_no_busy_places},
 	    CU_TEST_INFO_NULL,
 	};
 
