Waits of batch go by the owner's monotonic clock

Callers saw: nothing that is attributed to this yet; found by review. The wall clock may step by seconds: one step forward gives all waiting batch jobs their claims at once, one backward withholds all claims for as long as the step. Cause: the wait of a job, the time of its last attempt and the end of the traffic were compared with Unix times. Change: an owner notes when it accepted a job, and since when one of its steps of fillers has waited with nothing running, by its monotonic clock. Evidence: "queues/batchwait/a step of the wall clock changes no claim" failed before: after 1 s and a step of 7.5 s forward a task was started by a claim, and after 7.5 s and a step of 7.5 s backward none was. "a new owner counts the wait before it" passed before and passes now.

--- a/src/queues/batchorder.h
+++ b/src/queues/batchorder.h
@@ -42,7 +42,7 @@
 /* A batch job, that is, one with steps of fillers. */
 typedef struct {
 	const char *service;
-	int64_t accepted_ms;
+	int64_t accepted_ms; /* monotonic, as are the other times */
 	int64_t idle_since_ms; /* it has had nothing running */
 	uint32_t running; /* tasks */
 	bool claimed; /* a claim to go first started them */
--- a/src/queues/job.h
+++ b/src/queues/job.h
@@ -96,8 +96,9 @@
 	bool dirty; /* has progress to be stored */
 	bool started; /* a task of it */
 	bool claimed; /* a claim to go first started what runs */
-	int64_t idle_since_ms; /* Unix ms, nothing has run; 0: never ran */
-	int64_t claim_tried_ms; /* Unix ms, a claim was last used */
+	int64_t arrived_ms; /* monotonic, accepted; 0: by an earlier owner */
+	int64_t idle_since_ms; /* monotonic, nothing has run */
+	int64_t claim_tried_ms; /* monotonic, a claim was last used */
 	int64_t ended_ms; /* Unix ms */
 	int64_t *critical_paths_ms; /* estimates, from each step on */
 	int64_t due_ms; /* Unix ms, latest end that meets the objective */
--- a/src/queues/shard_calls.c
+++ b/src/queues/shard_calls.c
@@ -128,6 +128,8 @@
 	    0};
 	bp_qjob_t *job = bp_qjob_new(spec);
 
+	job->arrived_ms = bp_shard_now_ms(shard);
+	job->idle_since_ms = job->arrived_ms;
 	job->account =
 	    bp_customers_account(shard->customers, job->spec->customer);
 	answer.retry_after_ms = refuse_beyond_share(shard, job);
--- a/src/queues/shard_priority.c
+++ b/src/queues/shard_priority.c
@@ -71,12 +71,11 @@
 	return (x->due_ms > y->due_ms) - (x->due_ms < y->due_ms);
 }
 
-/* Returns the first step of fillers of a job that a claim may start; NULL for
- * none. */
+/* Returns the first step of fillers of a job that may start; with a limit, only
+ * one that the cap of its customer allows. NULL for none. */
 static bp_qstep_t *
-claimable_step(const bp_shard_t *shard, bp_qjob_t *job, int64_t start_until_ms)
+first_filler_step(bp_qjob_t *job, int64_t start_until_ms, bool limited)
 {
-	bool limited = bp_customers_limit_starts(shard->customers);
 	uint32_t i;
 
 	for (i = 0; i < job->n_steps * job->occurrences; i++) {
@@ -90,26 +89,51 @@
 	return NULL;
 }
 
-/* Adds a job with steps of fillers to the order of batch jobs. */
+/*
+ * Sets the times of a job that an earlier owner accepted. Only the wall clock
+ * tells for how long it has waited, so that the wait counts up to the one that
+ * gives each claim.
+ */
+static void
+set_earlier_wait(
+    bp_qjob_t *job, const bp_qstep_t *ready, int64_t now_ms, int64_t wall_ms)
+{
+	int64_t accepted_ms = job->spec->accepted_ms;
+	int64_t waiting_ms = ready != NULL
+	    ? MAX(accepted_ms, bp_qstep_not_before_ms(ready))
+	    : accepted_ms;
+
+	job->arrived_ms = now_ms - MAX(wall_ms - accepted_ms, 0);
+	job->idle_since_ms =
+	    now_ms - CLAMP(wall_ms - waiting_ms, 0, BP_BATCH_WAIT_MAX_MS);
+}
+
+/*
+ * Adds a job with steps of fillers to the order of batch jobs. Waits go by the
+ * monotonic clock: the wall clock may step.
+ */
 static void
 add_batch_job(bp_batch_order_t *order, const bp_shard_t *shard, bp_qjob_t *job,
     int64_t wall_ms)
 {
+	int64_t now_ms = bp_shard_now_ms(shard);
+	int64_t start_until_ms =
+	    wall_ms + shard->options.limits.start_early_ms / 2;
+	bp_qstep_t *ready = first_filler_step(job, start_until_ms, false);
 	bp_batch_job_t added = {.service = bp_shard_service_of(shard, job),
-	    .accepted_ms = job->spec->accepted_ms,
 	    .running = bp_qjob_placed_tasks(job)};
-	bp_qstep_t *ready = claimable_step(
-	    shard, job, wall_ms + shard->options.limits.start_early_ms / 2);
 
-	if (added.running > 0)
-		job->idle_since_ms = wall_ms;
-	else
+	if (job->arrived_ms == 0)
+		set_earlier_wait(job, ready, now_ms, wall_ms);
+	if (added.running > 0 || ready == NULL)
+		job->idle_since_ms = now_ms;
+	if (added.running == 0)
 		job->claimed = false;
+	if (bp_customers_limit_starts(shard->customers))
+		ready = first_filler_step(job, start_until_ms, true);
+	added.accepted_ms = job->arrived_ms;
 	added.claimed = job->claimed;
-	added.idle_since_ms = MAX(job->idle_since_ms, job->spec->accepted_ms);
-	if (ready != NULL)
-		added.idle_since_ms =
-		    MAX(added.idle_since_ms, bp_qstep_not_before_ms(ready));
+	added.idle_since_ms = job->idle_since_ms;
 	added.tried_ms = job->claim_tried_ms;
 	added.ready = ready;
 	bp_batch_order_add(order, &added);
@@ -144,9 +168,9 @@
 
 /* Adds the steps with a claim, in addition to their places by due time. */
 static void
-add_claims(GArray *candidates, bp_batch_order_t *order, int64_t wall_ms)
+add_claims(GArray *candidates, bp_batch_order_t *order, int64_t now_ms)
 {
-	const GArray *jobs = bp_batch_order_decide(order, wall_ms);
+	const GArray *jobs = bp_batch_order_decide(order, now_ms);
 	guint i;
 
 	for (i = 0; i < jobs->len; i++) {
@@ -218,7 +242,7 @@
 		    has_fillers(job))
 			add_batch_job(order, shard, job, wall_ms);
 	}
-	add_claims(candidates, order, wall_ms);
+	add_claims(candidates, order, bp_shard_now_ms(shard));
 	g_array_sort(candidates, compare);
 	for (i = 0; i < candidates->len; i++) {
 		const candidate_t *candidate =
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -666,7 +666,7 @@
 	step->claim = ready->claim;
 	step->shares_processors =
 	    step->shares_processors && is_half_empty(round);
-	step->job->claim_tried_ms = bp_shard_wall_ms(round->shard);
+	step->job->claim_tried_ms = round->now_ms;
 	round->one_task = true;
 	place_step(round, step);
 	round->one_task = false;
--- a/tests/queues/test_batchwait.c
+++ b/tests/queues/test_batchwait.c
@@ -150,6 +150,9 @@
 #define NEWER_JOB "000000000000000b"
 /* By then the traffic has ended and each waiting job has a claim. */
 #define CLAIMS_AFTER_MS (BP_BATCH_QUIET_MS + 500)
+#define BEFORE_CLAIMS_MS 1000
+/* Takes all tasks that can be placed. */
+#define ROUNDS_MS 300
 
 /* Lists the executor i-1 of a simulated shard as draining, or not. */
 static void
@@ -185,6 +188,30 @@
 	return n;
 }
 
+/* Creates a shard with two jobs that can be in time for as long as a test takes
+ * and an executor that takes none of them yet. */
+static bp_shardsim_t *
+sim_with_waiting_jobs(void)
+{
+	bp_shardsim_t *sim = bp_shardsim_new();
+
+	set_draining(sim, true);
+	submit_fillers(sim, OLDER_JOB, FILLER_MS);
+	submit_fillers(sim, NEWER_JOB, FILLER_MS + 1000);
+	return sim;
+}
+
+/* Lets the executor take tasks: those of the newer job, and one of the older
+ * job if it has a claim. Returns the started tasks of the older job. */
+static uint32_t
+count_claimed_starts(bp_shardsim_t *sim)
+{
+	set_draining(sim, false);
+	bp_shardsim_run_ms(sim, ROUNDS_MS);
+	CU_ASSERT_EQUAL(count_starts(sim, NEWER_JOB), PLACES);
+	return count_starts(sim, OLDER_JOB);
+}
+
 /*
  * Guards against the regular turn of a job being taken for its claim: a job
  * that can still be in time got one task in its turn and the rest behind
@@ -193,19 +220,48 @@
 static void
 test_a_claim_does_not_replace_the_regular_turn(void)
 {
-	bp_shardsim_t *sim = bp_shardsim_new();
+	bp_shardsim_t *sim = sim_with_waiting_jobs();
 
-	set_draining(sim, true);
-	submit_fillers(sim, OLDER_JOB, FILLER_MS);
-	submit_fillers(sim, NEWER_JOB, FILLER_MS + 1000);
 	bp_shardsim_run_ms(sim, CLAIMS_AFTER_MS);
 	CU_ASSERT_EQUAL(count_starts(sim, NEWER_JOB), 0);
-	set_draining(sim, false);
-	bp_shardsim_run_ms(sim, 300);
-	printf("%u tasks of the newer job, %u of the older one\n",
-	    count_starts(sim, NEWER_JOB), count_starts(sim, OLDER_JOB));
-	CU_ASSERT_EQUAL(count_starts(sim, NEWER_JOB), PLACES);
-	CU_ASSERT_EQUAL(count_starts(sim, OLDER_JOB), 1);
+	CU_ASSERT_EQUAL(count_claimed_starts(sim), 1);
+	bp_shardsim_free(sim);
+}
+
+/*
+ * Guards against waits that a step of the time of day makes long or short: all
+ * jobs had a claim at once, or none had one for as long as the step.
+ */
+static void
+test_a_step_of_the_wall_clock_changes_no_claim(void)
+{
+	bp_shardsim_t *sim = sim_with_waiting_jobs();
+
+	bp_shardsim_run_ms(sim, BEFORE_CLAIMS_MS);
+	bp_clock_virtual_step_wall_ms(sim->clock, CLAIMS_AFTER_MS);
+	CU_ASSERT_EQUAL(count_claimed_starts(sim), 0);
+	bp_shardsim_free(sim);
+	sim = sim_with_waiting_jobs();
+	bp_shardsim_run_ms(sim, CLAIMS_AFTER_MS);
+	bp_clock_virtual_step_wall_ms(sim->clock, -CLAIMS_AFTER_MS);
+	CU_ASSERT_EQUAL(count_claimed_starts(sim), 1);
+	bp_shardsim_free(sim);
+}
+
+/*
+ * Guards against waits that begin anew with each owner: where the owner changes
+ * often, no job would have a claim.
+ */
+static void
+test_a_new_owner_counts_the_wait_before_it(void)
+{
+	bp_shardsim_t *sim = sim_with_waiting_jobs();
+
+	bp_shardsim_run_ms(sim, CLAIMS_AFTER_MS);
+	bp_shardsim_take_over(sim);
+	bp_shardsim_answer(bp_shardsim_open_order(sim, BP_SIM_POLL, NULL),
+	    BP_EXEC_OK, CLAIMS_AFTER_MS, NULL);
+	CU_ASSERT_EQUAL(count_claimed_starts(sim), 1);
 	bp_shardsim_free(sim);
 }
 
@@ -218,6 +274,10 @@
 		test_batch_left_after_the_traffic_runs},
 	    {"a claim does not replace the regular turn",
 		test_a_claim_does_not_replace_the_regular_turn},
+	    {"a step of the wall clock changes no claim",
+		test_a_step_of_the_wall_clock_changes_no_claim},
+	    {"a new owner counts the wait before it",
+		test_a_new_owner_counts_the_wait_before_it},
 	    CU_TEST_INFO_NULL,
 	};
 
