Jobs that have ended count as batch traffic

Callers saw: nothing that is attributed to this yet; found by review. Claims after the traffic put late jobs' single tasks first while the traffic went on, when the jobs of the last 7 s had ended or were cancelled. Cause: the latest acceptance of a service was taken from the active jobs. Change: the shard keeps the time of the latest acceptance of each service. An order without any acceptance counts the traffic as ended also right after the start of the machine's clock. Evidence: "queues/batchwait/a job that has ended belongs to the traffic" failed before: a claim started a task 2 s after the acceptance of a job that was cancelled 1 s later. "queues/batchorder/ended jobs count as traffic" is new with the function that it calls.

--- a/src/queues/batchorder.c
+++ b/src/queues/batchorder.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #define PERCENT 100
+/* Before all times; differences to it do not overflow. */
+#define NEVER_MS (INT64_MIN / 2)
 /* Of the claims of a round, those that go by the length of the wait. */
 #define LONGEST_WAITS (BP_BATCH_CLAIMS_MAX / 2)
 
@@ -45,7 +47,7 @@
 static pool_t *
 get_pool(bp_batch_order_t *order, const char *service)
 {
-	pool_t pool = {.service = service};
+	pool_t pool = {.service = service, .accepted_ms = NEVER_MS};
 	guint i;
 
 	for (i = 0; i < order->pools->len; i++) {
@@ -71,6 +73,16 @@
 		g_array_append_vals(order->waiting, job, 1);
 }
 
+/* See the header. */
+void
+bp_batch_order_add_acceptance(
+    bp_batch_order_t *order, const char *service, int64_t accepted_ms)
+{
+	pool_t *pool = get_pool(order, service);
+
+	pool->accepted_ms = MAX(pool->accepted_ms, accepted_ms);
+}
+
 /* Orders jobs by the time that they have had nothing running. By the time of
  * acceptance alone, the oldest would take each place again. */
 static gint
--- a/src/queues/batchorder.h
+++ b/src/queues/batchorder.h
@@ -66,6 +66,10 @@
 void bp_batch_order_free(bp_batch_order_t *order);
 /* Adds a job that has not ended; service is to outlive the order. */
 void bp_batch_order_add(bp_batch_order_t *order, const bp_batch_job_t *job);
+/* Adds the time at which a service accepted a batch job, which may have ended
+ * since; service is to outlive the order. */
+void bp_batch_order_add_acceptance(
+    bp_batch_order_t *order, const char *service, int64_t accepted_ms);
 /*
  * Returns the jobs with a claim, bp_batch_job_t, BP_BATCH_CLAIMS_MAX at most:
  * those that have waited longest, then those that were tried longest ago, as
--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -262,6 +262,8 @@
 	    g_str_hash, g_str_equal, g_free, bp_qexec_free);
 	shard->zones_out =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	shard->batch_accepted_ms =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	shard->orders = g_hash_table_new(NULL, NULL);
 	shard->polls = g_hash_table_new(NULL, NULL);
 	shard->throttles = g_hash_table_new(NULL, NULL);
@@ -328,6 +330,7 @@
 	bp_shard_large_free(shard->large);
 	g_hash_table_unref(shard->execs);
 	g_hash_table_unref(shard->start_limiters);
+	g_hash_table_unref(shard->batch_accepted_ms);
 	g_ptr_array_unref(shard->reserved_execs);
 	g_hash_table_unref(shard->jobs);
 	g_hash_table_unref(shard->zones_out);
--- a/src/queues/shard_priority.c
+++ b/src/queues/shard_priority.c
@@ -108,13 +108,44 @@
 	    now_ms - CLAMP(wall_ms - waiting_ms, 0, BP_BATCH_WAIT_MAX_MS);
 }
 
+/* Keeps the time of the latest acceptance of a service for later rounds, in
+ * which the job may have ended. */
+static void
+keep_acceptance(bp_shard_t *shard, const char *service, int64_t accepted_ms)
+{
+	int64_t *latest_ms =
+	    g_hash_table_lookup(shard->batch_accepted_ms, service);
+
+	if (latest_ms != NULL) {
+		*latest_ms = MAX(*latest_ms, accepted_ms);
+		return;
+	}
+	latest_ms = g_new(int64_t, 1);
+	*latest_ms = accepted_ms;
+	g_hash_table_insert(
+	    shard->batch_accepted_ms, g_strdup(service), latest_ms);
+}
+
+static void
+add_acceptances(bp_batch_order_t *order, const bp_shard_t *shard)
+{
+	GHashTableIter iter;
+	gpointer service;
+	gpointer accepted_ms;
+
+	g_hash_table_iter_init(&iter, shard->batch_accepted_ms);
+	while (g_hash_table_iter_next(&iter, &service, &accepted_ms))
+		bp_batch_order_add_acceptance(
+		    order, service, *(const int64_t *)accepted_ms);
+}
+
 /*
  * Adds a job with steps of fillers to the order of batch jobs. Waits go by the
  * monotonic clock: the wall clock may step.
  */
 static void
-add_batch_job(bp_batch_order_t *order, const bp_shard_t *shard, bp_qjob_t *job,
-    int64_t wall_ms)
+add_batch_job(
+    bp_batch_order_t *order, bp_shard_t *shard, bp_qjob_t *job, int64_t wall_ms)
 {
 	int64_t now_ms = bp_shard_now_ms(shard);
 	int64_t start_until_ms =
@@ -136,6 +167,7 @@
 	added.idle_since_ms = job->idle_since_ms;
 	added.tried_ms = job->claim_tried_ms;
 	added.ready = ready;
+	keep_acceptance(shard, added.service, added.accepted_ms);
 	bp_batch_order_add(order, &added);
 }
 
@@ -242,6 +274,7 @@
 		    has_fillers(job))
 			add_batch_job(order, shard, job, wall_ms);
 	}
+	add_acceptances(order, shard);
 	add_claims(candidates, order, bp_shard_now_ms(shard));
 	g_array_sort(candidates, compare);
 	for (i = 0; i < candidates->len; i++) {
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -248,6 +248,9 @@
 	GPtrArray *reserved_execs; /* bp_qexec_t with reserved capacity */
 	bp_shard_large_t *large; /* NULL unless large tasks are planned */
 	GHashTable *zones_out;
+	/* Service to int64_t, monotonic: its latest acceptance of a job with
+	 * fillers, which may have ended. */
+	GHashTable *batch_accepted_ms;
 	const bp_catalog_t *catalog; /* owned by the node */
 	bp_customers_t *customers;
 	bp_random_t random; /* for retry times */
--- a/tests/queues/test_batchorder.c
+++ b/tests/queues/test_batchorder.c
@@ -134,6 +134,19 @@
 	bp_batch_order_free(order);
 }
 
+/* Guards against traffic of which only ended jobs tell. */
+static void
+test_ended_jobs_count_as_traffic(void)
+{
+	bp_batch_order_t *order = bp_batch_order_new();
+
+	bp_batch_order_add_acceptance(
+	    order, POOL, NOW_MS - BP_BATCH_QUIET_MS + 1);
+	add_waiting(order, &steps[0], ENDED_MS, BP_BATCH_SHARE_AFTER_MS, 0);
+	CU_ASSERT_EQUAL(bp_batch_order_decide(order, NOW_MS)->len, 0);
+	bp_batch_order_free(order);
+}
+
 /* Guards against the oldest jobs taking each place again, against rounds that
  * try all waiting jobs, and against jobs that fit nowhere and keep others from
  * being tried. */
@@ -150,6 +163,8 @@
 	for (i = 0; i < n; i++)
 		add_waiting(order, &steps[i], ENDED_MS,
 		    BP_BATCH_IDLE_MS + (i * 37) % n, (i * 37) % n);
+	bp_batch_order_add_acceptance(order, POOL, ENDED_MS);
+	bp_batch_order_add_acceptance(order, "other", NOW_MS);
 	claims = bp_batch_order_decide(order, NOW_MS);
 	CU_ASSERT_EQUAL(claims->len, BP_BATCH_CLAIMS_MAX);
 	for (i = 0; i < claims->len; i++) {
@@ -181,6 +196,7 @@
 		test_jobs_in_time_keep_four_fifths},
 	    {"after the traffic each job has a claim",
 		test_after_the_traffic_each_job_has_a_claim},
+	    {"ended jobs count as traffic", test_ended_jobs_count_as_traffic},
 	    {"the longest wait goes first", test_the_longest_wait_goes_first},
 	    CU_TEST_INFO_NULL,
 	};
--- a/tests/queues/test_batchwait.c
+++ b/tests/queues/test_batchwait.c
@@ -148,6 +148,7 @@
 #define FILLER_MS 20000
 #define OLDER_JOB "000000000000000a"
 #define NEWER_JOB "000000000000000b"
+#define ENDED_JOB "000000000000000c"
 /* By then the traffic has ended and each waiting job has a claim. */
 #define CLAIMS_AFTER_MS (BP_BATCH_QUIET_MS + 500)
 #define BEFORE_CLAIMS_MS 1000
@@ -265,6 +266,31 @@
 	bp_shardsim_free(sim);
 }
 
+static void
+on_cancelled(const bp_shard_answer_t *told, void *data)
+{
+	(void)data;
+	CU_ASSERT_EQUAL(told->kind, BP_OK);
+}
+
+/* Guards against traffic that counts as ended while jobs arrive and end within
+ * a few seconds, so that only older ones are left. */
+static void
+test_a_job_that_has_ended_belongs_to_the_traffic(void)
+{
+	bp_shardsim_t *sim = sim_with_waiting_jobs();
+
+	bp_shardsim_run_ms(sim, CLAIMS_AFTER_MS - 2 * BEFORE_CLAIMS_MS);
+	submit_fillers(sim, ENDED_JOB, FILLER_MS);
+	bp_shardsim_run_ms(sim, BEFORE_CLAIMS_MS);
+	bp_shard_cancel(sim->shard, "q", ENDED_JOB, on_cancelled, NULL);
+	bp_shardsim_run_ms(sim, BEFORE_CLAIMS_MS);
+	CU_ASSERT_EQUAL(count_claimed_starts(sim), 0);
+	bp_shardsim_run_ms(sim, CLAIMS_AFTER_MS);
+	CU_ASSERT_EQUAL(count_starts(sim, OLDER_JOB), 1);
+	bp_shardsim_free(sim);
+}
+
 int
 main(void)
 {
@@ -278,6 +304,8 @@
 		test_a_step_of_the_wall_clock_changes_no_claim},
 	    {"a new owner counts the wait before it",
 		test_a_new_owner_counts_the_wait_before_it},
+	    {"a job that has ended belongs to the traffic",
+		test_a_job_that_has_ended_belongs_to_the_traffic},
 	    CU_TEST_INFO_NULL,
 	};
 
