A service with few running fillers grants one claim

Callers saw: nothing that is attributed to this yet; found by review. On a service with fewer than five running fillers a batch job that newer ones passed over waited for as long as the traffic lasted, whatever its claim. Cause: a fifth of fewer than five tasks is less than one. Change: one claim may go first at any size. Evidence: "queues/batchorder/a small service grants one claim" failed before for 0 to 4 running fillers. The check in "jobs in time keep four fifths" that a service without running fillers grants no claim stated the old rule; the new test replaces it, and bounds each size below five to a single claim. Measured: all 37 binaries of tests/queues pass.

--- a/src/queues/batchorder.c
+++ b/src/queues/batchorder.c
@@ -160,7 +160,9 @@
 {
 	const pool_t *pool = get_pool(order, service);
 
-	return (pool->claimed + 1) * PERCENT <=
+	/* The share of a small service would be less than one task. */
+	return pool->claimed == 0 ||
+	    (pool->claimed + 1) * PERCENT <=
 	    pool->running * (PERCENT - BP_BATCH_IN_TIME_PERCENT);
 }
 
