--- a/src/queues/batchorder.h
+++ b/src/queues/batchorder.h
@@ -12,22 +12,25 @@
  */
 
 /* Wait without a running task after which a job gets one before jobs that can
- * still be in time. */
+ * still be in time. Of these the newest goes first, so that an older one may
+ * wait for as long as the traffic lasts. */
 #define BP_BATCH_WAIT_MAX_MS 20000
-/* Share of a service's running fillers that is left to jobs which can still be
- * in time, while these wait for places. */
+/* Share of a service's running fillers that claims leave to jobs which can
+ * still be in time: late jobs earn less. */
 #define BP_BATCH_IN_TIME_PERCENT 80
 /* Wait after which a job gets one running task before late jobs get more, once
- * the traffic has ended. */
+ * the traffic has ended. The platform counts a job as lost that has nothing
+ * running beside free capacity for 3 s then. */
 #define BP_BATCH_IDLE_MS 500
-/* Claims of one round: with hundreds of waiting jobs, rounds in which all of
- * them are tried take twice the time and leave fewer starts a second. */
+/* Claims of one round. Most attempts find no place while hundreds of jobs wait,
+ * and long rounds leave fewer starts a second. */
 #define BP_BATCH_CLAIMS_MAX 32
 /* Wait after which a task of a job shares processors with other fillers, once
- * the traffic has ended. */
+ * the traffic has ended. Sharing slows all of them, so that a job first looks
+ * for unused processors. */
 #define BP_BATCH_SHARE_AFTER_MS 1000
 /* The traffic of a service has ended when it accepted no batch job for so long.
- */
+ * In a shorter pause, claims would delay late jobs that are nearly done. */
 #define BP_BATCH_QUIET_MS 7000
 
 /* Right of a job with nothing running to start one task before others. */
