--- a/src/queues/shard_priority.c
+++ b/src/queues/shard_priority.c
@@ -71,12 +71,11 @@
 	return (x->due_ms > y->due_ms) - (x->due_ms < y->due_ms);
 }
 
-/* Returns the first step of fillers of a job that a claim may start; NULL for
- * none. */
+/* Returns the first step of fillers of a job that may start; with a limit, only
+ * one that the cap of its customer allows. NULL for none. */
 static bp_qstep_t *
-claimable_step(const bp_shard_t *shard, bp_qjob_t *job, int64_t start_until_ms)
+first_filler_step(bp_qjob_t *job, int64_t start_until_ms, bool limited)
 {
-	bool limited = bp_customers_limit_starts(shard->customers);
 	uint32_t i;
 
 	for (i = 0; i < job->n_steps * job->occurrences; i++) {
@@ -90,31 +89,85 @@
 	return NULL;
 }
 
-/* Adds a job with steps of fillers to the order of batch jobs. */
+/*
+ * Sets the times of a job that an earlier owner accepted. Only the wall clock
+ * tells for how long it has waited, so that the wait counts up to the one that
+ * gives each claim.
+ */
 static void
-add_batch_job(bp_batch_order_t *order, const bp_shard_t *shard, bp_qjob_t *job,
-    int64_t wall_ms)
+set_earlier_wait(
+    bp_qjob_t *job, const bp_qstep_t *ready, int64_t now_ms, int64_t wall_ms)
+{
+	int64_t accepted_ms = job->spec->accepted_ms;
+	int64_t waiting_ms = ready != NULL
+	    ? MAX(accepted_ms, bp_qstep_not_before_ms(ready))
+	    : accepted_ms;
+
+	job->arrived_ms = now_ms - MAX(wall_ms - accepted_ms, 0);
+	job->idle_since_ms =
+	    now_ms - CLAMP(wall_ms - waiting_ms, 0, BP_BATCH_WAIT_MAX_MS);
+}
+
+/* Keeps the time of the latest acceptance of a service for later rounds, in
+ * which the job may have ended. */
+static void
+keep_acceptance(bp_shard_t *shard, const char *service, int64_t accepted_ms)
 {
+	int64_t *latest_ms =
+	    g_hash_table_lookup(shard->batch_accepted_ms, service);
+
+	if (latest_ms != NULL) {
+		*latest_ms = MAX(*latest_ms, accepted_ms);
+		return;
+	}
+	latest_ms = g_new(int64_t, 1);
+	*latest_ms = accepted_ms;
+	g_hash_table_insert(
+	    shard->batch_accepted_ms, g_strdup(service), latest_ms);
+}
+
+static void
+add_acceptances(bp_batch_order_t *order, const bp_shard_t *shard)
+{
+	GHashTableIter iter;
+	gpointer service;
+	gpointer accepted_ms;
+
+	g_hash_table_iter_init(&iter, shard->batch_accepted_ms);
+	while (g_hash_table_iter_next(&iter, &service, &accepted_ms))
+		bp_batch_order_add_acceptance(
+		    order, service, *(const int64_t *)accepted_ms);
+}
+
+/*
+ * Adds a job with steps of fillers to the order of batch jobs. Waits go by the
+ * monotonic clock: the wall clock may step.
+ */
+static void
+add_batch_job(
+    bp_batch_order_t *order, bp_shard_t *shard, bp_qjob_t *job, int64_t wall_ms)
+{
+	int64_t now_ms = bp_shard_now_ms(shard);
+	int64_t start_until_ms =
+	    wall_ms + shard->options.limits.start_early_ms / 2;
+	bp_qstep_t *ready = first_filler_step(job, start_until_ms, false);
 	bp_batch_job_t added = {.service = bp_shard_service_of(shard, job),
-	    .accepted_ms = job->spec->accepted_ms,
 	    .running = bp_qjob_placed_tasks(job)};
-	bp_qstep_t *ready = claimable_step(
-	    shard, job, wall_ms + shard->options.limits.start_early_ms / 2);
-	uint32_t i;
 
-	if (added.running > 0)
-		job->idle_since_ms = wall_ms;
-	else
+	if (job->arrived_ms == 0)
+		set_earlier_wait(job, ready, now_ms, wall_ms);
+	if (added.running > 0 || ready == NULL)
+		job->idle_since_ms = now_ms;
+	if (added.running == 0)
 		job->claimed = false;
-	for (i = 0; i < job->n_steps * job->occurrences; i++)
-		job->steps[i].claim = BP_BATCH_CLAIM_NONE;
+	if (bp_customers_limit_starts(shard->customers))
+		ready = first_filler_step(job, start_until_ms, true);
+	added.accepted_ms = job->arrived_ms;
 	added.claimed = job->claimed;
-	added.idle_since_ms = MAX(job->idle_since_ms, job->spec->accepted_ms);
-	if (ready != NULL)
-		added.idle_since_ms =
-		    MAX(added.idle_since_ms, bp_qstep_not_before_ms(ready));
+	added.idle_since_ms = job->idle_since_ms;
 	added.tried_ms = job->claim_tried_ms;
 	added.ready = ready;
+	keep_acceptance(shard, added.service, added.accepted_ms);
 	bp_batch_order_add(order, &added);
 }
 
@@ -131,13 +184,15 @@
 }
 
 static void
-add_claim(GArray *candidates, bp_qstep_t *step, outlook_t outlook, guint rank)
+add_claim(
+    GArray *candidates, bp_qstep_t *step, bp_batch_claim_t claim, guint rank)
 {
 	candidate_t candidate = {.step = step,
 	    .priority = step->job->spec->priority,
-	    .outlook = outlook,
+	    .outlook =
+		claim == BP_BATCH_CLAIM_LATE ? OUTLOOK_LATE : OUTLOOK_IN_TIME,
 	    .filler = true,
-	    .claim = step->claim,
+	    .claim = claim,
 	    .rank = rank};
 
 	g_array_append_val(candidates, candidate);
@@ -145,9 +200,9 @@
 
 /* Adds the steps with a claim, in addition to their places by due time. */
 static void
-add_claims(GArray *candidates, bp_batch_order_t *order, int64_t wall_ms)
+add_claims(GArray *candidates, bp_batch_order_t *order, int64_t now_ms)
 {
-	const GArray *jobs = bp_batch_order_decide(order, wall_ms);
+	const GArray *jobs = bp_batch_order_decide(order, now_ms);
 	guint i;
 
 	for (i = 0; i < jobs->len; i++) {
@@ -155,12 +210,11 @@
 		    &g_array_index(jobs, bp_batch_job_t, i);
 		bp_qstep_t *step = job->ready;
 
-		step->claim = job->claim;
 		step->shares_processors = job->shares_processors;
 		if (job->claim != BP_BATCH_CLAIM_LATE)
-			add_claim(candidates, step, OUTLOOK_IN_TIME, i);
+			add_claim(candidates, step, BP_BATCH_CLAIM_FIRST, i);
 		if (job->claim != BP_BATCH_CLAIM_FIRST)
-			add_claim(candidates, step, OUTLOOK_LATE, i);
+			add_claim(candidates, step, BP_BATCH_CLAIM_LATE, i);
 	}
 }
 
@@ -199,16 +253,16 @@
 }
 
 /*
- * Returns the steps with waiting tasks that may start, bp_qstep_t, in the order
- * in which they are placed. A step with a claim comes once or twice more, for
- * one task; the order of batch jobs, which is empty, tells whether it may use
- * the claim.
+ * Returns the steps with waiting tasks that may start, bp_qready_t, in the
+ * order in which they are placed. A step with a claim comes once or twice more,
+ * for one task; the order of batch jobs, which is empty, tells whether it may
+ * use the claim.
  */
-GPtrArray *
+GArray *
 bp_shard_ready_steps(bp_shard_t *shard, bp_batch_order_t *order)
 {
 	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
-	GPtrArray *steps = g_ptr_array_new();
+	GArray *steps = g_array_new(FALSE, FALSE, sizeof(bp_qready_t));
 	int64_t wall_ms = bp_shard_wall_ms(shard);
 	guint i;
 
@@ -220,11 +274,16 @@
 		    has_fillers(job))
 			add_batch_job(order, shard, job, wall_ms);
 	}
-	add_claims(candidates, order, wall_ms);
+	add_acceptances(order, shard);
+	add_claims(candidates, order, bp_shard_now_ms(shard));
 	g_array_sort(candidates, compare);
-	for (i = 0; i < candidates->len; i++)
-		g_ptr_array_add(
-		    steps, g_array_index(candidates, candidate_t, i).step);
+	for (i = 0; i < candidates->len; i++) {
+		const candidate_t *candidate =
+		    &g_array_index(candidates, candidate_t, i);
+		bp_qready_t ready = {candidate->step, candidate->claim};
+
+		g_array_append_val(steps, ready);
+	}
 	g_array_unref(candidates);
 	return steps;
 }
--- a/tests/queues/test_batchwait.c
+++ b/tests/queues/test_batchwait.c
@@ -1,5 +1,7 @@
+#include "queues/batchorder.h"
 #include "support/queuerig.h"
 #include "support/runner.h"
+#include "support/shardsim.h"
 
 #include <string.h>
 
@@ -140,6 +142,155 @@
 	bp_qrig_free(rig);
 }
 
+/* The executor of a simulated shard has processors for this many fillers. */
+#define PLACES 4
+#define FILLER_MILLI 4000
+#define FILLER_MS 20000
+#define OLDER_JOB "000000000000000a"
+#define NEWER_JOB "000000000000000b"
+#define ENDED_JOB "000000000000000c"
+/* By then the traffic has ended and each waiting job has a claim. */
+#define CLAIMS_AFTER_MS (BP_BATCH_QUIET_MS + 500)
+#define BEFORE_CLAIMS_MS 1000
+/* Takes all tasks that can be placed. */
+#define ROUNDS_MS 300
+
+/* Lists the executor i-1 of a simulated shard as draining, or not. */
+static void
+set_draining(bp_shardsim_t *sim, bool draining)
+{
+	char *labels[] = {NULL};
+	bp_executor_info_t info = {"i-1", "pool", "10.0.0.1:80", "za", "r1",
+	    labels, PLACES * FILLER_MILLI, 64000, 0, draining, 1};
+
+	bp_shard_update_executor(sim->shard, &info);
+}
+
+static void
+submit_fillers(bp_shardsim_t *sim, const char *id, uint32_t expected_ms)
+{
+	Bp__Work__Step *fillers = bp_shardsim_step(PLACES, FILLER_MILLI);
+
+	fillers->filler = true;
+	fillers->image = strdup("filler");
+	fillers->expected_ms = expected_ms;
+	bp_shardsim_submit_step(sim, id, fillers);
+}
+
+static uint32_t
+count_starts(const bp_shardsim_t *sim, const char *job)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < sim->n_orders; i++)
+		n += sim->orders[i].kind == BP_SIM_START &&
+		    g_str_has_prefix(sim->orders[i].task, job);
+	return n;
+}
+
+/* Creates a shard with two jobs that can be in time for as long as a test takes
+ * and an executor that takes none of them yet. */
+static bp_shardsim_t *
+sim_with_waiting_jobs(void)
+{
+	bp_shardsim_t *sim = bp_shardsim_new();
+
+	set_draining(sim, true);
+	submit_fillers(sim, OLDER_JOB, FILLER_MS);
+	submit_fillers(sim, NEWER_JOB, FILLER_MS + 1000);
+	return sim;
+}
+
+/* Lets the executor take tasks: those of the newer job, and one of the older
+ * job if it has a claim. Returns the started tasks of the older job. */
+static uint32_t
+count_claimed_starts(bp_shardsim_t *sim)
+{
+	set_draining(sim, false);
+	bp_shardsim_run_ms(sim, ROUNDS_MS);
+	CU_ASSERT_EQUAL(count_starts(sim, NEWER_JOB), PLACES);
+	return count_starts(sim, OLDER_JOB);
+}
+
+/*
+ * Guards against the regular turn of a job being taken for its claim: a job
+ * that can still be in time got one task in its turn and the rest behind
+ * others, and the claim placed more than one task.
+ */
+static void
+test_a_claim_does_not_replace_the_regular_turn(void)
+{
+	bp_shardsim_t *sim = sim_with_waiting_jobs();
+
+	bp_shardsim_run_ms(sim, CLAIMS_AFTER_MS);
+	CU_ASSERT_EQUAL(count_starts(sim, NEWER_JOB), 0);
+	CU_ASSERT_EQUAL(count_claimed_starts(sim), 1);
+	bp_shardsim_free(sim);
+}
+
+/*
+ * Guards against waits that a step of the time of day makes long or short: all
+ * jobs had a claim at once, or none had one for as long as the step.
+ */
+static void
+test_a_step_of_the_wall_clock_changes_no_claim(void)
+{
+	bp_shardsim_t *sim = sim_with_waiting_jobs();
+
+	bp_shardsim_run_ms(sim, BEFORE_CLAIMS_MS);
+	bp_clock_virtual_step_wall_ms(sim->clock, CLAIMS_AFTER_MS);
+	CU_ASSERT_EQUAL(count_claimed_starts(sim), 0);
+	bp_shardsim_free(sim);
+	sim = sim_with_waiting_jobs();
+	bp_shardsim_run_ms(sim, CLAIMS_AFTER_MS);
+	bp_clock_virtual_step_wall_ms(sim->clock, -CLAIMS_AFTER_MS);
+	CU_ASSERT_EQUAL(count_claimed_starts(sim), 1);
+	bp_shardsim_free(sim);
+}
+
+/*
+ * Guards against waits that begin anew with each owner: where the owner changes
+ * often, no job would have a claim.
+ */
+static void
+test_a_new_owner_counts_the_wait_before_it(void)
+{
+	bp_shardsim_t *sim = sim_with_waiting_jobs();
+
+	bp_shardsim_run_ms(sim, CLAIMS_AFTER_MS);
+	bp_shardsim_take_over(sim);
+	bp_shardsim_answer(bp_shardsim_open_order(sim, BP_SIM_POLL, NULL),
+	    BP_EXEC_OK, CLAIMS_AFTER_MS, NULL);
+	CU_ASSERT_EQUAL(count_claimed_starts(sim), 1);
+	bp_shardsim_free(sim);
+}
+
+static void
+on_cancelled(const bp_shard_answer_t *told, void *data)
+{
+	(void)data;
+	CU_ASSERT_EQUAL(told->kind, BP_OK);
+}
+
+/* Guards against traffic that counts as ended while jobs arrive and end within
+ * a few seconds, so that only older ones are left. */
+static void
+test_a_job_that_has_ended_belongs_to_the_traffic(void)
+{
+	bp_shardsim_t *sim = sim_with_waiting_jobs();
+
+	bp_shardsim_run_ms(sim, CLAIMS_AFTER_MS - 2 * BEFORE_CLAIMS_MS);
+	submit_fillers(sim, ENDED_JOB, FILLER_MS);
+	bp_shardsim_run_ms(sim, BEFORE_CLAIMS_MS);
+	bp_shard_cancel(sim->shard, "q", ENDED_JOB, on_cancelled, NULL);
+	bp_shardsim_run_ms(sim, BEFORE_CLAIMS_MS);
+	CU_ASSERT_EQUAL(count_claimed_starts(sim), 0);
+	bp_shardsim_run_ms(sim, CLAIMS_AFTER_MS);
+	CU_ASSERT_EQUAL(count_starts(sim, OLDER_JOB), 1);
+	bp_shardsim_free(sim);
+}
+
 int
 main(void)
 {
@@ -147,6 +298,14 @@
 	    {"waits of batch are bounded", test_waits_of_batch_are_bounded},
 	    {"batch left after the traffic runs",
 		test_batch_left_after_the_traffic_runs},
+	    {"a claim does not replace the regular turn",
+		test_a_claim_does_not_replace_the_regular_turn},
+	    {"a step of the wall clock changes no claim",
+		test_a_step_of_the_wall_clock_changes_no_claim},
+	    {"a new owner counts the wait before it",
+		test_a_new_owner_counts_the_wait_before_it},
+	    {"a job that has ended belongs to the traffic",
+		test_a_job_that_has_ended_belongs_to_the_traffic},
 	    CU_TEST_INFO_NULL,
 	};
 
