A busy owner blames no proxy for a closed connection

Callers saw: an owner that was too busy to read the answers of its proxies in time sent all orders itself afterwards, which kept it busy.

Cause: only a time-out was excused by the lateness of the event loop. The peer client then closes the connection as unresponsive, its other calls end as unknown, and two of these refuse the proxy, which is then not even a last resort.

A failed connection is excused as a time-out is, and so are the calls that were sent before the excused time-out: they end with the connection that this process closed.

--- a/src/queues/orderrouter.c
+++ b/src/queues/orderrouter.c
@@ -51,6 +51,9 @@
 	/* Value of calls_sent when a connection failed first; 0: none failed
 	 * since the last answer. */
 	uint64_t failed_at_call;
+	/* Value of calls_sent when a failure was last put down to this
+	 * process. */
+	uint64_t excused_at_call;
 	start_stats_t stats;
 } proxy_t;
 
@@ -299,6 +302,22 @@
 	return lateness_ms(call->router) - call->late_ms >= BUSY_MS;
 }
 
+/*
+ * Returns whether the failure of a call may be due to this process. A time-out
+ * that was missed here also closes the connection, and the calls that had been
+ * sent on it fail although they themselves were not delayed.
+ */
+static bool
+is_excused(const call_t *call, proxy_t *proxy, bool connection_failed)
+{
+	if (was_busy(call))
+		proxy->excused_at_call = call->router->calls_sent;
+	else if (!connection_failed ||
+	    call->call_number > proxy->excused_at_call)
+		return false;
+	return true;
+}
+
 static void
 back_off(const bp_order_router_t *router, proxy_t *proxy)
 {
@@ -327,7 +346,8 @@
 
 /*
  * A proxy that does not answer in time, or answers with an error, gets no
- * orders for a while. err is NULL if the proxy answered.
+ * orders for a while, unless this process was too busy to read the answer. err
+ * is NULL if the proxy answered.
  */
 static void
 update_health(
@@ -342,9 +362,11 @@
 		proxy->failed_at_call = 0;
 	else if (frame != NULL)
 		refuse(call->router, proxy);
+	else if (is_excused(call, proxy, err->kind != BP_EDEADLINE))
+		return;
 	else if (err->kind != BP_EDEADLINE)
 		note_connection_failure(call, proxy);
-	else if (!was_busy(call))
+	else
 		back_off(call->router, proxy);
 }
 
--- a/tests/queues/test_orderrouter.c
+++ b/tests/queues/test_orderrouter.c
@@ -388,6 +388,40 @@
 	CU_ASSERT_EQUAL(proxied_after_turns(210, 5), 0);
 }
 
+/* Sends two starts that are not answered: the time-out of the first closes the
+ * connection, with which the second one ends. The loop is late by 0.7 s. */
+static void
+lose_connection_while_busy(proxy_fixture_t *fixture)
+{
+	uint32_t i;
+
+	fixture->received = 0;
+	send_start(fixture);
+	CU_ASSERT_TRUE(bp_wait_until(one_received, fixture));
+	send_start(fixture);
+	for (i = 0; i < 7; i++) {
+		bp_clock_virtual_advance_us(fixture->router_clock, 150 * 1000);
+		bp_clock_virtual_run_ms(fixture->router_clock, 0);
+	}
+	CU_ASSERT_TRUE(bp_wait_until(all_ended, fixture));
+}
+
+/* Guards against an owner that closes connections because it is too busy to
+ * read them, and takes that for a failure of its proxies. */
+static void
+test_a_busy_owner_blames_no_connection(void)
+{
+	proxy_fixture_t fixture = {.hold = true};
+
+	fixture_setup(&fixture);
+	lose_connection_while_busy(&fixture);
+	lose_connection_while_busy(&fixture);
+	CU_ASSERT_EQUAL(fixture.direct.starts, 0);
+	bp_order_router_heartbeat(fixture.router, NOBODY, "za", 1000);
+	CU_ASSERT_TRUE(count_proxied(&fixture) > 0);
+	fixture_teardown(&fixture);
+}
+
 #define WAIT_MS 3000
 
 /* An owner's order router and a node that answers its orders with an error. */
@@ -500,6 +534,8 @@
 main(void)
 {
 	CU_TestInfo tests[] = {
+	    {"a busy owner blames no connection",
+		test_a_busy_owner_blames_no_connection},
 	    {"orders go by processors", test_orders_go_by_processors},
 	    {"a broken connection is made anew",
 		test_a_broken_connection_is_made_anew},
