A silent node is left by a busy owner, too

Callers saw: a node that sends heartbeats and answers no order kept its share of the orders; the polls of its executors ended there for good and their leases lapsed.

Cause: a failure counted as the owner's own once the probes of its event loop were late by 0.3 s in total within a call. Probes that are each late by 15 ms add up to 0.33 s in a call of 1.1 s, and nothing limited the excuses in a row.

Only probes that are late by 0.1 s or more count, and after three excused failures without an answer the next one counts. Calls that were in flight at an excused failure share its excuse, so that one pause does not use up all three.

--- a/src/queues/orderrouter.c
+++ b/src/queues/orderrouter.c
@@ -17,9 +17,14 @@
 #define CALL_TIMEOUT_MS 1100
 /* Period of the timer that measures by how much the event loop is late. */
 #define PROBE_MS 50
-/* Lateness of the event loop within a call that may have cost its answer: each
- * step of the call waits for a turn of the loop. */
+/* A probe that is less late than this shows an ordinary turn of the loop. */
+#define LATE_TURN_MS 100
+/* Sum of late turns within a call that may have cost its answer: each step of
+ * the call waits for a turn of the loop. */
 #define BUSY_MS 300
+/* Failures in a row, each of a later call, that are put down to a busy loop:
+ * the node may be down, too. */
+#define EXCUSED_MAX 3
 /* Part of its processors that an owner uses to send orders itself. */
 #define OWNER_PROXY_SHARE 0.25
 /* Number of upper bits of a hash that make a fraction. */
@@ -54,6 +59,7 @@
 	/* Value of calls_sent when a failure was last put down to this
 	 * process. */
 	uint64_t excused_at_call;
+	uint32_t excused; /* such failures since its last answer */
 	start_stats_t stats;
 } proxy_t;
 
@@ -67,7 +73,7 @@
 	uint64_t calls_summarized; /* calls_sent at the last summary */
 	uint64_t direct_summarized; /* sent by queue at the last summary */
 	guint summary_timer;
-	int64_t late_ms; /* sum of the lateness of all probes */
+	int64_t late_ms; /* sum of the lateness of all late turns */
 	int64_t probe_due_ms; /* mono */
 	guint probe_timer;
 };
@@ -257,16 +263,17 @@
 	proxy->stats.proxy_ms += body->took_ms;
 }
 
-/* Returns by how much the event loop has been late in total, including the
- * probe that is due. */
+/* Returns by how much the event loop has been late in all late turns, including
+ * the probe that is due. */
 static int64_t
 lateness_ms(const bp_order_router_t *router)
 {
 	int64_t overdue_ms =
 	    bp_clock_mono_ms(router->options.clock) - router->probe_due_ms;
 
-	return router->late_ms +
-	    (router->probe_timer != 0 ? MAX(overdue_ms, 0) : 0);
+	if (router->probe_timer == 0 || overdue_ms < LATE_TURN_MS)
+		return router->late_ms;
+	return router->late_ms + overdue_ms;
 }
 
 static gboolean
@@ -305,16 +312,20 @@
 /*
  * Returns whether the failure of a call may be due to this process. A time-out
  * that was missed here also closes the connection, and the calls that had been
- * sent on it fail although they themselves were not delayed.
+ * sent on it fail although they themselves were not delayed. All calls that
+ * were in flight at an excused failure share its excuse.
  */
 static bool
 is_excused(const call_t *call, proxy_t *proxy, bool connection_failed)
 {
-	if (was_busy(call))
-		proxy->excused_at_call = call->router->calls_sent;
-	else if (!connection_failed ||
-	    call->call_number > proxy->excused_at_call)
+	bool busy = was_busy(call);
+
+	if (call->call_number <= proxy->excused_at_call)
+		return busy || connection_failed;
+	if (!busy || proxy->excused >= EXCUSED_MAX)
 		return false;
+	proxy->excused++;
+	proxy->excused_at_call = call->router->calls_sent;
 	return true;
 }
 
@@ -358,16 +369,18 @@
 
 	if (proxy == NULL)
 		return;
-	if (frame != NULL && frame->error == BP_OK)
+	if (frame != NULL && frame->error == BP_OK) {
 		proxy->failed_at_call = 0;
-	else if (frame != NULL)
+		proxy->excused = 0;
+	} else if (frame != NULL) {
 		refuse(call->router, proxy);
-	else if (is_excused(call, proxy, err->kind != BP_EDEADLINE))
+	} else if (is_excused(call, proxy, err->kind != BP_EDEADLINE)) {
 		return;
-	else if (err->kind != BP_EDEADLINE)
+	} else if (err->kind != BP_EDEADLINE) {
 		note_connection_failure(call, proxy);
-	else
+	} else {
 		back_off(call->router, proxy);
+	}
 }
 
 static void
--- a/tests/queues/test_orderrouter.c
+++ b/tests/queues/test_orderrouter.c
@@ -220,9 +220,9 @@
 }
 
 static void
-send_start(proxy_fixture_t *fixture)
+send_start_to(proxy_fixture_t *fixture, const char *id)
 {
-	bp_exec_target_t target = {"10.0.0.9:80", "i-1", "za", 1, 0};
+	bp_exec_target_t target = {"10.0.0.9:80", id, "za", 1, 0};
 	bp_exec_start_t start = {"t.0.0.0", 1, "work", 1000, NULL, NULL};
 
 	bp_order_router_interface(fixture->router)
@@ -231,6 +231,12 @@
 	fixture->expected_ends++;
 }
 
+static void
+send_start(proxy_fixture_t *fixture)
+{
+	send_start_to(fixture, "i-1");
+}
+
 /* Guards against an owner that sends all orders itself after a connection to a
  * proxy broke, instead of connecting again. */
 static void
@@ -388,6 +394,76 @@
 	CU_ASSERT_EQUAL(proxied_after_turns(210, 5), 0);
 }
 
+/* Sends a start to an executor whose proxy is the fixture's node. */
+static void
+send_proxied_start(proxy_fixture_t *fixture)
+{
+	bp_executors_t *orders = bp_order_router_interface(fixture->router);
+	char id[32] = "";
+	bp_exec_target_t target = {"10.0.0.9:80", id, "za", 1, 0};
+	uint32_t i;
+
+	for (i = 0; i < EXECUTORS; i++) {
+		snprintf(id, sizeof(id), "i-%u", i);
+		if (strcmp(orders->proxy_address(orders, &target),
+			fixture->address) == 0)
+			break;
+	}
+	CU_ASSERT_TRUE_FATAL(i < EXECUTORS);
+	send_start_to(fixture, id);
+}
+
+/* Sends starts, of which none is answered, until the node gets no more orders,
+ * at most so many; within each the event loop has so many turns of this length.
+ * Returns the number of starts. */
+static uint32_t
+starts_until_left(uint32_t starts_max, uint32_t turns, int64_t turn_ms)
+{
+	proxy_fixture_t fixture = {.hold = true};
+	uint32_t proxied = EXECUTORS;
+	uint32_t starts;
+	uint32_t i;
+
+	fixture_setup(&fixture);
+	for (starts = 0; starts < starts_max && proxied > 0; starts++) {
+		send_proxied_start(&fixture);
+		/* Its heartbeats go on arriving, and another node lives. */
+		bp_order_router_heartbeat(
+		    fixture.router, fixture.address, "za", 1000);
+		bp_order_router_heartbeat(fixture.router, NOBODY, "za", 1000);
+		for (i = 0; i < turns; i++) {
+			bp_clock_virtual_advance_us(
+			    fixture.router_clock, turn_ms * 1000);
+			bp_clock_virtual_run_ms(fixture.router_clock, 0);
+		}
+		CU_ASSERT_TRUE(bp_wait_until(all_ended, &fixture));
+		proxied = count_proxied(&fixture);
+	}
+	CU_ASSERT_EQUAL(proxied, 0);
+	fixture_teardown(&fixture);
+	return starts;
+}
+
+/*
+ * Guards against a node that answers no order and never backs off, because the
+ * loop of the owner is late by a little all the time: the polls of its
+ * executors end there for good, and their leases lapse.
+ */
+static void
+test_a_silent_node_is_left_in_the_end(void)
+{
+	/* Probes each 50 ms that are late by 15 ms excuse nothing. */
+	CU_ASSERT_EQUAL(starts_until_left(6, 22, 65), 1);
+}
+
+/* Guards against a silent node that never backs off because its owner is always
+ * busy. */
+static void
+test_a_busy_owner_leaves_a_silent_node(void)
+{
+	CU_ASSERT_EQUAL(starts_until_left(6, 7, 150), 4);
+}
+
 /* Sends two starts that are not answered: the time-out of the first closes the
  * connection, with which the second one ends. The loop is late by 0.7 s. */
 static void
@@ -536,6 +612,10 @@
 	CU_TestInfo tests[] = {
 	    {"a busy owner blames no connection",
 		test_a_busy_owner_blames_no_connection},
+	    {"a silent node is left in the end",
+		test_a_silent_node_is_left_in_the_end},
+	    {"a busy owner leaves a silent node",
+		test_a_busy_owner_leaves_a_silent_node},
 	    {"orders go by processors", test_orders_go_by_processors},
 	    {"a broken connection is made anew",
 		test_a_broken_connection_is_made_anew},
