Polls are not held up by starts to slow executors

Callers saw: leases lapsed, and tasks were started anew, while an owner that sent its orders itself had more starts to send than executors answered.

Cause: the order that has waited longest was taken only as the fourth of one turn. Once 64 orders are open a turn sends fewer than four, so that starts and stops always went first.

One order in four is the one that has waited longest, counted across turns.

Evidence: `orderqueue/polls are not held up by slow starts` failed before: the poll was not sent within 3.9 s of waiting behind starts.

--- a/src/queues/orderqueue.c
+++ b/src/queues/orderqueue.c
@@ -45,6 +45,8 @@
 	GHashTable *flights; /* set of flight_t */
 	uint64_t sent;
 	uint32_t turn_sent; /* orders sent in this turn */
+	/* Orders sent by class since the one that had waited longest was. */
+	uint32_t sent_by_class;
 	guint turn_timer; /* 0: the last turn sent nothing and none waits */
 };
 
@@ -183,14 +185,23 @@
 	return open < OPEN_ORDERS;
 }
 
+/* Returns whether the next order is the one that has waited longest. */
+static bool
+is_turn_of_oldest(const bp_order_queue_t *queue)
+{
+	return queue->sent_by_class + 1 >= BP_ORDER_QUEUE_TURN_ORDERS;
+}
+
 /*
- * Returns the class whose first order is next. The last order of a turn is the
- * one that has waited longest, so that no class is held up for good.
+ * Returns the class whose first order is next. One in
+ * BP_ORDER_QUEUE_TURN_ORDERS orders is the one that has waited longest, so that
+ * no class is held up for good. They are counted across turns, since a turn may
+ * send fewer while many orders are open.
  */
 static class_t
 next_class(bp_order_queue_t *queue)
 {
-	bool oldest = queue->turn_sent + 1 == BP_ORDER_QUEUE_TURN_ORDERS;
+	bool oldest = is_turn_of_oldest(queue);
 	class_t next = CLASSES;
 	int64_t next_ms = 0;
 	uint32_t i;
@@ -229,6 +240,15 @@
 	}
 }
 
+/* Sends an order whose turn has come. */
+static void
+send_first(bp_order_queue_t *queue, const waiting_t *first)
+{
+	queue->sent_by_class =
+	    is_turn_of_oldest(queue) ? 0 : queue->sent_by_class + 1;
+	send_order(queue, &first->order, first->done, first->data);
+}
+
 /* Sends waiting orders or gives them to other nodes, as far as this turn
  * allows. */
 static void
@@ -246,8 +266,7 @@
 			&first->order, first->done, first->data, options->data))
 			rerouted++;
 		else if (may_send(queue))
-			send_order(
-			    queue, &first->order, first->done, first->data);
+			send_first(queue, first);
 		else
 			return;
 		waiting_free(g_queue_pop_head(class));
--- a/tests/queues/test_orderqueue.c
+++ b/tests/queues/test_orderqueue.c
@@ -272,6 +272,29 @@
 	fixture_free(fixture);
 }
 
+/* Guards against polls that are held up for good while executors answer slowly:
+ * each turn may then send fewer orders than BP_ORDER_QUEUE_TURN_ORDERS. */
+static void
+test_polls_are_not_held_up_by_slow_starts(void)
+{
+	fixture_t *fixture = fixture_new();
+	uint32_t polls = 0;
+	uint32_t i;
+
+	fixture->silent = true;
+	/* Two starts in each turn; some 256 orders a second are sent. */
+	for (i = 0; i < 4000; i++) {
+		if (i == 100)
+			add_polls(fixture, 1);
+		add_to(fixture, BP_ORDER_START, "started");
+		run_ms(fixture, 1);
+	}
+	for (i = 0; i < fixture->n_sent; i++)
+		polls += fixture->sent[i].kind == BP_ORDER_POLL;
+	CU_ASSERT_EQUAL(polls, 1);
+	fixture_free(fixture);
+}
+
 /* Guards against starts that reach an executor after their owner has given up
  * on them. */
 static void
@@ -342,6 +365,8 @@
 	    {"open orders are bounded", test_open_orders_are_bounded},
 	    {"starts and stops go first", test_starts_and_stops_go_first},
 	    {"polls are not held up", test_polls_are_not_held_up},
+	    {"polls are not held up by slow starts",
+		test_polls_are_not_held_up_by_slow_starts},
 	    {"an old start is not sent", test_an_old_start_is_not_sent},
 	    {"another node takes over", test_another_node_takes_over},
 	    {"forgotten orders are dropped", test_forgotten_orders_are_dropped},
