A busy owner goes on starting on its executors

Callers saw: after a pause of the owner's event loop, executors that had answered got no tasks for a second.

Cause: a start that the owner sent itself and whose answer it did not read in time backed the executor off, without the excuse that polls get.

The excuse is the same: the event loop was late by 0.3 s within the start, and at most three in a row without an answered start; starts that were in flight at an excused one share its excuse. The run is still stopped, as the start may have taken effect.

--- a/src/queues/shard_orders.c
+++ b/src/queues/shard_orders.c
@@ -17,6 +17,7 @@
 	bp_shard_t *shard;
 	bp_qrun_t *run;
 	int64_t sent_ms;
+	int64_t late_ms; /* bp_shard_lateness_ms() when it was sent */
 } order_t;
 
 static order_t *
@@ -27,6 +28,7 @@
 	order->shard = shard;
 	order->run = run;
 	order->sent_ms = bp_shard_now_ms(shard);
+	order->late_ms = bp_shard_lateness_ms(shard);
 	bp_qrun_ref_order(run);
 	g_hash_table_add(shard->orders, order);
 	return order;
@@ -123,6 +125,42 @@
 	bp_qrun_remove(run);
 }
 
+/*
+ * Returns whether this node may have been too busy to read the answer to a
+ * start. The starts that were in flight at an excused one share its excuse.
+ */
+static bool
+is_excused(const order_t *order)
+{
+	bp_qexec_t *exec = order->run->exec;
+	int64_t late_ms = bp_shard_lateness_ms(order->shard) - order->late_ms;
+
+	if (late_ms < BP_SHARD_BUSY_MS)
+		return false;
+	if (exec->excused_starts > 0 &&
+	    order->sent_ms <= exec->start_excused_ms)
+		return true;
+	if (exec->excused_starts >= BP_SHARD_EXCUSED_MAX)
+		return false;
+	exec->excused_starts++;
+	exec->start_excused_ms = bp_shard_now_ms(order->shard);
+	return true;
+}
+
+/* Handles a start without an answer. It may take effect, also later, so that
+ * the run is stopped in any case. */
+static void
+handle_unanswered_start(const order_t *order, const bp_exec_result_t *result)
+{
+	bp_qrun_t *run = order->run;
+
+	order->shard->counts_unanswered++;
+	log_refusal(run, "no_answer");
+	if (!result->proxy_failed && !is_excused(order))
+		bp_qexec_back_off(run->exec, "no_answer", BACKOFF_NO_ANSWER_MS);
+	bp_shard_stop_run(order->shard, run, "start without answer");
+}
+
 static void
 on_start(const bp_exec_result_t *result, void *data)
 {
@@ -140,19 +178,14 @@
 	}
 	if (result->outcome == BP_EXEC_OK) {
 		run->answered_seq = ++shard->events;
+		run->exec->excused_starts = 0;
 		if (run->state == BP_QRUN_STARTING)
 			run->state = BP_QRUN_RUNNING;
 		if (run->exec->polls_in_flight == 0)
 			bp_shard_schedule_poll(run->exec, 0);
 	} else if (result->outcome == BP_EXEC_UNKNOWN) {
-		if (run->state == BP_QRUN_STARTING) {
-			shard->counts_unanswered++;
-			log_refusal(run, "no_answer");
-			if (!result->proxy_failed)
-				bp_qexec_back_off(run->exec, "no_answer",
-				    BACKOFF_NO_ANSWER_MS);
-			bp_shard_stop_run(shard, run, "start without answer");
-		}
+		if (run->state == BP_QRUN_STARTING)
+			handle_unanswered_start(order, result);
 	} else {
 		handle_refused_start(run, result);
 	}
--- a/src/queues/shard_polls.c
+++ b/src/queues/shard_polls.c
@@ -9,12 +9,6 @@
 /* Executors measure a tail latency over half a second. */
 #define TAIL_SAMPLE_MS 500
 
-/* Lateness of this node's event loop within a poll that may have cost the
- * answer. */
-#define BUSY_MS 300
-/* Polls in a row that are excused by it: an executor may be down, too. */
-#define EXCUSED_MAX 3
-
 /* Context of one poll in flight. */
 typedef struct {
 	bp_qexec_t *exec;
@@ -77,7 +71,8 @@
 is_excused(
     bp_qexec_t *exec, const bp_exec_result_t *result, int64_t poll_late_ms)
 {
-	if (poll_late_ms < BUSY_MS || exec->excused_polls >= EXCUSED_MAX ||
+	if (poll_late_ms < BP_SHARD_BUSY_MS ||
+	    exec->excused_polls >= BP_SHARD_EXCUSED_MAX ||
 	    (result->outcome != BP_EXEC_UNKNOWN &&
 		result->outcome != BP_EXEC_NOT_SENT))
 		return false;
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -23,6 +23,11 @@
 #define BP_SHARD_ORDER_GRACE_MS 4000
 /* Time from sending a start to the deadline that it carries. */
 #define BP_SHARD_START_WINDOW_MS 1500
+/* Lateness of this node's event loop within an order that may have cost the
+ * answer. */
+#define BP_SHARD_BUSY_MS 300
+/* Orders in a row that are excused by it: an executor may be down, too. */
+#define BP_SHARD_EXCUSED_MAX 3
 /* Keys of a shard's records (docs/platform.md); an ID follows a prefix. */
 #define BP_SHARD_KEY_OWNER "owner"
 #define BP_SHARD_KEY_FILLER_MODEL "pairs"
@@ -143,6 +148,9 @@
 	bool unresponsive; /* the last poll got no answer */
 	int64_t unresponsive_ms; /* monotonic, since when */
 	uint32_t excused_polls; /* without answer while this node was busy */
+	uint32_t
+	    excused_starts; /* the same of starts, since one was answered */
+	int64_t start_excused_ms; /* monotonic, of the last of them */
 	int64_t born_ms; /* Unix, start of its incarnation */
 	int64_t clock_ms; /* its clock at its last answer */
 	int64_t clock_at_ms; /* monotonic, when that answer arrived */
