Polls do not wait in the order queue without a limit

Callers saw nothing yet; found in review. A poll could be sent at any time after its shard had given it, also after the order grace: the release or loss of a shard drops its orders, a membership that ran out does not.

Cause: only starts, stops and throttles ended after a wait of 0.4 s.

A poll that renews a lease ends as not sent after 1 s, any other after 2.5 s, and the shard polls again with its own checks. The first bound is longer than that of starts, since otherwise a poll would never be the order that has waited longest. The second lets 500 polls of executors that do not answer go out at 64 open orders in 0.25 s.

Evidence: `orderqueue/an old poll is not sent` failed before: polls were sent after pauses of 1.01 s and 2.51 s. It passes now, as do `orderqueue` (9 of 9; `polls are not held up by slow starts` now has a poll that renews a lease, too) and `queues/first-seconds` (500 first polls within 1 s).

--- a/src/queues/orderqueue.c
+++ b/src/queues/orderqueue.c
@@ -12,6 +12,13 @@
  * (incarnationguard.c), and a start is refused BP_SHARD_START_WINDOW_MS after
  * it was ordered. */
 #define WAIT_MAX_MS 400
+/* Longest wait of a poll that renews a lease; then its shard checks again
+ * whether it may send orders. Longer than that of starts, or a poll would never
+ * be the one that has waited longest. */
+#define LEASE_POLL_WAIT_MAX_MS 1000
+/* The same of other polls: a new owner's first polls of 500 executors that do
+ * not answer take 7 times OPEN_MS. */
+#define POLL_WAIT_MAX_MS 2500
 
 /* Orders of a higher class go first. */
 typedef enum {
@@ -219,24 +226,54 @@
 	return next;
 }
 
-/* Ends the orders of a class that have waited too long. */
+static int64_t
+wait_max_ms(const bp_order_t *order)
+{
+	if (order->kind != BP_ORDER_POLL)
+		return WAIT_MAX_MS;
+	return order->poll.deadline_ms > 0 ? LEASE_POLL_WAIT_MAX_MS
+					   : POLL_WAIT_MAX_MS;
+}
+
+/* Removes the first order of a class that has waited too long; NULL: none. */
+static waiting_t *
+take_overdue(const bp_order_queue_t *queue, GQueue *class)
+{
+	int64_t now_ms = bp_clock_mono_ms(queue->options.clock);
+	GList *link;
+
+	for (link = class->head; link != NULL; link = link->next) {
+		waiting_t *waiting = link->data;
+		int64_t waited_ms = now_ms - waiting->accepted_ms;
+
+		if (waited_ms <= WAIT_MAX_MS)
+			break;
+		if (waited_ms <= wait_max_ms(&waiting->order))
+			continue;
+		g_queue_delete_link(class, link);
+		return waiting;
+	}
+	return NULL;
+}
+
+/* Ends the orders that have waited too long. */
 static void
-end_overdue(bp_order_queue_t *queue, class_t number)
+end_overdue(bp_order_queue_t *queue)
 {
-	int64_t overdue_ms =
-	    bp_clock_mono_ms(queue->options.clock) - WAIT_MAX_MS;
-	GQueue *class = &queue->waiting[number];
-	const waiting_t *first;
 	bp_exec_result_t result = {0};
+	uint32_t i;
 
 	result.outcome = BP_EXEC_NOT_SENT;
 	result.proxy_failed = true;
-	while ((first = g_queue_peek_head(class)) != NULL &&
-	    first->accepted_ms < overdue_ms) {
-		waiting_t *waiting = g_queue_pop_head(class);
+	for (i = 0; i < CLASSES; i++) {
+		GQueue *class = &queue->waiting[i];
+		waiting_t *waiting;
 
-		waiting->done(&result, waiting->data);
-		waiting_free(waiting);
+		/* A callback may change the queue. */
+		while ((waiting = take_overdue(queue, class)) != NULL) {
+			waiting->done(&result, waiting->data);
+			waiting_free(waiting);
+		}
 	}
 }
 
@@ -281,8 +318,7 @@
 	bool idle = queue->turn_sent == 0;
 
 	queue->turn_sent = 0;
-	end_overdue(queue, CLASS_URGENT);
-	end_overdue(queue, CLASS_THROTTLE);
+	end_overdue(queue);
 	send_waiting(queue);
 	if (!idle || bp_order_queue_waiting(queue) > 0)
 		return G_SOURCE_CONTINUE;
--- a/src/queues/orderqueue.h
+++ b/src/queues/orderqueue.h
@@ -52,7 +52,7 @@
 bp_order_queue_t *bp_order_queue_new(const bp_order_queue_options_t *options);
 void bp_order_queue_free(bp_order_queue_t *queue);
 /* Sends an order now or in a later turn. One that waited too long ends as not
- * sent, except for polls. */
+ * sent: 0.4 s, a poll 1 s if it renews a lease and else 2.5 s. */
 void bp_order_queue_add(bp_order_queue_t *queue, const bp_order_t *order,
     bp_exec_done_t done, void *data);
 /* Drops the orders and pending callbacks whose data is this pointer. */
--- a/tests/queues/test_orderqueue.c
+++ b/tests/queues/test_orderqueue.c
@@ -167,6 +167,17 @@
 		add_to(fixture, BP_ORDER_POLL, "polled");
 }
 
+/* Adds a poll that renews a lease. */
+static void
+add_lease_poll(fixture_t *fixture)
+{
+	bp_order_t order = {.kind = BP_ORDER_POLL};
+
+	order.target.id = "leased";
+	order.poll.deadline_ms = 1000000;
+	bp_order_queue_add(fixture->queue, &order, on_done, fixture);
+}
+
 static void
 answer_due(fixture_t *fixture)
 {
@@ -284,14 +295,16 @@
 	fixture->silent = true;
 	/* Two starts in each turn; some 256 orders a second are sent. */
 	for (i = 0; i < 4000; i++) {
-		if (i == 100)
+		if (i == 100) {
 			add_polls(fixture, 1);
+			add_lease_poll(fixture);
+		}
 		add_to(fixture, BP_ORDER_START, "started");
 		run_ms(fixture, 1);
 	}
 	for (i = 0; i < fixture->n_sent; i++)
 		polls += fixture->sent[i].kind == BP_ORDER_POLL;
-	CU_ASSERT_EQUAL(polls, 1);
+	CU_ASSERT_EQUAL(polls, 2);
 	fixture_free(fixture);
 }
 
@@ -315,6 +328,48 @@
 	fixture_free(fixture);
 }
 
+/* Opens as many polls as may be open, and adds one with a lease and one without
+ * that wait while the event loop stands still. */
+static fixture_t *
+fixture_with_waiting_polls(int64_t pause_ms)
+{
+	fixture_t *fixture = fixture_new();
+
+	fixture->silent = true;
+	add_polls(fixture, 64);
+	run_ms(fixture, 40 * TURN_MS);
+	CU_ASSERT_EQUAL(fixture->n_sent, 64);
+	add_lease_poll(fixture);
+	add_polls(fixture, 1);
+	bp_clock_virtual_advance_us(fixture->clock, pause_ms * 1000);
+	run_ms(fixture, 10 * TURN_MS);
+	return fixture;
+}
+
+/* Guards against polls that are sent after their shard has lost the right to
+ * send orders, while the node does not know of it. */
+static void
+test_an_old_poll_is_not_sent(void)
+{
+	fixture_t *fixture = fixture_with_waiting_polls(990);
+
+	CU_ASSERT_EQUAL(fixture->n_sent, 66);
+	CU_ASSERT_EQUAL(fixture->dones, 0);
+	fixture_free(fixture);
+	fixture = fixture_with_waiting_polls(1010);
+	CU_ASSERT_EQUAL(fixture->n_sent, 65);
+	CU_ASSERT_STRING_EQUAL(fixture->sent[64].id, "polled");
+	CU_ASSERT_EQUAL(fixture->dones, 1);
+	CU_ASSERT_EQUAL(fixture->last.outcome, BP_EXEC_NOT_SENT);
+	CU_ASSERT_TRUE(fixture->last.proxy_failed);
+	fixture_free(fixture);
+	fixture = fixture_with_waiting_polls(2510);
+	CU_ASSERT_EQUAL(fixture->n_sent, 64);
+	CU_ASSERT_EQUAL(fixture->dones, 2);
+	CU_ASSERT_EQUAL(bp_order_queue_waiting(fixture->queue), 0);
+	fixture_free(fixture);
+}
+
 /* Guards against a node that goes on sending orders itself after another one
  * has said that it can. */
 static void
@@ -368,6 +423,7 @@
 	    {"polls are not held up by slow starts",
 		test_polls_are_not_held_up_by_slow_starts},
 	    {"an old start is not sent", test_an_old_start_is_not_sent},
+	    {"an old poll is not sent", test_an_old_poll_is_not_sent},
 	    {"another node takes over", test_another_node_takes_over},
 	    {"forgotten orders are dropped", test_forgotten_orders_are_dropped},
 	    CU_TEST_INFO_NULL,
