Calls that were not sent outlive an unresponsive connection

Cause: the end of a timed-out call sends the stop to the same proxy, and the peer client then closes the connection as unresponsive and ends all its calls, also those that had not been sent on it.

Calls that were not sent wait for the new connection, up to their own time-outs.

Evidence: `relay/an order after a time-out is sent` failed before: the second order did not reach the node.

--- a/src/node/peer_client.c
+++ b/src/node/peer_client.c
@@ -125,9 +125,10 @@
 	    peer->calls, &g_array_index(correlations, uint64_t, index));
 }
 
-/* Ends all calls: those sent as BP_EUNKNOWN, others as BP_EUNREACHABLE. */
+/* Ends the calls that were sent as BP_EUNKNOWN, and others, unless they are to
+ * wait for the next connection, as BP_EUNREACHABLE. */
 static void
-finish_all(peer_t *peer, const char *reason)
+finish_calls(peer_t *peer, bool sent_only, const char *reason)
 {
 	GArray *correlations = correlations_of(peer);
 	bp_error_t err;
@@ -137,7 +138,7 @@
 	for (i = 0; i < correlations->len && peer->client != NULL; i++) {
 		call_t *call = find_call(peer, correlations, i);
 
-		if (call == NULL)
+		if (call == NULL || (sent_only && !call->sent))
 			continue;
 		(void)bp_error_set(&err,
 		    call->sent ? BP_EUNKNOWN : BP_EUNREACHABLE, "%s: %s",
@@ -155,7 +156,7 @@
 	bp_link_t *closed = peer->link;
 
 	peer->link = NULL;
-	finish_all(peer, err->message);
+	finish_calls(peer, false, err->message);
 	bp_link_unref(closed);
 }
 
@@ -234,7 +235,7 @@
 		peer->link = bp_link_new(connection, &options);
 		send_waiting(peer);
 	} else if (peer->client != NULL) {
-		finish_all(peer, error->message);
+		finish_calls(peer, false, error->message);
 	}
 	g_clear_object(&connection);
 	g_clear_error(&error);
@@ -253,7 +254,7 @@
 /*
  * A connection may become unresponsive without a reset, while a new one would
  * work. It is closed when no frame has arrived since the timed-out call was
- * sent.
+ * sent; calls that were not sent on it use the new one.
  */
 static void
 close_unresponsive(peer_t *peer, bool sent, int64_t sent_us)
@@ -272,7 +273,10 @@
 	peer->link = NULL;
 	bp_link_close(link);
 	bp_link_unref(link);
-	finish_all(peer, "the connection is unresponsive");
+	finish_calls(peer, true, "the connection is unresponsive");
+	if (peer->client != NULL && peer->link == NULL &&
+	    peer->connecting == NULL && g_hash_table_size(peer->calls) > 0)
+		connect_peer(peer);
 }
 
 static bool
--- a/tests/queues/test_orderrouter.c
+++ b/tests/queues/test_orderrouter.c
@@ -121,6 +121,8 @@
 	bp_peer_client_t *client;
 	bp_order_router_t *router;
 	bool hold; /* the node does not answer requests */
+	/* The end of an order sends another, which the node answers. */
+	bool follow_up;
 	uint32_t received; /* orders that reached the node */
 	uint32_t ended; /* orders that were answered or failed */
 	uint32_t expected_ends; /* orders sent, which are to end */
@@ -198,13 +200,6 @@
 	g_free(fixture->address);
 }
 
-static void
-on_ended(const bp_exec_result_t *result, void *data)
-{
-	(void)result;
-	((proxy_fixture_t *)data)->ended++;
-}
-
 static bool
 all_ended(void *data)
 {
@@ -219,6 +214,22 @@
 	return ((const proxy_fixture_t *)data)->received > 0;
 }
 
+static void send_start(proxy_fixture_t *fixture);
+
+static void
+on_ended(const bp_exec_result_t *result, void *data)
+{
+	proxy_fixture_t *fixture = data;
+
+	(void)result;
+	fixture->ended++;
+	if (!fixture->follow_up)
+		return;
+	fixture->follow_up = false;
+	fixture->hold = false;
+	send_start(fixture);
+}
+
 static void
 send_start_to(proxy_fixture_t *fixture, const char *id)
 {
@@ -498,6 +509,23 @@
 	fixture_teardown(&fixture);
 }
 
+/*
+ * Guards against orders that are lost with a connection on which they were not
+ * sent: the stop that follows a start without an answer.
+ */
+static void
+test_an_order_after_a_time_out_is_sent(void)
+{
+	proxy_fixture_t fixture = {.hold = true, .follow_up = true};
+
+	fixture_setup(&fixture);
+	send_start(&fixture);
+	CU_ASSERT_TRUE(bp_wait_until(all_ended, &fixture));
+	CU_ASSERT_EQUAL(fixture.ended, 2);
+	CU_ASSERT_EQUAL(fixture.received, 2);
+	fixture_teardown(&fixture);
+}
+
 #define WAIT_MS 3000
 
 /* An owner's order router and a node that answers its orders with an error. */
@@ -616,6 +644,8 @@
 		test_a_silent_node_is_left_in_the_end},
 	    {"a busy owner leaves a silent node",
 		test_a_busy_owner_leaves_a_silent_node},
+	    {"an order after a time-out is sent",
+		test_an_order_after_a_time_out_is_sent},
 	    {"orders go by processors", test_orders_go_by_processors},
 	    {"a broken connection is made anew",
 		test_a_broken_connection_is_made_anew},
