--- a/src/queues/orderqueue.c
+++ b/src/queues/orderqueue.c
@@ -12,6 +12,13 @@
  * (incarnationguard.c), and a start is refused BP_SHARD_START_WINDOW_MS after
  * it was ordered. */
 #define WAIT_MAX_MS 400
+/* Longest wait of a poll that renews a lease; then its shard checks again
+ * whether it may send orders. Longer than that of starts, or a poll would never
+ * be the one that has waited longest. */
+#define LEASE_POLL_WAIT_MAX_MS 1000
+/* The same of other polls: a new owner's first polls of 500 executors that do
+ * not answer take 7 times OPEN_MS. */
+#define POLL_WAIT_MAX_MS 2500
 
 /* Orders of a higher class go first. */
 typedef enum {
@@ -45,6 +52,8 @@
 	GHashTable *flights; /* set of flight_t */
 	uint64_t sent;
 	uint32_t turn_sent; /* orders sent in this turn */
+	/* Orders sent by class since the one that had waited longest was. */
+	uint32_t sent_by_class;
 	guint turn_timer; /* 0: the last turn sent nothing and none waits */
 };
 
@@ -183,14 +192,23 @@
 	return open < OPEN_ORDERS;
 }
 
+/* Returns whether the next order is the one that has waited longest. */
+static bool
+is_turn_of_oldest(const bp_order_queue_t *queue)
+{
+	return queue->sent_by_class + 1 >= BP_ORDER_QUEUE_TURN_ORDERS;
+}
+
 /*
- * Returns the class whose first order is next. The last order of a turn is the
- * one that has waited longest, so that no class is held up for good.
+ * Returns the class whose first order is next. One in
+ * BP_ORDER_QUEUE_TURN_ORDERS orders is the one that has waited longest, so that
+ * no class is held up for good. They are counted across turns, since a turn may
+ * send fewer while many orders are open.
  */
 static class_t
 next_class(bp_order_queue_t *queue)
 {
-	bool oldest = queue->turn_sent + 1 == BP_ORDER_QUEUE_TURN_ORDERS;
+	bool oldest = is_turn_of_oldest(queue);
 	class_t next = CLASSES;
 	int64_t next_ms = 0;
 	uint32_t i;
@@ -208,27 +226,66 @@
 	return next;
 }
 
-/* Ends the orders of a class that have waited too long. */
+static int64_t
+wait_max_ms(const bp_order_t *order)
+{
+	if (order->kind != BP_ORDER_POLL)
+		return WAIT_MAX_MS;
+	return order->poll.deadline_ms > 0 ? LEASE_POLL_WAIT_MAX_MS
+					   : POLL_WAIT_MAX_MS;
+}
+
+/* Removes the first order of a class that has waited too long; NULL: none. */
+static waiting_t *
+take_overdue(const bp_order_queue_t *queue, GQueue *class)
+{
+	int64_t now_ms = bp_clock_mono_ms(queue->options.clock);
+	GList *link;
+
+	for (link = class->head; link != NULL; link = link->next) {
+		waiting_t *waiting = link->data;
+		int64_t waited_ms = now_ms - waiting->accepted_ms;
+
+		if (waited_ms <= WAIT_MAX_MS)
+			break;
+		if (waited_ms <= wait_max_ms(&waiting->order))
+			continue;
+		g_queue_delete_link(class, link);
+		return waiting;
+	}
+	return NULL;
+}
+
+/* Ends the orders that have waited too long. */
 static void
-end_overdue(bp_order_queue_t *queue, class_t number)
+end_overdue(bp_order_queue_t *queue)
 {
-	int64_t overdue_ms =
-	    bp_clock_mono_ms(queue->options.clock) - WAIT_MAX_MS;
-	GQueue *class = &queue->waiting[number];
-	const waiting_t *first;
 	bp_exec_result_t result = {0};
+	uint32_t i;
 
 	result.outcome = BP_EXEC_NOT_SENT;
 	result.proxy_failed = true;
-	while ((first = g_queue_peek_head(class)) != NULL &&
-	    first->accepted_ms < overdue_ms) {
-		waiting_t *waiting = g_queue_pop_head(class);
+	for (i = 0; i < CLASSES; i++) {
+		GQueue *class = &queue->waiting[i];
+		waiting_t *waiting;
 
-		waiting->done(&result, waiting->data);
-		waiting_free(waiting);
+		/* A callback may change the queue. */
+		while ((waiting = take_overdue(queue, class)) != NULL) {
+			waiting->done(&result, waiting->data);
+			waiting_free(waiting);
+		}
 	}
 }
 
+/* Sends an order whose turn has come. */
+static void
+send_first(bp_order_queue_t *queue, const waiting_t *first)
+{
+	queue->sent_by_class =
+	    is_turn_of_oldest(queue) ? 0 : queue->sent_by_class + 1;
+	send_order(queue, &first->order, first->done, first->data);
+}
+
 /* Sends waiting orders or gives them to other nodes, as far as this turn
  * allows. */
 static void
@@ -246,8 +303,7 @@
 			&first->order, first->done, first->data, options->data))
 			rerouted++;
 		else if (may_send(queue))
-			send_order(
-			    queue, &first->order, first->done, first->data);
+			send_first(queue, first);
 		else
 			return;
 		waiting_free(g_queue_pop_head(class));
@@ -262,8 +318,7 @@
 	bool idle = queue->turn_sent == 0;
 
 	queue->turn_sent = 0;
-	end_overdue(queue, CLASS_URGENT);
-	end_overdue(queue, CLASS_THROTTLE);
+	end_overdue(queue);
 	send_waiting(queue);
 	if (!idle || bp_order_queue_waiting(queue) > 0)
 		return G_SOURCE_CONTINUE;
