A takeover without end is given up, and no node keeps its shard for it

What callers saw: nothing yet; found in review. A node whose joins the store answers but not its claim kept the shard for as long as it lasted, and no node owned it.

Cause: a shard that is still read or claimed counted as served, so the membership kept it against the group's assignment, and nothing limited the time of a takeover.

A shard is now kept only once it is owned. A takeover that has not ended after 6 s with a valid membership is reported like an owner without appends, so the node steps down if another one can own; the report is repeated each 4 s. 6 s are several attempts of 1.5 s each and leave a takeover of 5 s alone ("a slow takeover is not given up").

"only a valid shard is served" demanded that a shard counts as served from its assignment on, which is this fault. It now demands that it does not count until it is owned, and does then, both at first and after an expired membership. On the old code the changed test fails at both places.

--- a/src/queues/ownedshards.c
+++ b/src/queues/ownedshards.c
@@ -121,7 +121,7 @@
 {
 	const bp_shard_t *shard = self->owned[number];
 
-	return shard != NULL && !self->released && !bp_shard_released(shard) &&
+	return shard != NULL && !self->released && bp_shard_ready(shard) &&
 	    bp_shard_membership_valid(shard);
 }
 
--- a/src/queues/ownedshards.h
+++ b/src/queues/ownedshards.h
@@ -43,8 +43,9 @@
  * shard i is assigned to this node. */
 void bp_owned_shards_set_assigned(
     bp_owned_shards_t *self, const bool *shards, int64_t sent_mono_ms);
-/* Returns whether this node owns a shard or takes it over, with a membership
- * that is valid, and is not releasing it. */
+/* Returns whether this node owns a shard, with a membership that is valid, and
+ * is not releasing it. A shard that is still taken over does not count: its
+ * takeover may never end. */
 bool bp_owned_shards_serves(const bp_owned_shards_t *self, uint32_t number);
 /* Returns whether this node sends no orders as the owner of a shard, and sets
  * *stopped_ms to since when (mono). */
--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -223,6 +223,9 @@
 	bp_shard_t *shard = data;
 
 	measure_tick_lag(shard);
+	if (shard->phase == BP_SHARD_READING ||
+	    shard->phase == BP_SHARD_CLAIMING)
+		bp_shard_check_takeover(shard);
 	if (shard->phase != BP_SHARD_OWNED && shard->phase != BP_SHARD_RELEASED)
 		return G_SOURCE_CONTINUE;
 	bp_shard_refuse_overdue(shard);
@@ -285,6 +288,7 @@
 	shard->in_flight =
 	    g_array_new(FALSE, FALSE, sizeof(bp_qappended_job_t));
 	shard->confirmed_ms = options->membership_confirmed_ms;
+	shard->takeover_start_ms = bp_shard_now_ms(shard);
 	shard->tick_due_ms = bp_shard_now_ms(shard) + TICK_MS;
 	shard->tick_timer =
 	    bp_clock_add_timer(shard->options.clock, TICK_MS, on_tick, shard);
--- a/src/queues/shard_fitness.c
+++ b/src/queues/shard_fitness.c
@@ -24,6 +24,9 @@
  * pause of the process alone does not count. */
 #define UNSTORED_MS 4000
 #define UNSTORED_ATTEMPTS 3
+/* A takeover takes up to 1 s under load. An attempt without an answer takes
+ * 1.5 s, so several must have failed. */
+#define TAKEOVER_MAX_MS 6000
 
 /* Counts polled executors, and the unresponsive ones among them. */
 static void
@@ -87,10 +90,25 @@
 	    "most executors do not answer this node", "silent", counts);
 }
 
+/* Reports that this node cannot store. The report is repeated, as no other node
+ * may have been there to take the shard. */
+static void
+report_unstored(
+    bp_shard_t *shard, const char *message, const char *key, const char *value)
+{
+	int64_t now_ms = bp_shard_now_ms(shard);
+
+	if (shard->unstored_reported_ms != 0 &&
+	    now_ms - shard->unstored_reported_ms < UNSTORED_MS)
+		return;
+	shard->unstored_reported_ms = now_ms;
+	shard->unfit_reported[BP_SHARD_UNFIT_UNSTORED] = false;
+	report_unfit(shard, BP_SHARD_UNFIT_UNSTORED, message, key, value);
+}
+
 /*
  * A store that confirms the membership and does not answer an append may answer
- * another node: this one may be too busy to store. The report is repeated, as
- * no other node may have been there to take the shard.
+ * another node: this one may be too busy to store.
  */
 static void
 check_appends(bp_shard_t *shard)
@@ -103,17 +121,28 @@
 	if (since_ms == 0 || now_ms - since_ms < UNSTORED_MS ||
 	    attempts < UNSTORED_ATTEMPTS || !bp_shard_membership_valid(shard))
 		return;
-	if (shard->unstored_reported_ms != 0 &&
-	    now_ms - shard->unstored_reported_ms < UNSTORED_MS)
-		return;
-	shard->unstored_reported_ms = now_ms;
-	shard->unfit_reported[BP_SHARD_UNFIT_UNSTORED] = false;
 	snprintf(text, sizeof(text), "%u", attempts);
-	report_unfit(shard, BP_SHARD_UNFIT_UNSTORED,
+	report_unstored(shard,
 	    "the store answers this node's joins but no append", "attempts",
 	    text);
 }
 
+/* Requests the release of a shard whose takeover does not end although the
+ * membership is confirmed: another node may be able to claim it. */
+void
+bp_shard_check_takeover(bp_shard_t *shard)
+{
+	int64_t passed_ms = bp_shard_now_ms(shard) - shard->takeover_start_ms;
+	char text[32];
+
+	if (passed_ms < TAKEOVER_MAX_MS || !bp_shard_membership_valid(shard))
+		return;
+	snprintf(text, sizeof(text), "%" G_GINT64_FORMAT, passed_ms);
+	report_unstored(shard,
+	    "the store answers this node's joins but the takeover does not end",
+	    "passed_ms", text);
+}
+
 /* Records by how much a tick was late. */
 void
 bp_shard_record_lag(bp_shard_t *shard, int64_t lag_ms)
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -266,6 +266,7 @@
 	int64_t asked_ms; /* monotonic, when earlier owners were last asked */
 	bool owner_record_due; /* the next append holds the owner record */
 	bool owner_record_in_flight;
+	int64_t takeover_start_ms; /* monotonic */
 	int64_t claim_sent_ms; /* monotonic */
 	bool epoch_check_wanted; /* append a record to verify the epoch */
 	int64_t confirmed_ms; /* monotonic, of the last confirmed membership */
@@ -465,6 +466,7 @@
 /* shard_fitness.c */
 void bp_shard_record_lag(bp_shard_t *shard, int64_t lag_ms);
 void bp_shard_check_fitness(bp_shard_t *shard);
+void bp_shard_check_takeover(bp_shard_t *shard);
 
 /* shard_polls.c */
 void bp_shard_poll(bp_qexec_t *exec, uint32_t wait_ms);
--- a/tests/queues/test_ownership.c
+++ b/tests/queues/test_ownership.c
@@ -368,6 +368,41 @@
 	}
 }
 
+/* Guards against a node whose claim gets no answer while its joins do, and that
+ * keeps the shard from nodes that could own it. */
+static void
+test_a_takeover_without_end_is_given_up(void)
+{
+	uint64_t seed;
+	uint32_t i;
+
+	for (seed = 1; seed <= SEEDS; seed++) {
+		bp_qrig_t *rig = bp_qrig_new(seed, EXECUTORS);
+		uint32_t stuck;
+		int owner;
+
+		bp_qstore_set_shuffled(bp_qrig_store(rig), true);
+		bp_qrig_run_ms(rig, SETTLE_MS);
+		owner = bp_qrig_owner(rig);
+		CU_ASSERT_TRUE_FATAL(owner >= 0);
+		stuck = ((uint32_t)owner + 1) % BP_QRIG_NODES;
+		bp_qrig_store_mode(rig, stuck, BP_QSTORE_SILENT_APPENDS);
+		for (i = 0; i < BP_QRIG_NODES; i++) {
+			if (i != stuck)
+				bp_qrig_kill(rig, i);
+		}
+		bp_qrig_run_ms(rig, SETTLE_MS);
+		for (i = 0; i < BP_QRIG_NODES; i++) {
+			if (i != stuck)
+				bp_qrig_restart(rig, i);
+			bp_qrig_run_ms(rig, SETTLE_MS);
+		}
+		bp_qrig_run_ms(rig, 5 * SETTLE_MS);
+		CU_ASSERT_TRUE(bp_qrig_owner(rig) >= 0);
+		bp_qrig_free(rig);
+	}
+}
+
 int
 main(void)
 {
@@ -392,6 +427,8 @@
 	    {"an owner keeps its epoch when another node returns",
 		test_an_owner_keeps_its_epoch},
 	    {"memberships never overlap", test_memberships_never_overlap},
+	    {"a takeover without end is given up",
+		test_a_takeover_without_end_is_given_up},
 	    CU_TEST_INFO_NULL,
 	};
 
--- a/tests/queues/test_permits.c
+++ b/tests/queues/test_permits.c
@@ -6,6 +6,9 @@
 /* Longer than a membership is valid. */
 #define EXPIRED_MS 3000
 #define SETTLE_MS 1000
+#define JOIN_MS 300
+/* A takeover that ends within this time is not given up. */
+#define TAKEOVER_MS 5000
 
 /* The shards of one node, whose membership the test determines. */
 typedef struct {
@@ -14,7 +17,9 @@
 	bp_qstore_t *store;
 	bp_sharding_t *sharding;
 	bp_executors_t executors;
+	bp_qstore_view_t *view;
 	bp_owned_shards_t *shards;
+	uint32_t unfit; /* number of calls of on_unfit */
 } node_t;
 
 static void
@@ -31,6 +36,15 @@
 	(void)data;
 }
 
+static void
+on_unfit(bp_shard_unfit_t why, void *data)
+{
+	node_t *node = data;
+
+	CU_ASSERT_EQUAL(why, BP_SHARD_UNFIT_UNSTORED);
+	node->unfit++;
+}
+
 static node_t *
 node_new(void)
 {
@@ -46,7 +60,8 @@
 	node->sharding = bp_sharding_new(&sharding);
 	node->executors.forget = forget;
 	options.clock = sharding.clock;
-	options.store = bp_qstore_interface(bp_qstore_view(node->store));
+	node->view = bp_qstore_view(node->store);
+	options.store = bp_qstore_interface(node->view);
 	options.executors = &node->executors;
 	options.node = "n";
 	options.address = "10.0.0.9:7000";
@@ -54,6 +69,8 @@
 	options.sharding = node->sharding;
 	options.limits.status_keep_s = 3600;
 	options.watch_executors = on_follow;
+	options.unfit = on_unfit;
+	options.data = node;
 	node->shards = bp_owned_shards_new(&options);
 	return node;
 }
@@ -133,7 +150,8 @@
 	node_free(node);
 }
 
-/* Guards against a shard that is kept although it is not served any more. */
+/* Guards against a shard that is kept although it is not served any more, or
+ * not yet. */
 static void
 test_only_a_valid_shard_is_served(void)
 {
@@ -141,18 +159,68 @@
 
 	CU_ASSERT_FALSE(bp_owned_shards_serves(node->shards, 0));
 	assign_shard(node, 0);
+	CU_ASSERT_FALSE(bp_owned_shards_serves(node->shards, 0));
+	bp_clock_virtual_run_ms(node->clock, SETTLE_MS);
 	CU_ASSERT_TRUE(bp_owned_shards_serves(node->shards, 0));
 	bp_clock_virtual_run_ms(node->clock, EXPIRED_MS);
 	CU_ASSERT_FALSE(bp_owned_shards_serves(node->shards, 0));
 	assign_shard(node, 0);
 	bp_clock_virtual_run_ms(node->clock, SETTLE_MS);
 	assign_shard(node, 0);
+	CU_ASSERT_FALSE(bp_owned_shards_serves(node->shards, 0));
+	bp_clock_virtual_run_ms(node->clock, SETTLE_MS);
 	CU_ASSERT_TRUE(bp_owned_shards_serves(node->shards, 0));
 	bp_owned_shards_release(node->shards);
 	CU_ASSERT_FALSE(bp_owned_shards_serves(node->shards, 0));
 	node_free(node);
 }
 
+/* Lets time pass in which all joins are answered. */
+static void
+run_as_member(node_t *node, int64_t duration_ms)
+{
+	int64_t passed_ms;
+
+	for (passed_ms = 0; passed_ms < duration_ms; passed_ms += JOIN_MS) {
+		assign_shard(node, 0);
+		bp_clock_virtual_run_ms(node->clock, JOIN_MS);
+	}
+}
+
+/* Guards against a takeover that is given up because the store is slow. */
+static void
+test_a_slow_takeover_is_not_given_up(void)
+{
+	node_t *node = node_new();
+
+	/* The records are read and the shard is claimed. */
+	bp_qstore_set_delay_ms(node->store, TAKEOVER_MS / 2);
+	run_as_member(node, TAKEOVER_MS - SETTLE_MS);
+	CU_ASSERT_FALSE(bp_owned_shards_serves(node->shards, 0));
+	run_as_member(node, 2 * SETTLE_MS);
+	CU_ASSERT_TRUE(bp_owned_shards_serves(node->shards, 0));
+	run_as_member(node, 2 * TAKEOVER_MS);
+	CU_ASSERT_EQUAL(node->unfit, 0);
+	node_free(node);
+}
+
+/* Guards against a takeover without end whose node says so only once, when no
+ * other node may have been there to take the shard. */
+static void
+test_a_takeover_without_end_is_reported(void)
+{
+	node_t *node = node_new();
+
+	bp_qstore_set_mode(node->view, BP_QSTORE_SILENT_APPENDS);
+	run_as_member(node, TAKEOVER_MS);
+	CU_ASSERT_EQUAL(node->unfit, 0);
+	run_as_member(node, TAKEOVER_MS);
+	CU_ASSERT_TRUE(node->unfit >= 1);
+	run_as_member(node, TAKEOVER_MS);
+	CU_ASSERT_TRUE(node->unfit >= 2);
+	node_free(node);
+}
+
 int
 main(void)
 {
@@ -163,6 +231,10 @@
 	    {"the membership counts from the call",
 		test_the_membership_counts_from_the_call},
 	    {"only a valid shard is served", test_only_a_valid_shard_is_served},
+	    {"a slow takeover is not given up",
+		test_a_slow_takeover_is_not_given_up},
+	    {"a takeover without end is reported",
+		test_a_takeover_without_end_is_reported},
 	    CU_TEST_INFO_NULL,
 	};
 
