An unreadable answer about the group tells nothing

What callers saw: nothing yet; found in review. A 200 from log-owners without a readable body counted as a list without any owner, so that a node that was kept by that list released its shard at once; one from log-join counted as a join without assignments.

Cause: the store's client took success without a readable body for all calls of the group, which only a leave can do without its body.

--- a/tests/adapter/test_store.c
+++ b/tests/adapter/test_store.c
@@ -96,6 +96,10 @@
 	g_object_unref(fixture->server);
 }
 
+#define ASK_JOIN 3
+#define ASK_OWNERS 4
+#define ASK_LEAVE 5
+
 /* Sends the call of this kind; returns once its answer was taken. */
 static void
 ask(fixture_t *fixture, uint32_t kind)
@@ -118,9 +122,12 @@
 	case 2:
 		store->read(store, "t", 0, 5, on_done, fixture);
 		break;
-	case 3:
+	case ASK_JOIN:
 		store->join(store, "g", "m", "t", 1000, 0, on_done, fixture);
 		break;
+	case ASK_LEAVE:
+		store->leave(store, "g", "m", on_done, fixture);
+		break;
 	default:
 		store->owners(store, "g", on_done, fixture);
 		break;
@@ -166,6 +173,30 @@
 	teardown(&fixture);
 }
 
+/* Guards against an owners' list that cannot be read and counts as one without
+ * any owner, and against a join that then counts as one without assignments:
+ * the node would release its shards. Nothing is read from a leave's answer. */
+static void
+test_unreadable_group_answers(void)
+{
+	static const char *const bodies[] = {
+	    "", "{", "[]", "{\"parts\":[[\"t\",0,\"m\"]"};
+	fixture_t fixture;
+	size_t i;
+
+	setup(&fixture);
+	for (i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		answer_with(&fixture, 200, bodies[i], strlen(bodies[i]));
+		ask(&fixture, ASK_JOIN);
+		CU_ASSERT_EQUAL(fixture.outcome, BP_STORE_UNKNOWN);
+		ask(&fixture, ASK_OWNERS);
+		CU_ASSERT_EQUAL(fixture.outcome, BP_STORE_UNKNOWN);
+		ask(&fixture, ASK_LEAVE);
+		CU_ASSERT_EQUAL(fixture.outcome, BP_STORE_OK);
+	}
+	teardown(&fixture);
+}
+
 /* Answers whose bytes are changed or cut are taken without harm. */
 static void
 test_changed_answers(void)
@@ -383,6 +414,7 @@
 {
 	CU_TestInfo tests[] = {
 	    {"odd members", test_odd_members},
+	    {"unreadable answers of the group", test_unreadable_group_answers},
 	    {"changed answers", test_changed_answers},
 	    {"an append takes few turns", test_an_append_takes_few_turns},
 	    {"appends leave turns to reads", test_appends_leave_turns_to_reads},
