The log's mark of a kept shard belongs to the membership

Only membership.c set and read `confirmed` of the kept shard, to log once when it begins to be kept.

--- a/src/queues/keptshard.c
+++ b/src/queues/keptshard.c
@@ -39,10 +39,8 @@
 	uint32_t number = 0;
 	bool kept = find_single(listed, served, n, &number);
 
-	if (!kept || !self->active || number != self->number) {
+	if (!kept || !self->active || number != self->number)
 		self->queried = false;
-		self->confirmed = false;
-	}
 	self->active = kept;
 	self->number = number;
 	self->generation = generation;
--- a/src/queues/keptshard.h
+++ b/src/queues/keptshard.h
@@ -16,7 +16,6 @@
 typedef struct {
 	bool active; /* the last join did not list the shard */
 	bool queried; /* the owners were queried since it became active */
-	bool confirmed; /* an answer named this member since then */
 	uint32_t number;
 	uint64_t generation; /* of the last join */
 	int64_t joined_ms; /* mono, when the last join was sent */
--- a/src/queues/membership.c
+++ b/src/queues/membership.c
@@ -51,6 +51,7 @@
 	char **owners; /* addresses by shard, NULL if unknown */
 	bool store_confirms; /* the last join succeeded */
 	bp_kept_shard_t kept;
+	bool kept_confirmed; /* the owners have named this member for it */
 	uint64_t kept_count; /* changes after which a shard was kept */
 	guint join_timer;
 	guint owners_timer;
@@ -111,6 +112,8 @@
 apply_join(bp_membership_t *self, const bp_store_result_t *result)
 {
 	uint32_t n = self->options.shards;
+	bool was_kept = self->kept.active;
+	uint32_t number = self->kept.number;
 	bool *listed = g_new0(bool, n);
 	bool *served = g_new0(bool, n);
 	guint i;
@@ -127,6 +130,8 @@
 		served[i] = serves(self, i);
 	if (bp_kept_shard_joined(&self->kept, listed, served, n,
 		result->generation, self->join_sent_ms)) {
+		if (!was_kept || self->kept.number != number)
+			self->kept_confirmed = false;
 		query_kept_owner(self);
 	} else {
 		self->generation = result->generation;
@@ -284,9 +289,9 @@
 {
 	char number[16];
 
-	if (self->kept.confirmed)
+	if (self->kept_confirmed)
 		return;
-	self->kept.confirmed = true;
+	self->kept_confirmed = true;
 	self->kept_count++;
 	snprintf(number, sizeof(number), "%u", self->kept.number);
 	bp_log(self->options.logger, BP_LOG_NOTICE, MODULE,
