An owner without appends hands over only to a node that can store

What callers saw: nothing yet; found in review. While the store answers joins but nobody's appends, the owner stepped down after 4 s, its successor could not claim, nobody renewed the leases and runs ended.

Cause: the rule for an owner whose appends have no answer looked only at the owner itself. Whether it alone is affected can be told only by another node.

An owner whose append, or a node whose takeover, has had no answer for 1 s now asks the senders of heartbeats, one each 0.3 s, to probe the store. A node that got an answer says "storing" in its next heartbeats instead of "preferred", and the owner steps down for its appends only if it has had such a heartbeat within 2.5 s. It renews leases until then.

The two other ways: stepping down only if the loop was late does not pass "an owner without appends steps back", whose loop is on time; leaving the group before a successor has claimed leaves nobody to renew leases once the membership has expired, and the group may give the shard to the next node that cannot claim.

The rig probes through its own heartbeats; the frames of queuenode.c have no test with a store that is silent for one node only.

--- a/include/bulrushpost/shard.h
+++ b/include/bulrushpost/shard.h
@@ -90,6 +90,9 @@
 uint64_t bp_shard_epoch(const bp_shard_t *shard);
 bool bp_shard_ready(const bp_shard_t *shard);
 bool bp_shard_membership_valid(const bp_shard_t *shard);
+/* Returns whether the store has left an append, or a takeover, of the shard
+ * without an answer for 1 s. */
+bool bp_shard_store_unanswered(const bp_shard_t *shard);
 /* Stops all starts; pending records are still written. */
 void bp_shard_release(bp_shard_t *shard);
 bool bp_shard_idle(const bp_shard_t *shard);
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -143,18 +143,28 @@
 		bp_membership_refresh_owners(node->membership);
 }
 
-/* An owner that is slow or cannot store is better than none, so it steps down
- * only if a preferred node is alive. */
+static bool
+is_recent(const bp_queuenode_t *node, int64_t heartbeat_ms)
+{
+	return heartbeat_ms != 0 &&
+	    bp_clock_mono_ms(node->clock) - heartbeat_ms < HEARTBEAT_TIMEOUT_MS;
+}
+
+/*
+ * An owner that is slow or cannot store is better than none, so it steps down
+ * only if a preferred node is alive, and, if it cannot store, one whose appends
+ * the store answers: without a claim nobody would renew the leases.
+ */
 static void
 on_unfit(bp_shard_unfit_t why, void *data)
 {
 	bp_queuenode_t *node = data;
-	bool preferred_alive = node->preferred_heartbeat_ms != 0 &&
-	    bp_clock_mono_ms(node->clock) - node->preferred_heartbeat_ms <
-		HEARTBEAT_TIMEOUT_MS;
+	int64_t heartbeat_ms = why == BP_SHARD_UNFIT_UNSTORED
+	    ? node->storing_heartbeat_ms
+	    : node->preferred_heartbeat_ms;
 
 	if (why != BP_SHARD_UNFIT_ISOLATED &&
-	    (node->standby || !preferred_alive))
+	    (node->standby || !is_recent(node, heartbeat_ms)))
 		return;
 	bp_membership_step_down(node->membership);
 }
@@ -186,6 +196,9 @@
 	    strcmp(answer->args[0], BP_QUEUENODE_OWNS) == 0;
 
 	bp_heartbeats_answered(node->heartbeats, heartbeat->shard, owns);
+	if (answer != NULL && answer->error == BP_OK && answer->n_args > 1 &&
+	    strcmp(answer->args[1], BP_QUEUENODE_UNANSWERED) == 0)
+		bp_append_probe_start(node->append_probe, heartbeat->shard);
 	if (owns)
 		bp_membership_owner_answered(
 		    node->membership, heartbeat->shard);
@@ -228,6 +241,8 @@
 
 	if (node->standby || bp_membership_stepped_down(node->membership))
 		args[3] = BP_QUEUENODE_STANDBY;
+	else if (bp_append_probe_answered(node->append_probe))
+		args[3] = BP_QUEUENODE_STORING;
 	frame.verb = BP__PEER__VERB__VERB_QUEUE_HELLO;
 	frame.args = args;
 	frame.n_args = G_N_ELEMENTS(args);
@@ -472,6 +487,8 @@
 
 	build_shards(node);
 	build_job_router(node);
+	node->append_probe = bp_append_probe_new(
+	    node->clock, bp_platform_get_store(node->platform), TOPIC);
 	build_heartbeats(node);
 	node->failed = bp_platform_open(node->platform, node->job_router, &err);
 	if (node->failed == BP_OK)
@@ -582,6 +599,7 @@
 	bp_metricsserver_free(node->metrics_server);
 	bp_membership_free(node->membership);
 	bp_peer_client_free(node->client);
+	bp_append_probe_free(node->append_probe);
 	bp_order_router_free(node->order_router);
 	bp_order_proxy_free(node->order_proxy);
 	bp_incarnation_guard_free(node->incarnation_guard);
--- a/src/queues/queuenode_private.h
+++ b/src/queues/queuenode_private.h
@@ -4,6 +4,7 @@
 #include "bulrushpost/platform.h"
 #include "bulrushpost/queuenode.h"
 #include "node/metricsserver.h"
+#include "queues/appendprobe.h"
 #include "queues/freshness.h"
 #include "queues/heartbeats.h"
 #include "queues/incarnationguard.h"
@@ -14,10 +15,15 @@
 #include "queues/ownedshards.h"
 
 /* Arguments of the heartbeat frame: the kind of the sender's membership, and,
- * in the answer, that the answering node owns the shard. */
+ * in the answer, whether the answering node owns the shard, and that the
+ * sender is to probe the store. */
 #define BP_QUEUENODE_PREFERRED "preferred"
+/* A preferred node whose append was answered lately. */
+#define BP_QUEUENODE_STORING "storing"
 #define BP_QUEUENODE_STANDBY "standby"
 #define BP_QUEUENODE_OWNS "owner"
+#define BP_QUEUENODE_OWNS_NOT ""
+#define BP_QUEUENODE_UNANSWERED "unanswered"
 /* In the answer of an earlier owner: it sends no orders any more. */
 #define BP_QUEUENODE_STOPPED "stopped"
 
@@ -46,6 +52,7 @@
 	bp_peer_client_t *client;
 	bp_peer_server_t *server;
 	bp_membership_t *membership;
+	bp_append_probe_t *append_probe;
 	bp_incarnation_guard_t *incarnation_guard; /* all orders pass it */
 	bp_order_router_t *order_router; /* for this node's shards */
 	bp_order_proxy_t *order_proxy; /* for the orders of other owners */
@@ -61,6 +68,10 @@
 	bool drain_expired; /* the drain has reached its limit */
 	int64_t preferred_heartbeat_ms; /* mono, last heartbeat of a preferred
 					   node */
+	int64_t storing_heartbeat_ms; /* the same of one whose appends the store
+					 answers */
+	int64_t probe_asked_ms; /* mono, when a sender of heartbeats was last
+				   asked to probe the store */
 	guint drain_timer;
 	guint drain_end_source; /* idle source, 0 for none */
 	bp_heartbeats_t *heartbeats; /* NULL until the plan is known */
--- a/src/queues/queuenode_verbs.c
+++ b/src/queues/queuenode_verbs.c
@@ -7,6 +7,9 @@
 /* Arguments of a heartbeat: address and zone of the sender, shard, kind of the
  * sender's membership, its processors in thousandths. */
 #define HEARTBEAT_ARGS 5
+/* Shortest interval at which nodes are asked to probe the store: the partition
+ * handles one append at a time, and it may be slow already. */
+#define PROBE_INTERVAL_MS 300
 /* Largest size of the timeline in an answer, which is less than a frame's. */
 #define TIMELINE_BYTES_MAX (512 * 1024)
 
@@ -149,12 +152,30 @@
 	    bp_shard_membership_valid(shard);
 }
 
+/* Returns whether the sender of a heartbeat is to find out if the store answers
+ * its appends, as those of this node have no answer. */
+static bool
+needs_probe(bp_queuenode_t *node, uint64_t number)
+{
+	const bp_shard_t *shard =
+	    bp_owned_shards_by_number(node->shards)[number];
+	int64_t now_ms = bp_clock_mono_ms(node->clock);
+
+	if (shard == NULL || !bp_shard_store_unanswered(shard) ||
+	    now_ms - node->probe_asked_ms < PROBE_INTERVAL_MS)
+		return false;
+	node->probe_asked_ms = now_ms;
+	return true;
+}
+
 static void
 serve_heartbeat(bp_queuenode_t *node, bp_peer_request_t *request)
 {
 	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
 	Bp__Peer__Frame answer = BP__PEER__FRAME__INIT;
-	char *args[] = {BP_QUEUENODE_OWNS};
+	char *args[] = {BP_QUEUENODE_OWNS_NOT, BP_QUEUENODE_UNANSWERED};
+	bool storing;
+	bool preferred;
 	uint64_t shard = 0;
 	uint64_t processor_milli = 0;
 
@@ -171,15 +192,23 @@
 	}
 	bp_order_router_heartbeat(node->order_router, frame->args[0],
 	    frame->args[1], (uint32_t)processor_milli);
-	if (strcmp(frame->args[3], BP_QUEUENODE_PREFERRED) == 0) {
+	storing = strcmp(frame->args[3], BP_QUEUENODE_STORING) == 0;
+	preferred =
+	    storing || strcmp(frame->args[3], BP_QUEUENODE_PREFERRED) == 0;
+	if (storing)
+		node->storing_heartbeat_ms = bp_clock_mono_ms(node->clock);
+	if (preferred) {
 		node->preferred_heartbeat_ms = bp_clock_mono_ms(node->clock);
 		bp_membership_yield_to_preferred(node->membership);
 	}
 	answer.outcome = bp_error_info(BP_OK)->outcome;
+	answer.args = args;
 	if (owns(node, shard)) {
-		answer.args = args;
-		answer.n_args = G_N_ELEMENTS(args);
+		args[0] = BP_QUEUENODE_OWNS;
+		answer.n_args = 1;
 	}
+	if (preferred && needs_probe(node, shard))
+		answer.n_args = G_N_ELEMENTS(args);
 	bp_peer_request_answer(request, &answer);
 }
 
--- a/src/queues/shard_fitness.c
+++ b/src/queues/shard_fitness.c
@@ -24,6 +24,9 @@
  * pause of the process alone does not count. */
 #define UNSTORED_MS 4000
 #define UNSTORED_ATTEMPTS 3
+/* Other nodes are asked after this time whether the store answers them. That
+ * leaves time for their heartbeats before UNSTORED_MS. */
+#define UNANSWERED_MS 1000
 /* A takeover takes up to 1 s under load. An attempt without an answer takes
  * 1.5 s, so several must have failed. */
 #define TAKEOVER_MAX_MS 6000
@@ -127,6 +130,21 @@
 	    text);
 }
 
+/* See the header. */
+bool
+bp_shard_store_unanswered(const bp_shard_t *shard)
+{
+	int64_t since_ms = 0;
+
+	if (shard->phase == BP_SHARD_OWNED)
+		since_ms = bp_record_writer_pending_since_ms(shard->writer);
+	else if (shard->phase == BP_SHARD_READING ||
+	    shard->phase == BP_SHARD_CLAIMING)
+		since_ms = shard->takeover_start_ms;
+	return since_ms != 0 &&
+	    bp_shard_now_ms(shard) - since_ms >= UNANSWERED_MS;
+}
+
 /* Requests the release of a shard whose takeover does not end although the
  * membership is confirmed: another node may be able to claim it. */
 void
--- a/tests/queues/test_fitness.c
+++ b/tests/queues/test_fitness.c
@@ -270,6 +270,31 @@
 	finish_simulation(sim);
 }
 
+/*
+ * Guards against runs that end because their leases lapse while the store
+ * answers no node's appends: an owner needs none to renew them, and a successor
+ * cannot claim the shard.
+ */
+static void
+test_a_store_without_appends_changes_no_owner(void)
+{
+	const char *id;
+	bp_qrig_t *sim = start_simulation(&id);
+	int owner = bp_qrig_owner(sim);
+	uint32_t i;
+
+	for (i = 0; i < BP_QRIG_NODES; i++)
+		bp_qrig_store_mode(sim, i, BP_QSTORE_SILENT_APPENDS);
+	(void)bp_qrig_submit(sim, 1, 300, false);
+	for (i = 0; i < 15; i++) {
+		bp_qrig_run_ms(sim, 1000);
+		CU_ASSERT_EQUAL(running(sim, id), TASKS);
+		CU_ASSERT_TRUE(bp_qrig_owner(sim) >= 0);
+	}
+	CU_ASSERT_EQUAL(bp_qrig_owner(sim), owner);
+	finish_simulation(sim);
+}
+
 int
 main(void)
 {
@@ -287,6 +312,8 @@
 		test_an_owner_without_appends_steps_back},
 	    {"the only node without appends stays",
 		test_the_only_node_without_appends_stays},
+	    {"a store without appends changes no owner",
+		test_a_store_without_appends_changes_no_owner},
 	    CU_TEST_INFO_NULL,
 	};
 
--- a/tests/support/queuerig.c
+++ b/tests/support/queuerig.c
@@ -1,5 +1,6 @@
 #include "support/queuerig.h"
 
+#include "queues/appendprobe.h"
 #include "queues/job.h"
 #include "queues/membership.h"
 #include "queues/ownedshards.h"
@@ -33,6 +34,7 @@
 	bp_qstore_view_t *store;
 	bp_qfleet_view_t *fleet;
 	bp_membership_t *membership;
+	bp_append_probe_t *append_probe;
 	bp_owned_shards_t *shards;
 	bp_catalog_t *catalog;
 	char address[32];
@@ -206,7 +208,9 @@
 
 		others = others ||
 		    (other != node && other->alive &&
-			!bp_membership_stepped_down(other->membership));
+			!bp_membership_stepped_down(other->membership) &&
+			(why != BP_SHARD_UNFIT_UNSTORED ||
+			    bp_append_probe_answered(other->append_probe)));
 	}
 	if (why == BP_SHARD_UNFIT_ISOLATED || others)
 		bp_membership_step_down(node->membership);
@@ -356,6 +360,8 @@
 	options.serves = on_serves;
 	options.data = node;
 	node->membership = bp_membership_new(&options);
+	node->append_probe =
+	    bp_append_probe_new(options.clock, options.store, options.topic);
 }
 
 /* See the header. */
@@ -379,8 +385,10 @@
 	if (!node->alive)
 		return;
 	bp_membership_free(node->membership);
+	bp_append_probe_free(node->append_probe);
 	bp_owned_shards_free(node->shards);
 	node->membership = NULL;
+	node->append_probe = NULL;
 	node->shards = NULL;
 	node->alive = false;
 	node->follows = false;
@@ -423,6 +431,26 @@
 	    bp_shard_ready(bp_owned_shards_by_number(node->shards)[0]);
 }
 
+/* Other nodes learn from the answers to their heartbeats that the store does
+ * not answer a node's appends. */
+static void
+probe_appends(bp_qrig_t *rig, const rig_node_t *asking)
+{
+	const bp_shard_t *shard = asking->alive && !asking->frozen
+	    ? bp_owned_shards_by_number(asking->shards)[0]
+	    : NULL;
+	uint32_t i;
+
+	if (shard == NULL || !bp_shard_store_unanswered(shard))
+		return;
+	for (i = 0; i < BP_QRIG_NODES; i++) {
+		rig_node_t *node = &rig->nodes[i];
+
+		if (node != asking && node->alive && !node->frozen)
+			bp_append_probe_start(node->append_probe, 0);
+	}
+}
+
 /* Nodes send heartbeats to the owner; one that stands still answers in a
  * moment. */
 static gboolean
@@ -434,6 +462,8 @@
 
 	for (i = 0; i < BP_QRIG_NODES; i++)
 		owned = owned || owns(&rig->nodes[i]);
+	for (i = 0; i < BP_QRIG_NODES; i++)
+		probe_appends(rig, &rig->nodes[i]);
 	for (i = 0; owned && i < BP_QRIG_NODES; i++) {
 		if (rig->nodes[i].alive)
 			bp_membership_owner_answered(
