--- a/src/queues/shard_throttle.c
+++ b/src/queues/shard_throttle.c
@@ -7,6 +7,7 @@
  * executor are slowed immediately. */
 #define OVERRUN_SHARE 0.95
 #define SPEED_FULL 100
+#define PERCENT 100
 /* Fillers are paused when a tail latency was near its target in this number of
  * consecutive samples; it must not stay above the target for about 4 s. */
 #define OVERRUNS_TO_PAUSE 4
@@ -58,7 +59,7 @@
 
 	if (run->speed_percent != BP_QRUN_SPEED_UNKNOWN ||
 	    run->adopted_ms == 0 || percent != SPEED_FULL ||
-	    run->measured * 100 < cpu_milli * FULL_SPEED_USE_PERCENT)
+	    run->measured * PERCENT < cpu_milli * FULL_SPEED_USE_PERCENT)
 		return false;
 	if (bp_shard_now_ms(shard) - run->adopted_ms >= USE_SETTLED_MS)
 		run->speed_percent = SPEED_FULL;
