Order router: the choice and health of proxies are a module of their own

Cause: orderrouter.c had grown to 732 lines and mixed the decision which node sends an order with sending it. Change: proxyset.c holds the nodes, their health and their starts, and sends nothing; orderrouter.c sends. No change of behaviour.

--- a/src/queues/orderrouter.c
+++ b/src/queues/orderrouter.c
@@ -1,18 +1,12 @@
 #include "queues/orderrouter.h"
 
 #include "bulrushpost/message.h"
-#include "bulrushpost/hash.h"
 #include "proto/work.pb-c.h"
 #include "queues/orderqueue.h"
+#include "queues/proxyset.h"
 
-#include <math.h>
 #include <stdio.h>
-#include <string.h>
 
-/* A node without a heartbeat for this time gets no orders. */
-#define HEARTBEAT_TIMEOUT_MS 2500
-/* Time for which a node gets no orders after it failed to answer one. */
-#define BACKOFF_MS 1500
 /* An order takes up to 0.9 s at the proxy; a poll also takes its wait. */
 #define CALL_TIMEOUT_MS 1100
 /* Period of the timer that measures by how much the event loop is late. */
@@ -22,51 +16,15 @@
 /* Sum of late turns within a call that may have cost its answer: each step of
  * the call waits for a turn of the loop. */
 #define BUSY_MS 300
-/* Failures in a row, each of a later call, that are put down to a busy loop:
- * the node may be down, too. */
-#define EXCUSED_MAX 3
-/* Part of its processors that an owner uses to send orders itself. */
-#define OWNER_PROXY_SHARE 0.25
-/* Number of upper bits of a hash that make a fraction. */
-#define UNIT_BITS 53
-#define UNIT_SHIFT (64 - UNIT_BITS)
-#define SEED_PROXY 0x636f7572
 
 #define MODULE "relay"
 /* Interval of the log lines on orders and the latency of starts. */
 #define SUMMARY_MS 2000
 
-/* Starts that a proxy answered since the last summary. */
-typedef struct {
-	uint32_t starts;
-	uint64_t total_ms; /* sum of the times from sending to the answer */
-	uint64_t proxy_ms; /* the part of total_ms spent at the proxy */
-} start_stats_t;
-
-/* Another node that can send orders. */
-typedef struct {
-	char *address;
-	char *zone;
-	uint64_t hash;
-	uint32_t processor_milli;
-	int64_t last_heartbeat_ms; /* mono */
-	int64_t backoff_until_ms; /* mono */
-	/* It refused an order or its connections since its last heartbeat. */
-	bool refuses;
-	/* Value of calls_sent when a connection failed first; 0: none failed
-	 * since the last answer. */
-	uint64_t failed_at_call;
-	/* Value of calls_sent when a failure was last put down to this
-	 * process. */
-	uint64_t excused_at_call;
-	uint32_t excused; /* such failures since its last answer */
-	start_stats_t stats;
-} proxy_t;
-
 struct bp_order_router {
 	bp_executors_t interface;
 	bp_order_router_options_t options;
-	GHashTable *proxies; /* address to proxy_t */
+	bp_proxy_set_t *proxies;
 	GHashTable *calls; /* set of call_t in flight */
 	uint64_t calls_sent;
 	bp_order_queue_t *queue; /* of orders that this node sends itself */
@@ -90,136 +48,12 @@
 	void *data;
 } call_t;
 
-static void
-proxy_free(gpointer data)
-{
-	proxy_t *proxy = data;
-
-	g_free(proxy->address);
-	g_free(proxy->zone);
-	g_free(proxy);
-}
-
 /* See the header. */
 void
 bp_order_router_heartbeat(bp_order_router_t *router, const char *address,
     const char *zone, uint32_t processor_milli)
 {
-	proxy_t *proxy = g_hash_table_lookup(router->proxies, address);
-
-	if (proxy == NULL) {
-		proxy = g_new0(proxy_t, 1);
-		proxy->address = g_strdup(address);
-		proxy->zone = g_strdup(zone);
-		proxy->hash = bp_hash_text(address, SEED_PROXY);
-		g_hash_table_insert(router->proxies, proxy->address, proxy);
-	}
-	proxy->processor_milli = processor_milli;
-	proxy->last_heartbeat_ms = bp_clock_mono_ms(router->options.clock);
-	proxy->refuses = false;
-}
-
-/* Weighted rendezvous hashing: the highest score wins, and nodes win in
- * proportion to their weight. */
-static double
-rendezvous_score(uint64_t hash, double weight)
-{
-	double unit = ((double)(bp_hash_mix(hash) >> UNIT_SHIFT) + 0.5) /
-	    (double)(1ULL << UNIT_BITS);
-
-	return -MAX(weight, 1) / log(unit);
-}
-
-/* Returns whether a node lives as far as its heartbeats tell. */
-static bool
-is_alive(const proxy_t *proxy, int64_t now_ms)
-{
-	return now_ms - proxy->last_heartbeat_ms <= HEARTBEAT_TIMEOUT_MS;
-}
-
-/* Returns whether a node gets orders. */
-static bool
-is_usable(const proxy_t *proxy, int64_t now_ms)
-{
-	return is_alive(proxy, now_ms) && proxy->backoff_until_ms <= now_ms;
-}
-
-/* Returns whether a node gets orders if none is usable. */
-static bool
-is_last_resort(const proxy_t *proxy, int64_t now_ms)
-{
-	return is_alive(proxy, now_ms) && !proxy->refuses;
-}
-
-static bool
-any_usable(const bp_order_router_t *router)
-{
-	int64_t now_ms = bp_clock_mono_ms(router->options.clock);
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, router->proxies);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (is_usable(value, now_ms))
-			return true;
-	}
-	return false;
-}
-
-/* Returns the number of nodes that currently get orders. */
-static uint32_t
-usable_proxies(const bp_order_router_t *router)
-{
-	int64_t now_ms = bp_clock_mono_ms(router->options.clock);
-	uint32_t usable = 0;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, router->proxies);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		usable += is_usable(value, now_ms);
-	return usable;
-}
-
-/*
- * Returns the address of an executor's proxy, NULL for this node: the highest
- * rendezvous score, weighted by processors, among the usable nodes of the
- * executor's zone, or among all usable nodes if that zone has none. If no node
- * is usable, one that is backed off is better than this node alone: calls also
- * time out because this node is too busy to read their answers, and sending
- * all orders itself would keep it so.
- */
-static const char *
-choose_proxy(bp_order_router_t *router, const bp_exec_target_t *target)
-{
-	bool (*may_send)(const proxy_t *, int64_t) =
-	    any_usable(router) ? is_usable : is_last_resort;
-	int64_t now_ms = bp_clock_mono_ms(router->options.clock);
-	uint64_t executor_hash = bp_hash_text(target->id, SEED_PROXY);
-	bool best_in_zone = strcmp(router->options.zone, target->zone) == 0;
-	uint64_t own_hash = bp_hash_text(router->options.address, SEED_PROXY);
-	double best_score = rendezvous_score(executor_hash ^ own_hash,
-	    router->options.processor_milli * OWNER_PROXY_SHARE);
-	const char *best_address = NULL;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, router->proxies);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const proxy_t *proxy = value;
-		bool in_zone = strcmp(proxy->zone, target->zone) == 0;
-		double score = rendezvous_score(
-		    executor_hash ^ proxy->hash, proxy->processor_milli);
-
-		if (!may_send(proxy, now_ms))
-			continue;
-		if (in_zone == best_in_zone ? score > best_score : in_zone) {
-			best_address = proxy->address;
-			best_score = score;
-			best_in_zone = in_zone;
-		}
-	}
-	return best_address;
+	bp_proxy_set_heartbeat(router->proxies, address, zone, processor_milli);
 }
 
 static void
@@ -249,20 +83,6 @@
 	to->ended = ended;
 }
 
-static void
-record_start(const call_t *call, const Bp__Work__OrderResult *body)
-{
-	bp_order_router_t *router = call->router;
-	proxy_t *proxy = g_hash_table_lookup(router->proxies, call->proxy);
-
-	if (!call->start || proxy == NULL)
-		return;
-	proxy->stats.starts++;
-	proxy->stats.total_ms +=
-	    (uint64_t)(bp_clock_mono_ms(router->options.clock) - call->sent_ms);
-	proxy->stats.proxy_ms += body->took_ms;
-}
-
 /* Returns by how much the event loop has been late in all late turns, including
  * the probe that is due. */
 static int64_t
@@ -309,77 +129,34 @@
 	return lateness_ms(call->router) - call->late_ms >= BUSY_MS;
 }
 
-/*
- * Returns whether the failure of a call may be due to this process. A time-out
- * that was missed here also closes the connection, and the calls that had been
- * sent on it fail although they themselves were not delayed. All calls that
- * were in flight at an excused failure share its excuse.
- */
-static bool
-is_excused(const call_t *call, proxy_t *proxy, bool connection_failed)
-{
-	bool busy = was_busy(call);
-
-	if (call->call_number <= proxy->excused_at_call)
-		return busy || connection_failed;
-	if (!busy || proxy->excused >= EXCUSED_MAX)
-		return false;
-	proxy->excused++;
-	proxy->excused_at_call = call->router->calls_sent;
-	return true;
-}
-
 static void
-back_off(const bp_order_router_t *router, proxy_t *proxy)
-{
-	proxy->backoff_until_ms =
-	    bp_clock_mono_ms(router->options.clock) + BACKOFF_MS;
-}
-
-/* The node backs off, and is no last resort before its next heartbeat. */
-static void
-refuse(const bp_order_router_t *router, proxy_t *proxy)
+record_start(const call_t *call, const Bp__Work__OrderResult *body)
 {
-	back_off(router, proxy);
-	proxy->refuses = true;
-}
+	bp_order_router_t *router = call->router;
 
-/* A broken connection fails all calls on it, which does not prove that the node
- * failed: it backs off only if a call that was sent later fails as well. */
-static void
-note_connection_failure(const call_t *call, proxy_t *proxy)
-{
-	if (proxy->failed_at_call == 0)
-		proxy->failed_at_call = call->router->calls_sent;
-	else if (call->call_number > proxy->failed_at_call)
-		refuse(call->router, proxy);
+	if (call->start)
+		bp_proxy_set_record_start(router->proxies, call->proxy,
+		    (uint64_t)(bp_clock_mono_ms(router->options.clock) -
+			call->sent_ms),
+		    body->took_ms);
 }
 
-/*
- * A proxy that does not answer in time, or answers with an error, gets no
- * orders for a while, unless this process was too busy to read the answer. err
- * is NULL if the proxy answered.
- */
+/* err is NULL if the proxy answered. */
 static void
 update_health(
     const call_t *call, const Bp__Peer__Frame *frame, const bp_error_t *err)
 {
-	proxy_t *proxy =
-	    g_hash_table_lookup(call->router->proxies, call->proxy);
-
-	if (proxy == NULL)
-		return;
-	if (frame != NULL && frame->error == BP_OK) {
-		proxy->failed_at_call = 0;
-		proxy->excused = 0;
-	} else if (frame != NULL) {
-		refuse(call->router, proxy);
-	} else if (is_excused(call, proxy, err->kind != BP_EDEADLINE)) {
-		return;
-	} else if (err->kind != BP_EDEADLINE) {
-		note_connection_failure(call, proxy);
+	bp_order_router_t *router = call->router;
+	bp_proxy_failure_t failure = {
+	    call->call_number, router->calls_sent, false, was_busy(call)};
+
+	if (frame == NULL) {
+		failure.timed_out = err->kind == BP_EDEADLINE;
+		bp_proxy_set_failed(router->proxies, call->proxy, &failure);
+	} else if (frame->error == BP_OK) {
+		bp_proxy_set_answered(router->proxies, call->proxy);
 	} else {
-		back_off(call->router, proxy);
+		bp_proxy_set_refused(router->proxies, call->proxy);
 	}
 }
 
@@ -479,7 +256,8 @@
     const bp_order_t *order, bp_exec_done_t done, void *done_data, void *data)
 {
 	bp_order_router_t *router = data;
-	const char *proxy = choose_proxy(router, &order->target);
+	const char *proxy =
+	    bp_proxy_set_choose(router->proxies, &order->target);
 	Bp__Work__Order message = BP__WORK__ORDER__INIT;
 	uint32_t timeout_ms = CALL_TIMEOUT_MS;
 
@@ -581,7 +359,8 @@
 static const char *
 router_proxy_address(bp_executors_t *self, const bp_exec_target_t *target)
 {
-	const char *proxy = choose_proxy((bp_order_router_t *)self, target);
+	const char *proxy =
+	    bp_proxy_set_choose(((bp_order_router_t *)self)->proxies, target);
 
 	return proxy != NULL ? proxy : "";
 }
@@ -603,20 +382,6 @@
 	bp_order_queue_forget(router->queue, data);
 }
 
-static uint32_t
-mean_ms(uint64_t sum_ms, uint32_t count)
-{
-	return count > 0 ? (uint32_t)(sum_ms / count) : 0;
-}
-
-static void
-add_stats(start_stats_t *sum, const start_stats_t *stats)
-{
-	sum->starts += stats->starts;
-	sum->total_ms += stats->total_ms;
-	sum->proxy_ms += stats->proxy_ms;
-}
-
 /* Logs how many orders this node sends itself, as each costs far more than one
  * that a proxy sends. */
 static void
@@ -634,7 +399,7 @@
 	snprintf(text, sizeof(text),
 	    "direct=%" G_GUINT64_FORMAT " proxied=%" G_GUINT64_FORMAT
 	    " proxies=%u unanswered=%u waiting=%u",
-	    direct, proxied, usable_proxies(router),
+	    direct, proxied, bp_proxy_set_usable(router->proxies),
 	    g_hash_table_size(router->calls),
 	    bp_order_queue_waiting(router->queue));
 	bp_log(router->options.logger, BP_LOG_INFO, MODULE, "orders sent",
@@ -647,36 +412,22 @@
 on_summary(void *data)
 {
 	bp_order_router_t *router = data;
-	start_stats_t sum = {0, 0, 0};
-	start_stats_t worst = {0, 0, 0};
-	char *slowest = NULL;
-	GHashTableIter iter;
-	gpointer value;
+	bp_proxy_starts_t sum;
+	bp_proxy_starts_t worst;
+	const char *slowest;
 	char text[256];
 
 	log_orders(router);
-	g_hash_table_iter_init(&iter, router->proxies);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		proxy_t *proxy = value;
-
-		add_stats(&sum, &proxy->stats);
-		if (slowest == NULL ||
-		    mean_ms(proxy->stats.total_ms, proxy->stats.starts) >
-			mean_ms(worst.total_ms, worst.starts)) {
-			worst = proxy->stats;
-			slowest = proxy->address;
-		}
-		memset(&proxy->stats, 0, sizeof(proxy->stats));
-	}
+	slowest = bp_proxy_set_take_starts(router->proxies, &sum, &worst);
 	if (sum.starts == 0)
 		return G_SOURCE_CONTINUE;
 	snprintf(text, sizeof(text),
 	    "starts=%u mean_ms=%u carried_ms=%u slowest=%s its_starts=%u "
 	    "its_ms=%u its_carried_ms=%u",
-	    sum.starts, mean_ms(sum.total_ms, sum.starts),
-	    mean_ms(sum.proxy_ms, sum.starts), slowest, worst.starts,
-	    mean_ms(worst.total_ms, worst.starts),
-	    mean_ms(worst.proxy_ms, worst.starts));
+	    sum.starts, bp_proxy_starts_mean_ms(sum.total_ms, sum.starts),
+	    bp_proxy_starts_mean_ms(sum.proxy_ms, sum.starts), slowest,
+	    worst.starts, bp_proxy_starts_mean_ms(worst.total_ms, worst.starts),
+	    bp_proxy_starts_mean_ms(worst.proxy_ms, worst.starts));
 	bp_log(router->options.logger, BP_LOG_INFO, MODULE,
 	    "starts carried out", "state", text, NULL);
 	return G_SOURCE_CONTINUE;
@@ -688,6 +439,7 @@
 {
 	bp_order_router_t *router = g_new0(bp_order_router_t, 1);
 	bp_order_queue_options_t queue = {0};
+	bp_proxy_set_options_t proxies = {0};
 
 	router->options = *options;
 	queue.clock = options->clock;
@@ -695,8 +447,11 @@
 	queue.reroute = send_proxied;
 	queue.data = router;
 	router->queue = bp_order_queue_new(&queue);
-	router->proxies =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, proxy_free);
+	proxies.clock = options->clock;
+	proxies.address = options->address;
+	proxies.zone = options->zone;
+	proxies.processor_milli = options->processor_milli;
+	router->proxies = bp_proxy_set_new(&proxies);
 	router->calls = g_hash_table_new_full(NULL, NULL, call_free, NULL);
 	router->summary_timer =
 	    bp_clock_add_timer(options->clock, SUMMARY_MS, on_summary, router);
@@ -720,7 +475,7 @@
 	bp_clock_cancel_timer(router->options.clock, &router->probe_timer);
 	bp_order_queue_free(router->queue);
 	g_hash_table_unref(router->calls);
-	g_hash_table_unref(router->proxies);
+	bp_proxy_set_free(router->proxies);
 	g_free(router);
 }
 
