Summary of the owner: what rounds cost, and why urgent tasks wait

Cause: the lines could not tell a costly round from a rare one, nor stops because of interference from others, nor the reasons of urgent tasks from those of batch. Change: a line 'cost of rounds' (steps, executors examined, time for the order, delay of a round), 'urgent tasks wait', and 'moved' in 'work done'; the same as gauges.

--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -70,6 +70,8 @@
 	int64_t start_us = bp_clock_mono_us(shard->options.clock);
 
 	shard->round_timer = 0;
+	shard->rounds_delayed_ms +=
+	    bp_shard_now_ms(shard) - shard->round_wanted_ms;
 	if (bp_shard_may_start(shard))
 		bp_shard_run_round(shard);
 	shard->round_us = bp_clock_mono_us(shard->options.clock) - start_us;
@@ -85,9 +87,11 @@
 	uint32_t pause_ms =
 	    (uint32_t)(shard->round_us * ROUND_PAUSE_FACTOR / US_PER_MS);
 
-	if (shard->round_timer == 0 && shard->phase == BP_SHARD_OWNED)
-		shard->round_timer = bp_clock_add_timer(shard->options.clock,
-		    MAX(delay_ms, ROUND_GAP_MS + pause_ms), on_round, shard);
+	if (shard->round_timer != 0 || shard->phase != BP_SHARD_OWNED)
+		return;
+	shard->round_wanted_ms = bp_shard_now_ms(shard);
+	shard->round_timer = bp_clock_add_timer(shard->options.clock,
+	    MAX(delay_ms, ROUND_GAP_MS + pause_ms), on_round, shard);
 }
 
 static void
--- a/src/queues/shard_calls.c
+++ b/src/queues/shard_calls.c
@@ -382,10 +382,14 @@
 	report("looks", shard->counts_polls, data);
 	report("paces", shard->counts_throttles, data);
 	report("stops", shard->counts_stopped, data);
+	report("stops_interference", shard->counts_moved, data);
 	report("rounds", shard->counts_rounds, data);
 	report("jobs_refused_memory", shard->counts_refused_memory, data);
 	report("executors_examined", shard->counts_examined, data);
+	report("steps_offered", shard->counts_offered, data);
 	report("rounds_us", (uint64_t)shard->rounds_us, data);
+	report("rounds_ordering_us", (uint64_t)shard->ordering_us, data);
+	report("rounds_delayed_ms", (uint64_t)shard->rounds_delayed_ms, data);
 	report("starts_in_flight", shard->starts_in_flight, data);
 	report("starts_limit", bp_shard_starts_limit(shard), data);
 	report("ends_done", shard->counts_done, data);
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -213,8 +213,13 @@
 	uint64_t done;
 	uint64_t failed;
 	uint64_t stopped;
+	uint64_t moved;
 	uint64_t rounds;
+	uint64_t offered;
+	uint64_t examined;
 	int64_t rounds_us;
+	int64_t ordering_us;
+	int64_t delayed_ms;
 } bp_qsummary_counts_t;
 
 typedef enum {
@@ -303,10 +308,15 @@
 	uint64_t counts_lost_runs;
 	uint64_t counts_throttles;
 	uint64_t counts_stopped; /* runs ordered to stop */
+	uint64_t counts_moved; /* of these, because of interference */
 	uint64_t counts_rounds;
+	uint64_t counts_offered; /* steps that rounds tried to place */
 	uint64_t counts_refused; /* jobs of customers beyond their share */
 	uint64_t counts_examined; /* executors considered for tasks */
 	int64_t rounds_us; /* total time spent in rounds */
+	int64_t ordering_us; /* of it, for the order of the steps */
+	int64_t round_wanted_ms; /* monotonic, request of the next round */
+	int64_t rounds_delayed_ms; /* total, from requests to their rounds */
 	int64_t tick_due_ms; /* monotonic, due time of the next tick */
 	int64_t late_ms; /* sum of the lateness of all ticks */
 	int64_t lag_ms; /* worst tick delay since the last summary */
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -837,10 +837,13 @@
 	    .limited = bp_customers_limit_starts(shard->customers),
 	    .batch_order = bp_batch_order_new(),
 	};
+	int64_t start_us = bp_clock_mono_us(shard->options.clock);
 	GArray *steps;
 
 	bp_shard_update_customers(shard);
 	steps = bp_shard_ready_steps(shard, round.batch_order);
+	shard->ordering_us += bp_clock_mono_us(shard->options.clock) - start_us;
+	shard->counts_offered += steps->len;
 	if (steps->len > 0)
 		place_steps(&round, steps);
 	shard->filler_cursor = round.cursor;
--- a/src/queues/shard_summary.c
+++ b/src/queues/shard_summary.c
@@ -19,6 +19,7 @@
 	uint32_t ready; /* waiting, in ready steps */
 	uint32_t urgent; /* ready, of the first priority */
 	GPtrArray *causes; /* bp_qwait_cause_t, of the ready tasks */
+	GPtrArray *urgent_causes; /* the same, of the first priority */
 } summary_t;
 
 static void
@@ -67,17 +68,22 @@
 		if (!bp_qstep_ready(step, wall_ms))
 			continue;
 		sum->ready += step->waiting_tasks;
-		if (step->waiting_tasks > 0)
-			bp_qwait_causes_add(sum->causes,
-			    wait_reason(shard, step), step->waiting_tasks);
-		if (job->spec->priority == 0)
-			sum->urgent += step->waiting_tasks;
+		if (step->waiting_tasks == 0)
+			continue;
+		bp_qwait_causes_add(
+		    sum->causes, wait_reason(shard, step), step->waiting_tasks);
+		if (job->spec->priority != 0)
+			continue;
+		sum->urgent += step->waiting_tasks;
+		bp_qwait_causes_add(sum->urgent_causes,
+		    wait_reason(shard, step), step->waiting_tasks);
 	}
 }
 
-/* Logs the number of ready tasks that wait for each reason. */
+/* Logs the number of tasks that wait for each reason. */
 static void
-log_causes(const bp_shard_t *shard, const GPtrArray *causes)
+log_causes(
+    const bp_shard_t *shard, const char *message, const GPtrArray *causes)
 {
 	GString *text = g_string_new("");
 	guint i;
@@ -90,33 +96,74 @@
 	}
 	if (causes->len > 0)
 		bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE,
-		    "ready tasks wait", "reasons", text->str, NULL);
+		    message, "reasons", text->str, NULL);
 	g_string_free(text, TRUE);
 }
 
+static bp_qsummary_counts_t
+current_counts(const bp_shard_t *shard)
+{
+	bp_qsummary_counts_t counts = {.started = shard->counts_started,
+	    .done = shard->counts_done,
+	    .failed = shard->counts_failed,
+	    .stopped = shard->counts_stopped,
+	    .moved = shard->counts_moved,
+	    .rounds = shard->counts_rounds,
+	    .offered = shard->counts_offered,
+	    .examined = shard->counts_examined,
+	    .rounds_us = shard->rounds_us,
+	    .ordering_us = shard->ordering_us,
+	    .delayed_ms = shard->rounds_delayed_ms};
+
+	return counts;
+}
+
+/* Logs what rounds have cost since the last summary: the steps that they tried
+ * to place, the executors that they looked at, and how long a round was held
+ * back on average. */
+static void
+log_rounds(const bp_shard_t *shard, const bp_qsummary_counts_t *now)
+{
+	const bp_qsummary_counts_t *before = &shard->last_summary;
+	uint64_t rounds = now->rounds - before->rounds;
+	char text[192];
+
+	if (rounds == 0)
+		return;
+	snprintf(text, sizeof(text),
+	    "rounds=%u steps=%u examined=%u ordering_ms=%u mean_delay_ms=%u",
+	    (unsigned)rounds, (unsigned)(now->offered - before->offered),
+	    (unsigned)(now->examined - before->examined),
+	    (unsigned)((now->ordering_us - before->ordering_us) / US_PER_MS),
+	    (unsigned)((uint64_t)(now->delayed_ms - before->delayed_ms) /
+		rounds));
+	bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE,
+	    "cost of rounds", "state", text, NULL);
+}
+
 /* Logs the shard's work since the last summary and the latest delay of a
  * tick. */
 static void
 log_work(bp_shard_t *shard)
 {
 	const bp_qsummary_counts_t *before = &shard->last_summary;
-	bp_qsummary_counts_t now = {shard->counts_started, shard->counts_done,
-	    shard->counts_failed, shard->counts_stopped, shard->counts_rounds,
-	    shard->rounds_us};
+	bp_qsummary_counts_t now = current_counts(shard);
 	char text[192];
 
 	snprintf(text, sizeof(text),
-	    "started=%u done=%u failed=%u stopped=%u rounds=%u "
+	    "started=%u done=%u failed=%u stopped=%u moved=%u rounds=%u "
 	    "rounds_ms=%u lag_ms=%u",
 	    (unsigned)(now.started - before->started),
 	    (unsigned)(now.done - before->done),
 	    (unsigned)(now.failed - before->failed),
 	    (unsigned)(now.stopped - before->stopped),
+	    (unsigned)(now.moved - before->moved),
 	    (unsigned)(now.rounds - before->rounds),
 	    (unsigned)((now.rounds_us - before->rounds_us) / US_PER_MS),
 	    (unsigned)MAX(shard->lag_ms, 0));
 	bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE, "work done",
 	    "state", text, NULL);
+	log_rounds(shard, &now);
 	shard->last_summary = now;
 	shard->lag_ms = 0;
 }
@@ -126,7 +173,8 @@
 void
 bp_shard_log_summary(bp_shard_t *shard)
 {
-	summary_t sum = {.causes = g_ptr_array_new_with_free_func(g_free)};
+	summary_t sum = {.causes = g_ptr_array_new_with_free_func(g_free),
+	    .urgent_causes = g_ptr_array_new_with_free_func(g_free)};
 	GHashTableIter iter;
 	gpointer value;
 	char text[256];
@@ -148,7 +196,9 @@
 	    bp_shard_starts_limit(shard));
 	bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE, "summary",
 	    "state", text, NULL);
-	log_causes(shard, sum.causes);
+	log_causes(shard, "ready tasks wait", sum.causes);
+	log_causes(shard, "urgent tasks wait", sum.urgent_causes);
 	log_work(shard);
 	g_ptr_array_unref(sum.causes);
+	g_ptr_array_unref(sum.urgent_causes);
 }
--- a/src/queues/shard_throttle.c
+++ b/src/queues/shard_throttle.c
@@ -347,6 +347,7 @@
 		if (run->task->step->spec->checkpoints ||
 		    run->percent < MOVE_PERCENT_MAX) {
 			run->task->last_failed_executor = exec;
+			exec->shard->counts_moved++;
 			bp_shard_stop_run(
 			    exec->shard, run, "paused because of interference");
 		}
