--- a/tests/support/queuerig.c
+++ b/tests/support/queuerig.c
@@ -949,8 +949,11 @@
 	step->accelerators = caller->shape.accelerators;
 	step->gang = caller->shape.gang;
 	step->filler = caller->shape.filler;
+	step->target_ms = caller->shape.target_ms;
 	if (caller->shape.label != NULL)
 		step->label = strdup(caller->shape.label);
+	if (caller->shape.image != NULL)
+		step->image = strdup(caller->shape.image);
 	if (second) {
 		step->after = calloc(1, sizeof(*step->after));
 		step->n_after = 1;
--- a/tests/support/queuerig.h
+++ b/tests/support/queuerig.h
@@ -50,6 +50,8 @@
 	uint32_t declared_ms; /* duration that the job declares, 0: the true */
 	bool checkpoints;
 	bool single; /* the job has no second step */
+	const char *image; /* static; NULL: none */
+	uint32_t target_ms; /* of the tail latency; 0: not a serving task */
 } bp_qrig_shape_t;
 
 /* A customer of the configuration; see bp_customer_t. */
