Limits of fillers are kept with the executor between rounds

Change: an executor keeps its limits by image until its slack changes; executors of a round know their service by index; steps of fillers are left out of the list of unplaced requests, which their limits replace. Measured: queues/roundcost and the other tests of rounds, scores and fillers pass.

--- a/src/queues/fillermodel.c
+++ b/src/queues/fillermodel.c
@@ -5,14 +5,12 @@
 
 #include <string.h>
 
-/* Filler images with a weight of their own; later ones share the last index. */
-#define FILLER_IMAGES_MAX 24
 /* Weight that is assumed of a pair, and the evidence that it counts as. */
 #define WEIGHT_ASSUMED 1.5
 #define WEIGHT_EVIDENCE 0.05
 /* Factor for the evidence at each fit; it halves in about 35 fits. */
 #define EVIDENCE_DECAY 0.98
-#define COLUMNS (FILLER_IMAGES_MAX + 1)
+#define COLUMNS BP_FILLER_WEIGHTS
 
 /* Normal equations of one serving image; index 0 stays unused. */
 typedef struct {
@@ -80,7 +78,8 @@
 
 	if (index != 0)
 		return index;
-	index = MIN(g_hash_table_size(model->fillers) + 1, FILLER_IMAGES_MAX);
+	index =
+	    MIN(g_hash_table_size(model->fillers) + 1, BP_FILLER_IMAGES_MAX);
 	g_hash_table_insert(
 	    model->fillers, g_strdup(image), GUINT_TO_POINTER(index));
 	return index;
--- a/src/queues/fillermodel.h
+++ b/src/queues/fillermodel.h
@@ -16,6 +16,11 @@
  */
 typedef struct bp_filler_model bp_filler_model_t;
 
+/* Filler images with a weight of their own; later ones share the last index. */
+#define BP_FILLER_IMAGES_MAX 24
+/* Length of a serving image's weights; index 0 stays unused. */
+#define BP_FILLER_WEIGHTS (BP_FILLER_IMAGES_MAX + 1)
+
 /* Fillers of one image on the executor of a serving task. */
 typedef struct {
 	const char *image;
--- a/src/queues/shard_fillerplaces.c
+++ b/src/queues/shard_fillerplaces.c
@@ -21,6 +21,7 @@
 /* An executor. */
 typedef struct {
 	bp_qexec_t *exec;
+	guint service; /* index in the services */
 	int64_t room_milli; /* largest request that finds unused processors */
 	int64_t memory_mib; /* not in use */
 	bool closed; /* its start limit is reached */
@@ -28,9 +29,9 @@
 
 /* Fillers that find the same limits on every executor. */
 typedef struct {
-	const char *service;
+	guint service; /* index in the services */
 	uint32_t filler_index; /* of the image */
-	bool slow; /* slow placements are accepted */
+	bp_qspeed_t speed; /* that it must have */
 	bool shares; /* processors that other fillers use are accepted */
 	/* Largest request, by place; OTHER_SERVICE where there is none. */
 	int64_t *limits_milli;
@@ -42,6 +43,7 @@
 	bp_shard_t *shard;
 	GArray *places; /* place_t */
 	GArray *kinds; /* kind_t */
+	GPtrArray *services; /* their names */
 	guint open; /* places that are not closed */
 	guint cursor; /* place at which the next search begins */
 	bool yields; /* fillers may use only a part of each start limit */
@@ -78,6 +80,7 @@
 	places->places = g_array_new(FALSE, FALSE, sizeof(place_t));
 	places->kinds = g_array_new(FALSE, FALSE, sizeof(kind_t));
 	g_array_set_clear_func(places->kinds, clear_kind);
+	places->services = g_ptr_array_new();
 	return places;
 }
 
@@ -87,6 +90,7 @@
 {
 	g_array_unref(places->places);
 	g_array_unref(places->kinds);
+	g_ptr_array_unref(places->services);
 	g_free(places);
 }
 
@@ -121,11 +125,25 @@
 	    (int64_t)exec->info->memory_mib - (int64_t)exec->memory_used;
 }
 
+static guint
+service_index(bp_qplaces_t *places, const char *service)
+{
+	guint i;
+
+	for (i = 0; i < places->services->len; i++) {
+		if (strcmp(places->services->pdata[i], service) == 0)
+			return i;
+	}
+	g_ptr_array_add(places->services, (gpointer)service);
+	return i;
+}
+
 /* Adds an executor that may get work. All are added before the first search. */
 void
 bp_qplaces_add(bp_qplaces_t *places, bp_qexec_t *exec)
 {
-	place_t place = {.exec = exec};
+	place_t place = {.exec = exec,
+	    .service = service_index(places, exec->info->service)};
 
 	measure_place(&place);
 	g_array_append_val(places->places, place);
@@ -138,12 +156,12 @@
 {
 	bp_qexec_t *exec = place->exec;
 
-	if (strcmp(exec->info->service, kind->service) != 0)
+	if (place->service != kind->service)
 		return OTHER_SERVICE;
 	if (kind->shares)
 		return bp_qexec_filler_room_milli(exec, true);
 	return MIN(place->room_milli,
-	    bp_qexec_filler_limit_milli(exec, kind->filler_index, kind->slow));
+	    bp_qexec_filler_limit_milli(exec, kind->filler_index, kind->speed));
 }
 
 static void
@@ -172,9 +190,9 @@
 static kind_t *
 get_kind(bp_qplaces_t *places, bp_qstep_t *step, const char *service)
 {
-	kind_t kind = {.service = service,
+	kind_t kind = {.service = service_index(places, service),
 	    .filler_index = bp_qstep_filler_index(places->shard, step),
-	    .slow = bp_qstep_accepts_slow_placement(places->shard, step),
+	    .speed = bp_qstep_speed_wanted(places->shard, step),
 	    .shares = bp_qstep_shares_processors(step)};
 	guint i;
 
@@ -182,8 +200,8 @@
 		kind_t *known = &g_array_index(places->kinds, kind_t, i);
 
 		if (known->filler_index == kind.filler_index &&
-		    known->slow == kind.slow && known->shares == kind.shares &&
-		    strcmp(known->service, service) == 0)
+		    known->service == kind.service &&
+		    known->speed == kind.speed && known->shares == kind.shares)
 			return known;
 	}
 	measure_kind(places, &kind);
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -104,6 +104,13 @@
 	double slack;
 } bp_qslack_t;
 
+/* Share of its full speed that a filler must have where it is placed. */
+typedef enum {
+	BP_QSPEED_FULL,
+	BP_QSPEED_SLOW, /* its step has waited */
+	BP_QSPEEDS
+} bp_qspeed_t;
+
 /* A customer's task that may run on an executor which is not reconciled. */
 typedef struct {
 	char *name; /* of the task */
@@ -179,6 +186,9 @@
 	uint32_t serving; /* runs with a tail latency target */
 	GArray *slacks; /* bp_qslack_t for each serving run */
 	bool slacks_stale; /* slacks must be computed again before use */
+	/* Largest request that has the share of its speed, in milli-processors;
+	 * by bp_qspeed_t and filler index. Valid unless slacks_stale. */
+	uint32_t calm_milli[BP_QSPEEDS][BP_FILLER_WEIGHTS];
 	GArray *filler_usage; /* bp_filler_usage_t of the last sample */
 	uint32_t consecutive_overruns; /* samples near or above a target */
 	guint poll_timer;
@@ -508,7 +518,9 @@
     bp_qexec_t *exec, const bp_qtask_t *task, const char *rack);
 int64_t bp_qexec_filler_room_milli(const bp_qexec_t *exec, bool shared);
 int64_t bp_qexec_filler_limit_milli(
-    bp_qexec_t *exec, uint32_t filler_index, bool slow);
+    bp_qexec_t *exec, uint32_t filler_index, bp_qspeed_t speed);
+bp_qspeed_t bp_qstep_speed_wanted(
+    const bp_shard_t *shard, const bp_qstep_t *step);
 
 /* shard_fillerplaces.c */
 typedef struct bp_qplaces bp_qplaces_t;
@@ -559,8 +571,9 @@
 double bp_shard_spare_slack(const bp_qrun_t *serving);
 double bp_shard_filler_speed(bp_qexec_t *exec, bp_qstep_t *step);
 uint32_t bp_qstep_filler_index(bp_shard_t *shard, bp_qstep_t *step);
-int64_t bp_qexec_calm_milli(
-    bp_qexec_t *exec, uint32_t filler_index, double speed_share);
+double bp_qspeed_share(bp_qspeed_t speed);
+uint32_t bp_qexec_calm_milli(
+    bp_qexec_t *exec, uint32_t filler_index, bp_qspeed_t speed);
 
 /* shard_throttle.c */
 void bp_shard_throttle_fillers(bp_qexec_t *exec);
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -97,6 +97,13 @@
 	    strcmp(spec->label, unplaced->label) == 0;
 }
 
+/* Tells whether a step's executors are chosen by their limits for fillers. */
+static bool
+has_places(const bp_qstep_t *step)
+{
+	return step->spec->filler && !step->spec->lasting;
+}
+
 /* Returns what a step accepts after the time that it has waited. */
 static placement_t
 accepted_placement(const round_t *round, const bp_qstep_t *step)
@@ -136,8 +143,11 @@
 	return NULL;
 }
 
-/* Records that a step could not be placed. Steps with a limit on their tasks
- * per executor are left out: that limit says nothing about other steps. */
+/*
+ * Records that a step could not be placed. Steps with a limit on their tasks
+ * per executor are left out: that limit says nothing about other steps. So are
+ * fillers whose limits on all executors are known.
+ */
 static void
 add_unplaced(round_t *round, bp_qstep_t *step)
 {
@@ -146,6 +156,8 @@
 	    round->refused_for_large ? bp_qstep_late_ms(round->shard, step)
 				     : 0};
 
+	if (has_places(step) && !round->refused_for_large)
+		return;
 	if (step->spec->spread_max == 0 && step->reason != NULL)
 		g_array_append_val(round->unplaced, entry);
 }
@@ -256,7 +268,7 @@
 	bp_qexec_t *best;
 
 	round->refused_for_large = false;
-	if (task->step->spec->filler && !task->step->spec->lasting) {
+	if (has_places(task->step)) {
 		best = bp_qplaces_choose(
 		    round->places, task, round->service, rack, reason);
 		round->refused_for_large =
@@ -478,7 +490,7 @@
 place_step(round_t *round, bp_qstep_t *step)
 {
 	bp_shard_t *shard = round->shard;
-	bool blocked = step->spec->filler
+	bool blocked = has_places(step)
 	    ? bp_qplaces_all_closed(round->places)
 	    : round->execs_total > 0 && round->execs->len == 0;
 	const char *reason = blocked ? "turn" : known_reason(round, step);
--- a/src/queues/shard_score.c
+++ b/src/queues/shard_score.c
@@ -23,13 +23,7 @@
 /* Consecutive samples with a tail latency near its target after which an
  * executor takes no more fillers. */
 #define OVERRUNS_TO_CLOSE 2
-/* Share of its full speed that a filler must be able to have on an executor. A
- * step ends with its slowest filler, and a slowed one takes slack for longer.
- */
-#define FILLER_SPEED_MIN 1.0
-/* The same once its step was unplaced for SLOW_PLACEMENT_AFTER_MS; processors
- * that serving tasks leave would stay unused otherwise. */
-#define FILLER_SPEED_MIN_LATE 0.45
+/* Time after which a step accepts slow placements. */
 #define SLOW_PLACEMENT_AFTER_MS 1000
 /* Multiple of the unused processors that fillers may ask for where one of them
  * belongs to a job that has nothing running since the traffic has ended. */
@@ -128,13 +122,12 @@
 	return share;
 }
 
-/* Returns the share of its full speed that a filler of the step must have. */
-static double
-min_speed_share(const bp_shard_t *shard, const bp_qstep_t *step)
+/* Returns the speed that a filler of the step must be able to have. */
+bp_qspeed_t
+bp_qstep_speed_wanted(const bp_shard_t *shard, const bp_qstep_t *step)
 {
-	return bp_qstep_accepts_slow_placement(shard, step)
-	    ? FILLER_SPEED_MIN_LATE
-	    : FILLER_SPEED_MIN;
+	return bp_qstep_accepts_slow_placement(shard, step) ? BP_QSPEED_SLOW
+							    : BP_QSPEED_FULL;
 }
 
 /* Tells whether tail latencies are near their targets for so long that an
@@ -148,15 +141,15 @@
 /*
  * Returns the largest request of one more filler of an image, in
  * milli-processors, that would not be too slow beside the serving tasks of an
- * executor. slow: slow placements are accepted.
+ * executor.
  */
 int64_t
-bp_qexec_filler_limit_milli(bp_qexec_t *exec, uint32_t filler_index, bool slow)
+bp_qexec_filler_limit_milli(
+    bp_qexec_t *exec, uint32_t filler_index, bp_qspeed_t speed)
 {
 	if (is_overrun(exec))
 		return 0;
-	return bp_qexec_calm_milli(exec, filler_index,
-	    slow ? FILLER_SPEED_MIN_LATE : FILLER_SPEED_MIN);
+	return bp_qexec_calm_milli(exec, filler_index, speed);
 }
 
 /* Tells whether a filler of the step would be too slow on an executor beside
@@ -165,7 +158,7 @@
 disturbs(bp_qexec_t *exec, bp_qstep_t *step)
 {
 	if (bp_shard_filler_speed(exec, step) >=
-	    min_speed_share(exec->shard, step))
+	    bp_qspeed_share(bp_qstep_speed_wanted(exec->shard, step)))
 		return false;
 	return !bp_qstep_shares_processors(step) ||
 	    exec->consecutive_overruns > 0 ||
--- a/src/queues/shard_slack.c
+++ b/src/queues/shard_slack.c
@@ -15,6 +15,11 @@
 /* A loss of slack below this counts as none. */
 #define SLACK_LOSS_MIN 0.04
 #define SPEED_FULL 100
+/* Shares of its full speed that a filler must be able to have on an executor.
+ * A step ends with its slowest filler, and a slowed one takes slack for longer;
+ * processors that serving tasks leave would stay unused without the second. */
+#define SHARE_FULL 1.0
+#define SHARE_SLOW 0.45
 
 static const double *
 weights_of(bp_shard_t *shard, bp_qstep_t *serving)
@@ -87,6 +92,45 @@
 	return slack;
 }
 
+/* Returns the share of its full speed that a filler must have. */
+double
+bp_qspeed_share(bp_qspeed_t speed)
+{
+	return speed == BP_QSPEED_FULL ? SHARE_FULL : SHARE_SLOW;
+}
+
+/* Returns the largest request, in milli-processors, of a filler with these
+ * weights that leaves a serving task its slack. */
+static double
+largest_request(
+    const bp_qslack_t *entry, uint32_t index, double speed, double capacity)
+{
+	double weight = entry->weights[index];
+
+	if (weight <= 0)
+		return UINT32_MAX;
+	return MAX(entry->slack / speed, SLACK_LOSS_MIN) * capacity / weight;
+}
+
+static void
+refresh_calm_milli(bp_qexec_t *exec, bp_qspeed_t speed, double capacity)
+{
+	double share = bp_qspeed_share(speed);
+	uint32_t i;
+	guint k;
+
+	for (i = 1; i < BP_FILLER_WEIGHTS; i++) {
+		double largest = UINT32_MAX;
+
+		for (k = 0; k < exec->slacks->len; k++)
+			largest = MIN(largest,
+			    largest_request(
+				&g_array_index(exec->slacks, bp_qslack_t, k), i,
+				share, capacity));
+		exec->calm_milli[speed][i] = (uint32_t)largest;
+	}
+}
+
 static void
 refresh_spare_slack(bp_qexec_t *exec, double capacity)
 {
@@ -104,6 +148,8 @@
 		entry.slack = MAX(slack_for_placement(exec, run, capacity), 0);
 		g_array_append_val(exec->slacks, entry);
 	}
+	refresh_calm_milli(exec, BP_QSPEED_FULL, capacity);
+	refresh_calm_milli(exec, BP_QSPEED_SLOW, capacity);
 }
 
 /*
@@ -134,26 +180,13 @@
 
 /*
  * Returns the largest request, in milli-processors, at which one more filler of
- * an image could have this share of its full speed on an executor.
+ * an image could have the share of its full speed on an executor; UINT32_MAX
+ * when it disturbs no serving task there.
  */
-int64_t
-bp_qexec_calm_milli(bp_qexec_t *exec, uint32_t filler_index, double speed_share)
+uint32_t
+bp_qexec_calm_milli(bp_qexec_t *exec, uint32_t filler_index, bp_qspeed_t speed)
 {
-	double capacity = MAX(exec->info->cpu_milli, 1);
-	double limit = UINT32_MAX;
-	guint i;
-
 	if (exec->slacks_stale)
-		refresh_spare_slack(exec, capacity);
-	for (i = 0; i < exec->slacks->len; i++) {
-		const bp_qslack_t *entry =
-		    &g_array_index(exec->slacks, bp_qslack_t, i);
-		double weight = entry->weights[filler_index];
-
-		if (weight > 0)
-			limit = MIN(limit,
-			    MAX(entry->slack / speed_share, SLACK_LOSS_MIN) *
-				capacity / weight);
-	}
-	return (int64_t)limit;
+		refresh_spare_slack(exec, MAX(exec->info->cpu_milli, 1));
+	return exec->calm_milli[speed][filler_index];
 }
