Long-running jobs leave processors to short urgent work (SHORT)

Cause: a long-running job was accepted whatever its tasks request. Change: a service keeps what its short urgent work has requested at its recent peak, and 6% for fragments; a long-running job beyond that is refused at once, with a time to come back (headroom.c). Without short urgent work nothing is kept.

--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -237,6 +237,7 @@
 	if (shard->phase == BP_SHARD_RELEASED)
 		return G_SOURCE_CONTINUE;
 	bp_shard_check_leases(shard);
+	bp_shard_observe_urgent(shard);
 	bp_shard_check_fitness(shard);
 	bp_shard_ask_predecessors(shard);
 	bp_shard_check_reconciliation(shard);
@@ -279,6 +280,7 @@
 	    bp_hash_text(
 		options->address, (uint64_t)bp_clock_mono_us(options->clock)));
 	shard->estimates = bp_estimates_new();
+	shard->headroom = bp_headroom_new();
 	shard->filler_model = bp_filler_model_new();
 	shard->reserved_execs = g_ptr_array_new();
 	if (options->limits.large_task_planning)
@@ -332,6 +334,7 @@
 	bp_shard_cancel_throttles(shard);
 	bp_record_writer_free(shard->writer);
 	bp_estimates_free(shard->estimates);
+	bp_headroom_free(shard->headroom);
 	bp_filler_model_free(shard->filler_model);
 	bp_clock_cancel_timer(shard->options.clock, &shard->round_timer);
 	bp_clock_cancel_timer(shard->options.clock, &shard->tick_timer);
--- a/src/queues/shard_calls.c
+++ b/src/queues/shard_calls.c
@@ -15,6 +15,10 @@
 #define EPOCH_VERIFIED_MAX_MS 1500
 /* Longer than a lease, after which no run of a job is left. */
 #define COMPACT_AFTER_MS 20000
+/* Time after which a refused long-running job may be handed in again, and the
+ * range over which these times are spread. */
+#define LASTING_RETRY_MS 5000
+#define LASTING_RETRY_SPREAD_MS 2000
 /* Least interval of counting the memory of all jobs. */
 #define JOBS_COUNT_INTERVAL_MS 500
 
@@ -132,7 +136,15 @@
 	job->idle_since_ms = job->arrived_ms;
 	job->account =
 	    bp_customers_account(shard->customers, job->spec->customer);
-	answer.retry_after_ms = refuse_beyond_share(shard, job);
+	if (!bp_shard_has_headroom(shard, job)) {
+		shard->counts_refused_lasting++;
+		answer.reason = "long-running jobs have all processors but "
+				"those that short urgent work needs";
+		answer.retry_after_ms = LASTING_RETRY_MS +
+		    bp_random_below(&shard->random, LASTING_RETRY_SPREAD_MS);
+	} else {
+		answer.retry_after_ms = refuse_beyond_share(shard, job);
+	}
 	if (answer.retry_after_ms > 0) {
 		shard->jobs_bytes -= MIN(shard->jobs_bytes, job->bytes);
 		bp_qjob_free(job);
@@ -384,6 +396,7 @@
 	report("stops", shard->counts_stopped, data);
 	report("stops_interference", shard->counts_moved, data);
 	report("rounds", shard->counts_rounds, data);
+	report("jobs_refused_lasting", shard->counts_refused_lasting, data);
 	report("jobs_refused_memory", shard->counts_refused_memory, data);
 	report("executors_examined", shard->counts_examined, data);
 	report("executors_compared", shard->counts_compared, data);
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -7,6 +7,7 @@
 #include "queues/cancelledids.h"
 #include "queues/customers.h"
 #include "queues/estimates.h"
+#include "queues/headroom.h"
 #include "queues/job.h"
 #include "queues/recordwriter.h"
 #include "queues/fillermodel.h"
@@ -278,6 +279,7 @@
 	bp_random_t random; /* for retry times */
 	bp_record_writer_t *writer;
 	bp_estimates_t *estimates;
+	bp_headroom_t *headroom;
 	bp_filler_model_t *filler_model;
 	int64_t filler_model_stored_ms; /* monotonic */
 	GHashTable *orders; /* contexts of orders in flight */
@@ -323,6 +325,7 @@
 	uint64_t counts_rounds;
 	uint64_t counts_offered; /* steps that rounds tried to place */
 	uint64_t counts_refused; /* jobs of customers beyond their share */
+	uint64_t counts_refused_lasting; /* long-running jobs */
 	uint64_t counts_examined; /* executors checked for tasks */
 	uint64_t counts_compared; /* the same, only with their limits */
 	int64_t rounds_us; /* total time spent in rounds */
@@ -397,6 +400,12 @@
 uint64_t bp_shard_load_owner(bp_shard_t *shard);
 void bp_shard_load(bp_shard_t *shard);
 
+/* shard_headroom.c */
+void bp_shard_observe_urgent(bp_shard_t *shard);
+/* Returns whether a new job may be accepted with regard to the processors that
+ * short urgent work needs. */
+bool bp_shard_has_headroom(bp_shard_t *shard, const bp_qjob_t *job);
+
 /* shard_customers.c */
 bp_customer_size_t bp_qstep_size(const Bp__Work__Step *spec, bool urgent);
 bool bp_qjob_waits_for_room(const bp_qjob_t *job, int64_t wall_ms);
