Of batch jobs that have not begun, those that interfere least go first

Cause: the latency that serving tasks can spare was the bound, not the processors; jobs of images that take much of it began first if they were the newest, ran slowed, and left little to all others. Change: jobs that have not begun are classed by the mean weight of their images over the serving images; the newest of the lowest class goes first. Measured: queues/batchorder (new test).

--- a/src/queues/batchorder.c
+++ b/src/queues/batchorder.c
@@ -174,10 +174,12 @@
 }
 
 /*
- * Started jobs go first, by due time; of the others the newest goes first.
- * Under overload, earliest due first would start each job when the least delay
- * makes it late; without overload hardly any job waits. Jobs that were passed
- * over start when the load falls, or by their claims.
+ * Started jobs go first, by due time. Of the others those that interfere least
+ * go first: the latency that serving tasks can spare is used up by few jobs
+ * that interfere much. Of these the newest goes first. Under overload, earliest
+ * due first would start each job when the least delay makes it late; without
+ * overload hardly any job waits. Jobs that were passed over start when the load
+ * falls, or by their claims.
  */
 int
 bp_batch_compare_in_time(
@@ -185,6 +187,8 @@
 {
 	if (x->started != y->started)
 		return x->started ? -1 : 1;
+	if (!x->started && x->interference != y->interference)
+		return x->interference < y->interference ? -1 : 1;
 	return x->started ? (x->due_ms > y->due_ms) - (x->due_ms < y->due_ms)
 			  : (x->due_ms < y->due_ms) - (x->due_ms > y->due_ms);
 }
--- a/src/queues/batchorder.h
+++ b/src/queues/batchorder.h
@@ -60,6 +60,8 @@
 typedef struct {
 	bool started; /* a task of it */
 	int64_t due_ms;
+	/* Class of the interference with serving tasks, 0 for the least. */
+	uint32_t interference;
 } bp_batch_in_time_t;
 
 typedef struct bp_batch_order bp_batch_order_t;
--- a/src/queues/fillermodel.c
+++ b/src/queues/fillermodel.c
@@ -23,6 +23,7 @@
 struct bp_filler_model {
 	GHashTable *servings; /* image to fit_t */
 	GHashTable *fillers; /* image to index in the weights */
+	double means[COLUMNS]; /* of the weights of all servings */
 };
 
 /* Creates a model in which every pair has the same weight. */
@@ -30,7 +31,10 @@
 bp_filler_model_new(void)
 {
 	bp_filler_model_t *model = g_new0(bp_filler_model_t, 1);
+	uint32_t i;
 
+	for (i = 0; i < COLUMNS; i++)
+		model->means[i] = WEIGHT_ASSUMED;
 	model->servings =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	model->fillers =
@@ -134,6 +138,33 @@
 	}
 }
 
+static void
+update_means(bp_filler_model_t *model)
+{
+	guint servings = g_hash_table_size(model->servings);
+	double sums[COLUMNS] = {0};
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t i;
+
+	if (servings == 0)
+		return;
+	g_hash_table_iter_init(&iter, model->servings);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		for (i = 1; i < COLUMNS; i++)
+			sums[i] += ((const fit_t *)value)->weights[i];
+	}
+	for (i = 1; i < COLUMNS; i++)
+		model->means[i] = sums[i] / servings;
+}
+
+/* See the header. */
+double
+bp_filler_model_mean_weight(const bp_filler_model_t *model, uint32_t index)
+{
+	return model->means[index];
+}
+
 /* See the header. Weights change little between fits: a few sweeps suffice. */
 void
 bp_filler_model_fit(bp_filler_model_t *model)
@@ -156,6 +187,7 @@
 			fit->targets[i] *= EVIDENCE_DECAY;
 		}
 	}
+	update_means(model);
 }
 
 /* See the header. */
--- a/src/queues/fillermodel.h
+++ b/src/queues/fillermodel.h
@@ -51,6 +51,13 @@
     bp_filler_model_t *model, const char *serving);
 /* Returns the index of a filler image in the weights; adds it when new. */
 uint32_t bp_filler_model_index(bp_filler_model_t *model, const char *filler);
+/*
+ * Returns the mean weight of a filler image, by its index, over the serving
+ * images, as of the last fit. A pair without samples counts with what is
+ * assumed of it.
+ */
+double bp_filler_model_mean_weight(
+    const bp_filler_model_t *model, uint32_t index);
 /* Returns the slack that a serving image loses per unit of amount. */
 double bp_filler_model_weight(
     const bp_filler_model_t *model, const char *serving, const char *filler);
--- a/src/queues/shard_priority.c
+++ b/src/queues/shard_priority.c
@@ -1,5 +1,7 @@
 #include "queues/shard_private.h"
 
+/* Range of the mean weights of jobs whose interference counts as equal. */
+#define INTERFERENCE_CLASS 0.5
 /* A job that takes this multiple of its objective has no value any more. */
 #define WORTHLESS_FACTOR 3
 
@@ -218,9 +220,36 @@
 	}
 }
 
+/*
+ * Returns the class of a job's interference: the mean weight of its fillers'
+ * images, by the processor time that they request.
+ */
+static uint32_t
+interference_of(bp_shard_t *shard, const bp_qjob_t *job)
+{
+	double weights = 0;
+	double work = 0;
+	uint32_t i;
+
+	for (i = 0; i < job->n_steps; i++) {
+		bp_qstep_t *step = &job->steps[i];
+		const Bp__Work__Step *spec = step->spec;
+		double part =
+		    (double)spec->tasks * spec->cpu_milli * spec->expected_ms;
+
+		if (!spec->filler)
+			continue;
+		work += part;
+		weights += part *
+		    bp_filler_model_mean_weight(shard->filler_model,
+			bp_qstep_filler_index(shard, step));
+	}
+	return work > 0 ? (uint32_t)(weights / work / INTERFERENCE_CLASS) : 0;
+}
+
 static void
-add_candidates(GArray *candidates, const bp_shard_t *shard, bp_qjob_t *job,
-    int64_t wall_ms)
+add_candidates(
+    GArray *candidates, bp_shard_t *shard, bp_qjob_t *job, int64_t wall_ms)
 {
 	int64_t start_until_ms =
 	    wall_ms + shard->options.limits.start_early_ms / 2;
@@ -247,6 +276,9 @@
 		}
 		candidate.outlook = outlook_of(shard, step, wall_ms);
 		candidate.in_time.started = job->started;
+		if (candidate.filler && !job->started)
+			candidate.in_time.interference =
+			    interference_of(shard, job);
 		candidate.in_time.due_ms = candidate.due_ms;
 		g_array_append_val(candidates, candidate);
 	}
--- a/tests/queues/test_batchorder.c
+++ b/tests/queues/test_batchorder.c
@@ -57,10 +57,11 @@
 static void
 test_the_newest_job_in_time_goes_first(void)
 {
-	bp_batch_in_time_t started = {true, NOW_MS + 9000};
-	bp_batch_in_time_t older = {false, NOW_MS + 1000};
-	bp_batch_in_time_t newer = {false, NOW_MS + 2000};
-	bp_batch_in_time_t sooner = {true, NOW_MS + 3000};
+	bp_batch_in_time_t started = {
+	    .started = true, .due_ms = NOW_MS + 9000, .interference = 3};
+	bp_batch_in_time_t older = {.due_ms = NOW_MS + 1000};
+	bp_batch_in_time_t newer = {.due_ms = NOW_MS + 2000};
+	bp_batch_in_time_t sooner = {.started = true, .due_ms = NOW_MS + 3000};
 
 	CU_ASSERT_TRUE(bp_batch_compare_in_time(&started, &newer) < 0);
 	CU_ASSERT_TRUE(bp_batch_compare_in_time(&newer, &older) < 0);
@@ -68,6 +69,26 @@
 	CU_ASSERT_EQUAL(bp_batch_compare_in_time(&newer, &newer), 0);
 }
 
+/*
+ * Guards against few jobs that interfere much and use up the latency that
+ * serving tasks can spare (SHORT on pecanslate-sched-grown): others begin
+ * before them.
+ */
+static void
+test_the_least_interference_begins_first(void)
+{
+	bp_batch_in_time_t calm = {.due_ms = NOW_MS + 1000};
+	bp_batch_in_time_t loud = {.due_ms = NOW_MS + 2000, .interference = 2};
+	bp_batch_in_time_t louder = {
+	    .due_ms = NOW_MS + 3000, .interference = 3};
+	bp_batch_in_time_t begun = {
+	    .started = true, .due_ms = NOW_MS + 9000, .interference = 3};
+
+	CU_ASSERT_TRUE(bp_batch_compare_in_time(&calm, &loud) < 0);
+	CU_ASSERT_TRUE(bp_batch_compare_in_time(&loud, &louder) < 0);
+	CU_ASSERT_TRUE(bp_batch_compare_in_time(&begun, &calm) < 0);
+}
+
 /* Guards against a job that waits for as long as the traffic lasts, and against
  * claims of jobs that have not waited for long. */
 static void
@@ -216,6 +237,8 @@
 	CU_TestInfo tests[] = {
 	    {"the newest job in time goes first",
 		test_the_newest_job_in_time_goes_first},
+	    {"the least interference begins first",
+		test_the_least_interference_begins_first},
 	    {"a long wait gives a claim", test_a_long_wait_gives_a_claim},
 	    {"jobs in time keep four fifths",
 		test_jobs_in_time_keep_four_fifths},
--- a/tests/queues/test_parts.c
+++ b/tests/queues/test_parts.c
@@ -283,6 +283,9 @@
 	    bp_filler_model_weight(model, "s", "loud"), 5, 0.7);
 	CU_ASSERT_TRUE(bp_filler_model_weight(model, "s", "calm") < 0.7);
 	CU_ASSERT_TRUE(bp_filler_model_weight(model, "s", "still") < 0.7);
+	CU_ASSERT_DOUBLE_EQUAL(bp_filler_model_mean_weight(
+				   model, bp_filler_model_index(model, "loud")),
+	    bp_filler_model_weight(model, "s", "loud"), 1e-9);
 	bytes = bp_filler_model_serialize(model);
 	data = g_bytes_get_data(bytes, &size);
 	CU_ASSERT_TRUE(bp_filler_model_deserialize(copy, data, size));
