Headroom: percentage of processors without integer division

Cause: the linter reports a loss of precision. Change: the product is a floating-point number before the division. Measured: queues/headroom passes; a difference of less than one milli-processor.

--- a/src/queues/headroom.c
+++ b/src/queues/headroom.c
@@ -77,7 +77,7 @@
 	kept = peak_at(headroom, service, now_ms);
 	if (load->lasting_milli == 0 || kept < 1)
 		return true;
-	kept += (double)(load->cpu_milli * FRAGMENTS_PERCENT / PERCENT);
+	kept += (double)load->cpu_milli * FRAGMENTS_PERCENT / PERCENT;
 	return (double)(load->lasting_milli + request_milli) + kept <=
 	    (double)load->cpu_milli;
 }
