Limits of other services are below all limits of fillers

Cause: -1 stood for an executor of another service, and is also the limit of one whose fillers ask for one milli-processor more than it has. Change: the least integer stands for it.

--- a/src/queues/shard_fillerplaces.c
+++ b/src/queues/shard_fillerplaces.c
@@ -16,7 +16,8 @@
 /* Executors that are scored for one filler. Fillers are most of all starts;
  * scoring every executor for each of them would cost too much. */
 #define CHOICES 48
-#define OTHER_SERVICE (-1)
+/* Below all limits, which are negative where more is in use than exists. */
+#define OTHER_SERVICE INT64_MIN
 
 /* An executor. */
 typedef struct {
