--- a/src/queues/shard_slack.c
+++ b/src/queues/shard_slack.c
@@ -8,7 +8,7 @@
  * Predictions are off by about as much. Slowing fillers corrects that only
  * after serving tasks were over their targets, and stopping them repeats work.
  */
-#define PLACEMENT_MARGIN 1.0
+#define PLACEMENT_MARGIN 0.6
 /* Slack that is assumed of a serving task before its first sample; it includes
  * the margin. */
 #define SLACK_ASSUMED 2.5
