Headroom counts processors that can be used, and waits for the executors

Cause: found on reading the change: a new owner that does not know its executors yet would refuse long-running jobs with an untrue reason, and zones that are out counted as room. Change: nothing is refused before the shard is reconciled; executors of such zones are left out.

--- a/src/queues/shard_headroom.c
+++ b/src/queues/shard_headroom.c
@@ -30,7 +30,8 @@
 	}
 }
 
-/* Returns the load of a service. */
+/* Returns the load of a service; its processors are those of executors that may
+ * get work for longer. */
 static bp_headroom_load_t
 load_of(const bp_shard_t *shard, const char *service)
 {
@@ -51,6 +52,8 @@
 		const bp_qexec_t *exec = value;
 
 		if (exec->listed && !exec->info->draining &&
+		    !g_hash_table_contains(
+			shard->zones_out, exec->info->zone) &&
 		    strcmp(exec->info->service, service) == 0)
 			load.cpu_milli += exec->info->cpu_milli;
 	}
@@ -99,7 +102,7 @@
 	return load.lasting_milli;
 }
 
-/* See the header. */
+/* See the header. A new owner may not know all executors yet. */
 bool
 bp_shard_has_headroom(bp_shard_t *shard, const bp_qjob_t *job)
 {
@@ -107,7 +110,7 @@
 	const char *service = bp_shard_service_of(shard, job);
 	bp_headroom_load_t load;
 
-	if (request == 0)
+	if (request == 0 || !shard->reconciled)
 		return true;
 	load = load_of(shard, service);
 	return bp_headroom_admits(
