Headroom keeps a quarter of the processors at most

Cause: found on reading the change: after an outage more urgent work waits than a service has processors, and all long-running jobs would be refused until that peak is forgotten. Change: a cap of the part that is kept. Measured: queues/headroom, new test, red before (the first request is refused).

--- a/src/queues/headroom.c
+++ b/src/queues/headroom.c
@@ -6,6 +6,9 @@
 #define PEAK_HALF_LIFE_MS 20000.0
 /* Processors that packing leaves in pieces that are too small, in percent. */
 #define FRAGMENTS_PERCENT 6
+/* Most that is kept for urgent work, in percent: what waits after an outage
+ * says little about what comes. */
+#define KEPT_PERCENT_MAX 25
 #define PERCENT 100
 
 /* Greatest request of short urgent work, as of a time. */
@@ -77,6 +80,7 @@
 	kept = peak_at(headroom, service, now_ms);
 	if (load->lasting_milli == 0 || kept < 1)
 		return true;
+	kept = MIN(kept, (double)load->cpu_milli * KEPT_PERCENT_MAX / PERCENT);
 	kept += (double)load->cpu_milli * FRAGMENTS_PERCENT / PERCENT;
 	return (double)(load->lasting_milli + request_milli) + kept <=
 	    (double)load->cpu_milli;
--- a/tests/queues/test_headroom.c
+++ b/tests/queues/test_headroom.c
@@ -49,6 +49,20 @@
 	bp_headroom_free(headroom);
 }
 
+/* Guards against long-running jobs that are all refused after an outage, when
+ * more urgent work waits than the service has processors. */
+static void
+test_a_backlog_keeps_a_quarter(void)
+{
+	bp_headroom_t *headroom = bp_headroom_new();
+	uint64_t rest = CPU_MILLI * 3 / 4 - FRAGMENTS_MILLI;
+
+	bp_headroom_observe(headroom, SERVICE, 2 * CPU_MILLI, 1000);
+	CU_ASSERT_TRUE(admits(headroom, rest / 2, rest / 2, 1000));
+	CU_ASSERT_FALSE(admits(headroom, rest / 2, rest / 2 + 10, 1000));
+	bp_headroom_free(headroom);
+}
+
 /* Guards against a job that is refused for good as it is larger than what a
  * service can keep free. */
 static void
@@ -129,6 +143,7 @@
 	    {"the peak of urgent work is kept",
 		test_the_peak_of_urgent_work_is_kept},
 	    {"a peak is forgotten", test_a_peak_is_forgotten},
+	    {"a backlog keeps a quarter", test_a_backlog_keeps_a_quarter},
 	    {"the only job is admitted", test_the_only_job_is_admitted},
 	    {"urgent work finds processors", test_urgent_work_finds_processors},
 	    CU_TEST_INFO_NULL,
