--- a/include/bulrushpost/settings.h
+++ b/include/bulrushpost/settings.h
@@ -86,6 +86,7 @@
 	uint32_t grace_s;
 	uint32_t config_apply_ms;
 	bool large_task_planning; /* reserve capacity for large tasks */
+	bool urgent_headroom; /* long-running jobs leave room to urgent ones */
 } bp_settings_queues_t;
 
 typedef struct {
--- a/include/bulrushpost/shard.h
+++ b/include/bulrushpost/shard.h
@@ -26,6 +26,7 @@
 	uint32_t status_keep_s; /* retention of ended jobs */
 	uint32_t quarantine_failures; /* consecutive, of one executor */
 	bool large_task_planning; /* reserve capacity for large tasks */
+	bool urgent_headroom; /* long-running jobs leave room to urgent ones */
 	uint64_t jobs_bytes_max; /* memory of all jobs held; 0: no limit */
 } bp_shard_limits_t;
 
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -118,6 +118,7 @@
     NUMBER(queues.config_apply_ms, 100, 60000, 2000),
     TEXT("queues.large_task_planning", TYPE_BOOL, false,
 	queues.large_task_planning),
+    TEXT("queues.urgent_headroom", TYPE_BOOL, false, queues.urgent_headroom),
 };
 
 static const char *const level_words[] = {
--- a/src/queues/queuenode.c
+++ b/src/queues/queuenode.c
@@ -410,6 +410,7 @@
 	options.limits.status_keep_s = queues->status_keep_s;
 	options.limits.quarantine_failures = queues->quarantine_failures;
 	options.limits.large_task_planning = queues->large_task_planning;
+	options.limits.urgent_headroom = queues->urgent_headroom;
 	options.limits.jobs_bytes_max =
 	    (uint64_t)node->settings->limits.memory_mb * MIB / JOBS_PARTS;
 	options.watch_executors = on_watch_executors;
--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -281,7 +281,8 @@
 	    bp_hash_text(
 		options->address, (uint64_t)bp_clock_mono_us(options->clock)));
 	shard->estimates = bp_estimates_new();
-	shard->headroom = bp_headroom_new();
+	if (options->limits.urgent_headroom)
+		shard->headroom = bp_headroom_new();
 	shard->filler_model = bp_filler_model_new();
 	shard->reserved_execs = g_ptr_array_new();
 	if (options->limits.large_task_planning)
--- a/src/queues/shard_headroom.c
+++ b/src/queues/shard_headroom.c
@@ -60,18 +60,21 @@
 	return load;
 }
 
-/* Notes what the short urgent work of each service requests now. */
+/* Notes what the short urgent work of each service requests now. Nothing
+ * happens without a headroom. */
 void
 bp_shard_observe_urgent(bp_shard_t *shard)
 {
 	int64_t wall_ms = bp_shard_wall_ms(shard);
-	GHashTable *loads =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	GHashTable *loads;
 	GHashTableIter iter;
 	gpointer service;
 	gpointer load;
 	guint i;
 
+	if (shard->headroom == NULL)
+		return;
+	loads = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	for (i = 0; i < shard->active_jobs->len; i++) {
 		const bp_qjob_t *job = shard->active_jobs->pdata[i];
 
@@ -110,7 +113,7 @@
 	const char *service = bp_shard_service_of(shard, job);
 	bp_headroom_load_t load;
 
-	if (request == 0 || !shard->reconciled)
+	if (shard->headroom == NULL || request == 0 || !shard->reconciled)
 		return true;
 	load = load_of(shard, service);
 	return bp_headroom_admits(
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -279,7 +279,7 @@
 	bp_random_t random; /* for retry times */
 	bp_record_writer_t *writer;
 	bp_estimates_t *estimates;
-	bp_headroom_t *headroom;
+	bp_headroom_t *headroom; /* NULL unless urgent work has one */
 	bp_filler_model_t *filler_model;
 	int64_t filler_model_stored_ms; /* monotonic */
 	GHashTable *orders; /* contexts of orders in flight */
--- a/tests/support/queuerig.h
+++ b/tests/support/queuerig.h
@@ -25,6 +25,8 @@
 bp_qrig_t *bp_qrig_new(uint64_t seed, uint32_t executors);
 /* The same with planning of large tasks, see docs/decisions/large-tasks.md. */
 bp_qrig_t *bp_qrig_new_planning(uint64_t seed, uint32_t executors);
+/* The same with headroom for short urgent work, see src/queues/headroom.h. */
+bp_qrig_t *bp_qrig_new_headroom(uint64_t seed, uint32_t executors);
 void bp_qrig_free(bp_qrig_t *rig);
 bp_qstore_t *bp_qrig_store(bp_qrig_t *rig);
 bp_qfleet_t *bp_qrig_fleet(bp_qrig_t *rig);
