Log where the time of a job goes, and the outlook of ready batch tasks

Cause: job ended had no figures, and the reasons of waiting tasks do not tell whether their jobs have begun or can still be in time.

Change: job ended has the times of its steps, ready batch tasks counts them by outlook, durations of steps has the factor of each queue. No decision depends on them.

--- a/src/queues/estimates.c
+++ b/src/queues/estimates.c
@@ -105,6 +105,21 @@
 	return ratio == NULL ? FACTOR_DEFAULT : ratio->mean + ratio->deviation;
 }
 
+/* See the header. */
+void
+bp_estimates_describe(const bp_estimates_t *estimates, GString *out)
+{
+	GList *names = g_list_sort(g_hash_table_get_keys(estimates->queues),
+	    (GCompareFunc)(void (*)(void))strcmp);
+	GList *name;
+
+	for (name = names; name != NULL; name = name->next)
+		g_string_append_printf(out, "%s%s=%.2f",
+		    out->len > 0 ? " " : "", (const char *)name->data,
+		    bp_estimates_factor(estimates, name->data));
+	g_list_free(names);
+}
+
 static int
 compare_ratios(const void *a, const void *b)
 {
--- a/src/queues/estimates.h
+++ b/src/queues/estimates.h
@@ -17,6 +17,8 @@
     int64_t expected_ms, int64_t took_ms);
 /* Returns a multiple that most steps of the queue do not exceed. */
 double bp_estimates_factor(const bp_estimates_t *estimates, const char *queue);
+/* Appends the factors of all queues to a log line, by name. */
+void bp_estimates_describe(const bp_estimates_t *estimates, GString *out);
 
 /* Adds a run that ended well and took took_ms from its start order to its
  * reported end. */
--- a/src/queues/job.h
+++ b/src/queues/job.h
@@ -27,6 +27,15 @@
 	BP_QPART_STORED = 4 /* the store has a record of it */
 } bp_qpart_t;
 
+/* Outlook of a step's job on its objective; the lowest value goes first. */
+typedef enum {
+	BP_OUTLOOK_IN_TIME, /* it can still meet its objective */
+	BP_OUTLOOK_LONG_RUNNING, /* it occupies its capacity for long */
+	BP_OUTLOOK_LATE, /* late, but has some value left */
+	BP_OUTLOOK_NONE,
+	BP_OUTLOOKS
+} bp_outlook_t;
+
 /* Appends with only the records of one job or executor that the store has
  * rejected for good. */
 typedef struct {
@@ -53,6 +62,29 @@
 	const void *last_failed_executor;
 } bp_qtask_t;
 
+/* The run that ended last among those of a step that were done. */
+typedef struct {
+	int64_t started_ms; /* monotonic; 0: by an earlier owner */
+	int64_t slowed_ms; /* time that it lost to its speed limits */
+	bool rerun; /* the task had run before */
+} bp_qstep_end_t;
+
+/*
+ * Where the time of a job went, added up over its steps. Steps of which an
+ * earlier owner started a part are left out.
+ */
+typedef struct {
+	int64_t begin_ms; /* a step was ready, and none of its tasks started */
+	int64_t gather_ms; /* from there until all of its tasks had started */
+	int64_t repeat_ms; /* from there to the start of its last run */
+	int64_t last_ms; /* from there to the end of that run */
+	int64_t slowed_ms; /* that these last runs lost to speed limits */
+	uint32_t steps; /* that have ended */
+	uint32_t rerun_steps; /* of these, ended by a task that ran again */
+	uint32_t starts;
+	uint32_t moves; /* runs stopped because of interference */
+} bp_qjob_times_t;
+
 /* The tasks of one step of one occurrence. */
 struct bp_qstep {
 	bp_qjob_t *job;
@@ -65,12 +97,16 @@
 	uint32_t waiting_tasks; /* in BP_QTASK_WAITING */
 	const double *interference_weights; /* NULL before first use */
 	uint32_t filler_index; /* of a filler image; 0 before the first use */
+	int64_t ready_ms; /* monotonic, seen by this owner; 0: not yet */
 	int64_t first_start_ms; /* monotonic, by this owner; 0: none */
+	int64_t all_started_ms; /* the last first start of a task */
+	bp_qstep_end_t end;
 	const void *failed_on[2]; /* executors, since a run of it succeeded */
 	int64_t unplaced_ms; /* monotonic, since when; 0: not unplaced */
 	bool blocked_by_start_limits; /* and by nothing else; long-running */
 	int64_t start_limits_checked_ms; /* monotonic */
 	const char *reason; /* why the last round placed none; static */
+	bp_outlook_t outlook; /* in the last round */
 	bp_batch_claim_t claim; /* that is being used to place a task */
 	bool shares_processors; /* a claim may use those of other fillers */
 	/* Of large tasks, and of small ones beside them; shard_largetasks.c. */
@@ -106,6 +142,7 @@
 	uint8_t *parts; /* BP_QPART flags */
 	bp_qrejections_t rejections;
 	uint64_t bytes; /* estimate of its memory */
+	bp_qjob_times_t times;
 	GArray *waiters; /* callers of submit and cancel; used by the shard */
 	bp_customer_account_t *account; /* set by the shard */
 };
--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -129,12 +129,7 @@
 	bp_shard_release_job_reservations(shard, job);
 	bp_shard_drop_job_rooms(shard, job);
 	stop_runs(shard, job);
-	bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE, "job ended",
-	    "job", job->spec->id, "state",
-	    state == BP__WORK__JOB_STATE__JOB_COMPLETED	   ? "completed"
-		: state == BP__WORK__JOB_STATE__JOB_FAILED ? "failed"
-							   : "cancelled",
-	    NULL);
+	bp_shard_log_job_end(shard, job);
 }
 
 static gboolean
--- a/src/queues/shard_orders.c
+++ b/src/queues/shard_orders.c
@@ -210,6 +210,8 @@
 	run->state = BP_QRUN_PLANNED;
 	if (task->step->first_start_ms == 0)
 		task->step->first_start_ms = bp_shard_now_ms(shard);
+	if (number % BP_SHARD_RUNS_PER_EPOCH == 1)
+		task->step->all_started_ms = bp_shard_now_ms(shard);
 	task->last_run = number;
 	exec->planned_starts++;
 	bp_qrun_acquire_start(run);
@@ -235,6 +237,7 @@
 	run->state = BP_QRUN_STARTING;
 	run->started_ms = bp_shard_now_ms(shard);
 	run->progress_ms = run->started_ms;
+	run->speed_since_ms = run->started_ms;
 	start.deadline_ms = bp_qexec_clock_ms(exec) + BP_SHARD_START_WINDOW_MS;
 	exec->lease_end_ms = MAX(exec->lease_end_ms, start.deadline_ms);
 	exec->ordered_ms = run->started_ms;
@@ -243,6 +246,9 @@
 	start.payload = task->step->job->spec->payload;
 	start.checkpoint = task->checkpoint;
 	shard->counts_started++;
+	task->step->job->times.starts++;
+	if (task->step->spec->filler)
+		shard->counts_batch_starts[task->step->outlook]++;
 	shard->options.executors->start(shard->options.executors, &target,
 	    &start, on_start, order_new(shard, run));
 }
--- a/src/queues/shard_pollresults.c
+++ b/src/queues/shard_pollresults.c
@@ -129,9 +129,12 @@
 
 /* Learns from the duration of a step, unless an earlier owner started it. */
 static void
-learn_duration(bp_shard_t *shard, const bp_qstep_t *step)
+learn_duration(bp_shard_t *shard, bp_qstep_t *step)
 {
-	if (step->remaining_tasks == 0 && step->first_start_ms != 0)
+	if (step->remaining_tasks > 0)
+		return;
+	bp_qstep_note_end(step, bp_shard_now_ms(shard));
+	if (step->first_start_ms != 0)
 		bp_estimates_add_sample(shard->estimates,
 		    step->job->spec->queue, step->spec->expected_ms,
 		    bp_shard_now_ms(shard) - step->first_start_ms);
@@ -195,8 +198,10 @@
 
 	if (run != NULL) {
 		count_end(exec, run, task, row->kind);
-		if (row->kind == BP_END_DONE)
+		if (row->kind == BP_END_DONE) {
 			bp_qrun_learn_duration(run);
+			bp_qrun_note_done(run);
+		}
 		bp_qrun_remove(run);
 	}
 	if (task == NULL)
--- a/src/queues/shard_priority.c
+++ b/src/queues/shard_priority.c
@@ -1,24 +1,18 @@
 #include "queues/shard_private.h"
 
+#include <string.h>
+
 /* Range of the mean weights of jobs whose interference counts as equal. */
 #define INTERFERENCE_CLASS 0.5
 /* A job that takes this multiple of its objective has no value any more. */
 #define WORTHLESS_FACTOR 3
 
-/* Outlook of a step's job on its objective; the lowest value goes first. */
-typedef enum {
-	OUTLOOK_IN_TIME, /* it can still meet its objective */
-	OUTLOOK_LONG_RUNNING, /* long-running: occupies its capacity for long */
-	OUTLOOK_LATE, /* late, but has some value left */
-	OUTLOOK_NONE
-} outlook_t;
-
 typedef struct {
 	bp_qstep_t *step;
 	uint32_t priority;
-	outlook_t outlook;
+	bp_outlook_t outlook;
 	bool filler;
-	bp_batch_in_time_t in_time; /* its job, of OUTLOOK_IN_TIME */
+	bp_batch_in_time_t in_time; /* its job, of BP_OUTLOOK_IN_TIME */
 	bp_batch_claim_t claim;
 	guint rank; /* among claims */
 	int64_t due_ms;
@@ -29,7 +23,7 @@
  * due first starts each job at the last moment that still counts as in time, so
  * its critical path is scaled by how long such steps have actually taken.
  */
-static outlook_t
+static bp_outlook_t
 outlook_of(const bp_shard_t *shard, const bp_qstep_t *step, int64_t wall_ms)
 {
 	const bp_qjob_t *job = step->job;
@@ -39,13 +33,13 @@
 	    (int64_t)((double)job->critical_paths_ms[step->number] * factor);
 
 	if (step->spec->lasting)
-		return OUTLOOK_LONG_RUNNING;
+		return BP_OUTLOOK_LONG_RUNNING;
 	if (job->spec->times > 0 || end_ms <= job->due_ms)
-		return OUTLOOK_IN_TIME;
+		return BP_OUTLOOK_IN_TIME;
 	return end_ms - job->spec->accepted_ms <=
 		WORTHLESS_FACTOR * objective_ms
-	    ? OUTLOOK_LATE
-	    : OUTLOOK_NONE;
+	    ? BP_OUTLOOK_LATE
+	    : BP_OUTLOOK_NONE;
 }
 
 /* Orders candidates. With the same priority and outlook, fillers go last: they
@@ -68,7 +62,7 @@
 		return x->claim != BP_BATCH_CLAIM_NONE ? -1 : 1;
 	if (x->claim != BP_BATCH_CLAIM_NONE)
 		return (x->rank > y->rank) - (x->rank < y->rank);
-	if (x->filler && x->outlook == OUTLOOK_IN_TIME)
+	if (x->filler && x->outlook == BP_OUTLOOK_IN_TIME)
 		return bp_batch_compare_in_time(&x->in_time, &y->in_time);
 	return (x->due_ms > y->due_ms) - (x->due_ms < y->due_ms);
 }
@@ -191,8 +185,8 @@
 {
 	candidate_t candidate = {.step = step,
 	    .priority = step->job->spec->priority,
-	    .outlook =
-		claim == BP_BATCH_CLAIM_LATE ? OUTLOOK_LATE : OUTLOOK_IN_TIME,
+	    .outlook = claim == BP_BATCH_CLAIM_LATE ? BP_OUTLOOK_LATE
+						    : BP_OUTLOOK_IN_TIME,
 	    .filler = true,
 	    .claim = claim,
 	    .rank = rank};
@@ -247,6 +241,19 @@
 	return work > 0 ? (uint32_t)(weights / work / INTERFERENCE_CLASS) : 0;
 }
 
+/* Counts the ready batch tasks by the outlook of their jobs. */
+static void
+count_ready(bp_shard_t *shard, bp_qstep_t *step, bp_outlook_t outlook)
+{
+	step->outlook = outlook;
+	if (!step->spec->filler)
+		return;
+	if (step->job->started)
+		shard->ready_begun[outlook] += step->waiting_tasks;
+	else
+		shard->ready_new[outlook] += step->waiting_tasks;
+}
+
 static void
 add_candidates(
     GArray *candidates, bp_shard_t *shard, bp_qjob_t *job, int64_t wall_ms)
@@ -264,7 +271,7 @@
 		bp_qstep_t *step = &job->steps[i];
 		candidate_t candidate = {.step = step,
 		    .priority = job->spec->priority,
-		    .outlook = OUTLOOK_NONE,
+		    .outlook = BP_OUTLOOK_NONE,
 		    .filler = step->spec->filler,
 		    .due_ms = MAX(job->due_ms, bp_qstep_not_before_ms(step))};
 
@@ -275,6 +282,8 @@
 			continue;
 		}
 		candidate.outlook = outlook_of(shard, step, wall_ms);
+		bp_qstep_note_ready(step, bp_shard_now_ms(shard));
+		count_ready(shard, step, candidate.outlook);
 		candidate.in_time.started = job->started;
 		if (candidate.filler && !job->started)
 			candidate.in_time.interference =
@@ -298,6 +307,8 @@
 	int64_t wall_ms = bp_shard_wall_ms(shard);
 	guint i;
 
+	memset(shard->ready_begun, 0, sizeof(shard->ready_begun));
+	memset(shard->ready_new, 0, sizeof(shard->ready_new));
 	for (i = 0; i < shard->active_jobs->len; i++) {
 		bp_qjob_t *job = shard->active_jobs->pdata[i];
 
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -91,6 +91,8 @@
 	uint32_t percent; /* of its work, as last reported */
 	int64_t paused_ms; /* monotonic, since when */
 	uint32_t speed_percent; /* limit; 0: paused; BP_QRUN_SPEED_UNKNOWN */
+	int64_t speed_since_ms; /* monotonic, of the limit */
+	int64_t slowed_ms; /* lost to earlier limits */
 	int64_t adopted_ms; /* monotonic, from an earlier epoch; 0: its limit is
 			     * not that of an earlier owner */
 	int64_t progress_ms; /* monotonic, when percent last changed */
@@ -232,6 +234,7 @@
 	int64_t rounds_us;
 	int64_t ordering_us;
 	int64_t delayed_ms;
+	uint64_t batch_starts[BP_OUTLOOKS];
 } bp_qsummary_counts_t;
 
 typedef enum {
@@ -328,6 +331,9 @@
 	uint64_t counts_refused_lasting; /* long-running jobs */
 	uint64_t counts_examined; /* executors checked for tasks */
 	uint64_t counts_compared; /* the same, only with their limits */
+	uint64_t counts_batch_starts[BP_OUTLOOKS]; /* by the last round */
+	uint32_t ready_begun[BP_OUTLOOKS]; /* batch tasks of begun jobs */
+	uint32_t ready_new[BP_OUTLOOKS]; /* of jobs that have not begun */
 	int64_t rounds_us; /* total time spent in rounds */
 	int64_t ordering_us; /* of it, for the order of the steps */
 	int64_t round_wanted_ms; /* monotonic, request of the next round */
@@ -500,6 +506,13 @@
 void bp_shard_large_counts(
     const bp_shard_t *shard, bp_shard_count_t report, void *data);
 
+/* shard_jobtimes.c */
+void bp_qstep_note_ready(bp_qstep_t *step, int64_t now_ms);
+void bp_qrun_set_speed(bp_qrun_t *run, uint32_t percent);
+void bp_qrun_note_done(bp_qrun_t *run);
+void bp_qstep_note_end(bp_qstep_t *step, int64_t now_ms);
+void bp_shard_log_job_end(const bp_shard_t *shard, const bp_qjob_t *job);
+
 /* shard_leases.c */
 void bp_shard_check_leases(bp_shard_t *shard);
 
--- a/src/queues/shard_summary.c
+++ b/src/queues/shard_summary.c
@@ -1,6 +1,7 @@
 #include "queues/shard_private.h"
 
 #include <stdio.h>
+#include <string.h>
 
 #define US_PER_MS 1000
 #define MILLI 1000
@@ -116,9 +117,50 @@
 	    .ordering_us = shard->ordering_us,
 	    .delayed_ms = shard->rounds_delayed_ms};
 
+	memcpy(counts.batch_starts, shard->counts_batch_starts,
+	    sizeof(counts.batch_starts));
 	return counts;
 }
 
+/* Logs the ready batch tasks of the last round by the outlook of their jobs,
+ * and the starts of batch tasks since the last summary in the same way. */
+static void
+log_batch(const bp_shard_t *shard, const bp_qsummary_counts_t *now)
+{
+	static const bp_outlook_t outlooks[] = {
+	    BP_OUTLOOK_IN_TIME, BP_OUTLOOK_LATE, BP_OUTLOOK_NONE};
+	static const char *const names[] = {"in_time", "late", "no_value"};
+	GString *text = g_string_new("");
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(outlooks); i++) {
+		bp_outlook_t outlook = outlooks[i];
+
+		g_string_append_printf(text, "%s%s=%u+%u started=%u",
+		    i > 0 ? " " : "", names[i], shard->ready_begun[outlook],
+		    shard->ready_new[outlook],
+		    (unsigned)(now->batch_starts[outlook] -
+			shard->last_summary.batch_starts[outlook]));
+	}
+	bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE,
+	    "ready batch tasks", "outlook", text->str, NULL);
+	g_string_free(text, TRUE);
+}
+
+/* Logs how long the steps of each queue take, as a multiple of what their jobs
+ * declare. */
+static void
+log_factors(const bp_shard_t *shard)
+{
+	GString *text = g_string_new("");
+
+	bp_estimates_describe(shard->estimates, text);
+	if (text->len > 0)
+		bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE,
+		    "durations of steps", "factors", text->str, NULL);
+	g_string_free(text, TRUE);
+}
+
 /* Logs what rounds have cost since the last summary: the steps that they tried
  * to place, the executors that they looked at, and how long a round was held
  * back on average. */
@@ -167,6 +209,8 @@
 	bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE, "work done",
 	    "state", text, NULL);
 	log_rounds(shard, &now);
+	log_batch(shard, &now);
+	log_factors(shard);
 	shard->last_summary = now;
 	shard->lag_ms = 0;
 }
--- a/src/queues/shard_throttle.c
+++ b/src/queues/shard_throttle.c
@@ -43,7 +43,7 @@
 
 	g_hash_table_remove(throttle->shard->throttles, throttle);
 	if (result->outcome != BP_EXEC_OK)
-		throttle->run->speed_percent = BP_QRUN_SPEED_UNKNOWN;
+		bp_qrun_set_speed(throttle->run, BP_QRUN_SPEED_UNKNOWN);
 	bp_qrun_unref_order(throttle->run);
 	g_free(throttle);
 }
@@ -98,7 +98,7 @@
 	throttle->run = run;
 	if (percent == 0)
 		run->paused_ms = bp_shard_now_ms(shard);
-	run->speed_percent = percent;
+	bp_qrun_set_speed(run, percent);
 	run->adopted_ms = 0;
 	exec->slacks_stale = true;
 	bp_qrun_ref_order(run);
@@ -348,6 +348,7 @@
 		    run->percent < MOVE_PERCENT_MAX) {
 			run->task->last_failed_executor = exec;
 			exec->shard->counts_moved++;
+			run->task->step->job->times.moves++;
 			bp_shard_stop_run(
 			    exec->shard, run, "paused because of interference");
 		}
--- a/tests/queues/test_estimates.c
+++ b/tests/queues/test_estimates.c
@@ -48,6 +48,23 @@
 	bp_estimates_free(estimates);
 }
 
+/* The log line lists queues by name. */
+static void
+test_the_factors_are_described(void)
+{
+	bp_estimates_t *estimates = bp_estimates_new();
+	GString *text = g_string_new("");
+
+	bp_estimates_describe(estimates, text);
+	CU_ASSERT_STRING_EQUAL(text->str, "");
+	bp_estimates_add_sample(estimates, "b", 100, 150);
+	bp_estimates_add_sample(estimates, "a", 100, 300);
+	bp_estimates_describe(estimates, text);
+	CU_ASSERT_STRING_EQUAL(text->str, "a=3.00 b=1.50");
+	g_string_free(text, TRUE);
+	bp_estimates_free(estimates);
+}
+
 /* Without samples the declared duration is the middle, and a multiple of it
  * the tail; guards against an estimate of 0 for an unknown queue. */
 static void
@@ -119,6 +136,7 @@
 main(void)
 {
 	CU_TestInfo tests[] = {
+	    {"the factors are described", test_the_factors_are_described},
 	    {"an unknown queue", test_an_unknown_queue},
 	    {"most steps keep within", test_most_steps_keep_within},
 	    {"outliers are bounded", test_outliers_are_bounded},
