--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -592,6 +592,96 @@
   assert(message->base.descriptor == &bp__work__pairs__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__work__queue_work__init
+                     (Bp__Work__QueueWork         *message)
+{
+  static const Bp__Work__QueueWork init_value = BP__WORK__QUEUE_WORK__INIT;
+  *message = init_value;
+}
+size_t bp__work__queue_work__get_packed_size
+                     (const Bp__Work__QueueWork *message)
+{
+  assert(message->base.descriptor == &bp__work__queue_work__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__work__queue_work__pack
+                     (const Bp__Work__QueueWork *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__work__queue_work__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__work__queue_work__pack_to_buffer
+                     (const Bp__Work__QueueWork *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__work__queue_work__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__Work__QueueWork *
+       bp__work__queue_work__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__Work__QueueWork *)
+     protobuf_c_message_unpack (&bp__work__queue_work__descriptor,
+                                allocator, len, data);
+}
+void   bp__work__queue_work__free_unpacked
+                     (Bp__Work__QueueWork *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__work__queue_work__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bp__work__queue_works__init
+                     (Bp__Work__QueueWorks         *message)
+{
+  static const Bp__Work__QueueWorks init_value = BP__WORK__QUEUE_WORKS__INIT;
+  *message = init_value;
+}
+size_t bp__work__queue_works__get_packed_size
+                     (const Bp__Work__QueueWorks *message)
+{
+  assert(message->base.descriptor == &bp__work__queue_works__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__work__queue_works__pack
+                     (const Bp__Work__QueueWorks *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__work__queue_works__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__work__queue_works__pack_to_buffer
+                     (const Bp__Work__QueueWorks *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__work__queue_works__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__Work__QueueWorks *
+       bp__work__queue_works__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__Work__QueueWorks *)
+     protobuf_c_message_unpack (&bp__work__queue_works__descriptor,
+                                allocator, len, data);
+}
+void   bp__work__queue_works__free_unpacked
+                     (Bp__Work__QueueWorks *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__work__queue_works__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__work__rack_shard__init
                      (Bp__Work__RackShard         *message)
 {
@@ -2204,6 +2294,108 @@
   (ProtobufCMessageInit) bp__work__pairs__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__work__queue_work__field_descriptors[3] =
+{
+  {
+    "queue",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__QueueWork, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__QueueWork, work),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "steps",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__QueueWork, steps),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__work__queue_work__field_indices_by_name[] = {
+  0,   /* field[0] = queue */
+  2,   /* field[2] = steps */
+  1,   /* field[1] = work */
+};
+static const ProtobufCIntRange bp__work__queue_work__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bp__work__queue_work__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.work.QueueWork",
+  "QueueWork",
+  "Bp__Work__QueueWork",
+  "bp.work",
+  sizeof(Bp__Work__QueueWork),
+  3,
+  bp__work__queue_work__field_descriptors,
+  bp__work__queue_work__field_indices_by_name,
+  1,  bp__work__queue_work__number_ranges,
+  (ProtobufCMessageInit) bp__work__queue_work__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bp__work__queue_works__field_descriptors[1] =
+{
+  {
+    "queues",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bp__Work__QueueWorks, n_queues),
+    offsetof(Bp__Work__QueueWorks, queues),
+    &bp__work__queue_work__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__work__queue_works__field_indices_by_name[] = {
+  0,   /* field[0] = queues */
+};
+static const ProtobufCIntRange bp__work__queue_works__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor bp__work__queue_works__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.work.QueueWorks",
+  "QueueWorks",
+  "Bp__Work__QueueWorks",
+  "bp.work",
+  sizeof(Bp__Work__QueueWorks),
+  1,
+  bp__work__queue_works__field_descriptors,
+  bp__work__queue_works__field_indices_by_name,
+  1,  bp__work__queue_works__number_ranges,
+  (ProtobufCMessageInit) bp__work__queue_works__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bp__work__rack_shard__field_descriptors[3] =
 {
   {
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -28,6 +28,8 @@
 typedef struct Bp__Work__OrderResult Bp__Work__OrderResult;
 typedef struct Bp__Work__Pair Bp__Work__Pair;
 typedef struct Bp__Work__Pairs Bp__Work__Pairs;
+typedef struct Bp__Work__QueueWork Bp__Work__QueueWork;
+typedef struct Bp__Work__QueueWorks Bp__Work__QueueWorks;
 typedef struct Bp__Work__RackShard Bp__Work__RackShard;
 typedef struct Bp__Work__Plan Bp__Work__Plan;
 
@@ -400,6 +402,36 @@
     , 0,NULL }
 
 
+/*
+ * The work of a queue's steps as a multiple of what they declare, so that a
+ * successor need not learn it anew.
+ */
+struct  Bp__Work__QueueWork
+{
+  ProtobufCMessage base;
+  char *queue;
+  double work;
+  /*
+   * that it was learned from
+   */
+  uint32_t steps;
+};
+#define BP__WORK__QUEUE_WORK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__work__queue_work__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Bp__Work__QueueWorks
+{
+  ProtobufCMessage base;
+  size_t n_queues;
+  Bp__Work__QueueWork **queues;
+};
+#define BP__WORK__QUEUE_WORKS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__work__queue_works__descriptor) \
+    , 0,NULL }
+
+
 /*
  * How a deployment is split; written once, by the first node.
  */
@@ -674,6 +706,44 @@
 void   bp__work__pairs__free_unpacked
                      (Bp__Work__Pairs *message,
                       ProtobufCAllocator *allocator);
+/* Bp__Work__QueueWork methods */
+void   bp__work__queue_work__init
+                     (Bp__Work__QueueWork         *message);
+size_t bp__work__queue_work__get_packed_size
+                     (const Bp__Work__QueueWork   *message);
+size_t bp__work__queue_work__pack
+                     (const Bp__Work__QueueWork   *message,
+                      uint8_t             *out);
+size_t bp__work__queue_work__pack_to_buffer
+                     (const Bp__Work__QueueWork   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__Work__QueueWork *
+       bp__work__queue_work__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__work__queue_work__free_unpacked
+                     (Bp__Work__QueueWork *message,
+                      ProtobufCAllocator *allocator);
+/* Bp__Work__QueueWorks methods */
+void   bp__work__queue_works__init
+                     (Bp__Work__QueueWorks         *message);
+size_t bp__work__queue_works__get_packed_size
+                     (const Bp__Work__QueueWorks   *message);
+size_t bp__work__queue_works__pack
+                     (const Bp__Work__QueueWorks   *message,
+                      uint8_t             *out);
+size_t bp__work__queue_works__pack_to_buffer
+                     (const Bp__Work__QueueWorks   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__Work__QueueWorks *
+       bp__work__queue_works__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__work__queue_works__free_unpacked
+                     (Bp__Work__QueueWorks *message,
+                      ProtobufCAllocator *allocator);
 /* Bp__Work__RackShard methods */
 void   bp__work__rack_shard__init
                      (Bp__Work__RackShard         *message);
@@ -753,6 +823,12 @@
 typedef void (*Bp__Work__Pairs_Closure)
                  (const Bp__Work__Pairs *message,
                   void *closure_data);
+typedef void (*Bp__Work__QueueWork_Closure)
+                 (const Bp__Work__QueueWork *message,
+                  void *closure_data);
+typedef void (*Bp__Work__QueueWorks_Closure)
+                 (const Bp__Work__QueueWorks *message,
+                  void *closure_data);
 typedef void (*Bp__Work__RackShard_Closure)
                  (const Bp__Work__RackShard *message,
                   void *closure_data);
@@ -780,6 +856,8 @@
 extern const ProtobufCMessageDescriptor bp__work__order_result__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__pair__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__pairs__descriptor;
+extern const ProtobufCMessageDescriptor bp__work__queue_work__descriptor;
+extern const ProtobufCMessageDescriptor bp__work__queue_works__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__rack_shard__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__plan__descriptor;
 
--- a/src/queues/estimates.c
+++ b/src/queues/estimates.c
@@ -1,5 +1,9 @@
 #include "queues/estimates.h"
 
+#include "bulrushpost/message.h"
+#include "proto/work.pb-c.h"
+
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -8,6 +12,8 @@
 /* Weights of one step in the smoothed mean and deviation, as in RFC 6298. */
 #define MEAN_RATE 0.125
 #define DEVIATION_RATE 0.25
+/* Steps over which the mean of their work is taken. */
+#define WORK_SAMPLES 64
 /* Bound of one sample: a step that stalled says nothing about others. */
 #define SAMPLE_MAX 4.0
 /* Latest runs of one image from which quantiles are taken. */
@@ -32,6 +38,12 @@
 	double deviation;
 } ratio_t;
 
+/* Work of the steps of a queue as a multiple of what they declare. */
+typedef struct {
+	double mean;
+	uint32_t samples;
+} work_t;
+
 /* Multiples of the declared duration that the latest runs took. */
 typedef struct {
 	float latest[RUN_SAMPLES]; /* a ring */
@@ -44,6 +56,7 @@
 
 struct bp_estimates {
 	GHashTable *queues; /* name to ratio_t */
+	GHashTable *works; /* queue to work_t */
 	GHashTable *queue_runs; /* name to runs_t */
 	GHashTable *image_runs; /* queue, line feed and image to runs_t */
 };
@@ -56,6 +69,8 @@
 
 	estimates->queues =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	estimates->works =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	estimates->queue_runs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	estimates->image_runs =
@@ -70,6 +85,7 @@
 	if (estimates == NULL)
 		return;
 	g_hash_table_unref(estimates->queues);
+	g_hash_table_unref(estimates->works);
 	g_hash_table_unref(estimates->queue_runs);
 	g_hash_table_unref(estimates->image_runs);
 	g_free(estimates);
@@ -105,6 +121,89 @@
 	return ratio == NULL ? FACTOR_DEFAULT : ratio->mean + ratio->deviation;
 }
 
+/* See the header. */
+void
+bp_estimates_add_work(bp_estimates_t *estimates, const char *queue,
+    int64_t expected_ms, int64_t work_ms)
+{
+	work_t *work = g_hash_table_lookup(estimates->works, queue);
+	double sample = (double)work_ms / (double)MAX(expected_ms, 1);
+
+	sample = CLAMP(sample, 0, SAMPLE_MAX);
+	if (work == NULL) {
+		work = g_new0(work_t, 1);
+		g_hash_table_insert(estimates->works, g_strdup(queue), work);
+	}
+	work->samples = MIN(work->samples + 1, WORK_SAMPLES);
+	work->mean += (sample - work->mean) / work->samples;
+}
+
+/* See the header. */
+double
+bp_estimates_work(const bp_estimates_t *estimates, const char *queue)
+{
+	const work_t *work = g_hash_table_lookup(estimates->works, queue);
+
+	return work == NULL ? FACTOR_DEFAULT : work->mean;
+}
+
+/* See the header. */
+GBytes *
+bp_estimates_serialize_works(const bp_estimates_t *estimates)
+{
+	guint n = g_hash_table_size(estimates->works);
+	Bp__Work__QueueWork *rows = g_new(Bp__Work__QueueWork, n);
+	Bp__Work__QueueWorks out = BP__WORK__QUEUE_WORKS__INIT;
+	GHashTableIter iter;
+	gpointer queue;
+	gpointer value;
+	GBytes *bytes;
+
+	out.queues = g_new(Bp__Work__QueueWork *, n);
+	g_hash_table_iter_init(&iter, estimates->works);
+	while (g_hash_table_iter_next(&iter, &queue, &value)) {
+		const work_t *work = value;
+		Bp__Work__QueueWork *row = &rows[out.n_queues];
+
+		bp__work__queue_work__init(row);
+		row->queue = queue;
+		row->work = work->mean;
+		row->steps = work->samples;
+		out.queues[out.n_queues++] = row;
+	}
+	bytes = bp_message_pack(&out.base);
+	g_free(out.queues);
+	g_free(rows);
+	return bytes;
+}
+
+/* See the header. */
+bool
+bp_estimates_deserialize_works(
+    bp_estimates_t *estimates, const uint8_t *bytes, size_t size_bytes)
+{
+	Bp__Work__QueueWorks *in =
+	    bp__work__queue_works__unpack(NULL, size_bytes, bytes);
+	size_t i;
+
+	if (in == NULL)
+		return false;
+	for (i = 0; i < in->n_queues; i++) {
+		const Bp__Work__QueueWork *row = in->queues[i];
+		work_t *work;
+
+		if (!isfinite(row->work))
+			continue;
+		work = g_new0(work_t, 1);
+		work->mean = CLAMP(row->work, 0, SAMPLE_MAX);
+		work->samples = MIN(row->steps, WORK_SAMPLES);
+		g_hash_table_replace(
+		    estimates->works, g_strdup(row->queue), work);
+	}
+	bp__work__queue_works__free_unpacked(in, NULL);
+	return true;
+}
+
 /* See the header. */
 void
 bp_estimates_describe(const bp_estimates_t *estimates, GString *out)
@@ -114,9 +213,10 @@
 	GList *name;
 
 	for (name = names; name != NULL; name = name->next)
-		g_string_append_printf(out, "%s%s=%.2f",
+		g_string_append_printf(out, "%s%s=%.2f/%.2f",
 		    out->len > 0 ? " " : "", (const char *)name->data,
-		    bp_estimates_factor(estimates, name->data));
+		    bp_estimates_factor(estimates, name->data),
+		    bp_estimates_work(estimates, name->data));
 	g_list_free(names);
 }
 
--- a/src/queues/estimates.h
+++ b/src/queues/estimates.h
@@ -2,6 +2,7 @@
 #define BP_QUEUES_ESTIMATES_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 /*
@@ -17,6 +18,17 @@
     int64_t expected_ms, int64_t took_ms);
 /* Returns a multiple that most steps of the queue do not exceed. */
 double bp_estimates_factor(const bp_estimates_t *estimates, const char *queue);
+/* Adds a step whose longest run took work_ms without delays. */
+void bp_estimates_add_work(bp_estimates_t *estimates, const char *queue,
+    int64_t expected_ms, int64_t work_ms);
+/* Returns the mean work of the queue's steps as a multiple of what they
+ * declare; 1 before the first sample. */
+double bp_estimates_work(const bp_estimates_t *estimates, const char *queue);
+/* Serialize and read the work of all queues; what was read counts like samples
+ * of this owner. Returns whether the bytes are well-formed. */
+GBytes *bp_estimates_serialize_works(const bp_estimates_t *estimates);
+bool bp_estimates_deserialize_works(
+    bp_estimates_t *estimates, const uint8_t *bytes, size_t size_bytes);
 /* Appends the factors of all queues to a log line, by name. */
 void bp_estimates_describe(const bp_estimates_t *estimates, GString *out);
 
--- a/src/queues/job.c
+++ b/src/queues/job.c
@@ -185,6 +185,7 @@
 	job->steps = g_new0(bp_qstep_t, job->n_steps * job->occurrences);
 	init_steps(job);
 	init_critical_paths(job);
+	job->chains_ms = g_new0(int64_t, job->n_steps);
 	job->due_ms = spec->accepted_ms + spec->objective_ms +
 	    critical_path_ms(job) * spec->stretch_permille / PERMILLE;
 	return job;
@@ -216,6 +217,7 @@
 	g_free(job->steps);
 	g_free(job->parts);
 	g_free(job->critical_paths_ms);
+	g_free(job->chains_ms);
 	if (job->waiters != NULL)
 		g_array_unref(job->waiters);
 	bp__work__job__free_unpacked(job->spec, NULL);
--- a/src/queues/job.h
+++ b/src/queues/job.h
@@ -97,6 +97,7 @@
 	uint32_t waiting_tasks; /* in BP_QTASK_WAITING */
 	const double *interference_weights; /* NULL before first use */
 	uint32_t filler_index; /* of a filler image; 0 before the first use */
+	int64_t work_ms; /* longest run without delays; 0: none ended */
 	int64_t ready_ms; /* monotonic, seen by this owner; 0: not yet */
 	int64_t first_start_ms; /* monotonic, by this owner; 0: none */
 	int64_t all_started_ms; /* the last first start of a task */
@@ -138,6 +139,8 @@
 	int64_t ended_ms; /* Unix ms */
 	int64_t *critical_paths_ms; /* estimates, from each step on */
 	int64_t due_ms; /* Unix ms, latest end that meets the objective */
+	int64_t *chains_ms; /* of work from each step on; see jobwork.h */
+	int64_t work_due_ms; /* the same as due_ms, by the work */
 	uint32_t n_parts; /* of its progress; 0: one record */
 	uint8_t *parts; /* BP_QPART flags */
 	bp_qrejections_t rejections;
--- a/src/queues/shard_jobtimes.c
+++ b/src/queues/shard_jobtimes.c
@@ -34,18 +34,23 @@
 	run->speed_percent = percent;
 }
 
-/* Notes that a run was done: it may be the last of its step. */
+/* Notes that a run was done, which tells the work of its step: it may be the
+ * last of the step. */
 void
 bp_qrun_note_done(bp_qrun_t *run)
 {
+	int64_t now_ms = bp_shard_now_ms(run->exec->shard);
 	bp_qstep_end_t *end;
 
 	if (run->task == NULL)
 		return;
-	add_slowed(run, bp_shard_now_ms(run->exec->shard));
+	add_slowed(run, now_ms);
 	end = &run->task->step->end;
 	end->started_ms = run->adopted_ms == 0 ? run->started_ms : 0;
 	end->slowed_ms = run->slowed_ms;
+	if (run->adopted_ms == 0 && !run->resumed)
+		bp_qstep_add_work(
+		    run->task->step, now_ms - run->started_ms - run->slowed_ms);
 	end->rerun = run->number % BP_SHARD_RUNS_PER_EPOCH != 1;
 }
 
@@ -99,7 +104,7 @@
 	    " gather=%" PRId64 " repeat=%" PRId64 " last=%" PRId64
 	    " slowed=%" PRId64,
 	    job->ended_ms - job->spec->accepted_ms,
-	    job->due_ms - job->spec->accepted_ms, times->begin_ms,
+	    job->work_due_ms - job->spec->accepted_ms, times->begin_ms,
 	    times->gather_ms, times->repeat_ms, times->last_ms,
 	    times->slowed_ms);
 	bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE, "job ended",
--- a/src/queues/shard_load.c
+++ b/src/queues/shard_load.c
@@ -166,6 +166,21 @@
 		log_unreadable(shard, record->key);
 }
 
+static void
+load_works(bp_shard_t *shard)
+{
+	const bp_store_record_t *record =
+	    g_hash_table_lookup(shard->loaded_records, BP_SHARD_KEY_WORKS);
+	gsize size = 0;
+	const uint8_t *bytes;
+
+	if (record == NULL || record->value == NULL)
+		return;
+	bytes = g_bytes_get_data(record->value, &size);
+	if (!bp_estimates_deserialize_works(shard->estimates, bytes, size))
+		log_unreadable(shard, record->key);
+}
+
 /* Builds the state of the shard from the records that were read. */
 void
 bp_shard_load(bp_shard_t *shard)
@@ -178,6 +193,7 @@
 	load_prefix(shard, BP_SHARD_PREFIX_PART, bp_shard_load_part);
 	load_prefix(shard, BP_SHARD_PREFIX_HOLDER, load_holder);
 	load_filler_model(shard);
+	load_works(shard);
 	g_hash_table_iter_init(&iter, shard->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		bp_qjob_t *job = value;
--- a/src/queues/shard_orders.c
+++ b/src/queues/shard_orders.c
@@ -245,6 +245,7 @@
 	start.run = run->number;
 	start.payload = task->step->job->spec->payload;
 	start.checkpoint = task->checkpoint;
+	run->resumed = task->checkpoint != NULL && task->checkpoint[0] != '\0';
 	shard->counts_started++;
 	task->step->job->times.starts++;
 	if (task->step->spec->filler)
--- a/src/queues/shard_pollresults.c
+++ b/src/queues/shard_pollresults.c
@@ -134,6 +134,9 @@
 	if (step->remaining_tasks > 0)
 		return;
 	bp_qstep_note_end(step, bp_shard_now_ms(shard));
+	if (step->work_ms > 0)
+		bp_estimates_add_work(shard->estimates, step->job->spec->queue,
+		    step->spec->expected_ms, step->work_ms);
 	if (step->first_start_ms != 0)
 		bp_estimates_add_sample(shard->estimates,
 		    step->job->spec->queue, step->spec->expected_ms,
--- a/src/queues/shard_priority.c
+++ b/src/queues/shard_priority.c
@@ -18,23 +18,55 @@
 	int64_t due_ms;
 } candidate_t;
 
+/* Times that the outlook of a job goes by. */
+typedef struct {
+	int64_t due_ms; /* Unix ms */
+	int64_t left_ms; /* from the start of the step to the job's end */
+} prospect_t;
+
+/* Tells whether a step's outlook goes by the work of its job. */
+static bool
+goes_by_work(const bp_qstep_t *step)
+{
+	return step->spec->filler && step->job->spec->times == 0;
+}
+
 /*
- * Returns the outlook of a job if its step starts now. Under overload, earliest
- * due first starts each job at the last moment that still counts as in time, so
- * its critical path is scaled by how long such steps have actually taken.
+ * Returns the times of a job if its step starts now. Batch goes by its work: by
+ * how long its steps take at present, all jobs would count as late once steps
+ * are delayed by more than the objective allows, and nothing would keep the
+ * delays from lasting. Of other steps earliest due first would start each at
+ * the last moment that still counts as in time, so their critical paths are
+ * scaled by how long such steps have actually taken.
  */
+static prospect_t
+prospect_of(const bp_shard_t *shard, const bp_qstep_t *step)
+{
+	const bp_qjob_t *job = step->job;
+	prospect_t prospect = {job->work_due_ms, job->chains_ms[step->number]};
+
+	if (!goes_by_work(step)) {
+		prospect.due_ms = job->due_ms;
+		prospect.left_ms =
+		    (int64_t)((double)job->critical_paths_ms[step->number] *
+			bp_estimates_factor(
+			    shard->estimates, job->spec->queue));
+	}
+	return prospect;
+}
+
+/* Returns the outlook of a job if its step starts now. */
 static bp_outlook_t
 outlook_of(const bp_shard_t *shard, const bp_qstep_t *step, int64_t wall_ms)
 {
 	const bp_qjob_t *job = step->job;
-	int64_t objective_ms = job->due_ms - job->spec->accepted_ms;
-	double factor = bp_estimates_factor(shard->estimates, job->spec->queue);
-	int64_t end_ms = wall_ms +
-	    (int64_t)((double)job->critical_paths_ms[step->number] * factor);
+	prospect_t prospect = prospect_of(shard, step);
+	int64_t objective_ms = prospect.due_ms - job->spec->accepted_ms;
+	int64_t end_ms = wall_ms + prospect.left_ms;
 
 	if (step->spec->lasting)
 		return BP_OUTLOOK_LONG_RUNNING;
-	if (job->spec->times > 0 || end_ms <= job->due_ms)
+	if (job->spec->times > 0 || end_ms <= prospect.due_ms)
 		return BP_OUTLOOK_IN_TIME;
 	return end_ms - job->spec->accepted_ms <=
 		WORTHLESS_FACTOR * objective_ms
@@ -267,6 +299,8 @@
 		bp_customer_add_waiting_job(job->account);
 	if (!job->accepted || job->cancelling || bp_qjob_ended(job))
 		return;
+	bp_qjob_update_work(
+	    job, bp_estimates_work(shard->estimates, job->spec->queue));
 	for (i = 0; i < job->n_steps * job->occurrences; i++) {
 		bp_qstep_t *step = &job->steps[i];
 		candidate_t candidate = {.step = step,
@@ -288,6 +322,8 @@
 		if (candidate.filler && !job->started)
 			candidate.in_time.interference =
 			    interference_of(shard, job);
+		if (goes_by_work(step))
+			candidate.due_ms = job->work_due_ms;
 		candidate.in_time.due_ms = candidate.due_ms;
 		g_array_append_val(candidates, candidate);
 	}
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -9,6 +9,7 @@
 #include "queues/estimates.h"
 #include "queues/headroom.h"
 #include "queues/job.h"
+#include "queues/jobwork.h"
 #include "queues/recordwriter.h"
 #include "queues/fillermodel.h"
 #include "queues/roomplan.h"
@@ -32,6 +33,7 @@
 /* Keys of a shard's records (docs/platform.md); an ID follows a prefix. */
 #define BP_SHARD_KEY_OWNER "owner"
 #define BP_SHARD_KEY_FILLER_MODEL "pairs"
+#define BP_SHARD_KEY_WORKS "works"
 #define BP_SHARD_PREFIX_JOB "j/"
 #define BP_SHARD_PREFIX_PROGRESS "p/"
 #define BP_SHARD_PREFIX_PART "q/" /* followed by ID/part */
@@ -87,6 +89,7 @@
 	uint64_t answered_seq; /* shard's event count at the last answer */
 	bool lease_expired; /* kept until a stop is answered */
 	int64_t started_ms; /* monotonic */
+	bool resumed; /* from a checkpoint */
 	int64_t stop_sent_ms; /* monotonic, 0 for never */
 	uint32_t percent; /* of its work, as last reported */
 	int64_t paused_ms; /* monotonic, since when */
@@ -284,7 +287,7 @@
 	bp_estimates_t *estimates;
 	bp_headroom_t *headroom; /* NULL unless urgent work has one */
 	bp_filler_model_t *filler_model;
-	int64_t filler_model_stored_ms; /* monotonic */
+	int64_t learned_stored_ms; /* monotonic, the model and the works */
 	GHashTable *orders; /* contexts of orders in flight */
 	GHashTable *polls; /* contexts of polls in flight */
 	GHashTable *throttles; /* contexts of throttle orders in flight */
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -6,7 +6,7 @@
 
 /* Least time between two records of the interference model, which is stored
  * only together with other records. */
-#define FILLER_MODEL_PERIOD_MS 3000
+#define LEARNED_PERIOD_MS 3000
 /*
  * Jobs are added to an append up to this size: the platform's store accepts at
  * most 2 MiB per call, and a larger one would never succeed.
@@ -161,22 +161,31 @@
 		bp_record_writer_request(shard->writer, false);
 }
 
+/* Adds what was learned under a key. A record that the store could not take is
+ * left out: each owner then learns anew. Takes ownership of bytes. */
 static void
-add_filler_model_record(bp_shard_t *shard, GPtrArray *records)
+add_learned_record(GPtrArray *records, const char *key, GBytes *bytes)
+{
+	if (g_bytes_get_size(bytes) > 0 &&
+	    g_bytes_get_size(bytes) <= BP_QJOB_RECORD_BYTES_MAX)
+		add_record(records, "", key, bytes);
+	g_bytes_unref(bytes);
+}
+
+/* Adds what a later owner need not learn anew. */
+static void
+add_learned_records(bp_shard_t *shard, GPtrArray *records)
 {
 	int64_t now_ms = bp_shard_now_ms(shard);
-	GBytes *bytes;
 
 	if (records->len == 0 ||
-	    now_ms - shard->filler_model_stored_ms < FILLER_MODEL_PERIOD_MS)
+	    now_ms - shard->learned_stored_ms < LEARNED_PERIOD_MS)
 		return;
-	bytes = bp_filler_model_serialize(shard->filler_model);
-	/* A model of very many images is learned anew by each owner. */
-	if (g_bytes_get_size(bytes) > 0 &&
-	    g_bytes_get_size(bytes) <= BP_QJOB_RECORD_BYTES_MAX)
-		add_record(records, "", BP_SHARD_KEY_FILLER_MODEL, bytes);
-	shard->filler_model_stored_ms = now_ms;
-	g_bytes_unref(bytes);
+	add_learned_record(records, BP_SHARD_KEY_FILLER_MODEL,
+	    bp_filler_model_serialize(shard->filler_model));
+	add_learned_record(records, BP_SHARD_KEY_WORKS,
+	    bp_estimates_serialize_works(shard->estimates));
+	shard->learned_stored_ms = now_ms;
 }
 
 /* Returns the record that makes this node the owner. */
@@ -328,7 +337,7 @@
 	for (i = 0; i < shard->deleted_keys->len; i++)
 		add_record(records, "", shard->deleted_keys->pdata[i], NULL);
 	g_ptr_array_set_size(shard->deleted_keys, 0);
-	add_filler_model_record(shard, records);
+	add_learned_records(shard, records);
 	add_owner_record(shard, records);
 	/* Run ends that change no job are acknowledged without a record. */
 	if (records->len == 0)
