--- a/src/queues/shard_throttle.c
+++ b/src/queues/shard_throttle.c
@@ -8,9 +8,13 @@
 #define OVERRUN_SHARE 0.95
 #define SPEED_FULL 100
 #define PERCENT 100
-/* Fillers are paused when a tail latency was near its target in this number of
- * consecutive samples; it must not stay above the target for about 4 s. */
+/* Fillers that interfere with a serving task are paused when its tail latency
+ * was near its target in this number of consecutive samples; it must not stay
+ * above the target for about 4 s. */
 #define OVERRUNS_TO_PAUSE 4
+/* All others of the executor are, too, after one more: the model may be wrong
+ * about them. */
+#define OVERRUNS_TO_PAUSE_ALL 5
 /* A filler that was paused for this long is moved to another executor. */
 #define MOVE_AFTER_PAUSED_MS 500
 /* Without checkpoints it is moved only before this share of its work. */
@@ -273,17 +277,43 @@
 	return worst;
 }
 
+/* Tells whether a filler interferes with a serving task whose tail latency is
+ * near its target. */
+static bool
+interferes_with_overrun(const bp_qexec_t *exec, const bp_qrun_t *filler)
+{
+	double capacity = MAX(exec->info->cpu_milli, 1);
+	guint i;
+
+	for (i = 0; i < exec->runs->len; i++) {
+		const bp_qrun_t *run = exec->runs->pdata[i];
+
+		if (is_serving(run) &&
+		    (double)run->measured >
+			OVERRUN_SHARE * run->task->step->spec->target_ms &&
+		    bp_shard_slack_loss(exec->shard, run->task->step,
+			filler->task->step, capacity) > 0)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Reduces a predicted speed limit when measured latencies contradict it: a tail
- * latency near its target halves all fillers, one that stays there pauses them.
+ * latency near its target halves the fillers that interfere with its task, one
+ * that stays there pauses them, and at last all fillers.
  */
 static uint32_t
 limit_by_overruns(
     const bp_qexec_t *exec, const bp_qrun_t *run, uint32_t percent)
 {
-	if (exec->consecutive_overruns >= OVERRUNS_TO_PAUSE)
+	bool interferes = exec->consecutive_overruns > 0 &&
+	    interferes_with_overrun(exec, run);
+
+	if (exec->consecutive_overruns >= OVERRUNS_TO_PAUSE_ALL ||
+	    (interferes && exec->consecutive_overruns >= OVERRUNS_TO_PAUSE))
 		return 0;
-	if (exec->consecutive_overruns > 0)
+	if (interferes)
 		percent = MIN(percent, MIN(run->speed_percent, SPEED_FULL) / 2);
 	return percent < SPEED_MIN ? 0 : percent;
 }
--- a/tests/queues/test_lists.c
+++ b/tests/queues/test_lists.c
@@ -131,6 +131,74 @@
 	bp_shardsim_free(sim);
 }
 
+static Bp__Work__Step *
+new_filler(uint32_t tasks, uint32_t cpu_milli)
+{
+	Bp__Work__Step *step = bp_shardsim_step(tasks, cpu_milli);
+
+	step->filler = true;
+	step->image = strdup("filler");
+	return step;
+}
+
+/* A filler that takes hardly any latency, and the samples over a target after
+ * which it is paused as well. */
+#define SMALL_JOB "000000000000000c"
+#define SMALL_MILLI 100
+#define OVERRUNS_TO_PAUSE_ALL 5
+#define SAMPLE_MS 600
+
+/* Returns the number of speed limits that were ordered for a job; *last_percent
+ * is the last of them. */
+static uint32_t
+count_throttles(
+    const bp_shardsim_t *sim, const char *job, uint32_t *last_percent)
+{
+	uint32_t throttles = 0;
+	uint32_t i;
+
+	for (i = 0; i < sim->n_orders; i++) {
+		const bp_sim_order_t *order = &sim->orders[i];
+
+		if (order->kind != BP_SIM_THROTTLE ||
+		    !g_str_has_prefix(order->task, job))
+			continue;
+		throttles++;
+		*last_percent = order->percent;
+	}
+	return throttles;
+}
+
+/*
+ * Guards against fillers that are slowed, paused and moved because of a serving
+ * task with which they do not interfere (SHORT on pecanslate-sched-grown), and
+ * against a wrong model of them that keeps the task over its target.
+ */
+static void
+test_only_fillers_that_interfere_are_slowed(void)
+{
+	bp_shardsim_t *sim = sim_with_fillers();
+	uint32_t percent = 100;
+	uint32_t i;
+
+	bp_shardsim_submit_step(sim, SMALL_JOB, new_filler(1, SMALL_MILLI));
+	bp_shardsim_run_ms(sim, 300);
+	bp_shardsim_answer(bp_shardsim_open_order(sim, BP_SIM_START, NULL),
+	    BP_EXEC_OK, 0, NULL);
+	for (i = 1; i < OVERRUNS_TO_PAUSE_ALL; i++) {
+		answer_with_runs(
+		    sim, 1000 + i * SAMPLE_MS, 2 * TARGET_MS, 2 + FILLERS);
+		CU_ASSERT_EQUAL(count_throttles(sim, SMALL_JOB, &percent), 0);
+		bp_shardsim_run_ms(sim, SAMPLE_MS);
+	}
+	CU_ASSERT_TRUE(
+	    count_throttles(sim, "000000000000000b", &percent) >= FILLERS);
+	answer_with_runs(sim, 1000 + i * SAMPLE_MS, 2 * TARGET_MS, 2 + FILLERS);
+	CU_ASSERT_EQUAL(count_throttles(sim, SMALL_JOB, &percent), 1);
+	CU_ASSERT_EQUAL(percent, 0);
+	bp_shardsim_free(sim);
+}
+
 /* Guards against fillers that stay paused for long instead of being moved. */
 static void
 test_a_paused_filler_is_moved_soon(void)
@@ -155,16 +223,6 @@
 #define NARROW_MILLI 1000
 #define WIDE_MILLI 7000
 
-static Bp__Work__Step *
-new_filler(uint32_t tasks, uint32_t cpu_milli)
-{
-	Bp__Work__Step *step = bp_shardsim_step(tasks, cpu_milli);
-
-	step->filler = true;
-	step->image = strdup("filler");
-	return step;
-}
-
 /*
  * Guards against unused processors: a filler that no executor can run at most
  * of its full speed accepts a slower placement after 1 s.
@@ -307,6 +365,8 @@
 	    {"an overtaken list ends no run",
 		test_an_overtaken_list_ends_no_run},
 	    {"fillers are slowed alike", test_fillers_are_slowed_alike},
+	    {"only fillers that interfere are slowed",
+		test_only_fillers_that_interfere_are_slowed},
 	    {"a filler at rest is moved soon",
 		test_a_paused_filler_is_moved_soon},
 	    {"a filler takes a slow place", test_a_filler_takes_a_slow_place},
