--- a/tests/queues/test_jobwork.c
+++ b/tests/queues/test_jobwork.c
@@ -36,7 +36,7 @@
 	spec->accepted_ms = ACCEPTED_MS;
 	spec->objective_ms = OBJECTIVE_MS;
 	spec->stretch_permille = STRETCH_PERMILLE;
-	spec->steps = calloc(3, sizeof(*spec->steps));
+	spec->steps = calloc(3, sizeof(Bp__Work__Step *));
 	add_step(spec, 1000, -1);
 	add_step(spec, 500, 0);
 	add_step(spec, 2000, 0);
