--- a/src/queues/job.h
+++ b/src/queues/job.h
@@ -100,7 +100,7 @@
 	int64_t work_ms; /* longest run without delays; 0: none ended */
 	int64_t ready_ms; /* monotonic, seen by this owner; 0: not yet */
 	int64_t first_start_ms; /* monotonic, by this owner; 0: none */
-	int64_t all_started_ms; /* the last first start of a task */
+	int64_t all_started_ms; /* monotonic, last first start of a task */
 	bp_qstep_end_t end;
 	const void *failed_on[2]; /* executors, since a run of it succeeded */
 	int64_t unplaced_ms; /* monotonic, since when; 0: not unplaced */
@@ -138,10 +138,13 @@
 	int64_t claim_tried_ms; /* monotonic, a claim was last used */
 	int64_t ended_ms; /* Unix ms */
 	int64_t *critical_paths_ms; /* estimates, from each step on */
-	int64_t due_ms; /* Unix ms, latest end that meets the objective */
-	int64_t *chains_ms; /* of work from each step on; see jobwork.h */
+	/* Unix ms, latest end that meets the objective by what is declared;
+	 * that of long-running and repeated jobs, and for large tasks. */
+	int64_t due_ms;
+	/* By the work, see jobwork.h. */
+	int64_t *chains_ms; /* longest chain from each step on */
 	int64_t chain_ms; /* the longest of them */
-	int64_t work_due_ms; /* the same as due_ms, by the work */
+	int64_t work_due_ms; /* Unix ms, as due_ms */
 	uint32_t n_parts; /* of its progress; 0: one record */
 	uint8_t *parts; /* BP_QPART flags */
 	bp_qrejections_t rejections;
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -334,9 +334,11 @@
 	uint64_t counts_refused_lasting; /* long-running jobs */
 	uint64_t counts_examined; /* executors checked for tasks */
 	uint64_t counts_compared; /* the same, only with their limits */
-	uint64_t counts_batch_starts[BP_OUTLOOKS]; /* by the last round */
-	uint32_t ready_begun[BP_OUTLOOKS]; /* batch tasks of begun jobs */
-	uint32_t ready_new[BP_OUTLOOKS]; /* of jobs that have not begun */
+	uint64_t counts_batch_starts[BP_OUTLOOKS];
+	/* Ready batch tasks in the last round, of jobs that have begun and of
+	 * others. */
+	uint32_t ready_begun[BP_OUTLOOKS];
+	uint32_t ready_new[BP_OUTLOOKS];
 	int64_t rounds_us; /* total time spent in rounds */
 	int64_t ordering_us; /* of it, for the order of the steps */
 	int64_t round_wanted_ms; /* monotonic, request of the next round */
