Adopted runs tell nothing of the work of their steps

Cause: whether a run was adopted was taken from the time that is cleared with its first speed limit. An adopted run that was limited counted as started at its adoption, so that the work of its step, and the mean of its queue, came out too short after a takeover. Found when the change was read.

Change: a flag of the run.

Not measured by itself, and without a test of its own: the work of a step is not visible outside the owner.

--- a/src/queues/shard_jobtimes.c
+++ b/src/queues/shard_jobtimes.c
@@ -3,7 +3,10 @@
 #include <inttypes.h>
 #include <stdio.h>
 
-/* Where the time of jobs goes, for the log line at their end. */
+/*
+ * Where the time of jobs goes, for the log line at their end, and what their
+ * runs tell of the work of their steps.
+ */
 
 #define SPEED_FULL 100
 
@@ -46,9 +49,9 @@
 		return;
 	add_slowed(run, now_ms);
 	end = &run->task->step->end;
-	end->started_ms = run->adopted_ms == 0 ? run->started_ms : 0;
+	end->started_ms = run->adopted ? 0 : run->started_ms;
 	end->slowed_ms = run->slowed_ms;
-	if (run->adopted_ms == 0 && !run->resumed)
+	if (!run->adopted && !run->resumed)
 		bp_qstep_add_work(
 		    run->task->step, now_ms - run->started_ms - run->slowed_ms);
 	end->rerun = run->number % BP_SHARD_RUNS_PER_EPOCH != 1;
--- a/src/queues/shard_pollresults.c
+++ b/src/queues/shard_pollresults.c
@@ -241,6 +241,7 @@
 
 	run->state = BP_QRUN_RUNNING;
 	run->speed_percent = BP_QRUN_SPEED_UNKNOWN;
+	run->adopted = true;
 	run->adopted_ms = bp_shard_now_ms(exec->shard);
 	if (task != NULL)
 		task->last_run = MAX(task->last_run, row->run);
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -96,6 +96,7 @@
 	uint32_t speed_percent; /* limit; 0: paused; BP_QRUN_SPEED_UNKNOWN */
 	int64_t speed_since_ms; /* monotonic, of the limit */
 	int64_t slowed_ms; /* lost to earlier limits */
+	bool adopted; /* started by an earlier owner */
 	int64_t adopted_ms; /* monotonic, from an earlier epoch; 0: its limit is
 			     * not that of an earlier owner */
 	int64_t progress_ms; /* monotonic, when percent last changed */
