--- a/review/7/case.c
+++ b/review/7/case.c
@@ -35,7 +35,7 @@
 int
 main(void)
 {
-	const setup_t setup = {6, 16000, 3};
+	const setup_t setup = {6, 16000, 3, 0};
 	bool lost = false;
 	bool unasked = false;
 	int status;
--- a/review/standin-2/platform.c
+++ b/review/standin-2/platform.c
@@ -788,11 +788,13 @@
 	uint64_t acked;
 	uint64_t sequence;
 	bool down;
+	int64_t down_ms; /* monotonic, since when; 0: its entry is removed */
 } exec_t;
 
 static exec_t execs[EXECS_MAX];
 static uint32_t n_execs;
 static uint32_t exec_cpu;
+static uint32_t exec_others;
 
 static int64_t
 exec_clock(const exec_t *exec)
@@ -1149,16 +1151,28 @@
 	    "\"zone\":\"z%u\",\"version\":\"v1\",\"slots\":8,\"state\":"
 	    "\"ready\","
 	    "\"cold_remaining_ms\":0,\"capacity\":{\"cpu\":%u,\"mem_mb\":64000,"
-	    "\"gpu\":0},\"labels\":[\"a\",\"r%u\"],\"clock_ms\":%d,\"born\":"
+	    "\"gpu\":0},\"labels\":[\"%s\",\"r%u\"],\"clock_ms\":%d,\"born\":"
 	    "%" G_GINT64_FORMAT ",\"sequence\":%u}",
-	    exec->port, index % 3, exec_cpu, index / 2, (int)exec_clock(exec),
-	    exec->born, (unsigned)++exec->sequence);
+	    exec->port, index % 3, exec_cpu, index < exec_others ? "b" : "a",
+	    index / 2, (int)exec_clock(exec), exec->born,
+	    (unsigned)++exec->sequence);
 
 	put(part_of("keyed.servers", 0), exec->id, strlen(exec->id), entry,
 	    strlen(entry));
 	g_free(entry);
 }
 
+/* The entry of an executor is removed after three heartbeats of silence. */
+static void
+expire_entry(exec_t *exec)
+{
+	if (exec->down_ms == 0 || now_ms() - exec->down_ms < 3 * HEARTBEAT_MS)
+		return;
+	exec->down_ms = 0;
+	put(part_of("keyed.servers", 0), exec->id, strlen(exec->id), "", 0);
+	note("the entry of executor %u is removed", (unsigned)(exec - execs));
+}
+
 static gpointer
 run_executors(gpointer data)
 {
@@ -1169,8 +1183,10 @@
 	for (;;) {
 		lock();
 		for (i = 0; i < n_execs; i++) {
-			if (execs[i].down)
+			if (execs[i].down) {
+				expire_entry(&execs[i]);
 				continue;
+			}
 			advance(&execs[i]);
 			if (now_ms() - beat_ms >= HEARTBEAT_MS)
 				beat(&execs[i]);
@@ -1200,6 +1216,7 @@
 
 	lock();
 	exec->down = true;
+	exec->down_ms = now_ms();
 	for (i = 0; i < runs->len; i++) {
 		run_t *run = runs->pdata[i];
 
@@ -1745,6 +1762,7 @@
 	runs = g_ptr_array_new();
 	connections = g_ptr_array_new();
 	exec_cpu = setup->cpu;
+	exec_others = setup->others;
 	n_execs = setup->executors;
 	for (i = 0; i < n_execs; i++) {
 		g_snprintf(
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -55,6 +55,7 @@
 	uint32_t executors;
 	uint32_t cpu; /* of each executor, in thousandths */
 	uint32_t nodes;
+	uint32_t others; /* so many executors, the first ones, are of kind "b" */
 } setup_t;
 
 void platform_start(const setup_t *setup);
