--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,11 +7,11 @@
 mkdir -p "$out"
 flags=$(pkg-config --cflags glib-2.0 gio-2.0 json-glib-1.0)
 libs=$(pkg-config --libs glib-2.0 gio-2.0 json-glib-1.0)
-for n in 6 7 8 9 10; do
+for n in 6 7 8 9 10 beyond-2/fillers; do
 	c=review/$n/case.c
 	[ -e "$c" ] || continue
 	# shellcheck disable=SC2086
 	gcc -O2 -g -Wall -Wextra -Ireview/standin-2 $flags \
-		-o "$out/case-$n" "$c" review/standin-2/platform.c \
-		$libs -lpthread
+		-o "$out/case-$(basename "$n")" "$c" \
+		review/standin-2/platform.c $libs -lpthread
 done
