--- /dev/null
+++ b/review/beyond-2/mixed/run.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Exit code: 1 the rule is broken, 0 it holds, 2 the case could not run.
+cd "$(dirname "$(readlink -f "$0")")/../../.." || exit 2
+[ -x target/review-2/case-mixed ] || exit 2
+RECORD=review/beyond-2/mixed/record.txt timeout -s KILL 118 \
+	target/review-2/case-mixed
+rc=$?
+[ "$rc" -le 2 ] || exit 2
+exit "$rc"
