--- a/review/beyond-2/fillers/run.sh
+++ b/review/beyond-2/fillers/run.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
 # Exit code: 1 the rule is broken, 0 it holds, 2 the case could not run.
+# TROUBLE=0 does the same without the disruption.
+export TROUBLE="${TROUBLE:-1}"
 cd "$(dirname "$(readlink -f "$0")")/../../.." || exit 2
 [ -x target/review-2/case-fillers ] || exit 2
 RECORD=review/beyond-2/fillers/record.txt timeout -s KILL 118 \
