--- a/include/bulrushpost/shard.h
+++ b/include/bulrushpost/shard.h
@@ -70,7 +70,8 @@
  * Result of a call on a job. Kinds: BP_OK, BP_ENOTFOUND, BP_EINVALID,
  * BP_ELOGDOWN (store unavailable, nothing done), BP_EOVERLOAD (refused by the
  * share of the customer, nothing done), BP_ESTATE (not the owner, nothing
- * done), BP_EUNKNOWN (may or may not have been done).
+ * done; or the owner's configuration is too old to tell whose job it is),
+ * BP_EUNKNOWN (may or may not have been done).
  */
 typedef struct {
 	bp_error_kind_t kind;
@@ -123,11 +124,12 @@
 /* Takes ownership of job. */
 void bp_shard_submit(
     bp_shard_t *shard, Bp__Work__Job *job, bp_shard_done_t done, void *data);
-void bp_shard_status(bp_shard_t *shard, const char *queue, const char *id,
-    bp_shard_answer_t *out);
-void bp_shard_cancel(bp_shard_t *shard, const char *queue, const char *id,
+void bp_shard_status(
+    bp_shard_t *shard, const Bp__Work__JobRef *call, bp_shard_answer_t *out);
+void bp_shard_cancel(bp_shard_t *shard, const Bp__Work__JobRef *call,
     bp_shard_done_t done, void *data);
-uint64_t bp_shard_count_waiting(const bp_shard_t *shard, const char *queue);
+uint64_t bp_shard_count_waiting(
+    const bp_shard_t *shard, const Bp__Work__JobRef *queue);
 /*
  * Explains why tasks of a job wait, as JSON. Returns a string to be freed, or
  * NULL for an unknown job.
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -91,6 +91,9 @@
    * body: serialized work.Job
    */
   BP__PEER__VERB__VERB_QUEUE_SUBMIT = 17,
+  /*
+   * The bodies of the next three are work.JobRef; earlier releases send none.
+   */
   /*
    * args: queue, job id
    */
@@ -112,8 +115,10 @@
    */
   BP__PEER__VERB__VERB_QUEUE_HELLO = 22,
   /*
-   * preferred|standby, processors in thousandths;
-   * answer: args "owner" from the shard's owner
+   * preferred|storing|standby (storing: preferred, and the store
+   * answers its appends), processors in thousandths; answer: args
+   * "owner" from the shard's owner, else ""; "unanswered" asks
+   * the sender to find out if the store answers its appends
    */
   /*
    * args: shard; answer: args "owner", or "stopped" and for how
--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &bp__work__job__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bp__work__job_ref__init
+                     (Bp__Work__JobRef         *message)
+{
+  static const Bp__Work__JobRef init_value = BP__WORK__JOB_REF__INIT;
+  *message = init_value;
+}
+size_t bp__work__job_ref__get_packed_size
+                     (const Bp__Work__JobRef *message)
+{
+  assert(message->base.descriptor == &bp__work__job_ref__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bp__work__job_ref__pack
+                     (const Bp__Work__JobRef *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bp__work__job_ref__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bp__work__job_ref__pack_to_buffer
+                     (const Bp__Work__JobRef *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bp__work__job_ref__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bp__Work__JobRef *
+       bp__work__job_ref__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bp__Work__JobRef *)
+     protobuf_c_message_unpack (&bp__work__job_ref__descriptor,
+                                allocator, len, data);
+}
+void   bp__work__job_ref__free_unpacked
+                     (Bp__Work__JobRef *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bp__work__job_ref__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bp__work__task_progress__init
                      (Bp__Work__TaskProgress         *message)
 {
@@ -1031,7 +1076,7 @@
   (ProtobufCMessageInit) bp__work__step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__work__job__field_descriptors[14] =
+static const ProtobufCFieldDescriptor bp__work__job__field_descriptors[17] =
 {
   {
     "id",
@@ -1201,16 +1246,55 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "host",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Job, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefix",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Job, prefix),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Job, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__work__job__field_indices_by_name[] = {
   12,   /* field[12] = accepted_ms */
   9,   /* field[9] = attempts */
+  16,   /* field[16] = config_version */
   13,   /* field[13] = customer */
   5,   /* field[5] = first_ms */
+  14,   /* field[14] = host */
   0,   /* field[0] = id */
   6,   /* field[6] = interval_ms */
   11,   /* field[11] = objective_ms */
   3,   /* field[3] = payload */
+  15,   /* field[15] = prefix */
   8,   /* field[8] = priority */
   1,   /* field[1] = queue */
   2,   /* field[2] = service */
@@ -1221,7 +1305,7 @@
 static const ProtobufCIntRange bp__work__job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor bp__work__job__descriptor =
 {
@@ -1231,13 +1315,103 @@
   "Bp__Work__Job",
   "bp.work",
   sizeof(Bp__Work__Job),
-  14,
+  17,
   bp__work__job__field_descriptors,
   bp__work__job__field_indices_by_name,
   1,  bp__work__job__number_ranges,
   (ProtobufCMessageInit) bp__work__job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bp__work__job_ref__field_descriptors[5] =
+{
+  {
+    "queue",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__JobRef, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__JobRef, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__JobRef, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefix",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__JobRef, prefix),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__JobRef, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bp__work__job_ref__field_indices_by_name[] = {
+  4,   /* field[4] = config_version */
+  2,   /* field[2] = host */
+  1,   /* field[1] = id */
+  3,   /* field[3] = prefix */
+  0,   /* field[0] = queue */
+};
+static const ProtobufCIntRange bp__work__job_ref__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor bp__work__job_ref__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bp.work.JobRef",
+  "JobRef",
+  "Bp__Work__JobRef",
+  "bp.work",
+  sizeof(Bp__Work__JobRef),
+  5,
+  bp__work__job_ref__field_descriptors,
+  bp__work__job_ref__field_indices_by_name,
+  1,  bp__work__job_ref__number_ranges,
+  (ProtobufCMessageInit) bp__work__job_ref__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bp__work__task_progress__field_descriptors[4] =
 {
   {
@@ -1316,7 +1490,7 @@
   (ProtobufCMessageInit) bp__work__task_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bp__work__progress__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bp__work__progress__field_descriptors[6] =
 {
   {
     "state",
@@ -1366,9 +1540,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "host",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Progress, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefix",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bp__Work__Progress, prefix),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bp__work__progress__field_indices_by_name[] = {
   2,   /* field[2] = ended_ms */
+  4,   /* field[4] = host */
+  5,   /* field[5] = prefix */
   3,   /* field[3] = queue */
   0,   /* field[0] = state */
   1,   /* field[1] = tasks */
@@ -1376,7 +1576,7 @@
 static const ProtobufCIntRange bp__work__progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bp__work__progress__descriptor =
 {
@@ -1386,7 +1586,7 @@
   "Bp__Work__Progress",
   "bp.work",
   sizeof(Bp__Work__Progress),
-  4,
+  6,
   bp__work__progress__field_descriptors,
   bp__work__progress__field_indices_by_name,
   1,  bp__work__progress__number_ranges,
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct Bp__Work__Step Bp__Work__Step;
 typedef struct Bp__Work__Job Bp__Work__Job;
+typedef struct Bp__Work__JobRef Bp__Work__JobRef;
 typedef struct Bp__Work__TaskProgress Bp__Work__TaskProgress;
 typedef struct Bp__Work__Progress Bp__Work__Progress;
 typedef struct Bp__Work__Owner Bp__Work__Owner;
@@ -163,10 +164,52 @@
    * name, empty for none
    */
   char *customer;
+  /*
+   * Where callers reach the job; empty if an earlier release accepted it.
+   */
+  /*
+   * of the queue's route, in lower case
+   */
+  char *host;
+  /*
+   * of the queue's route
+   */
+  char *prefix;
+  /*
+   * in which the call was routed
+   */
+  uint64_t config_version;
 };
 #define BP__WORK__JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__work__job__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * The job, or the queue, that a call of a caller is for. Nodes of earlier
+ * releases send only the queue's name and the ID.
+ */
+struct  Bp__Work__JobRef
+{
+  ProtobufCMessage base;
+  /*
+   * name of its route
+   */
+  char *queue;
+  /*
+   * empty for the queue
+   */
+  char *id;
+  /*
+   * as in Job
+   */
+  char *host;
+  char *prefix;
+  uint64_t config_version;
+};
+#define BP__WORK__JOB_REF__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bp__work__job_ref__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Bp__Work__TaskProgress
@@ -200,10 +243,15 @@
    * of an ended job, whose own record is dropped
    */
   char *queue;
+  /*
+   * As in Job, of an ended job or if the record of the job lacks them.
+   */
+  char *host;
+  char *prefix;
 };
 #define BP__WORK__PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bp__work__progress__descriptor) \
-    , BP__WORK__JOB_STATE__JOB_QUEUED, 0,NULL, 0, (char *)protobuf_c_empty_string }
+    , BP__WORK__JOB_STATE__JOB_QUEUED, 0,NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 struct  Bp__Work__Owner
@@ -497,6 +545,25 @@
 void   bp__work__job__free_unpacked
                      (Bp__Work__Job *message,
                       ProtobufCAllocator *allocator);
+/* Bp__Work__JobRef methods */
+void   bp__work__job_ref__init
+                     (Bp__Work__JobRef         *message);
+size_t bp__work__job_ref__get_packed_size
+                     (const Bp__Work__JobRef   *message);
+size_t bp__work__job_ref__pack
+                     (const Bp__Work__JobRef   *message,
+                      uint8_t             *out);
+size_t bp__work__job_ref__pack_to_buffer
+                     (const Bp__Work__JobRef   *message,
+                      ProtobufCBuffer     *buffer);
+Bp__Work__JobRef *
+       bp__work__job_ref__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bp__work__job_ref__free_unpacked
+                     (Bp__Work__JobRef *message,
+                      ProtobufCAllocator *allocator);
 /* Bp__Work__TaskProgress methods */
 void   bp__work__task_progress__init
                      (Bp__Work__TaskProgress         *message);
@@ -790,6 +857,9 @@
 typedef void (*Bp__Work__Job_Closure)
                  (const Bp__Work__Job *message,
                   void *closure_data);
+typedef void (*Bp__Work__JobRef_Closure)
+                 (const Bp__Work__JobRef *message,
+                  void *closure_data);
 typedef void (*Bp__Work__TaskProgress_Closure)
                  (const Bp__Work__TaskProgress *message,
                   void *closure_data);
@@ -845,6 +915,7 @@
 extern const ProtobufCEnumDescriptor    bp__work__order_kind__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__step__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__job__descriptor;
+extern const ProtobufCMessageDescriptor bp__work__job_ref__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__task_progress__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__progress__descriptor;
 extern const ProtobufCMessageDescriptor bp__work__owner__descriptor;
--- a/src/queues/cancelledids.c
+++ b/src/queues/cancelledids.c
@@ -1,23 +1,34 @@
 #include "queues/cancelledids.h"
 
+#include "bulrushpost/message.h"
+
 /* Time for which an ID is kept, ten times the usual deadline of a caller. */
 #define KEEP_MS 30000
 #define IDS_MAX 10000
 
 typedef struct {
-	char *key; /* owned by the set */
+	Bp__Work__JobRef *job;
 	int64_t added_ms; /* mono */
 } entry_t;
 
 struct bp_cancelled_ids {
-	GHashTable *keys; /* set of queue and ID */
+	GHashTable *jobs; /* ID to GPtrArray of entry_t, of several queues */
 	GQueue order; /* entry_t, the oldest first */
 };
 
-static char *
-key_of(const char *queue, const char *id)
+static void
+free_entries(gpointer entries)
 {
-	return g_strconcat(queue, "/", id, NULL);
+	g_ptr_array_unref(entries);
+}
+
+static void
+free_entry(gpointer data)
+{
+	entry_t *entry = data;
+
+	bp__work__job_ref__free_unpacked(entry->job, NULL);
+	g_free(entry);
 }
 
 /* See the header. */
@@ -26,8 +37,8 @@
 {
 	bp_cancelled_ids_t *ids = g_new0(bp_cancelled_ids_t, 1);
 
-	ids->keys =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	ids->jobs = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, free_entries);
 	g_queue_init(&ids->order);
 	return ids;
 }
@@ -38,8 +49,8 @@
 {
 	if (ids == NULL)
 		return;
-	g_queue_clear_full(&ids->order, g_free);
-	g_hash_table_unref(ids->keys);
+	g_hash_table_unref(ids->jobs);
+	g_queue_clear_full(&ids->order, free_entry);
 	g_free(ids);
 }
 
@@ -47,42 +58,65 @@
 drop_oldest(bp_cancelled_ids_t *ids)
 {
 	entry_t *entry = g_queue_pop_head(&ids->order);
+	GPtrArray *entries = g_hash_table_lookup(ids->jobs, entry->job->id);
 
-	g_hash_table_remove(ids->keys, entry->key);
-	g_free(entry);
+	(void)g_ptr_array_remove(entries, entry);
+	if (entries->len == 0)
+		g_hash_table_remove(ids->jobs, entry->job->id);
+	free_entry(entry);
+}
+
+/* Returns the entries of an ID; adds a list for a new one. */
+static GPtrArray *
+entries_of(bp_cancelled_ids_t *ids, const char *id)
+{
+	GPtrArray *entries = g_hash_table_lookup(ids->jobs, id);
+
+	if (entries == NULL) {
+		entries = g_ptr_array_new();
+		g_hash_table_insert(ids->jobs, g_strdup(id), entries);
+	}
+	return entries;
 }
 
 /* See the header. */
 void
-bp_cancelled_ids_add(
-    bp_cancelled_ids_t *ids, const char *queue, const char *id, int64_t now_ms)
+bp_cancelled_ids_add(bp_cancelled_ids_t *ids, const bp_catalog_t *catalog,
+    const Bp__Work__JobRef *job, int64_t now_ms)
 {
-	char *key = key_of(queue, id);
 	entry_t *entry;
 
-	if (g_hash_table_contains(ids->keys, key)) {
-		g_free(key);
+	if (bp_cancelled_ids_match(ids, catalog, job) == BP_JOB_REF_SAME)
 		return;
-	}
 	if (g_queue_get_length(&ids->order) >= IDS_MAX)
 		drop_oldest(ids);
-	g_hash_table_add(ids->keys, key);
 	entry = g_new(entry_t, 1);
-	entry->key = key;
+	entry->job = bp_message_copy(&job->base);
 	entry->added_ms = now_ms;
+	g_ptr_array_add(entries_of(ids, job->id), entry);
 	g_queue_push_tail(&ids->order, entry);
 }
 
 /* See the header. */
-bool
-bp_cancelled_ids_contains(
-    const bp_cancelled_ids_t *ids, const char *queue, const char *id)
+bp_job_ref_match_t
+bp_cancelled_ids_match(const bp_cancelled_ids_t *ids,
+    const bp_catalog_t *catalog, const Bp__Work__JobRef *call)
 {
-	char *key = key_of(queue, id);
-	bool found = g_hash_table_contains(ids->keys, key);
-
-	g_free(key);
-	return found;
+	const GPtrArray *entries = g_hash_table_lookup(ids->jobs, call->id);
+	bp_job_ref_match_t match = BP_JOB_REF_OTHER;
+	guint i;
+
+	for (i = 0;
+	     entries != NULL && i < entries->len && match != BP_JOB_REF_SAME;
+	     i++) {
+		const entry_t *entry = entries->pdata[i];
+		bp_job_ref_match_t found =
+		    bp_job_ref_match(catalog, entry->job, call);
+
+		if (found != BP_JOB_REF_OTHER)
+			match = found;
+	}
+	return match;
 }
 
 /* See the header. */
--- a/src/queues/job.h
+++ b/src/queues/job.h
@@ -133,6 +133,9 @@
 	bool dirty; /* has progress to be stored */
 	bool started; /* a task of it */
 	bool claimed; /* a claim to go first started what runs */
+	/* Its queue's host and prefix are stored with its progress, as the
+	 * record of an earlier release lacks them. */
+	bool resolved;
 	int64_t arrived_ms; /* monotonic, accepted; 0: by an earlier owner */
 	int64_t idle_since_ms; /* monotonic, nothing has run */
 	int64_t claim_tried_ms; /* monotonic, a claim was last used */
--- a/src/queues/job_progress.c
+++ b/src/queues/job_progress.c
@@ -1,6 +1,7 @@
 #include "queues/job.h"
 
 #include "bulrushpost/message.h"
+#include "queues/jobref.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -72,6 +73,10 @@
 	out.ended_ms = job->ended_ms;
 	if (ended)
 		out.queue = job->spec->queue;
+	if (ended || job->resolved) {
+		out.host = job->spec->host;
+		out.prefix = job->spec->prefix;
+	}
 	return pack_tasks(
 	    job, &out, 0, ended || job->n_parts > 0 ? 0 : BP_QJOB_PART_TASKS);
 }
@@ -155,14 +160,16 @@
 }
 
 static bp_qjob_t *
-new_without_tasks(const char *id, const char *queue, Bp__Work__JobState state,
-    int64_t ended_ms)
+new_without_tasks(
+    const Bp__Work__Job *known, Bp__Work__JobState state, int64_t ended_ms)
 {
 	Bp__Work__Job spec = BP__WORK__JOB__INIT;
 	bp_qjob_t *job;
 
-	spec.id = (char *)id;
-	spec.queue = (char *)queue;
+	spec.id = known->id;
+	spec.queue = known->queue;
+	spec.host = known->host;
+	spec.prefix = known->prefix;
 	job = bp_qjob_new(bp_message_copy(&spec.base));
 	job->state = state;
 	job->stored = state;
@@ -180,14 +187,20 @@
 {
 	Bp__Work__Progress *progress =
 	    bp__work__progress__unpack(NULL, size_bytes, bytes);
+	Bp__Work__Job spec = BP__WORK__JOB__INIT;
 	bp_qjob_t *job = NULL;
 
-	if (progress != NULL && progress->queue[0] != '\0' &&
+	if (progress == NULL)
+		return NULL;
+	spec.id = (char *)id;
+	spec.queue = progress->queue;
+	spec.host = progress->host;
+	spec.prefix = progress->prefix;
+	if (progress->queue[0] != '\0' &&
 	    progress->state >= BP__WORK__JOB_STATE__JOB_COMPLETED)
 		job = new_without_tasks(
-		    id, progress->queue, progress->state, progress->ended_ms);
-	if (progress != NULL)
-		bp__work__progress__free_unpacked(progress, NULL);
+		    &spec, progress->state, progress->ended_ms);
+	bp__work__progress__free_unpacked(progress, NULL);
 	return job;
 }
 
@@ -195,8 +208,8 @@
 bp_qjob_t *
 bp_qjob_new_compact(const bp_qjob_t *job)
 {
-	bp_qjob_t *copy = new_without_tasks(
-	    job->spec->id, job->spec->queue, job->state, job->ended_ms);
+	bp_qjob_t *copy =
+	    new_without_tasks(job->spec, job->state, job->ended_ms);
 
 	copy->accepted = job->accepted;
 	return copy;
@@ -217,6 +230,8 @@
 	job->stored = progress->state;
 	job->ended_ms = progress->ended_ms;
 	job->started = progress->state != BP__WORK__JOB_STATE__JOB_QUEUED;
+	job->resolved =
+	    bp_job_ref_set_address(job->spec, progress->host, progress->prefix);
 	load_tasks(job, progress);
 	bp__work__progress__free_unpacked(progress, NULL);
 	return BP_OK;
--- a/src/queues/jobrouter.c
+++ b/src/queues/jobrouter.c
@@ -1,15 +1,16 @@
 #include "queues/jobrouter_private.h"
 
+#include "bulrushpost/message.h"
+
 #include <stdlib.h>
 #include <string.h>
 
 static void
-start_call(bp_job_router_t *router, bp_job_call_kind_t kind, const char *queue,
-    const char *id, Bp__Work__Job *job, uint32_t deadline_ms,
+start_call(bp_job_router_t *router, bp_job_call_kind_t kind,
+    Bp__Work__JobRef *ref, Bp__Work__Job *job, uint32_t deadline_ms,
     bp_job_router_done_t done, void *data)
 {
-	bp_job_call_t *call =
-	    bp_job_call_new(router, kind, queue, id, done, data);
+	bp_job_call_t *call = bp_job_call_new(router, kind, ref, done, data);
 
 	call->job = job;
 	call->deadline_ms =
@@ -17,24 +18,37 @@
 	bp_job_call_try(call);
 }
 
+/* Returns a reference that the caller frees. */
+static Bp__Work__JobRef *
+refer(const bp_job_router_t *router, const bp_queue_route_t *route,
+    const char *id)
+{
+	return bp_job_ref_new(
+	    route, id, router->catalog != NULL ? router->catalog->version : 0);
+}
+
 /* See the header. */
 void
 bp_job_router_submit(bp_job_router_t *router, const bp_queue_route_t *route,
     const char *customer, const char *id, Bp__Work__Job *job,
     uint32_t deadline_ms, bp_job_router_done_t done, void *data)
 {
+	Bp__Work__JobRef *ref = refer(router, route, id);
+
 	free(job->id == protobuf_c_empty_string ? NULL : job->id);
 	job->id = strdup(id);
 	job->customer = strdup(customer);
 	job->queue = strdup(route->name);
+	(void)bp_job_ref_set_address(job, ref->host, ref->prefix);
+	job->config_version = ref->config_version;
 	job->service = strdup(route->service);
 	job->priority = route->priority;
 	job->attempts = MAX(route->attempts, 1);
 	job->stretch_permille = route->stretch_permille;
 	job->objective_ms = route->objective_ms;
 	job->accepted_ms = bp_clock_wall_ms(router->options.clock);
-	start_call(router, BP_JOB_CALL_SUBMIT, route->name, id, job,
-	    deadline_ms, done, data);
+	start_call(
+	    router, BP_JOB_CALL_SUBMIT, ref, job, deadline_ms, done, data);
 }
 
 /* See the header. */
@@ -42,7 +56,7 @@
 bp_job_router_status(bp_job_router_t *router, const bp_queue_route_t *route,
     const char *id, uint32_t deadline_ms, bp_job_router_done_t done, void *data)
 {
-	start_call(router, BP_JOB_CALL_STATUS, route->name, id, NULL,
+	start_call(router, BP_JOB_CALL_STATUS, refer(router, route, id), NULL,
 	    deadline_ms, done, data);
 }
 
@@ -51,14 +65,14 @@
 bp_job_router_cancel(bp_job_router_t *router, const bp_queue_route_t *route,
     const char *id, uint32_t deadline_ms, bp_job_router_done_t done, void *data)
 {
-	start_call(router, BP_JOB_CALL_CANCEL, route->name, id, NULL,
+	start_call(router, BP_JOB_CALL_CANCEL, refer(router, route, id), NULL,
 	    deadline_ms, done, data);
 }
 
 /* A count of waiting jobs, which asks the shards one after the other. */
 typedef struct {
 	bp_job_router_t *router;
-	char *queue;
+	Bp__Work__JobRef *queue;
 	uint32_t next_shard;
 	int64_t deadline_ms;
 	uint64_t waiting;
@@ -83,7 +97,7 @@
 		return;
 	}
 	count->done(&sum, count->data);
-	g_free(count->queue);
+	bp__work__job_ref__free_unpacked(count->queue, NULL);
 	g_free(count);
 }
 
@@ -91,7 +105,7 @@
 count_next(waiting_count_t *count)
 {
 	bp_job_call_t *call = bp_job_call_new(count->router, BP_JOB_CALL_COUNT,
-	    count->queue, "", on_counted, count);
+	    bp_message_copy(&count->queue->base), on_counted, count);
 
 	call->shard = count->next_shard;
 	call->deadline_ms = count->deadline_ms;
@@ -106,7 +120,7 @@
 	waiting_count_t *count = g_new0(waiting_count_t, 1);
 
 	count->router = router;
-	count->queue = g_strdup(route->name);
+	count->queue = refer(router, route, "");
 	count->deadline_ms =
 	    bp_job_router_answer_deadline_ms(router, deadline_ms);
 	count->done = done;
--- a/src/queues/jobrouter_call.c
+++ b/src/queues/jobrouter_call.c
@@ -33,8 +33,7 @@
 {
 	bp_job_call_t *call = data;
 
-	g_free(call->queue);
-	g_free(call->id);
+	bp__work__job_ref__free_unpacked(call->ref, NULL);
 	g_free(call->address);
 	if (call->job != NULL)
 		bp__work__job__free_unpacked(call->job, NULL);
@@ -96,9 +95,9 @@
 	bp_log(call->router->options.logger,
 	    refused ? BP_LOG_NOTICE : BP_LOG_INFO, MODULE,
 	    refused ? "call not served" : "call served", "call",
-	    kind_text(call->kind), "job", call->id, "queue", call->queue,
-	    "outcome", outcome_text(answer->outcome), "reason", answer->reason,
-	    "took_ms", elapsed_text, NULL);
+	    kind_text(call->kind), "job", call->ref->id, "queue",
+	    call->ref->queue, "outcome", outcome_text(answer->outcome),
+	    "reason", answer->reason, "took_ms", elapsed_text, NULL);
 }
 
 static void
@@ -303,15 +302,15 @@
 		    shard, bp_message_copy(&call->job->base), on_local, call);
 		return;
 	case BP_JOB_CALL_CANCEL:
-		bp_shard_cancel(shard, call->queue, call->id, on_local, call);
+		bp_shard_cancel(shard, call->ref, on_local, call);
 		return;
 	case BP_JOB_CALL_STATUS:
-		bp_shard_status(shard, call->queue, call->id, &answer);
+		bp_shard_status(shard, call->ref, &answer);
 		break;
 	case BP_JOB_CALL_COUNT:
 		if (!bp_shard_ready(shard))
 			answer.kind = BP_ESTATE;
-		answer.waiting = bp_shard_count_waiting(shard, call->queue);
+		answer.waiting = bp_shard_count_waiting(shard, call->ref);
 		break;
 	}
 	on_local(&answer, call);
@@ -372,15 +371,14 @@
 /* See the header. */
 bp_job_call_t *
 bp_job_call_new(bp_job_router_t *router, bp_job_call_kind_t kind,
-    const char *queue, const char *id, bp_job_router_done_t done, void *data)
+    Bp__Work__JobRef *ref, bp_job_router_done_t done, void *data)
 {
 	bp_job_call_t *call = g_rc_box_new0(bp_job_call_t);
 
 	call->router = router;
 	call->kind = kind;
-	call->queue = g_strdup(queue);
-	call->id = g_strdup(id);
-	call->shard = bp_sharding_shard_of_job(id, router->options.shards);
+	call->ref = ref;
+	call->shard = bp_sharding_shard_of_job(ref->id, router->options.shards);
 	call->start_ms = now_ms(router);
 	call->done = done;
 	call->data = data;
--- a/src/queues/jobrouter_private.h
+++ b/src/queues/jobrouter_private.h
@@ -2,6 +2,7 @@
 #define BP_QUEUES_JOBROUTER_PRIVATE_H
 
 #include "queues/callretry.h"
+#include "queues/jobref.h"
 #include "queues/jobrouter.h"
 
 /* Reason for which a stopped job router refuses calls. */
@@ -27,8 +28,7 @@
 	bp_job_router_t *router; /* NULL once the call is answered */
 	bp_job_call_kind_t kind;
 	uint32_t shard;
-	char *queue;
-	char *id;
+	Bp__Work__JobRef *ref;
 	Bp__Work__Job *job;
 	int64_t start_ms; /* mono */
 	int64_t deadline_ms; /* mono */
@@ -48,9 +48,10 @@
  * a pause of this process counts from its start. */
 int64_t bp_job_router_answer_deadline_ms(
     const bp_job_router_t *router, uint32_t deadline_ms);
-/* Creates an open call. Job and deadline are to be set before it is tried. */
+/* Creates an open call, which takes ownership of ref. Job and deadline are to
+ * be set before it is tried. */
 bp_job_call_t *bp_job_call_new(bp_job_router_t *router, bp_job_call_kind_t kind,
-    const char *queue, const char *id, bp_job_router_done_t done, void *data);
+    Bp__Work__JobRef *ref, bp_job_router_done_t done, void *data);
 /* Attempts the call at the owner of its shard, if that is known now. */
 void bp_job_call_try(bp_job_call_t *call);
 /* Sends the call to the owner at address, on another node. */
--- a/src/queues/jobrouter_remote.c
+++ b/src/queues/jobrouter_remote.c
@@ -96,18 +96,20 @@
 	int64_t left_ms =
 	    call->deadline_ms - bp_clock_mono_ms(call->router->options.clock);
 	char shard[16];
-	char *args[] = {call->queue, call->id};
-	GBytes *bytes = NULL;
+	char *args[] = {call->ref->queue, call->ref->id};
+	GBytes *bytes;
 	attempt_t *attempt = g_new0(attempt_t, 1);
 
 	snprintf(shard, sizeof(shard), "%u", call->shard);
 	frame.args = args;
 	frame.n_args = G_N_ELEMENTS(args);
+	bytes = bp_message_pack(call->kind == BP_JOB_CALL_SUBMIT
+		? &call->job->base
+		: &call->ref->base);
+	bp_message_refer(&frame.body, bytes);
 	switch (call->kind) {
 	case BP_JOB_CALL_SUBMIT:
 		frame.verb = BP__PEER__VERB__VERB_QUEUE_SUBMIT;
-		bytes = bp_message_pack(&call->job->base);
-		bp_message_refer(&frame.body, bytes);
 		break;
 	case BP_JOB_CALL_STATUS:
 		frame.verb = BP__PEER__VERB__VERB_QUEUE_STATUS;
@@ -129,5 +131,5 @@
 	bp_peer_client_call_full(call->router->options.client, address, &frame,
 	    (uint32_t)CLAMP(left_ms, 1, OWNER_TIMEOUT_MS), on_remote, attempt,
 	    on_dropped);
-	g_clear_pointer(&bytes, g_bytes_unref);
+	g_bytes_unref(bytes);
 }
--- a/src/queues/jobrouter_serve.c
+++ b/src/queues/jobrouter_serve.c
@@ -1,6 +1,7 @@
 #include "queues/jobrouter.h"
 
 #include "bulrushpost/error.h"
+#include "bulrushpost/message.h"
 #include "queues/sharding.h"
 
 #include <stdio.h>
@@ -62,8 +63,25 @@
 	bp_shard_submit(shard, job, on_served, request);
 }
 
+/* Returns the job or queue that a call is for, or NULL if it cannot be decoded.
+ * Nodes of earlier releases send its name and ID only. */
+static Bp__Work__JobRef *
+read_ref(const Bp__Peer__Frame *frame)
+{
+	Bp__Work__JobRef ref = BP__WORK__JOB_REF__INIT;
+
+	if (frame->body.len > 0)
+		return bp__work__job_ref__unpack(
+		    NULL, frame->body.len, frame->body.data);
+	ref.queue = frame->args[0];
+	if (frame->verb != BP__PEER__VERB__VERB_QUEUE_COUNT)
+		ref.id = frame->args[1];
+	return bp_message_copy(&ref.base);
+}
+
 static void
-serve_count(const bp_job_router_options_t *options, bp_peer_request_t *request)
+serve_count(const bp_job_router_options_t *options, bp_peer_request_t *request,
+    const Bp__Work__JobRef *queue)
 {
 	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
 	uint64_t number = g_ascii_strtoull(frame->args[1], NULL, 10);
@@ -73,8 +91,28 @@
 	if (shard == NULL || !bp_shard_ready(shard))
 		answer_frame(request, BP_ESTATE, 0, "not the owner");
 	else
-		answer_frame(request, BP_OK,
-		    bp_shard_count_waiting(shard, frame->args[0]), "");
+		answer_frame(
+		    request, BP_OK, bp_shard_count_waiting(shard, queue), "");
+}
+
+/* Serves a call on a known or unknown job. */
+static void
+serve_job(const bp_job_router_options_t *options, bp_peer_request_t *request,
+    const Bp__Work__JobRef *call)
+{
+	bp_shard_t *shard =
+	    options->owned[bp_sharding_shard_of_job(call->id, options->shards)];
+	bp_shard_answer_t answer;
+
+	if (shard == NULL) {
+		answer_frame(request, BP_ESTATE, 0, "not the owner");
+	} else if (bp_peer_request_frame(request)->verb ==
+	    BP__PEER__VERB__VERB_QUEUE_CANCEL) {
+		bp_shard_cancel(shard, call, on_served, request);
+	} else {
+		bp_shard_status(shard, call, &answer);
+		on_served(&answer, request);
+	}
 }
 
 /* See the header. */
@@ -83,8 +121,8 @@
 {
 	const bp_job_router_options_t *options = bp_job_router_options(router);
 	const Bp__Peer__Frame *frame = bp_peer_request_frame(request);
-	bp_shard_answer_t answer;
-	bp_shard_t *shard;
+	bool count = frame->verb == BP__PEER__VERB__VERB_QUEUE_COUNT;
+	Bp__Work__JobRef *ref;
 
 	if (frame->verb == BP__PEER__VERB__VERB_QUEUE_SUBMIT) {
 		serve_submit(options, request);
@@ -94,21 +132,15 @@
 		answer_frame(request, BP_EINVALID, 0, "two arguments expected");
 		return;
 	}
-	if (frame->verb == BP__PEER__VERB__VERB_QUEUE_COUNT) {
-		serve_count(options, request);
+	ref = read_ref(frame);
+	if (ref == NULL) {
+		answer_frame(
+		    request, BP_EINVALID, 0, "cannot decode the reference");
 		return;
 	}
-	shard = options->owned[bp_sharding_shard_of_job(
-	    frame->args[1], options->shards)];
-	if (shard == NULL) {
-		answer_frame(request, BP_ESTATE, 0, "not the owner");
-		return;
-	}
-	if (frame->verb == BP__PEER__VERB__VERB_QUEUE_CANCEL) {
-		bp_shard_cancel(
-		    shard, frame->args[0], frame->args[1], on_served, request);
-		return;
-	}
-	bp_shard_status(shard, frame->args[0], frame->args[1], &answer);
-	on_served(&answer, request);
+	if (count)
+		serve_count(options, request, ref);
+	else
+		serve_job(options, request, ref);
+	bp__work__job_ref__free_unpacked(ref, NULL);
 }
--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -429,6 +429,7 @@
 {
 	shard->catalog = catalog;
 	bp_customers_set_catalog(shard->customers, catalog);
+	bp_shard_resolve_queues(shard);
 	bp_shard_plan_round(shard, 0);
 }
 
--- a/src/queues/shard_calls.c
+++ b/src/queues/shard_calls.c
@@ -19,6 +19,7 @@
  * range over which these times are spread. */
 #define LASTING_RETRY_MS 5000
 #define LASTING_RETRY_SPREAD_MS 2000
+#define OLDER_CONFIGURATION "the owner has an earlier configuration"
 /* Least interval of counting the memory of all jobs. */
 #define JOBS_COUNT_INTERVAL_MS 500
 
@@ -51,12 +52,38 @@
 	    bp_shard_now_ms(shard) - since_ms > STORE_STALLED_MS;
 }
 
-static bp_qjob_t *
-find(const bp_shard_t *shard, const char *queue, const char *id)
+static bp_job_ref_match_t
+match_job(
+    const bp_shard_t *shard, const bp_qjob_t *job, const Bp__Work__JobRef *call)
 {
-	bp_qjob_t *job = g_hash_table_lookup(shard->jobs, id);
+	Bp__Work__JobRef known;
+	bp_job_ref_match_t match;
+
+	bp_job_ref_init(&known, job->spec);
+	match = bp_job_ref_match(shard->catalog, &known, call);
+	if (match != BP_JOB_REF_SAME)
+		bp_log(shard->options.logger, BP_LOG_NOTICE, BP_SHARD_MODULE,
+		    "a call names a job of another queue", "job", call->id,
+		    "queue", known.queue, "prefix", known.prefix,
+		    "called_queue", call->queue, "called_prefix", call->prefix,
+		    "undecided", match == BP_JOB_REF_UNDECIDED ? "yes" : "no",
+		    NULL);
+	return match;
+}
+
+/*
+ * Finds the job of a call; sets it to NULL if there is none. Returns false if
+ * that cannot be told yet.
+ */
+static bool
+find(const bp_shard_t *shard, const Bp__Work__JobRef *call, bp_qjob_t **out)
+{
+	bp_qjob_t *job = g_hash_table_lookup(shard->jobs, call->id);
+	bp_job_ref_match_t match =
+	    job != NULL ? match_job(shard, job, call) : BP_JOB_REF_OTHER;
 
-	return job != NULL && strcmp(job->spec->queue, queue) == 0 ? job : NULL;
+	*out = match == BP_JOB_REF_SAME ? job : NULL;
+	return match != BP_JOB_REF_UNDECIDED;
 }
 
 /* Returns the state to report: only final states that the store holds. */
@@ -69,10 +96,15 @@
 }
 
 static void
-resubmit(bp_shard_t *shard, bp_qjob_t *known, const char *queue,
+resubmit(bp_shard_t *shard, bp_qjob_t *known, const Bp__Work__JobRef *call,
     bp_shard_done_t done, void *data)
 {
-	if (strcmp(known->spec->queue, queue) != 0)
+	bp_job_ref_match_t match = match_job(shard, known, call);
+
+	if (match == BP_JOB_REF_UNDECIDED)
+		answer_now(done, data, BP_ESTATE,
+		    BP__WORK__JOB_STATE__JOB_QUEUED, OLDER_CONFIGURATION);
+	else if (match == BP_JOB_REF_OTHER)
 		answer_now(done, data, BP_EINVALID,
 		    BP__WORK__JOB_STATE__JOB_QUEUED,
 		    "the ID belongs to a job of another queue");
@@ -229,15 +261,23 @@
 {
 	bp_qjob_t *job = NULL;
 	bp_error_t err = {BP_OK, ""};
+	Bp__Work__JobRef call;
+	bp_job_ref_match_t cancelled;
 
+	(void)bp_job_ref_resolve(shard->catalog, spec);
+	bp_job_ref_init(&call, spec);
+	cancelled =
+	    bp_cancelled_ids_match(shard->cancelled_ids, shard->catalog, &call);
 	if (shard->phase != BP_SHARD_OWNED)
 		answer_now(done, data, BP_ESTATE,
 		    BP__WORK__JOB_STATE__JOB_QUEUED,
 		    "the owner of the shard is changing");
 	else if ((job = g_hash_table_lookup(shard->jobs, spec->id)) != NULL)
-		resubmit(shard, job, spec->queue, done, data);
-	else if (bp_cancelled_ids_contains(
-		     shard->cancelled_ids, spec->queue, spec->id))
+		resubmit(shard, job, &call, done, data);
+	else if (cancelled == BP_JOB_REF_UNDECIDED)
+		answer_now(done, data, BP_ESTATE,
+		    BP__WORK__JOB_STATE__JOB_QUEUED, OLDER_CONFIGURATION);
+	else if (cancelled == BP_JOB_REF_SAME)
 		answer_now(done, data, BP_EREFUSED,
 		    BP__WORK__JOB_STATE__JOB_CANCELLED,
 		    "the job was cancelled before it arrived");
@@ -262,10 +302,10 @@
 
 /* Reports the state of a job, or BP_ENOTFOUND. */
 void
-bp_shard_status(bp_shard_t *shard, const char *queue, const char *id,
-    bp_shard_answer_t *out)
+bp_shard_status(
+    bp_shard_t *shard, const Bp__Work__JobRef *call, bp_shard_answer_t *out)
 {
-	const bp_qjob_t *job;
+	bp_qjob_t *job;
 
 	memset(out, 0, sizeof(*out));
 	out->reason = "";
@@ -274,8 +314,10 @@
 		out->reason = "the owner of the shard is changing";
 		return;
 	}
-	job = find(shard, queue, id);
-	if (job == NULL)
+	if (!find(shard, call, &job)) {
+		out->kind = BP_ESTATE;
+		out->reason = OLDER_CONFIGURATION;
+	} else if (job == NULL)
 		out->kind = unknown_job_kind(shard);
 	else if (!job->accepted)
 		out->kind = BP_EUNKNOWN;
@@ -288,7 +330,7 @@
  * is not accepted later: its submission may have been delayed on its way.
  */
 void
-bp_shard_cancel(bp_shard_t *shard, const char *queue, const char *id,
+bp_shard_cancel(bp_shard_t *shard, const Bp__Work__JobRef *call,
     bp_shard_done_t done, void *data)
 {
 	bp_qjob_t *job;
@@ -299,13 +341,17 @@
 		    "the owner of the shard is changing");
 		return;
 	}
-	job = find(shard, queue, id);
+	if (!find(shard, call, &job)) {
+		answer_now(done, data, BP_ESTATE,
+		    BP__WORK__JOB_STATE__JOB_QUEUED, OLDER_CONFIGURATION);
+		return;
+	}
 	if (job == NULL) {
 		bp_error_kind_t kind = unknown_job_kind(shard);
 
 		if (kind == BP_ENOTFOUND)
-			bp_cancelled_ids_add(shard->cancelled_ids, queue, id,
-			    bp_shard_now_ms(shard));
+			bp_cancelled_ids_add(shard->cancelled_ids,
+			    shard->catalog, call, bp_shard_now_ms(shard));
 		answer_now(done, data, kind, BP__WORK__JOB_STATE__JOB_QUEUED,
 		    "no such job");
 		return;
@@ -353,16 +399,19 @@
 
 /* Returns the number of accepted jobs of a queue with no task started. */
 uint64_t
-bp_shard_count_waiting(const bp_shard_t *shard, const char *queue)
+bp_shard_count_waiting(const bp_shard_t *shard, const Bp__Work__JobRef *queue)
 {
 	uint64_t waiting = 0;
 	guint i;
 
 	for (i = 0; i < shard->active_jobs->len; i++) {
 		const bp_qjob_t *job = shard->active_jobs->pdata[i];
+		Bp__Work__JobRef known;
 
-		if (job->accepted && !job->started &&
-		    strcmp(job->spec->queue, queue) == 0)
+		if (!job->accepted || job->started)
+			continue;
+		bp_job_ref_init(&known, job->spec);
+		if (bp_job_ref_in_queue(shard->catalog, &known, queue))
 			waiting++;
 	}
 	return waiting;
--- a/src/queues/shard_jobtimes.c
+++ b/src/queues/shard_jobtimes.c
@@ -111,6 +111,7 @@
 	    times->gather_ms, times->repeat_ms, times->last_ms,
 	    times->slowed_ms);
 	bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE, "job ended",
-	    "job", job->spec->id, "queue", job->spec->queue, "state",
-	    state_name(job->state), "times_ms", text, "runs", runs, NULL);
+	    "job", job->spec->id, "queue", bp_shard_queue_of(shard, job),
+	    "state", state_name(job->state), "times_ms", text, "runs", runs,
+	    NULL);
 }
--- a/src/queues/shard_load.c
+++ b/src/queues/shard_load.c
@@ -204,4 +204,5 @@
 			/* Earlier releases stored no time with a cancel. */
 			job->ended_ms = bp_shard_wall_ms(shard);
 	}
+	bp_shard_resolve_queues(shard);
 }
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -9,6 +9,7 @@
 #include "queues/estimates.h"
 #include "queues/headroom.h"
 #include "queues/job.h"
+#include "queues/jobref.h"
 #include "queues/jobwork.h"
 #include "queues/recordwriter.h"
 #include "queues/fillermodel.h"
@@ -580,10 +581,14 @@
 void bp_qturns_placed(
     bp_qturns_t *turns, bool started, bool yields, uint32_t from);
 
+/* shard_queues.c */
+void bp_shard_resolve_queues(bp_shard_t *shard);
+const char *bp_shard_service_of(const bp_shard_t *shard, const bp_qjob_t *job);
+const char *bp_shard_queue_of(const bp_shard_t *shard, const bp_qjob_t *job);
+
 /* shard_rounds.c */
 /* Returns whether a task of a step that comes first in the job could start. */
 bool bp_shard_has_room(bp_shard_t *shard, const bp_qjob_t *job);
-const char *bp_shard_service_of(const bp_shard_t *shard, const bp_qjob_t *job);
 void bp_shard_run_round(bp_shard_t *shard);
 /*
  * Returns whether a planned run that has a task may still start on its
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -562,19 +562,6 @@
 	bp_shard_drop_step_rooms(shard, step);
 }
 
-/* Returns the current service of the job's queue, whose executors run its
- * tasks; the service at the job's acceptance when the catalog does not have the
- * queue. */
-const char *
-bp_shard_service_of(const bp_shard_t *shard, const bp_qjob_t *job)
-{
-	const bp_queue_route_t *route = shard->catalog != NULL
-	    ? bp_catalog_queue(shard->catalog, job->spec->queue)
-	    : NULL;
-
-	return route != NULL ? route->service : job->spec->service;
-}
-
 /* Tells whether a planned run could still be placed on its executor. */
 static bool
 is_still_allowed(const bp_qrun_t *run)
--- a/src/queues/shard_why.c
+++ b/src/queues/shard_why.c
@@ -263,7 +263,7 @@
 	json_builder_set_member_name(builder, "job");
 	json_builder_add_string_value(builder, id);
 	json_builder_set_member_name(builder, "queue");
-	json_builder_add_string_value(builder, job->spec->queue);
+	json_builder_add_string_value(builder, bp_shard_queue_of(shard, job));
 	json_builder_set_member_name(builder, "priority");
 	json_builder_add_int_value(builder, job->spec->priority);
 	add_customer(builder, shard, job);
@@ -384,7 +384,7 @@
 		return NULL;
 	text = g_string_new(NULL);
 	g_string_append_printf(text, "job %s of queue %s, priority %u", id,
-	    job->spec->queue, job->spec->priority);
+	    bp_shard_queue_of(shard, job), job->spec->priority);
 	if (!job->accepted)
 		g_string_append(text, ", not accepted yet");
 	if (bp_qjob_ended(job)) {
--- a/tests/queues/test_batchwait.c
+++ b/tests/queues/test_batchwait.c
@@ -279,11 +279,14 @@
 test_a_job_that_has_ended_belongs_to_the_traffic(void)
 {
 	bp_shardsim_t *sim = sim_with_waiting_jobs();
+	Bp__Work__JobRef ended = BP__WORK__JOB_REF__INIT;
 
+	ended.queue = (char *)"q";
+	ended.id = (char *)ENDED_JOB;
 	bp_shardsim_run_ms(sim, CLAIMS_AFTER_MS - 2 * BEFORE_CLAIMS_MS);
 	submit_fillers(sim, ENDED_JOB, FILLER_MS);
 	bp_shardsim_run_ms(sim, BEFORE_CLAIMS_MS);
-	bp_shard_cancel(sim->shard, "q", ENDED_JOB, on_cancelled, NULL);
+	bp_shard_cancel(sim->shard, &ended, on_cancelled, NULL);
 	bp_shardsim_run_ms(sim, BEFORE_CLAIMS_MS);
 	CU_ASSERT_EQUAL(count_claimed_starts(sim), 0);
 	bp_shardsim_run_ms(sim, CLAIMS_AFTER_MS);
--- a/tests/queues/test_shard.c
+++ b/tests/queues/test_shard.c
@@ -297,6 +297,7 @@
 	bp_qrig_t *sim = start_simulation();
 	const char *id = bp_qrig_submit(sim, 3, 300, false);
 	bp_shard_answer_t answer = {0};
+	Bp__Work__JobRef call = BP__WORK__JOB_REF__INIT;
 	bp_shard_t *successor;
 	uint32_t i;
 
@@ -311,7 +312,9 @@
 		    bp_clock_mono_ms(
 			bp_clock_virtual_clock(bp_qrig_clock(sim))));
 	}
-	bp_shard_status(successor, "q", id, &answer);
+	call.queue = (char *)"q";
+	call.id = (char *)id;
+	bp_shard_status(successor, &call, &answer);
 	CU_ASSERT_EQUAL(answer.kind, BP_OK);
 	CU_ASSERT_EQUAL(answer.state, BP__WORK__JOB_STATE__JOB_CANCELLED);
 	bp_shard_free(successor);
--- a/tests/support/queuehttp.c
+++ b/tests/support/queuehttp.c
@@ -818,6 +818,20 @@
 	put_configuration(self, version, routes, NULL);
 }
 
+/* See the header. */
+void
+bp_queuehttp_configure_routes(bp_queuehttp_t *self, uint64_t version,
+    const bp_queuehttp_route_t *routes, uint32_t n)
+{
+	GString *text = g_string_new(NULL);
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		add_route(
+		    text, routes[i].number, routes[i].prefix, i > 0 ? "," : "");
+	put_configuration(self, version, text, NULL);
+}
+
 /* See the header. */
 void
 bp_queuehttp_configure_more(
--- a/tests/support/queuehttp.h
+++ b/tests/support/queuehttp.h
@@ -17,7 +17,16 @@
 /* Puts a configuration with one queue: host "h", this path prefix. */
 void bp_queuehttp_configure(
     bp_queuehttp_t *self, uint64_t version, const char *prefix);
-/* The same with the queue /q/, which keeps its name, besides. */
+/* Of a route: it is named q and the number. */
+typedef struct {
+	uint32_t number;
+	const char *prefix;
+} bp_queuehttp_route_t;
+
+/* Puts a configuration with these routes. */
+void bp_queuehttp_configure_routes(bp_queuehttp_t *self, uint64_t version,
+    const bp_queuehttp_route_t *routes, uint32_t n);
+/* Puts one with the queue /q/, which keeps its name, besides. */
 void bp_queuehttp_configure_more(
     bp_queuehttp_t *self, uint64_t version, const char *prefix);
 /* Puts a configuration with customers, the queue /q/ and the queue /open/,
--- a/tests/support/queuenodes.c
+++ b/tests/support/queuenodes.c
@@ -153,6 +153,10 @@
 	}
 	g_ptr_array_unref(fixture->held);
 	bp_http_free(fixture->http);
+	if (bp_qfleet_broken(bp_queuehttp_fleet(fixture->platform)) > 0)
+		printf("rule broken: %s\n",
+		    bp_qfleet_first_broken(
+			bp_queuehttp_fleet(fixture->platform)));
 	CU_ASSERT_EQUAL(
 	    bp_qfleet_broken(bp_queuehttp_fleet(fixture->platform)), 0);
 	bp_queuehttp_free(fixture->platform);
--- a/tests/support/queuerig.c
+++ b/tests/support/queuerig.c
@@ -1066,17 +1066,28 @@
 		caller->cancel_told = told_of(answer->kind);
 }
 
+static Bp__Work__JobRef
+refer(const char *id)
+{
+	Bp__Work__JobRef ref = BP__WORK__JOB_REF__INIT;
+
+	ref.queue = (char *)QUEUE;
+	ref.id = (char *)id;
+	return ref;
+}
+
 /* See the header. */
 void
 bp_qrig_cancel(bp_qrig_t *rig, const char *id)
 {
 	bp_shard_t *shard = owner_shard(rig);
 	caller_t *caller = find(rig, id);
+	Bp__Work__JobRef call = refer(id);
 
 	if (shard == NULL)
 		caller->cancel_told = BP_QRIG_REFUSED;
 	else
-		bp_shard_cancel(shard, QUEUE, id, on_cancelled, caller);
+		bp_shard_cancel(shard, &call, on_cancelled, caller);
 }
 
 /* See the header. */
@@ -1105,11 +1116,12 @@
 bp_qrig_status(bp_qrig_t *rig, const char *id, Bp__Work__JobState *state)
 {
 	bp_shard_t *shard = owner_shard(rig);
+	Bp__Work__JobRef call = refer(id);
 	bp_shard_answer_t answer;
 
 	if (shard == NULL)
 		return BP_ESTATE;
-	bp_shard_status(shard, QUEUE, id, &answer);
+	bp_shard_status(shard, &call, &answer);
 	*state = answer.state;
 	return answer.kind;
 }
