Keep what is learned of a queue under its host and prefix

Callers saw nothing refused, but batch of a renamed queue was ordered by what its jobs declare until its work was learned again, and with names exchanged by the work of the other queue.

Change: they are kept under host and prefix. Work that an earlier release has stored moves from the name to the route in force that has it; an earlier release ignores the new rows, and learns anew.

--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -457,6 +457,9 @@
 struct  Bp__Work__QueueWork
 {
   ProtobufCMessage base;
+  /*
+   * host and prefix; its name in earlier releases
+   */
   char *queue;
   double work;
   /*
--- a/src/queues/estimates.c
+++ b/src/queues/estimates.c
@@ -204,6 +204,22 @@
 	return true;
 }
 
+/* See the header. */
+void
+bp_estimates_rename_work(
+    bp_estimates_t *estimates, const char *queue, const char *name)
+{
+	work_t *work = g_hash_table_lookup(estimates->works, queue);
+	work_t *renamed;
+
+	if (work == NULL || g_hash_table_contains(estimates->works, name))
+		return;
+	renamed = g_new(work_t, 1);
+	*renamed = *work;
+	g_hash_table_insert(estimates->works, g_strdup(name), renamed);
+	g_hash_table_remove(estimates->works, queue);
+}
+
 /* See the header. */
 void
 bp_estimates_describe(const bp_estimates_t *estimates, GString *out)
--- a/src/queues/estimates.h
+++ b/src/queues/estimates.h
@@ -6,9 +6,9 @@
 #include <stdint.h>
 
 /*
- * What is learned of each queue: the work of its jobs' steps and the durations
- * of single runs as a multiple of the durations that the jobs declare, and how
- * long steps take as a multiple of their work.
+ * What is learned of each queue, under a key of the caller's: the work of its
+ * jobs' steps and the durations of single runs as a multiple of the durations
+ * that the jobs declare, and how long steps take as a multiple of their work.
  */
 typedef struct bp_estimates bp_estimates_t;
 
@@ -31,6 +31,9 @@
 GBytes *bp_estimates_serialize_works(const bp_estimates_t *estimates);
 bool bp_estimates_deserialize_works(
     bp_estimates_t *estimates, const uint8_t *bytes, size_t size_bytes);
+/* Moves the work of a queue to another name, unless that has some. */
+void bp_estimates_rename_work(
+    bp_estimates_t *estimates, const char *queue, const char *name);
 /* Appends the factors of all queues to a log line, by name. */
 void bp_estimates_describe(const bp_estimates_t *estimates, GString *out);
 
--- a/src/queues/job.c
+++ b/src/queues/job.c
@@ -1,5 +1,7 @@
 #include "queues/job.h"
 
+#include "queues/jobref.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -172,6 +174,20 @@
 		tasks * (sizeof(bp_qtask_t) + TASK_PROGRESS_BYTES));
 }
 
+/* See the header. */
+void
+bp_qjob_update_queue_key(bp_qjob_t *job)
+{
+	Bp__Work__JobRef ref;
+	char *key;
+
+	bp_job_ref_init(&ref, job->spec);
+	key = bp_job_ref_queue_key(&ref);
+	g_clear_pointer(&job->queue_key, g_ref_string_release);
+	job->queue_key = g_ref_string_new_intern(key);
+	g_free(key);
+}
+
 /* Creates a job without runs. Takes ownership of spec, which is valid. */
 bp_qjob_t *
 bp_qjob_new(Bp__Work__Job *spec)
@@ -179,6 +195,7 @@
 	bp_qjob_t *job = g_new0(bp_qjob_t, 1);
 
 	job->spec = spec;
+	bp_qjob_update_queue_key(job);
 	job->bytes = bp_qjob_bytes_of(spec);
 	job->n_steps = (uint32_t)spec->n_steps;
 	job->occurrences = occurrences_of(spec);
@@ -220,6 +237,7 @@
 	g_free(job->chains_ms);
 	if (job->waiters != NULL)
 		g_array_unref(job->waiters);
+	g_ref_string_release(job->queue_key);
 	bp__work__job__free_unpacked(job->spec, NULL);
 	g_free(job);
 }
--- a/src/queues/job.h
+++ b/src/queues/job.h
@@ -123,6 +123,7 @@
 /* A job with its steps, as the owner of its shard holds it. */
 struct bp_qjob {
 	Bp__Work__Job *spec;
+	char *queue_key; /* of what is learned of its queue; a GRefString */
 	bp_qstep_t *steps; /* occurrences x steps */
 	uint32_t n_steps;
 	uint32_t occurrences;
@@ -160,6 +161,9 @@
 bp_qjob_t *bp_qjob_new(Bp__Work__Job *spec);
 void bp_qjob_free(gpointer job);
 
+/* Updates the key after host and prefix of the job were set. */
+void bp_qjob_update_queue_key(bp_qjob_t *job);
+
 bool bp_qjob_ended(const bp_qjob_t *job);
 bool bp_qstep_ready(const bp_qstep_t *step, int64_t wall_ms);
 /* Returns the number of tasks of a job that have a run or may have one. */
--- a/src/queues/job_progress.c
+++ b/src/queues/job_progress.c
@@ -232,6 +232,8 @@
 	job->started = progress->state != BP__WORK__JOB_STATE__JOB_QUEUED;
 	job->resolved =
 	    bp_job_ref_set_address(job->spec, progress->host, progress->prefix);
+	if (job->resolved)
+		bp_qjob_update_queue_key(job);
 	load_tasks(job, progress);
 	bp__work__progress__free_unpacked(progress, NULL);
 	return BP_OK;
--- a/src/queues/jobref.c
+++ b/src/queues/jobref.c
@@ -60,6 +60,15 @@
 	    strcmp(a->host, b->host) == 0;
 }
 
+/* See the header. */
+char *
+bp_job_ref_queue_key(const Bp__Work__JobRef *ref)
+{
+	return bp_job_ref_has_address(ref)
+	    ? g_strconcat(ref->host, ref->prefix, NULL)
+	    : g_strdup(ref->queue);
+}
+
 static const bp_queue_route_t *
 route_by_address(const bp_catalog_t *catalog, const Bp__Work__JobRef *ref)
 {
--- a/src/queues/jobref.h
+++ b/src/queues/jobref.h
@@ -36,6 +36,9 @@
 /* Returns whether a known job belongs to the queue of a call. */
 bool bp_job_ref_in_queue(const bp_catalog_t *catalog,
     const Bp__Work__JobRef *known, const Bp__Work__JobRef *call);
+/* Returns a text that is the same for all jobs of a queue, to be freed: host
+ * and prefix, or the name if these are not known. */
+char *bp_job_ref_queue_key(const Bp__Work__JobRef *ref);
 /* Returns the route in force of a job's queue: that of its host and prefix,
  * else the one of its name. NULL if the queue was removed. */
 const bp_queue_route_t *bp_job_ref_route(
--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -130,7 +130,7 @@
 	bp_shard_drop_job_rooms(shard, job);
 	stop_runs(shard, job);
 	bp_qjob_update_work(
-	    job, bp_estimates_work(shard->estimates, job->spec->queue));
+	    job, bp_estimates_work(shard->estimates, job->queue_key));
 	bp_shard_log_job_end(shard, job);
 }
 
--- a/src/queues/shard_largetasks.c
+++ b/src/queues/shard_largetasks.c
@@ -196,7 +196,7 @@
 		return;
 	step = run->task->step;
 	if (!step->spec->lasting)
-		bp_estimates_add_run(shard->estimates, step->job->spec->queue,
+		bp_estimates_add_run(shard->estimates, step->job->queue_key,
 		    step->spec->image, step->spec->expected_ms,
 		    bp_shard_now_ms(shard) - run->started_ms);
 }
@@ -205,7 +205,7 @@
 estimate(const bp_shard_t *shard, bp_qstep_t *step)
 {
 	const Bp__Work__Step *spec = step->spec;
-	const char *queue = step->job->spec->queue;
+	const char *queue = step->job->queue_key;
 	int64_t now_ms = bp_shard_now_ms(shard);
 
 	if (step->estimated_ms != 0 &&
--- a/src/queues/shard_pollresults.c
+++ b/src/queues/shard_pollresults.c
@@ -133,7 +133,7 @@
 learn_duration(bp_shard_t *shard, bp_qstep_t *step)
 {
 	int64_t now_ms = bp_shard_now_ms(shard);
-	const char *queue = step->job->spec->queue;
+	const char *queue = step->job->queue_key;
 
 	if (step->remaining_tasks > 0)
 		return;
--- a/src/queues/shard_priority.c
+++ b/src/queues/shard_priority.c
@@ -30,7 +30,7 @@
 	    (double)(job->work_due_ms - job->spec->accepted_ms);
 	double most =
 	    OBJECTIVE_SHARE_MAX * objective_ms / (double)MAX(job->chain_ms, 1);
-	double usual = bp_estimates_factor(shard->estimates, job->spec->queue);
+	double usual = bp_estimates_factor(shard->estimates, job->queue_key);
 
 	return MAX(MIN(usual, most), 1);
 }
@@ -288,7 +288,7 @@
 	if (!job->accepted || job->cancelling || bp_qjob_ended(job))
 		return;
 	bp_qjob_update_work(
-	    job, bp_estimates_work(shard->estimates, job->spec->queue));
+	    job, bp_estimates_work(shard->estimates, job->queue_key));
 	for (i = 0; i < job->n_steps * job->occurrences; i++) {
 		bp_qstep_t *step = &job->steps[i];
 		candidate_t candidate = {.step = step,
--- a/src/queues/shard_queues.c
+++ b/src/queues/shard_queues.c
@@ -20,9 +20,29 @@
 	    jobs_text, "version", version, NULL);
 }
 
+/* Earlier releases keep the work of a queue under its name. */
+static void
+resolve_works(bp_shard_t *shard)
+{
+	guint i;
+
+	for (i = 0; shard->catalog != NULL && i < shard->catalog->routes->len;
+	     i++) {
+		const bp_queue_route_t *route =
+		    shard->catalog->routes->pdata[i];
+		Bp__Work__JobRef *ref = bp_job_ref_new(route, "", 0);
+		char *key = bp_job_ref_queue_key(ref);
+
+		bp_estimates_rename_work(shard->estimates, route->name, key);
+		g_free(key);
+		bp__work__job_ref__free_unpacked(ref, NULL);
+	}
+}
+
 /*
- * Gives jobs that an earlier release accepted the host and prefix of their
- * queue, and stores both: a later version may change the queue's name.
+ * Gives jobs that an earlier release accepted, and the work that it learned,
+ * the host and prefix of their queue, and stores both: a later version may
+ * change the queue's name.
  */
 void
 bp_shard_resolve_queues(bp_shard_t *shard)
@@ -33,6 +53,7 @@
 
 	if (shard->phase != BP_SHARD_OWNED)
 		return;
+	resolve_works(shard);
 	g_hash_table_iter_init(&iter, shard->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		bp_qjob_t *job = value;
@@ -41,6 +62,7 @@
 		    !bp_job_ref_resolve(shard->catalog, job->spec))
 			continue;
 		job->resolved = true;
+		bp_qjob_update_queue_key(job);
 		bp_shard_mark_dirty(shard, job);
 		resolved++;
 	}
--- a/tests/process/test_routes.c
+++ b/tests/process/test_routes.c
@@ -1,3 +1,4 @@
+#include "proto/work.pb-c.h"
 #include "support/queuenodes.h"
 #include "support/runner.h"
 
@@ -197,6 +198,54 @@
 	bp_queuenodes_teardown(&fixture);
 }
 
+/* Learned work is stored at most once in this time, beside other records. */
+#define LEARNED_MS 3000
+/* Steps of two jobs of BP_JOB. */
+#define STEPS_OF_TWO_JOBS 4
+
+/* Returns whether the store has the work of one queue, from so many steps. */
+static bool
+has_work_of_one_queue(void *data)
+{
+	const bp_queuenodes_t *fixture = data;
+	GBytes *value =
+	    bp_qstore_value(bp_queuehttp_store(fixture->platform), 0, "works");
+	Bp__Work__QueueWorks *works = value != NULL
+	    ? bp__work__queue_works__unpack(
+		  NULL, g_bytes_get_size(value), g_bytes_get_data(value, NULL))
+	    : NULL;
+	bool good = works != NULL && works->n_queues == 1 &&
+	    works->queues[0]->steps == STEPS_OF_TWO_JOBS;
+
+	if (works != NULL)
+		bp__work__queue_works__free_unpacked(works, NULL);
+	return good;
+}
+
+/* Guards against learned work that is lost with the name of a route. */
+static void
+test_learned_work_outlives_a_name(void)
+{
+	const bp_queuehttp_route_t renamed[] = {{9, "/q/"}, {10, "/new/"}};
+	bp_queuenodes_t fixture;
+
+	bp_queuenodes_setup(&fixture, "routes-work");
+	CU_ASSERT_TRUE(bp_queuenodes_expect(
+	    &fixture, 0, "POST", "/q/00000000000000c1", BP_JOB, 200, NULL));
+	CU_ASSERT_TRUE(bp_queuenodes_expect(
+	    &fixture, 0, "GET", "/q/00000000000000c1", NULL, 200, "completed"));
+	configure(&fixture, 9, renamed, G_N_ELEMENTS(renamed), "/new/");
+	CU_ASSERT_TRUE(bp_queuenodes_expect(
+	    &fixture, 1, "POST", "/q/00000000000000c2", BP_JOB, 200, NULL));
+	CU_ASSERT_TRUE(bp_queuenodes_expect(
+	    &fixture, 1, "GET", "/q/00000000000000c2", NULL, 200, "completed"));
+	bp_run_for_ms(LEARNED_MS);
+	CU_ASSERT_TRUE(bp_queuenodes_expect(
+	    &fixture, 2, "POST", JOB, BP_JOB_LASTING, 200, NULL));
+	CU_ASSERT_TRUE(bp_wait_until(has_work_of_one_queue, &fixture));
+	bp_queuenodes_teardown(&fixture);
+}
+
 int
 main(void)
 {
@@ -210,6 +259,7 @@
 	    {"exchanged names exchange no jobs",
 		test_exchanged_names_exchange_no_jobs},
 	    {"a moved route keeps its jobs", test_a_moved_route_keeps_its_jobs},
+	    {"learned work outlives a name", test_learned_work_outlives_a_name},
 	    CU_TEST_INFO_NULL,
 	};
 
--- a/tests/queues/test_estimates.c
+++ b/tests/queues/test_estimates.c
@@ -96,6 +96,25 @@
 	bp_estimates_free(successor);
 }
 
+/* Work that was read under the name of a queue moves to its key, and does not
+ * replace what was learned under that. */
+static void
+test_work_is_renamed(void)
+{
+	bp_estimates_t *estimates = bp_estimates_new();
+
+	bp_estimates_add_work(estimates, "a", 100, 200);
+	bp_estimates_rename_work(estimates, "a", "h/a/");
+	bp_estimates_rename_work(estimates, "none", "h/none/");
+	CU_ASSERT_DOUBLE_EQUAL(bp_estimates_work(estimates, "h/a/"), 2, 0.001);
+	CU_ASSERT_DOUBLE_EQUAL(bp_estimates_work(estimates, "a"), 1, 0);
+	CU_ASSERT_DOUBLE_EQUAL(bp_estimates_work(estimates, "h/none/"), 1, 0);
+	bp_estimates_add_work(estimates, "a", 100, 300);
+	bp_estimates_rename_work(estimates, "a", "h/a/");
+	CU_ASSERT_DOUBLE_EQUAL(bp_estimates_work(estimates, "h/a/"), 2, 0.001);
+	bp_estimates_free(estimates);
+}
+
 /* Without samples the declared duration is the middle, and a multiple of it
  * the tail; guards against an estimate of 0 for an unknown queue. */
 static void
@@ -168,6 +187,7 @@
 {
 	CU_TestInfo tests[] = {
 	    {"works outlive their owner", test_works_outlive_their_owner},
+	    {"work is renamed", test_work_is_renamed},
 	    {"the factors are described", test_the_factors_are_described},
 	    {"an unknown queue", test_an_unknown_queue},
 	    {"most steps keep within", test_most_steps_keep_within},
