A prefix that ends within the IDs of a queue takes none of its jobs

Cause: the longest prefix of a path selects its route, and the rest of the path was taken for the ID, here of 14 of its 16 digits.

Change: a path that ends in an ID of 16 hexadecimal digits selects the route with the prefix before it (bp_catalog_route()); others go by the longest prefix as before. If no route has that prefix the answer is 404: a 410 would acknowledge the cancel of a job that runs. IDs longer than 16 digits that end in 16 hexadecimal digits, which the interface does not have, get 404, too. A queue without a configuration is no longer taken for a moved one.

--- a/include/bulrushpost/catalog.h
+++ b/include/bulrushpost/catalog.h
@@ -6,6 +6,9 @@
 
 #include <stdbool.h>
 
+/* Hexadecimal digits of the IDs that callers choose for jobs. */
+#define BP_CATALOG_JOB_ID_DIGITS 16
+
 /* A queue and its route: calls with this host and path prefix belong to it. */
 typedef struct {
 	char *name;
@@ -58,6 +61,11 @@
 
 bp_catalog_t *bp_catalog_new(void);
 void bp_catalog_free(bp_catalog_t *catalog);
+/* Returns the ID in the path of a job, which are its last digits; NULL if it
+ * does not end in an ID of this form. */
+const char *bp_catalog_job_id(const char *path);
+/* Returns the route of a host with the longest prefix of path, or NULL. If path
+ * is a prefix and the ID of a job, the route has that prefix. */
 const bp_queue_route_t *bp_catalog_route(
     const bp_catalog_t *catalog, const char *host, const char *path);
 const bp_queue_route_t *bp_catalog_queue(
--- a/src/queues/jobref.c
+++ b/src/queues/jobref.c
@@ -116,7 +116,7 @@
 was_moved(const bp_catalog_t *catalog, const Bp__Work__JobRef *known,
     const Bp__Work__JobRef *call)
 {
-	return has_name_of(known, call) &&
+	return catalog != NULL && has_name_of(known, call) &&
 	    route_by_address(catalog, known) == NULL;
 }
 
--- a/src/queues/model.c
+++ b/src/queues/model.c
@@ -232,12 +232,36 @@
 	g_free(catalog);
 }
 
-/* Returns the route of a host with the longest prefix of path, or NULL. */
+static bool
+are_hex_digits(const char *text)
+{
+	for (; *text != '\0'; text++) {
+		if (!g_ascii_isxdigit(*text))
+			return false;
+	}
+	return true;
+}
+
+/* See the header. */
+const char *
+bp_catalog_job_id(const char *path)
+{
+	size_t bytes = strlen(path);
+
+	if (bytes < BP_CATALOG_JOB_ID_DIGITS)
+		return NULL;
+	path += bytes - BP_CATALOG_JOB_ID_DIGITS;
+	return are_hex_digits(path) ? path : NULL;
+}
+
+/* See the header. */
 const bp_queue_route_t *
 bp_catalog_route(
     const bp_catalog_t *catalog, const char *host, const char *path)
 {
+	const char *id = bp_catalog_job_id(path);
 	const bp_queue_route_t *best = NULL;
+	const bp_queue_route_t *of_job = NULL;
 	guint i;
 
 	for (i = 0; i < catalog->routes->len; i++) {
@@ -249,7 +273,12 @@
 		if (best == NULL ||
 		    strlen(route->prefix) > strlen(best->prefix))
 			best = route;
+		if (of_job == NULL && path + strlen(route->prefix) == id)
+			of_job = route;
 	}
+	/* A prefix that ends within an ID takes no job from its queue. */
+	if (of_job != NULL && path[strlen(best->prefix)] != '\0')
+		return of_job;
 	return best;
 }
 
--- a/tests/process/test_routes.c
+++ b/tests/process/test_routes.c
@@ -198,6 +198,26 @@
 	bp_queuenodes_teardown(&fixture);
 }
 
+/* Guards against jobs that are answered 410, and cannot be cancelled, after a
+ * route was added whose prefix ends within their IDs. */
+static void
+test_a_longer_prefix_takes_no_jobs(void)
+{
+	const bp_queuehttp_route_t beside[] = {{3, "/q/"}, {9, "/q/f0"}};
+	const bp_queuehttp_route_t alone[] = {{9, "/q/f0"}, {10, "/new/"}};
+	bp_queuenodes_t fixture;
+
+	setup_with_job(&fixture, "routes-longer");
+	configure(&fixture, 9, beside, G_N_ELEMENTS(beside), "/q/f0");
+	CU_ASSERT_EQUAL(call_once(&fixture, 0, "GET", JOB, NULL), 200);
+	configure(&fixture, 10, alone, G_N_ELEMENTS(alone), "/new/");
+	CU_ASSERT_EQUAL(call_once(&fixture, 1, "GET", JOB, NULL), 404);
+	CU_ASSERT_EQUAL(call_once(&fixture, 2, "DELETE", JOB, NULL), 404);
+	configure(&fixture, 11, beside, G_N_ELEMENTS(beside), "/q/");
+	check_job_is_served(&fixture);
+	bp_queuenodes_teardown(&fixture);
+}
+
 /* Learned work is stored at most once in this time, beside other records. */
 #define LEARNED_MS 3000
 /* Steps of two jobs of BP_JOB. */
@@ -259,6 +279,8 @@
 	    {"exchanged names exchange no jobs",
 		test_exchanged_names_exchange_no_jobs},
 	    {"a moved route keeps its jobs", test_a_moved_route_keeps_its_jobs},
+	    {"a longer prefix takes no jobs",
+		test_a_longer_prefix_takes_no_jobs},
 	    {"learned work outlives a name", test_learned_work_outlives_a_name},
 	    CU_TEST_INFO_NULL,
 	};
--- a/tests/queues/test_queueidentity.c
+++ b/tests/queues/test_queueidentity.c
@@ -272,6 +272,37 @@
 	teardown(&fixture);
 }
 
+/* Returns the name of the route of a path, "" for none. */
+static const char *
+route_of(const bp_catalog_t *catalog, const char *path)
+{
+	const bp_queue_route_t *route = bp_catalog_route(catalog, HOST, path);
+
+	return route != NULL ? route->name : "";
+}
+
+/* The longest prefix selects the route, but for the path of a job, whose ID has
+ * a fixed length. */
+static void
+test_routes_of_paths(void)
+{
+	const route_t routes[] = {{"q", "/q/", NULL}, {"within", "/q/00", NULL},
+	    {"below", "/q/00/", NULL}, {"job", "/q/" OTHER_ID, NULL}};
+	bp_catalog_t *catalog = new_catalog(1, routes, G_N_ELEMENTS(routes));
+
+	CU_ASSERT_STRING_EQUAL(route_of(catalog, "/q/" ID), "q");
+	CU_ASSERT_STRING_EQUAL(route_of(catalog, "/q/00" ID), "within");
+	CU_ASSERT_STRING_EQUAL(route_of(catalog, "/q/00/" ID), "below");
+	CU_ASSERT_STRING_EQUAL(route_of(catalog, "/q/" OTHER_ID), "job");
+	CU_ASSERT_STRING_EQUAL(route_of(catalog, "/q/"), "q");
+	CU_ASSERT_STRING_EQUAL(route_of(catalog, "/q/00"), "within");
+	CU_ASSERT_STRING_EQUAL(route_of(catalog, "/q/0012"), "within");
+	CU_ASSERT_STRING_EQUAL(route_of(catalog, "/" ID), "");
+	CU_ASSERT_PTR_NULL(bp_catalog_job_id("/q/"));
+	CU_ASSERT_PTR_NULL(bp_catalog_job_id("/q/g0000000000000a1"));
+	bp_catalog_free(catalog);
+}
+
 int
 main(void)
 {
@@ -283,6 +314,7 @@
 	    {"cancelled before the change", test_cancelled_before_the_change},
 	    {"jobs of an earlier release", test_jobs_of_an_earlier_release},
 	    {"calls of an earlier release", test_calls_of_an_earlier_release},
+	    {"routes of paths", test_routes_of_paths},
 	    CU_TEST_INFO_NULL,
 	};
 
