config check: show which queue a renamed route takes over

Cause: a renamed route was shown as one queue removed and one added, as if its jobs were out of reach.

Change: a line names the queue whose host, path prefix and jobs a route has.

Result: queues/configcheck "renamed queues" failed before.

--- a/src/queues/configcheck.c
+++ b/src/queues/configcheck.c
@@ -401,6 +401,33 @@
 	}
 }
 
+/* Queues are the same if their hosts and prefixes are, whatever their names. */
+static void
+compare_names(GPtrArray *lines, const GPtrArray *before, const GPtrArray *after)
+{
+	guint i;
+	guint k;
+
+	for (i = 0; i < after->len; i++) {
+		const bp_queue_route_t *route = after->pdata[i];
+
+		for (k = 0; k < before->len; k++) {
+			const bp_queue_route_t *old = before->pdata[k];
+
+			if (route->prefix[0] == '\0' ||
+			    strcmp(route->prefix, old->prefix) != 0 ||
+			    g_ascii_strcasecmp(route->host, old->host) != 0)
+				continue;
+			if (strcmp(route->name, old->name) != 0)
+				g_ptr_array_add(lines,
+				    g_strdup_printf("queue %s: has host, path "
+						    "prefix and jobs of %s",
+					route->name, old->name));
+			break;
+		}
+	}
+}
+
 /* See the header. */
 GPtrArray *
 bp_config_differences(const bp_catalog_t *in_force, const bp_catalog_t *catalog)
@@ -410,6 +437,7 @@
 	compare_members(lines, "limits", in_force, catalog, limit_members);
 	compare_lists(
 	    lines, "queue", in_force->routes, catalog->routes, route_members);
+	compare_names(lines, in_force->routes, catalog->routes);
 	compare_lists(
 	    lines, "service", in_force->pools, catalog->pools, pool_members);
 	compare_lists(lines, "customer", in_force->customers,
--- a/tests/queues/test_configcheck.c
+++ b/tests/queues/test_configcheck.c
@@ -307,6 +307,7 @@
 	    "queue r-1: public changed from no to yes\n"
 	    "queue r-4: added\n"
 	    "queue r-3: removed\n"
+	    "queue r-4: has host, path prefix and jobs of r-3\n"
 	    "service s: standby changed from no to yes\n"
 	    "customer c1: weight changed from 18 to 20\n"
 	    "customer c1: cap of CPU in thousandths of a core changed from "
@@ -319,6 +320,28 @@
 	bp_catalog_free(new);
 }
 
+/* Guards against a renamed queue that looks like a removed one, whose jobs
+ * would be out of reach. */
+static void
+test_renamed_queues_keep_their_jobs(void)
+{
+	bp_catalog_t *old = good_catalog();
+	bp_catalog_t *new = good_catalog();
+	bp_queue_route_t *route = new->routes->pdata[0];
+	char *text;
+
+	g_free(route->name);
+	route->name = g_strdup("r-9");
+	text = join(bp_config_differences(old, new));
+	CU_ASSERT_STRING_EQUAL(text,
+	    "queue r-9: added\n"
+	    "queue r-1: removed\n"
+	    "queue r-9: has host, path prefix and jobs of r-1\n");
+	g_free(text);
+	bp_catalog_free(old);
+	bp_catalog_free(new);
+}
+
 int
 main(void)
 {
@@ -331,6 +354,7 @@
 	    {"empty names", test_empty_names_are_not_judged},
 	    {"version", test_the_version_is_above_the_one_in_force},
 	    {"differences", test_differences_are_listed_without_keys},
+	    {"renamed queues", test_renamed_queues_keep_their_jobs},
 	    CU_TEST_INFO_NULL,
 	};
 
