Refuse texts with a single surrogate at submission

Cause: json-glib decodes an escaped surrogate without its pair to bytes that are no UTF-8. The text is checked before it is decoded, not after.

Change: escapes are checked as pairs before parsing, in names and values of every body; the refusal names the escape and its byte. Documents of which one string must not spoil the rest get U+FFFD, as for NUL characters.

What executors answer 400 to for other reasons is handled as before.

--- a/src/clients/jsondoc.c
+++ b/src/clients/jsondoc.c
@@ -7,7 +7,10 @@
 
 /* A literal with fewer digits fits 64 bits. */
 #define INTEGER_DIGITS_MAX 18
-#define NUL_ESCAPE "\\u0000"
+/* Code units of UTF-16 pairs. */
+#define HIGH_SURROGATE_FIRST 0xd800
+#define LOW_SURROGATE_FIRST 0xdc00
+#define LOW_SURROGATE_LAST 0xdfff
 #define REPLACEMENT_ESCAPE "\\ufffd"
 #define ESCAPE_BYTES 6
 
@@ -17,7 +20,7 @@
 	size_t size_bytes;
 	size_t at;
 	uint32_t depth;
-	bool replace_nul;
+	bool replace_invalid;
 	GString *copy; /* NULL until it differs from the text */
 } scan_t;
 
@@ -39,18 +42,60 @@
 	scan->at += size_bytes;
 }
 
-/* Strings of json-glib end at a NUL character. */
+/* Returns the code unit of a \u escape, or -1 for any other text. */
+static int32_t
+code_unit_at(const scan_t *scan, size_t at)
+{
+	int32_t unit = 0;
+	size_t i;
+
+	if (at > scan->size_bytes || scan->size_bytes - at < ESCAPE_BYTES ||
+	    strncmp(scan->text + at, "\\u", 2) != 0)
+		return -1;
+	for (i = 2; i < ESCAPE_BYTES; i++) {
+		int digit = g_ascii_xdigit_value(scan->text[at + i]);
+
+		if (digit < 0)
+			return -1;
+		unit = unit * 16 + digit;
+	}
+	return unit;
+}
+
+static bool
+is_low_surrogate(int32_t unit)
+{
+	return unit >= LOW_SURROGATE_FIRST && unit <= LOW_SURROGATE_LAST;
+}
+
+static bool
+is_high_surrogate(int32_t unit)
+{
+	return unit >= HIGH_SURROGATE_FIRST && unit < LOW_SURROGATE_FIRST;
+}
+
+/*
+ * Strings of json-glib end at a NUL character, and it decodes a surrogate
+ * without its pair to bytes that are no UTF-8.
+ */
 static int
 scan_escape(scan_t *scan, bp_error_t *err)
 {
-	if (scan->size_bytes - scan->at < ESCAPE_BYTES ||
-	    strncmp(scan->text + scan->at, NUL_ESCAPE, ESCAPE_BYTES) != 0) {
+	int32_t unit = code_unit_at(scan, scan->at);
+
+	if (is_high_surrogate(unit) &&
+	    is_low_surrogate(code_unit_at(scan, scan->at + ESCAPE_BYTES))) {
+		take(scan, (size_t)2 * ESCAPE_BYTES);
+		return BP_OK;
+	}
+	if (unit != 0 && !is_high_surrogate(unit) && !is_low_surrogate(unit)) {
 		take(scan, 2);
 		return BP_OK;
 	}
-	if (!scan->replace_nul)
+	if (!scan->replace_invalid)
 		return bp_error_set(err, BP_EINVALID,
-		    "a string contains \\u0000 at byte %zu", scan->at);
+		    "a string contains \\u%04x%s at byte %zu", (unsigned)unit,
+		    unit != 0 ? " without its pair" : "", scan->at);
 	copy_from_here(scan);
 	g_string_append(scan->copy, REPLACEMENT_ESCAPE);
 	scan->at += ESCAPE_BYTES;
@@ -198,7 +243,7 @@
  * Parses a JSON object with at most max_depth levels. Integers that exceed 64
  * bits become floating point numbers. The caller frees the parser with
  * g_object_unref. Returns BP_EINVALID for any other text, and for a string with
- * a NUL character.
+ * a NUL character or a single surrogate.
  */
 int
 bp_json_parse(JsonParser **out, const char *text, size_t size_bytes,
@@ -209,8 +254,8 @@
 	return parse(out, &scan, max_depth, err);
 }
 
-/* Does the same, but replaces NUL characters in strings by U+FFFD: for a
- * document of which one string must not spoil the rest. */
+/* Does the same, but replaces NUL characters and single surrogates in strings
+ * by U+FFFD: for a document of which one string must not spoil the rest. */
 int
 bp_json_parse_all(JsonParser **out, const char *text, size_t size_bytes,
     uint32_t max_depth, bp_error_t *err)
--- a/tests/adapter/test_codec.c
+++ b/tests/adapter/test_codec.c
@@ -542,6 +542,33 @@
 	expect_refused(texts, G_N_ELEMENTS(texts));
 }
 
+/* Guards against accepted jobs whose texts are no UTF-8 once decoded, so that
+ * no executor can read their starts. */
+static void
+test_single_surrogates_are_refused(void)
+{
+	static const char *const texts[] = {
+	    "{\"steps\":[{}],\"task_spec\":\"a\\ud800b\"}",
+	    "{\"steps\":[{}],\"task_spec\":\"a\\uDBFF\"}",
+	    "{\"steps\":[{}],\"task_spec\":\"\\ud83d\\n\"}",
+	    "{\"steps\":[{}],\"task_spec\":\"\\ud83d\\ud83d\\ude00\"}",
+	    "{\"steps\":[{}],\"task_spec\":\"\\ude00\\ud83d\"}",
+	    "{\"steps\":[{\"image\":\"\\udc00\"}]}",
+	    "{\"steps\":[{\"requirements\":\"\\udfff\"}]}",
+	    "{\"steps\":[{\"data_rack\":\"\\ud800\"}]}",
+	    "{\"steps\":[{}],\"\\ud800\":1}",
+	    "{\"steps\":[{}],\"task_spec\":\"\xed\xa0\x80\"}"};
+	static const char pairs[] = "{\"steps\":[{\"count\":1}],\"task_spec\":"
+				    "\"\\ud83d\\ude00\\\\ud800\"}";
+	Bp__Work__Job *job = NULL;
+
+	expect_refused(texts, G_N_ELEMENTS(texts));
+	CU_ASSERT_EQUAL_FATAL(
+	    bp_codec_job(&job, pairs, strlen(pairs), NULL), BP_OK);
+	CU_ASSERT_STRING_EQUAL(job->payload, "\xf0\x9f\x98\x80\\ud800");
+	bp__work__job__free_unpacked(job, NULL);
+}
+
 static const char config_text[] =
     "{\"version\":7,\"routes\":[{\"name\":\"r-1\",\"hostname\":\"a.example\","
     "\"path_prefix\":\"/a/\",\"route_type\":\"non_idempotent\","
@@ -881,6 +908,8 @@
 	    {"each number is kept or refused",
 		test_each_number_is_kept_or_refused},
 	    {"other types are refused", test_other_types_are_refused},
+	    {"single surrogates are refused",
+		test_single_surrogates_are_refused},
 	    {"problems of a configuration have places",
 		test_problems_of_a_configuration_have_places},
 	    {"a check keeps positions", test_a_check_keeps_positions},
