Space the starts that executors refuse as malformed

Cause: a 400 closed the executor for 1.5 s, and the tasks of the refused job took the places of each round when executors opened again.

Change: a step that was refused is tried one task at a time, at intervals from 0.1 s doubling to 5 s, and not at the executor that refused it last; it takes part in no round in between.

--- a/src/queues/job.h
+++ b/src/queues/job.h
@@ -107,6 +107,11 @@
 	bool blocked_by_start_limits; /* and by nothing else; long-running */
 	int64_t start_limits_checked_ms; /* monotonic */
 	const char *reason; /* why the last round placed none; static */
+	/* Starts refused as malformed; shard_refusals.c. */
+	bool refused; /* and none carried out since */
+	int64_t retry_wait_ms;
+	int64_t retry_at_ms; /* monotonic */
+	const void *refused_by; /* executor that is passed over; NULL: none */
 	bp_outlook_t outlook; /* in the last round */
 	bp_batch_claim_t claim; /* that is being used to place a task */
 	bool shares_processors; /* a claim may use those of other fillers */
--- a/src/queues/shard_orders.c
+++ b/src/queues/shard_orders.c
@@ -109,7 +109,7 @@
 		break;
 	case BP_EXEC_INVALID:
 		log_refusal(run, "invalid");
-		bp_qexec_back_off(exec, "invalid", BACKOFF_UNHEALTHY_MS);
+		bp_qrun_note_malformed(run);
 		break;
 	case BP_EXEC_UNHEALTHY:
 	case BP_EXEC_NOT_SENT:
@@ -179,6 +179,7 @@
 	if (result->outcome == BP_EXEC_OK) {
 		run->answered_seq = ++shard->events;
 		run->exec->excused_starts = 0;
+		bp_qrun_note_accepted(run);
 		if (run->state == BP_QRUN_STARTING)
 			run->state = BP_QRUN_RUNNING;
 		if (run->exec->polls_in_flight == 0)
--- a/src/queues/shard_priority.c
+++ b/src/queues/shard_priority.c
@@ -297,7 +297,8 @@
 		    .filler = step->spec->filler,
 		    .due_ms = MAX(job->due_ms, bp_qstep_not_before_ms(step))};
 
-		if (step->waiting_tasks == 0)
+		if (step->waiting_tasks == 0 ||
+		    bp_qstep_awaits_retry(step, bp_shard_now_ms(shard)))
 			continue;
 		if (!bp_qstep_ready(step, start_until_ms)) {
 			step->reason = "dependency";
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -186,6 +186,9 @@
 	int64_t probed_ms; /* monotonic, last probe in quarantine */
 	int64_t backoff_until_ms; /* monotonic */
 	const char *backoff_reason; /* static */
+	/* Job of the start that it refused last as malformed, to be compared
+	 * only; NULL: it has carried out another since. */
+	const void *refused_job;
 	const bp_qstep_t *reserved_for; /* urgent step */
 	int64_t reserved_until_ms; /* monotonic */
 	bp_qroom_t *room; /* reservation for a large task; NULL */
@@ -586,6 +589,12 @@
 const char *bp_shard_service_of(const bp_shard_t *shard, const bp_qjob_t *job);
 const char *bp_shard_queue_of(const bp_shard_t *shard, const bp_qjob_t *job);
 
+/* shard_refusals.c */
+bool bp_qstep_awaits_retry(const bp_qstep_t *step, int64_t now_ms);
+void bp_qstep_note_retry(bp_qstep_t *step, int64_t now_ms);
+void bp_qrun_note_malformed(const bp_qrun_t *run);
+void bp_qrun_note_accepted(const bp_qrun_t *run);
+
 /* shard_rounds.c */
 /* Returns whether a task of a step that comes first in the job could start. */
 bool bp_shard_has_room(bp_shard_t *shard, const bp_qjob_t *job);
--- a/src/queues/shard_rounds.c
+++ b/src/queues/shard_rounds.c
@@ -497,6 +497,8 @@
 	bool skipped = round->reruns_only && round->from > 0;
 	uint32_t i;
 
+	if (bp_qstep_awaits_retry(step, round->now_ms))
+		return;
 	if (round->limited && !bp_qstep_within_cap(step)) {
 		wait_for_cap(round, step);
 		return;
@@ -507,6 +509,10 @@
 		return;
 	}
 	if (step->spec->gang) {
+		if (step->refused)
+			bp_qstep_note_retry(step, round->now_ms);
+		/* A gang may need all executors. */
+		step->refused_by = NULL;
 		if (step->waiting_tasks == step->spec->tasks)
 			place_gang(round, step);
 		return;
@@ -534,6 +540,11 @@
 			return;
 		}
 		exec = choose(round, task, wanted_rack(step), &step->reason);
+		if (exec == NULL && step->refused_by != NULL) {
+			/* No other executor can take it now. */
+			step->refused_by = NULL;
+			return;
+		}
 		if (exec == NULL) {
 			add_unplaced(round, step);
 			note_unplaced(round, step);
@@ -547,6 +558,10 @@
 			bp_qexec_release_reservation(exec);
 		bp_shard_start_task(
 		    shard, task, exec, bp_shard_next_run(shard, task));
+		if (step->refused) {
+			bp_qstep_note_retry(step, round->now_ms);
+			return;
+		}
 		if (round->one_task && step->waiting_tasks > 0)
 			return;
 		if (yields(round, step)) {
--- a/src/queues/shard_score.c
+++ b/src/queues/shard_score.c
@@ -198,6 +198,8 @@
 	    !g_strv_contains(
 		(const char *const *)exec->info->labels, spec->label))
 		return "label";
+	if (step->refused_by == exec)
+		return "invalid";
 	if (exec->runs->len >= RUNS_MAX ||
 	    !bp_qexec_has_capacity(exec, spec, 1))
 		return "no_capacity";
--- a/src/queues/shard_why.c
+++ b/src/queues/shard_why.c
@@ -44,7 +44,9 @@
     {"unhealthy", "waits: the executor refuses orders or is unreachable"},
     {"no_answer", "waits: the executor did not answer an order"},
     {"other_life", "waits: another executor answers at the address"},
-    {"invalid", "waits: the executor rejected a start as malformed"},
+    {"invalid",
+	"waits: an executor rejected a start as malformed; its step is tried "
+	"again at growing intervals"},
     {"customer_cap", "waits: its customer's running tasks are at their cap"},
     {"customer_share",
 	"waits: its customer uses more than its share of a full site"},
@@ -119,6 +121,8 @@
 		return "store_unavailable";
 	if (!bp_qstep_within_cap(step))
 		return "customer_cap";
+	if (step->refused)
+		return "invalid";
 	if (step->rooms > 0)
 		return "reserved_for_large";
 	if (step->reason != NULL && strcmp(step->reason, "headroom") == 0)
