Tell lives of an executor apart without an order of their starts

Cause: an answer with a lower time was dropped as one of an earlier life that had been overtaken, and a lower time in the list caused no poll.

Change: a time that differs, or a clock that goes back, tells another life. Its answer counts if its poll was sent after the last applied answer arrived: such a poll has reached that life or a later one.

--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -471,7 +471,7 @@
 	bp_executor_info_free(exec->info);
 	exec->info = copy_info(info);
 	exec->listed = true;
-	if (info->born_ms > exec->born_ms && exec->born_ms != 0) {
+	if (info->born_ms != exec->born_ms && exec->born_ms != 0) {
 		exec->answered_ms = 0;
 		bp_shard_poll(exec, 0);
 	}
--- a/src/queues/shard_polls.c
+++ b/src/queues/shard_polls.c
@@ -102,6 +102,19 @@
 	exec->unresponsive = true;
 }
 
+/*
+ * Returns whether an answer is of another life of the executor than the last
+ * one that was applied. The clock of one life does not go back. Times of starts
+ * tell lives apart but have no order, as the time of day may be set back: only
+ * a poll that was sent after an answer has reached that life or a later one.
+ */
+static bool
+is_of_other_life(const bp_qexec_t *exec, const bp_exec_result_t *result)
+{
+	return (exec->born_ms != 0 && result->born_ms != exec->born_ms) ||
+	    result->clock_ms < exec->clock_ms;
+}
+
 static void
 on_poll(const bp_exec_result_t *result, void *data)
 {
@@ -127,15 +140,16 @@
 		bp_record_writer_request(shard->writer, false);
 	exec->unresponsive = false;
 	exec->excused_polls = 0;
-	if (exec->born_ms != 0 && result->born_ms > exec->born_ms)
+	if (is_of_other_life(exec, result) && result->born_ms != 0 &&
+	    event > exec->answer_event)
 		reset_incarnation(exec, result->born_ms, result->clock_ms);
-	/* Drops an answer that a later one or a restart has overtaken. */
-	if ((exec->born_ms != 0 && result->born_ms < exec->born_ms) ||
-	    result->clock_ms < exec->clock_ms) {
-		send_next_poll(exec);
+	/* Drops an answer that a later one or a restart may have overtaken. */
+	if (is_of_other_life(exec, result)) {
+		bp_shard_schedule_poll(exec, 0);
 		return;
 	}
-	exec->born_ms = MAX(exec->born_ms, result->born_ms);
+	exec->answer_event = shard->events;
+	exec->born_ms = result->born_ms;
 	exec->clock_ms = result->clock_ms;
 	exec->clock_at_ms = bp_shard_now_ms(shard);
 	exec->answered_ms = exec->clock_at_ms;
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -167,6 +167,7 @@
 	int64_t start_excused_ms; /* monotonic, of the last of them */
 	int64_t born_ms; /* Unix, start of its incarnation */
 	int64_t clock_ms; /* its clock at its last answer */
+	uint64_t answer_event; /* shard's event count at that answer */
 	int64_t clock_at_ms; /* monotonic, when that answer arrived */
 	int64_t lease_end_ms; /* its clock; latest deadline ever sent */
 	int64_t answered_ms; /* monotonic, of the last answered poll */
--- a/tests/support/shardsim.c
+++ b/tests/support/shardsim.c
@@ -109,13 +109,20 @@
 	return NULL;
 }
 
+static int64_t
+born_of(const bp_sim_order_t *order)
+{
+	return order->born_ms != 0 ? order->born_ms : 1;
+}
+
 static void
 deliver(bp_sim_order_t *order, bp_exec_outcome_t outcome, int64_t clock_ms,
     const bp_sim_order_t *running)
 {
 	GArray *rows = g_array_new(FALSE, TRUE, sizeof(bp_exec_running_t));
 	GArray *ends = g_array_new(FALSE, TRUE, sizeof(bp_exec_ended_t));
-	bp_exec_result_t result = {outcome, clock_ms, 1, NULL, NULL, false};
+	bp_exec_result_t result = {
+	    outcome, clock_ms, born_of(order), NULL, NULL, false};
 
 	if (running != NULL) {
 		bp_exec_running_t row = {
@@ -165,8 +172,8 @@
 bp_shardsim_answer_poll(bp_sim_order_t *poll, int64_t clock_ms, GArray *running)
 {
 	GArray *ends = g_array_new(FALSE, TRUE, sizeof(bp_exec_ended_t));
-	bp_exec_result_t result = {
-	    BP_EXEC_OK, clock_ms, 1, running, ends, false};
+	bp_exec_result_t result = {BP_EXEC_OK, clock_ms,
+	    poll != NULL ? born_of(poll) : 0, running, ends, false};
 
 	CU_ASSERT_PTR_NOT_NULL(poll);
 	if (poll != NULL) {
@@ -176,16 +183,23 @@
 	g_array_unref(ends);
 }
 
-static void
-list_executor(bp_shardsim_t *sim, const char *id)
+/* See the header. */
+void
+bp_shardsim_list_born(bp_shardsim_t *sim, const char *executor, int64_t born_ms)
 {
 	char *labels[] = {NULL};
-	bp_executor_info_t info = {(char *)id, "pool", "10.0.0.1:80", "za",
-	    "r1", labels, 16000, 64000, 0, false, 1};
+	bp_executor_info_t info = {(char *)executor, "pool", "10.0.0.1:80",
+	    "za", "r1", labels, 16000, 64000, 0, false, born_ms};
 
 	bp_shard_update_executor(sim->shard, &info);
 }
 
+static void
+list_executor(bp_shardsim_t *sim, const char *id)
+{
+	bp_shardsim_list_born(sim, id, 1);
+}
+
 static void
 start_shard(bp_shardsim_t *sim, const char *node)
 {
--- a/tests/support/shardsim.h
+++ b/tests/support/shardsim.h
@@ -23,6 +23,7 @@
 	bp_exec_done_t done;
 	void *data;
 	bool answered;
+	int64_t born_ms; /* told by the answer to a poll, 0: 1 */
 } bp_sim_order_t;
 
 /* A shard and executors whose answers the test determines. */
@@ -41,6 +42,9 @@
 void bp_shardsim_free(bp_shardsim_t *sim);
 /* Lists one more executor, which has answered its first poll. */
 void bp_shardsim_list(bp_shardsim_t *sim, const char *executor);
+/* Lists an executor with the time of its start. */
+void bp_shardsim_list_born(
+    bp_shardsim_t *sim, const char *executor, int64_t born_ms);
 /*
  * Replaces the shard by that of another node, which reads the records of the
  * first one. Orders of the first one stay unanswered. i-1 is listed, and its
