--- a/review/standin-3/scene.c
+++ b/review/standin-3/scene.c
@@ -6,6 +6,7 @@
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #define READY_WAIT_MS 20000
 
@@ -130,6 +131,20 @@
 	return true;
 }
 
+/* See the header. */
+bool
+scene_start_node(scene_t *scene, uint32_t node)
+{
+	const char *argv[] = {"target/bulrushpost", "serve", "--settings",
+	    scene->settings[node], NULL};
+	char *name = g_strdup_printf("review-3-%d-node-%u", getpid(), node);
+
+	scene->nodes[node] =
+	    argv[3] != NULL ? bp_process_start(name, argv) : NULL;
+	g_free(name);
+	return scene->nodes[node] != NULL;
+}
+
 /* See the header. */
 bool
 scene_start_nodes(scene_t *scene, uint32_t nodes)
@@ -140,21 +155,11 @@
 
 	scene->n_nodes = nodes;
 	for (i = 0; i < nodes; i++) {
-		const char *argv[] = {"target/bulrushpost", "serve",
-		    "--settings", NULL, NULL};
-		char *name = g_strdup_printf("review-3-node-%u", i);
-		char *path;
-
 		for (k = 0; k < 4; k++)
 			ports[i][k] = bp_process_reserve_port(scene->held);
 		scene->fronts[i] = ports[i][0];
-		path = write_settings(scene, i, ports[i]);
-		argv[3] = path;
-		scene->nodes[i] =
-		    path != NULL ? bp_process_start(name, argv) : NULL;
-		g_free(name);
-		g_free(path);
-		if (scene->nodes[i] == NULL) {
+		scene->settings[i] = write_settings(scene, i, ports[i]);
+		if (!scene_start_node(scene, i)) {
 			scene_note(scene, "node %u did not start", i);
 			return false;
 		}
@@ -179,11 +184,8 @@
 		bp_process_free(scene->nodes[i]);
 	if (scene->folder != NULL) {
 		for (i = 0; i < scene->n_nodes; i++) {
-			char *path = g_strdup_printf(
-			    "%s/node-%u.yaml", scene->folder, i);
-
-			(void)g_remove(path);
-			g_free(path);
+			(void)g_remove(scene->settings[i]);
+			g_free(scene->settings[i]);
 		}
 		(void)g_rmdir(scene->folder);
 	}
--- a/review/standin-3/scene.h
+++ b/review/standin-3/scene.h
@@ -19,6 +19,7 @@
 	bp_http_t *http;
 	bp_process_t *nodes[SCENE_NODES_MAX];
 	uint16_t fronts[SCENE_NODES_MAX];
+	char *settings[SCENE_NODES_MAX];
 	uint32_t n_nodes;
 	GPtrArray *held; /* sockets that keep the ports */
 	char *folder; /* of the settings files */
@@ -32,6 +33,7 @@
     scene_t *scene, const char *record_path, uint32_t executors);
 /* Starts the nodes and waits until all are ready. */
 bool scene_start_nodes(scene_t *scene, uint32_t nodes);
+bool scene_start_node(scene_t *scene, uint32_t node);
 /* Ends all processes. */
 void scene_end(scene_t *scene);
 double scene_s(const scene_t *scene);
