Count lapsed runs, and run ends that wait for the store

Cause: neither logs nor metrics told a run that its executor ended with the lease from one that was stopped, nor an executor whose run ends the store does not cover from one that is idle. Both end in tasks that run nowhere.

Change: runs_lapsed, executors_unstored_ends and unstored_ends_ms among the counters of a shard and in its line "work done".

--- a/src/queues/shard_calls.c
+++ b/src/queues/shard_calls.c
@@ -432,6 +432,9 @@
 void
 bp_shard_counts(const bp_shard_t *shard, bp_shard_count_t report, void *data)
 {
+	uint32_t unstored_execs;
+	int64_t unstored_ms = bp_shard_unstored_ends_ms(shard, &unstored_execs);
+
 	report("jobs", g_hash_table_size(shard->jobs), data);
 	report("jobs_going", shard->active_jobs->len, data);
 	report("jobs_bytes", shard->jobs_bytes, data);
@@ -458,6 +461,9 @@
 	report("ends_done", shard->counts_done, data);
 	report("ends_failed", shard->counts_failed, data);
 	report("runs_lost", shard->counts_lost_runs, data);
+	report("runs_lapsed", shard->counts_lapsed, data);
+	report("executors_unstored_ends", unstored_execs, data);
+	report("unstored_ends_ms", (uint64_t)unstored_ms, data);
 	bp_shard_large_counts(shard, report, data);
 	report("appends",
 	    shard->writer != NULL ? bp_record_writer_appends(shard->writer) : 0,
--- a/src/queues/shard_pollresults.c
+++ b/src/queues/shard_pollresults.c
@@ -108,6 +108,8 @@
 			clear_failures(step);
 	} else if (kind == BP_END_FAILED) {
 		count_failure(exec, run, step);
+	} else if (kind == BP_END_LEASE_EXPIRED) {
+		exec->shard->counts_lapsed++;
 	}
 }
 
@@ -335,6 +337,7 @@
 {
 	GHashTable *seen = g_hash_table_new(NULL, NULL);
 	uint64_t before = exec->ends_seen;
+	bool unstored = bp_qexec_has_unstored_ends(exec);
 	guint i;
 
 	for (i = 0; i < result->ended->len; i++) {
@@ -354,6 +357,8 @@
 		remove_missing_runs(exec, seen, poll_event);
 	g_hash_table_unref(seen);
 	if (exec->ends_seen != before) {
+		if (!unstored)
+			exec->unstored_ms = bp_shard_now_ms(exec->shard);
 		bp_record_writer_request(exec->shard->writer, false);
 		bp_shard_plan_round(exec->shard, 0);
 	}
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -174,6 +174,7 @@
 	uint64_t ends_seen; /* number of the last end that was processed */
 	uint64_t ends_storing; /* of the last end that the append covers */
 	uint64_t ends_stored; /* of the last end that the store covers */
+	int64_t unstored_ms; /* monotonic, since when ends_seen exceeds it */
 	GPtrArray *runs; /* bp_qrun_t */
 	/* Sums of what its runs request, which may be up to UINT32_MAX each. */
 	uint64_t cpu_used;
@@ -234,6 +235,7 @@
 	uint64_t started;
 	uint64_t done;
 	uint64_t failed;
+	uint64_t lapsed;
 	uint64_t stopped;
 	uint64_t moved;
 	uint64_t rounds;
@@ -331,6 +333,7 @@
 	uint64_t counts_done;
 	uint64_t counts_failed;
 	uint64_t counts_lost_runs;
+	uint64_t counts_lapsed; /* runs that executors ended with their lease */
 	uint64_t counts_throttles;
 	uint64_t counts_stopped; /* runs ordered to stop */
 	uint64_t counts_moved; /* of these, because of interference */
@@ -402,6 +405,10 @@
 bool bp_shard_appends_job(const bp_shard_t *shard, const bp_qjob_t *job);
 void bp_shard_drop_exec(bp_shard_t *shard, bp_qexec_t *exec);
 
+/* shard_runends.c */
+bool bp_qexec_has_unstored_ends(const bp_qexec_t *exec);
+int64_t bp_shard_unstored_ends_ms(const bp_shard_t *shard, uint32_t *execs);
+
 /* shard_parts.c */
 bool bp_qjob_add_parts(
     GPtrArray *records, bp_qjob_t *job, gsize *bytes, gsize max_bytes);
--- /dev/null
+++ b/src/queues/shard_runends.c
@@ -0,0 +1,32 @@
+#include "queues/shard_private.h"
+
+/* Returns whether the store does not cover all run ends that this owner has
+ * seen on an executor. They are not acknowledged until it does. */
+bool
+bp_qexec_has_unstored_ends(const bp_qexec_t *exec)
+{
+	return exec->ends_seen > exec->ends_stored;
+}
+
+/* Returns for how long the oldest unstored run end has waited, in ms; sets
+ * *execs to the number of executors with such ends. */
+int64_t
+bp_shard_unstored_ends_ms(const bp_shard_t *shard, uint32_t *execs)
+{
+	int64_t now_ms = bp_shard_now_ms(shard);
+	int64_t longest_ms = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	*execs = 0;
+	g_hash_table_iter_init(&iter, shard->execs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const bp_qexec_t *exec = value;
+
+		if (!bp_qexec_has_unstored_ends(exec))
+			continue;
+		(*execs)++;
+		longest_ms = MAX(longest_ms, now_ms - exec->unstored_ms);
+	}
+	return longest_ms;
+}
--- a/src/queues/shard_summary.c
+++ b/src/queues/shard_summary.c
@@ -107,6 +107,7 @@
 	bp_qsummary_counts_t counts = {.started = shard->counts_started,
 	    .done = shard->counts_done,
 	    .failed = shard->counts_failed,
+	    .lapsed = shard->counts_lapsed,
 	    .stopped = shard->counts_stopped,
 	    .moved = shard->counts_moved,
 	    .rounds = shard->counts_rounds,
@@ -193,19 +194,24 @@
 {
 	const bp_qsummary_counts_t *before = &shard->last_summary;
 	bp_qsummary_counts_t now = current_counts(shard);
-	char text[192];
+	uint32_t unstored_execs;
+	int64_t unstored_ms = bp_shard_unstored_ends_ms(shard, &unstored_execs);
+	char text[256];
 
 	snprintf(text, sizeof(text),
-	    "started=%u done=%u failed=%u stopped=%u moved=%u rounds=%u "
-	    "rounds_ms=%u lag_ms=%u",
+	    "started=%u done=%u failed=%u lapsed=%u stopped=%u moved=%u "
+	    "rounds=%u rounds_ms=%u lag_ms=%u unstored_ends=%u "
+	    "unstored_ends_ms=%u",
 	    (unsigned)(now.started - before->started),
 	    (unsigned)(now.done - before->done),
 	    (unsigned)(now.failed - before->failed),
+	    (unsigned)(now.lapsed - before->lapsed),
 	    (unsigned)(now.stopped - before->stopped),
 	    (unsigned)(now.moved - before->moved),
 	    (unsigned)(now.rounds - before->rounds),
 	    (unsigned)((now.rounds_us - before->rounds_us) / US_PER_MS),
-	    (unsigned)MAX(shard->lag_ms, 0));
+	    (unsigned)MAX(shard->lag_ms, 0), unstored_execs,
+	    (unsigned)unstored_ms);
 	bp_log(shard->options.logger, BP_LOG_INFO, BP_SHARD_MODULE, "work done",
 	    "state", text, NULL);
 	log_rounds(shard, &now);
