Request appends from what is unstored, not from events alone

Cause: run ends that change no job count as stored with the next append that succeeds, and their executors are not polled before, so that no lease is renewed. When such ends share an append with a submission and the store refuses it, the submission is answered, the ends stay, and nothing requests another append. The same holds for the record that names the earlier owners, and for each end on an executor whose own record the store rejects for good: that executor was passed over before its ends were marked as covered.

Change: each tick requests an append while a job has progress to store, a run end is not covered or the owner record is due. Ends are marked apart from the executors' records.

Executors that wait for a store without an answer are still not polled; that is a fault of its own.

--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -249,7 +249,8 @@
 		bp_record_writer_request(shard->writer, false);
 	remove_idle_execs(shard);
 	remove_expired_jobs(shard);
-	if (shard->dirty_jobs->len > 0)
+	/* A refused append may have held what nothing else requests again. */
+	if (bp_shard_needs_append(shard))
 		bp_record_writer_request(shard->writer, false);
 	bp_shard_plan_round(shard, 0);
 	return G_SOURCE_CONTINUE;
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -404,9 +404,12 @@
 /* Returns whether the append in flight refers to a job. */
 bool bp_shard_appends_job(const bp_shard_t *shard, const bp_qjob_t *job);
 void bp_shard_drop_exec(bp_shard_t *shard, bp_qexec_t *exec);
+/* Returns whether an append is needed, whether or not one was requested. */
+bool bp_shard_needs_append(const bp_shard_t *shard);
 
 /* shard_runends.c */
 bool bp_qexec_has_unstored_ends(const bp_qexec_t *exec);
+void bp_shard_cover_ends(bp_shard_t *shard);
 int64_t bp_shard_unstored_ends_ms(const bp_shard_t *shard, uint32_t *execs);
 
 /* shard_parts.c */
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -125,7 +125,7 @@
  * to start there.
  */
 static void
-add_exec_records(bp_shard_t *shard, GPtrArray *records, bool covers_all_jobs)
+add_exec_records(bp_shard_t *shard, GPtrArray *records)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -139,8 +139,6 @@
 			continue;
 		if (shard->exec_alone && added)
 			break;
-		if (covers_all_jobs)
-			exec->ends_storing = exec->ends_seen;
 		if (bp_qexec_wait_record_due(exec)) {
 			exec->wait_stored_ms = bp_shard_now_ms(shard);
 			exec->recorded_in_epoch = false;
@@ -333,7 +331,9 @@
 	}
 	shard->append_alone = false;
 	/* Run ends are acknowledged once the progress of all jobs is stored. */
-	add_exec_records(shard, records, shard->dirty_jobs->len == 0);
+	if (shard->dirty_jobs->len == 0)
+		bp_shard_cover_ends(shard);
+	add_exec_records(shard, records);
 	for (i = 0; i < shard->deleted_keys->len; i++)
 		add_record(records, "", shard->deleted_keys->pdata[i], NULL);
 	g_ptr_array_set_size(shard->deleted_keys, 0);
@@ -526,6 +526,17 @@
 		bp_shard_set_lost(shard);
 }
 
+/* See the header. */
+bool
+bp_shard_needs_append(const bp_shard_t *shard)
+{
+	uint32_t unstored_execs;
+
+	(void)bp_shard_unstored_ends_ms(shard, &unstored_execs);
+	return shard->dirty_jobs->len > 0 || unstored_execs > 0 ||
+	    shard->owner_record_due;
+}
+
 /* Handles the outcome of an append; see bp_record_writer_options_t. */
 void
 bp_shard_append_done(bp_store_outcome_t outcome, void *data)
--- a/src/queues/shard_runends.c
+++ b/src/queues/shard_runends.c
@@ -8,6 +8,25 @@
 	return exec->ends_seen > exec->ends_stored;
 }
 
+/*
+ * Marks the run ends seen so far as covered by the append that is being put
+ * together, once it and earlier ones hold the progress of all jobs. Ends that
+ * change no job need no record.
+ */
+void
+bp_shard_cover_ends(bp_shard_t *shard)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, shard->execs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		bp_qexec_t *exec = value;
+
+		exec->ends_storing = exec->ends_seen;
+	}
+}
+
 /* Returns for how long the oldest unstored run end has waited, in ms; sets
  * *execs to the number of executors with such ends. */
 int64_t
--- /dev/null
+++ b/tests/queues/test_storeoutage.c
@@ -0,0 +1,166 @@
+#include "support/queuerig.h"
+#include "support/runner.h"
+
+#include <stdio.h>
+
+#define SEED 20261207
+#define EXECUTORS 6
+#define SETTLE_MS 6000
+#define SAMPLE_MS 50
+#define KEPT 6 /* jobs that last and are not cancelled */
+#define KEPT_TASKS 2 /* of each of them */
+#define CANCELLED 2 /* jobs with a task on each executor */
+#define SUBMIT_INTERVAL_MS 100
+#define OUTAGE_GAP_MS 2000
+#define QUIET_MS 20000
+
+static void
+set_store(bp_qrig_t *rig, bp_qstore_mode_t mode)
+{
+	uint32_t i;
+
+	for (i = 0; i < BP_QRIG_NODES; i++)
+		bp_qrig_store_mode(rig, i, mode);
+}
+
+/* Lets time pass; raises *away to the most tasks that were away together. */
+static void
+run_watching(bp_qrig_t *rig, int64_t duration_ms, uint32_t *away)
+{
+	int64_t passed_ms;
+
+	for (passed_ms = 0; passed_ms < duration_ms; passed_ms += SAMPLE_MS) {
+		bp_qrig_run_ms(rig, SAMPLE_MS);
+		*away = MAX(*away, bp_qrig_away(rig));
+	}
+}
+
+/* Creates a rig whose executors are full of tasks that last, each with some of
+ * the jobs to be cancelled, and lets it settle. */
+static bp_qrig_t *
+new_rig(const char **cancelled)
+{
+	bp_qrig_shape_t spread = {.reliable = true, .spread_max = 1};
+	bp_qrig_shape_t shape = {.reliable = true};
+	bp_qrig_t *rig = bp_qrig_new(SEED, EXECUTORS);
+	uint32_t i;
+
+	bp_qrig_run_ms(rig, SETTLE_MS);
+	bp_qrig_set_shape(rig, &spread);
+	for (i = 0; i < CANCELLED; i++)
+		cancelled[i] = bp_qrig_submit(rig, EXECUTORS, 0, true);
+	bp_qrig_set_shape(rig, &shape);
+	for (i = 0; i < KEPT; i++)
+		(void)bp_qrig_submit(rig, KEPT_TASKS, 0, true);
+	bp_qrig_run_ms(rig, SETTLE_MS);
+	CU_ASSERT_EQUAL(bp_qrig_away(rig), 0);
+	return rig;
+}
+
+static void
+check_rules(bp_qrig_t *rig)
+{
+	CU_ASSERT_EQUAL(bp_qrig_broken(rig), 0);
+	if (bp_qrig_broken(rig) > 0)
+		printf("%s\n", bp_qrig_first_broken(rig));
+}
+
+/* Cancels the jobs, and waits until that is stored. */
+static void
+cancel_all(bp_qrig_t *rig, const char *const *ids)
+{
+	uint32_t i;
+
+	for (i = 0; i < CANCELLED; i++)
+		bp_qrig_cancel(rig, ids[i]);
+	bp_qrig_run_ms(rig, SAMPLE_MS);
+	for (i = 0; i < CANCELLED; i++)
+		CU_ASSERT_EQUAL(
+		    bp_qrig_cancel_told(rig, ids[i]), BP_QRIG_ACCEPTED);
+}
+
+/* Hands jobs in while the store refuses all calls. */
+static void
+submit_in_outage(bp_qrig_t *rig, uint32_t submissions, uint32_t *away)
+{
+	uint32_t i;
+
+	set_store(rig, BP_QSTORE_BUSY);
+	for (i = 0; i < submissions; i++) {
+		(void)bp_qrig_submit(rig, 1, 1000, false);
+		run_watching(rig, SUBMIT_INTERVAL_MS, away);
+	}
+	set_store(rig, BP_QSTORE_UP);
+}
+
+/* Guards against executors that are not polled any more (review/11): ends of
+ * cancelled runs share an append with a submission, and the store refuses it.
+ */
+static void
+test_tasks_run_on_after_refused_appends(void)
+{
+	static const struct {
+		uint32_t outages;
+		uint32_t submissions; /* in each */
+		uint32_t after_ms; /* from the cancels to the outage */
+	} cases[] = {{1, 15, 0}, {1, 15, 60}, {1, 3, 0}, {1, 3, 60}, {2, 10, 0},
+	    {2, 10, 60}};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const char *cancelled[CANCELLED];
+		bp_qrig_t *rig = new_rig(cancelled);
+		uint32_t away = 0;
+		uint32_t n;
+
+		cancel_all(rig, cancelled);
+		bp_qrig_run_ms(rig, cases[i].after_ms);
+		for (n = 0; n < cases[i].outages; n++) {
+			submit_in_outage(rig, cases[i].submissions, &away);
+			run_watching(rig, OUTAGE_GAP_MS, &away);
+		}
+		run_watching(rig, QUIET_MS, &away);
+		CU_ASSERT_EQUAL(away, 0);
+		CU_ASSERT_EQUAL(
+		    bp_qrig_count(rig, "executors_unstored_ends"), 0);
+		check_rules(rig);
+		bp_qrig_free(rig);
+	}
+}
+
+/* Guards against the same at an executor whose own record the store rejects for
+ * good: its ends need no record. */
+static void
+test_tasks_run_on_where_the_record_is_rejected(void)
+{
+	const char *cancelled[CANCELLED];
+	bp_qrig_t *rig = new_rig(cancelled);
+	uint32_t away = 0;
+
+	/* Room on each executor, and then starts there to record. */
+	bp_qrig_cancel(rig, cancelled[0]);
+	run_watching(rig, 1000, &away);
+	bp_qstore_set_rejected(bp_qrig_store(rig), "x/i-1");
+	(void)bp_qrig_submit(rig, EXECUTORS, 1000, false);
+	run_watching(rig, 5000, &away);
+	bp_qrig_cancel(rig, cancelled[1]);
+	run_watching(rig, QUIET_MS, &away);
+	CU_ASSERT_EQUAL(away, 0);
+	CU_ASSERT_EQUAL(bp_qrig_count(rig, "executors_unstored_ends"), 0);
+	check_rules(rig);
+	bp_qrig_free(rig);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"tasks run on after refused appends",
+		test_tasks_run_on_after_refused_appends},
+	    {"tasks run on where the record is rejected",
+		test_tasks_run_on_where_the_record_is_rejected},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return bp_test_main("queues/storeoutage", tests);
+}
