Renew leases while run ends wait for the store

Callers saw: with a store that answered no append for 5 s, all long-running tasks beside a run that had ended meanwhile were killed by their executors 6 s after the store had gone, though owner, links and executors were well.

Cause: an executor was not polled while it had a run end that the store does not cover, and only polls renew its lease.

Change: such an executor is polled at the interval of a poll that waits for an end, without a wait. What a lease depends on otherwise stays: the confirmed membership of the owner, up to 4 s, and the answers of the executor.

--- a/src/queues/shard_leases.c
+++ b/src/queues/shard_leases.c
@@ -52,6 +52,24 @@
 	}
 }
 
+/*
+ * Returns whether an executor without a poll is to be polled. Leases do not
+ * depend on the store: while run ends wait for it, polls go on at the interval
+ * of those that wait for an end.
+ */
+static bool
+poll_due(const bp_qexec_t *exec)
+{
+	if (exec->polls_in_flight > 0 || exec->poll_timer != 0)
+		return false;
+	if (exec->runs->len == 0 &&
+	    (exec->answered_this_epoch || !exec->listed))
+		return false;
+	return !bp_qexec_has_unstored_ends(exec) ||
+	    bp_shard_now_ms(exec->shard) - exec->answered_ms >=
+	    BP_SHARD_POLL_WAIT_MS;
+}
+
 /* Expires leases of unresponsive executors, repeats stops, restarts polls. */
 void
 bp_shard_check_leases(bp_shard_t *shard)
@@ -67,10 +85,7 @@
 		if (bp_qexec_wait_record_due(exec))
 			bp_record_writer_request(shard->writer, false);
 		bp_shard_move_paused(exec);
-		if (exec->polls_in_flight == 0 && exec->poll_timer == 0 &&
-		    (exec->runs->len > 0 ||
-			(!exec->answered_this_epoch && exec->listed)) &&
-		    exec->ends_seen <= exec->ends_stored)
+		if (poll_due(exec))
 			bp_shard_schedule_poll(exec, 0);
 	}
 }
--- a/src/queues/shard_polls.c
+++ b/src/queues/shard_polls.c
@@ -56,11 +56,14 @@
 	return fillers && serving ? TAIL_SAMPLE_MS : BP_SHARD_POLL_WAIT_MS;
 }
 
-/* Sends the next poll unless run ends must be stored first. */
+/*
+ * Sends the next poll. While run ends wait for the store, an executor answers
+ * at once, and check_leases() polls it at intervals.
+ */
 static void
 send_next_poll(bp_qexec_t *exec)
 {
-	if (exec->polls_in_flight > 0 || exec->ends_seen > exec->ends_stored)
+	if (exec->polls_in_flight > 0 || bp_qexec_has_unstored_ends(exec))
 		return;
 	if (exec->runs->len > 0)
 		bp_shard_poll(exec, poll_wait_ms(exec));
@@ -248,7 +251,8 @@
 
 	exec->poll_timer = 0;
 	bp_shard_poll(exec,
-	    exec->runs->len > 0 && !exec->unresponsive && exec->clock_at_ms != 0
+	    exec->runs->len > 0 && !exec->unresponsive &&
+		    exec->clock_at_ms != 0 && !bp_qexec_has_unstored_ends(exec)
 		? BP_SHARD_POLL_WAIT_MS
 		: 0);
 	return G_SOURCE_REMOVE;
--- a/tests/queues/test_storeoutage.c
+++ b/tests/queues/test_storeoutage.c
@@ -13,6 +13,11 @@
 #define SUBMIT_INTERVAL_MS 100
 #define OUTAGE_GAP_MS 2000
 #define QUIET_MS 20000
+#define PHASES 16 /* of joins and polls at the start of an outage */
+#define PHASE_MS 100
+#define SILENT_APPENDS_MS 9000
+/* The longest outage of the whole store that deployments name. */
+#define OUTAGE_MS 6800
 
 static void
 set_store(bp_qrig_t *rig, bp_qstore_mode_t mode)
@@ -151,6 +156,70 @@
 	bp_qrig_free(rig);
 }
 
+/* Starts a task on each executor that ends within the outage which begins when
+ * this returns. */
+static void
+start_ending_tasks(bp_qrig_t *rig, const char *cancelled, uint32_t *away)
+{
+	bp_qrig_shape_t shape = {
+	    .reliable = true, .spread_max = 1, .single = true};
+
+	bp_qrig_cancel(rig, cancelled);
+	run_watching(rig, 1000, away);
+	bp_qrig_set_shape(rig, &shape);
+	(void)bp_qrig_submit(rig, EXECUTORS, 1000, false);
+	run_watching(rig, 500, away);
+}
+
+/* Guards against leases that are not renewed while run ends wait for a store
+ * that answers joins, but no append. */
+static void
+test_leases_are_renewed_while_ends_wait(void)
+{
+	const char *cancelled[CANCELLED];
+	bp_qrig_t *rig = new_rig(cancelled);
+	uint32_t away = 0;
+
+	start_ending_tasks(rig, cancelled[0], &away);
+	set_store(rig, BP_QSTORE_SILENT_APPENDS);
+	run_watching(rig, SILENT_APPENDS_MS, &away);
+	CU_ASSERT_EQUAL(
+	    bp_qrig_count(rig, "executors_unstored_ends"), EXECUTORS);
+	set_store(rig, BP_QSTORE_UP);
+	run_watching(rig, QUIET_MS, &away);
+	CU_ASSERT_EQUAL(away, 0);
+	CU_ASSERT_EQUAL(bp_qrig_count(rig, "executors_unstored_ends"), 0);
+	check_rules(rig);
+	bp_qrig_free(rig);
+}
+
+/* The same while the store answers nothing at all, or refuses all calls. */
+static void
+test_leases_outlast_an_outage(void)
+{
+	static const bp_qstore_mode_t modes[] = {
+	    BP_QSTORE_SILENT, BP_QSTORE_BUSY};
+	uint32_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(modes) * PHASES; i++) {
+		const char *cancelled[CANCELLED];
+		bp_qrig_t *rig = new_rig(cancelled);
+		uint32_t away = 0;
+
+		run_watching(rig, i % PHASES * PHASE_MS, &away);
+		start_ending_tasks(rig, cancelled[0], &away);
+		set_store(rig, modes[i / PHASES]);
+		run_watching(rig, OUTAGE_MS, &away);
+		set_store(rig, BP_QSTORE_UP);
+		run_watching(rig, QUIET_MS, &away);
+		CU_ASSERT_EQUAL(away, 0);
+		CU_ASSERT_EQUAL(
+		    bp_qrig_count(rig, "executors_unstored_ends"), 0);
+		check_rules(rig);
+		bp_qrig_free(rig);
+	}
+}
+
 int
 main(void)
 {
@@ -159,6 +228,9 @@
 		test_tasks_run_on_after_refused_appends},
 	    {"tasks run on where the record is rejected",
 		test_tasks_run_on_where_the_record_is_rejected},
+	    {"leases are renewed while ends wait",
+		test_leases_are_renewed_while_ends_wait},
+	    {"leases outlast an outage", test_leases_outlast_an_outage},
 	    CU_TEST_INFO_NULL,
 	};
 
