Acknowledge only run ends whose own append was stored

Callers could see: a task runs a second time although its end had been noted, after the store rejected the append with its end and the owner died soon after (TWICE).

Cause: which ends an append covers was kept after the append was refused. The next one that succeeded, for example the probe that follows a rejection, made them count as stored, though the progress of their jobs was not in it.

Change: a refused append covers nothing; the ends wait for one that is put together when the progress of all jobs is in it or stored.

--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -410,6 +410,7 @@
 /* shard_runends.c */
 bool bp_qexec_has_unstored_ends(const bp_qexec_t *exec);
 void bp_shard_cover_ends(bp_shard_t *shard);
+void bp_qexec_ends_appended(bp_qexec_t *exec, bool stored);
 int64_t bp_shard_unstored_ends_ms(const bp_shard_t *shard, uint32_t *execs);
 
 /* shard_parts.c */
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -461,11 +461,7 @@
 
 		if (exec->recording)
 			on_exec_record(exec, stored);
-		if (!stored || exec->ends_storing <= exec->ends_stored)
-			continue;
-		exec->ends_stored = exec->ends_storing;
-		if (exec->ends_seen == exec->ends_stored)
-			bp_shard_schedule_poll(exec, 0);
+		bp_qexec_ends_appended(exec, stored);
 	}
 }
 
--- a/src/queues/shard_runends.c
+++ b/src/queues/shard_runends.c
@@ -27,6 +27,25 @@
 	}
 }
 
+/*
+ * Handles the outcome of the append that covers run ends. Those of a refused
+ * one wait for another that covers them: the jobs concerned are stored again,
+ * not necessarily with the next append that succeeds.
+ */
+void
+bp_qexec_ends_appended(bp_qexec_t *exec, bool stored)
+{
+	if (!stored) {
+		exec->ends_storing = exec->ends_stored;
+		return;
+	}
+	if (exec->ends_storing <= exec->ends_stored)
+		return;
+	exec->ends_stored = exec->ends_storing;
+	if (!bp_qexec_has_unstored_ends(exec))
+		bp_shard_schedule_poll(exec, 0);
+}
+
 /* Returns for how long the oldest unstored run end has waited, in ms; sets
  * *execs to the number of executors with such ends. */
 int64_t
--- a/tests/queues/test_storeoutage.c
+++ b/tests/queues/test_storeoutage.c
@@ -15,6 +15,9 @@
 #define QUIET_MS 20000
 #define PHASES 16 /* of joins and polls at the start of an outage */
 #define PHASE_MS 100
+#define TASK_MS 1000
+#define KILL_STEP_MS 20
+#define KILL_MAX_MS 700
 #define SILENT_APPENDS_MS 9000
 /* The longest outage of the whole store that deployments name. */
 #define OUTAGE_MS 6800
@@ -220,6 +223,43 @@
 	}
 }
 
+/* Ends a task while the store rejects all progress of jobs, but not the append
+ * that then probes it, and kills the owner after kill_ms. */
+static void
+kill_owner_after_rejections(uint32_t kill_ms)
+{
+	bp_qrig_shape_t shape = {.reliable = true, .single = true};
+	bp_qrig_t *rig = bp_qrig_new(SEED, EXECUTORS);
+	int owner;
+
+	bp_qrig_set_shape(rig, &shape);
+	bp_qrig_run_ms(rig, SETTLE_MS);
+	(void)bp_qrig_submit(rig, 1, TASK_MS, false);
+	bp_qrig_run_ms(rig, TASK_MS);
+	bp_qstore_set_rejected(bp_qrig_store(rig), "p/");
+	bp_qrig_run_ms(rig, kill_ms);
+	owner = bp_qrig_owner(rig);
+	CU_ASSERT_TRUE_FATAL(owner >= 0);
+	bp_qrig_kill(rig, (uint32_t)owner);
+	bp_qstore_set_rejected(bp_qrig_store(rig), NULL);
+	bp_qrig_run_ms(rig, QUIET_MS);
+	CU_ASSERT_EQUAL(bp_qrig_unfinished(rig, false), 0);
+	check_rules(rig);
+	bp_qrig_free(rig);
+}
+
+/* Guards against an end that is acknowledged though its append was rejected:
+ * the next one that succeeds covered it, and a successor runs the task again.
+ */
+static void
+test_rejected_ends_are_not_acknowledged(void)
+{
+	uint32_t kill_ms;
+
+	for (kill_ms = 0; kill_ms < KILL_MAX_MS; kill_ms += KILL_STEP_MS)
+		kill_owner_after_rejections(kill_ms);
+}
+
 int
 main(void)
 {
@@ -231,6 +271,8 @@
 	    {"leases are renewed while ends wait",
 		test_leases_are_renewed_while_ends_wait},
 	    {"leases outlast an outage", test_leases_outlast_an_outage},
+	    {"rejected ends are not acknowledged",
+		test_rejected_ends_are_not_acknowledged},
 	    CU_TEST_INFO_NULL,
 	};
 
