Delete keys again whose deletion the store refused

Callers could see: nothing at once. The record of an executor that has left stays in the store if its deletion meets an outage, and each successor waits for that executor as long as for a silent one.

Cause: the list of keys to delete was emptied when an append was put together, not when it was stored.

Change: the keys of an append in flight are kept, and deleted again if it is refused. A key that is written again in between, as by an executor that returns, is not deleted any more.

Result: queues/storeoutage "deletions outlast an outage" failed before for a store that refuses, and passes; "written keys are not deleted" guards the other direction (it fails in a trial without the check for written keys).

--- a/src/queues/shard.c
+++ b/src/queues/shard.c
@@ -292,7 +292,10 @@
 	shard->new_jobs = g_ptr_array_new();
 	shard->predecessors = bp_shard_predecessors_new();
 	shard->cancelled_ids = bp_cancelled_ids_new();
-	shard->deleted_keys = g_ptr_array_new_with_free_func(g_free);
+	shard->deleted_keys =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	shard->deleting_keys =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	shard->in_flight =
 	    g_array_new(FALSE, FALSE, sizeof(bp_qappended_job_t));
 	shard->confirmed_ms = options->membership_confirmed_ms;
@@ -353,7 +356,8 @@
 	g_ptr_array_unref(shard->new_jobs);
 	g_ptr_array_unref(shard->predecessors);
 	bp_cancelled_ids_free(shard->cancelled_ids);
-	g_ptr_array_unref(shard->deleted_keys);
+	g_hash_table_unref(shard->deleted_keys);
+	g_hash_table_unref(shard->deleting_keys);
 	g_array_unref(shard->in_flight);
 	bp_customers_free(shard->customers);
 	g_free(shard);
--- a/src/queues/shard_parts.c
+++ b/src/queues/shard_parts.c
@@ -92,7 +92,7 @@
 
 	g_free(name);
 	if (job == NULL || bp_qjob_ended(job)) {
-		g_ptr_array_add(shard->deleted_keys, g_strdup(record->key));
+		bp_shard_delete_key(shard, g_strdup(record->key));
 		return;
 	}
 	if (!g_ascii_string_to_unsigned(
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -280,7 +280,8 @@
 	bool exec_alone; /* or of one executor */
 	bool probe_due; /* the next append shows whether the store takes any */
 	uint64_t stored_appends;
-	GPtrArray *deleted_keys; /* keys to delete with the next append */
+	GHashTable *deleted_keys; /* to delete; set of char * */
+	GHashTable *deleting_keys; /* the same, by the append in flight */
 	GHashTable *execs; /* ID to bp_qexec_t */
 	GPtrArray *reserved_execs; /* bp_qexec_t with reserved capacity */
 	bp_shard_large_t *large; /* NULL unless large tasks are planned */
@@ -404,6 +405,8 @@
 /* Returns whether the append in flight refers to a job. */
 bool bp_shard_appends_job(const bp_shard_t *shard, const bp_qjob_t *job);
 void bp_shard_drop_exec(bp_shard_t *shard, bp_qexec_t *exec);
+/* Has an append remove a key. Takes ownership of key. */
+void bp_shard_delete_key(bp_shard_t *shard, char *key);
 /* Returns whether an append is needed, whether or not one was requested. */
 bool bp_shard_needs_append(const bp_shard_t *shard);
 
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -303,13 +303,66 @@
 	shard->epoch_check_wanted = false;
 }
 
+/* See the header. */
+void
+bp_shard_delete_key(bp_shard_t *shard, char *key)
+{
+	g_hash_table_add(shard->deleted_keys, key);
+}
+
+/* Drops the deletions of keys that the append writes again. */
+static void
+replace_deletions(bp_shard_t *shard, const GPtrArray *records)
+{
+	guint i;
+
+	for (i = 0; i < records->len; i++) {
+		const bp_store_record_t *record = records->pdata[i];
+
+		if (record->value != NULL &&
+		    g_hash_table_remove(shard->deleted_keys, record->key))
+			g_hash_table_add(
+			    shard->deleting_keys, g_strdup(record->key));
+	}
+}
+
+static void
+add_deletions(bp_shard_t *shard, GPtrArray *records)
+{
+	GHashTableIter iter;
+	gpointer key;
+
+	replace_deletions(shard, records);
+	g_hash_table_iter_init(&iter, shard->deleted_keys);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		add_record(records, "", key, NULL);
+		g_hash_table_iter_steal(&iter);
+		g_hash_table_add(shard->deleting_keys, key);
+	}
+}
+
+/* Handles the outcome of the append with deletions: those of a refused one are
+ * made again. */
+static void
+on_deletions(bp_shard_t *shard, bool stored)
+{
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, shard->deleting_keys);
+	while (!stored && g_hash_table_iter_next(&iter, &key, NULL)) {
+		g_hash_table_iter_steal(&iter);
+		bp_shard_delete_key(shard, key);
+	}
+	g_hash_table_remove_all(shard->deleting_keys);
+}
+
 /* Adds the pending records to an append; see bp_record_writer_options_t. */
 void
 bp_shard_collect_records(GPtrArray *records, void *data)
 {
 	bp_shard_t *shard = data;
 	gsize bytes = 0;
-	guint i;
 
 	/* After a pause the append may be due before the next tick. */
 	bp_shard_refuse_overdue(shard);
@@ -326,6 +379,7 @@
 		bp_record_writer_request(
 		    shard->writer, shard->new_jobs->len > 0);
 	if (shard->append_alone && records->len > 0) {
+		replace_deletions(shard, records);
 		bp_record_writer_request(shard->writer, false);
 		return;
 	}
@@ -334,9 +388,7 @@
 	if (shard->dirty_jobs->len == 0)
 		bp_shard_cover_ends(shard);
 	add_exec_records(shard, records);
-	for (i = 0; i < shard->deleted_keys->len; i++)
-		add_record(records, "", shard->deleted_keys->pdata[i], NULL);
-	g_ptr_array_set_size(shard->deleted_keys, 0);
+	add_deletions(shard, records);
 	add_learned_records(shard, records);
 	add_owner_record(shard, records);
 	/* Run ends that change no job are acknowledged without a record. */
@@ -515,6 +567,7 @@
 	if (shard->owner_record_in_flight && !stored)
 		shard->owner_record_due = true;
 	shard->owner_record_in_flight = false;
+	on_deletions(shard, stored);
 	on_exec_records(shard, stored);
 	if (stored)
 		bp_shard_plan_round(shard, 0);
@@ -530,7 +583,8 @@
 
 	(void)bp_shard_unstored_ends_ms(shard, &unstored_execs);
 	return shard->dirty_jobs->len > 0 || unstored_execs > 0 ||
-	    shard->owner_record_due;
+	    shard->owner_record_due ||
+	    g_hash_table_size(shard->deleted_keys) > 0;
 }
 
 /* Handles the outcome of an append; see bp_record_writer_options_t. */
@@ -563,10 +617,9 @@
 {
 	const char *id = job->spec->id;
 
-	g_ptr_array_add(
-	    shard->deleted_keys, g_strconcat(BP_SHARD_PREFIX_JOB, id, NULL));
-	g_ptr_array_add(shard->deleted_keys,
-	    g_strconcat(BP_SHARD_PREFIX_PROGRESS, id, NULL));
+	bp_shard_delete_key(shard, g_strconcat(BP_SHARD_PREFIX_JOB, id, NULL));
+	bp_shard_delete_key(
+	    shard, g_strconcat(BP_SHARD_PREFIX_PROGRESS, id, NULL));
 	g_hash_table_remove(shard->jobs, id);
 }
 
@@ -576,7 +629,7 @@
 bp_shard_drop_exec(bp_shard_t *shard, bp_qexec_t *exec)
 {
 	if (exec->stored)
-		g_ptr_array_add(shard->deleted_keys,
+		bp_shard_delete_key(shard,
 		    g_strconcat(BP_SHARD_PREFIX_HOLDER, exec->info->id, NULL));
 	bp_qexec_release_reservation(exec);
 	bp_qexec_drop_room(exec);
--- a/tests/queues/test_storeoutage.c
+++ b/tests/queues/test_storeoutage.c
@@ -21,6 +21,7 @@
 #define SILENT_APPENDS_MS 9000
 /* The longest outage of the whole store that deployments name. */
 #define OUTAGE_MS 6800
+#define SHORT_OUTAGE_MS 1500
 
 static void
 set_store(bp_qrig_t *rig, bp_qstore_mode_t mode)
@@ -260,6 +261,54 @@
 		kill_owner_after_rejections(kill_ms);
 }
 
+/* Guards against keys that stay in the store because their deletion was
+ * refused: a successor would wait for an executor that is gone. */
+static void
+test_deletions_outlast_an_outage(void)
+{
+	static const bp_qstore_mode_t modes[] = {
+	    BP_QSTORE_SILENT_APPENDS, BP_QSTORE_BUSY};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(modes); i++) {
+		bp_qrig_t *rig = bp_qrig_new(SEED, EXECUTORS);
+		bp_qstore_t *store = bp_qrig_store(rig);
+
+		bp_qrig_run_ms(rig, SETTLE_MS);
+		CU_ASSERT_PTR_NOT_NULL(bp_qstore_value(store, 0, "x/i-1"));
+		set_store(rig, modes[i]);
+		bp_qfleet_set_listed(bp_qrig_fleet(rig), 1, false);
+		bp_qfleet_set_cut(bp_qrig_fleet(rig), 1, true);
+		bp_qrig_run_ms(rig, SHORT_OUTAGE_MS);
+		set_store(rig, BP_QSTORE_UP);
+		bp_qrig_run_ms(rig, QUIET_MS);
+		CU_ASSERT_PTR_NULL(bp_qstore_value(store, 0, "x/i-1"));
+		CU_ASSERT_PTR_NOT_NULL(bp_qstore_value(store, 0, "x/i-2"));
+		check_rules(rig);
+		bp_qrig_free(rig);
+	}
+}
+
+/* Guards against the deletion of a key that was written again since: the
+ * executor has returned within the outage. */
+static void
+test_written_keys_are_not_deleted(void)
+{
+	bp_qrig_t *rig = bp_qrig_new(SEED, EXECUTORS);
+
+	bp_qrig_run_ms(rig, SETTLE_MS);
+	set_store(rig, BP_QSTORE_BUSY);
+	bp_qfleet_set_listed(bp_qrig_fleet(rig), 1, false);
+	bp_qrig_run_ms(rig, SHORT_OUTAGE_MS / 2);
+	bp_qfleet_set_listed(bp_qrig_fleet(rig), 1, true);
+	bp_qrig_run_ms(rig, SHORT_OUTAGE_MS / 2);
+	set_store(rig, BP_QSTORE_UP);
+	bp_qrig_run_ms(rig, QUIET_MS);
+	CU_ASSERT_PTR_NOT_NULL(bp_qstore_value(bp_qrig_store(rig), 0, "x/i-1"));
+	check_rules(rig);
+	bp_qrig_free(rig);
+}
+
 int
 main(void)
 {
@@ -273,6 +322,8 @@
 	    {"leases outlast an outage", test_leases_outlast_an_outage},
 	    {"rejected ends are not acknowledged",
 		test_rejected_ends_are_not_acknowledged},
+	    {"deletions outlast an outage", test_deletions_outlast_an_outage},
+	    {"written keys are not deleted", test_written_keys_are_not_deleted},
 	    CU_TEST_INFO_NULL,
 	};
 
