Acknowledge the last run ends of an executor

Callers could see: nothing.

Cause: an executor without runs was polled once when its ends were stored, and only a poll that follows an answer within 0.4 s acknowledges. After a store that took longer that one poll acknowledged nothing, and no other followed until the next start there.

Change: an executor is polled while the store covers ends that no answered poll has acknowledged.

--- a/src/queues/shard_leases.c
+++ b/src/queues/shard_leases.c
@@ -62,7 +62,7 @@
 {
 	if (exec->polls_in_flight > 0 || exec->poll_timer != 0)
 		return false;
-	if (exec->runs->len == 0 &&
+	if (exec->runs->len == 0 && !bp_qexec_has_unacknowledged_ends(exec) &&
 	    (exec->answered_this_epoch || !exec->listed))
 		return false;
 	return !bp_qexec_has_unstored_ends(exec) ||
--- a/src/queues/shard_polls.c
+++ b/src/queues/shard_polls.c
@@ -14,6 +14,7 @@
 	bp_qexec_t *exec;
 	int64_t late_ms; /* bp_shard_lateness_ms() when it was sent */
 	uint64_t event; /* shard's event count when it was sent */
+	uint64_t cursor; /* of the run ends that it acknowledges */
 } poll_t;
 
 /*
@@ -29,6 +30,7 @@
 	exec->ends_seen = 0;
 	exec->ends_storing = 0;
 	exec->ends_stored = 0;
+	exec->ends_acked = 0;
 	exec->failures = 0;
 	exec->clock_ms = 0;
 	/* The executor shortens deadlines of the earlier clock to this. */
@@ -67,6 +69,8 @@
 		return;
 	if (exec->runs->len > 0)
 		bp_shard_poll(exec, poll_wait_ms(exec));
+	else if (bp_qexec_has_unacknowledged_ends(exec))
+		bp_shard_poll(exec, 0);
 }
 
 /* Returns whether this node may have been too busy to read the answer. */
@@ -125,6 +129,7 @@
 	bp_qexec_t *exec = poll->exec;
 	bp_shard_t *shard = exec->shard;
 	uint64_t event = poll->event;
+	uint64_t cursor = poll->cursor;
 	int64_t poll_late_ms = bp_shard_lateness_ms(shard) - poll->late_ms;
 
 	g_hash_table_remove(shard->polls, poll);
@@ -151,6 +156,7 @@
 		bp_shard_schedule_poll(exec, 0);
 		return;
 	}
+	exec->ends_acked = MAX(exec->ends_acked, cursor);
 	exec->answer_event = shard->events;
 	exec->born_ms = result->born_ms;
 	exec->clock_ms = result->clock_ms;
@@ -230,6 +236,7 @@
 	poll->late_ms = bp_shard_lateness_ms(shard);
 	request.deadline_ms = lease_deadline_ms(exec);
 	request.cursor = last_end_to_ack(exec);
+	poll->cursor = request.cursor;
 	/* Another incarnation would drop ends that no owner has seen. */
 	if (request.cursor == 0)
 		target.born_ms = 0;
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -174,6 +174,7 @@
 	uint64_t ends_seen; /* number of the last end that was processed */
 	uint64_t ends_storing; /* of the last end that the append covers */
 	uint64_t ends_stored; /* of the last end that the store covers */
+	uint64_t ends_acked; /* of the last end that it has forgotten */
 	int64_t unstored_ms; /* monotonic, since when ends_seen exceeds it */
 	GPtrArray *runs; /* bp_qrun_t */
 	/* Sums of what its runs request, which may be up to UINT32_MAX each. */
@@ -412,6 +413,7 @@
 
 /* shard_runends.c */
 bool bp_qexec_has_unstored_ends(const bp_qexec_t *exec);
+bool bp_qexec_has_unacknowledged_ends(const bp_qexec_t *exec);
 void bp_shard_cover_ends(bp_shard_t *shard);
 void bp_qexec_ends_appended(bp_qexec_t *exec, bool stored);
 int64_t bp_shard_unstored_ends_ms(const bp_shard_t *shard, uint32_t *execs);
--- a/src/queues/shard_runends.c
+++ b/src/queues/shard_runends.c
@@ -8,6 +8,13 @@
 	return exec->ends_seen > exec->ends_stored;
 }
 
+/* Returns whether the store covers run ends that the executor still lists. */
+bool
+bp_qexec_has_unacknowledged_ends(const bp_qexec_t *exec)
+{
+	return exec->ends_stored > exec->ends_acked;
+}
+
 /*
  * Marks the run ends seen so far as covered by the append that is being put
  * together, once it and earlier ones hold the progress of all jobs. Ends that
--- a/tests/support/queuefleet.c
+++ b/tests/support/queuefleet.c
@@ -1055,6 +1055,18 @@
 	return running;
 }
 
+/* See the header. */
+uint32_t
+bp_qfleet_unacknowledged(const bp_qfleet_t *fleet)
+{
+	uint32_t ends = 0;
+	guint i;
+
+	for (i = 0; i < fleet->execs->len; i++)
+		ends += ((const exec_t *)fleet->execs->pdata[i])->ended->len;
+	return ends;
+}
+
 /* Returns how often a rule was broken. */
 uint32_t
 bp_qfleet_broken(const bp_qfleet_t *fleet)
