Poll idle executors before they get work

Callers could see: after a minute without work the first starts on an executor were refused as late, again and again for up to 0.1 s or 1.6 s; after 150 s without work the first task there was killed 0.9 s after its start.

Cause: deadlines are times on the clock of the executor, which the owner estimates from its last answer, 3% slow. An idle executor is not polled, so that the estimate falls behind by 1.5 s in 50 s: the window of a start. The poll after the start then waited for 1.5 s while its own lease was shorter.

Change: an executor whose clock may be ahead by more than 0.3 s is polled when a start there is planned, without a wait. A start with less than half of its window left is not sent; the task is planned again with the answer to the poll. A start that is refused as late causes a poll.

--- a/src/queues/shard_execs.c
+++ b/src/queues/shard_execs.c
@@ -71,6 +71,20 @@
 	    passed_ms * (PERMILLE - CLOCK_DRIFT_PERMILLE) / PERMILLE;
 }
 
+/*
+ * Returns by how much the estimate of the executor's clock may be behind, in
+ * ms. It grows with the time since the last answer, which is long only for idle
+ * executors.
+ */
+int64_t
+bp_qexec_clock_lag_ms(const bp_qexec_t *exec)
+{
+	if (exec->clock_at_ms == 0)
+		return 0;
+	return (bp_shard_now_ms(exec->shard) - exec->clock_at_ms) *
+	    CLOCK_DRIFT_PERMILLE / PERMILLE;
+}
+
 /* Returns whether the executor's clock has certainly passed a time. */
 bool
 bp_qexec_clock_passed(const bp_qexec_t *exec, int64_t clock_ms)
--- a/src/queues/shard_orders.c
+++ b/src/queues/shard_orders.c
@@ -90,6 +90,7 @@
 		break;
 	case BP_EXEC_EXPIRED:
 		log_refusal(run, "late");
+		bp_shard_poll(exec, 0);
 		break;
 	case BP_EXEC_NO_CAPACITY:
 		log_refusal(run, "no_room");
@@ -215,6 +216,9 @@
 		task->step->all_started_ms = bp_shard_now_ms(shard);
 	task->last_run = number;
 	exec->planned_starts++;
+	/* The answer comes while the plan is being stored. */
+	if (bp_qexec_clock_lag_ms(exec) > BP_SHARD_CLOCK_LAG_MS)
+		bp_shard_poll(exec, 0);
 	bp_qrun_acquire_start(run);
 	bp_record_writer_request(
 	    shard->writer, task->step->job->spec->priority == 0);
--- a/src/queues/shard_polls.c
+++ b/src/queues/shard_polls.c
@@ -259,7 +259,9 @@
 	exec->poll_timer = 0;
 	bp_shard_poll(exec,
 	    exec->runs->len > 0 && !exec->unresponsive &&
-		    exec->clock_at_ms != 0 && !bp_qexec_has_unstored_ends(exec)
+		    exec->clock_at_ms != 0 &&
+		    bp_qexec_clock_lag_ms(exec) <= BP_SHARD_CLOCK_LAG_MS &&
+		    !bp_qexec_has_unstored_ends(exec)
 		? BP_SHARD_POLL_WAIT_MS
 		: 0);
 	return G_SOURCE_REMOVE;
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -26,6 +26,11 @@
 #define BP_SHARD_ORDER_GRACE_MS 4000
 /* Time from sending a start to the deadline that it carries. */
 #define BP_SHARD_START_WINDOW_MS 1500
+/* An executor whose clock may be further ahead is polled before a start. */
+#define BP_SHARD_CLOCK_LAG_MS 300
+/* A start is not sent with so little of its window left; a poll is on its way.
+ */
+#define BP_SHARD_START_LAG_MAX_MS (BP_SHARD_START_WINDOW_MS / 2)
 /* Lateness of this node's event loop within an order that may have cost the
  * answer. */
 #define BP_SHARD_BUSY_MS 300
@@ -459,6 +464,7 @@
 int64_t bp_qexec_clock_ms(const bp_qexec_t *exec);
 bool bp_qexec_has_unconfirmed_start(const bp_qexec_t *exec);
 bool bp_qexec_clock_passed(const bp_qexec_t *exec, int64_t clock_ms);
+int64_t bp_qexec_clock_lag_ms(const bp_qexec_t *exec);
 bp_qrun_t *bp_qrun_new(bp_qexec_t *exec, bp_qtask_t *task,
     const Bp__Work__Step *spec, const char *name, uint64_t number);
 void bp_qrun_detach_task(bp_qrun_t *run);
--- a/src/queues/shard_records.c
+++ b/src/queues/shard_records.c
@@ -112,7 +112,9 @@
 		if (run->state != BP_QRUN_PLANNED || !run->in_append)
 			continue;
 		if (stored && bp_shard_may_start(shard) && run->task != NULL &&
-		    !run->task->step->job->cancelling && bp_qrun_may_start(run))
+		    !run->task->step->job->cancelling &&
+		    bp_qrun_may_start(run) &&
+		    bp_qexec_clock_lag_ms(exec) <= BP_SHARD_START_LAG_MAX_MS)
 			bp_shard_send_start(shard, run);
 		else
 			bp_qrun_drop_plan(run);
