Soak: rows of events that end in quiet

Change: queuequiet checks an owner without callers: each executor with runs is polled and holds a lease, run ends are stored and acknowledged, no caller waits, the store and the executors hold what the owner believes. Each scenario of queues/soak ends with eight rows of a few events (a cancel, a submission, an executor that leaves or crashes, a store that refuses, or answers no append for 7 s), each followed by 12 s of quiet, this check, and a check for lapsed leases. Ends of executors that have left the list do not count: the platform treats such an executor as gone.

--- a/tests/queues/test_soak.c
+++ b/tests/queues/test_soak.c
@@ -1,4 +1,4 @@
-#include "support/queuerig.h"
+#include "support/queuequiet.h"
 #include "support/runner.h"
 
 #include <stdio.h>
@@ -16,6 +16,13 @@
 /* Longest time after the last fault for which a long-running task may be away,
  * as bounded for LOST: 4 s and 3 s. */
 #define RESUME_MS 7000
+/* Rows of a few events, after each of which nobody calls for longer than any
+ * wait that docs/invariants.md names. */
+#define ROWS 8
+#define ROW_EVENTS_MAX 5
+#define ROW_GAP_MAX_MS 250
+#define ROW_LEASE_MS 7000 /* longer than a lease */
+#define QUIET_MS 12000
 
 /* Reservations for large tasks that the last owners of all scenarios made. */
 static uint64_t reservations;
@@ -179,6 +186,91 @@
 		bp_qrig_resubmit(rig, ids->pdata[below(rig, ids->len)]);
 }
 
+static void
+set_store(bp_qrig_t *rig, bp_qstore_mode_t mode)
+{
+	uint32_t i;
+
+	for (i = 0; i < BP_QRIG_NODES; i++)
+		bp_qrig_store_mode(rig, i, mode);
+}
+
+static void
+play_event(bp_qrig_t *rig, GPtrArray *ids)
+{
+	static const bp_qstore_mode_t modes[] = {
+	    BP_QSTORE_BUSY, BP_QSTORE_SILENT_APPENDS, BP_QSTORE_UP};
+	const bp_qrig_shape_t single = {.single = true, .reliable = true};
+
+	switch (below(rig, 7)) {
+	case 0:
+		bp_qrig_cancel(rig, ids->pdata[below(rig, ids->len)]);
+		break;
+	case 1:
+		bp_qrig_set_shape(rig, &single);
+		g_ptr_array_add(ids,
+		    (gpointer)bp_qrig_submit(
+			rig, 1, 50 + below(rig, 300), below(rig, 4) == 0));
+		break;
+	case 2:
+		bp_qfleet_set_listed(
+		    bp_qrig_fleet(rig), below(rig, EXECUTORS), false);
+		break;
+	case 3:
+		bp_qfleet_crash(bp_qrig_fleet(rig), below(rig, EXECUTORS));
+		break;
+	case 4:
+		/* Joins are answered: the owner sends orders all the while. */
+		set_store(rig, BP_QSTORE_SILENT_APPENDS);
+		bp_qrig_run_ms(rig, ROW_LEASE_MS);
+		break;
+	default:
+		set_store(rig, modes[below(rig, G_N_ELEMENTS(modes))]);
+		break;
+	}
+}
+
+/* Plays a few events, then quiet. Returns what is left over, to be freed; NULL
+ * for nothing. */
+static char *
+play_row(bp_qrig_t *rig, GPtrArray *ids)
+{
+	uint32_t events = 2 + below(rig, ROW_EVENTS_MAX - 1);
+	uint32_t lapses = bp_qfleet_lapses(bp_qrig_fleet(rig));
+	uint32_t away;
+	uint32_t i;
+
+	for (i = 0; i < events; i++) {
+		play_event(rig, ids);
+		bp_qrig_run_ms(rig, below(rig, ROW_GAP_MAX_MS));
+	}
+	set_store(rig, BP_QSTORE_UP);
+	bp_qrig_run_ms(rig, QUIET_MS);
+	away = bp_qrig_away(rig);
+	if (away > 0)
+		return g_strdup_printf("%u tasks are away", away);
+	if (bp_qfleet_lapses(bp_qrig_fleet(rig)) > lapses)
+		return g_strdup("a lease has lapsed");
+	return bp_queuequiet_leftover(rig);
+}
+
+/* The same for several rows; executors that have left return between them. */
+static char *
+play_rows(bp_qrig_t *rig, GPtrArray *ids)
+{
+	char *left = bp_queuequiet_leftover(rig);
+	uint32_t row;
+	uint32_t i;
+
+	for (row = 0; left == NULL && row < ROWS; row++) {
+		left = play_row(rig, ids);
+		for (i = 0; i < EXECUTORS; i++)
+			bp_qfleet_set_listed(bp_qrig_fleet(rig), i, true);
+		bp_qrig_run_ms(rig, QUIET_MS);
+	}
+	return left;
+}
+
 /* Tasks of all sizes, of which some have checkpoints. */
 static void
 draw_shape(bp_qrig_t *rig)
@@ -210,6 +302,7 @@
 	    : bp_qrig_new(seed, EXECUTORS);
 	GPtrArray *ids = g_ptr_array_new();
 	uint32_t unfinished;
+	char *left;
 	uint32_t away;
 	uint32_t i;
 	bool good;
@@ -246,18 +339,21 @@
 	bp_qrig_run_ms(rig, RESUME_MS);
 	away = bp_qrig_away(rig);
 	bp_qrig_run_ms(rig, SETTLE_MS - RESUME_MS);
+	away += bp_qrig_away(rig);
 	unfinished = bp_qrig_unfinished(rig, false);
+	left = play_rows(rig, ids);
 	good = bp_qrig_broken(rig) == 0 && unfinished == 0 &&
-	    bp_qrig_owner(rig) >= 0 && away == 0;
+	    bp_qrig_owner(rig) >= 0 && away == 0 && left == NULL;
 	if (!good)
 		printf("seed %" G_GUINT64_FORMAT
 		       ", jitter %u ms, reports %d, planning %d, "
 		       "reassigning %d: %u broken (%s), %u jobs "
-		       "unfinished, owner %d, %u away\n",
+		       "unfinished, owner %d, %u away, left: %s\n",
 		    seed, scenario->jitter_ms, scenario->reports,
 		    scenario->planning, scenario->reassigning,
 		    bp_qrig_broken(rig), bp_qrig_first_broken(rig), unfinished,
-		    bp_qrig_owner(rig), away);
+		    bp_qrig_owner(rig), away, left != NULL ? left : "nothing");
+	g_free(left);
 	g_ptr_array_unref(ids);
 	bp_qrig_free(rig);
 	return good;
--- a/tests/queues/test_storeoutage.c
+++ b/tests/queues/test_storeoutage.c
@@ -77,20 +77,6 @@
 		printf("%s\n", bp_qrig_first_broken(rig));
 }
 
-/* Cancels the jobs, and waits until that is stored. */
-static void
-cancel_all(bp_qrig_t *rig, const char *const *ids)
-{
-	uint32_t i;
-
-	for (i = 0; i < CANCELLED; i++)
-		bp_qrig_cancel(rig, ids[i]);
-	bp_qrig_run_ms(rig, SAMPLE_MS);
-	for (i = 0; i < CANCELLED; i++)
-		CU_ASSERT_EQUAL(
-		    bp_qrig_cancel_told(rig, ids[i]), BP_QRIG_ACCEPTED);
-}
-
 /* Hands jobs in while the store refuses all calls. */
 static void
 submit_in_outage(bp_qrig_t *rig, uint32_t submissions, uint32_t *away)
@@ -125,7 +111,8 @@
 		uint32_t away = 0;
 		uint32_t n;
 
-		cancel_all(rig, cancelled);
+		bp_qrig_cancel(rig, cancelled[0]);
+		bp_qrig_run_ms(rig, SAMPLE_MS);
 		bp_qrig_run_ms(rig, cases[i].after_ms);
 		for (n = 0; n < cases[i].outages; n++) {
 			submit_in_outage(rig, cases[i].submissions, &away);
--- a/tests/support/queuerig.c
+++ b/tests/support/queuerig.c
@@ -902,8 +902,9 @@
 	return -1;
 }
 
-static bp_shard_t *
-owner_shard(const bp_qrig_t *rig)
+/* See the header. */
+bp_shard_t *
+bp_qrig_owner_shard(const bp_qrig_t *rig)
 {
 	int owner = bp_qrig_owner(rig);
 
@@ -1004,7 +1005,7 @@
 static void
 hand_in(bp_qrig_t *rig, caller_t *caller)
 {
-	bp_shard_t *shard = owner_shard(rig);
+	bp_shard_t *shard = bp_qrig_owner_shard(rig);
 
 	if (shard == NULL) {
 		if (caller->told == BP_QRIG_OPEN)
@@ -1080,7 +1081,7 @@
 void
 bp_qrig_cancel(bp_qrig_t *rig, const char *id)
 {
-	bp_shard_t *shard = owner_shard(rig);
+	bp_shard_t *shard = bp_qrig_owner_shard(rig);
 	caller_t *caller = find(rig, id);
 	Bp__Work__JobRef call = refer(id);
 
@@ -1115,7 +1116,7 @@
 int
 bp_qrig_status(bp_qrig_t *rig, const char *id, Bp__Work__JobState *state)
 {
-	bp_shard_t *shard = owner_shard(rig);
+	bp_shard_t *shard = bp_qrig_owner_shard(rig);
 	Bp__Work__JobRef call = refer(id);
 	bp_shard_answer_t answer;
 
@@ -1130,7 +1131,7 @@
 char *
 bp_qrig_why(bp_qrig_t *rig, const char *id)
 {
-	bp_shard_t *shard = owner_shard(rig);
+	bp_shard_t *shard = bp_qrig_owner_shard(rig);
 
 	return shard != NULL ? bp_shard_why(shard, id) : NULL;
 }
@@ -1153,7 +1154,7 @@
 uint64_t
 bp_qrig_count(bp_qrig_t *rig, const char *name)
 {
-	const bp_shard_t *shard = owner_shard(rig);
+	const bp_shard_t *shard = bp_qrig_owner_shard(rig);
 	wanted_count_t wanted = {name, 0};
 
 	if (shard != NULL)
--- a/tests/support/queuerig.h
+++ b/tests/support/queuerig.h
@@ -104,6 +104,8 @@
 /* A sum over the tasks, runs and times of all starts so far: equal for equal
  * decisions. */
 uint64_t bp_qrig_starts_digest(const bp_qrig_t *rig);
+/* The shard of the owner; NULL for none. */
+bp_shard_t *bp_qrig_owner_shard(const bp_qrig_t *rig);
 /* The index of the node that owns the shard, -1 for none. */
 int bp_qrig_owner(const bp_qrig_t *rig);
 
--- a/tests/support/queuestore.c
+++ b/tests/support/queuestore.c
@@ -704,6 +704,19 @@
 	return store->appends;
 }
 
+/* See the header. */
+void
+bp_qstore_each_key(const bp_qstore_t *store, uint32_t partition,
+    void (*visit)(const char *key, void *data), void *data)
+{
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, store->parts[partition].newest);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		visit(key, data);
+}
+
 /* See the header. */
 GBytes *
 bp_qstore_value(const bp_qstore_t *store, uint32_t partition, const char *key)
--- a/tests/support/queuestore.h
+++ b/tests/support/queuestore.h
@@ -49,6 +49,9 @@
 uint64_t bp_qstore_appends(const bp_qstore_t *store);
 uint64_t bp_qstore_listings(const bp_qstore_t *store);
 uint64_t bp_qstore_owner_reads(const bp_qstore_t *store);
+/* Visits the keys that have a value. */
+void bp_qstore_each_key(const bp_qstore_t *store, uint32_t partition,
+    void (*visit)(const char *key, void *data), void *data);
 /* The newest value of a key, NULL for none; lives until the next append. */
 GBytes *bp_qstore_value(
     const bp_qstore_t *store, uint32_t partition, const char *key);
