Count acknowledged ends by the life of their executor

Cause: the answer to a poll of the life before a restart can be the first that tells of the new life. Its cursor counted the ends of the life before, so that as many ends of the new life passed for acknowledged.

Change: such a cursor does not count.

--- a/src/queues/shard_polls.c
+++ b/src/queues/shard_polls.c
@@ -149,8 +149,11 @@
 	exec->unresponsive = false;
 	exec->excused_polls = 0;
 	if (is_of_other_life(exec, result) && result->born_ms != 0 &&
-	    event > exec->answer_event)
+	    event > exec->answer_event) {
 		reset_incarnation(exec, result->born_ms, result->clock_ms);
+		/* It counts the ends of the life before. */
+		cursor = 0;
+	}
 	/* Drops an answer that a later one or a restart may have overtaken. */
 	if (is_of_other_life(exec, result)) {
 		bp_shard_schedule_poll(exec, 0);
