Tell the cursor of a poll by the life it was sent to

Cause: two polls may be in flight when an executor restarts.

Change: a poll remembers how many restarts were known when it was sent; its cursor counts only if none has followed.

--- a/src/queues/shard_polls.c
+++ b/src/queues/shard_polls.c
@@ -15,6 +15,7 @@
 	int64_t late_ms; /* bp_shard_lateness_ms() when it was sent */
 	uint64_t event; /* shard's event count when it was sent */
 	uint64_t cursor; /* of the run ends that it acknowledges */
+	uint32_t lives; /* of the executor, seen when it was sent */
 } poll_t;
 
 /*
@@ -26,6 +27,7 @@
 {
 	bp_log(exec->shard->options.logger, BP_LOG_NOTICE, BP_SHARD_MODULE,
 	    "executor has restarted", "executor", exec->info->id, NULL);
+	exec->lives++;
 	exec->born_ms = born_ms;
 	exec->ends_seen = 0;
 	exec->ends_storing = 0;
@@ -130,6 +132,7 @@
 	bp_shard_t *shard = exec->shard;
 	uint64_t event = poll->event;
 	uint64_t cursor = poll->cursor;
+	uint32_t lives = poll->lives;
 	int64_t poll_late_ms = bp_shard_lateness_ms(shard) - poll->late_ms;
 
 	g_hash_table_remove(shard->polls, poll);
@@ -149,17 +152,16 @@
 	exec->unresponsive = false;
 	exec->excused_polls = 0;
 	if (is_of_other_life(exec, result) && result->born_ms != 0 &&
-	    event > exec->answer_event) {
+	    event > exec->answer_event)
 		reset_incarnation(exec, result->born_ms, result->clock_ms);
-		/* It counts the ends of the life before. */
-		cursor = 0;
-	}
 	/* Drops an answer that a later one or a restart may have overtaken. */
 	if (is_of_other_life(exec, result)) {
 		bp_shard_schedule_poll(exec, 0);
 		return;
 	}
-	exec->ends_acked = MAX(exec->ends_acked, cursor);
+	/* A cursor counts the ends of the life that it was sent to. */
+	if (lives == exec->lives)
+		exec->ends_acked = MAX(exec->ends_acked, cursor);
 	exec->answer_event = shard->events;
 	exec->born_ms = result->born_ms;
 	exec->clock_ms = result->clock_ms;
@@ -236,6 +238,7 @@
 	poll = g_new0(poll_t, 1);
 	poll->exec = exec;
 	poll->event = ++shard->events;
+	poll->lives = exec->lives;
 	poll->late_ms = bp_shard_lateness_ms(shard);
 	request.deadline_ms = lease_deadline_ms(exec);
 	request.cursor = last_end_to_ack(exec);
--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -171,6 +171,7 @@
 	    excused_starts; /* the same of starts, since one was answered */
 	int64_t start_excused_ms; /* monotonic, of the last of them */
 	int64_t born_ms; /* Unix, start of its incarnation */
+	uint32_t lives; /* restarts that this owner has seen */
 	int64_t clock_ms; /* its clock at its last answer */
 	uint64_t answer_event; /* shard's event count at that answer */
 	int64_t clock_at_ms; /* monotonic, when that answer arrived */
--- a/tests/queues/test_soak.c
+++ b/tests/queues/test_soak.c
@@ -434,7 +434,8 @@
  * Seeds that failed once. 32034: the lease of an earlier owner outlasted that
  * of the current one. 70026, 70774 and 70534: after a takeover, runs of a
  * cancelled job that were being stopped did not count as using capacity.
- * 1087: a cursor of the life before a restart counted as that of the new one.
+ * 1087, 1158: a cursor of the life before a restart counted as that of the new
+ * one.
  */
 static void
 test_seeds_that_were_red(void)
@@ -443,7 +444,7 @@
 		uint64_t seed;
 		uint32_t jitter_ms;
 	} plays[] = {{37, 0}, {316, 0}, {1087, 0}, {11342, 0}, {32034, 0},
-	    {70026, 0}, {70774, 0}, {70534, JITTER_MS}};
+	    {70026, 0}, {70774, 0}, {70534, JITTER_MS}, {1158, JITTER_MS}};
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(plays); i++) {
