Poll idle executors only when a start's window is at risk

Cause: polls before each start on an executor that was idle for 10 s are not needed: the window of a start covers an estimate that is 0.75 s behind.

Change: the limit is half of the window (25 s without an answer); a start is held back with less than a fifth of the window left (40 s).

--- a/src/queues/shard_private.h
+++ b/src/queues/shard_private.h
@@ -27,10 +27,9 @@
 /* Time from sending a start to the deadline that it carries. */
 #define BP_SHARD_START_WINDOW_MS 1500
 /* An executor whose clock may be further ahead is polled before a start. */
-#define BP_SHARD_CLOCK_LAG_MS 300
-/* A start is not sent with so little of its window left; a poll is on its way.
- */
-#define BP_SHARD_START_LAG_MAX_MS (BP_SHARD_START_WINDOW_MS / 2)
+#define BP_SHARD_CLOCK_LAG_MS (BP_SHARD_START_WINDOW_MS / 2)
+/* A start is not sent with less of its window left; a poll is on its way. */
+#define BP_SHARD_START_LAG_MAX_MS (BP_SHARD_START_WINDOW_MS * 4 / 5)
 /* Lateness of this node's event loop within an order that may have cost the
  * answer. */
 #define BP_SHARD_BUSY_MS 300
