--- a/tests/queues/test_storeoutage.c
+++ b/tests/queues/test_storeoutage.c
@@ -19,6 +19,7 @@
 #define ENDING 8
 #define KILL_STEP_MS 5
 #define KILL_MAX_MS 700
+#define GIVE_UP_STEP_MS 20
 #define SILENT_APPENDS_MS 9000
 /* The longest outage of the whole store that deployments name. */
 #define OUTAGE_MS 6800
@@ -339,6 +340,42 @@
 	}
 }
 
+/* Ends a task while the store rejects all progress of its job, the last record
+ * included, and kills the owner after kill_ms. */
+static void
+kill_owner_of_rejected_job(uint32_t kill_ms)
+{
+	bp_qrig_shape_t shape = {.reliable = true, .single = true};
+	bp_qrig_t *rig = bp_qrig_new(SEED, EXECUTORS);
+	int owner;
+
+	bp_qrig_set_shape(rig, &shape);
+	bp_qrig_run_ms(rig, SETTLE_MS);
+	(void)bp_qrig_submit(rig, 1, TASK_MS, false);
+	bp_qrig_run_ms(rig, TASK_MS);
+	bp_qstore_set_rejected(bp_qrig_store(rig), "p/");
+	bp_qrig_run_ms(rig, kill_ms);
+	owner = bp_qrig_owner(rig);
+	CU_ASSERT_TRUE_FATAL(owner >= 0);
+	bp_qrig_kill(rig, (uint32_t)owner);
+	bp_qstore_set_rejected(bp_qrig_store(rig), NULL);
+	bp_qrig_run_ms(rig, QUIET_MS);
+	CU_ASSERT_EQUAL(bp_qrig_unfinished(rig, false), 0);
+	check_rules(rig);
+	bp_qrig_free(rig);
+}
+
+/* Guards against a task that a successor runs again although its end was noted:
+ * its job was given up, and the store has rejected that record, too. */
+static void
+test_a_job_that_is_given_up_is_not_run_again(void)
+{
+	uint32_t kill_ms;
+
+	for (kill_ms = 0; kill_ms < KILL_MAX_MS; kill_ms += GIVE_UP_STEP_MS)
+		kill_owner_of_rejected_job(kill_ms);
+}
+
 int
 main(void)
 {
@@ -355,6 +392,8 @@
 	    {"deletions outlast an outage", test_deletions_outlast_an_outage},
 	    {"written keys are not deleted", test_written_keys_are_not_deleted},
 	    {"last ends are acknowledged", test_last_ends_are_acknowledged},
+	    {"a job that is given up is not run again",
+		test_a_job_that_is_given_up_is_not_run_again},
 	    CU_TEST_INFO_NULL,
 	};
 
