--- a/tests/queues/test_fillers.c
+++ b/tests/queues/test_fillers.c
@@ -12,6 +12,8 @@
 #define CALM_MS 10
 /* A filler that cannot have its full speed is placed after this. */
 #define SLOW_PLACEMENT_MS 1200
+/* Tail latencies cover half a second. */
+#define SAMPLE_MS 500
 
 /* Creates a shard with a serving task and fillers on one executor, all
  * started. */
@@ -146,6 +148,55 @@
 	bp_shardsim_free(sim);
 }
 
+/* Ends the first filler; the serving task and the others run on. */
+static void
+end_filler(bp_shardsim_t *sim, int64_t clock_ms)
+{
+	GArray *rows = g_array_new(FALSE, TRUE, sizeof(bp_exec_running_t));
+	GArray *ends = g_array_new(FALSE, TRUE, sizeof(bp_exec_ended_t));
+	uint32_t i;
+
+	for (i = 0; i < sim->n_orders; i++) {
+		const bp_sim_order_t *order = &sim->orders[i];
+		bp_exec_running_t row = {order->task, order->run, "", 10, 1};
+		bp_exec_ended_t end = {
+		    1, order->task, order->run, BP_END_DONE, ""};
+
+		if (order->kind != BP_SIM_START)
+			continue;
+		if (order->task[15] == 'b' && ends->len == 0)
+			g_array_append_val(ends, end);
+		else
+			g_array_append_val(rows, row);
+	}
+	CU_ASSERT_EQUAL(ends->len, 1);
+	bp_shardsim_answer_lists(
+	    bp_shardsim_open_order_to(sim, BP_SIM_POLL, "i-1"), clock_ms, rows,
+	    ends);
+	g_array_unref(rows);
+	g_array_unref(ends);
+}
+
+/*
+ * Guards against tail latencies that are read too seldom to pause fillers in
+ * time: the poll after a stored run end waited as long as where nothing has to
+ * be sampled.
+ */
+static void
+test_samples_go_on_after_a_run_end(void)
+{
+	bp_shardsim_t *sim = sim_with_fillers();
+	const bp_sim_order_t *poll;
+
+	end_filler(sim, 1500);
+	bp_shardsim_run_ms(sim, 200);
+	poll = bp_shardsim_open_order_to(sim, BP_SIM_POLL, "i-1");
+	CU_ASSERT_PTR_NOT_NULL(poll);
+	if (poll != NULL)
+		CU_ASSERT_TRUE(poll->wait_ms > 0 && poll->wait_ms <= SAMPLE_MS);
+	bp_shardsim_free(sim);
+}
+
 int
 main(void)
 {
@@ -156,6 +207,8 @@
 		test_a_new_owner_leaves_full_speed},
 	    {"an unanswered limit is repeated",
 		test_an_unanswered_limit_is_repeated},
+	    {"samples go on after a run end",
+		test_samples_go_on_after_a_run_end},
 	    CU_TEST_INFO_NULL,
 	};
 
--- a/tests/support/shardsim.c
+++ b/tests/support/shardsim.c
@@ -47,8 +47,12 @@
 sim_poll(bp_executors_t *self, const bp_exec_target_t *target,
     const bp_exec_poll_t *poll, bp_exec_done_t done, void *data)
 {
-	(void)poll;
+	bp_shardsim_t *sim = (bp_shardsim_t *)self;
+	uint32_t index = sim->n_orders;
+
 	record(self, target, BP_SIM_POLL, NULL, 0, done, data);
+	if (sim->n_orders > index)
+		sim->orders[index].wait_ms = poll->wait_ms;
 }
 
 static void
@@ -169,18 +173,27 @@
 
 /* See the header. */
 void
-bp_shardsim_answer_poll(bp_sim_order_t *poll, int64_t clock_ms, GArray *running)
+bp_shardsim_answer_lists(
+    bp_sim_order_t *poll, int64_t clock_ms, GArray *running, GArray *ended)
 {
-	GArray *ends = g_array_new(FALSE, TRUE, sizeof(bp_exec_ended_t));
 	bp_exec_result_t result = {BP_EXEC_OK, clock_ms,
-	    poll != NULL ? born_of(poll) : 0, running, ends, false};
+	    poll != NULL ? born_of(poll) : 0, running, ended, false};
 
 	CU_ASSERT_PTR_NOT_NULL(poll);
 	if (poll != NULL) {
 		poll->answered = true;
 		poll->done(&result, poll->data);
 	}
-	g_array_unref(ends);
+}
+
+/* See the header. */
+void
+bp_shardsim_answer_poll(bp_sim_order_t *poll, int64_t clock_ms, GArray *running)
+{
+	GArray *ended = g_array_new(FALSE, TRUE, sizeof(bp_exec_ended_t));
+
+	bp_shardsim_answer_lists(poll, clock_ms, running, ended);
+	g_array_unref(ended);
 }
 
 /* See the header. */
--- a/tests/support/shardsim.h
+++ b/tests/support/shardsim.h
@@ -20,6 +20,7 @@
 	char *task; /* NULL for polls */
 	uint64_t run;
 	uint32_t percent; /* of the throttle order */
+	uint32_t wait_ms; /* of the poll */
 	bp_exec_done_t done;
 	void *data;
 	bool answered;
@@ -66,6 +67,9 @@
 /* Answers a poll with these running tasks, bp_exec_running_t. */
 void bp_shardsim_answer_poll(
     bp_sim_order_t *poll, int64_t clock_ms, GArray *running);
+/* The same with ended runs, bp_exec_ended_t. */
+void bp_shardsim_answer_lists(
+    bp_sim_order_t *poll, int64_t clock_ms, GArray *running, GArray *ended);
 /* Creates a step of tasks that take 5 s. */
 Bp__Work__Step *bp_shardsim_step(uint32_t tasks, uint32_t cpu_milli);
 /* Submits a job of one step, and takes ownership of the step. */
