--- a/src/queues/shard_polls.c
+++ b/src/queues/shard_polls.c
@@ -268,7 +268,7 @@
 		    exec->clock_at_ms != 0 &&
 		    bp_qexec_clock_lag_ms(exec) <= BP_SHARD_CLOCK_LAG_MS &&
 		    !bp_qexec_has_unstored_ends(exec)
-		? poll_wait_ms(exec)
+		? BP_SHARD_POLL_WAIT_MS
 		: 0);
 	return G_SOURCE_REMOVE;
 }
