--- a/tests/queues/test_soak.c
+++ b/tests/queues/test_soak.c
@@ -186,15 +186,6 @@
 		bp_qrig_resubmit(rig, ids->pdata[below(rig, ids->len)]);
 }
 
-static void
-set_store(bp_qrig_t *rig, bp_qstore_mode_t mode)
-{
-	uint32_t i;
-
-	for (i = 0; i < BP_QRIG_NODES; i++)
-		bp_qrig_store_mode(rig, i, mode);
-}
-
 static void
 play_event(bp_qrig_t *rig, GPtrArray *ids)
 {
@@ -221,11 +212,12 @@
 		break;
 	case 4:
 		/* Joins are answered: the owner sends orders all the while. */
-		set_store(rig, BP_QSTORE_SILENT_APPENDS);
+		bp_qrig_store_mode_all(rig, BP_QSTORE_SILENT_APPENDS);
 		bp_qrig_run_ms(rig, ROW_LEASE_MS);
 		break;
 	default:
-		set_store(rig, modes[below(rig, G_N_ELEMENTS(modes))]);
+		bp_qrig_store_mode_all(
+		    rig, modes[below(rig, G_N_ELEMENTS(modes))]);
 		break;
 	}
 }
@@ -244,7 +236,7 @@
 		play_event(rig, ids);
 		bp_qrig_run_ms(rig, below(rig, ROW_GAP_MAX_MS));
 	}
-	set_store(rig, BP_QSTORE_UP);
+	bp_qrig_store_mode_all(rig, BP_QSTORE_UP);
 	bp_qrig_run_ms(rig, QUIET_MS);
 	away = bp_qrig_away(rig);
 	if (away > 0)
--- a/tests/queues/test_storeoutage.c
+++ b/tests/queues/test_storeoutage.c
@@ -27,15 +27,6 @@
 /* After the return of the store; one of its calls may go without an answer. */
 #define ACKNOWLEDGE_MS 4000
 
-static void
-set_store(bp_qrig_t *rig, bp_qstore_mode_t mode)
-{
-	uint32_t i;
-
-	for (i = 0; i < BP_QRIG_NODES; i++)
-		bp_qrig_store_mode(rig, i, mode);
-}
-
 /* Lets time pass; raises *away to the most tasks that were away together. */
 static void
 run_watching(bp_qrig_t *rig, int64_t duration_ms, uint32_t *away)
@@ -78,18 +69,28 @@
 		printf("%s\n", bp_qrig_first_broken(rig));
 }
 
+/* Checks that no task was away and no run end is left, and frees the rig. */
+static void
+end_quiet(bp_qrig_t *rig, uint32_t away)
+{
+	CU_ASSERT_EQUAL(away, 0);
+	CU_ASSERT_EQUAL(bp_qrig_count(rig, "executors_unstored_ends"), 0);
+	check_rules(rig);
+	bp_qrig_free(rig);
+}
+
 /* Hands jobs in while the store refuses all calls. */
 static void
 submit_in_outage(bp_qrig_t *rig, uint32_t submissions, uint32_t *away)
 {
 	uint32_t i;
 
-	set_store(rig, BP_QSTORE_BUSY);
+	bp_qrig_store_mode_all(rig, BP_QSTORE_BUSY);
 	for (i = 0; i < submissions; i++) {
 		(void)bp_qrig_submit(rig, 1, 1000, false);
 		run_watching(rig, SUBMIT_INTERVAL_MS, away);
 	}
-	set_store(rig, BP_QSTORE_UP);
+	bp_qrig_store_mode_all(rig, BP_QSTORE_UP);
 }
 
 /* Guards against executors that are not polled any more (review/11): ends of
@@ -120,11 +121,7 @@
 			run_watching(rig, OUTAGE_GAP_MS, &away);
 		}
 		run_watching(rig, QUIET_MS, &away);
-		CU_ASSERT_EQUAL(away, 0);
-		CU_ASSERT_EQUAL(
-		    bp_qrig_count(rig, "executors_unstored_ends"), 0);
-		check_rules(rig);
-		bp_qrig_free(rig);
+		end_quiet(rig, away);
 	}
 }
 
@@ -145,10 +142,7 @@
 	run_watching(rig, 5000, &away);
 	bp_qrig_cancel(rig, cancelled[1]);
 	run_watching(rig, QUIET_MS, &away);
-	CU_ASSERT_EQUAL(away, 0);
-	CU_ASSERT_EQUAL(bp_qrig_count(rig, "executors_unstored_ends"), 0);
-	check_rules(rig);
-	bp_qrig_free(rig);
+	end_quiet(rig, away);
 }
 
 /* Starts a task on each executor that ends within the outage which begins when
@@ -176,16 +170,13 @@
 	uint32_t away = 0;
 
 	start_ending_tasks(rig, cancelled[0], &away);
-	set_store(rig, BP_QSTORE_SILENT_APPENDS);
+	bp_qrig_store_mode_all(rig, BP_QSTORE_SILENT_APPENDS);
 	run_watching(rig, SILENT_APPENDS_MS, &away);
 	CU_ASSERT_EQUAL(
 	    bp_qrig_count(rig, "executors_unstored_ends"), EXECUTORS);
-	set_store(rig, BP_QSTORE_UP);
+	bp_qrig_store_mode_all(rig, BP_QSTORE_UP);
 	run_watching(rig, QUIET_MS, &away);
-	CU_ASSERT_EQUAL(away, 0);
-	CU_ASSERT_EQUAL(bp_qrig_count(rig, "executors_unstored_ends"), 0);
-	check_rules(rig);
-	bp_qrig_free(rig);
+	end_quiet(rig, away);
 }
 
 /* The same while the store answers nothing at all, or refuses all calls. */
@@ -203,15 +194,11 @@
 
 		run_watching(rig, i % PHASES * PHASE_MS, &away);
 		start_ending_tasks(rig, cancelled[0], &away);
-		set_store(rig, modes[i / PHASES]);
+		bp_qrig_store_mode_all(rig, modes[i / PHASES]);
 		run_watching(rig, OUTAGE_MS, &away);
-		set_store(rig, BP_QSTORE_UP);
+		bp_qrig_store_mode_all(rig, BP_QSTORE_UP);
 		run_watching(rig, QUIET_MS, &away);
-		CU_ASSERT_EQUAL(away, 0);
-		CU_ASSERT_EQUAL(
-		    bp_qrig_count(rig, "executors_unstored_ends"), 0);
-		check_rules(rig);
-		bp_qrig_free(rig);
+		end_quiet(rig, away);
 	}
 }
 
@@ -276,11 +263,11 @@
 
 		bp_qrig_run_ms(rig, SETTLE_MS);
 		CU_ASSERT_PTR_NOT_NULL(bp_qstore_value(store, 0, "x/i-1"));
-		set_store(rig, modes[i]);
+		bp_qrig_store_mode_all(rig, modes[i]);
 		bp_qfleet_set_listed(bp_qrig_fleet(rig), 1, false);
 		bp_qfleet_set_cut(bp_qrig_fleet(rig), 1, true);
 		bp_qrig_run_ms(rig, SHORT_OUTAGE_MS);
-		set_store(rig, BP_QSTORE_UP);
+		bp_qrig_store_mode_all(rig, BP_QSTORE_UP);
 		bp_qrig_run_ms(rig, QUIET_MS);
 		CU_ASSERT_PTR_NULL(bp_qstore_value(store, 0, "x/i-1"));
 		CU_ASSERT_PTR_NOT_NULL(bp_qstore_value(store, 0, "x/i-2"));
@@ -297,12 +284,12 @@
 	bp_qrig_t *rig = bp_qrig_new(SEED, EXECUTORS);
 
 	bp_qrig_run_ms(rig, SETTLE_MS);
-	set_store(rig, BP_QSTORE_BUSY);
+	bp_qrig_store_mode_all(rig, BP_QSTORE_BUSY);
 	bp_qfleet_set_listed(bp_qrig_fleet(rig), 1, false);
 	bp_qrig_run_ms(rig, SHORT_OUTAGE_MS / 2);
 	bp_qfleet_set_listed(bp_qrig_fleet(rig), 1, true);
 	bp_qrig_run_ms(rig, SHORT_OUTAGE_MS / 2);
-	set_store(rig, BP_QSTORE_UP);
+	bp_qrig_store_mode_all(rig, BP_QSTORE_UP);
 	bp_qrig_run_ms(rig, QUIET_MS);
 	CU_ASSERT_PTR_NOT_NULL(bp_qstore_value(bp_qrig_store(rig), 0, "x/i-1"));
 	check_rules(rig);
@@ -326,11 +313,11 @@
 		bp_qrig_run_ms(rig, SETTLE_MS);
 		(void)bp_qrig_submit(rig, EXECUTORS, TASK_MS, false);
 		bp_qrig_run_ms(rig, TASK_MS / 2);
-		set_store(rig, modes[i]);
+		bp_qrig_store_mode_all(rig, modes[i]);
 		bp_qrig_run_ms(rig, SHORT_OUTAGE_MS);
 		CU_ASSERT_EQUAL(
 		    bp_qfleet_unacknowledged(bp_qrig_fleet(rig)), EXECUTORS);
-		set_store(rig, BP_QSTORE_UP);
+		bp_qrig_store_mode_all(rig, BP_QSTORE_UP);
 		bp_qrig_run_ms(rig, ACKNOWLEDGE_MS);
 		CU_ASSERT_EQUAL(
 		    bp_qfleet_unacknowledged(bp_qrig_fleet(rig)), 0);
--- a/tests/support/queuerig.c
+++ b/tests/support/queuerig.c
@@ -425,6 +425,16 @@
 		bp_qstore_set_mode(rig->nodes[index].store, mode);
 }
 
+/* See the header. */
+void
+bp_qrig_store_mode_all(bp_qrig_t *rig, bp_qstore_mode_t mode)
+{
+	uint32_t i;
+
+	for (i = 0; i < BP_QRIG_NODES; i++)
+		bp_qrig_store_mode(rig, i, mode);
+}
+
 static bool
 owns(const rig_node_t *node)
 {
--- a/tests/support/queuerig.h
+++ b/tests/support/queuerig.h
@@ -119,6 +119,8 @@
 /* The node reaches no executor; its store is not concerned. */
 void bp_qrig_cut_executors(bp_qrig_t *rig, uint32_t node, bool cut);
 void bp_qrig_store_mode(bp_qrig_t *rig, uint32_t node, bp_qstore_mode_t mode);
+/* The same for all nodes. */
+void bp_qrig_store_mode_all(bp_qrig_t *rig, bp_qstore_mode_t mode);
 void bp_qrig_set_zone(bp_qrig_t *rig, const char *zone, bool out);
 
 uint32_t bp_qrig_broken(const bp_qrig_t *rig);
